--- a/weldknot/__init__.py
+++ b/cairnvane/__init__.py
@@ -1,6 +1,6 @@
-"""weldknot: admission and scheduling for servers behind balancers that nobody here controls.
+"""cairnvane: admission and scheduling for servers behind balancers that nobody here controls.
 
-`Controller` decides; `weldknot.interface` holds all that passes between it and its host.
+`Controller` decides; `cairnvane.interface` holds all that passes between it and its host.
 """
 
 from .control import Controller
--- a/weldknot/drill.py
+++ b/cairnvane/drill.py
@@ -1,4 +1,4 @@
-"""`python -m weldknot.drill`: hosts controllers for the bench, on standard input and output."""
+"""`python -m cairnvane.drill`: hosts controllers for the bench, on standard input and output."""
 
 from __future__ import annotations
 
@@ -74,7 +74,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as error:
-        print(f"weldknot.drill: {error}", file=sys.stderr)
+        print(f"cairnvane.drill: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from weldknot import interface as i
-from weldknot.control import Controller
+from cairnvane import interface as i
+from cairnvane.control import Controller
 
 MS = 1_000
 SAFE, KEYED, UNSAFE = 0, 1, 2
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -8,8 +8,8 @@
 
 from helpers import MS, SAFE, UNSAFE, Host, host
 
-from weldknot import control
-from weldknot import interface as i
+from cairnvane import control
+from cairnvane import interface as i
 
 MODULE = Path(control.__file__)
 
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -9,7 +9,7 @@
 from hypothesis import settings as tuned
 from hypothesis import strategies as st
 
-from weldknot import interface as i
+from cairnvane import interface as i
 
 OUTCOMES = (i.Outcome.OK, i.Outcome.ERROR, i.Outcome.TIMEOUT, i.Outcome.REJECTED, i.Outcome.UNREACHED)
 STEP = st.tuples(st.sampled_from("aaaaaffffncgtttd"), st.integers(0, 999), st.integers(0, 999))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,7 +8,7 @@
 import pytest
 from helpers import CLASSES, KEYED, MS, SAFE, UNSAFE, Host, host, of
 
-from weldknot import interface as i
+from cairnvane import interface as i
 
 
 def arrive(h: Host, rid: int, cls: int = SAFE, memory: float = 10.0, **more: object) -> list[i.Action]:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,8 +11,8 @@
 
 import pytest
 
-from weldknot import Controller, drill, wire
-from weldknot import interface as i
+from cairnvane import Controller, drill, wire
+from cairnvane import interface as i
 
 INBOUND = bytes.fromhex(
     "12 0006b47e5d3a91c4 00 00000000 91f03b7c55d20a64 0003a980 00002ee0 41c40000 3f200000 01 0011 0000073a"
@@ -126,7 +126,7 @@
 
 
 def drilled(*frames: bytes) -> tuple[int, bytes, str]:
-    command = [sys.executable, "-m", "weldknot.drill"]
+    command = [sys.executable, "-m", "cairnvane.drill"]
     done = subprocess.run(command, input=b"".join(frames), capture_output=True)
     return done.returncode, done.stdout, done.stderr.decode()
 
