--- /dev/null
+++ b/cairnvane/__main__.py
@@ -0,0 +1,82 @@
+"""`python -m cairnvane`: one bid server."""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import sys
+import threading
+
+from . import config
+from .host import Host
+from .net.pool import Pool
+from .net.roster import Roster
+from .net.server import Server
+
+# Readers, calls and timers go a dozen plain frames deep; hundreds of them share the memory limit.
+STACK_BYTES = 256 * 1024
+# The host thread must not wait for the 5 ms that a busy reader may by default hold the interpreter.
+SWITCH_S = 0.0005
+# All is answered this long before the process is stopped, with room for a late thread and the way out.
+STOP_MARGIN_MS = 300
+# A balancer's next request may be on its way when a connection looks idle; the end is not rushed.
+LAST_WAIT_S = 0.2
+
+
+def main() -> int:
+    """Serve until told to leave; 2 if the configuration is at fault."""
+    try:
+        told = config.load(os.environ)
+    except config.ConfigError as error:
+        print(f"cairnvane: {error}", file=sys.stderr)
+        return 2
+    threading.stack_size(STACK_BYTES)
+    sys.setswitchinterval(SWITCH_S)
+    leave = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: leave.set())
+    signal.signal(signal.SIGINT, lambda *_: leave.set())
+
+    host = Host(told.settings, told.gauges, told.seed)
+    pool = Pool(told.pool, host)
+    roster = Roster(told.roster, told.name)
+    try:
+        server = Server(told.listen, host, told.sockets // 2)
+    except OSError as error:
+        print(f"cairnvane: listen: {error}", file=sys.stderr)
+        return 2
+    host.join(server, pool, told.vault)
+    gc.freeze()  # what was loaded stays; full collections need not walk it
+    failed = threading.Event()
+
+    def serve() -> None:
+        try:
+            host.serve()
+        except BaseException:
+            # Without the host nobody would be answered: better to be seen dead and started again.
+            failed.set()
+            leave.set()
+            raise
+
+    thread = threading.Thread(target=serve, name="host", daemon=True)
+    thread.start()
+    pool.start()
+    server.start()
+    roster.start()
+    leave.wait()
+    if failed.is_set():
+        thread.join()
+        return 1
+    roster.stop()
+    time_left = max(0, told.stop_ms - STOP_MARGIN_MS) / 1e3
+    host.drain(int(time_left * 1e6))
+    grace = min(time_left, told.settings.drain_grace / 1e6)
+    threading.Event().wait(grace)
+    server.retire(max(0.0, time_left - grace) + LAST_WAIT_S)
+    host.stop()
+    thread.join(LAST_WAIT_S)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/cairnvane/config.py
@@ -0,0 +1,110 @@
+"""The one place where configuration is read, checked and given defaults."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+import msgspec
+
+from .interface import Settings
+from .wire import WireError, read_settings
+
+# What a scored day gives at most, for a configuration that leaves limits out.
+DEFAULT_SOCKETS = 1_024
+DEFAULT_STOP_MS = 3_000
+
+
+class ConfigError(Exception):
+    """One line that names the faulty key."""
+
+
+class _Limits(msgspec.Struct):
+    sockets: int = DEFAULT_SOCKETS
+
+
+class _File(msgspec.Struct):
+    pool: str
+    roster: str
+    vault: str
+    settings: msgspec.Raw
+    name: str = ""
+    listen: str = ""
+    seed: str = "0"
+    stop_ms: int = DEFAULT_STOP_MS
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that a server is told at its start."""
+
+    name: str
+    listen: Address
+    pool: Address
+    roster: Address
+    vault: Address
+    seed: int
+    stop_ms: int
+    sockets: int
+    settings: Settings
+    gauges: tuple[str | None, ...]  # in the order in which the pool sends them; None: of no interest
+
+
+def _address(key: str, text: str) -> Address:
+    host, colon, port = text.rpartition(":")
+    if not (host and colon and port.isdigit() and int(port) < 65_536):
+        raise ConfigError(f"{key}: {text!r} is not HOST:PORT")
+    return host, int(port)
+
+
+def _text(key: str, text: str) -> str:
+    if not text:
+        raise ConfigError(f"{key}: missing")
+    return text
+
+
+def _least(key: str, value: int, least: int) -> int:
+    if value < least:
+        raise ConfigError(f"{key}: {value} is under {least}")
+    return value
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    """Read `LB_CONFIG`; `LB_NAME` and `LB_LISTEN` go before what it says."""
+    path = _text("LB_CONFIG", environment.get("LB_CONFIG", ""))
+    try:
+        raw = Path(path).read_bytes()
+    except OSError as error:
+        raise ConfigError(f"LB_CONFIG: {path}: {error.strerror}") from None
+    try:
+        file = msgspec.json.decode(raw, type=_File)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise ConfigError(f"LB_CONFIG: {error}") from None
+    try:
+        seed = int(file.seed, 16)
+    except ValueError:
+        raise ConfigError(f"seed: {file.seed!r} is not a hexadecimal number") from None
+    try:
+        settings, gauges = read_settings(bytes(file.settings).decode())
+    except WireError as error:
+        raise ConfigError(str(error)) from None
+    # The pool has no command to go on without a call, so no class may earn by that here.
+    settings = replace(settings, classes=tuple(replace(cls, skip_worth=0.0) for cls in settings.classes))
+    return Config(
+        name=_text("name", environment.get("LB_NAME") or file.name),
+        listen=_address("listen", environment.get("LB_LISTEN") or file.listen),
+        pool=_address("pool", file.pool),
+        roster=_address("roster", file.roster),
+        vault=_address("vault", file.vault),
+        seed=seed,
+        stop_ms=_least("stop_ms", file.stop_ms, 1),
+        # Half of them may be balancers; the rest serves links, calls and the program itself.
+        sockets=_least("limits.sockets", file.limits.sockets, 64),
+        settings=settings,
+        gauges=gauges,
+    )
--- /dev/null
+++ b/cairnvane/host.py
@@ -0,0 +1,365 @@
+"""Between the exchange objects, the links and the controller: keeps requests, keys and time.
+
+One thread, one inbox: all that happens is put there by whoever saw it, and is told to the controller one
+event after the other, with every action carried out before the next. Nothing is decided here.
+"""
+
+from __future__ import annotations
+
+import sys
+import threading
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from queue import SimpleQueue
+
+from . import clock
+from . import interface as i
+from .control import Controller
+from .exchange import Answer, Check, Request, Verdict
+from .interface import Outcome, Repeat
+from .net import pool as worker
+from .net.pool import Pool
+from .net.server import Server
+from .net.vault import Call
+from .wire import timer_fired
+
+# Repeats are told for this much longer than the controller asks: peers' time limits have 50 ms of slack.
+KEY_SLACK_US = 100_000
+
+_ENDS = {
+    worker.FINE: Outcome.OK, worker.FAULT: Outcome.ERROR,
+    worker.BROKEN_OFF: Outcome.CANCELLED, worker.LATE: Outcome.MOOT,
+}
+
+
+@dataclass(slots=True)
+class Tracked:
+    """Where a request stands."""
+
+    id: int
+    exchange: Request
+    cls: i.RequestClass
+    repeats: int | None
+    held: bool = True  # neither run nor over
+    running: bool = False  # the pool has it, or was told to
+    outcome: Outcome | None = None  # how it ended, if it is over
+    result: bytes = b""  # kept while a repeat may want it
+    waiting: list[int] = field(default_factory=list)  # repeats that wait for its end
+    call: Call | None = None
+    reply: bytes = b""  # of its call, until the pool shows that it arrived
+    told: int | None = None  # on which link its last command went; None: shown to have arrived
+    halted: int | None = None  # on which link it was told to stop
+
+
+@dataclass(frozen=True, slots=True)
+class Key:
+    """An entry of the table of keys."""
+
+    owner: int
+    until: int  # whatever reached the machine before is a repeat
+
+
+class Host:
+    """One life of a server."""
+
+    def __init__(self, settings: i.Settings, gauges: tuple[str | None, ...], seed: int) -> None:
+        self._gauges = gauges
+        self._classes = {cls.name: number for number, cls in enumerate(settings.classes)}
+        self._settings = settings
+        # A repeat that came before its key ran out may be read as much later as a caller waits.
+        self._unread = max(cls.patience for cls in settings.classes)
+        self._control = Controller(settings, seed, clock.now())
+        self._inbox: SimpleQueue[Callable[[], None]] = SimpleQueue()
+        self._later: deque[i.Event] = deque()  # events that actions brought about
+        self._requests: dict[int, Tracked] = {}
+        self._by_uid: dict[str, Tracked] = {}
+        self._keys: dict[str, Key] = {}
+        self._key_ends: deque[tuple[int, str]] = deque()
+        self._count = 0
+        self._healthy, self._stored = True, False
+        self._load: float | None = None
+        self._link = 0
+        self._stopped = False
+        self._do_to: dict[type[i.Action], Callable[..., None]] = {
+            i.Run: self._run, i.Refuse: self._refuse, i.Fail: self._fail, i.Halt: self._halt,
+            i.Call: self._call, i.Remember: self._remember, i.Forget: self._forget, i.Reuse: self._reuse,
+        }
+        self._do: dict[type[i.Action], Callable[..., None]] = {
+            i.SetHealth: self._set_health, i.Advertise: self._advertise, i.CloseIdle: self._close_idle,
+            i.SetTimer: self._set_timer, i.Log: self._log,
+        }
+
+    def join(self, server: Server, pool: Pool, vault: tuple[str, int]) -> None:
+        """Get to know the parts that the host gives its orders to."""
+        self._server, self._pool, self._vault = server, pool, vault
+
+    # --- the inbox, from any thread
+
+    def arrived(self, request: Request) -> None:
+        """A whole request was read."""
+        self._inbox.put(lambda: self._arrival(request))
+
+    def gone(self, request: Request) -> None:
+        """Its caller has left."""
+        self._inbox.put(lambda: self._leave(request))
+
+    def checked(self, check: Check) -> None:
+        """A health check was read."""
+        self._inbox.put(lambda: self._check(check))
+
+    def finished(self, uid: str, code: str, took_us: int, result: bytes) -> None:
+        """A run is over."""
+        self._inbox.put(lambda: self._end_run(uid, code, took_us, result))
+
+    def blocked(self, uid: str, body: bytes) -> None:
+        """A run waits for a call."""
+        self._inbox.put(lambda: self._block(uid, body))
+
+    def linked(self, link: int) -> None:
+        """The pool's link is up."""
+        self._inbox.put(lambda: self._say_again(link))
+
+    def drain(self, time_left_us: int) -> None:
+        """The notice to leave."""
+        self._inbox.put(lambda: self._tell(i.Draining(time_left_us)))
+
+    def stop(self) -> None:
+        """End the thread."""
+        self._inbox.put(self._end)
+
+    def serve(self) -> None:
+        """The host thread: whatever comes in, in its order."""
+        self._tell()
+        while not self._stopped:
+            self._inbox.get()()
+
+    def _end(self) -> None:
+        self._stopped = True
+
+    # --- to the controller
+
+    def _tell(self, event: i.Event | None = None, not_before: int = 0) -> None:
+        """The only caller of `handle`."""
+        while True:
+            self._expire()
+            events = [event] if event is not None else []
+            for action in self._control.handle(max(clock.now(), not_before), events):
+                self._carry_out(action)
+            if not self._later:
+                return
+            event = self._later.popleft()
+
+    def _carry_out(self, action: i.Action) -> None:
+        if (do := self._do.get(type(action))) is not None:
+            do(action)
+        elif (known := self._requests.get(action.id)) is not None:  # type: ignore[union-attr]
+            self._do_to[type(action)](known, action)
+
+    def _arrival(self, request: Request) -> None:
+        cls = self._classes.get(request.lane)
+        if cls is None or request.uid in self._by_uid:
+            print(f"host: {request.uid}: class {request.lane!r} or id not acceptable", file=sys.stderr)
+            request.finish(Answer(Verdict.FAILED, load=self._load))
+            return
+        if not request.open:
+            return  # its caller left before it could be told
+        self._count += 1
+        key = self._keys.get(request.token) if request.token is not None else None
+        repeats = key.owner if key is not None and request.arrived < key.until else None
+        known = Tracked(self._count, request, self._settings.classes[cls], repeats)
+        self._requests[known.id] = self._by_uid[request.uid] = known
+        queued = max(0, clock.now() - request.arrived)
+        self._tell(i.Arrival(
+            known.id, cls, queued, memory=request.memory, caller=request.caller, repeats=repeats))
+
+    def _leave(self, request: Request) -> None:
+        known = self._by_uid.get(request.uid)
+        if known is None or known.exchange is not request:
+            return
+        self._drop_call(known)
+        self._tell(i.Gone(known.id))
+        self._settle(known)
+
+    def _end_run(self, uid: str, code: str, took: int, result: bytes) -> None:
+        known = self._by_uid.get(uid)
+        if known is None or not known.running:
+            return
+        self._drop_call(known)
+        known.running, known.told, known.halted = False, None, None
+        outcome = _ENDS.get(code, Outcome.ERROR)
+        if outcome is Outcome.OK:
+            known.exchange.finish(Answer(Verdict.SERVED, result, load=self._load))
+            if known.cls.repeat is Repeat.KEYED:
+                known.result = result
+        elif outcome is Outcome.ERROR:
+            known.exchange.finish(Answer(Verdict.FAILED, load=self._load))
+        self._over(known, outcome)
+        self._tell(i.Finished(known.id, outcome, took))
+        self._settle(known)
+
+    def _block(self, uid: str, body: bytes) -> None:
+        if (known := self._by_uid.get(uid)) is None or not known.running:
+            return
+        known.told, known.reply = None, body
+        self._tell(i.CallNeeded(known.id))
+
+    def _end_call(self, known: Tracked, call: Call, outcome: Outcome, body: bytes, took: int) -> None:
+        if known.call is not call:
+            return  # given up meanwhile
+        known.call = None
+        if outcome is Outcome.OK:
+            known.reply = body
+            known.told = self._pool.supply(known.exchange.uid, body)
+        self._tell(i.CallEnded(known.id, outcome, took))
+
+    def _say_again(self, link: int) -> None:
+        """What an earlier link may have lost. A keyed run that may have started is left alone: said twice, it
+        could run twice. Its due time will answer it."""
+        self._link = link
+        for known in list(self._requests.values()):
+            uid = known.exchange.uid
+            if known.halted is not None and known.halted < link:
+                known.halted = self._pool.suspend(uid)
+            elif known.told is None or known.told >= link or not known.running:
+                continue
+            elif known.reply:
+                known.told = self._pool.supply(uid, known.reply)
+            elif known.told == 0 or known.cls.repeat is Repeat.SAFE:
+                known.told = self._pool.spawn(uid, known.exchange.lane, known.exchange.body)
+
+    def _check(self, check: Check) -> None:
+        def reply(good: bool) -> None:
+            check.finish(Answer(Verdict.SERVED if good else Verdict.REFUSED, load=self._load))
+
+        if self._healthy and check.deep and not self._stored:
+            self._pool.verify(reply)
+        else:
+            reply(self._healthy)
+
+    # --- what becomes of a request
+
+    def _over(self, known: Tracked, outcome: Outcome) -> None:
+        """It will not run any more: whoever waits for its end has it now."""
+        known.outcome, known.held = outcome, False
+        waiting, known.waiting = known.waiting, []
+        for number in waiting:
+            if (repeat := self._requests.get(number)) is not None:
+                self._finish_repeat(repeat, known)
+
+    def _finish_repeat(self, repeat: Tracked, original: Tracked | None) -> None:
+        good = original is not None and original.outcome is Outcome.OK
+        if good and original is not None:
+            repeat.exchange.finish(Answer(Verdict.SERVED, original.result, load=self._load))
+        else:
+            repeat.exchange.finish(Answer(Verdict.FAILED, load=self._load))
+        repeat.held = False
+        self._later.append(i.Finished(repeat.id, Outcome.OK if good else Outcome.ERROR))
+        self._settle(repeat)
+
+    def _settle(self, known: Tracked) -> None:
+        """Let go of what is over and no key needs."""
+        if known.running or known.exchange.open:
+            return
+        if known.held:
+            self._over(known, Outcome.MOOT)
+        token = known.exchange.token
+        if token is not None and (key := self._keys.get(token)) and key.owner == known.id:
+            return
+        self._requests.pop(known.id, None)
+        if self._by_uid.get(known.exchange.uid) is known:
+            del self._by_uid[known.exchange.uid]
+
+    def _drop_call(self, known: Tracked) -> None:
+        if known.call is not None:
+            known.call.give_up()
+            known.call = None
+
+    def _expire(self) -> None:
+        now = clock.now()
+        while self._key_ends and self._key_ends[0][0] <= now:
+            _, token = self._key_ends.popleft()
+            if (key := self._keys.get(token)) and key.until + self._unread <= now:
+                self._erase(token, key)
+
+    def _erase(self, token: str, key: Key) -> None:
+        del self._keys[token]
+        if (owner := self._requests.get(key.owner)) is not None:
+            self._settle(owner)
+
+    # --- actions
+
+    def _run(self, known: Tracked, action: i.Run) -> None:
+        known.held, known.running = False, True
+        known.told = self._pool.spawn(known.exchange.uid, known.exchange.lane, known.exchange.body)
+
+    def _refuse(self, known: Tracked, action: i.Refuse) -> None:
+        away_ms = -(-action.stay_away // 1_000)
+        known.exchange.finish(
+            Answer(Verdict.REFUSED, stay_away_ms=away_ms, last=action.no_retry, load=self._load))
+        self._settle(known)
+
+    def _fail(self, known: Tracked, action: i.Fail) -> None:
+        self._drop_call(known)
+        known.exchange.finish(Answer(Verdict.FAILED, load=self._load))
+        self._settle(known)
+
+    def _halt(self, known: Tracked, action: i.Halt) -> None:
+        known.halted = self._pool.suspend(known.exchange.uid)
+
+    def _call(self, known: Tracked, action: i.Call) -> None:
+        if not known.running:
+            return
+
+        def ended(outcome: Outcome, body: bytes, took: int) -> None:
+            self._inbox.put(lambda: self._end_call(known, call, outcome, body, took))
+
+        call = known.call = Call(self._vault, known.exchange.uid, known.reply, action.timeout, ended)
+
+    def _remember(self, known: Tracked, action: i.Remember) -> None:
+        if (token := known.exchange.token) is None:
+            return
+        until = clock.now() + action.life + KEY_SLACK_US
+        before = self._keys.get(token)
+        self._keys[token] = Key(known.id, until)
+        self._key_ends.append((until + self._unread, token))
+        if before is not None and before.owner != known.id and (owner := self._requests.get(before.owner)):
+            self._settle(owner)
+
+    def _forget(self, known: Tracked, action: i.Forget) -> None:
+        token = known.exchange.token
+        if token is not None and (key := self._keys.get(token)) and key.owner == known.id:
+            self._erase(token, key)
+
+    def _reuse(self, known: Tracked, action: i.Reuse) -> None:
+        original = self._requests.get(known.repeats or 0)
+        if original is not None and original.outcome is None:
+            original.waiting.append(known.id)
+        else:
+            self._finish_repeat(known, original)
+
+    def _set_health(self, action: i.SetHealth) -> None:
+        self._healthy, self._stored = action.good, action.stored
+
+    def _advertise(self, action: i.Advertise) -> None:
+        self._load = action.value
+
+    def _close_idle(self, action: i.CloseIdle) -> None:
+        self._server.idle_s = action.after / 1e6
+
+    def _set_timer(self, action: i.SetTimer) -> None:
+        timer = threading.Timer(max(0, action.at - clock.now()) / 1e6, self._due, (action,))
+        timer.daemon = True
+        timer.start()
+
+    def _due(self, timer: i.SetTimer) -> None:
+        """In the timer's thread: fetch the gauges that a tick brings."""
+        def gauged(meters: tuple[float, ...]) -> None:
+            event = timer_fired(timer.token, list(meters), self._gauges)
+            # Never before its time by a rounding: the controller takes that for one that it replaced.
+            self._inbox.put(lambda: self._tell(event, timer.at))
+
+        self._pool.poll(gauged)
+
+    def _log(self, action: i.Log) -> None:
+        print(f"control: {action.text}", file=sys.stderr)
--- /dev/null
+++ b/cairnvane/net/pool.py
@@ -0,0 +1,194 @@
+"""The link to the worker pool: commands out, notices in, kept open and taken up again where it broke.
+
+What is safe to say again after a break, and who knows it: `suspend`, `supply` and the `spawn` of a class that
+may run twice. The link only tells the host that it is back (`Notices.linked`); the host, which knows where
+each request stands, says again what is needed.
+"""
+
+from __future__ import annotations
+
+import base64
+import socket
+import sys
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import msgspec
+
+from .outlet import Outlet
+
+# A link that can't be had is tried again this often: well inside any aim.
+RETRY_S = 0.05
+CONNECT_WAIT_S = 2.0
+# A notice holds at most a 4 KiB result in base64 and a few words.
+MAX_LINE = 65_536
+# The gauges are asked for on the same machine. Without an answer in time the tick goes on without them,
+# since a late tick costs answers.
+POLL_WAIT_S = 0.04
+# A deep check does real work in a crowd; a pool that does not do it in so long is stuck.
+VERIFY_WAIT_S = 2.0
+# A replay of all 4,000 notices takes far less; a link that does not get so far is as good as lost.
+SYNC_WAIT_S = 10.0
+# How the pool says that a run ended.
+FINE, FAULT, BROKEN_OFF, LATE = "fine", "fault", "broken_off", "late"
+
+
+class Notice(msgspec.Struct):
+    """Any message of the worker pool."""
+
+    action: str
+    pos: int = 0
+    uid: str = ""
+    code: str = ""
+    wall_ms: float = 0.0
+    content: str = ""
+    echo: str = ""
+    meters: tuple[float, ...] = ()
+
+
+class Notices(Protocol):
+    """Whoever wants the pool's news, from the link's own thread."""
+
+    def finished(self, uid: str, code: str, took_us: int, result: bytes) -> None:
+        """A run is over."""
+
+    def blocked(self, uid: str, body: bytes) -> None:
+        """A run waits for a call."""
+
+    def linked(self, link: int) -> None:
+        """Link number `link` is up, and all notices that an earlier one missed have been passed on."""
+
+
+@dataclass(slots=True)
+class _Asked:
+    """A question that is owed one reply, or None when its wait has run out."""
+
+    then: Callable[[Notice | None], None]
+    timer: threading.Timer
+
+
+class Pool:
+    """The link, and the thread that reads it."""
+
+    def __init__(self, address: tuple[str, int], notices: Notices) -> None:
+        self._address, self._notices = address, notices
+        self._pos = 0
+        self._links = 0
+        self._outlet: Outlet | None = None
+        self._asked: dict[str, _Asked] = {}
+        self._echo = 0
+        self._lock = threading.Lock()
+        self._decoder = msgspec.json.Decoder(Notice)
+
+    def start(self) -> None:
+        """Connect, and stay connected."""
+        threading.Thread(target=self._run, name="pool", daemon=True).start()
+
+    # --- commands; each tells on which link it went out, 0 if on none
+
+    def spawn(self, uid: str, lane: str, body: bytes) -> int:
+        """Run a request."""
+        return self._say({"action": "spawn", "uid": uid, "lane": lane, "content": _text(body)})
+
+    def suspend(self, uid: str) -> int:
+        """Stop a run."""
+        return self._say({"action": "suspend", "uid": uid})
+
+    def supply(self, uid: str, body: bytes) -> int:
+        """Pass on the reply to a run's call."""
+        return self._say({"action": "supply", "uid": uid, "content": _text(body)})
+
+    def poll(self, then: Callable[[tuple[float, ...]], None]) -> None:
+        """Ask for the gauges; none are passed on if they don't come in time."""
+        self._ask("poll", POLL_WAIT_S, lambda notice: then(notice.meters if notice else ()))
+
+    def verify(self, then: Callable[[bool], None]) -> None:
+        """Ask for a deep check's work."""
+        self._ask("verify", VERIFY_WAIT_S, lambda notice: then(notice is not None and notice.code == FINE))
+
+    def _ask(self, action: str, wait_s: float, then: Callable[[Notice | None], None]) -> None:
+        with self._lock:
+            self._echo += 1
+            echo = f"{action}-{self._echo}"
+            timer = threading.Timer(wait_s, self._reply, (echo, None))
+            timer.daemon = True
+            self._asked[echo] = _Asked(then, timer)
+        timer.start()
+        if not self._say({"action": action, "echo": echo}):
+            self._reply(echo, None)
+
+    def _reply(self, echo: str, notice: Notice | None) -> None:
+        with self._lock:
+            asked = self._asked.pop(echo, None)
+        if asked is not None:
+            asked.timer.cancel()
+            asked.then(notice)
+
+    def _say(self, command: dict[str, str]) -> int:
+        with self._lock:
+            outlet, link = self._outlet, self._links
+        return link if outlet is not None and outlet.send(_line(command)) else 0
+
+    # --- the link
+
+    def _run(self) -> None:
+        while True:
+            try:
+                with socket.create_connection(self._address, CONNECT_WAIT_S) as sock:
+                    self._converse(sock)
+            except (OSError, msgspec.MsgspecError, ValueError) as error:
+                print(f"pool: link lost: {error}", file=sys.stderr)
+            with self._lock:
+                self._outlet = None
+            time.sleep(RETRY_S)
+
+    def _converse(self, sock: socket.socket) -> None:
+        sock.settimeout(None)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        outlet = Outlet(sock)
+        outlet.send(_line({"action": "bind", "pos": self._pos}))
+        with sock.makefile("rb") as lines:
+            while line := lines.readline(MAX_LINE):
+                if not line.endswith(b"\n"):
+                    raise ValueError("a line that is cut short or too long")
+                self._take(self._decoder.decode(line), outlet)
+
+    def _take(self, notice: Notice, outlet: Outlet) -> None:
+        if notice.pos:
+            if notice.pos <= self._pos:
+                return  # said again after a break, and acted on before
+            self._pos = notice.pos
+        if notice.action == "finished":
+            result = base64.b64decode(notice.content)
+            self._notices.finished(notice.uid, notice.code, int(notice.wall_ms * 1e3), result)
+        elif notice.action == "blocked":
+            self._notices.blocked(notice.uid, base64.b64decode(notice.content))
+        elif notice.action in ("polled", "verified"):
+            self._reply(notice.echo, notice)
+        elif notice.action == "bound":
+            with self._lock:
+                self._links += 1
+                self._outlet, link = outlet, self._links
+            # The replay comes before the answer to this question, which therefore marks its end.
+            self._ask("poll", SYNC_WAIT_S, lambda reply: self._notices.linked(link) if reply else None)
+        elif notice.action == "unknown":
+            self._refused(notice)
+
+    def _refused(self, notice: Notice) -> None:
+        print(f"pool: not carried out: {notice.code} {notice.uid}", file=sys.stderr)
+        if notice.code == "spawn":  # it will never run, and nothing else will tell
+            self._notices.finished(notice.uid, LATE, 0, b"")
+        elif notice.code == "verify":  # no deep checks here: the link itself is the answer
+            for echo in [echo for echo in list(self._asked) if echo.startswith("verify")]:
+                self._reply(echo, Notice("verified", code=FINE))
+
+
+def _line(command: dict[str, Any]) -> bytes:
+    return msgspec.json.encode(command) + b"\n"
+
+
+def _text(data: bytes) -> str:
+    return base64.b64encode(data).decode("ascii")
--- /dev/null
+++ b/cairnvane/net/vault.py
@@ -0,0 +1,85 @@
+"""Calls to the vault: one call a connection, given up by closing it."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+import time
+from collections.abc import Callable
+
+from ..interface import Outcome
+from . import http
+
+PATH = "/v2/read"
+
+# How a call ended, the reply's body, and how long it took in microseconds.
+Ended = Callable[[Outcome, bytes, int], None]
+
+
+def outcome(reply: http.Reply) -> Outcome:
+    """What a reply proves. Only `X-Refused-Unseen` proves that the call never ran."""
+    if reply.status == 200:
+        return Outcome.OK
+    if reply.headers.get("x-refused-unseen") == "1":
+        return Outcome.MOOT if reply.status == 409 else Outcome.REJECTED
+    return Outcome.TIMEOUT if reply.status == 504 else Outcome.ERROR
+
+
+class Call:
+    """One call on its way, in a thread of its own."""
+
+    def __init__(
+        self, address: tuple[str, int], uid: str, body: bytes, timeout_us: int, ended: Ended,
+    ) -> None:
+        self._address, self._uid, self._body = address, uid, body
+        self._timeout_us = timeout_us
+        self._ended = ended
+        self._lock = threading.Lock()
+        self._sock: socket.socket | None = None
+        self._given_up = False
+        threading.Thread(target=self._make, name="call", daemon=True).start()
+
+    def give_up(self) -> None:
+        """Close it. Its end is not reported any more."""
+        with self._lock:
+            self._given_up = True
+            if self._sock is not None:
+                with contextlib.suppress(OSError):
+                    self._sock.shutdown(socket.SHUT_RDWR)  # wakes the thread, which closes it
+
+    def _make(self) -> None:
+        start = time.monotonic()
+        how, body = self._ask(start + self._timeout_us / 1e6)
+        took = int((time.monotonic() - start) * 1e6)
+        if not self._given_up:
+            self._ended(how, body, took)
+
+    def _ask(self, deadline: float) -> tuple[Outcome, bytes]:
+        try:
+            sock = socket.create_connection(self._address, max(0.001, deadline - time.monotonic()))
+        except OSError:
+            return Outcome.UNREACHED, b""  # no connection, so nothing was said on one
+        with sock:
+            with self._lock:
+                if self._given_up:
+                    return Outcome.UNREACHED, b""
+                self._sock = sock
+            try:
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                left = deadline - time.monotonic()
+                if left <= 0:
+                    return Outcome.UNREACHED, b""
+                sock.settimeout(left)
+                headers = {"X-Ticket": self._uid, "X-Max-Ms": str(max(1, int(left * 1e3)))}
+                sock.sendall(http.request("POST", PATH, self._address, headers, self._body))
+                reply = http.read_reply(sock)
+            except TimeoutError:
+                return Outcome.TIMEOUT, b""
+            except (OSError, http.BadReply):
+                return Outcome.BROKEN, b""  # a connection that breaks during a call proves nothing
+            finally:
+                with self._lock:
+                    self._sock = None
+        return outcome(reply), reply.body
+
