--- a/cairnvane/host.py
+++ b/cairnvane/host.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import heapq
 import threading
 from collections import deque
 from collections.abc import Callable
@@ -46,7 +47,8 @@
     result: bytes = b""  # kept while a repeat may want it
     waiting: list[int] = field(default_factory=list)  # repeats that wait for its end
     call: Call | None = None
-    reply: bytes = b""  # of its call, until the pool shows that it arrived
+    call_body: bytes = b""
+    reply: bytes | None = None  # of its last call; None before the first one
     told: int | None = None  # on which link its last command went; None: shown to have arrived
     halted: int | None = None  # on which link it was told to stop
 
@@ -74,7 +76,7 @@
         self._requests: dict[int, Tracked] = {}
         self._by_uid: dict[str, Tracked] = {}
         self._keys: dict[str, Key] = {}
-        self._key_ends: deque[tuple[int, str]] = deque()
+        self._key_ends: list[tuple[int, str]] = []
         self._count = 0
         self._healthy, self._stored = True, False
         self._load: float | None = None
@@ -168,7 +170,8 @@
         repeats = key.owner if key is not None and request.arrived < key.until else None
         known = Tracked(self._count, request, self._settings.classes[cls], repeats)
         self._requests[known.id] = self._by_uid[request.uid] = known
-        queued = max(0, clock.now() - request.arrived)
+        # Nobody waits longer than the class's patience, whatever a faulty stamp says.
+        queued = min(max(0, clock.now() - request.arrived), known.cls.patience)
         self._tell(i.Arrival(
             known.id, cls, queued, memory=request.memory, caller=request.caller, repeats=repeats))
 
@@ -200,7 +203,7 @@
     def _block(self, uid: str, body: bytes) -> None:
         if (known := self._by_uid.get(uid)) is None or not known.running:
             return
-        known.told, known.reply = None, body
+        known.told, known.call_body = None, body
         self._tell(i.CallNeeded(known.id))
 
     def _end_call(self, known: Tracked, call: Call, outcome: Outcome, body: bytes, took: int) -> None:
@@ -222,7 +225,7 @@
                 known.halted = self._pool.suspend(uid)
             elif known.told is None or known.told >= link or not known.running:
                 continue
-            elif known.reply:
+            elif known.reply is not None:
                 known.told = self._pool.supply(uid, known.reply)
             elif known.told == 0 or known.cls.repeat is Repeat.SAFE:
                 known.told = self._pool.spawn(uid, known.exchange.lane, known.exchange.body)
@@ -277,7 +280,7 @@
     def _expire(self) -> None:
         now = clock.now()
         while self._key_ends and self._key_ends[0][0] <= now:
-            _, token = self._key_ends.popleft()
+            _, token = heapq.heappop(self._key_ends)
             if (key := self._keys.get(token)) and key.until + self._unread <= now:
                 self._erase(token, key)
 
@@ -313,7 +316,7 @@
         def ended(outcome: Outcome, body: bytes, took: int) -> None:
             self._inbox.put(lambda: self._end_call(known, call, outcome, body, took))
 
-        call = known.call = Call(self._vault, known.exchange.uid, known.reply, action.timeout, ended)
+        call = known.call = Call(self._vault, known.exchange.uid, known.call_body, action.timeout, ended)
 
     def _remember(self, known: Tracked, action: i.Remember) -> None:
         if (token := known.exchange.token) is None:
@@ -321,7 +324,7 @@
         until = clock.now() + action.life + KEY_SLACK_US
         before = self._keys.get(token)
         self._keys[token] = Key(known.id, until)
-        self._key_ends.append((until + self._unread, token))
+        heapq.heappush(self._key_ends, (until + self._unread, token))
         if before is not None and before.owner != known.id and (owner := self._requests.get(before.owner)):
             self._settle(owner)
 
--- a/cairnvane/net/outlet.py
+++ b/cairnvane/net/outlet.py
@@ -32,7 +32,7 @@
         self._lock = threading.Lock()
         self._waiting: deque[bytes] = deque()
         self._size = 0
-        self._broken = False
+        self._broken = self._ending = False
         self._writer: threading.Thread | None = None
         set_wait(sock, socket.SO_SNDTIMEO, WRITE_WAIT_S)
 
@@ -57,8 +57,16 @@
                 self._writer.start()
             return kept
 
+    def end(self) -> None:
+        """Tell the peer that no more comes, once what was sent has left."""
+        with self._lock:
+            self._ending = True
+            if not self._waiting:
+                self._shut(socket.SHUT_WR)
+
     def finish(self) -> None:
-        """Wait, within the bound on writes, until what was sent has left."""
+        """End, and wait within the bound on writes until that is done."""
+        self.end()
         if (writer := self._writer) is not None:
             writer.join(WRITE_WAIT_S)
 
@@ -73,6 +81,8 @@
         while True:
             with self._lock:
                 if not self._waiting:
+                    if self._ending:
+                        self._shut(socket.SHUT_WR)
                     return
                 data = self._waiting[0]
             try:
@@ -91,6 +101,9 @@
     def _break(self) -> bool:
         self._broken = True
         self._waiting.clear()
-        with contextlib.suppress(OSError):
-            self._sock.shutdown(socket.SHUT_RDWR)  # wakes the reader, which closes it
+        self._shut(socket.SHUT_RDWR)  # wakes the reader, which closes it
         return False
+
+    def _shut(self, how: int) -> None:
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(how)
--- a/cairnvane/net/pool.py
+++ b/cairnvane/net/pool.py
@@ -139,7 +139,7 @@
             try:
                 with socket.create_connection(self._address, CONNECT_WAIT_S) as sock:
                     self._converse(sock)
-            except (OSError, msgspec.MsgspecError, ValueError) as error:
+            except (OSError, ValueError) as error:
                 log.say("pool", f"link lost: {error}")
             with self._lock:
                 self._outlet = None
@@ -154,7 +154,12 @@
             while line := lines.readline(MAX_LINE):
                 if not line.endswith(b"\n"):
                     raise ValueError("a line that is cut short or too long")
-                self._take(self._decoder.decode(line), outlet)
+                try:
+                    notice = self._decoder.decode(line)
+                except msgspec.ValidationError as error:  # sound JSON that this version has no use for
+                    log.say("pool", f"message passed over: {error}")
+                    continue
+                self._take(notice, outlet)
 
     def _take(self, notice: Notice, outlet: Outlet) -> None:
         if notice.pos:
--- a/cairnvane/net/server.py
+++ b/cairnvane/net/server.py
@@ -205,16 +205,14 @@
             if not wanted or self._open or self.reading:
                 return
             self._leaving = True
-        with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_WR)  # the balancer closes its side, which ends the reader's wait
+        self.outlet.end()  # the balancer closes its side, which ends the reader's wait
 
     def close(self) -> None:
         """The connection is over; nobody is left to answer."""
-        self.outlet.finish()
         # Closing with unread bytes resets the connection, and the balancer might lose answers that it has
         # not read yet. So it is told the end first, and has a moment to close its side.
+        self.outlet.finish()
         with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_WR)
             set_wait(self.sock, socket.SO_RCVTIMEO, LAST_READ_S)
             while self.sock.recv(LAST_READ_BYTES):
                 pass
@@ -273,6 +271,7 @@
                     time.sleep(IDLE_LOOK_S)
                 continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)  # a peer that vanished frees its place
             set_wait(sock, socket.SO_RCVTIMEO, IDLE_LOOK_S)
             connection = _Connection(self, sock)
             with self._changed:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -263,6 +263,18 @@
         assert balancer.answer()[1].status == 200
 
 
+def test_an_empty_reply_is_a_reply_all_the_same() -> None:
+    """Guards: after a break, an empty reply was taken for none, and the run was spawned again."""
+    with world(reply(200)) as w:
+        balancer = w.balancer()
+        balancer.send(1)
+        w.pool.notice("blocked", w.pool.next("spawn")["uid"], content=b"call")
+        w.pool.next("supply")
+        w.pool.cut()
+        w.pool.next("bind")
+        assert w.pool.next("supply")["content"] == b""
+
+
 @pytest.mark.parametrize(("path", "first", "calls"), [
     ("/svc/read", reply(500), 2), ("/svc/read", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut", 2),
     ("/svc/write", reply(503, unseen=True), 2), ("/svc/write", reply(409, unseen=True), 2),
@@ -358,6 +370,18 @@
         assert w.pool.next("supply")["content"] == b"reply"
 
 
+def test_a_message_of_another_form_is_passed_over() -> None:
+    with world() as w:
+        balancer = w.balancer()
+        balancer.send(1)
+        uid = w.pool.next("spawn")["uid"]
+        w.pool.tell(action="unknown", code="spawn", uid=None)
+        w.pool.tell(action="chatter", pos=0, code="hm")
+        w.pool.notice("finished", uid, "fine", b"done")
+        assert balancer.answer()[1].body == b"done"
+        assert w.pool.commands.empty()
+
+
 def test_a_notice_is_acted_on_once() -> None:
     with world(reply(200, b"a"), reply(200, b"b")) as w:
         balancer = w.balancer()
@@ -410,5 +434,7 @@
         outlet = Outlet(ours)
         messages = [bytes([n]) * 3_000 for n in range(40)]
         assert all(outlet.send(message) for message in messages)
+        outlet.end()  # cuts off nothing of it
         assert theirs.recv(120_000, socket.MSG_WAITALL) == b"".join(messages)
+        assert theirs.recv(1) == b""
 
