Let a keyed run with its call behind it outlive its caller, for the next try to reuse

Cause: Controller._gone stopped every run whose caller left. A next try of a keyed request may only reuse that run, so it failed.

--- a/cairnvane/control.py
+++ b/cairnvane/control.py
@@ -359,8 +359,10 @@
             return
         if not job.started or job.state is State.REUSING:
             return self._move(job, None)
-        if not job.answered:
-            self._stop(job)  # nobody waits: the core is better used
+        # Nobody waits: the core is better used. But what the next try could reuse goes on, once it has its
+        # call behind it (at the next one it would be broken off).
+        if not job.answered and not (job.cls.repeat is Repeat.KEYED and job.calls < CALL_TRIES):
+            self._stop(job)
         job.answered = True
 
     def _stop(self, job: Job) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -65,6 +65,21 @@
     assert of(h.send(i.Finished(1, outcome)), i.Fail) == [i.Fail(1)]
 
 
+@pytest.mark.parametrize(("cls", "called", "halts"), [
+    (KEYED, True, False), (KEYED, False, True), (SAFE, True, True),
+])
+def test_a_run_that_the_next_try_could_reuse_goes_on_without_its_caller(
+    cls: int, called: bool, halts: bool,
+) -> None:
+    """Guards: a keyed run was stopped when its caller left, and the next try failed for want of a result."""
+    h = host()
+    arrive(h, 1, cls)
+    if called:
+        h.need(1)
+        h.called(1, i.Outcome.OK)
+    assert bool(of(h.gone(1), i.Halt)) is halts
+
+
 def test_request_already_overdue_at_its_reading_is_answered_at_once() -> None:
     h = host()
     h.now = 5_000 * MS
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -203,6 +203,21 @@
         assert w.pool.commands.empty()
 
 
+def test_the_next_try_gets_the_result_of_a_run_whose_caller_left() -> None:
+    with world(reply(200, b"reply")) as w:
+        balancer = w.balancer()
+        balancer.send(1, **KEYED)
+        uid = w.pool.next("spawn")["uid"]
+        w.pool.notice("blocked", uid, content=b"call")
+        w.pool.next("supply")
+        balancer.abort(1)
+        assert balancer.answer()[0] == 1
+        balancer.send(2, **KEYED)
+        w.pool.notice("finished", uid, "fine", b"once")
+        assert balancer.answer()[1].body == b"once"
+        assert w.pool.commands.empty()
+
+
 @pytest.mark.parametrize(("code", "status"), [("fine", 200), ("fault", 500)])
 def test_tries_read_together_share_one_run(code: str, status: int) -> None:
     with world() as w:
