Time calls over eight before any counts as the best, so that no lucky one jams the calls

Controller._call_ended took the very first call's time for the mean and for the best (call_base); with a short first one all others were over three times the best, and the base fades over 10 s only. Calls that were refused unseen or not reached counted as short ones too. Ruled out: the run limit (12 on both nodes, seldom reached on n0), the cores (busy 0.4 to 0.9 there), the keyed reuse (21 good reuses, as meant). Checked: the new test fails on the old lines in all three cases.

--- a/cairnvane/control.py
+++ b/cairnvane/control.py
@@ -35,6 +35,8 @@
 CALLS_PER_CORE = 2
 # Calls are slow at this multiple of the best call time, which is forgotten within so long.
 CALL_SLOW, CALL_BASE_MEMORY = 3.0, 10_000_000
+# The call time is a mean over so many; of fewer, a lucky one would make all that follow look slow.
+CALL_MEAN_OVER = 8
 # A share below one call may fall to this part of it: what is shared is slow long before it dies.
 CALLS_LEAST = 0.2
 # A call that provably never ran is tried so often in all.
@@ -107,6 +109,7 @@
         self.keys: set[int] = set()  # remembered requests
         self.key_ends: list[tuple[int, int]] = []
         self.lingering: list[int] = []  # when abandoned calls leave the dependency's hands
+        self.calls_timed = 0
         self.call_time = self.call_base = self.call_debt = 0.0  # debt: calls in hand x time beyond our share
         shared = settings.downstream is i.Downstream.SHARED
         self.most_calls = CALLS_SHARE * settings.fair_calls if shared else CALLS_PER_CORE * settings.cores
@@ -411,9 +414,13 @@
             return
         unrun = event.outcome in (Outcome.REJECTED, Outcome.UNREACHED, Outcome.MOOT)
         # Risk: calls add up below where no local queue sees them. AIMD: far above the best of late, fewer.
-        self.call_time += (event.took - self.call_time) / 8 if self.call_time else event.took
-        self.call_base = min(self.call_base or self.call_time, self.call_time)
-        if self.call_time <= CALL_SLOW * self.call_base:
+        # What never ran tells nothing of the time that a call takes.
+        if not unrun:
+            self.calls_timed += 1
+            self.call_time += (event.took - self.call_time) / min(CALL_MEAN_OVER, self.calls_timed)
+            if self.calls_timed >= CALL_MEAN_OVER:
+                self.call_base = min(self.call_base or self.call_time, self.call_time)
+        if not self.call_base or self.call_time <= CALL_SLOW * self.call_base:
             step = min(1.0, self.most_calls) / max(1.0, self.call_cap)
             self.call_cap = min(self.most_calls, self.call_cap + step)
         elif self.now - self.cut_at > self.call_time:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -80,6 +80,26 @@
     assert bool(of(h.gone(1), i.Halt)) is halts
 
 
+@pytest.mark.parametrize("outcome", [i.Outcome.OK, i.Outcome.UNREACHED, i.Outcome.REJECTED])
+def test_one_short_call_does_not_make_all_others_look_slow(outcome: i.Outcome) -> None:
+    """Guards: the first call's time was the best ever, and one call at a time was made for seconds."""
+    h = host(downstream=i.Downstream.SHARED, fair_calls=8.0, memory=1e6)
+    for rid in range(1, 20):
+        arrive(h, rid)
+        h.need(rid)
+        took = 1 * MS if rid == 1 else 20 * MS
+        h.now += took
+        h.requests[rid].where = "running"
+        h.send(i.CallEnded(rid, outcome if rid == 1 else i.Outcome.OK, took))
+        if rid == 1 and outcome is not i.Outcome.OK:  # it is tried again
+            h.send(i.CallEnded(rid, i.Outcome.OK, 20 * MS))
+        h.finish(rid)
+    for rid in range(20, 24):
+        arrive(h, rid)
+        h.need(rid)
+    assert h.count("calling") == 4
+
+
 def test_request_already_overdue_at_its_reading_is_answered_at_once() -> None:
     h = host()
     h.now = 5_000 * MS
