--- a/tests/peers.py
+++ b/tests/peers.py
@@ -235,6 +235,21 @@
     def balancer(self) -> Balancer:
         return Balancer(self.server.address)
 
+    def serve(self, balancer: Balancer, number: int, **fields: Any) -> Answer:
+        """A request that is run and answered."""
+        balancer.send(number, **fields)
+        self.pool.run()
+        told, answer = balancer.answer()
+        assert (told, answer.status) == (number, 200)
+        return answer
+
+    def block(self, balancer: Balancer, **fields: Any) -> str:
+        """A request, number 1, that is run as far as its call; its uid."""
+        balancer.send(1, **fields)
+        uid: str = self.pool.next("spawn")["uid"]
+        self.pool.notice("blocked", uid, content=b"call")
+        return uid
+
 
 @contextlib.contextmanager
 def world(*replies: bytes, bound: bool = True, most: int = 16, **extra: Any) -> Iterator[World]:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -12,7 +12,7 @@
 
 from cairnvane import clock
 from cairnvane.exchange import Answer, Exchange, Verdict
-from cairnvane.interface import Outcome
+from cairnvane.interface import CloseIdle, Outcome
 from cairnvane.net import fastcgi, http, vault
 from cairnvane.net.outlet import MOST_WAITING, Outlet
 
@@ -35,9 +35,7 @@
     """Guards: 0 was once taken for impossible, and all of that balancer's requests failed."""
     with world() as w:
         balancer = w.balancer()
-        balancer.send(1, HTTP_REQ_FROM="0")
-        w.pool.run()
-        assert balancer.answer()[1].status == 200
+        w.serve(balancer, 1, HTTP_REQ_FROM="0")
 
 
 @pytest.mark.parametrize("code", ["fault", "late", "broken_off"])
@@ -83,9 +81,7 @@
         balancer = w.balancer()
         balancer.send(1, **fields)
         assert balancer.answer()[1].status == 500
-        balancer.send(2)
-        w.pool.run()
-        assert balancer.answer()[1].status == 200
+        w.serve(balancer, 2)
 
 
 BEGIN = fastcgi.record(fastcgi.BEGIN_REQUEST, 1, b"\0\1\1\0\0\0\0\0")
@@ -107,9 +103,7 @@
         bad, good = w.balancer(), w.balancer()
         bad.sock.sendall(data)
         assert bad.ended()
-        good.send(1)
-        w.pool.run()
-        assert good.answer()[1].status == 200
+        w.serve(good, 1)
 
 
 def test_a_33rd_open_request_is_turned_away_as_overload() -> None:
@@ -134,15 +128,25 @@
 def test_connections_beyond_the_limit_wait_until_one_ends() -> None:
     with world(most=1) as w:
         first, second = w.balancer(), w.balancer()
-        first.send(1)
-        w.pool.run()
-        assert first.answer()[1].status == 200
+        w.serve(first, 1)
         second.send(2)
         first.sock.close()
         w.pool.run()
         assert second.answer()[1].status == 200
 
 
+def test_a_connection_is_closed_when_it_idles_but_not_with_an_open_request() -> None:
+    with world() as w:
+        busy, idle = w.balancer(), w.balancer()
+        w.serve(idle, 1)
+        busy.send(2)
+        uid = w.pool.next("spawn")["uid"]
+        w.host._close_idle(CloseIdle(1))
+        assert idle.ended()
+        w.pool.notice("finished", uid, "fine", b"done")
+        assert busy.answer()[1].body == b"done"
+
+
 def test_abort_stops_the_run_and_frees_the_number() -> None:
     with world() as w:
         balancer = w.balancer()
@@ -152,9 +156,7 @@
         assert w.pool.next("suspend")["uid"] == uid
         assert balancer.answer()[1].status == 0  # an end and no answer
         w.pool.notice("finished", uid, "broken_off")
-        balancer.send(1, HTTP_REQ_ID="f" * 16)
-        w.pool.run()
-        assert balancer.answer()[1].status == 200
+        w.serve(balancer, 1, HTTP_REQ_ID="f" * 16)
 
 
 def test_a_connection_that_breaks_counts_as_its_callers_leaving() -> None:
@@ -206,9 +208,7 @@
 def test_the_next_try_gets_the_result_of_a_run_whose_caller_left() -> None:
     with world(reply(200, b"reply")) as w:
         balancer = w.balancer()
-        balancer.send(1, **KEYED)
-        uid = w.pool.next("spawn")["uid"]
-        w.pool.notice("blocked", uid, content=b"call")
+        uid = w.block(balancer, **KEYED)
         w.pool.next("supply")
         balancer.abort(1)
         assert balancer.answer()[0] == 1
@@ -234,9 +234,7 @@
         balancer = w.balancer()
         balancer.send(1, HTTP_REQ_KB="1900", **KEYED)
         assert balancer.answer()[1].status == 503
-        balancer.send(2, **KEYED)
-        w.pool.run()
-        assert balancer.answer()[1].status == 200
+        w.serve(balancer, 2, **KEYED)
 
 
 @pytest.mark.parametrize(("beyond_us", "runs"), [(-1_000_000, 1), (1_000_000, 2)])
@@ -247,9 +245,7 @@
     with world() as w:
         balancer = w.balancer()
         first = time.time_ns() // 1_000_000
-        balancer.send(1, **KEYED, HTTP_REQ_TIME=str(first))
-        w.pool.run()
-        assert balancer.answer()[1].status == 200
+        w.serve(balancer, 1, **KEYED, HTTP_REQ_TIME=str(first))
         real, later = clock.now, WINDOW_US + 2_000_000
         monkeypatch.setattr(clock, "now", lambda: real() + later)
         stamp = first - (later - WINDOW_US - beyond_us) // 1_000
@@ -282,8 +278,7 @@
     """Guards: after a break, an empty reply was taken for none, and the run was spawned again."""
     with world(reply(200)) as w:
         balancer = w.balancer()
-        balancer.send(1)
-        w.pool.notice("blocked", w.pool.next("spawn")["uid"], content=b"call")
+        w.block(balancer)
         w.pool.next("supply")
         w.pool.cut()
         w.pool.next("bind")
@@ -300,9 +295,7 @@
 ) -> None:
     with world(first, reply(200, b"late")) as w:
         balancer = w.balancer()
-        balancer.send(1, path, HTTP_REQ_TOKEN=TOKEN if path == KEYED["path"] else "")
-        uid = w.pool.next("spawn")["uid"]
-        w.pool.notice("blocked", uid, content=b"call")
+        uid = w.block(balancer, path=path, HTTP_REQ_TOKEN=TOKEN if path == KEYED["path"] else "")
         for _ in range(calls):
             w.vault.calls.get(timeout=WAIT_S)
         if calls == 2:
@@ -315,8 +308,7 @@
 def test_a_call_for_a_caller_that_left_is_given_up() -> None:
     with world() as w:
         balancer = w.balancer()
-        balancer.send(1)
-        w.pool.notice("blocked", w.pool.next("spawn")["uid"], content=b"call")
+        w.block(balancer)
         w.vault.calls.get(timeout=WAIT_S)
         balancer.abort(1)
         assert w.vault.closed.wait(WAIT_S)
@@ -376,9 +368,7 @@
 def test_a_supply_that_a_break_may_have_lost_is_said_again() -> None:
     with world(reply(200, b"reply")) as w:
         balancer = w.balancer()
-        balancer.send(1, **KEYED)
-        uid = w.pool.next("spawn")["uid"]
-        w.pool.notice("blocked", uid, content=b"call")
+        w.block(balancer, **KEYED)
         w.pool.next("supply")
         w.pool.cut()
         w.pool.next("bind")
@@ -400,9 +390,7 @@
 def test_a_notice_is_acted_on_once() -> None:
     with world(reply(200, b"a"), reply(200, b"b")) as w:
         balancer = w.balancer()
-        balancer.send(1)
-        uid = w.pool.next("spawn")["uid"]
-        w.pool.notice("blocked", uid, content=b"call")
+        uid = w.block(balancer)
         w.pool.notice("blocked", uid, content=b"call", again=True)
         w.pool.next("supply")
         w.pool.notice("finished", uid, "fine", b"done")
