Let a free core try what the mean run time calls late, also while callers are held back

Cause: Controller._hopeless let the clock alone decide only while open was 1; below that the mean run time of all classes refused price-views on a slow server with idle cores, and each refusal kept open below 1.

--- a/cairnvane/control.py
+++ b/cairnvane/control.py
@@ -216,8 +216,8 @@
 
     def _hopeless(self, job: Job) -> bool:
         """Risk: work for answers that come too late. Without late worth it is turned away. An estimate that
-        refuses all would never be mended: in calm, with a core free, only the clock counts."""
-        calm = self.open == 1.0 and len(self.running) < self.limit
+        refuses all would never be mended: with a core free, only the clock counts."""
+        calm = len(self.running) < (self.limit if self.open == 1.0 else self.settings.cores)
         return job.cls.late_worth == 0 and (self.now > job.aim if calm else self._late(job) > 0)
 
     def _run_time(self, job: Job) -> float:
