--- a/cairnvane/control.py
+++ b/cairnvane/control.py
@@ -129,7 +129,7 @@
         self.known: set[str] = set()  # classes with a finished run
         self.limit = settings.cores
         self.climbing, self.climb_from, self.done, self.rate_before = -1, now, 0, 0.0
-        self.crowded = self.pressed = self.draining = False
+        self.crowded = self.pressed = self.starved = self.draining = False
         self.said: float | None = None
         self.grace_end = self.stop_at = 1 << 62
         self.out: list[i.Action] = []
@@ -247,7 +247,7 @@
         self.seen[event.caller] = self.now
         if event.queued > UNREAD_PART * cls.aim:
             # Risk: reading shares the cores with what runs; a large crowd starves it, and all come late.
-            self.pressed, self.limit = True, self.settings.cores
+            self.starved, self.limit = True, self.settings.cores
         if event.repeats is not None:
             # Risk: an effect twice. The forerunner's outcome answers, whether it is held, running or done.
             job.started = True
@@ -456,7 +456,8 @@
         """Ask for a tick while something is pending, else shortly before the next due time."""
         while self.dues and self.dues[0][1] not in self.jobs:
             heapq.heappop(self.dues)
-        pending = self.hold or self.at_call or self.pressed or self.open < 1 or self.said is None
+        pending = self.hold or self.at_call or self.pressed or self.starved or self.open < 1
+        pending = pending or self.said is None
         pending = pending or not self.healthy or self.failing >= FAILING_BAD or self.keep > 0
         at = self.now + TICK
         if not pending:
@@ -475,6 +476,9 @@
         # Risk: handshakes swamp the cores. A full table costs less, and turns callers away unread; once cores
         # idle it does so for nothing, but if all close at once the storm comes back.
         busy = (gauge.cpu_busy or 0.0) >= CORES_BUSY
+        # Reading on cores that are not full is only slow: callers that held back would leave them idle.
+        full = busy or gauge.runnable is None or gauge.runnable >= self.settings.cores
+        self.pressed, self.starved = self.pressed or (self.starved and full), False
         step = -IDLE_FALL if not busy else float(self.unread > IDLE_UNREAD)
         self.keep = min(IDLE_LEVELS, max(0.0, self.keep + step))
         if (idle := 0 if self.back >= 0.5 else IDLE_SHORT << int(self.keep)) != self.idle:
