Wait for SIGTERM with sigwait, so that no notice to leave can be missed

Suspect: a signal handler runs in the main thread only when that wakes from its lock, which a signal given to another thread does not bring about. Changed: both signals are blocked in all threads and taken by sigwait in the main one.

--- a/cairnvane/__main__.py
+++ b/cairnvane/__main__.py
@@ -22,6 +22,8 @@
 STOP_MARGIN_MS = 300
 # A balancer's next request may be on its way when a connection looks idle; the end is not rushed.
 LAST_WAIT_S = 0.2
+# Each is a notice to leave.
+LEAVE = {signal.SIGTERM, signal.SIGINT}
 
 
 def main() -> int:
@@ -33,9 +35,9 @@
         return 2
     threading.stack_size(STACK_BYTES)
     sys.setswitchinterval(SWITCH_S)
-    leave = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: leave.set())
-    signal.signal(signal.SIGINT, lambda *_: leave.set())
+    # Blocked in every thread and waited for in this one. A handler runs in the main thread only when that
+    # wakes, and a signal that the kernel gives to another thread does not wake it: the notice would be lost.
+    signal.pthread_sigmask(signal.SIG_BLOCK, LEAVE)
 
     host = Host(told.settings, told.gauges, told.seed)
     pool = Pool(told.pool, host)
@@ -56,7 +58,7 @@
         except BaseException:
             # Without the host nobody would be answered: better to be seen dead and started again.
             failed.set()
-            leave.set()
+            os.kill(os.getpid(), signal.SIGTERM)
             raise
 
     thread = threading.Thread(target=serve, name="host", daemon=True)
@@ -64,7 +66,7 @@
     pool.start()
     server.start()
     roster.start()
-    leave.wait()
+    signal.sigwait(LEAVE)
     if failed.is_set():
         thread.join()
         return 1
