--- a/cairnvane/net/server.py
+++ b/cairnvane/net/server.py
@@ -270,10 +270,16 @@
                     log.say("server", f"accept: {error}")
                     time.sleep(IDLE_LOOK_S)
                 continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)  # a peer that vanished frees its place
-            set_wait(sock, socket.SO_RCVTIMEO, IDLE_LOOK_S)
-            connection = _Connection(self, sock)
+            try:
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)  # a vanished peer frees its place
+                set_wait(sock, socket.SO_RCVTIMEO, IDLE_LOOK_S)
+                connection = _Connection(self, sock)
+            except OSError as error:  # reset before it was looked at: the listener lives on
+                log.say("server", f"accepted: {error}")
+                sock.close()
+                self._room.release()
+                continue
             with self._changed:
                 self._connections.add(connection)
             try:
