Reload on SIGHUP, bound what bad clients take, and survive garbled peers

At fault and changed: - __main__ left SIGHUP to its default. It is blocked first of all and waited for beside SIGTERM; config.load reads the file again, a faulty one is named and changes nothing. Pool.move binds on the new address with the last pos while the old link serves, Host.move and Roster.move take the rest. The roster's pace counts from a report's start. - host._arrival matched repeats by token alone. Body, class and the class's need of a token must fit now; what does not is failed before the module hears of it. - server._accept waited for a place. It accepts always; when full it ends the connection that waits for nothing and carried nothing for the longest, unserved ones first. First and whole requests are bound to 2 s on a clock in which a pause counts as one look. Idle ones end after 30 s. The last reading is bound in time and bytes, and requests are withdrawn before it. server.py is split: connection.py, fields.py (strict figures, ids in one case). - http: interim heads, digits that int refuses, two lengths, a deadline for the whole reply; any fault in a call's thread ends the call as broken. - pool: msgspec.DecodeError ended the link's thread. A line that can't be read is asked for again, once. - host._say_again left keyed spawns alone, and the module counted them as running for ever after. A keyed class that was always seen to call is said again (a run takes no second spawn while it goes on); else the place is freed when suspend and a later answer show that it never began.

Each guard has a story that fails without it; the story of connections that wait for a place went with the waiting.

--- a/cairnvane/__main__.py
+++ b/cairnvane/__main__.py
@@ -22,12 +22,36 @@
 STOP_MARGIN_MS = 300
 # A balancer's next request may be on its way when a connection looks idle; the end is not rushed.
 LAST_WAIT_S = 0.2
-# Each is a notice to leave.
-LEAVE = {signal.SIGTERM, signal.SIGINT}
+# Each is a notice to leave; the third one, to read the configuration again.
+LEAVE, RELOAD = {signal.SIGTERM, signal.SIGINT}, signal.SIGHUP
+# Descriptors that are no balancer's: the links, one for each call, and those that close as others open.
+OWN_SOCKETS, OWN_SHARE = 64, 4
+
+
+def _reload(told: config.Config, host: Host, pool: Pool, roster: Roster) -> config.Config:
+    """Read the configuration again, and go over to the addresses that it has now. A faulty one changes
+    nothing: what was right until now serves on."""
+    try:
+        new = config.load(os.environ)
+    except config.ConfigError as error:
+        log.say("cairnvane", f"the configuration stays as it was: {error}")
+        return told
+    host.move(new.vault)
+    pool.move(new.pool)
+    roster.move(new.roster)
+    log.say("cairnvane", "pool {}:{}, vault {}:{}, roster {}:{}".format(*new.pool, *new.vault, *new.roster))
+    for key in config.FIXED:
+        if getattr(new, key) != getattr(told, key):
+            log.say("cairnvane", f"{key}: the new value counts from the next start on")
+    return new
 
 
 def main() -> int:
     """Serve until told to leave; 2 if the configuration is at fault."""
+    # Blocked in every thread and waited for in this one. A handler runs in the main thread only when that
+    # wakes, and a signal that the kernel gives to another thread does not wake it: the notice would be lost.
+    # First of all, since a notice to reload would else end the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, LEAVE | {RELOAD})
     try:
         told = config.load(os.environ)
     except config.ConfigError as error:
@@ -35,15 +59,12 @@
         return 2
     threading.stack_size(STACK_BYTES)
     sys.setswitchinterval(SWITCH_S)
-    # Blocked in every thread and waited for in this one. A handler runs in the main thread only when that
-    # wakes, and a signal that the kernel gives to another thread does not wake it: the notice would be lost.
-    signal.pthread_sigmask(signal.SIG_BLOCK, LEAVE)
-
     host = Host(told.settings, told.gauges, told.seed)
     pool = Pool(told.pool, host)
     roster = Roster(told.roster, told.name)
+    most = told.sockets - max(OWN_SOCKETS, told.sockets // OWN_SHARE)
     try:
-        server = Server(told.listen, host, told.sockets // 2)
+        server = Server(told.listen, host, most)
     except OSError as error:
         log.say("cairnvane", f"listen: {error}")
         return 2
@@ -66,7 +87,8 @@
     pool.start()
     server.start()
     roster.start()
-    signal.sigwait(LEAVE)
+    while signal.sigwait(LEAVE | {RELOAD}) == RELOAD:
+        told = _reload(told, host, pool, roster)
     if failed.is_set():
         thread.join()
         return 1
--- a/cairnvane/config.py
+++ b/cairnvane/config.py
@@ -15,7 +15,11 @@
 DEFAULT_SOCKETS = 1_024
 DEFAULT_STOP_MS = 3_000
 # Half of them may be balancers; with less, the other half would not hold the links and a few calls.
-LEAST_SOCKETS = 32
+LEAST_SOCKETS = 128
+
+
+# What a server can't change while it runs.
+FIXED = ("name", "listen", "sockets", "settings")
 
 
 class ConfigError(Exception):
--- a/cairnvane/exchange.py
+++ b/cairnvane/exchange.py
@@ -30,6 +30,7 @@
     stay_away_ms: int = 0  # refused: how long the caller should stay away
     last: bool = False  # refused: the wish that no other server is tried
     load: float | None = None  # the free value that counts from this answer on
+    suspect: bool = False  # no balancer sends such a request
 
 
 class Exchange:
--- a/cairnvane/host.py
+++ b/cairnvane/host.py
@@ -26,6 +26,9 @@
 
 # Repeats are told for this much longer than the controller asks: peers' time limits have 50 ms of slack.
 KEY_SLACK_US = 100_000
+# Of what was said on a link that broke, only the last 50 ms can be lost. It may take us so much longer to see
+# the break; what is older has arrived.
+DOUBTFUL_US = 1_000_000
 
 _ENDS = {
     worker.FINE: Outcome.OK, worker.FAULT: Outcome.ERROR,
@@ -50,6 +53,7 @@
     call_body: bytes = b""
     reply: bytes | None = None  # of its last call; None before the first one
     told: int | None = None  # on which link its last command went; None: shown to have arrived
+    told_at: int = 0  # and when
     halted: int | None = None  # on which link it was told to stop
 
 
@@ -73,6 +77,7 @@
         self._control = Controller(settings, seed, clock.now())
         self._inbox: SimpleQueue[Callable[[], None]] = SimpleQueue()
         self._later: deque[i.Event] = deque()  # events that actions brought about
+        self._calls_first: dict[str, bool] = {}  # of classes with a finished run: none of these had no call
         self._requests: dict[int, Tracked] = {}
         self._by_uid: dict[str, Tracked] = {}
         self._keys: dict[str, Key] = {}
@@ -95,6 +100,10 @@
         """Get to know the parts that the host gives its orders to."""
         self._server, self._pool, self._vault = server, pool, vault
 
+    def move(self, vault: tuple[str, int]) -> None:
+        """The vault's new address, for all calls from now on; those on their way end where they are."""
+        self._vault = vault
+
     # --- the inbox, from any thread
 
     def arrived(self, request: Request) -> None:
@@ -113,6 +122,10 @@
         """A run is over."""
         self._inbox.put(lambda: self._end_run(uid, code, took_us, result))
 
+    def unknown(self, uid: str) -> None:
+        """The pool has no such request: it will never run, and nothing else will tell."""
+        self._inbox.put(lambda: self._disown(uid))
+
     def blocked(self, uid: str, body: bytes) -> None:
         """A run waits for a call."""
         self._inbox.put(lambda: self._block(uid, body))
@@ -158,22 +171,34 @@
             self._do_to[type(action)](known, action)
 
     def _arrival(self, request: Request) -> None:
-        cls = self._classes.get(request.lane)
-        if cls is None or request.uid in self._by_uid:
-            log.say("host", f"{request.uid}: class {request.lane!r} or id not acceptable")
-            request.finish(Answer(Verdict.FAILED, load=self._load))
-            return
+        number = self._classes.get(request.lane)
+        if number is None or request.uid in self._by_uid:
+            return self._turn_off(request, "no such class" if number is None else "its id is another's")
+        cls = self._settings.classes[number]
+        if (request.token is not None) is not (cls.repeat is Repeat.KEYED):
+            return self._turn_off(request, "a token in a class without keys, or none in one with")
         if not request.open:
             return  # its caller left before it could be told
-        self._count += 1
+        repeats = None
         key = self._keys.get(request.token) if request.token is not None else None
-        repeats = key.owner if key is not None and request.arrived < key.until else None
-        known = Tracked(self._count, request, self._settings.classes[cls], repeats)
+        if key is not None and request.arrived < key.until:
+            owner = self._requests.get(key.owner)
+            # All tries of a request are alike. Whoever brings another under its token is not its caller.
+            if owner is None or (owner.exchange.lane, owner.exchange.body) != (request.lane, request.body):
+                return self._turn_off(request, "its token is another's")
+            repeats = key.owner
+        self._count += 1
+        known = Tracked(self._count, request, cls, repeats)
         self._requests[known.id] = self._by_uid[request.uid] = known
         # Nobody waits longer than the class's patience, whatever a faulty stamp says.
-        queued = min(max(0, clock.now() - request.arrived), known.cls.patience)
+        queued = min(max(0, clock.now() - request.arrived), cls.patience)
         self._tell(i.Arrival(
-            known.id, cls, queued, memory=request.memory, caller=request.caller, repeats=repeats))
+            known.id, number, queued, memory=request.memory, caller=request.caller, repeats=repeats))
+
+    def _turn_off(self, request: Request, why: str) -> None:
+        """Fail what no balancer sends, before the controller or anyone's key hears of it."""
+        log.say("host", f"{request.uid}: {why}")
+        request.finish(Answer(Verdict.FAILED, load=self._load, suspect=True))
 
     def _leave(self, request: Request) -> None:
         known = self._by_uid.get(request.uid)
@@ -194,12 +219,19 @@
             known.exchange.finish(Answer(Verdict.SERVED, result, load=self._load))
             if known.cls.repeat is Repeat.KEYED:
                 known.result = result
+            name = known.cls.name
+            self._calls_first[name] = self._calls_first.get(name, True) and known.reply is not None
         elif outcome is Outcome.ERROR:
             known.exchange.finish(Answer(Verdict.FAILED, load=self._load))
         self._over(known, outcome)
         self._tell(i.Finished(known.id, outcome, took))
         self._settle(known)
 
+    def _disown(self, uid: str) -> None:
+        if (known := self._by_uid.get(uid)) is not None and known.running:
+            known.exchange.finish(Answer(Verdict.FAILED, load=self._load, suspect=True))
+            self._end_run(uid, worker.LATE, 0, b"")
+
     def _block(self, uid: str, body: bytes) -> None:
         if (known := self._by_uid.get(uid)) is None or not known.running:
             return
@@ -212,23 +244,48 @@
         known.call = None
         if outcome is Outcome.OK:
             known.reply = body
-            known.told = self._pool.supply(known.exchange.uid, body)
+            self._say(known)
         self._tell(i.CallEnded(known.id, outcome, took))
 
     def _say_again(self, link: int) -> None:
-        """What an earlier link may have lost. A keyed run that may have started is left alone: said twice, it
-        could run twice. Its due time will answer it."""
+        """What an earlier link may have lost, now that its replay has shown what arrived."""
         self._link = link
+        recent = clock.now() - DOUBTFUL_US
         for known in list(self._requests.values()):
-            uid = known.exchange.uid
+            cls = known.cls
             if known.halted is not None and known.halted < link:
-                known.halted = self._pool.suspend(uid)
+                self._suspend(known)
             elif known.told is None or known.told >= link or not known.running:
                 continue
-            elif known.reply is not None:
-                known.told = self._pool.supply(uid, known.reply)
-            elif known.told == 0 or known.cls.repeat is Repeat.SAFE:
-                known.told = self._pool.spawn(uid, known.exchange.lane, known.exchange.body)
+            elif known.told == 0 or (known.reply is None and cls.repeat is Repeat.SAFE):
+                self._say(known)
+            elif known.told_at >= recent and (known.reply is not None or self._calls_first.get(cls.name)):
+                # A run takes no second `spawn` while it goes on, and one that has to call can't end unseen.
+                self._say(known)
+
+    def _say(self, known: Tracked) -> None:
+        """Have it run, or run on with the reply to its call."""
+        uid, known.told_at = known.exchange.uid, clock.now()
+        if known.reply is not None:
+            known.told = self._pool.supply(uid, known.reply)
+        else:
+            known.told = self._pool.spawn(uid, known.exchange.lane, known.exchange.body)
+
+    def _suspend(self, known: Tracked) -> None:
+        """Stop a run. One that was lost with a link would never be told to have ended, and its place be taken
+        for good: there, the answer to a later question shows whether an end is still to come."""
+        known.halted = self._pool.suspend(known.exchange.uid)
+
+        def passed(there: bool) -> None:
+            if there:
+                self._inbox.put(lambda: self._never_began(known))
+
+        if known.halted and known.told is not None and known.told != known.halted:
+            self._pool.sync(passed)
+
+    def _never_began(self, known: Tracked) -> None:
+        if known.running and known.told is not None and known.halted == self._link:
+            self._end_run(known.exchange.uid, worker.BROKEN_OFF, 0, b"")
 
     def _check(self, check: Check) -> None:
         def reply(good: bool) -> None:
@@ -293,7 +350,7 @@
 
     def _run(self, known: Tracked, action: i.Run) -> None:
         known.held, known.running = False, True
-        known.told = self._pool.spawn(known.exchange.uid, known.exchange.lane, known.exchange.body)
+        self._say(known)
 
     def _refuse(self, known: Tracked, action: i.Refuse) -> None:
         away_ms = -(-action.stay_away // 1_000)
@@ -307,7 +364,7 @@
         self._settle(known)
 
     def _halt(self, known: Tracked, action: i.Halt) -> None:
-        known.halted = self._pool.suspend(known.exchange.uid)
+        self._suspend(known)
 
     def _call(self, known: Tracked, action: i.Call) -> None:
         if not known.running:
--- /dev/null
+++ b/cairnvane/net/connection.py
@@ -0,0 +1,244 @@
+"""One connection of the front: records in, answers out, and the bounds on a peer that misbehaves."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+import time
+from typing import Protocol
+
+from .. import log
+from ..exchange import Answer, Exchange, Intake, Request, Verdict
+from . import fastcgi, fields
+from .buffers import BufferPool
+from .outlet import Outlet, set_wait
+
+# The protocol's own bound on open requests of a connection.
+MAX_OPEN = 32
+# A reader that waits looks up this often whether its connection has idled too long or is to be left.
+LOOK_S = 0.5
+# A balancer opens a connection for a request and sends that whole. Whoever says nothing, or half of
+# something, for so long is no balancer; it is owed an end within 3 s, of which a busy machine takes some.
+SAY_WAIT_S = 2.0
+# A balancer that was told the end closes its side within this time, or is cut off; so is one that sends on.
+LAST_READ_S, LAST_READ_BYTES, LAST_READ_PART = 0.2, 65_536, 4_096
+# Balancers close what idles after some seconds themselves. A client that asks once and then holds its
+# connection for good would keep a thread and a descriptor for it; a balancer's is never cut that early.
+IDLE_MOST_S = 30.0
+# What was answered has so long to leave when the connection ends.
+LAST_WRITE_S = 1.0
+# Who sends what can't be right is read on only after so long: a client that tries the same again as soon as
+# it is turned away would else have the share of the core that the balancers need.
+SLOW_READ_S = 0.05
+
+
+class Front(Protocol):
+    """What a connection needs to know of the server."""
+
+    intake: Intake
+    buffers: BufferPool
+    idle_s: float  # close connections that carried nothing for so long; 0: leave it to the callers
+    retiring: bool
+    values: dict[str, str]
+
+
+class Connection:
+    """One balancer's connection."""
+
+    def __init__(self, front: Front, sock: socket.socket) -> None:
+        self.front = front
+        self.sock = sock
+        self.outlet = Outlet(sock)
+        self.standing = False  # something on it was answered 'served': a balancer's, as far as can be told
+        self.last = time.monotonic()  # when it last carried something
+        self.reading: dict[int, fastcgi.Incoming] = {}  # oldest first
+        self._open: dict[int, Exchange] = {}  # handed over, not answered
+        self._lock = threading.Lock()
+        self._leaving = False
+        self._heard = False  # a whole request has come
+        self._suspect = False  # something on it could not be right
+        # The connection's own time, in which a pause of the machine counts as one look at the most: the peer
+        # could not write meanwhile.
+        self._time = 0.0
+        self._rest_since = 0.0  # when the record that is half read began
+
+    @property
+    def busy(self) -> bool:
+        """A request on it is owed an answer, or is being read."""
+        return bool(self._open or self.reading)
+
+    def serve(self) -> None:
+        """Read until either side ends the connection."""
+        set_wait(self.sock, socket.SO_RCVTIMEO, LOOK_S)
+        looked = time.monotonic()
+        with self.front.buffers.lend() as view:
+            have = 0
+            while True:
+                try:
+                    got = self.sock.recv_into(view[have:])
+                except BlockingIOError:  # the bounded wait has run out
+                    got = -1
+                except OSError:
+                    return
+                now = time.monotonic()
+                self._time += min(now - looked, LOOK_S)
+                looked = now
+                if got == 0 or self._leaving:
+                    return
+                if got > 0:
+                    self.last = now
+                    have = self._read(view, have + got)
+                if self._overdue(have):
+                    log.say("server", "connection ended: nothing whole was said in time")
+                    return
+                if got < 0:
+                    self.close_if_idle()
+                elif self._suspect:
+                    time.sleep(SLOW_READ_S)
+
+    def _read(self, view: memoryview, have: int) -> int:
+        at = 0
+        while (found := fastcgi.take(view, at, have)) is not None:
+            part, at = found
+            self._take(part)
+        if at:
+            view[: have - at] = bytes(view[at:have])
+            self._rest_since = self._time
+        return have - at
+
+    def _overdue(self, rest: int) -> bool:
+        """Whether the peer keeps the connection waiting. Requests that it does not say whole are failed."""
+        before = self._time - SAY_WAIT_S
+        while self.reading:
+            incoming = next(iter(self.reading.values()))
+            if incoming.begun > before:
+                break
+            del self.reading[incoming.id]
+            self._fail(incoming)
+        return before > 0 and (not self._heard or (rest > 0 and self._rest_since < before))
+
+    def _take(self, part: fastcgi.Record) -> None:
+        if part.request == 0:
+            self.outlet.send(fastcgi.management(part, self.front.values))
+        elif part.kind == fastcgi.BEGIN_REQUEST:
+            self._begin(part)
+        elif part.kind == fastcgi.ABORT_REQUEST:
+            self._abort(part.request)
+        elif part.kind in (fastcgi.PARAMS, fastcgi.STDIN):
+            incoming = self.reading.get(part.request)
+            if incoming is not None and incoming.add(part):
+                del self.reading[part.request]
+                self._heard = True
+                self._hand_over(incoming)
+        else:
+            raise fastcgi.Malformed(f"record type {part.kind}")
+
+    def _begin(self, part: fastcgi.Record) -> None:
+        role, keep = fastcgi.begin(part)
+        with self._lock:
+            taken = part.request in self._open
+            count = len(self._open) + len(self.reading)
+        if taken or part.request in self.reading:
+            raise fastcgi.Malformed(f"request {part.request} began twice")
+        if role != fastcgi.RESPONDER:
+            self._suspect = True
+            self.outlet.send(fastcgi.end(part.request, fastcgi.UNKNOWN_ROLE))
+        elif count >= MAX_OPEN:  # never handed over, so the promise that it never ran holds
+            self._suspect = True
+            self.outlet.send(fastcgi.end(part.request, fastcgi.OVERLOADED))
+        else:
+            self.reading[part.request] = fastcgi.Incoming(part.request, keep, self._time)
+
+    def _abort(self, number: int) -> None:
+        if self.reading.pop(number, None) is None:
+            with self._lock:
+                exchange = self._open.get(number)
+            if exchange is None or not exchange.withdraw():
+                return  # answered already
+            self._drop(number)
+            if isinstance(exchange, Request):
+                self.front.intake.gone(exchange)
+        self.outlet.send(fastcgi.end(number))  # frees the number; as an answer it is owed nothing
+
+    def _hand_over(self, incoming: fastcgi.Incoming) -> None:
+        def deliver(answer: Answer) -> None:
+            self.standing |= answer.verdict is Verdict.SERVED
+            self._answer(incoming, answer)
+
+        check = fields.health_check(incoming.params, deliver)
+        if check is not None:
+            self._owe(incoming, check)
+            self.front.intake.checked(check)
+            return
+        try:
+            request = fields.service_request(incoming.params, incoming.body, deliver)
+        except fields.BadRequest as error:
+            log.say("server", str(error))
+            self._fail(incoming)
+            return
+        self._owe(incoming, request)
+        self.front.intake.arrived(request)
+
+    def _fail(self, incoming: fastcgi.Incoming) -> None:
+        """End a request that no balancer sends, before anyone else hears of it."""
+        exchange = Exchange(lambda answer: self._answer(incoming, answer))
+        self._owe(incoming, exchange)
+        exchange.finish(Answer(Verdict.FAILED, suspect=True))
+
+    def _owe(self, incoming: fastcgi.Incoming, exchange: Exchange) -> None:
+        with self._lock:
+            self._open[incoming.id] = exchange
+
+    def _drop(self, number: int) -> None:
+        with self._lock:
+            self._open.pop(number, None)
+            self.last = time.monotonic()
+
+    def _answer(self, incoming: fastcgi.Incoming, answer: Answer) -> None:
+        # Dropped first: the balancer may use the number again as soon as it has read the end.
+        self._drop(incoming.id)
+        self._suspect |= answer.suspect
+        self.outlet.send(fastcgi.response(incoming.id, fields.content(answer)))
+        if self.front.retiring or not incoming.keep:
+            self.close_if_idle(asked=not incoming.keep)
+
+    def close_if_idle(self, asked: bool = False) -> bool:
+        """Leave a connection with no open request, if that is wanted or it has idled for too long."""
+        with self._lock:
+            idle = time.monotonic() - self.last
+            wanted = asked or self.front.retiring or idle > (self.front.idle_s or IDLE_MOST_S)
+            if not wanted or self.busy or self._leaving:
+                return False
+            self._leaving = True
+        self.outlet.end()  # the balancer closes its side, which ends the reader's wait
+        return True
+
+    def make_room(self) -> bool:
+        """End it at once, since another needs its place; False if an answer is owed on it."""
+        with self._lock:
+            if self._open or self._leaving:
+                return False
+            self._leaving = True
+        self.outlet.cut()  # wakes the reader
+        return True
+
+    def close(self) -> None:
+        """The connection is over; nobody is left to answer."""
+        with self._lock:
+            left, self._open = list(self._open.values()), {}
+        for exchange in left:
+            if exchange.withdraw() and isinstance(exchange, Request):
+                self.front.intake.gone(exchange)
+        # Closing with unread bytes resets the connection, and the balancer might lose answers that it has
+        # not read yet. So it is told the end first, and has a moment to close its side. The moment is bounded
+        # in time and bytes: a client with 60 MB to send, or one that drips, must not hold the thread.
+        self.outlet.finish(LAST_WRITE_S)
+        end, most = time.monotonic() + LAST_READ_S, LAST_READ_BYTES
+        with contextlib.suppress(OSError):
+            while (left_s := end - time.monotonic()) > 0 and most > 0:
+                self.sock.settimeout(left_s)
+                if not (got := len(self.sock.recv(LAST_READ_PART))):
+                    break
+                most -= got
+        self.sock.close()
--- a/cairnvane/net/fastcgi.py
+++ b/cairnvane/net/fastcgi.py
@@ -115,6 +115,7 @@
 
     id: int
     keep: bool
+    begun: float  # when, on the connection's own clock
     params: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
     _raw: bytearray = field(default_factory=bytearray)
--- a/cairnvane/net/outlet.py
+++ b/cairnvane/net/outlet.py
@@ -51,11 +51,20 @@
                 return self._break()
             if sent == len(data):
                 return True
-            kept = self._put_off(data[sent:])
-            if kept:
-                self._writer = threading.Thread(target=self._drain, name="outlet", daemon=True)
+            if not self._put_off(data[sent:]):
+                return False
+            self._writer = threading.Thread(target=self._drain, name="outlet", daemon=True)
+            try:
                 self._writer.start()
-            return kept
+            except RuntimeError:  # no more threads: this peer is given up, not the caller
+                self._writer = None
+                return self._break()
+            return True
+
+    def cut(self) -> None:
+        """End the connection at once."""
+        with self._lock:
+            self._break()
 
     def end(self) -> None:
         """Tell the peer that no more comes, once what was sent has left."""
@@ -64,11 +73,11 @@
             if not self._waiting:
                 self._shut(socket.SHUT_WR)
 
-    def finish(self) -> None:
-        """End, and wait within the bound on writes until that is done."""
+    def finish(self, wait_s: float) -> None:
+        """End, and wait so long at the most until all has left."""
         self.end()
         if (writer := self._writer) is not None:
-            writer.join(WRITE_WAIT_S)
+            writer.join(wait_s)
 
     def _put_off(self, data: bytes) -> bool:
         if self._size + len(data) > MOST_WAITING:
--- a/cairnvane/net/pool.py
+++ b/cairnvane/net/pool.py
@@ -1,8 +1,7 @@
 """The link to the worker pool: commands out, notices in, kept open and taken up again where it broke.
 
-What is safe to say again after a break, and who knows it: `suspend`, `supply` and the `spawn` of a class that
-may run twice. The link only tells the host that it is back (`Notices.linked`); the host, which knows where
-each request stands, says again what is needed.
+The link only tells the host that it is back (`Notices.linked`); the host, which knows where each request
+stands, says again what is needed.
 """
 
 from __future__ import annotations
@@ -32,6 +31,8 @@
 VERIFY_WAIT_S = 2.0
 # A replay of all 4,000 notices takes far less; a link that does not get so far is as good as lost.
 SYNC_WAIT_S = 10.0
+# No run lasts so long; a figure beyond any can't be reckoned with.
+MAX_WALL_MS = 1e9
 # How the pool says that a run ended.
 FINE, FAULT, BROKEN_OFF, LATE = "fine", "fault", "broken_off", "late"
 
@@ -58,6 +59,9 @@
     def blocked(self, uid: str, body: bytes) -> None:
         """A run waits for a call."""
 
+    def unknown(self, uid: str) -> None:
+        """The pool has no such request, and runs nothing for it."""
+
     def linked(self, link: int) -> None:
         """Link number `link` is up, and all notices that an earlier one missed have been passed on."""
 
@@ -78,6 +82,9 @@
         self._pos = 0
         self._links = 0
         self._outlet: Outlet | None = None
+        self._newest: Outlet | None = None  # of the link that is read, bound or not
+        self._garbled_at = -1  # after which notice a line could not be read
+        self._taking = threading.Lock()  # after a move, two links may have notices for a moment
         self._asked: dict[str, _Asked] = {}
         self._echo = 0
         self._lock = threading.Lock()
@@ -85,7 +92,15 @@
 
     def start(self) -> None:
         """Connect, and stay connected."""
-        threading.Thread(target=self._run, name="pool", daemon=True).start()
+        threading.Thread(target=self._run, args=(self._address,), name="pool", daemon=True).start()
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Go over to the pool's new address. The old link serves until the new one is up."""
+        with self._lock:
+            if address == self._address:
+                return
+            self._address = address
+        self.start()
 
     # --- commands; each tells on which link it went out, 0 if on none
 
@@ -105,6 +120,10 @@
         """Ask for the gauges; none are passed on if they don't come in time."""
         self._ask("poll", POLL_WAIT_S, lambda notice: then(notice.meters if notice else ()))
 
+    def sync(self, then: Callable[[bool], None]) -> None:
+        """Wait until all that was said before has been acted on and told of; False if that can't be known."""
+        self._ask("poll", SYNC_WAIT_S, lambda notice: then(notice is not None))
+
     def verify(self, then: Callable[[bool], None]) -> None:
         """Ask for a deep check's work."""
         self._ask("verify", VERIFY_WAIT_S, lambda notice: then(notice is not None and notice.code == FINE))
@@ -134,58 +153,84 @@
 
     # --- the link
 
-    def _run(self) -> None:
-        while True:
+    def _run(self, address: tuple[str, int]) -> None:
+        """The thread of the links to one address, until the pool has moved on."""
+        while address == self._address:
             try:
-                with socket.create_connection(self._address, CONNECT_WAIT_S) as sock:
+                with socket.create_connection(address, CONNECT_WAIT_S) as sock:
                     self._converse(sock)
-            except (OSError, ValueError) as error:
-                log.say("pool", f"link lost: {error}")
-            with self._lock:
-                self._outlet = None
+                log.say("pool", "link ended")
+            except Exception as error:  # whatever a line held: without this thread nothing is ever run again
+                log.say("pool", f"link lost: {type(error).__name__} {error}")
             time.sleep(RETRY_S)
 
     def _converse(self, sock: socket.socket) -> None:
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         outlet = Outlet(sock)
-        outlet.send(_line({"action": "bind", "pos": self._pos}))
-        with sock.makefile("rb") as lines:
-            while line := lines.readline(MAX_LINE):
-                if not line.endswith(b"\n"):
-                    raise ValueError("a line that is cut short or too long")
-                try:
-                    notice = self._decoder.decode(line)
-                except msgspec.ValidationError as error:  # sound JSON that this version has no use for
-                    log.say("pool", f"message passed over: {error}")
-                    continue
-                self._take(notice, outlet)
-
-    def _take(self, notice: Notice, outlet: Outlet) -> None:
-        if notice.pos:
-            if notice.pos <= self._pos:
-                return  # said again after a break, and acted on before
-            self._pos = notice.pos
+        with self._lock:
+            before, self._newest = self._newest, outlet
+            self._outlet = None  # what is said until `bound` is said again after it
+        if before is not None:
+            before.cut()  # ends its thread; what that has read by now is taken, and counts
+        try:
+            with self._taking:
+                outlet.send(_line({"action": "bind", "pos": self._pos}))
+            with sock.makefile("rb") as lines:
+                while line := lines.readline(MAX_LINE):
+                    self._read(line, outlet)
+        finally:
+            with self._lock:
+                if self._newest is outlet:
+                    self._newest = self._outlet = None
+
+    def _read(self, line: bytes, outlet: Outlet) -> None:
+        if not line.endswith(b"\n"):
+            raise ValueError("a line that is cut short or too long")
+        try:
+            notice = self._decoder.decode(line)
+            content = base64.b64decode(notice.content, validate=True)
+        except msgspec.ValidationError as error:  # sound JSON that this version has no use for
+            log.say("pool", f"message passed over: {error}")
+            return
+        except (msgspec.DecodeError, ValueError) as error:
+            # A notice may have been lost in it: a new link brings that again. If it comes no better a second
+            # time, it is passed over, for the sake of all that follow.
+            if self._garbled_at != self._pos:
+                self._garbled_at = self._pos
+                raise
+            log.say("pool", f"line passed over: {error}")
+            return
+        with self._taking:
+            if notice.pos:
+                if notice.pos <= self._pos:
+                    return  # said again after a break, and acted on before
+                self._pos = notice.pos
+            self._take(notice, content, outlet)
+
+    def _take(self, notice: Notice, content: bytes, outlet: Outlet) -> None:
         if notice.action == "finished":
-            result = base64.b64decode(notice.content)
-            self._notices.finished(notice.uid, notice.code, int(notice.wall_ms * 1e3), result)
+            took_us = int(min(max(0.0, notice.wall_ms), MAX_WALL_MS) * 1e3)
+            self._notices.finished(notice.uid, notice.code, took_us, content)
         elif notice.action == "blocked":
-            self._notices.blocked(notice.uid, base64.b64decode(notice.content))
+            self._notices.blocked(notice.uid, content)
         elif notice.action in ("polled", "verified"):
             self._reply(notice.echo, notice)
         elif notice.action == "bound":
             with self._lock:
+                if self._newest is not outlet:
+                    return  # replaced meanwhile
                 self._links += 1
                 self._outlet, link = outlet, self._links
             # The replay comes before the answer to this question, which therefore marks its end.
-            self._ask("poll", SYNC_WAIT_S, lambda reply: self._notices.linked(link) if reply else None)
+            self.sync(lambda there: self._notices.linked(link) if there else None)
         elif notice.action == "unknown":
             self._refused(notice)
 
     def _refused(self, notice: Notice) -> None:
         log.say("pool", f"not carried out: {notice.code} {notice.uid}")
-        if notice.code == "spawn":  # it will never run, and nothing else will tell
-            self._notices.finished(notice.uid, LATE, 0, b"")
+        if notice.code == "spawn":
+            self._notices.unknown(notice.uid)
         elif notice.code == "verify":  # no deep checks here: the link itself is the answer
             for echo in [echo for echo in list(self._asked) if echo.startswith("verify")]:
                 self._reply(echo, Notice("verified", code=FINE))
--- a/cairnvane/net/roster.py
+++ b/cairnvane/net/roster.py
@@ -4,6 +4,7 @@
 
 import socket
 import threading
+import time
 
 from .. import log
 from . import http
@@ -19,32 +20,46 @@
 
     def __init__(self, address: tuple[str, int], name: str) -> None:
         self._address, self._name = address, name
-        self._stop = threading.Event()
+        self._stopped = False
+        self._wake = threading.Event()
         self._failing = False
 
     def start(self) -> None:
         """Report from now on."""
         threading.Thread(target=self._run, name="roster", daemon=True).start()
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Report there from now on, and at once: the new roster knows of no report to the old one."""
+        if address != self._address:
+            self._address = address
+            self._wake.set()
+
     def stop(self) -> None:
         """Say nothing more: any report, `off` too, would keep the entry for another 3 s."""
-        self._stop.set()
+        self._stopped = True
+        self._wake.set()
 
     def _run(self) -> None:
-        while not self._stop.is_set():
-            self._report()
-            self._stop.wait(EVERY_S)
+        while True:
+            self._wake.clear()  # before the look at what it may have woken for
+            if self._stopped:
+                return
+            start = time.monotonic()
+            self._report(self._address)
+            # Counted from the start: a report that got no answer must not push the next one towards the 3 s.
+            self._wake.wait(max(0.0, start + EVERY_S - time.monotonic()))
 
-    def _report(self) -> None:
+    def _report(self, address: tuple[str, int]) -> None:
         headers = {"Content-Type": "application/json"}
-        data = http.request("PUT", f"/roster/{self._name}", self._address, headers, b'{"duty":"on"}')
+        data = http.request("PUT", f"/roster/{self._name}", address, headers, b'{"duty":"on"}')
+        deadline = time.monotonic() + WAIT_S
         try:
-            with socket.create_connection(self._address, WAIT_S) as sock:
+            with socket.create_connection(address, WAIT_S) as sock:
                 sock.sendall(data)
-                status = http.read_reply(sock).status
+                status = http.read_reply(sock, deadline).status
             problem = "" if status == 204 else f"status {status}"
         except (OSError, http.BadReply) as error:
-            problem = str(error)
+            problem = str(error) or type(error).__name__
         if bool(problem) is not self._failing:  # said once, not with every report
             self._failing = bool(problem)
             log.say("roster", f"{problem or 'reports arrive again'}")
--- a/cairnvane/net/vault.py
+++ b/cairnvane/net/vault.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 
+from .. import log
 from ..interface import Outcome
 from . import http
 
@@ -38,7 +39,11 @@
         self._lock = threading.Lock()
         self._sock: socket.socket | None = None
         self._given_up = False
-        threading.Thread(target=self._make, name="call", daemon=True).start()
+        try:
+            threading.Thread(target=self._make, name="call", daemon=True).start()
+        except RuntimeError as error:  # no more threads: the call fails, not who asked for it
+            log.say("vault", str(error))
+            ended(Outcome.UNREACHED, b"", 0)
 
     def give_up(self) -> None:
         """Close it. Its end is not reported any more."""
@@ -50,7 +55,11 @@
 
     def _make(self) -> None:
         start = time.monotonic()
-        how, body = self._ask(start + self._timeout_us / 1e6)
+        try:
+            how, body = self._ask(start + self._timeout_us / 1e6)
+        except Exception as error:  # a call that never ends would hold its request to the last
+            log.say("vault", f"{self._uid}: {type(error).__name__} {error}")
+            how, body = Outcome.BROKEN, b""
         took = int((time.monotonic() - start) * 1e6)
         if not self._given_up:
             self._ended(how, body, took)
@@ -73,13 +82,16 @@
                 sock.settimeout(left)
                 headers = {"X-Ticket": self._uid, "X-Max-Ms": str(max(1, int(left * 1e3)))}
                 sock.sendall(http.request("POST", PATH, self._address, headers, self._body))
-                reply = http.read_reply(sock)
+                reply = http.read_reply(sock, deadline)
             except TimeoutError:
                 return Outcome.TIMEOUT, b""
-            except (OSError, http.BadReply):
-                return Outcome.BROKEN, b""  # a connection that breaks during a call proves nothing
+            except (OSError, http.BadReply) as error:
+                # A connection that breaks during a call proves nothing, nor does a reply that can't be read:
+                # the call may have run.
+                if not self._given_up:
+                    log.say("vault", f"{self._uid}: {type(error).__name__} {error}")
+                return Outcome.BROKEN, b""
             finally:
                 with self._lock:
                     self._sock = None
         return outcome(reply), reply.body
-
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -69,6 +69,7 @@
     def __init__(self, bound: bool = True) -> None:
         self.commands: queue.Queue[dict[str, Any]] = queue.Queue()
         self.bound = bound
+        self.linked = threading.Event()  # commands arrive from now on
         self._link: socket.socket | None = None
         self._pos = 0
         self._listener = Listener(self._serve)
@@ -80,6 +81,7 @@
             for line in lines:
                 command = json.loads(line)
                 if command["action"] == "poll":
+                    self.linked.set()
                     self.tell(action="polled", echo=command["echo"], meters=[0.5, 1.0, 0.1, 2.0])
                     continue
                 self.commands.put(command)
@@ -90,6 +92,14 @@
         assert self._link is not None
         self._link.sendall(json.dumps(message).encode() + b"\n")
 
+    def skip(self, count: int) -> None:
+        """So many notices went out on another address."""
+        self._pos += count
+
+    def raw(self, data: bytes) -> None:
+        assert self._link is not None
+        self._link.sendall(data)
+
     def notice(
         self, action: str, uid: str, code: str = "", content: bytes = b"", again: bool = False,
     ) -> None:
@@ -264,6 +274,7 @@
     link.start()
     server.start()
     assert pool.next("bind")["pos"] == 0
+    assert pool.linked.wait(WAIT_S if bound else 0) is bound
     try:
         yield World(pool, vault, server, host)
     finally:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -10,6 +10,8 @@
 import socket
 import subprocess
 import sys
+import threading
+import time
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -82,6 +84,37 @@
         assert process.wait(WAIT_S) == 0
 
 
+def test_it_goes_over_to_new_addresses_under_load(tmp_path: Path) -> None:
+    """Guards: SIGHUP ended the process. A faulty file must be named, and change nothing."""
+    pools, report = (PoolPeer(), PoolPeer()), threading.Event()
+    rosters = Listener(lambda sock: None), Listener(lambda sock: report.set())  # they answer nothing
+    at = [[f"{host}:{port}" for host, port in (pool.address, roster.address)]
+          for pool, roster in zip(pools, rosters, strict=True)]
+    path = tmp_path / "config.json"
+    with program(tmp_path, *at[0]) as (process, port):
+        balancer = Balancer(("127.0.0.1", port))
+        balancer.send(1)
+        assert pools[0].next("bind")["pos"] == 0
+        pools[0].run(b"first")
+        assert balancer.answer()[1].body == b"first"
+        balancer.send(2)
+        uid = pools[0].next("spawn")["uid"]
+        assert process.stderr is not None
+        good = json.loads(path.read_text())
+        path.write_text(json.dumps(good | {"vault": "nowhere"}))
+        process.send_signal(signal.SIGHUP)
+        while "stays as it was: vault:" not in process.stderr.readline():
+            pass
+        path.write_text(json.dumps(good | dict(zip(("pool", "roster"), at[1], strict=True))))
+        process.send_signal(signal.SIGHUP)
+        assert pools[1].next("bind")["pos"] == 1  # the numbers of notices carry on, and so do the runs
+        assert pools[1].next("spawn")["uid"] == uid
+        pools[1].skip(1)
+        pools[1].notice("finished", uid, "fine", b"second")
+        assert balancer.answer()[1].body == b"second"
+        assert report.wait(WAIT_S)
+
+
 def test_it_serves_without_a_roster(tmp_path: Path) -> None:
     pool = PoolPeer()
     with program(tmp_path, f"127.0.0.1:{pool.address[1]}", NOWHERE) as (_, port):
@@ -156,6 +189,10 @@
     b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
     b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n", b"HTTP/1.1 200 OK\r\n\r\n" + bytes(70_000),
     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", b"x" * 9_000,
+    # Guards: digits that `isdigit` passes and `int` does not ended the call's thread, and no one was told.
+    b"HTTP/1.1 \xb200 OK\r\nContent-Length: 0\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: \xb2\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+    b"HTTP/1.1 100 Continue\r\n\r\n" * 99, b"HTTP/1.1 100 Continue\r\n\r\n",
 ])
 def test_what_is_no_whole_http_reply_is_told_apart(data: bytes) -> None:
     ours, theirs = socket.socketpair()
@@ -163,7 +200,30 @@
         theirs.sendall(data)
         theirs.close()
         with pytest.raises(http.BadReply):
-            http.read_reply(ours)
+            http.read_reply(ours, time.monotonic() + WAIT_S)
+
+
+@pytest.mark.parametrize("data", [
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 X\r\nA: b\r\n\r\n"
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+])
+def test_what_stands_around_a_reply_is_no_part_of_it(data: bytes) -> None:
+    """Guards: an interim head was taken for the reply."""
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        theirs.sendall(data)
+        reply = http.read_reply(ours, time.monotonic() + WAIT_S)
+        assert (reply.status, reply.body) == (200, b"abc")
+
+
+def test_a_reply_that_drips_ends_at_the_deadline() -> None:
+    """Guards: the bound was one on each read, and whoever dripped outlived it."""
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        theirs.sendall(b"HTTP/1.1 200 OK\r\n")  # there is always something to read
+        with pytest.raises(TimeoutError):
+            http.read_reply(ours, time.monotonic())
 
 
 def test_a_body_without_a_length_lasts_until_the_end() -> None:
@@ -171,5 +231,5 @@
     with ours:
         theirs.sendall(b"HTTP/1.1 200 OK\r\nX-A: b\r\n\r\nabc")
         theirs.close()
-        assert http.read_reply(ours) == http.Reply(200, {"x-a": "b"}, b"abc")
+        assert http.read_reply(ours, time.monotonic() + WAIT_S) == http.Reply(200, {"x-a": "b"}, b"abc")
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -13,9 +13,10 @@
 from cairnvane import clock
 from cairnvane.exchange import Answer, Exchange, Verdict
 from cairnvane.interface import CloseIdle, Outcome
-from cairnvane.net import fastcgi, http, vault
+from cairnvane.net import connection, fastcgi, http, vault
 from cairnvane.net.outlet import MOST_WAITING, Outlet
 
+BEGIN = fastcgi.record(fastcgi.BEGIN_REQUEST, 1, b"\0\1\1\0\0\0\0\0")
 KEYED: dict[str, Any] = {"path": "/svc/write", "HTTP_REQ_TOKEN": TOKEN}
 
 
@@ -74,7 +75,11 @@
 
 @pytest.mark.parametrize("fields", [
     {"HTTP_REQ_ID": "xyz"}, {"HTTP_REQ_ID": ""}, {"HTTP_REQ_TIME": "soon"}, {"HTTP_REQ_KB": "nan"},
-    {"HTTP_REQ_KB": "2001"}, {"HTTP_REQ_TOKEN": "12"}, {"path": "/svc/unheard-of"}, {"path": "/elsewhere"},
+    {"HTTP_REQ_KB": "2000"}, {"HTTP_REQ_KB": "0"}, {"HTTP_REQ_KB": "1_0"}, {"HTTP_REQ_KB": "\u0663"},
+    {"HTTP_REQ_KB": " 5"}, {"HTTP_REQ_TIME": "1e3"}, {"HTTP_REQ_TIME": "9" * 15}, {"HTTP_REQ_TIME": "-5"},
+    {"HTTP_REQ_FROM": "0.5"}, {"HTTP_REQ_RANK": "1"}, {"CONTENT_LENGTH": "7"}, {"HTTP_REQ_TOKEN": "12"},
+    {"HTTP_REQ_TOKEN": TOKEN}, {"path": "/svc/write"}, {"REQUEST_METHOD": "GET"},
+    {"path": "/svc/unheard-of"}, {"path": "/elsewhere"},
 ])
 def test_impossible_fields_fail_that_request_alone(fields: dict[str, Any]) -> None:
     with world() as w:
@@ -84,7 +89,6 @@
         w.serve(balancer, 2)
 
 
-BEGIN = fastcgi.record(fastcgi.BEGIN_REQUEST, 1, b"\0\1\1\0\0\0\0\0")
 
 
 @pytest.mark.parametrize("data", [
@@ -125,14 +129,74 @@
         assert balancer.read(len(said)) == said
 
 
-def test_connections_beyond_the_limit_wait_until_one_ends() -> None:
+def test_a_new_connection_gets_the_place_of_the_one_that_is_least_missed() -> None:
+    """Guards: connections that said nothing, or had once asked, took all places, and balancers waited."""
+    with world(most=3) as w:
+        idle, busy, silent = w.balancer(), w.balancer(), w.balancer()
+        w.serve(idle, 1)
+        busy.send(2)
+        uid = w.pool.next("spawn")["uid"]
+        third = w.balancer()
+        assert silent.ended()
+        w.serve(third, 3)
+        fourth = w.balancer()
+        assert idle.ended()
+        w.serve(fourth, 4)
+        w.pool.notice("finished", uid, "fine", b"done")
+        assert busy.answer()[1].body == b"done"
+
+
+def test_with_an_answer_owed_on_all_connections_a_new_one_is_turned_away_at_once() -> None:
     with world(most=1) as w:
-        first, second = w.balancer(), w.balancer()
-        w.serve(first, 1)
-        second.send(2)
-        first.sock.close()
-        w.pool.run()
-        assert second.answer()[1].status == 200
+        first = w.balancer()
+        first.send(1)
+        uid = w.pool.next("spawn")["uid"]
+        assert w.balancer().ended()
+        w.pool.notice("finished", uid, "fine", b"done")
+        assert first.answer()[1].body == b"done"
+
+
+@pytest.mark.parametrize("data", [
+    b"", BEGIN, BEGIN[:3], BEGIN + fastcgi.record(fastcgi.PARAMS, 1, b"\1\1ab"),
+])
+def test_who_says_nothing_whole_is_ended_and_who_did_may_idle(
+    data: bytes, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards: nothing bounded the time to the first or to the whole request."""
+    monkeypatch.setattr(connection, "SAY_WAIT_S", 0.2)
+    monkeypatch.setattr(connection, "LOOK_S", 0.05)
+    with world() as w:
+        w.host._control.back = 1.0  # it does not want idle connections closed
+        bad, good = w.balancer(), w.balancer()
+        w.serve(good, 1)
+        bad.sock.sendall(data)
+        assert bad.ended()
+        w.serve(good, 2)
+
+
+def test_the_rest_of_a_request_is_waited_for_so_long_and_no_longer(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(connection, "SAY_WAIT_S", 0.2)
+    monkeypatch.setattr(connection, "LOOK_S", 0.05)
+    with world() as w:
+        balancer = w.balancer()
+        balancer.send(2)
+        uid = w.pool.next("spawn")["uid"]
+        balancer.sock.sendall(BEGIN)
+        assert balancer.answer()[1].status == 500  # what else is open on the connection goes on
+        w.pool.notice("finished", uid, "fine", b"done")
+        assert balancer.answer()[1].body == b"done"
+
+
+def test_who_sends_on_after_the_end_is_cut_off_and_withdrawn_first() -> None:
+    """Guards: the last reading of an ended connection went on as long as its peer sent."""
+    with world() as w:
+        bad = w.balancer()
+        bad.send(2)
+        uid = w.pool.next("spawn")["uid"]
+        with pytest.raises(ConnectionError):
+            while True:
+                bad.sock.sendall(bytes(65_536))
+        assert w.pool.next("suspend")["uid"] == uid
 
 
 def test_a_connection_is_closed_when_it_idles_but_not_with_an_open_request() -> None:
@@ -205,6 +269,37 @@
         assert w.pool.commands.empty()
 
 
+@pytest.mark.parametrize("ended", [False, True])
+def test_a_token_stands_for_one_body_and_its_stranger_disturbs_no_one(ended: bool) -> None:
+    """Guards: a repeat was matched by its token alone, and a stranger served with another's result."""
+    with world() as w:
+        balancer, stranger = w.balancer(), w.balancer()
+        balancer.send(1, **KEYED)
+        uid = w.pool.next("spawn")["uid"]
+        if ended:
+            w.pool.notice("finished", uid, "fine", b"once")
+            assert balancer.answer()[1].body == b"once"
+        stranger.send(2, body=b"another", **KEYED)
+        assert stranger.answer()[1].status == 500
+        balancer.send(3, **KEYED)
+        if not ended:
+            w.pool.notice("finished", uid, "fine", b"once")
+            assert balancer.answer()[1].body == b"once"
+        assert balancer.answer()[1].body == b"once"
+        assert w.pool.commands.empty()
+
+
+def test_an_id_is_the_same_in_either_case_and_stays_its_owners() -> None:
+    with world() as w:
+        balancer, stranger = w.balancer(), w.balancer()
+        balancer.send(1, HTTP_REQ_ID="ab" * 8)
+        uid = w.pool.next("spawn")["uid"]
+        stranger.send(2, HTTP_REQ_ID="AB" * 8, body=b"another")
+        assert stranger.answer()[1].status == 500
+        w.pool.notice("finished", uid, "fine", b"done")
+        assert balancer.answer()[1].body == b"done"
+
+
 def test_the_next_try_gets_the_result_of_a_run_whose_caller_left() -> None:
     with world(reply(200, b"reply")) as w:
         balancer = w.balancer()
@@ -375,6 +470,51 @@
         assert w.pool.next("supply")["content"] == b"reply"
 
 
+def test_a_keyed_run_that_has_to_call_is_said_again_after_a_break() -> None:
+    """Guards: one lost with the link was left to its due time. It can't have ended without a call to us."""
+    with world(reply(200, b"reply")) as w:
+        balancer = w.balancer()
+        uid = w.block(balancer, **KEYED)
+        w.pool.next("supply")
+        w.pool.notice("finished", uid, "fine", b"done")
+        assert balancer.answer()[1].status == 200
+        balancer.send(2, path="/svc/write", HTTP_REQ_TOKEN="0" * 32)
+        uid = w.pool.next("spawn")["uid"]
+        w.pool.cut()
+        w.pool.next("bind")
+        assert w.pool.next("spawn")["uid"] == uid
+        w.pool.notice("finished", uid, "fine", b"done")
+        assert balancer.answer()[1].status == 200
+
+
+def test_a_run_that_was_lost_with_a_link_frees_its_place_when_it_is_stopped() -> None:
+    """Guards: nothing is told of the end of what never began, and the controller counted it as running."""
+    with world() as w:
+        balancer = w.balancer()
+        balancer.send(1, **KEYED)
+        uid = w.pool.next("spawn")["uid"]
+        w.pool.cut()
+        w.pool.next("bind")
+        w.serve(balancer, 2)
+        balancer.abort(1)
+        assert w.pool.next("suspend")["uid"] == uid
+        balancer.answer()
+        w.serve(balancer, 3)  # its notice comes after the answer to what was asked behind `suspend`
+        assert 1 not in w.host._control.running
+
+
+@pytest.mark.parametrize("line", [
+    b"{broken\n", b"\xff\n", b'{"action":"finished","pos":1,"uid":"x","code":"fine","content":"?"}\n',
+])
+def test_a_line_that_cannot_be_read_is_asked_for_once_more(line: bytes) -> None:
+    """Guards: it ended the link's thread for good, and nothing was run any more."""
+    with world() as w:
+        w.pool.raw(line)
+        assert w.pool.next("bind")["pos"] == 0
+        w.pool.raw(line)  # no better: passed over
+        w.serve(w.balancer(), 1)
+
+
 def test_a_message_of_another_form_is_passed_over() -> None:
     with world() as w:
         balancer = w.balancer()
