Let readers wait without looking up, and have one thread look over all connections

Changed: a reader waits without a bound; Server._look goes over the connections twice a second, on a clock in which a pause counts as one look, and wakes the readers that are to end. The switch interval is Python's own again.

--- a/cairnvane/__main__.py
+++ b/cairnvane/__main__.py
@@ -16,8 +16,6 @@
 
 # Readers, calls and timers go a dozen plain frames deep; hundreds of them share the memory limit.
 STACK_BYTES = 256 * 1024
-# The host thread must not wait for the 5 ms that a busy reader may by default hold the interpreter.
-SWITCH_S = 0.0005
 # All is answered this long before the process is stopped, with room for a late thread and the way out.
 STOP_MARGIN_MS = 300
 # A balancer's next request may be on its way when a connection looks idle; the end is not rushed.
@@ -58,7 +56,6 @@
         log.say("cairnvane", str(error))
         return 2
     threading.stack_size(STACK_BYTES)
-    sys.setswitchinterval(SWITCH_S)
     host = Host(told.settings, told.gauges, told.seed)
     pool = Pool(told.pool, host)
     roster = Roster(told.roster, told.name)
--- a/cairnvane/net/connection.py
+++ b/cairnvane/net/connection.py
@@ -12,12 +12,10 @@
 from ..exchange import Answer, Exchange, Intake, Request, Verdict
 from . import fastcgi, fields
 from .buffers import BufferPool
-from .outlet import Outlet, set_wait
+from .outlet import Outlet
 
 # The protocol's own bound on open requests of a connection.
 MAX_OPEN = 32
-# A reader that waits looks up this often whether its connection has idled too long or is to be left.
-LOOK_S = 0.5
 # A balancer opens a connection for a request and sends that whole. Whoever says nothing, or half of
 # something, for so long is no balancer; it is owed an end within 3 s, of which a busy machine takes some.
 SAY_WAIT_S = 2.0
@@ -40,6 +38,7 @@
     buffers: BufferPool
     idle_s: float  # close connections that carried nothing for so long; 0: leave it to the callers
     retiring: bool
+    clock: float  # seconds by which peers are judged; see `Server`
     values: dict[str, str]
 
 
@@ -56,12 +55,11 @@
         self._open: dict[int, Exchange] = {}  # handed over, not answered
         self._lock = threading.Lock()
         self._leaving = False
-        self._heard = False  # a whole request has come
+        self._leaving_since: float | None = None  # by the front's clock, as the next two
         self._suspect = False  # something on it could not be right
-        # The connection's own time, in which a pause of the machine counts as one look at the most: the peer
-        # could not write meanwhile.
-        self._time = 0.0
-        self._rest_since = 0.0  # when the record that is half read began
+        # None once a whole request has come, and None while no record is half read.
+        self._unheard_since: float | None = front.clock
+        self._rest_since: float | None = None
 
     @property
     def busy(self) -> bool:
@@ -69,32 +67,21 @@
         return bool(self._open or self.reading)
 
     def serve(self) -> None:
-        """Read until either side ends the connection."""
-        set_wait(self.sock, socket.SO_RCVTIMEO, LOOK_S)
-        looked = time.monotonic()
+        """Read until either side ends the connection. The wait for the peer has no bound here, since hundreds
+        of readers that look up now and then would get in the way of the few that have something to do:
+        `look` wakes those that are to end."""
         with self.front.buffers.lend() as view:
             have = 0
             while True:
                 try:
                     got = self.sock.recv_into(view[have:])
-                except BlockingIOError:  # the bounded wait has run out
-                    got = -1
                 except OSError:
                     return
-                now = time.monotonic()
-                self._time += min(now - looked, LOOK_S)
-                looked = now
                 if got == 0 or self._leaving:
                     return
-                if got > 0:
-                    self.last = now
-                    have = self._read(view, have + got)
-                if self._overdue(have):
-                    log.say("server", "connection ended: nothing whole was said in time")
-                    return
-                if got < 0:
-                    self.close_if_idle()
-                elif self._suspect:
+                self.last = time.monotonic()
+                have = self._read(view, have + got)
+                if self._suspect:
                     time.sleep(SLOW_READ_S)
 
     def _read(self, view: memoryview, have: int) -> int:
@@ -102,21 +89,33 @@
         while (found := fastcgi.take(view, at, have)) is not None:
             part, at = found
             self._take(part)
-        if at:
+        if at == have:
+            self._rest_since = None
+        elif at or self._rest_since is None:
             view[: have - at] = bytes(view[at:have])
-            self._rest_since = self._time
+            self._rest_since = self.front.clock
         return have - at
 
-    def _overdue(self, rest: int) -> bool:
-        """Whether the peer keeps the connection waiting. Requests that it does not say whole are failed."""
-        before = self._time - SAY_WAIT_S
-        while self.reading:
-            incoming = next(iter(self.reading.values()))
-            if incoming.begun > before:
-                break
-            del self.reading[incoming.id]
+    def look(self) -> None:
+        """Called now and then: end what keeps waiting, fail what is not said whole, leave what idles."""
+        before = self.front.clock - SAY_WAIT_S
+        for since in (self._unheard_since, self._rest_since, self._leaving_since):
+            if since is not None and since <= before:
+                return self._wake()
+        late: list[fastcgi.Incoming] = []
+        with self._lock:
+            while self.reading and (first := next(iter(self.reading.values()))).begun <= before:
+                late.append(self.reading.pop(first.id))
+        for incoming in late:
             self._fail(incoming)
-        return before > 0 and (not self._heard or (rest > 0 and self._rest_since < before))
+        self.close_if_idle()
+
+    def _wake(self) -> None:
+        """End the reader's wait, and with it the connection."""
+        self._leaving = True
+        self.outlet.end()
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RD)
 
     def _take(self, part: fastcgi.Record) -> None:
         if part.request == 0:
@@ -128,32 +127,34 @@
         elif part.kind in (fastcgi.PARAMS, fastcgi.STDIN):
             incoming = self.reading.get(part.request)
             if incoming is not None and incoming.add(part):
-                del self.reading[part.request]
-                self._heard = True
-                self._hand_over(incoming)
+                with self._lock:
+                    in_time = self.reading.pop(part.request, None) is incoming
+                if in_time:
+                    self._unheard_since = None
+                    self._hand_over(incoming)
         else:
             raise fastcgi.Malformed(f"record type {part.kind}")
 
     def _begin(self, part: fastcgi.Record) -> None:
         role, keep = fastcgi.begin(part)
         with self._lock:
-            taken = part.request in self._open
-            count = len(self._open) + len(self.reading)
-        if taken or part.request in self.reading:
+            taken = part.request in self._open or part.request in self.reading
+            full = len(self._open) + len(self.reading) >= MAX_OPEN
+            if not taken and not full and role == fastcgi.RESPONDER:
+                self.reading[part.request] = fastcgi.Incoming(part.request, keep, self.front.clock)
+        if taken:
             raise fastcgi.Malformed(f"request {part.request} began twice")
         if role != fastcgi.RESPONDER:
             self._suspect = True
             self.outlet.send(fastcgi.end(part.request, fastcgi.UNKNOWN_ROLE))
-        elif count >= MAX_OPEN:  # never handed over, so the promise that it never ran holds
+        elif full:  # never handed over, so the promise that it never ran holds
             self._suspect = True
             self.outlet.send(fastcgi.end(part.request, fastcgi.OVERLOADED))
-        else:
-            self.reading[part.request] = fastcgi.Incoming(part.request, keep, self._time)
 
     def _abort(self, number: int) -> None:
-        if self.reading.pop(number, None) is None:
-            with self._lock:
-                exchange = self._open.get(number)
+        with self._lock:
+            half, exchange = self.reading.pop(number, None), self._open.get(number)
+        if half is None:
             if exchange is None or not exchange.withdraw():
                 return  # answered already
             self._drop(number)
@@ -210,7 +211,7 @@
             wanted = asked or self.front.retiring or idle > (self.front.idle_s or IDLE_MOST_S)
             if not wanted or self.busy or self._leaving:
                 return False
-            self._leaving = True
+            self._leaving, self._leaving_since = True, self.front.clock
         self.outlet.end()  # the balancer closes its side, which ends the reader's wait
         return True
 
--- a/cairnvane/net/server.py
+++ b/cairnvane/net/server.py
@@ -13,6 +13,8 @@
 from .buffers import BufferPool
 from .connection import MAX_OPEN, Connection
 
+# The connections are looked over this often for what is to end.
+LOOK_S = 0.5
 # The kernel's queue of connections that wait for `accept`; more than there are balancers.
 BACKLOG = 512
 # After a failed `accept` (no descriptors, say) the next try waits so long.
@@ -29,6 +31,9 @@
         self.buffers = BufferPool()
         self.idle_s = 0.0  # close connections that carried nothing for so long; 0: leave it to the callers
         self.retiring = False
+        # The time by which peers are judged. A pause of the machine counts as one look at the most: they
+        # could write nothing meanwhile.
+        self.clock = 0.0
         self.values = {
             "FCGI_MAX_CONNS": str(most), "FCGI_MAX_REQS": str(most * MAX_OPEN), "FCGI_MPXS_CONNS": "1",
         }
@@ -41,6 +46,7 @@
     def start(self) -> None:
         """Accept from now on."""
         threading.Thread(target=self._accept, name="listener", daemon=True).start()
+        threading.Thread(target=self._look, name="look", daemon=True).start()
 
     def retire(self, wait_s: float) -> None:
         """Take no more connections, and close each one that has no open request; wait until all are gone."""
@@ -55,6 +61,18 @@
         with self._changed:
             self._changed.wait_for(lambda: not self._connections, wait_s)
 
+    def _look(self) -> None:
+        while True:
+            time.sleep(LOOK_S)
+            self.clock += LOOK_S
+            with self._changed:
+                all_ = list(self._connections)
+            for connection in all_:
+                try:
+                    connection.look()
+                except Exception as error:  # one connection's trouble must not leave all others unwatched
+                    log.say("server", f"look: {type(error).__name__} {error}")
+
     def _accept(self) -> None:
         while not self.retiring:
             try:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -13,7 +13,7 @@
 from cairnvane import clock
 from cairnvane.exchange import Answer, Exchange, Verdict
 from cairnvane.interface import CloseIdle, Outcome
-from cairnvane.net import connection, fastcgi, http, vault
+from cairnvane.net import connection, fastcgi, http, server, vault
 from cairnvane.net.outlet import MOST_WAITING, Outlet
 
 BEGIN = fastcgi.record(fastcgi.BEGIN_REQUEST, 1, b"\0\1\1\0\0\0\0\0")
@@ -164,7 +164,7 @@
 ) -> None:
     """Guards: nothing bounded the time to the first or to the whole request."""
     monkeypatch.setattr(connection, "SAY_WAIT_S", 0.2)
-    monkeypatch.setattr(connection, "LOOK_S", 0.05)
+    monkeypatch.setattr(server, "LOOK_S", 0.05)
     with world() as w:
         w.host._control.back = 1.0  # it does not want idle connections closed
         bad, good = w.balancer(), w.balancer()
@@ -176,7 +176,7 @@
 
 def test_the_rest_of_a_request_is_waited_for_so_long_and_no_longer(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(connection, "SAY_WAIT_S", 0.2)
-    monkeypatch.setattr(connection, "LOOK_S", 0.05)
+    monkeypatch.setattr(server, "LOOK_S", 0.05)
     with world() as w:
         balancer = w.balancer()
         balancer.send(2)
