Let a jam at the calls keep back only those who call, and leave the free value alone

Changed: classes that were seen to call wait for a place at the calls, the others don't; such refusals leave the free value alone and carry Srv-Last; call_cap keeps a fifth of the share; calls under 30 ms never count as slow.

--- a/cairnvane/control.py
+++ b/cairnvane/control.py
@@ -35,10 +35,12 @@
 CROWD_SHARE, MEMORY_SHARE, CALLS_SHARE = 0.8, 0.9, 0.9
 # Requests at a call hold running memory and come back to the cores together: so many for each core.
 CALLS_PER_CORE = 2
+# A run is not begun if its call would have to wait for this part of its aim, as calls go now.
+CALL_WAIT_PART = 0.5
 # Calls are slow at this multiple of the best call time, which is forgotten within so long.
 CALL_SLOW, CALL_BASE_MEMORY = 3.0, 10_000_000
 # But shorter ones are not: so much of what is measured may be the instance's own delay.
-CALL_QUICK = 15_000
+CALL_QUICK = 30_000
 # The call time is a mean over so many; of fewer, a lucky one would make all that follow look slow.
 CALL_MEAN_OVER = 8
 # A call that is out for so many times the usual one is taken for lost, as it holds a place. One with an
@@ -137,6 +139,7 @@
         # All decayed alike: core time spent, successful runs, the time that they took and their hinted work.
         self.core_time = self.finished = self.took = self.cost = self.memory = 0.0
         self.known: set[str] = set()  # classes with a finished run
+        self.callers: set[str] = set()  # classes that were seen to call
         self.limit = settings.cores
         self.climbing, self.climb_from, self.done, self.rate_before = -1, now, 0, 0.0
         self.crowded = self.pressed = self.starved = self.draining = False
@@ -208,8 +211,10 @@
     def _start(self) -> None:
         """Start held requests, by worth, then oldest first, as far as the run limit and guards allow."""
         most = min(self.limit, self._crowd_ceiling() - len(self.calling))
-        if len(self.at_call) + len(self.calling) >= CALLS_PER_CORE * self.settings.cores:
-            most = 0
+        calls = len(self.at_call) + len(self.calling)
+        full = calls >= CALLS_PER_CORE * self.settings.cores
+        calls += sum(job.cls.name in self.callers for job in self.running.values())
+        wait = calls * self.call_time / max(1.0, self.call_cap)
         if not self.hold or (len(self.running) >= most and self.now - self.looked < LOOK):
             return
         self.looked = self.now
@@ -217,8 +222,12 @@
         for job in sorted(self.hold.values(), key=lambda j: (late[j.id], -j.worth)):
             # Risk: held for nothing. Who is late has all others before it: it runs now or never.
             place = len(self.running) < most
+            # Risk: work that fails at its call. Who would wait too long for it leaves the core to others.
+            too_long = wait > CALL_WAIT_PART * job.cls.aim and not job.cls.skip_worth
+            jam = job.cls.name in self.callers and (full or too_long)
+            place = place and not jam
             if late[job.id] and (not place or self._hopeless(job)):
-                self._answer(job)
+                self._answer(job, jam)
             elif place and self._fits(job.memory * (self.settings.run_factor - 1)):
                 self._move(job, State.RUNNING)
                 job.started = True
@@ -333,14 +342,15 @@
             self.keys.discard(job.id)
             self.out.append(i.Forget(job.id))
 
-    def _answer(self, job: Job) -> None:
+    def _answer(self, job: Job, jam: bool = False) -> None:
         """End a request without success: refused if it provably never ran, else failed, and stopped."""
         job.answered = True
         if not job.started:
-            self.pressed |= job.worth >= job.cls.worth
+            # A jam below is everyone's, and no reason to invite less of what needs no call.
+            self.pressed |= job.worth >= job.cls.worth and not jam
             # Risk: walks. Each refusal costs a reading elsewhere; who has waited is asked to try no further.
             waited = self.open < OPEN_WALKS or self.now - job.arrived > WAITED_PART * job.cls.aim
-            waited |= job.worth < job.cls.worth  # it is beyond its share elsewhere too
+            waited |= jam or job.worth < job.cls.worth  # it is beyond its share elsewhere too
             self.out.append(i.Refuse(job.id, self._advice(), waited))
             return self._move(job, None)
         self.out.append(i.Fail(job.id))
@@ -398,6 +408,7 @@
     def _leave_cores(self, event: i.CallNeeded) -> None:
         if (job := self.jobs.get(event.id)) and job.state is State.RUNNING:
             job.calls = CALL_TRIES
+            self.callers.add(job.cls.name)
             self._move(job, State.AT_CALL)
 
     def _make_calls(self) -> None:
@@ -451,7 +462,8 @@
             step = min(1.0, self.most_calls) / max(1.0, self.call_cap)
             self.call_cap = min(self.most_calls, self.call_cap + step)
         elif self.now - self.cut_at > self.call_time:
-            least = 1.0 if self.most_calls >= 1 else CALLS_LEAST * self.most_calls
+            least = CALLS_LEAST * self.most_calls
+            least = max(1.0, least) if self.most_calls >= 1 else least
             if self.call_cap <= least:  # with so few out it is not us who slow it: calls take that long now
                 self.call_base = self.call_time
             self.call_cap, self.cut_at = max(least, self.call_cap * GAMMA), self.now
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -260,6 +260,26 @@
     assert h.control.call_cap > 2
 
 
+def test_a_jam_at_the_calls_keeps_back_only_those_who_call() -> None:
+    """Guards: with all places for calls held nothing was begun, and callers were told to hold back, though
+    the cores idled and a third of the requests needed no call. Those with a call failed at it."""
+    h = host(downstream=i.Downstream.SHARED, fair_calls=10.0, signal=i.Signal.CREDIT,
+             classes=(replace(CLASSES[SAFE], skip_worth=0.0), *CLASSES[1:]))
+    calls(h, 20 * MS, 10)
+    h.control.call_cap = 1.0
+    for rid in range(100, 108):
+        arrive(h, rid)
+        h.need(rid)
+    assert not of(arrive(h, 200), i.Run)
+    assert of(arrive(h, 201, KEYED), i.Run)  # none of this class was seen to call
+    refused = []
+    for _ in range(80):
+        h.now += 20 * MS
+        refused += of(h.send(), i.Refuse)
+    assert [(refuse.id, refuse.no_retry) for refuse in refused] == [(200, True)]
+    assert h.control.open == 1.0
+
+
 def test_what_may_be_our_own_delay_holds_no_call_back() -> None:
     h = host(downstream=i.Downstream.SHARED, fair_calls=10.0)
     calls(h, 2 * MS, 10)
