Free the key of a run that never began, and tell the links' threads apart by moves

A bad client that brings a keyed request's token first, with an id that the pool does not know, left the key with its body, and the owner's own try failed as another's: control._finish now takes MOOT for the proof that it is, and forgets the key. Pool._run went by the address alone: a pool that moves away and back within the 50 ms between tries left two threads on one address, each cutting the other's link.

--- a/cairnvane/control.py
+++ b/cairnvane/control.py
@@ -371,6 +371,8 @@
         if event.outcome in (Outcome.CANCELLED, Outcome.MOOT) and not job.answered:
             # Risk: a lost request. Its caller seems to have left, but nothing says that no answer is owed.
             self.out.append(i.Fail(job.id))
+        if event.outcome is Outcome.MOOT and job.state is State.RUNNING:
+            job.started = False  # it provably never ran: its key is free for who comes with it next
         if job.state is State.RUNNING:
             if not job.answered:
                 self.failing += ((event.outcome is Outcome.ERROR) - self.failing) / FAILING_OVER
--- a/cairnvane/net/pool.py
+++ b/cairnvane/net/pool.py
@@ -79,6 +79,7 @@
 
     def __init__(self, address: tuple[str, int], notices: Notices) -> None:
         self._address, self._notices = address, notices
+        self._moves = 0
         self._pos = 0
         self._links = 0
         self._outlet: Outlet | None = None
@@ -92,7 +93,8 @@
 
     def start(self) -> None:
         """Connect, and stay connected."""
-        threading.Thread(target=self._run, args=(self._address,), name="pool", daemon=True).start()
+        where = self._address, self._moves
+        threading.Thread(target=self._run, args=where, name="pool", daemon=True).start()
 
     def move(self, address: tuple[str, int]) -> None:
         """Go over to the pool's new address. The old link serves until the new one is up."""
@@ -100,6 +102,7 @@
             if address == self._address:
                 return
             self._address = address
+            self._moves += 1
         self.start()
 
     # --- commands; each tells on which link it went out, 0 if on none
@@ -153,22 +156,25 @@
 
     # --- the link
 
-    def _run(self, address: tuple[str, int]) -> None:
-        """The thread of the links to one address, until the pool has moved on."""
-        while address == self._address:
+    def _run(self, address: tuple[str, int], moves: int) -> None:
+        """The thread of the links to one address, until the pool has moved on. The number of moves tells:
+        the pool may come back to an address, and two threads would cut each other's links without end."""
+        while moves == self._moves:
             try:
                 with socket.create_connection(address, CONNECT_WAIT_S) as sock:
-                    self._converse(sock)
+                    self._converse(sock, moves)
                 log.say("pool", "link ended")
             except Exception as error:  # whatever a line held: without this thread nothing is ever run again
                 log.say("pool", f"link lost: {type(error).__name__} {error}")
             time.sleep(RETRY_S)
 
-    def _converse(self, sock: socket.socket) -> None:
+    def _converse(self, sock: socket.socket, moves: int) -> None:
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         outlet = Outlet(sock)
         with self._lock:
+            if moves != self._moves:
+                return
             before, self._newest = self._newest, outlet
             self._outlet = None  # what is said until `bound` is said again after it
         if before is not None:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -4,16 +4,18 @@
 
 import queue
 import socket
+import threading
 import time
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
-from peers import TOKEN, WAIT_S, WINDOW_US, reply, world
+from peers import TOKEN, WAIT_S, WINDOW_US, PoolPeer, reply, world
 
 from cairnvane import clock
 from cairnvane.exchange import Answer, Exchange, Verdict
 from cairnvane.interface import CloseIdle, Outcome
-from cairnvane.net import connection, fastcgi, http, server, vault
+from cairnvane.net import connection, fastcgi, http, pool, server, vault
 from cairnvane.net.outlet import MOST_WAITING, Outlet
 
 BEGIN = fastcgi.record(fastcgi.BEGIN_REQUEST, 1, b"\0\1\1\0\0\0\0\0")
@@ -289,6 +291,16 @@
         assert w.pool.commands.empty()
 
 
+def test_a_token_that_a_stranger_brought_first_is_still_its_owners() -> None:
+    """Guards: the key of a request that the pool did not know was kept, and its owner's first try failed."""
+    with world() as w:
+        stranger, balancer = w.balancer(), w.balancer()
+        stranger.send(1, body=b"made up", **KEYED)
+        w.pool.tell(action="unknown", code="spawn", uid=w.pool.next("spawn")["uid"])
+        assert stranger.answer()[1].status == 500
+        w.serve(balancer, 2, **KEYED)
+
+
 def test_an_id_is_the_same_in_either_case_and_stays_its_owners() -> None:
     with world() as w:
         balancer, stranger = w.balancer(), w.balancer()
@@ -538,6 +550,23 @@
         assert w.vault.calls.qsize() == 1
 
 
+def test_the_pool_may_move_and_come_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards: two threads served the address it came back to, and cut each other's links without end."""
+    back, before = threading.Event(), set(threading.enumerate())
+    monkeypatch.setattr(pool, "time", SimpleNamespace(sleep=lambda s: back.wait(WAIT_S)))
+    with world() as w:
+        (first,) = [thread for thread in set(threading.enumerate()) - before if thread.name == "pool"]
+        other = PoolPeer()
+        w.host._pool.move(other.address)
+        other.next("bind")
+        w.host._pool.move(w.pool.address)
+        w.pool.next("bind")
+        back.set()
+        first.join(WAIT_S)
+        assert not first.is_alive()
+        w.serve(w.balancer(), 1)
+
+
 def test_a_spawn_that_the_pool_does_not_know_is_answered() -> None:
     with world() as w:
         balancer = w.balancer()
