Wait for a timer that is due instead of replacing it at each event

At fault: control._set_timer took a timer as gone once its time had come, so any event between that time and the tick (which waits for gauges) replaced it, and _tick then passed the old one over. With an event each ms this went on for seconds.

The story fails without the change.

--- a/cairnvane/control.py
+++ b/cairnvane/control.py
@@ -25,6 +25,8 @@
 TICK = 50_000
 # With no place to start anything, who has become late is looked for this often: each look goes over the hold.
 LOOK = 10_000
+# A tick that is overdue by this much was lost; another is asked for.
+TIMER_LOST = 500_000
 # Time constant of the service time estimate: tens of requests, yet short enough for a slow-down.
 MEMORY_OF_RATE = 3_000_000
 # The run limit climbs after so many finished runs a core, enough to compare; less gain justifies no crowd.
@@ -125,6 +127,7 @@
         shared = settings.downstream is i.Downstream.SHARED
         self.most_calls = CALLS_SHARE * settings.fair_calls if shared else CALLS_PER_CORE * settings.cores
         self.call_cap, self.cut_at = self.most_calls, now
+        self.timer_out = False  # a tick at `timer_at` is to come
         self.p = self.open = 1.0
         self.most_worth = max(c.worth for c in settings.classes) or 1.0
         self.first_part = 1.0  # of their patience, that first tries are given
@@ -510,13 +513,16 @@
             if not self.dues:
                 return
             at = max(at, self.dues[0][0] - TICK - self.settings.round)
-        if self.timer_at <= self.now or at < self.timer_at:
-            self.timer_at = at
+        # A timer that is due stays the one to wait for until it is told; its gauges make that a little later.
+        # Where events come faster than that it would be replaced each time, and no tick ever count.
+        if not self.timer_out or at < self.timer_at or self.now - self.timer_at > TIMER_LOST:
+            self.timer_at, self.timer_out = at, True
             self.out.append(i.SetTimer(at))
 
     def _tick(self, gauge: i.TimerFired) -> None:
         if self.now < self.timer_at:
             return  # set for what is over by now; a later one is to come
+        self.timer_out = False
         self.crowded &= bool(self.hold)
         self._climb(gauge)
         # Risk: handshakes swamp the cores. A full table costs less, and turns callers away unread; once cores
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,9 +6,10 @@
 from typing import Any
 
 import pytest
-from helpers import CLASSES, KEYED, MS, SAFE, UNSAFE, Host, host, of
+from helpers import CLASSES, KEYED, MS, SAFE, UNSAFE, Host, host, of, settings
 
 from cairnvane import interface as i
+from cairnvane.control import Controller
 
 
 def arrive(h: Host, rid: int, cls: int = SAFE, memory: float = 10.0, **more: object) -> list[i.Action]:
@@ -303,6 +304,17 @@
     assert h.control.call_cap == cap  # one loss says nothing of the others
 
 
+def test_a_tick_counts_though_events_come_faster_than_its_gauges() -> None:
+    """Guards: each event after a timer's time replaced that timer, and no tick counted for seconds."""
+    control = Controller(settings(), 1, 0)
+    control.handle(0, [i.Arrival(1, SAFE)])
+    at = control.timer_at
+    for late in (1, 2):  # due, but its gauges are still on their way
+        assert not of(control.handle(at + late * MS, [i.Arrival(1 + late, SAFE)]), i.SetTimer)
+    (again,) = of(control.handle(at + 3 * MS, [i.TimerFired(0, cpu_busy=0.5, runnable=3)]), i.SetTimer)
+    assert again.at > at
+
+
 def test_callers_that_do_not_come_back_are_forgotten() -> None:
     """Guards: numbers of balancers are always new, and a table of all of them grew for good."""
     h = host()
