--- a/cairnvane/config.py
+++ b/cairnvane/config.py
@@ -14,7 +14,7 @@
 # What a scored day gives at most, for a configuration that leaves limits out.
 DEFAULT_SOCKETS = 1_024
 DEFAULT_STOP_MS = 3_000
-# Half of them may be balancers; with less, the other half would not hold the links and a few calls.
+# 64 of them are kept for links, calls and connections on their way out; as many should be balancers.
 LEAST_SOCKETS = 128
 
 
--- a/cairnvane/net/connection.py
+++ b/cairnvane/net/connection.py
@@ -36,7 +36,7 @@
 
     intake: Intake
     buffers: BufferPool
-    idle_s: float  # close connections that carried nothing for so long; 0: leave it to the callers
+    idle_s: float  # close connections that carried nothing for so long; 0: as late as allowed
     retiring: bool
     clock: float  # seconds by which peers are judged; see `Server`
     values: dict[str, str]
--- a/cairnvane/net/server.py
+++ b/cairnvane/net/server.py
@@ -29,7 +29,7 @@
     def __init__(self, address: tuple[str, int], intake: Intake, most: int) -> None:
         self.intake = intake
         self.buffers = BufferPool()
-        self.idle_s = 0.0  # close connections that carried nothing for so long; 0: leave it to the callers
+        self.idle_s = 0.0  # close connections that carried nothing for so long; 0: as late as allowed
         self.retiring = False
         # The time by which peers are judged. A pause of the machine counts as one look at the most: they
         # could write nothing meanwhile.
