--- a/cairnvane/__main__.py
+++ b/cairnvane/__main__.py
@@ -1,4 +1,7 @@
-"""`python -m cairnvane`: one bid server."""
+"""`python -m cairnvane`: one bid server.
+
+What an operator's file turns on is imported only then.
+"""
 
 from __future__ import annotations
 
@@ -7,13 +10,19 @@
 import signal
 import sys
 import threading
+from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from . import config, log
 from .host import Host
+from .keys import Keeper
 from .net.pool import Pool
 from .net.roster import Roster
 from .net.server import Server
 
+if TYPE_CHECKING:
+    from .lasting import Lasting
+
 # Readers, calls and timers go a dozen plain frames deep; hundreds of them share the memory limit.
 STACK_BYTES = 256 * 1024
 # All is answered this long before the process is stopped, with room for a late thread and the way out.
@@ -44,7 +53,42 @@
     return new
 
 
-def main() -> int:
+# Told of each named point on the way of a record; only the laboratory wants to know.
+Points = Callable[[str], None]
+
+
+def _keeper(told: config.Config, path: str, points: Points | None) -> Keeper | None:
+    """What the operator's file at this path turns on; `ConfigError` or `FolderError` if it can't be."""
+    from .config import operator
+
+    asked = operator.load(path)
+    if asked.log.form == "json":
+        from .log_json import sink
+
+        log.use(sink(told.name))
+    if asked.keyed is None:
+        return None
+    from .keyed import FolderError, Store
+    from .keyed.files import OsFiles, boot_id
+
+    store = Store(
+        OsFiles(asked.keyed.folder), told.name, boot_id(), power=asked.keyed.durability == "power",
+        disk_bytes=asked.keyed.disk_bytes, memory_bytes=asked.keyed.memory_bytes,
+        unread=max(cls.patience for cls in told.settings.classes), points=points)
+    try:
+        store.check()
+    except FolderError as error:
+        raise config.ConfigError(f"keyed.folder: {error}") from None
+    return store
+
+
+def _lasting(keeper: Keeper, host: Host, told: config.Config) -> Lasting:
+    from .lasting import Lasting
+
+    return Lasting(keeper, host.keys, told.settings)
+
+
+def main(points: Points | None = None) -> int:
     """Serve until told to leave; 2 if the configuration is at fault."""
     # Blocked in every thread and waited for in this one. A handler runs in the main thread only when that
     # wakes, and a signal that the kernel gives to another thread does not wake it: the notice would be lost.
@@ -52,6 +96,8 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, LEAVE | {RELOAD})
     try:
         told = config.load(os.environ)
+        path = os.environ.get(config.OPERATOR, "")
+        keeper = _keeper(told, path, points) if path else None
     except config.ConfigError as error:
         log.say("cairnvane", str(error))
         return 2
@@ -66,7 +112,8 @@
         log.say("cairnvane", f"listen: {error}")
         return 2
     log.say("cairnvane", "{} listens on {}:{}".format(told.name, *server.address))
-    host.join(server, pool, told.vault)
+    lasting = _lasting(keeper, host, told) if keeper is not None else None
+    host.join(server, pool, told.vault, lasting)
     gc.freeze()  # what was loaded stays; full collections need not walk it
     failed = threading.Event()
 
@@ -79,14 +126,23 @@
             os.kill(os.getpid(), signal.SIGTERM)
             raise
 
+    def lost(why: str) -> None:
+        log.say("cairnvane", f"keyed results: {why}")
+        failed.set()
+        os.kill(os.getpid(), signal.SIGTERM)
+
     thread = threading.Thread(target=serve, name="host", daemon=True)
     thread.start()
-    pool.start()
+    if lasting is not None:
+        lasting.start(host, pool, lost)  # and then the pool
+    else:
+        pool.start()
     server.start()
     roster.start()
     while signal.sigwait(LEAVE | {RELOAD}) == RELOAD:
         told = _reload(told, host, pool, roster)
     if failed.is_set():
+        host.stop()
         thread.join()
         return 1
     roster.stop()
@@ -97,6 +153,8 @@
     server.retire(max(0.0, time_left - grace) + LAST_WAIT_S)
     host.stop()
     thread.join(LAST_WAIT_S)
+    if keeper is not None:
+        keeper.close()
     return 0
 
 
--- /dev/null
+++ b/cairnvane/cli/keyed.py
@@ -0,0 +1,62 @@
+"""`cairnvane keyed`: look after a folder of kept results."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+
+import click
+
+from ..keyed import FolderError, inspect
+from ..keyed.files import OsFiles
+
+FOLDER = click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
+
+
+@click.group()
+def keyed() -> None:
+    """Kept results of keyed requests."""
+
+
+def _stop(error: Exception) -> None:
+    click.echo(f"cairnvane keyed: {error}", err=True)
+    sys.exit(2)
+
+
+@keyed.command()
+@FOLDER
+def verify(folder: Path) -> None:
+    """Read everything in FOLDER and say what is damaged; nothing is changed. Status 1 if a record may be
+    lost."""
+    try:
+        found = inspect.verify(OsFiles(folder))
+    except (FolderError, OSError) as error:
+        return _stop(error)
+    for line in found.lines():
+        click.echo(line)
+    sys.exit(1 if found.wrong else 0)
+
+
+@keyed.command()
+@FOLDER
+@click.option("--json", "as_json", is_flag=True, help="One JSON object a line.")
+def show(folder: Path, as_json: bool) -> None:
+    """List the keys in FOLDER, oldest first, and how each stands; results are not shown."""
+    try:
+        for row in inspect.show(OsFiles(folder)):
+            plain = "  ".join(f"{key}={value}" for key, value in row.items())
+            click.echo(json.dumps(row) if as_json else plain)
+    except (FolderError, OSError) as error:
+        return _stop(error)
+
+
+@keyed.command()
+@FOLDER
+def compact(folder: Path) -> None:
+    """Rewrite FOLDER without what no longer counts. Not while a server uses it."""
+    try:
+        before, after = inspect.compact(OsFiles(folder))
+    except (FolderError, OSError) as error:
+        return _stop(error)
+    click.echo(f"{before:,} bytes before, {after:,} after")
--- a/cairnvane/config.py
+++ b/cairnvane/config/__init__.py
@@ -1,4 +1,8 @@
-"""The one place where configuration is read, checked and given defaults."""
+"""The one place where configuration is read, checked and given defaults.
+
+Here stands the platform's JSON. The operator's own YAML is read by `config.operator`, which is only imported
+where such a file is named: the plain line `run` has no room for what it needs.
+"""
 
 from __future__ import annotations
 
@@ -8,8 +12,8 @@
 
 import msgspec
 
-from .interface import Settings
-from .wire import WireError, read_settings
+from ..interface import Settings
+from ..wire import WireError, read_settings
 
 # What a scored day gives at most, for a configuration that leaves limits out.
 DEFAULT_SOCKETS = 1_024
@@ -18,6 +22,9 @@
 LEAST_SOCKETS = 128
 
 
+# The variable that names the operator's own file; see `config.operator`.
+OPERATOR = "CAIRNVANE_OPERATOR"
+
 # What a server can't change while it runs.
 FIXED = ("name", "listen", "sockets", "settings")
 
--- /dev/null
+++ b/cairnvane/config/operator.py
@@ -0,0 +1,104 @@
+"""The operator's own file: YAML, for what the platform's configuration has no words for.
+
+Each section turns one part on; a part without its section costs nothing and is not imported. Messages name
+the file, the key and the value, and a key that nobody reads is an error: a misspelt one would else be a part
+that is silently off.
+"""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+from typing import Any, Literal
+
+import msgspec
+
+from . import ConfigError
+
+MEGABYTE = 1 << 20
+# Less has no room for two segments beside the one that is written; more can't be addressed by the index.
+LEAST_DISK_MB, MOST_DISK_MB = 2, 65_536
+LEAST_MEMORY_MB, MOST_MEMORY_MB = 1, 1_024
+
+_PATH = re.compile(r"^(?P<what>.*?)(?: - at `(?P<path>\$[^`]*)`)?$", re.S)
+_STEP = re.compile(r"\.([A-Za-z0-9_-]+)|\[([0-9]+)\]")
+
+
+class LogOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How log lines are written."""
+
+    form: Literal["text", "json"] = "text"
+
+
+class KeyedOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Keyed results over restarts."""
+
+    folder: Path
+    durability: Literal["process", "power"] = "process"
+    max_disk_mb: int = 64
+    max_memory_mb: int = 8
+
+    @property
+    def disk_bytes(self) -> int:
+        """The bound on the folder."""
+        return self.max_disk_mb * MEGABYTE
+
+    @property
+    def memory_bytes(self) -> int:
+        """The bound on index and queue."""
+        return self.max_memory_mb * MEGABYTE
+
+
+class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All that an operator turned on."""
+
+    log: LogOptions = msgspec.field(default_factory=LogOptions)
+    keyed: KeyedOptions | None = None
+
+
+def _value(tree: Any, path: str) -> str:
+    """What stands at this path, for a message; empty if nothing does."""
+    for name, number in _STEP.findall(path):
+        try:
+            tree = tree[int(number)] if number else tree[name]
+        except (KeyError, IndexError, TypeError):
+            return ""
+    return f", which is {tree!r}"[:120] if not isinstance(tree, dict) else ""
+
+
+def _complaint(error: Exception, raw: bytes) -> str:
+    text = str(error).replace("\n", " ")
+    found = _PATH.match(text)
+    if found is None or not found["path"]:
+        return text
+    value = _value(msgspec.yaml.decode(raw), found["path"])
+    return f"{found['path'].removeprefix('$.')}: {found['what']}{value}"
+
+
+def _between(key: str, value: int, least: int, most: int) -> None:
+    if not least <= value <= most:
+        raise ConfigError(f"{key}: {value} is not between {least} and {most}")
+
+
+def load(path: str | Path) -> Operator:
+    """Read and check the operator's file; `ConfigError` names what is wrong with it."""
+    path = Path(path)
+    try:
+        raw = path.read_bytes()
+    except OSError as error:
+        raise ConfigError(f"operator's file {path}: {error.strerror}") from None
+    try:
+        told = msgspec.yaml.decode(raw if raw.strip() else b"{}", type=Operator)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise ConfigError(f"operator's file {path}: {_complaint(error, raw)}") from None
+    except Exception as error:  # PyYAML's own, which name line and column in several lines
+        raise ConfigError(f"operator's file {path}: {' '.join(str(error).split())}") from None
+    if told.keyed is None:
+        return told
+    try:
+        _between("keyed.max_disk_mb", told.keyed.max_disk_mb, LEAST_DISK_MB, MOST_DISK_MB)
+        _between("keyed.max_memory_mb", told.keyed.max_memory_mb, LEAST_MEMORY_MB, MOST_MEMORY_MB)
+    except ConfigError as error:
+        raise ConfigError(f"operator's file {path}: {error}") from None
+    folder = (path.parent / told.keyed.folder).absolute()
+    return msgspec.structs.replace(told, keyed=msgspec.structs.replace(told.keyed, folder=folder))
--- a/cairnvane/control.py
+++ b/cairnvane/control.py
@@ -121,6 +121,7 @@
         self.dues: list[tuple[int, int]] = []
         self.keys: set[int] = set()  # remembered requests
         self.key_ends: list[tuple[int, int]] = []
+        self.kept, self.kept_ends = 0, list[tuple[int, int]]()  # of an earlier life: how many, until when
         self.lingering: list[int] = []  # when abandoned calls leave the dependency's hands
         self.calls_timed, self.call_usual = 0, 0.0
         self.call_time = self.call_base = self.call_debt = 0.0  # debt: calls in hand x time beyond our share
@@ -152,6 +153,7 @@
         self.on: dict[type[i.Event], Callable[[Any], None]] = {
             i.Arrival: self._arrive, i.Finished: self._finish, i.Gone: self._gone, i.TimerFired: self._tick,
             i.CallNeeded: self._leave_cores, i.CallEnded: self._call_ended, i.Draining: self._drain,
+            i.Kept: self._keep, i.Adopted: self._adopt,
         }
 
     def handle(self, now: int, events: Sequence[i.Event]) -> list[i.Action]:
@@ -292,16 +294,33 @@
         room = self._fits(job.memory * (self.settings.run_factor - 1) + key)
         # Risk: an unsafe drain. Nor is there use in a caller that has all but given up.
         late = arrived > self.grace_end or job.due <= self.now + TICK
-        if late or not room or not self._admit(job) or self._hopeless(job):
-            return self._answer(job)
+        # Risk: an effect twice after a restart. What can't be kept is not begun, whoever waits for it.
+        if event.keep_after or late or not room or not self._admit(job) or self._hopeless(job):
+            return self._answer(job, away=event.keep_after)
         self._share(job.tenant, -1)
         if cls.repeat is Repeat.KEYED:
             # Risk: a repeat of a held request that was not recorded bears no mark, and both might run.
             life = cls.window + self.settings.round
-            self.keys.add(job.id)
-            heapq.heappush(self.key_ends, (self.now + life, job.id))
+            self._remember(job.id, life)
             self.out.append(i.Remember(job.id, life))
 
+    def _remember(self, number: int, life: int) -> None:
+        self.keys.add(number)
+        heapq.heappush(self.key_ends, (self.now + life, number))
+
+    def _keep(self, event: i.Kept) -> None:
+        self.kept += event.count
+        heapq.heappush(self.kept_ends, (self.now + event.life, event.count))
+
+    def _adopt(self, event: i.Adopted) -> None:
+        """Risk: a run that no one counts crowds the cores, and goes on for ever."""
+        cls, due = self.settings.classes[event.cls], min(self.now + event.time_left, self.stop_at)
+        job = self.jobs[event.id] = Job(
+            event.id, cls, self.now, due, due, 0, cls.worth, None, None, event.memory, started=True)
+        heapq.heappush(self.dues, (job.due, job.id))
+        self._remember(job.id, event.life)
+        self._move(job, State.RUNNING)
+
     def _age(self, event: i.Arrival, cls: i.RequestClass) -> int:
         """Risk: work for a client whose first try is long past, from which the aim counts. First tries are
         all given the same part of the patience, a last one what remains of it: that tells the age."""
@@ -325,7 +344,7 @@
         return left / full
 
     def _fits(self, more: float) -> bool:
-        used = self.memory + len(self.keys) * self.settings.key_memory
+        used = self.memory + (len(self.keys) + self.kept) * self.settings.key_memory
         return used + more <= MEMORY_SHARE * self.settings.memory
 
     def _move(self, job: Job, to: State | None) -> None:
@@ -345,16 +364,18 @@
             self.keys.discard(job.id)
             self.out.append(i.Forget(job.id))
 
-    def _answer(self, job: Job, jam: bool = False) -> None:
+    def _answer(self, job: Job, jam: bool = False, away: int = 0) -> None:
         """End a request without success: refused if it provably never ran, else failed, and stopped."""
         job.answered = True
         if not job.started:
-            # A jam below is everyone's, and no reason to invite less of what needs no call.
-            self.pressed |= job.worth >= job.cls.worth and not jam
+            # A jam below is everyone's, and no reason to invite less of what needs no call; nor is a full
+            # disk.
+            self.pressed |= job.worth >= job.cls.worth and not jam and not away
             # Risk: walks. Each refusal costs a reading elsewhere; who has waited is asked to try no further.
             waited = self.open < OPEN_WALKS or self.now - job.arrived > WAITED_PART * job.cls.aim
             waited |= jam or job.worth < job.cls.worth  # it is beyond its share elsewhere too
-            self.out.append(i.Refuse(job.id, self._advice(), waited))
+            away = max(self._advice(), min(away, self.settings.max_advice))
+            self.out.append(i.Refuse(job.id, away, waited))
             return self._move(job, None)
         self.out.append(i.Fail(job.id))
         if job.state is State.REUSING:
@@ -500,6 +521,8 @@
             heapq.heappop(self.lingering)
         while self.key_ends and self.key_ends[0][0] <= now:
             self.keys.discard(heapq.heappop(self.key_ends)[1])
+        while self.kept_ends and self.kept_ends[0][0] <= now:
+            self.kept -= heapq.heappop(self.kept_ends)[1]
 
     def _set_timer(self) -> None:
         """Ask for a tick while something is pending, else shortly before the next due time."""
--- a/cairnvane/host.py
+++ b/cairnvane/host.py
@@ -6,13 +6,12 @@
 
 from __future__ import annotations
 
-import heapq
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from queue import Empty, SimpleQueue
+from typing import TYPE_CHECKING
 
-from . import clock, log
+from . import clock, keys, log
 from . import interface as i
 from .control import Controller
 from .exchange import Answer, Check, Request, Verdict
@@ -21,10 +20,18 @@
 from .net.pool import Pool
 from .net.server import Server
 from .net.vault import Call
+from .tracked import Tracked
 from .wire import timer_fired
 
+if TYPE_CHECKING:  # only where an operator turned it on
+    from .lasting import Lasting
+
 # Repeats are told for this much longer than the controller asks: peers' time limits have 50 ms of slack.
 KEY_SLACK_US = 100_000
+# Whom a try repeats whose forerunner is kept, but no longer held; requests are numbered from 1.
+NOT_HELD = 0
+# On which link a run of an earlier life was told of: before any of ours.
+EARLIER_LINK = -1
 # So much may share a call of `handle`: few enough for the first of it not to be kept waiting.
 MOST_TOGETHER = 32
 # Of what was said on a link that broke, only the last 50 ms can be lost. It may take us so much longer to see
@@ -37,35 +44,6 @@
 }
 
 
-@dataclass(slots=True)
-class Tracked:
-    """Where a request stands."""
-
-    id: int
-    exchange: Request
-    cls: i.RequestClass
-    repeats: int | None
-    held: bool = True  # neither run nor over
-    running: bool = False  # the pool has it, or was told to
-    outcome: Outcome | None = None  # how it ended, if it is over
-    result: bytes = b""  # kept while a repeat may want it
-    waiting: list[int] = field(default_factory=list)  # repeats that wait for its end
-    call: Call | None = None
-    call_body: bytes = b""
-    reply: bytes | None = None  # of its last call; None before the first one
-    told: int | None = None  # on which link its last command went; None: shown to have arrived
-    told_at: int = 0  # and when
-    halted: int | None = None  # on which link it was told to stop
-
-
-@dataclass(frozen=True, slots=True)
-class Key:
-    """An entry of the table of keys."""
-
-    owner: int
-    until: int  # whatever reached the machine before is a repeat
-
-
 class Host:
     """One life of a server."""
 
@@ -73,8 +51,6 @@
         self._gauges = gauges
         self._classes = {cls.name: number for number, cls in enumerate(settings.classes)}
         self._settings = settings
-        # A repeat that came before its key ran out may be read as much later as a caller waits.
-        self._unread = max(cls.patience for cls in settings.classes)
         self._control = Controller(settings, seed, clock.now())
         self._inbox: SimpleQueue[Callable[[], None]] = SimpleQueue()
         self._events: list[i.Event] = []  # not told yet
@@ -82,8 +58,9 @@
         self._calls_first: dict[str, bool] = {}  # of classes with a finished run: none of these had no call
         self._requests: dict[int, Tracked] = {}
         self._by_uid: dict[str, Tracked] = {}
-        self._keys: dict[str, Key] = {}
-        self._key_ends: list[tuple[int, str]] = []
+        # A repeat that came before its key ran out may be read as much later as a caller waits.
+        self.keys = keys.Table(max(cls.patience for cls in settings.classes))
+        self._lasting: Lasting | None = None  # keys that outlast this life
         self._count = 0
         self._healthy, self._stored = True, False
         self._load: float | None = None
@@ -98,9 +75,11 @@
             i.SetTimer: self._set_timer, i.Log: self._log,
         }
 
-    def join(self, server: Server, pool: Pool, vault: tuple[str, int]) -> None:
+    def join(
+        self, server: Server, pool: Pool, vault: tuple[str, int], lasting: Lasting | None = None,
+    ) -> None:
         """Get to know the parts that the host gives its orders to."""
-        self._server, self._pool, self._vault = server, pool, vault
+        self._server, self._pool, self._vault, self._lasting = server, pool, vault, lasting
 
     def move(self, vault: tuple[str, int]) -> None:
         """The vault's new address, for all calls from now on; those on their way end where they are."""
@@ -108,6 +87,10 @@
 
     # --- the inbox, from any thread
 
+    def post(self, task: Callable[[], None]) -> None:
+        """Have this done in the host thread."""
+        self._inbox.put(task)
+
     def arrived(self, request: Request) -> None:
         """A whole request was read."""
         self._inbox.put(lambda: self._arrival(request))
@@ -120,17 +103,21 @@
         """A health check was read."""
         self._inbox.put(lambda: self._check(check))
 
-    def finished(self, uid: str, code: str, took_us: int, result: bytes) -> None:
+    def finished(self, uid: str, code: str, took_us: int, result: bytes, pos: int) -> None:
         """A run is over."""
-        self._inbox.put(lambda: self._end_run(uid, code, took_us, result))
+        self._inbox.put(lambda: self._end_run(uid, code, took_us, result, pos))
 
     def unknown(self, uid: str) -> None:
         """The pool has no such request: it will never run, and nothing else will tell."""
         self._inbox.put(lambda: self._disown(uid))
 
-    def blocked(self, uid: str, body: bytes) -> None:
+    def blocked(self, uid: str, body: bytes, pos: int) -> None:
         """A run waits for a call."""
-        self._inbox.put(lambda: self._block(uid, body))
+        self._inbox.put(lambda: self._block(uid, body, pos))
+
+    def replaced(self) -> None:
+        """The pool is a new one, and knows nothing of any run."""
+        self._inbox.put(self._lose_runs)
 
     def linked(self, link: int) -> None:
         """The pool's link is up."""
@@ -138,7 +125,7 @@
 
     def drain(self, time_left_us: int) -> None:
         """The notice to leave."""
-        self._inbox.put(lambda: self._tell(i.Draining(time_left_us)))
+        self._inbox.put(lambda: self._drain(time_left_us))
 
     def stop(self) -> None:
         """End the thread."""
@@ -162,7 +149,8 @@
 
     # --- to the controller
 
-    def _tell(self, event: i.Event) -> None:
+    def tell(self, event: i.Event) -> None:
+        """In the host thread: what the controller hears next."""
         self._events.append(event)
 
     def _handle(self, not_before: int = 0) -> None:
@@ -191,23 +179,38 @@
             return self._turn_off(request, "a token in a class without keys, or none in one with")
         if not request.open:
             return  # its caller left before it could be told
+        repeats, past, keep_after = None, None, 0
         if request.token is not None:
             self._handle()  # tries that are read together know of each other
-        repeats = None
-        key = self._keys.get(request.token) if request.token is not None else None
-        if key is not None and request.arrived < key.until:
-            owner = self._requests.get(key.owner)
-            # All tries of a request are alike. Whoever brings another under its token is not its caller.
-            if owner is None or (owner.exchange.lane, owner.exchange.body) != (request.lane, request.body):
+            if self._lasting is not None and self._lasting.parked(request):
+                return
+            try:
+                repeats, past = self._find(request, request.token)
+            except ValueError:
+                # All tries of a request are alike. Whoever brings another under its token is not its caller.
                 return self._turn_off(request, "its token is another's")
-            repeats = key.owner
+            if self._lasting is not None and repeats is None:
+                keep_after = self._lasting.wait_us()
         self._count += 1
-        known = Tracked(self._count, request, cls, repeats)
+        known = Tracked(self._count, request, cls, repeats, past)
         self._requests[known.id] = self._by_uid[request.uid] = known
         # Nobody waits longer than the class's patience, whatever a faulty stamp says.
         queued = min(max(0, clock.now() - request.arrived), cls.patience)
-        self._tell(i.Arrival(
-            known.id, number, queued, memory=request.memory, caller=request.caller, repeats=repeats))
+        self.tell(i.Arrival(
+            known.id, number, queued, memory=request.memory, caller=request.caller, repeats=repeats,
+            keep_after=keep_after))
+
+    def _find(self, request: Request, token: str) -> tuple[int | None, keys.Past | None]:
+        """Whom it repeats, or what, if the host no longer holds that; `ValueError` if its token is
+        another's."""
+        number = self.keys.owner(token, request.arrived)
+        if number is not None:
+            owner = self._requests.get(number)
+            if owner is None or not owner.alike(request):
+                raise ValueError
+            return number, None
+        past = self._lasting.recall(request) if self._lasting is not None else None
+        return (NOT_HELD if past is not None else None), past
 
     def _turn_off(self, request: Request, why: str) -> None:
         """Fail what no balancer sends, before the controller or anyone's key hears of it."""
@@ -219,26 +222,36 @@
         if known is None or known.exchange is not request:
             return
         self._drop_call(known)
-        self._tell(i.Gone(known.id))
+        self.tell(i.Gone(known.id))
         self._settle(known)
 
-    def _end_run(self, uid: str, code: str, took: int, result: bytes) -> None:
+    def _end_run(self, uid: str, code: str, took: int, result: bytes, pos: int = 0) -> None:
         known = self._by_uid.get(uid)
         if known is None or not known.running:
+            if self._lasting is not None:
+                self._lasting.noticed(pos)
             return
         self._drop_call(known)
         known.running, known.told, known.halted = False, None, None
         outcome = _ENDS.get(code, Outcome.ERROR)
+        keyed = known.cls.repeat is Repeat.KEYED
+        lasts = self._lasting if keyed else None
         if outcome is Outcome.OK:
-            known.exchange.finish(Answer(Verdict.SERVED, result, load=self._load))
-            if known.cls.repeat is Repeat.KEYED:
+            if keyed:
                 known.result = result
+            if lasts is None:
+                known.exchange.finish(Answer(Verdict.SERVED, result, load=self._load))
             name = known.cls.name
             self._calls_first[name] = self._calls_first.get(name, True) and known.reply is not None
         elif outcome is Outcome.ERROR:
             known.exchange.finish(Answer(Verdict.FAILED, load=self._load))
-        self._over(known, outcome)
-        self._tell(i.Finished(known.id, outcome, took))
+        if lasts is None or outcome is not Outcome.OK:  # else once its result is recorded
+            self._over(known, outcome)
+        if lasts is not None:
+            lasts.ended(known, outcome, pos)
+        elif self._lasting is not None:
+            self._lasting.noticed(pos)
+        self.tell(i.Finished(known.id, outcome, took))
         self._settle(known)
 
     def _disown(self, uid: str) -> None:
@@ -246,24 +259,42 @@
             known.exchange.finish(Answer(Verdict.FAILED, load=self._load, suspect=True))
             self._end_run(uid, worker.LATE, 0, b"")
 
-    def _block(self, uid: str, body: bytes) -> None:
-        if (known := self._by_uid.get(uid)) is None or not known.running:
+    def _block(self, uid: str, body: bytes, pos: int) -> None:
+        known = self._by_uid.get(uid)
+        running = known is not None and known.running
+        if self._lasting is not None and (known is None or not running or known.exchange.token is None):
+            self._lasting.noticed(pos)
+        if known is None or not running:
             return
-        known.told, known.call_body = None, body
-        self._tell(i.CallNeeded(known.id))
-
-    def _end_call(self, known: Tracked, call: Call, outcome: Outcome, body: bytes, took: int) -> None:
-        if known.call is not call:
+        known.told, known.call_body, known.call_pos = None, body, pos
+        lasts = self._lasting if known.exchange.token is not None else None
+        if lasts is not None and not lasts.asks(known, pos):
+            return self._suspend(known)  # its call may have been made, and would be made twice
+        self.tell(i.CallNeeded(known.id))
+
+    def _end_call(self, known: Tracked, call: Call | None, outcome: Outcome, body: bytes, took: int) -> None:
+        if call is None or known.call is not call:
             return  # given up meanwhile
         known.call = None
         if outcome is Outcome.OK:
             known.reply = body
-            self._say(known)
-        self._tell(i.CallEnded(known.id, outcome, took))
+            self.begin(known)
+        self.tell(i.CallEnded(known.id, outcome, took))
+
+    def _lose_runs(self) -> None:
+        """Their ends will never be told, and what had an effect is not run again."""
+        lost = [known for known in self._requests.values() if known.running and not known.unsaid]
+        log.say("host", f"a new worker pool: {len(lost)} runs are lost with the one before")
+        if self._lasting is not None:
+            self._lasting.replaced()
+        for known in lost:
+            self._end_run(known.exchange.uid, worker.FAULT, 0, b"")
 
     def _say_again(self, link: int) -> None:
         """What an earlier link may have lost, now that its replay has shown what arrived."""
         self._link = link
+        if self._lasting is not None:
+            self._lasting.linked()
         recent = clock.now() - DOUBTFUL_US
         for known in list(self._requests.values()):
             cls = known.cls
@@ -272,12 +303,12 @@
             elif known.told is None or known.told >= link or not known.running:
                 continue
             elif known.told == 0 or (known.reply is None and cls.repeat is Repeat.SAFE):
-                self._say(known)
+                self.begin(known)
             elif known.told_at >= recent and (known.reply is not None or self._calls_first.get(cls.name)):
                 # A run takes no second `spawn` while it goes on, and one that has to call can't end unseen.
-                self._say(known)
+                self.begin(known)
 
-    def _say(self, known: Tracked) -> None:
+    def begin(self, known: Tracked) -> None:
         """Have it run, or run on with the reply to its call."""
         uid, known.told_at = known.exchange.uid, clock.now()
         if known.reply is not None:
@@ -285,6 +316,11 @@
         else:
             known.told = self._pool.spawn(uid, known.exchange.lane, known.exchange.body)
 
+    def _drain(self, time_left_us: int) -> None:
+        if self._lasting is not None:
+            self._lasting.drain(time_left_us)
+        self.tell(i.Draining(time_left_us))
+
     def _suspend(self, known: Tracked) -> None:
         """Stop a run. One that was lost with a link would never be told to have ended, and its place be taken
         for good: there, the answer to a later question shows whether an end is still to come."""
@@ -322,12 +358,14 @@
 
     def _finish_repeat(self, repeat: Tracked, original: Tracked | None) -> None:
         good = original is not None and original.outcome is Outcome.OK
-        if good and original is not None:
-            repeat.exchange.finish(Answer(Verdict.SERVED, original.result, load=self._load))
-        else:
-            repeat.exchange.finish(Answer(Verdict.FAILED, load=self._load))
+        self._end_repeat(repeat, original.result if good and original is not None else None)
+
+    def _end_repeat(self, repeat: Tracked, result: bytes | None) -> None:
+        """Answer a repeat with this result; None: there is none to have."""
+        verdict = Verdict.FAILED if result is None else Verdict.SERVED
+        repeat.exchange.finish(Answer(verdict, result or b"", load=self._load))
         repeat.held = False
-        self._later.append(i.Finished(repeat.id, Outcome.OK if good else Outcome.ERROR))
+        self._later.append(i.Finished(repeat.id, Outcome.ERROR if result is None else Outcome.OK))
         self._settle(repeat)
 
     def _settle(self, known: Tracked) -> None:
@@ -336,8 +374,7 @@
             return
         if known.held:
             self._over(known, Outcome.MOOT)
-        token = known.exchange.token
-        if token is not None and (key := self._keys.get(token)) and key.owner == known.id:
+        if self.keys.owns(known.exchange.token, known.id):
             return
         self._requests.pop(known.id, None)
         if self._by_uid.get(known.exchange.uid) is known:
@@ -349,22 +386,56 @@
             known.call = None
 
     def _expire(self) -> None:
+        for number in self.keys.expire(clock.now()):
+            if (owner := self._requests.get(number)) is not None:
+                self._settle(owner)
+
+    # --- for keys that outlast this life; see `lasting.Side`
+
+    def again(self, request: Request) -> None:
+        """Look at an arrival once more."""
+        self._arrival(request)
+
+    def served(self, known: Tracked) -> None:
+        """Its result is recorded: give it to all who wait."""
+        known.exchange.finish(Answer(Verdict.SERVED, known.result, load=self._load))
+        self._over(known, Outcome.OK)
+
+    def let_go(self, known: Tracked) -> None:
+        """What repeats it is answered from the record from now on."""
+        if known.exchange.token is not None:
+            self.keys.remove(known.exchange.token, known.id)
+        self._settle(known)
+
+    def withdraw(self, known: Tracked, away_ms: int) -> None:
+        """It was to run, and provably has not."""
+        known.unsaid = False
+        known.exchange.finish(Answer(Verdict.REFUSED, stay_away_ms=away_ms, load=self._load))
+        self._end_run(known.exchange.uid, worker.LATE, 0, b"")
+
+    def adopt(self, begun: keys.Begun, cls: int, time_left: int) -> Tracked:
+        """A run of an earlier life. Nobody is owed its answer but those who repeat it."""
         now = clock.now()
-        while self._key_ends and self._key_ends[0][0] <= now:
-            _, token = heapq.heappop(self._key_ends)
-            if (key := self._keys.get(token)) and key.until + self._unread <= now:
-                self._erase(token, key)
-
-    def _erase(self, token: str, key: Key) -> None:
-        del self._keys[token]
-        if (owner := self._requests.get(key.owner)) is not None:
-            self._settle(owner)
+        request = Request(
+            lambda answer: None, begun.uid, begun.lane, b"", arrived=now, caller=0, memory=begun.memory,
+            token=begun.token.hex())
+        self._count += 1
+        known = Tracked(self._count, request, self._settings.classes[cls], None, held=False, running=True,
+                        told=EARLIER_LINK, same=begun.digest)
+        self._requests[known.id] = self._by_uid[begun.uid] = known
+        self.keys.enter(begun.token.hex(), known.id, begun.until)
+        life = max(0, begun.until - now)
+        self.tell(i.Adopted(known.id, cls, time_left, life, begun.memory))
+        return known
 
     # --- actions
 
     def _run(self, known: Tracked, action: i.Run) -> None:
         known.held, known.running = False, True
-        self._say(known)
+        if self._lasting is not None and known.exchange.token is not None:
+            self._lasting.run(known)
+        else:
+            self.begin(known)
 
     def _refuse(self, known: Tracked, action: i.Refuse) -> None:
         away_ms = -(-action.stay_away // 1_000)
@@ -378,34 +449,51 @@
         self._settle(known)
 
     def _halt(self, known: Tracked, action: i.Halt) -> None:
+        if known.unsaid:  # the pool was not told to run it
+            known.unsaid = False
+            return self._end_run(known.exchange.uid, worker.LATE, 0, b"")
         self._suspend(known)
 
     def _call(self, known: Tracked, action: i.Call) -> None:
         if not known.running:
             return
 
+        call: Call | None = None
+        pos = known.call_pos
+
         def ended(outcome: Outcome, body: bytes, took: int) -> None:
             self._inbox.put(lambda: self._end_call(known, call, outcome, body, took))
 
-        call = known.call = Call(self._vault, known.exchange.uid, known.call_body, action.timeout, ended)
+        def make() -> None:
+            nonlocal call
+            if known.running and known.call_pos == pos:
+                call = known.call = Call(
+                    self._vault, known.exchange.uid, known.call_body, action.timeout, ended)
+
+        if self._lasting is not None and known.exchange.token is not None:
+            self._lasting.call(known, make)
+        else:
+            make()
 
     def _remember(self, known: Tracked, action: i.Remember) -> None:
         if (token := known.exchange.token) is None:
             return
-        until = clock.now() + action.life + KEY_SLACK_US
-        before = self._keys.get(token)
-        self._keys[token] = Key(known.id, until)
-        heapq.heappush(self._key_ends, (until + self._unread, token))
-        if before is not None and before.owner != known.id and (owner := self._requests.get(before.owner)):
+        before = self.keys.enter(token, known.id, clock.now() + action.life + KEY_SLACK_US)
+        if self._lasting is not None:
+            self._lasting.remembered(known)
+        if before is not None and (owner := self._requests.get(before)) is not None:
             self._settle(owner)
 
     def _forget(self, known: Tracked, action: i.Forget) -> None:
-        token = known.exchange.token
-        if token is not None and (key := self._keys.get(token)) and key.owner == known.id:
-            self._erase(token, key)
+        if self._lasting is not None:
+            self._lasting.forgotten(known)
+        if self.keys.remove(known.exchange.token, known.id):
+            self._settle(known)
 
     def _reuse(self, known: Tracked, action: i.Reuse) -> None:
-        original = self._requests.get(known.repeats or 0)
+        if known.past is not None and self._lasting is not None:
+            return self._lasting.reuse(known, known.past, lambda result: self._end_repeat(known, result))
+        original = self._requests.get(known.repeats or NOT_HELD)
         if original is not None and original.outcome is None:
             original.waiting.append(known.id)
         else:
@@ -435,7 +523,7 @@
         self._pool.poll(gauged)
 
     def _tick(self, event: i.TimerFired, at: int) -> None:
-        self._tell(event)
+        self.tell(event)
         self._handle(at)
 
     def _log(self, action: i.Log) -> None:
--- a/cairnvane/interface.py
+++ b/cairnvane/interface.py
@@ -173,6 +173,27 @@
     tenant: int = 0  # index in `Settings.tenants`; none is meant if it lies beyond
     again: bool = False  # a further try or second copy, where callers mark such
     repeats: int | None = None  # the remembered request that this one repeats
+    keep_after: int = 0  # keyed: its key could be kept only after so long; 0: now
+
+
+@dataclass(slots=True)
+class Kept:
+    """Keys of an earlier life are remembered, and take their memory for `life`."""
+
+    count: int
+    life: int
+
+
+@dataclass(slots=True)
+class Adopted:
+    """A keyed run of an earlier life goes on, its key remembered for `life`. Nobody waits for it but repeats;
+    it is stopped after `time_left`, as one whose caller gives up."""
+
+    id: int
+    cls: int
+    time_left: int
+    life: int
+    memory: float = 0.0  # memory while held
 
 
 @dataclass(slots=True)
@@ -225,7 +246,7 @@
     connections: float | None = None
 
 
-Event = Arrival | Finished | Gone | CallNeeded | CallEnded | Draining | TimerFired
+Event = Arrival | Kept | Adopted | Finished | Gone | CallNeeded | CallEnded | Draining | TimerFired
 
 
 # --- actions: what the controller wants done -------------------------------------------------------------
--- /dev/null
+++ b/cairnvane/keyed/inspect.py
@@ -0,0 +1,146 @@
+"""What the command line does with a folder: `verify`, `show`, `compact`."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from .. import clock
+from . import record, state
+from .files import FolderError, OsFiles, boot_id, segment_name
+from .index import BYTES_PER_ENTRY, Index
+from .log import Log, Owner, Report, blocks, good_end, read_segment, segment_names
+from .state import State, Step
+
+# Room for all that a folder can hold is not known before it is read; memory is touched only as it fills.
+_INDEX_BYTES = 4_000_000 * BYTES_PER_ENTRY
+
+
+@dataclass(slots=True)
+class Found:
+    """What `verify` has found."""
+
+    report: Report = field(default_factory=Report)
+    records: int = 0
+    illegal: list[str] = field(default_factory=list)
+    keys: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def wrong(self) -> bool:
+        """A record may be lost."""
+        return bool(self.report.damaged or self.report.foreign or self.illegal)
+
+    def lines(self) -> list[str]:
+        """For people."""
+        report = self.report
+        named = [("damaged", report.damaged), ("torn", report.torn), ("foreign", report.foreign),
+                 ("illegal", self.illegal)]
+        kinds = ", ".join(f"{count} {kind}" for kind, count in self.keys.items()) or "none"
+        return [
+            *(f"{kind}: {line}" for kind, lines in named for line in lines),
+            f"{report.segments} segments, {report.bytes:,} bytes, {self.records:,} records; keys: {kinds}",
+            "a record may be lost" if self.wrong else "good",
+        ]
+
+
+@dataclass(slots=True)
+class _Key:
+    state: State
+    header: record.Header
+    at: int
+    until: int
+    detail: dict[str, str]
+
+
+def _read(files: OsFiles, found: Found) -> dict[bytes, _Key]:
+    """Every key and how it stands, whether it still counts or not."""
+    known: dict[bytes, _Key] = {}
+    for number, name in segment_names(files):
+        header = read_segment(files, number, name, found.report)
+        if header is None:
+            continue
+        end, bad = record.HEADER_BYTES, []
+        for item in blocks(files, name, header):
+            if isinstance(item, record.Damage):
+                bad.append(item)
+                continue
+            found.records += 1
+            end = good_end(item[1], item[2])
+            _step(known, header, record.parse(item[0], item[2]), found)
+        for damage in bad:
+            middle = damage.offset < end
+            lines = found.report.damaged if middle else found.report.torn
+            lines.append(f"{name}: {damage.what} at byte {damage.offset}, {damage.length} bytes")
+    return known
+
+
+def _step(known: dict[bytes, _Key], header: record.Header, told: record.Record, found: Found) -> None:
+    if told.step is Step.LINK:
+        return
+    before = known.get(told.token)
+    # A token may come again once its window is over.
+    aged = before is not None and before.header.boot == header.boot and before.until <= told.at
+    try:
+        after = state.advance(State.UNKNOWN if before is None or aged else before.state, told.step)
+    except state.IllegalStep as error:
+        found.illegal.append(f"{told.token.hex()}: {error}")
+        return
+    detail: dict[str, str] = {} if before is None or aged else before.detail
+    if told.step is Step.INTENT:
+        uid, _, _, _, lane = record.intent(told.rest)
+        detail = {"uid": uid, "class": lane}
+    elif told.step is Step.RESULT:
+        detail = detail | {"result_bytes": str(len(record.end(told.rest)[1]))}
+    known[told.token] = _Key(after, header, told.at, told.until, detail)
+
+
+def verify(files: OsFiles) -> Found:
+    """Read all there is; nothing is changed, and a server may go on using it."""
+    found = Found()
+    for key in _read(files, found).values():
+        name = key.state.name.lower()
+        found.keys[name] = found.keys.get(name, 0) + 1
+    return found
+
+
+def show(files: OsFiles) -> Iterator[dict[str, str]]:
+    """A row for each key."""
+    now, boot = clock.now(), boot_id()
+    for token, key in _read(files, Found()).items():
+        here = key.header.boot == boot
+        left = f"{max(0, key.until - now) / 1e6:.1f}" if here else "of an earlier boot"
+        unix = key.header.unix_ms / 1e3 + (key.at - key.header.at) / 1e6
+        yield {"token": token.hex(), "state": key.state.name.lower(), "at_unix_s": f"{unix:.3f}",
+               "counts_for_s": left, **key.detail}
+
+
+def compact(files: OsFiles) -> tuple[int, int]:
+    """Rewrite all segments without what no longer counts; the bytes before and after."""
+    names = segment_names(files)
+    if not names:
+        return 0, 0
+    files.lock()
+    try:
+        owners = {record.header(files.read(name, 0, record.HEADER_BYTES)).name for _, name in names}
+        if len(owners) != 1:
+            raise FolderError(f"segments of {len(owners)} instances in one folder")
+        owner, now = Owner(owners.pop(), boot_id()), clock.now()
+        # As long as no settings are known, a late reading of a repeat is allowed for as generously as its
+        # window.
+        log, index = Log(files, owner, most_disk=1 << 40, power=True, unread=UNREAD_US), Index(_INDEX_BYTES)
+        before = sum(files.size(name) for _, name in names)
+        log.recover(index, now)
+        log.drop(now)
+        for number in list(log.segments):
+            for _ in log.compact(number, index, now):
+                pass
+        after = sum(files.size(segment_name(number)) for number in log.segments)
+        return before, after
+    except record.BadHeader as error:
+        raise FolderError(f"a file that is no segment; run verify: {error}") from None
+    finally:
+        files.unlock()
+
+
+# How late a repeat that came within its window may still be read, where no settings tell.
+UNREAD_US = 60_000_000
--- /dev/null
+++ b/cairnvane/keyed/store.py
@@ -0,0 +1,423 @@
+"""The keeper: a thread that writes groups of records, and what the host asks of it.
+
+The host thread puts records into a queue and never waits. The writer takes all that has come by now,
+writes it in one write, syncs it where a power cut is to be survived, and only then says so. If the disk
+fails, all that was not synced is kept and written again to a new segment, as soon as the disk takes it;
+meanwhile no new key has room (`wait_us`), and what is under way waits for its record or for its due time.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from queue import Empty, SimpleQueue
+from typing import Protocol
+
+from .. import clock, log
+from ..keys import Begun, Past, Recovered
+from . import index as places
+from . import plan, record
+from .files import Files, FolderError
+from .index import Index
+from .log import Entry, Log, Owner
+from .log import check as check_folder
+from .recovery import Recovery, TooLarge
+from .state import State, Step
+
+# So many records share a write; at any load seen they are far fewer.
+MOST_GROUP = 256
+# Space is looked after this often while something is written, and no more often.
+LOOK_US = 500_000
+# A writer without work looks up this often, to let go of what has aged.
+IDLE_S = 1.0
+# The process before may be seen to hold the folder a moment after its end.
+LOCK_WAIT_S, LOCK_LOOK_S = 2.0, 0.02
+# What is left has so long to be written when the process ends.
+CLOSE_WAIT_S = 1.0
+_OVERHEAD = 512  # bytes that a queued record takes beside its result
+
+
+class Folder(Files, Protocol):
+    """Files that can be owned."""
+
+    def make(self) -> None:
+        """Create the folder."""
+
+    def lock(self) -> None:
+        """Own it; `FolderError` if another process does."""
+
+    def unlock(self) -> None:
+        """Let go of it."""
+
+
+@dataclass(slots=True)
+class _Write:
+    entry: Entry
+    then: Callable[[], None] | None
+    same: bytes = b""  # of an end: the digest that its entry in the index shows
+    pos: int = 0  # the notice that this is the record of
+    needed: bool = True  # someone waits until it survives a power cut
+    taken: bool = False  # it counts, and is only written again
+
+
+@dataclass(frozen=True, slots=True)
+class _Fetch:
+    past: Past
+    same: bytes
+    then: Callable[[bytes | None], None]
+
+
+@dataclass(frozen=True, slots=True)
+class _Close:
+    pass
+
+
+# Told of each named point of the writing, for whoever wants to cause trouble there.
+Points = Callable[[str], None]
+
+
+class Store:
+    """`keys.Keeper` on a folder."""
+
+    def __init__(
+        self, files: Folder, name: str, boot: bytes, *, power: bool, disk_bytes: int, memory_bytes: int,
+        unread: int, points: Points | None = None,
+    ) -> None:
+        self._files, self._name, self._power = files, name, power
+        self._most_disk, self._unread, self._points = disk_bytes, unread, points
+        self._most_queued = int(plan.QUEUE_SHARE * memory_bytes)
+        self._index = Index(memory_bytes - self._most_queued)
+        self._log = Log(files, Owner(name, boot), most_disk=disk_bytes, power=power, unread=unread)
+        self._queue: SimpleQueue[_Write | _Fetch | _Close] = SimpleQueue()
+        # Guards what host and writer both use: the index, the progress, and the sums.
+        self._lock = threading.Lock()
+        self._progress = plan.Progress()
+        self._open_keys = self._queued = 0
+        self._writing_since = 0  # 0: nothing is being written
+        self._ready = self._failing = self._closed = False
+        self._failures = 0
+        self._again: list[_Write] = []  # written, yet not known to survive
+        self._looked = 0
+        self._disk = 0
+        self._first_drop_at: int | None = None
+        self._thread = threading.Thread(target=self._run, name="keyed", daemon=True)
+        self._stop = threading.Event()
+
+    def check(self) -> None:
+        """Own the folder; `FolderError` if it is another's. A failing disk may mend."""
+        try:
+            self._files.make()
+            self._own()
+            check_folder(self._files, self._name)
+        except OSError as error:
+            log.say("keyed", f"the folder can't be used yet: {error}")
+
+    def _own(self) -> None:
+        end = time.monotonic() + LOCK_WAIT_S
+        while True:
+            try:
+                return self._files.lock()
+            except FolderError:
+                if time.monotonic() > end:
+                    raise
+            time.sleep(LOCK_LOOK_S)
+
+    # --- what the host asks, from its thread
+
+    def start(self, recovered: Callable[[Recovered], None], lost: Callable[[str], None]) -> None:
+        """See `Keeper`."""
+        self._recovered, self._lost = recovered, lost
+        self._thread.start()
+
+    def wait_us(self) -> int:
+        """See `Keeper`."""
+        now, since = clock.now(), self._writing_since
+        with self._lock:
+            first = self._index.oldest_end(now)
+            load = plan.Load(
+                ready=self._ready, failing=self._failing, writing_for=now - since if since else 0,
+                entries=len(self._index), most_entries=self._index.capacity,
+                first_end=None if first is None else first + self._unread, open_keys=self._open_keys,
+                disk=self._disk, most_disk=self._most_disk,
+                first_drop=None if self._first_drop_at is None else max(0, self._first_drop_at - now),
+                queued=self._queued, most_queued=self._most_queued)
+        return plan.wait_us(load)
+
+    def reserve(self) -> None:
+        """See `Keeper`."""
+        with self._lock:
+            self._open_keys += 1
+
+    def release(self) -> None:
+        """See `Keeper`."""
+        with self._lock:
+            self._open_keys -= 1
+
+    def intend(self, begun: Begun, then: Callable[[], None]) -> None:
+        """See `Keeper`."""
+        rest = record.put_intent(begun.uid, begun.digest, begun.due, begun.memory, begun.lane)
+        self._put(_Write(Entry(Step.INTENT, begun.token, clock.now(), begun.until, rest), then))
+
+    def never(self, token: bytes, until: int) -> None:
+        """See `Keeper`."""
+        self._put(_Write(Entry(Step.NEVER, token, clock.now(), until, b""), None, needed=False))
+
+    def calling(self, token: bytes, until: int, pos: int, then: Callable[[], None]) -> None:
+        """See `Keeper`. A power cut ends the pool with us, and the run: only a kill has to be survived."""
+        entry = Entry(Step.CALL, token, clock.now(), until, record.put_call(pos))
+        self._put(_Write(entry, then, pos=pos, needed=False))
+
+    def ended(
+        self, token: bytes, until: int, same: bytes, result: bytes | None, pos: int, then: Callable[[], None],
+    ) -> None:
+        """See `Keeper`."""
+        step = Step.FAULT if result is None else Step.RESULT
+        entry = Entry(step, token, clock.now(), until, record.put_end(same, result or b""))
+        self._put(_Write(entry, then, same, pos, needed=result is not None))
+
+    def noticed(self, pos: int, owed: bool) -> None:
+        """See `Keeper`."""
+        with self._lock:
+            self._progress.read(pos, owed)
+
+    def linked(self, pool_started: int) -> None:
+        """See `Keeper`."""
+        now = clock.now()
+        entry = Entry(Step.LINK, record.NO_TOKEN, now, now, record.put_link(pool_started))
+        self._put(_Write(entry, None, needed=False))
+
+    def reset(self) -> None:
+        """The pool is a new one: its notices are numbered anew."""
+        with self._lock:
+            self._progress = plan.Progress()
+
+    def recall(self, token: bytes, same: bytes, arrived: int) -> Past | None:
+        """See `Keeper`."""
+        with self._lock:
+            found = self._index.get(token)
+            if found is None or not self._index.counts(found[1], arrived):
+                return None
+        if not places.alike(found[0], same):
+            raise ValueError("another class or body")
+        return Past(token, places.state(found[0]) is State.FINISHED, found[0])
+
+    def fetch(self, past: Past, same: bytes, then: Callable[[bytes | None], None]) -> None:
+        """See `Keeper`."""
+        self._queue.put(_Fetch(past, same, then))
+
+    def close(self) -> None:
+        """See `Keeper`."""
+        self._stop.set()
+        self._queue.put(_Close())
+        self._thread.join(CLOSE_WAIT_S)
+
+    def _put(self, write: _Write) -> None:
+        with self._lock:
+            self._queued += len(write.entry.rest) + _OVERHEAD
+        self._queue.put(write)
+
+    # --- the writer
+
+    def _run(self) -> None:
+        try:
+            if self._take_up():
+                while self._serve():
+                    pass
+        except Exception as error:  # whatever it was: without this thread no keyed answer ever goes out
+            log.say("keyed", f"the writer has ended: {type(error).__name__} {error}")
+            self._failing = True
+            self._lost(f"{type(error).__name__} {error}")
+        finally:
+            self._files.unlock()
+
+    def _take_up(self) -> bool:
+        """Read what an earlier life left, and again until the disk lets it; False if told to end first."""
+        while True:
+            try:
+                self._files.make()
+                self._files.lock()
+                self._point("recovery")
+                self._recover()
+                return True
+            except (FolderError, TooLarge) as error:
+                self._lost(str(error))
+                return False
+            except OSError as error:
+                if self._failed(error):
+                    return False
+
+    def _recover(self) -> None:
+        start = clock.now()
+        recovery = self._log.recover(self._index, start)
+        left = recovery.conclude()
+        with self._lock:
+            self._progress = plan.Progress(left.pos)
+            self._open_keys += len(left.begun)
+            self._ready = True
+        self._measure(clock.now())
+        self._say_recovered(recovery, clock.now() - start)
+        self._worked()
+        self._recovered(left)
+
+    def _say_recovered(self, recovery: Recovery, took: int) -> None:
+        report, counts = self._log.report, recovery.counts
+        for line in [*report.damaged, *report.torn, *report.foreign, *counts.illegal]:
+            log.say("keyed", line)
+        log.say("keyed", f"{len(self._index)} kept results and {len(recovery.runs)} open runs from "
+                         f"{report.segments} segments in {took / 1e3:.1f} ms")
+
+    def _failed(self, error: OSError) -> bool:
+        """Wait before the next try; True if told to end meanwhile."""
+        self._failures += 1
+        if not self._failing:  # said once, not with every try
+            self._failing = True
+            log.say("keyed", f"the disk fails: {error}; new keyed requests are refused until it works again")
+        self._writing_since = 0
+        return self._stop.wait(plan.retry_after(self._failures) / 1e6)
+
+    def _worked(self) -> None:
+        if self._failing:
+            self._failing = False
+            log.say("keyed", f"the disk works again, after {self._failures} failures")
+        self._failures = 0
+
+    def _serve(self) -> bool:
+        """One group; False at the end."""
+        try:
+            first = self._queue.get(timeout=IDLE_S)
+        except Empty:
+            self._look(clock.now())
+            return True
+        group, fetches, more = self._gather(first)
+        done = not group or self._write(group)
+        for fetch in fetches:
+            fetch.then(self._fetch(fetch))
+        if not more or not done:
+            self._end()
+            return False
+        self._look(clock.now())
+        return True
+
+    def _gather(self, first: _Write | _Fetch | _Close) -> tuple[list[_Write], list[_Fetch], bool]:
+        """All that has come by now; whether more may come."""
+        group: list[_Write] = []
+        fetches: list[_Fetch] = []
+        task = first
+        while True:
+            if isinstance(task, _Close):
+                return group, fetches, False
+            if isinstance(task, _Fetch):
+                fetches.append(task)
+            else:
+                group.append(task)
+            if len(group) >= MOST_GROUP:
+                return group, fetches, True
+            try:
+                task = self._queue.get_nowait()
+            except Empty:
+                return group, fetches, True
+
+    def _write(self, group: list[_Write]) -> bool:
+        """Write a group until the disk has it, then say so to whoever waits; False if told to end first."""
+        self._writing_since = clock.now()
+        while True:
+            try:
+                self._write_once(group)
+                break
+            except OSError as error:
+                self._log.abandon()
+                group, self._again = [*self._again, *group], []
+                if self._failed(error):
+                    return False
+                self._make_room()
+                self._writing_since = clock.now()
+        self._worked()
+        self._writing_since = 0
+        return True
+
+    def _write_once(self, group: list[_Write]) -> None:
+        with self._lock:
+            pos = self._progress.pos
+        self._point("append")
+        placed = self._log.append((w.entry for w in group), pos, time.time_ns() // 1_000_000)
+        self._point("written")
+        if any(write.needed for write in group):
+            self._log.sync()
+            self._again = []
+        elif self._power:
+            self._again += group
+        self._point("synced")
+        self._take(group, placed)
+
+    def _take(self, group: list[_Write], placed: list[tuple[int, int]]) -> None:
+        """The group counts."""
+        with self._lock:
+            for write, (segment, offset) in zip(group, placed, strict=True):
+                entry, step = write.entry, write.entry.step
+                if not write.taken:
+                    self._queued -= len(entry.rest) + _OVERHEAD
+                    self._open_keys -= step in (Step.RESULT, Step.FAULT, Step.NEVER)
+                    if write.pos:
+                        self._progress.written(write.pos)
+                if step in (Step.RESULT, Step.FAULT):
+                    state = State.FINISHED if step is Step.RESULT else State.FAILED
+                    word = places.place(segment, offset, write.same, state)
+                    self._index.put(entry.token, word, entry.until)
+                write.taken = True
+            self._disk = self._log.size
+        for write in group:
+            then, write.then = write.then, None  # what is written again has been told of
+            if then is not None:
+                then()
+
+    def _fetch(self, fetch: _Fetch) -> bytes | None:
+        """Its result. Where it stands is asked again: a compaction may have moved it."""
+        with self._lock:
+            found = self._index.get(fetch.past.token)
+        if found is None or places.state(found[0]) is not State.FINISHED:
+            return None
+        try:
+            return self._log.fetch(found[0], fetch.past.token, fetch.same)
+        except OSError as error:
+            log.say("keyed", f"a result can't be read: {error}")
+            return None
+
+    def _make_room(self) -> None:
+        """A full disk may be full of what is ours and has aged."""
+        with contextlib.suppress(OSError):
+            self._log.drop(clock.now())
+
+    def _look(self, now: int) -> None:
+        """Let go of what has aged, and make room."""
+        if now - self._looked < LOOK_US or self._failing:
+            return
+        self._looked = now
+        with self._lock:
+            self._index.expire(now - self._unread)
+        try:
+            self._log.drop(now)
+            while self._log.compact_a_little(self._index, now) and self._queue.empty():
+                self._point("compaction")
+        except OSError as error:
+            self._log.abandon()
+            log.say("keyed", f"making room failed: {error}")
+        self._measure(now)
+
+    def _measure(self, now: int) -> None:
+        first = self._log.first_drop(now)
+        with self._lock:
+            self._disk = self._log.size
+            self._first_drop_at = None if first is None else now + first
+
+    def _end(self) -> None:
+        try:
+            self._log.close()
+        except OSError as error:
+            log.say("keyed", f"the last records may be lost: {error}")
+
+    def _point(self, name: str) -> None:
+        if self._points is not None:
+            self._points(name)
--- a/cairnvane/net/pool.py
+++ b/cairnvane/net/pool.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from .. import log
+from .. import clock, log
 from .outlet import Outlet
 
 # A link that can't be had is tried again this often: well inside any aim.
@@ -53,11 +53,11 @@
 class Notices(Protocol):
     """Whoever wants the pool's news, from the link's own thread."""
 
-    def finished(self, uid: str, code: str, took_us: int, result: bytes) -> None:
-        """A run is over."""
+    def finished(self, uid: str, code: str, took_us: int, result: bytes, pos: int) -> None:
+        """A run is over, says notice `pos`."""
 
-    def blocked(self, uid: str, body: bytes) -> None:
-        """A run waits for a call."""
+    def blocked(self, uid: str, body: bytes, pos: int) -> None:
+        """A run waits for a call, says notice `pos`."""
 
     def unknown(self, uid: str) -> None:
         """The pool has no such request, and runs nothing for it."""
@@ -65,6 +65,9 @@
     def linked(self, link: int) -> None:
         """Link number `link` is up, and all notices that an earlier one missed have been passed on."""
 
+    def replaced(self) -> None:
+        """Another pool has come in the place of the one that had the runs so far."""
+
 
 @dataclass(slots=True)
 class _Asked:
@@ -90,6 +93,13 @@
         self._echo = 0
         self._lock = threading.Lock()
         self._decoder = msgspec.json.Decoder(Notice)
+        self.started: int | None = None  # the pool, in microseconds of the monotonic clock
+        self._same: Callable[[int | None, int], bool] | None = None
+
+    def resume(self, pos: int, started: int | None, same: Callable[[int | None, int], bool]) -> None:
+        """Before `start`: take up where an earlier life left the pool that started then, if it is still
+        that one (`same` tells). Without this, a pool is taken to live and end with this process."""
+        self._pos, self.started, self._same = pos, started, same
 
     def start(self) -> None:
         """Connect, and stay connected."""
@@ -217,12 +227,13 @@
     def _take(self, notice: Notice, content: bytes, outlet: Outlet) -> None:
         if notice.action == "finished":
             took_us = int(min(max(0.0, notice.wall_ms), MAX_WALL_MS) * 1e3)
-            self._notices.finished(notice.uid, notice.code, took_us, content)
+            self._notices.finished(notice.uid, notice.code, took_us, content, notice.pos)
         elif notice.action == "blocked":
-            self._notices.blocked(notice.uid, content)
+            self._notices.blocked(notice.uid, content, notice.pos)
         elif notice.action in ("polled", "verified"):
             self._reply(notice.echo, notice)
         elif notice.action == "bound":
+            self._meet(notice.wall_ms)
             with self._lock:
                 if self._newest is not outlet:
                     return  # replaced meanwhile
@@ -233,6 +244,19 @@
         elif notice.action == "unknown":
             self._refused(notice)
 
+    def _meet(self, wall_ms: float) -> None:
+        """Whose link it is. A new pool counts its notices from 1, and none of them may be passed over."""
+        started = clock.now() - int(min(max(0.0, wall_ms), MAX_WALL_MS) * 1e3)
+        if self._same is None or self._same(self.started, started):
+            if self.started is None:
+                self.started = started
+            return
+        self.started = started
+        self._notices.replaced()
+        if self._pos:
+            self._pos = 0
+            raise ConnectionError("a new pool, to be bound from its first notice on")
+
     def _refused(self, notice: Notice) -> None:
         log.say("pool", f"not carried out: {notice.code} {notice.uid}")
         if notice.code == "spawn":
--- /dev/null
+++ b/cairnvane/tracked.py
@@ -0,0 +1,42 @@
+"""Where a request stands, as the host keeps account of it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from . import interface as i
+from .exchange import Request
+from .interface import Outcome
+from .keys import Past, digest
+from .net.vault import Call
+
+
+@dataclass(slots=True)
+class Tracked:
+    """Where a request stands."""
+
+    id: int
+    exchange: Request
+    cls: i.RequestClass
+    repeats: int | None
+    past: Past | None = None  # what it repeats, if that has left the host's hands
+    held: bool = True  # neither run nor over
+    running: bool = False  # the pool has it, or was told to
+    outcome: Outcome | None = None  # how it ended, if it is over
+    result: bytes = b""  # kept while a repeat may want it
+    waiting: list[int] = field(default_factory=list)  # repeats that wait for its end
+    call: Call | None = None
+    call_body: bytes = b""
+    call_pos: int = 0  # the number of the notice that asked for the call
+    reply: bytes | None = None  # of its last call; None before the first one
+    told: int | None = None  # on which link its last command went; None: shown to have arrived
+    told_at: int = 0  # and when
+    halted: int | None = None  # on which link it was told to stop
+    unsaid: bool = False  # to be run, but for the record of that
+    same: bytes = b""  # the digest of what all its tries have in common, where it is needed
+
+    def alike(self, request: Request) -> bool:
+        """Whether this could be another try of it. Of a run of an earlier life only the digest is known."""
+        if self.same:
+            return self.same == digest(request.lane, request.body)
+        return (self.exchange.lane, self.exchange.body) == (request.lane, request.body)
