Have the server take part in kept keys, and move runs and ticks out of the host

The host knew only keys of this life. An intent is now recorded before spawn, a call before it goes out, and a result before its answer; entries of an earlier life answer repeats, and runs in flight are adopted from a pool that lived on (bind with the last recorded notice).

--- a/cairnvane/__main__.py
+++ b/cairnvane/__main__.py
@@ -11,6 +11,7 @@
 import sys
 import threading
 from collections.abc import Callable
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from . import config, log
@@ -72,7 +73,7 @@
     from .keyed.files import OsFiles, boot_id
 
     store = Store(
-        OsFiles(asked.keyed.folder), told.name, boot_id(), power=asked.keyed.durability == "power",
+        OsFiles(Path(asked.keyed.folder)), told.name, boot_id(), power=asked.keyed.durability == "power",
         disk_bytes=asked.keyed.disk_bytes, memory_bytes=asked.keyed.memory_bytes,
         unread=max(cls.patience for cls in told.settings.classes), points=points)
     try:
--- a/cairnvane/config/operator.py
+++ b/cairnvane/config/operator.py
@@ -33,7 +33,7 @@
 class KeyedOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Keyed results over restarts."""
 
-    folder: Path
+    folder: str  # relative to the file that says so; absolute once that is read
     durability: Literal["process", "power"] = "process"
     max_disk_mb: int = 64
     max_memory_mb: int = 8
@@ -66,12 +66,12 @@
     return f", which is {tree!r}"[:120] if not isinstance(tree, dict) else ""
 
 
-def _complaint(error: Exception, raw: bytes) -> str:
+def _complaint(error: Exception, tree: Any) -> str:
     text = str(error).replace("\n", " ")
     found = _PATH.match(text)
     if found is None or not found["path"]:
         return text
-    value = _value(msgspec.yaml.decode(raw), found["path"])
+    value = _value(tree, found["path"])
     return f"{found['path'].removeprefix('$.')}: {found['what']}{value}"
 
 
@@ -88,11 +88,16 @@
     except OSError as error:
         raise ConfigError(f"operator's file {path}: {error.strerror}") from None
     try:
-        told = msgspec.yaml.decode(raw if raw.strip() else b"{}", type=Operator)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise ConfigError(f"operator's file {path}: {_complaint(error, raw)}") from None
+        tree = msgspec.yaml.decode(raw) if raw.strip() else None
     except Exception as error:  # PyYAML's own, which name line and column in several lines
         raise ConfigError(f"operator's file {path}: {' '.join(str(error).split())}") from None
+    try:
+        told = msgspec.convert({} if tree is None else tree, type=Operator)
+    except msgspec.ValidationError as error:
+        raise ConfigError(f"operator's file {path}: {_complaint(error, tree)}") from None
+    for key, section in (tree or {}).items():
+        if section is None:  # as good as misspelt: what it was to turn on would be silently off
+            raise ConfigError(f"operator's file {path}: {key}: nothing stands under it")
     if told.keyed is None:
         return told
     try:
@@ -100,5 +105,5 @@
         _between("keyed.max_memory_mb", told.keyed.max_memory_mb, LEAST_MEMORY_MB, MOST_MEMORY_MB)
     except ConfigError as error:
         raise ConfigError(f"operator's file {path}: {error}") from None
-    folder = (path.parent / told.keyed.folder).absolute()
+    folder = str((path.parent / told.keyed.folder).absolute())
     return msgspec.structs.replace(told, keyed=msgspec.structs.replace(told.keyed, folder=folder))
--- a/cairnvane/host.py
+++ b/cairnvane/host.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import threading
 from collections.abc import Callable
 from queue import Empty, SimpleQueue
 from typing import TYPE_CHECKING
@@ -19,9 +18,9 @@
 from .net import pool as worker
 from .net.pool import Pool
 from .net.server import Server
-from .net.vault import Call
+from .runs import Runs
+from .ticks import Ticks
 from .tracked import Tracked
-from .wire import timer_fired
 
 if TYPE_CHECKING:  # only where an operator turned it on
     from .lasting import Lasting
@@ -34,9 +33,6 @@
 EARLIER_LINK = -1
 # So much may share a call of `handle`: few enough for the first of it not to be kept waiting.
 MOST_TOGETHER = 32
-# Of what was said on a link that broke, only the last 50 ms can be lost. It may take us so much longer to see
-# the break; what is older has arrived.
-DOUBTFUL_US = 1_000_000
 
 _ENDS = {
     worker.FINE: Outcome.OK, worker.FAULT: Outcome.ERROR,
@@ -55,7 +51,6 @@
         self._inbox: SimpleQueue[Callable[[], None]] = SimpleQueue()
         self._events: list[i.Event] = []  # not told yet
         self._later: list[i.Event] = []  # brought about by actions, to be told next
-        self._calls_first: dict[str, bool] = {}  # of classes with a finished run: none of these had no call
         self._requests: dict[int, Tracked] = {}
         self._by_uid: dict[str, Tracked] = {}
         # A repeat that came before its key ran out may be read as much later as a caller waits.
@@ -64,7 +59,6 @@
         self._count = 0
         self._healthy, self._stored = True, False
         self._load: float | None = None
-        self._link = 0
         self._stopped = False
         self._do_to: dict[type[i.Action], Callable[..., None]] = {
             i.Run: self._run, i.Refuse: self._refuse, i.Fail: self._fail, i.Halt: self._halt,
@@ -72,18 +66,24 @@
         }
         self._do: dict[type[i.Action], Callable[..., None]] = {
             i.SetHealth: self._set_health, i.Advertise: self._advertise, i.CloseIdle: self._close_idle,
-            i.SetTimer: self._set_timer, i.Log: self._log,
+            i.SetTimer: lambda action: self._ticks.set(action), i.Log: self._log,
         }
 
     def join(
         self, server: Server, pool: Pool, vault: tuple[str, int], lasting: Lasting | None = None,
     ) -> None:
         """Get to know the parts that the host gives its orders to."""
-        self._server, self._pool, self._vault, self._lasting = server, pool, vault, lasting
+        self._server, self._pool, self._lasting = server, pool, lasting
+        self._runs = Runs(
+            pool, vault, self.post,
+            never_began=lambda known: self._end_run(known.exchange.uid, worker.BROKEN_OFF),
+            call_ended=lambda known, outcome, took: self.tell(i.CallEnded(known.id, outcome, took)))
+        # A tick that came before its time would be taken for one that was replaced.
+        self._ticks = Ticks(pool, self._gauges, lambda event, at: self.post(lambda: self._tick(event, at)))
 
     def move(self, vault: tuple[str, int]) -> None:
         """The vault's new address, for all calls from now on; those on their way end where they are."""
-        self._vault = vault
+        self._runs.vault = vault
 
     # --- the inbox, from any thread
 
@@ -221,19 +221,18 @@
         known = self._by_uid.get(request.uid)
         if known is None or known.exchange is not request:
             return
-        self._drop_call(known)
+        self._runs.drop_call(known)
         self.tell(i.Gone(known.id))
         self._settle(known)
 
-    def _end_run(self, uid: str, code: str, took: int, result: bytes, pos: int = 0) -> None:
+    def _end_run(self, uid: str, code: str, took: int = 0, result: bytes = b"", pos: int = 0) -> None:
         known = self._by_uid.get(uid)
         if known is None or not known.running:
             if self._lasting is not None:
                 self._lasting.noticed(pos)
             return
-        self._drop_call(known)
-        known.running, known.told, known.halted = False, None, None
         outcome = _ENDS.get(code, Outcome.ERROR)
+        self._runs.over(known, outcome is Outcome.OK)
         keyed = known.cls.repeat is Repeat.KEYED
         lasts = self._lasting if keyed else None
         if outcome is Outcome.OK:
@@ -241,8 +240,6 @@
                 known.result = result
             if lasts is None:
                 known.exchange.finish(Answer(Verdict.SERVED, result, load=self._load))
-            name = known.cls.name
-            self._calls_first[name] = self._calls_first.get(name, True) and known.reply is not None
         elif outcome is Outcome.ERROR:
             known.exchange.finish(Answer(Verdict.FAILED, load=self._load))
         if lasts is None or outcome is not Outcome.OK:  # else once its result is recorded
@@ -257,7 +254,7 @@
     def _disown(self, uid: str) -> None:
         if (known := self._by_uid.get(uid)) is not None and known.running:
             known.exchange.finish(Answer(Verdict.FAILED, load=self._load, suspect=True))
-            self._end_run(uid, worker.LATE, 0, b"")
+            self._end_run(uid, worker.LATE)
 
     def _block(self, uid: str, body: bytes, pos: int) -> None:
         known = self._by_uid.get(uid)
@@ -269,18 +266,9 @@
         known.told, known.call_body, known.call_pos = None, body, pos
         lasts = self._lasting if known.exchange.token is not None else None
         if lasts is not None and not lasts.asks(known, pos):
-            return self._suspend(known)  # its call may have been made, and would be made twice
+            return self._runs.suspend(known)  # its call may have been made, and would be made twice
         self.tell(i.CallNeeded(known.id))
 
-    def _end_call(self, known: Tracked, call: Call | None, outcome: Outcome, body: bytes, took: int) -> None:
-        if call is None or known.call is not call:
-            return  # given up meanwhile
-        known.call = None
-        if outcome is Outcome.OK:
-            known.reply = body
-            self.begin(known)
-        self.tell(i.CallEnded(known.id, outcome, took))
-
     def _lose_runs(self) -> None:
         """Their ends will never be told, and what had an effect is not run again."""
         lost = [known for known in self._requests.values() if known.running and not known.unsaid]
@@ -288,55 +276,23 @@
         if self._lasting is not None:
             self._lasting.replaced()
         for known in lost:
-            self._end_run(known.exchange.uid, worker.FAULT, 0, b"")
+            self._end_run(known.exchange.uid, worker.FAULT)
 
     def _say_again(self, link: int) -> None:
         """What an earlier link may have lost, now that its replay has shown what arrived."""
-        self._link = link
         if self._lasting is not None:
             self._lasting.linked()
-        recent = clock.now() - DOUBTFUL_US
-        for known in list(self._requests.values()):
-            cls = known.cls
-            if known.halted is not None and known.halted < link:
-                self._suspend(known)
-            elif known.told is None or known.told >= link or not known.running:
-                continue
-            elif known.told == 0 or (known.reply is None and cls.repeat is Repeat.SAFE):
-                self.begin(known)
-            elif known.told_at >= recent and (known.reply is not None or self._calls_first.get(cls.name)):
-                # A run takes no second `spawn` while it goes on, and one that has to call can't end unseen.
-                self.begin(known)
+        self._runs.say_again(link, list(self._requests.values()))
 
     def begin(self, known: Tracked) -> None:
-        """Have it run, or run on with the reply to its call."""
-        uid, known.told_at = known.exchange.uid, clock.now()
-        if known.reply is not None:
-            known.told = self._pool.supply(uid, known.reply)
-        else:
-            known.told = self._pool.spawn(uid, known.exchange.lane, known.exchange.body)
+        """Its run is recorded; see `lasting.Side`."""
+        self._runs.begin(known)
 
     def _drain(self, time_left_us: int) -> None:
         if self._lasting is not None:
             self._lasting.drain(time_left_us)
         self.tell(i.Draining(time_left_us))
 
-    def _suspend(self, known: Tracked) -> None:
-        """Stop a run. One that was lost with a link would never be told to have ended, and its place be taken
-        for good: there, the answer to a later question shows whether an end is still to come."""
-        known.halted = self._pool.suspend(known.exchange.uid)
-
-        def passed(there: bool) -> None:
-            if there:
-                self._inbox.put(lambda: self._never_began(known))
-
-        if known.halted and known.told is not None and known.told != known.halted:
-            self._pool.sync(passed)
-
-    def _never_began(self, known: Tracked) -> None:
-        if known.running and known.told is not None and known.halted == self._link:
-            self._end_run(known.exchange.uid, worker.BROKEN_OFF, 0, b"")
-
     def _check(self, check: Check) -> None:
         def reply(good: bool) -> None:
             check.finish(Answer(Verdict.SERVED if good else Verdict.REFUSED, load=self._load))
@@ -380,11 +336,6 @@
         if self._by_uid.get(known.exchange.uid) is known:
             del self._by_uid[known.exchange.uid]
 
-    def _drop_call(self, known: Tracked) -> None:
-        if known.call is not None:
-            known.call.give_up()
-            known.call = None
-
     def _expire(self) -> None:
         for number in self.keys.expire(clock.now()):
             if (owner := self._requests.get(number)) is not None:
@@ -411,7 +362,7 @@
         """It was to run, and provably has not."""
         known.unsaid = False
         known.exchange.finish(Answer(Verdict.REFUSED, stay_away_ms=away_ms, load=self._load))
-        self._end_run(known.exchange.uid, worker.LATE, 0, b"")
+        self._end_run(known.exchange.uid, worker.LATE)
 
     def adopt(self, begun: keys.Begun, cls: int, time_left: int) -> Tracked:
         """A run of an earlier life. Nobody is owed its answer but those who repeat it."""
@@ -435,7 +386,7 @@
         if self._lasting is not None and known.exchange.token is not None:
             self._lasting.run(known)
         else:
-            self.begin(known)
+            self._runs.begin(known)
 
     def _refuse(self, known: Tracked, action: i.Refuse) -> None:
         away_ms = -(-action.stay_away // 1_000)
@@ -444,36 +395,21 @@
         self._settle(known)
 
     def _fail(self, known: Tracked, action: i.Fail) -> None:
-        self._drop_call(known)
+        self._runs.drop_call(known)
         known.exchange.finish(Answer(Verdict.FAILED, load=self._load))
         self._settle(known)
 
     def _halt(self, known: Tracked, action: i.Halt) -> None:
         if known.unsaid:  # the pool was not told to run it
             known.unsaid = False
-            return self._end_run(known.exchange.uid, worker.LATE, 0, b"")
-        self._suspend(known)
+            return self._end_run(known.exchange.uid, worker.LATE)
+        self._runs.suspend(known)
 
     def _call(self, known: Tracked, action: i.Call) -> None:
-        if not known.running:
-            return
-
-        call: Call | None = None
-        pos = known.call_pos
-
-        def ended(outcome: Outcome, body: bytes, took: int) -> None:
-            self._inbox.put(lambda: self._end_call(known, call, outcome, body, took))
-
-        def make() -> None:
-            nonlocal call
-            if known.running and known.call_pos == pos:
-                call = known.call = Call(
-                    self._vault, known.exchange.uid, known.call_body, action.timeout, ended)
-
         if self._lasting is not None and known.exchange.token is not None:
-            self._lasting.call(known, make)
+            self._lasting.call(known, lambda: self._runs.call(known, action.timeout))
         else:
-            make()
+            self._runs.call(known, action.timeout)
 
     def _remember(self, known: Tracked, action: i.Remember) -> None:
         if (token := known.exchange.token) is None:
@@ -508,20 +444,6 @@
     def _close_idle(self, action: i.CloseIdle) -> None:
         self._server.idle_s = action.after / 1e6
 
-    def _set_timer(self, action: i.SetTimer) -> None:
-        timer = threading.Timer(max(0, action.at - clock.now()) / 1e6, self._due, (action,))
-        timer.daemon = True
-        timer.start()
-
-    def _due(self, timer: i.SetTimer) -> None:
-        """In the timer's thread: fetch the gauges that a tick brings."""
-        def gauged(meters: tuple[float, ...]) -> None:
-            event = timer_fired(timer.token, list(meters), self._gauges)
-            # Never before its time by a rounding: the controller takes that for one that it replaced.
-            self._inbox.put(lambda: self._tick(event, timer.at))
-
-        self._pool.poll(gauged)
-
     def _tick(self, event: i.TimerFired, at: int) -> None:
         self.tell(event)
         self._handle(at)
--- a/cairnvane/keyed/log.py
+++ b/cairnvane/keyed/log.py
@@ -33,6 +33,7 @@
     at: int
     until: int
     rest: bytes
+    pos: int = 0  # with this record, notices up to this one have had their effect recorded
 
 
 @dataclass(slots=True)
@@ -127,6 +128,7 @@
         self._unsynced = self._new_name = False
         self._begun: dict[bytes, tuple[Segment, int]] = {}  # where the intents stand of which no end does
         self._link: int | None = None
+        self._pos = 0  # of the last record
         self._compaction: Iterator[None] | None = None
 
     @property
@@ -153,7 +155,7 @@
                 raise _foreign(name, header.name, self._owner.name)
             self._read(name, header, recovery)
         self._begun = {token: (run.segment, run.size) for token, run in recovery.runs.items()}
-        self._link = recovery.pool_started
+        self._link, self._pos = recovery.pool_started, recovery.pos
         return recovery
 
     def _read(self, name: str, header: record.Header, recovery: Recovery) -> None:
@@ -180,7 +182,7 @@
 
     # --- appending
 
-    def append(self, entries: Iterable[Entry], pos: int, unix_ms: int) -> list[tuple[int, int]]:
+    def append(self, entries: Iterable[Entry], unix_ms: int) -> list[tuple[int, int]]:
         """Write a group, in one write where it fits into the segment; the segment and offset of each."""
         placed: list[tuple[int, int]] = []
         buffer = bytearray()
@@ -191,14 +193,15 @@
                 raise ValueError(f"a record of {size} bytes")
             if self._current is None or self._full(size, len(buffer), entry.at):
                 self._write(buffer)
-                self._begin(entry.at, pos, unix_ms)
+                self._begin(entry.at, unix_ms)
             assert self._current is not None
             segment = self._current
             buffer += bytes(record.padding(segment.size, size))
             segment.size += record.padding(segment.size, size)
             placed.append((segment.number, segment.size))
             buffer += record.put(
-                segment.number, entry.step, entry.token, entry.at, entry.until, pos, entry.rest)
+                segment.number, entry.step, entry.token, entry.at, entry.until, entry.pos, entry.rest)
+            self._pos = entry.pos
             segment.add(size, entry.until)
             self._account(entry, segment, size)
         self._write(buffer)
@@ -230,7 +233,7 @@
             self._handle.write(bytes(buffer))
             buffer.clear()
 
-    def _begin(self, at: int, pos: int, unix_ms: int) -> None:
+    def _begin(self, at: int, unix_ms: int) -> None:
         """A new segment, which opens with the link that holds: older segments may be dropped."""
         self.sync()
         self._close()
@@ -241,7 +244,8 @@
         self._unsynced = self._new_name = True
         data = record.put_header(record.Header(number, self._owner.boot, at, unix_ms, self._owner.name))
         if self._link is not None:
-            data += record.put(number, Step.LINK, record.NO_TOKEN, at, at, pos, record.put_link(self._link))
+            rest = record.put_link(self._link)
+            data += record.put(number, Step.LINK, record.NO_TOKEN, at, at, self._pos, rest)
             segment.add(len(data) - record.HEADER_BYTES, at)
         self._handle.write(data)
 
--- a/cairnvane/keyed/store.py
+++ b/cairnvane/keyed/store.py
@@ -12,7 +12,7 @@
 import threading
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from queue import Empty, SimpleQueue
 from typing import Protocol
 
@@ -75,7 +75,8 @@
     pass
 
 
-# Told of each named point of the writing, for whoever wants to cause trouble there.
+# Told of each named point of the writing, for whoever wants to cause trouble there: "recovery", "compaction",
+# and "append", "written" or "synced" with the kind of a record in the group.
 Points = Callable[[str], None]
 
 
@@ -339,19 +340,27 @@
         return True
 
     def _write_once(self, group: list[_Write]) -> None:
-        with self._lock:
-            pos = self._progress.pos
-        self._point("append")
-        placed = self._log.append((w.entry for w in group), pos, time.time_ns() // 1_000_000)
-        self._point("written")
+        self._point("append", group)
+        placed = self._log.append(self._told(group), time.time_ns() // 1_000_000)
+        self._point("written", group)
         if any(write.needed for write in group):
             self._log.sync()
             self._again = []
         elif self._power:
             self._again += group
-        self._point("synced")
+        self._point("synced", group)
         self._take(group, placed)
 
+    def _told(self, group: list[_Write]) -> list[Entry]:
+        """The group's records, each with the notices that need not come again once it is written: its own is
+        one of them, as are those of all before it."""
+        entries = []
+        with self._lock:
+            for write in group:
+                self._progress.written(write.pos)
+                entries.append(replace(write.entry, pos=self._progress.pos))
+        return entries
+
     def _take(self, group: list[_Write], placed: list[tuple[int, int]]) -> None:
         """The group counts."""
         with self._lock:
@@ -360,8 +369,6 @@
                 if not write.taken:
                     self._queued -= len(entry.rest) + _OVERHEAD
                     self._open_keys -= step in (Step.RESULT, Step.FAULT, Step.NEVER)
-                    if write.pos:
-                        self._progress.written(write.pos)
                 if step in (Step.RESULT, Step.FAULT):
                     state = State.FINISHED if step is Step.RESULT else State.FAILED
                     word = places.place(segment, offset, write.same, state)
@@ -418,6 +425,10 @@
         except OSError as error:
             log.say("keyed", f"the last records may be lost: {error}")
 
-    def _point(self, name: str) -> None:
-        if self._points is not None:
-            self._points(name)
+    def _point(self, name: str, group: list[_Write] | None = None) -> None:
+        if self._points is None:
+            return
+        if group is None:
+            return self._points(name)
+        for step in sorted({write.entry.step for write in group}):
+            self._points(f"{name} {step.name.lower()}")
--- a/cairnvane/lasting.py
+++ b/cairnvane/lasting.py
@@ -160,8 +160,10 @@
 
     def call(self, known: Tracked, go: Callable[[], None]) -> None:
         """`go`, in the host thread, once it is recorded that its call is about to be made."""
+        pos = known.call_pos
         self._keeper.calling(
-            self._token(known), self._until(known), known.call_pos, lambda: self._side.post(go))
+            self._token(known), self._until(known), pos,
+            lambda: self._side.post(lambda: go() if known.call_pos == pos else None))
 
     def ended(self, known: Tracked, outcome: Outcome, pos: int) -> None:
         """Its run is over. With a result, its answer waits for the record."""
@@ -224,7 +226,9 @@
                 log.say("keyed", f"{begun.uid}: ran in a class {begun.lane!r}, which is gone")
                 self._keeper.ended(begun.token, begun.until, begun.digest, None, 0, lambda: None)
                 continue
-            known = self._side.adopt(begun, number, max(ADOPT_US, begun.due - now))
+            # The reply to a call died with the earlier life, unless it had been passed on.
+            left_us = 0 if begun.call_pos else begun.due - now
+            known = self._side.adopt(begun, number, max(ADOPT_US, left_us))
             self._open[known.id] = True
             self._adopted[known.id] = begun.call_pos
         self._pool.resume(left.pos, left.pool_started, state.same_pool)
--- /dev/null
+++ b/cairnvane/runs.py
@@ -0,0 +1,109 @@
+"""What the pool and the vault are told of each run, and told again where a link was lost.
+
+The host thread alone calls this. Nothing is decided here; `docs/server.md` has the table of what is said
+again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from . import clock
+from .interface import Outcome, Repeat
+from .net.pool import Pool
+from .net.vault import Call
+from .tracked import Tracked
+
+# Of what was said on a link that broke, only the last 50 ms can be lost. It may take us so much longer to see
+# the break; what is older has arrived.
+DOUBTFUL_US = 1_000_000
+
+# How a call ended, its reply, and how long it took in microseconds.
+CallEnded = Callable[[Tracked, Outcome, int], None]
+
+
+class Runs:
+    """Commands and calls of the runs in hand."""
+
+    def __init__(
+        self, pool: Pool, vault: tuple[str, int], post: Callable[[Callable[[], None]], None], *,
+        never_began: Callable[[Tracked], None], call_ended: CallEnded,
+    ) -> None:
+        self.vault = vault  # for all calls from now on; those on their way end where they are
+        self._pool, self._post = pool, post
+        self._never_began, self._call_ended = never_began, call_ended
+        self._link = 0
+        self._calls_first: dict[str, bool] = {}  # of classes with a finished run: none of these had no call
+
+    def begin(self, known: Tracked) -> None:
+        """Have it run, or run on with the reply to its call."""
+        uid, known.told_at = known.exchange.uid, clock.now()
+        if known.reply is not None:
+            known.told = self._pool.supply(uid, known.reply)
+        else:
+            known.told = self._pool.spawn(uid, known.exchange.lane, known.exchange.body)
+
+    def over(self, known: Tracked, good: bool) -> None:
+        """Its end was told."""
+        known.running, known.told, known.halted = False, None, None
+        self.drop_call(known)
+        if good:
+            name = known.cls.name
+            self._calls_first[name] = self._calls_first.get(name, True) and known.reply is not None
+
+    def say_again(self, link: int, requests: Iterable[Tracked]) -> None:
+        """What an earlier link may have lost, now that its replay has shown what arrived."""
+        self._link = link
+        recent = clock.now() - DOUBTFUL_US
+        for known in requests:
+            cls = known.cls
+            if known.halted is not None and known.halted < link:
+                self.suspend(known)
+            elif known.told is None or known.told >= link or not known.running:
+                continue
+            elif known.told == 0 or (known.reply is None and cls.repeat is Repeat.SAFE):
+                self.begin(known)
+            elif known.told_at >= recent and (known.reply is not None or self._calls_first.get(cls.name)):
+                # A run takes no second `spawn` while it goes on, and one that has to call can't end unseen.
+                self.begin(known)
+
+    def suspend(self, known: Tracked) -> None:
+        """Stop a run. One that was lost with a link would never be told to have ended, and its place be taken
+        for good: there, the answer to a later question shows whether an end is still to come."""
+        known.halted = self._pool.suspend(known.exchange.uid)
+
+        def passed(there: bool) -> None:
+            if there:
+                self._post(lambda: self._passed(known))
+
+        if known.halted and known.told is not None and known.told != known.halted:
+            self._pool.sync(passed)
+
+    def _passed(self, known: Tracked) -> None:
+        if known.running and known.told is not None and known.halted == self._link:
+            self._never_began(known)
+
+    def call(self, known: Tracked, timeout: int) -> None:
+        """Make the call that it waits for, unless it waits no more."""
+        if not known.running or not known.exchange.open:
+            return
+
+        def ended(outcome: Outcome, body: bytes, took: int) -> None:
+            self._post(lambda: self._end_call(known, call, outcome, body, took))
+
+        call = known.call = Call(self.vault, known.exchange.uid, known.call_body, timeout, ended)
+
+    def _end_call(self, known: Tracked, call: Call, outcome: Outcome, body: bytes, took: int) -> None:
+        if known.call is not call:
+            return  # given up meanwhile
+        known.call = None
+        if outcome is Outcome.OK:
+            known.reply = body
+            self.begin(known)
+        self._call_ended(known, outcome, took)
+
+    def drop_call(self, known: Tracked) -> None:
+        """Give up its call, if one is on its way."""
+        if known.call is not None:
+            known.call.give_up()
+            known.call = None
--- /dev/null
+++ b/cairnvane/ticks.py
@@ -0,0 +1,34 @@
+"""The controller's timers: a library timer for each, and the gauges that a tick brings."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+
+from . import clock
+from . import interface as i
+from .net.pool import Pool
+from .wire import timer_fired
+
+
+class Ticks:
+    """`tick` is called with the event and the time before which it may not be told, in whatever thread."""
+
+    def __init__(
+        self, pool: Pool, gauges: tuple[str | None, ...], tick: Callable[[i.TimerFired, int], None],
+    ) -> None:
+        self._pool, self._gauges, self._tick = pool, gauges, tick
+
+    def set(self, action: i.SetTimer) -> None:
+        """Ask for a tick."""
+        timer = threading.Timer(max(0, action.at - clock.now()) / 1e6, self._due, (action,))
+        timer.daemon = True
+        timer.start()
+
+    def _due(self, timer: i.SetTimer) -> None:
+        """In the timer's thread: fetch the gauges."""
+        def gauged(meters: tuple[float, ...]) -> None:
+            # Never before its time by a rounding: the controller takes that for one that it replaced.
+            self._tick(timer_fired(timer.token, list(meters), self._gauges), timer.at)
+
+        self._pool.poll(gauged)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -14,6 +14,8 @@
 from typing import Any
 
 from cairnvane.host import Host
+from cairnvane.keys import Keeper
+from cairnvane.lasting import Lasting
 from cairnvane.net import fastcgi
 from cairnvane.net.pool import Pool
 from cairnvane.net.server import Server
@@ -70,6 +72,7 @@
         self.commands: queue.Queue[dict[str, Any]] = queue.Queue()
         self.bound = bound
         self.linked = threading.Event()  # commands arrive from now on
+        self.started = time.monotonic() - 60
         self._link: socket.socket | None = None
         self._pos = 0
         self._listener = Listener(self._serve)
@@ -86,7 +89,8 @@
                     continue
                 self.commands.put(command)
                 if command["action"] == "bind" and self.bound:
-                    self.tell(action="bound", code="running", wall_ms=1)
+                    age_ms = (time.monotonic() - self.started) * 1e3
+                    self.tell(action="bound", code="running", wall_ms=age_ms)
 
     def tell(self, **message: Any) -> None:
         assert self._link is not None
@@ -122,10 +126,15 @@
         self.notice("finished", command["uid"], code, result if code == "fine" else b"")
         return command
 
+    def restart(self) -> None:
+        """It knows of nothing any more, and counts from 1."""
+        self._pos, self.started = 0, time.monotonic()
+
     def cut(self) -> None:
-        """Break the link."""
-        assert self._link is not None
-        self._link.shutdown(socket.SHUT_RDWR)
+        """Break the link, if there is one."""
+        if self._link is not None:
+            with contextlib.suppress(OSError):
+                self._link.shutdown(socket.SHUT_RDWR)
 
 
 class VaultPeer:
@@ -241,9 +250,11 @@
     vault: VaultPeer
     server: Server
     host: Host
+    balancers: list[Balancer] = field(default_factory=list)  # one that nobody holds would hang up
 
     def balancer(self) -> Balancer:
-        return Balancer(self.server.address)
+        self.balancers.append(Balancer(self.server.address))
+        return self.balancers[-1]
 
     def serve(self, balancer: Balancer, number: int, **fields: Any) -> Answer:
         """A request that is run and answered."""
@@ -262,22 +273,35 @@
 
 
 @contextlib.contextmanager
-def world(*replies: bytes, bound: bool = True, most: int = 16, **extra: Any) -> Iterator[World]:
-    """A running server; `replies` are what the vault says, `extra` changes the settings' `Extra`."""
+def world(
+    *replies: bytes, bound: bool = True, most: int = 16, keeper: Keeper | None = None,
+    peer: PoolPeer | None = None, pos: int | None = 0, **extra: Any,
+) -> Iterator[World]:
+    """A running server; `replies` are what the vault says, `extra` changes the settings' `Extra`. With a
+    keeper, `peer` may be the pool of an earlier life, which is bound from `pos` on (None: not waited for)."""
     settings, gauges = read_settings(json.dumps(PARAMS | {"Extra": PARAMS["Extra"] | extra}))
-    pool, vault = PoolPeer(bound), VaultPeer(*replies)
+    pool, vault = peer or PoolPeer(bound), VaultPeer(*replies)
+    pool.linked.clear()
     host = Host(settings, gauges, seed=1)
     link, server = Pool(pool.address, host), Server(("127.0.0.1", 0), host, most)
-    host.join(server, link, vault.address)
+    lasting = Lasting(keeper, host.keys, settings) if keeper is not None else None
+    host.join(server, link, vault.address, lasting)
     thread = threading.Thread(target=host.serve, daemon=True)
     thread.start()
-    link.start()
+    if lasting is not None:
+        lasting.start(host, link, lambda why: None)
+    else:
+        link.start()
     server.start()
-    assert pool.next("bind")["pos"] == 0
-    assert pool.linked.wait(WAIT_S if bound else 0) is bound
+    if pos is not None:
+        assert pool.next("bind")["pos"] == pos
+        assert pool.linked.wait(WAIT_S if bound else 0) is bound
     try:
         yield World(pool, vault, server, host)
     finally:
         server.retire(0)
         host.stop()
         thread.join(WAIT_S)
+        if keeper is not None:  # what was said on a link of an earlier life must not reach the next one
+            link._moves += 1
+            pool.cut()
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,144 @@
+"""The command line and the operator's file, as a new user meets them."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import stat
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+from peers import TOKEN, WAIT_S, Balancer, PoolPeer
+from test_keyed_log import segment
+from test_program import FILE, NOWHERE, program
+
+from cairnvane.cli import main
+from cairnvane.config import ConfigError, operator
+from cairnvane.keyed.files import OsFiles, segment_name
+
+KEYED = "keyed:\n  folder: keyed\n"
+EXAMPLE = Path(__file__).parents[1] / "deploy" / "operator.yaml"
+
+
+def operators(tmp_path: Path, text: str) -> Path:
+    path = tmp_path / "operator.yaml"
+    path.write_text(text)
+    return path
+
+
+def run(*words: str | Path) -> Any:
+    return CliRunner().invoke(main, [str(word) for word in words])
+
+
+@pytest.mark.parametrize(("text", "words"), [
+    ("keyed: {folder: a, max_disk: 3}", ["keyed", "max_disk"]), ("tenants: {}", ["tenants"]),
+    ("keyed: {folder: a, max_disk_mb: lots}", ["keyed.max_disk_mb", "'lots'"]),
+    ("keyed: {folder: a, max_disk_mb: 1}", ["keyed.max_disk_mb: 1 is not between 2 and"]),
+    ("keyed: {folder: a, max_memory_mb: 0}", ["keyed.max_memory_mb: 0 is not between 1 and"]),
+    ("keyed: {folder: a, durability: forever}", ["keyed.durability", "'forever'"]),
+    ("keyed: {}", ["keyed", "folder"]), ("log: {form: xml}", ["log.form", "'xml'"]),
+    ("keyed: [", ["line 2"]), ("keyed:", ["keyed: nothing stands"]),
+    ("- 1", ["array"]), ("\x00", ["operator.yaml"]),
+])
+def test_a_fault_in_the_operators_file_is_named_in_one_line(
+    tmp_path: Path, text: str, words: list[str],
+) -> None:
+    with pytest.raises(ConfigError) as error:
+        operator.load(operators(tmp_path, text))
+    for word in words:
+        assert word in str(error.value)
+    assert "\n" not in str(error.value)
+
+
+def test_the_example_is_right_and_an_empty_file_turns_nothing_on(tmp_path: Path) -> None:
+    told = operator.load(EXAMPLE)
+    assert told.keyed is not None and told.keyed.folder == str(EXAMPLE.parent / "keyed")
+    assert (told.keyed.disk_bytes, told.keyed.memory_bytes) == (64 << 20, 8 << 20)
+    assert operator.load(operators(tmp_path, "# nothing yet\n")) == operator.Operator()
+
+
+def test_the_plain_line_imports_nothing_that_it_does_not_need() -> None:
+    heavy = ["click", "structlog", "yaml", "google_crc32c", "cairnvane.keyed", "cairnvane.lasting",
+             "cairnvane.lab", "cairnvane.config.operator"]
+    code = f"import cairnvane.__main__, sys; print([name for name in {heavy} if name in sys.modules])"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
+
+
+@pytest.mark.parametrize(("words", "status"), [
+    ([], 2), (["serve", "--oops"], 2), (["keyed", "verify", "/nowhere"], 2), (["keyed", "verify"], 2),
+    (["--help"], 0), (["serve", "--help"], 0), (["--version"], 0), (["nothing"], 2),
+])
+def test_wrong_use_has_status_2(words: list[str], status: int) -> None:
+    assert run(*words).exit_code == status
+
+
+def test_a_commit_is_kept_over_a_kill_of_the_real_program(tmp_path: Path) -> None:
+    """And the folder's tools say what is in it, to nobody but its owner."""
+    path = operators(tmp_path, "log: {form: json}\n" + KEYED)
+    pool = PoolPeer()
+    at = f"{pool.address[0]}:{pool.address[1]}"
+    write = {"path": "/svc/write", "HTTP_REQ_TOKEN": TOKEN}
+    folder = tmp_path / "keyed"
+    with program(tmp_path, at, NOWHERE, operator=path) as (process, port):
+        balancer = Balancer(("127.0.0.1", port))
+        balancer.send(1, **write)  # type: ignore[arg-type]
+        pool.next("bind")
+        pool.run(b"original")
+        assert balancer.answer()[1].body == b"original"
+        refused = run("keyed", "compact", folder)
+        assert (refused.exit_code, "in use" in refused.output) == (2, True)
+        process.kill()
+        process.wait(WAIT_S)
+    for name in folder.iterdir():
+        assert stat.S_IMODE(name.stat().st_mode) == 0o600
+    assert "1 finished" in run("keyed", "verify", folder).output
+    [row] = [json.loads(line) for line in run("keyed", "show", "--json", folder).output.splitlines()]
+    assert (row["token"], row["state"], row["class"]) == (TOKEN, "finished", "write")
+    assert run("keyed", "compact", folder).exit_code == 0
+    with program(tmp_path, at, NOWHERE, operator=path) as (process, port):
+        balancer = Balancer(("127.0.0.1", port))
+        balancer.send(2, **write)  # type: ignore[arg-type]
+        assert balancer.answer()[1].body == b"original"
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(WAIT_S) == 0
+
+
+@pytest.mark.parametrize(("spoil", "status", "word"), [
+    (lambda data: data, 0, "good"), (lambda data: data[:-7], 0, "torn"),
+    (lambda data: data[:200] + b"\xff" + data[201:] + bytes(70_000) + b"x", 1, "a record may be lost"),
+    (lambda data: b"", 1, "empty"), (lambda data: data[:8] + b"\x63\0" + data[10:], 2, "newer version"),
+])
+def test_verify_says_what_is_wrong(tmp_path: Path, spoil: Any, status: int, word: str) -> None:
+    _, name, data = segment()
+    (tmp_path / name).write_bytes(spoil(data))
+    before = (tmp_path / name).read_bytes()
+    done = run("keyed", "verify", tmp_path)
+    assert (done.exit_code, word in done.output) == (status, True), done.output
+    assert (tmp_path / name).read_bytes() == before
+
+
+@pytest.mark.parametrize("other", ["another instance", "another process"])
+def test_a_folder_that_is_anothers_ends_the_start_with_one_line(tmp_path: Path, other: str) -> None:
+    path = operators(tmp_path, KEYED)
+    folder = tmp_path / "keyed"
+    folder.mkdir()
+    holder = OsFiles(folder)
+    if other == "another process":
+        holder.lock()
+    else:
+        (folder / segment_name(1)).write_bytes(segment()[2])  # of n1
+    config = tmp_path / "config.json"
+    config.write_text(json.dumps(FILE | {"name": "n3"}))
+    done = subprocess.run(
+        [sys.executable, "-m", "cairnvane"], capture_output=True, text=True, timeout=WAIT_S,
+        env={**os.environ, "LB_CONFIG": str(config), "CAIRNVANE_OPERATOR": str(path)})
+    assert done.returncode == 2
+    assert done.stderr.count("\n") == 1 and "keyed.folder:" in done.stderr
+    assert ("in use" if other == "another process" else "belongs to") in done.stderr
+    holder.unlock()
--- a/tests/test_keyed_log.py
+++ b/tests/test_keyed_log.py
@@ -53,8 +53,8 @@
 
     def put(self, step: Step, number: int, rest: bytes = b"") -> tuple[int, int]:
         """One record, synced."""
-        entry = Entry(step, token(number), self.now, self.now + WINDOW, rest)
-        [place] = self.log.append([entry], pos=number, unix_ms=0)
+        entry = Entry(step, token(number), self.now, self.now + WINDOW, rest, pos=number)
+        [place] = self.log.append([entry], unix_ms=0)
         self.log.sync()
         return place
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -6,6 +6,7 @@
 import json
 import os
 import queue
+import re
 import signal
 import socket
 import subprocess
@@ -28,7 +29,9 @@
 
 
 @contextlib.contextmanager
-def program(tmp_path: Path, pool: str, roster: str) -> Iterator[tuple[subprocess.Popen[str], int]]:
+def program(
+    tmp_path: Path, pool: str, roster: str, operator: Path | None = None,
+) -> Iterator[tuple[subprocess.Popen[str], int]]:
     """The program, and the port that it listens on."""
     told = {
         "name": "n3", "listen": "127.0.0.1:0", "pool": pool, "roster": roster, "vault": NOWHERE,
@@ -39,12 +42,13 @@
     path.write_text(json.dumps(told))
     process = subprocess.Popen(
         [sys.executable, "-m", "cairnvane"], stderr=subprocess.PIPE, text=True,
-        env={**os.environ, "LB_CONFIG": str(path)})
+        env={**os.environ, "LB_CONFIG": str(path), "CAIRNVANE_OPERATOR": str(operator or "")})
     try:
         assert process.stderr is not None
         line = process.stderr.readline()
-        assert line.startswith("cairnvane: n3 listens on 127.0.0.1:"), line
-        yield process, int(line.rpartition(":")[2])
+        found = re.search(r"n3 listens on 127\.0\.0\.1:([0-9]+)", line)
+        assert found is not None, line
+        yield process, int(found[1])
     finally:
         process.kill()
         process.wait()
@@ -64,7 +68,7 @@
 
     pool, list_ = PoolPeer(), Listener(roster)
     at = [f"{host}:{port}" for host, port in (pool.address, list_.address)]
-    with program(tmp_path, *at) as (process, port):
+    with program(tmp_path, at[0], at[1]) as (process, port):
         balancer = Balancer(("127.0.0.1", port))
         for _ in range(2):  # it goes on reporting
             assert reports.get(timeout=WAIT_S).startswith(b"PUT /roster/n3 HTTP/1.1\r\n")
@@ -91,7 +95,7 @@
     at = [[f"{host}:{port}" for host, port in (pool.address, roster.address)]
           for pool, roster in zip(pools, rosters, strict=True)]
     path = tmp_path / "config.json"
-    with program(tmp_path, *at[0]) as (process, port):
+    with program(tmp_path, at[0][0], at[0][1]) as (process, port):
         balancer = Balancer(("127.0.0.1", port))
         balancer.send(1)
         assert pools[0].next("bind")["pos"] == 0
