Add a laboratory that kills the real program and replays every commit

What is promised over restarts has to be shown on the real program. lab/ has stand-ins for pool, vault, roster and balancers, a victim that is killed at named points of the keeper's work, and a judge who asks the pool and the vault only. Benchmarks for index, appends, recovery and latency stand beside it.

With intents switched off the same judge counts second runs, with results switched off too.

--- /dev/null
+++ b/benchmarks/keyed_index.py
@@ -0,0 +1,95 @@
+"""The index of kept keys beside a dict of dataclasses: bytes an entry, and time an operation."""
+
+from __future__ import annotations
+
+import json
+import random
+import sys
+import time
+from collections import deque
+from dataclasses import dataclass
+
+import table
+
+from cairnvane.keyed.index import BYTES_PER_ENTRY, Index
+
+SIZES = (10_000, 100_000, 1_000_000)
+CHUNK = 10_000
+WINDOW_US = 17_364_000
+
+
+@dataclass(slots=True)
+class Entry:
+    """What the plain one keeps for a token."""
+
+    place: int
+    until: int
+
+
+class Plain:
+    """A dict, and a queue of what ages next: entries come in the order of their ends."""
+
+    def __init__(self) -> None:
+        self.entries: dict[bytes, Entry] = {}
+        self.order: deque[bytes] = deque()
+
+    def put(self, token: bytes, place: int, until: int) -> bool:
+        self.entries[token] = Entry(place, until)
+        self.order.append(token)
+        return True
+
+    def get(self, token: bytes) -> Entry | None:
+        return self.entries.get(token)
+
+    def expire(self, before: int) -> int:
+        count = 0
+        while self.order and self.entries[self.order[0]].until < before:
+            del self.entries[self.order.popleft()]
+            count += 1
+        return count
+
+
+def measure(kind: str, size: int) -> dict[str, float]:
+    """One of them, filled with `size` entries; tokens are made as they are needed and not kept here."""
+    rng = random.Random(1)
+    base = table.resident()
+    one: Index | Plain = Index(size * BYTES_PER_ENTRY) if kind == "index" else Plain()
+    spent = {"put": 0.0, "hit": 0.0, "miss": 0.0, "expire": 0.0}
+
+    def timed(name: str, task: object) -> None:
+        start = time.perf_counter()
+        task()  # type: ignore[operator]
+        spent[name] += time.perf_counter() - start
+
+    for first in range(0, size, CHUNK):
+        tokens = [rng.randbytes(16) for _ in range(CHUNK)]
+        timed("put", lambda tokens=tokens, first=first: [
+            one.put(token, n << 17, WINDOW_US + n * 1_000) for n, token in enumerate(tokens, first)])
+    del tokens
+    held = table.resident() - base
+    rng = random.Random(1)
+    known = [rng.randbytes(16) for _ in range(CHUNK)]
+    fresh = [random.Random(2).randbytes(16) for _ in range(CHUNK)]
+    timed("hit", lambda: [one.get(token) for token in known])
+    timed("miss", lambda: [one.get(token) for token in fresh])
+    timed("expire", lambda: [one.expire(WINDOW_US + n * 1_000) for n in range(CHUNK)])
+    counts = {"put": size, "hit": CHUNK, "miss": CHUNK, "expire": CHUNK}
+    return {"bytes": held / size} | {name: spent[name] / counts[name] * 1e6 for name in spent}
+
+
+def main() -> None:
+    """All sizes, each in processes of its own."""
+    rows = []
+    for size in SIZES:
+        for kind, name in (("index", "ring and buckets"), ("plain", "dict of dataclasses")):
+            got = table.child(__file__, kind, size)
+            rows.append([size, name, got["bytes"], got["put"], got["hit"], got["miss"], got["expire"]])
+    head = ["entries", "structure", "bytes an entry", "put µs", "hit µs", "miss µs", "age out µs"]
+    table.show("The index", head, rows)
+
+
+if __name__ == "__main__":
+    if len(sys.argv) > 1:
+        print(json.dumps(measure(sys.argv[1], int(sys.argv[2]))))
+    else:
+        main()
--- /dev/null
+++ b/benchmarks/keyed_recovery.py
@@ -0,0 +1,59 @@
+"""Recovery time and peak memory, beside SQLite and LMDB, with and without their tokens read into memory."""
+
+from __future__ import annotations
+
+import json
+import random
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import rivals
+import table
+
+SIZES = (10_000, 100_000, 1_000_000)
+RESULT_BYTES = 200
+
+
+def fill(kind: str, folder: Path, size: int) -> None:
+    """As many entries as a window may hold."""
+    rng = random.Random(1)
+    result = rng.randbytes(RESULT_BYTES)
+    until = time.monotonic_ns() // 1_000 + 100 * rivals.WINDOW_US
+    with rivals.opened(kind, folder, False, 1) as store:
+        for _ in range(0, size, 1_000):
+            store.append([(rng.randbytes(16), until, result) for _ in range(1_000)])
+
+
+def recover(kind: str, folder: Path, size: int, load: bool) -> dict[str, float]:
+    """Open it until it can say of a token whether it is known."""
+    base = table.resident()
+    start = time.perf_counter()
+    with rivals.opened(kind, folder, False, size + 1_000) as store:
+        if load and not isinstance(store, rivals.Own):
+            assert store.load() == size
+        took = time.perf_counter() - start
+        assert not isinstance(store, rivals.Own) or store.open == size
+        return {"s": took, "mb": (table.peak() - base) / 1e6}
+
+
+def main() -> None:
+    """All sizes; each recovery in a process of its own."""
+    rows = []
+    for size in SIZES:
+        for kind in rivals.KINDS:
+            with tempfile.TemporaryDirectory(dir=Path(__file__).parent) as folder:
+                fill(kind, Path(folder), size)
+                for load in (True, False) if kind != "own" else (True,):
+                    got = table.child(__file__, kind, folder, size, int(load))
+                    name = kind if load else f"{kind}, opened only"
+                    rows.append([size, name, got["s"], got["mb"]])
+    table.show("Recovery", ["entries", "store", "s", "MB more at the peak"], rows)
+
+
+if __name__ == "__main__":
+    if len(sys.argv) > 1:
+        print(json.dumps(recover(sys.argv[1], Path(sys.argv[2]), int(sys.argv[3]), sys.argv[4] == "1")))
+    else:
+        main()
--- /dev/null
+++ b/benchmarks/keyed_server.py
@@ -0,0 +1,38 @@
+"""The real program, with its kept results in SQLite where BENCH_STORE says so; for `keyed_latency.py`."""
+
+from __future__ import annotations
+
+import os
+import sqlite3
+import sys
+
+import cairnvane.keyed
+from cairnvane.__main__ import main
+from cairnvane.keys import Recovered
+
+
+class SqliteStore(cairnvane.keyed.Store):
+    """The same writer and queue, but each group is a transaction."""
+
+    def _recover(self) -> None:
+        path = self._files._folder / "keyed.sqlite"  # type: ignore[attr-defined]
+        self._db = sqlite3.connect(path, isolation_level=None)
+        self._db.execute("PRAGMA journal_mode=WAL")
+        self._db.execute(f"PRAGMA synchronous={'FULL' if self._power else 'OFF'}")
+        self._db.execute("CREATE TABLE IF NOT EXISTS kept "
+                         "(token BLOB PRIMARY KEY, step INTEGER, until INTEGER, rest BLOB) WITHOUT ROWID")
+        self._ready = True
+        self._recovered(Recovered())
+
+    def _write_once(self, group) -> None:  # type: ignore[no-untyped-def]
+        self._db.execute("BEGIN IMMEDIATE")
+        self._db.executemany("INSERT OR REPLACE INTO kept VALUES (?, ?, ?, ?)", [
+            (entry.token, entry.step, entry.until, entry.rest) for entry in self._told(group)])
+        self._db.execute("COMMIT")
+        self._take(group, [(0, 0)] * len(group))
+
+
+if __name__ == "__main__":
+    if os.environ.get("BENCH_STORE") == "sqlite":
+        cairnvane.keyed.Store = SqliteStore  # type: ignore[misc]
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/rivals.py
@@ -0,0 +1,104 @@
+"""Other stores for the same entries: SQLite with a write-ahead log, and LMDB."""
+
+from __future__ import annotations
+
+import contextlib
+import sqlite3
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import lmdb
+
+from cairnvane.keyed import log, record
+from cairnvane.keyed.files import OsFiles
+from cairnvane.keyed.index import BYTES_PER_ENTRY, Index
+from cairnvane.keyed.state import Step
+
+Row = tuple[bytes, int, bytes]  # token, until, result
+WINDOW_US = 17_364_000
+DIGEST = bytes(16)
+HUGE = 1 << 34
+
+
+class Own:
+    """The project's own log: an intent and an end for each commit, as the store writes them."""
+
+    def __init__(self, folder: Path, power: bool, entries: int = 1_000) -> None:
+        self.now = time.monotonic_ns() // 1_000
+        owner = log.Owner("bench", bytes(16))
+        self.log = log.Log(OsFiles(folder), owner, most_disk=HUGE, power=power, unread=0)
+        self.index = Index(entries * BYTES_PER_ENTRY)
+        self.log.recover(self.index, self.now)
+        self.open = len(self.index)
+
+    def append(self, rows: list[Row]) -> None:
+        self.log.append(
+            (log.Entry(Step.RESULT, token, self.now, until, record.put_end(DIGEST, result))
+             for token, until, result in rows),
+            unix_ms=0)
+        self.log.sync()
+
+    def close(self) -> None:
+        self.log.close()
+
+
+class Sqlite:
+    """A table in SQLite. `synchronous=FULL` syncs the log at each commit, `OFF` never does."""
+
+    def __init__(self, folder: Path, power: bool, entries: int = 0) -> None:
+        self.db = sqlite3.connect(folder / "keyed.sqlite", isolation_level=None, check_same_thread=False)
+        self.db.execute("PRAGMA journal_mode=WAL")
+        self.db.execute(f"PRAGMA synchronous={'FULL' if power else 'OFF'}")
+        self.db.execute("CREATE TABLE IF NOT EXISTS kept "
+                        "(token BLOB PRIMARY KEY, until INTEGER, result BLOB) WITHOUT ROWID")
+        self.db.execute("CREATE INDEX IF NOT EXISTS ends ON kept (until)")
+        self.open = 0
+
+    def append(self, rows: list[Row]) -> None:
+        self.db.execute("BEGIN IMMEDIATE")
+        self.db.executemany("INSERT OR REPLACE INTO kept VALUES (?, ?, ?)", rows)
+        self.db.execute("COMMIT")
+
+    def load(self) -> int:
+        """Know all tokens in memory, so that no arrival waits for the disk."""
+        known = dict(self.db.execute("SELECT token, until FROM kept"))
+        return len(known)
+
+    def close(self) -> None:
+        self.db.close()
+
+
+class Lmdb:
+    """A tree in LMDB; without `power` it leaves all syncing to the system."""
+
+    def __init__(self, folder: Path, power: bool, entries: int = 0) -> None:
+        self.env = lmdb.open(str(folder), map_size=HUGE, sync=power, metasync=power)
+        self.open = 0
+
+    def append(self, rows: list[Row]) -> None:
+        with self.env.begin(write=True) as txn:
+            for token, until, result in rows:
+                txn.put(token, until.to_bytes(8, "big") + result)
+
+    def load(self) -> int:
+        """As `Sqlite.load`."""
+        with self.env.begin() as txn:
+            known = {bytes(token): bytes(value[:8]) for token, value in txn.cursor()}
+        return len(known)
+
+    def close(self) -> None:
+        self.env.close()
+
+
+KINDS = {"own": Own, "sqlite": Sqlite, "lmdb": Lmdb}
+
+
+@contextlib.contextmanager
+def opened(kind: str, folder: Path, power: bool, entries: int = 1_000) -> Iterator[Own | Sqlite | Lmdb]:
+    """A store on an empty or a filled folder."""
+    store = KINDS[kind](folder, power, entries)
+    try:
+        yield store
+    finally:
+        store.close()
--- a/cairnvane/keyed/log.py
+++ b/cairnvane/keyed/log.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
 from . import index as places
@@ -115,10 +115,14 @@
 class Log:
     """The segments of one owner in one folder."""
 
-    def __init__(self, files: Files, owner: Owner, *, most_disk: int, power: bool, unread: int) -> None:
+    def __init__(
+        self, files: Files, owner: Owner, *, most_disk: int, power: bool, unread: int,
+        points: Callable[[str], None] = lambda name: None,
+    ) -> None:
         self.segments: dict[int, Segment] = {}  # oldest first
         self.report = Report()
         self._files, self._owner, self._power, self._unread = files, owner, power, unread
+        self._point = points  # told of each named point of the work on segments
         self._most = plan.segment_bytes(most_disk)
         self._most_disk = most_disk
         self._next = 1
@@ -240,6 +244,7 @@
         number, self._next = self._next, self._next + 1
         segment = Segment(number, at)
         self._handle = self._files.create(segment_name(number))
+        self._point("rotation")
         self.segments[number] = self._current = segment
         self._unsynced = self._new_name = True
         data = record.put_header(record.Header(number, self._owner.boot, at, unix_ms, self._owner.name))
@@ -309,6 +314,7 @@
         numbers = plan.droppable(old, self._unread, now)
         for number in numbers:
             self._files.remove(segment_name(number))
+            self._point("drop")
             del self.segments[number]
         return len(numbers)
 
@@ -375,7 +381,9 @@
         if number not in self.segments:  # dropped meanwhile
             self._files.remove(temporary)
             return
+        self._point("compaction")
         self._files.replace(name, temporary)
+        self._point("compacted")
         self.segments[number] = new
         for token, (segment, size) in self._begun.items():
             if segment is old:
--- a/cairnvane/keyed/store.py
+++ b/cairnvane/keyed/store.py
@@ -75,8 +75,8 @@
     pass
 
 
-# Told of each named point of the writing, for whoever wants to cause trouble there: "recovery", "compaction",
-# and "append", "written" or "synced" with the kind of a record in the group.
+# Told of each named point, for whoever wants to cause trouble there: "recovery", "rotation", "drop",
+# "compaction" and "compacted", and "append", "written" or "synced" with the kind of a record in the group.
 Points = Callable[[str], None]
 
 
@@ -91,7 +91,8 @@
         self._most_disk, self._unread, self._points = disk_bytes, unread, points
         self._most_queued = int(plan.QUEUE_SHARE * memory_bytes)
         self._index = Index(memory_bytes - self._most_queued)
-        self._log = Log(files, Owner(name, boot), most_disk=disk_bytes, power=power, unread=unread)
+        self._log = Log(
+            files, Owner(name, boot), most_disk=disk_bytes, power=power, unread=unread, points=self._point)
         self._queue: SimpleQueue[_Write | _Fetch | _Close] = SimpleQueue()
         # Guards what host and writer both use: the index, the progress, and the sums.
         self._lock = threading.Lock()
@@ -407,7 +408,7 @@
         try:
             self._log.drop(now)
             while self._log.compact_a_little(self._index, now) and self._queue.empty():
-                self._point("compaction")
+                pass
         except OSError as error:
             self._log.abandon()
             log.say("keyed", f"making room failed: {error}")
--- /dev/null
+++ b/cairnvane/lab/balancer.py
@@ -0,0 +1,126 @@
+"""A stand-in balancer: tries over FastCGI on a few connections, each answered, broken or overdue."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..net import fastcgi
+from .sockets import shut
+
+# The protocol's own bound on open requests of a connection.
+MAX_OPEN = 32
+
+
+@dataclass(slots=True)
+class Reply:
+    """What came back for one try. `status` 0: its connection ended first."""
+
+    status: int
+    body: bytes
+    wait_ms: int
+    took_s: float
+
+
+Then = Callable[[Reply], None]
+
+
+class _Link:
+    def __init__(self, port: int) -> None:
+        self.sock = socket.create_connection(("127.0.0.1", port), 5)
+        self.sock.settimeout(None)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.lock = threading.Lock()
+        self.free = list(range(1, MAX_OPEN + 1))
+        self.open: dict[int, tuple[Then, float]] = {}
+        self.broken = False
+
+
+class StandInBalancer:
+    """Callers to one life of a server. `then` is called in a reader's thread, or in the caller's own if
+    there is no connection any more."""
+
+    def __init__(self, port: int, links: int = 4) -> None:
+        self._links = [_Link(port) for _ in range(links)]
+        self._room = threading.Semaphore(links * MAX_OPEN)
+        self._next = 0
+        for link in self._links:
+            threading.Thread(target=self._read, args=(link,), daemon=True).start()
+
+    def send(self, uid: str, lane: str, body: bytes, token: str | None, then: Then) -> None:
+        """Make a try, as soon as there is room on a connection."""
+        self._room.acquire()
+        params = {
+            "SCRIPT_NAME": f"/svc/{lane}", "REQUEST_METHOD": "POST", "HTTP_REQ_ID": uid, "HTTP_REQ_FROM": "1",
+            "HTTP_REQ_TIME": str(time.time_ns() // 1_000_000), "HTTP_REQ_KB": "8.0", "HTTP_REQ_RANK": "0.5",
+        }
+        if token is not None:
+            params["HTTP_REQ_TOKEN"] = token
+        link, number = self._claim(then)
+        data = b"".join([
+            fastcgi.record(fastcgi.BEGIN_REQUEST, number, b"\0\1\1\0\0\0\0\0"),
+            fastcgi.record(fastcgi.PARAMS, number, fastcgi.put_pairs(params)),
+            fastcgi.record(fastcgi.PARAMS, number, b""), fastcgi.record(fastcgi.STDIN, number, body),
+            fastcgi.record(fastcgi.STDIN, number, b""),
+        ])
+        with link.lock, contextlib.suppress(OSError):
+            if not link.broken:
+                link.sock.sendall(data)
+                return
+        self._end(link, number, Reply(0, b"", 0, 0.0))
+
+    def _claim(self, then: Then) -> tuple[_Link, int]:
+        while True:
+            for _ in self._links:
+                self._next = (self._next + 1) % len(self._links)
+                link = self._links[self._next]
+                with link.lock:
+                    if link.free:
+                        number = link.free.pop()
+                        link.open[number] = then, time.monotonic()
+                        return link, number
+
+    def _read(self, link: _Link) -> None:
+        data = b""
+        out: dict[int, bytearray] = {}
+        with contextlib.suppress(OSError):
+            while more := link.sock.recv(65_536):
+                data += more
+                at = 0
+                while (found := fastcgi.take(memoryview(data), at, len(data))) is not None:
+                    part, at = found
+                    if part.kind == fastcgi.STDOUT:
+                        out.setdefault(part.request, bytearray()).extend(part.content)
+                    elif part.kind == fastcgi.END_REQUEST:
+                        self._answered(link, part.request, bytes(out.pop(part.request, b"")))
+                data = data[at:]
+        with link.lock:
+            link.broken = True
+            left = list(link.open)
+        for number in left:
+            self._end(link, number, Reply(0, b"", 0, 0.0))
+
+    def _answered(self, link: _Link, number: int, content: bytes) -> None:
+        head, _, body = content.partition(b"\r\n\r\n")
+        fields = dict(line.split(": ", 1) for line in head.decode().split("\r\n") if ": " in line)
+        status = int(fields.get("Status", "500").split(" ")[0])
+        self._end(link, number, Reply(status, body, int(fields.get("Srv-Wait-Ms", "0")), 0.0))
+
+    def _end(self, link: _Link, number: int, reply: Reply) -> None:
+        with link.lock:
+            then, since = link.open.pop(number, (None, 0.0))
+            if then is None:
+                return
+            link.free.append(number)
+        self._room.release()
+        reply.took_s = time.monotonic() - since
+        then(reply)
+
+    def close(self) -> None:
+        """Hang up."""
+        for link in self._links:
+            shut(link.sock)
--- /dev/null
+++ b/cairnvane/lab/program.py
@@ -0,0 +1,106 @@
+"""Lives of the real program: started among stand-ins, watched, killed."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+import threading
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from . import victim
+
+START_WAIT_S = 20.0
+_RECOVERED = re.compile(r"kept results and .* in ([0-9.]+) ms")
+_LISTENS = re.compile(r"listens on 127\.0\.0\.1:([0-9]+)")
+
+
+@dataclass
+class Site:
+    """The files that a server is started from."""
+
+    folder: Path
+    pool: str
+    vault: str
+    roster: str
+    settings: dict[str, Any]
+    operator: str | None = None  # the text of the operator's file
+    stop_ms: int = 3_000
+
+    def write(self) -> dict[str, str]:
+        """Write them; the environment that names them."""
+        config = self.folder / "config.json"
+        config.write_text(json.dumps({
+            "name": "lab", "listen": "127.0.0.1:0", "pool": self.pool, "vault": self.vault,
+            "roster": self.roster, "seed": "1f", "stop_ms": self.stop_ms, "settings": self.settings}))
+        environment = {"LB_CONFIG": str(config)}
+        if self.operator is not None:
+            path = self.folder / "operator.yaml"
+            path.write_text(self.operator)
+            environment["CAIRNVANE_OPERATOR"] = str(path)
+        return environment
+
+
+@dataclass
+class Life:
+    """One process."""
+
+    process: subprocess.Popen[str]
+    began: float
+    port: int = 0
+    lines: list[str] = field(default_factory=list)
+    recovery_ms: float | None = None
+    _said: threading.Event = field(default_factory=threading.Event)
+
+    def watch(self) -> None:
+        """Read what it says until it ends."""
+        assert self.process.stderr is not None
+        for line in self.process.stderr:
+            self.lines.append(line.rstrip())
+            if (found := _LISTENS.search(line)) is not None:
+                self.port = int(found[1])
+                self._said.set()
+            if (found := _RECOVERED.search(line)) is not None:
+                self.recovery_ms = float(found[1])
+        self._said.set()
+
+    def listens(self) -> bool:
+        """Wait until it does; False if it ended first."""
+        return self._said.wait(START_WAIT_S) and self.port > 0
+
+    def alive(self) -> bool:
+        """Whether it has not ended."""
+        return self.process.poll() is None
+
+    def wait(self, seconds: float) -> None:
+        """Until it has ended, but no longer than this."""
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            self.process.wait(seconds)
+
+    def kill(self) -> None:
+        """SIGKILL, and its end."""
+        self.process.send_signal(signal.SIGKILL)
+        self.process.wait()
+
+    def stop(self, wait_s: float) -> int:
+        """SIGTERM, and its status."""
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(wait_s)
+
+
+def start(site: Site, kill: str = "", mutant: str = "") -> Life:
+    """A life of the server, killed at the named point if one is given."""
+    environment = {name: value for name, value in os.environ.items() if not name.startswith(("LB_", "CAIRN"))}
+    environment |= site.write() | {victim.KILL: kill, victim.MUTANT: mutant}
+    process = subprocess.Popen(
+        [sys.executable, "-m", "cairnvane.lab.victim"], env=environment, stderr=subprocess.PIPE, text=True)
+    life = Life(process, time.monotonic())
+    threading.Thread(target=life.watch, daemon=True).start()
+    return life
--- /dev/null
+++ b/cairnvane/lab/victim.py
@@ -0,0 +1,58 @@
+"""`python -m cairnvane.lab.victim`: the real program, killed at a named point of the keeper's work.
+
+CAIRNVANE_LAB_KILL names the point and how often it is passed before, as in `written intent:3`. SIGKILL is
+what ends it, from within: nothing is flushed and no one is told. CAIRNVANE_LAB_MUTANT takes a part of the
+keeper out, to show that the judge sees what comes of it.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from collections.abc import Callable
+
+from ..__main__ import main
+from ..keyed import Store, plan
+from ..keys import Begun
+
+KILL, MUTANT = "CAIRNVANE_LAB_KILL", "CAIRNVANE_LAB_MUTANT"
+MUTANTS = ("no-intents", "no-results")
+
+
+def killer(text: str) -> Callable[[str], None]:
+    """Ends the process when a point has been passed often enough."""
+    point, _, count = text.rpartition(":")
+    left = int(count)
+
+    def passed(name: str) -> None:
+        nonlocal left
+        if name == point:
+            left -= 1
+            if left < 0:
+                os.kill(os.getpid(), signal.SIGKILL)
+
+    return passed
+
+
+def _no_intents(self: Store, begun: Begun, then: Callable[[], None]) -> None:
+    then()
+
+
+def _no_results(
+    self: Store, token: bytes, until: int, same: bytes, result: bytes | None, pos: int,
+    then: Callable[[], None],
+) -> None:
+    then()
+
+
+if __name__ == "__main__":
+    mutant = os.environ.get(MUTANT, "")
+    if mutant == "no-intents":
+        Store.intend = _no_intents  # type: ignore[method-assign]
+    elif mutant == "no-results":
+        Store.ended = _no_results  # type: ignore[method-assign]
+    told = os.environ.get(KILL, "")
+    if told.startswith("compact"):  # which would else wait for space to become scarce
+        plan.COMPACT_ABOVE, plan.COMPACT_DEAD = 0.0, 0.05
+    sys.exit(main(killer(told) if told else None))
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,37 @@
+"""The laboratory's own checks: the real program under kills, and a judge who can fail it."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from cairnvane.cli import main
+
+
+def restarts(tmp_path: Path, *words: str) -> tuple[int, dict[str, Any]]:
+    path = tmp_path / "report.json"
+    done = CliRunner().invoke(main, ["lab", "restarts", "--json", str(path), *words])
+    return done.exit_code, json.loads(path.read_text())
+
+
+@pytest.mark.parametrize("durability", ["process", "power"])
+def test_no_commit_runs_twice_or_is_answered_otherwise(tmp_path: Path, durability: str) -> None:
+    words = ["--commits", "100", "--kills", "5", "--seed", "3", "--durability", durability]
+    status, report = restarts(tmp_path, *words)
+    assert (status, report["good"]) == (0, True), report
+    verdict = report["verdict"]
+    assert verdict["commits"] == 100 and verdict["tries"] > 100 and verdict["runs"] > 50
+
+
+@pytest.mark.parametrize(("mutant", "sees"), [("no-intents", "second_runs"), ("no-results", "second_runs")])
+def test_the_judge_counts_second_runs_where_records_are_switched_off(
+    tmp_path: Path, mutant: str, sees: str,
+) -> None:
+    """Each run must begin before a kill that the next life survives: with so many there is always one."""
+    words = ["--commits", "300", "--kills", "10", "--seed", "3", "--mutant", mutant]
+    status, report = restarts(tmp_path, *words)
+    assert status == 1 and report["verdict"][sees] > 0
