--- a/cairnvane/host.py
+++ b/cairnvane/host.py
@@ -20,7 +20,7 @@
 from .net.server import Server
 from .runs import Runs
 from .ticks import Ticks
-from .tracked import Tracked
+from .tracked import Tracked, adopted
 
 if TYPE_CHECKING:  # only where an operator turned it on
     from .lasting import Lasting
@@ -29,8 +29,6 @@
 KEY_SLACK_US = 100_000
 # Whom a try repeats whose forerunner is kept, but no longer held; requests are numbered from 1.
 NOT_HELD = 0
-# On which link a run of an earlier life was told of: before any of ours.
-EARLIER_LINK = -1
 # So much may share a call of `handle`: few enough for the first of it not to be kept waiting.
 MOST_TOGETHER = 32
 
@@ -271,15 +269,13 @@
             return self._runs.suspend(known)  # its call may have been made, and would be made twice
         self.tell(i.CallNeeded(known.id))
 
-    def _unsaid(self, known: Tracked) -> bool:
-        return self._lasting is not None and self._lasting.waits(known)
-
     def _lose_runs(self) -> None:
         """Their ends will never be told, and what had an effect is not run again."""
-        lost = [known for known in self._requests.values() if known.running and not self._unsaid(known)]
-        log.say("host", f"a new worker pool: {len(lost)} runs are lost with the one before")
+        lost = [known for known in self._requests.values() if known.running]
         if self._lasting is not None:
             self._lasting.replaced()
+            lost = [known for known in lost if not self._lasting.waits(known)]
+        log.say("host", f"a new worker pool: {len(lost)} runs are lost with the one before")
         for known in lost:
             self._end_run(known.exchange.uid, worker.FAULT)
 
@@ -372,16 +368,11 @@
     def adopt(self, begun: keys.Begun, cls: int, time_left: int) -> Tracked:
         """A run of an earlier life. Nobody is owed its answer but those who repeat it."""
         now = clock.now()
-        request = Request(
-            lambda answer: None, begun.uid, begun.lane, b"", arrived=now, caller=0, memory=begun.memory,
-            token=begun.token.hex())
         self._count += 1
-        known = Tracked(self._count, request, self._settings.classes[cls], None, held=False, running=True,
-                        told=EARLIER_LINK, same=begun.digest)
+        known = adopted(begun, self._count, self._settings.classes[cls], now)
         self._requests[known.id] = self._by_uid[begun.uid] = known
         self.keys.enter(begun.token.hex(), known.id, begun.until)
-        life = max(0, begun.until - now)
-        self.tell(i.Adopted(known.id, cls, time_left, life, begun.memory))
+        self.tell(i.Adopted(known.id, cls, time_left, max(0, begun.until - now), begun.memory))
         return known
 
     # --- actions
--- a/cairnvane/tracked.py
+++ b/cairnvane/tracked.py
@@ -7,9 +7,12 @@
 from . import interface as i
 from .exchange import Request
 from .interface import Outcome
-from .keys import Past, digest
+from .keys import Begun, Past, digest
 from .net.vault import Call
 
+# On which link a run of an earlier life was told of: before any of ours.
+EARLIER_LINK = -1
+
 
 @dataclass(slots=True)
 class Tracked:
@@ -39,3 +42,12 @@
         if self.same:
             return self.same == digest(request.lane, request.body)
         return (self.exchange.lane, self.exchange.body) == (request.lane, request.body)
+
+
+def adopted(begun: Begun, number: int, cls: i.RequestClass, now: int) -> Tracked:
+    """A run of an earlier life, whose caller has gone with it."""
+    request = Request(
+        lambda answer: None, begun.uid, begun.lane, b"", arrived=now, caller=0, memory=begun.memory,
+        token=begun.token.hex())
+    return Tracked(
+        number, request, cls, None, held=False, running=True, told=EARLIER_LINK, same=begun.digest)
