--- a/cairnvane/keys.py
+++ b/cairnvane/keys.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import heapq
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -68,14 +67,6 @@
         return owners
 
 
-DIGEST_BYTES = 16
-
-
-def digest(lane: str, body: bytes) -> bytes:
-    """What all tries of a request have in common, in 16 bytes; another body under its token differs."""
-    return hashlib.blake2b(lane.encode() + b"\0" + body, digest_size=DIGEST_BYTES).digest()
-
-
 @dataclass(frozen=True, slots=True)
 class Past:
     """A kept entry whose request the host no longer holds."""
--- a/cairnvane/lasting.py
+++ b/cairnvane/lasting.py
@@ -14,8 +14,9 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from . import clock, keys, log
+from . import clock, log
 from . import interface as i
+from .digest import digest
 from .exchange import Answer, Request, Verdict
 from .interface import Outcome
 from .keyed import state
@@ -106,7 +107,7 @@
     def recall(self, request: Request) -> Past | None:
         """What it repeats, if the host no longer holds that; `ValueError` if its token is another's."""
         assert request.token is not None
-        same = keys.digest(request.lane, request.body)
+        same = digest(request.lane, request.body)
         return self._keeper.recall(bytes.fromhex(request.token), same, request.arrived)
 
     def wait_us(self) -> int:
@@ -118,7 +119,7 @@
         stands = state.State.FINISHED if past.served else state.State.FAILED
         if state.repeat(stands, True) is state.Repeat.FAIL:
             return then(None)
-        same = keys.digest(known.exchange.lane, known.exchange.body)
+        same = digest(known.exchange.lane, known.exchange.body)
         self._keeper.fetch(past, same, lambda result: self._side.post(lambda: then(result)))
 
     # --- a request's way
@@ -140,7 +141,7 @@
     def run(self, known: Tracked) -> None:
         """It is to run, once that is recorded."""
         exchange = known.exchange
-        known.same = keys.digest(exchange.lane, exchange.body)
+        known.same = digest(exchange.lane, exchange.body)
         self._open[known.id] = True
         self._begins[known.id] = _Wait(known, clock.now() + BEGIN_WAIT_US)
         self._watch()
--- a/cairnvane/tracked.py
+++ b/cairnvane/tracked.py
@@ -7,7 +7,7 @@
 from . import interface as i
 from .exchange import Request
 from .interface import Outcome
-from .keys import Begun, Past, digest
+from .keys import Begun, Past
 from .net.vault import Call
 
 # On which link a run of an earlier life was told of: before any of ours.
@@ -40,6 +40,8 @@
     def alike(self, request: Request) -> bool:
         """Whether this could be another try of it. Of a run of an earlier life only the digest is known."""
         if self.same:
+            from .digest import digest  # loaded by now: only who keeps keys knows digests
+
             return self.same == digest(request.lane, request.body)
         return (self.exchange.lane, self.exchange.body) == (request.lane, request.body)
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -63,7 +63,7 @@
 
 
 def test_the_plain_line_imports_nothing_that_it_does_not_need() -> None:
-    heavy = ["click", "structlog", "yaml", "google_crc32c", "cairnvane.keyed", "cairnvane.lasting",
+    heavy = ["click", "hashlib", "structlog", "yaml", "google_crc32c", "cairnvane.keyed", "cairnvane.lasting",
              "cairnvane.lab", "cairnvane.config.operator"]
     code = f"import cairnvane.__main__, sys; print([name for name in {heavy} if name in sys.modules])"
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
