--- a/cairnvane/__main__.py
+++ b/cairnvane/__main__.py
@@ -102,6 +102,9 @@
     except config.ConfigError as error:
         log.say("cairnvane", str(error))
         return 2
+    except ImportError as error:
+        log.say("cairnvane", f"the operator's file {path} needs more: {error}; pip install '.[operator]'")
+        return 2
     threading.stack_size(STACK_BYTES)
     host = Host(told.settings, told.gauges, told.seed)
     pool = Pool(told.pool, host)
