--- /dev/null
+++ b/benchmarks/fleet_choice.py
@@ -0,0 +1,91 @@
+"""Choices a second, build time and the cost of one changed endpoint, beside a plain list."""
+
+from __future__ import annotations
+
+import bisect
+import itertools
+import random
+import time
+from collections.abc import Callable
+
+import table
+
+from cairnvane.fleet import Weighted
+
+SIZES = (10, 1_000, 100_000)
+
+
+class Scan:
+    """A list, gone over for each choice: the least busy of all for its weight."""
+
+    def __init__(self, weights: list[int]) -> None:
+        self.weights, self.active = weights, [0] * len(weights)
+
+    def choose(self) -> int:
+        return min(range(len(self.weights)), key=lambda at: (self.active[at] + 1) / self.weights[at])
+
+    def change(self, at: int, weight: int) -> None:
+        self.weights[at] = weight
+
+
+class Sums:
+    """A list of running sums, searched by halves; built anew for each change."""
+
+    def __init__(self, weights: list[int]) -> None:
+        self.weights, self.active = weights, [0] * len(weights)
+        self.sums = list(itertools.accumulate(weights))
+        self.random = random.Random(1).randrange
+
+    def choose(self) -> int:
+        one, two = (bisect.bisect_right(self.sums, self.random(self.sums[-1])) for _ in range(2))
+        better = (self.active[two] + 1) * self.weights[one] < (self.active[one] + 1) * self.weights[two]
+        return two if better else one
+
+    def change(self, at: int, weight: int) -> None:
+        self.weights[at] = weight
+        self.sums = list(itertools.accumulate(self.weights))
+
+
+class Tree:
+    """The one in use."""
+
+    def __init__(self, weights: list[int]) -> None:
+        self.tree: Weighted[int] = Weighted()
+        for at, weight in enumerate(weights):
+            self.tree.put(at, weight)
+        self.random = random.Random(1).randrange
+
+    def choose(self) -> int | None:
+        return self.tree.choose(self.random)
+
+    def change(self, at: int, weight: int) -> None:
+        self.tree.put(at, weight)
+
+
+def each(task: Callable[[], object], most_s: float = 0.4) -> float:
+    """Seconds that one takes."""
+    count, start = 0, time.perf_counter()
+    while time.perf_counter() - start < most_s:
+        task()
+        count += 1
+    return (time.perf_counter() - start) / count
+
+
+def main() -> None:
+    """All sizes, in one run."""
+    rows = []
+    for size in SIZES:
+        weights = [random.Random(at).randrange(1, 100) for at in range(size)]
+        for kind, name in ((Scan, "list, all looked at"), (Sums, "running sums"), (Tree, "tree of sums")):
+            start = time.perf_counter()
+            one = kind(list(weights))
+            built = time.perf_counter() - start
+            number = itertools.count()
+            choice = each(one.choose)
+            change = each(lambda one=one, number=number, size=size: one.change(next(number) % size, 7))
+            rows.append([size, name, built * 1e3, int(1 / choice), change * 1e6])
+    table.show("Choices", ["endpoints", "structure", "build ms", "choices/s", "change µs"], rows)
+
+
+if __name__ == "__main__":
+    main()
