--- /dev/null
+++ b/tests/test_xds.py
@@ -0,0 +1,221 @@
+"""The xDS client's state machine, against a reference server that knows what it said and what is true."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from cairnvane.xds import Delta, DeltaRequest, DeltaResponse, Known, Resources, Response, StateOfTheWorld
+from cairnvane.xds.known import MISSING_AFTER_US, Event, What
+
+TYPE = "type.googleapis.com/envoy.config.cluster.v3.Cluster"
+
+
+def decode(name: str, body: bytes) -> str:
+    if body.startswith(b"bad"):
+        raise ValueError(f"can't be right: {body.decode()}")
+    return body.decode()
+
+
+def world(*names: str, full: bool = True) -> StateOfTheWorld:
+    one = StateOfTheWorld(TYPE, Resources(decode, names or None), full)
+    one.opened(0)
+    return one
+
+
+def delta(*names: str) -> Delta:
+    one = Delta(TYPE, Resources(decode, names or None))
+    one.opened(0)
+    return one
+
+
+def response(version: str, **bodies: str) -> Response:
+    found = tuple((name, body.encode()) for name, body in bodies.items())
+    return Response(version, f"nonce-{version}", found)
+
+
+def test_ack_and_nack_as_published() -> None:
+    """'ACK and NACK': a NACK carries the last accepted version, the response's nonce and the reason."""
+    one = world()
+    ack, events = one.received(response("1", a="x", b="y"))
+    assert ack is not None and (ack.version, ack.nonce, ack.error) == ("1", "nonce-1", "")
+    assert events == [Event(What.UPDATED, "a", "x"), Event(What.UPDATED, "b", "y")]
+    nack, events = one.received(response("2", a="bad", b="z"))
+    assert nack is not None and (nack.version, nack.nonce) == ("1", "nonce-2")
+    assert nack.error == "a: can't be right: bad"
+    assert events == [Event(What.UPDATED, "b", "z")]
+    assert one.resources.held() == {"a": "x", "b": "z"}  # the last good one of each
+    assert one.resources.known["a"].fault
+    ack, events = one.received(response("3", a="new", b="z"))
+    assert ack is not None and (ack.version, ack.error) == ("3", "") and len(events) == 1
+
+
+def test_what_a_full_response_leaves_out_is_gone_and_what_a_partial_one_does_is_not() -> None:
+    one, other = world(), world("a", "b", full=False)
+    for machine in (one, other):
+        machine.received(response("1", a="x", b="y"))
+    assert one.received(response("2", a="x"))[1] == [Event(What.REMOVED, "b")]
+    assert other.received(response("2", a="x"))[1] == []
+    assert (one.resources.held(), other.resources.held()) == ({"a": "x"}, {"a": "x", "b": "y"})
+
+
+def test_a_new_stream_says_the_version_and_no_nonce_and_answers_nothing_of_the_old_one() -> None:
+    one = world("a", full=False)
+    one.received(response("7", a="x"))
+    one.closed()
+    assert one.received(response("8", a="late")) == (None, [])
+    first = one.opened(5)
+    assert (first.version, first.nonce, first.names) == ("7", "", ("a",))
+    # A management server that was restarted may have older versions: it is the one that counts.
+    ack, events = one.received(response("2", a="older"))
+    assert ack is not None and ack.version == "2" and events == [Event(What.UPDATED, "a", "older")]
+
+
+def test_a_delta_stream_begins_with_the_versions_that_are_held() -> None:
+    one = delta()
+    one.received(DeltaResponse("n1", (("a", "3", b"x"), ("b", "4", b"bad"), ("c", "5", b"z"))))
+    one.received(DeltaResponse("n2", removed=("c", "never heard of")))
+    one.closed()
+    assert one.opened(9) == DeltaRequest(TYPE, (), (), {"a": "3"})
+
+
+def test_a_bad_delta_is_named_and_a_good_one_follows() -> None:
+    one = delta("a")
+    nack, _ = one.received(DeltaResponse("n1", (("a", "1", b"bad"), ("stranger", "1", b"x"))))
+    assert nack == DeltaRequest(TYPE, nonce="n1", error="a: can't be right: bad")
+    ack, events = one.received(DeltaResponse("n2", (("a", "2", b"x"),)))
+    assert ack == DeltaRequest(TYPE, nonce="n2") and events == [Event(What.UPDATED, "a", "x")]
+    assert one.subscribe(["a"], 0) is None
+    assert one.subscribe(["b"], 0) == DeltaRequest(TYPE, subscribe=("b",))
+    assert one.unsubscribe(["a", "zz"]) == DeltaRequest(TYPE, unsubscribe=("a",))
+
+
+@pytest.mark.parametrize("make", [world, delta])
+def test_what_does_not_come_within_15_s_of_a_stream_is_missing(make: Any) -> None:
+    """'Knowing When a Requested Resource Does Not Exist'; the time does not run without a stream."""
+    one = make("a", "b")
+    one.closed()
+    assert one.resources.due() is None
+    one.opened(100)
+    assert one.resources.look(100 + MISSING_AFTER_US - 1) == []
+    if isinstance(one, StateOfTheWorld):
+        one.received(response("1", b="bad"))
+    else:
+        one.received(DeltaResponse("n", (("b", "1", b"bad"),)))
+    # A bad one shows that it exists.
+    assert one.resources.look(100 + MISSING_AFTER_US) == [Event(What.MISSING, "a")]
+    assert one.resources.known["a"].state is Known.MISSING
+    one.subscribe(["c"], 200 + MISSING_AFTER_US)
+    assert one.resources.due() == 200 + 2 * MISSING_AFTER_US
+
+
+def test_a_name_twice_in_one_response_is_a_fault() -> None:
+    one = world()
+    nack, _ = one.received(Response("1", "n", (("a", b"x"), ("a", b"y"))))
+    assert nack is not None and "stands twice" in nack.error and one.resources.held() == {"a": "x"}
+
+
+def test_a_nack_of_many_faults_stays_short() -> None:
+    one = world()
+    nack, _ = one.received(response("1", **{f"r{n}": "bad" for n in range(40)}))
+    assert nack is not None and "and 30 more" in nack.error
+
+
+NAMES = st.sampled_from("abcd")
+BODIES = st.sampled_from(["x", "y", "bad"])
+
+
+class Reference(RuleBasedStateMachine):
+    """A server with a truth, a client of each form, and streams that are cut at any message."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.truth: dict[str, tuple[int, str]] = {}
+        self.version = self.nonce = 0
+        self.world = StateOfTheWorld(TYPE, Resources(decode), True)
+        self.delta = Delta(TYPE, Resources(decode))
+        self.good: dict[str, dict[str, str]] = {"world": {}, "delta": {}}  # what each must hold
+        self.sent: dict[str, int] = {}  # what the delta server believes that the client has
+        self.removed: set[str] = set()
+        self.up = False
+        self.told = -1  # the version that the world client was last sent
+
+    @rule(name=NAMES, body=BODIES)
+    def change(self, name: str, body: str) -> None:
+        self.version += 1
+        self.truth[name] = self.version, body
+
+    @rule(name=NAMES)
+    def take_away(self, name: str) -> None:
+        self.version += 1
+        self.truth.pop(name, None)
+
+    @precondition(lambda self: not self.up)
+    @rule()
+    def connect(self) -> None:
+        self.up = True
+        first = self.world.opened(0)
+        assert first.nonce == ""
+        self.sent = {name: int(version) for name, version in self.delta.opened(0).initial_versions.items()}
+
+    @precondition(lambda self: self.up)
+    @rule()
+    def cut(self) -> None:
+        self.up = False
+        self.world.closed()
+        self.delta.closed()
+
+    @rule()
+    def push_world(self) -> None:
+        self.nonce += 1
+        bodies = tuple((name, body.encode()) for name, (_, body) in sorted(self.truth.items()))
+        answer, _ = self.world.received(Response(str(self.version), f"n{self.nonce}", bodies))
+        if not self.up:
+            assert answer is None
+            return
+        assert answer is not None and answer.nonce == f"n{self.nonce}"
+        bad = [name for name, (_, body) in self.truth.items() if body == "bad"]
+        assert bool(answer.error) is bool(bad) and all(name in answer.error for name in bad)
+        self._expect("world")
+
+    @rule(most=st.integers(1, 4), again=st.booleans())
+    def push_delta(self, most: int, again: bool) -> None:
+        """Some of what has changed; `again`: something that the client has, once more."""
+        self.nonce += 1
+        new = [name for name, (version, _) in sorted(self.truth.items())
+               if again or self.sent.get(name) != version][:most]
+        gone = tuple(name for name in self.sent if name not in self.truth)
+        resources = tuple((name, str(self.truth[name][0]), self.truth[name][1].encode()) for name in new)
+        answer, _ = self.delta.received(DeltaResponse(f"n{self.nonce}", resources, gone))
+        if not self.up:
+            assert answer is None
+            return
+        assert answer is not None and answer.nonce == f"n{self.nonce}"
+        for name in new:
+            self.sent[name] = self.truth[name][0]
+        for name in gone:
+            del self.sent[name]
+        self._expect("delta", new, gone)
+
+    def _expect(self, form: str, new: list[str] | None = None, gone: tuple[str, ...] | None = None) -> None:
+        held = self.good[form]
+        for name in list(held) if gone is None else gone:
+            if name not in self.truth:
+                held.pop(name, None)
+        for name in self.truth if new is None else new:
+            if self.truth[name][1] != "bad":
+                held[name] = self.truth[name][1]
+
+    @invariant()
+    def each_holds_the_last_good_version(self) -> None:
+        assert self.world.resources.held() == self.good["world"]
+        assert self.delta.resources.held() == self.good["delta"]
+
+
+Reference.TestCase.settings = settings(
+    derandomize=True, max_examples=80, stateful_step_count=40, deadline=None)
+TestReference = Reference.TestCase
