--- a/cairnvane/cli/__init__.py
+++ b/cairnvane/cli/__init__.py
@@ -5,7 +5,7 @@
 
 import click
 
-from . import keyed, lab, serve
+from . import keyed, lab, serve, xds
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -17,4 +17,5 @@
 main.add_command(serve.serve)
 main.add_command(keyed.keyed)
 main.add_command(lab.lab)
+main.add_command(xds.xds)
 
--- a/cairnvane/fleet/members.py
+++ b/cairnvane/fleet/members.py
@@ -1,8 +1,8 @@
 """The life of an endpoint: joining, active, draining, gone while calls to it go on, back under its address.
 
 No I/O, no clock. A description says who belongs to a cluster; this says who gets calls, and keeps what a
-call is on until it has ended. An address stands for one endpoint within a cluster, in whichever locality
-it is named first.
+call is on until it has ended. An address stands for one endpoint within a cluster; a
+description that names it twice is refused where it is read.
 """
 
 from __future__ import annotations
