--- a/cairnvane/xds/resources.py
+++ b/cairnvane/xds/resources.py
@@ -20,10 +20,8 @@
 from ..fleet.members import Address, Described, Health
 from ..fleet.shares import PANIC_THRESHOLD
 from ..fleet.weighted import MOST_WEIGHT
+from .session import ASSIGNMENT, CLUSTER
 
-PREFIX = "type.googleapis.com/"
-CLUSTER = PREFIX + "envoy.config.cluster.v3.Cluster"
-ASSIGNMENT = PREFIX + "envoy.config.endpoint.v3.ClusterLoadAssignment"
 # Names are not looked up here, and no listener is there that could know an original destination.
 _TYPES = ("EDS", "STATIC")
 _POLICIES = {
--- a/tests/test_xds_resources.py
+++ b/tests/test_xds_resources.py
@@ -14,6 +14,7 @@
 from cairnvane.fleet.description import Assignment, Cluster, Policy
 from cairnvane.fleet.members import Described, Health
 from cairnvane.xds import resources
+from cairnvane.xds.session import ASSIGNMENT, CLUSTER
 from cairnvane.xds.view import Change, Ready, View
 
 
@@ -22,11 +23,11 @@
 
 
 def cluster(**more: Any) -> dict[str, Any]:
-    return {"@type": resources.CLUSTER, "name": "ledger", "type": "EDS", **more}
+    return {"@type": CLUSTER, "name": "ledger", "type": "EDS", **more}
 
 
 def assignment(*endpoints: dict[str, Any], **more: Any) -> dict[str, Any]:
-    return {"@type": resources.ASSIGNMENT, "cluster_name": "ledger", "endpoints": list(endpoints), **more}
+    return {"@type": ASSIGNMENT, "cluster_name": "ledger", "endpoints": list(endpoints), **more}
 
 
 def one(told: dict[str, Any]) -> Any:
@@ -65,7 +66,7 @@
 @pytest.mark.parametrize(("told", "words"), [
     (cluster(type="STRICT_DNS"), ["type: STRICT_DNS is refused"]), (cluster(name=""), ["name:"]),
     (cluster(lb_policy="CLUSTER_PROVIDED"), ["lb_policy: CLUSTER_PROVIDED"]), (cluster(typo=1), ["typo"]),
-    ({"@type": resources.CLUSTER, "name": "a", "cluster_type": {"name": "x"}}, ["cluster_type: 'x'"]),
+    ({"@type": CLUSTER, "name": "a", "cluster_type": {"name": "x"}}, ["cluster_type: 'x'"]),
     (cluster(eds_cluster_config={"eds_config": {"path": "/x"}}), ["eds_config: path is refused"]),
     (assignment(cluster_name=""), ["cluster_name:"]),
     (assignment({"lb_endpoints": [endpoint(0)]}), ["[0].lb_endpoints[0].endpoint.address.port_value: 0"]),
--- /dev/null
+++ b/tests/test_xds_session.py
@@ -0,0 +1,145 @@
+"""Clusters and endpoints on one stream, in both forms, with identical outcomes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+
+from cairnvane.fleet.description import Assignment, Cluster
+from cairnvane.xds import DeltaRequest, DeltaResponse, Request, Response
+from cairnvane.xds.known import MISSING_AFTER_US
+from cairnvane.xds.session import ASSIGNMENT, CLUSTER, make_delta, make_state_of_the_world
+
+
+def cluster(name: str, body: bytes) -> Cluster:
+    if body == b"bad":
+        raise ValueError("bad")
+    return Cluster(name, body.decode())
+
+
+def assignment(name: str, body: bytes) -> Assignment:
+    if body == b"bad":
+        raise ValueError("bad")
+    return Assignment(name, overprovisioning=int(body))
+
+
+@dataclass
+class Server:
+    """A management server that says what is asked for, in one of the forms."""
+
+    delta: bool
+    session: Any = None
+    state: dict[str, dict[str, str]] = field(default_factory=lambda: {CLUSTER: {}, ASSIGNMENT: {}})
+    asked: dict[str, set[str] | None] = field(default_factory=dict)
+    nacks: list[str] = field(default_factory=list)
+    changed: list[str] = field(default_factory=list)
+    version: int = 0
+
+    def __post_init__(self) -> None:
+        make = make_delta if self.delta else make_state_of_the_world
+        self.session = make(cluster, assignment)
+
+    def open(self, now: int = 0) -> None:
+        self.asked = {}
+        self._take(self.session.opened(now))
+
+    def _take(self, step: Any) -> None:
+        self.changed += [f"{c.name}{'' if c.ready else ' gone'}" for c in step.changes]
+        for told in step.send:
+            if told.error:
+                self.nacks.append(told.error)
+            if isinstance(told, Request):
+                self.asked[told.type_url] = set(told.names) if told.type_url == ASSIGNMENT else None
+            elif isinstance(told, DeltaRequest) and told.type_url == ASSIGNMENT:
+                names = self.asked.setdefault(ASSIGNMENT, set())
+                assert names is not None
+                names.update(told.subscribe)
+                names.difference_update(told.unsubscribe)
+
+    def push(self, type_url: str, only: list[str] | None = None, gone: tuple[str, ...] = ()) -> None:
+        """Say how it is now; `only`: no more than these."""
+        self.version += 1
+        names = sorted(self.state[type_url]) if only is None else only
+        if type_url == ASSIGNMENT:
+            names = [name for name in names if name in (self.asked.get(ASSIGNMENT) or set())]
+        found = [(name, self.state[type_url][name].encode()) for name in names]
+        version = str(self.version)
+        response: Any = Response(version, f"n{version}", tuple(found))
+        if self.delta:
+            new = tuple((name, version, body) for name, body in found)
+            response = DeltaResponse(f"n{version}", new, gone)
+        self._take(self.session.received(type_url, response, 0))
+
+    def counts(self) -> dict[str, int]:
+        return {name: one.assignment.overprovisioning for name, one in self.session.view.ready.items()}
+
+
+@pytest.fixture(params=[False, True], ids=["state of the world", "delta"])
+def server(request: pytest.FixtureRequest) -> Server:
+    one = Server(request.param)
+    one.state[CLUSTER] = {"ledger": "ledger-eds", "other": "other-eds"}
+    one.state[ASSIGNMENT] = {"ledger-eds": "140", "other-eds": "150"}
+    one.open()
+    assert ASSIGNMENT not in one.asked  # no name, no question: it would ask for all that there are
+    one.push(CLUSTER)
+    assert one.asked[ASSIGNMENT] == {"ledger-eds", "other-eds"} and one.counts() == {}
+    one.push(ASSIGNMENT)
+    assert one.counts() == {"ledger": 140, "other": 150}
+    return one
+
+
+def test_a_whole_cluster_vanishes_and_its_endpoints_are_let_go(server: Server) -> None:
+    del server.state[CLUSTER]["other"]
+    server.push(CLUSTER, gone=("other",))
+    assert server.counts() == {"ledger": 140} and server.asked[ASSIGNMENT] == {"ledger-eds"}
+    assert server.changed[-1] == "other gone"
+
+
+def test_a_bad_update_and_a_good_one_behind_it(server: Server) -> None:
+    server.state[ASSIGNMENT]["ledger-eds"] = "bad"
+    server.push(ASSIGNMENT)
+    assert server.counts()["ledger"] == 140 and server.nacks == ["ledger-eds: bad"]
+    server.state[ASSIGNMENT]["ledger-eds"] = "200"
+    server.push(ASSIGNMENT)
+    assert server.counts()["ledger"] == 200
+
+
+def test_a_cluster_that_moves_to_other_endpoints_counts_as_before_until_they_come(server: Server) -> None:
+    server.state[CLUSTER]["ledger"] = "new-eds"
+    server.push(CLUSTER)
+    assert server.counts()["ledger"] == 140
+    assert server.asked[ASSIGNMENT] == {"ledger-eds", "other-eds", "new-eds"}
+    server.state[ASSIGNMENT]["new-eds"] = "160"
+    server.push(ASSIGNMENT, only=["new-eds"])
+    assert server.counts()["ledger"] == 160 and server.asked[ASSIGNMENT] == {"new-eds", "other-eds"}
+
+
+def test_a_server_that_dies_changes_nothing_and_one_that_comes_back_older_counts(server: Server) -> None:
+    server.session.closed()
+    assert server.counts() == {"ledger": 140, "other": 150}
+    server.push(ASSIGNMENT)  # of the stream that has ended
+    server.version = 0
+    server.state[ASSIGNMENT]["ledger-eds"] = "120"
+    server.open(now=7)
+    assert server.asked[ASSIGNMENT] == {"ledger-eds", "other-eds"}
+    server.push(CLUSTER)
+    server.push(ASSIGNMENT)
+    assert server.counts() == {"ledger": 120, "other": 150}
+
+
+def test_endpoints_that_do_not_come_are_named_and_the_rest_goes_on(server: Server) -> None:
+    server.state[CLUSTER]["late"] = "late-eds"
+    server.push(CLUSTER)
+    assert server.session.due() == MISSING_AFTER_US
+    assert server.session.look(MISSING_AFTER_US).missing == ["late-eds"]
+    assert server.counts() == {"ledger": 140, "other": 150}
+    server.state[ASSIGNMENT]["late-eds"] = "130"  # later than late is not never
+    server.push(ASSIGNMENT)
+    assert server.counts()["late"] == 130
+
+
+def test_a_type_that_nobody_asked_for_is_answered_by_nothing(server: Server) -> None:
+    told = Response("1", "n", ()) if not server.delta else DeltaResponse("n")
+    assert server.session.received("type.googleapis.com/other", told, 0).send == []
