Speak xDS over gRPC, against a stand-in management server

Found on the way: bytes that were no message were acknowledged, since they have no name; they are a fault now.

--- /dev/null
+++ b/cairnvane/lab/management.py
@@ -0,0 +1,82 @@
+"""A stand-in xDS management server over gRPC: it says what its script has it say, and keeps what it is
+asked."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from queue import SimpleQueue
+from typing import Any
+
+import grpc
+from envoy.service.discovery.v3 import ads_pb2_grpc, discovery_pb2
+from google.protobuf import any_pb2
+
+
+class StandInManagement(ads_pb2_grpc.AggregatedDiscoveryServiceServicer):  # type: ignore[misc]
+    """One client at a time, in whichever form it speaks."""
+
+    def __init__(self) -> None:
+        self.asked: SimpleQueue[Any] = SimpleQueue()  # every request, in order
+        self.streams = 0
+        self._out: SimpleQueue[Any] = SimpleQueue()
+        self._delta = False
+        self._count = 0
+        self._lock = threading.Lock()
+        self._server = grpc.server(ThreadPoolExecutor(8))
+        ads_pb2_grpc.add_AggregatedDiscoveryServiceServicer_to_server(self, self._server)
+        self.address = f"127.0.0.1:{self._server.add_insecure_port('127.0.0.1:0')}"
+        self._server.start()
+
+    def StreamAggregatedResources(self, requests: Iterator[Any], context: Any) -> Iterator[Any]:
+        """State of the world."""
+        return self._serve(requests, context, False)
+
+    def DeltaAggregatedResources(self, requests: Iterator[Any], context: Any) -> Iterator[Any]:
+        """Incremental."""
+        return self._serve(requests, context, True)
+
+    def _serve(self, requests: Iterator[Any], context: Any, delta: bool) -> Iterator[Any]:
+        with self._lock:
+            out: SimpleQueue[Any] = SimpleQueue()
+            self._out, self._delta = out, delta
+            self.streams += 1
+        threading.Thread(target=self._listen, args=(requests, out), daemon=True).start()
+        context.add_callback(lambda: out.put(None))
+        yield from iter(out.get, None)
+
+    def _listen(self, requests: Iterator[Any], out: SimpleQueue[Any]) -> None:
+        try:
+            for asked in requests:
+                self.asked.put(asked)
+        except Exception:  # the stream's end, in whichever way grpcio tells of it
+            out.put(None)
+
+    def push(self, messages: dict[str, Any], type_url: str, removed: tuple[str, ...] = ()) -> str:
+        """Say these resources, by name; the nonce. The version is the number of pushes so far."""
+        self._count += 1
+        version, nonce = str(self._count), f"n{self._count}"
+        bodies = {
+            name: any_pb2.Any(type_url=type_url, value=message if isinstance(message, bytes)
+                              else message.SerializeToString())
+            for name, message in messages.items()}
+        if self._delta:
+            told = discovery_pb2.DeltaDiscoveryResponse(
+                type_url=type_url, nonce=nonce, removed_resources=removed, resources=[
+                    discovery_pb2.Resource(name=name, version=version, resource=body)
+                    for name, body in bodies.items()])
+        else:
+            told = discovery_pb2.DiscoveryResponse(
+                version_info=version, nonce=nonce, type_url=type_url, resources=bodies.values())
+        self._out.put(told)
+        return nonce
+
+    def cut(self) -> None:
+        """End the stream."""
+        self._out.put(None)
+
+    def close(self) -> None:
+        """The end of the experiment."""
+        self.cut()
+        self._server.stop(0).wait()
--- a/cairnvane/xds/machine.py
+++ b/cairnvane/xds/machine.py
@@ -85,6 +85,9 @@
         self._nonce = response.nonce
         events, bad, seen = [], [], set()
         for name, body in response.resources:
+            if not name:  # else it would be one that nobody asked for, and be taken without a word
+                bad.append("a resource that can't be read, or has no name")
+                continue
             if name in seen:
                 bad.append(f"{name}: stands twice in one response")
                 continue
--- a/cairnvane/xds/resources.py
+++ b/cairnvane/xds/resources.py
@@ -172,6 +172,15 @@
 }
 
 
+def name_of(type_url: str, body: bytes) -> str:
+    """The name that a resource gives itself; empty if it gives none, which no decoder takes."""
+    kind = _KINDS.get(type_url)
+    try:
+        return str(getattr(kind[0].FromString(body), kind[1])) if kind is not None else ""
+    except DecodeError:
+        return ""
+
+
 def check_json(text: str) -> tuple[list[Cluster | Assignment], list[str]]:
     """A description as a file has it: a DiscoveryResponse in JSON, with `resources`. What is good, and a
     line for each resource that is not. `ValueError` if it is none at all."""
--- a/tests/test_xds.py
+++ b/tests/test_xds.py
@@ -119,6 +119,12 @@
     assert nack is not None and "stands twice" in nack.error and one.resources.held() == {"a": "x"}
 
 
+def test_a_resource_without_a_name_is_a_fault() -> None:
+    """Guards: bytes that were no message were passed over, and the response was taken."""
+    nack, _ = world("a", full=False).received(Response("1", "n", (("", b"\xff"),)))
+    assert nack is not None and "no name" in nack.error and nack.version == ""
+
+
 def test_a_nack_of_many_faults_stays_short() -> None:
     one = world()
     nack, _ = one.received(response("1", **{f"r{n}": "bad" for n in range(40)}))
