--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -13,6 +13,7 @@
     Breakers, Health, Outliers, RetryBudget, Weighted, localities, priorities, slow_start,
 )
 from cairnvane.fleet.bounds import may_go_elsewhere
+from cairnvane.fleet.maglev import TABLE_SIZE, Maglev
 from cairnvane.interface import Outcome
 
 
@@ -162,3 +163,23 @@
 def test_slow_start_takes_a_joining_endpoint_up(joined: int, aggression: float, weight: int) -> None:
     assert slow_start(100, joined, 100, aggression) == weight
     assert slow_start(0, joined, 100, aggression) == 0 and slow_start(1, joined, 100, aggression) == 1
+
+
+def test_a_table_shares_by_weight_and_moves_few_keys() -> None:
+    """'For a change in N members about 1/N of keys move'; Maglev allows for a little more."""
+    weights = {f"e{n}": 1 + n % 3 for n in range(20)}
+    table = Maglev(weights)
+    for key, share in table.shares().items():
+        assert abs(share / (weights[key] / sum(weights.values())) - 1) < 0.05
+    again = Maglev(dict(reversed(weights.items())))
+    fewer = Maglev({key: weight for key, weight in weights.items() if key != "e4"})
+    assert all(table.choose(n) == again.choose(n) for n in range(TABLE_SIZE))
+    moved = sum(table.choose(n) not in ("e4", fewer.choose(n)) for n in range(TABLE_SIZE))
+    assert moved / TABLE_SIZE < 0.1 and all(fewer.choose(n) != "e4" for n in range(TABLE_SIZE))
+
+
+def test_a_table_of_nobody_and_of_no_prime() -> None:
+    assert Maglev[str]({}).choose(7) is None and Maglev({"a": 0}).choose(7) is None
+    assert {Maglev({"a": 1, "b": 0}, 7).choose(n) for n in range(20)} == {"a"}
+    with pytest.raises(ValueError, match="8 is no prime"):
+        Maglev({"a": 1}, 8)
