--- a/cairnvane/__main__.py
+++ b/cairnvane/__main__.py
@@ -10,13 +10,12 @@
 import signal
 import sys
 import threading
-from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 from . import config, log
 from .host import Host
-from .keys import Keeper
+from .keys import Keeper, Points
 from .net.pool import Pool
 from .net.roster import Roster
 from .net.server import Server
@@ -54,12 +53,8 @@
     return new
 
 
-# Told of each named point on the way of a record; only the laboratory wants to know.
-Points = Callable[[str], None]
-
-
 def _keeper(told: config.Config, path: str, points: Points | None) -> Keeper | None:
-    """What the operator's file at this path turns on; `ConfigError` or `FolderError` if it can't be."""
+    """Turn on what the operator's file at this path asks for; `ConfigError` if it can't be."""
     from .config import operator
 
     asked = operator.load(path)
@@ -83,10 +78,10 @@
     return store
 
 
-def _lasting(keeper: Keeper, host: Host, told: config.Config) -> Lasting:
+def _lasting(keeper: Keeper, told: config.Config) -> Lasting:
     from .lasting import Lasting
 
-    return Lasting(keeper, host.keys, told.settings)
+    return Lasting(keeper, told.settings)
 
 
 def main(points: Points | None = None) -> int:
@@ -116,7 +111,7 @@
         log.say("cairnvane", f"listen: {error}")
         return 2
     log.say("cairnvane", "{} listens on {}:{}".format(told.name, *server.address))
-    lasting = _lasting(keeper, host, told) if keeper is not None else None
+    lasting = _lasting(keeper, told) if keeper is not None else None
     host.join(server, pool, told.vault, lasting)
     gc.freeze()  # what was loaded stays; full collections need not walk it
     failed = threading.Event()
--- a/cairnvane/fleet/members.py
+++ b/cairnvane/fleet/members.py
@@ -68,6 +68,7 @@
     def __init__(self, *, slow_start_us: int = 0, outliers: Outliers[Address] | None = None) -> None:
         self.known: dict[Address, Member] = {}
         self._choice: Weighted[Address] = Weighted()
+        self._all: Weighted[Address] = Weighted()  # those too that are unhealthy or ejected, for a panic
         self._window = slow_start_us
         self._outliers = outliers
         self._lives = 0
@@ -111,32 +112,35 @@
 
     def _vanish(self, address: Address) -> None:
         member = self.known[address]
-        if address in self._choice:
-            self._choice.remove(address)
         self._joining.pop(address, None)
         if self._outliers is not None:
             self._outliers.forget(address)
         member.stage = Stage.LEAVING
+        self._weigh(address, member, 0)
         if not member.calls:
             del self.known[address]
 
     def _weigh(self, address: Address, member: Member, now: int) -> None:
-        """Its place in the choice, by all that is known of it."""
-        ejected = self._outliers is not None and self._outliers.ejected(address)
-        serves = member.stage in (Stage.JOINING, Stage.ACTIVE) and member.described.health is Health.HEALTHY
-        if not serves or ejected:
-            if address in self._choice:
-                self._choice.remove(address)
-            return
-        weight = member.described.weight
+        """Its place in both choices, by all that is known of it."""
+        weight: int | None = member.described.weight
         if member.stage is Stage.JOINING:
-            weight = slow_start(weight, now - member.joined, self._window)
-        new = address not in self._choice
-        if new or self._choice.weight(address) != weight:
-            self._choice.put(address, weight)
-        if new:
-            for _ in range(member.calls):
-                self._choice.begin(address)
+            weight = slow_start(member.described.weight, now - member.joined, self._window)
+        elif member.stage is not Stage.ACTIVE:
+            weight = None
+        ejected = self._outliers is not None and self._outliers.ejected(address)
+        fit = member.described.health is Health.HEALTHY and not ejected
+        self._place(self._all, address, member, weight)
+        self._place(self._choice, address, member, weight if fit else None)
+
+    def _place(self, tree: Weighted[Address], address: Address, member: Member, weight: int | None) -> None:
+        there = address in tree
+        if weight is None:
+            if there:
+                tree.remove(address)
+        elif not there or tree.weight(address) != weight:
+            tree.put(address, weight)
+            if not there:
+                tree.begin(address, member.calls)
 
     def look(self, now: int) -> None:
         """Time has passed: those that join take more, those that were ejected may be back."""
@@ -153,18 +157,15 @@
     def choose(self, below: Callable[[int], int], panic: bool = False) -> Address | None:
         """Where the next call goes; None if nobody takes any. In panic all that are described may, but for
         those that drain: they were told to take nothing new."""
-        if not panic:
-            return self._choice.choose(below)
-        all_ = [address for address, member in self.known.items()
-                if member.stage in (Stage.JOINING, Stage.ACTIVE) and member.described.weight]
-        return all_[below(len(all_))] if all_ else None
+        return (self._all if panic else self._choice).choose(below)
 
     def begin(self, address: Address) -> Ticket:
         """A call goes out."""
         member = self.known[address]
         member.calls += 1
-        if address in self._choice:
-            self._choice.begin(address)
+        for tree in (self._choice, self._all):
+            if address in tree:
+                tree.begin(address)
         return Ticket(address, member.since)
 
     def end(self, ticket: Ticket, good: bool, now: int) -> None:
@@ -174,8 +175,8 @@
         if member is None or not member.calls:
             return
         member.calls -= 1
-        if ticket.address in self._choice:
-            self._choice.end(ticket.address)
+        self._choice.end(ticket.address)
+        self._all.end(ticket.address)
         if member.stage is Stage.LEAVING:
             if not member.calls:
                 del self.known[ticket.address]
--- a/cairnvane/fleet/weighted.py
+++ b/cairnvane/fleet/weighted.py
@@ -118,9 +118,9 @@
                 best = other
         return self._keys[best]
 
-    def begin(self, key: Key) -> None:
-        """A call goes out to it."""
-        self._active[self._slots[key]] += 1
+    def begin(self, key: Key, calls: int = 1) -> None:
+        """Calls go out to it."""
+        self._active[self._slots[key]] += calls
 
     def end(self, key: Key) -> None:
         """A call to it is over; one that has been taken out meanwhile is passed over."""
--- a/cairnvane/host.py
+++ b/cairnvane/host.py
@@ -14,6 +14,7 @@
 from . import interface as i
 from .control import Controller
 from .exchange import Answer, Check, Request, Verdict
+from .health import Health
 from .interface import Outcome, Repeat
 from .net import pool as worker
 from .net.pool import Pool
@@ -36,6 +37,8 @@
     worker.FINE: Outcome.OK, worker.FAULT: Outcome.ERROR,
     worker.BROKEN_OFF: Outcome.CANCELLED, worker.LATE: Outcome.MOOT,
 }
+# Which of these ends are answers.
+VERDICTS = {Outcome.OK: Verdict.SERVED, Outcome.ERROR: Verdict.FAILED}
 
 
 class Host:
@@ -52,10 +55,9 @@
         self._requests: dict[int, Tracked] = {}
         self._by_uid: dict[str, Tracked] = {}
         # A repeat that came before its key ran out may be read as much later as a caller waits.
-        self.keys = keys.Table(max(cls.patience for cls in settings.classes))
+        self._keys = keys.Table(max(cls.patience for cls in settings.classes))
         self._lasting: Lasting | None = None  # keys that outlast this life
         self._count = 0
-        self._healthy, self._stored = True, False
         self._load: float | None = None
         self._stopped = False
         self._do_to: dict[type[i.Action], Callable[..., None]] = {
@@ -63,7 +65,8 @@
             i.Call: self._call, i.Remember: self._remember, i.Forget: self._forget, i.Reuse: self._reuse,
         }
         self._do: dict[type[i.Action], Callable[..., None]] = {
-            i.SetHealth: self._set_health, i.Advertise: self._advertise, i.CloseIdle: self._close_idle,
+            i.SetHealth: lambda action: self._health.set(action),
+            i.Advertise: self._advertise, i.CloseIdle: self._close_idle,
             i.SetTimer: lambda action: self._ticks.set(action), i.Log: self._log,
         }
 
@@ -76,6 +79,7 @@
             pool, vault, self.post,
             never_began=lambda known: self._end_run(known.exchange.uid, worker.BROKEN_OFF),
             call_ended=lambda known, outcome, took: self.tell(i.CallEnded(known.id, outcome, took)))
+        self._health = Health(pool, lambda: self._load)
         # A tick that came before its time would be taken for one that was replaced.
         self._ticks = Ticks(pool, self._gauges, lambda event, at: self.post(lambda: self._tick(event, at)))
 
@@ -99,7 +103,7 @@
 
     def checked(self, check: Check) -> None:
         """A health check was read."""
-        self._inbox.put(lambda: self._check(check))
+        self._inbox.put(lambda: self._health.check(check))
 
     def finished(self, uid: str, code: str, took_us: int, result: bytes, pos: int) -> None:
         """A run is over."""
@@ -179,20 +183,22 @@
             return self._turn_off(request, "a token in a class without keys, or none in one with")
         if not request.open:
             return  # its caller left before it could be told
-        repeats, past, keep_after = None, None, 0
+        repeats, past, same, keep_after = None, None, b"", 0
         if request.token is not None:
             self._handle()  # tries that are read together know of each other
-            if self._lasting is not None and self._lasting.parked(request):
-                return
+            if self._lasting is not None:
+                if self._lasting.parked(request):
+                    return
+                same = self._lasting.digest(request)
             try:
-                repeats, past = self._find(request, request.token)
+                repeats, past = self._find(request, request.token, same)
             except ValueError:
                 # All tries of a request are alike. Whoever brings another under its token is not its caller.
                 return self._turn_off(request, "its token is another's")
             if self._lasting is not None and repeats is None:
                 keep_after = self._lasting.wait_us()
         self._count += 1
-        known = Tracked(self._count, request, cls, repeats, past)
+        known = Tracked(self._count, request, cls, repeats, past, same)
         self._requests[known.id] = self._by_uid[request.uid] = known
         # Nobody waits longer than the class's patience, whatever a faulty stamp says.
         queued = min(max(0, clock.now() - request.arrived), cls.patience)
@@ -200,16 +206,16 @@
             known.id, number, queued, memory=request.memory, caller=request.caller, repeats=repeats,
             keep_after=keep_after))
 
-    def _find(self, request: Request, token: str) -> tuple[int | None, keys.Past | None]:
+    def _find(self, request: Request, token: str, same: bytes) -> tuple[int | None, keys.Past | None]:
         """Whom it repeats, or what, if the host no longer holds that; `ValueError` if its token is
         another's."""
-        number = self.keys.owner(token, request.arrived)
+        number = self._keys.owner(token, request.arrived)
         if number is not None:
             owner = self._requests.get(number)
-            if owner is None or not owner.alike(request):
+            if owner is None or not owner.alike(request, same):
                 raise ValueError
             return number, None
-        past = self._lasting.recall(request) if self._lasting is not None else None
+        past = self._lasting.recall(request, same) if self._lasting is not None else None
         return (NOT_HELD if past is not None else None), past
 
     def _turn_off(self, request: Request, why: str) -> None:
@@ -225,29 +231,32 @@
         self.tell(i.Gone(known.id))
         self._settle(known)
 
+    def _lasts(self, known: Tracked | None) -> Lasting | None:
+        """Who has to hear of this one, since its key outlasts this life."""
+        return self._lasting if known is not None and known.exchange.token is not None else None
+
+    def _noticed(self, pos: int) -> None:
+        """Of a notice that changes nothing for any key."""
+        if self._lasting is not None:
+            self._lasting.noticed(pos)
+
     def _end_run(self, uid: str, code: str, took: int = 0, result: bytes = b"", pos: int = 0) -> None:
         known = self._by_uid.get(uid)
         if known is None or not known.running:
-            if self._lasting is not None:
-                self._lasting.noticed(pos)
-            return
+            return self._noticed(pos)
         outcome = _ENDS.get(code, Outcome.ERROR)
         self._runs.over(known, outcome is Outcome.OK)
-        keyed = known.cls.repeat is Repeat.KEYED
-        lasts = self._lasting if keyed else None
-        if outcome is Outcome.OK:
-            if keyed:
-                known.result = result
-            if lasts is None:
-                known.exchange.finish(Answer(Verdict.SERVED, result, load=self._load))
-        elif outcome is Outcome.ERROR:
-            known.exchange.finish(Answer(Verdict.FAILED, load=self._load))
-        if lasts is None or outcome is not Outcome.OK:  # else once its result is recorded
-            self._over(known, outcome)
+        if outcome is Outcome.OK and known.exchange.token is not None:
+            known.result = result
+        lasts = self._lasts(known)
         if lasts is not None:
             lasts.ended(known, outcome, pos)
-        elif self._lasting is not None:
-            self._lasting.noticed(pos)
+        else:
+            self._noticed(pos)
+        if lasts is None or outcome is not Outcome.OK:  # else once its result is recorded
+            if outcome in (Outcome.OK, Outcome.ERROR):
+                self.answer(known.exchange, VERDICTS[outcome], result if outcome is Outcome.OK else b"")
+            self._over(known, outcome)
         self.tell(i.Finished(known.id, outcome, took))
         self._settle(known)
 
@@ -258,14 +267,12 @@
 
     def _block(self, uid: str, body: bytes, pos: int) -> None:
         known = self._by_uid.get(uid)
-        running = known is not None and known.running
-        if self._lasting is not None and (known is None or not running or known.exchange.token is None):
-            self._lasting.noticed(pos)
-        if known is None or not running:
-            return
+        if known is None or not known.running:
+            return self._noticed(pos)
         known.told, known.call_body, known.call_pos = None, body, pos
-        lasts = self._lasting if known.exchange.token is not None else None
-        if lasts is not None and not lasts.asks(known, pos):
+        if (lasts := self._lasts(known)) is None:
+            self._noticed(pos)
+        elif not lasts.asks(known):
             return self._runs.suspend(known)  # its call may have been made, and would be made twice
         self.tell(i.CallNeeded(known.id))
 
@@ -273,11 +280,12 @@
         """Their ends will never be told, and what had an effect is not run again."""
         lost = [known for known in self._requests.values() if known.running]
         if self._lasting is not None:
-            self._lasting.replaced()
             lost = [known for known in lost if not self._lasting.waits(known)]
         log.say("host", f"a new worker pool: {len(lost)} runs are lost with the one before")
         for known in lost:
             self._end_run(known.exchange.uid, worker.FAULT)
+        if self._lasting is not None:
+            self._lasting.replaced()  # what ended so settles notices of the pool before
 
     def _say_again(self, link: int) -> None:
         """What an earlier link may have lost, now that its replay has shown what arrived."""
@@ -294,15 +302,6 @@
             self._lasting.drain(time_left_us)
         self.tell(i.Draining(time_left_us))
 
-    def _check(self, check: Check) -> None:
-        def reply(good: bool) -> None:
-            check.finish(Answer(Verdict.SERVED if good else Verdict.REFUSED, load=self._load))
-
-        if self._healthy and check.deep and not self._stored:
-            self._pool.verify(reply)
-        else:
-            reply(self._healthy)
-
     # --- what becomes of a request
 
     def _over(self, known: Tracked, outcome: Outcome) -> None:
@@ -319,8 +318,7 @@
 
     def _end_repeat(self, repeat: Tracked, result: bytes | None) -> None:
         """Answer a repeat with this result; None: there is none to have."""
-        verdict = Verdict.FAILED if result is None else Verdict.SERVED
-        repeat.exchange.finish(Answer(verdict, result or b"", load=self._load))
+        self.answer(repeat.exchange, Verdict.FAILED if result is None else Verdict.SERVED, result or b"")
         repeat.held = False
         self._later.append(i.Finished(repeat.id, Outcome.ERROR if result is None else Outcome.OK))
         self._settle(repeat)
@@ -331,14 +329,14 @@
             return
         if known.held:
             self._over(known, Outcome.MOOT)
-        if self.keys.owns(known.exchange.token, known.id):
+        if self._keys.owns(known.exchange.token, known.id):
             return
         self._requests.pop(known.id, None)
         if self._by_uid.get(known.exchange.uid) is known:
             del self._by_uid[known.exchange.uid]
 
     def _expire(self) -> None:
-        for number in self.keys.expire(clock.now()):
+        for number in self._keys.expire(clock.now()):
             if (owner := self._requests.get(number)) is not None:
                 self._settle(owner)
 
@@ -348,30 +346,28 @@
         """Look at an arrival once more."""
         self._arrival(request)
 
-    def serve_answer(self, known: Tracked) -> None:
-        """Its result is recorded; in the writer's thread."""
-        known.exchange.finish(Answer(Verdict.SERVED, known.result, load=self._load))
+    def answer(self, request: Request, verdict: Verdict, body: bytes = b"", away_ms: int = 0) -> None:
+        """Its final answer, unless it has one; from any thread."""
+        request.finish(Answer(verdict, body, stay_away_ms=away_ms, load=self._load))
+
+    def never_ran(self, known: Tracked) -> None:
+        """It was to run, and provably has not."""
+        self._end_run(known.exchange.uid, worker.LATE)
 
     def let_go(self, known: Tracked, good: bool) -> None:
         """What repeats it is answered from the record from now on."""
         if good:
             self._over(known, Outcome.OK)
-        if known.exchange.token is not None:
-            self.keys.remove(known.exchange.token, known.id)
+        self._keys.remove(known.exchange.token, known.id)
         self._settle(known)
 
-    def withdraw(self, known: Tracked, away_ms: int) -> None:
-        """It was to run, and provably has not."""
-        known.exchange.finish(Answer(Verdict.REFUSED, stay_away_ms=away_ms, load=self._load))
-        self._end_run(known.exchange.uid, worker.LATE)
-
     def adopt(self, begun: keys.Begun, cls: int, time_left: int) -> Tracked:
         """A run of an earlier life. Nobody is owed its answer but those who repeat it."""
         now = clock.now()
         self._count += 1
         known = adopted(begun, self._count, self._settings.classes[cls], now)
         self._requests[known.id] = self._by_uid[begun.uid] = known
-        self.keys.enter(begun.token.hex(), known.id, begun.until)
+        self._keys.enter(begun.token.hex(), known.id, begun.until)
         self.tell(i.Adopted(known.id, cls, time_left, max(0, begun.until - now), begun.memory))
         return known
 
@@ -379,8 +375,8 @@
 
     def _run(self, known: Tracked, action: i.Run) -> None:
         known.held, known.running = False, True
-        if self._lasting is not None and known.exchange.token is not None:
-            self._lasting.run(known)
+        if (lasts := self._lasts(known)) is not None:
+            lasts.run(known)
         else:
             self._runs.begin(known)
 
@@ -392,33 +388,34 @@
 
     def _fail(self, known: Tracked, action: i.Fail) -> None:
         self._runs.drop_call(known)
-        known.exchange.finish(Answer(Verdict.FAILED, load=self._load))
+        self.answer(known.exchange, Verdict.FAILED)
         self._settle(known)
 
     def _halt(self, known: Tracked, action: i.Halt) -> None:
         if self._lasting is not None and self._lasting.take_back(known):  # the pool was not told to run it
-            return self._end_run(known.exchange.uid, worker.LATE)
+            return self.never_ran(known)
         self._runs.suspend(known)
 
     def _call(self, known: Tracked, action: i.Call) -> None:
-        if self._lasting is not None and known.exchange.token is not None:
-            self._lasting.call(known, lambda: self._runs.call(known, action.timeout))
+        if (lasts := self._lasts(known)) is not None:
+            lasts.call(known, lambda: self._runs.call(known, action.timeout))
         else:
             self._runs.call(known, action.timeout)
 
     def _remember(self, known: Tracked, action: i.Remember) -> None:
         if (token := known.exchange.token) is None:
             return
-        before = self.keys.enter(token, known.id, clock.now() + action.life + KEY_SLACK_US)
+        until = clock.now() + action.life + KEY_SLACK_US
+        before = self._keys.enter(token, known.id, until)
         if self._lasting is not None:
-            self._lasting.remembered(known)
+            self._lasting.remembered(known, until)
         if before is not None and (owner := self._requests.get(before)) is not None:
             self._settle(owner)
 
     def _forget(self, known: Tracked, action: i.Forget) -> None:
         if self._lasting is not None:
             self._lasting.forgotten(known)
-        if self.keys.remove(known.exchange.token, known.id):
+        if self._keys.remove(known.exchange.token, known.id):
             self._settle(known)
 
     def _reuse(self, known: Tracked, action: i.Reuse) -> None:
@@ -430,9 +427,6 @@
         else:
             self._finish_repeat(known, original)
 
-    def _set_health(self, action: i.SetHealth) -> None:
-        self._healthy, self._stored = action.good, action.stored
-
     def _advertise(self, action: i.Advertise) -> None:
         self._load = action.value
 
--- a/cairnvane/keyed/inspect.py
+++ b/cairnvane/keyed/inspect.py
@@ -7,13 +7,15 @@
 
 from .. import clock
 from . import record, state
-from .files import FolderError, OsFiles, boot_id, segment_name
+from .files import OsFiles, boot_id
 from .index import BYTES_PER_ENTRY, Index
-from .log import Log, Owner, Report, blocks, good_end, read_segment, segment_names
+from .log import Log, Owner, Report, blocks, read_segment, segment_names
 from .state import State, Step
 
 # Room for all that a folder can hold is not known before it is read; memory is touched only as it fills.
 _INDEX_BYTES = 4_000_000 * BYTES_PER_ENTRY
+# How late a repeat that came within its window may still be read, where no settings tell.
+UNREAD_US = 60_000_000
 
 
 @dataclass(slots=True)
@@ -64,13 +66,11 @@
             if isinstance(item, record.Damage):
                 bad.append(item)
                 continue
+            kind, offset, payload = item
             found.records += 1
-            end = good_end(item[1], item[2])
-            _step(known, header, record.parse(item[0], item[2]), found)
-        for damage in bad:
-            middle = damage.offset < end
-            lines = found.report.damaged if middle else found.report.torn
-            lines.append(f"{name}: {damage.what} at byte {damage.offset}, {damage.length} bytes")
+            end = offset + record.HEAD_BYTES + len(payload)
+            _step(known, header, record.parse(kind, payload), found)
+        found.report.take(name, bad, end)
     return known
 
 
@@ -78,14 +78,16 @@
     if told.step is Step.LINK:
         return
     before = known.get(told.token)
+    stood = State.UNKNOWN if before is None else before.state
     # A token may come again once its window is over.
-    aged = before is not None and before.header.boot == header.boot and before.until <= told.at
+    if before is not None and before.header.boot == header.boot and before.until <= told.at:
+        before, stood = None, State.AGED
     try:
-        after = state.advance(State.UNKNOWN if before is None or aged else before.state, told.step)
+        after = state.advance(stood, told.step)
     except state.IllegalStep as error:
         found.illegal.append(f"{told.token.hex()}: {error}")
         return
-    detail: dict[str, str] = {} if before is None or aged else before.detail
+    detail = before.detail if before is not None else {}
     if told.step is Step.INTENT:
         uid, _, _, _, lane = record.intent(told.rest)
         detail = {"uid": uid, "class": lane}
@@ -115,32 +117,22 @@
 
 
 def compact(files: OsFiles) -> tuple[int, int]:
-    """Rewrite all segments without what no longer counts; the bytes before and after."""
-    names = segment_names(files)
-    if not names:
+    """Rewrite all segments without what no longer counts; the bytes before and after. What is no segment
+    is left alone, as a server does."""
+    headers = (read_segment(files, number, name, Report()) for number, name in segment_names(files))
+    first = next((header for header in headers if header is not None), None)
+    if first is None:
         return 0, 0
     files.lock()
     try:
-        owners = {record.header(files.read(name, 0, record.HEADER_BYTES)).name for _, name in names}
-        if len(owners) != 1:
-            raise FolderError(f"segments of {len(owners)} instances in one folder")
-        owner, now = Owner(owners.pop(), boot_id()), clock.now()
-        # As long as no settings are known, a late reading of a repeat is allowed for as generously as its
-        # window.
-        log, index = Log(files, owner, most_disk=1 << 40, power=True, unread=UNREAD_US), Index(_INDEX_BYTES)
-        before = sum(files.size(name) for _, name in names)
+        now, index = clock.now(), Index(_INDEX_BYTES)
+        log = Log(files, Owner(first.name, boot_id()), most_disk=1 << 40, power=True, unread=UNREAD_US)
         log.recover(index, now)
+        before = log.size
         log.drop(now)
         for number in list(log.segments):
             for _ in log.compact(number, index, now):
                 pass
-        after = sum(files.size(segment_name(number)) for number in log.segments)
-        return before, after
-    except record.BadHeader as error:
-        raise FolderError(f"a file that is no segment; run verify: {error}") from None
+        return before, log.size
     finally:
         files.unlock()
-
-
-# How late a repeat that came within its window may still be read, where no settings tell.
-UNREAD_US = 60_000_000
--- a/cairnvane/keyed/log.py
+++ b/cairnvane/keyed/log.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Generator, Iterable, Iterator
 from dataclasses import dataclass, field
 
 from . import index as places
@@ -46,6 +46,17 @@
     torn: list[str] = field(default_factory=list)  # a last write that was cut short, as a crash leaves it
     foreign: list[str] = field(default_factory=list)  # left alone
 
+    def take(self, name: str, bad: list[record.Damage], end: int) -> bool:
+        """What is damaged in a segment whose last good record ends there; whether its end is torn. What
+        stands before a good record, or behind all that a segment can be, is no last write that was cut
+        short."""
+        torn = bool(bad) and end <= bad[-1].offset < places.MOST_OFFSET
+        for damage in bad[:-1] if torn else bad:
+            self.damaged.append(f"{name}: {damage}")
+        if torn:
+            self.torn.append(f"{name}: {bad[-1]}, and behind byte {end} nothing counts")
+        return torn
+
 
 @dataclass(frozen=True, slots=True)
 class Owner:
@@ -61,21 +72,18 @@
     return sorted((number, name) for number, name in found if number is not None)
 
 
-def _foreign(file: str, theirs: str, ours: str) -> FolderError:
-    return FolderError(f"{file}: belongs to the instance {theirs!r}, not to {ours!r}")
+def own(file: str, header: record.Header, name: str) -> None:
+    """Raise `FolderError` if this segment is not this instance's."""
+    if header.name != name:
+        raise FolderError(f"{file}: belongs to the instance {header.name!r}, not to {name!r}")
 
 
 def check(files: Files, name: str) -> None:
     """Raise `FolderError` if the folder is another instance's or a newer version's; nothing is changed."""
-    for _, file in segment_names(files):
-        try:
-            header = record.header(files.read(file, 0, record.HEADER_BYTES))
-        except record.NewerVersion as error:
-            raise FolderError(f"{file}: {error}") from None
-        except record.BadHeader:
-            continue
-        if header.name != name:
-            raise _foreign(file, header.name, name)
+    for number, file in segment_names(files):
+        header = read_segment(files, number, file, Report())
+        if header is not None:
+            own(file, header, name)
 
 
 def blocks(
@@ -107,11 +115,6 @@
     return header
 
 
-def good_end(offset: int, payload: bytes) -> int:
-    """Where a record ends."""
-    return offset + record.HEAD_BYTES + len(payload)
-
-
 class Log:
     """The segments of one owner in one folder."""
 
@@ -133,7 +136,7 @@
         self._begun: dict[bytes, tuple[Segment, int]] = {}  # where the intents stand of which no end does
         self._link: int | None = None
         self._pos = 0  # of the last record
-        self._compaction: Iterator[None] | None = None
+        self._compaction: Generator[None, None, None] | None = None
 
     @property
     def size(self) -> int:
@@ -155,8 +158,7 @@
             header = read_segment(self._files, number, name, report)
             if header is None:
                 continue
-            if header.name != self._owner.name:
-                raise _foreign(name, header.name, self._owner.name)
+            own(name, header, self._owner.name)
             self._read(name, header, recovery)
         self._begun = {token: (run[0], run[1]) for token, run in recovery.runs.items()}
         self._link, self._pos = recovery.pool_started, recovery.pos
@@ -165,14 +167,8 @@
     def _read(self, name: str, header: record.Header, recovery: Recovery) -> None:
         segment = recovery.begin(header)
         bad, end = recovery.read(blocks(self._files, name, header))
-        size = self._files.size(name)
-        segment.size = size
-        for damage in bad:
-            if damage.offset < end or damage.offset >= places.MOST_OFFSET:
-                self.report.damaged.append(
-                    f"{name}: {damage.what} at byte {damage.offset}, {damage.length} bytes passed over")
-        if bad and bad[-1].offset >= end and size <= places.MOST_OFFSET:
-            self.report.torn.append(f"{name}: {bad[-1].what} at byte {end}, {size - end} bytes cut off")
+        segment.size = self._files.size(name)
+        if self.report.take(name, bad, end):
             self._files.cut(name, end)
             segment.size = end
         self.segments[header.number] = segment
@@ -188,13 +184,14 @@
             size = record.size(len(entry.rest))
             if size > record.MAX_RECORD:
                 raise ValueError(f"a record of {size} bytes")
-            if self._current is None or self._full(size, len(buffer), entry.at):
-                self._write(buffer)
-                self._begin(entry.at, unix_ms)
-            assert self._current is not None
             segment = self._current
-            buffer += bytes(record.padding(segment.size, size))
-            segment.size += record.padding(segment.size, size)
+            pad = record.padding(segment.size, size) if segment is not None else 0
+            if segment is None or plan.is_full(segment, pad + size, self._most, self._window, entry.at):
+                self._write(buffer)
+                segment = self._begin(entry.at, unix_ms)
+                pad = record.padding(segment.size, size)
+            buffer += bytes(pad)
+            segment.size += pad
             placed.append((segment.number, segment.size))
             buffer += record.put(
                 segment.number, entry.step, entry.token, entry.at, entry.until, entry.pos, entry.rest)
@@ -204,11 +201,6 @@
         self._write(buffer)
         return placed
 
-    def _full(self, size: int, buffered: int, at: int) -> bool:
-        assert self._current is not None
-        more = size + record.padding(self._current.size, size)
-        return plan.is_full(self._current, more, self._most, self._window, at)
-
     def _account(self, entry: Entry, segment: Segment, size: int) -> None:
         """Know which records later ones have made idle."""
         if entry.step is Step.INTENT:
@@ -230,7 +222,7 @@
             self._handle.write(bytes(buffer))
             buffer.clear()
 
-    def _begin(self, at: int, unix_ms: int) -> None:
+    def _begin(self, at: int, unix_ms: int) -> Segment:
         """A new segment, which opens with the link that holds: older segments may be dropped."""
         self.sync()
         self._close()
@@ -246,6 +238,7 @@
             data += record.put(number, Step.LINK, record.NO_TOKEN, at, at, self._pos, rest)
             segment.add(len(data) - record.HEADER_BYTES, at)
         self._handle.write(data)
+        return segment
 
     def sync(self) -> None:
         """Where a power cut is to be survived, wait until what was appended would."""
@@ -264,7 +257,7 @@
     def abandon(self) -> None:
         """After an `OSError`: leave the segment as it is."""
         self._close()
-        self._compaction = None
+        self.stop_compacting()
         self._unsynced = self._new_name = False
         for number, segment in self.segments.items():  # what is really there; unknown is as it was planned
             try:
@@ -272,6 +265,12 @@
             except OSError:
                 continue
 
+    def stop_compacting(self) -> None:
+        """Leave the segment that was being compacted as it was."""
+        if self._compaction is not None:
+            self._compaction.close()
+            self._compaction = None
+
     def close(self) -> None:
         """Sync, and write no more."""
         try:
@@ -328,7 +327,7 @@
             self._compaction = None
         return True
 
-    def compact(self, number: int, index: Index, now: int) -> Iterator[None]:
+    def compact(self, number: int, index: Index, now: int) -> Generator[None, None, None]:
         """Write what still counts in a segment into a new file of its name, a few blocks a step. Places in
         the index move when the new file has the name: a process that ends before leaves the old one."""
         name = segment_name(number)
--- a/cairnvane/keyed/plan.py
+++ b/cairnvane/keyed/plan.py
@@ -95,7 +95,7 @@
     return best.number if worth and best is not None else None
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)  # one is made for each keyed arrival
 class Load:
     """What a store holds at one moment."""
 
@@ -147,9 +147,10 @@
         if owed:
             self._owed[pos] = None
 
-    def written(self, pos: int) -> None:
-        """The record for this notice is written, or will never be."""
-        self._owed.pop(pos, None)
+    def written(self, settled: Iterable[int]) -> None:
+        """The record that settles these is written."""
+        for pos in settled:
+            self._owed.pop(pos, None)
 
     @property
     def pos(self) -> int:
--- a/cairnvane/keyed/record.py
+++ b/cairnvane/keyed/record.py
@@ -77,6 +77,9 @@
     what: str
     length: int  # bytes that are passed over
 
+    def __str__(self) -> str:
+        return f"{self.what} at byte {self.offset}, {self.length} bytes passed over"
+
 
 def put_header(header: Header) -> bytes:
     """128 bytes."""
--- a/cairnvane/keyed/recovery.py
+++ b/cairnvane/keyed/recovery.py
@@ -62,11 +62,8 @@
     def begin(self, header: record.Header) -> Segment:
         """The next segment; what follows is in it."""
         self._shift = 0 if header.boot == self._boot else self._now - header.at
-        return self._use(Segment(header.number, header.at + self._shift))
-
-    def _use(self, segment: Segment) -> Segment:
-        self._segment = segment
-        return segment
+        self._segment = Segment(header.number, header.at + self._shift)
+        return self._segment
 
     def _state(self, token: bytes) -> State:
         if (run := self.runs.get(token)) is not None:
@@ -74,9 +71,10 @@
         if token in self._void:
             return State.VOID
         found = self._index.get(token)
-        if found is None or not self._index.counts(found[1], self._now - self._unread):
+        if found is None:
             return State.UNKNOWN
-        return places.state(found[0])
+        counts = self._index.counts(found[1], self._now - self._unread)
+        return places.state(found[0]) if counts else State.AGED
 
     def read(
         self, found: Iterable[tuple[int, int, bytes] | record.Damage],
--- a/cairnvane/keyed/state.py
+++ b/cairnvane/keyed/state.py
@@ -51,7 +51,6 @@
 
 
 _BEGUN = (State.INTENDED, State.CALLING)
-_OVER = (State.FINISHED, State.FAILED)
 _NEXT: dict[tuple[State, Step], State] = {
     **{(state, Step.INTENT): State.INTENDED for state in (State.UNKNOWN, State.VOID, State.AGED)},
     # The same intent again: after a write that failed half way the whole group is written once more.
--- a/cairnvane/keyed/store.py
+++ b/cairnvane/keyed/store.py
@@ -17,15 +17,15 @@
 from typing import Protocol
 
 from .. import clock, log
-from ..keys import Begun, Past, Recovered
+from ..keys import Begun, Past, Points, Recovered
 from . import index as places
-from . import plan, record
+from . import plan, record, state
 from .files import Files, FolderError
 from .index import Index
 from .log import Entry, Log, Owner
 from .log import check as check_folder
 from .recovery import Recovery, TooLarge
-from .state import State, Step
+from .state import Repeat, State, Step
 
 # So many records share a write; at any load seen they are far fewer.
 MOST_GROUP = 256
@@ -58,14 +58,15 @@
     entry: Entry
     then: Callable[[], None] | None
     same: bytes = b""  # of an end: the digest that its entry in the index shows
-    pos: int = 0  # the notice that this is the record of
+    settles: tuple[int, ...] = ()  # notices that need not come again once it is written
+    progress: plan.Progress | None = None  # of the pool that these are of
     needed: bool = True  # someone waits until it survives a power cut
     taken: bool = False  # it counts, and is only written again
 
 
 @dataclass(frozen=True, slots=True)
 class _Fetch:
-    past: Past
+    token: bytes
     same: bytes
     then: Callable[[bytes | None], None]
 
@@ -75,13 +76,9 @@
     pass
 
 
-# Told of each named point, for whoever wants to cause trouble there: "recovery", "rotation", "drop",
-# "compaction" and "compacted", and "append", "written" or "synced" with the kind of a record in the group.
-Points = Callable[[str], None]
-
-
 class Store:
-    """`keys.Keeper` on a folder."""
+    """`keys.Keeper` on a folder. Its points are "recovery", "rotation", "drop", "compaction" and
+    "compacted", and "append", "written" or "synced" with the kind of a record in the group."""
 
     def __init__(
         self, files: Folder, name: str, boot: bytes, *, power: bool, disk_bytes: int, memory_bytes: int,
@@ -99,7 +96,7 @@
         self._progress = plan.Progress()
         self._open_keys = self._queued = 0
         self._writing_since = 0  # 0: nothing is being written
-        self._ready = self._failing = self._closed = False
+        self._ready = self._failing = False
         self._failures = 0
         self._again: list[_Write] = []  # written, yet not known to survive
         self._looked = 0
@@ -166,22 +163,24 @@
         rest = record.put_intent(begun.uid, begun.digest, begun.due, begun.memory, begun.lane)
         self._put(_Write(Entry(Step.INTENT, begun.token, clock.now(), begun.until, rest), then))
 
-    def never(self, token: bytes, until: int) -> None:
+    def never(self, token: bytes, until: int, settles: tuple[int, ...]) -> None:
         """See `Keeper`."""
-        self._put(_Write(Entry(Step.NEVER, token, clock.now(), until, b""), None, needed=False))
+        entry = Entry(Step.NEVER, token, clock.now(), until, b"")
+        self._put(_Write(entry, None, settles=settles, needed=False))
 
     def calling(self, token: bytes, until: int, pos: int, then: Callable[[], None]) -> None:
         """See `Keeper`. A power cut ends the pool with us, and the run: only a kill has to be survived."""
         entry = Entry(Step.CALL, token, clock.now(), until, record.put_call(pos))
-        self._put(_Write(entry, then, pos=pos, needed=False))
+        self._put(_Write(entry, then, settles=(pos,), needed=False))
 
     def ended(
-        self, token: bytes, until: int, same: bytes, result: bytes | None, pos: int, then: Callable[[], None],
+        self, token: bytes, until: int, same: bytes, result: bytes | None, settles: tuple[int, ...],
+        then: Callable[[], None],
     ) -> None:
         """See `Keeper`."""
         step = Step.FAULT if result is None else Step.RESULT
         entry = Entry(step, token, clock.now(), until, record.put_end(same, result or b""))
-        self._put(_Write(entry, then, same, pos, needed=result is not None))
+        self._put(_Write(entry, then, same, settles, needed=result is not None))
 
     def noticed(self, pos: int, owed: bool) -> None:
         """See `Keeper`."""
@@ -207,11 +206,12 @@
                 return None
         if not places.alike(found[0], same):
             raise ValueError("another class or body")
-        return Past(token, places.state(found[0]) is State.FINISHED, found[0])
+        gets = state.repeat(places.state(found[0]), True)
+        return None if gets is Repeat.RUN else Past(token, gets is Repeat.RESULT)
 
-    def fetch(self, past: Past, same: bytes, then: Callable[[bytes | None], None]) -> None:
+    def fetch(self, token: bytes, same: bytes, then: Callable[[bytes | None], None]) -> None:
         """See `Keeper`."""
-        self._queue.put(_Fetch(past, same, then))
+        self._queue.put(_Fetch(token, same, then))
 
     def close(self) -> None:
         """See `Keeper`."""
@@ -222,6 +222,7 @@
     def _put(self, write: _Write) -> None:
         with self._lock:
             self._queued += len(write.entry.rest) + _OVERHEAD
+            write.progress = self._progress
         self._queue.put(write)
 
     # --- the writer
@@ -363,7 +364,8 @@
         entries = []
         with self._lock:
             for write in group:
-                self._progress.written(write.pos)
+                assert write.progress is not None
+                write.progress.written(write.settles)  # which may be that of a pool before this one
                 write.entry.pos = self._progress.pos
                 entries.append(write.entry)
         return entries
@@ -377,8 +379,8 @@
                     self._queued -= len(entry.rest) + _OVERHEAD
                     self._open_keys -= step in (Step.RESULT, Step.FAULT, Step.NEVER)
                 if step in (Step.RESULT, Step.FAULT):
-                    state = State.FINISHED if step is Step.RESULT else State.FAILED
-                    word = places.place(segment, offset, places.tag(write.same), state)
+                    ended = State.FINISHED if step is Step.RESULT else State.FAILED
+                    word = places.place(segment, offset, places.tag(write.same), ended)
                     self._index.put(entry.token, word, entry.until)
                 write.taken = True
             self._disk = self._log.size
@@ -390,11 +392,11 @@
     def _fetch(self, fetch: _Fetch) -> bytes | None:
         """Its result. Where it stands is asked again: a compaction may have moved it."""
         with self._lock:
-            found = self._index.get(fetch.past.token)
+            found = self._index.get(fetch.token)
         if found is None or places.state(found[0]) is not State.FINISHED:
             return None
         try:
-            return self._log.fetch(found[0], fetch.past.token, fetch.same)
+            return self._log.fetch(found[0], fetch.token, fetch.same)
         except OSError as error:
             log.say("keyed", f"a result can't be read: {error}")
             return None
@@ -416,7 +418,7 @@
             while self._log.compact_a_little(self._index, now) and self._queue.empty():
                 pass
         except OSError as error:
-            self._log.abandon()
+            self._log.stop_compacting()  # what is being written is not at fault
             log.say("keyed", f"making room failed: {error}")
         self._measure(now)
 
--- a/cairnvane/keys.py
+++ b/cairnvane/keys.py
@@ -33,11 +33,6 @@
         key = self._keys.get(token)
         return key.owner if key is not None and arrived < key.until else None
 
-    def until(self, token: str) -> int:
-        """Until when this token counts; 0 if it is not known."""
-        key = self._keys.get(token)
-        return key.until if key is not None else 0
-
     def owns(self, token: str | None, owner: int) -> bool:
         """Whether this request is the one that the token stands for."""
         return token is not None and (key := self._keys.get(token)) is not None and key.owner == owner
@@ -73,7 +68,6 @@
 
     token: bytes
     served: bool  # it has a result; else it failed, or nobody knows how it ended
-    place: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,9 +94,14 @@
     pool_started: int | None = None  # of that pool, on the monotonic clock; None: no pool was met
 
 
+# Told of each named point on the way of a record; only the laboratory wants to know.
+Points = Callable[[str], None]
+
+
 class Keeper(Protocol):
     """Keeps keys and results beyond this life. No call waits for a disk; every `then` comes once, from the
-    keeper's own thread. Tokens are 16 bytes, times microseconds of the monotonic clock."""
+    keeper's own thread. Tokens are 16 bytes, times microseconds of the monotonic clock. A record `settles`
+    notices: once it is written, they need not come again."""
 
     def start(
         self, recovered: Callable[[Recovered], None], delayed: Callable[[], None],
@@ -123,19 +122,20 @@
     def intend(self, begun: Begun, then: Callable[[], None]) -> None:
         """`then`, once it is recorded that this run is about to begin."""
 
-    def never(self, token: bytes, until: int) -> None:
+    def never(self, token: bytes, until: int, settles: tuple[int, ...]) -> None:
         """The run that was about to begin provably never did."""
 
     def calling(self, token: bytes, until: int, pos: int, then: Callable[[], None]) -> None:
         """`then`, once it is recorded that the call which notice `pos` asks for is about to be made."""
 
     def ended(
-        self, token: bytes, until: int, same: bytes, result: bytes | None, pos: int, then: Callable[[], None],
+        self, token: bytes, until: int, same: bytes, result: bytes | None, settles: tuple[int, ...],
+        then: Callable[[], None],
     ) -> None:
         """`then`, once it is recorded that the run has ended, with this result or (None) without one."""
 
     def noticed(self, pos: int, owed: bool) -> None:
-        """Notice `pos` was read; `owed`: `calling` or `ended` for it is still to come."""
+        """Notice `pos` was read; `owed`: a record that settles it is still to come."""
 
     def linked(self, pool_started: int) -> None:
         """The pool's link is up."""
@@ -146,8 +146,8 @@
     def recall(self, token: bytes, same: bytes, arrived: int) -> Past | None:
         """What this token stood for; `ValueError` if with another class or body."""
 
-    def fetch(self, past: Past, same: bytes, then: Callable[[bytes | None], None]) -> None:
-        """Its result; None if that can't be had."""
+    def fetch(self, token: bytes, same: bytes, then: Callable[[bytes | None], None]) -> None:
+        """The result that `recall` told of; None if that can't be had."""
 
     def close(self) -> None:
         """Write what is left, and let go of the folder."""
--- a/cairnvane/lab/victim.py
+++ b/cairnvane/lab/victim.py
@@ -40,7 +40,7 @@
 
 
 def _no_results(
-    self: Store, token: bytes, until: int, same: bytes, result: bytes | None, pos: int,
+    self: Store, token: bytes, until: int, same: bytes, result: bytes | None, settles: tuple[int, ...],
     then: Callable[[], None],
 ) -> None:
     then()
--- a/cairnvane/lasting.py
+++ b/cairnvane/lasting.py
@@ -17,10 +17,10 @@
 from . import clock, log
 from . import interface as i
 from .digest import digest
-from .exchange import Answer, Request, Verdict
+from .exchange import Request, Verdict
 from .interface import Outcome
 from .keyed import state
-from .keys import Begun, Keeper, Past, Recovered, Table
+from .keys import Begun, Keeper, Past, Recovered
 from .net.pool import Pool
 from .tracked import Tracked
 
@@ -49,11 +49,11 @@
     def begin(self, known: Tracked) -> None:
         """Have the pool run it. From any thread."""
 
-    def withdraw(self, known: Tracked, away_ms: int) -> None:
-        """Refuse what was to run and provably has not."""
+    def answer(self, request: Request, verdict: Verdict, body: bytes = b"", away_ms: int = 0) -> None:
+        """Its final answer, unless it has one. From any thread."""
 
-    def serve_answer(self, known: Tracked) -> None:
-        """Its result is recorded: give it to its caller. From any thread."""
+    def never_ran(self, known: Tracked) -> None:
+        """What was to run provably has not."""
 
     def let_go(self, known: Tracked, good: bool) -> None:
         """The end is recorded: tell all who wait, and remember it no more."""
@@ -65,6 +65,16 @@
         """Look at an arrival once more."""
 
 
+@dataclass(slots=True)
+class _Key:
+    """A key on account."""
+
+    token: bytes
+    until: int
+    intended: bool = False  # its intent was handed over
+    called: int = 0  # the notice whose call may have been made in an earlier life
+
+
 @dataclass(slots=True)
 class _Wait:
     known: Tracked
@@ -74,15 +84,14 @@
 class Lasting:
     """What waits for the keeper."""
 
-    def __init__(self, keeper: Keeper, table: Table, settings: i.Settings) -> None:
-        self._keeper, self._table, self._settings = keeper, table, settings
-        self._classes = {cls.name: number for number, cls in enumerate(settings.classes)}
-        self._open: dict[int, bool] = {}  # with a key on account: whether their intent went out
+    def __init__(self, keeper: Keeper, settings: i.Settings) -> None:
+        self._keeper = keeper
+        self._classes = {cls.name: (number, cls) for number, cls in enumerate(settings.classes)}
+        self._keys: dict[int, _Key] = {}  # by request, until their end is handed over
         self._begins: dict[int, _Wait] = {}
         self._ends: dict[int, _Wait] = {}
         self._done: deque[tuple[Tracked, bool]] = deque()  # recorded, the host has not looked yet
         self._parked: list[tuple[int, Request]] | None = []  # None once all has been read
-        self._adopted: dict[int, int] = {}  # the notice whose call may have been made
         self._watching = self._early = False  # early: linked to the pool before all was read
         self._stop_at = 1 << 62
 
@@ -98,16 +107,18 @@
         """Whether this keyed try has to wait until all has been read; nobody knows yet what it repeats."""
         if self._parked is None:
             return False
-        patience = self._settings.classes[self._classes[request.lane]].patience
-        limit = min(PARK_US, patience // 2)
+        limit = min(PARK_US, self._classes[request.lane][1].patience // 2)
         self._parked.append((clock.now() + limit, request))
         self._watch()
         return True
 
-    def recall(self, request: Request) -> Past | None:
+    def digest(self, request: Request) -> bytes:
+        """What all its tries have in common."""
+        return digest(request.lane, request.body)
+
+    def recall(self, request: Request, same: bytes) -> Past | None:
         """What it repeats, if the host no longer holds that; `ValueError` if its token is another's."""
         assert request.token is not None
-        same = digest(request.lane, request.body)
         return self._keeper.recall(bytes.fromhex(request.token), same, request.arrived)
 
     def wait_us(self) -> int:
@@ -116,38 +127,38 @@
 
     def reuse(self, known: Tracked, past: Past, then: Callable[[bytes | None], None]) -> None:
         """`then`, in the host thread, with the result that it may have; None: it failed."""
-        stands = state.State.FINISHED if past.served else state.State.FAILED
-        if state.repeat(stands, True) is state.Repeat.FAIL:
-            return then(None)
-        same = digest(known.exchange.lane, known.exchange.body)
-        self._keeper.fetch(past, same, lambda result: self._side.post(lambda: then(result)))
+        if past.served:
+            self._keeper.fetch(
+                past.token, known.same, lambda result: self._side.post(lambda: then(result)))
+        else:
+            then(None)
 
     # --- a request's way
 
-    def remembered(self, known: Tracked) -> None:
+    def remembered(self, known: Tracked, until: int) -> None:
         """Its key is taken on."""
-        self._open[known.id] = False
+        assert known.exchange.token is not None
+        self._keys[known.id] = _Key(bytes.fromhex(known.exchange.token), until)
         self._keeper.reserve()
 
     def forgotten(self, known: Tracked) -> None:
         """It never ran."""
-        intended = self._open.pop(known.id, None)
-        if intended:
-            self._keeper.never(self._token(known), self._until(known))
-        elif intended is False:
+        if (key := self._keys.pop(known.id, None)) is None:
+            return
+        if key.intended:
+            self._keeper.never(key.token, key.until, ())
+        else:
             self._keeper.release()
-        self._begins.pop(known.id, None)
 
     def run(self, known: Tracked) -> None:
         """It is to run, once that is recorded."""
-        exchange = known.exchange
-        known.same = digest(exchange.lane, exchange.body)
-        self._open[known.id] = True
+        exchange, key = known.exchange, self._keys[known.id]
+        key.intended = True
         self._begins[known.id] = _Wait(known, clock.now() + BEGIN_WAIT_US)
         self._watch()
         due = exchange.arrived + known.cls.patience
-        begun = Begun(self._token(known), exchange.uid, exchange.lane, known.same, self._until(known), due,
-                      exchange.memory, 0)
+        begun = Begun(
+            key.token, exchange.uid, exchange.lane, known.same, key.until, due, exchange.memory, 0)
         self._keeper.intend(begun, lambda: self._begin(known))
 
     def _begin(self, known: Tracked) -> None:
@@ -163,44 +174,45 @@
         """Whether the pool has not been told to run it."""
         return known.id in self._begins
 
-    def asks(self, known: Tracked, pos: int) -> bool:
+    def asks(self, known: Tracked) -> bool:
         """It asks for its call. False if that may have been made in an earlier life: its end is not known."""
-        self._keeper.noticed(pos, True)
-        recorded = self._adopted.get(known.id, 0)
-        was = state.State.CALLING if recorded else state.State.INTENDED
-        return state.call_may_be_made(was, recorded, pos)
+        self._keeper.noticed(known.call_pos, True)
+        called = self._keys[known.id].called
+        was = state.State.CALLING if called else state.State.INTENDED
+        return state.call_may_be_made(was, called, known.call_pos)
 
     def call(self, known: Tracked, go: Callable[[], None]) -> None:
         """`go`, in the host thread, once it is recorded that its call is about to be made."""
-        pos = known.call_pos
+        key, pos = self._keys[known.id], known.call_pos
         self._keeper.calling(
-            self._token(known), self._until(known), pos,
+            key.token, key.until, pos,
             lambda: self._side.post(lambda: go() if known.call_pos == pos else None))
 
     def ended(self, known: Tracked, outcome: Outcome, pos: int) -> None:
-        """Its run is over. With a result, its answer waits for the record."""
+        """Its run is over, says notice `pos` (0: none does). With a result, its answer waits for the
+        record."""
+        key = self._keys.pop(known.id)
         self._begins.pop(known.id, None)
-        if self._open.pop(known.id, None) is None:
-            return self.noticed(pos)
-        if outcome is Outcome.MOOT:
-            self._keeper.never(self._token(known), self._until(known))
-            return self.noticed(pos)
         if pos:
             self._keeper.noticed(pos, True)
+        # Whatever became of the call that it last asked for: its end settles that too.
+        settles = known.call_pos, pos
+        if outcome is Outcome.MOOT:
+            return self._keeper.never(key.token, key.until, settles)
         good = outcome is Outcome.OK
         if good:
             due = known.exchange.arrived + known.cls.patience
             self._ends[known.id] = _Wait(known, min(due, self._stop_at) - MARGIN_US)
             self._watch()
         self._keeper.ended(
-            self._token(known), self._until(known), known.same, known.result if good else None, pos,
+            key.token, key.until, known.same, known.result if good else None, settles,
             lambda: self._recorded(known, good))
 
     def _recorded(self, known: Tracked, good: bool) -> None:
         """In the writer's thread. The host looks at the rest when it is next awake, or is woken if someone
         waits: who comes to wait after this look comes before the host's own, at the end of the same pass."""
         if good:
-            self._side.serve_answer(known)
+            self._side.answer(known.exchange, Verdict.SERVED, known.result)
         self._done.append((known, good))
         if known.waiting:
             self._side.post(lambda: None)
@@ -217,14 +229,6 @@
         if pos:
             self._keeper.noticed(pos, False)
 
-    def _token(self, known: Tracked) -> bytes:
-        assert known.exchange.token is not None
-        return bytes.fromhex(known.exchange.token)
-
-    def _until(self, known: Tracked) -> int:
-        assert known.exchange.token is not None
-        return self._table.until(known.exchange.token) or clock.now() + known.cls.window
-
     # --- the pool
 
     def linked(self) -> None:
@@ -252,18 +256,16 @@
         for count, life in left.kept:
             self._side.tell(i.Kept(count, life))
         for begun in left.begun:
-            number = self._classes.get(begun.lane)
-            gets = state.repeat(state.State.INTENDED, not self._early)
-            if number is None or gets is state.Repeat.FAIL:
-                why = "its class is gone" if number is None else "its pool's notices have passed by"
+            number, cls = self._classes.get(begun.lane, (0, None))
+            if cls is None or state.repeat(state.State.INTENDED, not self._early) is state.Repeat.FAIL:
+                why = "its class is gone" if cls is None else "its pool's notices have passed by"
                 log.say("keyed", f"{begun.uid}: failed, since {why}")
-                self._keeper.ended(begun.token, begun.until, begun.digest, None, 0, lambda: None)
+                self._keeper.ended(begun.token, begun.until, begun.digest, None, (), lambda: None)
                 continue
             # The reply to a call died with the earlier life, unless it had been passed on.
             left_us = 0 if begun.call_pos else begun.due - now
             known = self._side.adopt(begun, number, max(ADOPT_US, left_us))
-            self._open[known.id] = True
-            self._adopted[known.id] = begun.call_pos
+            self._keys[known.id] = _Key(begun.token, begun.until, True, begun.call_pos)
         if not self._early:
             self._pool.resume(left.pos, left.pool_started, state.same_pool)
             self._pool.start()
@@ -293,16 +295,19 @@
             if not self.take_back(known):
                 continue  # begun meanwhile
             log.say("keyed", f"{known.exchange.uid}: refused, since the disk did not record it in time")
-            self._side.withdraw(known, -(-max(self._keeper.wait_us(), BEGIN_WAIT_US) // 1_000))
-        late = now if now < self._stop_at else 1 << 62
-        for number in [number for number, wait in self._ends.items() if wait.until <= late]:
-            known = self._ends.pop(number).known
-            log.say("keyed", f"{known.exchange.uid}: failed, since its result was not recorded in time")
-            known.exchange.finish(Answer(Verdict.FAILED))
+            away_ms = -(-max(self._keeper.wait_us(), BEGIN_WAIT_US) // 1_000)
+            self._side.answer(known.exchange, Verdict.REFUSED, away_ms=away_ms)
+            self._side.never_ran(known)
+        ends = self._ends.items()
+        for number in [number for number, wait in ends if min(wait.until, self._stop_at) <= now]:
+            exchange = self._ends.pop(number).known.exchange
+            log.say("keyed", f"{exchange.uid}: failed, since its result was not recorded in time")
+            self._side.answer(exchange, Verdict.FAILED)
         if self._parked:
             over = [request for until, request in self._parked if until <= now]
             self._parked = [(until, request) for until, request in self._parked if until > now]
             for request in over:
-                request.finish(Answer(Verdict.REFUSED, stay_away_ms=-(-self._keeper.wait_us() // 1_000)))
+                away_ms = -(-self._keeper.wait_us() // 1_000)
+                self._side.answer(request, Verdict.REFUSED, away_ms=away_ms)
         if self._begins or self._ends or self._parked:
             self._watch()
--- a/cairnvane/net/pool.py
+++ b/cairnvane/net/pool.py
@@ -229,8 +229,7 @@
 
     def _take(self, notice: Notice, content: bytes, outlet: Outlet) -> None:
         if notice.action == "finished":
-            took_us = int(min(max(0.0, notice.wall_ms), MAX_WALL_MS) * 1e3)
-            self._notices.finished(notice.uid, notice.code, took_us, content, notice.pos)
+            self._notices.finished(notice.uid, notice.code, _us(notice.wall_ms), content, notice.pos)
         elif notice.action == "blocked":
             self._notices.blocked(notice.uid, content, notice.pos)
         elif notice.action in ("polled", "verified"):
@@ -249,7 +248,7 @@
 
     def _meet(self, wall_ms: float) -> None:
         """Whose link it is. A new pool counts its notices from 1, and none of them may be passed over."""
-        started = clock.now() - int(min(max(0.0, wall_ms), MAX_WALL_MS) * 1e3)
+        started = clock.now() - _us(wall_ms)
         if self._same is None or self._same(self.started, started):
             if self.started is None:
                 self.started = started
@@ -273,5 +272,9 @@
     return msgspec.json.encode(command) + b"\n"
 
 
+def _us(wall_ms: float) -> int:
+    return int(min(max(0.0, wall_ms), MAX_WALL_MS) * 1e3)
+
+
 def _text(data: bytes) -> str:
     return base64.b64encode(data).decode("ascii")
--- a/cairnvane/tracked.py
+++ b/cairnvane/tracked.py
@@ -23,6 +23,7 @@
     cls: i.RequestClass
     repeats: int | None
     past: Past | None = None  # what it repeats, if that has left the host's hands
+    same: bytes = b""  # the digest of what all its tries have in common, where keys outlast this life
     held: bool = True  # neither run nor over
     running: bool = False  # the pool has it, or was told to
     outcome: Outcome | None = None  # how it ended, if it is over
@@ -35,14 +36,12 @@
     told: int | None = None  # on which link its last command went; None: shown to have arrived
     told_at: int = 0  # and when
     halted: int | None = None  # on which link it was told to stop
-    same: bytes = b""  # the digest of what all its tries have in common, where it is needed
 
-    def alike(self, request: Request) -> bool:
-        """Whether this could be another try of it. Of a run of an earlier life only the digest is known."""
-        if self.same:
-            from .digest import digest  # loaded by now: only who keeps keys knows digests
-
-            return self.same == digest(request.lane, request.body)
+    def alike(self, request: Request, same: bytes) -> bool:
+        """Whether this could be another try of it, whose digest is `same`, where digests are needed: of a run
+        of an earlier life nothing else is known."""
+        if same:
+            return self.same == same
         return (self.exchange.lane, self.exchange.body) == (request.lane, request.body)
 
 
--- a/cairnvane/xds/grpc_stream.py
+++ b/cairnvane/xds/grpc_stream.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable
 from queue import SimpleQueue
-from typing import Any, Protocol
+from typing import Any
 
 import grpc
 from envoy.config.core.v3 import base_pb2
@@ -28,11 +28,8 @@
 MOST_MESSAGE = 64 << 20  # 100,000 endpoints in one message are about 5 MB
 
 
-class Told(Protocol):
-    """Whoever goes by the session."""
-
-    def __call__(self, step: Step[Any]) -> None:
-        """Called in the stream's thread, after each message that changed something."""
+# Whoever goes by the session; called in a thread of the stream's, after each message that changed something.
+Told = Callable[[Step[Any]], None]
 
 
 def _clock() -> int:
@@ -51,11 +48,16 @@
         response_nonce=asked.nonce, error_detail=error)
 
 
+def _parse(type_url: str, found: Any) -> tuple[str, Any]:
+    """A resource of another type than its response's is none that can be read."""
+    return resources.parse(type_url, found.value) if found.type_url == type_url else ("", None)
+
+
 def _take(told: Any) -> Response | DeltaResponse:
     if isinstance(told, discovery_pb2.DiscoveryResponse):
-        found = tuple((resources.name_of(one.type_url, one.value), one.value) for one in told.resources)
-        return Response(told.version_info, told.nonce, found)
-    changed = tuple((one.name, one.version, one.resource.value) for one in told.resources)
+        return Response(
+            told.version_info, told.nonce, tuple(_parse(told.type_url, one) for one in told.resources))
+    changed = tuple((one.name, one.version, _parse(told.type_url, one.resource)[1]) for one in told.resources)
     return DeltaResponse(told.nonce, changed, tuple(told.removed_resources))
 
 
@@ -64,7 +66,7 @@
 
     def __init__(self, address: str, node_id: str, told: Told, *, delta: bool = False) -> None:
         make: Callable[..., Session[Any, Any]] = make_delta if delta else make_state_of_the_world
-        self.session = make(resources.decode_cluster, resources.decode_assignment)
+        self.session = make(resources.cluster, resources.assignment)
         self._address, self._delta, self._told = address, delta, told
         self._node = base_pb2.Node(id=node_id, user_agent_name="cairnvane")
         self._stopped = threading.Event()
--- a/cairnvane/xds/known.py
+++ b/cairnvane/xds/known.py
@@ -50,14 +50,14 @@
 
     state: Known = Known.REQUESTED
     version: str = ""
-    body: bytes = b""
     value: Any = None
     fault: str = ""  # of a version that came after the one that is held
     missing_at: int | None = None  # None: its time does not run
 
 
-# Takes a resource's name and body apart; `ValueError` says in a few words what is wrong with it.
-Decode = Callable[[str, bytes], Any]
+# Makes a value of a resource's name and body, whatever a transport has for a body; `ValueError` says in a few
+# words what is wrong with it. Values that are equal say the same.
+Decode = Callable[[str, Any], Any]
 
 
 class Resources:
@@ -67,7 +67,7 @@
         self.all = names is None
         self.known: dict[str, Resource] = {name: Resource() for name in names or ()}
         self._decode = decode
-        self._open = False
+        self.open = False  # there is a stream
 
     def names(self) -> list[str]:
         """What is asked for by name; none where all are."""
@@ -83,14 +83,14 @@
 
     def opened(self, now: int) -> None:
         """A stream is up: what has not come yet has its time from now on."""
-        self._open = True
+        self.open = True
         for one in self.known.values():
             if one.state is Known.REQUESTED:
                 one.missing_at = now + MISSING_AFTER_US
 
     def closed(self) -> None:
         """No stream: nothing is missing for want of one, and all that is held counts on."""
-        self._open = False
+        self.open = False
         for one in self.known.values():
             one.missing_at = None
 
@@ -98,14 +98,29 @@
         """Ask for more by name; those that are new."""
         new = [name for name in names if name not in self.known]
         for name in new:
-            self.known[name] = Resource(missing_at=now + MISSING_AFTER_US if self._open else None)
+            self.known[name] = Resource(missing_at=now + MISSING_AFTER_US if self.open else None)
         return new
 
     def unsubscribe(self, names: Iterable[str]) -> list[str]:
         """Ask for these no more; those that were known. Nobody is told: whoever unsubscribes knows."""
         return [name for name in names if self.known.pop(name, None) is not None]
 
-    def put(self, name: str, version: str, body: bytes) -> tuple[Event | None, str]:
+    def take(self, found: Iterable[tuple[str, str, Any]]) -> tuple[list[Event], list[str]]:
+        """Resources of one response, by name, version and body: what has become of them, and their faults."""
+        events, bad, seen = [], [], set()
+        for name, version, body in found:
+            if not name:  # else it would be one that nobody asked for, and be taken without a word
+                bad.append("a resource that can't be read, or has no name")
+            elif name in seen:
+                bad.append(f"{name}: stands twice in one response")
+            else:
+                seen.add(name)
+                event, fault = self._put(name, version, body)
+                bad += [fault] if fault else []
+                events += [event] if event is not None else []
+        return events, bad
+
+    def _put(self, name: str, version: str, body: Any) -> tuple[Event | None, str]:
         """A resource has come: what has become of it, or what is wrong with it. A bad one leaves the last
         good one as it is, and shows that the resource exists."""
         one = self.known.get(name)
@@ -119,8 +134,8 @@
         except ValueError as error:
             one.fault = str(error)
             return None, f"{name}: {error}"
-        same = one.state is Known.HELD and one.body == body
-        one.state, one.version, one.body, one.value, one.fault = Known.HELD, version, body, value, ""
+        same = one.state is Known.HELD and one.value == value
+        one.state, one.version, one.value, one.fault = Known.HELD, version, value, ""
         return (None if same else Event(What.UPDATED, name, value)), ""
 
     def remove(self, name: str) -> Event | None:
@@ -129,7 +144,7 @@
         if one is None:
             return None
         was, one.missing_at = one.state, None
-        one.state, one.version, one.body, one.value, one.fault = Known.REMOVED, "", b"", None, ""
+        one.state, one.version, one.value, one.fault = Known.REMOVED, "", None, ""
         if self.all:
             del self.known[name]
         return Event(What.REMOVED, name) if was is not Known.REMOVED else None
--- a/cairnvane/xds/resources.py
+++ b/cairnvane/xds/resources.py
@@ -11,7 +11,8 @@
 from typing import Any
 
 from envoy.config.cluster.v3 import cluster_pb2
-from envoy.config.endpoint.v3 import endpoint_components_pb2, endpoint_pb2
+from envoy.config.core.v3 import health_check_pb2
+from envoy.config.endpoint.v3 import endpoint_pb2
 from google.protobuf import json_format
 from google.protobuf.message import DecodeError
 
@@ -29,9 +30,9 @@
     "RING_HASH": Policy.RING_HASH, "MAGLEV": Policy.MAGLEV,
 }
 _HEALTH = {
-    "UNKNOWN": Health.HEALTHY, "HEALTHY": Health.HEALTHY, "UNHEALTHY": Health.UNHEALTHY,
-    "DRAINING": Health.DRAINING, "TIMEOUT": Health.UNHEALTHY, "DEGRADED": Health.DEGRADED,
-}
+    health_check_pb2.UNHEALTHY: Health.UNHEALTHY, health_check_pb2.TIMEOUT: Health.UNHEALTHY,
+    health_check_pb2.DRAINING: Health.DRAINING, health_check_pb2.DEGRADED: Health.DEGRADED,
+}  # all others, those of later versions too, count as healthy
 _PER = {"HUNDRED": MILLION // 100, "TEN_THOUSAND": MILLION // 10_000, "MILLION": 1}
 MOST_PRIORITY = 128  # the protocol's own bound
 
@@ -41,29 +42,13 @@
         raise ValueError(f"{field}: {what}")
 
 
-def _message(kind: Any, body: bytes) -> Any:
-    try:
-        return kind.FromString(body)
-    except DecodeError as error:
-        raise ValueError(f"no {kind.DESCRIPTOR.full_name}: {error}") from None
-
-
-def decode_cluster(name: str, body: bytes) -> Cluster:
-    """A serialized Cluster."""
-    return cluster(name, _message(cluster_pb2.Cluster, body))
-
-
-def decode_assignment(name: str, body: bytes) -> Assignment:
-    """A serialized ClusterLoadAssignment."""
-    return assignment(name, _message(endpoint_pb2.ClusterLoadAssignment, body))
-
-
 def _us(duration: Any) -> int:
     return int(duration.seconds * MILLION + duration.nanos // 1_000)
 
 
 def cluster(name: str, told: Any) -> Cluster:
-    """A Cluster message."""
+    """A Cluster message; None if there was none to be read."""
+    _require(told is not None, "resource", "no Cluster")
     _require(bool(told.name) and told.name == name, "name", f"{told.name!r} in the resource {name!r}")
     kind = cluster_pb2.Cluster.DiscoveryType.Name(told.type)
     _require(not told.HasField("cluster_type"), "cluster_type", f"{told.cluster_type.name!r} is refused")
@@ -108,7 +93,8 @@
 
 
 def assignment(name: str, told: Any) -> Assignment:
-    """A ClusterLoadAssignment message."""
+    """A ClusterLoadAssignment message; None if there was none to be read."""
+    _require(told is not None, "resource", "no ClusterLoadAssignment")
     _require(bool(told.cluster_name) and told.cluster_name == name, "cluster_name",
              f"{told.cluster_name!r} in the resource {name!r}")
     seen: dict[Address, str] = {}
@@ -147,9 +133,7 @@
         seen[address] = here
         weight = one.load_balancing_weight.value if one.HasField("load_balancing_weight") else 1
         _require(weight >= 1, f"{here}.load_balancing_weight", "0; leave the endpoint out, or have it drain")
-        health = endpoint_components_pb2.LbEndpoint.DESCRIPTOR.fields_by_name["health_status"].enum_type
-        status = health.values_by_number.get(one.health_status)
-        endpoints[address] = Described(weight, _HEALTH.get(status.name if status else "", Health.HEALTHY))
+        endpoints[address] = Described(weight, _HEALTH.get(one.health_status, Health.HEALTHY))
     total = sum(one.weight for one in endpoints.values())
     _require(total <= MOST_WEIGHT, f"{field}.lb_endpoints", f"weights add up to {total}")
     return Locality(name, told.priority, told.load_balancing_weight.value, endpoints)
@@ -172,13 +156,16 @@
 }
 
 
-def name_of(type_url: str, body: bytes) -> str:
-    """The name that a resource gives itself; empty if it gives none, which no decoder takes."""
-    kind = _KINDS.get(type_url)
+def parse(type_url: str, body: bytes) -> tuple[str, Any]:
+    """The name that a resource gives itself, and its message; empty and None if it can't be read."""
+    if type_url not in _KINDS:
+        return "", None
+    make, key, _ = _KINDS[type_url]
     try:
-        return str(getattr(kind[0].FromString(body), kind[1])) if kind is not None else ""
+        message = make.FromString(body)
     except DecodeError:
-        return ""
+        return "", None
+    return str(getattr(message, key)), message
 
 
 def check_json(text: str) -> tuple[list[Cluster | Assignment], list[str]]:
--- a/cairnvane/xds/session.py
+++ b/cairnvane/xds/session.py
@@ -11,14 +11,14 @@
 from typing import Generic, TypeVar
 
 from .known import Decode, Event, Resources, What
-from .machine import Delta, DeltaRequest, DeltaResponse, Request, Response, StateOfTheWorld
+from .machine import Delta, DeltaRequest, DeltaResponse, Machine, Request, Response, StateOfTheWorld
 from .view import Change, View
 
 CLUSTER = "type.googleapis.com/envoy.config.cluster.v3.Cluster"
 ASSIGNMENT = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
 
-Asks = TypeVar("Asks", Request, DeltaRequest)
-Tells = TypeVar("Tells", Response, DeltaResponse)
+Asks = TypeVar("Asks")
+Tells = TypeVar("Tells")
 
 
 @dataclass(slots=True)
@@ -33,23 +33,22 @@
 class Session(Generic[Asks, Tells]):
     """`make_state_of_the_world` and `make_delta` make one."""
 
-    def __init__(self, clusters: StateOfTheWorld | Delta, endpoints: StateOfTheWorld | Delta) -> None:
+    def __init__(self, clusters: Machine[Asks, Tells], endpoints: Machine[Asks, Tells]) -> None:
         self.view = View()
         self._clusters, self._endpoints = clusters, endpoints
         # A first request without names would ask for all endpoints that there are: it waits for a name.
-        self._asked = self._up = False
+        self._asked = False
 
     def opened(self, now: int) -> Step[Asks]:
         """A stream is up."""
         step: Step[Asks] = Step()
-        self._up, self._asked = True, False
-        step.send.append(self._clusters.opened(now))  # type: ignore[arg-type]
+        self._asked = False
+        step.send.append(self._clusters.opened(now))
         self._ask(step, now)
         return step
 
     def closed(self) -> None:
         """It has ended. All that counts counts on."""
-        self._up = False
         self._clusters.closed()
         self._endpoints.closed()
 
@@ -59,9 +58,9 @@
         machine = {CLUSTER: self._clusters, ASSIGNMENT: self._endpoints}.get(type_url)
         if machine is None or (machine is self._endpoints and not self._asked):
             return step
-        answer, events = machine.received(response)  # type: ignore[arg-type]
+        answer, events = machine.received(response)
         if answer is not None:
-            step.send.append(answer)  # type: ignore[arg-type]
+            step.send.append(answer)
         for event in events:
             step.changes += self._cluster(event) if machine is self._clusters else self._assignment(event)
         self._ask(step, now)
@@ -82,10 +81,10 @@
         more = self._endpoints.subscribe(sorted(needed - known), now)
         less = self._endpoints.unsubscribe(sorted(known - needed))
         if self._asked:
-            step.send += [asked for asked in (more, less) if asked is not None]  # type: ignore[misc]
-        elif self._up and needed:
+            step.send += [asked for asked in (more, less) if asked is not None]
+        elif needed and self._clusters.resources.open:
             self._asked = True
-            step.send.append(self._endpoints.opened(now))  # type: ignore[arg-type]
+            step.send.append(self._endpoints.opened(now))
 
     def due(self) -> int | None:
         """When to `look`."""
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -284,7 +284,7 @@
     pool.linked.clear()
     host = Host(settings, gauges, seed=1)
     link, server = Pool(pool.address, host), Server(("127.0.0.1", 0), host, most)
-    lasting = Lasting(keeper, host.keys, settings) if keeper is not None else None
+    lasting = Lasting(keeper, settings) if keeper is not None else None
     host.join(server, link, vault.address, lasting)
     thread = threading.Thread(target=host.serve, daemon=True)
     thread.start()
--- a/tests/test_keyed_log.py
+++ b/tests/test_keyed_log.py
@@ -261,7 +261,13 @@
             assert number in driver.ends
             if places.state(found[0]) is State.FINISHED:
                 assert after.log.fetch(found[0], token(number), SAME) in (driver.ends[number], None)
-    assert after.index.get(token(12)) is None or how != "cut" or len(spoilt) > len(data) - 3_000
+    if how == "cut":  # what stands whole before it counts
+        for number in driver.ends:
+            word = driver.index.get(token(number))
+            assert word is not None
+            offset = places.where(word[0])[1]
+            end = offset + record.END_BYTES + len(driver.ends[number] or b"")
+            assert at < end or after.index.get(token(number)) is not None
 
 
 def test_a_damaged_middle_is_named_and_what_stands_behind_it_is_read() -> None:
@@ -419,9 +425,9 @@
     progress.read(14, owed=True)
     progress.read(15, owed=False)
     assert progress.pos == 11
-    progress.written(12)
+    progress.written([0, 12])
     assert progress.pos == 13
-    progress.written(14)
+    progress.written([14])
     assert progress.pos == 15
 
 
--- a/tests/test_keyed_server.py
+++ b/tests/test_keyed_server.py
@@ -382,3 +382,39 @@
             number += 1
         assert answer.body == b"original"
         assert served(one, balancer, 900, **commit(2)).status == 500  # may have run, and no one knows
+
+
+def test_a_call_that_was_never_made_does_not_hold_back_where_the_next_life_binds() -> None:
+    """Guards: a run that ended while it waited for its call kept its notice owed for good."""
+    lives = Lives()
+    with lives.life(FairCalls=1.0) as one:
+        balancer = one.balancer()
+        uids = []
+        for number in (1, 2):
+            balancer.send(number, **commit(number))
+            uids.append(lives.pool.next("spawn")["uid"])
+            lives.pool.notice("blocked", uids[-1], content=b"call")
+        assert one.vault.calls.get(timeout=WAIT_S)  # of the first; the second has no room for one
+        lives.pool.notice("finished", uids[1], "broken_off")
+        lives.pool.notice("finished", uids[0], "fine", b"done")
+        assert {balancer.answer()[1].status for _ in uids} == {200, 500}
+        assert one.vault.calls.empty()
+    with lives.life(pos=4):
+        pass
+
+
+def test_a_record_of_the_pool_before_settles_no_notice_of_this_one() -> None:
+    """Guards: both count from 1, and a late record of the one let the other's notice pass for recorded."""
+    disk, read = Disk(), threading.Event()
+    store = Store(disk, "n1", BOOT, power=False, disk_bytes=8 << 20, memory_bytes=1 << 20, unread=1)
+    store.start(lambda left: read.set(), lambda: None, lambda why: None)
+    assert read.wait(WAIT_S)
+    disk.gate.clear()
+    store.noticed(5, True)
+    store.ended(bytes(16), 1 << 60, bytes(16), None, (5,), lambda: None)
+    store.reset()
+    store.noticed(5, True)
+    store.noticed(6, False)
+    disk.gate.set()
+    store.close()
+    assert store._progress.pos == 4
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -27,11 +27,9 @@
     assert verdict["commits"] == 100 and verdict["tries"] > 100 and verdict["runs"] > 50
 
 
-@pytest.mark.parametrize(("mutant", "sees"), [("no-intents", "second_runs"), ("no-results", "second_runs")])
-def test_the_judge_counts_second_runs_where_records_are_switched_off(
-    tmp_path: Path, mutant: str, sees: str,
-) -> None:
+@pytest.mark.parametrize("mutant", ["no-intents", "no-results"])
+def test_the_judge_counts_second_runs_where_records_are_switched_off(tmp_path: Path, mutant: str) -> None:
     """Each run must begin before a kill that the next life survives: with so many there is always one."""
     words = ["--commits", "300", "--kills", "10", "--seed", "3", "--mutant", mutant]
     status, report = restarts(tmp_path, *words)
-    assert status == 1 and report["verdict"][sees] > 0
+    assert status == 1 and report["verdict"]["second_runs"] > 0
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -14,7 +14,7 @@
 
 from cairnvane import clock
 from cairnvane.exchange import Answer, Exchange, Verdict
-from cairnvane.interface import CloseIdle, Outcome
+from cairnvane.interface import CloseIdle, Outcome, SetHealth
 from cairnvane.net import connection, fastcgi, http, pool, server, vault
 from cairnvane.net.outlet import MOST_WAITING, Outlet
 
@@ -239,7 +239,7 @@
 ])
 def test_health(deep: bool, stored: bool, code: str, status: int) -> None:
     with world() as w:
-        w.host._stored = stored
+        w.host._health.set(SetHealth(True, stored))
         balancer = w.balancer()
         balancer.send(1, "/status/live", b"", QUERY_STRING="real=1" if deep else "")
         if code:
--- a/tests/test_xds_resources.py
+++ b/tests/test_xds_resources.py
@@ -90,9 +90,9 @@
 
 @pytest.mark.parametrize("body", [b"\xff", b"\x0a\xff", b"not a message"])
 def test_bytes_that_are_no_message_are_a_fault_and_no_crash(body: bytes) -> None:
-    for decode in (resources.decode_cluster, resources.decode_assignment):
+    for type_url, decode in ((CLUSTER, resources.cluster), (ASSIGNMENT, resources.assignment)):
         with pytest.raises(ValueError):
-            decode("ledger", body)
+            decode("ledger", resources.parse(type_url, body)[1])
 
 
 @pytest.mark.parametrize(("text", "status", "word"), [
