--- a/cairnvane/lab/management.py
+++ b/cairnvane/lab/management.py
@@ -53,12 +53,15 @@
         except Exception:  # the stream's end, in whichever way grpcio tells of it
             out.put(None)
 
-    def push(self, messages: dict[str, Any], type_url: str, removed: tuple[str, ...] = ()) -> str:
-        """Say these resources, by name; the nonce. The version is the number of pushes so far."""
+    def push(
+        self, messages: dict[str, Any], type_url: str, removed: tuple[str, ...] = (), inner: str = "",
+    ) -> str:
+        """Say these resources, by name; the nonce. The version is the number of pushes so far. `inner`:
+        the type that each resource says that it is of, if it is to be another one."""
         self._count += 1
         version, nonce = str(self._count), f"n{self._count}"
         bodies = {
-            name: any_pb2.Any(type_url=type_url, value=message if isinstance(message, bytes)
+            name: any_pb2.Any(type_url=inner or type_url, value=message if isinstance(message, bytes)
                               else message.SerializeToString())
             for name, message in messages.items()}
         if self._delta:
--- a/cairnvane/xds/grpc_stream.py
+++ b/cairnvane/xds/grpc_stream.py
@@ -28,7 +28,8 @@
 MOST_MESSAGE = 64 << 20  # 100,000 endpoints in one message are about 5 MB
 
 
-# Whoever goes by the session; called in a thread of the stream's, after each message that changed something.
+# Whoever goes by the session; called in a thread of the stream's, after each message that changed
+# something, and when something that was asked for is missing.
 Told = Callable[[Step[Any]], None]
 
 
@@ -69,6 +70,8 @@
         self.session = make(resources.cluster, resources.assignment)
         self._address, self._delta, self._told = address, delta, told
         self._node = base_pb2.Node(id=node_id, user_agent_name="cairnvane")
+        self._lock = threading.Lock()  # the session is moved by the stream and by its timer
+        self._timer: threading.Timer | None = None
         self._stopped = threading.Event()
         self._call: Any = None
         self._thread = threading.Thread(target=self._run, name="xds", daemon=True)
@@ -101,15 +104,20 @@
         begin = stub.DeltaAggregatedResources if self._delta else stub.StreamAggregatedResources
         out: SimpleQueue[Any] = SimpleQueue()
         came = False
-        self._say(out, self.session.opened(_clock()))
+        with self._lock:
+            self._say(out, self.session.opened(_clock()))
         self._call = begin(iter(out.get, None))
         try:
             for told in self._call:
                 came = True
-                self._say(out, self.session.received(told.type_url, _take(told), _clock()))
+                taken = _take(told)
+                with self._lock:
+                    self._say(out, self.session.received(told.type_url, taken, _clock()))
         finally:
             out.put(None)  # ends the requests' iterator, and the thread that goes over it
-            self.session.closed()
+            with self._lock:
+                self.session.closed()
+                self._set_timer()
         return came
 
     def _say(self, out: SimpleQueue[Any], step: Step[Any]) -> None:
@@ -117,5 +125,24 @@
             out.put(_put(asked, self._node))
         if step.changes:
             self._told(step)
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        """For the next resource that will be missing."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if (due := self.session.due()) is not None:
+            self._timer = threading.Timer(max(0, due - _clock()) / 1e6, self._look)
+            self._timer.daemon = True
+            self._timer.start()
+
+    def _look(self) -> None:
+        """In the timer's thread."""
+        with self._lock:
+            step = self.session.look(_clock())
+            if step.missing:
+                self._told(step)
+            self._set_timer()
 
 
--- a/tests/test_xds_grpc.py
+++ b/tests/test_xds_grpc.py
@@ -80,6 +80,27 @@
     assert client.changed() == [4]
 
 
+def test_endpoints_that_do_not_come_in_time_are_told_of(
+    client: Client, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("cairnvane.xds.known.MISSING_AFTER_US", 20_000)
+    client.asked(CLUSTER)
+    client.server.push({"ledger": LEDGER}, CLUSTER)
+    step = client.told.get(timeout=WAIT_S)
+    assert (step.missing, step.changes) == (["ledger"], [])
+    client.server.push({"ledger": ports(6)}, ASSIGNMENT)  # later than late is not never
+    assert client.changed() == [6]
+
+
+def test_a_resource_of_another_type_than_its_response_is_a_fault(client: Client) -> None:
+    """Guards: its bytes were read as if they were of the response's type."""
+    client.begin()
+    client.server.push({"ledger": ports(9)}, ASSIGNMENT, inner=CLUSTER)
+    assert client.asked(ASSIGNMENT).error_detail.message
+    client.server.push({"ledger": ports(7)}, ASSIGNMENT)
+    assert client.changed() == [7]
+
+
 def test_bytes_that_are_no_message_end_nothing(client: Client) -> None:
     client.begin()
     client.server.push({"ledger": b"\xff\xff"}, ASSIGNMENT)
