Open a door for the operators, and let a later version listen beside this one

The door is a listener of its own at `control` (or LB_CONTROL), one thread for each call on a blocking socket with a deadline of 1 s, at most 16 callers at once, so a caller that sends nothing holds only its thread. Its figures are counted where the front hands a request over and where the answer goes out (a Gate before the host, and a Meter in the front), so the door never waits for the host thread. A drain by call answers health checks as bad and changes nothing else: what is let in stays the module's. The listener takes SO_REUSEPORT. A process that can serve leaves a mark in TMPDIR; one told to leave that finds a later mark hands over: it stops listening at once and ends what it has, without the drain's grace. Not taken: handing the listening socket over, which would need a Unix socket, which the platform does not carry.

Tests: the earlier 544 pass.

--- a/cairnvane/__main__.py
+++ b/cairnvane/__main__.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING
 
 from . import config, log
+from .door.heir import Heirs
 from .host import Host
 from .keys import Keeper, Points
 from .net.pool import Pool
@@ -21,6 +22,8 @@
 from .net.server import Server
 
 if TYPE_CHECKING:
+    from .door.listener import Door
+    from .exchange import Intake, Meter
     from .lasting import Lasting
 
 # Readers, calls and timers go a dozen plain frames deep; hundreds of them share the memory limit.
@@ -84,6 +87,21 @@
     return Lasting(keeper, told.settings)
 
 
+def _door(told: config.Config, host: Host, pool: Pool) -> tuple[Intake, Meter | None, Door | None]:
+    """The operators' door, where the configuration names one: what the front hands requests to, who counts
+    their answers, and the listener. Else the host alone, and nothing is counted."""
+    if told.control is None:
+        return host, None, None
+    from .door import Duty, Tally
+    from .door.calls import Calls
+    from .door.gate import Gate
+    from .door.listener import Door
+
+    duty, tally = Duty(pool.bound.is_set), Tally(tuple(cls.name for cls in told.settings.classes))
+    pool.spawned = tally.attempted
+    return Gate(host, duty, tally), tally, Door(told.control, Calls(duty, tally), duty)
+
+
 def main(points: Points | None = None) -> int:
     """Serve until told to leave; 2 if the configuration is at fault."""
     # Blocked in every thread and waited for in this one. A handler runs in the main thread only when that
@@ -106,7 +124,8 @@
     roster = Roster(told.roster, told.name)
     most = told.sockets - max(OWN_SOCKETS, told.sockets // OWN_SHARE)
     try:
-        server = Server(told.listen, host, most)
+        intake, meter, door = _door(told, host, pool)
+        server = Server(told.listen, intake, most, meter)
     except OSError as error:
         log.say("cairnvane", f"listen: {error}")
         return 2
@@ -138,8 +157,14 @@
         pool.start()
     server.start()
     roster.start()
+    heirs = Heirs(told.name)
+    threading.Thread(target=heirs.mark, args=(pool.bound,), name="mark", daemon=True).start()
+    if door is not None:
+        door.start()
     while signal.sigwait(LEAVE | {RELOAD}) == RELOAD:
         told = _reload(told, host, pool, roster)
+    if door is not None:
+        door.leave()
     if failed.is_set():
         host.stop()
         thread.join()
@@ -147,7 +172,12 @@
     roster.stop()
     time_left = max(0, told.stop_ms - STOP_MARGIN_MS) / 1e3
     host.drain(int(time_left * 1e6))
-    grace = min(time_left, told.settings.drain_grace / 1e6)
+    # A later version that can serve listens at the same address: it takes the new connections at once.
+    handover = heirs.later()
+    heirs.clear()
+    if handover:
+        log.say("cairnvane", "a later process serves here: this one hands over")
+    grace = 0.0 if handover else min(time_left, told.settings.drain_grace / 1e6)
     threading.Event().wait(grace)
     server.retire(max(0.0, time_left - grace) + LAST_WAIT_S)
     host.stop()
--- a/cairnvane/config/__init__.py
+++ b/cairnvane/config/__init__.py
@@ -25,8 +25,11 @@
 # The variable that names the operator's own file; see `config.operator`.
 OPERATOR = "CAIRNVANE_OPERATOR"
 
+# The variable that names the operators' door, before the file's `control`; older days have neither.
+CONTROL = "LB_CONTROL"
+
 # What a server can't change while it runs.
-FIXED = ("name", "listen", "sockets", "settings")
+FIXED = ("name", "listen", "sockets", "settings", "control")
 
 
 class ConfigError(Exception):
@@ -47,6 +50,7 @@
     seed: str = "0"
     stop_ms: int = DEFAULT_STOP_MS
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    control: str = ""
 
 
 Address = tuple[str, int]
@@ -66,6 +70,7 @@
     sockets: int
     settings: Settings
     gauges: tuple[str | None, ...]  # in the order in which the pool sends them; None: of no interest
+    control: Address | None = None  # the operators' door; None: there is none
 
 
 def _address(key: str, text: str) -> Address:
@@ -88,7 +93,7 @@
 
 
 def load(environment: Mapping[str, str]) -> Config:
-    """Read `LB_CONFIG`; `LB_NAME` and `LB_LISTEN` go before what it says."""
+    """Read `LB_CONFIG`; `LB_NAME`, `LB_LISTEN` and `LB_CONTROL` go before what it says."""
     path = _text("LB_CONFIG", environment.get("LB_CONFIG", ""))
     try:
         raw = Path(path).read_bytes()
@@ -119,4 +124,5 @@
         sockets=_least("limits.sockets", file.limits.sockets, LEAST_SOCKETS),
         settings=settings,
         gauges=gauges,
+        control=_address("control", door) if (door := environment.get(CONTROL) or file.control) else None,
     )
--- a/cairnvane/exchange.py
+++ b/cairnvane/exchange.py
@@ -103,3 +103,10 @@
 
     def checked(self, check: Check) -> None:
         """A health check was read."""
+
+
+class Meter(Protocol):
+    """Who counts final answers as they go out, where the operators' door shows figures."""
+
+    def ended(self, lane: str, verdict: Verdict) -> None:
+        """A request of this class got its final answer."""
--- a/cairnvane/net/connection.py
+++ b/cairnvane/net/connection.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from .. import log
-from ..exchange import Answer, Exchange, Intake, Request, Verdict
+from ..exchange import Answer, Exchange, Intake, Meter, Request, Verdict
 from . import fastcgi, fields
 from .buffers import BufferPool
 from .outlet import Outlet
@@ -35,6 +35,7 @@
     """What a connection needs to know of the server."""
 
     intake: Intake
+    meter: Meter | None  # counts final answers; None: nobody does
     buffers: BufferPool
     idle_s: float  # close connections that carried nothing for so long; 0: as late as allowed
     retiring: bool
@@ -163,9 +164,13 @@
         self.outlet.send(fastcgi.end(number))  # frees the number; as an answer it is owed nothing
 
     def _hand_over(self, incoming: fastcgi.Incoming) -> None:
+        lane = ""  # the class, once it is known
+
         def deliver(answer: Answer) -> None:
             self.standing |= answer.verdict is Verdict.SERVED
             self._answer(incoming, answer)
+            if lane and (meter := self.front.meter) is not None:
+                meter.ended(lane, answer.verdict)
 
         check = fields.health_check(incoming.params, deliver)
         if check is not None:
@@ -179,6 +184,7 @@
             self._fail(incoming)
             return
         self._owe(incoming, request)
+        lane = request.lane
         self.front.intake.arrived(request)
 
     def _fail(self, incoming: fastcgi.Incoming) -> None:
--- a/cairnvane/net/pool.py
+++ b/cairnvane/net/pool.py
@@ -95,6 +95,8 @@
         self._decoder = msgspec.json.Decoder(Notice)
         self._on = False
         self.started: int | None = None  # the pool, in microseconds of the monotonic clock
+        self.bound = threading.Event()  # a link was bound once: the pool is up
+        self.spawned: Callable[[str], None] | None = None  # told the class of each run handed over
         self._same: Callable[[int | None, int], bool] | None = None
 
     def resume(self, pos: int, started: int | None, same: Callable[[int | None, int], bool]) -> None:
@@ -122,6 +124,8 @@
 
     def spawn(self, uid: str, lane: str, body: bytes) -> int:
         """Run a request."""
+        if self.spawned is not None:
+            self.spawned(lane)
         return self._say({"action": "spawn", "uid": uid, "lane": lane, "content": _text(body)})
 
     def suspend(self, uid: str) -> int:
@@ -241,6 +245,7 @@
                     return  # replaced meanwhile
                 self._links += 1
                 self._outlet, link = outlet, self._links
+            self.bound.set()
             # The replay comes before the answer to this question, which therefore marks its end.
             self.sync(lambda there: self._notices.linked(link) if there else None)
         elif notice.action == "unknown":
--- a/cairnvane/net/server.py
+++ b/cairnvane/net/server.py
@@ -8,7 +8,7 @@
 import time
 
 from .. import log
-from ..exchange import Intake
+from ..exchange import Intake, Meter
 from . import fastcgi
 from .buffers import BufferPool
 from .connection import MAX_OPEN, Connection
@@ -26,8 +26,11 @@
 class Server:
     """Listens for balancers, on `most` connections at a time."""
 
-    def __init__(self, address: tuple[str, int], intake: Intake, most: int) -> None:
+    def __init__(
+        self, address: tuple[str, int], intake: Intake, most: int, meter: Meter | None = None,
+    ) -> None:
         self.intake = intake
+        self.meter = meter
         self.buffers = BufferPool()
         self.idle_s = 0.0  # close connections that carried nothing for so long; 0: as late as allowed
         self.retiring = False
@@ -40,7 +43,8 @@
         self._most = most
         self._connections: set[Connection] = set()
         self._changed = threading.Condition()
-        self._socket = socket.create_server(address, backlog=BACKLOG)
+        # A new version of the program listens here too while this one serves on, and takes over.
+        self._socket = socket.create_server(address, backlog=BACKLOG, reuse_port=True)
         self.address: tuple[str, int] = self._socket.getsockname()
 
     def start(self) -> None:
