--- a/cairnvane/door/heir.py
+++ b/cairnvane/door/heir.py
@@ -23,10 +23,10 @@
 
     def __init__(self, name: str, folder: Path | None = None) -> None:
         self._folder = (folder or Path(tempfile.gettempdir())) / FOLDER
-        self._mine = self._folder / f"{name}.{os.getpid()}"
         self._name = name
         # Marks written before this process began are of a process before it.
         self._began = time.time_ns()
+        self._mine = self._folder / f"{name}.{os.getpid()}.{self._began}"
 
     def mark(self, ready: threading.Event) -> None:
         """Once it is set, this process can serve. A mark that can't be written costs a handover, not the
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -30,19 +30,21 @@
 
 @contextlib.contextmanager
 def program(
-    tmp_path: Path, pool: str, roster: str, operator: Path | None = None,
+    tmp_path: Path, pool: str, roster: str, operator: Path | None = None, **more: Any,
 ) -> Iterator[tuple[subprocess.Popen[str], int]]:
-    """The program, and the port that it listens on."""
+    """The program, and the port that it listens on; `more` goes into its configuration, and its temporary
+    folder is `tmp_path`."""
     told = {
         "name": "n3", "listen": "127.0.0.1:0", "pool": pool, "roster": roster, "vault": NOWHERE,
         "seed": "8c1f30d27a5be964", "stop_ms": 60_000, "settings": PARAMS,
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1_024},
-    }
-    path = tmp_path / "config.json"
+    } | more
+    path = tmp_path / f"config-{len(list(tmp_path.glob('config-*')))}.json"
     path.write_text(json.dumps(told))
     process = subprocess.Popen(
         [sys.executable, "-m", "cairnvane"], stderr=subprocess.PIPE, text=True,
-        env={**os.environ, "LB_CONFIG": str(path), "CAIRNVANE_OPERATOR": str(operator or "")})
+        env={**os.environ, "LB_CONFIG": str(path), "CAIRNVANE_OPERATOR": str(operator or ""),
+             "TMPDIR": str(tmp_path)})
     try:
         assert process.stderr is not None
         line = process.stderr.readline()
@@ -94,7 +96,7 @@
     rosters = Listener(lambda sock: None), Listener(lambda sock: report.set())  # they answer nothing
     at = [[f"{host}:{port}" for host, port in (pool.address, roster.address)]
           for pool, roster in zip(pools, rosters, strict=True)]
-    path = tmp_path / "config.json"
+    path = tmp_path / "config-0.json"
     with program(tmp_path, at[0][0], at[0][1]) as (process, port):
         balancer = Balancer(("127.0.0.1", port))
         balancer.send(1)
