Listen alone where SO_REUSEPORT is refused, rather than fail to start

Change: a refused SO_REUSEPORT (any error but EADDRINUSE) is logged, and the listener is made without it.

--- a/cairnvane/net/server.py
+++ b/cairnvane/net/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import socket
 import threading
 import time
@@ -23,6 +24,18 @@
 CLOSING = 16
 
 
+def _listen(address: tuple[str, int]) -> socket.socket:
+    """A new version of the program listens here too while this one serves on, and takes over. Where the
+    option is not to be had, this process listens alone, as it did before there were handovers."""
+    try:
+        return socket.create_server(address, backlog=BACKLOG, reuse_port=True)
+    except OSError as error:
+        if error.errno == errno.EADDRINUSE:
+            raise
+        log.say("server", f"SO_REUSEPORT: {error.strerror}; no later version can listen beside this one")
+        return socket.create_server(address, backlog=BACKLOG)
+
+
 class Server:
     """Listens for balancers, on `most` connections at a time."""
 
@@ -43,8 +56,7 @@
         self._most = most
         self._connections: set[Connection] = set()
         self._changed = threading.Condition()
-        # A new version of the program listens here too while this one serves on, and takes over.
-        self._socket = socket.create_server(address, backlog=BACKLOG, reuse_port=True)
+        self._socket = _listen(address)
         self.address: tuple[str, int] = self._socket.getsockname()
 
     def start(self) -> None:
