Claim keyed runs in TMPDIR, so two processes of an upgrade never run one commit twice

Each process keeps its keys in memory; the other never hears of them. Before a keyed run is handed to the pool it is claimed with O_EXCL in TMPDIR/cairnvane-keys/NAME/TOKEN, and its end (result or none) is appended with its length. A try whose token another process claimed never reaches the host: it is served with that result, failed if the run failed, or failed 250 ms before it is due. A run that provably never began lets go of its claim. Claims live for window + patience + 1 s. Not taken: sharing the kept results' log, which one process holds alone and which a second process could not open while the first one serves; and a dump of the key table at the handover, which would leave tries of the first second unguarded. Off where kept results are on (they hold the keys of earlier lives), or where the folder can't be had.

--- /dev/null
+++ b/benchmarks/door_cost.py
@@ -0,0 +1,85 @@
+"""What the operators' door costs: counting on the serving path beside no counting, and the door's answer with
+callers that say nothing beside one without them."""
+
+from __future__ import annotations
+
+import socket
+import statistics
+import threading
+import time
+
+import table
+
+from cairnvane.door import Duty, Tally
+from cairnvane.door.calls import Calls
+from cairnvane.door.listener import MOST_CALLS, Door
+from cairnvane.exchange import Verdict
+from cairnvane.net import http
+
+CLASSES = ("price-view", "bid-update", "bid-commit")
+ROUNDS = 200_000
+CALLS = 300
+
+
+def counting(rounds: int, tally: Tally | None) -> float:
+    """Microseconds a request for what the front does with the door on (taken, attempted, ended), or off."""
+    start = time.perf_counter()
+    for number in range(rounds):
+        lane = CLASSES[number % 3]
+        if tally is not None:
+            tally.taken()
+            tally.attempted(lane)
+            tally.ended(lane, Verdict.SERVED)
+    return (time.perf_counter() - start) / rounds * 1e6
+
+
+def answers(address: tuple[str, int], count: int) -> list[float]:
+    """Milliseconds from connect to the whole answer of /-/metrics."""
+    took = []
+    for _ in range(count):
+        start = time.perf_counter()
+        with socket.create_connection(address, 5) as sock:
+            sock.sendall(http.request("GET", "/-/metrics", address, {}, b""))
+            assert http.read_reply(sock, time.monotonic() + 5).status == 200
+        took.append((time.perf_counter() - start) * 1e3)
+    return took
+
+
+def main() -> None:
+    plain, counted = counting(ROUNDS, None), counting(ROUNDS, Tally(CLASSES))
+    table.show("Counting on the serving path, µs a request", ("door", "µs", "beside off"), [
+        ("off", plain, 1.0), ("on", counted, counted / plain if plain else float("inf"))])
+    duty = Duty(lambda: True)
+    tally = Tally(CLASSES)
+    door = Door(("127.0.0.1", 0), Calls(duty, tally), duty)
+    door.start()
+    rows = []
+    quiet = answers(door.address, CALLS)
+    silent = [socket.create_connection(door.address) for _ in range(MOST_CALLS - 1)]
+    stop = threading.Event()
+
+    def keep_silent() -> None:  # each closed at its deadline comes back at once
+        while not stop.is_set():
+            for at, sock in enumerate(silent):
+                sock.setblocking(False)
+                try:
+                    if sock.recv(1) == b"":
+                        silent[at] = socket.create_connection(door.address)
+                except BlockingIOError:
+                    pass
+            stop.wait(0.05)
+
+    thread = threading.Thread(target=keep_silent, daemon=True)
+    thread.start()
+    crowded = answers(door.address, CALLS)
+    stop.set()
+    thread.join()
+    for name, took in (("no other callers", quiet), (f"{MOST_CALLS - 1} callers saying nothing", crowded)):
+        took.sort()
+        rows.append((name, statistics.median(took), took[int(len(took) * 0.99)], took[-1]))
+    table.show("/-/metrics, ms from connect to answer", ("beside", "median", "99th", "most"), rows)
+    door.close()
+
+
+if __name__ == "__main__":
+    main()
--- a/cairnvane/__main__.py
+++ b/cairnvane/__main__.py
@@ -87,7 +87,23 @@
     return Lasting(keeper, told.settings)
 
 
-def _door(told: config.Config, host: Host, pool: Pool) -> tuple[Intake, Meter | None, Door | None]:
+def _guard(told: config.Config, host: Host, pool: Pool) -> Intake:
+    """Keyed runs claimed in `$TMPDIR`, where a later version of the program may serve beside this one; the
+    host alone where the folder can't be had."""
+    from .overlap import Claims, Guard
+
+    try:
+        claims = Claims(told.name)
+    except OSError as error:
+        log.say("cairnvane", f"claims of keyed runs: {error}; a later version may run a try again")
+        return host
+    guard = Guard(host, claims, told.settings.classes)
+    pool.guard = guard
+    guard.start()
+    return guard
+
+
+def _door(told: config.Config, host: Intake, pool: Pool) -> tuple[Intake, Meter | None, Door | None]:
     """The operators' door, where the configuration names one: what the front hands requests to, who counts
     their answers, and the listener. Else the host alone, and nothing is counted."""
     if told.control is None:
@@ -124,7 +140,10 @@
     roster = Roster(told.roster, told.name)
     most = told.sockets - max(OWN_SOCKETS, told.sockets // OWN_SHARE)
     try:
-        intake, meter, door = _door(told, host, pool)
+        # Kept results answer for keys of earlier lives where an operator has them; then they hold the folder,
+        # and no second process could serve beside this one.
+        inner = _guard(told, host, pool) if keeper is None else host
+        intake, meter, door = _door(told, inner, pool)
         server = Server(told.listen, intake, most, meter)
     except OSError as error:
         log.say("cairnvane", f"listen: {error}")
