--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -139,7 +139,8 @@
     ({"pool": 7}, "$.pool"), ({"pool": "here"}, "pool:"), ({"vault": "h:99999"}, "vault:"),
     ({"seed": "xyz"}, "seed:"), ({"name": ""}, "name:"), ({"listen": ""}, "listen:"),
     ({"limits": {"sockets": 3}}, "limits.sockets:"), ({"limits": {"sockets": "x"}}, "$.limits.sockets"),
-    ({"stop_ms": 0}, "stop_ms:"), ({"settings": {}}, "settings: key Extra"),
+    ({"stop_ms": 0}, "stop_ms:"), ({"control": "door"}, "control:"),
+    ({"settings": {}}, "settings: key Extra"),
     ({"settings": PARAMS | {"Extra": PARAMS["Extra"] | {"Cores": 0}}}, "cores"),
     ({"settings": None}, "settings"),
 ])
