Fail a try that brings another body under a token that the other process ran

Seen from outside: in an upgrade, 52 of 85 tries with a known token and another body were answered served, by the process that had not run it. Cause: a claim in overlap/ held only its life; class and body were compared within one process only. A claim's head now holds the digest of class and body, and a try that differs fails at once, as within one process.

Found beside it, by reading: what a lost claim kept back counted as never said, so the host said it again on the pool's next link, and the guard, which had forgotten it, let it run beside the other process's run. It now stays kept back.

A try without a claim of its version (no digest in its head) fails rather than be served: nobody can tell whose it is. Tests fail without the change: a forged try while the run goes on and after it, and a lost claim said twice.

--- a/benchmarks/overlap_claims.py
+++ b/benchmarks/overlap_claims.py
@@ -9,6 +9,7 @@
 
 import table
 
+from cairnvane.digest import digest
 from cairnvane.keys import Table
 from cairnvane.overlap import Claims
 
@@ -21,9 +22,10 @@
         mine, other = Claims("n3", Path(folder)), Claims("n3", Path(folder))
         start = time.perf_counter()
         for token in tokens:
-            mine.claim(token, 0)  # aged at once, so that the sweep removes each
+            same = digest("bid-commit", b"b" * 300)
+            mine.claim(token, same, 0)  # aged at once, so that the sweep removes each
             mine.end(token, b"r" * 500)
-            other.look(token)
+            other.look(token, same)
         mine.sweep()
         claimed = (time.perf_counter() - start) / COMMITS * 1e6
     keys = Table(5_800_000)
--- a/cairnvane/overlap/claims.py
+++ b/cairnvane/overlap/claims.py
@@ -1,9 +1,10 @@
 """The shared folder of claims: one file a token, written once by the process that runs it.
 
-A file holds a head line with the Unix time in milliseconds after which no try can repeat the run, and, once
-the run has ended, one record with its outcome and result. It is created with O_EXCL, so of two processes
-that claim the same token at once only one may run it. A record is believed only if its length holds: a
-reader may come in the middle of the write.
+A file holds a head line with the Unix time in milliseconds after which no try can repeat the run and the
+digest of class and body, which all tries of one request have in common, and, once the run has ended, one
+record with its outcome and result. It is created with O_EXCL, so of two processes that claim the same token
+at once only one may run it. A record is believed only if its length holds: a reader may come in the middle
+of the write.
 """
 
 from __future__ import annotations
@@ -22,7 +23,7 @@
 FOLDER = "cairnvane-keys"
 # Files of another process are looked over for their age so often; its own are removed by a heap.
 SWEEP_OTHERS_S = 10.0
-_HEAD = b"C %d\n"
+_HEAD = b"C %d %s\n"
 
 
 class State(Enum):
@@ -32,6 +33,7 @@
     MINE = "mine"  # this process claimed it, and knows it itself
     RUNNING = "running"  # another process claimed it, and its end is not written yet
     ENDED = "ended"  # another process ran it, to this end
+    FORGED = "forged"  # another process claimed it for another class or body
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +45,7 @@
     result: bytes = b""
 
 
-NOT_FOUND, MINE, RUNNING = Found(State.NONE), Found(State.MINE), Found(State.RUNNING)
+NOT_FOUND, MINE, RUNNING, FORGED = map(Found, (State.NONE, State.MINE, State.RUNNING, State.FORGED))
 
 
 class Claims:
@@ -60,8 +62,9 @@
     def _path(self, token: str) -> Path:
         return self._folder / token
 
-    def claim(self, token: str, life_ms: int) -> bool:
-        """Claim a run of this token for `life_ms` from now; False if another process has claimed it."""
+    def claim(self, token: str, same: bytes, life_ms: int) -> bool:
+        """Claim a run of this token, whose class and body have the digest `same`, for `life_ms` from now;
+        False if another process has claimed it."""
         until = time.time_ns() // 1_000_000 + life_ms
         try:
             handle = os.open(self._path(token), os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600)
@@ -71,7 +74,7 @@
         except OSError:
             return True  # the folder can't be had: this process serves as if alone
         try:
-            os.write(handle, _HEAD % until)
+            os.write(handle, _HEAD % (until, same.hex().encode()))
         finally:
             os.close(handle)
         with self._lock:
@@ -100,8 +103,8 @@
             finally:
                 os.close(handle)
 
-    def look(self, token: str) -> Found:
-        """What this token is to this process."""
+    def look(self, token: str, same: bytes) -> Found:
+        """What this token is to this process, for a try whose class and body have the digest `same`."""
         with self._lock:
             if token in self._mine:
                 return MINE
@@ -109,7 +112,9 @@
             data = self._path(token).read_bytes()
         except OSError:
             return NOT_FOUND
-        rest = data.partition(b"\n")[2]
+        head, whole, rest = data.partition(b"\n")
+        if whole and head.rpartition(b" ")[2] != same.hex().encode():
+            return FORGED
         record, newline, result = rest.partition(b"\n")
         parts = record.split(b" ")
         if not newline or len(parts) != 3 or parts[0] != b"R" or not parts[2].isdigit():
--- a/cairnvane/overlap/guard.py
+++ b/cairnvane/overlap/guard.py
@@ -12,7 +12,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from .. import clock
+from .. import clock, log
+from ..digest import digest
 from ..exchange import Answer, Check, Intake, Request, Verdict
 from ..interface import RequestClass
 from .claims import Claims, Found, State
@@ -33,6 +34,7 @@
 class _Waiting:
     request: Request
     token: str
+    same: bytes  # the digest of its class and body
     give_up: int  # monotonic microseconds
 
 
@@ -43,7 +45,9 @@
         self._host, self._claims = host, claims
         self._classes = {cls.name: cls for cls in classes}
         self._lock = threading.Condition()
-        self._runs: dict[str, tuple[Request, str]] = {}  # uid: the keyed try and its token, until it ran
+        # By uid: the keyed try, its token and digest, until it ran.
+        self._runs: dict[str, tuple[Request, str, bytes]] = {}
+        self._lost: dict[str, int] = {}  # uid of a run that another process claimed first, and when it came
         self._waiting: list[_Waiting] = []
 
     def start(self) -> None:
@@ -57,12 +61,13 @@
         token = request.token
         if token is None or (cls := self._classes.get(request.lane)) is None:
             return self._host.arrived(request)
-        found = self._claims.look(token)
-        if found.state in (State.RUNNING, State.ENDED):
-            return self._wait(request, token, found)
+        same = digest(request.lane, request.body)
+        found = self._claims.look(token, same)
+        if found.state not in (State.NONE, State.MINE):
+            return self._wait(request, token, same, found)
         with self._lock:
             self._prune(request.arrived - 2 * cls.patience)
-            self._runs[request.uid] = request, token
+            self._runs[request.uid] = request, token, same
         self._host.arrived(request)
 
     def gone(self, request: Request) -> None:
@@ -79,15 +84,18 @@
         """Claim a keyed run before it is handed over; False: another process has, and it is not run."""
         with self._lock:
             entry = self._runs.get(uid)
+            if uid in self._lost:
+                return False  # the host says it again on each new link, since it never went out
         if entry is None:
             return True
-        request, token = entry
+        request, token, same = entry
         cls = self._classes[lane]
-        if self._claims.claim(token, (cls.window + cls.patience) // 1_000 + SLACK_MS):
+        if self._claims.claim(token, same, (cls.window + cls.patience) // 1_000 + SLACK_MS):
             return True
         with self._lock:
             self._runs.pop(uid, None)
-        self._wait(request, token, Found(State.RUNNING))
+            self._lost[uid] = request.arrived
+        self._wait(request, token, same, self._claims.look(token, same))
         return False
 
     def ended(self, uid: str, code: str, result: bytes) -> None:
@@ -105,15 +113,17 @@
 
     def _prune(self, before: int) -> None:
         """Forget tries that were never run and are long over; the oldest come first."""
+        while self._lost and self._lost[uid := next(iter(self._lost))] < before:
+            del self._lost[uid]
         while self._runs:
             uid = next(iter(self._runs))
             if self._runs[uid][0].arrived >= before:
                 return
             del self._runs[uid]
 
-    def _wait(self, request: Request, token: str, found: Found) -> None:
+    def _wait(self, request: Request, token: str, same: bytes, found: Found) -> None:
         cls = self._classes[request.lane]
-        waiting = _Waiting(request, token, request.arrived + cls.patience - GIVE_UP_US)
+        waiting = _Waiting(request, token, same, request.arrived + cls.patience - GIVE_UP_US)
         if not self._settle(waiting, found):
             with self._lock:
                 self._waiting.append(waiting)
@@ -124,6 +134,11 @@
         request = waiting.request
         if not request.open:
             return True
+        if found.state is State.FORGED:
+            # All tries of a request are alike. Whoever brings another under its token is not its caller.
+            log.say("overlap", f"{request.uid}: its token is another's")
+            request.finish(Answer(Verdict.FAILED, suspect=True))
+            return True
         if found.state is State.ENDED:
             verdict = Verdict.SERVED if found.served else Verdict.FAILED
             request.finish(Answer(verdict, found.result if found.served else b""))
@@ -141,7 +156,7 @@
             with self._lock:
                 self._lock.wait(LOOK_S if self._waiting else SWEEP_S)
                 waiting, self._waiting = self._waiting, []
-            left = [one for one in waiting if not self._settle(one, self._claims.look(one.token))]
+            left = [one for one in waiting if not self._settle(one, self._claims.look(one.token, one.same))]
             with self._lock:
                 self._waiting.extend(left)
             self._claims.sweep()
--- a/tests/test_overlap.py
+++ b/tests/test_overlap.py
@@ -5,9 +5,11 @@
 import threading
 from pathlib import Path
 
+import pytest
 from peers import PARAMS, WAIT_S
 
 from cairnvane import clock
+from cairnvane.digest import digest
 from cairnvane.exchange import Answer, Check, Request, Verdict
 from cairnvane.overlap import Claims, Guard
 from cairnvane.overlap.claims import State
@@ -18,6 +20,7 @@
 SETTINGS, _ = read_settings(json.dumps(PARAMS))
 KEYED = next(cls.name for cls in SETTINGS.classes if cls.repeat.name == "KEYED")
 TOKEN = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+SAME = digest(KEYED, b"commit")
 
 
 class Host:
@@ -36,7 +39,7 @@
         pass
 
 
-def try_(uid: str) -> tuple[Request, list[Answer], threading.Event]:
+def try_(uid: str, body: bytes = b"commit") -> tuple[Request, list[Answer], threading.Event]:
     answers: list[Answer] = []
     answered = threading.Event()
 
@@ -44,7 +47,7 @@
         answers.append(answer)
         answered.set()
 
-    request = Request(deliver, uid, KEYED, b"commit", arrived=clock.now(), caller=0, memory=20.0, token=TOKEN)
+    request = Request(deliver, uid, KEYED, body, arrived=clock.now(), caller=0, memory=20.0, token=TOKEN)
     return request, answers, answered
 
 
@@ -98,13 +101,38 @@
 
 def test_a_record_half_written_is_not_believed(tmp_path: Path) -> None:
     claims, other = Claims("n3", tmp_path), Claims("n3", tmp_path)
-    assert claims.claim(TOKEN, 60_000)
+    assert claims.claim(TOKEN, SAME, 60_000)
     path = tmp_path / "cairnvane-keys" / "n3" / TOKEN
     with path.open("ab") as file:
         file.write(b"R 1 10\nhalf")
-    assert other.look(TOKEN).state is State.RUNNING
+    assert other.look(TOKEN, SAME).state is State.RUNNING
     with path.open("ab") as file:
         file.write(b" of it")
-    found = other.look(TOKEN)
+    found = other.look(TOKEN, SAME)
     assert (found.state, found.served, found.result) == (State.ENDED, True, b"half of it")
-    assert claims.look(TOKEN).state is State.MINE
+    assert claims.look(TOKEN, SAME).state is State.MINE
+
+
+@pytest.mark.parametrize("ended", [False, True], ids=["while it runs", "once it has ended"])
+def test_a_forged_try_fails_in_the_other_process_too(tmp_path: Path, ended: bool) -> None:
+    """Guards: 52 of 85 tries with a known token and another body were served by the other process."""
+    (old, _), (new, new_host) = lives(tmp_path)
+    first, _, _ = try_("a1")
+    old.arrived(first)
+    assert old.may_spawn("a1", KEYED)
+    if ended:
+        old.ended("a1", "fine", b"the result")
+    forged, answers, answered = try_("b2", b"another body")
+    new.arrived(forged)
+    assert answered.is_set() and new_host.arrivals == []  # at once
+    assert (answers[0].verdict, answers[0].suspect, answers[0].body) == (Verdict.FAILED, True, b"")
+
+
+def test_a_lost_claim_is_lost_on_the_next_link_too(tmp_path: Path) -> None:
+    """Guards: what never went out is said again on each new link, and ran there beside the other's run."""
+    (old, _), (new, _) = lives(tmp_path)
+    old.arrived(try_("a1")[0])
+    new.arrived(try_("b2")[0])
+    assert old.may_spawn("a1", KEYED)
+    assert not new.may_spawn("b2", KEYED)
+    assert not new.may_spawn("b2", KEYED)
