Answer staff at the door whatever silent callers do, on one thread with a poll selector

Seen from outside: 24 callers that say nothing and come back as soon as they are closed held all 16 places of the door, and 242 of 269 calls of staff got 503. Cause: a place was a connection's, with a thread for each.

The door is now one thread over all callers. A whole call is answered where it is read; a caller that says nothing costs a descriptor, and goes first when a newcomer needs its place. With all places taken newcomers are paced, so that silent ones that come back can't take the core. Who goes, when, and the pace are decisions without sockets (door/waiting.py); one call as it comes in is a state machine (door/head.py). 503 for too many callers is gone.

--- a/cairnvane/__main__.py
+++ b/cairnvane/__main__.py
@@ -103,6 +103,10 @@
     return guard
 
 
+def _own_sockets(told: config.Config) -> int:
+    return max(OWN_SOCKETS, told.sockets // OWN_SHARE)
+
+
 def _door(told: config.Config, host: Intake, pool: Pool) -> tuple[Intake, Meter | None, Door | None]:
     """The operators' door, where the configuration names one: what the front hands requests to, who counts
     their answers, and the listener. Else the host alone, and nothing is counted."""
@@ -111,11 +115,12 @@
     from .door import Duty, Tally
     from .door.calls import Calls
     from .door.gate import Gate
-    from .door.listener import Door
+    from .door.listener import Door, places
 
     duty, tally = Duty(pool.bound.is_set), Tally(tuple(cls.name for cls in told.settings.classes))
     pool.spawned = tally.attempted
-    return Gate(host, duty, tally), tally, Door(told.control, Calls(duty, tally), duty)
+    return Gate(host, duty, tally), tally, Door(
+        told.control, Calls(duty, tally), duty, places(_own_sockets(told)))
 
 
 def main(points: Points | None = None) -> int:
@@ -138,7 +143,7 @@
     host = Host(told.settings, told.gauges, told.seed)
     pool = Pool(told.pool, host)
     roster = Roster(told.roster, told.name)
-    most = told.sockets - max(OWN_SOCKETS, told.sockets // OWN_SHARE)
+    most = told.sockets - _own_sockets(told)
     try:
         # Kept results answer for keys of earlier lives where an operator has them; then they hold the folder,
         # and no second process could serve beside this one.
--- a/cairnvane/door/calls.py
+++ b/cairnvane/door/calls.py
@@ -16,7 +16,8 @@
 
 OK, NOT_FOUND, NOT_ALLOWED, UNAVAILABLE = 200, 404, 405, 503
 REASONS = {OK: "OK", 400: "Bad Request", NOT_FOUND: "Not Found", NOT_ALLOWED: "Method Not Allowed",
-           408: "Request Timeout", UNAVAILABLE: "Service Unavailable"}
+           408: "Request Timeout", 431: "Request Header Fields Too Large",
+           UNAVAILABLE: "Service Unavailable"}
 
 _encode = msgspec.json.Encoder().encode
 
--- a/cairnvane/door/listener.py
+++ b/cairnvane/door/listener.py
@@ -1,61 +1,72 @@
 """The door's sockets: HTTP/1.1, one call per connection, each answered within a second whatever the load.
 
-A thread for each connection, on a blocking socket with a time limit for each wait: a caller that says
-nothing, or half a call, holds only its own thread, and only until `CALL_WAIT_S`.
+One thread for all callers. A caller that says nothing, or half a call, costs a descriptor for `CALL_WAIT_S`
+at the most, and goes earlier if its place is wanted (`waiting`). A whole call is answered where it is read:
+no answer waits for anything, and each fits into the buffer of a socket that has sent nothing so far.
 """
 
 from __future__ import annotations
 
 import contextlib
-import re
+import selectors
 import socket
 import threading
 import time
+from dataclasses import dataclass, field
 
 from .. import log
-from ..net.accepting import accept
 from .calls import REASONS, Calls, Reply
 from .duty import Duty
-
-# An answer is due within 1 s of the call; what has not come whole by then never will in time.
-CALL_WAIT_S = 1.0
-# A call of the door is a line and a few headers; a body is read and put aside.
-MAX_HEAD, MAX_BODY = 8_192, 65_536
-# Callers at a time. Each holds a descriptor, taken from those kept for the process's own use; more are told
-# no at once rather than left waiting.
-MOST_CALLS = 16
-BACKLOG = 64
-# An answer has so long to leave before the connection is closed.
-WRITE_WAIT_S = 0.5
+from .head import BadCall, Head
+from .waiting import CALL_WAIT_S, Phase, Waiting
+
+# The kernel's queue: staff's calls stand in it behind silent callers that came back, and beyond it the
+# kernel drops a connection for a second. It holds no descriptor of ours.
+BACKLOG = 1_024
+# Callers that have a place; each holds a descriptor of those kept for the process's own use.
+MOST_CALLERS, LEAST_CALLERS = 64, 8
+# After a failed `accept` (no descriptors, say) the next try waits so long.
+ACCEPT_RETRY_S = 0.1
+# A caller is closed up to so long after its time, so that a crowd of them is looked over in one go.
+LOOK_S = 0.05
 _CHUNK = 4_096
-_REQUEST_LINE = re.compile(rb"([A-Z]{1,16}) (\S{1,2048}) HTTP/1\.[01]")
-_LENGTH = re.compile(rb"[0-9]{1,10}")
 
 
-class BadCall(Exception):
-    """What came is no HTTP/1.1 call, or not a whole one in time."""
+def places(own_sockets: int) -> int:
+    """How many callers may wait, of so many descriptors that are no balancer's: half, since the links and
+    each call of the vault need theirs."""
+    return max(LEAST_CALLERS, min(MOST_CALLERS, own_sockets // 2))
+
 
-    def __init__(self, status: int, why: str) -> None:
-        super().__init__(why)
-        self.status = status
+@dataclass(slots=True, eq=False)
+class _Caller:
+    sock: socket.socket
+    head: Head = field(default_factory=Head)
+    answered: bool = False
 
 
 class Door:
     """Listens at the operators' address."""
 
     def __init__(
-        self, address: tuple[str, int], calls: Calls, duty: Duty, call_wait_s: float = CALL_WAIT_S,
+        self, address: tuple[str, int], calls: Calls, duty: Duty, most: int = MOST_CALLERS,
+        call_wait_s: float = CALL_WAIT_S,
     ) -> None:
-        """Bind at once: `OSError` if the address can't be had. A caller has `call_wait_s` to say its call."""
-        self._calls, self._duty, self._call_wait_s = calls, duty, call_wait_s
+        """Bind at once: `OSError` if the address can't be had. `most` callers may wait at a time, each of
+        them `call_wait_s` for its call to be whole."""
+        self._calls, self._duty = calls, duty
+        self._waiting: Waiting[_Caller] = Waiting(most, call_wait_s)
         self._socket = socket.create_server(address, backlog=BACKLOG)
+        self._socket.setblocking(False)
         self.address: tuple[str, int] = self._socket.getsockname()
-        self._busy = threading.BoundedSemaphore(MOST_CALLS)
+        self._selector = selectors.PollSelector()
+        self._listening = False
         self._closed = False
+        self._resume_at = 0.0  # no newcomer before this
 
     def start(self) -> None:
-        """Accept from now on."""
-        threading.Thread(target=self._accept, name="door", daemon=True).start()
+        """Answer from now on."""
+        threading.Thread(target=self._run, name="door", daemon=True).start()
 
     def leave(self) -> None:
         """The notice to leave: not ready from now on, and health checks are bad. The door stays open to the
@@ -63,101 +74,137 @@
         self._duty.leave()
 
     def close(self) -> None:
-        """Take no more calls."""
+        """Take no more calls; who waits is closed within the next look."""
         self._closed = True
-        with contextlib.suppress(OSError):
-            self._socket.shutdown(socket.SHUT_RDWR)
+
+    # --- the thread
+
+    def _run(self) -> None:
+        while not self._closed:
+            now = time.monotonic()
+            self._listen(now >= self._resume_at)
+            for key, _ in self._selector.select(self._wait_s(now)):
+                if key.data is None:
+                    self._accept()
+                else:
+                    self._guarded(key.data)
+            now = time.monotonic()
+            for caller, phase in self._waiting.over(now):
+                self._time_over(caller, phase)
+        for key in list(self._selector.get_map().values()):
+            if isinstance(key.data, _Caller):
+                self._end(key.data)
+        self._listen(False)
         self._socket.close()
 
-    def _accept(self) -> None:
-        accept(self._socket, lambda: self._closed, self._take, "door")
+    def _wait_s(self, now: float) -> float:
+        """Until the next caller's time is over or newcomers may come again; a close is seen as late."""
+        ends = [self._waiting.next_end()] if len(self._waiting) else []
+        if not self._listening:
+            ends.append(self._resume_at)
+        return min([1.0, *(max(LOOK_S, end - now) for end in ends if end is not None)])
 
-    def _take(self, sock: socket.socket) -> None:
-        if not self._busy.acquire(blocking=False):
-            _reply(sock, Reply(503, b'{"error":"too many callers at once"}'))
+    def _listen(self, on: bool) -> None:
+        if on is self._listening:
             return
-        try:
-            threading.Thread(target=self._serve, args=(sock,), name="door-call", daemon=True).start()
-        except RuntimeError:
-            self._busy.release()
-            raise
+        if on:
+            self._selector.register(self._socket, selectors.EVENT_READ, None)
+        else:
+            self._selector.unregister(self._socket)
+        self._listening = on
 
-    def _serve(self, sock: socket.socket) -> None:
-        try:
+    def _accept(self) -> None:
+        """Take in whoever has come, as many as the pace lets; each is read at once, since most have spoken
+        by now."""
+        while True:
+            now = time.monotonic()
+            if pause := self._waiting.pause(now):
+                self._resume_at = now + pause
+                return
             try:
-                method, target = read_call(sock, time.monotonic() + self._call_wait_s)
-            except BadCall as error:
-                if error.status:
-                    _reply(sock, Reply(error.status, b'{"error":"%s"}' % str(error).encode()))
-                else:
-                    sock.close()
+                sock, _ = self._socket.accept()
+            except BlockingIOError:
                 return
-            _reply(sock, self._calls.answer(method, target))
-        except Exception as error:  # one caller's trouble must not take the door down
+            except OSError as error:
+                log.say("door", f"accept: {error}")
+                self._resume_at = now + ACCEPT_RETRY_S
+                if (first := self._waiting.first_to_go()) is not None:
+                    self._end(first)  # its descriptor may be what is wanted
+                return
+            caller = _Caller(sock)
+            try:
+                sock.setblocking(False)
+                self._selector.register(sock, selectors.EVENT_READ, caller)
+            except OSError as error:  # reset by now
+                log.say("door", f"accepted: {error}")
+                sock.close()
+                continue
+            if (gone := self._waiting.enter(caller, now)) is not None:
+                self._end(gone)
+            self._guarded(caller)
+
+    def _guarded(self, caller: _Caller) -> None:
+        """One caller's trouble must not take the door down."""
+        if caller.sock.fileno() < 0:
+            return  # it went in this same round, for a newcomer
+        try:
+            self._read(caller)
+        except Exception as error:
             log.say("door", f"call: {type(error).__name__} {error}")
-            sock.close()
-        finally:
-            self._busy.release()
-
-
-def read_call(sock: socket.socket, deadline: float) -> tuple[str, str]:
-    """The method and target of one call, its body read and put aside; `BadCall` with the status to answer,
-    0 where the caller left or said nothing in time."""
-    data = b""
-    while (end := data.find(b"\r\n\r\n")) < 0:
-        if len(data) > MAX_HEAD:
-            raise BadCall(431 if data else 400, "the head is too long")
-        data += _recv(sock, deadline, bool(data))
-    head, rest = data[:end], data[end + 4:]
-    first, *lines = head.split(b"\r\n")
-    if (call := _REQUEST_LINE.fullmatch(first)) is None:
-        raise BadCall(400, "no request line")
-    length = 0
-    for line in lines:
-        name, colon, value = line.partition(b":")
-        if not colon:
-            raise BadCall(400, "a header line without a colon")
-        name, value = name.strip().lower(), value.strip()
-        if name == b"transfer-encoding":
-            raise BadCall(400, "a transfer encoding, which the door does not speak")
-        if name == b"content-length":
-            if _LENGTH.fullmatch(value) is None or int(value) > MAX_BODY:
-                raise BadCall(400, "a content length that can't be")
-            length = int(value)
-    while len(rest) < length:
-        rest += _recv(sock, deadline, True)
-    return call[1].decode(), call[2].decode("latin-1")
-
-
-def _recv(sock: socket.socket, deadline: float, begun: bool) -> bytes:
-    left = deadline - time.monotonic()
-    if left <= 0:
-        raise BadCall(408 if begun else 0, "the call did not come whole in time")
-    sock.settimeout(left)
-    try:
-        got = sock.recv(_CHUNK)
-    except TimeoutError:
-        raise BadCall(408 if begun else 0, "the call did not come whole in time") from None
-    except OSError:
-        raise BadCall(0, "the caller left") from None
-    if not got:
-        raise BadCall(0, "the caller left")
-    return got
-
-
-def _reply(sock: socket.socket, reply: Reply) -> None:
-    """Write the answer, and close."""
-    reason = REASONS.get(reply.status, "")
-    head = [f"HTTP/1.1 {reply.status} {reason}", "Content-Type: application/json",
+            self._end(caller)
+
+    def _read(self, caller: _Caller) -> None:
+        try:
+            data = caller.sock.recv(_CHUNK)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            data = b""
+        if not data:
+            return self._end(caller)
+        if caller.answered:
+            return  # said behind its call: read away, so that the close does not reset the answer
+        try:
+            call = caller.head.feed(data)
+        except BadCall as error:
+            return self._reply(caller, Reply(error.status, b'{"error":"%s"}' % str(error).encode()))
+        if call is None:
+            return self._waiting.said(caller)
+        self._reply(caller, self._calls.answer(call.method, call.target))
+
+    def _time_over(self, caller: _Caller, phase: Phase) -> None:
+        if phase is Phase.HALF:
+            self._send(caller, Reply(408, b'{"error":"the call did not come whole in time"}'))
+        self._end(caller)
+
+    def _reply(self, caller: _Caller, reply: Reply) -> None:
+        """Its answer, and the end of ours; the connection goes once the caller has closed its own, or has had
+        the time for it."""
+        caller.answered = True
+        if self._send(caller, reply):
+            self._waiting.answered(caller, time.monotonic())
+        else:
+            self._end(caller)
+
+    def _send(self, caller: _Caller, reply: Reply) -> bool:
+        data = as_bytes(reply)
+        with contextlib.suppress(OSError):
+            if caller.sock.send(data) == len(data):
+                caller.sock.shutdown(socket.SHUT_WR)
+                return True
+        return False
+
+    def _end(self, caller: _Caller) -> None:
+        self._waiting.leave(caller)
+        with contextlib.suppress(KeyError, ValueError):
+            self._selector.unregister(caller.sock)
+        caller.sock.close()
+
+
+def as_bytes(reply: Reply) -> bytes:
+    """The answer on the wire."""
+    head = [f"HTTP/1.1 {reply.status} {REASONS.get(reply.status, '')}", "Content-Type: application/json",
             f"Content-Length: {len(reply.body)}", "Connection: close"]
     if reply.allow:
         head.append(f"Allow: {reply.allow}")
-    data = ("\r\n".join([*head, "", ""])).encode("latin-1") + reply.body
-    try:
-        sock.settimeout(WRITE_WAIT_S)
-        sock.sendall(data)
-        sock.shutdown(socket.SHUT_WR)
-    except OSError:
-        pass
-    finally:
-        sock.close()
+    return ("\r\n".join([*head, "", ""])).encode("latin-1") + reply.body
--- a/cairnvane/net/accepting.py
+++ b/cairnvane/net/accepting.py
@@ -1,4 +1,4 @@
-"""The loop of a listener's thread, which the FastCGI front and the operators' door share."""
+"""The loop of a listener's thread, for fronts with a thread for each connection."""
 
 from __future__ import annotations
 
