Keep keys of all processes of a bid server in one ledger, whose order says who may run

Need: two mechanisms answered whether a token ran, each with rules of its own; claims of an upgrade were a file a token, looked up on the readers' threads, and a mark of a later version that had crashed made the old one hand over to nobody.

ledger/ is one file in $TMPDIR that all processes append to. The first claim of a token in the file's order counts, only its life can end it, and behind a segment's seal nothing counts, so a process that was stopped for however long can't claim in a past that others have left. Lives hold a lock that falls with the process and speak up once a second: a dead life's open runs fail at once, a stopped one's are waited for. It is a keys.Keeper that lasting.py drives as it does the log; overlap/ and door/heir.py are gone, the pool's link has no guard any more, and the reader threads do no file calls.

--- a/benchmarks/rivals.py
+++ b/benchmarks/rivals.py
@@ -13,7 +13,7 @@
 from cairnvane.keyed import log, record
 from cairnvane.keyed.files import OsFiles
 from cairnvane.keyed.index import BYTES_PER_ENTRY, Index
-from cairnvane.keyed.state import Step
+from cairnvane.ledger.state import Step
 
 Row = tuple[bytes, int, bytes]  # token, until, result
 WINDOW_US = 17_364_000
--- a/cairnvane/__main__.py
+++ b/cairnvane/__main__.py
@@ -13,10 +13,12 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from . import config, log
-from .door.heir import Heirs
+from . import clock, config, log
 from .host import Host
 from .keys import Keeper, Points
+from .ledger import Ledger, Lives, earlier
+from .ledger.folder import OsFolder
+from .ledger.record import NewerVersion
 from .net.pool import Pool
 from .net.roster import Roster
 from .net.server import Server
@@ -34,6 +36,8 @@
 LAST_WAIT_S = 0.2
 # Each is a notice to leave; the third one, to read the configuration again.
 LEAVE, RELOAD = {signal.SIGTERM, signal.SIGINT}, signal.SIGHUP
+# Folders in `$TMPDIR`, with one for each name in them.
+LIVES, LEDGERS = "cairnvane-lives", "cairnvane-ledger"
 # Descriptors that are no balancer's: the links, one for each call, and those that close as others open.
 OWN_SOCKETS, OWN_SHARE = 64, 4
 
@@ -87,20 +91,43 @@
     return Lasting(keeper, told.settings)
 
 
-def _guard(told: config.Config, host: Host, pool: Pool) -> Intake:
-    """Keyed runs claimed in `$TMPDIR`, where a later version of the program may serve beside this one; the
-    host alone where the folder can't be had."""
-    from .overlap import Claims, Guard
+def _lives(told: config.Config, temporary: Path) -> Lives | None:
+    """Be one of the lives of this bid server; None where the folder can't be had. `ConfigError` if another
+    version of the program serves here that this one can't know the runs of."""
+    if (pid := earlier.serves(temporary, told.name)) is not None:
+        raise config.ConfigError(
+            f"an earlier version of the program serves here (process {pid}), which keeps keyed runs in "
+            f"another form: end it first")
+    lives = Lives(temporary / LIVES / told.name)
+    try:
+        lives.enter()
+    except OSError as error:
+        log.say("cairnvane", f"TMPDIR: {error}; no later version can take over from this process")
+        return None
+    return lives
+
 
+def _ledger(told: config.Config, temporary: Path, lives: Lives) -> Ledger | None:
+    """The keys of the lives side by side, in `$TMPDIR`; None where the folder can't be had, and keys are
+    those of this life alone."""
+    boot = (clock.boot() or "unknown")[:8]  # times in it are of one boot's clock
+    ledger = Ledger(
+        OsFolder(temporary / LEDGERS / f"{told.name}.{boot}"), lives,
+        unread=max(cls.patience for cls in told.settings.classes))
     try:
-        claims = Claims(told.name)
+        ledger.open()
+    except NewerVersion as error:
+        raise config.ConfigError(f"TMPDIR: a later version of the program serves here: {error}") from None
     except OSError as error:
-        log.say("cairnvane", f"claims of keyed runs: {error}; a later version may run a try again")
-        return host
-    guard = Guard(host, claims, told.settings.classes)
-    pool.guard = guard
-    guard.start()
-    return guard
+        log.say("cairnvane", f"keys of other processes: {error}; a later version may run a try again")
+        return None
+    return ledger
+
+
+def _when_ready(bound: threading.Event, lives: Lives) -> None:
+    """Once the pool's link is up this life can serve, and an earlier one may hand over to it."""
+    bound.wait()
+    lives.ready()
 
 
 def _own_sockets(told: config.Config) -> int:
@@ -133,6 +160,10 @@
         told = config.load(os.environ)
         path = os.environ.get(config.OPERATOR, "")
         keeper = _keeper(told, path, points) if path else None
+        temporary = Path(os.environ.get("TMPDIR") or "/tmp")
+        lives = _lives(told, temporary)
+        if keeper is None and lives is not None:
+            keeper = _ledger(told, temporary, lives)
     except config.ConfigError as error:
         log.say("cairnvane", str(error))
         return 2
@@ -145,10 +176,7 @@
     roster = Roster(told.roster, told.name)
     most = told.sockets - _own_sockets(told)
     try:
-        # Kept results answer for keys of earlier lives where an operator has them; then they hold the folder,
-        # and no second process could serve beside this one.
-        inner = _guard(told, host, pool) if keeper is None else host
-        intake, meter, door = _door(told, inner, pool)
+        intake, meter, door = _door(told, host, pool)
         server = Server(told.listen, intake, most, meter)
     except OSError as error:
         log.say("cairnvane", f"listen: {error}")
@@ -181,8 +209,8 @@
         pool.start()
     server.start()
     roster.start()
-    heirs = Heirs(told.name)
-    threading.Thread(target=heirs.mark, args=(pool.bound,), name="mark", daemon=True).start()
+    if lives is not None:
+        threading.Thread(target=_when_ready, args=(pool.bound, lives), name="ready", daemon=True).start()
     if door is not None:
         door.start()
     while signal.sigwait(LEAVE | {RELOAD}) == RELOAD:
@@ -197,8 +225,7 @@
     time_left = max(0, told.stop_ms - STOP_MARGIN_MS) / 1e3
     host.drain(int(time_left * 1e6))
     # A later version that can serve listens at the same address: it takes the new connections at once.
-    handover = heirs.later()
-    heirs.clear()
+    handover = lives is not None and lives.heir()
     if handover:
         log.say("cairnvane", "a later process serves here: this one hands over")
     grace = 0.0 if handover else min(time_left, told.settings.drain_grace / 1e6)
@@ -208,6 +235,8 @@
     thread.join(LAST_WAIT_S)
     if keeper is not None:
         keeper.close()
+    if lives is not None:
+        lives.leave()
     return 0
 
 
--- a/cairnvane/clock.py
+++ b/cairnvane/clock.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import time
+from pathlib import Path
+
+_BOOT = Path("/proc/sys/kernel/random/boot_id")
 
 
 def now() -> int:
@@ -13,3 +16,13 @@
 def place(unix_ms: int) -> int:
     """The monotonic time of a Unix time stamp; one from the future counts as now."""
     return now() - max(0, time.time_ns() // 1_000 - unix_ms * 1_000)
+
+
+def boot() -> str | None:
+    """Which boot of the machine this is, 32 hexadecimal digits: its monotonic clock counts within it only.
+    None where the system does not tell."""
+    try:
+        told = _BOOT.read_text().strip().replace("-", "")
+    except OSError:
+        return None
+    return told if len(told) == 32 and told.isalnum() else None
--- a/cairnvane/door/waiting.py
+++ b/cairnvane/door/waiting.py
@@ -16,6 +16,9 @@
 # With all places taken, each newcomer costs another caller its place, and who says nothing may come back at
 # once: so many a second are taken in, which is under a tenth of a core, and 400 wait for 0.4 s.
 MOST_PER_S = 1_000
+# And no more than leave each of them about so long to begin to speak: staff's call may follow its connection
+# a moment later.
+GRACE_S = 0.05
 # The pace is kept over so long: so many may come in one go.
 PACE_S = 0.032
 
@@ -44,7 +47,8 @@
     def __init__(self, most: int, call_wait_s: float = CALL_WAIT_S) -> None:
         self._most, self._call_wait_s = most, call_wait_s
         self._places: dict[Key, _Place] = {}
-        self._burst = MOST_PER_S * PACE_S
+        self._rate = min(MOST_PER_S, most / GRACE_S)
+        self._burst = max(1.0, self._rate * PACE_S)
         self._allowed, self._counted_at = self._burst, 0.0
 
     def __len__(self) -> int:
@@ -58,7 +62,7 @@
         return 0.0 if self._allowed >= 1 else PACE_S / 2
 
     def _refill(self, now: float) -> None:
-        self._allowed = min(self._burst, self._allowed + (now - self._counted_at) * MOST_PER_S)
+        self._allowed = min(self._burst, self._allowed + (now - self._counted_at) * self._rate)
         self._counted_at = now
 
     def enter(self, key: Key, now: float) -> Key | None:
--- a/cairnvane/host.py
+++ b/cairnvane/host.py
@@ -354,6 +354,10 @@
         """It was to run, and provably has not."""
         self._end_run(known.exchange.uid, worker.LATE)
 
+    def ended_elsewhere(self, known: Tracked, result: bytes | None) -> None:
+        """Its run was another life's, and has ended."""
+        self._end_run(known.exchange.uid, worker.FAULT if result is None else worker.FINE, 0, result or b"")
+
     def let_go(self, known: Tracked, good: bool) -> None:
         """What repeats it is answered from the record from now on."""
         if good:
--- a/cairnvane/keyed/files.py
+++ b/cairnvane/keyed/files.py
@@ -11,12 +11,13 @@
 from pathlib import Path
 from typing import Protocol
 
+from .. import clock
+
 # Segments hold callers' results: nobody else on the machine may read them.
 FILE_MODE, FOLDER_MODE = 0o600, 0o700
 LOCK = "lock"
 _SEGMENT = re.compile(r"([0-9a-f]{16})\.seg")
 TEMPORARY = ".tmp"
-_BOOT = Path("/proc/sys/kernel/random/boot_id")
 
 
 class FolderError(Exception):
@@ -78,10 +79,8 @@
 def boot_id() -> bytes:
     """Of this boot of the machine, 16 bytes. Where the system tells none, each process counts as a boot of
     its own: keys are then kept a little longer than they need to be."""
-    try:
-        return uuid.UUID(_BOOT.read_text().strip()).bytes
-    except (OSError, ValueError):
-        return uuid.uuid4().bytes
+    told = clock.boot()
+    return bytes.fromhex(told) if told is not None else uuid.uuid4().bytes
 
 
 class _OsHandle:
--- a/cairnvane/keyed/index.py
+++ b/cairnvane/keyed/index.py
@@ -12,7 +12,7 @@
 import mmap
 import struct
 
-from .state import State
+from ..ledger.state import State
 
 _ENTRY = struct.Struct("<16sQII")  # token, place, tick of its end, the next older entry
 _WORD, _WORD_AT = struct.Struct("<Q"), 16
--- a/cairnvane/keyed/log.py
+++ b/cairnvane/keyed/log.py
@@ -17,7 +17,7 @@
 from .index import Index
 from .plan import Segment
 from .recovery import Recovery
-from .state import Step
+from ..ledger.state import Step
 
 _MOVE = struct.Struct("<16sQQ")
 # A compaction goes on by so much between two groups of records.
--- a/cairnvane/keyed/record.py
+++ b/cairnvane/keyed/record.py
@@ -15,7 +15,7 @@
 from google_crc32c import extend
 from google_crc32c import value as crc32c
 
-from .state import Step
+from ..ledger.state import Step
 
 VERSION, OLDEST = 1, 1
 MAGIC = b"CVKEYED\n"
--- a/cairnvane/keyed/recovery.py
+++ b/cairnvane/keyed/recovery.py
@@ -12,10 +12,11 @@
 
 from ..keys import Begun, Recovered
 from . import index as places
-from . import record, state
+from ..ledger import state
+from . import record
 from .index import Index
 from .plan import AGE_STEP_US, Segment
-from .state import IllegalStep, State, Step
+from ..ledger.state import IllegalStep, State, Step
 
 # When a pool started of which nothing is left; no clock shows this.
 LONG_GONE = -(1 << 62)
--- a/cairnvane/keyed/store.py
+++ b/cairnvane/keyed/store.py
@@ -19,13 +19,14 @@
 from .. import clock, log
 from ..keys import Begun, Past, Points, Recovered
 from . import index as places
-from . import plan, record, state
+from ..ledger import state
+from . import plan, record
 from .files import Files, FolderError
 from .index import Index
 from .log import Entry, Log, Owner
 from .log import check as check_folder
 from .recovery import Recovery, TooLarge
-from .state import Repeat, State, Step
+from ..ledger.state import Repeat, State, Step
 
 # So many records share a write; at any load seen they are far fewer.
 MOST_GROUP = 256
@@ -77,9 +78,11 @@
 
 
 class Store:
-    """`keys.Keeper` on a folder. Its points are "recovery", "rotation", "drop", "compaction" and
+    """`keys.Keeper` on a folder of its own. Its points are "recovery", "rotation", "drop", "compaction" and
     "compacted", and "append", "written" or "synced" with the kind of a record in the group."""
 
+    prompt = False
+
     def __init__(
         self, files: Folder, name: str, boot: bytes, *, power: bool, disk_bytes: int, memory_bytes: int,
         unread: int, points: Points | None = None,
@@ -158,7 +161,7 @@
         with self._lock:
             self._open_keys -= 1
 
-    def intend(self, begun: Begun, then: Callable[[], None]) -> None:
+    def intend(self, begun: Begun, then: Callable[[], None], other: Callable[[bool], None]) -> None:
         """See `Keeper`."""
         rest = record.put_intent(begun.uid, begun.digest, begun.due, begun.memory, begun.lane)
         self._put(_Write(Entry(Step.INTENT, begun.token, clock.now(), begun.until, rest), then))
--- a/cairnvane/keys.py
+++ b/cairnvane/keys.py
@@ -1,7 +1,8 @@
 """The table of keys: which request a token stands for, and until when. No I/O, no clock.
 
-`Table` knows this life only. What should outlast it is the matter of a `Keeper`, which is handed to the host
-where an operator turned it on (`cairnvane.keyed`); the host's own part in that is `lasting.py`.
+`Table` knows what this life has in hand. What other lives have to know, beside it or after it, is the matter
+of a `Keeper`: the ledger in `$TMPDIR`, or the log where an operator turned it on (`cairnvane.keyed`). The
+host's own part in that is `lasting.py`.
 """
 
 from __future__ import annotations
@@ -67,7 +68,9 @@
     """A kept entry whose request the host no longer holds."""
 
     token: bytes
-    served: bool  # it has a result; else it failed, or nobody knows how it ended
+    # It has a result, or may come to have one where another life runs it; else it failed, or nobody knows how
+    # it ended.
+    served: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,16 +102,20 @@
 
 
 class Keeper(Protocol):
-    """Keeps keys and results beyond this life. No call waits for a disk; every `then` comes once, from the
-    keeper's own thread. Tokens are 16 bytes, times microseconds of the monotonic clock. A record `settles`
-    notices: once it is written, they need not come again."""
+    """Keeps keys and results for other lives: those beside this one, or after it. No call waits for a disk;
+    every `then` comes once, from the keeper's own thread or, if it is `prompt`, before the call returns.
+    Tokens are 16 bytes, times microseconds of the monotonic clock. A record `settles` notices: once it is
+    written, they need not come again."""
+
+    prompt: bool  # each record is written before the call returns, and no run outlasts its life
 
     def start(
         self, recovered: Callable[[Recovered], None], delayed: Callable[[], None],
         lost: Callable[[str], None],
     ) -> None:
-        """Take up what an earlier life left. `delayed`, at most once and before that: the disk does not
-        let it for now. `lost` says why it can never be, and keyed work never begins."""
+        """Take up what an earlier life left, and tell of it unless this is `prompt`. `delayed`, at most once
+        and before that: the disk does not let it for now. `lost` says why it can never be, and keyed work
+        never begins."""
 
     def wait_us(self) -> int:
         """How long until one more key can be kept; 0: now."""
@@ -119,8 +126,9 @@
     def release(self) -> None:
         """That key was given up before `intend`."""
 
-    def intend(self, begun: Begun, then: Callable[[], None]) -> None:
-        """`then`, once it is recorded that this run is about to begin."""
+    def intend(self, begun: Begun, then: Callable[[], None], other: Callable[[bool], None]) -> None:
+        """`then`, once it is recorded that this run is about to begin. Or `other`: with True if another life
+        has claimed it first (`fetch` tells of its end), with False if that can't be recorded now."""
 
     def never(self, token: bytes, until: int, settles: tuple[int, ...]) -> None:
         """The run that was about to begin provably never did."""
@@ -147,7 +155,8 @@
         """What this token stood for; `ValueError` if with another class or body."""
 
     def fetch(self, token: bytes, same: bytes, then: Callable[[bytes | None], None]) -> None:
-        """The result that `recall` told of; None if that can't be had."""
+        """The result that `recall` told of; None if that can't be had. If another life runs it, `then` comes
+        when that has ended."""
 
     def close(self) -> None:
         """Write what is left, and let go of the folder."""
--- a/cairnvane/lab/victim.py
+++ b/cairnvane/lab/victim.py
@@ -35,7 +35,9 @@
     return passed
 
 
-def _no_intents(self: Store, begun: Begun, then: Callable[[], None]) -> None:
+def _no_intents(
+    self: Store, begun: Begun, then: Callable[[], None], other: Callable[[bool], None],
+) -> None:
     then()
 
 
--- a/cairnvane/lasting.py
+++ b/cairnvane/lasting.py
@@ -19,7 +19,7 @@
 from .digest import digest
 from .exchange import Request, Verdict
 from .interface import Outcome
-from .keyed import state
+from .ledger import state
 from .keys import Begun, Keeper, Past, Recovered
 from .net.pool import Pool
 from .tracked import Tracked
@@ -55,6 +55,9 @@
     def never_ran(self, known: Tracked) -> None:
         """What was to run provably has not."""
 
+    def ended_elsewhere(self, known: Tracked, result: bytes | None) -> None:
+        """What was to run here ran in another life, to this end (None: without a result)."""
+
     def let_go(self, known: Tracked, good: bool) -> None:
         """The end is recorded: tell all who wait, and remember it no more."""
 
@@ -90,6 +93,7 @@
         self._keys: dict[int, _Key] = {}  # by request, until their end is handed over
         self._begins: dict[int, _Wait] = {}
         self._ends: dict[int, _Wait] = {}
+        self._elsewhere: dict[int, Tracked] = {}  # runs that another life claimed first
         self._done: deque[tuple[Tracked, bool]] = deque()  # recorded, the host has not looked yet
         self._parked: list[tuple[int, Request]] | None = []  # None once all has been read
         self._watching = self._early = False  # early: linked to the pool before all was read
@@ -98,6 +102,9 @@
     def start(self, side: Side, pool: Pool, fail: Callable[[str], None]) -> None:
         """Take up what an earlier life left, then link to the pool. `fail`: it can't be; from any thread."""
         self._side, self._pool = side, pool
+        if self._keeper.prompt:
+            self._parked = None
+            pool.start()
         self._keeper.start(
             lambda left: side.post(lambda: self._recovered(left)), lambda: side.post(self._delayed), fail)
 
@@ -155,24 +162,44 @@
         exchange, key = known.exchange, self._keys[known.id]
         key.intended = True
         self._begins[known.id] = _Wait(known, clock.now() + BEGIN_WAIT_US)
-        self._watch()
         due = exchange.arrived + known.cls.patience
         begun = Begun(
             key.token, exchange.uid, exchange.lane, known.same, key.until, due, exchange.memory, 0)
-        self._keeper.intend(begun, lambda: self._begin(known))
+        self._keeper.intend(begun, lambda: self._begin(known), lambda there: self._kept_back(known, there))
+        if not self._keeper.prompt:
+            self._watch()
 
     def _begin(self, known: Tracked) -> None:
         """In the writer's thread; whoever takes the wait out of the table has the say."""
         if self.take_back(known):
             self._side.begin(known)
 
+    def _kept_back(self, known: Tracked, elsewhere: bool) -> None:
+        """In the host thread: it must not run here. If another life runs it, its end is that run's end, and
+        until then it counts as a run of ours: its place is soon free again."""
+        if not self.take_back(known):
+            return
+        del self._keys[known.id]
+        if not elsewhere:
+            return self._refuse_begin(known, "can't be recorded")
+        self._elsewhere[known.id] = known
+        assert known.exchange.token is not None
+        self._keeper.fetch(
+            bytes.fromhex(known.exchange.token), known.same,
+            lambda result: self._side.post(lambda: self._ended_elsewhere(known, result)))
+
+    def _ended_elsewhere(self, known: Tracked, result: bytes | None) -> None:
+        if known.id in self._elsewhere:
+            self._side.ended_elsewhere(known, result)
+
     def take_back(self, known: Tracked) -> bool:
         """True once, if it was to run and the pool has not been told."""
-        return self._begins.pop(known.id, None) is not None
+        waited = self._begins.pop(known.id, None) is not None
+        return self._elsewhere.pop(known.id, None) is not None or waited
 
     def waits(self, known: Tracked) -> bool:
         """Whether the pool has not been told to run it."""
-        return known.id in self._begins
+        return known.id in self._begins or known.id in self._elsewhere
 
     def asks(self, known: Tracked) -> bool:
         """It asks for its call. False if that may have been made in an earlier life: its end is not known."""
@@ -191,8 +218,13 @@
     def ended(self, known: Tracked, outcome: Outcome, pos: int) -> None:
         """Its run is over, says notice `pos` (0: none does). With a result, its answer waits for the
         record."""
-        key = self._keys.pop(known.id)
+        key = self._keys.pop(known.id, None)
         self._begins.pop(known.id, None)
+        if key is None:  # it ran in another life, if at all, and that has recorded it
+            self._elsewhere.pop(known.id, None)
+            if outcome is not Outcome.MOOT:
+                self._recorded(known, outcome is Outcome.OK)
+            return
         if pos:
             self._keeper.noticed(pos, True)
         # Whatever became of the call that it last asked for: its end settles that too.
@@ -200,7 +232,7 @@
         if outcome is Outcome.MOOT:
             return self._keeper.never(key.token, key.until, settles)
         good = outcome is Outcome.OK
-        if good:
+        if good and not self._keeper.prompt:
             due = known.exchange.arrived + known.cls.patience
             self._ends[known.id] = _Wait(known, min(due, self._stop_at) - MARGIN_US)
             self._watch()
@@ -286,6 +318,13 @@
             timer.daemon = True
             timer.start()
 
+    def _refuse_begin(self, known: Tracked, why: str) -> None:
+        """Nothing ran, and nothing will."""
+        log.say("keyed", f"{known.exchange.uid}: refused, since its run {why}")
+        away_ms = -(-max(self._keeper.wait_us(), BEGIN_WAIT_US) // 1_000)
+        self._side.answer(known.exchange, Verdict.REFUSED, away_ms=away_ms)
+        self._side.never_ran(known)
+
     def _look(self) -> None:
         """Who has waited long enough for a record."""
         self._watching = False
@@ -294,10 +333,7 @@
             known = wait.known
             if not self.take_back(known):
                 continue  # begun meanwhile
-            log.say("keyed", f"{known.exchange.uid}: refused, since the disk did not record it in time")
-            away_ms = -(-max(self._keeper.wait_us(), BEGIN_WAIT_US) // 1_000)
-            self._side.answer(known.exchange, Verdict.REFUSED, away_ms=away_ms)
-            self._side.never_ran(known)
+            self._refuse_begin(known, "was not recorded in time")
         ends = self._ends.items()
         for number in [number for number, wait in ends if min(wait.until, self._stop_at) <= now]:
             exchange = self._ends.pop(number).known.exchange
--- a/cairnvane/net/pool.py
+++ b/cairnvane/net/pool.py
@@ -50,16 +50,6 @@
     meters: tuple[float, ...] = ()
 
 
-class Guard(Protocol):
-    """Who keeps a keyed run from being made twice by two processes; see `cairnvane.overlap`."""
-
-    def may_spawn(self, uid: str, lane: str) -> bool:
-        """Whether this run may be handed over."""
-
-    def ended(self, uid: str, code: str, result: bytes) -> None:
-        """The pool told its end, or (`late`) that it never began."""
-
-
 class Notices(Protocol):
     """Whoever wants the pool's news, from the link's own thread."""
 
@@ -107,7 +97,6 @@
         self.started: int | None = None  # the pool, in microseconds of the monotonic clock
         self.bound = threading.Event()  # a link was bound once: the pool is up
         self.spawned: Callable[[str], None] | None = None  # told the class of each run handed over
-        self.guard: Guard | None = None  # may keep a run from being handed over; hears of each end
         self._same: Callable[[int | None, int], bool] | None = None
 
     def resume(self, pos: int, started: int | None, same: Callable[[int | None, int], bool]) -> None:
@@ -134,9 +123,7 @@
     # --- commands; each tells on which link it went out, 0 if on none
 
     def spawn(self, uid: str, lane: str, body: bytes) -> int:
-        """Run a request; 0 also where the guard keeps it back."""
-        if self.guard is not None and not self.guard.may_spawn(uid, lane):
-            return 0
+        """Run a request."""
         if self.spawned is not None:
             self.spawned(lane)
         return self._say({"action": "spawn", "uid": uid, "lane": lane, "content": _text(body)})
@@ -246,8 +233,6 @@
 
     def _take(self, notice: Notice, content: bytes, outlet: Outlet) -> None:
         if notice.action == "finished":
-            if self.guard is not None:
-                self.guard.ended(notice.uid, notice.code, content)
             self._notices.finished(notice.uid, notice.code, _us(notice.wall_ms), content, notice.pos)
         elif notice.action == "blocked":
             self._notices.blocked(notice.uid, content, notice.pos)
@@ -282,8 +267,6 @@
     def _refused(self, notice: Notice) -> None:
         log.say("pool", f"not carried out: {notice.code} {notice.uid}")
         if notice.code == "spawn":
-            if self.guard is not None:
-                self.guard.ended(notice.uid, LATE, b"")
             self._notices.unknown(notice.uid)
         elif notice.code == "verify":  # no deep checks here: the link itself is the answer
             for echo in [echo for echo in list(self._asked) if echo.startswith("verify")]:
--- a/cairnvane/runs.py
+++ b/cairnvane/runs.py
@@ -52,7 +52,7 @@
         """Its end was told."""
         known.running, known.told, known.halted = False, None, None
         self.drop_call(known)
-        if good:
+        if good and known.told_at:  # else it was never told to run here: nothing was seen of its calls
             name = known.cls.name
             self._calls_first[name] = self._calls_first.get(name, True) and known.reply is not None
 
--- a/tests/test_keyed_log.py
+++ b/tests/test_keyed_log.py
@@ -13,12 +13,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cairnvane.keyed import plan, record, recovery, state
+from cairnvane.keyed import plan, record, recovery
+from cairnvane.ledger import state
 from cairnvane.keyed import index as places
 from cairnvane.keyed.files import FolderError, segment_name
 from cairnvane.keyed.index import Index
 from cairnvane.keyed.log import Entry, Log, Owner, check
-from cairnvane.keyed.state import IllegalStep, State, Step
+from cairnvane.ledger.state import IllegalStep, State, Step
 from cairnvane.lab.disk import Disk, PowerCut
 
 WINDOW, UNREAD, S = 8_000_000, 2_000_000, 1_000_000
