Serve a later version beside the one that keeps results, and take its folder over

Need: with keyed: on, a second process ended at once, since the first one held the folder of the log; kept results and upgrades under load excluded each other.

keyed/beside.py joins the log with the ledger of the lives side by side, which lies in the same folder. A life that finds the folder owned serves on the ledger alone (synced before it counts, with power) and reads the log without changing it. Once the lock is free it enters what the ledger knows beyond the log, its own open runs among that. A ledger of another boot is entered and removed at the next start. An owner that writes no ledger is an earlier version: the start fails and says so.

The server says when it takes no more connections.

--- a/cairnvane/__main__.py
+++ b/cairnvane/__main__.py
@@ -24,6 +24,7 @@
 from .net.server import Server
 
 if TYPE_CHECKING:
+    from .config.operator import KeyedOptions, Operator
     from .door.listener import Door
     from .exchange import Intake, Meter
     from .lasting import Lasting
@@ -36,7 +37,7 @@
 LAST_WAIT_S = 0.2
 # Each is a notice to leave; the third one, to read the configuration again.
 LEAVE, RELOAD = {signal.SIGTERM, signal.SIGINT}, signal.SIGHUP
-# Folders in `$TMPDIR`, with one for each name in them.
+# Folders in `$TMPDIR`, with one for each name in them; the first also in the folder of kept results.
 LIVES, LEDGERS = "cairnvane-lives", "cairnvane-ledger"
 # Descriptors that are no balancer's: the links, one for each call, and those that close as others open.
 OWN_SOCKETS, OWN_SHARE = 64, 4
@@ -60,8 +61,8 @@
     return new
 
 
-def _keeper(told: config.Config, path: str, points: Points | None) -> Keeper | None:
-    """Turn on what the operator's file at this path asks for; `ConfigError` if it can't be."""
+def _operator(told: config.Config, path: str) -> Operator:
+    """Turn on what the operator's file at this path asks for, but for what keeps keys."""
     from .config import operator
 
     asked = operator.load(path)
@@ -69,20 +70,28 @@
         from .log_json import sink
 
         log.use(sink(told.name))
-    if asked.keyed is None:
-        return None
-    from .keyed import FolderError, Store
+    return asked
+
+
+def _kept(told: config.Config, asked: KeyedOptions, lives: Lives | None, points: Points | None) -> Keeper:
+    """The log of kept results, and the ledger beside it; `ConfigError` if it can't be."""
+    from .keyed import Beside, FolderError, Store
+    from .keyed.beside import LEDGER
     from .keyed.files import OsFiles, boot_id
 
+    folder = Path(asked.folder)
+    power = asked.durability == "power"
     store = Store(
-        OsFiles(Path(asked.keyed.folder)), told.name, boot_id(), power=asked.keyed.durability == "power",
-        disk_bytes=asked.keyed.disk_bytes, memory_bytes=asked.keyed.memory_bytes,
+        OsFiles(folder), told.name, boot_id(), power=power,
+        disk_bytes=asked.disk_bytes, memory_bytes=asked.memory_bytes,
         unread=max(cls.patience for cls in told.settings.classes), points=points)
     try:
-        store.check()
+        store.check(beside=lives is not None and not lives.alone())
     except FolderError as error:
         raise config.ConfigError(f"keyed.folder: {error}") from None
-    return store
+    own = folder / f"{LEDGER}{_boot()}"
+    ledger = _ledger(told, own, lives) if lives is not None else None
+    return Beside(store, ledger, folder, own, power=power) if ledger is not None else store
 
 
 def _lasting(keeper: Keeper, told: config.Config) -> Lasting:
@@ -91,33 +100,35 @@
     return Lasting(keeper, told.settings)
 
 
-def _lives(told: config.Config, temporary: Path) -> Lives | None:
+def _lives(told: config.Config, temporary: Path, folder: Path) -> Lives | None:
     """Be one of the lives of this bid server; None where the folder can't be had. `ConfigError` if another
     version of the program serves here that this one can't know the runs of."""
     if (pid := earlier.serves(temporary, told.name)) is not None:
         raise config.ConfigError(
             f"an earlier version of the program serves here (process {pid}), which keeps keyed runs in "
             f"another form: end it first")
-    lives = Lives(temporary / LIVES / told.name)
+    lives = Lives(folder)
     try:
         lives.enter()
     except OSError as error:
-        log.say("cairnvane", f"TMPDIR: {error}; no later version can take over from this process")
+        log.say("cairnvane", f"{folder}: {error}; no later version can take over from this process")
         return None
     return lives
 
 
-def _ledger(told: config.Config, temporary: Path, lives: Lives) -> Ledger | None:
-    """The keys of the lives side by side, in `$TMPDIR`; None where the folder can't be had, and keys are
-    those of this life alone."""
-    boot = (clock.boot() or "unknown")[:8]  # times in it are of one boot's clock
-    ledger = Ledger(
-        OsFolder(temporary / LEDGERS / f"{told.name}.{boot}"), lives,
-        unread=max(cls.patience for cls in told.settings.classes))
+def _boot() -> str:
+    """In the name of a ledger: times in it are of one boot's clock."""
+    return (clock.boot() or "unknown")[:8]
+
+
+def _ledger(told: config.Config, folder: Path, lives: Lives) -> Ledger | None:
+    """The keys of the lives side by side; None where the folder can't be had, and keys are those of this life
+    alone."""
+    ledger = Ledger(OsFolder(folder), lives, unread=max(cls.patience for cls in told.settings.classes))
     try:
         ledger.open()
     except NewerVersion as error:
-        raise config.ConfigError(f"TMPDIR: a later version of the program serves here: {error}") from None
+        raise config.ConfigError(f"{folder}: a later version of the program serves here: {error}") from None
     except OSError as error:
         log.say("cairnvane", f"keys of other processes: {error}; a later version may run a try again")
         return None
@@ -159,11 +170,15 @@
     try:
         told = config.load(os.environ)
         path = os.environ.get(config.OPERATOR, "")
-        keeper = _keeper(told, path, points) if path else None
+        asked = _operator(told, path).keyed if path else None
         temporary = Path(os.environ.get("TMPDIR") or "/tmp")
-        lives = _lives(told, temporary)
-        if keeper is None and lives is not None:
-            keeper = _ledger(told, temporary, lives)
+        where = Path(asked.folder) / LIVES if asked is not None else temporary / LIVES / told.name
+        lives = _lives(told, temporary, where)
+        keeper: Keeper | None = None
+        if asked is not None:
+            keeper = _kept(told, asked, lives, points)
+        elif lives is not None:
+            keeper = _ledger(told, temporary / LEDGERS / f"{told.name}.{_boot()}", lives)
     except config.ConfigError as error:
         log.say("cairnvane", str(error))
         return 2
--- a/cairnvane/keyed/files.py
+++ b/cairnvane/keyed/files.py
@@ -24,6 +24,10 @@
     """The folder can't be used as it is; one line that says why."""
 
 
+class InUse(FolderError):
+    """Another process owns the folder."""
+
+
 class Handle(Protocol):
     """A file that is being written."""
 
@@ -112,7 +116,7 @@
         self._folder.mkdir(mode=FOLDER_MODE, parents=True, exist_ok=True)
 
     def lock(self) -> None:
-        """Take it, or raise `FolderError`; nothing if it is taken."""
+        """Take it, or raise `InUse`; nothing if it is taken."""
         if self._lock is not None:
             return
         path = self._folder / LOCK
@@ -123,7 +127,7 @@
             os.close(fd)
             if error.errno not in (errno.EWOULDBLOCK, errno.EACCES):
                 raise
-            raise FolderError(f"{self._folder}: in use by another process") from None
+            raise InUse(f"{self._folder}: in use by another process") from None
         self._lock = fd
 
     def unlock(self) -> None:
--- a/cairnvane/keyed/store.py
+++ b/cairnvane/keyed/store.py
@@ -21,7 +21,7 @@
 from . import index as places
 from ..ledger import state
 from . import plan, record
-from .files import Files, FolderError
+from .files import Files, FolderError, Handle, InUse
 from .index import Index
 from .log import Entry, Log, Owner
 from .log import check as check_folder
@@ -48,12 +48,35 @@
         """Create the folder."""
 
     def lock(self) -> None:
-        """Own it; `FolderError` if another process does."""
+        """Own it; `InUse` if another process does."""
 
     def unlock(self) -> None:
         """Let go of it."""
 
 
+class _Unowned:
+    """A folder that another process owns: read, and left as it is."""
+
+    def __init__(self, files: Files) -> None:
+        self.names, self.size, self.read = files.names, files.size, files.read
+
+    def create(self, name: str) -> Handle:
+        """Never."""
+        raise AssertionError(name)
+
+    def cut(self, name: str, size: int) -> None:
+        """What seems torn is being written."""
+
+    def replace(self, name: str, by: str) -> None:
+        """Never."""
+
+    def remove(self, name: str) -> None:
+        """What seems left over is being made."""
+
+    def sync_folder(self) -> None:
+        """Never."""
+
+
 @dataclass(slots=True)
 class _Write:
     entry: Entry
@@ -90,9 +113,10 @@
         self._files, self._name, self._power = files, name, power
         self._most_disk, self._unread, self._points = disk_bytes, unread, points
         self._most_queued = int(plan.QUEUE_SHARE * memory_bytes)
-        self._index = Index(memory_bytes - self._most_queued)
-        self._log = Log(
-            files, Owner(name, boot), most_disk=disk_bytes, power=power, unread=unread, points=self._point)
+        self._index_bytes = memory_bytes - self._most_queued
+        self._index = Index(self._index_bytes)
+        self._owner = Owner(name, boot)
+        self._log = self._new_log(files)
         self._queue: SimpleQueue[_Write | _Fetch | _Close] = SimpleQueue()
         # Guards what host and writer both use: the index, the progress, and the sums.
         self._lock = threading.Lock()
@@ -108,11 +132,20 @@
         self._thread = threading.Thread(target=self._run, name="keyed", daemon=True)
         self._stop = threading.Event()
 
-    def check(self) -> None:
-        """Own the folder; `FolderError` if it is another's. A failing disk may mend."""
+    def _new_log(self, files: Files) -> Log:
+        return Log(files, self._owner, most_disk=self._most_disk, power=self._power, unread=self._unread,
+                   points=self._point)
+
+    def check(self, beside: bool = False) -> None:
+        """Own the folder; `FolderError` if it is another's, unless that process may serve `beside` this one.
+        A failing disk may mend."""
         try:
             self._files.make()
-            self._own()
+            if beside:
+                with contextlib.suppress(InUse):
+                    self._files.lock()
+            else:
+                self._own()
             check_folder(self._files, self._name)
         except OSError as error:
             log.say("keyed", f"the folder can't be used yet: {error}")
@@ -122,7 +155,7 @@
         while True:
             try:
                 return self._files.lock()
-            except FolderError:
+            except InUse:
                 if time.monotonic() > end:
                     raise
             time.sleep(LOCK_LOOK_S)
@@ -131,10 +164,11 @@
 
     def start(
         self, recovered: Callable[[Recovered], None], delayed: Callable[[], None],
-        lost: Callable[[str], None],
+        lost: Callable[[str], None], held: Callable[[], bool] = lambda: False,
     ) -> None:
-        """See `Keeper`."""
-        self._recovered, self._delayed, self._lost = recovered, delayed, lost
+        """See `Keeper`. `held`, once: another process owns the folder, and what it has recorded so far has
+        been read; if that says so, the folder is waited for."""
+        self._recovered, self._delayed, self._lost, self._held = recovered, delayed, lost, held
         self._thread.start()
 
     def wait_us(self) -> int:
@@ -212,6 +246,20 @@
         gets = state.repeat(places.state(found[0]), True)
         return None if gets is Repeat.RUN else Past(token, gets is Repeat.RESULT)
 
+    def knows(self, token: bytes) -> bool:
+        """Whether an end of this token is recorded."""
+        with self._lock:
+            return self._index.get(token) is not None
+
+    def settle(self, settles: tuple[int, ...]) -> None:
+        """What these notices brought about is recorded elsewhere."""
+        with self._lock:
+            self._progress.written(settles)
+
+    def peeked(self, token: bytes, same: bytes) -> bytes | None:
+        """A result from a folder that another process owns; waits for the disk."""
+        return self._fetch(_Fetch(token, same, lambda result: None))
+
     def fetch(self, token: bytes, same: bytes, then: Callable[[bytes | None], None]) -> None:
         """See `Keeper`."""
         self._queue.put(_Fetch(token, same, then))
@@ -244,13 +292,23 @@
 
     def _take_up(self) -> bool:
         """Read what an earlier life left, and again until the disk lets it; False if told to end first."""
+        waited = False
         while True:
             try:
                 self._files.make()
                 self._files.lock()
                 self._point("recovery")
-                self._recover()
+                self._recover(waited)
                 return True
+            except InUse as error:
+                if not waited:
+                    self._peek()
+                    if not self._held():
+                        self._lost(str(error))
+                        return False
+                    waited = True
+                if self._stop.wait(LOCK_LOOK_S):
+                    return False
             except (FolderError, TooLarge) as error:
                 self._lost(str(error))
                 return False
@@ -260,12 +318,26 @@
                 if self._failed(error):
                     return False
 
-    def _recover(self) -> None:
+    def _peek(self) -> None:
+        """Read what the process that owns the folder has recorded so far."""
+        while True:
+            index, reader = Index(self._index_bytes), self._new_log(_Unowned(self._files))
+            with contextlib.suppress(FileNotFoundError):  # it has just dropped a segment
+                reader.recover(index, clock.now())
+                break
+        with self._lock:
+            self._index, self._log = index, reader
+
+    def _recover(self, waited: bool) -> None:
         start = clock.now()
-        recovery = self._log.recover(self._index, start)
+        index, reader = (Index(self._index_bytes), self._new_log(self._files)) if waited else (
+            self._index, self._log)  # what was peeked at answers until all is read anew
+        recovery = reader.recover(index, start)
         left = recovery.conclude()
         with self._lock:
-            self._progress = plan.Progress(left.pos)
+            self._index, self._log = index, reader
+            if not waited:  # else the notices are those of this life's own pool
+                self._progress = plan.Progress(left.pos)
             self._open_keys += len(left.begun)
             self._ready = True
         self._measure(clock.now())
--- a/cairnvane/lab/victim.py
+++ b/cairnvane/lab/victim.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 
 from ..__main__ import main
-from ..keyed import Store, plan
+from ..keyed import Beside, plan
 from ..keys import Begun
 
 KILL, MUTANT = "CAIRNVANE_LAB_KILL", "CAIRNVANE_LAB_MUTANT"
@@ -36,24 +36,25 @@
 
 
 def _no_intents(
-    self: Store, begun: Begun, then: Callable[[], None], other: Callable[[bool], None],
+    self: Beside, begun: Begun, then: Callable[[], None], other: Callable[[bool], None],
 ) -> None:
     then()
 
 
 def _no_results(
-    self: Store, token: bytes, until: int, same: bytes, result: bytes | None, settles: tuple[int, ...],
+    self: Beside, token: bytes, until: int, same: bytes, result: bytes | None, settles: tuple[int, ...],
     then: Callable[[], None],
 ) -> None:
+    self.never(token, until, settles)
     then()
 
 
 if __name__ == "__main__":
     mutant = os.environ.get(MUTANT, "")
     if mutant == "no-intents":
-        Store.intend = _no_intents  # type: ignore[method-assign]
+        Beside.intend = _no_intents  # type: ignore[method-assign]
     elif mutant == "no-results":
-        Store.ended = _no_results  # type: ignore[method-assign]
+        Beside.ended = _no_results  # type: ignore[method-assign]
     told = os.environ.get(KILL, "")
     if told.startswith("compact"):  # which would else wait for space to become scarce
         plan.COMPACT_ABOVE, plan.COMPACT_DEAD = 0.0, 0.05
--- a/cairnvane/ledger/keeper.py
+++ b/cairnvane/ledger/keeper.py
@@ -11,7 +11,7 @@
 import contextlib
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from .. import clock, log
 from ..keys import Begun, Past, Recovered
@@ -87,6 +87,34 @@
         """Look after waiting tries and old segments from now on."""
         threading.Thread(target=self._watch, name="ledger", daemon=True).start()
 
+    def entries(self) -> list[tuple[bytes, Entry, bytes | None]]:
+        """All tokens that count, and the results of those that have one."""
+        with self._lock:
+            with contextlib.suppress(OSError):
+                self._follow()
+            return [
+                (token, replace(entry), self._result(token, entry) if entry.state is State.FINISHED else None)
+                for token, entry in self._machine.entries.items() if entry.state is not State.VOID]
+
+    def mine(self, entry: Entry) -> bool:
+        """Whether this life claimed it."""
+        return entry.life == self._life
+
+    def alone(self) -> bool:
+        """Whether no other life is there that may go on."""
+        return self._lives.alone()
+
+    def dead(self, entry: Entry) -> bool:
+        """Whether the life that claimed it is dead."""
+        return self._lives.vital(entry.life) is Vital.DEAD
+
+    def sync(self) -> None:
+        """All that was said survives a power cut from now on; waits for the disk, `OSError`."""
+        with self._lock:
+            files = [one.file for one in self._segments.values()]
+        for file in files:
+            file.sync()
+
     def close(self) -> None:
         """Write what is left."""
         with self._lock:
@@ -268,15 +296,15 @@
         """See `Keeper`: the claim."""
         with self._lock:
             told = Record(Step.INTENT, self._life, begun.token, clock.now(), begun.until, begun.digest)
-            if not self._say(told):
-                if not self._lives.alone():
-                    return other(False)
+            known = self._say(told)
+            if not known and self._lives.alone():
                 self._keep(told)
+                known = True
             mine = self._machine.holds(begun.token, self._life, told.at)
-        if mine:
+        if known and mine:
             then()
         else:
-            other(True)
+            other(known)
 
     def never(self, token: bytes, until: int, settles: tuple[int, ...]) -> None:
         """See `Keeper`."""
--- a/cairnvane/net/server.py
+++ b/cairnvane/net/server.py
@@ -69,6 +69,7 @@
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
         self._socket.close()
+        log.say("server", "takes no more connections")
         with self._changed:
             left = list(self._connections)
         for connection in left:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -95,8 +95,8 @@
         assert (refused.exit_code, "in use" in refused.output) == (2, True)
         process.kill()
         process.wait(WAIT_S)
-    for name in folder.iterdir():
-        assert stat.S_IMODE(name.stat().st_mode) == 0o600
+    for name in folder.rglob("*"):
+        assert stat.S_IMODE(name.stat().st_mode) == (0o700 if name.is_dir() else 0o600)
     assert "1 finished" in run("keyed", "verify", folder).output
     [row] = [json.loads(line) for line in run("keyed", "show", "--json", folder).output.splitlines()]
     assert (row["token"], row["state"], row["class"]) == (TOKEN, "finished", "write")
