Have the mutant without results forget them in the ledger too, so the judge can see it

The mutant recorded 'never' behind a call, which the log's state machine rightly refuses, so runs stayed open and were failed: the judge counted 0 second runs and the test failed.

--- a/cairnvane/lab/victim.py
+++ b/cairnvane/lab/victim.py
@@ -49,7 +49,7 @@
     self: Beside, token: bytes, until: int, same: bytes, result: bytes | None, settles: tuple[int, ...],
     then: Callable[[], None],
 ) -> None:
-    self.never(token, until, settles)
+    self._ledger.never(token, until, settles)  # and the log hears of no end
     then()
 
 
