--- a/cairnvane/__main__.py
+++ b/cairnvane/__main__.py
@@ -18,6 +18,7 @@
 from .keys import Keeper, Points
 from .ledger import Ledger, Lives, earlier
 from .ledger.folder import OsFolder
+from .ledger.lives import LIVES
 from .ledger.record import NewerVersion
 from .net.pool import Pool
 from .net.roster import Roster
@@ -37,8 +38,8 @@
 LAST_WAIT_S = 0.2
 # Each is a notice to leave; the third one, to read the configuration again.
 LEAVE, RELOAD = {signal.SIGTERM, signal.SIGINT}, signal.SIGHUP
-# Folders in `$TMPDIR`, with one for each name in them; the first also in the folder of kept results.
-LIVES, LEDGERS = "cairnvane-lives", "cairnvane-ledger"
+# In `$TMPDIR`, with a folder for each name and boot.
+LEDGERS = "cairnvane-ledger"
 # Descriptors that are no balancer's: the links, one for each call, and those that close as others open.
 OWN_SOCKETS, OWN_SHARE = 64, 4
 
--- a/cairnvane/cli/keyed.py
+++ b/cairnvane/cli/keyed.py
@@ -10,6 +10,8 @@
 
 from ..keyed import FolderError, inspect
 from ..keyed.files import OsFiles
+from ..ledger import inspect as ledger
+from ..ledger.record import NewerVersion
 
 FOLDER = click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
 
@@ -27,27 +29,33 @@
 @keyed.command()
 @FOLDER
 def verify(folder: Path) -> None:
-    """Read everything in FOLDER and say what is damaged; nothing is changed. Status 1 if a record may be
-    lost."""
+    """Read everything in FOLDER, a log's or a ledger's, and say what is damaged; nothing is changed. Status 1
+    if a record may be lost."""
     try:
+        beside = [ledger.look(path) for path in ledger.ledgers(folder)]
         found = inspect.verify(OsFiles(folder))
-    except (FolderError, OSError) as error:
+    except (FolderError, NewerVersion, OSError) as error:
         return _stop(error)
-    for line in found.lines():
+    for line in [line for one in beside for line in one.lines()] + found.lines():
         click.echo(line)
-    sys.exit(1 if found.wrong else 0)
+    sys.exit(1 if found.wrong or any(one.wrong for one in beside) else 0)
 
 
 @keyed.command()
 @FOLDER
 @click.option("--json", "as_json", is_flag=True, help="One JSON object a line.")
 def show(folder: Path, as_json: bool) -> None:
-    """List the keys in FOLDER, oldest first, and how each stands; results are not shown."""
+    """List the keys in FOLDER, a log's or a ledger's, oldest first, and how each stands; results are not
+    shown. What the log does not know stands behind, from the ledger."""
     try:
-        for row in inspect.show(OsFiles(folder)):
+        rows = list(inspect.show(OsFiles(folder)))
+        known = {row["token"] for row in rows}
+        for path in ledger.ledgers(folder):
+            rows += [row for row in ledger.show(path) if row["token"] not in known]
+        for row in rows:
             plain = "  ".join(f"{key}={value}" for key, value in row.items())
             click.echo(json.dumps(row) if as_json else plain)
-    except (FolderError, OSError) as error:
+    except (FolderError, NewerVersion, OSError) as error:
         return _stop(error)
 
 
--- a/cairnvane/keyed/inspect.py
+++ b/cairnvane/keyed/inspect.py
@@ -7,11 +7,11 @@
 
 from .. import clock
 from ..ledger import state
+from ..ledger.state import State, Step
 from . import record
 from .files import OsFiles, boot_id
 from .index import BYTES_PER_ENTRY, Index
 from .log import Log, Owner, Report, blocks, read_segment, segment_names
-from ..ledger.state import State, Step
 
 # Room for all that a folder can hold is not known before it is read; memory is touched only as it fills.
 _INDEX_BYTES = 4_000_000 * BYTES_PER_ENTRY
--- a/cairnvane/lab/judge.py
+++ b/cairnvane/lab/judge.py
@@ -6,13 +6,16 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from .balancer import Reply
 from .pool import Facts
 
+# Commits without an answer are tried so often at the end, this long after one another.
+MOST_AGAIN, AGAIN_S = 20, 0.3
 SERVED, REFUSED = (200,), (429, 503)
 
 
@@ -89,6 +92,24 @@
                 commit.failed += 1
                 commit.failed_after_served += bool(commit.served)
 
+    def settle(self, again: Callable[[Commit], None], wait_s: float) -> None:
+        """At the end: wait until no try is owed an answer, `wait_s` at the most, and have those tried once
+        more that were refused, or that nobody has read yet."""
+        for _ in range(MOST_AGAIN):
+            self._answered(wait_s)
+            left = [commit for commit in self.commits if not commit.served and not commit.failed]
+            if not left:
+                return
+            for commit in left:
+                again(commit)
+            time.sleep(AGAIN_S)
+        self._answered(wait_s)
+
+    def _answered(self, wait_s: float) -> None:
+        end = time.monotonic() + wait_s
+        while time.monotonic() < end and any(commit.open for commit in self.commits):
+            time.sleep(0.01)
+
     def verdict(self, pool: Mapping[bytes, Facts], calls: Counter[bytes]) -> Verdict:
         """Against the pool's and the vault's own records."""
         commits = self.commits
--- a/cairnvane/lab/restarts.py
+++ b/cairnvane/lab/restarts.py
@@ -188,16 +188,7 @@
             return life.kill()
         self._offer(balancer, quota, life)
         self._replay(balancer)
-        end = time.monotonic() + PATIENCE_S + SLACK_S
-        while time.monotonic() < end and any(commit.open for commit in self._judge.commits):
-            time.sleep(0.01)
-        for _ in range(20):  # those that were refused, and those that no life has read yet
-            left = [c for c in self._judge.commits if not c.served and not c.failed]
-            if not left:
-                break
-            for commit in left:
-                self._try(balancer, commit)
-            time.sleep(0.3)
+        self._judge.settle(lambda commit: self._try(balancer, commit), PATIENCE_S + SLACK_S)
         balancer.close()
         status = life.stop(self._site.stop_ms / 1e3 + 5)
         if status != 0:
--- a/cairnvane/lab/upgrades.py
+++ b/cairnvane/lab/upgrades.py
@@ -262,7 +262,7 @@
         self._over.set()
         for worker in workers:
             worker.join()
-        self._finish(balancer)
+        self._judge.settle(lambda commit: self._try(balancer, commit), PATIENCE_S + SLACK_S)
         balancer.close()
         for version in list(self._versions):
             self._leave(version)
@@ -368,22 +368,6 @@
             self._uids += 1
             return f"{self._seed % 4_096:03x}{self._uids:013x}"
 
-    def _finish(self, balancer: StandInBalancer) -> None:
-        """Whoever has no answer yet comes once more, until all have one."""
-        end = time.monotonic() + PATIENCE_S + SLACK_S
-        while time.monotonic() < end and any(commit.open for commit in self._judge.commits):
-            time.sleep(0.01)
-        for _ in range(20):
-            left = [c for c in self._judge.commits if not c.served and not c.failed]
-            if not left:
-                break
-            for commit in left:
-                self._try(balancer, commit)
-            time.sleep(0.3)
-        end = time.monotonic() + PATIENCE_S + SLACK_S
-        while time.monotonic() < end and any(commit.open for commit in self._judge.commits):
-            time.sleep(0.01)
-
     # --- staff
 
     def _staff(self) -> None:
--- a/cairnvane/ledger/lives.py
+++ b/cairnvane/ledger/lives.py
@@ -18,6 +18,8 @@
 
 from .. import clock
 
+# The folder of the lives' files: in `$TMPDIR` with one for each name in it, or in the folder of kept results.
+LIVES = "cairnvane-lives"
 # A life speaks up this often, and is taken for stopped after so long without a word: five of them missed.
 BEAT_S = 1.0
 LEASE_US = 5_000_000
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -20,6 +20,9 @@
 from cairnvane.cli import main
 from cairnvane.config import ConfigError, operator
 from cairnvane.keyed.files import OsFiles, segment_name
+from cairnvane.ledger.lives import LIVES, Lives
+from cairnvane.ledger.record import Record, put
+from cairnvane.ledger.state import Step
 
 KEYED = "keyed:\n  folder: keyed\n"
 EXAMPLE = Path(__file__).parents[1] / "deploy" / "operator.yaml"
@@ -142,3 +145,28 @@
     assert done.stderr.count("\n") == 1 and "keyed.folder:" in done.stderr
     assert ("in use" if other == "another process" else "belongs to") in done.stderr
     holder.unlock()
+
+
+def test_a_ledger_is_shown_and_verified_as_lives_see_it(tmp_path: Path) -> None:
+    """In `$TMPDIR`, with one life there and one dead."""
+    folder, lives = tmp_path / "cairnvane-ledger" / "n3.0badb007", Lives(tmp_path / LIVES / "n3")
+    lives.enter()
+    folder.mkdir(parents=True)
+    token = bytes.fromhex("5c" * 16)
+    records = [Record(Step.INTENT, lives.life, token, 5, 9, bytes(16)),
+               Record(Step.INTENT, 7, token, 6, 9, bytes(16)),
+               Record(Step.RESULT, lives.life, token, 8, 9, bytes(16) + b"result")]
+    path = folder / "0000000001.ledger"
+    path.write_bytes(b"".join(put(*one) for one in records))
+    verified = run("keyed", "verify", str(folder))
+    assert verified.exit_code == 0 and "1 finished" in verified.output
+    assert f"{lives.life} alive" in verified.output and "came second: 1" in verified.output
+    [row] = [json.loads(line) for line in run("keyed", "show", "--json", str(folder)).output.splitlines()]
+    assert (row["token"], row["state"], row["life_is"]) == (token.hex(), "finished", "alive")
+    assert row["result_bytes"] == "6"
+    path.write_bytes(b"spoilt" + path.read_bytes()[40:])
+    assert run("keyed", "verify", str(folder)).exit_code == 1
+    path.write_bytes(b"CVL2" + bytes(30))
+    newer = run("keyed", "verify", str(folder))
+    assert newer.exit_code == 2 and "format 2" in newer.output
+    lives.leave()
