--- a/cairnvane/ledger/keeper.py
+++ b/cairnvane/ledger/keeper.py
@@ -300,6 +300,9 @@
             if not known and self._lives.alone():
                 self._keep(told)
                 known = True
+            if not known:  # a claim that failed may stand there all the same, and would keep others waiting
+                never = Record(Step.NEVER, self._life, begun.token, told.at, begun.until, b"")
+                self._unsaid.append(never)
             mine = self._machine.holds(begun.token, self._life, told.at)
         if known and mine:
             then()
@@ -413,9 +416,13 @@
             left = [one for one in waiting if not self._settle(one)]
             with self._lock:
                 self._waiting.extend(left)
-                if clock.now() >= beat_at:
-                    beat_at = clock.now() + int(BEAT_S * 1e6)
+                if clock.now() < beat_at:
+                    continue
+                beat_at = clock.now() + int(BEAT_S * 1e6)
+                try:
                     self._look_after()
+                except Exception as error:  # without this thread the life would be taken for stopped
+                    log.say("ledger", f"looking after it: {type(error).__name__} {error}")
 
     def _look_after(self) -> None:
         """Once a beat: say that this life is well, and let go of what has aged."""
--- a/cairnvane/ledger/record.py
+++ b/cairnvane/ledger/record.py
@@ -29,8 +29,9 @@
 NO_TOKEN = bytes(16)
 
 
-class NewerVersion(Exception):
-    """Written by a version of the program that this one can't live beside."""
+class NewerVersion(OSError):
+    """Written by a version of the program that this one can't live beside. To a life that already serves, it
+    is a folder that fails: it takes no new keys on."""
 
 
 class Record(NamedTuple):
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -329,6 +329,7 @@
     """A folder whose disk fails: at the next appends, each with a part of what was to be written."""
 
     failures = 0
+    part = 2 / 3
 
     def open(self, number: int, create: bool) -> Segment:
         segment = super().open(number, create)
@@ -337,7 +338,7 @@
         def fails(data: bytes) -> None:
             if self.failures:
                 self.failures -= 1
-                append(data[: len(data) * 2 // 3])
+                append(data[: int(len(data) * self.part)])
                 raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
             append(data)
 
@@ -373,6 +374,27 @@
     assert old.ledger.wait_us() == 0
 
 
+def test_a_claim_that_failed_but_stands_there_keeps_nobody_waiting(shop: Shop) -> None:
+    """Guards: a write that failed, though all of it is in the file, is a claim without end."""
+    folder = Trouble(shop.path / "ledger")
+    old, new = shop.life(folder), shop.life()
+    folder.failures, folder.part = 1, 1.0
+    assert old.run() == "refused"
+    assert new.run(OTHER) == "runs" and new.run() == "elsewhere"
+    old.ledger._retry_at = 0
+    assert old.ledger.wait_us() == 0  # it works again, and has given the claim up
+    assert new.run() == "runs"
+
+
+def test_a_later_format_beside_a_life_that_serves_is_a_folder_that_fails(shop: Shop) -> None:
+    old, new = shop.life(), shop.life()
+    with old.ledger._lock:
+        old.ledger._current.file.append(put(SEAL, 1, record.NO_TOKEN, 1, 1))
+    (shop.path / "ledger" / "0000000002.ledger").write_bytes(b"CVL2" + bytes(60))
+    assert old.run() == "refused" and old.ledger.wait_us() > 0
+    assert new.recall() is None
+
+
 def test_at_its_bound_it_takes_no_key_on(shop: Shop) -> None:
     life = shop.life()
     life.ledger._most = 500
