--- a/cairnvane/ledger/keeper.py
+++ b/cairnvane/ledger/keeper.py
@@ -251,7 +251,7 @@
         if clock.now() < self._retry_at:
             return False
         try:
-            if self._lives.entered is False:
+            if not self._lives.entered:
                 self._lives.enter()
             self._folder.make()
             while self._unsaid:
--- a/tests/test_keyed_beside.py
+++ b/tests/test_keyed_beside.py
@@ -62,6 +62,12 @@
         assert told == number
         return answer
 
+    def runs(self, balancer: Balancer, pool: PoolPeer, result: bytes, **fields: Any) -> None:
+        """A commit that this pool runs, to this result."""
+        self.ask(balancer, **fields)
+        pool.run(result)
+        assert balancer.answer()[1].body == result
+
     def hand_over(self, old: subprocess.Popen[str]) -> None:
         """Once a second life can serve, have the first one hand over to it."""
         lives = Lives(self.folder / "cairnvane-lives")
@@ -99,9 +105,7 @@
     """Guards: with kept results on, a second process ended at once, since the first one held the folder."""
     with site.life() as (old, pool):
         before = site.balancer()
-        site.ask(before, **write())
-        pool.run(b"of the old one")
-        assert before.answer()[1].body == b"of the old one"
+        site.runs(before, pool, b"of the old one", **write())
         site.ask(before, **write("ab" * 16))
         open_run = pool.next("spawn")["uid"]
         with site.life() as (new, its_pool):
@@ -109,9 +113,7 @@
             after = site.balancer()
             assert site.served(after, **write()).body == b"of the old one"
             assert site.served(after, **write(body=b"forged")).status == 500
-            site.ask(after, **write(SECOND))  # and runs its own, while the folder is the old one's
-            its_pool.run(b"of the new one")
-            assert after.answer()[1].body == b"of the new one"
+            site.runs(after, its_pool, b"of the new one", **write(SECOND))
             number = site.ask(after, **write("ab" * 16))  # which the old one still runs
             pool.notice("finished", open_run, "fine", b"at last")
             assert before.answer()[1].body == b"at last"
@@ -134,9 +136,7 @@
 def test_what_was_kept_before_both_is_read_from_the_folder_of_the_other(site: Site) -> None:
     with site.life() as (_, pool):
         balancer = site.balancer()
-        site.ask(balancer, **write())
-        pool.run(b"long ago")
-        assert balancer.answer()[1].body == b"long ago"
+        site.runs(balancer, pool, b"long ago", **write())
     site.forget_ledger()
     with site.life() as (old, _), site.life() as (new, its_pool):
         old.send_signal(signal.SIGSTOP)  # the folder stays its own, and it answers nobody
@@ -158,15 +158,11 @@
 def test_a_life_that_is_killed_leaves_what_it_answered_to_the_others(site: Site, which: str) -> None:
     with site.life() as (old, pool):
         before = site.balancer()
-        site.ask(before, **write())
-        pool.run(b"of the old one")
-        assert before.answer()[1].body == b"of the old one"
+        site.runs(before, pool, b"of the old one", **write())
         with site.life() as (new, its_pool):
             site.hand_over(old)
             after = site.balancer()
-            site.ask(after, **write(SECOND))
-            its_pool.run(b"of the new one")
-            assert after.answer()[1].body == b"of the new one"
+            site.runs(after, its_pool, b"of the new one", **write(SECOND))
             site.ask(after, **write("ab" * 16))
             its_pool.next("spawn")  # and dies in the middle of a run
             if which == "the owner":
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -12,16 +12,16 @@
 from cairnvane.cli import main
 
 
-def restarts(tmp_path: Path, *words: str) -> tuple[int, dict[str, Any]]:
+def lab(tmp_path: Path, *words: str) -> tuple[int, dict[str, Any]]:
     path = tmp_path / "report.json"
-    done = CliRunner().invoke(main, ["lab", "restarts", "--json", str(path), *words])
+    done = CliRunner().invoke(main, ["lab", *words, "--json", str(path)])
     return done.exit_code, json.loads(path.read_text())
 
 
 @pytest.mark.parametrize("durability", ["process", "power"])
 def test_no_commit_runs_twice_or_is_answered_otherwise(tmp_path: Path, durability: str) -> None:
     words = ["--commits", "100", "--kills", "5", "--seed", "3", "--durability", durability]
-    status, report = restarts(tmp_path, *words)
+    status, report = lab(tmp_path, "restarts", *words)
     assert (status, report["good"]) == (0, True), report
     verdict = report["verdict"]
     assert verdict["commits"] == 100 and verdict["tries"] > 100 and verdict["runs"] > 50
@@ -31,20 +31,14 @@
 def test_the_judge_counts_second_runs_where_records_are_switched_off(tmp_path: Path, mutant: str) -> None:
     """Each run must begin before a kill that the next life survives: with so many there is always one."""
     words = ["--commits", "300", "--kills", "10", "--seed", "3", "--mutant", mutant]
-    status, report = restarts(tmp_path, *words)
+    status, report = lab(tmp_path, "restarts", *words)
     assert status == 1 and report["verdict"]["second_runs"] > 0
 
 
-def upgrade(tmp_path: Path, *words: str) -> tuple[int, dict[str, Any]]:
-    path = tmp_path / "report.json"
-    done = CliRunner().invoke(main, ["lab", "upgrade", "--json", str(path), *words])
-    return done.exit_code, json.loads(path.read_text())
-
-
 @pytest.mark.parametrize("durability", ["memory", "process"])
 def test_no_upgrade_runs_a_commit_twice_or_serves_a_forged_one(tmp_path: Path, durability: str) -> None:
     words = ["--rounds", "5", "--commits", "400", "--kill", "--forge", "--seed", "11"]
-    _, report = upgrade(tmp_path, *words, "--durability", durability)
+    _, report = lab(tmp_path, "upgrade", *words, "--durability", durability)
     verdict = report["verdict"]
     wrong = {name: verdict[name] for name in (
         "second_runs", "second_calls", "differing", "invented", "unanswered", "lost")}
@@ -58,5 +52,5 @@
     tmp_path: Path, mutant: str, counts: str,
 ) -> None:
     words = ["--rounds", "3", "--commits", "300", "--forge", "--seed", "3", "--mutant", mutant]
-    status, report = upgrade(tmp_path, *words)
+    status, report = lab(tmp_path, "upgrade", *words)
     assert status == 1 and (report | report["verdict"])[counts] > 0
