Take calls for lost at 7 times the usual in place of 15

A limit by the spread of the calls in place of a multiple: their tail is that of an exponential, so it comes to the same 7.

--- a/cairnvane/control.py
+++ b/cairnvane/control.py
@@ -48,7 +48,7 @@
 # A call that is out for so many times the usual one is taken for lost, as it holds a place. One with an
 # effect is not made again and gets so much longer; no call gets less than the least. Each loss raises the
 # usual, so that calls which have all become slow are waited for again.
-CALL_LOST, CALL_LOST_EFFECT, CALL_LOST_LEAST = 15.0, 4, 100_000
+CALL_LOST, CALL_LOST_EFFECT, CALL_LOST_LEAST = 7.0, 4, 100_000
 CALL_USUAL_OVER, CALL_USUAL_RAISE = 50, 1.25
 # A share below one call may fall to this part of it: what is shared is slow long before it dies.
 CALLS_LEAST = 0.2
