Let a run whose request is over leave at its call, told or not, so no place is held for good

Cause: after 6 s of a slow vault a server refused everything for good (0 runs, 0 calls). A request that is answered while its run stands at a call, or that comes to its call later, stayed in the module's AT_CALL or CALLING until the pool told its end. _start counts these as calls to come: 5 of them times a call time of 0.9 s over a cap of 2.3 is a wait of 1.9 s, more than half of any aim, so nothing that calls was begun; no call was made, so neither call time nor cap ever moved again.

Change: the module lets go of such a run when it answers or when the caller leaves (its call counts as lingering), and at the call that it comes to later; the host tells the pool to stop it, where the settings allow that.

Ruled out: N_high and p (p was raised to 1 again and again in the trace and the refusals went on); the verdict on the vault (cap 2.3 of 3.6, room for calls); calls counted in hand that ended (0 of them).

--- a/cairnvane/cli/lab.py
+++ b/cairnvane/cli/lab.py
@@ -89,3 +89,19 @@
             durability=durability, rate=rate, mutant=mutant, say=lambda line: click.echo(line, err=True))
         report = experiment.run()
     _end(report, json_file)
+
+
+@lab.command()
+@click.option("--trouble", "kinds", multiple=True, help="Of these kinds only; may be given more than once.")
+@click.option("--rate", "rates", type=click.FloatRange(0.1, 200), multiple=True, help="First tries a second.")
+@click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="For the report.")
+def recovery(kinds: tuple[str, ...], rates: tuple[float, ...], json_file: Path | None) -> None:
+    """Play one server's decisions through troubles of pool and vault on a virtual clock: when is it back?
+
+    Status 1 if it does not come back from one."""
+    from ..lab import recovery as lives
+
+    if unknown := [kind for kind in kinds if kind not in lives.KINDS]:
+        known = ", ".join(lives.KINDS)
+        raise click.BadParameter(f"{unknown[0]!r} is none of {known}", param_hint="--trouble")
+    _end(lives.play(kinds or lives.KINDS, rates or lives.RATES), json_file)
--- a/cairnvane/control.py
+++ b/cairnvane/control.py
@@ -417,12 +417,18 @@
             return self._move(job, None)
         # Nobody waits: the core is better used. But what the next try could reuse goes on, once it has its
         # call behind it (at the next one it would be broken off).
-        if not job.answered and not (job.cls.repeat is Repeat.KEYED and job.calls < CALL_TRIES):
+        behind = job.state is State.RUNNING and job.cls.repeat is Repeat.KEYED and job.calls < CALL_TRIES
+        if not job.answered and not behind:
             self._stop(job)
         job.answered = True
 
     def _stop(self, job: Job) -> None:
-        if job.state is State.RUNNING and self.settings.halt is not i.HaltMode.NONE:
+        if job.state is not State.RUNNING:
+            # Risk: places held for good. What stands at a call ends there, whether or not that is ever told.
+            if job.state is State.CALLING:
+                heapq.heappush(self.lingering, self.now + self.settings.call_linger)
+            self._move(job, None)
+        elif self.settings.halt is not i.HaltMode.NONE:
             self.out.append(i.Halt(job.id))
 
     def _answer_due(self) -> None:
@@ -435,7 +441,7 @@
         if (job := self.jobs.get(event.id)) and job.state is State.RUNNING:
             job.calls = CALL_TRIES
             self.callers.add(job.cls.name)
-            self._move(job, State.AT_CALL)
+            self._move(job, None if job.answered else State.AT_CALL)
 
     def _make_calls(self) -> None:
         """Risk: all instances together kill what they share. Calls in hand, abandoned ones too, stay in our
@@ -446,8 +452,6 @@
         # A share below one is kept by a single call only if that ends, lingering too, within its part.
         longest = int(self.most_calls * window) - self.settings.call_linger
         for job in list(self.at_call.values()):
-            if job.answered:
-                continue
             place = len(self.running) + len(self.calling) < self._crowd_ceiling()
             late = self.now + self.call_time * place > job.aim
             room = self._in_hand() + 1 <= max(1, self.call_cap) and self.call_debt <= spare
--- a/cairnvane/host.py
+++ b/cairnvane/host.py
@@ -76,7 +76,7 @@
         """Get to know the parts that the host gives its orders to."""
         self._server, self._pool, self._lasting = server, pool, lasting
         self._runs = Runs(
-            pool, vault, self.post,
+            pool, vault, self.post, self._settings.halt is not i.HaltMode.NONE,
             never_began=lambda known: self._end_run(known.exchange.uid, worker.BROKEN_OFF),
             call_ended=lambda known, outcome, took: self.tell(i.CallEnded(known.id, outcome, took)))
         self._health = Health(pool, lambda: self._load)
@@ -227,7 +227,7 @@
         known = self._by_uid.get(request.uid)
         if known is None or known.exchange is not request:
             return
-        self._runs.drop_call(known)
+        self._runs.leave(known)
         self.tell(i.Gone(known.id))
         self._settle(known)
 
@@ -275,6 +275,8 @@
         elif not lasts.asks(known):
             return self._runs.suspend(known)  # its call may have been made, and would be made twice
         self.tell(i.CallNeeded(known.id))
+        if not known.exchange.open:
+            self._runs.leave(known)
 
     def _lose_runs(self) -> None:
         """Their ends will never be told, and what had an effect is not run again."""
@@ -389,8 +391,8 @@
         self._settle(known)
 
     def _fail(self, known: Tracked, action: i.Fail) -> None:
-        self._runs.drop_call(known)
         self.answer(known.exchange, Verdict.FAILED)
+        self._runs.leave(known)
         self._settle(known)
 
     def _halt(self, known: Tracked, action: i.Halt) -> None:
--- a/cairnvane/runs.py
+++ b/cairnvane/runs.py
@@ -27,12 +27,13 @@
     """Commands and calls of the runs in hand."""
 
     def __init__(
-        self, pool: Pool, vault: tuple[str, int], post: Callable[[Callable[[], None]], None], *,
-        never_began: Callable[[Tracked], None], call_ended: CallEnded,
+        self, pool: Pool, vault: tuple[str, int], post: Callable[[Callable[[], None]], None], halts: bool,
+        *, never_began: Callable[[Tracked], None], call_ended: CallEnded,
     ) -> None:
         self.vault = vault  # for all calls from now on; those on their way end where they are
         self._pool, self._post = pool, post
         self._never_began, self._call_ended = never_began, call_ended
+        self._halts = halts  # the settings allow `suspend`
         self._link = 0
         # A command and the link that it went out on are one to whoever looks for what a link has lost.
         self._saying = threading.RLock()
@@ -51,7 +52,7 @@
     def over(self, known: Tracked, good: bool) -> None:
         """Its end was told."""
         known.running, known.told, known.halted = False, None, None
-        self.drop_call(known)
+        self._drop_call(known)
         if good and known.told_at:  # else it was never told to run here: nothing was seen of its calls
             name = known.cls.name
             self._calls_first[name] = self._calls_first.get(name, True) and known.reply is not None
@@ -111,8 +112,14 @@
             self.begin(known)
         self._call_ended(known, outcome, took)
 
-    def drop_call(self, known: Tracked) -> None:
-        """Give up its call, if one is on its way."""
+    def leave(self, known: Tracked) -> None:
+        """Nobody waits for it any more: give up its call, if one is on its way. A run that stands at a call
+        is over by that. A pool that does not know so by itself would keep it and its memory for good."""
+        self._drop_call(known)
+        if known.running and known.told is None and known.halted is None and self._halts:
+            self.suspend(known)
+
+    def _drop_call(self, known: Tracked) -> None:
         if known.call is not None:
             known.call.give_up()
             known.call = None
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -421,6 +421,22 @@
         assert w.vault.closed.wait(WAIT_S)
 
 
+@pytest.mark.parametrize("left", [True, False])
+def test_a_pool_is_told_that_a_run_at_its_call_is_over(left: bool) -> None:
+    """Guards: a pool that does not see by itself that a request is over kept its run, and the memory."""
+    with world() as w:  # whose vault answers no call
+        balancer = w.balancer()
+        uid = w.block(balancer)
+        w.vault.calls.get(timeout=WAIT_S)
+        if left:
+            balancer.abort(1)
+        else:
+            w.host.drain(500_000)
+            assert balancer.answer()[1].status == 500
+        assert w.pool.next("suspend")["uid"] == uid
+        w.pool.notice("finished", uid, "broken_off")
+
+
 def test_a_refused_connection_proves_that_no_call_ran() -> None:
     with socket.create_server(("127.0.0.1", 0)) as gone:
         address = gone.getsockname()
