Add cairnvane lab fleet: several real servers under load, faults between them, and a judge

Need: the new focus is how many processes behave when parts of the system fail, and nothing here started more than two of them.

Change: a scenario (YAML, checked; messages name line, key and value) starts up to 24 processes of the program, each with its pool behind a link of the rig's own, one vault with slots, one roster, and balancers that try again, walk on, heed advice and give up. Faults: kill, start, SIGSTOP, SIGTERM; a slow, dead or silent vault; a surge; links that drop, delay, cap, cut one way or both, stall, reset, and for datagrams duplicate and reorder. One seed gives one schedule. The judge takes what callers, pools and vault recorded, never a server's word.

The judge failed a right program twice while it was built: tries at a server that was known to be down, and tries that met the rig's own listener after a draining server had closed its own. Both were the rig's; a link now refuses as what is behind it does.

The datagram links have no user yet.

--- a/cairnvane/cli/lab.py
+++ b/cairnvane/cli/lab.py
@@ -105,3 +105,36 @@
         known = ", ".join(lives.KINDS)
         raise click.BadParameter(f"{unknown[0]!r} is none of {known}", param_hint="--trouble")
     _end(lives.play(kinds or lives.KINDS, rates or lives.RATES), json_file)
+
+
+@lab.command()
+@click.argument("scenario", required=False, type=click.Path(path_type=Path))
+@click.option("--seed", type=int, default=1, show_default=True, help="For all that is left to chance.")
+@click.option("--events", type=click.Path(dir_okay=False, path_type=Path), help="For the rig's record.")
+@click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="For the verdict.")
+@click.option("--check", is_flag=True, help="Only read the scenario, and show its schedule.")
+def fleet(scenario: Path | None, seed: int, events: Path | None, json_file: Path | None, check: bool) -> None:
+    """Start several servers under load with faults between them, and judge what their peers recorded.
+
+    Without a SCENARIO (YAML, docs/fleet-lab.md) a short one is played: three servers, one is killed and comes
+    back. Status 1 if a rule is broken or a statement of the scenario does not hold, 2 if the file is at
+    fault."""
+    from ..config import ConfigError
+    from ..lab.fleet import scenario as words
+    from ..lab.fleet.play import Play
+    from ..lab.fleet.schedule import draw
+
+    try:
+        told = words.load(scenario if scenario is not None else words.shipped())
+    except ConfigError as error:
+        click.echo(f"cairnvane: {error}", err=True)
+        sys.exit(2)
+    if check:
+        for step in draw(told, seed):
+            click.echo(f"{step.at:6.1f} s  {step.line()}")
+        return
+    click.echo(f"{told.name}: {told.servers} servers, {told.seconds:g} s, seed {seed}", err=True)
+    with tempfile.TemporaryDirectory(prefix="cairnvane-lab-") as folder:
+        report = Play(
+            told, seed, Path(folder), events=events, say=lambda line: click.echo(line, err=True)).run()
+    _end(report, json_file)
--- a/cairnvane/lab/balancer.py
+++ b/cairnvane/lab/balancer.py
@@ -67,9 +67,12 @@
 
     def send(
         self, uid: str, lane: str, body: bytes, token: str | None, then: Then, fresh: bool = False,
-    ) -> None:
-        """Make a try, as soon as there is room on a connection; `fresh`: on one that is made for it."""
-        self._room.acquire()
+        wait: bool = True,
+    ) -> Callable[[], None] | None:
+        """Make a try, as soon as there is room on a connection, or (without `wait`) if there is room now;
+        `fresh`: on one that is made for it. What is returned gives it up: nobody hears of its end then."""
+        if not self._room.acquire(blocking=wait):
+            return None
         params = {
             "SCRIPT_NAME": f"/svc/{lane}", "REQUEST_METHOD": "POST", "HTTP_REQ_ID": uid, "HTTP_REQ_FROM": "1",
             "HTTP_REQ_TIME": str(time.time_ns() // 1_000_000), "HTTP_REQ_KB": "8.0", "HTTP_REQ_RANK": "0.5",
@@ -86,8 +89,16 @@
         with link.lock, contextlib.suppress(OSError):
             if not link.broken:
                 link.sock.sendall(data)
-                return
+                return lambda: self._give_up(link, number, then)
         self._end(link, number, Reply(0, b"", 0, 0.0))
+        return lambda: None
+
+    def _give_up(self, link: _Link, number: int, then: Then) -> None:
+        """Tell the server. The number is free again once that has ended it."""
+        with link.lock, contextlib.suppress(OSError):
+            if link.open.get(number, (None, 0.0))[0] is then:
+                link.open[number] = lambda reply: None, 0.0
+                link.sock.sendall(fastcgi.record(fastcgi.ABORT_REQUEST, number, b""))
 
     def _claim(self, then: Then, fresh: bool) -> tuple[_Link, int]:
         if fresh:
--- /dev/null
+++ b/cairnvane/lab/fleet/play.py
@@ -0,0 +1,214 @@
+"""Plays a scenario: starts the fleet, brings the load, does what the schedule says, has it all judged."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+from ..vault import StandInRoster, StandInVault
+from .callers import PATIENCE_S, Callers
+from .links import Link, Network
+from .nodes import Node
+from .scenario import Scenario
+from .schedule import Step, draw, on_link
+from .verdict import SLACK_S, Span, Verdict, judge, share
+
+# A line of the live table.
+LIVE_EVERY_S = 1.0
+
+
+class Events:
+    """The rig's record: one JSON object a line, times in seconds of the load."""
+
+    def __init__(self, path: Path | None) -> None:
+        self._file = path.open("w") if path is not None else None
+        self._lock = threading.Lock()
+        self._start = time.monotonic()
+
+    def begin(self) -> None:
+        """Times count from now on."""
+        self._start = time.monotonic()
+
+    def __call__(self, what: str, **more: Any) -> None:
+        with self._lock:
+            if self._file is not None:
+                at = round(time.monotonic() - self._start, 3)
+                self._file.write(json.dumps({"t": at, "event": what} | more) + "\n")
+
+    def close(self) -> None:
+        """No more of them."""
+        with self._lock:
+            if self._file is not None:
+                self._file.close()
+                self._file = None
+
+
+class Play:
+    """One play of a scenario."""
+
+    def __init__(
+        self, told: Scenario, seed: int, folder: Path, *, events: Path | None = None,
+        say: Callable[[str], None] = lambda line: None,
+    ) -> None:
+        self._told, self._seed, self._say = told, seed, say
+        self._steps = draw(told, seed)
+        self._event = Events(events)
+        self._network = Network()
+        self._vault = StandInVault(told.vault.call_ms / 1e3, told.vault.slots, told.vault.falls_at)
+        self._roster = StandInRoster()
+        self.nodes = [
+            Node(told, number, seed, folder / name, self._network, self._vault.address, self._roster.address,
+                 self._event, lambda number=number: self._refused(number))  # type: ignore[misc]
+            for number, name in enumerate(told.names)]
+        self._callers = Callers(told, seed, self.nodes)
+        self._began: dict[int, float] = {}
+        self._spans: list[Span] = []
+        self._trouble: list[str] = []
+
+    def run(self) -> Verdict:
+        """All of it."""
+        try:
+            with self._side_by_side(node.start for node in self.nodes):
+                pass
+            started = all(node.up for node in self.nodes)
+            self._event.begin()
+            load = threading.Thread(target=self._callers.play, daemon=True)
+            if started:
+                load.start()
+                self._follow(load)
+                load.join()
+                self._callers.settle(max(PATIENCE_S.values()) + SLACK_S)
+            return self._end()
+        finally:
+            self._event.close()
+
+    @contextlib.contextmanager
+    def _side_by_side(self, tasks: Iterator[Callable[[], None]]) -> Iterator[None]:
+        threads = [threading.Thread(target=task, daemon=True) for task in tasks]
+        for thread in threads:
+            thread.start()
+        yield
+        for thread in threads:
+            thread.join()
+
+    def _follow(self, load: threading.Thread) -> None:
+        """The schedule, and the live table, while the load lasts."""
+        steps, shown = list(self._steps), 0.0
+        while load.is_alive():
+            now = self._callers.now()
+            while steps and steps[0].at <= now:
+                self._do(steps.pop(0))
+            if now >= shown + LIVE_EVERY_S:
+                shown += LIVE_EVERY_S
+                self._show(shown)
+            next_at = min(steps[0].at if steps else self._told.seconds, shown + LIVE_EVERY_S)
+            load.join(max(0.005, min(next_at - self._callers.now(), LIVE_EVERY_S)))
+
+    # --- the schedule
+
+    def _do(self, step: Step) -> None:
+        """In a thread of its own where it takes time: the next step must not wait for it."""
+        self._event("fault", **step.told())
+        self._say(f"{step.at:6.1f} s  {step.line()}")
+        if step.link is not None:
+            self._on_link(step)
+        elif step.who == "vault":
+            self._on_vault(step)
+        elif step.do == "surge":
+            self._callers.surge = step.fault.times if step.begins else 1.0
+        else:
+            threading.Thread(target=self._on_node, args=(step,), daemon=True).start()
+
+    def _refused(self, number: int) -> None:
+        """It takes no more connections: what met that was never read."""
+        now = self._callers.now()
+        self._spans.append(Span(number, now, now))
+
+    def _span(self, step: Step, nodes: list[int]) -> None:
+        if step.begins:
+            self._began[step.number] = step.at
+        else:
+            self._spans += [Span(node, self._began[step.number], step.at) for node in nodes]
+
+    def _on_link(self, step: Step) -> None:
+        assert step.link is not None
+        names = self._told.names
+        first, second = step.link
+        node, other = (first, second) if first in names else (second, first)
+        # `there` is from the first that is named; the rig's own links are named from whoever connects.
+        connects = first if other in names else ("balancers" if other == "balancers" else node)
+        way = step.fault.way
+        if way != "both" and connects != first:
+            way = "back" if way == "there" else "there"
+        link = self._link(node, other)
+        self._network.set(link, way, step.number, on_link(step.fault) if step.begins else None)
+        if other == "balancers":
+            self._span(step, [names.index(node)])
+
+    def _link(self, node: str, other: str) -> Link:
+        return self.nodes[self._told.names.index(node)].links[other]
+
+    def _on_vault(self, step: Step) -> None:
+        if step.do == "slow":
+            self._vault.slower = step.fault.times if step.begins else 1.0
+        elif step.do == "down":
+            self._vault.down = step.begins
+        else:
+            self._vault.silent = step.begins
+
+    def _on_node(self, step: Step) -> None:
+        number = self._told.names.index(step.who)
+        node = self.nodes[number]
+        if step.do == "kill":
+            self._spans.append(Span(number, step.at, step.at))
+            node.kill()
+        elif step.do == "start":
+            node.start()
+        elif step.do == "stop":
+            self._span(step, [number])
+            node.stop(step.begins)
+        else:
+            # What was read is answered; what meets the closed door is not, and goes elsewhere.
+            self._spans.append(Span(number, step.at, step.at))
+            node.leave()
+
+    # --- what is seen
+
+    def _show(self, second: float) -> None:
+        """A line of the live table."""
+        asked = list(self._callers.asked)
+        ends: Counter[str] = Counter()
+        for one in asked[-400:]:
+            for tried in list(one.tries):
+                if tried.status is not None and second - 1 <= tried.ended < second:
+                    ends["served" if tried.status == 200 else "refused" if tried.status in (429, 503)
+                         else "broken" if tried.status == 0 else "failed"] += 1
+        states = " ".join(f"{node.name}:{'up' if node.up else 'DOWN'}" for node in self.nodes)
+        in_time = share(asked, second - 3, second - 2) if second >= 3 else 1.0
+        told = " ".join(f"{name} {ends[name]:3}" for name in ("served", "refused", "failed", "broken"))
+        self._say(f"{second:6.1f} s  {told}  in time {in_time:4.2f}  {states}")
+        self._event("second", **ends, up=[node.up for node in self.nodes], vault=self._vault.in_hand)
+
+    def _end(self) -> Verdict:
+        with self._side_by_side(node.end for node in self.nodes):
+            pass
+        first = self._steps[0].at if self._steps else self._told.seconds
+        facts = [node.pool.facts for node in self.nodes]
+        verdict = judge(self._told, self._seed, self._callers.asked, facts, self._spans, first)
+        verdict.vault_most, verdict.vault_fell = self._vault.most_in_hand, self._vault.fell
+        verdict.most_crowded = max(n.pool.most_crowded for n in self.nodes) / self._told.server.cores
+        verdict.lag_ms = self._callers.lag_s * 1e3
+        verdict.trouble = [line for node in self.nodes for line in node.trouble]
+        self._callers.close()
+        self._network.close()
+        self._vault.close()
+        self._roster.close()
+        self._event("verdict", **verdict.as_json())
+        return verdict
+
--- /dev/null
+++ b/cairnvane/lab/fleet/scenario.py
@@ -0,0 +1,223 @@
+"""A scenario: who is there, what goes wrong and when, and what must hold. YAML, checked; no I/O but one read.
+
+Messages name the file, the line, the key and the value. `docs/fleet-lab.md` has the words.
+"""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import yaml
+
+from ...config import ConfigError
+from .conditions import KINDS, ONLY_UDP
+
+# A desk's machine carries so many servers, each with stand-ins of its own, and one rig process all their
+# load.
+MOST_SERVERS, MOST_SECONDS, MOST_RATE = 24, 900.0, 400.0
+# What can be done to servers, to the vault, and to the load.
+TO_SERVERS = ("kill", "start", "stop", "leave")
+TO_VAULT, TO_LOAD = ("slow", "down", "silent"), ("surge",)
+# Between two of whom a link is: `balancers` stands for all of them.
+SHARED = ("balancers", "pool", "vault", "roster")
+_SPAN = ("stop", *TO_VAULT, *TO_LOAD, *KINDS)
+
+
+class Load(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the balancers bring."""
+
+    rate: float = 40.0  # first tries a second, of all
+    balancers: int = 4
+    keyed: float = 0.2  # the share of `bid-commit`
+    tries: int = 8  # of one request, the first one among them
+    heed: float = 0.5  # the share of balancers that heed advice
+    wait: float = 3.0  # seconds that a balancer waits for one try
+    walk: bool = True  # a refused request goes to the next server, not to the same one
+
+
+class Servers(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The machine below each server."""
+
+    cores: int = 4
+    work_ms: float = 60.0  # of a core, half before the call and half behind it
+
+
+class Vault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What all servers call."""
+
+    slots: int = 32
+    call_ms: float = 40.0
+    falls_at: float = 5.0  # times its slots in hand, and it refuses everybody for a second
+
+
+class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One thing that goes wrong."""
+
+    do: str
+    at: float  # seconds from the load's start
+    for_: float = msgspec.field(default=0.0, name="for")
+    jitter: float = 0.0  # it comes up to so much later
+    who: str = ""  # a server, `any` (drawn), or `vault`
+    link: list[str] = []
+    way: str = "both"  # `there` from the first of the link to the second, `back`, or `both`
+    times: float = 8.0  # slow, surge
+    share: float = 0.3  # drop, duplicate, reorder
+    ms: float = 50.0  # delay
+    spread_ms: float = 0.0
+    kb_a_second: float = 16.0  # cap
+
+
+class Expect(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the scenario states beside the four rules."""
+
+    served: float = 0.0  # the least share of requests
+    back_within: float | None = None  # seconds from the last fault's end until as much is served as before
+    tries: float | None = None  # the most tries a request, over all
+
+
+class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All of it."""
+
+    name: str
+    servers: int = 3
+    seconds: float = 12.0
+    load: Load = Load()
+    server: Servers = Servers()
+    vault: Vault = Vault()
+    faults: list[Fault] = []
+    expect: Expect = Expect()
+    operator: str = ""  # the text of an operator's file for every server
+
+    @property
+    def names(self) -> list[str]:
+        """Of the servers."""
+        return [f"n{number}" for number in range(self.servers)]
+
+    def last_end(self) -> float:
+        """When the last fault is over; 0 without any."""
+        return max((fault.at + fault.jitter + fault.for_ for fault in self.faults), default=0.0)
+
+
+_PATH = re.compile(r"^(?P<what>.*?)(?: - at `\$(?P<path>[^`]*)`)?$", re.S)
+
+
+def _lines(node: yaml.Node | None, path: str = "") -> dict[str, int]:
+    """The line of each value, by its path as in `.faults[2].at`."""
+    found = {} if node is None else {path: node.start_mark.line + 1}
+    if isinstance(node, yaml.MappingNode):
+        for key, value in node.value:
+            found |= _lines(value, f"{path}.{key.value}")
+            found[f"{path}.{key.value}"] = key.start_mark.line + 1
+    elif isinstance(node, yaml.SequenceNode):
+        for number, value in enumerate(node.value):
+            found |= _lines(value, f"{path}[{number}]")
+    return found
+
+
+class _Check:
+    """Complaints about one file."""
+
+    def __init__(self, name: str, lines: dict[str, int]) -> None:
+        self._name, self._lines = name, lines
+
+    def error(self, path: str, what: str) -> ConfigError:
+        """An error at a path; the line is that of the nearest thing that stands in the file."""
+        near = path
+        while near not in self._lines and near:
+            near = near[: max(near.rfind("."), near.rfind("["), 0)]
+        line = self._lines.get(near, 1)
+        key = path.lstrip(".")
+        return ConfigError(f"{self._name}, line {line}: {key + ': ' if key else ''}{what}")
+
+    def between(self, path: str, value: float, least: float, most: float) -> None:
+        """A number within its bounds."""
+        if not least <= value <= most:
+            raise self.error(path, f"{value:g} is not between {least:g} and {most:g}")
+
+    def one_of(self, path: str, value: str, known: tuple[str, ...] | list[str]) -> None:
+        """A word that exists."""
+        if value not in known:
+            raise self.error(path, f"{value!r} is none of {', '.join(known)}")
+
+
+def _check_fault(check: _Check, told: Scenario, number: int) -> None:
+    fault, path = told.faults[number], f".faults[{number}]"
+    check.one_of(f"{path}.do", fault.do, [*TO_SERVERS, *TO_VAULT, *TO_LOAD, *KINDS])
+    check.between(f"{path}.at", fault.at, 0.0, told.seconds)
+    check.between(f"{path}.for", fault.for_, 0.0, told.seconds - fault.at)
+    check.between(f"{path}.jitter", fault.jitter, 0.0, told.seconds - fault.at - fault.for_)
+    check.between(f"{path}.share", fault.share, 0.0, 1.0)
+    check.between(f"{path}.times", fault.times, 0.1, 1_000.0)
+    check.between(f"{path}.kb_a_second", fault.kb_a_second, 0.1, 1e6)
+    check.one_of(f"{path}.way", fault.way, ("there", "back", "both"))
+    if fault.do in _SPAN and not fault.for_:
+        raise check.error(f"{path}.for", f"{fault.do!r} needs to say for how many seconds")
+    if fault.do not in _SPAN and fault.for_:
+        raise check.error(f"{path}.for", f"{fault.do!r} happens at once and lasts for no time")
+    if fault.do in KINDS:
+        if len(fault.link) != 2:
+            raise check.error(f"{path}.link", f"{fault.do!r} needs the two ends of a link")
+        for end, name in enumerate(fault.link):
+            check.one_of(f"{path}.link[{end}]", name, [*told.names, *SHARED])
+        servers = [name for name in fault.link if name in told.names]
+        if not servers or len(set(fault.link)) < 2:
+            raise check.error(f"{path}.link", "one end at the least is a server, and the other is another")
+        if fault.do in ONLY_UDP and len(servers) < 2:
+            raise check.error(f"{path}.do", f"{fault.do!r} exists between servers alone, which speak UDP")
+    elif fault.link:
+        raise check.error(f"{path}.link", f"{fault.do!r} is done to no link")
+    elif fault.do in TO_SERVERS:
+        check.one_of(f"{path}.who", fault.who, [*told.names, "any"])
+    elif fault.do in TO_VAULT:
+        check.one_of(f"{path}.who", fault.who or "vault", ["vault"])
+
+
+def parse(text: str, name: str) -> Scenario:
+    """Read and check; `ConfigError` names the line and the value."""
+    try:
+        lines = _lines(yaml.compose(text, Loader=yaml.SafeLoader))
+        tree: Any = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        raise ConfigError(f"{name}: {' '.join(str(error).split())}") from None
+    check = _Check(name, lines)
+    try:
+        told = msgspec.convert({} if tree is None else tree, type=Scenario, strict=True)
+    except msgspec.ValidationError as error:
+        found = _PATH.match(str(error))
+        assert found is not None
+        raise check.error(found["path"] or "", found["what"]) from None
+    check.between(".servers", told.servers, 1, MOST_SERVERS)
+    check.between(".seconds", told.seconds, 1.0, MOST_SECONDS)
+    check.between(".load.rate", told.load.rate, 0.1, MOST_RATE)
+    check.between(".load.balancers", told.load.balancers, 1, 64)
+    check.between(".load.tries", told.load.tries, 1, 64)
+    check.between(".load.wait", told.load.wait, 0.05, 60.0)
+    shares = {"load.keyed": told.load.keyed, "load.heed": told.load.heed, "expect.served": told.expect.served}
+    for key, value in shares.items():
+        check.between(f".{key}", value, 0.0, 1.0)
+    check.between(".server.cores", told.server.cores, 1, 64)
+    check.between(".server.work_ms", told.server.work_ms, 1.0, 10_000.0)
+    check.between(".vault.slots", told.vault.slots, 1, 10_000)
+    check.between(".vault.call_ms", told.vault.call_ms, 0.1, 10_000.0)
+    check.between(".vault.falls_at", told.vault.falls_at, 1.0, 1_000.0)
+    for number in range(len(told.faults)):
+        _check_fault(check, told, number)
+    return told
+
+
+def load(path: Path) -> Scenario:
+    """Read and check a file; `ConfigError` names what is wrong with it."""
+    try:
+        return parse(path.read_text(), str(path))
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except UnicodeDecodeError:
+        raise ConfigError(f"{path}: not UTF-8") from None
+
+
+def shipped() -> Path:
+    """The short one that is played where none is named."""
+    return Path(__file__).parent / "scenarios" / "first.yaml"
--- /dev/null
+++ b/cairnvane/lab/fleet/schedule.py
@@ -0,0 +1,65 @@
+"""When each fault begins and ends, and whom it hits: drawn from the scenario and one seed. No I/O.
+
+The same seed gives the same schedule, whatever happens meanwhile; each fault draws from a stream of its own,
+so one more fault does not change the others.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from .conditions import KINDS
+from .conditions import Fault as LinkFault
+from .scenario import Fault, Scenario
+
+
+@dataclass(frozen=True)
+class Step:
+    """One thing to do, so many seconds after the load's start."""
+
+    at: float
+    number: int  # of its fault
+    do: str
+    begins: bool  # else what it began is over
+    who: str
+    link: tuple[str, str] | None
+    fault: Fault
+
+    def told(self) -> dict[str, object]:
+        """For the record of events."""
+        what: dict[str, object] = {"at": round(self.at, 3), "do": self.do, "begins": self.begins}
+        if self.link is not None:
+            return what | {"link": list(self.link), "way": self.fault.way}
+        return what | {"who": self.who}
+
+    def line(self) -> str:
+        """For a person."""
+        whom = " - ".join(self.link) if self.link is not None else self.who or "the load"
+        return f"{self.do} {whom}" if self.begins else f"{self.do} {whom} is over"
+
+
+def on_link(fault: Fault) -> LinkFault:
+    """What the link has to know of it."""
+    return LinkFault(
+        fault.do, share=fault.share, delay_s=fault.ms / 1e3, spread_s=fault.spread_ms / 1e3,
+        bytes_a_second=fault.kb_a_second * 1_024)
+
+
+def _steps(told: Scenario, number: int, seed: int) -> Iterator[Step]:
+    fault, rng = told.faults[number], random.Random(f"{seed} fault {number}")
+    at = fault.at + rng.uniform(0.0, fault.jitter)
+    who = rng.choice(told.names) if fault.who == "any" else fault.who
+    if fault.do in ("slow", "down", "silent"):
+        who = "vault"
+    link = (fault.link[0], fault.link[1]) if fault.do in KINDS else None
+    yield Step(at, number, fault.do, True, who, link, fault)
+    if fault.for_:
+        yield Step(at + fault.for_, number, fault.do, False, who, link, fault)
+
+
+def draw(told: Scenario, seed: int) -> list[Step]:
+    """All steps, in their order."""
+    steps = [step for number in range(len(told.faults)) for step in _steps(told, number, seed)]
+    return sorted(steps, key=lambda step: (step.at, step.number, not step.begins))
--- a/cairnvane/lab/program.py
+++ b/cairnvane/lab/program.py
@@ -35,6 +35,7 @@
     stop_ms: int = 3_000
     listen: str = "127.0.0.1:0"
     control: str | None = None  # the operators' door
+    name: str = "lab"
     label: str = ""  # in the name of its configuration, where several lives are there at once
 
     def write(self) -> dict[str, str]:
@@ -42,7 +43,7 @@
         config = self.folder / f"config{self.label}.json"
         door = {} if self.control is None else {"control": self.control}
         config.write_text(json.dumps(door | {
-            "name": "lab", "listen": self.listen, "pool": self.pool, "vault": self.vault,
+            "name": self.name, "listen": self.listen, "pool": self.pool, "vault": self.vault,
             "roster": self.roster, "seed": "1f", "stop_ms": self.stop_ms, "settings": self.settings}))
         environment = {"LB_CONFIG": str(config), "TMPDIR": str(self.folder)}
         if self.operator is not None:
