Let bid servers know each other over a channel of their own, shown at the door

Need: the membership's decisions had nothing to move them.

Change: members: in the operator's file (listen, key, contacts) starts one thread with a UDP socket for probes and rumours and a TCP listener on the same port for whole views; each message under one keyed hash with a number against replay, bounded in both directions. A drain is told, a leave in order too. The door shows it at /-/members, cairnvane members prints it; log lines are member.suspected and the like with their evidence. Off: no import, no thread; the plain line's test says so.

Tests: four processes, one killed, restarted, stopped with SIGSTOP until found failed and woken, one drained: seen so by all, the woken one accuses nobody, nobody suspects the one that left.

--- a/cairnvane/__main__.py
+++ b/cairnvane/__main__.py
@@ -120,7 +120,8 @@
     pool = Pool(told.pool, host)
     roster = Roster(told.roster, told.name)
     try:
-        intake, meter, door = wiring.door(told, host, pool)
+        members = wiring.members(told, asked.members if asked is not None else None, pool, roster)
+        intake, meter, door = wiring.door(told, host, pool, members)
         server = Server(told.listen, intake, told.sockets - wiring.own_sockets(told), meter)
     except OSError as error:
         log.say("cairnvane", f"listen: {error}")
@@ -138,6 +139,7 @@
         max(0.0, how.time_left_s - how.grace_s) + LAST_WAIT_S)))
     parts.add(Part("roster", ("server",), start=roster.start, leave=lambda how: roster.stop()))
     parts.add(wiring.ready_part(lives, pool))
+    parts.add(wiring.members_part(members))
     parts.add(door)
     gc.freeze()  # what was loaded stays; full collections need not walk it
     parts.start()
--- a/cairnvane/cli/__init__.py
+++ b/cairnvane/cli/__init__.py
@@ -5,7 +5,7 @@
 
 import click
 
-from . import keyed, lab, serve, xds
+from . import keyed, lab, members, serve, xds
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -17,5 +17,6 @@
 main.add_command(serve.serve)
 main.add_command(keyed.keyed)
 main.add_command(lab.lab)
+main.add_command(members.members)
 main.add_command(xds.xds)
 
--- a/cairnvane/config/__init__.py
+++ b/cairnvane/config/__init__.py
@@ -73,7 +73,8 @@
     control: Address | None = None  # the operators' door; None: there is none
 
 
-def _address(key: str, text: str) -> Address:
+def address(key: str, text: str) -> Address:
+    """HOST:PORT; `ConfigError` names the key."""
     host, colon, port = text.rpartition(":")
     if not (host and colon and port.isdigit() and int(port) < 65_536):
         raise ConfigError(f"{key}: {text!r} is not HOST:PORT")
@@ -115,14 +116,14 @@
     settings = replace(settings, classes=tuple(replace(cls, skip_worth=0.0) for cls in settings.classes))
     return Config(
         name=_text("name", environment.get("LB_NAME") or file.name),
-        listen=_address("listen", environment.get("LB_LISTEN") or file.listen),
-        pool=_address("pool", file.pool),
-        roster=_address("roster", file.roster),
-        vault=_address("vault", file.vault),
+        listen=address("listen", environment.get("LB_LISTEN") or file.listen),
+        pool=address("pool", file.pool),
+        roster=address("roster", file.roster),
+        vault=address("vault", file.vault),
         seed=seed,
         stop_ms=_least("stop_ms", file.stop_ms, 1),
         sockets=_least("limits.sockets", file.limits.sockets, LEAST_SOCKETS),
         settings=settings,
         gauges=gauges,
-        control=_address("control", door) if (door := environment.get(CONTROL) or file.control) else None,
+        control=address("control", door) if (door := environment.get(CONTROL) or file.control) else None,
     )
--- a/cairnvane/config/operator.py
+++ b/cairnvane/config/operator.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from . import ConfigError
+from . import ConfigError, address
 
 MEGABYTE = 1 << 20
 # Less has no room for two segments beside the one that is written; more can't be addressed by the index.
@@ -49,11 +49,35 @@
         return self.max_memory_mb * MEGABYTE
 
 
+# What a keyed hash takes, and what can't be guessed.
+LEAST_KEY, MOST_KEY = 16, 64
+MOST_CONTACTS, MOST_NAME = 16, 40
+
+
+class MembersOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The bid servers know each other."""
+
+    listen: str  # HOST:PORT, for datagrams and for whole views
+    key: str  # the same for all
+    contacts: list[str] = []  # HOST:PORT of some others, to begin with
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where this one listens."""
+        return address("members.listen", self.listen)
+
+    @property
+    def others(self) -> list[tuple[str, int]]:
+        """Whom to ask first."""
+        return [address(f"members.contacts[{number}]", text) for number, text in enumerate(self.contacts)]
+
+
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All that an operator turned on."""
 
     log: LogOptions = msgspec.field(default_factory=LogOptions)
     keyed: KeyedOptions | None = None
+    members: MembersOptions | None = None
 
 
 def _value(tree: Any, path: str) -> str:
@@ -80,6 +104,15 @@
         raise ConfigError(f"{key}: {value} is not between {least} and {most}")
 
 
+def _check_members(asked: MembersOptions) -> None:
+    if asked.address[0] in ("0.0.0.0", "*", ""):
+        raise ConfigError(f"members.listen: {asked.listen!r} is no address that others can reach")
+    length = len(asked.key.encode())
+    if not LEAST_KEY <= length <= MOST_KEY:  # the key itself is nobody's to read in a message
+        raise ConfigError(f"members.key: {length} bytes are not between {LEAST_KEY} and {MOST_KEY}")
+    _between("members.contacts", len(asked.others), 0, MOST_CONTACTS)
+
+
 def load(path: str | Path) -> Operator:
     """Read and check the operator's file; `ConfigError` names what is wrong with it."""
     path = Path(path)
@@ -98,9 +131,11 @@
     for key, section in (tree or {}).items():
         if section is None:  # as good as misspelt: what it was to turn on would be silently off
             raise ConfigError(f"operator's file {path}: {key}: nothing stands under it")
-    if told.keyed is None:
-        return told
     try:
+        if told.members is not None:
+            _check_members(told.members)
+        if told.keyed is None:
+            return told
         _between("keyed.max_disk_mb", told.keyed.max_disk_mb, LEAST_DISK_MB, MOST_DISK_MB)
         _between("keyed.max_memory_mb", told.keyed.max_memory_mb, LEAST_MEMORY_MB, MOST_MEMORY_MB)
     except ConfigError as error:
--- a/cairnvane/door/calls.py
+++ b/cairnvane/door/calls.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 import msgspec
@@ -32,14 +32,18 @@
 
 
 class Calls:
-    """The door's four calls."""
+    """The door's four calls, and what further parts have to show."""
 
-    def __init__(self, duty: Duty, tally: Tally) -> None:
+    def __init__(
+        self, duty: Duty, tally: Tally, views: Mapping[str, Callable[[], object]] | None = None,
+    ) -> None:
         self._duty, self._tally = duty, tally
         self._routes: dict[str, tuple[str, Callable[[], Reply]]] = {
             "/-/ready": ("GET", self._ready), "/-/metrics": ("GET", self._metrics),
             "/-/drain": ("POST", self._drain), "/-/resume": ("POST", self._resume),
         }
+        for path, view in (views or {}).items():
+            self._routes[path] = "GET", lambda view=view: Reply(OK, _encode(view()))  # type: ignore[misc]
 
     def answer(self, method: str, target: str) -> Reply:
         """The answer to one call; a query string is of no account."""
--- a/cairnvane/net/roster.py
+++ b/cairnvane/net/roster.py
@@ -34,6 +34,11 @@
             self._address = address
             self._wake.set()
 
+    @property
+    def answers(self) -> bool:
+        """Whether the last report arrived, as far as is known."""
+        return not self._failing
+
     def stop(self) -> None:
         """Say nothing more: any report, `off` too, would keep the entry for another 3 s."""
         self._stopped = True
--- a/cairnvane/wiring.py
+++ b/cairnvane/wiring.py
@@ -20,10 +20,12 @@
 from .net.pool import Pool
 
 if TYPE_CHECKING:
-    from .config.operator import KeyedOptions, Operator
+    from .config.operator import KeyedOptions, MembersOptions, Operator
     from .exchange import Intake, Meter
     from .host import Host
     from .lasting import Lasting
+    from .membership.channel import Channel
+    from .net.roster import Roster
 
 # In `$TMPDIR`, with a folder for each name and boot.
 LEDGERS = "cairnvane-ledger"
@@ -159,7 +161,33 @@
     return Lasting(keeper, told.settings)
 
 
-def door(told: config.Config, host: Intake, pool: Pool) -> tuple[Intake, Meter | None, Part | None]:
+def members(told: config.Config, asked: MembersOptions | None, pool: Pool, roster: Roster) -> Channel | None:
+    """The channel between the bid servers, where an operator asked for it; `OSError` if it can't listen."""
+    if asked is None:
+        return None
+    from .config.operator import MOST_NAME
+    from .membership.channel import Channel
+    from .membership.machine import Outside, Tell
+
+    def tell(event: Tell) -> None:
+        log.say("members", event.event + "".join(f" {key}={value}" for key, value in event.more.items()))
+
+    return Channel(
+        asked.address, asked.key.encode(), told.name[:MOST_NAME], "{}:{}".format(*told.listen), asked.others,
+        outside=lambda: Outside(roster=roster.answers, pool=pool.bound.is_set()), tell=tell)
+
+
+def members_part(channel: Channel | None) -> Part | None:
+    """Be a member, tell the others of a drain, and leave them in order."""
+    if channel is None:
+        return None
+    return Part("members", ("server",), start=channel.start, leave=lambda how: channel.drain(),
+                end=lambda how: channel.close())
+
+
+def door(
+    told: config.Config, host: Intake, pool: Pool, channel: Channel | None = None,
+) -> tuple[Intake, Meter | None, Part | None]:
     """The operators' door, where the configuration names one: what the front hands requests to, who counts
     their answers, and the listener; `OSError` if it can't listen. Else the host alone, and nothing is
     counted."""
@@ -172,6 +200,11 @@
 
     duty, tally = Duty(pool.bound.is_set), Tally(tuple(cls.name for cls in told.settings.classes))
     pool.spawned = tally.attempted
-    listener = Door(told.control, Calls(duty, tally), duty, places(own_sockets(told)))
+    views: dict[str, Callable[[], object]] = {}
+    if channel is not None:
+        from .membership.channel import described
+
+        views["/-/members"] = lambda: described(channel.snapshot)
+    listener = Door(told.control, Calls(duty, tally, views), duty, places(own_sockets(told)))
     part = Part("door", ("server",), start=listener.start, leave=lambda how: listener.leave())
     return Gate(host, duty, tally), tally, part
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -46,6 +46,10 @@
     ("keyed: {folder: a, durability: forever}", ["keyed.durability", "'forever'"]),
     ("keyed: {}", ["keyed", "folder"]), ("log: {form: xml}", ["log.form", "'xml'"]),
     ("keyed: [", ["line 2"]), ("keyed:", ["keyed: nothing stands"]),
+    ("members: {listen: 'a:1', key: short}", ["members.key: 5 bytes are not between 16 and 64"]),
+    ("members: {listen: here, key: sixteen-and-more}", ["members.listen: 'here' is not HOST:PORT"]),
+    ("members: {listen: '0.0.0.0:1', key: sixteen-and-more}", ["members.listen", "no address that others"]),
+    ("members: {listen: 'a:1', key: sixteen-and-more, contacts: [x]}", ["members.contacts[0]: 'x' is not"]),
     ("- 1", ["array"]), ("\x00", ["operator.yaml"]),
 ])
 def test_a_fault_in_the_operators_file_is_named_in_one_line(
@@ -62,12 +66,14 @@
     told = operator.load(EXAMPLE)
     assert told.keyed is not None and told.keyed.folder == str(EXAMPLE.parent / "keyed")
     assert (told.keyed.disk_bytes, told.keyed.memory_bytes) == (64 << 20, 8 << 20)
+    members = operator.load(EXAMPLE.with_name("operator-members.yaml")).members
+    assert members is not None and (members.address[1], len(members.others)) == (7400, 2)
     assert operator.load(operators(tmp_path, "# nothing yet\n")) == operator.Operator()
 
 
 def test_the_plain_line_imports_nothing_that_it_does_not_need() -> None:
     heavy = ["click", "hashlib", "structlog", "yaml", "google_crc32c", "cairnvane.keyed", "cairnvane.lasting",
-             "cairnvane.lab", "cairnvane.config.operator"]
+             "cairnvane.lab", "cairnvane.config.operator", "cairnvane.membership"]
     code = f"import cairnvane.__main__, sys; print([name for name in {heavy} if name in sys.modules])"
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
--- /dev/null
+++ b/tests/test_members_processes.py
@@ -0,0 +1,156 @@
+"""Several processes of the real program that know each other: killed, stopped, restarted, drained."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import signal
+import socket
+import time
+import urllib.request
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+from peers import WAIT_S
+
+from cairnvane.cli import main
+from cairnvane.lab import program
+from cairnvane.lab.fleet.nodes import settings
+from cairnvane.lab.fleet.scenario import Scenario
+from cairnvane.lab.pool import StandInPool
+from cairnvane.lab.vault import StandInRoster, StandInVault
+
+KEY = "of the tests, sixteen and more"
+
+
+def free() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+@dataclass
+class Fleet:
+    """Servers with members on, and their doors."""
+
+    folder: Path
+    doors: list[str] = field(default_factory=list)
+    lives: list[program.Life] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.vault, self.roster, self.ports = StandInVault(), StandInRoster(), list[int]()
+        self.sites: list[program.Site] = []
+
+    def add(self) -> None:
+        number = len(self.sites)
+        pool = StandInPool(number)
+        self.ports.append(free())
+        self.doors.append(f"127.0.0.1:{free()}")
+        text = (f"members: {{listen: '127.0.0.1:{self.ports[-1]}', key: {KEY!r}, "
+                f"contacts: ['127.0.0.1:{self.ports[0]}']}}\n")
+        path = self.folder / f"n{number}"
+        path.mkdir()
+        self.sites.append(program.Site(
+            path, pool.address, self.vault.address, self.roster.address, settings(Scenario("a")), text,
+            control=self.doors[-1], name=f"n{number}"))
+        self.lives.append(program.start(self.sites[-1]))
+        assert self.lives[-1].listens(), self.lives[-1].lines
+
+    def again(self, number: int) -> None:
+        self.lives[number] = program.start(self.sites[number])
+        assert self.lives[number].listens(), self.lives[number].lines
+
+    def told(self, number: int) -> dict[str, Any]:
+        with urllib.request.urlopen(f"http://{self.doors[number]}/-/members", timeout=WAIT_S) as answer:
+            got: dict[str, Any] = json.load(answer)
+            return got
+
+    def sees(self, number: int) -> dict[str, str]:
+        """The best that it knows of each name."""
+        rank = ("alive", "suspect", "failed", "left")
+        seen: dict[str, str] = {}
+        for one in self.told(number)["members"]:
+            before = seen.get(one["name"], "left")
+            seen[one["name"]] = min(before, one["status"], key=rank.index)
+        return seen
+
+    def all_see(self, who: list[int], status: str, of: list[int]) -> bool:
+        return all(self.sees(number).get(f"n{other}") == status
+                   for number in who for other in of if other != number)
+
+    def close(self) -> None:
+        for life in self.lives:
+            if life.alive():
+                life.kill()
+        self.vault.close()
+        self.roster.close()
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[Fleet]:
+    made = Fleet(tmp_path)
+    for _ in range(4):
+        made.add()
+    with contextlib.closing(made):
+        yield made
+
+
+def until(holds: Callable[[], bool]) -> None:
+    """A generous bound: what is judged is that it comes, not when."""
+    end = time.monotonic() + 30
+    while not holds():
+        assert time.monotonic() < end
+        time.sleep(0.05)
+
+
+EVERYBODY = [0, 1, 2, 3]
+
+
+def test_a_member_that_is_killed_stopped_restarted_and_drained_is_seen_so_by_all(fleet: Fleet) -> None:
+    until(lambda: fleet.all_see(EVERYBODY, "alive", EVERYBODY))
+    fleet.lives[3].kill()
+    until(lambda: fleet.all_see([0, 1, 2], "failed", [3]))
+    fleet.again(3)
+    until(lambda: fleet.all_see(EVERYBODY, "alive", EVERYBODY))
+
+    fleet.lives[2].process.send_signal(signal.SIGSTOP)
+    until(lambda: fleet.all_see([0, 1, 3], "failed", [2]))
+    fleet.lives[2].process.send_signal(signal.SIGCONT)  # believing itself well
+    until(lambda: fleet.all_see(EVERYBODY, "alive", EVERYBODY))
+    said = [line for line in fleet.lives[2].lines if line.startswith("members: ")]
+    woken = next(number for number, line in enumerate(said) if "member.held_up" in line)
+    assert not any("member.failed" in line and "accusers" in line for line in said[woken:])
+
+    done = CliRunner().invoke(main, ["members", "--door", fleet.doors[0]])
+    assert all(f"n{number}" in done.output for number in EVERYBODY), done.output
+    assert fleet.lives[1].stop(WAIT_S) == 0
+    until(lambda: fleet.all_see([0, 2, 3], "left", [1]))
+    said = [line for life in (fleet.lives[0], fleet.lives[2], fleet.lives[3]) for line in life.lines]
+    assert not any("member.suspected" in line and "name=n1" in line for line in said)
+
+
+def test_what_strangers_send_costs_a_count_and_nothing_else(fleet: Fleet) -> None:
+    until(lambda: fleet.all_see(EVERYBODY, "alive", EVERYBODY))
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        for data in (b"", b"x" * 50, b"CVM\x01" + bytes(60), bytes(1_500)) * 20:
+            sock.sendto(data, ("127.0.0.1", fleet.ports[0]))
+    with socket.create_connection(("127.0.0.1", fleet.ports[0]), WAIT_S) as whole:
+        whole.sendall(b"\0\0\0\x20" + bytes(32))
+
+    def counted() -> bool:
+        counts = fleet.told(0)["counts"]
+        return [counts.get(name, 0) for name in ("torn", "stranger", "oversized")] == [21, 40, 20]
+
+    until(counted)
+    assert fleet.all_see(EVERYBODY, "alive", EVERYBODY)
+
+
+def test_a_server_without_members_says_how_to_turn_them_on(tmp_path: Path) -> None:
+    door = f"127.0.0.1:{free()}"
+    done = CliRunner().invoke(main, ["members", "--door", door])
+    assert done.exit_code == 1 and door in done.output
