Put links of the rig between servers that know each other: loss, cuts one way and both

Need: the hard cases of membership are to be shown with real processes and faults between them, not in virtual time alone.

Change: with members: true in a scenario each pair of servers has a datagram link and, on the same two ports, a connection link each way; the servers find each other through routes, a new key for installations whose members are reached by another address. Statements called_dead and agree_within; scenarios cut.yaml and loss.yaml.

Found: the rig refused for good where a server had not listened yet, so one never joined: its own fault, mended. In the assembly a handover was logged before the door was told; the door's test failed on that in a full run. The line is written after, as before.

--- /dev/null
+++ b/benchmarks/members_real.py
@@ -0,0 +1,99 @@
+"""Twelve real processes that know each other: how soon all know of a kill, and what it costs beside the same
+without.
+
+Times are those of the servers' own log lines as this process reads them; CPU is that of each process, from
+/proc.
+"""
+
+from __future__ import annotations
+
+import os
+import socket
+import statistics
+import tempfile
+import time
+from pathlib import Path
+
+import table
+from keyed_latency import cpu_s
+
+from cairnvane.lab import program
+from cairnvane.lab.fleet.nodes import settings
+from cairnvane.lab.fleet.scenario import Scenario
+from cairnvane.lab.pool import StandInPool
+from cairnvane.lab.vault import StandInRoster, StandInVault
+
+MEMBERS, KILLS = int(os.environ.get("BENCH_MEMBERS", "12")), int(os.environ.get("BENCH_KILLS", "20"))
+IDLE_S = float(os.environ.get("BENCH_SECONDS", "20"))
+
+
+def free() -> list[int]:
+    socks = [socket.create_server(("127.0.0.1", 0)) for _ in range(MEMBERS)]
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+def start(folder: Path, members: bool, ports: list[int]) -> tuple[list[program.Site], list[program.Life]]:
+    vault, roster = StandInVault(), StandInRoster()
+    sites, lives = [], []
+    for number, port in enumerate(ports):
+        text = (f"members: {{listen: '127.0.0.1:{port}', key: of-the-benchmark-only, "
+                f"contacts: ['127.0.0.1:{ports[0]}', '127.0.0.1:{ports[1]}']}}\n") if members else "log: {}\n"
+        path = folder / f"{members}{number}"
+        path.mkdir()
+        sites.append(program.Site(path, StandInPool(number).address, vault.address, roster.address,
+                                  settings(Scenario("a")), text, name=f"n{number}"))
+        lives.append(program.start(sites[-1]))
+        assert lives[-1].listens(), lives[-1].lines
+    return sites, lives
+
+
+def seen(lives: list[program.Life], but: int, event: str, since: list[int]) -> bool:
+    return all(any(event in line and f"name=n{but}" in line for line in life.lines[since[number] :])
+               for number, life in enumerate(lives) if number != but)
+
+
+def cost(lives: list[program.Life]) -> list[float]:
+    before = [cpu_s(life.process.pid) for life in lives]
+    time.sleep(IDLE_S)
+    return [(cpu_s(life.process.pid) - was) / IDLE_S for life, was in zip(lives, before, strict=True)]
+
+
+def main() -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        _, plain = start(Path(folder), False, free())
+        off = cost(plain)
+        for life in plain:
+            life.kill()
+        sites, lives = start(Path(folder), True, free())
+        time.sleep(5)
+        on = cost(lives)
+        alarms = sum("member.suspected" in line for life in lives for line in life.lines)
+        took = []
+        for kill in range(KILLS):
+            which = 2 + kill % (MEMBERS - 2)
+            since = [len(life.lines) for life in lives]
+            lives[which].kill()
+            at = time.monotonic()
+            while not seen(lives, which, "member.failed", since) and time.monotonic() < at + 20:
+                time.sleep(0.01)
+            took.append((time.monotonic() - at) * 1e3)
+            since = [len(life.lines) for life in lives]
+            lives[which] = program.start(sites[which])
+            assert lives[which].listens()
+            at = time.monotonic()
+            while not seen(lives, which, "member.alive", since) and time.monotonic() < at + 20:
+                time.sleep(0.01)
+            time.sleep(2)
+        for life in lives:
+            life.kill()
+    took.sort()
+    table.show(f"{MEMBERS} processes, {KILLS} kills", [
+        "known to all, ms: median", "worst", "suspicions before the kills", "CPU of a core, off", "on",
+    ], [[statistics.median(took), took[-1], alarms, statistics.median(off), statistics.median(on)]])
+
+
+if __name__ == "__main__":
+    main()
--- a/cairnvane/__main__.py
+++ b/cairnvane/__main__.py
@@ -91,8 +91,6 @@
     """A later version that can serve listens at the same address: it takes the new connections at once."""
     time_left = max(0, told.stop_ms - STOP_MARGIN_MS) / 1e3
     handover = lives is not None and lives.heir()
-    if handover:
-        log.say("cairnvane", "a later process serves here: this one hands over")
     grace = 0.0 if handover else min(time_left, told.settings.drain_grace / 1e6)
     return Leave(time_left, grace, handover)
 
@@ -150,6 +148,8 @@
         return 1
     how = _leave(told, lives)
     parts.leave(how)
+    if how.handover:
+        log.say("cairnvane", "a later process serves here: this one hands over")
     threading.Event().wait(how.grace_s)
     parts.end(how)
     return 0
--- a/cairnvane/config/operator.py
+++ b/cairnvane/config/operator.py
@@ -51,7 +51,7 @@
 
 # What a keyed hash takes, and what can't be guessed.
 LEAST_KEY, MOST_KEY = 16, 64
-MOST_CONTACTS, MOST_NAME = 16, 40
+MOST_CONTACTS, MOST_NAME, MOST_ROUTES = 16, 40, 1_000
 
 
 class MembersOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -60,6 +60,7 @@
     listen: str  # HOST:PORT, for datagrams and for whole views
     key: str  # the same for all
     contacts: list[str] = []  # HOST:PORT of some others, to begin with
+    routes: dict[str, str] = {}  # addresses that are reached by another one from here, as through a tunnel
 
     @property
     def address(self) -> tuple[str, int]:
@@ -71,6 +72,12 @@
         """Whom to ask first."""
         return [address(f"members.contacts[{number}]", text) for number, text in enumerate(self.contacts)]
 
+    @property
+    def ways(self) -> dict[tuple[str, int], tuple[str, int]]:
+        """By which address each of these is reached from here."""
+        key = "members.routes"
+        return {address(key, there): address(f"{key}.{there}", by) for there, by in self.routes.items()}
+
 
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All that an operator turned on."""
@@ -111,6 +118,7 @@
     if not LEAST_KEY <= length <= MOST_KEY:  # the key itself is nobody's to read in a message
         raise ConfigError(f"members.key: {length} bytes are not between {LEAST_KEY} and {MOST_KEY}")
     _between("members.contacts", len(asked.others), 0, MOST_CONTACTS)
+    _between("members.routes", len(asked.ways), 0, MOST_ROUTES)
 
 
 def load(path: str | Path) -> Operator:
--- a/cairnvane/lab/fleet/links.py
+++ b/cairnvane/lab/fleet/links.py
@@ -47,10 +47,10 @@
 
     def __init__(
         self, seed: str, to: Callable[[], tuple[str, int] | None],
-        refused: Callable[[], None] = lambda: None,
+        refused: Callable[[], None] | None = None,
     ) -> None:
         """`refused`: the other end takes no connection any more, though it is there; from the links'
-        thread."""
+        thread. With it, the link refuses as well from then on, until it is told to `listen`."""
         super().__init__(seed)
         self._to, self._refused = to, refused
         self._open: set[asyncio.StreamWriter] = set()
@@ -74,8 +74,9 @@
                 far_in, far = await asyncio.open_connection(*address)
             except OSError:
                 self.counts["refused"] += 1
-                self._refused()
-                self._refuse()  # as it does, from now on; what is open goes on
+                if self._refused is not None:  # what is open goes on
+                    self._refused()
+                    self._refuse()
                 return _reset(near)
             self._open.add(far)
             await asyncio.gather(
@@ -189,9 +190,13 @@
 class UdpLink(Link):
     """One datagram channel between two ends, each of which sends to a port of its own here."""
 
-    def __init__(self, seed: str, ends: tuple[Callable[[], tuple[str, int] | None], ...]) -> None:
+    def __init__(
+        self, seed: str, ends: tuple[Callable[[], tuple[str, int] | None], ...],
+        ports: tuple[int, int] = (0, 0),
+    ) -> None:
+        """`ports`: as `self.ports`, where they are given."""
         super().__init__(seed)
-        self._ends = ends
+        self._ends, self._wanted = ends, ports
         self._transports: list[asyncio.DatagramTransport] = []
         self.ports: list[int] = []  # where the first sends to the second, and the second to the first
 
@@ -200,7 +205,8 @@
         loop = asyncio.get_running_loop()
         for number, way in enumerate((self.there, self.back)):
             transport, _ = await loop.create_datagram_endpoint(
-                lambda n=number, w=way: _Datagrams(self, n, w), local_addr=(HOST, 0))  # type: ignore[misc]
+                lambda n=number, w=way: _Datagrams(self, n, w),  # type: ignore[misc]
+                local_addr=(HOST, self._wanted[number]))
             self._transports.append(transport)
             self.ports.append(transport.get_extra_info("sockname")[1])
 
--- a/cairnvane/lab/fleet/nodes.py
+++ b/cairnvane/lab/fleet/nodes.py
@@ -12,6 +12,7 @@
 from .. import program
 from ..pool import StandInPool
 from .links import Network, TcpLink
+from .peers import Peers
 from .scenario import Scenario
 
 STOP_MS = 3_000
@@ -51,7 +52,7 @@
 
     def __init__(
         self, told: Scenario, number: int, seed: int, folder: Path, network: Network, vault: str, roster: str,
-        event: Callable[..., None], refused: Callable[[], None],
+        event: Callable[..., None], refused: Callable[[], None], peers: Peers | None,
     ) -> None:
         """`refused`: a balancer's connection was refused by a process that is there; from any thread."""
         self.name = told.names[number]
@@ -67,9 +68,11 @@
             self.links[name] = network.add(TcpLink(f"{seed} {self.name} {name}", lambda to=to: to))  # type: ignore[misc]
         folder.mkdir()
         near = {name: f"127.0.0.1:{link.port}" for name, link in self.links.items()}
+        text = told.operator + ("" if peers is None else peers.section(number))
+        self.door = peers.doors[number] if peers is not None else None
         self._site = program.Site(
-            folder, near["pool"], near["vault"], near["roster"], settings(told), told.operator or None,
-            stop_ms=STOP_MS, name=self.name)
+            folder, near["pool"], near["vault"], near["roster"], settings(told), text or None,
+            stop_ms=STOP_MS, name=self.name, control=self.door)
         self.lives: list[program.Life] = []
         self.generation = 0  # counts lives: a try belongs to the one that it was sent to
         self.killed: set[int] = set()  # generations that did not end in order, by the scenario's will
--- a/cairnvane/lab/fleet/play.py
+++ b/cairnvane/lab/fleet/play.py
@@ -15,7 +15,8 @@
 from .callers import PATIENCE_S, Callers
 from .links import Link, Network
 from .nodes import Node
-from .scenario import Scenario
+from .peers import Peers, called_dead
+from .scenario import TO_SERVERS, Scenario
 from .schedule import Step, draw, on_link
 from .verdict import SLACK_S, Span, Verdict, judge, share
 
@@ -62,9 +63,11 @@
         self._network = Network()
         self._vault = StandInVault(told.vault.call_ms / 1e3, told.vault.slots, told.vault.falls_at)
         self._roster = StandInRoster()
+        self._peers = Peers(told, seed, self._network) if told.members else None
         self.nodes = [
             Node(told, number, seed, folder / name, self._network, self._vault.address, self._roster.address,
-                 self._event, lambda number=number: self._refused(number))  # type: ignore[misc]
+                 self._event, lambda number=number: self._refused(number),  # type: ignore[misc]
+                 self._peers)
             for number, name in enumerate(told.names)]
         self._callers = Callers(told, seed, self.nodes)
         self._began: dict[int, float] = {}
@@ -140,6 +143,11 @@
         assert step.link is not None
         names = self._told.names
         first, second = step.link
+        fault = on_link(step.fault) if step.begins else None
+        if first in names and second in names:
+            assert self._peers is not None
+            pair = names.index(first), names.index(second)
+            return self._peers.set(*pair, step.fault.way, step.number, fault)
         node, other = (first, second) if first in names else (second, first)
         # `there` is from the first that is named; the rig's own links are named from whoever connects.
         connects = first if other in names else ("balancers" if other == "balancers" else node)
@@ -147,7 +155,7 @@
         if way != "both" and connects != first:
             way = "back" if way == "there" else "there"
         link = self._link(node, other)
-        self._network.set(link, way, step.number, on_link(step.fault) if step.begins else None)
+        self._network.set(link, way, step.number, fault)
         if other == "balancers":
             self._span(step, [names.index(node)])
 
@@ -195,7 +203,33 @@
         self._say(f"{second:6.1f} s  {told}  in time {in_time:4.2f}  {states}")
         self._event("second", **ends, up=[node.up for node in self.nodes], vault=self._vault.in_hand)
 
+    def _agreed_s(self) -> float | None:
+        """Seconds until all that are up see each other; None: not within the time that is stated."""
+        within = self._told.expect.agree_within
+        if self._peers is None or within is None:
+            return None
+        start = time.monotonic()
+        while (took := time.monotonic() - start) <= within:
+            if self._peers.agree([number for number, node in enumerate(self.nodes) if node.up]):
+                return took
+            time.sleep(0.05)
+        return None
+
+    def _members(self, verdict: Verdict, agreed: float | None) -> None:
+        """What the scenario states of the servers' views of each other."""
+        wants, hurt = self._told.expect, {step.who for step in self._steps if step.do in TO_SERVERS}
+        verdict.agreed_s = agreed
+        unhurt = set(self._told.names) - hurt
+        lives = [life for node in self.nodes for life in node.lives]
+        verdict.called_dead = sum(called_dead(life.lines, unhurt) for life in lives)
+        if wants.called_dead is not None and verdict.called_dead > wants.called_dead:
+            verdict.short.append(
+                f"{verdict.called_dead} verdicts on the living, {wants.called_dead} at most were expected")
+        if wants.agree_within is not None and agreed is None:
+            verdict.short.append(f"the servers do not agree within {wants.agree_within:g} s")
+
     def _end(self) -> Verdict:
+        agreed = self._agreed_s()
         with self._side_by_side(node.end for node in self.nodes):
             pass
         first = self._steps[0].at if self._steps else self._told.seconds
@@ -204,6 +238,7 @@
         verdict.vault_most, verdict.vault_fell = self._vault.most_in_hand, self._vault.fell
         verdict.most_crowded = max(n.pool.most_crowded for n in self.nodes) / self._told.server.cores
         verdict.lag_ms = self._callers.lag_s * 1e3
+        self._members(verdict, agreed)
         verdict.trouble = [line for node in self.nodes for line in node.trouble]
         self._callers.close()
         self._network.close()
--- a/cairnvane/lab/fleet/scenario.py
+++ b/cairnvane/lab/fleet/scenario.py
@@ -76,6 +76,8 @@
     served: float = 0.0  # the least share of requests
     back_within: float | None = None  # seconds from the last fault's end until as much is served as before
     tries: float | None = None  # the most tries a request, over all
+    called_dead: int | None = None  # the most verdicts on members that nobody killed, stopped or let leave
+    agree_within: float | None = None  # seconds from the load's end until all that are up see each other
 
 
 class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -89,6 +91,7 @@
     vault: Vault = Vault()
     faults: list[Fault] = []
     expect: Expect = Expect()
+    members: bool = False  # the servers know each other, over links of the rig's own
     operator: str = ""  # the text of an operator's file for every server
 
     @property
@@ -165,6 +168,8 @@
         servers = [name for name in fault.link if name in told.names]
         if not servers or len(set(fault.link)) < 2:
             raise check.error(f"{path}.link", "one end at the least is a server, and the other is another")
+        if len(servers) == 2 and not told.members:
+            raise check.error(f"{path}.link", "there is a link between servers only with `members: true`")
         if fault.do in ONLY_UDP and len(servers) < 2:
             raise check.error(f"{path}.do", f"{fault.do!r} exists between servers alone, which speak UDP")
     elif fault.link:
@@ -203,6 +208,9 @@
     check.between(".vault.slots", told.vault.slots, 1, 10_000)
     check.between(".vault.call_ms", told.vault.call_ms, 0.1, 10_000.0)
     check.between(".vault.falls_at", told.vault.falls_at, 1.0, 1_000.0)
+    asks = (told.expect.called_dead, told.expect.agree_within)
+    if not told.members and any(one is not None for one in asks):
+        raise check.error(".expect", "called_dead and agree_within need `members: true`")
     for number in range(len(told.faults)):
         _check_fault(check, told, number)
     return told
--- a/cairnvane/membership/channel.py
+++ b/cairnvane/membership/channel.py
@@ -14,7 +14,7 @@
 import struct
 import threading
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -77,7 +77,7 @@
     def __init__(
         self, listen: Address, key: bytes, name: str, place: str, contacts: list[Address], *,
         options: Options | None = None, outside: Callable[[], Outside] = Outside,
-        tell: Callable[[Tell], None] = lambda event: None,
+        tell: Callable[[Tell], None] = lambda event: None, ways: Mapping[Address, Address] | None = None,
     ) -> None:
         """`OSError` if it can't listen. The same port takes datagrams and views."""
         self._listener = socket.create_server(listen, backlog=16)
@@ -93,6 +93,7 @@
         own = Claim(rng.getrandbits(63) | 1, name, place, host, port, 0, 0)
         self._member = Member(own, rng, clock.now(), contacts=contacts, options=options)
         self._key, self._outside, self._tell = key, outside, tell
+        self._ways = ways or {}  # by which address an address is reached from here
         self.counts: Counter[str] = Counter()
         self._number = 0
         self._selector = selectors.DefaultSelector()
@@ -203,7 +204,7 @@
         self.counts["sent"] += 1
         self.counts["sent bytes"] += len(data)
         with contextlib.suppress(OSError):  # a full buffer, or no way there: as if it were lost
-            self._udp.sendto(data, to)
+            self._udp.sendto(data, self._ways.get(to, to))
 
     def _read_datagrams(self) -> None:
         for _ in range(READ_AT_ONCE):
@@ -240,7 +241,7 @@
         sock = socket.socket()
         sock.setblocking(False)
         try:
-            sock.connect(to)
+            sock.connect(self._ways.get(to, to))
         except BlockingIOError:
             pass
         except OSError:
--- a/cairnvane/wiring.py
+++ b/cairnvane/wiring.py
@@ -174,7 +174,8 @@
 
     return Channel(
         asked.address, asked.key.encode(), told.name[:MOST_NAME], "{}:{}".format(*told.listen), asked.others,
-        outside=lambda: Outside(roster=roster.answers, pool=pool.bound.is_set()), tell=tell)
+        outside=lambda: Outside(roster=roster.answers, pool=pool.bound.is_set()), tell=tell,
+        ways=asked.ways)
 
 
 def members_part(channel: Channel | None) -> Part | None:
--- a/tests/test_fleet_lab.py
+++ b/tests/test_fleet_lab.py
@@ -22,6 +22,7 @@
 from cairnvane.lab.fleet.callers import Asked, Try
 from cairnvane.lab.fleet.conditions import REORDER_S, RESEND_S, Direction, Fault
 from cairnvane.lab.fleet.links import Network, TcpLink, UdpLink
+from cairnvane.lab.fleet.peers import called_dead
 from cairnvane.lab.fleet.schedule import draw
 from cairnvane.lab.fleet.verdict import Span, judge
 from cairnvane.lab.pool import Facts
@@ -45,6 +46,8 @@
     (FAULT + "{do: cut, at: 8, for: 4, link: [n0, vault]}\n", "for: 4 is not between 0 and 2"),
     (FAULT + "{do: cut, at: 1, for: 1, link: [pool, vault]}\n", "one end at the least is"),
     (FAULT + "{do: reorder, at: 1, for: 1, link: [n0, pool]}\n", "exists between servers alone"),
+    (FAULT + "{do: cut, at: 1, for: 1, link: [n0, n1]}\n", "only with `members: true`"),
+    (HEAD + "expect: {called_dead: 0}\n", "line 4: expect: called_dead and agree_within need"),
     (FAULT + "{do: slow, who: vault, at: [1]}\n", "line 5: faults[0].at: Expected `float`"),
     ("name: [\n", "line 2, column 1"),
 ])
@@ -258,6 +261,19 @@
     assert [one["do"] for one in told if one["event"] == "fault"] == ["kill", "start"]
 
 
+def test_after_a_cut_between_servers_they_agree_though_one_was_killed_in_it(tmp_path: Path) -> None:
+    _, verdict, output = fleet(tmp_path, str(scenario.shipped().with_name("cut.yaml")), "--seed", "5")
+    assert (verdict["lost"], verdict["twice"], verdict["trouble"]) == (0, 0, []), output
+    assert verdict["agreed_s"] is not None, output
+
+
+def test_verdicts_of_a_servers_own_on_the_unhurt_are_counted() -> None:
+    lines = ["members: member.failed name=n1 life=1 incarnation=0 by=2 accusers=3 probed=3",
+             "members: member.failed name=n1 life=1 incarnation=0 by=2",
+             "members: member.failed name=n2 life=1 incarnation=0 by=2 accusers=1 probed=3"]
+    assert called_dead(lines, {"n1"}) == 1
+
+
 def test_a_faulty_file_ends_with_its_line_and_status_2(tmp_path: Path) -> None:
     path = tmp_path / "a.yaml"
     path.write_text("name: a\nservers: 0\n")
