Believe no claim that can't be true, and keep the members' thread through a fault of its own

From a second reading of the change: a mistaken member could name a port or host that ends the channel's thread (an OverflowError from sendto, a name to be looked up), names were cut to 40 characters without a word, and any fault in that thread would have made the others take the server for dead.

Change: claims are checked before they count (IPv4 address, port, lengths, status, incarnation) and counted as insane otherwise; a longer name, and an address that would have to be looked up, are named as errors at the start; a fault is told as member.error and the thread goes on.

--- a/cairnvane/config/operator.py
+++ b/cairnvane/config/operator.py
@@ -21,6 +21,7 @@
 LEAST_MEMORY_MB, MOST_MEMORY_MB = 1, 1_024
 
 _PATH = re.compile(r"^(?P<what>.*?)(?: - at `(?P<path>\$[^`]*)`)?$", re.S)
+_IPV4 = re.compile(r"[0-9]{1,3}(\.[0-9]{1,3}){3}")
 _STEP = re.compile(r"\.([A-Za-z0-9_-]+)|\[([0-9]+)\]")
 
 
@@ -51,7 +52,7 @@
 
 # What a keyed hash takes, and what can't be guessed.
 LEAST_KEY, MOST_KEY = 16, 64
-MOST_CONTACTS, MOST_NAME, MOST_ROUTES = 16, 40, 1_000
+MOST_CONTACTS, MOST_ROUTES = 16, 1_000
 
 
 class MembersOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -112,8 +113,11 @@
 
 
 def _check_members(asked: MembersOptions) -> None:
-    if asked.address[0] in ("0.0.0.0", "*", ""):
-        raise ConfigError(f"members.listen: {asked.listen!r} is no address that others can reach")
+    for key, (host, _) in (("listen", asked.address), *(("contacts", other) for other in asked.others)):
+        if _IPV4.fullmatch(host) is None:  # a name would have to be looked up while others wait
+            raise ConfigError(f"members.{key}: {host!r} is not an IPv4 address")
+        if host == "0.0.0.0":
+            raise ConfigError(f"members.{key}: {host} is no address that others can reach")
     length = len(asked.key.encode())
     if not LEAST_KEY <= length <= MOST_KEY:  # the key itself is nobody's to read in a message
         raise ConfigError(f"members.key: {length} bytes are not between {LEAST_KEY} and {MOST_KEY}")
--- a/cairnvane/lab/members.py
+++ b/cairnvane/lab/members.py
@@ -24,7 +24,12 @@
 # One way over a link, drawn between these.
 LEAST_US, MOST_US = 200, 1_500
 CONTACTS = 3
-HOST = "virtual"
+HOST = "10.0.0.1"
+
+
+def _at(number: int) -> Address:
+    """Where this member is; no port is 0."""
+    return HOST, number + 1
 
 
 class Player(Protocol):
@@ -123,13 +128,13 @@
     # --- who is there
 
     def _peers(self) -> dict[int, Address]:
-        return {player.life: (HOST, number) for number, player in self.players.items()}
+        return {player.life: _at(number) for number, player in self.players.items()}
 
     def start(self, number: int, name: str = "", place: str = "") -> Player:
         """A new life at this address."""
-        own = Claim(next(self._lives), name or f"n{number}", place or f"p{number}", HOST, number, 0, 0)
+        own = Claim(next(self._lives), name or f"n{number}", place or f"p{number}", *_at(number), 0, 0)
         rng = random.Random(f"{self.seed} {own.life}")
-        contacts = [(HOST, one) for one in range(CONTACTS)]
+        contacts = [_at(one) for one in range(CONTACTS)]
         player: Player = Swim(own, rng, self.now, contacts, self.options)
         if self.baseline:
             player = Heartbeat(own, self.options.period, self.now, self._peers)
@@ -205,7 +210,7 @@
             elif isinstance(action, Send):
                 self._send(number, action)
             elif isinstance(action, Exchange):
-                self._exchange(number, action.to[1])
+                self._exchange(number, action.to[1] - 1)
 
     def _size(self, life: int, message: Message) -> None:
         size = len(seal(KEY, life, next(self._count), message))
@@ -214,13 +219,13 @@
         self.largest = max(self.largest, size)
 
     def _send(self, number: int, action: Send) -> None:
-        life, to = self.players[number].life, action.to[1]
+        life, to = self.players[number].life, action.to[1] - 1
         self._size(life, action.message)
         if self._random.random() < self.loss or self.cut(number, to):
             return
         count = next(self._count) + 1
         self._push(self.now + self._random.randint(LEAST_US, MOST_US),
-                   lambda: self._receive(to, life, count, (HOST, number), action.message))
+                   lambda: self._receive(to, life, count, _at(number), action.message))
 
     def _receive(self, number: int, life: int, count: int, source: Address, message: Message) -> None:
         if number in self.down or number not in self.players:
@@ -242,7 +247,7 @@
             assert isinstance(player, Swim)
             for view in player.member.whole(answer):
                 self._size(player.life, view)
-                self._do(sink, other.handle(self.now, player.life, 0, (HOST, source), view))
+                self._do(sink, other.handle(self.now, player.life, 0, _at(source), view))
         self._arm(to)
 
 
--- a/cairnvane/membership/channel.py
+++ b/cairnvane/membership/channel.py
@@ -30,6 +30,8 @@
 MOST_VIEWS, VIEW_S = 8, 2.0
 # So many datagrams are read before the machine's own times are looked at again.
 READ_AT_ONCE = 64
+# After a fault of its own the thread goes on, but never in a spin.
+AFTER_ERROR_S = 0.1
 # The snapshot is made anew no more often than this.
 LOOK_US = 50_000
 _LENGTH = struct.Struct("!I")
@@ -139,27 +141,34 @@
 
     def _run(self) -> None:
         while not self._closed:
-            now = clock.now()
-            wait_s = max(0, self._member.next_at() - now) / 1e6
-            if self._views:
-                wait_s = min(wait_s, 0.1)
-            for key, _ in self._selector.select(wait_s):
-                self._ready(key)
-            while self._orders:
-                self._orders.popleft()()
-            now = clock.now()
-            if now >= self._member.next_at():
-                self._member.outside = self._outside()
-                self._do(self._member.tick(now))
-            for view in [view for view in self._views if view.until < now / 1e6]:
-                self._drop(view, "slow view")
-            if now - self.snapshot.at > LOOK_US:
-                self.snapshot = self._look()
+            try:
+                self._turn_once()
+            except Exception as error:  # the others would take this server for dead
+                self.counts["errors"] += 1
+                self._tell(Tell("member.error", {"what": f"{type(error).__name__} {error}"}))
+                threading.Event().wait(AFTER_ERROR_S)
         for view in list(self._views):
             self._drop(view)
         for sock in (self._listener, self._udp):
             sock.close()
 
+    def _turn_once(self) -> None:
+        wait_s = max(0, self._member.next_at() - clock.now()) / 1e6
+        if self._views:
+            wait_s = min(wait_s, 0.1)
+        for key, _ in self._selector.select(wait_s):
+            self._ready(key)
+        while self._orders:
+            self._orders.popleft()()
+        now = clock.now()
+        if now >= self._member.next_at():
+            self._member.outside = self._outside()
+            self._do(self._member.tick(now))
+        for view in [view for view in self._views if view.until < now / 1e6]:
+            self._drop(view, "slow view")
+        if now - self.snapshot.at > LOOK_US:
+            self.snapshot = self._look()
+
     def _ready(self, key: selectors.SelectorKey) -> None:
         if key.fileobj is self._udp:
             self._read_datagrams()
--- a/cairnvane/membership/machine.py
+++ b/cairnvane/membership/machine.py
@@ -17,7 +17,7 @@
 from .probing import Ring
 from .rumours import Infos, Rumours
 from .sight import Evidence, Judgement, Sight, at_once
-from .state import Claim, Info, Life, Phase, Status, Table, info_fits
+from .state import Claim, Info, Life, Phase, Status, Table, info_fits, sane
 from .suspicion import JUDGES, MOST_WAIT, OTHERS_WAIT, Health, checks, wait_us
 
 Address = tuple[str, int]
@@ -101,6 +101,7 @@
     held_up: int = 0
     replayed: int = 0
     unknown: int = 0
+    insane: int = 0  # claims that can't be true
 
 
 @dataclass(slots=True)
@@ -349,8 +350,10 @@
         for claim in claims:
             if claim.life == self.own.life:
                 self._told_of_us(claim)
-            elif claim.status in tuple(Status):
+            elif sane(claim):
                 self._claimed(claim, now)
+            else:
+                self.counts.insane += 1
         for info in infos:
             if info.life != self.own.life and self.table.inform(info):
                 self._infos.add(info)
--- a/cairnvane/membership/state.py
+++ b/cairnvane/membership/state.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 from enum import IntEnum
 from typing import Any
@@ -18,6 +19,9 @@
 
 # What a member carries for others: so many keys and bytes at the most, whatever a later version adds.
 MOST_KEYS, MOST_INFO_BYTES = 24, 256
+# Of a claim, in characters; and what no life comes to by refuting once a millisecond for a year.
+MOST_NAME, MOST_PLACE, MOST_INCARNATION = 40, 64, 1 << 35
+_IPV4 = re.compile(r"[0-9]{1,3}(\.[0-9]{1,3}){3}")
 
 
 class Status(IntEnum):
@@ -61,6 +65,14 @@
         return msgspec.structs.replace(self, status=int(status), incarnation=incarnation, by=by)
 
 
+def sane(claim: Claim) -> bool:
+    """Whether a claim can be true at all: a mistaken member must not make others send to nowhere, look names
+    up, or hand on what fits no datagram."""
+    numbers = 0 < claim.port < 1 << 16 and 0 <= claim.incarnation < MOST_INCARNATION
+    texts = len(claim.name) <= MOST_NAME and len(claim.place) <= MOST_PLACE
+    return numbers and texts and claim.status in tuple(Status) and _IPV4.fullmatch(claim.host) is not None
+
+
 class Info(msgspec.Struct, frozen=True, array_like=True):
     """What a life carries for others: small, and the newest counts. Keys that a later version adds are kept
     and handed on by those that do not know them."""
--- a/cairnvane/wiring.py
+++ b/cairnvane/wiring.py
@@ -29,6 +29,8 @@
 
 # In `$TMPDIR`, with a folder for each name and boot.
 LEDGERS = "cairnvane-ledger"
+# Of a server that is a member: a datagram has room for so much.
+MOST_NAME = 40
 # Descriptors that are no balancer's: the links, one for each call, and those that close as others open.
 OWN_SOCKETS, OWN_SHARE = 64, 4
 
@@ -46,6 +48,8 @@
     from .config import operator as file
 
     asked = file.load(path)
+    if asked.members is not None and len(told.name) > MOST_NAME:
+        raise config.ConfigError(f"members: the name {told.name!r} is longer than {MOST_NAME} characters")
     if asked.log.form == "json":
         from .log_json import sink
 
@@ -165,7 +169,6 @@
     """The channel between the bid servers, where an operator asked for it; `OSError` if it can't listen."""
     if asked is None:
         return None
-    from .config.operator import MOST_NAME
     from .membership.channel import Channel
     from .membership.machine import Outside, Tell
 
@@ -173,7 +176,7 @@
         log.say("members", event.event + "".join(f" {key}={value}" for key, value in event.more.items()))
 
     return Channel(
-        asked.address, asked.key.encode(), told.name[:MOST_NAME], "{}:{}".format(*told.listen), asked.others,
+        asked.address, asked.key.encode(), told.name, "{}:{}".format(*told.listen), asked.others,
         outside=lambda: Outside(roster=roster.answers, pool=pool.bound.is_set()), tell=tell,
         ways=asked.ways)
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -46,10 +46,12 @@
     ("keyed: {folder: a, durability: forever}", ["keyed.durability", "'forever'"]),
     ("keyed: {}", ["keyed", "folder"]), ("log: {form: xml}", ["log.form", "'xml'"]),
     ("keyed: [", ["line 2"]), ("keyed:", ["keyed: nothing stands"]),
-    ("members: {listen: 'a:1', key: short}", ["members.key: 5 bytes are not between 16 and 64"]),
+    ("members: {listen: '10.0.0.4:1', key: short}", ["members.key: 5 bytes are not between 16 and 64"]),
     ("members: {listen: here, key: sixteen-and-more}", ["members.listen: 'here' is not HOST:PORT"]),
     ("members: {listen: '0.0.0.0:1', key: sixteen-and-more}", ["members.listen", "no address that others"]),
-    ("members: {listen: 'a:1', key: sixteen-and-more, contacts: [x]}", ["members.contacts[0]: 'x' is not"]),
+    ("members: {listen: 'localhost:1', key: sixteen-and-more}", ["'localhost' is not an IPv4 address"]),
+    ("members: {listen: '10.0.0.4:1', key: sixteen-and-more, contacts: [x]}",
+     ["members.contacts[0]: 'x' is not"]),
     ("- 1", ["array"]), ("\x00", ["operator.yaml"]),
 ])
 def test_a_fault_in_the_operators_file_is_named_in_one_line(
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,7 +6,9 @@
 import contextlib
 import random
 from collections.abc import Callable
+from typing import Any
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -365,6 +367,22 @@
     assert len(lives) == len(set(lives)) == 80
 
 
+@pytest.mark.parametrize("wrong", [
+    {"host": "name.to.look.up"}, {"port": 0}, {"port": 70_000}, {"name": "n" * 41}, {"status": 9},
+    {"incarnation": 1 << 40},
+])
+def test_a_claim_that_can_not_be_true_makes_nobody_known(wrong: dict[str, Any]) -> None:
+    world = fleet(2)
+    member = world.players[0].member  # type: ignore[attr-defined]
+    known = set(member.table.lives)
+    good = Claim(55, "n5", "p5", "10.0.0.1", 5, 0, 0)
+    bad = msgspec.structs.replace(good, **wrong)
+    member.handle(world.now, 77, 1, ("h", 9), Ping(3, member.own.life, [bad]))
+    assert set(member.table.lives) == known and member.counts.insane == 1
+    member.handle(world.now, 77, 2, ("h", 9), Ping(3, member.own.life, [good]))
+    assert set(member.table.lives) == known | {55}
+
+
 def test_a_ping_for_an_earlier_life_is_answered_by_who_is_there_now() -> None:
     world = fleet(2)
     member = world.players[0].member  # type: ignore[attr-defined]
