Put faults between groups of servers, and judge the servers' views of each other

Hard cases of members need islands, statements on detection, on accusing nobody and on traffic; a scenario had words for pairs alone. Ends of a link may be groups or all servers, and the judge reads the servers' own log lines with their times (sightings.py).

A restarted server's earlier life counted as silent for a minute: three that all restarted took themselves for apart (many). A life with a successor is over, not lost, and is not counted in most (survey.py). What is asked with every message is kept at hand by the table, where each message looked through all lives.

--- a/cairnvane/lab/fleet/callers.py
+++ b/cairnvane/lab/fleet/callers.py
@@ -78,16 +78,16 @@
         self._lock = threading.Lock()
         self._changed = threading.Condition(self._lock)
         self._over = False
-        self._start = 0.0
+        self.start = 0.0  # of the load, on the monotonic clock
         self.lag_s = 0.0  # the most that a request went out behind its time
 
     def now(self) -> float:
         """Seconds since the load's start."""
-        return time.monotonic() - self._start
+        return time.monotonic() - self.start
 
     def play(self) -> None:
         """The whole load, in the caller's thread; returns at its end."""
-        self._start = time.monotonic()
+        self.start = time.monotonic()
         at, end = 0.0, self._told.seconds
         while at < end:
             at += self._random.expovariate(self._told.load.rate * self.surge)
--- a/cairnvane/lab/fleet/links.py
+++ b/cairnvane/lab/fleet/links.py
@@ -80,7 +80,8 @@
                 return _reset(near)
             self._open.add(far)
             await asyncio.gather(
-                _pump(near_in, near, far, self.there), _pump(far_in, far, near, self.back))
+                _pump(near_in, near, far, self.there, self.counts),
+                _pump(far_in, far, near, self.back, self.counts))
         except (OSError, asyncio.IncompleteReadError):
             self.counts["broken"] += 1
         finally:
@@ -123,6 +124,7 @@
 
 async def _pump(
     source: asyncio.StreamReader, origin: asyncio.StreamWriter, sink: asyncio.StreamWriter, way: Direction,
+    counts: Counter[str],
 ) -> None:
     """One direction of a connection, from `origin`, whose reader `source` is. Pieces are read on while
     earlier ones are still on their way."""
@@ -165,6 +167,7 @@
                     return
                 continue
             now = loop.time()
+            counts["bytes"] += len(data)
             queue.put_nowait((now + way.stream(len(data), now), data))
             if not data:
                 break
@@ -216,6 +219,7 @@
         loop = asyncio.get_running_loop()
         times = way.datagram(len(data), loop.time())
         self.counts["datagrams"] += 1
+        self.counts["bytes"] += len(data)
         self.counts["lost"] += not times
         for delay in times:
             loop.call_later(delay, self._pass_on, number, data)
--- a/cairnvane/lab/fleet/peers.py
+++ b/cairnvane/lab/fleet/peers.py
@@ -4,7 +4,6 @@
 
 import json
 import random
-import re
 import socket
 import urllib.request
 from collections.abc import Iterable
@@ -15,8 +14,6 @@
 from .scenario import Scenario
 
 KEY, CONTACTS, WAIT_S = "of-the-laboratory-only", 3, 2.0
-# A verdict of a server's own; one that it heard of from another has no accusers to show.
-_VERDICT = re.compile(r"member\.failed name=(\S+) .*accusers=")
 _FLIPPED = {"there": "back", "back": "there", "both": "both"}
 
 
@@ -95,8 +92,7 @@
                 return False
         return True
 
-
-def called_dead(lines: Iterable[str], unhurt: set[str]) -> int:
-    """Verdicts of one server's own on members that nothing was done to."""
-    found = (_VERDICT.search(line) for line in lines)
-    return sum(one is not None and one[1] in unhurt for one in found)
+    def traffic(self) -> tuple[int, int]:
+        """Bytes that members sent to each other so far, whole views too, and datagrams."""
+        links = [link for some in self._links.values() for link in some]
+        return (sum(link.counts["bytes"] for link in links), sum(link.counts["datagrams"] for link in links))
--- a/cairnvane/lab/fleet/play.py
+++ b/cairnvane/lab/fleet/play.py
@@ -4,6 +4,8 @@
 
 import contextlib
 import json
+import os
+import statistics
 import threading
 import time
 from collections import Counter
@@ -15,15 +17,25 @@
 from .callers import PATIENCE_S, Callers
 from .links import Link, Network
 from .nodes import Node
-from .peers import Peers, called_dead
+from .peers import Peers
 from .scenario import TO_SERVERS, Scenario
 from .schedule import Step, draw, on_link
+from . import sightings
+from .sightings import Kill, Traffic
 from .verdict import SLACK_S, Span, Verdict, judge, share
 
 # A line of the live table.
 LIVE_EVERY_S = 1.0
 
 
+def cpu_share(pid: int) -> float:
+    """Of a core, over the life of a process."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    hertz = os.sysconf("SC_CLK_TCK")
+    used, began = (int(fields[11]) + int(fields[12])) / hertz, int(fields[19]) / hertz
+    return used / max(1e-9, time.clock_gettime(time.CLOCK_BOOTTIME) - began)
+
+
 class Events:
     """The rig's record: one JSON object a line, times in seconds of the load."""
 
@@ -72,7 +84,8 @@
         self._callers = Callers(told, seed, self.nodes)
         self._began: dict[int, float] = {}
         self._spans: list[Span] = []
-        self._trouble: list[str] = []
+        self._kills: list[Kill] = []
+        self._traffic, self._counted = Traffic(told.servers), (0, 0)
 
     def run(self) -> Verdict:
         """All of it."""
@@ -81,6 +94,8 @@
                 pass
             started = all(node.up for node in self.nodes)
             self._event.begin()
+            if self._peers is not None:
+                self._counted = self._peers.traffic()
             load = threading.Thread(target=self._callers.play, daemon=True)
             if started:
                 load.start()
@@ -119,8 +134,9 @@
         """In a thread of its own where it takes time: the next step must not wait for it."""
         self._event("fault", **step.told())
         self._say(f"{step.at:6.1f} s  {step.line()}")
-        if step.link is not None:
-            self._on_link(step)
+        if step.links:
+            for ends in step.links:
+                self._on_link(step, *ends)
         elif step.who == "vault":
             self._on_vault(step)
         elif step.do == "surge":
@@ -139,10 +155,8 @@
         else:
             self._spans += [Span(node, self._began[step.number], step.at) for node in nodes]
 
-    def _on_link(self, step: Step) -> None:
-        assert step.link is not None
+    def _on_link(self, step: Step, first: str, second: str) -> None:
         names = self._told.names
-        first, second = step.link
         fault = on_link(step.fault) if step.begins else None
         if first in names and second in names:
             assert self._peers is not None
@@ -175,6 +189,8 @@
         node = self.nodes[number]
         if step.do == "kill":
             self._spans.append(Span(number, step.at, step.at))
+            others = {other.name for other in self.nodes if other.up} - {node.name}
+            self._kills.append(Kill(self._callers.now(), node.name, frozenset(others)))
             node.kill()
         elif step.do == "start":
             node.start()
@@ -188,8 +204,16 @@
 
     # --- what is seen
 
+    def _count(self) -> None:
+        """What went between the servers within this second."""
+        if self._peers is not None:
+            before, self._counted = self._counted, self._peers.traffic()
+            self._traffic.bytes_by_second.append(self._counted[0] - before[0])
+            self._traffic.datagrams += self._counted[1] - before[1]
+
     def _show(self, second: float) -> None:
         """A line of the live table."""
+        self._count()
         asked = list(self._callers.asked)
         ends: Counter[str] = Counter()
         for one in asked[-400:]:
@@ -215,20 +239,21 @@
             time.sleep(0.05)
         return None
 
-    def _members(self, verdict: Verdict, agreed: float | None) -> None:
+    def _views(self, verdict: Verdict, agreed: float | None, cpu: list[float]) -> None:
         """What the scenario states of the servers' views of each other."""
-        wants, hurt = self._told.expect, {step.who for step in self._steps if step.do in TO_SERVERS}
-        verdict.agreed_s = agreed
-        unhurt = set(self._told.names) - hurt
-        lives = [life for node in self.nodes for life in node.lives]
-        verdict.called_dead = sum(called_dead(life.lines, unhurt) for life in lives)
-        if wants.called_dead is not None and verdict.called_dead > wants.called_dead:
-            verdict.short.append(
-                f"{verdict.called_dead} verdicts on the living, {wants.called_dead} at most were expected")
-        if wants.agree_within is not None and agreed is None:
-            verdict.short.append(f"the servers do not agree within {wants.agree_within:g} s")
+        if self._peers is None:
+            return
+        hurt = {step.who for step in self._steps if step.do in TO_SERVERS}
+        said = [one for node in self.nodes for life in node.lives
+                for one in sightings.read(node.name, life.lines, life.said_at, self._callers.start)]
+        said.sort(key=lambda one: one.at)
+        verdict.views, short = sightings.judge(
+            self._told, said, self._kills, hurt, self._traffic, agreed)
+        verdict.views.cpu = statistics.mean(cpu) if cpu else 0.0
+        verdict.short += short
 
     def _end(self) -> Verdict:
+        cpu = [cpu_share(node.lives[-1].process.pid) for node in self.nodes if node.up]
         agreed = self._agreed_s()
         with self._side_by_side(node.end for node in self.nodes):
             pass
@@ -238,7 +263,7 @@
         verdict.vault_most, verdict.vault_fell = self._vault.most_in_hand, self._vault.fell
         verdict.most_crowded = max(n.pool.most_crowded for n in self.nodes) / self._told.server.cores
         verdict.lag_ms = self._callers.lag_s * 1e3
-        self._members(verdict, agreed)
+        self._views(verdict, agreed, cpu)
         verdict.trouble = [line for node in self.nodes for line in node.trouble]
         self._callers.close()
         self._network.close()
--- a/cairnvane/lab/fleet/scenario.py
+++ b/cairnvane/lab/fleet/scenario.py
@@ -13,16 +13,20 @@
 import yaml
 
 from ...config import ConfigError
+from ...membership.sight import Verdict as SightVerdict
 from .conditions import KINDS, ONLY_UDP
 
 # A desk's machine carries so many servers, each with stand-ins of its own, and one rig process all their
 # load.
-MOST_SERVERS, MOST_SECONDS, MOST_RATE = 24, 900.0, 400.0
+MOST_SERVERS, MOST_SECONDS, MOST_RATE = 24, 7_200.0, 400.0
 # What can be done to servers, to the vault, and to the load.
 TO_SERVERS = ("kill", "start", "stop", "leave")
 TO_VAULT, TO_LOAD = ("slow", "down", "silent"), ("surge",)
-# Between two of whom a link is: `balancers` stands for all of them.
-SHARED = ("balancers", "pool", "vault", "roster")
+# Between two of whom a link is: `balancers` stands for all of them, and `servers` for each server.
+SHARED, ALL = ("balancers", "pool", "vault", "roster"), "servers"
+# What a scenario may state of the servers' views of each other.
+ASKED_OF_MEMBERS = ("called_dead", "agree_within", "found_within", "accuse_nobody", "held_up", "sights",
+                    "kb_a_second", "peak_kb")
 _SPAN = ("stop", *TO_VAULT, *TO_LOAD, *KINDS)
 
 
@@ -61,7 +65,7 @@
     for_: float = msgspec.field(default=0.0, name="for")
     jitter: float = 0.0  # it comes up to so much later
     who: str = ""  # a server, `any` (drawn), or `vault`
-    link: list[str] = []
+    link: list[str | list[str]] = []  # each end a name, or several
     way: str = "both"  # `there` from the first of the link to the second, `back`, or `both`
     times: float = 8.0  # slow, surge
     share: float = 0.3  # drop, duplicate, reorder
@@ -78,6 +82,12 @@
     tries: float | None = None  # the most tries a request, over all
     called_dead: int | None = None  # the most verdicts on members that nobody killed, stopped or let leave
     agree_within: float | None = None  # seconds from the load's end until all that are up see each other
+    found_within: float | None = None  # seconds until all others that are up know of a kill
+    accuse_nobody: list[str] = []  # servers that came to no verdict of their own on anyone
+    held_up: list[str] = []  # servers that said of themselves that they stood still
+    sights: dict[str, str] = {}  # what these servers took their place for, at some time
+    kb_a_second: float | None = None  # the most that a member sends to others, over the whole load
+    peak_kb: float | None = None  # the same, in any one second
 
 
 class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -99,6 +109,22 @@
         """Of the servers."""
         return [f"n{number}" for number in range(self.servers)]
 
+    def ends(self, fault: Fault) -> tuple[list[str], list[str]]:
+        """Who stands at both ends of a fault's link."""
+        first, second = ([end] if isinstance(end, str) else end for end in fault.link)
+        return ([name for one in first for name in (self.names if one == ALL else [one])],
+                [name for one in second for name in (self.names if one == ALL else [one])])
+
+    def links(self, fault: Fault) -> tuple[tuple[str, str], ...]:
+        """All links that a fault is put on, each once."""
+        first, second = self.ends(fault)
+        found: dict[frozenset[str], tuple[str, str]] = {}
+        for one in first:
+            for other in second:
+                if one != other:
+                    found.setdefault(frozenset((one, other)), (one, other))
+        return tuple(found.values())
+
     def last_end(self) -> float:
         """When the last fault is over; 0 without any."""
         return max((fault.at + fault.jitter + fault.for_ for fault in self.faults), default=0.0)
@@ -146,6 +172,40 @@
             raise self.error(path, f"{value!r} is none of {', '.join(known)}")
 
 
+def _check_link(check: _Check, told: Scenario, fault: Fault, path: str) -> None:
+    if len(fault.link) != 2:
+        raise check.error(f"{path}.link", f"{fault.do!r} needs the two ends of a link")
+    for number, end in enumerate(fault.link):
+        some = [(f"{path}.link[{number}]", end)] if isinstance(end, str) else [
+            (f"{path}.link[{number}][{place}]", name) for place, name in enumerate(end)]
+        for where, name in some:
+            check.one_of(where, name, [*told.names, ALL, *SHARED])
+    first, second = told.ends(fault)
+    outside = [bool(set(names) & set(SHARED)) for names in (first, second)]
+    if all(outside) or not told.links(fault):
+        raise check.error(f"{path}.link", "one end at the least is a server, and the other is another")
+    if fault.way != "both" and set(first) & set(second):
+        raise check.error(f"{path}.way", f"{fault.way!r} says nothing where a server stands at both ends")
+    if not any(outside) and not told.members:
+        raise check.error(f"{path}.link", "there is a link between servers only with `members: true`")
+    if fault.do in ONLY_UDP and any(outside):
+        raise check.error(f"{path}.do", f"{fault.do!r} exists between servers alone, which speak UDP")
+
+
+def _check_members(check: _Check, told: Scenario) -> None:
+    wants = told.expect
+    asks = {name: getattr(wants, name) for name in ASKED_OF_MEMBERS}
+    for key, value in asks.items():
+        if value not in (None, [], {}) and not told.members:
+            raise check.error(f".expect.{key}", "needs `members: true`")
+    for key in ("accuse_nobody", "held_up"):
+        for number, name in enumerate(asks[key]):
+            check.one_of(f".expect.{key}[{number}]", name, told.names)
+    for name, sight in wants.sights.items():
+        check.one_of(f".expect.sights.{name}", name, told.names)
+        check.one_of(f".expect.sights.{name}", sight, [verdict.value for verdict in SightVerdict])
+
+
 def _check_fault(check: _Check, told: Scenario, number: int) -> None:
     fault, path = told.faults[number], f".faults[{number}]"
     check.one_of(f"{path}.do", fault.do, [*TO_SERVERS, *TO_VAULT, *TO_LOAD, *KINDS])
@@ -161,17 +221,7 @@
     if fault.do not in _SPAN and fault.for_:
         raise check.error(f"{path}.for", f"{fault.do!r} happens at once and lasts for no time")
     if fault.do in KINDS:
-        if len(fault.link) != 2:
-            raise check.error(f"{path}.link", f"{fault.do!r} needs the two ends of a link")
-        for end, name in enumerate(fault.link):
-            check.one_of(f"{path}.link[{end}]", name, [*told.names, *SHARED])
-        servers = [name for name in fault.link if name in told.names]
-        if not servers or len(set(fault.link)) < 2:
-            raise check.error(f"{path}.link", "one end at the least is a server, and the other is another")
-        if len(servers) == 2 and not told.members:
-            raise check.error(f"{path}.link", "there is a link between servers only with `members: true`")
-        if fault.do in ONLY_UDP and len(servers) < 2:
-            raise check.error(f"{path}.do", f"{fault.do!r} exists between servers alone, which speak UDP")
+        _check_link(check, told, fault, path)
     elif fault.link:
         raise check.error(f"{path}.link", f"{fault.do!r} is done to no link")
     elif fault.do in TO_SERVERS:
@@ -208,9 +258,7 @@
     check.between(".vault.slots", told.vault.slots, 1, 10_000)
     check.between(".vault.call_ms", told.vault.call_ms, 0.1, 10_000.0)
     check.between(".vault.falls_at", told.vault.falls_at, 1.0, 1_000.0)
-    asks = (told.expect.called_dead, told.expect.agree_within)
-    if not told.members and any(one is not None for one in asks):
-        raise check.error(".expect", "called_dead and agree_within need `members: true`")
+    _check_members(check, told)
     for number in range(len(told.faults)):
         _check_fault(check, told, number)
     return told
--- a/cairnvane/lab/fleet/schedule.py
+++ b/cairnvane/lab/fleet/schedule.py
@@ -24,19 +24,20 @@
     do: str
     begins: bool  # else what it began is over
     who: str
-    link: tuple[str, str] | None
+    links: tuple[tuple[str, str], ...]  # none, if it is done to no link
     fault: Fault
 
     def told(self) -> dict[str, object]:
         """For the record of events."""
         what: dict[str, object] = {"at": round(self.at, 3), "do": self.do, "begins": self.begins}
-        if self.link is not None:
-            return what | {"link": list(self.link), "way": self.fault.way}
+        if self.links:
+            return what | {"link": list(self.fault.link), "way": self.fault.way}
         return what | {"who": self.who}
 
     def line(self) -> str:
         """For a person."""
-        whom = " - ".join(self.link) if self.link is not None else self.who or "the load"
+        ends = (end if isinstance(end, str) else "+".join(end) for end in self.fault.link)
+        whom = " - ".join(ends) if self.links else self.who or "the load"
         return f"{self.do} {whom}" if self.begins else f"{self.do} {whom} is over"
 
 
@@ -53,10 +54,10 @@
     who = rng.choice(told.names) if fault.who == "any" else fault.who
     if fault.do in TO_VAULT:
         who = "vault"
-    link = (fault.link[0], fault.link[1]) if fault.do in KINDS else None
-    yield Step(at, number, fault.do, True, who, link, fault)
+    links = told.links(fault) if fault.do in KINDS else ()
+    yield Step(at, number, fault.do, True, who, links, fault)
     if fault.for_:
-        yield Step(at + fault.for_, number, fault.do, False, who, link, fault)
+        yield Step(at + fault.for_, number, fault.do, False, who, links, fault)
 
 
 def draw(told: Scenario, seed: int) -> list[Step]:
--- a/cairnvane/lab/fleet/verdict.py
+++ b/cairnvane/lab/fleet/verdict.py
@@ -13,6 +13,7 @@
 from ..pool import Facts
 from .callers import PATIENCE_S, WORTH, Asked, Try
 from .scenario import Scenario
+from .sightings import Views
 
 # The rules' own slack, and what a rig of Python threads on a shared machine may add to it.
 SLACK_S = 1.0
@@ -57,9 +58,7 @@
     vault_fell: int = 0
     most_crowded: float = 0.0  # runs that wanted a core, for each core
     lag_ms: float = 0.0
-    members: bool = False
-    called_dead: int = 0  # verdicts of servers on members that nothing was done to
-    agreed_s: float | None = None  # from the load's end until all saw each other; None: not, or not asked
+    views: Views | None = None  # with `members`
     trouble: list[str] = field(default_factory=list)
     short: list[str] = field(default_factory=list)  # statements of the scenario that do not hold
 
@@ -90,9 +89,7 @@
             f"differing {self.differing}, invented {self.invented}",
             f"  most calls in the vault's hands {self.vault_most}, it fell {self.vault_fell} times; "
             f"most runs a core {self.most_crowded:.1f}; the load's own lag {self.lag_ms:.0f} ms",
-            *([f"  verdicts on the living {self.called_dead}"
-               + ("" if self.agreed_s is None else f"; all agree {self.agreed_s:.1f} s after the load's end")]
-              if self.members else []),
+            *([self.views.line()] if self.views is not None else []),
             *(f"  trouble: {line}" for line in self.trouble), *(f"  short: {line}" for line in self.short),
             "good" if self.good else "WRONG",
         ]
@@ -146,7 +143,7 @@
     spans: Sequence[Span], first_fault: float,
 ) -> Verdict:
     """`facts`: by server, what its pool saw. Deadlines of the classes have passed for all that was asked."""
-    verdict = Verdict(told.name, seed, requests=len(asked), members=told.members)
+    verdict = Verdict(told.name, seed, requests=len(asked))
     for one in asked:
         _count(verdict, one, spans)
         here = [known[one.body] for known in facts if one.body in known]
--- a/cairnvane/lab/program.py
+++ b/cairnvane/lab/program.py
@@ -61,6 +61,7 @@
     began: float
     port: int = 0
     lines: list[str] = field(default_factory=list)
+    said_at: list[float] = field(default_factory=list)  # when each was read
     recovery_ms: float | None = None
     _said: threading.Event = field(default_factory=threading.Event)
 
@@ -68,6 +69,7 @@
         """Read what it says until it ends."""
         assert self.process.stderr is not None
         for line in self.process.stderr:
+            self.said_at.append(time.monotonic())
             self.lines.append(line.rstrip())
             if (found := _LISTENS.search(line)) is not None:
                 self.port = int(found[1])
--- a/cairnvane/membership/channel.py
+++ b/cairnvane/membership/channel.py
@@ -19,10 +19,11 @@
 from typing import Any
 
 from .. import clock
-from .machine import Action, Address, Exchange, Member, Options, Outside, Send, Tell
+from .machine import Action, Address, Exchange, Member, Options, Send, Tell
 from .messages import MOST_BYTES, VIEW_BYTES, Bad, Message, View, seal, unseal
 from .sight import Sight
 from .state import Claim, Phase
+from .survey import Outside
 
 # In both directions, a second. A member of twelve sends 2 KB in 20 datagrams, at a third lost 4 KB in 30.
 MOST_OUT_BYTES, MOST_IN = 64 << 10, 1_000
--- a/cairnvane/membership/machine.py
+++ b/cairnvane/membership/machine.py
@@ -16,13 +16,16 @@
 from .messages import MOST_CLAIMS, MOST_INFOS, VIEW_LIVES, Ack, Ask, Message, Nack, Numbers, Ping, View
 from .probing import Ring
 from .rumours import Infos, Rumours
-from .sight import Evidence, Judgement, Sight, at_once
+from .sight import Judgement, Sight
 from .state import Claim, Info, Life, Phase, Status, Table, info_fits, sane
+from .survey import Outside, look
 from .suspicion import JUDGES, MOST_WAIT, OTHERS_WAIT, Health, checks, wait_us
 
 Address = tuple[str, int]
 # With more lives than these, whole views are exchanged less often.
 EXCHANGE_LIVES = 24
+# With nobody come or gone, the verdict is looked at no more often than this: it counts over all lives.
+JUDGE_US = 100_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,15 +107,6 @@
     insane: int = 0  # claims that can't be true
 
 
-@dataclass(slots=True)
-class Outside:
-    """What is seen of the world beside the channel; None: nothing was looked for."""
-
-    roster: bool | None = None
-    balancers: bool | None = None
-    pool: bool | None = None
-
-
 class Member:
     """See the module."""
 
@@ -140,6 +134,7 @@
         self._lost: dict[int, int] = {}  # lives that went silent, and when
         self._strangers: set[int] = set()
         self._were_there: frozenset[int] = frozenset()
+        self._judged_version, self._judge_at = -1, now
         self._out: list[Action] = []
         self._infos.add(self.info)
 
@@ -171,7 +166,7 @@
         self.phase(Phase.LEAVING)
         self.own = self.own.saying(Status.LEFT, self.own.incarnation, 0)
         self._rumours.add(self.own)
-        some = self._ring.others([life.claim.life for life in self.there()], 0, 3 * self.options.helpers)
+        some = self._ring.others(self.table.up, 0, 3 * self.options.helpers)
         return [Send(self._at(life), Ping(self._next(), life, [self.own], [self.info])) for life in some]
 
     def next_at(self) -> int:
@@ -179,13 +174,13 @@
         if self.own.status == Status.LEFT:
             return self._ticked + self.options.exchange
         times = [self._period_at, self._exchange_at, self._revisit_at]
-        if not self.there():
+        if not self.table.up:
             times.append(self._join_at)
         if self._probe is not None and not self._probe.answered and not self._probe.asked:
             times.append(self._probe.answer_by)
         times += [relay.nack_at for relay in self._relays.values()]
-        suspects = self.table.gone(Status.SUSPECT)
-        members = len(self.there()) + 1 if suspects else 0
+        suspects = self.table.standing(Status.SUSPECT)
+        members = len(self.table.up) + 1
         times += [self._next_look(life, members, len(suspects)) for life in suspects]
         return max(min(times), self._ticked + 1)
 
@@ -206,9 +201,9 @@
             if now >= relay.nack_at:
                 del self._relays[number]
                 self._out.append(Send(relay.to, Nack(relay.number, relay.of)))
-        suspects = self.table.gone(Status.SUSPECT)
+        suspects = self.table.standing(Status.SUSPECT)
         for life in suspects:
-            self._look_at(life, now, len(self.there()) + 1, len(suspects))
+            self._look_at(life, now, len(self.table.up) + 1, len(suspects))
         self._look_around(now)
         self._judge(now)
         self._expected = self.next_at()
@@ -285,8 +280,7 @@
         options, factor = self.options, self.health.factor
         probe = self._probe
         if probe is not None and not probe.answered and not probe.asked and now >= probe.answer_by:
-            there = [life.claim.life for life in self.there()]
-            helpers = self._ring.others(there, probe.life, options.helpers)
+            helpers = self._ring.others(self.table.up, probe.life, options.helpers)
             probe.asked = max(1, len(helpers))
             for helper in helpers:
                 claims, infos = self._riding(helper)
@@ -299,7 +293,7 @@
             self._missed(now, probe)
         self._probe = None
         self._period_at = now + options.period * factor
-        if (life := self._ring.next({known.claim.life for known in self.there()})) is not None:
+        if (life := self._ring.next(self.table.up)) is not None:
             self.counts.probes += 1
             number = self._next()
             self._probe = _Probe(number, life, now + options.answer * factor, self._period_at)
@@ -463,8 +457,8 @@
         """It speaks from its own address: whoever had that before is over, and need not be suspected."""
         if source != (known.claim.host, known.claim.port):
             return
-        for other in self.there():
-            if other is not known and (other.claim.host, other.claim.port) == source:
+        for other in self.table.at(source):
+            if other is not known:
                 self._fail(other, now)
 
     def _is_over(self, life: int) -> bool:
@@ -502,7 +496,7 @@
         self._tell("member.held_up", self.own, late_us=late)
 
     def _look_around(self, now: int) -> None:
-        options, there = self.options, self.there()
+        options, there = self.options, self.table.up
         if not there and now >= self._join_at:
             self._join_at = now + options.revisit
             self._out += [Exchange(contact) for contact in self._contacts]
@@ -513,7 +507,7 @@
             times = max(1.0, len(self.table.lives) / EXCHANGE_LIVES) * self._random.uniform(0.5, 1.5)
             self._exchange_at = now + int(options.exchange * times)
             if there:
-                self._out.append(Exchange(self._at(self._random.choice(there).claim.life)))
+                self._out.append(Exchange(self._at(self._random.choice(list(there)))))
         if now >= self._revisit_at:
             self._revisit_at = now + options.revisit
             self._revisit(now)
@@ -527,32 +521,24 @@
     def _revisit(self, now: int) -> None:
         """One of those that were found failed, or a contact that nobody knows any more: are they there
         again?"""
-        known = {(life.claim.host, life.claim.port) for life in self.there()}
-        failed = [life for life in self.table.gone()
-                  if (life.claim.host, life.claim.port) not in known]
+        failed = [life for life in self.table.standing(Status.FAILED)
+                  if not self.table.at((life.claim.host, life.claim.port))]
         if failed:
             self._ping(self._random.choice(failed).claim.life, self._next())
-        missing = [contact for contact in self._contacts if contact not in known]
-        if missing and self._random.random() < 1 / max(1, len(known)):
+        missing = [contact for contact in self._contacts if not self.table.at(contact)]
+        if missing and self._random.random() < 1 / max(1, len(self.table.up)):
             self._out.append(Exchange(self._random.choice(missing)))
 
     def _judge(self, now: int) -> None:
-        options = self.options
-        there = self.there()
-        self._lost = {life: at for life, at in self._lost.items()
-                      if (known := self.table.lives.get(life)) is not None
-                      and known.status in (Status.SUSPECT, Status.FAILED)}
-        lost = at_once(list(self._lost.values()), options.losses)
-        heard = sum(life.status is Status.ALIVE and now - life.heard < self._lease() for life in there)
-        alive = sum(life.status is Status.ALIVE for life in there)
-        failed = self.table.gone()
-        seen = Evidence(
-            were=1 + alive + lost, heard=1 + alive, silent=lost, undecided=self.table.count(Status.SUSPECT),
-            doubt=self.health.doubt, roster=self.outside.roster, balancers=self.outside.balancers,
-            pool=self.outside.pool)
-        before, lives = self.sight, frozenset(life.claim.life for life in there)
+        if self.table.version == self._judged_version and now < self._judge_at:
+            return
+        self._judged_version, self._judge_at = self.table.version, now + JUDGE_US
+        survey = look(self.own, self.table, self._lost, now, self._lease(), self.options.losses,
+                      self.health.doubt, self.outside)
+        seen, self._lost = survey.evidence, survey.lost
+        before, lives = self.sight, frozenset(self.table.up)
         changed, self._were_there = lives != self._were_there, lives
-        if self.judgement.look(now, seen, 1 + heard, 1 + len(there) + len(failed), changed):
+        if self.judgement.look(now, seen, survey.least, survey.most, changed):
             self._tell("member.sight", self.own, verdict=self.sight.verdict.value, was=before.verdict.value,
                        confidence=round(self.sight.confidence, 2), were=seen.were, silent=seen.silent)
 
--- a/cairnvane/membership/probing.py
+++ b/cairnvane/membership/probing.py
@@ -37,5 +37,6 @@
 
     def others(self, there: Collection[int], but: int, most: int) -> list[int]:
         """Members to ask for a probe of their own."""
-        some = sorted(life for life in there if life != but)
-        return self._random.sample(some, min(most, len(some)))
+        some = list(there)
+        chosen = self._random.sample(some, min(most + 1, len(some)))
+        return [life for life in chosen if life != but][:most]
--- a/cairnvane/membership/state.py
+++ b/cairnvane/membership/state.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import re
+from collections import ChainMap
 from dataclasses import dataclass, field
 from enum import IntEnum
 from typing import Any
@@ -125,26 +126,58 @@
 
 
 class Table:
-    """All lives that are known, the own one not among them."""
+    """All lives that are known, the own one not among them.
+
+    What is asked with every message (who is there, who is suspected, who has this address) is kept at hand,
+    so that a message costs the same in a fleet of a thousand.
+    """
 
     def __init__(self) -> None:
         self.lives: dict[int, Life] = {}
+        self.version = 0  # rises with each claim that counts, and each life that is forgotten
+        self._standing: dict[int, dict[int, Life]] = {int(status): {} for status in Status}
+        self._at: dict[tuple[str, int], dict[int, Life]] = {}  # of those that are there
+        # Taken for alive, by life.
+        self.up: ChainMap[int, Life] = ChainMap(self._standing[Status.ALIVE], self._standing[Status.SUSPECT])
 
     def take(self, claim: Claim, now: int) -> Life | None:
         """Let a claim count; the life, if that changed anything."""
         known = self.lives.get(claim.life)
         if known is None:
             known = self.lives[claim.life] = Life(claim, now)
+            self._enter(known)
             return known
         if claim.rank <= known.claim.rank:
             return None
+        self._withdraw(known)
         if claim.status != known.claim.status:
             known.since = now
         if claim.incarnation != known.claim.incarnation or claim.status != Status.SUSPECT:
             known.accusers.clear()
         known.claim = claim
+        self._enter(known)
         return known
 
+    def _enter(self, life: Life) -> None:
+        self.version += 1
+        claim = life.claim
+        self._standing[claim.status][claim.life] = life
+        if life.there:
+            self._at.setdefault((claim.host, claim.port), {})[claim.life] = life
+
+    def _withdraw(self, life: Life) -> None:
+        claim, where = life.claim, (life.claim.host, life.claim.port)
+        del self._standing[claim.status][claim.life]
+        if life.there:
+            del self._at[where][claim.life]
+            if not self._at[where]:
+                del self._at[where]
+
+    def drop(self, number: int) -> None:
+        """Forget a life."""
+        self._withdraw(self.lives.pop(number))
+        self.version += 1
+
     def inform(self, info: Info) -> bool:
         """Let what a life carries count; whether it is news."""
         known = self.lives.get(info.life)
@@ -157,21 +190,25 @@
 
     def there(self) -> list[Life]:
         """Lives that are taken for alive."""
-        return [life for life in self.lives.values() if life.there]
+        return list(self.up.values())
+
+    def at(self, where: tuple[str, int]) -> list[Life]:
+        """Lives at this address that are taken for alive."""
+        return list(self._at.get(where, {}).values())
 
-    def gone(self, status: Status = Status.FAILED) -> list[Life]:
-        """Lives that have failed (or left)."""
-        return [life for life in self.lives.values() if life.status is status]
+    def standing(self, status: Status = Status.FAILED) -> list[Life]:
+        """Lives that are suspected, have failed, or left."""
+        return list(self._standing[status].values())
 
     def count(self, status: Status) -> int:
         """How many lives stand so."""
-        return sum(life.claim.status == status for life in self.lives.values())
+        return len(self._standing[status])
 
     def forget(self, now: int, after: int, most: int) -> list[int]:
         """Tombstones that are older than this, and the oldest beyond so many for a name; their lives. A
         rumour of such a life that still goes round would make it known again, and it would be found failed
         once more."""
-        dead = [life for life in self.lives.values() if not life.there]
+        dead = [*self.standing(Status.FAILED), *self.standing(Status.LEFT)]
         over = {life.claim.life for life in dead if now - life.since > after}
         by_name: dict[str, list[Life]] = {}
         for life in dead:
@@ -180,9 +217,9 @@
             for life in sorted(some, key=lambda one: one.since)[:-most]:
                 over.add(life.claim.life)
         for number in over:
-            del self.lives[number]
+            self.drop(number)
         return sorted(over)
 
     def strangers(self, name: str, place: str) -> list[Life]:
         """Lives under this name that are another server: their balancers reach them elsewhere."""
-        return [life for life in self.there() if life.claim.name == name and life.claim.place != place]
+        return [life for life in self.up.values() if life.claim.name == name and life.claim.place != place]
--- a/cairnvane/wiring.py
+++ b/cairnvane/wiring.py
@@ -171,7 +171,8 @@
     if asked is None:
         return None
     from .membership.channel import Channel
-    from .membership.machine import Outside, Tell
+    from .membership.machine import Tell
+    from .membership.survey import Outside
 
     def tell(event: Tell) -> None:
         log.say("members", event.event + "".join(f" {key}={value}" for key, value in event.more.items()))
--- a/tests/test_fleet_lab.py
+++ b/tests/test_fleet_lab.py
@@ -22,14 +22,15 @@
 from cairnvane.lab.fleet.callers import Asked, Try
 from cairnvane.lab.fleet.conditions import REORDER_S, RESEND_S, Direction, Fault
 from cairnvane.lab.fleet.links import Network, TcpLink, UdpLink
-from cairnvane.lab.fleet.peers import called_dead
+from cairnvane.lab.fleet.sightings import Kill, Traffic, read
+from cairnvane.lab.fleet.sightings import judge as judge_views
 from cairnvane.lab.fleet.schedule import draw
 from cairnvane.lab.fleet.verdict import Span, judge
 from cairnvane.lab.pool import Facts
 from cairnvane.lab.sockets import Listener
 
 HEAD = "name: a\nservers: 3\nseconds: 10\n"
-FAULT = HEAD + "faults:\n  - "
+FAULT, MEMBERS = HEAD + "faults:\n  - ", HEAD + "members: true\n"
 
 
 # --- scenarios
@@ -47,7 +48,11 @@
     (FAULT + "{do: cut, at: 1, for: 1, link: [pool, vault]}\n", "one end at the least is"),
     (FAULT + "{do: reorder, at: 1, for: 1, link: [n0, pool]}\n", "exists between servers alone"),
     (FAULT + "{do: cut, at: 1, for: 1, link: [n0, n1]}\n", "only with `members: true`"),
-    (HEAD + "expect: {called_dead: 0}\n", "line 4: expect: called_dead and agree_within need"),
+    (HEAD + "expect: {called_dead: 0}\n", "line 4: expect.called_dead: needs `members: true`"),
+    (MEMBERS + "expect: {held_up: [n7]}\n", "line 5: expect.held_up[0]: 'n7' is none of n0, n1, n2"),
+    (MEMBERS + "expect: {sights: {n0: alone}}\n", "expect.sights.n0: 'alone' is none of together,"),
+    (MEMBERS + "faults:\n  - {do: cut, at: 1, for: 1, way: there, link: [n0, servers]}\n", "says nothing where"),
+    (MEMBERS + "faults:\n  - {do: cut, at: 1, for: 1, link: [n0, [n1, n9]]}\n", "faults[0].link[1][1]: 'n9'"),
     (FAULT + "{do: slow, who: vault, at: [1]}\n", "line 5: faults[0].at: Expected `float`"),
     ("name: [\n", "line 2, column 1"),
 ])
@@ -66,6 +71,17 @@
     assert draw(one, 5)[0] in draw(two, 5)
 
 
+def test_a_fault_between_groups_is_put_on_each_link_between_them_once() -> None:
+    told = scenario.parse(MEMBERS + "faults:\n"
+                          "  - {do: cut, at: 1, for: 1, link: [n0, [n1, n2]], way: there}\n"
+                          "  - {do: drop, at: 1, for: 1, link: [servers, servers]}\n"
+                          "  - {do: cut, at: 1, for: 1, link: [vault, servers]}\n", "a")
+    links = [told.links(fault) for fault in told.faults]
+    assert links[0] == (("n0", "n1"), ("n0", "n2"))
+    assert links[1] == (("n0", "n1"), ("n0", "n2"), ("n1", "n2"))
+    assert links[2] == (("vault", "n0"), ("vault", "n1"), ("vault", "n2"))
+
+
 # --- what a link does
 
 def test_streams_keep_their_order_and_lose_nothing() -> None:
@@ -258,14 +274,22 @@
 def test_after_a_cut_between_servers_they_agree_though_one_was_killed_in_it(tmp_path: Path) -> None:
     _, verdict, output = fleet(tmp_path, str(scenario.shipped().with_name("cut.yaml")), "--seed", "5")
     assert (verdict["lost"], verdict["twice"], verdict["trouble"]) == (0, 0, []), output
-    assert verdict["agreed_s"] is not None, output
+    assert verdict["views"]["agreed_s"] is not None, output
 
 
 def test_verdicts_of_a_servers_own_on_the_unhurt_are_counted() -> None:
     lines = ["members: member.failed name=n1 life=1 incarnation=0 by=2 accusers=3 probed=3",
              "members: member.failed name=n1 life=1 incarnation=0 by=2",
              "members: member.failed name=n2 life=1 incarnation=0 by=2 accusers=1 probed=3"]
-    assert called_dead(lines, {"n1"}) == 1
+    said = read("n0", lines, [11.0, 11.5, 12.0], 10.0)
+    told = scenario.parse(
+        "name: a\nservers: 3\nmembers: true\nexpect: {called_dead: 0, found_within: 1.5}\n", "a")
+    kill = Kill(0.2, "n2", frozenset({"n0"}))
+    views, short = judge_views(told, said, [kill], {"n2"}, Traffic(3), None)
+    assert (views.called_dead, views.found_s, views.not_found) == (1, [1.8], 0)
+    assert [line.split(" ")[0] for line in short] == ["1", "the"]
+    kill = Kill(0.2, "n2", frozenset({"n0", "n1"}))
+    assert judge_views(told, said, [kill], {"n1", "n2"}, Traffic(3), None)[0].not_found == 1
 
 
 def test_a_faulty_file_ends_with_its_line_and_status_2(tmp_path: Path) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -290,7 +290,7 @@
     member = world.players[0].member  # type: ignore[attr-defined]
     before = member.sight
     life = next(one for one in member.there() if one.claim.name == "n2")
-    del member.table.lives[life.claim.life]
+    member.table.drop(life.claim.life)
     member.table.take(msgspec.structs.replace(life.claim, life=99, name="n9"), world.now)
     member.table.lives[99].heard = life.heard
     member.tick(world.now)
@@ -298,6 +298,18 @@
     assert member.sight.epoch == before.epoch + 1
 
 
+def test_servers_that_were_all_restarted_are_together_and_counted_once() -> None:
+    """The lives before are over, not lost: their servers are there."""
+    world = fleet(3)
+    for number in (1, 2):
+        world.kill(number)
+        world.start(number)
+    assert agrees(world)
+    world.run(world.now + 3 * SECOND)
+    sights = [player.member.sight for player in world.players.values()]  # type: ignore[attr-defined]
+    assert {(one.verdict, one.least, one.most) for one in sights} == {(Verdict.TOGETHER, 3, 3)}
+
+
 def test_one_that_leaves_is_suspected_by_nobody() -> None:
     world = fleet(5)
     world.run(world.now + 3 * SECOND)
