Ask members as often as the seen loss calls for, so that 200 with 30% loss stay together

Cause: with three in ten datagrams lost a probe of two tries misses one in ten.

Change: each member learns the share of its probes that get lost (of those that were answered at last), and asks again until a miss by chance is one in 10,000; the next probe does not wait for it. Rumours stand on levels by how often they were told; the survey of all lives is made when somebody came or went, else ten times a second.

--- a/cairnvane/membership/machine.py
+++ b/cairnvane/membership/machine.py
@@ -14,7 +14,7 @@
 
 
 from .messages import MOST_CLAIMS, MOST_INFOS, VIEW_LIVES, Ack, Ask, Message, Nack, Numbers, Ping, View
-from .probing import Ring
+from .probing import MOST_PROBES, MOST_TRIES, Loss, Ring
 from .rumours import Infos, Rumours
 from .sight import Judgement, Sight
 from .state import Claim, Info, Life, Phase, Status, Table, info_fits, sane
@@ -35,6 +35,7 @@
     period: int = 200_000  # between two probes
     answer: int = 80_000  # until others are asked to probe as well
     helpers: int = 3
+    most_tries: int = MOST_TRIES  # of a probe, where links lose
     suspicion: int = 350_000  # the least wait before a suspect has failed
     exchange: int = 10_000_000  # between two whole views, drawn around it
     revisit: int = 1_000_000  # between two probes of those that were found failed
@@ -75,11 +76,10 @@
 class _Probe:
     number: int
     life: int
-    answer_by: int
-    over_at: int
+    next_at: int  # it is asked again then, or it has missed
+    tries: int = 1
     asked: int = 0  # helpers
     nacks: int = 0
-    answered: bool = False
 
 
 @dataclass(slots=True)
@@ -123,7 +123,8 @@
         self._rumours, self._infos = Rumours(), Infos()
         self._numbers: dict[int, Numbers] = {}
         self._count = 0
-        self._probe: _Probe | None = None
+        self._probes: dict[int, _Probe] = {}  # without an answer yet
+        self.loss = Loss(self.options.most_tries)
         self._relays: dict[int, _Relay] = {}
         self._period_at = now + int(rng.random() * self.options.period)
         self._exchange_at = now + self.options.exchange
@@ -176,8 +177,7 @@
         times = [self._period_at, self._exchange_at, self._revisit_at]
         if not self.table.up:
             times.append(self._join_at)
-        if self._probe is not None and not self._probe.answered and not self._probe.asked:
-            times.append(self._probe.answer_by)
+        times += [probe.next_at for probe in self._probes.values()]
         times += [relay.nack_at for relay in self._relays.values()]
         suspects = self.table.standing(Status.SUSPECT)
         members = len(self.table.up) + 1
@@ -196,7 +196,7 @@
         self._ticked = now
         if late > self.options.held_up:
             self._was_held_up(now, late)
-        self._tend_probe(now)
+        self._tend_probes(now)
         for number, relay in list(self._relays.items()):
             if now >= relay.nack_at:
                 del self._relays[number]
@@ -276,29 +276,39 @@
         claims, infos = self._riding(life)
         self._out.append(Send(self._at(life), Ping(number, life, claims, infos)))
 
-    def _tend_probe(self, now: int) -> None:
+    def _tend_probes(self, now: int) -> None:
+        """Ask again whoever gave no answer yet, as often as the links' loss calls for; and ask the next."""
         options, factor = self.options, self.health.factor
-        probe = self._probe
-        if probe is not None and not probe.answered and not probe.asked and now >= probe.answer_by:
-            helpers = self._ring.others(self.table.up, probe.life, options.helpers)
-            probe.asked = max(1, len(helpers))
-            for helper in helpers:
-                claims, infos = self._riding(helper)
-                self._out.append(Send(self._at(helper), Ask(probe.number, probe.life, claims, infos)))
+        for probe in [probe for probe in self._probes.values() if now >= probe.next_at]:
+            if probe.tries >= self.loss.tries():
+                del self._probes[probe.number]
+                self._missed(now, probe)
+                continue
+            probe.tries += 1
+            if not probe.asked:
+                self._ask_others(probe)
             if probe.life in self.table.lives:
                 self._ping(probe.life, probe.number)
+            last = probe.tries >= self.loss.tries()  # and a helper's answer takes longer
+            probe.next_at = now + (options.period - options.answer if last else options.answer)
         if now < self._period_at:
             return
-        if probe is not None and not probe.answered:
-            self._missed(now, probe)
-        self._probe = None
         self._period_at = now + options.period * factor
-        if (life := self._ring.next(self.table.up)) is not None:
+        if (life := self._ring.next(self.table.up)) is None or len(self._probes) >= MOST_PROBES:
+            return
+        if all(probe.life != life for probe in self._probes.values()):
             self.counts.probes += 1
             number = self._next()
-            self._probe = _Probe(number, life, now + options.answer * factor, self._period_at)
+            self._probes[number] = _Probe(number, life, now + options.answer * factor)
             self._ping(life, number)
 
+    def _ask_others(self, probe: _Probe) -> None:
+        helpers = self._ring.others(self.table.up, probe.life, self.options.helpers)
+        probe.asked = max(1, len(helpers))
+        for helper in helpers:
+            claims, infos = self._riding(helper)
+            self._out.append(Send(self._at(helper), Ask(probe.number, probe.life, claims, infos)))
+
     def _missed(self, now: int, probe: _Probe) -> None:
         """No answer came, to us or to whom we asked."""
         self.counts.missed += 1
@@ -323,9 +333,10 @@
     def _answered(self, now: int, message: Ack) -> None:
         if (relay := self._relays.pop(message.number, None)) is not None and relay.of == message.of:
             self._out.append(Send(relay.to, Ack(relay.number, relay.of)))
-        probe = self._probe
-        if probe is not None and probe.number == message.number and probe.life == message.of:
-            probe.answered = True
+        probe = self._probes.get(message.number)
+        if probe is not None and probe.life == message.of:
+            del self._probes[probe.number]
+            self.loss.answered(probe.tries)
             self.health.better()
         if (known := self.table.lives.get(message.of)) is not None:
             known.heard = now
@@ -339,8 +350,8 @@
         self._ping(message.of, number)
 
     def _heard_of(self, message: Nack) -> None:
-        if self._probe is not None and self._probe.number == message.number:
-            self._probe.nacks += 1
+        if (probe := self._probes.get(message.number)) is not None:
+            probe.nacks += 1
 
     # --- claims
 
@@ -423,7 +434,7 @@
 
     def _next_look(self, life: Life, members: int, suspects: int) -> int:
         """When something has to be done about a suspect: a last probe, or the verdict."""
-        left = max(0, checks(self.health.doubt) - life.checks)
+        left = max(0, checks(self.health.doubt, self.loss.tries()) - life.checks)
         at = self._fails_at(life, members, suspects) - left * self.options.answer
         return max(at, life.checked + self.options.answer) if life.checks else at
 
@@ -433,7 +444,7 @@
             life.accusers.clear()
         elif now < self._next_look(life, members, suspects):
             return
-        elif life.checks >= checks(self.health.doubt):
+        elif life.checks >= checks(self.health.doubt, self.loss.tries()):
             self._fail(life, now)
         else:
             life.checks, life.checked = life.checks + 1, now
@@ -489,8 +500,7 @@
         self.counts.held_up += 1
         self.health.worse(2)
         self._held_until = now
-        if self._probe is not None:
-            self._probe = None
+        self._probes.clear()
         self._period_at = now + self.options.period
         self._exchange_at = min(self._exchange_at, now + self.options.answer)
         self._tell("member.held_up", self.own, late_us=late)
@@ -532,12 +542,14 @@
     def _judge(self, now: int) -> None:
         if self.table.version == self._judged_version and now < self._judge_at:
             return
-        self._judged_version, self._judge_at = self.table.version, now + JUDGE_US
+        changed, self._judge_at = False, now + JUDGE_US
+        if self.table.version != self._judged_version:
+            self._judged_version, lives = self.table.version, frozenset(self.table.up)
+            changed, self._were_there = lives != self._were_there, lives
         survey = look(self.own, self.table, self._lost, now, self._lease(), self.options.losses,
                       self.health.doubt, self.outside)
         seen, self._lost = survey.evidence, survey.lost
-        before, lives = self.sight, frozenset(self.table.up)
-        changed, self._were_there = lives != self._were_there, lives
+        before = self.sight
         if self.judgement.look(now, seen, survey.least, survey.most, changed):
             self._tell("member.sight", self.own, verdict=self.sight.verdict.value, was=before.verdict.value,
                        confidence=round(self.sight.confidence, 2), were=seen.were, silent=seen.silent)
--- a/cairnvane/membership/probing.py
+++ b/cairnvane/membership/probing.py
@@ -1,15 +1,45 @@
 """Whom to probe next: everybody once a round, in an order that is drawn anew each time. No I/O, no clock.
 
+Who gives no answer is asked again, as often as the loss that is seen calls for: a suspicion that comes of
+lost datagrams alone is to be rare, since each costs the fleet two rumours, its own and what refutes it.
+
 So each life is probed within two rounds at the latest, by everybody; and a life of which somebody else says
 something bad comes sooner, drawn so that about `CALLED` members look at it at once however many there are.
 """
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Collection
 
 CALLED = 4
+# Of probes of the living, so many at the most may miss for lost datagrams alone; and so often at the least
+# and at the most one is asked.
+CHANCE_MISS, LEAST_TRIES, MOST_TRIES = 1e-4, 2, 16
+# How many probes may be without an answer at a time.
+MOST_PROBES = 24
+# Of the loss, a probe that was answered counts for so much.
+LOSS_WEIGHT = 1 / 32
+
+
+class Loss:
+    """How many of our probes get no answer, though whoever is asked lives."""
+
+    def __init__(self, most: int = MOST_TRIES) -> None:
+        self.share, self._most = 0.0, most
+
+    def answered(self, tries: int) -> None:
+        """A probe was answered at this try: all before it were lost, on their way or on the way back."""
+        for lost in [1.0] * (tries - 1) + [0.0]:
+            self.share += LOSS_WEIGHT * (lost - self.share)
+
+    def tries(self) -> int:
+        """After how many tries without an answer it is no longer chance."""
+        if self.share <= CHANCE_MISS:
+            return LEAST_TRIES
+        needed = math.log(CHANCE_MISS) / math.log(min(self.share, 0.99))
+        return min(self._most, max(LEAST_TRIES, math.ceil(needed)))
 
 
 class Ring:
--- a/cairnvane/membership/rumours.py
+++ b/cairnvane/membership/rumours.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 
 from .state import Claim, Info
@@ -24,43 +23,52 @@
 
 
 class Rumours:
-    """Claims that are to be told on."""
+    """Claims that are to be told on, on a level for each time that they were told: whatever their number, the
+    next few are found at once."""
 
     def __init__(self) -> None:
-        self._told: dict[int, tuple[int, int, Claim]] = {}  # by life: how often, its age in the queue, what
-        self._count = 0
+        self._levels: list[dict[int, Claim]] = [{}]  # each by life, the newest last
+        self._level: dict[int, int] = {}  # of each life's claim
 
     def __len__(self) -> int:
-        return len(self._told)
+        return len(self._level)
 
     def add(self, claim: Claim) -> None:
         """News: it takes the place of what was told of that life before."""
-        self._count += 1
-        self._told[claim.life] = (0, self._count, claim)
-        if len(self._told) > MOST:
-            worst = max(self._told.values(), key=lambda one: (one[0], -one[1]))
-            del self._told[worst[2].life]
+        self.drop(claim.life)
+        self._put(0, claim)
+        if len(self._level) > MOST:
+            worst = max(level for level, some in enumerate(self._levels) if some)
+            self.drop(next(iter(self._levels[worst])))
+
+    def _put(self, level: int, claim: Claim) -> None:
+        while len(self._levels) <= level:
+            self._levels.append({})
+        self._levels[level][claim.life] = claim
+        self._level[claim.life] = level
 
     def drop(self, life: int) -> None:
         """Nothing more is told of this life."""
-        self._told.pop(life, None)
+        if (level := self._level.pop(life, None)) is not None:
+            del self._levels[level][life]
 
     def pick(self, most: int, members: int, first: int | None = None) -> list[Claim]:
         """Up to so many claims for one datagram; that about the life `first` before all others, since who is
         spoken of should be the first to hear it."""
         limit, picked = tells(members), list[Claim]()
-        if first is not None and first in self._told:
-            picked.append(self._told[first][2])
-        some = heapq.nsmallest(most + 1, self._told.values(), key=lambda one: (one[0], -one[1]))
-        for _, _, claim in some:
-            if len(picked) < most and claim.life != first:
-                picked.append(claim)
+        if first is not None and first in self._level:
+            picked.append(self._levels[self._level[first]][first])
+        for some in self._levels:
+            for claim in reversed(some.values()):
+                if len(picked) >= most:
+                    break
+                if claim.life != first:
+                    picked.append(claim)
         for claim in picked:
-            told, age, _ = self._told[claim.life]
-            if told + 1 >= limit:
-                del self._told[claim.life]
-            else:
-                self._told[claim.life] = (told + 1, age, claim)
+            level = self._level[claim.life] + 1
+            self.drop(claim.life)
+            if level < limit:
+                self._put(level, claim)
         return picked
 
 
--- a/cairnvane/membership/state.py
+++ b/cairnvane/membership/state.py
@@ -190,14 +190,14 @@
 
     def there(self) -> list[Life]:
         """Lives that are taken for alive."""
-        return list(self.up.values())
+        return [*self._standing[Status.ALIVE].values(), *self._standing[Status.SUSPECT].values()]
 
     def at(self, where: tuple[str, int]) -> list[Life]:
         """Lives at this address that are taken for alive."""
         return list(self._at.get(where, {}).values())
 
     def standing(self, status: Status = Status.FAILED) -> list[Life]:
-        """Lives that are suspected, have failed, or left."""
+        """Lives that stand so."""
         return list(self._standing[status].values())
 
     def count(self, status: Status) -> int:
@@ -222,4 +222,4 @@
 
     def strangers(self, name: str, place: str) -> list[Life]:
         """Lives under this name that are another server: their balancers reach them elsewhere."""
-        return [life for life in self.up.values() if life.claim.name == name and life.claim.place != place]
+        return [life for life in self.there() if life.claim.name == name and life.claim.place != place]
--- a/cairnvane/membership/survey.py
+++ b/cairnvane/membership/survey.py
@@ -37,15 +37,16 @@
     outside: Outside,
 ) -> Survey:
     """`lease`: who was heard within it is surely there. `losses`: those within it came at once."""
-    servers = {(life.claim.name, life.claim.place) for life in table.up.values()}
-    servers.add((own.name, own.place))
-    gone = [life for life in table.standing(Status.FAILED)
-            if (life.claim.name, life.claim.place) not in servers]
+    gone = table.standing(Status.FAILED)
+    if gone:
+        servers = {(life.claim.name, life.claim.place) for life in table.there()}
+        servers.add((own.name, own.place))
+        gone = [life for life in gone if (life.claim.name, life.claim.place) not in servers]
     silent = {life.claim.life for life in gone}
     silent.update(life.claim.life for life in table.standing(Status.SUSPECT))
     still = {life: at for life, at in lost.items() if life in silent}
     many = at_once(list(still.values()), losses)
-    heard = sum(life.status is Status.ALIVE and now - life.heard < lease for life in table.up.values())
+    heard = sum(now - life.heard < lease for life in table.standing(Status.ALIVE))
     alive = table.count(Status.ALIVE)
     evidence = Evidence(
         were=1 + alive + many, heard=1 + alive, silent=many, undecided=table.count(Status.SUSPECT),
--- a/cairnvane/membership/suspicion.py
+++ b/cairnvane/membership/suspicion.py
@@ -45,9 +45,9 @@
     return min(TOGETHER_MOST, 1 + max(0, suspects - 1) / max(TOGETHER_LEAST, TOGETHER_PART * members))
 
 
-def checks(doubt: int) -> int:
-    """How often a suspect is probed before the verdict."""
-    return min(MOST_CHECKS, CHECKS + doubt)
+def checks(doubt: int, tries: int) -> int:
+    """How often a suspect is probed before the verdict; `tries`: how often anybody is, before a suspicion."""
+    return max(tries, min(MOST_CHECKS, CHECKS + doubt))
 
 
 class Health:
