Let members see balancers and a host that stands still, and upgrade side by side

Need: the verdict on being cut off had no word of balancers; a process whose host thread stood still passed for well; a new version beside an earlier one failed to start, since its members' port was taken; nothing of load was carried.

Change: witness.py decides from the usual gap whether balancers are missed, and whether the host gives its word; a member whose host stands still doubts itself. spare_ports has a new version listen above a taken port, and contacts are looked for there. Each member carries asked, free, calls, held and its version. Figures in Prometheus' form at /-/members/metrics by the client library, imported at the first fetch.

Seen: a new version beside n1 is the same member with two lives, and nobody is suspected; a test of its own.

--- a/cairnvane/__main__.py
+++ b/cairnvane/__main__.py
@@ -118,8 +118,9 @@
     pool = Pool(told.pool, host)
     roster = Roster(told.roster, told.name)
     try:
-        members = wiring.members(told, asked.members if asked is not None else None, pool, roster)
-        intake, meter, door = wiring.door(told, host, pool, members)
+        intake, members = wiring.members(
+            told, asked.members if asked is not None else None, host, pool, roster)
+        intake, meter, door = wiring.door(told, intake, pool, members)
         server = Server(told.listen, intake, told.sockets - wiring.own_sockets(told), meter)
     except OSError as error:
         log.say("cairnvane", f"listen: {error}")
--- a/cairnvane/config/operator.py
+++ b/cairnvane/config/operator.py
@@ -51,7 +51,7 @@
 
 # What a keyed hash takes, and what can't be guessed.
 LEAST_KEY, MOST_KEY = 16, 64
-MOST_CONTACTS, MOST_ROUTES = 16, 1_000
+MOST_CONTACTS, MOST_ROUTES, MOST_SPARES = 16, 1_000, 8
 
 
 class MembersOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -60,6 +60,7 @@
     listen: str  # HOST:PORT, for datagrams and for whole views
     key: str  # the same for all
     contacts: list[str] = []  # HOST:PORT of some others, to begin with
+    spare_ports: int = 2  # above it, for a new version that takes over while the earlier one listens
     routes: dict[str, str] = {}  # addresses that are reached by another one from here, as through a tunnel
 
     @property
@@ -122,6 +123,7 @@
     length = len(asked.key.encode())
     if not LEAST_KEY <= length <= MOST_KEY:  # the key itself is nobody's to read in a message
         raise ConfigError(f"members.key: {length} bytes are not between {LEAST_KEY} and {MOST_KEY}")
+    _between("members.spare_ports", asked.spare_ports, 0, MOST_SPARES)
     _between("members.contacts", len(asked.others), 0, MOST_CONTACTS)
     _between("members.routes", len(asked.ways), 0, MOST_ROUTES)
 
--- a/cairnvane/door/calls.py
+++ b/cairnvane/door/calls.py
@@ -29,6 +29,12 @@
     status: int
     body: bytes
     allow: str = ""  # for 405: the method that the path takes
+    kind: str = "application/json"
+
+
+def _shown(view: object) -> Reply:
+    """What is text already goes out as it is; all else, as JSON."""
+    return Reply(OK, view, kind="text/plain") if isinstance(view, bytes) else Reply(OK, _encode(view))
 
 
 class Calls:
@@ -43,7 +49,7 @@
             "/-/drain": ("POST", self._drain), "/-/resume": ("POST", self._resume),
         }
         for path, view in (views or {}).items():
-            self._routes[path] = "GET", lambda view=view: Reply(OK, _encode(view()))  # type: ignore[misc]
+            self._routes[path] = "GET", lambda view=view: _shown(view())  # type: ignore[misc]
 
     def answer(self, method: str, target: str) -> Reply:
         """The answer to one call; a query string is of no account."""
--- a/cairnvane/door/listener.py
+++ b/cairnvane/door/listener.py
@@ -203,7 +203,7 @@
 
 def as_bytes(reply: Reply) -> bytes:
     """The answer on the wire."""
-    head = [f"HTTP/1.1 {reply.status} {REASONS.get(reply.status, '')}", "Content-Type: application/json",
+    head = [f"HTTP/1.1 {reply.status} {REASONS.get(reply.status, '')}", f"Content-Type: {reply.kind}",
             f"Content-Length: {len(reply.body)}", "Connection: close"]
     if reply.allow:
         head.append(f"Allow: {reply.allow}")
--- a/cairnvane/host.py
+++ b/cairnvane/host.py
@@ -58,7 +58,7 @@
         self._keys = keys.Table(max(cls.patience for cls in settings.classes))
         self._lasting: Lasting | None = None  # keys that outlast this life
         self._count = 0
-        self._load: float | None = None
+        self.load: float | None = None  # the free value
         self._stopped = False
         self._do_to: dict[type[i.Action], Callable[..., None]] = {
             i.Run: self._run, i.Refuse: self._refuse, i.Fail: self._fail, i.Halt: self._halt,
@@ -75,17 +75,17 @@
     ) -> None:
         """Get to know the parts that the host gives its orders to."""
         self._server, self._pool, self._lasting = server, pool, lasting
-        self._runs = Runs(
+        self.runs = Runs(
             pool, vault, self.post, self._settings.halt is not i.HaltMode.NONE,
             never_began=lambda known: self._end_run(known.exchange.uid, worker.BROKEN_OFF),
             call_ended=lambda known, outcome, took: self.tell(i.CallEnded(known.id, outcome, took)))
-        self._health = Health(pool, lambda: self._load)
+        self._health = Health(pool, lambda: self.load)
         # A tick that came before its time would be taken for one that was replaced.
         self._ticks = Ticks(pool, self._gauges, lambda event, at: self.post(lambda: self._tick(event, at)))
 
     def move(self, vault: tuple[str, int]) -> None:
         """The vault's new address, for all calls from now on; those on their way end where they are."""
-        self._runs.vault = vault
+        self.runs.vault = vault
 
     # --- the inbox, from any thread
 
@@ -221,13 +221,13 @@
     def _turn_off(self, request: Request, why: str) -> None:
         """Fail what no balancer sends, before the controller or anyone's key hears of it."""
         log.say("host", f"{request.uid}: {why}")
-        request.finish(Answer(Verdict.FAILED, load=self._load, suspect=True))
+        request.finish(Answer(Verdict.FAILED, load=self.load, suspect=True))
 
     def _leave(self, request: Request) -> None:
         known = self._by_uid.get(request.uid)
         if known is None or known.exchange is not request:
             return
-        self._runs.leave(known)
+        self.runs.leave(known)
         self.tell(i.Gone(known.id))
         self._settle(known)
 
@@ -245,7 +245,7 @@
         if known is None or not known.running:
             return self._noticed(pos)
         outcome = _ENDS.get(code, Outcome.ERROR)
-        self._runs.over(known, outcome is Outcome.OK)
+        self.runs.over(known, outcome is Outcome.OK)
         if outcome is Outcome.OK and known.exchange.token is not None:
             known.result = result
         lasts = self._lasts(known)
@@ -262,7 +262,7 @@
 
     def _disown(self, uid: str) -> None:
         if (known := self._by_uid.get(uid)) is not None and known.running:
-            known.exchange.finish(Answer(Verdict.FAILED, load=self._load, suspect=True))
+            known.exchange.finish(Answer(Verdict.FAILED, load=self.load, suspect=True))
             self._end_run(uid, worker.LATE)
 
     def _block(self, uid: str, body: bytes, pos: int) -> None:
@@ -273,10 +273,10 @@
         if (lasts := self._lasts(known)) is None:
             self._noticed(pos)
         elif not lasts.asks(known):
-            return self._runs.suspend(known)  # its call may have been made, and would be made twice
+            return self.runs.suspend(known)  # its call may have been made, and would be made twice
         self.tell(i.CallNeeded(known.id))
         if not known.exchange.open:
-            self._runs.leave(known)
+            self.runs.leave(known)
 
     def _lose_runs(self) -> None:
         """Their ends will never be told, and what had an effect is not run again."""
@@ -293,11 +293,11 @@
         """What an earlier link may have lost, now that its replay has shown what arrived."""
         if self._lasting is not None:
             self._lasting.linked()
-        self._runs.say_again(link, list(self._requests.values()))
+        self.runs.say_again(link, list(self._requests.values()))
 
     def begin(self, known: Tracked) -> None:
         """Its run is recorded; see `lasting.Side`."""
-        self._runs.begin(known)
+        self.runs.begin(known)
 
     def _drain(self, time_left_us: int) -> None:
         if self._lasting is not None:
@@ -350,7 +350,7 @@
 
     def answer(self, request: Request, verdict: Verdict, body: bytes = b"", away_ms: int = 0) -> None:
         """Its final answer, unless it has one; from any thread."""
-        request.finish(Answer(verdict, body, stay_away_ms=away_ms, load=self._load))
+        request.finish(Answer(verdict, body, stay_away_ms=away_ms, load=self.load))
 
     def never_ran(self, known: Tracked) -> None:
         """It was to run, and provably has not."""
@@ -382,29 +382,29 @@
         if (lasts := self._lasts(known)) is not None:
             lasts.run(known)
         else:
-            self._runs.begin(known)
+            self.runs.begin(known)
 
     def _refuse(self, known: Tracked, action: i.Refuse) -> None:
         away_ms = -(-action.stay_away // 1_000)
         known.exchange.finish(
-            Answer(Verdict.REFUSED, stay_away_ms=away_ms, last=action.no_retry, load=self._load))
+            Answer(Verdict.REFUSED, stay_away_ms=away_ms, last=action.no_retry, load=self.load))
         self._settle(known)
 
     def _fail(self, known: Tracked, action: i.Fail) -> None:
         self.answer(known.exchange, Verdict.FAILED)
-        self._runs.leave(known)
+        self.runs.leave(known)
         self._settle(known)
 
     def _halt(self, known: Tracked, action: i.Halt) -> None:
         if self._lasting is not None and self._lasting.take_back(known):  # the pool was not told to run it
             return self.never_ran(known)
-        self._runs.suspend(known)
+        self.runs.suspend(known)
 
     def _call(self, known: Tracked, action: i.Call) -> None:
         if (lasts := self._lasts(known)) is not None:
-            lasts.call(known, lambda: self._runs.call(known, action.timeout))
+            lasts.call(known, lambda: self.runs.call(known, action.timeout))
         else:
-            self._runs.call(known, action.timeout)
+            self.runs.call(known, action.timeout)
 
     def _remember(self, known: Tracked, action: i.Remember) -> None:
         if (token := known.exchange.token) is None:
@@ -432,7 +432,7 @@
             self._finish_repeat(known, original)
 
     def _advertise(self, action: i.Advertise) -> None:
-        self._load = action.value
+        self.load = action.value
 
     def _close_idle(self, action: i.CloseIdle) -> None:
         self._server.idle_s = action.after / 1e6
--- a/cairnvane/membership/channel.py
+++ b/cairnvane/membership/channel.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import os
 import random
 import selectors
@@ -33,8 +34,10 @@
 READ_AT_ONCE = 64
 # After a fault of its own the thread goes on, but never in a spin.
 AFTER_ERROR_S = 0.1
-# The snapshot is made anew no more often than this.
-LOOK_US = 50_000
+# The snapshot is made anew no more often than this, and with many lives less often.
+LOOK_US, LOOK_LIFE_US = 50_000, 1_000
+# What this server carries is looked at so often.
+CARRY_US = 1_000_000
 _LENGTH = struct.Struct("!I")
 
 
@@ -62,9 +65,32 @@
     sight: Sight
     at: int  # microseconds of the monotonic clock
     doubt: int
+    loss: float  # of our probes of the living
     counts: dict[str, int]
 
 
+def _listen(at: Address, spares: int) -> tuple[socket.socket, socket.socket]:
+    """Listen for views and for datagrams, on one port for both; `OSError` if none is free."""
+    host, first = at
+    for port in range(first, first + spares + 1):
+        try:
+            listener = socket.create_server((host, port), backlog=16)
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE or port == first + spares:
+                raise
+            continue
+        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            udp.bind(listener.getsockname())
+            return listener, udp
+        except OSError as error:
+            listener.close()
+            udp.close()
+            if error.errno != errno.EADDRINUSE or port == first + spares:
+                raise
+    raise AssertionError("the last port has raised")
+
+
 class _View:
     """A connection that carries whole views, one way and then the other."""
 
@@ -80,22 +106,21 @@
     def __init__(
         self, listen: Address, key: bytes, name: str, place: str, contacts: list[Address], *,
         options: Options | None = None, outside: Callable[[], Outside] = Outside,
+        carried: Callable[[], dict[str, Any]] = dict,
         tell: Callable[[Tell], None] = lambda event: None, ways: Mapping[Address, Address] | None = None,
+        spares: int = 0,
     ) -> None:
-        """`OSError` if it can't listen. The same port takes datagrams and views."""
-        self._listener = socket.create_server(listen, backlog=16)
+        """`OSError` if it can't listen. The same port takes datagrams and views. `spares`: so many ports
+        above it are tried if it is taken, as by an earlier life that a new version takes over from.
+        `carried`: what the others are to know of this server."""
+        self._listener, self._udp = _listen(listen, spares)
         host, port = self._listener.getsockname()
-        self._udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        try:
-            self._udp.bind((host, port))
-        except OSError:
-            self._listener.close()
-            raise
         self.address: Address = (host, port)
         rng = random.Random(os.urandom(16))
         own = Claim(rng.getrandbits(63) | 1, name, place, host, port, 0, 0)
-        self._member = Member(own, rng, clock.now(), contacts=contacts, options=options)
-        self._key, self._outside, self._tell = key, outside, tell
+        self._member = Member(own, rng, clock.now(), contacts=contacts, options=options, spares=spares)
+        self._key, self._outside, self._carried, self._tell = key, outside, carried, tell
+        self._carry_at = 0
         self._ways = ways or {}  # by which address an address is reached from here
         self.counts: Counter[str] = Counter()
         self._number = 0
@@ -116,10 +141,6 @@
         self._selector.register(self._wake_in, selectors.EVENT_READ)
         self._thread.start()
 
-    def carry(self, told: dict[str, Any]) -> None:
-        """What the others are to know of this server."""
-        self._order(lambda: self._member.carry(told))
-
     def drain(self) -> None:
         """This server is on its way out."""
         self._order(lambda: self._member.phase(Phase.DRAINING))
@@ -164,10 +185,13 @@
         now = clock.now()
         if now >= self._member.next_at():
             self._member.outside = self._outside()
+            if now >= self._carry_at:
+                self._carry_at = now + CARRY_US
+                self._member.carry(self._carried())
             self._do(self._member.tick(now))
         for view in [view for view in self._views if view.until < now / 1e6]:
             self._drop(view, "slow view")
-        if now - self.snapshot.at > LOOK_US:
+        if now > self._look_at:
             self.snapshot = self._look()
 
     def _ready(self, key: selectors.SelectorKey) -> None:
@@ -317,15 +341,17 @@
                   life.info.told if life.info is not None else {})
             for life in sorted(member.table.lives.values(), key=lambda one: (one.claim.name, one.claim.life)))
         machine = {name: getattr(member.counts, name) for name in member.counts.__slots__}
-        return Snapshot(own, members, member.sight, now, member.health.doubt, machine | dict(self.counts))
+        self._look_at = now + max(LOOK_US, LOOK_LIFE_US * len(members))
+        return Snapshot(own, members, member.sight, now, member.health.doubt, member.loss.share,
+                        machine | dict(self.counts))
 
 
-_STATUS = ("alive", "suspect", "failed", "left")
+STATUSES = ("alive", "suspect", "failed", "left")
 
 
 def _seen(claim: Claim, phase: str, heard_ms: int | None, told: dict[str, Any]) -> Seen:
     return Seen(claim.name, f"{claim.life:016x}", claim.place, f"{claim.host}:{claim.port}",
-                _STATUS[claim.status], phase.lower(), claim.incarnation, heard_ms, dict(told))
+                STATUSES[claim.status], phase.lower(), claim.incarnation, heard_ms, dict(told))
 
 
 def described(snapshot: Snapshot) -> dict[str, Any]:
@@ -339,5 +365,5 @@
         "sight": {"verdict": sight.verdict.value, "confidence": round(sight.confidence, 2),
                   "epoch": sight.epoch, "least": sight.least, "most": sight.most,
                   "age_ms": (clock.now() - snapshot.at) // 1_000},
-        "doubt": snapshot.doubt, "counts": snapshot.counts,
+        "doubt": snapshot.doubt, "loss": round(snapshot.loss, 3), "counts": snapshot.counts,
     }
--- a/cairnvane/membership/machine.py
+++ b/cairnvane/membership/machine.py
@@ -24,6 +24,8 @@
 Address = tuple[str, int]
 # With more lives than these, whole views are exchanged less often.
 EXCHANGE_LIVES = 24
+# Of the contacts, so many are asked at a time by who knows nobody.
+MOST_JOINS = 8
 # With nobody come or gone, the verdict is looked at no more often than this: it counts over all lives.
 JUDGE_US = 100_000
 
@@ -112,13 +114,15 @@
 
     def __init__(
         self, own: Claim, rng: random.Random, now: int, *, contacts: Iterable[Address] = (),
-        options: Options | None = None,
+        options: Options | None = None, spares: int = 0,
     ) -> None:
+        """`spares`: a contact may be found at so many ports above its own, if a new version took over."""
         self.options = options or Options()
         self.own, self.info = own, Info(own.life, 0, 1, {"phase": int(Phase.JOINING)})
         self.table, self.counts, self.health = Table(), Counts(), Health()
         self.judgement, self.outside = Judgement(now), Outside()
         self._contacts = [contact for contact in contacts if contact != (own.host, own.port)]
+        self._spares, self._joins = spares, 0
         self._random, self._ring = rng, Ring(rng)
         self._rumours, self._infos = Rumours(), Infos()
         self._numbers: dict[int, Numbers] = {}
@@ -132,6 +136,7 @@
         self._join_at = now
         self._ticked = self._expected = now
         self._held_until = now
+        self._host_works = True
         self._lost: dict[int, int] = {}  # lives that went silent, and when
         self._strangers: set[int] = set()
         self._were_there: frozenset[int] = frozenset()
@@ -196,6 +201,7 @@
         self._ticked = now
         if late > self.options.held_up:
             self._was_held_up(now, late)
+        self._look_at_host()
         self._tend_probes(now)
         for number, relay in list(self._relays.items()):
             if now >= relay.nack_at:
@@ -505,11 +511,23 @@
         self._exchange_at = min(self._exchange_at, now + self.options.answer)
         self._tell("member.held_up", self.own, late_us=late)
 
+    def _look_at_host(self) -> None:
+        """A host that stands still serves nobody, though we answer for it: doubt ourselves while it does."""
+        works = self.outside.host is not False
+        if not works:
+            self.health.worse()
+        if works is not self._host_works:
+            self._host_works = works
+            self._tell("member.host_works" if works else "member.host_held_up", self.own)
+
     def _look_around(self, now: int) -> None:
         options, there = self.options, self.table.up
         if not there and now >= self._join_at:
             self._join_at = now + options.revisit
-            self._out += [Exchange(contact) for contact in self._contacts]
+            some = self._random.sample(self._contacts, min(MOST_JOINS, len(self._contacts)))
+            above = self._joins % (self._spares + 1)
+            self._joins += 1
+            self._out += [Exchange((host, port + above)) for host, port in some]
         if there and self.info.told.get("phase") == Phase.JOINING:
             self.phase(Phase.SERVING)
         if now >= self._exchange_at:
@@ -535,9 +553,11 @@
                   if not self.table.at((life.claim.host, life.claim.port))]
         if failed:
             self._ping(self._random.choice(failed).claim.life, self._next())
-        missing = [contact for contact in self._contacts if not self.table.at(contact)]
+        missing = [(host, port) for host, port in self._contacts if not any(
+            self.table.at((host, port + above)) for above in range(self._spares + 1))]
         if missing and self._random.random() < 1 / max(1, len(self.table.up)):
-            self._out.append(Exchange(self._random.choice(missing)))
+            host, port = self._random.choice(missing)
+            self._out.append(Exchange((host, port + self._random.randint(0, self._spares))))
 
     def _judge(self, now: int) -> None:
         if self.table.version == self._judged_version and now < self._judge_at:
--- a/cairnvane/membership/survey.py
+++ b/cairnvane/membership/survey.py
@@ -20,6 +20,7 @@
     roster: bool | None = None
     balancers: bool | None = None
     pool: bool | None = None
+    host: bool | None = None  # whether our own host thread works
 
 
 @dataclass(frozen=True, slots=True)
--- a/cairnvane/runs.py
+++ b/cairnvane/runs.py
@@ -31,6 +31,7 @@
         *, never_began: Callable[[Tracked], None], call_ended: CallEnded,
     ) -> None:
         self.vault = vault  # for all calls from now on; those on their way end where they are
+        self.calls = 0  # in the vault's hands
         self._pool, self._post = pool, post
         self._never_began, self._call_ended = never_began, call_ended
         self._halts = halts  # the settings allow `suspend`
@@ -101,12 +102,14 @@
         def ended(outcome: Outcome, body: bytes, took: int) -> None:
             self._post(lambda: self._end_call(known, call, outcome, body, took))
 
+        self.calls += 1
         call = known.call = Call(self.vault, known.exchange.uid, known.call_body, timeout, ended)
 
     def _end_call(self, known: Tracked, call: Call, outcome: Outcome, body: bytes, took: int) -> None:
         if known.call is not call:
             return  # given up meanwhile
         known.call = None
+        self.calls -= 1
         if outcome is Outcome.OK:
             known.reply = body
             self.begin(known)
@@ -123,3 +126,4 @@
         if known.call is not None:
             known.call.give_up()
             known.call = None
+            self.calls -= 1
--- a/cairnvane/wiring.py
+++ b/cairnvane/wiring.py
@@ -31,6 +31,8 @@
 LEDGERS = "cairnvane-ledger"
 # Descriptors that are no balancer's: the links, one for each call, and those that close as others open.
 OWN_SOCKETS, OWN_SHARE = 64, 4
+# As members tell each other; the same as in pyproject.toml.
+VERSION = "0.2.0"
 
 
 def own_sockets(told: config.Config) -> int:
@@ -166,21 +168,24 @@
     return Lasting(keeper, told.settings)
 
 
-def members(told: config.Config, asked: MembersOptions | None, pool: Pool, roster: Roster) -> Channel | None:
-    """The channel between the bid servers, where an operator asked for it; `OSError` if it can't listen."""
+def members(
+    told: config.Config, asked: MembersOptions | None, host: Host, pool: Pool, roster: Roster,
+) -> tuple[Intake, Channel | None]:
+    """Whom requests are handed to, and the channel between the bid servers, where an operator asked for it;
+    `OSError` if it can't listen. Else the host itself, and nothing of it."""
     if asked is None:
-        return None
+        return host, None
     from .membership.channel import Channel
     from .membership.machine import Tell
-    from .membership.survey import Outside
+    from .membership.watch import Watch
 
     def tell(event: Tell) -> None:
         log.say("members", event.event + "".join(f" {key}={value}" for key, value in event.more.items()))
 
-    return Channel(
+    watch = Watch(host, VERSION, lambda: roster.answers, pool.bound.is_set, lambda: host.runs.calls)
+    return watch, Channel(
         asked.address, asked.key.encode(), told.name, "{}:{}".format(*told.listen), asked.others,
-        outside=lambda: Outside(roster=roster.answers, pool=pool.bound.is_set()), tell=tell,
-        ways=asked.ways)
+        outside=watch.outside, carried=watch.carried, tell=tell, ways=asked.ways, spares=asked.spare_ports)
 
 
 def members_part(channel: Channel | None) -> Part | None:
@@ -192,13 +197,13 @@
 
 
 def door(
-    told: config.Config, host: Intake, pool: Pool, channel: Channel | None = None,
+    told: config.Config, intake: Intake, pool: Pool, channel: Channel | None = None,
 ) -> tuple[Intake, Meter | None, Part | None]:
     """The operators' door, where the configuration names one: what the front hands requests to, who counts
-    their answers, and the listener; `OSError` if it can't listen. Else the host alone, and nothing is
+    their answers, and the listener; `OSError` if it can't listen. Else `intake` as it is, and nothing is
     counted."""
     if told.control is None:
-        return host, None, None
+        return intake, None, None
     from .door import Duty, Tally
     from .door.calls import Calls
     from .door.gate import Gate
@@ -210,7 +215,13 @@
     if channel is not None:
         from .membership.channel import described
 
+        def figures() -> bytes:
+            from .membership import metrics  # its library, at the first fetch
+
+            return metrics.text(channel.snapshot)
+
         views["/-/members"] = lambda: described(channel.snapshot)
+        views["/-/members/metrics"] = figures
     listener = Door(told.control, Calls(duty, tally, views), duty, places(own_sockets(told)))
     part = Part("door", ("server",), start=listener.start, leave=lambda how: listener.leave())
-    return Gate(host, duty, tally), tally, part
+    return Gate(intake, duty, tally), tally, part
--- a/tests/test_members_processes.py
+++ b/tests/test_members_processes.py
@@ -9,7 +9,7 @@
 import time
 import urllib.request
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -28,10 +28,14 @@
 
 
 def free() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
-        return port
+    """With the next one free as well, for a new version."""
+    while True:
+        with socket.socket() as sock, socket.socket() as above:
+            sock.bind(("127.0.0.1", 0))
+            port: int = sock.getsockname()[1]
+            with contextlib.suppress(OSError):
+                above.bind(("127.0.0.1", port + 1))
+                return port
 
 
 @dataclass
@@ -57,7 +61,7 @@
         path.mkdir()
         self.sites.append(program.Site(
             path, pool.address, self.vault.address, self.roster.address, settings(Scenario("a")), text,
-            control=self.doors[-1], name=f"n{number}"))
+            control=self.doors[-1], name=f"n{number}", listen=f"127.0.0.1:{free()}"))
         self.lives.append(program.start(self.sites[-1]))
         assert self.lives[-1].listens(), self.lives[-1].lines
 
@@ -128,12 +132,42 @@
 
     done = CliRunner().invoke(main, ["members", "--door", fleet.doors[0]])
     assert all(f"n{number}" in done.output for number in EVERYBODY), done.output
+    with urllib.request.urlopen(f"http://{fleet.doors[0]}/-/members/metrics", timeout=WAIT_S) as answer:
+        text = answer.read().decode()
+    assert answer.headers["Content-Type"] == "text/plain"
+    assert 'cairnvane_members_lives{status="alive"} 3.0' in text and "cairnvane_members_doubt" in text
+    carried = [one["told"] for one in fleet.told(0)["members"] if one["status"] == "alive"]
+    assert all(one.keys() >= {"asked", "calls", "held", "version", "phase"} for one in carried), carried
+    assert not any(one["held"] for one in carried)
+
     assert fleet.lives[1].stop(WAIT_S) == 0
     until(lambda: fleet.all_see([0, 2, 3], "left", [1]))
     said = [line for life in (fleet.lives[0], fleet.lives[2], fleet.lives[3]) for line in life.lines]
     assert not any("member.suspected" in line and "name=n1" in line for line in said)
 
 
+def test_a_new_version_beside_takes_another_port_and_is_the_same_member(fleet: Fleet) -> None:
+    until(lambda: fleet.all_see(EVERYBODY, "alive", EVERYBODY))
+    old = fleet.lives[1]
+    site = replace(fleet.sites[1], label="-new", listen=f"127.0.0.1:{old.port}",
+                   control=f"127.0.0.1:{free()}", pool=StandInPool(9).address)
+    new = program.start(site)
+    fleet.lives.append(new)
+    assert new.listens(), new.lines
+
+    def lives() -> set[tuple[str, str]]:
+        return {(one["status"], one["address"]) for one in fleet.told(0)["members"] if one["name"] == "n1"}
+
+    first, second = (f"127.0.0.1:{fleet.ports[1] + above}" for above in (0, 1))
+    until(lambda: lives() == {("alive", first), ("alive", second)})
+    assert old.stop(WAIT_S) == 0
+    until(lambda: lives() == {("left", first), ("alive", second)})
+    assert fleet.told(0)["sight"]["verdict"] == "together"
+    said = [line for life in fleet.lives for line in life.lines]
+    bad = [line for line in said if "member.same_name" in line or "member.suspected" in line]
+    assert not bad, bad
+
+
 def test_what_strangers_send_costs_a_count_and_nothing_else(fleet: Fleet) -> None:
     until(lambda: fleet.all_see(EVERYBODY, "alive", EVERYBODY))
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -15,12 +15,14 @@
 
 from cairnvane.lab.members import SECOND, World
 from cairnvane.membership import machine, messages, probing
-from cairnvane.membership.machine import Member, Send
+from cairnvane.membership.machine import Exchange, Member, Send
 from cairnvane.membership.messages import Ack, Bad, Numbers, Ping, View, seal, unseal
 from cairnvane.membership.rumours import MOST, Rumours, tells
 from cairnvane.membership.sight import HOLD_US, Evidence, Judgement, Verdict, weigh
 from cairnvane.membership.state import Claim, Info, Phase, Table
+from cairnvane.membership.survey import Outside
 from cairnvane.membership.suspicion import wait_us
+from cairnvane.membership.witness import BEAT_US, HELD_UP_US, LEAST_GAP_US, Arrivals, Pulse
 
 KEY = b"of the tests"
 # After a change all that are up and connected agree within this.
@@ -210,6 +212,7 @@
     world.run(world.now + seconds * SECOND)
     world.freeze(2, False)
     woken = world.now
+    world.run(world.now + SECOND)
     assert agrees(world)
     by_it = [told for at, number, told in world.told if number == 2 and at >= woken]
     assert not any("accusers" in told.more for told in by_it)
@@ -450,3 +453,45 @@
     assert member.handle(world.now, member.own.life, 2, ("h", 9), View(False)) == []
 
 
+
+
+# --- what is seen beside the channel
+
+def test_balancers_are_missed_by_the_gap_that_they_used_to_keep() -> None:
+    arrivals, now = Arrivals(), 0
+    assert arrivals.come(now) is None
+    for _ in range(60):
+        now += 20_000
+        arrivals.note(now)
+    assert arrivals.come(now + LEAST_GAP_US - 1) and not arrivals.come(now + LEAST_GAP_US)
+    assert 45 < arrivals.a_second(now) < 55 and arrivals.a_second(now + 60 * SECOND) < 1
+    for _ in range(200):
+        now += SECOND // 2
+        arrivals.note(now)
+    assert arrivals.come(now + 9 * SECOND) and not arrivals.come(now + 11 * SECOND)
+
+
+def test_a_host_that_gives_no_word_makes_its_member_doubt_itself_and_accuse_nobody() -> None:
+    pulse = Pulse()
+    assert pulse.ask(0) and not pulse.ask(BEAT_US) and pulse.works(HELD_UP_US - 1)
+    assert not pulse.works(HELD_UP_US)
+    pulse.beat()
+    assert pulse.works(HELD_UP_US) and pulse.ask(BEAT_US)
+
+    world = fleet(5)
+    member = world.players[2].member  # type: ignore[attr-defined]
+    for works in (False, True):
+        member.outside = Outside(host=works)
+        world.run(world.now + 3 * SECOND)
+        said = [told.event for _, number, told in world.told if number == 2]
+        assert ("member.host_works" in said) is works and "member.host_held_up" in said
+        assert works or member.health.doubt > 0
+    assert verdicts(world) == 0 and not any(told.event == "member.suspected" for _, _, told in world.told)
+    assert world.run(world.now + 12 * SECOND, lambda: member.health.doubt == 0)
+
+
+def test_a_contact_is_found_though_a_new_version_took_another_port() -> None:
+    member = Member(claim(1), random.Random(1), 0, contacts=[("h", 50)], spares=2)
+    tried = {action.to for step in range(1, 5) for action in member.tick(step * 1_100_000)
+             if isinstance(action, Exchange)}
+    assert tried == {("h", 50), ("h", 51), ("h", 52)}
