--- a/cairnvane/lab/fleet/callers.py
+++ b/cairnvane/lab/fleet/callers.py
@@ -137,7 +137,7 @@
             heeds and self._away.get((one.balancer, n), 0.0) > now)), numbers[0])
         node = self._nodes[number]
         uid = f"{next(self._count):016x}"
-        made = Try(uid, number, node.generation, now)
+        made = Try(uid, number, node.line, now)
         one.tries.append(made)
         nobody = Reply(0, b"", 0, 0.0)
         if (balancer := self._balancer(one.balancer, number)) is None:
--- a/cairnvane/lab/fleet/links.py
+++ b/cairnvane/lab/fleet/links.py
@@ -16,13 +16,13 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
+from ..sockets import HOST
 from .conditions import Direction, Fault
 
 # A piece of a stream as it is passed on; and how much of a stream may be on its way in one direction.
 PIECE_BYTES, AWAY_BYTES = 65_536, 1 << 20
 # A blocked stream looks again so often.
 LOOK_S = 0.01
-HOST = "127.0.0.1"
 
 
 class Link:
--- a/cairnvane/lab/sockets.py
+++ b/cairnvane/lab/sockets.py
@@ -3,11 +3,42 @@
 from __future__ import annotations
 
 import contextlib
+import random
 import socket
 import threading
 from collections.abc import Callable
 
 
+HOST = "127.0.0.1"
+# Below the ports that outgoing connections get by themselves: those that are free now stay so.
+LEAST_PORT, MOST_PORT = 20_000, 32_000
+_given: set[int] = set()  # to whom this process handed ports out: never twice
+_giving = threading.Lock()
+
+
+def free_ports(count: int, above: int = 0) -> list[int]:
+    """Ports for datagrams and connections alike, with so many free ones above each."""
+    ports: list[int] = []
+    rng = random.SystemRandom()
+    while len(ports) < count:
+        first = rng.randrange(LEAST_PORT, MOST_PORT)
+        some = set(range(first, first + above + 1))
+        with _giving:
+            if not some & _given and all(map(_free, some)):
+                _given.update(some)
+                ports.append(first)
+    return ports
+
+
+def _free(port: int) -> bool:
+    try:
+        with socket.create_server((HOST, port)), socket.socket(type=socket.SOCK_DGRAM) as datagrams:
+            datagrams.bind((HOST, port))
+    except OSError:
+        return False
+    return True
+
+
 class Listener:
     """Serves each connection by a script, on a loopback port of the system's choice."""
 
--- /dev/null
+++ b/cairnvane/lab/versions.py
@@ -0,0 +1,74 @@
+"""Versions of one bid server: processes of the real program, each with a pool and perhaps a door of its own.
+
+Two of them serve side by side during an upgrade, at one address and in one folder.
+"""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import time
+from dataclasses import dataclass, replace
+
+from . import program
+from .hostile import Calls, call
+from .pool import StandInPool
+
+# A new version must say yes within this.
+READY_S = 6.0
+# What a process may say that no process should.
+ALARMS = ("Traceback", "has ended:")
+# Between two looks at whether it says yes.
+LOOK_S = 0.01
+
+
+@dataclass(eq=False)
+class Version:
+    """One process, with what belongs to it."""
+
+    life: program.Life
+    pool: StandInPool
+    door: tuple[str, int] | None
+    ready: bool = False
+
+    def await_ready(self) -> float | None:
+        """Milliseconds from its start until it says yes at its door; None if it does not in time."""
+        assert self.door is not None
+        end = self.life.began + READY_S
+        while time.monotonic() < end and self.life.alive():
+            told = Calls()
+            call(self.door, "GET", "/-/ready", 200, told)
+            if not told.wrong:
+                self.ready = True
+                return (time.monotonic() - self.life.began) * 1e3
+            time.sleep(LOOK_S)
+        return None
+
+    def leave(self, wait_s: float) -> int:
+        """SIGTERM, and its status; one that does not end in time is killed."""
+        self.ready = False
+        try:
+            return self.life.stop(wait_s)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return -signal.SIGKILL
+
+    def kill(self) -> None:
+        """SIGKILL."""
+        self.ready = False
+        self.life.kill()
+
+    def alarms(self) -> list[str]:
+        """What it said that no process should."""
+        return [line for line in self.life.lines if any(alarm in line for alarm in ALARMS)]
+
+
+def start(
+    site: program.Site, pool: StandInPool, pool_at: str, door: tuple[str, int] | None, label: str,
+    mutant: str = "", clock_s: float = 0.0,
+) -> Version:
+    """A version that reaches its pool at `pool_at`; `label` tells its files from those of others there."""
+    control = None if door is None else "{}:{}".format(*door)
+    life = program.start(
+        replace(site, pool=pool_at, control=control, label=label), mutant=mutant, clock_s=clock_s)
+    return Version(life, pool, door)
--- a/cairnvane/membership/machine.py
+++ b/cairnvane/membership/machine.py
@@ -134,7 +134,7 @@
         self._exchange_at = now + self.options.exchange
         self._revisit_at = now + self.options.revisit
         self._join_at = now
-        self._ticked = self._expected = now
+        self._ticked = now
         self._held_until = now
         self._host_works = True
         self._lost: dict[int, int] = {}  # lives that went silent, and when
@@ -197,7 +197,7 @@
         if self.own.status == Status.LEFT:
             self._ticked = now
             return self._out
-        late = now - max(self._ticked, self._expected)
+        late = now - self.next_at()  # of what is due, whatever was heard meanwhile
         self._ticked = now
         if late > self.options.held_up:
             self._was_held_up(now, late)
@@ -212,7 +212,6 @@
             self._look_at(life, now, len(self.table.up) + 1, len(suspects))
         self._look_around(now)
         self._judge(now)
-        self._expected = self.next_at()
         return self._out
 
     def handle(self, now: int, life: int, number: int, source: Address, message: Message) -> list[Action]:
