--- a/tests/test_fleet_lab.py
+++ b/tests/test_fleet_lab.py
@@ -238,6 +238,17 @@
     assert verdict.wrong == getattr(verdict, counts) == 1 and not verdict.good
 
 
+def test_a_few_tries_may_end_at_the_door_of_a_handover_if_they_never_ran() -> None:
+    spans = [Span(0, 1.4, 1.6, handover=True)]
+    some = [asked(number, made(f"{number}", 0)) for number in range(3)]
+    told = scenario.parse(HEAD, "a")
+    verdict = judge(told, 1, some[:2], [{}], spans, 0.0)
+    assert (verdict.at_door, verdict.lost, verdict.good) == (2, 0, True)
+    assert judge(told, 1, some, [{}], spans, 0.0).short == ["3 tries ended at the door in 1 handovers"]
+    ran = judge(told, 1, some[:1], [{b"0": facts(1, uids=("0",))}], spans, 0.0)
+    assert (ran.at_door, ran.lost) == (0, 1) and "broken off, ran" in ran.lost_tries[0]
+
+
 def test_a_run_in_each_of_two_lives_is_no_second_run() -> None:
     one = asked(1, made("a", 200, result=b"r"), token="t")
     assert judge(TOLD, 1, [one], [{b"1": facts(2, b"r", lives={1: 1, 2: 1})}], [], 4.0).twice == 0
