Keep a rig's ports its own while its servers are down, so that two rigs never mix

A server that is killed leaves its port free for a second, and another rig on the machine could hand the same one out: its callers then reach the wrong server. The ports of the links that balancers connect to were the system's choice, and are free as long.

Change: a port that was handed out is claimed on an address of its own until the process ends, also those links' ports. A test in two processes. lab explore is on the command line.

--- a/cairnvane/cli/lab.py
+++ b/cairnvane/cli/lab.py
@@ -140,6 +140,34 @@
     _end(report, json_file)
 
 
+@lab.command()
+@click.option("--members", type=click.IntRange(2, 5), default=3, show_default=True, help="How many.")
+@click.option("--depth", type=click.IntRange(1, 12), default=4, show_default=True, help="Steps of a path.")
+@click.option("--from", "beginnings", multiple=True, help="Of these beginnings only.")
+@click.option("--most", type=click.IntRange(1), default=200_000, show_default=True,
+              help="States of one worker's share.")
+@click.option("--workers", type=click.IntRange(1), help="Processes; all cores without it.")
+@click.option("--mutant", default="", help="Take a rule out, which the search must then find.")
+@click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="For the report.")
+def explore(
+    members: int, depth: int, beginnings: tuple[str, ...], most: int, workers: int | None, mutant: str,
+    json_file: Path | None,
+) -> None:
+    """Explore a small world of members whole: every order of messages, losses, duplicates, restarts and
+    departures up to a depth.
+
+    Status 1 if something that must hold does not, or if a mutant is not found."""
+    from ..lab import explore as worlds
+
+    for told, known, hint in ((beginnings, worlds.BEGINNINGS, "--from"),
+                              ([mutant] if mutant else [], tuple(worlds.MUTANTS), "--mutant")):
+        if unknown := [name for name in told if name not in known]:
+            raise click.BadParameter(f"{unknown[0]!r} is none of {', '.join(known)}", param_hint=hint)
+    _end(worlds.explore(
+        members, depth, beginnings=beginnings or worlds.BEGINNINGS, mutant=mutant, most=most, workers=workers,
+        say=lambda line: click.echo(line, err=True)), json_file)
+
+
 @lab.command()
 @click.option("--members", "sizes", type=click.IntRange(2, 2_000), multiple=True, default=(12, 200),
               show_default=True, help="How many; may be given more than once.")
--- a/cairnvane/lab/fleet/links.py
+++ b/cairnvane/lab/fleet/links.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
-from ..sockets import HOST
+from ..sockets import HOST, free_ports
 from .conditions import Direction, Fault
 
 # A piece of a stream as it is passed on; and how much of a stream may be on its way in one direction.
@@ -53,6 +53,8 @@
         thread. With it, the link refuses as well from then on, until it is told to `listen`."""
         super().__init__(seed)
         self._to, self._refused = to, refused
+        if refused is not None:  # it closes at times, and comes back to its port
+            (self.port,) = free_ports(1)
         self._open: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
--- a/cairnvane/lab/sockets.py
+++ b/cairnvane/lab/sockets.py
@@ -10,10 +10,12 @@
 
 
 HOST = "127.0.0.1"
-# Below the ports that outgoing connections get by themselves: those that are free now stay so.
+# Below the ports that outgoing connections get by themselves.
 LEAST_PORT, MOST_PORT = 20_000, 32_000
-_given: set[int] = set()  # to whom this process handed ports out: never twice
-_giving = threading.Lock()
+# A port that was handed out is this process's until it ends, also while nobody listens there: who was killed
+# comes back to it. Other rigs on this machine see so by an address that nothing else uses.
+CLAIMS = "127.77.0.1"
+_claims: list[socket.socket] = []
 
 
 def free_ports(count: int, above: int = 0) -> list[int]:
@@ -22,21 +24,28 @@
     rng = random.SystemRandom()
     while len(ports) < count:
         first = rng.randrange(LEAST_PORT, MOST_PORT)
-        some = set(range(first, first + above + 1))
-        with _giving:
-            if not some & _given and all(map(_free, some)):
-                _given.update(some)
-                ports.append(first)
+        claims = [_claim(port) for port in range(first, first + above + 1)]
+        if all(claim is not None for claim in claims):
+            _claims.extend(claim for claim in claims if claim is not None)
+            ports.append(first)
+            continue
+        for claim in claims:
+            if claim is not None:
+                claim.close()
     return ports
 
 
-def _free(port: int) -> bool:
+def _claim(port: int) -> socket.socket | None:
+    """None if the port is somebody's already."""
+    claim = socket.socket(type=socket.SOCK_DGRAM)
     try:
+        claim.bind((CLAIMS, port))
         with socket.create_server((HOST, port)), socket.socket(type=socket.SOCK_DGRAM) as datagrams:
             datagrams.bind((HOST, port))
     except OSError:
-        return False
-    return True
+        claim.close()
+        return None
+    return claim
 
 
 class Listener:
--- a/tests/test_fleet_lab.py
+++ b/tests/test_fleet_lab.py
@@ -5,6 +5,8 @@
 import json
 import random
 import socket
+import subprocess
+import sys
 import threading
 import time
 from collections import Counter
@@ -27,7 +29,7 @@
 from cairnvane.lab.fleet.schedule import draw
 from cairnvane.lab.fleet.verdict import Span, judge
 from cairnvane.lab.pool import Facts
-from cairnvane.lab.sockets import Listener
+from cairnvane.lab.sockets import Listener, free_ports
 
 HEAD = "name: a\nservers: 3\nseconds: 10\n"
 FAULT, MEMBERS = HEAD + "faults:\n  - ", HEAD + "members: true\n"
@@ -312,6 +314,16 @@
     assert done.exit_code == 2 and "No such file" in done.output
 
 
+def test_a_port_that_was_handed_out_is_nobody_elses_while_nobody_listens_there() -> None:
+    """Two rigs on one machine: a server of one is killed, and must not come back as a server of the other."""
+    (port,) = free_ports(1)
+    with socket.create_server(("127.0.0.1", port)):
+        pass
+    other = f"from cairnvane.lab import sockets; print(sockets._claim({port}) is None)"
+    told = subprocess.run([sys.executable, "-c", other], capture_output=True, text=True, timeout=WAIT_S)
+    assert told.stdout == "True\n", told.stderr
+
+
 def test_threads_of_the_links_end_with_them() -> None:
     before = threading.active_count()
     Network().close()
