--- a/cairnvane/lab/fleet/play.py
+++ b/cairnvane/lab/fleet/play.py
@@ -22,7 +22,7 @@
 from .schedule import Step, draw, on_link
 from . import sightings
 from .sightings import Kill, Traffic
-from .verdict import SLACK_S, Span, Verdict, judge, share
+from .verdict import AROUND_S, SLACK_S, Span, Verdict, judge, share
 
 # A line of the live table.
 LIVE_EVERY_S = 1.0
@@ -265,6 +265,17 @@
         verdict.views.cpu = statistics.mean(cpu) if cpu else 0.0
         verdict.short += short
 
+    def _lost_around(self, verdict: Verdict) -> None:
+        """What servers said, and their links saw, around the tries that were lost."""
+        for number, begins, ends in verdict.lost_at:
+            node = self.nodes[number]
+            for version in node.versions:
+                for at, line in zip(version.life.said_at, version.life.lines, strict=False):
+                    at -= self._callers.start
+                    if begins - AROUND_S < at < ends + AROUND_S:
+                        verdict.lost_tries.append(f"{node.name} at {at:.2f} s: {line}")
+            verdict.lost_tries.append(f"{node.name}: {dict(node.links['balancers'][0].counts)}")
+
     def _end(self) -> Verdict:
         cpu = [cpu_share(node.versions[-1].life.process.pid) for node in self.nodes if node.up]
         agreed = self._agreed_s()
@@ -277,6 +288,7 @@
         verdict.most_crowded = max(node.crowded for node in self.nodes) / self._told.server.cores
         verdict.lag_ms = self._callers.lag_s * 1e3
         self._views(verdict, agreed, cpu)
+        self._lost_around(verdict)
         verdict.trouble = [line for node in self.nodes for line in node.trouble]
         self._callers.close()
         self._network.close()
--- a/cairnvane/lab/fleet/verdict.py
+++ b/cairnvane/lab/fleet/verdict.py
@@ -56,6 +56,7 @@
     lost: int = 0  # tries that broke or stayed unanswered with nothing wrong around them
     at_door: int = 0  # that ended, never run, at the closing door of a version with a successor
     lost_tries: list[str] = field(default_factory=list)  # some of the lost ones
+    lost_at: list[tuple[int, float, float]] = field(default_factory=list)  # their servers and times
     twice: int = 0  # runs of a keyed request beyond one, in one life of a server
     refused_after_run: int = 0
     differing: int = 0  # keyed requests with two answers that differ, in one life
@@ -142,6 +143,7 @@
     verdict.lost += 1
     if len(verdict.lost_tries) < MOST_SHOWN:
         how = "no answer" if tried.status is None else "given up" if tried.given_up else "broken off"
+        verdict.lost_at.append((tried.node, tried.sent, tried.ended))
         verdict.lost_tries.append(
             f"{one.lane} at server {tried.node}, line {tried.life}, {tried.sent:.2f} to {tried.ended:.2f} s: "
             f"{how}, {'ran' if ran else 'never ran'}")
