Add cairnvane lab overload: what retries and probes of a whole fleet add up to

Need: before shedding is designed, its harm has to be seen beside today's program: reads whose request was refused elsewhere, calls that meet a sick vault, time back.

--- a/cairnvane/cli/lab.py
+++ b/cairnvane/cli/lab.py
@@ -181,6 +181,26 @@
         say=lambda line: click.echo(line, err=True)), json_file)
 
 
+@lab.command()
+@click.option("--trouble", "kinds", multiple=True, help="Of these kinds only; may be given more than once.")
+@click.option("--servers", "sizes", type=click.IntRange(1, 24), multiple=True, default=(6, 12),
+              show_default=True, help="How many; may be given more than once.")
+@click.option("--seeds", type=click.IntRange(1), default=3, show_default=True)
+@click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="For the report.")
+def overload(kinds: tuple[str, ...], sizes: tuple[int, ...], seeds: int, json_file: Path | None) -> None:
+    """Bring trouble over a fleet whose balancers walk on: what is served, how often it is tried, what meets a
+    sick vault, and when it is back.
+
+    Status 1 if a rule is broken."""
+    from ..lab import overload as troubles
+
+    if unknown := [kind for kind in kinds if kind not in troubles.TROUBLES]:
+        known = ", ".join(troubles.TROUBLES)
+        raise click.BadParameter(f"{unknown[0]!r} is none of {known}", param_hint="--trouble")
+    _end(troubles.measure(kinds or troubles.TROUBLES, sizes, range(1, seeds + 1),
+                          say=lambda line: click.echo(line, err=True)), json_file)
+
+
 @lab.command()
 @click.option("--members", "sizes", type=click.IntRange(2, 2_000), multiple=True, default=(12, 200),
               show_default=True, help="How many; may be given more than once.")
--- a/cairnvane/lab/fleet/play.py
+++ b/cairnvane/lab/fleet/play.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Any
 
-from ..vault import StandInRoster, StandInVault
+from ..vault import FALLEN_S, StandInRoster, StandInVault
 from .callers import PATIENCE_S, Callers
 from .links import Link, Network
 from .nodes import Node
@@ -36,6 +36,11 @@
     return used / max(1e-9, time.clock_gettime(time.CLOCK_BOOTTIME) - began)
 
 
+def told_sick(steps: Sequence[Step]) -> float:
+    """For how many seconds the scenario has the vault sick."""
+    return sum(step.fault.for_ for step in steps if step.begins and step.who == "vault")
+
+
 class Events:
     """The rig's record: one JSON object a line, times in seconds of the load."""
 
@@ -285,6 +290,9 @@
         facts = [node.facts() for node in self.nodes]
         verdict = judge(self._told, self._seed, self._callers.asked, facts, self._spans, first)
         verdict.vault_most, verdict.vault_fell = self._vault.most_in_hand, self._vault.fell
+        sick_s = told_sick(self._steps) + self._vault.fell * FALLEN_S
+        verdict.sick_calls = self._vault.met_sick / sick_s if sick_s else 0.0
+        verdict.vault_over = self._vault.over_s / self._told.seconds
         verdict.most_crowded = max(node.crowded for node in self.nodes) / self._told.server.cores
         verdict.lag_ms = self._callers.lag_s * 1e3
         self._views(verdict, agreed, cpu)
--- a/cairnvane/lab/fleet/verdict.py
+++ b/cairnvane/lab/fleet/verdict.py
@@ -63,6 +63,12 @@
     invented: int = 0  # answers that no run made
     tries_a_request: float = 0.0
     before: float = 0.0  # the share in time before the first fault
+    worth_before: float = 0.0  # the same by worth; then while faults lasted, and after the last one
+    worth_during: float = 0.0
+    worth_after: float = 0.0
+    again: float = 0.0  # of all tries, the share whose request had been refused before
+    sick_calls: float = 0.0  # calls a second that met a vault that was slow, down, silent or fallen
+    vault_over: float = 0.0  # the share of time that the vault had more than its slots in hand
     back_s: float | None = None  # seconds from the last fault's end; None: not back, or no fault
     vault_most: int = 0
     vault_fell: int = 0
@@ -190,6 +196,13 @@
     verdict.served = share(asked, 0.0, told.seconds)
     verdict.worth = share(asked, 0.0, told.seconds, worth=True)
     verdict.before = share(asked, 0.0, first_fault)
+    over = told.last_end() if told.faults else told.seconds
+    verdict.worth_before = share(asked, 0.0, first_fault, worth=True)
+    verdict.worth_during = share(asked, first_fault, over, worth=True)
+    verdict.worth_after = share(asked, over, told.seconds, worth=True)
+    again = sum(any(tried.status in REFUSED for tried in one.tries[:number]) for one in asked
+                for number in range(len(one.tries)))
+    verdict.again = again / max(1, verdict.tries)
     if told.faults:
         verdict.back_s = back_after(asked, verdict.before, told.last_end(), told.seconds)
     wants, handovers = told.expect, sum(span.handover for span in spans)
@@ -201,6 +214,6 @@
         tries = verdict.tries_a_request
         verdict.short.append(f"{tries:.2f} tries a request, {wants.tries:g} at most were expected")
     if wants.back_within is not None and (verdict.back_s is None or verdict.back_s > wants.back_within):
-        after = "not" if verdict.back_s is None else f"{verdict.back_s:.1f} s after the last fault"
-        verdict.short.append(f"back {after}, expected within {wants.back_within:g} s")
+        back = "not" if verdict.back_s is None else f"{verdict.back_s:.1f} s after the last fault"
+        verdict.short.append(f"back {back}, expected within {wants.back_within:g} s")
     return verdict
--- a/cairnvane/lab/vault.py
+++ b/cairnvane/lab/vault.py
@@ -23,6 +23,9 @@
         self.slower = 1.0  # a fault: calls take so many times as long
         self.down = self.silent = False
         self.in_hand = self.most_in_hand = self.fell = self.refused = 0
+        self.met_sick = 0  # calls that came while it was slow, down, silent or fallen
+        self.over_s = 0.0  # while it had more than its slots in hand
+        self._changed = time.monotonic()
         self._fallen_until = 0.0
         self._slots, self._falls_at = slots, falls_at
         self._took_s = took_s
@@ -37,22 +40,30 @@
                 takes_s = self._take()
                 if takes_s is not None:
                     self.calls[told[1]] += 1
-                    self.in_hand += 1
+                    self._hold(1)
                     self.most_in_hand = max(self.most_in_hand, self.in_hand)
             if takes_s is None:
                 sock.sendall(b"HTTP/1.1 503 No\r\nX-Refused-Unseen: 1\r\nContent-Length: 0\r\n\r\n")
                 continue
             time.sleep(takes_s)
             with self._lock:
-                self.in_hand -= 1
+                self._hold(-1)
             if self.silent:
                 sock.recv(1)  # until the caller gives up
                 return
             sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nbalance")
 
+    def _hold(self, more: int) -> None:
+        now = time.monotonic()
+        if self._slots and self.in_hand > self._slots:
+            self.over_s += now - self._changed
+        self._changed = now
+        self.in_hand += more
+
     def _take(self) -> float | None:
         """How long this call takes; None: it is refused, unseen."""
         now = time.monotonic()
+        self.met_sick += self.slower > 1 or self.down or self.silent or now < self._fallen_until
         if self._slots and self.in_hand >= self._falls_at * self._slots and now >= self._fallen_until:
             self._fallen_until = now + FALLEN_S
             self.fell += 1
--- a/tests/test_fleet_lab.py
+++ b/tests/test_fleet_lab.py
@@ -20,6 +20,7 @@
 
 from cairnvane.cli import main
 from cairnvane.config import ConfigError
+from cairnvane.lab import overload
 from cairnvane.lab.fleet import scenario
 from cairnvane.lab.fleet.callers import Asked, Try
 from cairnvane.lab.fleet.conditions import REORDER_S, RESEND_S, Direction, Fault
@@ -30,6 +31,7 @@
 from cairnvane.lab.fleet.verdict import Span, judge
 from cairnvane.lab.pool import Facts
 from cairnvane.lab.sockets import Listener, free_ports
+from cairnvane.lab.vault import StandInVault
 
 HEAD = "name: a\nservers: 3\nseconds: 10\n"
 FAULT, MEMBERS = HEAD + "faults:\n  - ", HEAD + "members: true\n"
@@ -262,6 +264,42 @@
     assert [line.split(" ")[0] for line in verdict.short] == ["served", "2.00", "back"]
 
 
+def test_tries_after_a_refusal_and_worth_before_and_after_a_fault_are_counted() -> None:
+    told = scenario.parse(HEAD + "faults:\n  - {do: slow, who: vault, at: 2, for: 3, times: 4}\n", "a")
+    some = [asked(1, made("a", 200), at=1.0),
+            asked(2, made("b", 429), made("c", 503), made("d", 429), at=3.0),
+            asked(3, made("e", 0, nobody=True), made("f", 200), at=6.0), asked(4, made("g", 429), at=6.0)]
+    verdict = judge(told, 1, some, [{}], [], 2.0)
+    assert (verdict.worth_before, verdict.worth_during, verdict.worth_after) == (1.0, 0.0, 0.5)
+    assert verdict.again == 2 / 7
+
+
+def test_a_vault_counts_calls_that_met_it_sick_and_the_time_beyond_its_slots() -> None:
+    vault = StandInVault(took_s=0.2, slots=1)
+
+    def call() -> None:
+        host, _, port = vault.address.rpartition(":")
+        with socket.create_connection((host, int(port)), WAIT_S) as sock:
+            sock.sendall(b"POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nx")
+            sock.recv(100)
+
+    for sick, calls in ((1.0, 1), (2.0, 2)):
+        vault.slower = sick
+        threads = [threading.Thread(target=call) for _ in range(calls)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        assert (vault.met_sick, vault.over_s > 0) == ((0, False) if calls == 1 else (2, True))
+    vault.close()
+
+
+@pytest.mark.parametrize("kind", overload.TROUBLES)
+def test_each_trouble_ends_before_the_load_does(kind: str) -> None:
+    told = overload.scenario(kind, 3)
+    assert told.last_end() <= overload.BEFORE_S + overload.DURING_S and draw(told, 1)
+
+
 # --- the rig
 
 def fleet(tmp_path: Path, *words: str) -> tuple[int, dict[str, Any], str]:
