--- a/cairnvane/cli/lab.py
+++ b/cairnvane/cli/lab.py
@@ -207,12 +207,19 @@
 @click.option("--loss", "losses", type=click.FloatRange(0, 0.9), multiple=True, default=(0.0, 0.05, 0.3),
               show_default=True, help="The share of datagrams that are lost.")
 @click.option("--seeds", type=click.IntRange(1), default=10, show_default=True)
+@click.option("--case", "hard", type=click.Choice(["join", "third", "flap"]), multiple=True,
+              help="Instead: all join at once, a third is lost at once, one in twenty keeps restarting.")
 @click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="For the report.")
-def members(sizes: tuple[int, ...], losses: tuple[float, ...], seeds: int, json_file: Path | None) -> None:
+def members(
+    sizes: tuple[int, ...], losses: tuple[float, ...], seeds: int, hard: tuple[str, ...],
+    json_file: Path | None,
+) -> None:
     """Members in virtual time, beside a plain heartbeat to all and probes without suspicion: how soon all
     know of a kill, how often the living are called dead, and what it costs.
 
     Status 1 if the real one misses a kill or calls a living member dead."""
-    from ..lab.members import measure
+    from ..lab.members import cases, measure
 
+    if hard:
+        _end(cases(sizes, seeds, hard, say=lambda line: click.echo(line, err=True)), json_file)
     _end(measure(sizes, losses, seeds, say=lambda line: click.echo(line, err=True)), json_file)
--- a/cairnvane/lab/members.py
+++ b/cairnvane/lab/members.py
@@ -111,7 +111,7 @@
     now: int = 0
 
     def __post_init__(self) -> None:
-        self._random = random.Random(f"{self.seed} world")
+        self.random = random.Random(f"{self.seed} world")
         self._agenda: list[tuple[int, int, Callable[[], None]]] = []
         self._count, self._lives = itertools.count(), itertools.count(1_000)
         self.players: dict[int, Player] = {}  # by number
@@ -219,10 +219,10 @@
     def _send(self, number: int, action: Send) -> None:
         life, to = self.players[number].life, action.to[1] - 1
         self._size(life, action.message)
-        if self._random.random() < self.loss or self.cut(number, to):
+        if self.random.random() < self.loss or self.cut(number, to):
             return
         count = next(self._count) + 1
-        self._push(self.now + self._random.randint(LEAST_US, MOST_US),
+        self._push(self.now + self.random.randint(LEAST_US, MOST_US),
                    lambda: self._receive(to, life, count, _at(number), action.message))
 
     def _receive(self, number: int, life: int, count: int, source: Address, message: Message) -> None:
@@ -332,6 +332,97 @@
     return (world.now - at) / 1e3 if found else None, false, sent, told, world.largest
 
 
+# All join at once; a third is lost at once; one in twenty restarts every two seconds, for so long.
+CASES, FLAP_S, FLAP_EVERY_S, FLAP_PART = ("join", "third", "flap"), 20, 2, 20
+# Within this all are to agree again.
+AGREE_S = 60
+
+
+@dataclass(frozen=True)
+class Case:
+    """A hard case at one size, over some seeds."""
+
+    case: str
+    members: int
+    agree_s: list[float]  # until all that run saw each other and nobody else; one for each seed that did
+    missed: int  # seeds that did not
+    false_failed: int  # verdicts on the living, over all seeds
+    bytes_a_second: float  # a member, until then
+
+
+def _case(case: str, members: int, seed: int) -> tuple[float | None, int, float]:
+    world, look = World(seed), 20_000 * max(1, members // 10)
+    for number in range(members):
+        world.start(number)
+    if case != "join":
+        world.run(JOIN_S * SECOND, world.agree, look)
+        world.run(world.now + SETTLE_S * SECOND)
+    began, told, world.bytes = world.now, len(world.told), 0
+    dead: set[str] = set()
+    if case == "third":
+        dead = {f"{world.kill(number):016x}" for number in range(0, members, 3)}
+    while case == "flap" and world.now < began + FLAP_S * SECOND:
+        # Whoever comes back speaks from its own address: that is proof, and no verdict on the living.
+        some = world.random.sample(range(CONTACTS, members), max(1, members // FLAP_PART))
+        dead |= {f"{world.kill(number):016x}" for number in some}
+        world.run(world.now + SECOND)
+        for number in some:
+            world.start(number)
+        world.run(world.now + (FLAP_EVERY_S - 1) * SECOND)
+    changed = world.now
+    agreed = world.run(changed + AGREE_S * SECOND, world.agree, look)
+    false = sum(one.event == "member.failed" and "accusers" in one.more and one.more["life"] not in dead
+                for _, _, one in world.told[told:])
+    took = (world.now - began) / SECOND
+    return ((world.now - changed) / SECOND if agreed else None, false, world.bytes / members / max(took, 0.1))
+
+
+@dataclass
+class CaseReport:
+    """All cases."""
+
+    rows: list[Case]
+
+    @property
+    def good(self) -> bool:
+        """All agreed again, and nobody that lived was called dead."""
+        return not any(row.missed or row.false_failed for row in self.rows)
+
+    def as_json(self) -> dict[str, Any]:
+        """For a file."""
+        return {"good": self.good, "rows": [asdict(row) for row in self.rows]}
+
+    def lines(self) -> list[str]:
+        """For a terminal."""
+        lines = [f"{'case':6} {'members':>7} {'agree again, s: median':>23} {'worst':>6} {'missed':>6} "
+                 f"{'false':>6} {'B/s':>8}"]
+        for row in self.rows:
+            took = row.agree_s or [float("nan")]
+            lines.append(f"{row.case:6} {row.members:7} {statistics.median(took):23.1f} {max(took):6.1f} "
+                         f"{row.missed:6} {row.false_failed:6} {row.bytes_a_second:8.0f}")
+        return [*lines, "good" if self.good else "WRONG"]
+
+
+def cases(
+    sizes: Sequence[int], seeds: int, some: Sequence[str] = CASES,
+    say: Callable[[str], None] = lambda line: None,
+) -> CaseReport:
+    """The hard cases, on all cores."""
+    from concurrent.futures import ProcessPoolExecutor
+
+    rows = []
+    with ProcessPoolExecutor() as workers:
+        got = {(case, members): [workers.submit(_case, case, members, seed) for seed in range(seeds)]
+               for members in sizes for case in some}
+        for (case, members), plays in got.items():
+            results = [one.result() for one in plays]
+            took = [one[0] for one in results if one[0] is not None]
+            rows.append(Case(case, members, took, len(results) - len(took), sum(one[1] for one in results),
+                             statistics.mean(one[2] for one in results)))
+            say(f"{case}, {members} members: done")
+    return CaseReport(rows)
+
+
 def measure(
     sizes: Sequence[int], losses: Sequence[float], seeds: int, ways: Sequence[str] = WAYS,
     say: Callable[[str], None] = lambda line: None,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -13,7 +13,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cairnvane.lab.members import SECOND, World
+from cairnvane.lab.members import SECOND, Case, CaseReport, World, cases
 from cairnvane.membership import machine, messages, probing
 from cairnvane.membership.machine import Exchange, Member, Send
 from cairnvane.membership.messages import Ack, Bad, Numbers, Ping, View, seal, unseal
@@ -354,6 +354,13 @@
     assert {told.more["life"] for _, _, told in world.told if told.event == "member.failed"} == lost
 
 
+def test_the_hard_cases_of_a_large_fleet_end_in_agreement_and_without_a_false_verdict() -> None:
+    report = cases([12], 1)
+    assert report.good and len(report.rows) == 3, report.lines()
+    assert not CaseReport([Case("third", 12, [], 1, 0, 1.0)]).good
+    assert not CaseReport([Case("flap", 12, [1.0], 0, 2, 1.0)]).good
+
+
 # --- did they die, or are we cut off
 
 @pytest.mark.parametrize(("seen", "verdict"), [
