--- a/cairnvane/lab/fleet/sightings.py
+++ b/cairnvane/lab/fleet/sightings.py
@@ -15,6 +15,8 @@
 # A verdict of a server's own shows its accusers; one that it heard of from another has none to show.
 _LINE = re.compile(r"member\.(?P<event>[a-z_]+) name=(?P<name>\S+) life=(?P<life>\S+)(?P<more>.*)")
 _VERDICT = re.compile(r" verdict=(.*?) was=")
+# Lines around verdicts that should not have been.
+MOST_SHOWN = 40
 # By these a server knows that a life is over.
 OVER = ("failed", "left")
 
@@ -138,6 +140,9 @@
     views.found_s, views.not_found = [one for one in took if one is not None], took.count(None)
     if wants.called_dead is not None and views.called_dead > wants.called_dead:
         short.append(f"{views.called_dead} verdicts on the living, {wants.called_dead} at most were expected")
+        accused = {one.name for one in said if one.own_verdict and one.name in unhurt}
+        short += [f"  {one.at:.2f} s {one.by}: {one.event} {one.name}{one.more}" for one in said
+                  if one.name in accused or one.event in ("held_up", "host_held_up")][:MOST_SHOWN]
     if wants.agree_within is not None and agreed_s is None:
         short.append(f"the servers do not agree within {wants.agree_within:g} s")
     if wants.found_within is not None:
--- a/tests/test_fleet_lab.py
+++ b/tests/test_fleet_lab.py
@@ -353,7 +353,7 @@
     kill = Kill(0.2, "n2", frozenset({"n0"}))
     views, short = judge_views(told, said, [kill], {"n2"}, Traffic(3), None)
     assert (views.called_dead, views.found_s, views.not_found) == (1, [1.8], 0)
-    assert [line.split(" ")[0] for line in short] == ["1", "the"]
+    assert [line.split(" ")[0] for line in short if not line.startswith("  ")] == ["1", "the"]
     kill = Kill(0.2, "n2", frozenset({"n0", "n1"}))
     assert judge_views(told, said, [kill], {"n1", "n2"}, Traffic(3), None)[0].not_found == 1
 
