--- a/cairnvane/cli/lab.py
+++ b/cairnvane/cli/lab.py
@@ -201,6 +201,21 @@
                           say=lambda line: click.echo(line, err=True)), json_file)
 
 
+@lab.command()
+@click.option("--servers", "sizes", type=click.IntRange(2, 1_000), multiple=True, default=(6, 12),
+              show_default=True, help="How many; may be given more than once.")
+@click.option("--seeds", type=click.IntRange(1), default=10, show_default=True)
+@click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="For the report.")
+def shares(sizes: tuple[int, ...], seeds: int, json_file: Path | None) -> None:
+    """The vault as one limit in virtual time: what servers lend each other, beside fixed parts and parts by
+    how many each sees.
+
+    Status 1 if what is lent ever adds up to more than the limit."""
+    from ..lab.shares import measure
+
+    _end(measure(sizes, seeds, say=lambda line: click.echo(line, err=True)), json_file)
+
+
 @lab.command()
 @click.option("--members", "sizes", type=click.IntRange(2, 2_000), multiple=True, default=(12, 200),
               show_default=True, help="How many; may be given more than once.")
