End a server of the laboratory with the rig that started it

Seen: 113 idle servers of rigs that had been ended were left on the machine. A server whose parent is another one than at its start ends itself within a second; a test kills a rig.

--- a/cairnvane/lab/victim.py
+++ b/cairnvane/lab/victim.py
@@ -35,6 +35,8 @@
 # the host thread alone does; Unix time jumps.
 FAULTS = ("hold", "busy", "clock")
 _hosts: list[Host] = []
+# Whether the rig is still there is looked at so often.
+LOOK_S = 1.0
 
 
 def order_file(folder: Path, pid: int) -> Path:
@@ -54,8 +56,12 @@
     import ctypes  # what stands still then must not wait for it
 
     interpreter, path = ctypes.PyDLL(None), order_file(Path(os.environ["TMPDIR"]), os.getpid())
+    rig = os.getppid()
     while True:
-        signal.sigwait({ORDER})
+        if signal.sigtimedwait({ORDER}, LOOK_S) is None:
+            if os.getppid() != rig:  # it was ended: nobody else would end this process
+                os._exit(1)
+            continue
         what, seconds = json.loads(path.read_text())
         path.unlink()
         if what == "clock":
--- a/tests/test_fleet_lab.py
+++ b/tests/test_fleet_lab.py
@@ -377,6 +377,24 @@
     assert told.stdout == "True\n", told.stderr
 
 
+def test_a_server_ends_with_the_rig_that_started_it(tmp_path: Path) -> None:
+    code = ("import sys, time; from pathlib import Path; from cairnvane.lab import program\n"
+            "from cairnvane.lab.fleet.nodes import settings; from cairnvane.lab.fleet.scenario import Scenario\n"
+            "site = program.Site(Path(sys.argv[1]), '127.0.0.1:1', '127.0.0.1:1', '127.0.0.1:1', "
+            "settings(Scenario('a')))\n"
+            "life = program.start(site); assert life.listens(); print(life.process.pid, flush=True)\n"
+            "time.sleep(60)")
+    rig = subprocess.Popen([sys.executable, "-c", code, str(tmp_path)], stdout=subprocess.PIPE, text=True)
+    assert rig.stdout is not None
+    pid = int(rig.stdout.readline())
+    rig.kill()
+    rig.wait()
+    end = time.monotonic() + WAIT_S
+    while Path(f"/proc/{pid}").exists() and time.monotonic() < end:
+        time.sleep(0.05)
+    assert not Path(f"/proc/{pid}").exists()
+
+
 def test_threads_of_the_links_end_with_them() -> None:
     before = threading.active_count()
     Network().close()
