--- a/cairnvane/membership/channel.py
+++ b/cairnvane/membership/channel.py
@@ -35,7 +35,7 @@
 # After a fault of its own the thread goes on, but never in a spin.
 AFTER_ERROR_S = 0.1
 # The snapshot is made anew no more often than this, and with many lives less often.
-LOOK_US, LOOK_LIFE_US = 50_000, 1_000
+LOOK_US, LOOK_LIFE_US = 200_000, 1_000
 # What this server carries is looked at so often.
 CARRY_US = 1_000_000
 _LENGTH = struct.Struct("!I")
--- a/cairnvane/membership/machine.py
+++ b/cairnvane/membership/machine.py
@@ -128,7 +128,7 @@
         self._numbers: dict[int, Numbers] = {}
         self._count = 0
         self._probes: dict[int, _Probe] = {}  # without an answer yet
-        self.loss = Loss(self.options.most_tries)
+        self.loss = Loss(self.options.helpers, self.options.most_tries)
         self._relays: dict[int, _Relay] = {}
         self._period_at = now + int(rng.random() * self.options.period)
         self._exchange_at = now + self.options.exchange
--- a/cairnvane/membership/probing.py
+++ b/cairnvane/membership/probing.py
@@ -20,14 +20,15 @@
 # How many probes may be without an answer at a time.
 MOST_PROBES = 24
 # Of the loss, a probe that was answered counts for so much.
-LOSS_WEIGHT = 1 / 32
+LOSS_WEIGHT = 1 / 16
 
 
 class Loss:
     """How many of our probes get no answer, though whoever is asked lives."""
 
-    def __init__(self, most: int = MOST_TRIES) -> None:
-        self.share, self._most = 0.0, most
+    def __init__(self, helpers: int, most: int = MOST_TRIES) -> None:
+        """`helpers`: others that are asked to probe as well."""
+        self.share, self._helpers, self._most = 0.0, helpers, most
 
     def answered(self, tries: int) -> None:
         """A probe was answered at this try: all before it were lost, on their way or on the way back."""
@@ -38,7 +39,9 @@
         """After how many tries without an answer it is no longer chance."""
         if self.share <= CHANCE_MISS:
             return LEAST_TRIES
-        needed = math.log(CHANCE_MISS) / math.log(min(self.share, 0.99))
+        lost = min(self.share, 0.99)
+        by_helper = min(1.0, 2 * lost)  # whose way is twice as long
+        needed = (math.log(CHANCE_MISS) - self._helpers * math.log(by_helper)) / math.log(lost)
         return min(self._most, max(LEAST_TRIES, math.ceil(needed)))
 
 
--- a/cairnvane/membership/witness.py
+++ b/cairnvane/membership/witness.py
@@ -13,7 +13,7 @@
 # The usual gap is learned over about so many requests; before as many it is not known.
 LEARNED = 32
 # The host is asked for a word so often, and is held up if it gives none for so long.
-BEAT_US, HELD_UP_US = 250_000, 1_000_000
+BEAT_US, HELD_UP_US = 500_000, 1_000_000
 
 
 class Arrivals:
