--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -12,7 +12,7 @@
 from cairnvane.cli import main
 from cairnvane.lab.shares import FLOOR, TROUBLES, World
 from cairnvane.shedding import lending
-from cairnvane.shedding.lending import ANSWER_US, KEPT, LEASE_US, Ask, Back, Grant, Lending, Word
+from cairnvane.shedding.lending import ANSWER_US, KEPT, LEASE_US, LEAST, Ask, Back, Grant, Lending, Word
 
 RICH, POOR = 1, 2
 
@@ -37,9 +37,6 @@
     return rich, poor, ask, grant
 
 
-LEAST = lending.LEAST
-
-
 def test_what_one_holds_more_the_other_holds_less_from_before_until_after() -> None:
     rich, poor, _, grant = lent()
     assert rich.cap(1_000) == FLOOR - grant.amount and poor.cap(1_000) == FLOOR
