--- a/cairnvane/lab/fleet/links.py
+++ b/cairnvane/lab/fleet/links.py
@@ -86,6 +86,8 @@
                 _pump(far_in, far, near, self.back, self.counts))
         except (OSError, asyncio.IncompleteReadError):
             self.counts["broken"] += 1
+        except asyncio.CancelledError:
+            pass  # the links end; left to the loop, each would be told on standard error
         finally:
             for one in (near, far):
                 if one is not None:
--- a/tests/test_fleet_lab.py
+++ b/tests/test_fleet_lab.py
@@ -396,6 +396,19 @@
     assert not Path(f"/proc/{pid}").exists()
 
 
+def test_links_that_end_with_open_connections_say_nothing(caplog: pytest.LogCaptureFixture) -> None:
+    network = Network()
+    _, connect = through(network)
+    some = [connect() for _ in range(3)]
+    for sock in some:
+        sock.sendall(b"x")
+        assert sock.recv(1) == b"x"
+    network.close()
+    for sock in some:
+        sock.close()
+    assert not caplog.records
+
+
 def test_threads_of_the_links_end_with_them() -> None:
     before = threading.active_count()
     Network().close()
