--- a/cairnvane/lab/victim.py
+++ b/cairnvane/lab/victim.py
@@ -58,7 +58,8 @@
     interpreter, path = ctypes.PyDLL(None), order_file(Path(os.environ["TMPDIR"]), os.getpid())
     rig = os.getppid()
     while True:
-        if signal.sigtimedwait({ORDER}, LOOK_S) is None:
+        # It was seen to return for a signal to leave as well, which another thread got: then there is no order.
+        if signal.sigtimedwait({ORDER}, LOOK_S) is None or not path.exists():
             if os.getppid() != rig:  # it was ended: nobody else would end this process
                 os._exit(1)
             continue
