--- a/cairnvane/lab/victim.py
+++ b/cairnvane/lab/victim.py
@@ -58,7 +58,7 @@
     interpreter, path = ctypes.PyDLL(None), order_file(Path(os.environ["TMPDIR"]), os.getpid())
     rig = os.getppid()
     while True:
-        # It was seen to return for a signal to leave as well, which another thread got: then there is no order.
+        # It was seen to return at a notice to leave too, which the main thread got: no order stands then.
         if signal.sigtimedwait({ORDER}, LOOK_S) is None or not path.exists():
             if os.getppid() != rig:  # it was ended: nobody else would end this process
                 os._exit(1)
