Wait for the pool's link in a test of kept results that failed now and then

The test now sends it once the link to the new pool is up, which PoolPeer tells. Ruled out: a lost record (the answer before it was read back from the disk).

Its other cause, left as it is: a run that was never told to any pool could wait for the new one instead.

--- a/tests/test_keyed_server.py
+++ b/tests/test_keyed_server.py
@@ -96,6 +96,7 @@
     with lives.life(pos=None) as one:
         answer = served(one, one.balancer(), 3)
         assert (answer.status, answer.body) == (200, b"original")
+        assert lives.pool.linked.wait(WAIT_S)  # before it, the run would be one of the pool that is gone
         one.balancer().send(4)  # the pool sees nothing but binds and this
         while (command := lives.pool.commands.get(timeout=WAIT_S))["action"] == "bind":
             pass
