Decide a connection's end and what is owed on it in one step, under one lock

Now a connection has named states (serving, answering, ended), and a request is at any moment seen in one place: with the kernel, which the reader waits on without taking bytes, in the reader's hands, half said, or open until its answer is written. A flood of records that mean nothing is read on slowly, as other input that no balancer sends.

--- a/cairnvane/net/outlet.py
+++ b/cairnvane/net/outlet.py
@@ -61,6 +61,16 @@
                 return self._break()
             return True
 
+    @property
+    def broken(self) -> bool:
+        """Nothing can be sent any more."""
+        return self._broken
+
+    @property
+    def waiting(self) -> bool:
+        """Something that was sent has not left yet."""
+        return bool(self._waiting)
+
     def cut(self) -> None:
         """End the connection at once."""
         with self._lock:
--- a/cairnvane/net/server.py
+++ b/cairnvane/net/server.py
@@ -10,7 +10,6 @@
 
 from .. import log
 from ..exchange import Intake, Meter
-from . import fastcgi
 from .accepting import accept
 from .buffers import BufferPool
 from .connection import MAX_OPEN, Connection
@@ -64,26 +63,43 @@
         threading.Thread(target=self._look, name="look", daemon=True).start()
 
     def retire(self, wait_s: float) -> None:
-        """Take no more connections, and close each one that has no open request; wait until all are gone."""
-        self.retiring = True
+        """Take no more connections, and close each one that has no open request; wait until all are gone.
+        Those that are not by then are told the end."""
+        with self._changed:
+            self.retiring = True
+        self._take_waiting()
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
         self._socket.close()
         log.say("server", "takes no more connections")
-        with self._changed:
-            left = list(self._connections)
-        for connection in left:
+        for connection in self._all():
             connection.close_if_idle()
         with self._changed:
             self._changed.wait_for(lambda: not self._connections, wait_s)
+        for connection in self._all():
+            connection.leave()
+
+    def _take_waiting(self) -> None:
+        """The kernel has completed these connections, and a request may be whole on one: with the listener
+        they would be reset. The listener's thread may take some of them."""
+        with contextlib.suppress(OSError):  # no more of them
+            self._socket.setblocking(False)
+            for _ in range(BACKLOG):
+                sock, _ = self._socket.accept()
+                try:
+                    self._take(sock)
+                except (OSError, RuntimeError):
+                    sock.close()
+
+    def _all(self) -> list[Connection]:
+        with self._changed:
+            return list(self._connections)
 
     def _look(self) -> None:
         while True:
             time.sleep(LOOK_S)
             self.clock += LOOK_S
-            with self._changed:
-                all_ = list(self._connections)
-            for connection in all_:
+            for connection in self._all():
                 try:
                     connection.look()
                 except Exception as error:  # one connection's trouble must not leave all others unwatched
@@ -101,11 +117,14 @@
         connection = Connection(self, sock)
         with self._changed:
             self._connections.add(connection)
+            retiring = self.retiring
         try:
             threading.Thread(target=self._serve, args=(connection,), name="reader", daemon=True).start()
         except RuntimeError:
             self._forget(connection)
             raise
+        if retiring:  # it may have come too late for `retire` to know of it
+            connection.close_if_idle()
 
     def _has_room(self) -> bool:
         """Guards the balancers' places, and the descriptors of the pool and of calls, against clients that
@@ -118,13 +137,14 @@
             if count >= self._most + CLOSING:
                 return False
             order = sorted(self._connections, key=lambda c: (c.standing, c.last))
-        return any(connection.make_room() for connection in order)
+        # Who has half said something may be a client that drips, or a balancer at an ill moment: in need, the
+        # former make room.
+        return any(connection.make_room() for connection in order) or any(
+            connection.make_room(half_said=True) for connection in order if not connection.standing)
 
     def _serve(self, connection: Connection) -> None:
         try:
             connection.serve()
-        except fastcgi.Malformed as error:
-            log.say("server", f"connection ended: {error}")
         finally:
             try:
                 connection.close()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -17,6 +17,7 @@
 from cairnvane.keys import Keeper
 from cairnvane.lasting import Lasting
 from cairnvane.net import fastcgi
+from cairnvane.net.connection import Connection
 from cairnvane.net.pool import Pool
 from cairnvane.net.server import Server
 from cairnvane.wire import read_settings
@@ -40,6 +41,29 @@
 }
 
 
+def until(what: Callable[[], object]) -> None:
+    """Wait for a state that no event tells of."""
+    end = time.monotonic() + WAIT_S
+    while not what():
+        assert time.monotonic() < end, "it never came"
+        time.sleep(0.001)
+
+
+class Held:
+    """A function whose first call, of those meant, stops where it begins, until it is let go: so two events
+    cross at will. What an earlier story left behind may make calls, too."""
+
+    def __init__(self, function: Callable[..., Any], meant: Callable[..., bool] = lambda *_: True) -> None:
+        self._function, self._meant = function, meant
+        self.reached, self.go = threading.Event(), threading.Event()
+
+    def __call__(self, *args: Any, **named: Any) -> Any:
+        if not self.reached.is_set() and self._meant(*args):
+            self.reached.set()
+            assert self.go.wait(WAIT_S)
+        return self._function(*args, **named)
+
+
 class Listener:
     """A listening socket whose connections are served by a script, a thread each."""
 
@@ -252,6 +276,12 @@
     host: Host
     balancers: list[Balancer] = field(default_factory=list)  # one that nobody holds would hang up
 
+    @property
+    def connection(self) -> Connection:
+        """The server's end of the only connection."""
+        until(lambda: len(self.server._connections) == 1)
+        return next(iter(self.server._connections))
+
     def balancer(self) -> Balancer:
         self.balancers.append(Balancer(self.server.address))
         return self.balancers[-1]
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,296 @@
+"""Two events at one instant, each order forced: closings, answers, the notice to leave, reports.
+
+`docs/server.md` has the list of what can cross, with the test or the reason for each.
+"""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from peers import WAIT_S, Balancer, Held, World, until, world
+
+from cairnvane.exchange import Answer
+from cairnvane.net import connection, fastcgi, fields, server
+from cairnvane.net.connection import State
+from cairnvane.net.server import Server
+
+# Bytes of a request: half of its first record, and that with a part of the second.
+FEW, HALF = 5, 20
+
+
+def hold(
+    monkeypatch: pytest.MonkeyPatch, owner: Any, name: str, meant: Callable[..., bool] = lambda *_: True,
+) -> Held:
+    held = Held(getattr(owner, name), meant)
+    monkeypatch.setattr(owner, name, held)
+    return held
+
+
+def served(answer: Answer) -> bool:
+    return answer.body == b"done"
+
+
+def retiring(w: World) -> Server:
+    """The time for new work is over, as `retire` says before it looks over the connections."""
+    w.server.retiring = True
+    return w.server
+
+
+def in_thread(work: Callable[[], object]) -> threading.Thread:
+    thread = threading.Thread(target=work, daemon=True)
+    thread.start()
+    return thread
+
+
+# --- the end of a connection ---
+
+
+def test_a_request_on_its_way_to_the_host_is_no_reason_to_close(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards: whole, it was neither half read nor open for a moment; a close then lost its answer."""
+    held = hold(monkeypatch, fields, "service_request")
+    with world() as w:
+        balancer = w.balancer()
+        balancer.send(1)
+        assert held.reached.wait(WAIT_S)
+        retiring(w)
+        assert not w.connection.close_if_idle()
+        assert not w.connection.make_room(half_said=False)
+        held.go.set()
+        w.pool.run(b"done")
+        assert balancer.answer()[1].body == b"done"
+        assert balancer.ended()
+
+
+@pytest.mark.parametrize("how", ["retire", "room"])
+def test_an_answer_that_is_not_written_yet_keeps_the_connection(
+    how: str, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards: a request was closed before its answer was written; an end told in between cut that off."""
+    held = hold(monkeypatch, fields, "content", served)
+    with world(most=1) as w:
+        balancer = w.balancer()
+        balancer.send(1)
+        w.pool.run(b"done")
+        assert held.reached.wait(WAIT_S)
+        if how == "retire":
+            retiring(w)
+            assert not w.connection.close_if_idle()
+        else:
+            assert w.balancer().ended()  # turned away: the only place is taken
+        held.go.set()
+        assert balancer.answer()[1].body == b"done"
+
+
+def test_a_connection_with_unread_bytes_is_not_idle(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards: a reader kept from its bytes by a busy core; the request had come long before the close."""
+    sleep = Held(lambda seconds: None)
+    monkeypatch.setattr(connection, "time", SimpleNamespace(monotonic=time.monotonic, sleep=sleep))
+    with world() as w:
+        balancer = w.balancer()
+        balancer.send(1, HTTP_REQ_KB="0")  # can't be right: read on only after a while
+        assert balancer.answer()[1].status == 500
+        assert sleep.reached.wait(WAIT_S)
+        balancer.send(2)
+        assert w.connection.sock.recv(1, socket.MSG_PEEK)
+        assert not w.connection.close_if_idle(asked=True)
+        retiring(w)
+        assert not w.connection.close_if_idle()
+        sleep.go.set()
+        w.pool.run(b"done")
+        assert balancer.answer()[1].body == b"done"
+        assert balancer.ended()
+
+
+@pytest.mark.parametrize("said", [FEW, HALF])
+def test_half_a_line_at_the_close_is_read_to_its_end_and_answered(said: int) -> None:
+    """Guards: half a record counted as nothing, and the rest of it was dropped."""
+    with world() as w:
+        balancer = w.balancer()
+        data = balancer.request(1)
+        balancer.sock.sendall(data[:said])
+        until(lambda: w.connection._rest_since is not None and not w.connection._in_hand)
+        retiring(w)
+        assert not w.connection.close_if_idle()
+        balancer.sock.sendall(data[said:])
+        w.pool.run(b"done")
+        assert balancer.answer()[1].body == b"done"
+        assert balancer.ended()
+
+
+def test_nothing_that_is_read_after_the_end_is_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards: bytes in the reader's hands as the end was told; their request ran, and had no answer."""
+    held = hold(monkeypatch, fastcgi, "take")
+    with world() as w:
+        balancer, other = w.balancer(), w.balancer()
+        balancer.send(1)
+        assert held.reached.wait(WAIT_S)
+        for each in w.server._all():
+            if each._in_hand:
+                each.leave()
+        held.go.set()
+        assert balancer.ended()
+        other.send(2)
+        assert w.pool.next("spawn")["uid"] == f"{2:016x}"
+
+
+def test_what_kept_a_connection_from_its_end_ends_it_when_it_is_over(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards: `retire` asks once; found with bytes in hand that are no request, a connection stayed."""
+    monkeypatch.setattr(server, "LOOK_S", 10 * WAIT_S)
+    held = hold(monkeypatch, fastcgi, "take")
+    with world() as w:
+        balancer = w.balancer()
+        balancer.sock.sendall(fastcgi.record(50, 0, b""))
+        assert held.reached.wait(WAIT_S)
+        retiring(w)
+        assert not w.connection.close_if_idle()
+        held.go.set()
+        assert balancer.ended()
+
+
+def test_a_request_on_a_connection_that_nobody_accepted_is_answered() -> None:
+    """Guards: with the listener the kernel resets what it has completed, and the request on it was lost."""
+    with world() as w:
+        late = Server(("127.0.0.1", 0), w.host, 16)  # its listener's thread never comes to it
+        balancer = Balancer(late.address)
+        balancer.send(1)
+        leaving = in_thread(lambda: late.retire(WAIT_S))
+        w.pool.run(b"done")
+        assert balancer.answer()[1].body == b"done"
+        assert balancer.ended()
+        balancer.sock.close()
+        leaving.join(WAIT_S)
+        assert not leaving.is_alive()
+
+
+def test_a_connection_that_is_accepted_during_the_last_look_is_told_the_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards: registered after `retire` had looked over the connections, it kept the process to the last."""
+    monkeypatch.setattr(server, "LOOK_S", 10 * WAIT_S)
+    held = hold(monkeypatch, server, "Connection")
+    with world() as w:
+        balancer = w.balancer()
+        assert held.reached.wait(WAIT_S)
+        w.server.retire(0)
+        held.go.set()
+        assert balancer.ended()
+
+
+def test_a_malformed_record_costs_no_answer_that_is_owed() -> None:
+    with world() as w:
+        balancer = w.balancer()
+        balancer.send(1)
+        uid = w.pool.next("spawn")["uid"]
+        balancer.sock.sendall(b"no record at all")
+        until(lambda: w.connection._state is State.ANSWERING)
+        balancer.send(2)  # not looked at any more
+        w.pool.notice("finished", uid, "fine", b"done")
+        assert balancer.answer()[1].body == b"done"
+        assert balancer.ended()
+        w.serve(w.balancer(), 3)
+
+
+def test_half_a_record_that_stays_half_costs_no_answer_that_is_owed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(connection, "SAY_WAIT_S", 0.2)
+    monkeypatch.setattr(server, "LOOK_S", 0.05)
+    with world() as w:
+        balancer = w.balancer()
+        balancer.send(1)
+        uid = w.pool.next("spawn")["uid"]
+        balancer.sock.sendall(balancer.request(2)[:4])
+        until(lambda: w.connection._state is State.ANSWERING)
+        w.pool.notice("finished", uid, "fine", b"done")
+        assert balancer.answer()[1].body == b"done"
+        assert balancer.ended()
+
+
+def test_a_peer_that_half_closes_is_answered_and_nothing_runs_on_for_it() -> None:
+    """Guards: what was open was withdrawn, and a peer that had only ended its own side got no answer."""
+    with world() as w:
+        balancer = w.balancer()
+        balancer.send(1)
+        uid = w.pool.next("spawn")["uid"]
+        balancer.sock.shutdown(socket.SHUT_WR)
+        number, answer = balancer.answer()
+        assert (number, answer.status) == (1, 500)
+        assert w.pool.next("suspend")["uid"] == uid
+        assert balancer.ended()
+
+
+def test_an_answer_on_its_way_as_the_peer_half_closes_arrives(monkeypatch: pytest.MonkeyPatch) -> None:
+    held = hold(monkeypatch, fields, "content", served)
+    with world() as w:
+        balancer = w.balancer()
+        balancer.send(1)
+        w.pool.run(b"done")
+        assert held.reached.wait(WAIT_S)
+        closing = w.connection
+        balancer.sock.shutdown(socket.SHUT_WR)
+        until(lambda: closing._state is not State.SERVING)
+        held.go.set()
+        assert balancer.answer()[1].body == b"done"
+        assert balancer.ended()
+
+
+def test_a_half_said_request_of_a_balancer_keeps_its_place(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards: what carried nothing for the longest made room, though half of a request had come on it."""
+    with world(most=2) as w:
+        balancer, dripping = w.balancer(), w.balancer()
+        w.serve(balancer, 1)
+        data = balancer.request(2)
+        balancer.sock.sendall(data[:HALF])
+        dripping.sock.sendall(data[:HALF])
+        until(lambda: all(each._rest_since is not None for each in w.server._all()))
+        third = w.balancer()
+        assert dripping.ended()
+        w.serve(third, 3)
+        third.sock.sendall(third.request(4)[:HALF])
+        until(lambda: all(each._rest_since is not None for each in w.server._all()))
+        assert w.balancer().ended()
+        balancer.sock.sendall(data[HALF:])
+        w.pool.run(b"done")
+        assert balancer.answer()[1].body == b"done"
+
+
+def test_an_abort_against_the_answer_leaves_one_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    held = hold(monkeypatch, fields, "content", served)
+    with world() as w:
+        balancer = w.balancer()
+        balancer.send(1)
+        w.pool.run(b"done")
+        assert held.reached.wait(WAIT_S)  # its answer is given, and not written
+        balancer.abort(1)
+        balancer.sock.sendall(fastcgi.record(50, 0, b""))  # answered when the abort was read
+        assert balancer.read(16) == fastcgi.record(fastcgi.UNKNOWN_TYPE, 0, bytes([50]) + bytes(7))
+        held.go.set()
+        assert balancer.answer()[1].body == b"done"
+        w.serve(balancer, 1, HTTP_REQ_ID="f" * 16)  # the next end is the next request's
+
+
+# --- floods ---
+
+
+def test_a_flood_of_records_without_meaning_is_read_slowly(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards: a client that writes records of nothing had as much of the core as it could write."""
+    sleep = Held(lambda seconds: None)
+    monkeypatch.setattr(connection, "time", SimpleNamespace(monotonic=time.monotonic, sleep=sleep))
+    with world() as w:
+        flood, good = w.balancer(), w.balancer()
+        flood.sock.sendall(fastcgi.record(fastcgi.STDIN, 7, b"") * 4_000)
+        assert sleep.reached.wait(WAIT_S)
+        w.serve(good, 1)
+        sleep.go.set()
+        flood.sock.close()
+        until(lambda: len(w.server._connections) == 1)
+
+
+# --- keys ---
+
+
+# --- the roster, and signals ---
