Let deep health checks share the pool's work that is under way

Each deep check had the pool do its work anew and took a timer's thread of this process for up to 2 s, in the host thread and without a bound: 32 on each of hundreds of connections are thousands of threads, and a `RuntimeError` there ends the process. Now one is under way at a time and its end answers all that came meanwhile. With `first` always true the new test fails.

--- a/cairnvane/health.py
+++ b/cairnvane/health.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Callable
 
 from . import interface as i
@@ -11,11 +12,17 @@
 
 class Health:
     """Good until told otherwise. A deep check has the pool do its work, unless the answer is to come from
-    store; `load` gives the free value that goes with it."""
+    store; `load` gives the free value that goes with it.
+
+    The pool does one deep check's work at a time, and its end answers all that came meanwhile: each would
+    cost it cores and this process a timer's thread, and whoever asks by thousands would take all of both.
+    """
 
     def __init__(self, pool: Pool, load: Callable[[], float | None]) -> None:
         self._pool, self._load = pool, load
         self._good, self._stored = True, False
+        self._lock = threading.Lock()
+        self._waiting: list[Check] = []  # for the work that is under way
 
     def set(self, action: i.SetHealth) -> None:
         """Answer so from now on."""
@@ -23,10 +30,20 @@
 
     def check(self, check: Check) -> None:
         """Answer this one."""
-        def reply(good: bool) -> None:
-            check.finish(Answer(Verdict.SERVED if good else Verdict.REFUSED, load=self._load()))
-
-        if self._good and check.deep and not self._stored:
-            self._pool.verify(reply)
-        else:
-            reply(self._good)
+        if not (self._good and check.deep and not self._stored):
+            return self._reply(check, self._good)
+        with self._lock:
+            self._waiting.append(check)
+            first = len(self._waiting) == 1
+        if first:
+            self._pool.verify(self._verified)
+
+    def _verified(self, good: bool) -> None:
+        """In the thread of the pool's link, or of its timer."""
+        with self._lock:
+            waiting, self._waiting = self._waiting, []
+        for check in waiting:
+            self._reply(check, good)
+
+    def _reply(self, check: Check, good: bool) -> None:
+        check.finish(Answer(Verdict.SERVED if good else Verdict.REFUSED, load=self._load()))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -290,6 +290,22 @@
         until(lambda: len(w.server._connections) == 1)
 
 
+def test_deep_checks_share_the_work_that_is_under_way() -> None:
+    """Guards: each had the pool do it anew, and took a thread of ours for its timer: thousands took both."""
+    with world() as w:
+        balancer = w.balancer()
+        for number in range(1, 20):
+            balancer.send(number, "/status/live", b"", QUERY_STRING="real=1")
+        echo = w.pool.next("verify")["echo"]
+        until(lambda: len(w.host._health._waiting) == 19)
+        w.pool.tell(action="verified", echo=echo, code="fine")
+        assert [balancer.answer()[1].status for _ in range(19)] == [200] * 19
+        w.serve(balancer, 21)  # its `spawn` is what the pool hears next
+        balancer.send(20, "/status/live", b"", QUERY_STRING="real=1")
+        w.pool.tell(action="verified", echo=w.pool.next("verify")["echo"], code="fault")
+        assert balancer.answer()[1].status == 503
+
+
 # --- keys ---
 
 
