Cut off a report to the roster that is on its way at the notice to leave

`Roster.stop` set a flag that the thread read before it connected. A report that was connecting, or had been said and not answered, still counted after the notice and kept the entry for 3 s more. The flag and the report's socket are one state under one lock now: said before the notice or never. Each half taken back fails a test.

--- a/cairnvane/net/roster.py
+++ b/cairnvane/net/roster.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 import time
@@ -21,6 +22,8 @@
     def __init__(self, address: tuple[str, int], name: str) -> None:
         self._address, self._name = address, name
         self._stopped = False
+        self._lock = threading.Lock()
+        self._saying: socket.socket | None = None  # a report is on its way
         self._wake = threading.Event()
         self._failing = False
 
@@ -40,8 +43,13 @@
         return not self._failing
 
     def stop(self) -> None:
-        """Say nothing more: any report, `off` too, would keep the entry for another 3 s."""
-        self._stopped = True
+        """Say nothing more: any report, `off` too, would keep the entry for another 3 s. One that is on its
+        way is cut off, since it may not have been said."""
+        with self._lock:
+            self._stopped = True
+            if self._saying is not None:
+                with contextlib.suppress(OSError):
+                    self._saying.shutdown(socket.SHUT_RDWR)
         self._wake.set()
 
     def _run(self) -> None:
@@ -60,11 +68,20 @@
         deadline = time.monotonic() + WAIT_S
         try:
             with socket.create_connection(address, WAIT_S) as sock:
+                with self._lock:
+                    if self._stopped:
+                        return
+                    self._saying = sock
                 sock.sendall(data)
                 status = http.read_reply(sock, deadline).status
             problem = "" if status == 204 else f"status {status}"
         except (OSError, http.BadReply) as error:
             problem = str(error) or type(error).__name__
+        finally:
+            with self._lock:
+                self._saying = None
+        if self._stopped:
+            return
         if bool(problem) is not self._failing:  # said once, not with every report
             self._failing = bool(problem)
             log.say("roster", f"{problem or 'reports arrive again'}")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -13,10 +13,10 @@
 from typing import Any
 
 import pytest
-from peers import WAIT_S, Balancer, Held, World, until, world
+from peers import WAIT_S, Balancer, Held, Listener, World, until, world
 
 from cairnvane.exchange import Answer
-from cairnvane.net import connection, fastcgi, fields, server
+from cairnvane.net import connection, fastcgi, fields, roster, server
 from cairnvane.net.connection import State
 from cairnvane.net.server import Server
 
@@ -310,3 +310,42 @@
 
 
 # --- the roster, and signals ---
+
+
+def test_no_report_goes_out_after_the_notice(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards: a report that was about to be said kept the entry for 3 s more."""
+    said: list[bytes] = []
+    ended = threading.Event()
+
+    def listen(sock: socket.socket) -> None:
+        said.append(sock.recv(4_096))
+        ended.set()
+
+    connected = Held(socket.create_connection)
+    of_roster = SimpleNamespace(create_connection=connected, SHUT_RDWR=socket.SHUT_RDWR)
+    monkeypatch.setattr(roster, "socket", of_roster)
+    reports = roster.Roster(Listener(listen).address, "n1")
+    reports.start()
+    assert connected.reached.wait(WAIT_S)
+    reports.stop()
+    connected.go.set()
+    assert ended.wait(WAIT_S)
+    assert said == [b""]
+
+
+def test_a_report_on_its_way_is_cut_off_by_the_notice(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(roster, "WAIT_S", 10 * WAIT_S)
+    cut = threading.Event()
+    here = threading.Event()
+
+    def listen(sock: socket.socket) -> None:
+        assert sock.recv(4_096)
+        here.set()
+        if not sock.recv(4_096):  # the answer that would make it count is not waited for
+            cut.set()
+
+    reports = roster.Roster(Listener(listen).address, "n1")
+    reports.start()
+    assert here.wait(WAIT_S)
+    reports.stop()
+    assert cut.wait(WAIT_S)
