Count a key's window from a stamp that lies ahead of this machine's clock

`clock.place` reads a stamp from the future as now, and the entry ended by that: up to 2 s (what is let in) before the window that counts from `Req-Time` did. A repeat in that gap would have run again. The rest of the way nothing changes.

--- a/cairnvane/clock.py
+++ b/cairnvane/clock.py
@@ -18,6 +18,11 @@
     return now() - max(0, time.time_ns() // 1_000 - unix_ms * 1_000)
 
 
+def ahead(unix_ms: int) -> int:
+    """How far a Unix time stamp lies in the future, in microseconds; 0 if it does not."""
+    return max(0, unix_ms * 1_000 - time.time_ns() // 1_000)
+
+
 def boot() -> str | None:
     """Which boot of the machine this is, 32 hexadecimal digits: its monotonic clock counts within it only.
     None where the system does not tell."""
--- a/cairnvane/exchange.py
+++ b/cairnvane/exchange.py
@@ -66,17 +66,18 @@
 class Request(Exchange):
     """A try of a request, as it was read."""
 
-    __slots__ = ("arrived", "body", "caller", "lane", "memory", "token", "uid")
+    __slots__ = ("ahead", "arrived", "body", "caller", "lane", "memory", "token", "uid")
 
     def __init__(
         self, deliver: Callable[[Answer], None], uid: str, lane: str, body: bytes, *,
-        arrived: int, caller: int, memory: float, token: str | None,
+        arrived: int, caller: int, memory: float, token: str | None, ahead: int = 0,
     ) -> None:
         super().__init__(deliver)
         self.uid = uid
         self.lane = lane  # the name of its class
         self.body = body
         self.arrived = arrived  # when it reached the machine, in microseconds of the monotonic clock
+        self.ahead = ahead  # how far its stamp lay in the future: what counts from the stamp ends later
         self.caller = caller
         self.memory = memory  # kilobytes that are booked while it is held
         self.token = token  # the same for all tries of one keyed request
--- a/cairnvane/host.py
+++ b/cairnvane/host.py
@@ -409,7 +409,7 @@
     def _remember(self, known: Tracked, action: i.Remember) -> None:
         if (token := known.exchange.token) is None:
             return
-        until = clock.now() + action.life + KEY_SLACK_US
+        until = clock.now() + action.life + KEY_SLACK_US + known.exchange.ahead
         before = self._keys.enter(token, known.id, until)
         if self._lasting is not None:
             self._lasting.remembered(known, until)
--- a/cairnvane/net/fields.py
+++ b/cairnvane/net/fields.py
@@ -76,7 +76,7 @@
     # Ids and tokens in one case: written in the other, they would be two.
     return Request(
         deliver, _text(params, "HTTP_REQ_ID", _ID).lower(), path[len(SERVICE_PATH):], body,
-        arrived=clock.place(stamp), caller=caller, memory=memory, token=token)
+        arrived=clock.place(stamp), caller=caller, memory=memory, token=token, ahead=clock.ahead(stamp))
 
 
 def content(answer: Answer) -> bytes:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 import pytest
-from peers import WAIT_S, Balancer, Held, Listener, World, until, world
+from peers import TOKEN, WAIT_S, WINDOW_US, Balancer, Held, Listener, World, until, world
 
 from cairnvane.exchange import Answer
 from cairnvane.net import connection, fastcgi, fields, roster, server
@@ -309,6 +309,16 @@
 # --- keys ---
 
 
+def test_a_window_counts_from_a_stamp_that_lies_ahead(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards: the entry ended as if the try had come when it was read, before its window did."""
+    with world() as w:
+        balancer = w.balancer()
+        stamp = str(time.time_ns() // 1_000_000 + 1_500)
+        w.serve(balancer, 1, path="/svc/write", HTTP_REQ_TOKEN=TOKEN, HTTP_REQ_TIME=stamp)
+        until_us = w.host._keys._keys[TOKEN].until
+        assert until_us >= time.monotonic_ns() // 1_000 + WINDOW_US + 1_000_000
+
+
 # --- the roster, and signals ---
 
 
