Let SIGHUP during the start not end the process

The signals are blocked first thing in `main`, but the interpreter and the imports come before: a new configuration told to all while a server was starting ended it. Nothing is lost: the configuration is read after that.

--- a/cairnvane/__main__.py
+++ b/cairnvane/__main__.py
@@ -101,6 +101,8 @@
     # wakes, and a signal that the kernel gives to another thread does not wake it: the notice would be lost.
     # First of all, since a notice to reload would else end the process.
     signal.pthread_sigmask(signal.SIG_BLOCK, LEAVE | {RELOAD})
+    # Before that the shell of the line `run` has it ignored, and an ignored signal need not be kept for us.
+    signal.signal(RELOAD, signal.SIG_DFL)
     path = os.environ.get(config.OPERATOR, "")
     try:
         told = config.load(os.environ)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,15 +5,22 @@
 
 from __future__ import annotations
 
+import json
+import os
+import signal
 import socket
+import subprocess
+import sys
 import threading
 import time
+import tomllib
 from collections.abc import Callable
+from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
 
 import pytest
-from peers import TOKEN, WAIT_S, WINDOW_US, Balancer, Held, Listener, World, until, world
+from peers import PARAMS, TOKEN, WAIT_S, WINDOW_US, Balancer, Held, Listener, PoolPeer, World, until, world
 
 from cairnvane.exchange import Answer
 from cairnvane.net import connection, fastcgi, fields, roster, server
@@ -359,3 +366,41 @@
     assert here.wait(WAIT_S)
     reports.stop()
     assert cut.wait(WAIT_S)
+
+
+def test_a_reload_before_the_program_can_wait_for_it_does_not_end_it(tmp_path: Path) -> None:
+    """Guards: SIGHUP during the start, as a new configuration is told to all, was a crash."""
+    pool = PoolPeer()
+    started = tmp_path / "started"
+    os.mkfifo(started)
+    slow = tmp_path / "slow"
+    slow.mkdir()
+    # The interpreter loads this before anything of ours, and waits until the signal is there.
+    (slow / "sitecustomize.py").write_text(f"open({str(started)!r}, 'w').write('here')\ninput()\n")
+    config = tmp_path / "config.json"
+    config.write_text(json.dumps({
+        "name": "n3", "listen": "127.0.0.1:0", "pool": f"127.0.0.1:{pool.address[1]}",
+        "roster": "127.0.0.1:1", "vault": "127.0.0.1:1", "settings": PARAMS}))
+    run = tomllib.loads((Path(__file__).parents[1] / "deploy/balancer.toml").read_text())["run"]
+    process = subprocess.Popen(
+        ["/bin/sh", "-c", run.replace(".venv/bin/python", sys.executable)], text=True,
+        stdin=subprocess.PIPE, stderr=subprocess.PIPE,
+        env={**os.environ, "LB_CONFIG": str(config), "TMPDIR": str(tmp_path), "PYTHONPATH": os.pathsep.join(
+            [str(slow), str(Path(__file__).parents[1])])})
+    try:
+        assert process.stdin is not None and process.stderr is not None
+        assert started.read_text() == "here"
+        process.send_signal(signal.SIGHUP)
+        process.stdin.write("on\n")
+        process.stdin.close()
+        assert "n3 listens on" in process.stderr.readline()
+        process.send_signal(signal.SIGHUP)  # and is heard from here on
+        while "cairnvane: pool" not in process.stderr.readline():
+            pass
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(WAIT_S) == 0
+    finally:
+        process.kill()
+        process.wait()
+        if process.stderr is not None:
+            process.stderr.close()
