Look again at a try that waited for one that never ran, rather than fail it

Host.over ended all who waited for a first try with 500, also where that was refused, left while held, or was not known to the pool or told `late`: nothing had run for either, and the second's caller was there. Now it is an arrival like any other once the controller has given the first one's key up. In the order of the crossing: the first's caller leaves while it is held, the pool tells `late`, the pool does not know it; all three fail without the change.

--- a/cairnvane/host.py
+++ b/cairnvane/host.py
@@ -19,7 +19,7 @@
 from .net import pool as worker
 from .net.pool import Pool
 from .net.server import Server
-from .runs import Runs
+from .runs import ENDS, VERDICTS, Runs
 from .ticks import Ticks
 from .tracked import Tracked, adopted
 
@@ -33,13 +33,6 @@
 # So much may share a call of `handle`: few enough for the first of it not to be kept waiting.
 MOST_TOGETHER = 32
 
-_ENDS = {
-    worker.FINE: Outcome.OK, worker.FAULT: Outcome.ERROR,
-    worker.BROKEN_OFF: Outcome.CANCELLED, worker.LATE: Outcome.MOOT,
-}
-# Which of these ends are answers.
-VERDICTS = {Outcome.OK: Verdict.SERVED, Outcome.ERROR: Verdict.FAILED}
-
 
 class Host:
     """One life of a server."""
@@ -225,11 +218,10 @@
 
     def _leave(self, request: Request) -> None:
         known = self._by_uid.get(request.uid)
-        if known is None or known.exchange is not request:
-            return
-        self.runs.leave(known)
-        self.tell(i.Gone(known.id))
-        self._settle(known)
+        if known is not None and known.exchange is request:
+            self.runs.leave(known)
+            self.tell(i.Gone(known.id))
+            self._settle(known)
 
     def _lasts(self, known: Tracked | None) -> Lasting | None:
         """Who has to hear of this one, since its key outlasts this life."""
@@ -244,7 +236,7 @@
         known = self._by_uid.get(uid)
         if known is None or not known.running:
             return self._noticed(pos)
-        outcome = _ENDS.get(code, Outcome.ERROR)
+        outcome = ENDS.get(code, Outcome.ERROR)
         self.runs.over(known, outcome is Outcome.OK)
         if outcome is Outcome.OK and known.exchange.token is not None:
             known.result = result
@@ -312,7 +304,13 @@
         waiting, known.waiting = known.waiting, []
         for number in waiting:
             if (repeat := self._requests.get(number)) is not None:
-                self._finish_repeat(repeat, known)
+                (self._look_again if outcome is Outcome.MOOT else self._finish_repeat)(repeat, known)
+
+    def _look_again(self, repeat: Tracked, _: Tracked) -> None:
+        """What it repeats never ran: it is a first try now, once the controller has given that key up."""
+        self._later.append(i.Gone(repeat.id))
+        del self._requests[repeat.id], self._by_uid[repeat.exchange.uid]
+        self.post(lambda: self._arrival(repeat.exchange))
 
     def _finish_repeat(self, repeat: Tracked, original: Tracked | None) -> None:
         good = original is not None and original.outcome is Outcome.OK
--- a/cairnvane/runs.py
+++ b/cairnvane/runs.py
@@ -10,8 +10,9 @@
 from collections.abc import Callable, Iterable
 
 from . import clock
+from .exchange import Verdict
 from .interface import Outcome, Repeat
-from .net.pool import Pool
+from .net.pool import BROKEN_OFF, FAULT, FINE, LATE, Pool
 from .net.vault import Call
 from .tracked import Tracked
 
@@ -19,6 +20,10 @@
 # the break; what is older has arrived.
 DOUBTFUL_US = 1_000_000
 
+# What the pool's words for an end mean, and which of these ends are answers.
+ENDS = {FINE: Outcome.OK, FAULT: Outcome.ERROR, BROKEN_OFF: Outcome.CANCELLED, LATE: Outcome.MOOT}
+VERDICTS = {Outcome.OK: Verdict.SERVED, Outcome.ERROR: Verdict.FAILED}
+
 # How a call ended, its reply, and how long it took in microseconds.
 CallEnded = Callable[[Tracked, Outcome, int], None]
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -316,6 +316,35 @@
 # --- keys ---
 
 
+@pytest.mark.parametrize("how", ["left", "late", "unknown"])
+def test_a_try_that_waits_for_one_that_never_runs_is_run_itself(how: str) -> None:
+    """Guards: it was failed along with the first, though nothing had run for either."""
+    with world(Cores=1) as w:
+        balancer = w.balancer()
+        keyed: dict[str, Any] = {"path": "/svc/write", "HTTP_REQ_TOKEN": TOKEN}
+        if how == "left":  # while it is held, as the core is taken
+            balancer.send(9)
+            uid = w.pool.next("spawn")["uid"]
+        balancer.send(1, **keyed)
+        first = w.pool.next("spawn")["uid"] if how != "left" else ""
+        balancer.send(2, **keyed)
+        until(lambda: any(known.waiting for known in list(w.host._requests.values())))
+        if how == "left":
+            balancer.abort(1)
+            assert balancer.answer()[0] == 1
+            w.pool.notice("finished", uid, "fine", b"done")
+            assert balancer.answer()[0] == 9
+        elif how == "late":
+            w.pool.notice("finished", first, "late")
+            assert balancer.answer()[1].status == 500
+        else:
+            w.pool.tell(action="unknown", code="spawn", uid=first)
+            assert balancer.answer()[1].status == 500
+        assert w.pool.run(b"once")["uid"] == f"{2:016x}"
+        number, answer = balancer.answer()
+        assert (number, answer.status, answer.body) == (2, 200, b"once")
+
+
 def test_a_window_counts_from_a_stamp_that_lies_ahead(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards: the entry ended as if the try had come when it was read, before its window did."""
     with world() as w:
