End a connection that writes hundreds of records of no request, and keep the roster's thread

Records for requests that are neither read nor open, of management, beginnings that are turned away and aborts of nothing cost the core as fast as a client writes them; only some marked it as suspect. More than 256 in a row end what is taken from it, and what it is owed goes out. A whole request starts the count anew, so a balancer's aborts that cross answers never add up. A trial that let a suspect connection's unread bytes count for nothing at the notice to leave was given up: it lost a whole request (the test of unread bytes showed it).

The roster's thread ended for good with any other error than those expected; an address that the resolver can't encode (`a..b:80`) or a port in other digits passed the check and failed in a thread later, or with a traceback.

New stories: seven floods at once while a balancer is served and the program leaves (peak under 64 MB), notices that come again or before the pool is up, a torn configuration. Each guard taken back fails a test.

--- a/cairnvane/config/__init__.py
+++ b/cairnvane/config/__init__.py
@@ -79,9 +79,14 @@
 def address(key: str, text: str) -> Address:
     """HOST:PORT; `ConfigError` names the key."""
     host, colon, port = text.rpartition(":")
-    if not (host and colon and port.isdigit() and int(port) < 65_536):
+    try:
+        host.encode("idna")  # as the system would do it, in whatever thread first connects
+        number = int(port) if port.isascii() and port.isdigit() else -1
+    except UnicodeError:
+        number = -1
+    if not (host and colon and 0 <= number < 65_536):
         raise ConfigError(f"{key}: {text!r} is not HOST:PORT")
-    return host, int(port)
+    return host, number
 
 
 def _found(raw: bytes, problem: str) -> str:
--- a/cairnvane/net/connection.py
+++ b/cairnvane/net/connection.py
@@ -32,9 +32,9 @@
 # Who sends what can't be right is read on only after so long: a client that tries the same again as soon as
 # it is turned away would else have the share of the core that the balancers need.
 SLOW_READ_S = 0.05
-# A buffer's worth of the smallest requests that balancers send has half as many records. Who sends more has
-# nothing to say, and each record costs.
-MOST_RECORDS = 512
+# Records of no request, one after the other: a balancer has a few for each of 32 that ended meanwhile. Who
+# sends more has nothing to say, and each costs.
+MOST_VOID = 256
 
 
 class State(Enum):
@@ -84,6 +84,7 @@
         self._state = State.SERVING
         self._ended_since: float | None = None  # by the front's clock, as the next two
         self._suspect = False  # something on it could not be right
+        self._void = 0  # records of no request since the last whole one
         # None once a whole request has come, and None while no record is half read.
         self._unheard_since: float | None = front.clock
         self._rest_since: float | None = None
@@ -143,11 +144,10 @@
         return wanted and self.close_if_idle()
 
     def _read(self, view: memoryview, have: int) -> int:
-        at = count = 0
+        at = 0
         try:
             while (found := fastcgi.take(view, at, have)) is not None:
                 part, at = found
-                count += 1
                 self._take(part)
         except fastcgi.Malformed as error:
             log.say("server", f"nothing more is read of a connection: {error}")
@@ -155,7 +155,6 @@
             with self._lock:
                 self._take_no_more()
             return 0
-        self._suspect |= count > MOST_RECORDS
         if at == have:
             self._rest_since = None
         elif at or self._rest_since is None:
@@ -206,6 +205,7 @@
 
     def _take(self, part: fastcgi.Record) -> None:
         if part.request == 0:
+            self._count_void()
             self.outlet.send(fastcgi.management(part, self.front.values))
         elif part.kind == fastcgi.BEGIN_REQUEST:
             self._begin(part)
@@ -213,11 +213,18 @@
             self._abort(part.request)
         elif part.kind in (fastcgi.PARAMS, fastcgi.STDIN):
             incoming = self.reading.get(part.request)
-            if incoming is not None and incoming.add(part):
+            if incoming is None:
+                self._count_void()
+            elif incoming.add(part):
                 self._hand_over(incoming)
         else:
             raise fastcgi.Malformed(f"record type {part.kind}")
 
+    def _count_void(self) -> None:
+        self._void += 1
+        if self._void > MOST_VOID:
+            raise fastcgi.Malformed(f"{self._void} records of no request, one after the other")
+
     def _begin(self, part: fastcgi.Record) -> None:
         role, keep = fastcgi.begin(part)
         with self._lock:
@@ -227,16 +234,19 @@
                 self.reading[part.request] = fastcgi.Incoming(part.request, keep, self.front.clock)
         if taken:
             raise fastcgi.Malformed(f"request {part.request} began twice")
-        if role != fastcgi.RESPONDER:
+        if role != fastcgi.RESPONDER or full:
             self._suspect = True
+            self._count_void()
+        if role != fastcgi.RESPONDER:
             self.outlet.send(fastcgi.end(part.request, fastcgi.UNKNOWN_ROLE))
         elif full:  # never handed over, so the promise that it never ran holds
-            self._suspect = True
             self.outlet.send(fastcgi.end(part.request, fastcgi.OVERLOADED))
 
     def _abort(self, number: int) -> None:
         with self._lock:
             half, exchange = self.reading.pop(number, None), self._open.get(number)
+        if exchange is None:
+            self._count_void()
         if half is None:
             if exchange is None or not exchange.withdraw():
                 return  # answered already
@@ -283,7 +293,7 @@
                 return False
             del self.reading[incoming.id]
             self._open[incoming.id] = exchange
-            self._unheard_since = None
+            self._unheard_since, self._void = None, 0
         return True
 
     def _answer(self, incoming: fastcgi.Incoming, answer: Answer) -> None:
--- a/cairnvane/net/roster.py
+++ b/cairnvane/net/roster.py
@@ -75,7 +75,7 @@
                 sock.sendall(data)
                 status = http.read_reply(sock, deadline).status
             problem = "" if status == 204 else f"status {status}"
-        except (OSError, http.BadReply) as error:
+        except Exception as error:  # whatever came back: without this thread no balancer finds the server
             problem = str(error) or type(error).__name__
         finally:
             with self._lock:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import signal
@@ -21,6 +22,7 @@
 
 import pytest
 from peers import PARAMS, TOKEN, WAIT_S, WINDOW_US, Balancer, Held, Listener, PoolPeer, World, until, world
+from test_program import NOWHERE, program
 
 from cairnvane.exchange import Answer
 from cairnvane.net import connection, fastcgi, fields, roster, server
@@ -29,6 +31,8 @@
 
 # Bytes of a request: half of its first record, and that with a part of the second.
 FEW, HALF = 5, 20
+BEGIN = fastcgi.record(fastcgi.BEGIN_REQUEST, 1, b"\0\1\1\0\0\0\0\0")
+ABORT = fastcgi.record(fastcgi.ABORT_REQUEST, 1, b"")
 
 
 def hold(
@@ -283,18 +287,88 @@
 # --- floods ---
 
 
-def test_a_flood_of_records_without_meaning_is_read_slowly(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards: a client that writes records of nothing had as much of the core as it could write."""
-    sleep = Held(lambda seconds: None)
-    monkeypatch.setattr(connection, "time", SimpleNamespace(monotonic=time.monotonic, sleep=sleep))
+@pytest.mark.parametrize("data", [
+    fastcgi.record(fastcgi.STDIN, 7, b""), fastcgi.record(50, 0, b""), BEGIN + ABORT, ABORT,
+    fastcgi.record(fastcgi.PARAMS, 7, bytes(4_000)), BEGIN[:6] + b"\0\0\0\7" + BEGIN[10:],
+])
+def test_a_flood_of_records_of_no_request_costs_its_own_connection(data: bytes) -> None:
+    """Guards: a client that wrote records of nothing had as much of the core as it could write."""
     with world() as w:
         flood, good = w.balancer(), w.balancer()
-        flood.sock.sendall(fastcgi.record(fastcgi.STDIN, 7, b"") * 4_000)
-        assert sleep.reached.wait(WAIT_S)
-        w.serve(good, 1)
-        sleep.go.set()
-        flood.sock.close()
-        until(lambda: len(w.server._connections) == 1)
+        flood.send(1)
+        uid = w.pool.next("spawn")["uid"]
+        flood.sock.sendall(data.replace(b"\0\1\0", b"\0\2\0") * (connection.MOST_VOID + 1))
+        until(lambda: any(each._state is State.ANSWERING for each in w.server._all()))
+        w.serve(good, 2)
+        w.pool.notice("finished", uid, "fine", b"done")
+        while flood.answer()[0] != 1:  # what was owed on it goes out, among what else it asked for
+            pass
+        assert flood.ended()
+
+
+def test_records_of_requests_that_have_ended_meanwhile_cost_a_balancer_nothing() -> None:
+    with world() as w:
+        balancer = w.balancer()
+        for number in range(1, 4):
+            balancer.sock.sendall(ABORT * (connection.MOST_VOID - 1))
+            w.serve(balancer, number)
+
+
+def _reader(sock: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        while sock.recv(65_536):
+            pass
+
+
+# What no balancer sends, again and again; whether its client reads, and whether it comes back when cut off.
+FLOODS = {
+    "records of nothing": (fastcgi.record(fastcgi.STDIN, 7, b"") * 1_000, True),
+    "management records that are not read": (fastcgi.record(50, 0, b"") * 1_000, False),
+    "beginnings and aborts": ((BEGIN + ABORT) * 500, True),
+    "requests beyond the most": (
+        b"".join(BEGIN[:2] + number.to_bytes(2, "big") + BEGIN[4:] for number in range(1, 600)), True),
+    "garbage": (b"GET / HTTP/1.1\r\n\r\n" * 100, True),
+    "an oversized record": (fastcgi.record(fastcgi.PARAMS, 1, bytes(60_000)), True),
+    "half a record": (BEGIN[:5], True),
+}
+
+
+def test_floods_cost_no_answer_of_another_nor_the_drain_nor_the_limits(tmp_path: Path) -> None:
+    """Each flood goes on from three connections while a balancer is served and the program leaves."""
+    over = threading.Event()
+
+    def flood(address: tuple[str, int], data: bytes, read: bool) -> None:
+        while not over.is_set():
+            with contextlib.suppress(OSError), socket.create_connection(address, 1) as sock:
+                if read:
+                    in_thread(lambda: _reader(sock))
+                while not over.wait(0.001):  # so that this process has time for its own balancer
+                    sock.sendall(data)
+
+    pool = PoolPeer()
+    with program(tmp_path, f"127.0.0.1:{pool.address[1]}", NOWHERE, stop_ms=5_000) as (process, port):
+        floods = [threading.Thread(target=flood, args=(("127.0.0.1", port), *how), daemon=True)
+                  for how in FLOODS.values() for _ in range(3)]
+        balancer = Balancer(("127.0.0.1", port))
+        pool.next("bind")
+        for each in floods:
+            each.start()
+        for number in range(1, 101):
+            balancer.send(number % 32 + 1, HTTP_REQ_ID=f"{number:016x}")
+            pool.run(b"done")
+            assert balancer.answer()[1].body == b"done"
+        status = Path(f"/proc/{process.pid}/status").read_text()
+        peak_kb = next(int(line.split()[1]) for line in status.splitlines() if line.startswith("VmHWM"))
+        assert peak_kb < 64 * 1_024
+        balancer.send(1, HTTP_REQ_ID="a" * 16)
+        uid = pool.next("spawn")["uid"]
+        process.send_signal(signal.SIGTERM)
+        pool.notice("finished", uid, "fine", b"last")
+        assert balancer.answer()[1].body == b"last"
+        assert process.wait(WAIT_S) == 0
+        over.set()
+        for each in floods:
+            each.join(WAIT_S)
 
 
 def test_deep_checks_share_the_work_that_is_under_way() -> None:
@@ -379,6 +453,32 @@
     assert said == [b""]
 
 
+@pytest.mark.parametrize("said", [
+    b"", b"HTTP/1.1 204 No", b"\xff\xfe\r\n\r\n", b"HTTP/1.1 500 X\r\nContent-Length: 2\r\n\r\n", None,
+])
+def test_whatever_the_roster_says_the_next_report_comes(
+    said: bytes | None, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards: one that accepts and says nothing, or half of something, for longer than an entry lasts."""
+    monkeypatch.setattr(roster, "EVERY_S", 0.01)
+    monkeypatch.setattr(roster, "WAIT_S", 0.05)
+    came = threading.Semaphore(0)
+
+    def listen(sock: socket.socket) -> None:
+        assert sock.recv(4_096)
+        came.release()
+        if said is None:
+            sock.recv(4_096)  # and says nothing
+        else:
+            sock.sendall(said)
+
+    reports = roster.Roster(Listener(listen).address, "n1")
+    reports.start()
+    for _ in range(3):
+        assert came.acquire(timeout=WAIT_S)
+    reports.stop()
+
+
 def test_a_report_on_its_way_is_cut_off_by_the_notice(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(roster, "WAIT_S", 10 * WAIT_S)
     cut = threading.Event()
@@ -397,6 +497,41 @@
     assert cut.wait(WAIT_S)
 
 
+@pytest.mark.parametrize("bound", [False, True])
+def test_notices_that_come_again_or_before_the_pool_is_up_change_nothing(tmp_path: Path, bound: bool) -> None:
+    pool = PoolPeer(bound)
+    with program(tmp_path, f"127.0.0.1:{pool.address[1]}", NOWHERE) as (process, port):
+        pool.next("bind")
+        balancer = Balancer(("127.0.0.1", port))
+        if bound:
+            balancer.send(1)
+            uid = pool.next("spawn")["uid"]
+        for one in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+            process.send_signal(one)
+        if bound:
+            pool.notice("finished", uid, "fine", b"last")
+            assert balancer.answer()[1].body == b"last"
+        assert balancer.ended()
+        assert process.wait(WAIT_S) == 0
+
+
+def test_a_torn_configuration_is_named_and_the_whole_one_after_it_counts(tmp_path: Path) -> None:
+    pools = PoolPeer(), PoolPeer()
+    path = tmp_path / "config-0.json"
+    with program(tmp_path, f"127.0.0.1:{pools[0].address[1]}", NOWHERE) as (process, _):
+        pools[0].next("bind")
+        whole = json.dumps(json.loads(path.read_text()) | {"pool": f"127.0.0.1:{pools[1].address[1]}"})
+        assert process.stderr is not None
+        for torn in (whole[:0], whole[: len(whole) // 2], whole[:-1]):
+            path.write_text(torn)
+            process.send_signal(signal.SIGHUP)
+            while "stays as it was: LB_CONFIG:" not in process.stderr.readline():
+                pass
+        path.write_text(whole)
+        process.send_signal(signal.SIGHUP)
+        pools[1].next("bind")
+
+
 def test_a_reload_before_the_program_can_wait_for_it_does_not_end_it(tmp_path: Path) -> None:
     """Guards: SIGHUP during the start, as a new configuration is told to all, was a crash."""
     pool = PoolPeer()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -136,7 +136,8 @@
 
 
 @pytest.mark.parametrize(("changes", "key"), [
-    ({"pool": 7}, "$.pool"), ({"pool": "here"}, "pool:"), ({"vault": "h:99999"}, "vault:"),
+    ({"pool": 7}, "$.pool"), ({"pool": "here"}, "pool:"), ({"pool": "h:\u00b2"}, "pool:"),
+    ({"roster": "a..b:80"}, "roster: 'a..b:80'"), ({"vault": "h:99999"}, "vault:"),
     ({"seed": "xyz"}, "seed:"), ({"name": ""}, "name:"), ({"listen": ""}, "listen:"),
     ({"limits": {"sockets": 3}}, "limits.sockets:"), ({"limits": {"sockets": "x"}}, "$.limits.sockets"),
     ({"stop_ms": 0}, "stop_ms:"), ({"control": "door"}, "control:"),
