Force the crossings of a given-up call, a moved roster, a number begun twice and a window's end

Forced by events: a reply read as its call is given up, one reported as its caller leaves, a move while a report connects.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import os
+import queue
 import signal
 import socket
 import subprocess
@@ -21,11 +22,15 @@
 from typing import Any
 
 import pytest
-from peers import PARAMS, TOKEN, WAIT_S, WINDOW_US, Balancer, Held, Listener, PoolPeer, World, until, world
+from peers import (
+    PARAMS, TOKEN, WAIT_S, WINDOW_US, Balancer, Held, Listener, PoolPeer, VaultPeer, World, reply,
+    until, world,
+)
 from test_program import NOWHERE, program
 
 from cairnvane.exchange import Answer
-from cairnvane.net import connection, fastcgi, fields, roster, server
+from cairnvane.keys import Table
+from cairnvane.net import connection, fastcgi, fields, roster, server, vault
 from cairnvane.net.connection import State
 from cairnvane.net.server import Server
 
@@ -193,12 +198,14 @@
         assert balancer.ended()
 
 
-def test_a_malformed_record_costs_no_answer_that_is_owed() -> None:
+@pytest.mark.parametrize("data", [b"no record at all", BEGIN])
+def test_a_malformed_record_costs_no_answer_that_is_owed(data: bytes) -> None:
+    """Nor does a number that is begun again while it is open."""
     with world() as w:
         balancer = w.balancer()
         balancer.send(1)
         uid = w.pool.next("spawn")["uid"]
-        balancer.sock.sendall(b"no record at all")
+        balancer.sock.sendall(data)
         until(lambda: w.connection._state is State.ANSWERING)
         balancer.send(2)  # not looked at any more
         w.pool.notice("finished", uid, "fine", b"done")
@@ -387,7 +394,50 @@
         assert balancer.answer()[1].status == 503
 
 
-# --- keys ---
+# --- calls and keys ---
+
+
+def test_a_reply_as_its_call_is_given_up_is_not_reported(monkeypatch: pytest.MonkeyPatch) -> None:
+    held = hold(monkeypatch, vault, "outcome")
+    threads: list[threading.Thread] = []
+    ends: list[Any] = []
+    monkeypatch.setattr(
+        vault, "_threads", SimpleNamespace(run=lambda task: threads.append(in_thread(task))))
+    call = vault.Call(
+        VaultPeer(reply(200)).address, "0" * 16, b"x", 60_000_000, lambda *end: ends.append(end))
+    assert held.reached.wait(WAIT_S)
+    call.give_up()
+    held.go.set()
+    threads[0].join(WAIT_S)
+    assert ends == []
+
+
+def test_a_reply_that_was_reported_as_its_caller_left_is_not_supplied() -> None:
+    with world(reply(200, b"late")) as w:
+        balancer, posted = w.balancer(), threading.Event()
+        held = Held(w.host.post)
+
+        def post(task: Callable[[], None]) -> None:
+            held(task)
+            posted.set()
+
+        w.host.runs._post = post
+        uid = w.block(balancer)
+        assert held.reached.wait(WAIT_S)
+        balancer.abort(1)
+        assert w.pool.next("suspend")["uid"] == uid
+        held.go.set()
+        assert posted.wait(WAIT_S)
+        assert balancer.answer()[0] == 1
+        w.serve(balancer, 2)  # its `spawn` is what the pool hears next
+
+
+def test_a_window_ends_at_its_last_microsecond() -> None:
+    table = Table(unread=1_000_000)
+    table.enter("token", 7, 100)
+    assert (table.owner("token", 99), table.owner("token", 100)) == (7, None)
+    assert table.expire(100) == []  # a try that came in time may be read as much later
+    assert table.expire(1_000_100) == [7]
 
 
 @pytest.mark.parametrize("how", ["left", "late", "unknown"])
@@ -479,6 +529,24 @@
     reports.stop()
 
 
+def test_a_move_in_the_midst_of_a_report_is_followed_by_one_to_the_new_address(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(roster, "EVERY_S", 10 * WAIT_S)
+    connected = Held(socket.create_connection)
+    of_roster = SimpleNamespace(create_connection=connected, SHUT_RDWR=socket.SHUT_RDWR)
+    monkeypatch.setattr(roster, "socket", of_roster)
+    came: queue.Queue[str] = queue.Queue()
+    old, new = Listener(lambda sock: came.put("old")), Listener(lambda sock: came.put("new"))
+    reports = roster.Roster(old.address, "n1")
+    reports.start()
+    assert connected.reached.wait(WAIT_S)
+    reports.move(new.address)
+    connected.go.set()
+    assert [came.get(timeout=WAIT_S) for _ in range(2)] == ["old", "new"]
+    reports.stop()
+
+
 def test_a_report_on_its_way_is_cut_off_by_the_notice(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(roster, "WAIT_S", 10 * WAIT_S)
     cut = threading.Event()
