--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -28,6 +28,7 @@
 )
 from test_program import NOWHERE, program
 
+from cairnvane import clock
 from cairnvane.exchange import Answer
 from cairnvane.keys import Table
 from cairnvane.net import connection, fastcgi, fields, roster, server, vault
@@ -479,6 +480,63 @@
         assert until_us >= time.monotonic_ns() // 1_000 + WINDOW_US + 1_000_000
 
 
+# --- the settings of others ---
+
+
+def _class(name: str, repeat: str = "free", **more: Any) -> dict[str, Any]:
+    return {"Name": name, "OnTimeUs": 3_000_000, "GiveUpUs": 9_000_000, "Repeat": repeat, **more}
+
+
+@pytest.mark.parametrize(("classes", "more"), [
+    ([_class("only")], {}),
+    ([_class(f"kind-{number}", Worth=float(number)) for number in range(40)], {}),
+    ([_class("read"), _class("signal", "single_shot", Worth=2.0)], {}),
+    ([_class("all", "guarded", WindowUs=0)], {"Extra": PARAMS["Extra"] | {"Downstream": "silent"}}),
+    ([_class("short", OnTimeUs=150_000, GiveUpUs=9_000_000, LateWorth=0.5)], {
+        "Tenants": [{"Name": "a", "QuotaPerS": 0.5}], "OverShareWorth": 0.1,
+        "Extra": PARAMS["Extra"] | {"Halt": "silent", "Say": "silent", "Meters": []}}),
+])
+def test_whatever_the_settings_are_all_classes_are_served(
+    classes: list[dict[str, Any]], more: dict[str, Any], monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards: nothing may come from anything but the settings, which are another customer's elsewhere."""
+    for key, value in ({"Classes": classes} | more).items():
+        monkeypatch.setitem(PARAMS, key, value)
+    with world() as w:
+        balancer = w.balancer()
+        for number, cls in enumerate(classes, 1):
+            token = {"HTTP_REQ_TOKEN": TOKEN} if cls["Repeat"] == "guarded" else {}
+            w.serve(balancer, number, path=f"/svc/{cls['Name']}", **token)
+        balancer.send(99, path="/svc/nobody's")
+        assert balancer.answer()[1].status == 500  # and costs nothing but itself
+        assert w.connection._state is State.SERVING
+
+
+@pytest.mark.parametrize(("beyond_us", "runs"), [(-1, 1), (1_000_000, 2)])
+def test_a_window_that_is_shorter_than_its_run_holds_to_its_end(
+    beyond_us: int, runs: int, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """While the first try is still running: within the window it is repeated, after it a try is its own."""
+    monkeypatch.setitem(PARAMS, "Classes", [_class("write", "guarded", WindowUs=1_000_000)])
+    with world() as w:
+        balancer = w.balancer()
+        stamp = time.time_ns() // 1_000_000
+        balancer.send(1, path="/svc/write", HTTP_REQ_TOKEN=TOKEN, HTTP_REQ_TIME=str(stamp))
+        first = w.pool.next("spawn")["uid"]
+        real, later = clock.now, 3_000_000
+        monkeypatch.setattr(clock, "now", lambda: real() + later)
+        second = stamp - (later - 1_000_000 - beyond_us) // 1_000
+        balancer.send(2, path="/svc/write", HTTP_REQ_TOKEN=TOKEN, HTTP_REQ_TIME=str(second))
+        if runs == 2:
+            w.pool.run(b"again")
+            assert balancer.answer()[1].body == b"again"
+        w.pool.notice("finished", first, "fine", b"once")
+        assert balancer.answer()[1].body == b"once"
+        if runs == 1:
+            assert balancer.answer()[1].body == b"once"
+        assert w.pool.commands.empty()
+
+
 # --- the roster, and signals ---
 
 
@@ -583,6 +641,41 @@
         assert process.wait(WAIT_S) == 0
 
 
+def test_after_a_kill_it_listens_at_once_at_the_same_address_and_knows_of_nothing(tmp_path: Path) -> None:
+    pool = PoolPeer()
+    at = f"127.0.0.1:{pool.address[1]}"
+    keyed: dict[str, Any] = {"path": "/svc/write", "HTTP_REQ_TOKEN": TOKEN}
+    with program(tmp_path, at, NOWHERE) as (process, port):
+        balancer = Balancer(("127.0.0.1", port))
+        resting = Balancer(("127.0.0.1", port))
+        pool.next("bind")
+        balancer.send(1, **keyed)
+        pool.next("spawn")
+        process.kill()
+        assert balancer.ended() and resting.ended()
+    pool.cut()
+    pool.restart()  # the platform kills it along
+    (tmp_path / "new").mkdir()  # and gives an empty temporary folder
+    with program(tmp_path / "new", at, NOWHERE, listen=f"127.0.0.1:{port}") as (process, _):
+        assert pool.next("bind")["pos"] == 0
+        balancer = Balancer(("127.0.0.1", port))
+        balancer.send(2, **keyed)
+        assert pool.run(b"done")["uid"] == f"{2:016x}"
+        assert balancer.answer()[1].body == b"done"
+
+
+def test_a_faulty_setting_ends_the_program_with_2(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    settings = PARAMS | {"Extra": PARAMS["Extra"] | {"Cores": 0}}
+    path.write_text(json.dumps({
+        "name": "n", "listen": "127.0.0.1:0", "pool": NOWHERE, "roster": NOWHERE, "vault": NOWHERE,
+        "settings": settings}))
+    done = subprocess.run(
+        [sys.executable, "-m", "cairnvane"], env={**os.environ, "LB_CONFIG": str(path)}, capture_output=True,
+        text=True)
+    assert (done.returncode, done.stderr) == (2, "cairnvane: settings: Extra.Cores: impossible value 0\n")
+
+
 def test_a_torn_configuration_is_named_and_the_whole_one_after_it_counts(tmp_path: Path) -> None:
     pools = PoolPeer(), PoolPeer()
     path = tmp_path / "config-0.json"
