--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -395,6 +395,39 @@
         assert balancer.answer()[1].status == 503
 
 
+# --- the pool ---
+
+
+@pytest.mark.parametrize("said", ["fine", "fault", "broken_off", "late", "blocked", "unknown"])
+def test_what_crosses_the_order_to_stop_a_run_changes_nothing(said: str) -> None:
+    """Its caller has left, and the pool had said this, or did not know the run any more."""
+    with world() as w:
+        balancer = w.balancer()
+        balancer.send(1)
+        uid = w.pool.next("spawn")["uid"]
+        balancer.abort(1)
+        assert balancer.answer()[1].status == 0
+        assert w.pool.next("suspend")["uid"] == uid
+        if said == "unknown":
+            w.pool.tell(action="unknown", code="suspend", uid=uid)
+        elif said == "blocked":
+            w.pool.notice("blocked", uid, content=b"call")
+        else:
+            w.pool.notice("finished", uid, said, b"done" if said == "fine" else b"")
+        w.serve(balancer, 1, HTTP_REQ_ID="f" * 16)  # the next command, and the next answer of that number
+        assert w.vault.calls.empty()
+
+
+def test_a_reply_that_the_pool_no_longer_knows_a_call_for_changes_nothing() -> None:
+    with world(reply(200, b"reply")) as w:
+        balancer = w.balancer()
+        uid = w.block(balancer)
+        w.pool.next("supply")
+        w.pool.tell(action="unknown", code="supply", uid=uid)
+        w.pool.notice("finished", uid, "fine", b"done")
+        assert balancer.answer()[1].body == b"done"
+
+
 # --- calls and keys ---
 
 
@@ -562,7 +595,8 @@
 
 
 @pytest.mark.parametrize("said", [
-    b"", b"HTTP/1.1 204 No", b"\xff\xfe\r\n\r\n", b"HTTP/1.1 500 X\r\nContent-Length: 2\r\n\r\n", None,
+    b"", b"HTTP/1.1 204 No", b"HTTP/1.1 503 X\r\nContent-Length: 9\r\n\r\nno",
+    b"\xff\xfe\r\n\r\n", b"HTTP/1.1 500 X\r\nContent-Length: 2\r\n\r\n", None,
 ])
 def test_whatever_the_roster_says_the_next_report_comes(
     said: bytes | None, monkeypatch: pytest.MonkeyPatch,
