--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -31,7 +31,7 @@
 from cairnvane import clock
 from cairnvane.exchange import Answer
 from cairnvane.keys import Table
-from cairnvane.net import connection, fastcgi, fields, roster, server, vault
+from cairnvane.net import connection, fastcgi, fields, http, roster, server, vault
 from cairnvane.net.connection import State
 from cairnvane.net.server import Server
 
@@ -621,6 +621,32 @@
     reports.stop()
 
 
+def test_an_error_that_nobody_expected_costs_one_report(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards: the thread ended, and no balancer found the server any more."""
+    monkeypatch.setattr(roster, "EVERY_S", 0.01)
+    failed = threading.Event()
+
+    def fails(*args: Any) -> http.Reply:
+        if not failed.is_set():
+            failed.set()
+            raise ValueError("of a kind that no one thought of")
+        return http.read_reply(*args)
+
+    monkeypatch.setattr(roster, "http", SimpleNamespace(request=http.request, read_reply=fails))
+    came = threading.Semaphore(0)
+
+    def listen(sock: socket.socket) -> None:
+        assert sock.recv(4_096)
+        came.release()
+        sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+
+    reports = roster.Roster(Listener(listen).address, "n1")
+    reports.start()
+    for _ in range(3):
+        assert came.acquire(timeout=WAIT_S)
+    reports.stop()
+
+
 def test_a_move_in_the_midst_of_a_report_is_followed_by_one_to_the_new_address(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
