--- a/cairnvane/lab/balancer.py
+++ b/cairnvane/lab/balancer.py
@@ -14,6 +14,9 @@
 
 # The protocol's own bound on open requests of a connection.
 MAX_OPEN = 32
+# A server may close a connection that has no open request, and a request may cross that within this time: it
+# is sent again on a new connection, once, says the protocol.
+CROSSING_S = 0.05
 
 
 @dataclass(slots=True)
@@ -29,6 +32,15 @@
 Then = Callable[[Reply], None]
 
 
+@dataclass(slots=True)
+class _Open:
+    """A try that is owed its end."""
+
+    then: Then
+    since: float
+    records: Callable[[int], bytes] | None  # it as bytes, under a number; None: it is not to be sent again
+
+
 class _Link:
     def __init__(self, port: int) -> None:
         self.sock = socket.create_connection(("127.0.0.1", port), 5)
@@ -36,7 +48,7 @@
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.lock = threading.Lock()
         self.free = list(range(1, MAX_OPEN + 1))
-        self.open: dict[int, tuple[Then, float]] = {}
+        self.open: dict[int, _Open] = {}
         self.broken = False
 
 
@@ -79,16 +91,19 @@
         }
         if token is not None:
             params["HTTP_REQ_TOKEN"] = token
-        link, number = self._claim(then, fresh)
-        data = b"".join([
-            fastcgi.record(fastcgi.BEGIN_REQUEST, number, b"\0\1\1\0\0\0\0\0"),
-            fastcgi.record(fastcgi.PARAMS, number, fastcgi.put_pairs(params)),
-            fastcgi.record(fastcgi.PARAMS, number, b""), fastcgi.record(fastcgi.STDIN, number, body),
-            fastcgi.record(fastcgi.STDIN, number, b""),
-        ])
+
+        def records(number: int) -> bytes:
+            return b"".join([
+                fastcgi.record(fastcgi.BEGIN_REQUEST, number, b"\0\1\1\0\0\0\0\0"),
+                fastcgi.record(fastcgi.PARAMS, number, fastcgi.put_pairs(params)),
+                fastcgi.record(fastcgi.PARAMS, number, b""), fastcgi.record(fastcgi.STDIN, number, body),
+                fastcgi.record(fastcgi.STDIN, number, b""),
+            ])
+
+        link, number = self._claim(_Open(then, time.monotonic(), records if self._renew else None), fresh)
         with link.lock, contextlib.suppress(OSError):
             if not link.broken:
-                link.sock.sendall(data)
+                link.sock.sendall(records(number))
                 return lambda: self._give_up(link, number, then)
         self._end(link, number, Reply(0, b"", 0, 0.0))
         return lambda: None
@@ -96,16 +111,16 @@
     def _give_up(self, link: _Link, number: int, then: Then) -> None:
         """Tell the server. The number is free again once that has ended it."""
         with link.lock, contextlib.suppress(OSError):
-            if link.open.get(number, (None, 0.0))[0] is then:
-                link.open[number] = lambda reply: None, 0.0
+            if (one := link.open.get(number)) is not None and one.then is then:
+                link.open[number] = _Open(lambda reply: None, 0.0, None)
                 link.sock.sendall(fastcgi.record(fastcgi.ABORT_REQUEST, number, b""))
 
-    def _claim(self, then: Then, fresh: bool) -> tuple[_Link, int]:
+    def _claim(self, one: _Open, fresh: bool) -> tuple[_Link, int]:
         if fresh:
             with contextlib.suppress(OSError):
                 link = _Link(self._port)
                 number = link.free.pop()
-                link.open[number] = then, time.monotonic()
+                link.open[number] = one
                 self._start(link)
                 self._links[self._next] = self._in_place_of(self._links[self._next], link)
                 return link, number
@@ -118,7 +133,7 @@
                 with link.lock:
                     if link.free:
                         number = link.free.pop()
-                        link.open[number] = then, time.monotonic()
+                        link.open[number] = one
                         return link, number
 
     def _in_place_of(self, link: _Link, new: _Link) -> _Link:
@@ -158,6 +173,20 @@
         for number in left:
             self._end(link, number, Reply(0, b"", 0, 0.0))
 
+    def _cross(self, one: _Open) -> bool:
+        """Send a try again whose connection the server closed at that moment; False if that was not so, or
+        nobody listens."""
+        if one.records is None or time.monotonic() - one.since > CROSSING_S:
+            return False
+        with contextlib.suppress(OSError):
+            link = _Link(self._port)
+            number = link.free.pop()
+            link.open[number] = _Open(one.then, one.since, None)
+            link.sock.sendall(one.records(number))
+            self._start(link)
+            return True
+        return False
+
     def _answered(self, link: _Link, number: int, content: bytes) -> None:
         head, _, body = content.partition(b"\r\n\r\n")
         fields = dict(line.split(": ", 1) for line in head.decode().split("\r\n") if ": " in line)
@@ -166,13 +195,15 @@
 
     def _end(self, link: _Link, number: int, reply: Reply) -> None:
         with link.lock:
-            then, since = link.open.pop(number, (None, 0.0))
-            if then is None:
+            one = link.open.pop(number, None)
+            if one is None:
                 return
             link.free.append(number)
+        if reply.status == 0 and self._cross(one):
+            return
         self._room.release()
-        reply.took_s = time.monotonic() - since
-        then(reply)
+        reply.took_s = time.monotonic() - one.since
+        one.then(reply)
 
     def close(self) -> None:
         """Hang up."""
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 import json
+import queue
+import socket
 from pathlib import Path
 from typing import Any
 
 import pytest
 from click.testing import CliRunner
+from peers import WAIT_S, Listener
 
 from cairnvane.cli import main
+from cairnvane.lab import balancer
+from cairnvane.lab.balancer import Reply, StandInBalancer
+from cairnvane.net import fastcgi
 
 
 def lab(tmp_path: Path, *words: str) -> tuple[int, dict[str, Any]]:
@@ -54,3 +60,26 @@
     words = ["--rounds", "3", "--commits", "300", "--forge", "--seed", "3", "--mutant", mutant]
     status, report = lab(tmp_path, "upgrade", *words)
     assert status == 1 and (report | report["verdict"])[counts] > 0
+
+
+@pytest.mark.parametrize(("closes", "status"), [(1, 200), (2, 0)])
+def test_a_stand_in_balancer_sends_a_try_again_that_crossed_a_close(
+    closes: int, status: int, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards: a try in the instant in which a server left an idle connection was judged as lost. Once only:
+    whoever closes on it again has lost it."""
+    monkeypatch.setattr(balancer, "CROSSING_S", WAIT_S)
+    left = iter([True] * closes)
+    ends: queue.Queue[Reply] = queue.Queue()
+
+    def serve(sock: socket.socket) -> None:
+        data = sock.recv(65_536)
+        if not next(left, False):
+            number = int.from_bytes(data[2:4], "big")
+            sock.sendall(fastcgi.response(number, b"Status: 200 OK\r\n\r\n"))
+            sock.recv(1)
+
+    callers = StandInBalancer(Listener(serve).address[1], links=1, renew=True)
+    callers.send("0" * 16, "read", b"x", None, ends.put)
+    assert ends.get(timeout=WAIT_S).status == status
+    callers.close()
