--- a/benchmarks/door_cost.py
+++ b/benchmarks/door_cost.py
@@ -49,8 +49,11 @@
 
 def main() -> None:
     plain, counted = counting(ROUNDS, None), counting(ROUNDS, Tally(CLASSES))
-    table.show("Counting on the serving path, µs a request", ("door", "µs", "beside off"), [
-        ("off", plain, 1.0), ("on", counted, counted / plain if plain else float("inf"))])
+    table.show(
+        "Counting on the serving path, µs a request",
+        ("door", "µs", "beside off"),
+        [("off", plain, 1.0), ("on", counted, counted / plain if plain else float("inf"))],
+    )
     duty = Duty(lambda: True)
     tally = Tally(CLASSES)
     door = Door(("127.0.0.1", 0), Calls(duty, tally), duty)
--- a/benchmarks/fleet_hashing.py
+++ b/benchmarks/fleet_hashing.py
@@ -32,9 +32,17 @@
         for number in range(CHOICES):
             keys[number % size]
         rate = int(CHOICES / (time.perf_counter() - start))
-        plain = sum(a != b and a != keys[0] for a, b in zip(
-            itertools.islice(itertools.cycle(keys), TABLE_SIZE),
-            itertools.islice(itertools.cycle(keys[1:]), TABLE_SIZE), strict=True)) / TABLE_SIZE
+        plain = (
+            sum(
+                a != b and a != keys[0]
+                for a, b in zip(
+                    itertools.islice(itertools.cycle(keys), TABLE_SIZE),
+                    itertools.islice(itertools.cycle(keys[1:]), TABLE_SIZE),
+                    strict=True,
+                )
+            )
+            / TABLE_SIZE
+        )
         rows.append([size, "modulo", 0.0, rate, 100 * plain])
     head = ["endpoints", "structure", "build ms", "choices/s", "% of other keys moved"]
     table.show("Consistent hashing, as one endpoint leaves", head, rows)
--- a/benchmarks/keyed_append.py
+++ b/benchmarks/keyed_append.py
@@ -24,8 +24,10 @@
         for group in GROUPS:
             for kind in rivals.KINDS:
                 times = HdrHistogram(1, 60_000_000_000, 3)
-                with (tempfile.TemporaryDirectory(dir=Path(__file__).parent) as folder,
-                      rivals.opened(kind, Path(folder), power) as store):
+                with (
+                    tempfile.TemporaryDirectory(dir=Path(__file__).parent) as folder,
+                    rivals.opened(kind, Path(folder), power) as store,
+                ):
                     start = time.perf_counter()
                     while time.perf_counter() - start < MOST_S:
                         batch = [(rng.randbytes(16), 1, result) for _ in range(group)]
--- a/benchmarks/keyed_index.py
+++ b/benchmarks/keyed_index.py
@@ -63,8 +63,12 @@
 
     for first in range(0, size, CHUNK):
         tokens = [rng.randbytes(16) for _ in range(CHUNK)]
-        timed("put", lambda tokens=tokens, first=first: [
-            one.put(token, n << 17, WINDOW_US + n * 1_000) for n, token in enumerate(tokens, first)])
+        timed(
+            "put",
+            lambda tokens=tokens, first=first: [
+                one.put(token, n << 17, WINDOW_US + n * 1_000) for n, token in enumerate(tokens, first)
+            ],
+        )
     del tokens
     held = table.resident() - base
     rng = random.Random(1)
--- a/benchmarks/keyed_latency.py
+++ b/benchmarks/keyed_latency.py
@@ -24,8 +24,13 @@
 
 SITE_RATE = 190
 RATES = [SITE_RATE, 6 * SITE_RATE]
-VARIANTS = {"off": ("", ""), "process": ("process", "own"), "process, SQLite": ("process", "sqlite"),
-            "power": ("power", "own"), "power, SQLite": ("power", "sqlite")}
+VARIANTS = {
+    "off": ("", ""),
+    "process": ("process", "own"),
+    "process, SQLite": ("process", "sqlite"),
+    "power": ("power", "own"),
+    "power, SQLite": ("power", "sqlite"),
+}
 HERE = Path(__file__).parent
 
 
@@ -36,16 +41,28 @@
 
 
 def play(
-    folder: Path, pool: str, variant: str, rate: float, seconds: float, times: HdrHistogram,
+    folder: Path,
+    pool: str,
+    variant: str,
+    rate: float,
+    seconds: float,
+    times: HdrHistogram,
 ) -> list[float]:
     """One life under load; answers not served, CPU seconds, commits."""
     durability, store = VARIANTS[variant]
     vault, roster = StandInVault(), StandInRoster()
-    site = program.Site(folder, pool, vault.address, roster.address, restarts.SETTINGS,
-                        restarts.operator_file(durability) if durability else None)
+    site = program.Site(
+        folder,
+        pool,
+        vault.address,
+        roster.address,
+        restarts.SETTINGS,
+        restarts.operator_file(durability) if durability else None,
+    )
     environment = {**os.environ, **site.write(), "BENCH_STORE": store}
-    process = subprocess.Popen([sys.executable, str(HERE / "keyed_server.py")], env=environment,
-                               stderr=subprocess.PIPE, text=True)
+    process = subprocess.Popen(
+        [sys.executable, str(HERE / "keyed_server.py")], env=environment, stderr=subprocess.PIPE, text=True
+    )
     life = program.Life(process, time.monotonic())
     threading.Thread(target=life.watch, daemon=True).start()
     assert life.listens(), life.lines
--- a/benchmarks/keyed_server.py
+++ b/benchmarks/keyed_server.py
@@ -19,15 +19,19 @@
         self._db = sqlite3.connect(path, isolation_level=None)
         self._db.execute("PRAGMA journal_mode=WAL")
         self._db.execute(f"PRAGMA synchronous={'FULL' if self._power else 'OFF'}")
-        self._db.execute("CREATE TABLE IF NOT EXISTS kept "
-                         "(token BLOB PRIMARY KEY, step INTEGER, until INTEGER, rest BLOB) WITHOUT ROWID")
+        self._db.execute(
+            "CREATE TABLE IF NOT EXISTS kept "
+            "(token BLOB PRIMARY KEY, step INTEGER, until INTEGER, rest BLOB) WITHOUT ROWID"
+        )
         self._ready = True
         self._recovered(Recovered())
 
     def _write_once(self, group) -> None:  # type: ignore[no-untyped-def]
         self._db.execute("BEGIN IMMEDIATE")
-        self._db.executemany("INSERT OR REPLACE INTO kept VALUES (?, ?, ?, ?)", [
-            (entry.token, entry.step, entry.until, entry.rest) for entry in self._told(group)])
+        self._db.executemany(
+            "INSERT OR REPLACE INTO kept VALUES (?, ?, ?, ?)",
+            [(entry.token, entry.step, entry.until, entry.rest) for entry in self._told(group)],
+        )
         self._db.execute("COMMIT")
         self._take(group, [(0, 0)] * len(group))
 
--- a/benchmarks/ledger_cost.py
+++ b/benchmarks/ledger_cost.py
@@ -25,8 +25,16 @@
 
 
 def begun(number: int, until: int) -> Begun:
-    return Begun(number.to_bytes(16, "little"), f"{number:016x}", "bid-commit", digest("bid-commit", BODY),
-                 until, until, 8.0, 0)
+    return Begun(
+        number.to_bytes(16, "little"),
+        f"{number:016x}",
+        "bid-commit",
+        digest("bid-commit", BODY),
+        until,
+        until,
+        8.0,
+        0,
+    )
 
 
 def drive(keeper: Keeper, other: Keeper | None) -> tuple[float, float]:
@@ -74,16 +82,26 @@
                 other.close()
     for power in (False, True):
         with tempfile.TemporaryDirectory() as folder:
-            store = Store(OsFiles(Path(folder)), "n1", boot_id(), power=power, disk_bytes=64 << 20,
-                          memory_bytes=8 << 20, unread=UNREAD)
+            store = Store(
+                OsFiles(Path(folder)),
+                "n1",
+                boot_id(),
+                power=power,
+                disk_bytes=64 << 20,
+                memory_bytes=8 << 20,
+                unread=UNREAD,
+            )
             store.check()
             ready = threading.Semaphore(0)
             store.start(lambda left, ready=ready: ready.release(), lambda: None, print)  # type: ignore[misc]
             ready.acquire()
             rows.append((f"log, {'power' if power else 'process'}", *drive(store, None)))
             store.close()
-    table.show("A commit's keys, µs", ("keeper", "wall", "CPU", "CPU beside memory"),
-               [(name, wall, cpu, cpu / plain[1]) for name, wall, cpu in rows])
+    table.show(
+        "A commit's keys, µs",
+        ("keeper", "wall", "CPU", "CPU beside memory"),
+        [(name, wall, cpu, cpu / plain[1]) for name, wall, cpu in rows],
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/members_real.py
+++ b/benchmarks/members_real.py
@@ -39,20 +39,38 @@
     vault, roster = StandInVault(), StandInRoster()
     sites, lives = [], []
     for number, port in enumerate(ports):
-        text = (f"members: {{listen: '127.0.0.1:{port}', key: of-the-benchmark-only, "
-                f"contacts: ['127.0.0.1:{ports[0]}', '127.0.0.1:{ports[1]}']}}\n") if members else "log: {}\n"
+        text = (
+            (
+                f"members: {{listen: '127.0.0.1:{port}', key: of-the-benchmark-only, "
+                f"contacts: ['127.0.0.1:{ports[0]}', '127.0.0.1:{ports[1]}']}}\n"
+            )
+            if members
+            else "log: {}\n"
+        )
         path = folder / f"{members}{number}"
         path.mkdir()
-        sites.append(program.Site(path, StandInPool(number).address, vault.address, roster.address,
-                                  settings(Scenario("a")), text, name=f"n{number}"))
+        sites.append(
+            program.Site(
+                path,
+                StandInPool(number).address,
+                vault.address,
+                roster.address,
+                settings(Scenario("a")),
+                text,
+                name=f"n{number}",
+            )
+        )
         lives.append(program.start(sites[-1]))
         assert lives[-1].listens(), lives[-1].lines
     return sites, lives
 
 
 def seen(lives: list[program.Life], but: int, event: str, since: list[int]) -> bool:
-    return all(any(event in line and f"name=n{but}" in line for line in life.lines[since[number] :])
-               for number, life in enumerate(lives) if number != but)
+    return all(
+        any(event in line and f"name=n{but}" in line for line in life.lines[since[number] :])
+        for number, life in enumerate(lives)
+        if number != but
+    )
 
 
 def cost(lives: list[program.Life]) -> list[float]:
@@ -90,9 +108,17 @@
         for life in lives:
             life.kill()
     took.sort()
-    table.show(f"{MEMBERS} processes, {KILLS} kills", [
-        "known to all, ms: median", "worst", "suspicions before the kills", "CPU of a core, off", "on",
-    ], [[statistics.median(took), took[-1], alarms, statistics.median(off), statistics.median(on)]])
+    table.show(
+        f"{MEMBERS} processes, {KILLS} kills",
+        [
+            "known to all, ms: median",
+            "worst",
+            "suspicions before the kills",
+            "CPU of a core, off",
+            "on",
+        ],
+        [[statistics.median(took), took[-1], alarms, statistics.median(off), statistics.median(on)]],
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/members_rumours.py
+++ b/benchmarks/members_rumours.py
@@ -50,8 +50,9 @@
 
 
 def main() -> None:
-    rows = [[float(waiting), cost_us(Plain, waiting), cost_us(Rumours, waiting)]
-            for waiting in (1, 8, 64, 512)]
+    rows = [
+        [float(waiting), cost_us(Plain, waiting), cost_us(Rumours, waiting)] for waiting in (1, 8, 64, 512)
+    ]
     table.show("a pick and an add", ["waiting", "plain, us", "levels, us"], rows)
 
 
--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -33,10 +33,17 @@
     vault, roster = StandInVault(), StandInRoster()
     with tempfile.TemporaryDirectory() as folder:
         site = program.Site(Path(folder), pool, vault.address, roster.address, restarts.SETTINGS)
-        line = "import os, sys; os.sched_setaffinity(0, {max(os.sched_getaffinity(0))}); " \
-               "from cairnvane.__main__ import main; sys.exit(main())"
-        process = subprocess.Popen([sys.executable, "-c", line], env={**os.environ, **site.write()},
-                                   cwd=checkout, stderr=subprocess.PIPE, text=True)
+        line = (
+            "import os, sys; os.sched_setaffinity(0, {max(os.sched_getaffinity(0))}); "
+            "from cairnvane.__main__ import main; sys.exit(main())"
+        )
+        process = subprocess.Popen(
+            [sys.executable, "-c", line],
+            env={**os.environ, **site.write()},
+            cwd=checkout,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
         life = program.Life(process, time.monotonic())
         threading.Thread(target=life.watch, daemon=True).start()
         assert life.listens(), life.lines
@@ -78,8 +85,9 @@
     """All checkouts, three rounds each, in turns."""
     seconds, rounds = float(os.environ.get("BENCH_SECONDS", "4")), int(os.environ.get("BENCH_ROUNDS", "3"))
     checkouts = [HERE.parent, *map(Path, sys.argv[1:])]
-    pool = subprocess.Popen([sys.executable, str(HERE / "keyed_latency.py"), "pool"], stdout=subprocess.PIPE,
-                            text=True)
+    pool = subprocess.Popen(
+        [sys.executable, str(HERE / "keyed_latency.py"), "pool"], stdout=subprocess.PIPE, text=True
+    )
     assert pool.stdout is not None
     address = pool.stdout.readline().strip()
     try:
@@ -88,16 +96,24 @@
             for checkout in checkouts:
                 for repeats in REPEATS:
                     got.setdefault((checkout.name, repeats), []).append(
-                        play(checkout, address, repeats, seconds))
+                        play(checkout, address, repeats, seconds)
+                    )
         rows = []
         for checkout in checkouts:
             runs = [got[checkout.name, repeats] for repeats in REPEATS]
             cost = [statistics.median(run[0] for run in one) for one in runs]
             spread = " ".join(f"{run[0]:.0f}" for run in runs[-1])
             rows.append([checkout.name, *cost, spread, sum(run[2] for one in runs for run in one)])
-        table.show("CPU, µs a request", [
-            "checkout", *(f"{repeats} repeats" for repeats in REPEATS), "each run of the last", "not served",
-        ], rows)
+        table.show(
+            "CPU, µs a request",
+            [
+                "checkout",
+                *(f"{repeats} repeats" for repeats in REPEATS),
+                "each run of the last",
+                "not served",
+            ],
+            rows,
+        )
     finally:
         pool.kill()
 
--- a/benchmarks/rivals.py
+++ b/benchmarks/rivals.py
@@ -34,9 +34,12 @@
 
     def append(self, rows: list[Row]) -> None:
         self.log.append(
-            (log.Entry(Step.RESULT, token, self.now, until, record.put_end(DIGEST, result))
-             for token, until, result in rows),
-            unix_ms=0)
+            (
+                log.Entry(Step.RESULT, token, self.now, until, record.put_end(DIGEST, result))
+                for token, until, result in rows
+            ),
+            unix_ms=0,
+        )
         self.log.sync()
 
     def begin(self, rows: list[Row]) -> None:
@@ -55,8 +58,10 @@
         self.db = sqlite3.connect(folder / "keyed.sqlite", isolation_level=None, check_same_thread=False)
         self.db.execute("PRAGMA journal_mode=WAL")
         self.db.execute(f"PRAGMA synchronous={'FULL' if power else 'OFF'}")
-        self.db.execute("CREATE TABLE IF NOT EXISTS kept "
-                        "(token BLOB PRIMARY KEY, until INTEGER, result BLOB) WITHOUT ROWID")
+        self.db.execute(
+            "CREATE TABLE IF NOT EXISTS kept "
+            "(token BLOB PRIMARY KEY, until INTEGER, result BLOB) WITHOUT ROWID"
+        )
         self.db.execute("CREATE INDEX IF NOT EXISTS ends ON kept (until)")
         self.open = 0
 
--- a/benchmarks/table.py
+++ b/benchmarks/table.py
@@ -17,8 +17,19 @@
     print("| " + " | ".join(head) + " |")
     print("|" + " --- |" * len(head))
     for row in rows:
-        print("| " + " | ".join(f"{cell:,.3g}" if isinstance(cell, float) else f"{cell:,}"
-                                if isinstance(cell, int) else str(cell) for cell in row) + " |", flush=True)
+        print(
+            "| "
+            + " | ".join(
+                f"{cell:,.3g}"
+                if isinstance(cell, float)
+                else f"{cell:,}"
+                if isinstance(cell, int)
+                else str(cell)
+                for cell in row
+            )
+            + " |",
+            flush=True,
+        )
 
 
 def resident() -> int:
--- a/cairnvane/__main__.py
+++ b/cairnvane/__main__.py
@@ -82,9 +82,12 @@
 
     def part(self) -> Part:
         """Its place among the others."""
-        return Part("host", start=self._thread.start,
-                    leave=lambda how: self._host.drain(int(how.time_left_s * 1e6)),
-                    end=lambda how: self.end(LAST_WAIT_S))
+        return Part(
+            "host",
+            start=self._thread.start,
+            leave=lambda how: self._host.drain(int(how.time_left_s * 1e6)),
+            end=lambda how: self.end(LAST_WAIT_S),
+        )
 
 
 def _leave(told: config.Config, lives: Lives | None) -> Leave:
@@ -121,7 +124,8 @@
     roster = Roster(told.roster, told.name)
     try:
         intake, members = wiring.members(
-            told, asked.members if asked is not None else None, host, pool, roster)
+            told, asked.members if asked is not None else None, host, pool, roster
+        )
         intake, meter, door = wiring.door(told, intake, pool, members)
         server = Server(told.listen, intake, told.sockets - wiring.own_sockets(told), meter)
     except OSError as error:
@@ -136,8 +140,14 @@
     parts.add(wiring.keeper_part(keeper))
     parts.add(serving.part())
     parts.add(wiring.pool_part(host, pool, lasting, serving.lost))
-    parts.add(Part("server", ("host",), start=server.start, end=lambda how: server.retire(
-        max(0.0, how.time_left_s - how.grace_s) + LAST_WAIT_S)))
+    parts.add(
+        Part(
+            "server",
+            ("host",),
+            start=server.start,
+            end=lambda how: server.retire(max(0.0, how.time_left_s - how.grace_s) + LAST_WAIT_S),
+        )
+    )
     parts.add(Part("roster", ("server",), start=roster.start, leave=lambda how: roster.stop()))
     parts.add(wiring.ready_part(lives, pool))
     parts.add(wiring.members_part(members))
--- a/cairnvane/assembly.py
+++ b/cairnvane/assembly.py
@@ -35,8 +35,13 @@
     __slots__ = ("end", "leave", "name", "needs", "start")
 
     def __init__(
-        self, name: str, needs: tuple[str, ...] = (), *, start: Callable[[], None] = _nothing,
-        leave: Callable[[Leave], None] = _unmoved, end: Callable[[Leave], None] = _unmoved,
+        self,
+        name: str,
+        needs: tuple[str, ...] = (),
+        *,
+        start: Callable[[], None] = _nothing,
+        leave: Callable[[Leave], None] = _unmoved,
+        end: Callable[[Leave], None] = _unmoved,
     ) -> None:
         self.name = name
         self.needs = needs  # parts that are there before it, and outlast it
--- a/cairnvane/cli/__init__.py
+++ b/cairnvane/cli/__init__.py
@@ -19,4 +19,3 @@
 main.add_command(lab.lab)
 main.add_command(members.members)
 main.add_command(xds.xds)
-
--- a/cairnvane/cli/lab.py
+++ b/cairnvane/cli/lab.py
@@ -44,7 +44,13 @@
 @click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="For the report.")
 @click.option("--mutant", default="", hidden=True, help="Take a part of the keeper out; see lab.victim.")
 def restarts(
-    commits: int, kills: int, seed: int, durability: str, rate: float, disk_mb: int, json_file: Path | None,
+    commits: int,
+    kills: int,
+    seed: int,
+    durability: str,
+    rate: float,
+    disk_mb: int,
+    json_file: Path | None,
     mutant: str,
 ) -> None:
     """Kill the server under load and replay every commit: none may run twice, or be answered otherwise.
@@ -54,8 +60,16 @@
 
     with tempfile.TemporaryDirectory(prefix="cairnvane-lab-") as folder:
         experiment = Restarts(
-            Path(folder), commits=commits, kills=kills, seed=seed, durability=durability, rate=rate,
-            disk_mb=disk_mb, mutant=mutant, say=lambda line: click.echo(line, err=True))
+            Path(folder),
+            commits=commits,
+            kills=kills,
+            seed=seed,
+            durability=durability,
+            rate=rate,
+            disk_mb=disk_mb,
+            mutant=mutant,
+            say=lambda line: click.echo(line, err=True),
+        )
         report = experiment.run()
     _end(report, json_file)
 
@@ -65,17 +79,31 @@
 @click.option("--commits", type=click.IntRange(1), default=10_000, show_default=True, help="At the least.")
 @click.option("--kill", is_flag=True, help="Kill, stop and take back versions as well.")
 @click.option("--forge", is_flag=True, help="Some tries bring another body under a known token.")
-@click.option("--silent", type=click.IntRange(0), default=0, show_default=True,
-              help="Hostile callers of the door.")
+@click.option(
+    "--silent", type=click.IntRange(0), default=0, show_default=True, help="Hostile callers of the door."
+)
 @click.option("--seed", type=int, default=7, show_default=True, help="For all that is left to chance.")
-@click.option("--durability", type=click.Choice(["memory", "process", "power"]), default="memory",
-              show_default=True, help="How results are kept; memory: for the lives side by side only.")
+@click.option(
+    "--durability",
+    type=click.Choice(["memory", "process", "power"]),
+    default="memory",
+    show_default=True,
+    help="How results are kept; memory: for the lives side by side only.",
+)
 @click.option("--rate", type=click.FloatRange(1), default=150.0, show_default=True, help="Commits a second.")
 @click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="For the report.")
 @click.option("--mutant", default="", hidden=True, help="Take a part of the keeper out; see lab.victim.")
 def upgrade(
-    rounds: int, commits: int, kill: bool, forge: bool, silent: int, seed: int, durability: str, rate: float,
-    json_file: Path | None, mutant: str,
+    rounds: int,
+    commits: int,
+    kill: bool,
+    forge: bool,
+    silent: int,
+    seed: int,
+    durability: str,
+    rate: float,
+    json_file: Path | None,
+    mutant: str,
 ) -> None:
     """Upgrade the server under load, again and again: no commit may run twice, no forged one be served, and
     staff are answered at the door.
@@ -85,8 +113,18 @@
 
     with tempfile.TemporaryDirectory(prefix="cairnvane-lab-") as folder:
         experiment = Upgrades(
-            Path(folder), rounds=rounds, commits=commits, kill=kill, forge=forge, silent=silent, seed=seed,
-            durability=durability, rate=rate, mutant=mutant, say=lambda line: click.echo(line, err=True))
+            Path(folder),
+            rounds=rounds,
+            commits=commits,
+            kill=kill,
+            forge=forge,
+            silent=silent,
+            seed=seed,
+            durability=durability,
+            rate=rate,
+            mutant=mutant,
+            say=lambda line: click.echo(line, err=True),
+        )
         report = experiment.run()
     _end(report, json_file)
 
@@ -136,7 +174,8 @@
     click.echo(f"{told.name}: {told.servers} servers, {told.seconds:g} s, seed {seed}", err=True)
     with tempfile.TemporaryDirectory(prefix="cairnvane-lab-") as folder:
         report = Play(
-            told, seed, Path(folder), events=events, say=lambda line: click.echo(line, err=True)).run()
+            told, seed, Path(folder), events=events, say=lambda line: click.echo(line, err=True)
+        ).run()
     _end(report, json_file)
 
 
@@ -157,13 +196,19 @@
 @click.option("--members", type=click.IntRange(2, 5), default=3, show_default=True, help="How many.")
 @click.option("--depth", type=click.IntRange(1, 12), default=4, show_default=True, help="Steps of a path.")
 @click.option("--from", "beginnings", multiple=True, help="Of these beginnings only.")
-@click.option("--most", type=click.IntRange(1), default=200_000, show_default=True,
-              help="States of one worker's share.")
+@click.option(
+    "--most", type=click.IntRange(1), default=200_000, show_default=True, help="States of one worker's share."
+)
 @click.option("--workers", type=click.IntRange(1), help="Processes; all cores without it.")
 @click.option("--mutant", default="", help="Take a rule out, which the search must then find.")
 @click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="For the report.")
 def explore(
-    members: int, depth: int, beginnings: tuple[str, ...], most: int, workers: int | None, mutant: str,
+    members: int,
+    depth: int,
+    beginnings: tuple[str, ...],
+    most: int,
+    workers: int | None,
+    mutant: str,
     json_file: Path | None,
 ) -> None:
     """Explore a small world of members whole: every order of messages, losses, duplicates, restarts and
@@ -172,19 +217,37 @@
     Status 1 if something that must hold does not, or if a mutant is not found."""
     from ..lab import explore as worlds
 
-    for told, known, hint in ((beginnings, worlds.BEGINNINGS, "--from"),
-                              ([mutant] if mutant else [], tuple(worlds.MUTANTS), "--mutant")):
+    for told, known, hint in (
+        (beginnings, worlds.BEGINNINGS, "--from"),
+        ([mutant] if mutant else [], tuple(worlds.MUTANTS), "--mutant"),
+    ):
         if unknown := [name for name in told if name not in known]:
             raise click.BadParameter(f"{unknown[0]!r} is none of {', '.join(known)}", param_hint=hint)
-    _end(worlds.explore(
-        members, depth, beginnings=beginnings or worlds.BEGINNINGS, mutant=mutant, most=most, workers=workers,
-        say=lambda line: click.echo(line, err=True)), json_file)
+    _end(
+        worlds.explore(
+            members,
+            depth,
+            beginnings=beginnings or worlds.BEGINNINGS,
+            mutant=mutant,
+            most=most,
+            workers=workers,
+            say=lambda line: click.echo(line, err=True),
+        ),
+        json_file,
+    )
 
 
 @lab.command()
 @click.option("--trouble", "kinds", multiple=True, help="Of these kinds only; may be given more than once.")
-@click.option("--servers", "sizes", type=click.IntRange(1, 24), multiple=True, default=(6, 12),
-              show_default=True, help="How many; may be given more than once.")
+@click.option(
+    "--servers",
+    "sizes",
+    type=click.IntRange(1, 24),
+    multiple=True,
+    default=(6, 12),
+    show_default=True,
+    help="How many; may be given more than once.",
+)
 @click.option("--seeds", type=click.IntRange(1), default=3, show_default=True)
 @click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="For the report.")
 def overload(kinds: tuple[str, ...], sizes: tuple[int, ...], seeds: int, json_file: Path | None) -> None:
@@ -197,13 +260,27 @@
     if unknown := [kind for kind in kinds if kind not in troubles.TROUBLES]:
         known = ", ".join(troubles.TROUBLES)
         raise click.BadParameter(f"{unknown[0]!r} is none of {known}", param_hint="--trouble")
-    _end(troubles.measure(kinds or troubles.TROUBLES, sizes, range(1, seeds + 1),
-                          say=lambda line: click.echo(line, err=True)), json_file)
+    _end(
+        troubles.measure(
+            kinds or troubles.TROUBLES,
+            sizes,
+            range(1, seeds + 1),
+            say=lambda line: click.echo(line, err=True),
+        ),
+        json_file,
+    )
 
 
 @lab.command()
-@click.option("--servers", "sizes", type=click.IntRange(2, 1_000), multiple=True, default=(6, 12),
-              show_default=True, help="How many; may be given more than once.")
+@click.option(
+    "--servers",
+    "sizes",
+    type=click.IntRange(2, 1_000),
+    multiple=True,
+    default=(6, 12),
+    show_default=True,
+    help="How many; may be given more than once.",
+)
 @click.option("--seeds", type=click.IntRange(1), default=10, show_default=True)
 @click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="For the report.")
 def shares(sizes: tuple[int, ...], seeds: int, json_file: Path | None) -> None:
@@ -217,16 +294,38 @@
 
 
 @lab.command()
-@click.option("--members", "sizes", type=click.IntRange(2, 2_000), multiple=True, default=(12, 200),
-              show_default=True, help="How many; may be given more than once.")
-@click.option("--loss", "losses", type=click.FloatRange(0, 0.9), multiple=True, default=(0.0, 0.05, 0.3),
-              show_default=True, help="The share of datagrams that are lost.")
+@click.option(
+    "--members",
+    "sizes",
+    type=click.IntRange(2, 2_000),
+    multiple=True,
+    default=(12, 200),
+    show_default=True,
+    help="How many; may be given more than once.",
+)
+@click.option(
+    "--loss",
+    "losses",
+    type=click.FloatRange(0, 0.9),
+    multiple=True,
+    default=(0.0, 0.05, 0.3),
+    show_default=True,
+    help="The share of datagrams that are lost.",
+)
 @click.option("--seeds", type=click.IntRange(1), default=10, show_default=True)
-@click.option("--case", "hard", type=click.Choice(["join", "third", "flap"]), multiple=True,
-              help="Instead: all join at once, a third is lost at once, one in twenty keeps restarting.")
+@click.option(
+    "--case",
+    "hard",
+    type=click.Choice(["join", "third", "flap"]),
+    multiple=True,
+    help="Instead: all join at once, a third is lost at once, one in twenty keeps restarting.",
+)
 @click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="For the report.")
 def members(
-    sizes: tuple[int, ...], losses: tuple[float, ...], seeds: int, hard: tuple[str, ...],
+    sizes: tuple[int, ...],
+    losses: tuple[float, ...],
+    seeds: int,
+    hard: tuple[str, ...],
     json_file: Path | None,
 ) -> None:
     """Members in virtual time, beside a plain heartbeat to all and probes without suspicion: how soon all
--- a/cairnvane/cli/members.py
+++ b/cairnvane/cli/members.py
@@ -24,11 +24,18 @@
     shown = [
         f"{own['name']} (life {own['life'][-6:]}) at {own['address']}: {sight['verdict']}, "
         f"confidence {sight['confidence']:.2f}, epoch {sight['epoch']}; surely there {sight['least']}, "
-        f"at most {sight['most']}; its own health: {health}"]
+        f"at most {sight['most']}; its own health: {health}"
+    ]
     head = f"  {'member':12} {'life':6} {'status':8} {'phase':9} {'incarnation':>11} {'heard':>12}  serves at"
-    return [*shown, head, *(
-        f"  {one['name']:12} {one['life'][-6:]:6} {one['status']:8} {one['phase']:9} {one['incarnation']:11} "
-        f"{_age(one):>12}  {one['place']}" for one in told["members"])]
+    return [
+        *shown,
+        head,
+        *(
+            f"  {one['name']:12} {one['life'][-6:]:6} {one['status']:8} {one['phase']:9} "
+            f"{one['incarnation']:11} {_age(one):>12}  {one['place']}"
+            for one in told["members"]
+        ),
+    ]
 
 
 @click.command()
--- a/cairnvane/cli/serve.py
+++ b/cairnvane/cli/serve.py
@@ -11,8 +11,13 @@
 
 
 @click.command()
-@click.option("--operator", metavar="FILE", envvar=config.OPERATOR, show_envvar=True,
-              help="The operator's own YAML file; without it, nothing that it could turn on is on.")
+@click.option(
+    "--operator",
+    metavar="FILE",
+    envvar=config.OPERATOR,
+    show_envvar=True,
+    help="The operator's own YAML file; without it, nothing that it could turn on is on.",
+)
 def serve(operator: str | None) -> None:
     """Serve as `python -m cairnvane` does: LB_CONFIG names the platform's configuration."""
     from ..__main__ import main
--- a/cairnvane/control.py
+++ b/cairnvane/control.py
@@ -151,9 +151,15 @@
         self.grace_end = self.stop_at = 1 << 62
         self.out: list[i.Action] = []
         self.on: dict[type[i.Event], Callable[[Any], None]] = {
-            i.Arrival: self._arrive, i.Finished: self._finish, i.Gone: self._gone, i.TimerFired: self._tick,
-            i.CallNeeded: self._leave_cores, i.CallEnded: self._call_ended, i.Draining: self._drain,
-            i.Kept: self._keep, i.Adopted: self._adopt,
+            i.Arrival: self._arrive,
+            i.Finished: self._finish,
+            i.Gone: self._gone,
+            i.TimerFired: self._tick,
+            i.CallNeeded: self._leave_cores,
+            i.CallEnded: self._call_ended,
+            i.Draining: self._drain,
+            i.Kept: self._keep,
+            i.Adopted: self._adopt,
         }
 
     def handle(self, now: int, events: Sequence[i.Event]) -> list[i.Action]:
@@ -267,7 +273,8 @@
         worth = cls.worth * (1 if inside else self.settings.over_share_worth)
         tenant = event.tenant if inside else None
         job = self.jobs[event.id] = Job(
-            event.id, cls, arrived, due, aim, age, worth, tenant, event.cost, event.memory)
+            event.id, cls, arrived, due, aim, age, worth, tenant, event.cost, event.memory
+        )
         heapq.heappush(self.dues, (job.due, job.id))
         soon = self.now - self.seen.get(event.caller, self.now - IDLE_WORTH) < IDLE_WORTH
         self.back += (soon - self.back) / IDLE_OVER
@@ -316,7 +323,8 @@
         """Risk: a run that no one counts crowds the cores, and goes on for ever."""
         cls, due = self.settings.classes[event.cls], min(self.now + event.time_left, self.stop_at)
         job = self.jobs[event.id] = Job(
-            event.id, cls, self.now, due, due, 0, cls.worth, None, None, event.memory, started=True)
+            event.id, cls, self.now, due, due, 0, cls.worth, None, None, event.memory, started=True
+        )
         heapq.heappush(self.dues, (job.due, job.id))
         self._remember(job.id, event.life)
         self._move(job, State.RUNNING)
--- a/cairnvane/door/calls.py
+++ b/cairnvane/door/calls.py
@@ -15,9 +15,15 @@
 from .tally import Tally
 
 OK, NOT_FOUND, NOT_ALLOWED, UNAVAILABLE = 200, 404, 405, 503
-REASONS = {OK: "OK", 400: "Bad Request", NOT_FOUND: "Not Found", NOT_ALLOWED: "Method Not Allowed",
-           408: "Request Timeout", 431: "Request Header Fields Too Large",
-           UNAVAILABLE: "Service Unavailable"}
+REASONS = {
+    OK: "OK",
+    400: "Bad Request",
+    NOT_FOUND: "Not Found",
+    NOT_ALLOWED: "Method Not Allowed",
+    408: "Request Timeout",
+    431: "Request Header Fields Too Large",
+    UNAVAILABLE: "Service Unavailable",
+}
 
 _encode = msgspec.json.Encoder().encode
 
@@ -41,12 +47,17 @@
     """The door's four calls, and what further parts have to show."""
 
     def __init__(
-        self, duty: Duty, tally: Tally, views: Mapping[str, Callable[[], object]] | None = None,
+        self,
+        duty: Duty,
+        tally: Tally,
+        views: Mapping[str, Callable[[], object]] | None = None,
     ) -> None:
         self._duty, self._tally = duty, tally
         self._routes: dict[str, tuple[str, Callable[[], Reply]]] = {
-            "/-/ready": ("GET", self._ready), "/-/metrics": ("GET", self._metrics),
-            "/-/drain": ("POST", self._drain), "/-/resume": ("POST", self._resume),
+            "/-/ready": ("GET", self._ready),
+            "/-/metrics": ("GET", self._metrics),
+            "/-/drain": ("POST", self._drain),
+            "/-/resume": ("POST", self._resume),
         }
         for path, view in (views or {}).items():
             self._routes[path] = "GET", lambda view=view: _shown(view())  # type: ignore[misc]
@@ -68,10 +79,19 @@
 
     def _metrics(self) -> Reply:
         requests, in_flight, attempts = self._tally.figures()
-        return Reply(OK, _encode({
-            "requests": requests, "in_flight": in_flight, "attempts": attempts, "ready": self._duty.ready,
-            "drained": self._duty.drained, "drains": self._duty.drains,
-        }))
+        return Reply(
+            OK,
+            _encode(
+                {
+                    "requests": requests,
+                    "in_flight": in_flight,
+                    "attempts": attempts,
+                    "ready": self._duty.ready,
+                    "drained": self._duty.drained,
+                    "drains": self._duty.drains,
+                }
+            ),
+        )
 
     def _drain(self) -> Reply:
         began = self._duty.drain()
--- a/cairnvane/door/listener.py
+++ b/cairnvane/door/listener.py
@@ -49,7 +49,11 @@
     """Listens at the operators' address."""
 
     def __init__(
-        self, address: tuple[str, int], calls: Calls, duty: Duty, most: int = MOST_CALLERS,
+        self,
+        address: tuple[str, int],
+        calls: Calls,
+        duty: Duty,
+        most: int = MOST_CALLERS,
         call_wait_s: float = CALL_WAIT_S,
     ) -> None:
         """Bind at once: `OSError` if the address can't be had. `most` callers may wait at a time, each of
@@ -203,8 +207,12 @@
 
 def as_bytes(reply: Reply) -> bytes:
     """The answer on the wire."""
-    head = [f"HTTP/1.1 {reply.status} {REASONS.get(reply.status, '')}", f"Content-Type: {reply.kind}",
-            f"Content-Length: {len(reply.body)}", "Connection: close"]
+    head = [
+        f"HTTP/1.1 {reply.status} {REASONS.get(reply.status, '')}",
+        f"Content-Type: {reply.kind}",
+        f"Content-Length: {len(reply.body)}",
+        "Connection: close",
+    ]
     if reply.allow:
         head.append(f"Allow: {reply.allow}")
     return ("\r\n".join([*head, "", ""])).encode("latin-1") + reply.body
--- a/cairnvane/door/waiting.py
+++ b/cairnvane/door/waiting.py
@@ -80,8 +80,11 @@
         """Who loses its place first, of those that have had the time to speak: a whole call never waits, so
         none is ever turned away."""
         # In the order of coming; `min` keeps the first of equals.
-        may = (key for key, place in self._places.items()
-               if place.phase is Phase.ANSWERED or place.since <= now - GRACE_S)
+        may = (
+            key
+            for key, place in self._places.items()
+            if place.phase is Phase.ANSWERED or place.since <= now - GRACE_S
+        )
         return min(may, key=lambda key: self._places[key].phase, default=None)
 
     def said(self, key: Key) -> None:
--- a/cairnvane/exchange.py
+++ b/cairnvane/exchange.py
@@ -69,8 +69,17 @@
     __slots__ = ("ahead", "arrived", "body", "caller", "lane", "memory", "token", "uid")
 
     def __init__(
-        self, deliver: Callable[[Answer], None], uid: str, lane: str, body: bytes, *,
-        arrived: int, caller: int, memory: float, token: str | None, ahead: int = 0,
+        self,
+        deliver: Callable[[Answer], None],
+        uid: str,
+        lane: str,
+        body: bytes,
+        *,
+        arrived: int,
+        caller: int,
+        memory: float,
+        token: str | None,
+        ahead: int = 0,
     ) -> None:
         super().__init__(deliver)
         self.uid = uid
--- a/cairnvane/fleet/__init__.py
+++ b/cairnvane/fleet/__init__.py
@@ -13,5 +13,12 @@
 from .weighted import Weighted
 
 __all__ = [
-    "Breakers", "Health", "Outliers", "RetryBudget", "Weighted", "localities", "priorities", "slow_start",
+    "Breakers",
+    "Health",
+    "Outliers",
+    "RetryBudget",
+    "Weighted",
+    "localities",
+    "priorities",
+    "slow_start",
 ]
--- a/cairnvane/fleet/outliers.py
+++ b/cairnvane/fleet/outliers.py
@@ -25,7 +25,11 @@
     """Who is ejected. At most `percent` of the endpoints are at any time, but one may always be."""
 
     def __init__(
-        self, *, consecutive: int = CONSECUTIVE, base_us: int = BASE_US, most_us: int = MOST_US,
+        self,
+        *,
+        consecutive: int = CONSECUTIVE,
+        base_us: int = BASE_US,
+        most_us: int = MOST_US,
         percent: int = MOST_PERCENT,
     ) -> None:
         self._consecutive, self._base, self._most, self._percent = consecutive, base_us, most_us, percent
@@ -71,8 +75,9 @@
         self._ejected.pop(key, None)
 
 
-def slow_start(weight: int, joined_for: int, window: int, aggression: float = 1.0,
-               least: float = LEAST_SHARE) -> int:
+def slow_start(
+    weight: int, joined_for: int, window: int, aggression: float = 1.0, least: float = LEAST_SHARE
+) -> int:
     """The weight of an endpoint that joined so long ago; never below 1, unless it has none. A higher
     aggression takes it up faster at first."""
     if aggression <= 0:
--- a/cairnvane/fleet/shares.py
+++ b/cairnvane/fleet/shares.py
@@ -41,7 +41,10 @@
 
 
 def priorities(
-    levels: Sequence[Health], *, overprovisioning: int = OVERPROVISIONING, panic: float = PANIC_THRESHOLD,
+    levels: Sequence[Health],
+    *,
+    overprovisioning: int = OVERPROVISIONING,
+    panic: float = PANIC_THRESHOLD,
 ) -> list[Level]:
     """The load of each priority, the most wanted first. All loads are 0 if there is no endpoint at all.
 
@@ -51,7 +54,8 @@
     health = [level.percent(overprovisioning) for level in levels]
     enough = sum(health) >= FULL
     panics = [
-        not enough and level.total > 0 and FULL * level.healthy < panic * level.total for level in levels]
+        not enough and level.total > 0 and FULL * level.healthy < panic * level.total for level in levels
+    ]
     if sum(health) == 0:  # nobody is healthy: by size, since all are as good
         sizes = [level.total for level in levels]
         loads = _parts(sizes)
--- a/cairnvane/host.py
+++ b/cairnvane/host.py
@@ -54,24 +54,40 @@
         self.load: float | None = None  # the free value
         self._stopped = False
         self._do_to: dict[type[i.Action], Callable[..., None]] = {
-            i.Run: self._run, i.Refuse: self._refuse, i.Fail: self._fail, i.Halt: self._halt,
-            i.Call: self._call, i.Remember: self._remember, i.Forget: self._forget, i.Reuse: self._reuse,
+            i.Run: self._run,
+            i.Refuse: self._refuse,
+            i.Fail: self._fail,
+            i.Halt: self._halt,
+            i.Call: self._call,
+            i.Remember: self._remember,
+            i.Forget: self._forget,
+            i.Reuse: self._reuse,
         }
         self._do: dict[type[i.Action], Callable[..., None]] = {
             i.SetHealth: lambda action: self._health.set(action),
-            i.Advertise: self._advertise, i.CloseIdle: self._close_idle,
-            i.SetTimer: lambda action: self._ticks.set(action), i.Log: self._log,
+            i.Advertise: self._advertise,
+            i.CloseIdle: self._close_idle,
+            i.SetTimer: lambda action: self._ticks.set(action),
+            i.Log: self._log,
         }
 
     def join(
-        self, server: Server, pool: Pool, vault: tuple[str, int], lasting: Lasting | None = None,
+        self,
+        server: Server,
+        pool: Pool,
+        vault: tuple[str, int],
+        lasting: Lasting | None = None,
     ) -> None:
         """Get to know the parts that the host gives its orders to."""
         self._server, self._pool, self._lasting = server, pool, lasting
         self.runs = Runs(
-            pool, vault, self.post, self._settings.halt is not i.HaltMode.NONE,
+            pool,
+            vault,
+            self.post,
+            self._settings.halt is not i.HaltMode.NONE,
             never_began=lambda known: self._end_run(known.exchange.uid, worker.BROKEN_OFF),
-            call_ended=lambda known, outcome, took: self.tell(i.CallEnded(known.id, outcome, took)))
+            call_ended=lambda known, outcome, took: self.tell(i.CallEnded(known.id, outcome, took)),
+        )
         self._health = Health(pool, lambda: self.load)
         # A tick that came before its time would be taken for one that was replaced.
         self._ticks = Ticks(pool, self._gauges, lambda event, at: self.post(lambda: self._tick(event, at)))
@@ -195,9 +211,17 @@
         self._requests[known.id] = self._by_uid[request.uid] = known
         # Nobody waits longer than the class's patience, whatever a faulty stamp says.
         queued = min(max(0, clock.now() - request.arrived), cls.patience)
-        self.tell(i.Arrival(
-            known.id, number, queued, memory=request.memory, caller=request.caller, repeats=repeats,
-            keep_after=keep_after))
+        self.tell(
+            i.Arrival(
+                known.id,
+                number,
+                queued,
+                memory=request.memory,
+                caller=request.caller,
+                repeats=repeats,
+                keep_after=keep_after,
+            )
+        )
 
     def _find(self, request: Request, token: str, same: bytes) -> tuple[int | None, keys.Past | None]:
         """Whom it repeats, or what, if the host no longer holds that; `ValueError` if its token is
@@ -387,7 +411,8 @@
     def _refuse(self, known: Tracked, action: i.Refuse) -> None:
         away_ms = -(-action.stay_away // 1_000)
         known.exchange.finish(
-            Answer(Verdict.REFUSED, stay_away_ms=away_ms, last=action.no_retry, load=self.load))
+            Answer(Verdict.REFUSED, stay_away_ms=away_ms, last=action.no_retry, load=self.load)
+        )
         self._settle(known)
 
     def _fail(self, known: Tracked, action: i.Fail) -> None:
--- a/cairnvane/interface.py
+++ b/cairnvane/interface.py
@@ -155,8 +155,15 @@
         for name in ("memory", "run_factor", "calls_window", "round"):
             _require_number(name, getattr(self, name), above=True)
         for name in (
-            "over_share_worth", "key_memory", "fair_calls", "call_linger", "callers", "cold_from", "cold_for",
-            "drain_grace", "max_advice",
+            "over_share_worth",
+            "key_memory",
+            "fair_calls",
+            "call_linger",
+            "callers",
+            "cold_from",
+            "cold_for",
+            "drain_grace",
+            "max_advice",
         ):
             _require_number(name, getattr(self, name))
         _require_number("crowd_multiple", self.crowd_multiple, least=1)
@@ -366,6 +373,18 @@
 
 
 Action = (
-    Run | Refuse | Fail | Halt | Call | SkipCall | Remember | Forget | Reuse
-    | SetHealth | Advertise | CloseIdle | SetTimer | Log
+    Run
+    | Refuse
+    | Fail
+    | Halt
+    | Call
+    | SkipCall
+    | Remember
+    | Forget
+    | Reuse
+    | SetHealth
+    | Advertise
+    | CloseIdle
+    | SetTimer
+    | Log
 )
--- a/cairnvane/keyed/beside.py
+++ b/cairnvane/keyed/beside.py
@@ -58,7 +58,9 @@
         self._helper = threading.Thread(target=self._help, name="beside", daemon=True)
 
     def start(
-        self, recovered: Callable[[Recovered], None], delayed: Callable[[], None],
+        self,
+        recovered: Callable[[Recovered], None],
+        delayed: Callable[[], None],
         lost: Callable[[str], None],
     ) -> None:
         """See `Keeper`."""
@@ -129,7 +131,7 @@
                     for offset, length, told in record.scan(segment.read(0, segment.look()[0])).records:
                         machine.take(told, Place(number, offset, length))
                         if told.kind == Step.RESULT:
-                            results.setdefault(told.token, told.rest[record.DIGEST_BYTES:])
+                            results.setdefault(told.token, told.rest[record.DIGEST_BYTES :])
                 finally:
                     segment.close()
         except OSError as error:
@@ -204,7 +206,12 @@
         then()
 
     def ended(
-        self, token: bytes, until: int, same: bytes, result: bytes | None, settles: tuple[int, ...],
+        self,
+        token: bytes,
+        until: int,
+        same: bytes,
+        result: bytes | None,
+        settles: tuple[int, ...],
         then: Callable[[], None],
     ) -> None:
         """See `Keeper`."""
--- a/cairnvane/keyed/index.py
+++ b/cairnvane/keyed/index.py
@@ -43,7 +43,10 @@
     """All that is known of an entry, in one word; `mark` is its digest's `tag`, `ended` its state."""
     return (
         (segment % MOST_SEGMENT) << (_OFFSET_BITS + _TAG_BITS + _STATE_BITS)
-        | offset << (_TAG_BITS + _STATE_BITS) | mark << _STATE_BITS | ended)
+        | offset << (_TAG_BITS + _STATE_BITS)
+        | mark << _STATE_BITS
+        | ended
+    )
 
 
 def where(word: int) -> tuple[int, int]:
@@ -81,8 +84,13 @@
             return False
         bucket, newest = hash(token) % capacity, self._newest
         _ENTRY.pack_into(
-            self._ring, head % capacity * ENTRY_BYTES,
-            token, word, -(-until // TICK_US) & _MASK, newest[bucket])
+            self._ring,
+            head % capacity * ENTRY_BYTES,
+            token,
+            word,
+            -(-until // TICK_US) & _MASK,
+            newest[bucket],
+        )
         newest[bucket] = head & _MASK
         self._head = head + 1
         return True
--- a/cairnvane/keyed/inspect.py
+++ b/cairnvane/keyed/inspect.py
@@ -36,8 +36,12 @@
     def lines(self) -> list[str]:
         """For people."""
         report = self.report
-        named = [("damaged", report.damaged), ("torn", report.torn), ("foreign", report.foreign),
-                 ("illegal", self.illegal)]
+        named = [
+            ("damaged", report.damaged),
+            ("torn", report.torn),
+            ("foreign", report.foreign),
+            ("illegal", self.illegal),
+        ]
         kinds = ", ".join(f"{count} {kind}" for kind, count in self.keys.items()) or "none"
         return [
             *(f"{kind}: {line}" for kind, lines in named for line in lines),
@@ -113,8 +117,13 @@
         here = key.header.boot == boot
         left = f"{max(0, key.until - now) / 1e6:.1f}" if here else "of an earlier boot"
         unix = key.header.unix_ms / 1e3 + (key.at - key.header.at) / 1e6
-        yield {"token": token.hex(), "state": key.state.name.lower(), "at_unix_s": f"{unix:.3f}",
-               "counts_for_s": left, **key.detail}
+        yield {
+            "token": token.hex(),
+            "state": key.state.name.lower(),
+            "at_unix_s": f"{unix:.3f}",
+            "counts_for_s": left,
+            **key.detail,
+        }
 
 
 def compact(files: OsFiles) -> tuple[int, int]:
--- a/cairnvane/keyed/log.py
+++ b/cairnvane/keyed/log.py
@@ -87,7 +87,9 @@
 
 
 def blocks(
-    files: Files, name: str, header: record.Header,
+    files: Files,
+    name: str,
+    header: record.Header,
 ) -> Iterator[tuple[int, int, bytes] | record.Damage]:
     """The records of a segment, a block in memory at a time."""
     for at in range(0, places.MOST_OFFSET, record.BLOCK):
@@ -119,7 +121,13 @@
     """The segments of one owner in one folder."""
 
     def __init__(
-        self, files: Files, owner: Owner, *, most_disk: int, power: bool, unread: int,
+        self,
+        files: Files,
+        owner: Owner,
+        *,
+        most_disk: int,
+        power: bool,
+        unread: int,
         points: Callable[[str], None] = lambda name: None,
     ) -> None:
         self.segments: dict[int, Segment] = {}  # oldest first
@@ -194,7 +202,8 @@
             segment.size += pad
             placed.append((segment.number, segment.size))
             buffer += record.put(
-                segment.number, entry.step, entry.token, entry.at, entry.until, entry.pos, entry.rest)
+                segment.number, entry.step, entry.token, entry.at, entry.until, entry.pos, entry.rest
+            )
             self._pos = entry.pos
             segment.add(size, entry.until)
             self._account(entry, segment, size)
@@ -386,7 +395,14 @@
             self._files.sync_folder()
 
     def _still(
-        self, step: Step, token: bytes, until: int, number: int, offset: int, index: Index, now: int,
+        self,
+        step: Step,
+        token: bytes,
+        until: int,
+        number: int,
+        offset: int,
+        index: Index,
+        now: int,
     ) -> int | None:
         """Whether a record still counts: None if not, its word in the index if it stands there, else 0."""
         if step is Step.LINK:
@@ -400,5 +416,3 @@
         if step is Step.NEVER:
             return 0
         return 0 if token in self._begun else None
-
-
--- a/cairnvane/keyed/record.py
+++ b/cairnvane/keyed/record.py
@@ -85,7 +85,8 @@
     """128 bytes."""
     name = header.name.encode()[:MAX_NAME]
     data = _HEADER.pack(
-        MAGIC, VERSION, HEADER_BYTES, header.number, header.boot, header.at, header.unix_ms, len(name), name)
+        MAGIC, VERSION, HEADER_BYTES, header.number, header.boot, header.at, header.unix_ms, len(name), name
+    )
     data = data.ljust(HEADER_BYTES - _CRC.size, b"\0")
     return data + _CRC.pack(crc32c(data))
 
@@ -167,8 +168,12 @@
 
 
 _LEAST = {
-    Step.INTENT: _INTENT.size, Step.CALL: _CALL.size, Step.RESULT: _END.size, Step.FAULT: _END.size,
-    Step.NEVER: 0, Step.LINK: _LINK.size,
+    Step.INTENT: _INTENT.size,
+    Step.CALL: _CALL.size,
+    Step.RESULT: _END.size,
+    Step.FAULT: _END.size,
+    Step.NEVER: 0,
+    Step.LINK: _LINK.size,
 }
 
 common = _COMMON.unpack_from  # token, at, until, pos
--- a/cairnvane/keyed/recovery.py
+++ b/cairnvane/keyed/recovery.py
@@ -78,7 +78,8 @@
         return places.state(found[0]) if counts else State.AGED
 
     def read(
-        self, found: Iterable[tuple[int, int, bytes] | record.Damage],
+        self,
+        found: Iterable[tuple[int, int, bytes] | record.Damage],
     ) -> tuple[list[record.Damage], int]:
         """All that `record.scan` finds in the segment; what was damaged, and where the last record ends.
 
--- a/cairnvane/keyed/store.py
+++ b/cairnvane/keyed/store.py
@@ -107,8 +107,16 @@
     prompt = False
 
     def __init__(
-        self, files: Folder, name: str, boot: bytes, *, power: bool, disk_bytes: int, memory_bytes: int,
-        unread: int, points: Points | None = None,
+        self,
+        files: Folder,
+        name: str,
+        boot: bytes,
+        *,
+        power: bool,
+        disk_bytes: int,
+        memory_bytes: int,
+        unread: int,
+        points: Points | None = None,
     ) -> None:
         self._files, self._name, self._power = files, name, power
         self._most_disk, self._unread, self._points = disk_bytes, unread, points
@@ -133,8 +141,14 @@
         self._stop = threading.Event()
 
     def _new_log(self, files: Files) -> Log:
-        return Log(files, self._owner, most_disk=self._most_disk, power=self._power, unread=self._unread,
-                   points=self._point)
+        return Log(
+            files,
+            self._owner,
+            most_disk=self._most_disk,
+            power=self._power,
+            unread=self._unread,
+            points=self._point,
+        )
 
     def check(self, beside: bool = False) -> None:
         """Own the folder; `FolderError` if it is another's, unless that process may serve `beside` this one.
@@ -163,8 +177,11 @@
     # --- what the host asks, from its thread
 
     def start(
-        self, recovered: Callable[[Recovered], None], delayed: Callable[[], None],
-        lost: Callable[[str], None], held: Callable[[], bool] = lambda: False,
+        self,
+        recovered: Callable[[Recovered], None],
+        delayed: Callable[[], None],
+        lost: Callable[[str], None],
+        held: Callable[[], bool] = lambda: False,
     ) -> None:
         """See `Keeper`. `held`, once: another process owns the folder, and what it has recorded so far has
         been read; if that says so, the folder is waited for."""
@@ -177,12 +194,19 @@
         with self._lock:
             first = self._index.oldest_end(now)
             load = plan.Load(
-                ready=self._ready, failing=self._failing, writing_for=now - since if since else 0,
-                entries=len(self._index), most_entries=self._index.capacity,
-                first_end=None if first is None else first + self._unread, open_keys=self._open_keys,
-                disk=self._disk, most_disk=self._most_disk,
+                ready=self._ready,
+                failing=self._failing,
+                writing_for=now - since if since else 0,
+                entries=len(self._index),
+                most_entries=self._index.capacity,
+                first_end=None if first is None else first + self._unread,
+                open_keys=self._open_keys,
+                disk=self._disk,
+                most_disk=self._most_disk,
                 first_drop=None if self._first_drop_at is None else max(0, self._first_drop_at - now),
-                queued=self._queued, most_queued=self._most_queued)
+                queued=self._queued,
+                most_queued=self._most_queued,
+            )
         return plan.wait_us(load)
 
     def reserve(self) -> None:
@@ -211,7 +235,12 @@
         self._put(_Write(entry, then, settles=(pos,), needed=False))
 
     def ended(
-        self, token: bytes, until: int, same: bytes, result: bytes | None, settles: tuple[int, ...],
+        self,
+        token: bytes,
+        until: int,
+        same: bytes,
+        result: bytes | None,
+        settles: tuple[int, ...],
         then: Callable[[], None],
     ) -> None:
         """See `Keeper`."""
@@ -330,8 +359,9 @@
 
     def _recover(self, waited: bool) -> None:
         start = clock.now()
-        index, reader = (Index(self._index_bytes), self._new_log(self._files)) if waited else (
-            self._index, self._log)  # what was peeked at answers until all is read anew
+        index, reader = (
+            (Index(self._index_bytes), self._new_log(self._files)) if waited else (self._index, self._log)
+        )  # what was peeked at answers until all is read anew
         recovery = reader.recover(index, start)
         left = recovery.conclude()
         with self._lock:
@@ -349,8 +379,11 @@
         report, counts = self._log.report, recovery.counts
         for line in [*report.damaged, *report.torn, *report.foreign, *counts.illegal]:
             log.say("keyed", line)
-        log.say("keyed", f"{len(self._index)} kept results and {len(recovery.runs)} open runs from "
-                         f"{report.segments} segments in {took / 1e3:.1f} ms")
+        log.say(
+            "keyed",
+            f"{len(self._index)} kept results and {len(recovery.runs)} open runs from "
+            f"{report.segments} segments in {took / 1e3:.1f} ms",
+        )
 
     def _failed(self, error: OSError) -> bool:
         """Wait before the next try; True if told to end meanwhile."""
--- a/cairnvane/keys.py
+++ b/cairnvane/keys.py
@@ -110,7 +110,9 @@
     prompt: bool  # each record is written before the call returns, and no run outlasts its life
 
     def start(
-        self, recovered: Callable[[Recovered], None], delayed: Callable[[], None],
+        self,
+        recovered: Callable[[Recovered], None],
+        delayed: Callable[[], None],
         lost: Callable[[str], None],
     ) -> None:
         """Take up what an earlier life left, and tell of it unless this is `prompt`. `delayed`, at most once
@@ -137,7 +139,12 @@
         """`then`, once it is recorded that the call which notice `pos` asks for is about to be made."""
 
     def ended(
-        self, token: bytes, until: int, same: bytes, result: bytes | None, settles: tuple[int, ...],
+        self,
+        token: bytes,
+        until: int,
+        same: bytes,
+        result: bytes | None,
+        settles: tuple[int, ...],
         then: Callable[[], None],
     ) -> None:
         """`then`, once it is recorded that the run has ended, with this result or (None) without one."""
--- a/cairnvane/lab/balancer.py
+++ b/cairnvane/lab/balancer.py
@@ -78,7 +78,13 @@
                 shut(link.sock)
 
     def send(
-        self, uid: str, lane: str, body: bytes, token: str | None, then: Then, fresh: bool = False,
+        self,
+        uid: str,
+        lane: str,
+        body: bytes,
+        token: str | None,
+        then: Then,
+        fresh: bool = False,
         wait: bool = True,
     ) -> Callable[[], None] | None:
         """Make a try, as soon as there is room on a connection, or (without `wait`) if there is room now;
@@ -86,19 +92,27 @@
         if not self._room.acquire(blocking=wait):
             return None
         params = {
-            "SCRIPT_NAME": f"/svc/{lane}", "REQUEST_METHOD": "POST", "HTTP_REQ_ID": uid, "HTTP_REQ_FROM": "1",
-            "HTTP_REQ_TIME": str(time.time_ns() // 1_000_000), "HTTP_REQ_KB": "8.0", "HTTP_REQ_RANK": "0.5",
+            "SCRIPT_NAME": f"/svc/{lane}",
+            "REQUEST_METHOD": "POST",
+            "HTTP_REQ_ID": uid,
+            "HTTP_REQ_FROM": "1",
+            "HTTP_REQ_TIME": str(time.time_ns() // 1_000_000),
+            "HTTP_REQ_KB": "8.0",
+            "HTTP_REQ_RANK": "0.5",
         }
         if token is not None:
             params["HTTP_REQ_TOKEN"] = token
 
         def records(number: int) -> bytes:
-            return b"".join([
-                fastcgi.record(fastcgi.BEGIN_REQUEST, number, b"\0\1\1\0\0\0\0\0"),
-                fastcgi.record(fastcgi.PARAMS, number, fastcgi.put_pairs(params)),
-                fastcgi.record(fastcgi.PARAMS, number, b""), fastcgi.record(fastcgi.STDIN, number, body),
-                fastcgi.record(fastcgi.STDIN, number, b""),
-            ])
+            return b"".join(
+                [
+                    fastcgi.record(fastcgi.BEGIN_REQUEST, number, b"\0\1\1\0\0\0\0\0"),
+                    fastcgi.record(fastcgi.PARAMS, number, fastcgi.put_pairs(params)),
+                    fastcgi.record(fastcgi.PARAMS, number, b""),
+                    fastcgi.record(fastcgi.STDIN, number, body),
+                    fastcgi.record(fastcgi.STDIN, number, b""),
+                ]
+            )
 
         link, number = self._claim(_Open(then, time.monotonic(), records if self._renew else None), fresh)
         with link.lock, contextlib.suppress(OSError):
--- a/cairnvane/lab/cores.py
+++ b/cairnvane/lab/cores.py
@@ -11,7 +11,10 @@
 
 
 def spread(
-    play: Callable[..., R], cases: Sequence[Case], seeds: int, say: Callable[[str], None],
+    play: Callable[..., R],
+    cases: Sequence[Case],
+    seeds: int,
+    say: Callable[[str], None],
 ) -> Iterator[tuple[Case, list[R]]]:
     """Each case with the results of its seeds, from 0 on, in the order of the cases. `play` gets the parts of
     a case and the seed."""
--- a/cairnvane/lab/disk.py
+++ b/cairnvane/lab/disk.py
@@ -13,7 +13,6 @@
 from dataclasses import dataclass, field
 
 
-
 class PowerCut(BaseException):
     """The machine is gone. No `OSError`: nothing that runs on it gets to know."""
 
@@ -70,8 +69,10 @@
             for how in TEARS:
                 for other in ("kept", "lost"):
                     for split in {0, len(order) // 2, len(order)}:
-                        image = {name: names[name].torn(how if at < split else other)
-                                 for at, name in enumerate(order)}
+                        image = {
+                            name: names[name].torn(how if at < split else other)
+                            for at, name in enumerate(order)
+                        }
                         key = tuple(sorted(image.items()))
                         if key not in seen:
                             seen.add(key)
@@ -173,5 +174,3 @@
 
     def close(self) -> None:
         """No more is written."""
-
-
--- a/cairnvane/lab/explore.py
+++ b/cairnvane/lab/explore.py
@@ -100,8 +100,9 @@
     def mark(self) -> bytes:
         """The same for the same state."""
         flight = sorted(repr(letter) for letter in self.flight)
-        told = pickle.dumps((
-            self.now, self.members, self.sent, flight, self.spent, sorted(self.owned), sorted(self.gone)))
+        told = pickle.dumps(
+            (self.now, self.members, self.sent, flight, self.spent, sorted(self.owned), sorted(self.gone))
+        )
         return hashlib.blake2b(told, digest_size=16).digest()
 
 
@@ -114,7 +115,7 @@
 
 
 def _with(some: tuple[T, ...], number: int, one: T) -> tuple[T, ...]:
-    return *some[:number], one, *some[number + 1:]
+    return *some[:number], one, *some[number + 1 :]
 
 
 def load(data: bytes) -> Member:
@@ -138,8 +139,13 @@
     def joined(self) -> State:
         """All know each other, and nothing is on its way."""
         members = [self._new(number, 100 + number, 0) for number in range(self.count)]
-        state = State(0, tuple(pickle.dumps(one) for one in members), (0,) * self.count, (),
-                      owned=tuple((one.own.life, 0, False) for one in members))
+        state = State(
+            0,
+            tuple(pickle.dumps(one) for one in members),
+            (0,) * self.count,
+            (),
+            owned=tuple((one.own.life, 0, False) for one in members),
+        )
         return self.rest(state, REST_US)
 
     def restarted(self) -> State:
@@ -161,8 +167,9 @@
             state = replace(state, flight=lost)
             while state.flight:
                 state = self._deliver(state, 0)
-                state = replace(state, flight=tuple(
-                    one for one in state.flight if _at(1) not in (one.to, one.source)))
+                state = replace(
+                    state, flight=tuple(one for one in state.flight if _at(1) not in (one.to, one.source))
+                )
         raise AssertionError("no suspicion")
 
     def cut(self) -> State:
@@ -197,18 +204,29 @@
         return out
 
     def _handle(
-        self, member: Member, now: int, letter: Letter, sent: int,
+        self,
+        member: Member,
+        now: int,
+        letter: Letter,
+        sent: int,
     ) -> tuple[list[Action], list[Letter]]:
         """What it does, and sends; a view that asks for one is answered."""
         out = member.handle(now, letter.life, letter.number, letter.source, letter.message)
         more = self._letters(member, sent, out)
         if isinstance(letter.message, View) and letter.message.answer:
-            more += [Letter(letter.source, member.own.life, sent + len(more) + number, letter.to, view)
-                     for number, view in enumerate(member.whole(False), start=1)]
+            more += [
+                Letter(letter.source, member.own.life, sent + len(more) + number, letter.to, view)
+                for number, view in enumerate(member.whole(False), start=1)
+            ]
         return out, more
 
     def _became(
-        self, state: State, number: int, member: Member, out: Sequence[Action], letters: Sequence[Letter],
+        self,
+        state: State,
+        number: int,
+        member: Member,
+        out: Sequence[Action],
+        letters: Sequence[Letter],
     ) -> State:
         """The state with this member as it is now; what must always be so is held against it."""
         before = load(state.members[number])
@@ -216,13 +234,19 @@
         highest, left = owned.get(member.own.life, (0, False))
         if member.own.incarnation < highest and member.own.status != Status.LEFT:
             raise Broken(f"n{number} takes its own incarnation back")
-        owned[member.own.life] = (max(highest, member.own.incarnation), left or
-                                  member.own.status == Status.LEFT)
+        owned[member.own.life] = (
+            max(highest, member.own.incarnation),
+            left or member.own.status == Status.LEFT,
+        )
         _hold(number, before, member, out, owned)
         sent = state.sent[number] + len(letters)
-        return replace(state, members=_with(state.members, number, pickle.dumps(member)),
-                       sent=_with(state.sent, number, sent), flight=(*state.flight, *letters),
-                       owned=tuple((life, *told) for life, told in sorted(owned.items())))
+        return replace(
+            state,
+            members=_with(state.members, number, pickle.dumps(member)),
+            sent=_with(state.sent, number, sent),
+            flight=(*state.flight, *letters),
+            owned=tuple((life, *told) for life, told in sorted(owned.items())),
+        )
 
     def _running(self, state: State) -> list[int]:
         return [number for number in range(self.count) if number not in state.gone]
@@ -236,7 +260,7 @@
         return self._became(state, number, member, out, self._letters(member, state.sent[number], out))
 
     def _drop(self, state: State, which: int) -> State:
-        return replace(state, flight=(*state.flight[:which], *state.flight[which + 1:]))
+        return replace(state, flight=(*state.flight[:which], *state.flight[which + 1 :]))
 
     def _deliver(self, state: State, which: int, keep: bool = False) -> State:
         letter = state.flight[which]
@@ -252,8 +276,13 @@
         life = max(one[0] for one in state.owned) + 100
         member = self._new(number, life, state.now)
         spent = replace(state.spent, restarts=state.spent.restarts + 1)
-        return replace(state, members=_with(state.members, number, pickle.dumps(member)), spent=spent,
-                       sent=_with(state.sent, number, 0), owned=(*state.owned, (life, 0, False)))
+        return replace(
+            state,
+            members=_with(state.members, number, pickle.dumps(member)),
+            spent=spent,
+            sent=_with(state.sent, number, 0),
+            owned=(*state.owned, (life, 0, False)),
+        )
 
     def _leave(self, state: State, number: int) -> State:
         member = load(state.members[number])
@@ -275,12 +304,20 @@
             yield f"deliver {name}", lambda which=which: self._deliver(state, which)  # type: ignore[misc]
             if spent.losses < LOSSES:
                 lost = replace(spent, losses=spent.losses + 1)
-                yield f"lose {name}", lambda which=which, lost=lost: replace(  # type: ignore[misc]
-                    self._drop(state, which), spent=lost)
+                yield (
+                    f"lose {name}",
+                    lambda which=which, lost=lost: replace(  # type: ignore[misc]
+                        self._drop(state, which), spent=lost
+                    ),
+                )
             if spent.duplicates < DUPLICATES:
                 more = replace(spent, duplicates=spent.duplicates + 1)
-                yield f"double {name}", lambda which=which, more=more: replace(  # type: ignore[misc]
-                    self._deliver(state, which, keep=True), spent=more)
+                yield (
+                    f"double {name}",
+                    lambda which=which, more=more: replace(  # type: ignore[misc]
+                        self._deliver(state, which, keep=True), spent=more
+                    ),
+                )
         yield "time", lambda: self._tick(state)
         for number in self._running(state):
             if spent.restarts < RESTARTS:
@@ -320,15 +357,25 @@
         for member in members.values():
             highest, left = owned.get(member.own.life, (0, False))
             owned[member.own.life] = max(highest, member.own.incarnation), left
-        every = tuple(pickle.dumps(members[number]) if number in members else state.members[number]
-                      for number in range(self.count))
-        return replace(state, now=now, members=every, sent=tuple(sent),
-                       owned=tuple((life, *told) for life, told in sorted(owned.items())))
+        every = tuple(
+            pickle.dumps(members[number]) if number in members else state.members[number]
+            for number in range(self.count)
+        )
+        return replace(
+            state,
+            now=now,
+            members=every,
+            sent=tuple(sent),
+            owned=tuple((life, *told) for life, told in sorted(owned.items())),
+        )
 
     def at_rest(self, state: State) -> None:
         """`Broken` if a world without faults does not come to rest."""
-        members = {number: load(data) for number, data in enumerate(self.rest(state, REST_US, True).members)
-                   if number not in state.gone}
+        members = {
+            number: load(data)
+            for number, data in enumerate(self.rest(state, REST_US, True).members)
+            if number not in state.gone
+        }
         if why := _restless(members):
             raise Broken(why)
 
@@ -349,8 +396,9 @@
 
 def _suspects(member: Member) -> dict[int, Address]:
     """Where those are that it suspects."""
-    return {life.claim.life: (life.claim.host, life.claim.port)
-            for life in member.table.standing(Status.SUSPECT)}
+    return {
+        life.claim.life: (life.claim.host, life.claim.port) for life in member.table.standing(Status.SUSPECT)
+    }
 
 
 def _judged(number: int, suspects: dict[int, Address], member: Member, out: Sequence[Action]) -> None:
@@ -363,7 +411,11 @@
 
 
 def _hold(
-    number: int, before: Member, member: Member, out: Sequence[Action], owned: dict[int, tuple[int, bool]],
+    number: int,
+    before: Member,
+    member: Member,
+    out: Sequence[Action],
+    owned: dict[int, tuple[int, bool]],
 ) -> None:
     """What must always be so, of one member after one step."""
     for life, known in before.table.lives.items():
@@ -445,16 +497,26 @@
 
     def lines(self) -> list[str]:
         """For a terminal."""
-        some = [f"{self.members} members, {self.depth} steps from {name}: {count} states, "
-                f"{self.ends[name]} ends all came to rest" for name, count in self.states.items()]
+        some = [
+            f"{self.members} members, {self.depth} steps from {name}: {count} states, "
+            f"{self.ends[name]} ends all came to rest"
+            for name, count in self.states.items()
+        ]
         if self.broken:
             some += [f"BROKEN: {self.broken}", *(f"  {step}" for step in self.path)]
-        return [*some, *(["cut short: not all was seen"] if self.cut_short else []),
-                "good" if self.good else "WRONG"]
+        return [
+            *some,
+            *(["cut short: not all was seen"] if self.cut_short else []),
+            "good" if self.good else "WRONG",
+        ]
 
 
 def _walk(
-    world: World, begin: State, path: list[str], depth: int, most: int,
+    world: World,
+    begin: State,
+    path: list[str],
+    depth: int,
+    most: int,
 ) -> tuple[int, int, str, list[str], bool]:
     """States, ends, what is broken and the way there, and whether it was cut short."""
     seen: dict[bytes, int] = {}
@@ -482,7 +544,12 @@
 
 
 def _part(
-    members: int, begin: State, path: list[str], depth: int, most: int, mutant: str,
+    members: int,
+    begin: State,
+    path: list[str],
+    depth: int,
+    most: int,
+    mutant: str,
 ) -> tuple[int, int, str, list[str], bool]:
     """One worker's share: what follows from this state, to which the path led."""
     with MUTANTS[mutant]() if mutant else contextlib.nullcontext():
@@ -510,8 +577,14 @@
 
 
 def explore(
-    members: int, depth: int, *, beginnings: Sequence[str] = BEGINNINGS, mutant: str = "",
-    most: int = MOST_STATES, workers: int | None = None, say: Callable[[str], None] = lambda line: None,
+    members: int,
+    depth: int,
+    *,
+    beginnings: Sequence[str] = BEGINNINGS,
+    mutant: str = "",
+    most: int = MOST_STATES,
+    workers: int | None = None,
+    say: Callable[[str], None] = lambda line: None,
 ) -> Report:
     """All worlds of so many members and steps; `most`: states for one worker's share."""
     from concurrent.futures import ProcessPoolExecutor
--- a/cairnvane/lab/fleet/callers.py
+++ b/cairnvane/lab/fleet/callers.py
@@ -133,8 +133,15 @@
         heeds = one.balancer < self._told.load.balancers * self._told.load.heed
         now, count = self.now(), len(self._nodes)
         numbers = [(first + step) % count for step in range(count)]
-        number = next((n for n in numbers if self._shunned.get((one.balancer, n), 0.0) <= now and not (
-            heeds and self._away.get((one.balancer, n), 0.0) > now)), numbers[0])
+        number = next(
+            (
+                n
+                for n in numbers
+                if self._shunned.get((one.balancer, n), 0.0) <= now
+                and not (heeds and self._away.get((one.balancer, n), 0.0) > now)
+            ),
+            numbers[0],
+        )
         node = self._nodes[number]
         uid = f"{next(self._count):016x}"
         made = Try(uid, number, node.line, now)
@@ -143,7 +150,8 @@
         if (balancer := self._balancer(one.balancer, number)) is None:
             return self._told_of(one, made, nobody, ran=False)
         give_up = balancer.send(
-            uid, one.lane, one.body, one.token, lambda reply: self._told_of(one, made, reply), wait=False)
+            uid, one.lane, one.body, one.token, lambda reply: self._told_of(one, made, reply), wait=False
+        )
         if give_up is None:
             return self._told_of(one, made, nobody, ran=False)
         with self._lock:
@@ -167,7 +175,8 @@
         if found is None:
             try:
                 found = self._links[balancer, number] = StandInBalancer(
-                    self._nodes[number].port, links=CONNECTIONS, renew=True)
+                    self._nodes[number].port, links=CONNECTIONS, renew=True
+                )
             except OSError:
                 return None
         return found
--- a/cairnvane/lab/fleet/links.py
+++ b/cairnvane/lab/fleet/links.py
@@ -46,7 +46,9 @@
     """Takes connections for the other end, and passes them on."""
 
     def __init__(
-        self, seed: str, to: Callable[[], tuple[str, int] | None],
+        self,
+        seed: str,
+        to: Callable[[], tuple[str, int] | None],
         refused: Callable[[], None] | None = None,
     ) -> None:
         """`refused`: the other end takes no connection any more, though it is there; from the links'
@@ -83,7 +85,8 @@
             self._open.add(far)
             await asyncio.gather(
                 _pump(near_in, near, far, self.there, self.counts),
-                _pump(far_in, far, near, self.back, self.counts))
+                _pump(far_in, far, near, self.back, self.counts),
+            )
         except (OSError, asyncio.IncompleteReadError):
             self.counts["broken"] += 1
         except asyncio.CancelledError:
@@ -127,7 +130,10 @@
 
 
 async def _pump(
-    source: asyncio.StreamReader, origin: asyncio.StreamWriter, sink: asyncio.StreamWriter, way: Direction,
+    source: asyncio.StreamReader,
+    origin: asyncio.StreamWriter,
+    sink: asyncio.StreamWriter,
+    way: Direction,
     counts: Counter[str],
 ) -> None:
     """One direction of a connection, from `origin`, whose reader `source` is. Pieces are read on while
@@ -198,7 +204,9 @@
     """One datagram channel between two ends, each of which sends to a port of its own here."""
 
     def __init__(
-        self, seed: str, ends: tuple[Callable[[], tuple[str, int] | None], ...],
+        self,
+        seed: str,
+        ends: tuple[Callable[[], tuple[str, int] | None], ...],
         ports: tuple[int, int] = (0, 0),
     ) -> None:
         """`ports`: as `self.ports`, where they are given."""
@@ -213,7 +221,8 @@
         for number, way in enumerate((self.there, self.back)):
             transport, _ = await loop.create_datagram_endpoint(
                 lambda n=number, w=way: _Datagrams(self, n, w),  # type: ignore[misc]
-                local_addr=(HOST, self._wanted[number]))
+                local_addr=(HOST, self._wanted[number]),
+            )
             self._transports.append(transport)
             self.ports.append(transport.get_extra_info("sockname")[1])
 
--- a/cairnvane/lab/fleet/nodes.py
+++ b/cairnvane/lab/fleet/nodes.py
@@ -23,19 +23,32 @@
 
 def settings(told: Scenario) -> dict[str, Any]:
     """What each server is told, as the platform does: the classes, the machine, its share of the vault."""
+
     def cls(name: str, worth: float, aim_ms: int, patience_ms: int, **more: Any) -> dict[str, Any]:
         times = {"OnTimeUs": aim_ms * 1_000, "GiveUpUs": patience_ms * 1_000}
         return {"Name": name, "Worth": worth} | times | more
 
     keyed = {"Repeat": "guarded", "WindowUs": 17_364_000, "LateWorth": 0.2}
     return {
-        "Classes": [cls("price-view", 1.0, 1_400, 3_400), cls("bid-update", 2.0, 2_300, 5_800),
-                    cls("bid-commit", 3.0, 2_300, 5_800, **keyed)],
+        "Classes": [
+            cls("price-view", 1.0, 1_400, 3_400),
+            cls("bid-update", 2.0, 2_300, 5_800),
+            cls("bid-commit", 3.0, 2_300, 5_800, **keyed),
+        ],
         "Extra": {
-            "Cores": told.server.cores, "HeapKb": 200_000.0, "RunFactor": 16.0, "KeyKb": 1.0, "Halt": "drop",
-            "Say": "credit", "Downstream": "shared", "FairCalls": told.vault.slots / told.servers,
-            "CallsOverUs": 5_000_000, "LingerUs": 0, "ClientsTotal": told.load.balancers,
-            "Meters": ["cpu_busy", "runnable", "mem_used", "sockets"], "TellsGone": True,
+            "Cores": told.server.cores,
+            "HeapKb": 200_000.0,
+            "RunFactor": 16.0,
+            "KeyKb": 1.0,
+            "Halt": "drop",
+            "Say": "credit",
+            "Downstream": "shared",
+            "FairCalls": told.vault.slots / told.servers,
+            "CallsOverUs": 5_000_000,
+            "LingerUs": 0,
+            "ClientsTotal": told.load.balancers,
+            "Meters": ["cpu_busy", "runnable", "mem_used", "sockets"],
+            "TellsGone": True,
         },
         "Guarantees": {"TipMultiple": 8.0, "StopSendingWithinUs": 2_500_000},
         "Limits": {"MaxRetryAfterUs": 1_000_000},
@@ -60,15 +73,25 @@
     """Safe to use from any thread; what is done to it is done by one."""
 
     def __init__(
-        self, told: Scenario, number: int, seed: int, folder: Path, network: Network, vault: str, roster: str,
-        event: Callable[..., None], refused: Callable[[], None], peers: Peers | None,
+        self,
+        told: Scenario,
+        number: int,
+        seed: int,
+        folder: Path,
+        network: Network,
+        vault: str,
+        roster: str,
+        event: Callable[..., None],
+        refused: Callable[[], None],
+        peers: Peers | None,
     ) -> None:
         """`refused`: a balancer's connection was refused by a process that is there; from any thread."""
         self.name, self._number = told.names[number], number
         self._network, self._event, self._peers = network, event, peers
         self._port: int | None = None  # of the process that listens
-        self.links: dict[str, list[TcpLink]] = {"balancers": [network.add(
-            TcpLink(f"{seed} {self.name} balancers", self._to, refused))]}
+        self.links: dict[str, list[TcpLink]] = {
+            "balancers": [network.add(TcpLink(f"{seed} {self.name} balancers", self._to, refused))]
+        }
         for name, address in (("vault", vault), ("roster", roster)):
             self.links[name] = [self._link(f"{seed} {self.name} {name}", address)]
         self.links["pool"] = []
@@ -76,8 +99,12 @@
         self._slots = []
         half_ms = told.server.work_ms / 2
         for slot in range(1 + upgraded):
-            pool = StandInPool(seed * 100 + number + 50 * slot, CALLING, (half_ms * 0.7, half_ms * 1.3),
-                               cores=told.server.cores)
+            pool = StandInPool(
+                seed * 100 + number + 50 * slot,
+                CALLING,
+                (half_ms * 0.7, half_ms * 1.3),
+                cores=told.server.cores,
+            )
             link = self._link(f"{seed} {self.name} pool{slot or ''}", pool.address)
             self.links["pool"].append(link)
             text = told.operator + ("" if peers is None else peers.section(number, slot))
@@ -85,8 +112,15 @@
         folder.mkdir()
         self._has_door = upgraded or peers is not None
         self._site = program.Site(
-            folder, "", f"{HOST}:{self.links['vault'][0].port}", f"{HOST}:{self.links['roster'][0].port}",
-            settings(told), stop_ms=STOP_MS, name=self.name, listen=f"{HOST}:{free_ports(1)[0]}")
+            folder,
+            "",
+            f"{HOST}:{self.links['vault'][0].port}",
+            f"{HOST}:{self.links['roster'][0].port}",
+            settings(told),
+            stop_ms=STOP_MS,
+            name=self.name,
+            listen=f"{HOST}:{free_ports(1)[0]}",
+        )
         self.versions: list[Version] = []
         self.line = 0  # counts lines of versions that took over from each other: keys are kept along one
         self._killed: set[Version] = set()  # did not end in order, by the scenario's will
--- a/cairnvane/lab/fleet/peers.py
+++ b/cairnvane/lab/fleet/peers.py
@@ -27,7 +27,9 @@
         firsts = free_ports(told.servers, above=1)  # a new version listens one above
         self._ends: dict[End, tuple[str, int]] = {
             (number, slot): (HOST, firsts[number] + slot)
-            for number, name in enumerate(told.names) for slot in range(1 + (name in told.upgraded))}
+            for number, name in enumerate(told.names)
+            for slot in range(1 + (name in told.upgraded))
+        }
         self._routes: dict[End, dict[str, str]] = {end: {} for end in self._ends}
         self._links: dict[tuple[int, int], list[tuple[UdpLink, TcpLink, TcpLink]]] = {}
         for one in self._ends:
@@ -38,10 +40,13 @@
     def _pair(self, one: End, other: End, seed: str) -> None:
         ends = self._ends[one], self._ends[other]
         # Connections first: their ports are taken by nobody else, and so are free for datagrams too.
-        views = (self._network.add(TcpLink(f"{seed} view", lambda: ends[1])),
-                 self._network.add(TcpLink(f"{seed} view back", lambda: ends[0])))
-        datagrams = self._network.add(UdpLink(
-            seed, (lambda: ends[0], lambda: ends[1]), (views[0].port, views[1].port)))
+        views = (
+            self._network.add(TcpLink(f"{seed} view", lambda: ends[1])),
+            self._network.add(TcpLink(f"{seed} view back", lambda: ends[0])),
+        )
+        datagrams = self._network.add(
+            UdpLink(seed, (lambda: ends[0], lambda: ends[1]), (views[0].port, views[1].port))
+        )
         self._links.setdefault((one[0], other[0]), []).append((datagrams, *views))
         for end, whom, by in ((one, ends[1], views[0].port), (other, ends[0], views[1].port)):
             self._routes[end]["{}:{}".format(*whom)] = f"{HOST}:{by}"
@@ -49,9 +54,13 @@
     def section(self, number: int, slot: int) -> str:
         """Of the operator's file of this version."""
         some = list(range(len(self._names)))[:CONTACTS]
-        told = {"listen": "{}:{}".format(*self._ends[number, 0]), "key": KEY, "spare_ports": 1,
-                "contacts": ["{}:{}".format(*self._ends[one, 0]) for one in some],
-                "routes": self._routes[number, slot]}
+        told = {
+            "listen": "{}:{}".format(*self._ends[number, 0]),
+            "key": KEY,
+            "spare_ports": 1,
+            "contacts": ["{}:{}".format(*self._ends[one, 0]) for one in some],
+            "routes": self._routes[number, slot],
+        }
         return f"\nmembers: {json.dumps(told)}\n"
 
     def set(self, first: int, second: int, way: str, event: int, fault: Fault | None) -> None:
--- a/cairnvane/lab/fleet/play.py
+++ b/cairnvane/lab/fleet/play.py
@@ -71,7 +71,12 @@
     """One play of a scenario."""
 
     def __init__(
-        self, told: Scenario, seed: int, folder: Path, *, events: Path | None = None,
+        self,
+        told: Scenario,
+        seed: int,
+        folder: Path,
+        *,
+        events: Path | None = None,
         say: Callable[[str], None] = lambda line: None,
     ) -> None:
         self._told, self._seed, self._say = told, seed, say
@@ -82,10 +87,20 @@
         self._roster = StandInRoster()
         self._peers = Peers(told, seed, self._network) if told.members else None
         self.nodes = [
-            Node(told, number, seed, folder / name, self._network, self._vault.address, self._roster.address,
-                 self._event, lambda number=number: self._refused(number),  # type: ignore[misc]
-                 self._peers)
-            for number, name in enumerate(told.names)]
+            Node(
+                told,
+                number,
+                seed,
+                folder / name,
+                self._network,
+                self._vault.address,
+                self._roster.address,
+                self._event,
+                lambda number=number: self._refused(number),  # type: ignore[misc]
+                self._peers,
+            )
+            for number, name in enumerate(told.names)
+        ]
         self._callers = Callers(told, seed, self.nodes)
         self._began: dict[int, float] = {}
         self._spans: list[Span] = []
@@ -236,8 +251,15 @@
         for one in asked[-400:]:
             for tried in list(one.tries):
                 if tried.status is not None and second - 1 <= tried.ended < second:
-                    ends["served" if tried.status == 200 else "refused" if tried.status in (429, 503)
-                         else "broken" if tried.status == 0 else "failed"] += 1
+                    ends[
+                        "served"
+                        if tried.status == 200
+                        else "refused"
+                        if tried.status in (429, 503)
+                        else "broken"
+                        if tried.status == 0
+                        else "failed"
+                    ] += 1
         states = " ".join(f"{node.name}:{'up' if node.up else 'DOWN'}" for node in self.nodes)
         in_time = share(asked, second - 3, second - 2) if second >= 3 else 1.0
         told = " ".join(f"{name} {ends[name]:3}" for name in ("served", "refused", "failed", "broken"))
@@ -261,11 +283,16 @@
         if self._peers is None:
             return
         hurt = {step.who for step in self._steps if step.do in SILENCING}
-        said = [one for node in self.nodes for version in node.versions for one in sightings.read(
-            node.name, version.life.lines, version.life.said_at, self._callers.start)]
+        said = [
+            one
+            for node in self.nodes
+            for version in node.versions
+            for one in sightings.read(
+                node.name, version.life.lines, version.life.said_at, self._callers.start
+            )
+        ]
         said.sort(key=lambda one: one.at)
-        verdict.views, short = sightings.judge(
-            self._told, said, self._kills, hurt, self._traffic, agreed)
+        verdict.views, short = sightings.judge(self._told, said, self._kills, hurt, self._traffic, agreed)
         verdict.views.cpu = statistics.mean(cpu) if cpu else 0.0
         verdict.short += short
 
@@ -303,4 +330,3 @@
         self._roster.close()
         self._event("verdict", **verdict.as_json())
         return verdict
-
--- a/cairnvane/lab/fleet/scenario.py
+++ b/cairnvane/lab/fleet/scenario.py
@@ -27,8 +27,16 @@
 # Between two of whom a link is: `balancers` stands for all of them, and `servers` for each server.
 SHARED, ALL = ("balancers", "pool", "vault", "roster"), "servers"
 # What a scenario may state of the servers' views of each other.
-ASKED_OF_MEMBERS = ("called_dead", "agree_within", "found_within", "held_up", "host_held_up", "sights",
-                    "kb_a_second", "peak_kb")
+ASKED_OF_MEMBERS = (
+    "called_dead",
+    "agree_within",
+    "found_within",
+    "held_up",
+    "host_held_up",
+    "sights",
+    "kb_a_second",
+    "peak_kb",
+)
 _SPAN = ("stop", "hold", "busy", *TO_VAULT, *TO_LOAD, *KINDS)
 
 
@@ -121,8 +129,10 @@
     def ends(self, fault: Fault) -> tuple[list[str], list[str]]:
         """Who stands at both ends of a fault's link."""
         first, second = ([end] if isinstance(end, str) else end for end in fault.link)
-        return ([name for one in first for name in (self.names if one == ALL else [one])],
-                [name for one in second for name in (self.names if one == ALL else [one])])
+        return (
+            [name for one in first for name in (self.names if one == ALL else [one])],
+            [name for one in second for name in (self.names if one == ALL else [one])],
+        )
 
     def links(self, fault: Fault) -> tuple[tuple[str, str], ...]:
         """All links that a fault is put on, each once."""
@@ -185,8 +195,11 @@
     if len(fault.link) != 2:
         raise check.error(f"{path}.link", f"{fault.do!r} needs the two ends of a link")
     for number, end in enumerate(fault.link):
-        some = [(f"{path}.link[{number}]", end)] if isinstance(end, str) else [
-            (f"{path}.link[{number}][{place}]", name) for place, name in enumerate(end)]
+        some = (
+            [(f"{path}.link[{number}]", end)]
+            if isinstance(end, str)
+            else [(f"{path}.link[{number}][{place}]", name) for place, name in enumerate(end)]
+        )
         for where, name in some:
             check.one_of(where, name, [*told.names, ALL, *SHARED])
     first, second = told.ends(fault)
--- a/cairnvane/lab/fleet/schedule.py
+++ b/cairnvane/lab/fleet/schedule.py
@@ -44,8 +44,12 @@
 def on_link(fault: Fault) -> LinkFault:
     """What the link has to know of it."""
     return LinkFault(
-        fault.do, share=fault.share, delay_s=fault.ms / 1e3, spread_s=fault.spread_ms / 1e3,
-        bytes_a_second=fault.kb_a_second * 1_024)
+        fault.do,
+        share=fault.share,
+        delay_s=fault.ms / 1e3,
+        spread_s=fault.spread_ms / 1e3,
+        bytes_a_second=fault.kb_a_second * 1_024,
+    )
 
 
 def _steps(told: Scenario, number: int, seed: int) -> Iterator[Step]:
--- a/cairnvane/lab/fleet/sightings.py
+++ b/cairnvane/lab/fleet/sightings.py
@@ -36,14 +36,12 @@
         """It found this life failed by itself."""
         return self.event == "failed" and "accusers=" in self.more
 
-
     @property
     def own_suspicion(self) -> bool:
         """It got no answer from this life itself."""
         return self.event == "suspected" and " why=" in self.more
 
 
-
 def read(by: str, lines: Sequence[str], said_at: Sequence[float], begin: float) -> list[Sighting]:
     """The lines of one process; `begin`: the load's, on the clock of `said_at`."""
     found = []
@@ -117,14 +115,20 @@
         times = ", ".join(f"{seconds:.2f}" for seconds in self.found_s)
         found = f"kills known to all after {times} s; " if times else ""
         agreed = "" if self.agreed_s is None else f"; all agree {self.agreed_s:.1f} s after the load's end"
-        return (f"  members: {found}{self.not_found} not known to all; verdicts on the living "
-                f"{self.called_dead}, suspicions {self.suspected}; {self.kb_a_second:.2f} KB/s and "
-                f"{self.datagrams_a_second:.0f} datagrams a second each, at most {self.peak_kb:.1f} KB/s; "
-                f"CPU {self.cpu:.4f} of a core{agreed}")
+        return (
+            f"  members: {found}{self.not_found} not known to all; verdicts on the living "
+            f"{self.called_dead}, suspicions {self.suspected}; {self.kb_a_second:.2f} KB/s and "
+            f"{self.datagrams_a_second:.0f} datagrams a second each, at most {self.peak_kb:.1f} KB/s; "
+            f"CPU {self.cpu:.4f} of a core{agreed}"
+        )
 
 
 def judge(
-    told: Scenario, said: Sequence[Sighting], kills: Sequence[Kill], hurt: set[str], traffic: Traffic,
+    told: Scenario,
+    said: Sequence[Sighting],
+    kills: Sequence[Kill],
+    hurt: set[str],
+    traffic: Traffic,
     agreed_s: float | None,
 ) -> tuple[Views, list[str]]:
     """The views, and the statements of the scenario on them that do not hold. `hurt`: servers that something
@@ -133,36 +137,49 @@
     views = Views(
         called_dead=sum(one.own_verdict and one.name in unhurt for one in said),
         suspected=sum(one.own_suspicion and one.name in unhurt for one in said),
-        agreed_s=agreed_s, kb_a_second=traffic.kb_a_second, peak_kb=traffic.peak_kb,
-        datagrams_a_second=traffic.datagrams_a_second)
+        agreed_s=agreed_s,
+        kb_a_second=traffic.kb_a_second,
+        peak_kb=traffic.peak_kb,
+        datagrams_a_second=traffic.datagrams_a_second,
+    )
     short = []
     took = [known_after(kill, said) for kill in kills]
     views.found_s, views.not_found = [one for one in took if one is not None], took.count(None)
     if wants.called_dead is not None and views.called_dead > wants.called_dead:
         short.append(f"{views.called_dead} verdicts on the living, {wants.called_dead} at most were expected")
         accused = {one.name for one in said if one.own_verdict and one.name in unhurt}
-        short += [f"  {one.at:.2f} s {one.by}: {one.event} {one.name}{one.more}" for one in said
-                  if one.name in accused or one.event in ("held_up", "host_held_up")][:MOST_SHOWN]
+        short += [
+            f"  {one.at:.2f} s {one.by}: {one.event} {one.name}{one.more}"
+            for one in said
+            if one.name in accused or one.event in ("held_up", "host_held_up")
+        ][:MOST_SHOWN]
     if wants.agree_within is not None and agreed_s is None:
         short.append(f"the servers do not agree within {wants.agree_within:g} s")
     if wants.found_within is not None:
         for kill, one in zip(kills, took, strict=True):
             if one is None or one > wants.found_within:
                 after = "never" if one is None else f"after {one:.2f} s"
-                short.append(f"the end of {kill.who} at {kill.at:.1f} s was known to all {after}, "
-                             f"expected within {wants.found_within:g} s")
+                short.append(
+                    f"the end of {kill.who} at {kill.at:.1f} s was known to all {after}, "
+                    f"expected within {wants.found_within:g} s"
+                )
     for event, names in (("held_up", wants.held_up), ("host_held_up", wants.host_held_up)):
         for name in names:
             if not any(one.by == name and one.event == event for one in said):
                 short.append(f"{name} never said {event} of itself")
     for name, sight in wants.sights.items():
-        took_for = {found[1] for one in said if one.by == name and one.event == "sight"
-                    and (found := _VERDICT.search(one.more)) is not None}
+        took_for = {
+            found[1]
+            for one in said
+            if one.by == name and one.event == "sight" and (found := _VERDICT.search(one.more)) is not None
+        }
         if sight not in took_for:
             instead = ", ".join(sorted(took_for)) or "nothing"
             short.append(f"{name} never took itself for {sight}, but for {instead}")
-    for what, limit, got in (("", wants.kb_a_second, views.kb_a_second),
-                             (" in one second", wants.peak_kb, views.peak_kb)):
+    for what, limit, got in (
+        ("", wants.kb_a_second, views.kb_a_second),
+        (" in one second", wants.peak_kb, views.peak_kb),
+    ):
         if limit is not None and got > limit:
             short.append(f"{got:.1f} KB/s a member{what}, {limit:g} at most were expected")
     return views, short
--- a/cairnvane/lab/fleet/verdict.py
+++ b/cairnvane/lab/fleet/verdict.py
@@ -108,7 +108,8 @@
             f"  most calls in the vault's hands {self.vault_most}, it fell {self.vault_fell} times; "
             f"most runs a core {self.most_crowded:.1f}; the load's own lag {self.lag_ms:.0f} ms",
             *([self.views.line()] if self.views is not None else []),
-            *(f"  trouble: {line}" for line in self.trouble), *(f"  short: {line}" for line in self.short),
+            *(f"  trouble: {line}" for line in self.trouble),
+            *(f"  short: {line}" for line in self.short),
             "good" if self.good else "WRONG",
         ]
 
@@ -135,8 +136,11 @@
     """Whether something was wrong with its server, or on the way there, while it was open; or (`handover`) a
     version handed over."""
     ended = one.ended if one.status is not None else float("inf")
-    return any(span.node == one.node and span.begins - AROUND_S <= ended and one.sent <= span.ends + AROUND_S
-               for span in spans if span.handover is handover)
+    return any(
+        span.node == one.node and span.begins - AROUND_S <= ended and one.sent <= span.ends + AROUND_S
+        for span in spans
+        if span.handover is handover
+    )
 
 
 def _lost(verdict: Verdict, one: Asked, tried: Try, spans: Sequence[Span], ran: bool) -> None:
@@ -152,7 +156,8 @@
         verdict.lost_at.append((tried.node, tried.sent, tried.ended))
         verdict.lost_tries.append(
             f"{one.lane} at server {tried.node}, line {tried.life}, {tried.sent:.2f} to {tried.ended:.2f} s: "
-            f"{how}, {'ran' if ran else 'never ran'}")
+            f"{how}, {'ran' if ran else 'never ran'}"
+        )
 
 
 def _count(verdict: Verdict, one: Asked, spans: Sequence[Span], uids: set[str]) -> None:
@@ -176,8 +181,12 @@
 
 
 def judge(
-    told: Scenario, seed: int, asked: Sequence[Asked], facts: Sequence[Mapping[bytes, Facts]],
-    spans: Sequence[Span], first_fault: float,
+    told: Scenario,
+    seed: int,
+    asked: Sequence[Asked],
+    facts: Sequence[Mapping[bytes, Facts]],
+    spans: Sequence[Span],
+    first_fault: float,
 ) -> Verdict:
     """`facts`: by server, what its pool saw. Deadlines of the classes have passed for all that was asked."""
     verdict = Verdict(told.name, seed, requests=len(asked))
@@ -200,8 +209,11 @@
     verdict.worth_before = share(asked, 0.0, first_fault, worth=True)
     verdict.worth_during = share(asked, first_fault, over, worth=True)
     verdict.worth_after = share(asked, over, told.seconds, worth=True)
-    again = sum(any(tried.status in REFUSED for tried in one.tries[:number]) for one in asked
-                for number in range(len(one.tries)))
+    again = sum(
+        any(tried.status in REFUSED for tried in one.tries[:number])
+        for one in asked
+        for number in range(len(one.tries))
+    )
     verdict.again = again / max(1, verdict.tries)
     if told.faults:
         verdict.back_s = back_after(asked, verdict.before, told.last_end(), told.seconds)
--- a/cairnvane/lab/fuzz.py
+++ b/cairnvane/lab/fuzz.py
@@ -27,8 +27,10 @@
 
 
 def _lives(rng: random.Random) -> list[Claim]:
-    return [Claim(rng.getrandbits(63) | 1, f"n{number}", f"p{number}", HOST, 9_000 + number, 0, 0)
-            for number in range(1, MEMBERS)]
+    return [
+        Claim(rng.getrandbits(63) | 1, f"n{number}", f"p{number}", HOST, 9_000 + number, 0, 0)
+        for number in range(1, MEMBERS)
+    ]
 
 
 class Maker:
@@ -41,9 +43,13 @@
         self.kinds: dict[str, Callable[[], bytes]] = {
             "noise": lambda: rng.randbytes(rng.randrange(0, 200)),
             "oversized": lambda: rng.randbytes(MOST_BYTES + rng.randrange(1, 100)),
-            "torn": self._torn, "flipped": self._flipped, "another key": self._another_key,
-            "replayed": lambda: rng.choice(old), "under the key, noise": self._sealed_noise,
-            "under the key, wrong types": self._sealed_types, "under the key, insane": self._insane,
+            "torn": self._torn,
+            "flipped": self._flipped,
+            "another key": self._another_key,
+            "replayed": lambda: rng.choice(old),
+            "under the key, noise": self._sealed_noise,
+            "under the key, wrong types": self._sealed_types,
+            "under the key, insane": self._insane,
         }
 
     def _torn(self) -> bytes:
@@ -70,15 +76,33 @@
     def _sealed_types(self) -> bytes:
         rng = self._rng
         parts: list[Any] = [
-            rng.randrange(-1, 9), "x", None, -1, 1 << 63, [[]], {"a": 1}, [1, 2, 3], 0.5, b"\0"]
+            rng.randrange(-1, 9),
+            "x",
+            None,
+            -1,
+            1 << 63,
+            [[]],
+            {"a": 1},
+            [1, 2, 3],
+            0.5,
+            b"\0",
+        ]
         return self._enveloped(msgspec.msgpack.encode(rng.choices(parts, k=rng.randrange(0, 6))))
 
     def _insane(self) -> bytes:
         """Claims that can't be true, and what is too much to carry, of those who are there."""
         rng, life = self._rng, self._rng.choice(self._lives)
         wrong: list[dict[str, Any]] = [
-            {"host": "name.to.look.up"}, {"port": 0}, {"port": 1 << 20}, {"status": 9}, {"status": -1},
-            {"name": "n" * 99}, {"place": "p" * 99}, {"incarnation": -1}, {"incarnation": 1 << 40}]
+            {"host": "name.to.look.up"},
+            {"port": 0},
+            {"port": 1 << 20},
+            {"status": 9},
+            {"status": -1},
+            {"name": "n" * 99},
+            {"place": "p" * 99},
+            {"incarnation": -1},
+            {"incarnation": 1 << 40},
+        ]
         claim = msgspec.structs.replace(life, **({"life": rng.getrandbits(62)} | rng.choice(wrong)))
         info = Info(life.life, 1 << 30, 1 << 30, {f"k{n}": "v" * 20 for n in range(40)})
         kind = rng.choice((Ping, Ack, Ask))
@@ -109,15 +133,20 @@
     def lines(self) -> list[str]:
         """For a terminal."""
         counts = ", ".join(f"{name} {count}" for name, count in sorted(self.counts.items()))
-        return [f"{self.datagrams} datagrams, seed {self.seed}: {counts}; uncounted {self.uncounted}",
-                f"memory grew by {self.grown_kb} KB", *self.errors[:5], *self.changed,
-                "good" if self.good else "WRONG"]
+        return [
+            f"{self.datagrams} datagrams, seed {self.seed}: {counts}; uncounted {self.uncounted}",
+            f"memory grew by {self.grown_kb} KB",
+            *self.errors[:5],
+            *self.changed,
+            "good" if self.good else "WRONG",
+        ]
 
 
 def _seen(member: Member) -> dict[int, tuple[Any, ...]]:
     """All that a datagram could change of what is known."""
     return {life: (known.claim, known.info) for life, known in member.table.lives.items()} | {
-        0: (member.own, sorted(member.table.up), member.table.count(Status.SUSPECT))}
+        0: (member.own, sorted(member.table.up), member.table.count(Status.SUSPECT))
+    }
 
 
 def _kb() -> int:
@@ -130,8 +159,11 @@
     lives = _lives(rng)
     channel = Channel((HOST, 0), KEY, "n0", "p0", [])
     member = channel._member
-    old = [seal(KEY, one.life, number, Ping(number, member.own.life, [one]))
-           for number in range(1, 40) for one in lives]
+    old = [
+        seal(KEY, one.life, number, Ping(number, member.own.life, [one]))
+        for number in range(1, 40)
+        for one in lives
+    ]
     for data in old:
         channel._take(data, (HOST, 1), MOST_BYTES)
     before, maker, counted = _seen(member), Maker(rng, lives, old), Counter(channel.counts)
@@ -155,10 +187,14 @@
     report.uncounted = datagrams - sum(count for kind, count in got.items() if "sent" not in kind)
     report.counts = dict(got) | {
         "of these replayed": member.counts.replayed - replayed,
-        "of these insane": member.counts.insane - insane}
+        "of these insane": member.counts.insane - insane,
+    }
     after = _seen(member)
-    report.changed = [f"life {life} changed: {before.get(life)} to {after.get(life)}"
-                      for life in sorted(before.keys() | after.keys()) if before.get(life) != after.get(life)]
+    report.changed = [
+        f"life {life} changed: {before.get(life)} to {after.get(life)}"
+        for life in sorted(before.keys() | after.keys())
+        if before.get(life) != after.get(life)
+    ]
     if len(member._numbers) > len(member.table.lives):
         report.changed.append(f"{len(member._numbers)} senders are remembered")
     channel.drop()
--- a/cairnvane/lab/hostile.py
+++ b/cairnvane/lab/hostile.py
@@ -78,7 +78,7 @@
                 if caller.habit is not Habit.DEAF:
                     self._selector.register(caller.sock, selectors.EVENT_READ, caller)
             if caller.habit is Habit.DRIPS:
-                caller.sock.send(_CALL[caller.said:caller.said + 1])
+                caller.sock.send(_CALL[caller.said : caller.said + 1])
                 caller.said += 1
             elif caller.habit is Habit.DEAF:
                 caller.sock.send(_CALL)
--- a/cairnvane/lab/judge.py
+++ b/cairnvane/lab/judge.py
@@ -115,12 +115,16 @@
         commits = self.commits
         ran = {commit.body: pool.get(commit.body, Facts()) for commit in commits}
         return Verdict(
-            commits=len(commits), tries=self.tries, runs=sum(facts.runs for facts in ran.values()),
+            commits=len(commits),
+            tries=self.tries,
+            runs=sum(facts.runs for facts in ran.values()),
             second_runs=sum(max(0, facts.runs - 1) for facts in ran.values()),
             second_calls=sum(max(0, calls[b"call for " + commit.body] - 1) for commit in commits),
             differing=sum(len(set(c.served)) > 1 or c.failed_after_served > 0 for c in commits),
             invented=sum(any(body not in ran[c.body].results for body in c.served) for c in commits),
             unanswered=sum(commit.open for commit in commits),
             lost=sum(not commit.served and not commit.failed for commit in commits),
-            refusals=sum(commit.refused for commit in commits), failed=sum(c.failed for c in commits),
-            broken_tries=sum(commit.broken for commit in commits))
+            refusals=sum(commit.refused for commit in commits),
+            failed=sum(c.failed for c in commits),
+            broken_tries=sum(commit.broken for commit in commits),
+        )
--- a/cairnvane/lab/management.py
+++ b/cairnvane/lab/management.py
@@ -54,24 +54,37 @@
             out.put(None)
 
     def push(
-        self, messages: dict[str, Any], type_url: str, removed: tuple[str, ...] = (), inner: str = "",
+        self,
+        messages: dict[str, Any],
+        type_url: str,
+        removed: tuple[str, ...] = (),
+        inner: str = "",
     ) -> str:
         """Say these resources, by name; the nonce. The version is the number of pushes so far. `inner`:
         the type that each resource says that it is of, if it is to be another one."""
         self._count += 1
         version, nonce = str(self._count), f"n{self._count}"
         bodies = {
-            name: any_pb2.Any(type_url=inner or type_url, value=message if isinstance(message, bytes)
-                              else message.SerializeToString())
-            for name, message in messages.items()}
+            name: any_pb2.Any(
+                type_url=inner or type_url,
+                value=message if isinstance(message, bytes) else message.SerializeToString(),
+            )
+            for name, message in messages.items()
+        }
         if self._delta:
             told = discovery_pb2.DeltaDiscoveryResponse(
-                type_url=type_url, nonce=nonce, removed_resources=removed, resources=[
+                type_url=type_url,
+                nonce=nonce,
+                removed_resources=removed,
+                resources=[
                     discovery_pb2.Resource(name=name, version=version, resource=body)
-                    for name, body in bodies.items()])
+                    for name, body in bodies.items()
+                ],
+            )
         else:
             told = discovery_pb2.DiscoveryResponse(
-                version_info=version, nonce=nonce, type_url=type_url, resources=bodies.values())
+                version_info=version, nonce=nonce, type_url=type_url, resources=bodies.values()
+            )
         self._out.put(told)
         return nonce
 
--- a/cairnvane/lab/members.py
+++ b/cairnvane/lab/members.py
@@ -53,7 +53,12 @@
     """The real one."""
 
     def __init__(
-        self, own: Claim, rng: random.Random, now: int, contacts: list[Address], options: Options,
+        self,
+        own: Claim,
+        rng: random.Random,
+        now: int,
+        contacts: list[Address],
+        options: Options,
     ) -> None:
         self.member = Member(own, rng, now, contacts=contacts, options=options)
         self.life = own.life
@@ -223,23 +228,31 @@
         if self.random.random() < self.loss or self.cut(number, to):
             return
         count = next(self._count) + 1
-        self._push(self.now + self.random.randint(LEAST_US, MOST_US),
-                   lambda: self._receive(to, life, count, _at(number), action.message))
+        self._push(
+            self.now + self.random.randint(LEAST_US, MOST_US),
+            lambda: self._receive(to, life, count, _at(number), action.message),
+        )
 
     def _receive(self, number: int, life: int, count: int, source: Address, message: Message) -> None:
         if number in self.down or number not in self.players:
             return
         if number in self.still:
             self._waiting.setdefault(number, []).append(
-                lambda: self._receive(number, life, count, source, message))
+                lambda: self._receive(number, life, count, source, message)
+            )
             return
         self._do(number, self.players[number].handle(self.now, life, count, source, message))
         self._arm(number)
 
     def _exchange(self, number: int, to: int) -> None:
         """A connection, if both ways are open; a lost piece is sent again by TCP."""
-        if to in self.down or to in self.still or to not in self.players or self.cut(number, to) \
-                or self.cut(to, number):
+        if (
+            to in self.down
+            or to in self.still
+            or to not in self.players
+            or self.cut(number, to)
+            or self.cut(to, number)
+        ):
             return
         for source, sink, answer in ((number, to, True), (to, number, False)):
             player, other = self.players[source], self.players[sink]
@@ -283,14 +296,17 @@
 
     def lines(self) -> list[str]:
         """For a terminal."""
-        lines = [f"{'way':14} {'members':>7} {'loss':>5} {'known to all, ms: median':>25} {'worst':>6} "
-                 f"{'missed':>6} {'false':>6} {'B/s':>8} {'msg/s':>6} {'largest':>7}"]
+        lines = [
+            f"{'way':14} {'members':>7} {'loss':>5} {'known to all, ms: median':>25} {'worst':>6} "
+            f"{'missed':>6} {'false':>6} {'B/s':>8} {'msg/s':>6} {'largest':>7}"
+        ]
         for row in self.rows:
             took = row.detect_ms or [float("nan")]
             lines.append(
                 f"{row.way:14} {row.members:7} {row.loss:5.2f} "
                 f"{statistics.median(took):25.0f} {max(took):6.0f} {row.missed:6} {row.false_failed:6} "
-                f"{row.bytes_a_second:8.0f} {row.messages_a_second:6.1f} {row.largest:7}")
+                f"{row.bytes_a_second:8.0f} {row.messages_a_second:6.1f} {row.largest:7}"
+            )
         return lines
 
 
@@ -328,8 +344,9 @@
         false = sum("accusers" in told.more for _, _, told in world.told[before:])
     sent, told = world.bytes / members / WATCH_S, world.messages / members / WATCH_S
     life, at = world.kill(members // 2), world.now
-    found = world.run(at + FIND_S * SECOND, lambda: all(
-        world.players[number].failed(life) for number in world.up()))
+    found = world.run(
+        at + FIND_S * SECOND, lambda: all(world.players[number].failed(life) for number in world.up())
+    )
     return (world.now - at) / 1e3 if found else None, false, sent, told, world.largest
 
 
@@ -372,8 +389,10 @@
         world.run(world.now + (FLAP_EVERY_S - 1) * SECOND)
     changed = world.now
     agreed = world.run(changed + AGREE_S * SECOND, world.agree, look)
-    false = sum(one.event == "member.failed" and "accusers" in one.more and one.more["life"] not in dead
-                for _, _, one in world.told[told:])
+    false = sum(
+        one.event == "member.failed" and "accusers" in one.more and one.more["life"] not in dead
+        for _, _, one in world.told[told:]
+    )
     took = (world.now - began) / SECOND
     return ((world.now - changed) / SECOND if agreed else None, false, world.bytes / members / max(took, 0.1))
 
@@ -395,31 +414,49 @@
 
     def lines(self) -> list[str]:
         """For a terminal."""
-        lines = [f"{'case':6} {'members':>7} {'agree again, s: median':>23} {'worst':>6} {'missed':>6} "
-                 f"{'false':>6} {'B/s':>8}"]
+        lines = [
+            f"{'case':6} {'members':>7} {'agree again, s: median':>23} {'worst':>6} {'missed':>6} "
+            f"{'false':>6} {'B/s':>8}"
+        ]
         for row in self.rows:
             took = row.agree_s or [float("nan")]
-            lines.append(f"{row.case:6} {row.members:7} {statistics.median(took):23.1f} {max(took):6.1f} "
-                         f"{row.missed:6} {row.false_failed:6} {row.bytes_a_second:8.0f}")
+            lines.append(
+                f"{row.case:6} {row.members:7} {statistics.median(took):23.1f} {max(took):6.1f} "
+                f"{row.missed:6} {row.false_failed:6} {row.bytes_a_second:8.0f}"
+            )
         return [*lines, "good" if self.good else "WRONG"]
 
 
 def cases(
-    sizes: Sequence[int], seeds: int, some: Sequence[str] = CASES,
+    sizes: Sequence[int],
+    seeds: int,
+    some: Sequence[str] = CASES,
     say: Callable[[str], None] = lambda line: None,
 ) -> CaseReport:
     """The hard cases, on all cores."""
     rows = []
     for (case, members), results in spread(
-            _case, [(case, members) for members in sizes for case in some], seeds, say):
+        _case, [(case, members) for members in sizes for case in some], seeds, say
+    ):
         took = [one[0] for one in results if one[0] is not None]
-        rows.append(Case(case, members, took, len(results) - len(took), sum(one[1] for one in results),
-                         statistics.mean(one[2] for one in results)))
+        rows.append(
+            Case(
+                case,
+                members,
+                took,
+                len(results) - len(took),
+                sum(one[1] for one in results),
+                statistics.mean(one[2] for one in results),
+            )
+        )
     return CaseReport(rows)
 
 
 def measure(
-    sizes: Sequence[int], losses: Sequence[float], seeds: int, ways: Sequence[str] = WAYS,
+    sizes: Sequence[int],
+    losses: Sequence[float],
+    seeds: int,
+    ways: Sequence[str] = WAYS,
     say: Callable[[str], None] = lambda line: None,
 ) -> Report:
     """The table, on all cores."""
@@ -427,8 +464,18 @@
     all_ = [(way, members, loss) for members in sizes for loss in losses for way in ways]
     for (way, members, loss), results in spread(_one, all_, seeds, say):
         took = [one[0] for one in results if one[0] is not None]
-        rows.append(Row(
-            way, members, loss, took, len(results) - len(took), sum(one[1] for one in results),
-            seeds * members * WATCH_S / 3_600, statistics.mean(one[2] for one in results),
-            statistics.mean(one[3] for one in results), max(one[4] for one in results)))
+        rows.append(
+            Row(
+                way,
+                members,
+                loss,
+                took,
+                len(results) - len(took),
+                sum(one[1] for one in results),
+                seeds * members * WATCH_S / 3_600,
+                statistics.mean(one[2] for one in results),
+                statistics.mean(one[3] for one in results),
+                max(one[4] for one in results),
+            )
+        )
     return Report(rows)
--- a/cairnvane/lab/overload.py
+++ b/cairnvane/lab/overload.py
@@ -35,12 +35,21 @@
     if kind == "surge":
         return [Fault("surge", at, for_=span, times=3.0)]
     if kind == "lost":
-        return [fault for n in third for fault in (
-            Fault("kill", at, who=f"n{n}"), Fault("start", at + span, who=f"n{n}"))]
+        return [
+            fault
+            for n in third
+            for fault in (Fault("kill", at, who=f"n{n}"), Fault("start", at + span, who=f"n{n}"))
+        ]
     if kind == "flap":
         return [Fault("down", at + step * span / 5, for_=span / 5 - 0.2) for step in range(5)]
-    return [Fault("down", at, for_=span), *(fault for n in range(servers) for fault in (
-        Fault("kill", at + 0.5, who=f"n{n}"), Fault("start", at + 1.0, who=f"n{n}")))]
+    return [
+        Fault("down", at, for_=span),
+        *(
+            fault
+            for n in range(servers)
+            for fault in (Fault("kill", at + 0.5, who=f"n{n}"), Fault("start", at + 1.0, who=f"n{n}"))
+        ),
+    ]
 
 
 # The vault eight times slower; three times the load; a third killed; the vault back for moments only; all
@@ -51,16 +60,23 @@
 def scenario(kind: str, servers: int) -> Scenario:
     """One trouble, for a fleet of this size."""
     return Scenario(
-        f"{kind}, {servers} servers", servers=servers, seconds=BEFORE_S + DURING_S + AFTER_S,
+        f"{kind}, {servers} servers",
+        servers=servers,
+        seconds=BEFORE_S + DURING_S + AFTER_S,
         load=Load(rate=RATE * servers, balancers=BALANCERS, tries=TRIES, heed=HEED),
-        server=Servers(CORES, WORK_MS), vault=Vault(SLOTS * servers, CALL_MS, 5.0),
-        faults=_faults(kind, servers))
+        server=Servers(CORES, WORK_MS),
+        vault=Vault(SLOTS * servers, CALL_MS, 5.0),
+        faults=_faults(kind, servers),
+    )
 
 
 FIGURES: dict[str, Callable[[Verdict], float]] = {
-    "before": lambda one: one.worth_before, "during": lambda one: one.worth_during,
-    "after": lambda one: one.worth_after, "tries": lambda one: one.tries_a_request,
-    "again": lambda one: one.again, "sick calls": lambda one: one.sick_calls,
+    "before": lambda one: one.worth_before,
+    "during": lambda one: one.worth_during,
+    "after": lambda one: one.worth_after,
+    "tries": lambda one: one.tries_a_request,
+    "again": lambda one: one.again,
+    "sick calls": lambda one: one.sick_calls,
     "over": lambda one: one.vault_over,
 }
 
@@ -83,8 +99,10 @@
         known = [one for one in backs if one is not None]
         back = f"{max(known):5.1f}" if len(known) == len(backs) else f"not {backs.count(None)}/{len(backs)}"
         figures = " ".join(f"{self.mean(FIGURES[name]):{len(name) + 1}.2f}" for name in FIGURES)
-        return (f"{self.trouble:8} {self.servers:7} {figures} {back:>9} "
-                f"{sum(one.wrong for one in self.verdicts):6}")
+        return (
+            f"{self.trouble:8} {self.servers:7} {figures} {back:>9} "
+            f"{sum(one.wrong for one in self.verdicts):6}"
+        )
 
 
 @dataclass
@@ -105,17 +123,26 @@
 
     def lines(self) -> list[str]:
         """For a terminal."""
-        trouble = [f"trouble: {row.trouble}, {row.servers}: {line}" for row in self.rows
-                   for one in row.verdicts for line in (*one.trouble, *one.lost_tries)]
+        trouble = [
+            f"trouble: {row.trouble}, {row.servers}: {line}"
+            for row in self.rows
+            for one in row.verdicts
+            for line in (*one.trouble, *one.lost_tries)
+        ]
         return [
             "worth served in time; tries a request; share of reads refused elsewhere before; calls a second "
             "that met a sick vault; share of time the vault had more than its slots; back after, s, at worst",
             " ".join(["trouble  servers", *(f" {name}" for name in FIGURES), f"{'back':>9} {'wrong':>6}"]),
-            *(row.line() for row in self.rows), *trouble, "good" if self.good else "WRONG"]
+            *(row.line() for row in self.rows),
+            *trouble,
+            "good" if self.good else "WRONG",
+        ]
 
 
 def measure(
-    troubles: Sequence[str], sizes: Sequence[int], seeds: Sequence[int],
+    troubles: Sequence[str],
+    sizes: Sequence[int],
+    seeds: Sequence[int],
     say: Callable[[str], None] = lambda line: None,
 ) -> Report:
     """One play after the other: they are to have the cores."""
--- a/cairnvane/lab/pool.py
+++ b/cairnvane/lab/pool.py
@@ -48,8 +48,14 @@
     """Runs last a few milliseconds, in each of the two parts before and behind a call. Requests whose lane is
     in `calls` ask for a call first. With `cores`, no more parts than these are worked on at a time."""
 
-    def __init__(self, seed: int, calls: frozenset[str] = frozenset(), work_ms: tuple[float, float] = (1, 8),
-                 result_bytes: tuple[int, int] = (20, 600), cores: int = 0) -> None:
+    def __init__(
+        self,
+        seed: int,
+        calls: frozenset[str] = frozenset(),
+        work_ms: tuple[float, float] = (1, 8),
+        result_bytes: tuple[int, int] = (20, 600),
+        cores: int = 0,
+    ) -> None:
         self.facts: dict[bytes, Facts] = {}
         self._random = random.Random(seed)
         self._calls, self._work_ms, self._result_bytes = calls, work_ms, result_bytes
@@ -192,13 +198,24 @@
         self._notice("finished", run.uid, "fine", result, run.began)
 
     def _notice(
-        self, action: str, uid: str, code: str = "", content: bytes = b"", began: float | None = None,
+        self,
+        action: str,
+        uid: str,
+        code: str = "",
+        content: bytes = b"",
+        began: float | None = None,
     ) -> None:
         self._pos += 1
         text = base64.b64encode(content).decode()
         took_ms = (time.monotonic() - began) * 1e3 if began is not None else 0.0
         told = {
-            "action": action, "pos": self._pos, "uid": uid, "code": code, "wall_ms": took_ms, "content": text}
+            "action": action,
+            "pos": self._pos,
+            "uid": uid,
+            "code": code,
+            "wall_ms": took_ms,
+            "content": text,
+        }
         line = json.dumps(told).encode()
         self._notices.append((self._pos, line))
         del self._notices[:-NOTICES]
--- a/cairnvane/lab/program.py
+++ b/cairnvane/lab/program.py
@@ -44,9 +44,21 @@
         """Write them; the environment that names them."""
         config = self.folder / f"config{self.label}.json"
         door = {} if self.control is None else {"control": self.control}
-        config.write_text(json.dumps(door | {
-            "name": self.name, "listen": self.listen, "pool": self.pool, "vault": self.vault,
-            "roster": self.roster, "seed": "1f", "stop_ms": self.stop_ms, "settings": self.settings}))
+        config.write_text(
+            json.dumps(
+                door
+                | {
+                    "name": self.name,
+                    "listen": self.listen,
+                    "pool": self.pool,
+                    "vault": self.vault,
+                    "roster": self.roster,
+                    "seed": "1f",
+                    "stop_ms": self.stop_ms,
+                    "settings": self.settings,
+                }
+            )
+        )
         environment = {"LB_CONFIG": str(config), "TMPDIR": str(self.folder)}
         if self.operator is not None:
             path = self.folder / f"operator{self.label}.yaml"
@@ -118,7 +130,8 @@
     environment = {name: value for name, value in os.environ.items() if not name.startswith(("LB_", "CAIRN"))}
     environment |= site.write() | {victim.KILL: kill, victim.MUTANT: mutant, victim.CLOCK: str(clock_s)}
     process = subprocess.Popen(
-        [sys.executable, "-m", "cairnvane.lab.victim"], env=environment, stderr=subprocess.PIPE, text=True)
+        [sys.executable, "-m", "cairnvane.lab.victim"], env=environment, stderr=subprocess.PIPE, text=True
+    )
     life = Life(process, time.monotonic())
     threading.Thread(target=life.watch, daemon=True).start()
     return life
--- a/cairnvane/lab/recovery.py
+++ b/cairnvane/lab/recovery.py
@@ -27,14 +27,33 @@
 CLASSES = (
     i.RequestClass("price-view", aim=1_400_000, patience=3_400_000),
     i.RequestClass("bid-update", aim=2_300_000, patience=5_800_000, worth=2.0),
-    i.RequestClass("bid-commit", aim=2_300_000, patience=5_800_000, worth=3.0, late_worth=0.2,
-                   repeat=i.Repeat.KEYED, window=17_364_000),
+    i.RequestClass(
+        "bid-commit",
+        aim=2_300_000,
+        patience=5_800_000,
+        worth=3.0,
+        late_worth=0.2,
+        repeat=i.Repeat.KEYED,
+        window=17_364_000,
+    ),
 )
 MIX = (5, 3, 2)
 SETTINGS = i.Settings(
-    cores=CORES, memory=200_000.0, classes=CLASSES, run_factor=16.0, key_memory=1.0, halt=i.HaltMode.DROP,
-    signal=i.Signal.CREDIT, downstream=i.Downstream.SHARED, fair_calls=4.0, calls_window=5_000_000, callers=8,
-    crowd_multiple=8.0, drain_grace=2_500_000, max_advice=1_000_000)
+    cores=CORES,
+    memory=200_000.0,
+    classes=CLASSES,
+    run_factor=16.0,
+    key_memory=1.0,
+    halt=i.HaltMode.DROP,
+    signal=i.Signal.CREDIT,
+    downstream=i.Downstream.SHARED,
+    fair_calls=4.0,
+    calls_window=5_000_000,
+    callers=8,
+    crowd_multiple=8.0,
+    drain_grace=2_500_000,
+    max_advice=1_000_000,
+)
 # Callers try again so soon after a refusal, and so often in all.
 AGAIN_US, TRIES = 2_000, 5
 # What the cores serve a second at the least, with all that is refused read beside it.
@@ -262,8 +281,10 @@
     def lines(self) -> list[str]:
         """For a terminal."""
         head = " ".join(f"{f'{length} s':>19}" for length in LENGTHS_S)
-        lines = [f"Seconds from the trouble's end until as much is served as before it, seeds {SEEDS}.",
-                 f"{'trouble':9} {'a second':>8} {'pool':5} {head} shut"]
+        lines = [
+            f"Seconds from the trouble's end until as much is served as before it, seeds {SEEDS}.",
+            f"{'trouble':9} {'a second':>8} {'pool':5} {head} shut",
+        ]
         for row in self.rows:
             backs = (", ".join("never" if back is None else str(back) for back in one) for one in row.back_s)
             told = " ".join(f"{back:>19}" for back in backs)
@@ -274,10 +295,17 @@
 
 def _row(case: tuple[str, float, bool]) -> Row:
     kind, rate, tells = case
-    lives = [[Life(Trouble(kind, length), rate, seed=seed, tells_over=tells).play() for seed in SEEDS]
-             for length in LENGTHS_S]
-    return Row(kind, rate, tells, [[life.back_s() for life in row] for row in lives],
-               max(life.shut_s() for row in lives for life in row))
+    lives = [
+        [Life(Trouble(kind, length), rate, seed=seed, tells_over=tells).play() for seed in SEEDS]
+        for length in LENGTHS_S
+    ]
+    return Row(
+        kind,
+        rate,
+        tells,
+        [[life.back_s() for life in row] for row in lives],
+        max(life.shut_s() for row in lives for life in row),
+    )
 
 
 def play(kinds: Sequence[str] = KINDS, rates: Sequence[float] = RATES) -> Report:
--- a/cairnvane/lab/restarts.py
+++ b/cairnvane/lab/restarts.py
@@ -29,8 +29,19 @@
 WINDOW_MARGIN_S = 2.0
 SLACK_S = 1.0
 POINTS = (
-    "append intent", "written intent", "append call", "written call", "append result", "written result",
-    "synced intent", "synced result", "recovery", "rotation", "drop", "compaction", "compacted",
+    "append intent",
+    "written intent",
+    "append call",
+    "written call",
+    "append result",
+    "written result",
+    "synced intent",
+    "synced result",
+    "recovery",
+    "rotation",
+    "drop",
+    "compaction",
+    "compacted",
 )
 # These come once in a while, the others with each commit.
 RARE = ("recovery", "rotation", "drop", "compaction", "compacted")
@@ -44,13 +55,30 @@
 SETTINGS: dict[str, Any] = {
     "Classes": [
         {"Name": PLAIN, "OnTimeUs": 1_400_000, "GiveUpUs": 3_400_000},
-        {"Name": KEYED, "OnTimeUs": 2_300_000, "GiveUpUs": int(PATIENCE_S * 1e6), "Worth": 3.0,
-         "Repeat": "guarded", "WindowUs": int(WINDOW_S * 1e6), "LateWorth": 0.2},
+        {
+            "Name": KEYED,
+            "OnTimeUs": 2_300_000,
+            "GiveUpUs": int(PATIENCE_S * 1e6),
+            "Worth": 3.0,
+            "Repeat": "guarded",
+            "WindowUs": int(WINDOW_S * 1e6),
+            "LateWorth": 0.2,
+        },
     ],
     "Extra": {
-        "Cores": 16, "HeapKb": 400_000.0, "RunFactor": 4.0, "KeyKb": 1.0, "Halt": "drop", "Say": "credit",
-        "Downstream": "shared", "FairCalls": 64.0, "CallsOverUs": 5_000_000, "LingerUs": 0, "ClientsTotal": 3,
-        "Meters": ["cpu_busy", "runnable", "mem_used", "sockets"], "TellsGone": True,
+        "Cores": 16,
+        "HeapKb": 400_000.0,
+        "RunFactor": 4.0,
+        "KeyKb": 1.0,
+        "Halt": "drop",
+        "Say": "credit",
+        "Downstream": "shared",
+        "FairCalls": 64.0,
+        "CallsOverUs": 5_000_000,
+        "LingerUs": 0,
+        "ClientsTotal": 3,
+        "Meters": ["cpu_busy", "runnable", "mem_used", "sockets"],
+        "TellsGone": True,
     },
     "Guarantees": {"TipMultiple": 16.0, "StopSendingWithinUs": 0},
     "Limits": {"MaxRetryAfterUs": 1_000_000},
@@ -59,8 +87,10 @@
 
 def operator_file(durability: str, *, disk_mb: int = 64, memory_mb: int = 8) -> str:
     """The operator's file of the experiments, in the folder of the site."""
-    return (f"keyed: {{folder: keyed, durability: {durability}, max_disk_mb: {disk_mb}, "
-            f"max_memory_mb: {memory_mb}}}\n")
+    return (
+        f"keyed: {{folder: keyed, durability: {durability}, max_disk_mb: {disk_mb}, "
+        f"max_memory_mb: {memory_mb}}}\n"
+    )
 
 
 @dataclass
@@ -103,7 +133,8 @@
             f"refusals {v.refusals}, tries failed {v.failed}, tries broken by a kill {v.broken_tries}",
             f"recovery: {times(self.recovery_ms)}; from start to listening: {times(self.ready_ms)}",
             "kills at: " + ", ".join(f"{point} {count}" for point, count in sorted(self.points.items())),
-            *(f"trouble: {line}" for line in self.trouble), "good" if self.good else "WRONG",
+            *(f"trouble: {line}" for line in self.trouble),
+            "good" if self.good else "WRONG",
         ]
 
 
@@ -111,8 +142,16 @@
     """One experiment."""
 
     def __init__(
-        self, folder: Path, *, commits: int, kills: int, seed: int, durability: str = "process",
-        rate: float = 250.0, disk_mb: int = 8, mutant: str = "",
+        self,
+        folder: Path,
+        *,
+        commits: int,
+        kills: int,
+        seed: int,
+        durability: str = "process",
+        rate: float = 250.0,
+        disk_mb: int = 8,
+        mutant: str = "",
         say: Callable[[str], None] = lambda line: None,
     ) -> None:
         self._random = random.Random(seed)
@@ -121,8 +160,13 @@
         self._pool = StandInPool(seed, calls=frozenset({KEYED}))
         self._vault, self._roster = StandInVault(), StandInRoster()
         self._site = program.Site(
-            folder, self._pool.address, self._vault.address, self._roster.address, SETTINGS,
-            operator_file(durability, disk_mb=disk_mb))
+            folder,
+            self._pool.address,
+            self._vault.address,
+            self._roster.address,
+            SETTINGS,
+            operator_file(durability, disk_mb=disk_mb),
+        )
         self._judge = Judge()
         self._points: dict[str, int] = {}
         self._recovery_ms: list[float] = []
@@ -147,8 +191,16 @@
             for part in (self._pool, self._vault, self._roster):
                 part.close()
         verdict = self._judge.verdict(self._pool.facts, self._vault.calls)
-        return Report(self._seed, self._durability, self._kills, self._points, verdict, self._recovery_ms,
-                      self._ready_ms, self._trouble)
+        return Report(
+            self._seed,
+            self._durability,
+            self._kills,
+            self._points,
+            verdict,
+            self._recovery_ms,
+            self._ready_ms,
+            self._trouble,
+        )
 
     # --- lives
 
--- a/cairnvane/lab/shares.py
+++ b/cairnvane/lab/shares.py
@@ -53,8 +53,9 @@
         self._random = {name: random.Random(f"{seed} {name}") for name in ("want", "links", "faults")}
         self.now, self._order, self._lives = 0, itertools.count(), itertools.count(1)
         self._agenda: list[tuple[int, int, Callable[[], None]]] = []
-        self.servers = [_Server(next(self._lives), Lending(FLOOR, 0, first=True), told={})
-                        for _ in range(servers)]
+        self.servers = [
+            _Server(next(self._lives), Lending(FLOOR, 0, first=True), told={}) for _ in range(servers)
+        ]
         self.loss = 0.2 if trouble in ("loss", "all") else 0.0
         self.side = [0] * servers
         self.worst, self.made, self.could, self.messages = 0.0, 0.0, 0.0, 0
@@ -115,14 +116,20 @@
         cap = self.cap(number)
         one.lending.note(self.now, min(one.want, cap), one.want - cap)
         assert one.told is not None
-        others = {self.servers[other].life: spare for other, (at, spare) in one.told.items()
-                  if self.now - at < STALE_US}
+        others = {
+            self.servers[other].life: spare
+            for other, (at, spare) in one.told.items()
+            if self.now - at < STALE_US
+        }
         if self.arm == "lent":
             numbers = {server.life: place for place, server in enumerate(self.servers)}
             for life, word in one.lending.tick(self.now, others):
                 if life in numbers:
-                    self._send(number, numbers[life], partial(
-                        self._deliver, number, one.life, numbers[life], life, word))
+                    self._send(
+                        number,
+                        numbers[life],
+                        partial(self._deliver, number, one.life, numbers[life], life, word),
+                    )
 
     def _tell(self, number: int) -> None:
         self._push(self.now + TOLD_US, lambda: self._tell(number))
@@ -150,8 +157,9 @@
         self._push(self.now + TICK_US, self._measure)
         caps = [self.cap(number) for number in range(self.count)]
         self.worst = max(self.worst, sum(caps) / self.limit - 1)
-        self.made += sum(min(cap, one.want) for cap, one in zip(caps, self.servers, strict=True)
-                         if self._acts(one))
+        self.made += sum(
+            min(cap, one.want) for cap, one in zip(caps, self.servers, strict=True) if self._acts(one)
+        )
         self.could += self._best()
 
     # --- faults
@@ -217,9 +225,15 @@
 
     def lines(self) -> list[str]:
         """For a terminal."""
-        return [f"{'trouble':8} {'servers':>7} {'arm':6} {'over the limit':>15} {'made':>6} {'msg/s':>6}",
-                *(f"{row.trouble:8} {row.servers:7} {row.arm:6} {row.over:15.3f} {row.made:6.3f} "
-                  f"{row.messages_a_second:6.1f}" for row in self.rows), "good" if self.good else "WRONG"]
+        return [
+            f"{'trouble':8} {'servers':>7} {'arm':6} {'over the limit':>15} {'made':>6} {'msg/s':>6}",
+            *(
+                f"{row.trouble:8} {row.servers:7} {row.arm:6} {row.over:15.3f} {row.made:6.3f} "
+                f"{row.messages_a_second:6.1f}"
+                for row in self.rows
+            ),
+            "good" if self.good else "WRONG",
+        ]
 
 
 def _one(arm: str, trouble: str, servers: int, seed: int) -> tuple[float, float, float]:
@@ -228,12 +242,24 @@
 
 
 def measure(
-    sizes: Sequence[int], seeds: int, troubles: Sequence[str] = TROUBLES, arms: Sequence[str] = ARMS,
+    sizes: Sequence[int],
+    seeds: int,
+    troubles: Sequence[str] = TROUBLES,
+    arms: Sequence[str] = ARMS,
     say: Callable[[str], None] = lambda line: None,
 ) -> Report:
     """The table, on all cores."""
     all_ = [(arm, trouble, servers) for servers in sizes for trouble in troubles for arm in arms]
-    return Report([
-        Row(trouble, servers, arm, max(one[0] for one in results), statistics.mean(one[1] for one in results),
-            statistics.mean(one[2] for one in results))
-        for (arm, trouble, servers), results in spread(_one, all_, seeds, say)])
+    return Report(
+        [
+            Row(
+                trouble,
+                servers,
+                arm,
+                max(one[0] for one in results),
+                statistics.mean(one[1] for one in results),
+                statistics.mean(one[2] for one in results),
+            )
+            for (arm, trouble, servers), results in spread(_one, all_, seeds, say)
+        ]
+    )
--- a/cairnvane/lab/upgrades.py
+++ b/cairnvane/lab/upgrades.py
@@ -68,8 +68,13 @@
     def good(self) -> bool:
         """Nothing fell short."""
         door = self.door_late == 0 and not self.door_wrong
-        return (self.verdict.good and door and not self.trouble and self.forged_served == 0
-                and self.most_at_door <= FREE_AT_DOOR)
+        return (
+            self.verdict.good
+            and door
+            and not self.trouble
+            and self.forged_served == 0
+            and self.most_at_door <= FREE_AT_DOOR
+        )
 
     def as_json(self) -> dict[str, Any]:
         """For a file."""
@@ -88,15 +93,19 @@
             f"unanswered tries {v.unanswered}, commits without any answer {v.lost}, refusals {v.refusals}, "
             f"failed {v.failed}, broken by a kill {v.broken_tries - self.at_door}",
             f"ended at the door {self.at_door}, in one round at most {self.most_at_door}",
-            "ready after: " + (
+            "ready after: "
+            + (
                 f"median {statistics.median(self.ready_ms):.0f} ms, worst {max(self.ready_ms):.0f} ms"
-                if self.ready_ms else "never"),
+                if self.ready_ms
+                else "never"
+            ),
             f"the door: {self.door_calls} calls of staff, late {self.door_late}, "
             f"wrong {len(self.door_wrong)}",
             *(f"  {who}: median {ms[0]:.1f} ms, 99th {ms[1]:.1f} ms" for who, ms in self.door_ms.items()),
             f"the ledger at its largest: {self.ledger_kb} KB",
             *(f"  {line}" for line in self.door_wrong[:5]),
-            *(f"trouble: {line}" for line in self.trouble), "good" if self.good else "WRONG",
+            *(f"trouble: {line}" for line in self.trouble),
+            "good" if self.good else "WRONG",
         ]
 
 
@@ -104,8 +113,18 @@
     """One experiment."""
 
     def __init__(
-        self, folder: Path, *, rounds: int, commits: int, seed: int, kill: bool = False, forge: bool = False,
-        silent: int = 0, durability: str = "memory", rate: float = 150.0, mutant: str = "",
+        self,
+        folder: Path,
+        *,
+        rounds: int,
+        commits: int,
+        seed: int,
+        kill: bool = False,
+        forge: bool = False,
+        silent: int = 0,
+        durability: str = "memory",
+        rate: float = 150.0,
+        mutant: str = "",
         say: Callable[[str], None] = lambda line: None,
     ) -> None:
         self._random = random.Random(seed)
@@ -115,7 +134,8 @@
         self._vault, self._roster = StandInVault(), StandInRoster()
         kept = operator_file(durability, disk_mb=64) if durability != "memory" else None
         self._site = program.Site(
-            folder, "", self._vault.address, self._roster.address, SETTINGS, kept, stop_ms=8_000)
+            folder, "", self._vault.address, self._roster.address, SETTINGS, kept, stop_ms=8_000
+        )
         self._judge = Judge()
         self._versions: list[Version] = []  # of this round
         self._hostiles: dict[Version, Hostiles] = {}
@@ -134,11 +154,13 @@
         number = len(self._pools)
         pool = StandInPool(self._seed + number, calls=frozenset({KEYED}))
         self._pools.append(pool)
-        version = versions.start(self._site, pool, pool.address, (HOST, free_ports(1)[0]), f"-{number}",
-                                 mutant=self._mutant)
+        version = versions.start(
+            self._site, pool, pool.address, (HOST, free_ports(1)[0]), f"-{number}", mutant=self._mutant
+        )
         if not version.life.listens():
             self._report.trouble.append(
-                f"version {number} did not start: " + " | ".join(version.life.lines[-3:]))
+                f"version {number} did not start: " + " | ".join(version.life.lines[-3:])
+            )
         elif self._site.listen.endswith(":0"):
             self._site.listen = f"{HOST}:{version.life.port}"
         self._versions.append(version)
@@ -148,7 +170,8 @@
         took = version.await_ready()
         if took is None:
             self._report.trouble.append(
-                f"not ready within {READY_S:.0f} s: " + " | ".join(version.life.lines[-3:]))
+                f"not ready within {READY_S:.0f} s: " + " | ".join(version.life.lines[-3:])
+            )
             return False
         self._report.ready_ms.append(took)
         return True
@@ -157,7 +180,8 @@
         """SIGTERM, and a good end."""
         if (status := version.leave(self._site.stop_ms / 1e3 + 1)) != 0:
             self._report.trouble.append(
-                f"a version ended with {status}: " + " | ".join(version.life.lines[-2:]))
+                f"a version ended with {status}: " + " | ".join(version.life.lines[-2:])
+            )
         self._gone(version)
 
     def _kill_off(self, version: Version) -> None:
@@ -209,8 +233,10 @@
         if not self._await_ready(serving):
             return self._end()
         balancer = StandInBalancer(serving.life.port, links=8, renew=True)
-        workers = [threading.Thread(target=work, args=(balancer,), daemon=True)
-                   for work in (self._offer, self._back, self._wander)]
+        workers = [
+            threading.Thread(target=work, args=(balancer,), daemon=True)
+            for work in (self._offer, self._back, self._wander)
+        ]
         workers.append(threading.Thread(target=self._staff, daemon=True))
         for worker in workers:
             worker.start()
@@ -311,8 +337,14 @@
 
     def _try(self, balancer: StandInBalancer, commit: Commit, again: bool = False) -> None:
         self._judge.sent(commit, time.monotonic())
-        balancer.send(self._uid(), KEYED, commit.body, commit.token,
-                      lambda reply: self._told(balancer, commit, reply, again), fresh=again)
+        balancer.send(
+            self._uid(),
+            KEYED,
+            commit.body,
+            commit.token,
+            lambda reply: self._told(balancer, commit, reply, again),
+            fresh=again,
+        )
 
     def _told(self, balancer: StandInBalancer, commit: Commit, reply: Reply, again: bool) -> None:
         self._judge.told(commit, reply)
--- a/cairnvane/lab/versions.py
+++ b/cairnvane/lab/versions.py
@@ -63,16 +63,25 @@
     def alarms(self) -> list[str]:
         """What it said that no process should, and what followed."""
         lines = self.life.lines
-        return [" | ".join(lines[number : number + SHOWN]) for number, line in enumerate(lines)
-                if any(alarm in line for alarm in ALARMS)]
+        return [
+            " | ".join(lines[number : number + SHOWN])
+            for number, line in enumerate(lines)
+            if any(alarm in line for alarm in ALARMS)
+        ]
 
 
 def start(
-    site: program.Site, pool: StandInPool, pool_at: str, door: tuple[str, int] | None, label: str,
-    mutant: str = "", clock_s: float = 0.0,
+    site: program.Site,
+    pool: StandInPool,
+    pool_at: str,
+    door: tuple[str, int] | None,
+    label: str,
+    mutant: str = "",
+    clock_s: float = 0.0,
 ) -> Version:
     """A version that reaches its pool at `pool_at`; `label` tells its files from those of others there."""
     control = None if door is None else "{}:{}".format(*door)
     life = program.start(
-        replace(site, pool=pool_at, control=control, label=label), mutant=mutant, clock_s=clock_s)
+        replace(site, pool=pool_at, control=control, label=label), mutant=mutant, clock_s=clock_s
+    )
     return Version(life, pool, door)
--- a/cairnvane/lab/victim.py
+++ b/cairnvane/lab/victim.py
@@ -98,13 +98,21 @@
 
 
 def _no_intents(
-    self: Beside, begun: Begun, then: Callable[[], None], other: Callable[[bool], None],
+    self: Beside,
+    begun: Begun,
+    then: Callable[[], None],
+    other: Callable[[bool], None],
 ) -> None:
     then()
 
 
 def _no_results(
-    self: Beside, token: bytes, until: int, same: bytes, result: bytes | None, settles: tuple[int, ...],
+    self: Beside,
+    token: bytes,
+    until: int,
+    same: bytes,
+    result: bytes | None,
+    settles: tuple[int, ...],
     then: Callable[[], None],
 ) -> None:
     self._ledger.never(token, until, settles)  # and the log hears of no end
@@ -116,7 +124,10 @@
 
 
 def _no_claims(
-    self: Ledger, begun: Begun, then: Callable[[], None], other: Callable[[bool], None],
+    self: Ledger,
+    begun: Begun,
+    then: Callable[[], None],
+    other: Callable[[bool], None],
 ) -> None:
     then()
 
--- a/cairnvane/lasting.py
+++ b/cairnvane/lasting.py
@@ -118,7 +118,8 @@
             self._parked = None
             pool.start()
         self._keeper.start(
-            lambda left: side.post(lambda: self._recovered(left)), lambda: side.post(self._delayed), fail)
+            lambda left: side.post(lambda: self._recovered(left)), lambda: side.post(self._delayed), fail
+        )
 
     # --- arrivals
 
@@ -147,8 +148,7 @@
     def reuse(self, known: Tracked, past: Past, then: Callable[[bytes | None], None]) -> None:
         """`then`, in the host thread, with the result that it may have; None: it failed."""
         if past.served:
-            self._keeper.fetch(
-                past.token, known.same, lambda result: self._side.post(lambda: then(result)))
+            self._keeper.fetch(past.token, known.same, lambda result: self._side.post(lambda: then(result)))
         else:
             then(None)
 
@@ -175,8 +175,7 @@
         key.intended = True
         self._begins[known.id] = _Wait(known, clock.now() + BEGIN_WAIT_US)
         due = exchange.arrived + known.cls.patience
-        begun = Begun(
-            key.token, exchange.uid, exchange.lane, known.same, key.until, due, exchange.memory, 0)
+        begun = Begun(key.token, exchange.uid, exchange.lane, known.same, key.until, due, exchange.memory, 0)
         self._keeper.intend(begun, lambda: self._begin(known), lambda there: self._kept_back(known, there))
         if not self._keeper.prompt:
             self._watch()
@@ -197,8 +196,10 @@
         self._elsewhere[known.id] = known
         assert known.exchange.token is not None
         self._keeper.fetch(
-            bytes.fromhex(known.exchange.token), known.same,
-            lambda result: self._side.post(lambda: self._ended_elsewhere(known, result)))
+            bytes.fromhex(known.exchange.token),
+            known.same,
+            lambda result: self._side.post(lambda: self._ended_elsewhere(known, result)),
+        )
 
     def _ended_elsewhere(self, known: Tracked, result: bytes | None) -> None:
         if known.id in self._elsewhere:
@@ -224,8 +225,11 @@
         """`go`, in the host thread, once it is recorded that its call is about to be made."""
         key, pos = self._keys[known.id], known.call_pos
         self._keeper.calling(
-            key.token, key.until, pos,
-            lambda: self._side.post(lambda: go() if known.call_pos == pos else None))
+            key.token,
+            key.until,
+            pos,
+            lambda: self._side.post(lambda: go() if known.call_pos == pos else None),
+        )
 
     def ended(self, known: Tracked, outcome: Outcome, pos: int) -> None:
         """Its run is over, says notice `pos` (0: none does). With a result, its answer waits for the
@@ -249,8 +253,13 @@
             self._ends[known.id] = _Wait(known, min(due, self._stop_at) - MARGIN_US)
             self._watch()
         self._keeper.ended(
-            key.token, key.until, known.same, known.result if good else None, settles,
-            lambda: self._recorded(known, good))
+            key.token,
+            key.until,
+            known.same,
+            known.result if good else None,
+            settles,
+            lambda: self._recorded(known, good),
+        )
 
     def _recorded(self, known: Tracked, good: bool) -> None:
         """In the writer's thread. The host looks at the rest when it is next awake, or is woken if someone
--- a/cairnvane/ledger/inspect.py
+++ b/cairnvane/ledger/inspect.py
@@ -98,9 +98,13 @@
     here = path.name.rpartition(".")[2] == (clock.boot() or "unknown")[:8]
     for token, entry in found.machine.entries.items():
         vital = found.lives.get(entry.life, Vital.DEAD)
-        row = {"token": token.hex(), "state": entry.state.name.lower(),
-               "counts_for_s": f"{max(0, entry.until - now) / 1e6:.1f}" if here else "of an earlier boot",
-               "life": str(entry.life), "life_is": vital.value}
+        row = {
+            "token": token.hex(),
+            "state": entry.state.name.lower(),
+            "counts_for_s": f"{max(0, entry.until - now) / 1e6:.1f}" if here else "of an earlier boot",
+            "life": str(entry.life),
+            "life_is": vital.value,
+        }
         if entry.place is not None:
             size = entry.place.length - record.HEAD_BYTES - record.COMMON_BYTES - record.DIGEST_BYTES
             row["result_bytes"] = str(size)
--- a/cairnvane/ledger/keeper.py
+++ b/cairnvane/ledger/keeper.py
@@ -81,7 +81,9 @@
             self._load()
 
     def start(
-        self, recovered: Callable[[Recovered], None], delayed: Callable[[], None],
+        self,
+        recovered: Callable[[Recovered], None],
+        delayed: Callable[[], None],
         lost: Callable[[str], None],
     ) -> None:
         """Look after waiting tries and old segments from now on."""
@@ -94,7 +96,9 @@
                 self._follow()
             return [
                 (token, replace(entry), self._result(token, entry) if entry.state is State.FINISHED else None)
-                for token, entry in self._machine.entries.items() if entry.state is not State.VOID]
+                for token, entry in self._machine.entries.items()
+                if entry.state is not State.VOID
+            ]
 
     def mine(self, entry: Entry) -> bool:
         """Whether this life claimed it."""
@@ -318,7 +322,12 @@
         then()
 
     def ended(
-        self, token: bytes, until: int, same: bytes, result: bytes | None, settles: tuple[int, ...],
+        self,
+        token: bytes,
+        until: int,
+        same: bytes,
+        result: bytes | None,
+        settles: tuple[int, ...],
         then: Callable[[], None],
     ) -> None:
         """See `Keeper`."""
@@ -401,7 +410,7 @@
             return None
         if len(found) != 1 or found[0][2].token != token:
             return None
-        return found[0][2].rest[record.DIGEST_BYTES:]
+        return found[0][2].rest[record.DIGEST_BYTES :]
 
     # --- the watch
 
--- a/cairnvane/ledger/machine.py
+++ b/cairnvane/ledger/machine.py
@@ -74,7 +74,8 @@
                 self.lost += 1
             return
         self.entries[record.token] = Entry(
-            record.life, record.rest[:DIGEST_BYTES], record.at, record.until, State.INTENDED)
+            record.life, record.rest[:DIGEST_BYTES], record.at, record.until, State.INTENDED
+        )
         heapq.heappush(self._old, (record.until + self._unread, record.token))
 
     def _end(self, record: Record, place: Place) -> None:
--- a/cairnvane/ledger/record.py
+++ b/cairnvane/ledger/record.py
@@ -51,8 +51,12 @@
         raise ValueError(f"a record of {len(rest)} bytes")
     payload = _COMMON.pack(token, at, until) + rest
     head = _HEAD.pack(MAGIC, 0, len(payload), kind, life)
-    return head[:4] + crc32(payload, crc32(head[_CHECKED_AT:])).to_bytes(4, "little") \
-        + head[_CHECKED_AT:] + payload
+    return (
+        head[:4]
+        + crc32(payload, crc32(head[_CHECKED_AT:])).to_bytes(4, "little")
+        + head[_CHECKED_AT:]
+        + payload
+    )
 
 
 def _at(data: bytes, at: int) -> tuple[Record, int] | None:
@@ -63,10 +67,10 @@
     end = at + HEAD_BYTES + length
     if magic != MAGIC or kind not in _KINDS or length < COMMON_BYTES or end > len(data):
         return None
-    if crc != crc32(data[at + _CHECKED_AT:end]):
+    if crc != crc32(data[at + _CHECKED_AT : end]):
         return None
     token, made, until = _COMMON.unpack_from(data, at + HEAD_BYTES)
-    rest = data[at + HEAD_BYTES + COMMON_BYTES:end]
+    rest = data[at + HEAD_BYTES + COMMON_BYTES : end]
     return Record(kind, life, token, made, until, rest), HEAD_BYTES + length
 
 
--- a/cairnvane/membership/channel.py
+++ b/cairnvane/membership/channel.py
@@ -104,10 +104,18 @@
     """See the module. `start`, `carry`, `leave` and `close` may come from any thread."""
 
     def __init__(
-        self, listen: Address, key: bytes, name: str, place: str, contacts: list[Address], *,
-        options: Options | None = None, outside: Callable[[], Outside] = Outside,
+        self,
+        listen: Address,
+        key: bytes,
+        name: str,
+        place: str,
+        contacts: list[Address],
+        *,
+        options: Options | None = None,
+        outside: Callable[[], Outside] = Outside,
         carried: Callable[[], dict[str, Any]] = dict,
-        tell: Callable[[Tell], None] = lambda event: None, ways: Mapping[Address, Address] | None = None,
+        tell: Callable[[Tell], None] = lambda event: None,
+        ways: Mapping[Address, Address] | None = None,
         spares: int = 0,
     ) -> None:
         """`OSError` if it can't listen. The same port takes datagrams and views. `spares`: so many ports
@@ -147,6 +155,7 @@
 
     def close(self, wait_s: float = 0.5) -> None:
         """Say that we leave, and end the thread."""
+
         def leave() -> None:
             self._do(self._member.leave(clock.now()))
             self._closed = True
@@ -344,33 +353,63 @@
         member, now = self._member, clock.now()
         own = _seen(member.own, Phase(member.info.told.get("phase", 0)).name, None, member.info.told)
         members = tuple(
-            _seen(life.claim, life.phase.name, (now - life.heard) // 1_000 if life.heard else None,
-                  life.info.told if life.info is not None else {})
-            for life in sorted(member.table.lives.values(), key=lambda one: (one.claim.name, one.claim.life)))
+            _seen(
+                life.claim,
+                life.phase.name,
+                (now - life.heard) // 1_000 if life.heard else None,
+                life.info.told if life.info is not None else {},
+            )
+            for life in sorted(member.table.lives.values(), key=lambda one: (one.claim.name, one.claim.life))
+        )
         machine = {name: getattr(member.counts, name) for name in member.counts.__slots__}
         self._look_at = now + max(LOOK_US, LOOK_LIFE_US * len(members))
-        return Snapshot(own, members, member.sight, now, member.health.doubt, member.loss.share,
-                        machine | dict(self.counts))
+        return Snapshot(
+            own,
+            members,
+            member.sight,
+            now,
+            member.health.doubt,
+            member.loss.share,
+            machine | dict(self.counts),
+        )
 
 
 STATUSES = ("alive", "suspect", "failed", "left")
 
 
 def _seen(claim: Claim, phase: str, heard_ms: int | None, told: dict[str, Any]) -> Seen:
-    return Seen(claim.name, f"{claim.life:016x}", claim.place, f"{claim.host}:{claim.port}",
-                STATUSES[claim.status], phase.lower(), claim.incarnation, heard_ms, dict(told))
+    return Seen(
+        claim.name,
+        f"{claim.life:016x}",
+        claim.place,
+        f"{claim.host}:{claim.port}",
+        STATUSES[claim.status],
+        phase.lower(),
+        claim.incarnation,
+        heard_ms,
+        dict(told),
+    )
 
 
 def described(snapshot: Snapshot) -> dict[str, Any]:
     """For the door and the command line."""
+
     def plain(seen: Seen) -> dict[str, Any]:
         return {name: getattr(seen, name) for name in Seen.__slots__}
 
     sight = snapshot.sight
     return {
-        "own": plain(snapshot.own), "members": [plain(seen) for seen in snapshot.members],
-        "sight": {"verdict": sight.verdict.value, "confidence": round(sight.confidence, 2),
-                  "epoch": sight.epoch, "least": sight.least, "most": sight.most,
-                  "age_ms": (clock.now() - snapshot.at) // 1_000},
-        "doubt": snapshot.doubt, "loss": round(snapshot.loss, 3), "counts": snapshot.counts,
+        "own": plain(snapshot.own),
+        "members": [plain(seen) for seen in snapshot.members],
+        "sight": {
+            "verdict": sight.verdict.value,
+            "confidence": round(sight.confidence, 2),
+            "epoch": sight.epoch,
+            "least": sight.least,
+            "most": sight.most,
+            "age_ms": (clock.now() - snapshot.at) // 1_000,
+        },
+        "doubt": snapshot.doubt,
+        "loss": round(snapshot.loss, 3),
+        "counts": snapshot.counts,
     }
--- a/cairnvane/membership/machine.py
+++ b/cairnvane/membership/machine.py
@@ -113,8 +113,14 @@
     """See the module."""
 
     def __init__(
-        self, own: Claim, rng: random.Random, now: int, *, contacts: Iterable[Address] = (),
-        options: Options | None = None, spares: int = 0,
+        self,
+        own: Claim,
+        rng: random.Random,
+        now: int,
+        *,
+        contacts: Iterable[Address] = (),
+        options: Options | None = None,
+        spares: int = 0,
     ) -> None:
         """`spares`: a contact may be found at so many ports above its own, if a new version took over."""
         self.options = options or Options()
@@ -321,8 +327,13 @@
         self.health.worse(max(1, min(2, probe.asked - probe.nacks)) if probe.asked > 1 else 1)
         known = self.table.lives.get(probe.life)
         if known is not None and known.there:
-            self._suspect(known, self.own.life, now, f"no answer to probe {probe.number}, {probe.nacks} of "
-                          f"{probe.asked} helpers said that they heard us")
+            self._suspect(
+                known,
+                self.own.life,
+                now,
+                f"no answer to probe {probe.number}, {probe.nacks} of "
+                f"{probe.asked} helpers said that they heard us",
+            )
 
     def _pinged(self, now: int, life: int, source: Address, message: Ping) -> None:
         if message.to != self.own.life:
@@ -374,8 +385,11 @@
 
     def _told_of_us(self, claim: Claim) -> None:
         """Refute what is said of us and is not so: only we raise our incarnation."""
-        if claim.status == Status.ALIVE or claim.incarnation < self.own.incarnation \
-                or self.own.status == Status.LEFT:
+        if (
+            claim.status == Status.ALIVE
+            or claim.incarnation < self.own.incarnation
+            or self.own.status == Status.LEFT
+        ):
             return
         self.counts.refuted += 1
         self.health.worse()
@@ -410,8 +424,13 @@
         else:
             self._lost.pop(claim.life, None)
         if was is None or was is not life.status:
-            self._tell(_EVENTS[life.status] if was is not Status.FAILED or life.status is not Status.ALIVE
-                       else "member.back", claim, by=claim.by)
+            self._tell(
+                _EVENTS[life.status]
+                if was is not Status.FAILED or life.status is not Status.ALIVE
+                else "member.back",
+                claim,
+                by=claim.by,
+            )
         if life.status is Status.ALIVE:
             self._same_name(life)
 
@@ -553,12 +572,18 @@
     def _revisit(self, now: int) -> None:
         """One of those that were found failed, or a contact that nobody knows any more: are they there
         again?"""
-        failed = [life for life in self.table.standing(Status.FAILED)
-                  if not self.table.at((life.claim.host, life.claim.port))]
+        failed = [
+            life
+            for life in self.table.standing(Status.FAILED)
+            if not self.table.at((life.claim.host, life.claim.port))
+        ]
         if failed:
             self._ping(self._random.choice(failed).claim.life, self._next())
-        missing = [(host, port) for host, port in self._contacts if not any(
-            self.table.at((host, port + above)) for above in range(self._spares + 1))]
+        missing = [
+            (host, port)
+            for host, port in self._contacts
+            if not any(self.table.at((host, port + above)) for above in range(self._spares + 1))
+        ]
         if missing and self._random.random() < 1 / max(1, len(self.table.up)):
             host, port = self._random.choice(missing)
             self._out.append(Exchange((host, port + self._random.randint(0, self._spares))))
@@ -570,13 +595,28 @@
         if self.table.version != self._judged_version:
             self._judged_version, lives = self.table.version, frozenset(self.table.up)
             changed, self._were_there = lives != self._were_there, lives
-        survey = look(self.own, self.table, self._lost, now, self._lease(), self.options.losses,
-                      self.health.doubt, self.outside)
+        survey = look(
+            self.own,
+            self.table,
+            self._lost,
+            now,
+            self._lease(),
+            self.options.losses,
+            self.health.doubt,
+            self.outside,
+        )
         seen, self._lost = survey.evidence, survey.lost
         before = self.sight
         if self.judgement.look(now, seen, survey.least, survey.most, changed):
-            self._tell("member.sight", self.own, verdict=self.sight.verdict.value, was=before.verdict.value,
-                       confidence=round(self.sight.confidence, 2), were=seen.were, silent=seen.silent)
+            self._tell(
+                "member.sight",
+                self.own,
+                verdict=self.sight.verdict.value,
+                was=before.verdict.value,
+                confidence=round(self.sight.confidence, 2),
+                were=seen.were,
+                silent=seen.silent,
+            )
 
     def _lease(self) -> int:
         """Everybody is heard once a round at the least: the lease covers that, whatever the size."""
@@ -589,6 +629,8 @@
 
 
 _EVENTS = {
-    Status.ALIVE: "member.alive", Status.SUSPECT: "member.suspected", Status.FAILED: "member.failed",
+    Status.ALIVE: "member.alive",
+    Status.SUSPECT: "member.suspected",
+    Status.FAILED: "member.failed",
     Status.LEFT: "member.left",
 }
--- a/cairnvane/membership/metrics.py
+++ b/cairnvane/membership/metrics.py
@@ -27,7 +27,8 @@
             lives.add_metric([status], sum(one.status == status for one in seen.members))
         yield lives
         verdicts = GaugeMetricFamily(
-            f"{PREFIX}_sight", "1 for what this server takes its place for.", labels=["verdict"])
+            f"{PREFIX}_sight", "1 for what this server takes its place for.", labels=["verdict"]
+        )
         for verdict in Verdict:
             verdicts.add_metric([verdict.value], verdict is sight.verdict)
         yield verdicts
--- a/cairnvane/membership/survey.py
+++ b/cairnvane/membership/survey.py
@@ -34,7 +34,13 @@
 
 
 def look(
-    own: Claim, table: Table, lost: Mapping[int, int], now: int, lease: int, losses: int, doubt: int,
+    own: Claim,
+    table: Table,
+    lost: Mapping[int, int],
+    now: int,
+    lease: int,
+    losses: int,
+    doubt: int,
     outside: Outside,
 ) -> Survey:
     """`lease`: who was heard within it is surely there. `losses`: those within it came at once."""
@@ -50,6 +56,13 @@
     heard = sum(now - life.heard < lease for life in table.standing(Status.ALIVE))
     alive = table.count(Status.ALIVE)
     evidence = Evidence(
-        were=1 + alive + many, heard=1 + alive, silent=many, undecided=table.count(Status.SUSPECT),
-        doubt=doubt, roster=outside.roster, balancers=outside.balancers, pool=outside.pool)
+        were=1 + alive + many,
+        heard=1 + alive,
+        silent=many,
+        undecided=table.count(Status.SUSPECT),
+        doubt=doubt,
+        roster=outside.roster,
+        balancers=outside.balancers,
+        pool=outside.pool,
+    )
     return Survey(evidence, 1 + heard, 1 + len(table.up) + len(gone), still)
--- a/cairnvane/membership/watch.py
+++ b/cairnvane/membership/watch.py
@@ -31,7 +31,11 @@
     """See the module; safe to use from any thread."""
 
     def __init__(
-        self, host: Served, version: str, roster: Callable[[], bool], pool: Callable[[], bool],
+        self,
+        host: Served,
+        version: str,
+        roster: Callable[[], bool],
+        pool: Callable[[], bool],
         calls: Callable[[], int],
     ) -> None:
         """`roster`, `pool`: whether they answer. `calls`: how many the vault has in hand for us."""
@@ -65,8 +69,11 @@
         program's version."""
         now = clock.now()
         told: dict[str, Any] = {
-            "asked": _short(self._arrivals.a_second(now)), "calls": self._calls(),
-            "held": not self._pulse.works(now), "version": self._version}
+            "asked": _short(self._arrivals.a_second(now)),
+            "calls": self._calls(),
+            "held": not self._pulse.works(now),
+            "version": self._version,
+        }
         if (free := self._host.load) is not None:
             told["free"] = _short(free)
         return told
--- a/cairnvane/net/accepting.py
+++ b/cairnvane/net/accepting.py
@@ -12,8 +12,9 @@
 ACCEPT_RETRY_S = 0.1
 
 
-def accept(listener: socket.socket, stopped: Callable[[], bool], take: Callable[[socket.socket], None],
-           part: str) -> None:
+def accept(
+    listener: socket.socket, stopped: Callable[[], bool], take: Callable[[socket.socket], None], part: str
+) -> None:
     """Hand each connection to `take` until `stopped` says so. One that `take` can't have (reset by now, or no
     thread for it) is closed, and the loop lives on."""
     while not stopped():
--- a/cairnvane/net/fastcgi.py
+++ b/cairnvane/net/fastcgi.py
@@ -79,7 +79,8 @@
         if end > len(data):
             raise Malformed("parameters cut short")
         found[data[at:middle].decode("utf-8", "surrogateescape")] = data[middle:end].decode(
-            "utf-8", "surrogateescape")
+            "utf-8", "surrogateescape"
+        )
         at = end
     return found
 
--- a/cairnvane/net/fields.py
+++ b/cairnvane/net/fields.py
@@ -24,7 +24,9 @@
 _WHOLE, _DECIMAL = re.compile(r"[0-9]{1,15}"), re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
 
 _STATUS = {
-    Verdict.SERVED: b"200 OK", Verdict.REFUSED: b"503 Service Unavailable", Verdict.FAILED: b"500 Failed",
+    Verdict.SERVED: b"200 OK",
+    Verdict.REFUSED: b"503 Service Unavailable",
+    Verdict.FAILED: b"500 Failed",
 }
 
 
@@ -75,8 +77,16 @@
     token = _text(params, "HTTP_REQ_TOKEN", _TOKEN).lower() if "HTTP_REQ_TOKEN" in params else None
     # Ids and tokens in one case: written in the other, they would be two.
     return Request(
-        deliver, _text(params, "HTTP_REQ_ID", _ID).lower(), path[len(SERVICE_PATH):], body,
-        arrived=arrived, caller=caller, memory=memory, token=token, ahead=ahead)
+        deliver,
+        _text(params, "HTTP_REQ_ID", _ID).lower(),
+        path[len(SERVICE_PATH) :],
+        body,
+        arrived=arrived,
+        caller=caller,
+        memory=memory,
+        token=token,
+        ahead=ahead,
+    )
 
 
 def content(answer: Answer) -> bytes:
--- a/cairnvane/net/server.py
+++ b/cairnvane/net/server.py
@@ -38,7 +38,11 @@
     """Listens for balancers, on `most` connections at a time."""
 
     def __init__(
-        self, address: tuple[str, int], intake: Intake, most: int, meter: Meter | None = None,
+        self,
+        address: tuple[str, int],
+        intake: Intake,
+        most: int,
+        meter: Meter | None = None,
     ) -> None:
         self.intake = intake
         self.meter = meter
@@ -49,7 +53,9 @@
         # could write nothing meanwhile.
         self.clock = 0.0
         self.values = {
-            "FCGI_MAX_CONNS": str(most), "FCGI_MAX_REQS": str(most * MAX_OPEN), "FCGI_MPXS_CONNS": "1",
+            "FCGI_MAX_CONNS": str(most),
+            "FCGI_MAX_REQS": str(most * MAX_OPEN),
+            "FCGI_MPXS_CONNS": "1",
         }
         self._most = most
         self._connections: set[Connection] = set()
@@ -134,7 +140,8 @@
         # Who has half said something may be a client that drips, or a balancer at an ill moment: in need, the
         # former make room.
         return any(connection.make_room() for connection in order) or any(
-            connection.make_room(half_said=True) for connection in order if not connection.standing)
+            connection.make_room(half_said=True) for connection in order if not connection.standing
+        )
 
     def _serve(self, connection: Connection) -> None:
         try:
--- a/cairnvane/net/vault.py
+++ b/cairnvane/net/vault.py
@@ -65,7 +65,12 @@
     """One call on its way, in a thread that it has for itself."""
 
     def __init__(
-        self, address: tuple[str, int], uid: str, body: bytes, timeout_us: int, ended: Ended,
+        self,
+        address: tuple[str, int],
+        uid: str,
+        body: bytes,
+        timeout_us: int,
+        ended: Ended,
     ) -> None:
         self._address, self._uid, self._body = address, uid, body
         self._timeout_us = timeout_us
--- a/cairnvane/runs.py
+++ b/cairnvane/runs.py
@@ -32,8 +32,14 @@
     """Commands and calls of the runs in hand."""
 
     def __init__(
-        self, pool: Pool, vault: tuple[str, int], post: Callable[[Callable[[], None]], None], halts: bool,
-        *, never_began: Callable[[Tracked], None], call_ended: CallEnded,
+        self,
+        pool: Pool,
+        vault: tuple[str, int],
+        post: Callable[[Callable[[], None]], None],
+        halts: bool,
+        *,
+        never_began: Callable[[Tracked], None],
+        call_ended: CallEnded,
     ) -> None:
         self.vault = vault  # for all calls from now on; those on their way end where they are
         self.calls = 0  # in the vault's hands
--- a/cairnvane/shedding/lending.py
+++ b/cairnvane/shedding/lending.py
@@ -145,8 +145,10 @@
             if now >= one.until and not one.asked:
                 del self._borrowed[line]
                 out.append((one.lender, Back(line)))
-            elif not one.asked and (one.until - now <= RENEW_LEFT * LEASE_US or (
-                    self._short >= LEAST and others.get(one.lender, 0.0) * MOST_PART >= LEAST)):
+            elif not one.asked and (
+                one.until - now <= RENEW_LEFT * LEASE_US
+                or (self._short >= LEAST and others.get(one.lender, 0.0) * MOST_PART >= LEAST)
+            ):
                 self._renew(now, line, one, out)
         asked = sum(one.asked > 0 and one.amount == 0 for one in self._borrowed.values())
         wanted, lenders = self._short, {one.lender for one in self._borrowed.values()}
@@ -163,8 +165,9 @@
 
     def _renew(self, now: int, line: int, one: _Borrowed, out: list[tuple[int, Word]]) -> None:
         """Go on with what is still used of it, in the order of lines; the rest runs out."""
-        before = sum(other.amount for number, other in self._borrowed.items()
-                     if number < line and now < other.until)
+        before = sum(
+            other.amount for number, other in self._borrowed.items() if number < line and now < other.until
+        )
         used = self._used[0][1] + MARGIN + self._short if self._used else 0.0
         useful = min(one.amount + self._short, used - self.floor - before)
         if useful >= LEAST:
--- a/cairnvane/ticks.py
+++ b/cairnvane/ticks.py
@@ -15,7 +15,10 @@
     """`tick` is called with the event and the time before which it may not be told, in whatever thread."""
 
     def __init__(
-        self, pool: Pool, gauges: tuple[str | None, ...], tick: Callable[[i.TimerFired, int], None],
+        self,
+        pool: Pool,
+        gauges: tuple[str | None, ...],
+        tick: Callable[[i.TimerFired, int], None],
     ) -> None:
         self._pool, self._gauges, self._tick = pool, gauges, tick
 
@@ -27,6 +30,7 @@
 
     def _due(self, timer: i.SetTimer) -> None:
         """In the timer's thread: fetch the gauges."""
+
         def gauged(meters: tuple[float, ...]) -> None:
             # Never before its time by a rounding: the controller takes that for one that it replaced.
             self._tick(timer_fired(timer.token, list(meters), self._gauges), timer.at)
--- a/cairnvane/tracked.py
+++ b/cairnvane/tracked.py
@@ -48,7 +48,13 @@
 def adopted(begun: Begun, number: int, cls: i.RequestClass, now: int) -> Tracked:
     """A run of an earlier life, whose caller has gone with it."""
     request = Request(
-        lambda answer: None, begun.uid, begun.lane, b"", arrived=now, caller=0, memory=begun.memory,
-        token=begun.token.hex())
-    return Tracked(
-        number, request, cls, None, held=False, running=True, told=EARLIER_LINK, same=begun.digest)
+        lambda answer: None,
+        begun.uid,
+        begun.lane,
+        b"",
+        arrived=now,
+        caller=0,
+        memory=begun.memory,
+        token=begun.token.hex(),
+    )
+    return Tracked(number, request, cls, None, held=False, running=True, told=EARLIER_LINK, same=begun.digest)
--- a/cairnvane/wire.py
+++ b/cairnvane/wire.py
@@ -28,8 +28,14 @@
 _WAKEUP = struct.Struct(">xIBffff")
 
 OUTCOMES = {
-    0: i.Outcome.OK, 255: i.Outcome.ERROR, 254: i.Outcome.REJECTED, 253: i.Outcome.TIMEOUT,
-    252: i.Outcome.UNREACHED, 251: i.Outcome.BROKEN, 250: i.Outcome.CANCELLED, 249: i.Outcome.MOOT,
+    0: i.Outcome.OK,
+    255: i.Outcome.ERROR,
+    254: i.Outcome.REJECTED,
+    253: i.Outcome.TIMEOUT,
+    252: i.Outcome.UNREACHED,
+    251: i.Outcome.BROKEN,
+    250: i.Outcome.CANCELLED,
+    249: i.Outcome.MOOT,
 }
 GAUGES = {"cpu_busy": "cpu_busy", "runnable": "runnable", "mem_used": "memory_used", "sockets": "connections"}
 
@@ -57,21 +63,41 @@
 _REPEAT = {"free": i.Repeat.SAFE, "guarded": i.Repeat.KEYED, "single_shot": i.Repeat.UNSAFE}
 _HALT = {"silent": i.HaltMode.NONE, "drop": i.HaltMode.DROP, "pause": i.HaltMode.PAUSE}
 _SIGNAL = {
-    "silent": i.Signal.NONE, "level": i.Signal.LEVEL, "credit": i.Signal.CREDIT, "weight": i.Signal.WEIGHT,
+    "silent": i.Signal.NONE,
+    "level": i.Signal.LEVEL,
+    "credit": i.Signal.CREDIT,
+    "weight": i.Signal.WEIGHT,
 }
 _BELOW = {"silent": i.Downstream.NONE, "shared": i.Downstream.SHARED, "tier": i.Downstream.TIER}
 
 
 # What the settings are called here, and the key that brings each.
 _KEYS = {
-    "cores": "Extra.Cores", "memory": "Extra.HeapKb", "classes": "Classes", "peers": "PeersTotal",
-    "over_share_worth": "OverShareWorth", "run_factor": "Extra.RunFactor", "key_memory": "Extra.KeyKb",
-    "fair_calls": "Extra.FairCalls", "calls_window": "Extra.CallsOverUs", "call_linger": "Extra.LingerUs",
-    "callers": "Extra.ClientsTotal", "cold_from": "Guarantees.ColdFrom", "cold_for": "Guarantees.ColdUs",
-    "crowd_multiple": "Guarantees.TipMultiple", "drain_grace": "Guarantees.StopSendingWithinUs",
-    "max_advice": "Limits.MaxRetryAfterUs", "round": "RoundUs", "quota": "QuotaPerS", "aim": "OnTimeUs",
-    "patience": "GiveUpUs", "worth": "Worth", "late_worth": "LateWorth", "window": "WindowUs",
-    "skip_worth": "ClassSkipWorth", "aim_stretch": "AimStretch",
+    "cores": "Extra.Cores",
+    "memory": "Extra.HeapKb",
+    "classes": "Classes",
+    "peers": "PeersTotal",
+    "over_share_worth": "OverShareWorth",
+    "run_factor": "Extra.RunFactor",
+    "key_memory": "Extra.KeyKb",
+    "fair_calls": "Extra.FairCalls",
+    "calls_window": "Extra.CallsOverUs",
+    "call_linger": "Extra.LingerUs",
+    "callers": "Extra.ClientsTotal",
+    "cold_from": "Guarantees.ColdFrom",
+    "cold_for": "Guarantees.ColdUs",
+    "crowd_multiple": "Guarantees.TipMultiple",
+    "drain_grace": "Guarantees.StopSendingWithinUs",
+    "max_advice": "Limits.MaxRetryAfterUs",
+    "round": "RoundUs",
+    "quota": "QuotaPerS",
+    "aim": "OnTimeUs",
+    "patience": "GiveUpUs",
+    "worth": "Worth",
+    "late_worth": "LateWorth",
+    "window": "WindowUs",
+    "skip_worth": "ClassSkipWorth",
+    "aim_stretch": "AimStretch",
 }
 _ENTRY = re.compile(r"(classes|tenants)\[(.*)]\.(\w+)", re.DOTALL)
 # A duration on the wire has 32 bits of microseconds.
@@ -226,8 +252,16 @@
         fields = _INBOUND.unpack_from(body, at)
         rid, cls, tenant, _key, left, cost, memory, _rank, flags, caller, queued, prior = fields
         return i.Arrival(
-            rid, cls, queued, left or None, memory, cost if flags & 1 else None, caller, tenant,
-            bool(flags & 2), prior or None,
+            rid,
+            cls,
+            queued,
+            left or None,
+            memory,
+            cost if flags & 1 else None,
+            caller,
+            tenant,
+            bool(flags & 2),
+            prior or None,
         )
     if code == 22 or code == 21:
         rid, outcome, took = _ID_CODE_TIME.unpack_from(body, at)
--- a/cairnvane/wiring.py
+++ b/cairnvane/wiring.py
@@ -71,7 +71,8 @@
     if (pid := earlier.serves(temporary, told.name)) is not None:
         raise config.ConfigError(
             f"an earlier version of the program serves here (process {pid}), which keeps keyed runs in "
-            f"another form: end it first")
+            f"another form: end it first"
+        )
     lives = Lives(folder)
     try:
         lives.enter()
@@ -104,9 +105,15 @@
     folder = Path(asked.folder)
     power = asked.durability == "power"
     store = Store(
-        OsFiles(folder), told.name, boot_id(), power=power,
-        disk_bytes=asked.disk_bytes, memory_bytes=asked.memory_bytes,
-        unread=max(cls.patience for cls in told.settings.classes), points=points)
+        OsFiles(folder),
+        told.name,
+        boot_id(),
+        power=power,
+        disk_bytes=asked.disk_bytes,
+        memory_bytes=asked.memory_bytes,
+        unread=max(cls.patience for cls in told.settings.classes),
+        points=points,
+    )
     try:
         store.check(beside=lives is not None and not lives.alone())
     except FolderError as error:
@@ -117,7 +124,10 @@
 
 
 def memory(
-    told: config.Config, asked: KeyedOptions | None, temporary: Path, points: Points | None,
+    told: config.Config,
+    asked: KeyedOptions | None,
+    temporary: Path,
+    points: Points | None,
 ) -> tuple[Lives | None, Keeper | None]:
     """The lives of this bid server, this one among them, and who keeps their keys; `ConfigError`."""
     where = Path(asked.folder) / LIVES if asked is not None else temporary / LIVES / told.name
@@ -143,8 +153,11 @@
         pool.bound.wait()
         lives.ready()
 
-    return Part("ready", ("lives", "server", "pool"),
-                start=lambda: threading.Thread(target=ready, name="ready", daemon=True).start())
+    return Part(
+        "ready",
+        ("lives", "server", "pool"),
+        start=lambda: threading.Thread(target=ready, name="ready", daemon=True).start(),
+    )
 
 
 def keeper_part(keeper: Keeper | None) -> Part | None:
@@ -169,7 +182,11 @@
 
 
 def members(
-    told: config.Config, asked: MembersOptions | None, host: Host, pool: Pool, roster: Roster,
+    told: config.Config,
+    asked: MembersOptions | None,
+    host: Host,
+    pool: Pool,
+    roster: Roster,
 ) -> tuple[Intake, Channel | None]:
     """Whom requests are handed to, and the channel between the bid servers, where an operator asked for it;
     `OSError` if it can't listen. Else the host itself, and nothing of it."""
@@ -184,20 +201,37 @@
 
     watch = Watch(host, VERSION, lambda: roster.answers, pool.bound.is_set, lambda: host.runs.calls)
     return watch, Channel(
-        asked.address, asked.key.encode(), told.name, "{}:{}".format(*told.listen), asked.others,
-        outside=watch.outside, carried=watch.carried, tell=tell, ways=asked.ways, spares=asked.spare_ports)
+        asked.address,
+        asked.key.encode(),
+        told.name,
+        "{}:{}".format(*told.listen),
+        asked.others,
+        outside=watch.outside,
+        carried=watch.carried,
+        tell=tell,
+        ways=asked.ways,
+        spares=asked.spare_ports,
+    )
 
 
 def members_part(channel: Channel | None) -> Part | None:
     """Be a member, tell the others of a drain, and leave them in order."""
     if channel is None:
         return None
-    return Part("members", ("server",), start=channel.start, leave=lambda how: channel.drain(),
-                end=lambda how: channel.close())
+    return Part(
+        "members",
+        ("server",),
+        start=channel.start,
+        leave=lambda how: channel.drain(),
+        end=lambda how: channel.close(),
+    )
 
 
 def door(
-    told: config.Config, intake: Intake, pool: Pool, channel: Channel | None = None,
+    told: config.Config,
+    intake: Intake,
+    pool: Pool,
+    channel: Channel | None = None,
 ) -> tuple[Intake, Meter | None, Part | None]:
     """The operators' door, where the configuration names one: what the front hands requests to, who counts
     their answers, and the listener; `OSError` if it can't listen. Else `intake` as it is, and nothing is
--- a/cairnvane/xds/__init__.py
+++ b/cairnvane/xds/__init__.py
@@ -9,6 +9,13 @@
 from .machine import Delta, DeltaRequest, DeltaResponse, Request, Response, StateOfTheWorld
 
 __all__ = [
-    "Delta", "DeltaRequest", "DeltaResponse", "Event", "Known", "Request", "Resources", "Response",
+    "Delta",
+    "DeltaRequest",
+    "DeltaResponse",
+    "Event",
+    "Known",
+    "Request",
+    "Resources",
+    "Response",
     "StateOfTheWorld",
 ]
--- a/cairnvane/xds/grpc_stream.py
+++ b/cairnvane/xds/grpc_stream.py
@@ -41,12 +41,22 @@
     error = status_pb2.Status(code=INVALID, message=asked.error) if asked.error else None
     if isinstance(asked, Request):
         return discovery_pb2.DiscoveryRequest(
-            version_info=asked.version, node=node, resource_names=asked.names, type_url=asked.type_url,
-            response_nonce=asked.nonce, error_detail=error)
+            version_info=asked.version,
+            node=node,
+            resource_names=asked.names,
+            type_url=asked.type_url,
+            response_nonce=asked.nonce,
+            error_detail=error,
+        )
     return discovery_pb2.DeltaDiscoveryRequest(
-        node=node, type_url=asked.type_url, resource_names_subscribe=asked.subscribe,
-        resource_names_unsubscribe=asked.unsubscribe, initial_resource_versions=asked.initial_versions,
-        response_nonce=asked.nonce, error_detail=error)
+        node=node,
+        type_url=asked.type_url,
+        resource_names_subscribe=asked.subscribe,
+        resource_names_unsubscribe=asked.unsubscribe,
+        initial_resource_versions=asked.initial_versions,
+        response_nonce=asked.nonce,
+        error_detail=error,
+    )
 
 
 def _parse(type_url: str, found: Any) -> tuple[str, Any]:
@@ -57,7 +67,8 @@
 def _take(told: Any) -> Response | DeltaResponse:
     if isinstance(told, discovery_pb2.DiscoveryResponse):
         return Response(
-            told.version_info, told.nonce, tuple(_parse(told.type_url, one) for one in told.resources))
+            told.version_info, told.nonce, tuple(_parse(told.type_url, one) for one in told.resources)
+        )
     changed = tuple((one.name, one.version, _parse(told.type_url, one.resource)[1]) for one in told.resources)
     return DeltaResponse(told.nonce, changed, tuple(told.removed_resources))
 
@@ -144,5 +155,3 @@
             if step.missing:
                 self._told(step)
             self._set_timer()
-
-
--- a/cairnvane/xds/known.py
+++ b/cairnvane/xds/known.py
@@ -157,7 +157,8 @@
     def look(self, now: int) -> list[Event]:
         """Who has become missing."""
         late = [
-            name for name, one in self.known.items() if one.missing_at is not None and one.missing_at <= now]
+            name for name, one in self.known.items() if one.missing_at is not None and one.missing_at <= now
+        ]
         for name in late:
             self.known[name].state, self.known[name].missing_at = Known.MISSING, None
         return [Event(What.MISSING, name) for name in late]
--- a/cairnvane/xds/resources.py
+++ b/cairnvane/xds/resources.py
@@ -26,12 +26,17 @@
 # Names are not looked up here, and no listener is there that could know an original destination.
 _TYPES = ("EDS", "STATIC")
 _POLICIES = {
-    "ROUND_ROBIN": Policy.ROUND_ROBIN, "LEAST_REQUEST": Policy.LEAST_REQUEST, "RANDOM": Policy.RANDOM,
-    "RING_HASH": Policy.RING_HASH, "MAGLEV": Policy.MAGLEV,
+    "ROUND_ROBIN": Policy.ROUND_ROBIN,
+    "LEAST_REQUEST": Policy.LEAST_REQUEST,
+    "RANDOM": Policy.RANDOM,
+    "RING_HASH": Policy.RING_HASH,
+    "MAGLEV": Policy.MAGLEV,
 }
 _HEALTH = {
-    health_check_pb2.UNHEALTHY: Health.UNHEALTHY, health_check_pb2.TIMEOUT: Health.UNHEALTHY,
-    health_check_pb2.DRAINING: Health.DRAINING, health_check_pb2.DEGRADED: Health.DEGRADED,
+    health_check_pb2.UNHEALTHY: Health.UNHEALTHY,
+    health_check_pb2.TIMEOUT: Health.UNHEALTHY,
+    health_check_pb2.DRAINING: Health.DRAINING,
+    health_check_pb2.DEGRADED: Health.DEGRADED,
 }  # all others, those of later versions too, count as healthy
 _PER = {"HUNDRED": MILLION // 100, "TEN_THOUSAND": MILLION // 10_000, "MILLION": 1}
 MOST_PRIORITY = 128  # the protocol's own bound
@@ -85,18 +90,26 @@
             share = found.retry_budget.budget_percent
             budget = RetryBudget(
                 share.value if found.retry_budget.HasField("budget_percent") else kept.percent,
-                given("min_retry_concurrency", kept.least, found.retry_budget))
+                given("min_retry_concurrency", kept.least, found.retry_budget),
+            )
         return Breakers(
-            given("max_connections", plain.connections), given("max_pending_requests", plain.pending),
-            given("max_requests", plain.requests), given("max_retries", plain.retries), budget)
+            given("max_connections", plain.connections),
+            given("max_pending_requests", plain.pending),
+            given("max_requests", plain.requests),
+            given("max_retries", plain.retries),
+            budget,
+        )
     return Breakers()
 
 
 def assignment(name: str, told: Any) -> Assignment:
     """A ClusterLoadAssignment message; None if there was none to be read."""
     _require(told is not None, "resource", "no ClusterLoadAssignment")
-    _require(bool(told.cluster_name) and told.cluster_name == name, "cluster_name",
-             f"{told.cluster_name!r} in the resource {name!r}")
+    _require(
+        bool(told.cluster_name) and told.cluster_name == name,
+        "cluster_name",
+        f"{told.cluster_name!r} in the resource {name!r}",
+    )
     seen: dict[Address, str] = {}
     found = tuple(_locality(f"endpoints[{at}]", one, seen) for at, one in enumerate(told.endpoints))
     priorities = {one.priority for one in found}
--- a/cairnvane/xds/session.py
+++ b/cairnvane/xds/session.py
@@ -97,8 +97,10 @@
 
 def make_state_of_the_world(cluster: Decode, assignment: Decode) -> Session[Request, Response]:
     """For a stream on which each response brings all that is asked for."""
-    return Session(StateOfTheWorld(CLUSTER, Resources(cluster), True),
-                   StateOfTheWorld(ASSIGNMENT, Resources(assignment, ()), False))
+    return Session(
+        StateOfTheWorld(CLUSTER, Resources(cluster), True),
+        StateOfTheWorld(ASSIGNMENT, Resources(assignment, ()), False),
+    )
 
 
 def make_delta(cluster: Decode, assignment: Decode) -> Session[DeltaRequest, DeltaResponse]:
--- a/cairnvane/xds/view.py
+++ b/cairnvane/xds/view.py
@@ -43,8 +43,11 @@
 
     def waiting(self) -> set[str]:
         """Clusters whose newest form does not count yet."""
-        return {name for name, one in self._clusters.items()
-                if name not in self.ready or self.ready[name].cluster != one}
+        return {
+            name
+            for name, one in self._clusters.items()
+            if name not in self.ready or self.ready[name].cluster != one
+        }
 
     def cluster(self, cluster: Cluster) -> list[Change]:
         """A cluster is new, or has changed."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -14,7 +14,12 @@
 CLASSES = (
     i.RequestClass("read", aim=1_000 * MS, patience=3_000 * MS, skip_worth=0.5),
     i.RequestClass(
-        "write", aim=1_000 * MS, patience=3_000 * MS, worth=3, repeat=i.Repeat.KEYED, window=8_000 * MS,
+        "write",
+        aim=1_000 * MS,
+        patience=3_000 * MS,
+        worth=3,
+        repeat=i.Repeat.KEYED,
+        window=8_000 * MS,
     ),
     i.RequestClass("once", aim=1_000 * MS, patience=3_000 * MS, worth=2, repeat=i.Repeat.UNSAFE),
 )
@@ -23,8 +28,16 @@
 def settings(**changes: Any) -> i.Settings:
     """Four cores, plenty of memory, three classes."""
     base = i.Settings(
-        cores=4, memory=100_000.0, classes=CLASSES, run_factor=8.0, key_memory=10.0, halt=i.HaltMode.DROP,
-        crowd_multiple=5.0, drain_grace=2_000 * MS, max_advice=1_000 * MS, round=5 * MS,
+        cores=4,
+        memory=100_000.0,
+        classes=CLASSES,
+        run_factor=8.0,
+        key_memory=10.0,
+        halt=i.HaltMode.DROP,
+        crowd_multiple=5.0,
+        drain_grace=2_000 * MS,
+        max_advice=1_000 * MS,
+        round=5 * MS,
     )
     return replace(base, **changes)
 
@@ -77,10 +90,14 @@
             if isinstance(event, i.Arrival):
                 wait = event.time_left
                 arrived = self.now - event.queued
-                due_at = self.now + wait if wait is not None else max(
-                    self.now, arrived + self.settings.classes[event.cls].patience)
+                due_at = (
+                    self.now + wait
+                    if wait is not None
+                    else max(self.now, arrived + self.settings.classes[event.cls].patience)
+                )
                 self.requests[event.id] = Request(
-                    event.cls, arrived, due_at, event.memory, original=event.repeats)
+                    event.cls, arrived, due_at, event.memory, original=event.repeats
+                )
             elif isinstance(event, i.Draining):
                 self.drain_at = self.now
                 self.stop_at = self.now + event.time_left
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -28,12 +28,28 @@
 PARAMS: dict[str, Any] = {
     "Classes": [
         {"Name": "read", "OnTimeUs": 3_000_000, "GiveUpUs": 9_000_000},
-        {"Name": "write", "OnTimeUs": 3_000_000, "GiveUpUs": 9_000_000, "Worth": 3.0, "Repeat": "guarded",
-         "WindowUs": WINDOW_US, "LateWorth": 0.2},
+        {
+            "Name": "write",
+            "OnTimeUs": 3_000_000,
+            "GiveUpUs": 9_000_000,
+            "Worth": 3.0,
+            "Repeat": "guarded",
+            "WindowUs": WINDOW_US,
+            "LateWorth": 0.2,
+        },
     ],
     "Extra": {
-        "Cores": 4, "HeapKb": 10_000.0, "RunFactor": 8.0, "KeyKb": 1.0, "Halt": "drop", "Say": "credit",
-        "Downstream": "shared", "FairCalls": 8.0, "CallsOverUs": 5_000_000, "LingerUs": 0, "ClientsTotal": 3,
+        "Cores": 4,
+        "HeapKb": 10_000.0,
+        "RunFactor": 8.0,
+        "KeyKb": 1.0,
+        "Halt": "drop",
+        "Say": "credit",
+        "Downstream": "shared",
+        "FairCalls": 8.0,
+        "CallsOverUs": 5_000_000,
+        "LingerUs": 0,
+        "ClientsTotal": 3,
         "Meters": ["cpu_busy", "runnable", "mem_used", "sockets"],
     },
     "Guarantees": {"TipMultiple": 8.0, "StopSendingWithinUs": 0},
@@ -129,12 +145,23 @@
         self._link.sendall(data)
 
     def notice(
-        self, action: str, uid: str, code: str = "", content: bytes = b"", again: bool = False,
+        self,
+        action: str,
+        uid: str,
+        code: str = "",
+        content: bytes = b"",
+        again: bool = False,
     ) -> None:
         """A numbered notice; `again`: the last number once more."""
         self._pos += not again
-        self.tell(action=action, pos=self._pos, uid=uid, code=code, wall_ms=5,
-                  content=base64.b64encode(content).decode())
+        self.tell(
+            action=action,
+            pos=self._pos,
+            uid=uid,
+            code=code,
+            wall_ms=5,
+            content=base64.b64encode(content).decode(),
+        )
 
     def next(self, action: str) -> dict[str, Any]:
         """The next command, which must be this one."""
@@ -212,8 +239,12 @@
 
     def fields(self, number: int, path: str, **more: str) -> dict[str, str]:
         known = {
-            "SCRIPT_NAME": path, "REQUEST_METHOD": "POST", "HTTP_REQ_ID": f"{number:016x}",
-            "HTTP_REQ_TIME": str(time.time_ns() // 1_000_000), "HTTP_REQ_FROM": "0", "HTTP_REQ_KB": "20.5",
+            "SCRIPT_NAME": path,
+            "REQUEST_METHOD": "POST",
+            "HTTP_REQ_ID": f"{number:016x}",
+            "HTTP_REQ_TIME": str(time.time_ns() // 1_000_000),
+            "HTTP_REQ_FROM": "0",
+            "HTTP_REQ_KB": "20.5",
             "HTTP_REQ_RANK": "0.5",
         }
         return {name: value for name, value in (known | more).items() if value}
@@ -221,12 +252,15 @@
     def request(self, number: int, path: str = "/svc/read", body: bytes = b"x", **more: str) -> bytes:
         """The records of a request; its Req-Id is its number unless another is given."""
         params = fastcgi.put_pairs(self.fields(number, path, **more))
-        return b"".join([
-            fastcgi.record(fastcgi.BEGIN_REQUEST, number, b"\0\1\1\0\0\0\0\0"),
-            fastcgi.record(fastcgi.PARAMS, number, params), fastcgi.record(fastcgi.PARAMS, number, b""),
-            *([fastcgi.record(fastcgi.STDIN, number, body)] if body else []),
-            fastcgi.record(fastcgi.STDIN, number, b""),
-        ])
+        return b"".join(
+            [
+                fastcgi.record(fastcgi.BEGIN_REQUEST, number, b"\0\1\1\0\0\0\0\0"),
+                fastcgi.record(fastcgi.PARAMS, number, params),
+                fastcgi.record(fastcgi.PARAMS, number, b""),
+                *([fastcgi.record(fastcgi.STDIN, number, body)] if body else []),
+                fastcgi.record(fastcgi.STDIN, number, b""),
+            ]
+        )
 
     def send(self, number: int, path: str = "/svc/read", body: bytes = b"x", **more: str) -> None:
         self.sock.sendall(self.request(number, path, body, **more))
@@ -315,8 +349,13 @@
 
 @contextlib.contextmanager
 def world(
-    *replies: bytes, bound: bool = True, most: int = 16, keeper: Keeper | None = None,
-    peer: PoolPeer | None = None, pos: int | None = 0, **extra: Any,
+    *replies: bytes,
+    bound: bool = True,
+    most: int = 16,
+    keeper: Keeper | None = None,
+    peer: PoolPeer | None = None,
+    pos: int | None = 0,
+    **extra: Any,
 ) -> Iterator[World]:
     """A running server; `replies` are what the vault says, `extra` changes the settings' `Extra`. With a
     keeper, `peer` may be the pool of an earlier life, which is bound from `pos` on (None: not waited for)."""
