--- a/tests/test_assembly.py
+++ b/tests/test_assembly.py
@@ -17,22 +17,39 @@
     told: list[str] = []
     assembly = Assembly()
     for name, needs in (("one", ()), ("two", ("one",)), ("three", ("one", "two"))):
-        assembly.add(Part(
-            name, needs, start=lambda n=name: told.append(f"start {n}"),  # type: ignore[misc]
-            leave=lambda how, n=name: told.append(f"leave {n}"),  # type: ignore[misc]
-            end=lambda how, n=name: told.append(f"end {n} {how.grace_s}")))  # type: ignore[misc]
+        assembly.add(
+            Part(
+                name,
+                needs,
+                start=lambda n=name: told.append(f"start {n}"),  # type: ignore[misc]
+                leave=lambda how, n=name: told.append(f"leave {n}"),  # type: ignore[misc]
+                end=lambda how, n=name: told.append(f"end {n} {how.grace_s}"),  # type: ignore[misc]
+            )
+        )
     assembly.add(None)
     assembly.start()
     assembly.leave(HOW)
     assembly.end(HOW)
-    assert told == ["start one", "start two", "start three", "leave three", "leave two", "leave one",
-                    "end three 0.5", "end two 0.5", "end one 0.5"]
-
-
-@pytest.mark.parametrize(("parts", "told"), [
-    ([Part("door", ("server", "host"))], "door: needs server, host"),
-    ([Part("host"), Part("host")], "host: twice"),
-])
+    assert told == [
+        "start one",
+        "start two",
+        "start three",
+        "leave three",
+        "leave two",
+        "leave one",
+        "end three 0.5",
+        "end two 0.5",
+        "end one 0.5",
+    ]
+
+
+@pytest.mark.parametrize(
+    ("parts", "told"),
+    [
+        ([Part("door", ("server", "host"))], "door: needs server, host"),
+        ([Part("host"), Part("host")], "host: twice"),
+    ],
+)
 def test_a_part_without_what_it_needs_is_named(parts: list[Part], told: str) -> None:
     assembly = Assembly()
     with pytest.raises(ValueError, match=told):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -38,24 +38,38 @@
     return CliRunner().invoke(main, [str(word) for word in words])
 
 
-@pytest.mark.parametrize(("text", "words"), [
-    ("keyed: {folder: a, max_disk: 3}", ["keyed", "max_disk"]), ("tenants: {}", ["tenants"]),
-    ("keyed: {folder: a, max_disk_mb: lots}", ["keyed.max_disk_mb", "'lots'"]),
-    ("keyed: {folder: a, max_disk_mb: 1}", ["keyed.max_disk_mb: 1 is not between 2 and"]),
-    ("keyed: {folder: a, max_memory_mb: 0}", ["keyed.max_memory_mb: 0 is not between 1 and"]),
-    ("keyed: {folder: a, durability: forever}", ["keyed.durability", "'forever'"]),
-    ("keyed: {}", ["keyed", "folder"]), ("log: {form: xml}", ["log.form", "'xml'"]),
-    ("keyed: [", ["line 2"]), ("keyed:", ["keyed: nothing stands"]),
-    ("members: {listen: '10.0.0.4:1', key: short}", ["members.key: 5 bytes are not between 16 and 64"]),
-    ("members: {listen: here, key: sixteen-and-more}", ["members.listen: 'here' is not HOST:PORT"]),
-    ("members: {listen: '0.0.0.0:1', key: sixteen-and-more}", ["members.listen", "no address that others"]),
-    ("members: {listen: 'localhost:1', key: sixteen-and-more}", ["'localhost' is not an IPv4 address"]),
-    ("members: {listen: '10.0.0.4:1', key: sixteen-and-more, contacts: [x]}",
-     ["members.contacts[0]: 'x' is not"]),
-    ("- 1", ["array"]), ("\x00", ["operator.yaml"]),
-])
+@pytest.mark.parametrize(
+    ("text", "words"),
+    [
+        ("keyed: {folder: a, max_disk: 3}", ["keyed", "max_disk"]),
+        ("tenants: {}", ["tenants"]),
+        ("keyed: {folder: a, max_disk_mb: lots}", ["keyed.max_disk_mb", "'lots'"]),
+        ("keyed: {folder: a, max_disk_mb: 1}", ["keyed.max_disk_mb: 1 is not between 2 and"]),
+        ("keyed: {folder: a, max_memory_mb: 0}", ["keyed.max_memory_mb: 0 is not between 1 and"]),
+        ("keyed: {folder: a, durability: forever}", ["keyed.durability", "'forever'"]),
+        ("keyed: {}", ["keyed", "folder"]),
+        ("log: {form: xml}", ["log.form", "'xml'"]),
+        ("keyed: [", ["line 2"]),
+        ("keyed:", ["keyed: nothing stands"]),
+        ("members: {listen: '10.0.0.4:1', key: short}", ["members.key: 5 bytes are not between 16 and 64"]),
+        ("members: {listen: here, key: sixteen-and-more}", ["members.listen: 'here' is not HOST:PORT"]),
+        (
+            "members: {listen: '0.0.0.0:1', key: sixteen-and-more}",
+            ["members.listen", "no address that others"],
+        ),
+        ("members: {listen: 'localhost:1', key: sixteen-and-more}", ["'localhost' is not an IPv4 address"]),
+        (
+            "members: {listen: '10.0.0.4:1', key: sixteen-and-more, contacts: [x]}",
+            ["members.contacts[0]: 'x' is not"],
+        ),
+        ("- 1", ["array"]),
+        ("\x00", ["operator.yaml"]),
+    ],
+)
 def test_a_fault_in_the_operators_file_is_named_in_one_line(
-    tmp_path: Path, text: str, words: list[str],
+    tmp_path: Path,
+    text: str,
+    words: list[str],
 ) -> None:
     with pytest.raises(ConfigError) as error:
         operator.load(operators(tmp_path, text))
@@ -74,17 +88,36 @@
 
 
 def test_the_plain_line_imports_nothing_that_it_does_not_need() -> None:
-    heavy = ["click", "hashlib", "structlog", "yaml", "google_crc32c", "cairnvane.keyed", "cairnvane.lasting",
-             "cairnvane.lab", "cairnvane.config.operator", "cairnvane.membership"]
+    heavy = [
+        "click",
+        "hashlib",
+        "structlog",
+        "yaml",
+        "google_crc32c",
+        "cairnvane.keyed",
+        "cairnvane.lasting",
+        "cairnvane.lab",
+        "cairnvane.config.operator",
+        "cairnvane.membership",
+    ]
     code = f"import cairnvane.__main__, sys; print([name for name in {heavy} if name in sys.modules])"
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
 
 
-@pytest.mark.parametrize(("words", "status"), [
-    ([], 2), (["serve", "--oops"], 2), (["keyed", "verify", "/nowhere"], 2), (["keyed", "verify"], 2),
-    (["--help"], 0), (["serve", "--help"], 0), (["--version"], 0), (["nothing"], 2),
-])
+@pytest.mark.parametrize(
+    ("words", "status"),
+    [
+        ([], 2),
+        (["serve", "--oops"], 2),
+        (["keyed", "verify", "/nowhere"], 2),
+        (["keyed", "verify"], 2),
+        (["--help"], 0),
+        (["serve", "--help"], 0),
+        (["--version"], 0),
+        (["nothing"], 2),
+    ],
+)
 def test_wrong_use_has_status_2(words: list[str], status: int) -> None:
     assert run(*words).exit_code == status
 
@@ -120,11 +153,16 @@
         assert process.wait(WAIT_S) == 0
 
 
-@pytest.mark.parametrize(("spoil", "status", "word"), [
-    (lambda data: data, 0, "good"), (lambda data: data[:-7], 0, "torn"),
-    (lambda data: data[:200] + b"\xff" + data[201:] + bytes(70_000) + b"x", 1, "a record may be lost"),
-    (lambda data: b"", 1, "empty"), (lambda data: data[:8] + b"\x63\0" + data[10:], 2, "newer version"),
-])
+@pytest.mark.parametrize(
+    ("spoil", "status", "word"),
+    [
+        (lambda data: data, 0, "good"),
+        (lambda data: data[:-7], 0, "torn"),
+        (lambda data: data[:200] + b"\xff" + data[201:] + bytes(70_000) + b"x", 1, "a record may be lost"),
+        (lambda data: b"", 1, "empty"),
+        (lambda data: data[:8] + b"\x63\0" + data[10:], 2, "newer version"),
+    ],
+)
 def test_verify_says_what_is_wrong(tmp_path: Path, spoil: Any, status: int, word: str) -> None:
     _, name, data = segment()
     (tmp_path / name).write_bytes(spoil(data))
@@ -147,8 +185,12 @@
     config = tmp_path / "config.json"
     config.write_text(json.dumps(FILE | {"name": "n3"}))
     done = subprocess.run(
-        [sys.executable, "-m", "cairnvane"], capture_output=True, text=True, timeout=WAIT_S,
-        env={**os.environ, "LB_CONFIG": str(config), "CAIRNVANE_OPERATOR": str(path)})
+        [sys.executable, "-m", "cairnvane"],
+        capture_output=True,
+        text=True,
+        timeout=WAIT_S,
+        env={**os.environ, "LB_CONFIG": str(config), "CAIRNVANE_OPERATOR": str(path)},
+    )
     assert done.returncode == 2
     assert done.stderr.count("\n") == 1 and "keyed.folder:" in done.stderr
     assert ("in use" if other == "another process" else "belongs to") in done.stderr
@@ -161,9 +203,11 @@
     lives.enter()
     folder.mkdir(parents=True)
     token = bytes.fromhex("5c" * 16)
-    records = [Record(Step.INTENT, lives.life, token, 5, 9, bytes(16)),
-               Record(Step.INTENT, 7, token, 6, 9, bytes(16)),
-               Record(Step.RESULT, lives.life, token, 8, 9, bytes(16) + b"result")]
+    records = [
+        Record(Step.INTENT, lives.life, token, 5, 9, bytes(16)),
+        Record(Step.INTENT, 7, token, 6, 9, bytes(16)),
+        Record(Step.RESULT, lives.life, token, 8, 9, bytes(16) + b"result"),
+    ]
     path = folder / "0000000001.ledger"
     path.write_bytes(b"".join(put(*one) for one in records))
     verified = run("keyed", "verify", str(folder))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -23,8 +23,19 @@
 
 import pytest
 from peers import (
-    PARAMS, TOKEN, WAIT_S, WINDOW_US, Balancer, Held, Listener, PoolPeer, VaultPeer, World, reply,
-    until, world,
+    PARAMS,
+    TOKEN,
+    WAIT_S,
+    WINDOW_US,
+    Balancer,
+    Held,
+    Listener,
+    PoolPeer,
+    VaultPeer,
+    World,
+    reply,
+    until,
+    world,
 )
 from test_program import NOWHERE, program
 
@@ -42,7 +53,10 @@
 
 
 def hold(
-    monkeypatch: pytest.MonkeyPatch, owner: Any, name: str, meant: Callable[..., bool] = lambda *_: True,
+    monkeypatch: pytest.MonkeyPatch,
+    owner: Any,
+    name: str,
+    meant: Callable[..., bool] = lambda *_: True,
 ) -> Held:
     held = Held(getattr(owner, name), meant)
     monkeypatch.setattr(owner, name, held)
@@ -85,7 +99,8 @@
 
 @pytest.mark.parametrize("how", ["retire", "room"])
 def test_an_answer_that_is_not_written_yet_keeps_the_connection(
-    how: str, monkeypatch: pytest.MonkeyPatch,
+    how: str,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards: a request was closed before its answer was written; an end told in between cut that off."""
     held = hold(monkeypatch, fields, "content", served)
@@ -216,10 +231,24 @@
         assert balancer.ended()
 
 
-@pytest.mark.parametrize("data", [b"no record at all", BEGIN, *(
-    each.replace(b"\0\1\0", b"\0\2\0") * (connection.MOST_VOID + 1) for each in (
-        fastcgi.record(fastcgi.STDIN, 7, b""), fastcgi.record(50, 0, b""), BEGIN + ABORT, ABORT,
-        fastcgi.record(fastcgi.PARAMS, 7, bytes(4_000)), BEGIN[:6] + b"\0\0\0\7" + BEGIN[10:]))])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"no record at all",
+        BEGIN,
+        *(
+            each.replace(b"\0\1\0", b"\0\2\0") * (connection.MOST_VOID + 1)
+            for each in (
+                fastcgi.record(fastcgi.STDIN, 7, b""),
+                fastcgi.record(50, 0, b""),
+                BEGIN + ABORT,
+                ABORT,
+                fastcgi.record(fastcgi.PARAMS, 7, bytes(4_000)),
+                BEGIN[:6] + b"\0\0\0\7" + BEGIN[10:],
+            )
+        ),
+    ],
+)
 def test_what_no_balancer_sends_costs_its_connection_and_no_answer(data: bytes) -> None:
     """A record that can't be read, a number begun again while it is open, a flood of records of no request.
     Guards: what was owed on the connection was withdrawn, and a flood had as much of the core as it wrote."""
@@ -331,7 +360,9 @@
     "management records that are not read": (fastcgi.record(50, 0, b"") * 1_000, False),
     "beginnings and aborts": ((BEGIN + ABORT) * 500, True),
     "requests beyond the most": (
-        b"".join(BEGIN[:2] + number.to_bytes(2, "big") + BEGIN[4:] for number in range(1, 600)), True),
+        b"".join(BEGIN[:2] + number.to_bytes(2, "big") + BEGIN[4:] for number in range(1, 600)),
+        True,
+    ),
     "garbage": (b"GET / HTTP/1.1\r\n\r\n" * 100, True),
     "an oversized record": (fastcgi.record(fastcgi.PARAMS, 1, bytes(60_000)), True),
     "half a record": (BEGIN[:5], True),
@@ -352,8 +383,11 @@
 
     pool = PoolPeer()
     with program(tmp_path, f"127.0.0.1:{pool.address[1]}", NOWHERE, stop_ms=5_000) as (process, port):
-        floods = [threading.Thread(target=flood, args=(("127.0.0.1", port), *how), daemon=True)
-                  for how in FLOODS.values() for _ in range(3)]
+        floods = [
+            threading.Thread(target=flood, args=(("127.0.0.1", port), *how), daemon=True)
+            for how in FLOODS.values()
+            for _ in range(3)
+        ]
         balancer = Balancer(("127.0.0.1", port))
         pool.next("bind")
         for each in floods:
@@ -429,10 +463,10 @@
     held = hold(monkeypatch, vault, "outcome")
     threads: list[threading.Thread] = []
     ends: list[Any] = []
-    monkeypatch.setattr(
-        vault, "_threads", SimpleNamespace(run=lambda task: threads.append(in_thread(task))))
+    monkeypatch.setattr(vault, "_threads", SimpleNamespace(run=lambda task: threads.append(in_thread(task))))
     call = vault.Call(
-        VaultPeer(reply(200)).address, "0" * 16, b"x", 60_000_000, lambda *end: ends.append(end))
+        VaultPeer(reply(200)).address, "0" * 16, b"x", 60_000_000, lambda *end: ends.append(end)
+    )
     assert held.reached.wait(WAIT_S)
     call.give_up()
     held.go.set()
@@ -514,17 +548,27 @@
     return {"Name": name, "OnTimeUs": 3_000_000, "GiveUpUs": 9_000_000, "Repeat": repeat, **more}
 
 
-@pytest.mark.parametrize(("classes", "more"), [
-    ([_class("only")], {}),
-    ([_class(f"kind-{number}", Worth=float(number)) for number in range(40)], {}),
-    ([_class("read"), _class("signal", "single_shot", Worth=2.0)], {}),
-    ([_class("all", "guarded", WindowUs=0)], {"Extra": PARAMS["Extra"] | {"Downstream": "silent"}}),
-    ([_class("short", OnTimeUs=150_000, GiveUpUs=9_000_000, LateWorth=0.5)], {
-        "Tenants": [{"Name": "a", "QuotaPerS": 0.5}], "OverShareWorth": 0.1,
-        "Extra": PARAMS["Extra"] | {"Halt": "silent", "Say": "silent", "Meters": []}}),
-])
+@pytest.mark.parametrize(
+    ("classes", "more"),
+    [
+        ([_class("only")], {}),
+        ([_class(f"kind-{number}", Worth=float(number)) for number in range(40)], {}),
+        ([_class("read"), _class("signal", "single_shot", Worth=2.0)], {}),
+        ([_class("all", "guarded", WindowUs=0)], {"Extra": PARAMS["Extra"] | {"Downstream": "silent"}}),
+        (
+            [_class("short", OnTimeUs=150_000, GiveUpUs=9_000_000, LateWorth=0.5)],
+            {
+                "Tenants": [{"Name": "a", "QuotaPerS": 0.5}],
+                "OverShareWorth": 0.1,
+                "Extra": PARAMS["Extra"] | {"Halt": "silent", "Say": "silent", "Meters": []},
+            },
+        ),
+    ],
+)
 def test_whatever_the_settings_are_all_classes_are_served(
-    classes: list[dict[str, Any]], more: dict[str, Any], monkeypatch: pytest.MonkeyPatch,
+    classes: list[dict[str, Any]],
+    more: dict[str, Any],
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards: nothing may come from anything but the settings, which are another customer's elsewhere."""
     for key, value in ({"Classes": classes} | more).items():
@@ -541,7 +585,9 @@
 
 @pytest.mark.parametrize(("beyond_us", "runs"), [(-1, 1), (1_000_000, 2)])
 def test_a_window_that_is_shorter_than_its_run_holds_to_its_end(
-    beyond_us: int, runs: int, monkeypatch: pytest.MonkeyPatch,
+    beyond_us: int,
+    runs: int,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """While the first try is still running: within the window it is repeated, after it a try is its own."""
     monkeypatch.setitem(PARAMS, "Classes", [_class("write", "guarded", WindowUs=1_000_000)])
@@ -588,12 +634,20 @@
     assert said == [b""]
 
 
-@pytest.mark.parametrize("said", [
-    b"", b"HTTP/1.1 204 No", b"HTTP/1.1 503 X\r\nContent-Length: 9\r\n\r\nno",
-    b"\xff\xfe\r\n\r\n", b"HTTP/1.1 500 X\r\nContent-Length: 2\r\n\r\n", None,
-])
+@pytest.mark.parametrize(
+    "said",
+    [
+        b"",
+        b"HTTP/1.1 204 No",
+        b"HTTP/1.1 503 X\r\nContent-Length: 9\r\n\r\nno",
+        b"\xff\xfe\r\n\r\n",
+        b"HTTP/1.1 500 X\r\nContent-Length: 2\r\n\r\n",
+        None,
+    ],
+)
 def test_whatever_the_roster_says_the_next_report_comes(
-    said: bytes | None, monkeypatch: pytest.MonkeyPatch,
+    said: bytes | None,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards: one that accepts and says nothing, or half of something, for longer than an entry lasts."""
     monkeypatch.setattr(roster, "EVERY_S", 0.01)
@@ -721,12 +775,24 @@
 def test_a_faulty_setting_ends_the_program_with_2(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     settings = PARAMS | {"Extra": PARAMS["Extra"] | {"Cores": 0}}
-    path.write_text(json.dumps({
-        "name": "n", "listen": "127.0.0.1:0", "pool": NOWHERE, "roster": NOWHERE, "vault": NOWHERE,
-        "settings": settings}))
+    path.write_text(
+        json.dumps(
+            {
+                "name": "n",
+                "listen": "127.0.0.1:0",
+                "pool": NOWHERE,
+                "roster": NOWHERE,
+                "vault": NOWHERE,
+                "settings": settings,
+            }
+        )
+    )
     done = subprocess.run(
-        [sys.executable, "-m", "cairnvane"], env={**os.environ, "LB_CONFIG": str(path)}, capture_output=True,
-        text=True)
+        [sys.executable, "-m", "cairnvane"],
+        env={**os.environ, "LB_CONFIG": str(path)},
+        capture_output=True,
+        text=True,
+    )
     assert (done.returncode, done.stderr) == (2, "cairnvane: settings: Extra.Cores: impossible value 0\n")
 
 
@@ -757,15 +823,31 @@
     # The interpreter loads this before anything of ours, and waits until the signal is there.
     (slow / "sitecustomize.py").write_text(f"open({str(started)!r}, 'w').write('here')\ninput()\n")
     config = tmp_path / "config.json"
-    config.write_text(json.dumps({
-        "name": "n3", "listen": "127.0.0.1:0", "pool": f"127.0.0.1:{pool.address[1]}",
-        "roster": "127.0.0.1:1", "vault": "127.0.0.1:1", "settings": PARAMS}))
+    config.write_text(
+        json.dumps(
+            {
+                "name": "n3",
+                "listen": "127.0.0.1:0",
+                "pool": f"127.0.0.1:{pool.address[1]}",
+                "roster": "127.0.0.1:1",
+                "vault": "127.0.0.1:1",
+                "settings": PARAMS,
+            }
+        )
+    )
     run = tomllib.loads((Path(__file__).parents[1] / "deploy/balancer.toml").read_text())["run"]
     process = subprocess.Popen(
-        ["/bin/sh", "-c", run.replace(".venv/bin/python", sys.executable)], text=True,
-        stdin=subprocess.PIPE, stderr=subprocess.PIPE,
-        env={**os.environ, "LB_CONFIG": str(config), "TMPDIR": str(tmp_path), "PYTHONPATH": os.pathsep.join(
-            [str(slow), str(Path(__file__).parents[1])])})
+        ["/bin/sh", "-c", run.replace(".venv/bin/python", sys.executable)],
+        text=True,
+        stdin=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        env={
+            **os.environ,
+            "LB_CONFIG": str(config),
+            "TMPDIR": str(tmp_path),
+            "PYTHONPATH": os.pathsep.join([str(slow), str(Path(__file__).parents[1])]),
+        },
+    )
     try:
         assert process.stdin is not None and process.stderr is not None
         assert started.read_text() == "here"
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -36,7 +36,9 @@
 
 @contextlib.contextmanager
 def door(
-    can_serve: bool = True, most: int = MOST_CALLERS, call_wait_s: float = CALL_WAIT_S,
+    can_serve: bool = True,
+    most: int = MOST_CALLERS,
+    call_wait_s: float = CALL_WAIT_S,
 ) -> Iterator[tuple[Door, Duty, Tally]]:
     duty, tally = Duty(lambda: can_serve), Tally(("read", "write"))
     opened = Door(("127.0.0.1", 0), Calls(duty, tally), duty, most, call_wait_s)
@@ -181,7 +183,7 @@
     data = b"POST /-/drain?x HTTP/1.1\r\nContent-Length: 5\r\nA:b\r\n\r\nhello"
     head = Head()
     assert not head.begun
-    told = [head.feed(data[at:at + piece]) for at in range(0, len(data), piece)]
+    told = [head.feed(data[at : at + piece]) for at in range(0, len(data), piece)]
     assert head.begun and told[-1] == Call("POST", "/-/drain?x") and not any(told[:-1])
 
 
@@ -193,9 +195,14 @@
     assert error.value.status == 431
 
 
-@pytest.mark.parametrize("head", [b"GET /-/ready HTTP/1.1\r\nContent-Length: x\r\n\r\n",
-                                  b"BREW /-/ready HTCPCP/1.0\r\n\r\n",
-                                  b"GET /-/ready HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"])
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"GET /-/ready HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+        b"BREW /-/ready HTCPCP/1.0\r\n\r\n",
+        b"GET /-/ready HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+    ],
+)
 def test_a_call_that_can_not_be_read_is_told_so(head: bytes) -> None:
     with door() as (opened, _, _), socket.create_connection(opened.address, WAIT_S) as sock:
         sock.sendall(head)
@@ -231,8 +238,10 @@
         pools[0].next("bind")
         assert _ready(old_door)
         balancer = Balancer(("127.0.0.1", port))  # before the new one listens: the old one's
-        with program(tmp_path, _at(pools[1]), NOWHERE, control=_at(new_door),
-                     listen=f"127.0.0.1:{port}") as (new, same):
+        with program(tmp_path, _at(pools[1]), NOWHERE, control=_at(new_door), listen=f"127.0.0.1:{port}") as (
+            new,
+            same,
+        ):
             assert same == port
             pools[1].next("bind")
             assert _ready(new_door)
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -24,9 +24,12 @@
 
 # What a mutant needs to be found: members, steps, and where from.
 FOUND = {
-    "no-refutation": (3, 2, "suspected"), "refutes-as-before": (3, 2, "suspected"),
-    "no-second-look": (4, 1, "cut"), "any-claim-counts": (3, 2, "joined"),
-    "others-raise-incarnations": (3, 3, "joined"), "rumours-for-ever": (3, 2, "joined"),
+    "no-refutation": (3, 2, "suspected"),
+    "refutes-as-before": (3, 2, "suspected"),
+    "no-second-look": (4, 1, "cut"),
+    "any-claim-counts": (3, 2, "joined"),
+    "others-raise-incarnations": (3, 3, "joined"),
+    "rumours-for-ever": (3, 2, "joined"),
     "no-last-probes": (3, 2, "joined"),
 }
 
@@ -57,8 +60,11 @@
 
 def test_a_datagram_that_comes_to_no_count_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
     take = Channel._take
-    monkeypatch.setattr(Channel, "_take", lambda self, data, source, most: (
-        take(self, data, source, most) if len(data) <= most else None))
+    monkeypatch.setattr(
+        Channel,
+        "_take",
+        lambda self, data, source, most: take(self, data, source, most) if len(data) <= most else None,
+    )
     report = fuzz(900, 3)
     assert report.uncounted == 100 and not report.good
 
@@ -68,7 +74,10 @@
     world = World(3)
     begin = world.restarted()
     whole = _walk(world, begin, [], 1, 10_000)
-    assert len(list(world.steps(begin))) == whole[1] == explore(
-        3, 1, beginnings=["restarted"], workers=1).ends["restarted"]
+    assert (
+        len(list(world.steps(begin)))
+        == whole[1]
+        == explore(3, 1, beginnings=["restarted"], workers=1).ends["restarted"]
+    )
     firsts = {tuple(path) for _, path in _shares(world, begin, 3)}
     assert len(firsts) > 24
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -10,7 +10,14 @@
 from hypothesis import strategies as st
 
 from cairnvane.fleet import (
-    Breakers, Health, Outliers, RetryBudget, Weighted, localities, priorities, slow_start,
+    Breakers,
+    Health,
+    Outliers,
+    RetryBudget,
+    Weighted,
+    localities,
+    priorities,
+    slow_start,
 )
 from cairnvane.fleet.bounds import may_go_elsewhere
 from cairnvane.fleet.maglev import TABLE_SIZE, Maglev
@@ -21,24 +28,44 @@
     return [Health(percent, 100) for percent in percents]
 
 
-@pytest.mark.parametrize(("healthy", "loads"), [
-    # Envoy, 'Priority levels': two priorities, the second wholly healthy.
-    ((100, 100), [100, 0]), ((72, 100), [100, 0]), ((71, 100), [99, 1]), ((50, 100), [70, 30]),
-    ((25, 100), [35, 65]), ((0, 100), [0, 100]),
-    # And with a second one that is not: below 100 in all, health is normalized.
-    ((72, 72), [100, 0]), ((71, 71), [99, 1]), ((50, 50), [70, 30]), ((25, 25), [50, 50]),
-    # Three levels.
-    ((100, 100, 100), [100, 0, 0]), ((72, 72, 100), [100, 0, 0]), ((71, 71, 100), [99, 1, 0]),
-    ((50, 50, 100), [70, 30, 0]), ((25, 100, 100), [35, 65, 0]), ((25, 25, 100), [35, 35, 30]),
-])
+@pytest.mark.parametrize(
+    ("healthy", "loads"),
+    [
+        # Envoy, 'Priority levels': two priorities, the second wholly healthy.
+        ((100, 100), [100, 0]),
+        ((72, 100), [100, 0]),
+        ((71, 100), [99, 1]),
+        ((50, 100), [70, 30]),
+        ((25, 100), [35, 65]),
+        ((0, 100), [0, 100]),
+        # And with a second one that is not: below 100 in all, health is normalized.
+        ((72, 72), [100, 0]),
+        ((71, 71), [99, 1]),
+        ((50, 50), [70, 30]),
+        ((25, 25), [50, 50]),
+        # Three levels.
+        ((100, 100, 100), [100, 0, 0]),
+        ((72, 72, 100), [100, 0, 0]),
+        ((71, 71, 100), [99, 1, 0]),
+        ((50, 50, 100), [70, 30, 0]),
+        ((25, 100, 100), [35, 65, 0]),
+        ((25, 25, 100), [35, 35, 30]),
+    ],
+)
 def test_priorities_share_as_published(healthy: tuple[int, ...], loads: list[int]) -> None:
     assert [level.load for level in priorities(levels(*healthy))] == loads
 
 
-@pytest.mark.parametrize(("healthy", "panics"), [
-    ((72, 72), [False, False]), ((25, 100), [False, False]),  # together they have health enough
-    ((25, 25), [True, True]), ((5, 65), [True, False]), ((0, 0), [True, True]),
-])
+@pytest.mark.parametrize(
+    ("healthy", "panics"),
+    [
+        ((72, 72), [False, False]),
+        ((25, 100), [False, False]),  # together they have health enough
+        ((25, 25), [True, True]),
+        ((5, 65), [True, False]),
+        ((0, 0), [True, True]),
+    ],
+)
 def test_panic_only_where_all_together_lack_health(healthy: tuple[int, ...], panics: list[bool]) -> None:
     assert [level.panic for level in priorities(levels(*healthy))] == panics
 
@@ -58,18 +85,32 @@
     assert all(one.total or not level.load for one, level in zip(found, shares, strict=True))
 
 
-@pytest.mark.parametrize(("healthy", "shares"), [
-    # Envoy, 'Locality weighted load balancing': localities of weight 1 and 2.
-    ((100, 100), (33, 67)), ((100, 70), (34, 66)), ((100, 50), (42, 58)), ((100, 25), (59, 41)),
-    ((100, 0), (100, 0)), ((25, 100), (15, 85)), ((0, 100), (0, 100)),
-])
+@pytest.mark.parametrize(
+    ("healthy", "shares"),
+    [
+        # Envoy, 'Locality weighted load balancing': localities of weight 1 and 2.
+        ((100, 100), (33, 67)),
+        ((100, 70), (34, 66)),
+        ((100, 50), (42, 58)),
+        ((100, 25), (59, 41)),
+        ((100, 0), (100, 0)),
+        ((25, 100), (15, 85)),
+        ((0, 100), (0, 100)),
+    ],
+)
 def test_localities_share_by_weight_and_health(healthy: tuple[int, int], shares: tuple[int, int]) -> None:
     got = localities([Health(healthy[0], 100, weight=1), Health(healthy[1], 100, weight=2)])
     assert tuple(round(100 * share) for share in got) == shares
 
 
-STEPS = st.lists(st.tuples(st.sampled_from(["put", "remove", "begin", "end"]), st.integers(0, 9),
-                           st.sampled_from([0, 1, 3, 1_000, (1 << 32) - 1])), max_size=60)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["put", "remove", "begin", "end"]),
+        st.integers(0, 9),
+        st.sampled_from([0, 1, 3, 1_000, (1 << 32) - 1]),
+    ),
+    max_size=60,
+)
 
 
 @settings(derandomize=True, max_examples=200, deadline=None)
@@ -134,11 +175,18 @@
     assert Breakers(requests=8).credit(2.5) == 2.5 and Breakers(requests=8).credit(None) == 8.0
 
 
-@pytest.mark.parametrize(("outcome", "keyed", "may"), [
-    (Outcome.REJECTED, True, True), (Outcome.UNREACHED, True, True), (Outcome.TIMEOUT, True, False),
-    (Outcome.BROKEN, True, False), (Outcome.ERROR, True, False), (Outcome.TIMEOUT, False, True),
-    (Outcome.OK, False, False),
-])
+@pytest.mark.parametrize(
+    ("outcome", "keyed", "may"),
+    [
+        (Outcome.REJECTED, True, True),
+        (Outcome.UNREACHED, True, True),
+        (Outcome.TIMEOUT, True, False),
+        (Outcome.BROKEN, True, False),
+        (Outcome.ERROR, True, False),
+        (Outcome.TIMEOUT, False, True),
+        (Outcome.OK, False, False),
+    ],
+)
 def test_a_keyed_call_goes_elsewhere_only_if_it_never_ran(outcome: Outcome, keyed: bool, may: bool) -> None:
     assert may_go_elsewhere(outcome, keyed) is may
 
@@ -157,9 +205,17 @@
     assert not out.ejected("b")
 
 
-@pytest.mark.parametrize(("joined", "aggression", "weight"), [
-    (0, 1.0, 10), (25, 1.0, 25), (25, 2.0, 50), (99, 1.0, 99), (100, 1.0, 100), (5, 0.5, 10),
-])
+@pytest.mark.parametrize(
+    ("joined", "aggression", "weight"),
+    [
+        (0, 1.0, 10),
+        (25, 1.0, 25),
+        (25, 2.0, 50),
+        (99, 1.0, 99),
+        (100, 1.0, 100),
+        (5, 0.5, 10),
+    ],
+)
 def test_slow_start_takes_a_joining_endpoint_up(joined: int, aggression: float, weight: int) -> None:
     assert slow_start(100, joined, 100, aggression) == weight
     assert slow_start(0, joined, 100, aggression) == 0 and slow_start(1, joined, 100, aggression) == 1
--- a/tests/test_fleet_lab.py
+++ b/tests/test_fleet_lab.py
@@ -39,27 +39,37 @@
 
 # --- scenarios
 
-@pytest.mark.parametrize(("text", "told"), [
-    ("name: a\nservers: 99\n", "line 2: servers: 99 is not between 1 and 24"),
-    ("name: a\nservers: two\n", "line 2: servers: Expected `int`, got `str`"),
-    ("name: a\nsecond: 9\n", "unknown field `second`"),
-    (HEAD + "load:\n  rate: 0\n", "line 5: load.rate: 0 is not between 0.1 and 400"),
-    (FAULT + "{do: kill, who: n3, at: 1}\n", "line 5: faults[0].who: 'n3' is none of n0, n1, n2"),
-    (FAULT + "{do: kill, who: n1, at: 1}\n  - do: kil\n    at: 1\n", "line 6: faults[1].do: 'kil' is"),
-    (FAULT + "{do: stop, who: n1, at: 1}\n", "'stop' needs to say for how many seconds"),
-    (FAULT + "{do: kill, who: n1, at: 1, for: 2}\n", "'kill' happens at once"),
-    (FAULT + "{do: cut, at: 8, for: 4, link: [n0, vault]}\n", "for: 4 is not between 0 and 2"),
-    (FAULT + "{do: cut, at: 1, for: 1, link: [pool, vault]}\n", "one end at the least is"),
-    (FAULT + "{do: reorder, at: 1, for: 1, link: [n0, pool]}\n", "exists between servers alone"),
-    (FAULT + "{do: cut, at: 1, for: 1, link: [n0, n1]}\n", "only with `members: true`"),
-    (HEAD + "expect: {called_dead: 0}\n", "line 4: expect.called_dead: needs `members: true`"),
-    (MEMBERS + "expect: {held_up: [n7]}\n", "line 5: expect.held_up[0]: 'n7' is none of n0, n1, n2"),
-    (MEMBERS + "expect: {sights: {n0: alone}}\n", "expect.sights.n0: 'alone' is none of together,"),
-    (MEMBERS + "faults:\n  - {do: cut, at: 1, for: 1, way: there, link: [n0, servers]}\n", "says nothing"),
-    (MEMBERS + "faults:\n  - {do: cut, at: 1, for: 1, link: [n0, [n1, n9]]}\n", "faults[0].link[1][1]: 'n9'"),
-    (FAULT + "{do: slow, who: vault, at: [1]}\n", "line 5: faults[0].at: Expected `float`"),
-    ("name: [\n", "line 2, column 1"),
-])
+
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        ("name: a\nservers: 99\n", "line 2: servers: 99 is not between 1 and 24"),
+        ("name: a\nservers: two\n", "line 2: servers: Expected `int`, got `str`"),
+        ("name: a\nsecond: 9\n", "unknown field `second`"),
+        (HEAD + "load:\n  rate: 0\n", "line 5: load.rate: 0 is not between 0.1 and 400"),
+        (FAULT + "{do: kill, who: n3, at: 1}\n", "line 5: faults[0].who: 'n3' is none of n0, n1, n2"),
+        (FAULT + "{do: kill, who: n1, at: 1}\n  - do: kil\n    at: 1\n", "line 6: faults[1].do: 'kil' is"),
+        (FAULT + "{do: stop, who: n1, at: 1}\n", "'stop' needs to say for how many seconds"),
+        (FAULT + "{do: kill, who: n1, at: 1, for: 2}\n", "'kill' happens at once"),
+        (FAULT + "{do: cut, at: 8, for: 4, link: [n0, vault]}\n", "for: 4 is not between 0 and 2"),
+        (FAULT + "{do: cut, at: 1, for: 1, link: [pool, vault]}\n", "one end at the least is"),
+        (FAULT + "{do: reorder, at: 1, for: 1, link: [n0, pool]}\n", "exists between servers alone"),
+        (FAULT + "{do: cut, at: 1, for: 1, link: [n0, n1]}\n", "only with `members: true`"),
+        (HEAD + "expect: {called_dead: 0}\n", "line 4: expect.called_dead: needs `members: true`"),
+        (MEMBERS + "expect: {held_up: [n7]}\n", "line 5: expect.held_up[0]: 'n7' is none of n0, n1, n2"),
+        (MEMBERS + "expect: {sights: {n0: alone}}\n", "expect.sights.n0: 'alone' is none of together,"),
+        (
+            MEMBERS + "faults:\n  - {do: cut, at: 1, for: 1, way: there, link: [n0, servers]}\n",
+            "says nothing",
+        ),
+        (
+            MEMBERS + "faults:\n  - {do: cut, at: 1, for: 1, link: [n0, [n1, n9]]}\n",
+            "faults[0].link[1][1]: 'n9'",
+        ),
+        (FAULT + "{do: slow, who: vault, at: [1]}\n", "line 5: faults[0].at: Expected `float`"),
+        ("name: [\n", "line 2, column 1"),
+    ],
+)
 def test_a_faulty_scenario_is_named_by_line_and_value(text: str, told: str) -> None:
     with pytest.raises(ConfigError) as error:
         scenario.parse(text, "file.yaml")
@@ -76,10 +86,13 @@
 
 
 def test_a_fault_between_groups_is_put_on_each_link_between_them_once() -> None:
-    told = scenario.parse(MEMBERS + "faults:\n"
-                          "  - {do: cut, at: 1, for: 1, link: [n0, [n1, n2]], way: there}\n"
-                          "  - {do: drop, at: 1, for: 1, link: [servers, servers]}\n"
-                          "  - {do: cut, at: 1, for: 1, link: [vault, servers]}\n", "a")
+    told = scenario.parse(
+        MEMBERS + "faults:\n"
+        "  - {do: cut, at: 1, for: 1, link: [n0, [n1, n2]], way: there}\n"
+        "  - {do: drop, at: 1, for: 1, link: [servers, servers]}\n"
+        "  - {do: cut, at: 1, for: 1, link: [vault, servers]}\n",
+        "a",
+    )
     links = [told.links(fault) for fault in told.faults]
     assert links[0] == (("n0", "n1"), ("n0", "n2"))
     assert links[1] == (("n0", "n1"), ("n0", "n2"), ("n1", "n2"))
@@ -88,6 +101,7 @@
 
 # --- what a link does
 
+
 def test_streams_keep_their_order_and_lose_nothing() -> None:
     way = Direction(random.Random(1))
     way.faults = {1: Fault("delay", delay_s=0.1, spread_s=0.1), 2: Fault("drop", share=0.3)}
@@ -102,8 +116,11 @@
 
 def test_datagrams_are_lost_doubled_and_held_back_by_their_shares() -> None:
     way = Direction(random.Random(1))
-    way.faults = {1: Fault("drop", share=0.3), 2: Fault("duplicate", share=0.2),
-                  3: Fault("reorder", share=0.5)}
+    way.faults = {
+        1: Fault("drop", share=0.3),
+        2: Fault("duplicate", share=0.2),
+        3: Fault("reorder", share=0.5),
+    }
     copies = [way.datagram(100, 0.0) for _ in range(2_000)]
     counts = Counter(len(one) for one in copies)
     assert 0.25 < counts[0] / 2_000 < 0.35 and 0.15 < counts[2] / (2_000 - counts[0]) < 0.25
@@ -200,8 +217,9 @@
 
 # --- the judge
 
-TOLD = scenario.parse(HEAD + "expect: {served: 0.9, back_within: 1, tries: 1.5}\n"
-                      "faults:\n  - {do: kill, who: n0, at: 4}\n", "a")
+TOLD = scenario.parse(
+    HEAD + "expect: {served: 0.9, back_within: 1, tries: 1.5}\nfaults:\n  - {do: kill, who: n0, at: 4}\n", "a"
+)
 
 
 def asked(number: int, *tries: Try, token: str | None = None, at: float = 1.0) -> Asked:
@@ -215,28 +233,40 @@
 
 
 def facts(
-    runs: int, *results: bytes, uids: tuple[str, ...] = (), lives: dict[int, int] | None = None,
+    runs: int,
+    *results: bytes,
+    uids: tuple[str, ...] = (),
+    lives: dict[int, int] | None = None,
 ) -> Facts:
     return Facts(runs, list(results), set(uids), Counter(lives if lives is not None else {1: runs}))
 
 
 def test_the_judge_passes_what_is_right() -> None:
     known = {b"1": facts(1, b"r", uids=("a",))}
-    some = [asked(1, made("b", 429, 1), made("a", 200, result=b"r"), token="t"), asked(2, at=5.0),
-            asked(3, made("c", 0, 0), at=1.0)]
+    some = [
+        asked(1, made("b", 429, 1), made("a", 200, result=b"r"), token="t"),
+        asked(2, at=5.0),
+        asked(3, made("c", 0, 0), at=1.0),
+    ]
     verdict = judge(TOLD, 1, some, [known], [Span(0, 1.4, 1.4)], 4.0)
     assert verdict.wrong == 0 and verdict.broken == 1
 
 
-@pytest.mark.parametrize(("one", "known", "counts"), [
-    (asked(1, made("a", None)), {}, "lost"),
-    (asked(1, made("a", 0)), {}, "lost"),
-    (asked(1, made("a", 200, result=b"r"), token="t"), {b"1": facts(2, b"r", b"q")}, "twice"),
-    (asked(1, made("a", 503)), {b"1": facts(1, uids=("a",))}, "refused_after_run"),
-    (asked(1, made("a", 200, result=b"r"), made("b", 200, result=b"q"), token="t"),
-     {b"1": facts(1, b"r", b"q")}, "differing"),
-    (asked(1, made("a", 200, result=b"x")), {b"1": facts(1, b"r")}, "invented"),
-])
+@pytest.mark.parametrize(
+    ("one", "known", "counts"),
+    [
+        (asked(1, made("a", None)), {}, "lost"),
+        (asked(1, made("a", 0)), {}, "lost"),
+        (asked(1, made("a", 200, result=b"r"), token="t"), {b"1": facts(2, b"r", b"q")}, "twice"),
+        (asked(1, made("a", 503)), {b"1": facts(1, uids=("a",))}, "refused_after_run"),
+        (
+            asked(1, made("a", 200, result=b"r"), made("b", 200, result=b"q"), token="t"),
+            {b"1": facts(1, b"r", b"q")},
+            "differing",
+        ),
+        (asked(1, made("a", 200, result=b"x")), {b"1": facts(1, b"r")}, "invented"),
+    ],
+)
 def test_the_judge_fails_each_broken_rule(one: Asked, known: dict[bytes, Facts], counts: str) -> None:
     verdict = judge(TOLD, 1, [one], [known], [], 4.0)
     assert verdict.wrong == getattr(verdict, counts) == 1 and not verdict.good
@@ -266,9 +296,12 @@
 
 def test_tries_after_a_refusal_and_worth_before_and_after_a_fault_are_counted() -> None:
     told = scenario.parse(HEAD + "faults:\n  - {do: slow, who: vault, at: 2, for: 3, times: 4}\n", "a")
-    some = [asked(1, made("a", 200), at=1.0),
-            asked(2, made("b", 429), made("c", 503), made("d", 429), at=3.0),
-            asked(3, made("e", 0, nobody=True), made("f", 200), at=6.0), asked(4, made("g", 429), at=6.0)]
+    some = [
+        asked(1, made("a", 200), at=1.0),
+        asked(2, made("b", 429), made("c", 503), made("d", 429), at=3.0),
+        asked(3, made("e", 0, nobody=True), made("f", 200), at=6.0),
+        asked(4, made("g", 429), at=6.0),
+    ]
     verdict = judge(told, 1, some, [{}], [], 2.0)
     assert (verdict.worth_before, verdict.worth_during, verdict.worth_after) == (1.0, 0.0, 0.5)
     assert verdict.again == 2 / 7
@@ -302,6 +335,7 @@
 
 # --- the rig
 
+
 def fleet(tmp_path: Path, *words: str) -> tuple[int, dict[str, Any], str]:
     report = tmp_path / "verdict.json"
     done = CliRunner().invoke(main, ["lab", "fleet", *words, "--json", str(report)])
@@ -317,8 +351,9 @@
     assert not any(wrong.values()) and verdict["trouble"] == [], output
     assert verdict["requests"] > 250 and verdict["tries"] >= verdict["requests"]
     told = [json.loads(line) for line in events.read_text().splitlines()]
-    assert [(one["event"], one.get("life")) for one in told if one.get("who") == "n1"
-            and one["event"] != "fault"] == [("started", 1), ("ended", 1), ("started", 2), ("ended", 2)]
+    assert [
+        (one["event"], one.get("life")) for one in told if one.get("who") == "n1" and one["event"] != "fault"
+    ] == [("started", 1), ("ended", 1), ("started", 2), ("ended", 2)]
     assert [one["do"] for one in told if one["event"] == "fault"] == ["kill", "start"]
 
 
@@ -344,12 +379,15 @@
 
 
 def test_verdicts_of_a_servers_own_on_the_unhurt_are_counted() -> None:
-    lines = ["members: member.failed name=n1 life=1 incarnation=0 by=2 accusers=3 probed=3",
-             "members: member.failed name=n1 life=1 incarnation=0 by=2",
-             "members: member.failed name=n2 life=1 incarnation=0 by=2 accusers=1 probed=3"]
+    lines = [
+        "members: member.failed name=n1 life=1 incarnation=0 by=2 accusers=3 probed=3",
+        "members: member.failed name=n1 life=1 incarnation=0 by=2",
+        "members: member.failed name=n2 life=1 incarnation=0 by=2 accusers=1 probed=3",
+    ]
     said = read("n0", lines, [11.0, 11.5, 12.0], 10.0)
     told = scenario.parse(
-        "name: a\nservers: 3\nmembers: true\nexpect: {called_dead: 0, found_within: 1.5}\n", "a")
+        "name: a\nservers: 3\nmembers: true\nexpect: {called_dead: 0, found_within: 1.5}\n", "a"
+    )
     kill = Kill(0.2, "n2", frozenset({"n0"}))
     views, short = judge_views(told, said, [kill], {"n2"}, Traffic(3), None)
     assert (views.called_dead, views.found_s, views.not_found) == (1, [1.8], 0)
@@ -386,13 +424,15 @@
 
 
 def test_a_server_ends_with_the_rig_that_started_it(tmp_path: Path) -> None:
-    code = ("import sys, time; from pathlib import Path; from cairnvane.lab import program\n"
-            "from cairnvane.lab.fleet.nodes import settings\n"
-            "from cairnvane.lab.fleet.scenario import Scenario\n"
-            "site = program.Site(Path(sys.argv[1]), '127.0.0.1:1', '127.0.0.1:1', '127.0.0.1:1', "
-            "settings(Scenario('a')))\n"
-            "life = program.start(site); assert life.listens(); print(life.process.pid, flush=True)\n"
-            "time.sleep(60)")
+    code = (
+        "import sys, time; from pathlib import Path; from cairnvane.lab import program\n"
+        "from cairnvane.lab.fleet.nodes import settings\n"
+        "from cairnvane.lab.fleet.scenario import Scenario\n"
+        "site = program.Site(Path(sys.argv[1]), '127.0.0.1:1', '127.0.0.1:1', '127.0.0.1:1', "
+        "settings(Scenario('a')))\n"
+        "life = program.start(site); assert life.listens(); print(life.process.pid, flush=True)\n"
+        "time.sleep(60)"
+    )
     rig = subprocess.Popen([sys.executable, "-c", code, str(tmp_path)], stdout=subprocess.PIPE, text=True)
     assert rig.stdout is not None
     pid = int(rig.stdout.readline())
--- a/tests/test_keyed_beside.py
+++ b/tests/test_keyed_beside.py
@@ -199,9 +199,11 @@
     ledger = site.folder / f"{LEDGER}0badb007"
     ledger.mkdir(parents=True)
     at, until = 9_000_000_000_000, 9_000_060_000_000  # of a clock that ran for months
-    records = [Record(Step.INTENT, 5, token, at, until, same),
-               Record(Step.INTENT, 5, open_token, at, until, same),
-               Record(Step.RESULT, 5, token, at + 1, until, same + b"before the cut")]
+    records = [
+        Record(Step.INTENT, 5, token, at, until, same),
+        Record(Step.INTENT, 5, open_token, at, until, same),
+        Record(Step.RESULT, 5, token, at + 1, until, same + b"before the cut"),
+    ]
     (ledger / "0000000001.ledger").write_bytes(b"".join(put(*one) for one in records) + bytes(4_096))
     with site.life() as (_, pool):
         balancer = site.balancer()
--- a/tests/test_keyed_kills.py
+++ b/tests/test_keyed_kills.py
@@ -97,7 +97,9 @@
 
 @pytest.mark.parametrize("where", ["ledger", "log"])
 def test_killed_at_any_step_of_log_or_ledger_nothing_runs_again(
-    tmp_path: Path, where: str, monkeypatch: pytest.MonkeyPatch,
+    tmp_path: Path,
+    where: str,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(threading, "excepthook", lambda args: None)  # a writer that is killed says nothing
     for kill_at in range(200):
@@ -130,5 +132,3 @@
             assert kill_at > 8
             return
     raise AssertionError("never finished")
-
-
--- a/tests/test_keyed_log.py
+++ b/tests/test_keyed_log.py
@@ -157,6 +157,7 @@
 
 def test_the_power_cut_judge_sees_a_log_without_intents() -> None:
     """The check can fail: with no record of what begins, a run is forgotten."""
+
     def script(driver: Driver) -> None:
         driver.record_intents = False
         commits(driver, 1, 5)
@@ -284,10 +285,16 @@
     assert after.index.get(token(39)) is not None
 
 
-@pytest.mark.parametrize(("data", "word"), [
-    (b"", "empty"), (b"\0" * 500, "empty"), (b"#!/bin/sh\n" * 90, "not a segment"),
-    (record.MAGIC + b"\x01\0", "cut short"), (random.Random(1).randbytes(400_000), "not a segment"),
-])
+@pytest.mark.parametrize(
+    ("data", "word"),
+    [
+        (b"", "empty"),
+        (b"\0" * 500, "empty"),
+        (b"#!/bin/sh\n" * 90, "not a segment"),
+        (record.MAGIC + b"\x01\0", "cut short"),
+        (random.Random(1).randbytes(400_000), "not a segment"),
+    ],
+)
 def test_an_empty_a_foreign_and_a_huge_file_are_named_and_left_alone(data: bytes, word: str) -> None:
     disk = Disk({segment_name(7): data, "notes.txt": b"mine"})
     driver = Driver(disk)
@@ -297,9 +304,13 @@
     assert segment_name(8) in disk.names()
 
 
-@pytest.mark.parametrize(("change", "word"), [
-    ({"version": record.VERSION + 1}, "newer version"), ({"name": "n2"}, "belongs to the instance 'n2'"),
-])
+@pytest.mark.parametrize(
+    ("change", "word"),
+    [
+        ({"version": record.VERSION + 1}, "newer version"),
+        ({"name": "n2"}, "belongs to the instance 'n2'"),
+    ],
+)
 def test_a_newer_format_and_another_instance_are_refused(change: dict[str, Any], word: str) -> None:
     header = record.put_header(record.Header(1, BOOTS[0], 0, 0, change.get("name", "n1")))
     if "version" in change:
@@ -322,8 +333,10 @@
     """A monotonic clock begins anew with each boot; the Unix clock, which may be set, is not asked at all."""
     driver, name, data = segment()
     for boot, now, there in [
-        (BOOTS[0], driver.now + WINDOW - S, True), (BOOTS[0], driver.now + WINDOW + UNREAD + S, False),
-        (BOOTS[1], 1, True), (BOOTS[1], driver.now * 50, True),
+        (BOOTS[0], driver.now + WINDOW - S, True),
+        (BOOTS[0], driver.now + WINDOW + UNREAD + S, False),
+        (BOOTS[1], 1, True),
+        (BOOTS[1], driver.now * 50, True),
     ]:
         after = Driver(Disk({name: data}), boot, now)
         assert (after.index.get(token(1)) is not None) is there
@@ -362,16 +375,25 @@
         judge(driver, image, BOOTS[1])
 
 
-
-@pytest.mark.parametrize(("before", "step", "after"), [
-    (State.UNKNOWN, Step.INTENT, State.INTENDED), (State.INTENDED, Step.CALL, State.CALLING),
-    (State.INTENDED, Step.RESULT, State.FINISHED), (State.CALLING, Step.RESULT, State.FINISHED),
-    (State.CALLING, Step.FAULT, State.FAILED), (State.INTENDED, Step.NEVER, State.VOID),
-    (State.VOID, Step.INTENT, State.INTENDED), (State.AGED, Step.INTENT, State.INTENDED),
-    (State.FINISHED, Step.INTENT, None), (State.FINISHED, Step.RESULT, None),
-    (State.FAILED, Step.RESULT, None),
-    (State.CALLING, Step.NEVER, None), (State.FINISHED, Step.NEVER, None), (State.UNKNOWN, Step.CALL, None),
-])
+@pytest.mark.parametrize(
+    ("before", "step", "after"),
+    [
+        (State.UNKNOWN, Step.INTENT, State.INTENDED),
+        (State.INTENDED, Step.CALL, State.CALLING),
+        (State.INTENDED, Step.RESULT, State.FINISHED),
+        (State.CALLING, Step.RESULT, State.FINISHED),
+        (State.CALLING, Step.FAULT, State.FAILED),
+        (State.INTENDED, Step.NEVER, State.VOID),
+        (State.VOID, Step.INTENT, State.INTENDED),
+        (State.AGED, Step.INTENT, State.INTENDED),
+        (State.FINISHED, Step.INTENT, None),
+        (State.FINISHED, Step.RESULT, None),
+        (State.FAILED, Step.RESULT, None),
+        (State.CALLING, Step.NEVER, None),
+        (State.FINISHED, Step.NEVER, None),
+        (State.UNKNOWN, Step.CALL, None),
+    ],
+)
 def test_each_step_leads_where_it_should(before: State, step: Step, after: State | None) -> None:
     if after is None:
         with pytest.raises(IllegalStep):
@@ -380,39 +402,73 @@
         assert state.advance(before, step) is after
 
 
-@pytest.mark.parametrize(("stands", "lives", "gets"), [
-    (State.UNKNOWN, True, state.Repeat.RUN), (State.VOID, False, state.Repeat.RUN),
-    (State.AGED, True, state.Repeat.RUN), (State.INTENDED, True, state.Repeat.WAIT),
-    (State.CALLING, True, state.Repeat.WAIT), (State.INTENDED, False, state.Repeat.FAIL),
-    (State.CALLING, False, state.Repeat.FAIL), (State.FINISHED, False, state.Repeat.RESULT),
-    (State.FAILED, True, state.Repeat.FAIL),
-])
+@pytest.mark.parametrize(
+    ("stands", "lives", "gets"),
+    [
+        (State.UNKNOWN, True, state.Repeat.RUN),
+        (State.VOID, False, state.Repeat.RUN),
+        (State.AGED, True, state.Repeat.RUN),
+        (State.INTENDED, True, state.Repeat.WAIT),
+        (State.CALLING, True, state.Repeat.WAIT),
+        (State.INTENDED, False, state.Repeat.FAIL),
+        (State.CALLING, False, state.Repeat.FAIL),
+        (State.FINISHED, False, state.Repeat.RESULT),
+        (State.FAILED, True, state.Repeat.FAIL),
+    ],
+)
 def test_what_a_repeat_gets(stands: State, lives: bool, gets: state.Repeat) -> None:
     assert state.repeat(stands, lives) is gets
 
 
-@pytest.mark.parametrize(("stands", "recorded", "asked", "may"), [
-    (State.INTENDED, 0, 4, True), (State.CALLING, 4, 4, False), (State.CALLING, 4, 9, True),
-])
+@pytest.mark.parametrize(
+    ("stands", "recorded", "asked", "may"),
+    [
+        (State.INTENDED, 0, 4, True),
+        (State.CALLING, 4, 4, False),
+        (State.CALLING, 4, 9, True),
+    ],
+)
 def test_a_call_that_may_have_been_made_is_not_made_again(
-    stands: State, recorded: int, asked: int, may: bool,
+    stands: State,
+    recorded: int,
+    asked: int,
+    may: bool,
 ) -> None:
     assert state.call_may_be_made(stands, recorded, asked) is may
 
 
 LOAD = plan.Load(
-    ready=True, failing=False, writing_for=0, entries=5, most_entries=10, first_end=3 * S, open_keys=2,
-    disk=0, most_disk=1 << 20, first_drop=2 * S, queued=0, most_queued=1_000)
-
-
-@pytest.mark.parametrize(("changes", "wait"), [
-    ({}, 0), ({"ready": False}, plan.AWAY_US), ({"failing": True}, plan.AWAY_US),
-    ({"writing_for": plan.SLOW_US + 1}, plan.AWAY_US), ({"queued": 1_001}, plan.BUSY_AWAY_US),
-    ({"open_keys": 5}, 3 * S), ({"open_keys": 5, "first_end": None}, plan.BUSY_AWAY_US),
-    ({"disk": 1 << 20}, 2 * S), ({"disk": (1 << 20) - 3 * plan.KEY_BYTES}, 0),
-    ({"disk": (1 << 20) - 3 * plan.KEY_BYTES + 1}, 2 * S),
-    ({"disk": 1 << 20, "first_drop": None}, plan.AWAY_US),
-])
+    ready=True,
+    failing=False,
+    writing_for=0,
+    entries=5,
+    most_entries=10,
+    first_end=3 * S,
+    open_keys=2,
+    disk=0,
+    most_disk=1 << 20,
+    first_drop=2 * S,
+    queued=0,
+    most_queued=1_000,
+)
+
+
+@pytest.mark.parametrize(
+    ("changes", "wait"),
+    [
+        ({}, 0),
+        ({"ready": False}, plan.AWAY_US),
+        ({"failing": True}, plan.AWAY_US),
+        ({"writing_for": plan.SLOW_US + 1}, plan.AWAY_US),
+        ({"queued": 1_001}, plan.BUSY_AWAY_US),
+        ({"open_keys": 5}, 3 * S),
+        ({"open_keys": 5, "first_end": None}, plan.BUSY_AWAY_US),
+        ({"disk": 1 << 20}, 2 * S),
+        ({"disk": (1 << 20) - 3 * plan.KEY_BYTES}, 0),
+        ({"disk": (1 << 20) - 3 * plan.KEY_BYTES + 1}, 2 * S),
+        ({"disk": 1 << 20, "first_drop": None}, plan.AWAY_US),
+    ],
+)
 def test_when_one_more_key_has_room(changes: dict[str, Any], wait: int) -> None:
     values = {name: getattr(LOAD, name) for name in LOAD.__slots__}
     assert plan.wait_us(plan.Load(**(values | changes))) == wait
--- a/tests/test_keyed_server.py
+++ b/tests/test_keyed_server.py
@@ -57,8 +57,15 @@
         (self.go_on.clear if hold else self.go_on.set)()
         self.killed.clear()
         store = Store(
-            self.disk, "n1", self.boot, power=self.power, disk_bytes=self.disk_bytes,
-            memory_bytes=1 << 20, unread=9_000_000, points=self._point)
+            self.disk,
+            "n1",
+            self.boot,
+            power=self.power,
+            disk_bytes=self.disk_bytes,
+            memory_bytes=1 << 20,
+            unread=9_000_000,
+            points=self._point,
+        )
         if self.entries is not None:
             store._index = Index(self.entries * BYTES_PER_ENTRY)
         with world(*replies, keeper=store, peer=self.pool, pos=pos, **extra) as one:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -46,8 +46,10 @@
     words = ["--rounds", "5", "--commits", "400", "--kill", "--forge", "--seed", "11"]
     _, report = lab(tmp_path, "upgrade", *words, "--durability", durability)
     verdict = report["verdict"]
-    wrong = {name: verdict[name] for name in (
-        "second_runs", "second_calls", "differing", "invented", "unanswered", "lost")}
+    wrong = {
+        name: verdict[name]
+        for name in ("second_runs", "second_calls", "differing", "invented", "unanswered", "lost")
+    }
     assert not any(wrong.values()), wrong
     assert (report["forged_served"], report["trouble"]) == (0, [])
     assert report["forged"] > 20 and verdict["runs"] > 300 and sum(report["rounds"].values()) == 5
@@ -55,7 +57,9 @@
 
 @pytest.mark.parametrize("mutant, counts", [("no-claims", "second_runs"), ("no-digests", "forged_served")])
 def test_the_judge_sees_an_upgrade_without_claims_or_digests(
-    tmp_path: Path, mutant: str, counts: str,
+    tmp_path: Path,
+    mutant: str,
+    counts: str,
 ) -> None:
     words = ["--rounds", "3", "--commits", "300", "--forge", "--seed", "3", "--mutant", mutant]
     status, report = lab(tmp_path, "upgrade", *words)
@@ -64,7 +68,9 @@
 
 @pytest.mark.parametrize(("closes", "status"), [(1, 200), (2, 0)])
 def test_a_stand_in_balancer_sends_a_try_again_that_crossed_a_close(
-    closes: int, status: int, monkeypatch: pytest.MonkeyPatch,
+    closes: int,
+    status: int,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards: a try in the instant in which a server left an idle connection was judged as lost. Once only:
     whoever closes on it again has lost it."""
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -44,8 +44,11 @@
 
 # --- the format
 
-@given(st.lists(st.tuples(st.sampled_from([b"", b"r" * 700, put(*claim(9, 9))]), st.binary(max_size=40))),
-       st.integers(0, 2_000))
+
+@given(
+    st.lists(st.tuples(st.sampled_from([b"", b"r" * 700, put(*claim(9, 9))]), st.binary(max_size=40))),
+    st.integers(0, 2_000),
+)
 def test_what_is_torn_between_records_costs_no_record(parts: list[tuple[bytes, bytes]], cut: int) -> None:
     """A life whose write was cut short is followed by another's: nothing of that one may be lost."""
     data, told = b"", []
@@ -76,6 +79,7 @@
 
 # --- the order decides
 
+
 def test_the_first_claim_in_the_order_counts_and_only_its_life_can_end_it() -> None:
     machine = Machine(UNREAD)
     for told in (claim(2, 11), claim(1, 10), end(1, 12, Step.RESULT), end(1, 12, Step.NEVER)):
@@ -123,8 +127,12 @@
             continue
         token = (TOKEN, OTHER)[which]
         before = machine.entries.get(token)
-        gave_up = step is Step.NEVER and before is not None and before.life == life \
+        gave_up = (
+            step is Step.NEVER
+            and before is not None
+            and before.life == life
             and before.state in (State.INTENDED, State.VOID)
+        )
         machine.take(Record(step, life, token, at, 1_000_000, SAME), HERE)
         entry = machine.entries.get(token)
         if entry is not None and entry.state is not State.VOID:
@@ -135,6 +143,7 @@
 
 # --- lives side by side, on files
 
+
 @dataclass
 class Life:
     """One process's side: what a host would do."""
@@ -149,8 +158,8 @@
         until = until or clock.now() + 60_000_000
         begun = Begun(token, "a1", "write", same, until, until, 1.0, 0)
         self.ledger.intend(
-            begun, lambda: told.append("runs"),
-            lambda there: told.append("elsewhere" if there else "refused"))
+            begun, lambda: told.append("runs"), lambda there: told.append("elsewhere" if there else "refused")
+        )
         self.until[token] = until
         return told[0]
 
@@ -226,7 +235,8 @@
 
 
 def test_repeats_of_the_last_ends_are_answered_from_memory_and_of_older_ones_from_the_record(
-    shop: Shop, monkeypatch: pytest.MonkeyPatch,
+    shop: Shop,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(lasting, "RECENT", 2)
     mine, asked = shop.life().ledger, list[bytes]()
@@ -240,8 +250,10 @@
     tokens = [f"{number:032x}" for number in range(3)]
     with world(keeper=mine) as one:
         balancer = one.balancer()
-        first = [one.serve(balancer, number, path="/svc/write", HTTP_REQ_TOKEN=token).body
-                 for number, token in enumerate(tokens, 1)]
+        first = [
+            one.serve(balancer, number, path="/svc/write", HTTP_REQ_TOKEN=token).body
+            for number, token in enumerate(tokens, 1)
+        ]
         again = []
         for number, token in enumerate(tokens, 4):
             balancer.send(number, path="/svc/write", HTTP_REQ_TOKEN=token)
@@ -281,7 +293,8 @@
 
 
 def test_a_stopped_life_is_waited_for_and_hands_its_end_on(
-    shop: Shop, monkeypatch: pytest.MonkeyPatch,
+    shop: Shop,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The old process is stopped between the claim and the `spawn`; the new one may not run it meanwhile."""
     old, new = shop.life(), shop.life()
@@ -316,7 +329,8 @@
 
 
 def test_segments_are_sealed_and_dropped_and_a_sleeper_finds_its_way(
-    shop: Shop, monkeypatch: pytest.MonkeyPatch,
+    shop: Shop,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards: a life that was stopped for long writes into a segment that others have sealed and dropped."""
     monkeypatch.setattr(keeper, "SEGMENT_BYTES", 2_000)
@@ -445,7 +459,7 @@
     data = bytearray(path.read_bytes())
     for _ in range(5):
         at, length = chance.randrange(len(data)), chance.choice([1, 1, 50])
-        data[at:at + length] = bytes(length) if chance.random() < 0.5 else chance.randbytes(length)
+        data[at : at + length] = bytes(length) if chance.random() < 0.5 else chance.randbytes(length)
     path.write_bytes(data)
     (shop.path / "ledger" / "notes.txt").write_text("of somebody")
     new = shop.life()
@@ -462,6 +476,7 @@
 
 # --- who is there
 
+
 def test_only_a_later_life_that_is_well_and_can_serve_is_an_heir(tmp_path: Path) -> None:
     """Guards: the mark of a later version that had crashed made the old one hand over to nobody."""
     first, second = Lives(tmp_path), Lives(tmp_path)
@@ -582,7 +597,8 @@
 
 
 def test_killed_at_any_step_no_run_is_forgotten_and_no_answer_changed(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """At every step until none is left: what began is never run by the next life, and what was told is what
     it tells. A life beside the killed one has claimed in between, behind what was torn."""
--- a/tests/test_members_processes.py
+++ b/tests/test_members_processes.py
@@ -50,13 +50,25 @@
         pool = StandInPool(number)
         self.ports.append(free())
         self.doors.append(f"127.0.0.1:{free()}")
-        text = (f"members: {{listen: '127.0.0.1:{self.ports[-1]}', key: {KEY!r}, "
-                f"contacts: ['127.0.0.1:{self.ports[0]}']}}\n")
+        text = (
+            f"members: {{listen: '127.0.0.1:{self.ports[-1]}', key: {KEY!r}, "
+            f"contacts: ['127.0.0.1:{self.ports[0]}']}}\n"
+        )
         path = self.folder / f"n{number}"
         path.mkdir()
-        self.sites.append(program.Site(
-            path, pool.address, self.vault.address, self.roster.address, settings(Scenario("a")), text,
-            control=self.doors[-1], name=f"n{number}", listen=f"127.0.0.1:{free()}"))
+        self.sites.append(
+            program.Site(
+                path,
+                pool.address,
+                self.vault.address,
+                self.roster.address,
+                settings(Scenario("a")),
+                text,
+                control=self.doors[-1],
+                name=f"n{number}",
+                listen=f"127.0.0.1:{free()}",
+            )
+        )
         self.lives.append(program.start(self.sites[-1]))
         assert self.lives[-1].listens(), self.lives[-1].lines
 
@@ -79,8 +91,9 @@
         return seen
 
     def all_see(self, who: list[int], status: str, of: list[int]) -> bool:
-        return all(self.sees(number).get(f"n{other}") == status
-                   for number in who for other in of if other != number)
+        return all(
+            self.sees(number).get(f"n{other}") == status for number in who for other in of if other != number
+        )
 
     def close(self) -> None:
         for life in self.lives:
@@ -145,8 +158,13 @@
 def test_a_new_version_beside_takes_another_port_and_is_the_same_member(fleet: Fleet) -> None:
     until(lambda: fleet.all_see(EVERYBODY, "alive", EVERYBODY))
     old = fleet.lives[1]
-    site = replace(fleet.sites[1], label="-new", listen=f"127.0.0.1:{old.port}",
-                   control=f"127.0.0.1:{free()}", pool=StandInPool(9).address)
+    site = replace(
+        fleet.sites[1],
+        label="-new",
+        listen=f"127.0.0.1:{old.port}",
+        control=f"127.0.0.1:{free()}",
+        pool=StandInPool(9).address,
+    )
     new = program.start(site)
     fleet.lives.append(new)
     assert new.listens(), new.lines
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -38,10 +38,12 @@
 
 # --- what counts
 
+
 @settings(derandomize=True)
 @given(st.lists(claims, max_size=12), st.randoms(use_true_random=False))
 def test_the_order_in_which_claims_come_and_how_often_makes_no_difference(
-    some: list[Claim], rng: random.Random,
+    some: list[Claim],
+    rng: random.Random,
 ) -> None:
     one, other = Table(), Table()
     again = some * 2
@@ -55,9 +57,16 @@
 
 def test_only_a_higher_incarnation_brings_a_failed_life_back_and_nothing_one_that_left() -> None:
     table = Table()
-    for told, status in ((claim(), 0), (claim(status=2), 2), (claim(), 2), (claim(incarnation=1), 0),
-                         (claim(status=1, incarnation=1), 1), (claim(incarnation=1), 1), (claim(status=3), 3),
-                         (claim(incarnation=9), 3)):
+    for told, status in (
+        (claim(), 0),
+        (claim(status=2), 2),
+        (claim(), 2),
+        (claim(incarnation=1), 0),
+        (claim(status=1, incarnation=1), 1),
+        (claim(incarnation=1), 1),
+        (claim(status=3), 3),
+        (claim(incarnation=9), 3),
+    ):
         table.take(told, 0)
         assert table.lives[1].status == status
 
@@ -93,12 +102,21 @@
     assert rumours.pick(2, 12, first=7)[0].life == 7
 
 
-@pytest.mark.parametrize(("accusers", "members", "suspects", "most"), [
-    (1, 12, 1, 3_300_000), (2, 12, 1, 2_000_000), (4, 12, 1, 540_000), (4, 12, 3, 1_100_000),
-    (1, 2, 1, 1_500_000),
-])
+@pytest.mark.parametrize(
+    ("accusers", "members", "suspects", "most"),
+    [
+        (1, 12, 1, 3_300_000),
+        (2, 12, 1, 2_000_000),
+        (4, 12, 1, 540_000),
+        (4, 12, 3, 1_100_000),
+        (1, 2, 1, 1_500_000),
+    ],
+)
 def test_a_lone_accuser_waits_long_and_many_suspects_all_wait(
-    accusers: int, members: int, suspects: int, most: int,
+    accusers: int,
+    members: int,
+    suspects: int,
+    most: int,
 ) -> None:
     took = wait_us(500_000, accusers, members, suspects)
     assert 0.9 * most <= took <= most
@@ -106,6 +124,7 @@
 
 # --- the envelope
 
+
 def test_a_message_comes_out_as_it_went_in_and_a_changed_one_not_at_all() -> None:
     message = Ping(7, 2, [claim()], [Info(1, 0, 1, {"load": 1.5})])
     data = seal(KEY, 5, 9, message)
@@ -139,8 +158,7 @@
 
 
 def test_a_datagram_stays_below_what_any_path_carries() -> None:
-    long = Claim(
-        1 << 63, "n" * 40, "255.255.255.255:65535", "255.255.255.255", 65_535, 2, 1 << 30, 1 << 63)
+    long = Claim(1 << 63, "n" * 40, "255.255.255.255:65535", "255.255.255.255", 65_535, 2, 1 << 30, 1 << 63)
     info = Info(1 << 63, 1 << 30, 1 << 30, {"x": "y" * 200})
     largest = Ack(1 << 40, 1 << 63, [long] * messages.MOST_CLAIMS, [info] * messages.MOST_INFOS)
     assert len(seal(KEY, 1 << 63, 1 << 63, largest)) < messages.MOST_BYTES
@@ -148,6 +166,7 @@
 
 # --- the fleet
 
+
 def fleet(members: int, seed: int = 1, loss: float = 0.0) -> World:
     world = World(seed)
     for number in range(members):
@@ -239,9 +258,16 @@
     return lambda source, to: not any({source, to} <= island for island in some)
 
 
-@pytest.mark.parametrize("sides", [
-    [{0, 1}, {2, 3, 4}], [{0}, {1, 2, 3, 4}], [{0, 1}, {2, 3}, {4}], [{0, 1, 2}, {3, 4, 5}],
-], ids=["2 and 3", "1 and 4", "three islands", "3 and 3"])
+@pytest.mark.parametrize(
+    "sides",
+    [
+        [{0, 1}, {2, 3, 4}],
+        [{0}, {1, 2, 3, 4}],
+        [{0, 1}, {2, 3}, {4}],
+        [{0, 1, 2}, {3, 4, 5}],
+    ],
+    ids=["2 and 3", "1 and 4", "three islands", "3 and 3"],
+)
 def test_after_a_cut_all_are_back_though_one_more_died(sides: list[set[int]]) -> None:
     world = fleet(sum(map(len, sides)))
     world.cut = islands(*sides)
@@ -364,19 +390,27 @@
 
 # --- did they die, or are we cut off
 
-@pytest.mark.parametrize(("seen", "verdict"), [
-    (Evidence(12, 12, 0, 0), Verdict.TOGETHER), (Evidence(12, 11, 1, 0), Verdict.TOGETHER),
-    (Evidence(12, 12, 0, 6), Verdict.DOUBTFUL), (Evidence(12, 6, 6, 0, 4), Verdict.DOUBTFUL),
-    (Evidence(5, 2, 3, 0), Verdict.APART_FEW), (Evidence(5, 3, 2, 0), Verdict.APART_MANY),
-    (Evidence(6, 3, 3, 0), Verdict.APART_MANY),
-])
+
+@pytest.mark.parametrize(
+    ("seen", "verdict"),
+    [
+        (Evidence(12, 12, 0, 0), Verdict.TOGETHER),
+        (Evidence(12, 11, 1, 0), Verdict.TOGETHER),
+        (Evidence(12, 12, 0, 6), Verdict.DOUBTFUL),
+        (Evidence(12, 6, 6, 0, 4), Verdict.DOUBTFUL),
+        (Evidence(5, 2, 3, 0), Verdict.APART_FEW),
+        (Evidence(5, 3, 2, 0), Verdict.APART_MANY),
+        (Evidence(6, 3, 3, 0), Verdict.APART_MANY),
+    ],
+)
 def test_the_verdict_on_some_evidence(seen: Evidence, verdict: Verdict) -> None:
     assert weigh(seen)[0] is verdict
 
 
 def test_what_is_silent_outside_of_the_channel_too_makes_us_surer_that_it_is_us() -> None:
-    sure = [weigh(Evidence(5, 1, 4, 0, roster=told, balancers=told, pool=told))[1]
-            for told in (True, None, False)]
+    sure = [
+        weigh(Evidence(5, 1, 4, 0, roster=told, balancers=told, pool=told))[1] for told in (True, None, False)
+    ]
     assert sure == sorted(sure) and sure[0] < sure[2]
 
 
@@ -391,13 +425,16 @@
 
 # --- a rule that is taken out is missed
 
+
 def _nobody(*args: object) -> None:
     return None
 
 
 @pytest.mark.parametrize(("rule", "members"), [("_told_of_us", 5), ("_revisit", 5)])
 def test_without_a_refutation_or_a_second_look_a_cut_never_heals(
-    rule: str, members: int, monkeypatch: pytest.MonkeyPatch,
+    rule: str,
+    members: int,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(Member, rule, _nobody)
     if rule == "_revisit":
@@ -435,10 +472,17 @@
     assert len(lives) == len(set(lives)) == 80
 
 
-@pytest.mark.parametrize("wrong", [
-    {"host": "name.to.look.up"}, {"port": 0}, {"port": 70_000}, {"name": "n" * 41}, {"status": 9},
-    {"incarnation": 1 << 40},
-])
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {"host": "name.to.look.up"},
+        {"port": 0},
+        {"port": 70_000},
+        {"name": "n" * 41},
+        {"status": 9},
+        {"incarnation": 1 << 40},
+    ],
+)
 def test_a_claim_that_can_not_be_true_makes_nobody_known(wrong: dict[str, Any]) -> None:
     world = fleet(2)
     member = world.players[0].member  # type: ignore[attr-defined]
@@ -461,10 +505,9 @@
     assert member.handle(world.now, member.own.life, 2, ("h", 9), View(False)) == []
 
 
-
-
 # --- what is seen beside the channel
 
+
 def test_balancers_are_missed_by_the_gap_that_they_used_to_keep() -> None:
     arrivals, now = Arrivals(), 0
     assert arrivals.come(now) is None
@@ -513,6 +556,10 @@
 
 def test_a_contact_is_found_though_a_new_version_took_another_port() -> None:
     member = Member(claim(1), random.Random(1), 0, contacts=[("h", 50)], spares=2)
-    tried = {action.to for step in range(1, 5) for action in member.tick(step * 1_100_000)
-             if isinstance(action, Exchange)}
+    tried = {
+        action.to
+        for step in range(1, 5)
+        for action in member.tick(step * 1_100_000)
+        if isinstance(action, Exchange)
+    }
     assert tried == {("h", 50), ("h", 51), ("h", 52)}
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -30,21 +30,38 @@
 
 @contextlib.contextmanager
 def program(
-    tmp_path: Path, pool: str, roster: str, operator: Path | None = None, **more: Any,
+    tmp_path: Path,
+    pool: str,
+    roster: str,
+    operator: Path | None = None,
+    **more: Any,
 ) -> Iterator[tuple[subprocess.Popen[str], int]]:
     """The program, and the port that it listens on; `more` goes into its configuration, and its temporary
     folder is `tmp_path`."""
     told = {
-        "name": "n3", "listen": "127.0.0.1:0", "pool": pool, "roster": roster, "vault": NOWHERE,
-        "seed": "8c1f30d27a5be964", "stop_ms": 60_000, "settings": PARAMS,
+        "name": "n3",
+        "listen": "127.0.0.1:0",
+        "pool": pool,
+        "roster": roster,
+        "vault": NOWHERE,
+        "seed": "8c1f30d27a5be964",
+        "stop_ms": 60_000,
+        "settings": PARAMS,
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1_024},
     } | more
     path = tmp_path / f"config-{len(list(tmp_path.glob('config-*')))}.json"
     path.write_text(json.dumps(told))
     process = subprocess.Popen(
-        [sys.executable, "-m", "cairnvane"], stderr=subprocess.PIPE, text=True,
-        env={**os.environ, "LB_CONFIG": str(path), "CAIRNVANE_OPERATOR": str(operator or ""),
-             "TMPDIR": str(tmp_path)})
+        [sys.executable, "-m", "cairnvane"],
+        stderr=subprocess.PIPE,
+        text=True,
+        env={
+            **os.environ,
+            "LB_CONFIG": str(path),
+            "CAIRNVANE_OPERATOR": str(operator or ""),
+            "TMPDIR": str(tmp_path),
+        },
+    )
     try:
         assert process.stderr is not None
         line = process.stderr.readline()
@@ -94,8 +111,10 @@
     """Guards: SIGHUP ended the process. A faulty file must be named, and change nothing."""
     pools, report = (PoolPeer(), PoolPeer()), threading.Event()
     rosters = Listener(lambda sock: None), Listener(lambda sock: report.set())  # they answer nothing
-    at = [[f"{host}:{port}" for host, port in (pool.address, roster.address)]
-          for pool, roster in zip(pools, rosters, strict=True)]
+    at = [
+        [f"{host}:{port}" for host, port in (pool.address, roster.address)]
+        for pool, roster in zip(pools, rosters, strict=True)
+    ]
     path = tmp_path / "config-0.json"
     with program(tmp_path, at[0][0], at[0][1]) as (process, port):
         balancer = Balancer(("127.0.0.1", port))
@@ -131,20 +150,39 @@
         assert balancer.answer()[1].status == 200
 
 
-FILE = {"name": "n1", "listen": "127.0.0.1:0", "pool": NOWHERE, "roster": NOWHERE, "vault": NOWHERE,
-        "seed": "1f", "settings": PARAMS}
+FILE = {
+    "name": "n1",
+    "listen": "127.0.0.1:0",
+    "pool": NOWHERE,
+    "roster": NOWHERE,
+    "vault": NOWHERE,
+    "seed": "1f",
+    "settings": PARAMS,
+}
 
 
-@pytest.mark.parametrize(("changes", "key"), [
-    ({"pool": 7}, "$.pool"), ({"pool": "here"}, "pool:"), ({"pool": "h:\u00b2"}, "pool:"),
-    ({"roster": "a..b:80"}, "roster: 'a..b:80'"), ({"vault": "h:99999"}, "vault:"),
-    ({"seed": "xyz"}, "seed:"), ({"name": ""}, "name:"), ({"listen": ""}, "listen:"),
-    ({"limits": {"sockets": 3}}, "limits.sockets:"), ({"limits": {"sockets": "x"}}, "$.limits.sockets"),
-    ({"stop_ms": 0}, "stop_ms:"), ({"control": "door"}, "control:"),
-    ({"settings": {}}, "settings: key Extra"),
-    ({"settings": PARAMS | {"Extra": PARAMS["Extra"] | {"Cores": 0}}}, "Extra.Cores: impossible value 0"),
-    ({"settings": None}, "settings"), ({"stop_ms": 10**30}, "stop_ms:"), ({"pool": 7}, ": 7"),
-])
+@pytest.mark.parametrize(
+    ("changes", "key"),
+    [
+        ({"pool": 7}, "$.pool"),
+        ({"pool": "here"}, "pool:"),
+        ({"pool": "h:\u00b2"}, "pool:"),
+        ({"roster": "a..b:80"}, "roster: 'a..b:80'"),
+        ({"vault": "h:99999"}, "vault:"),
+        ({"seed": "xyz"}, "seed:"),
+        ({"name": ""}, "name:"),
+        ({"listen": ""}, "listen:"),
+        ({"limits": {"sockets": 3}}, "limits.sockets:"),
+        ({"limits": {"sockets": "x"}}, "$.limits.sockets"),
+        ({"stop_ms": 0}, "stop_ms:"),
+        ({"control": "door"}, "control:"),
+        ({"settings": {}}, "settings: key Extra"),
+        ({"settings": PARAMS | {"Extra": PARAMS["Extra"] | {"Cores": 0}}}, "Extra.Cores: impossible value 0"),
+        ({"settings": None}, "settings"),
+        ({"stop_ms": 10**30}, "stop_ms:"),
+        ({"pool": 7}, ": 7"),
+    ],
+)
 def test_a_faulty_key_is_named_in_one_line(tmp_path: Path, changes: dict[str, Any], key: str) -> None:
     path = tmp_path / "config.json"
     path.write_text(json.dumps(FILE | changes))
@@ -162,7 +200,9 @@
 
 
 SETTINGS = PARAMS | {
-    "Tenants": [{"Name": "a", "QuotaPerS": 5.0}], "PeersTotal": 3, "RoundUs": 2_000,
+    "Tenants": [{"Name": "a", "QuotaPerS": 5.0}],
+    "PeersTotal": 3,
+    "RoundUs": 2_000,
     "Limits": {"MaxRetryAfterUs": 1_000_000, "RetryAfter": True},
     "Extra": PARAMS["Extra"] | {"ClassSkipWorth": [0.0, 0.0], "JustStarted": False},
 }
@@ -192,13 +232,18 @@
     assert refused >= 2
 
 
-@pytest.mark.parametrize(("environment", "word"), [
-    ({}, "LB_CONFIG: missing"), ({"LB_CONFIG": "/nowhere"}, "/nowhere"),
-])
+@pytest.mark.parametrize(
+    ("environment", "word"),
+    [
+        ({}, "LB_CONFIG: missing"),
+        ({"LB_CONFIG": "/nowhere"}, "/nowhere"),
+    ],
+)
 def test_a_start_without_a_configuration_ends_with_one_line(environment: dict[str, str], word: str) -> None:
     clean = {name: value for name, value in os.environ.items() if not name.startswith("LB_")}
     done = subprocess.run(
-        [sys.executable, "-m", "cairnvane"], env=clean | environment, capture_output=True, text=True)
+        [sys.executable, "-m", "cairnvane"], env=clean | environment, capture_output=True, text=True
+    )
     assert done.returncode == 2
     assert word in done.stderr
     assert done.stderr.count("\n") == 1
@@ -230,16 +275,27 @@
     assert found == (whole if cut >= len(data) else None)
 
 
-@pytest.mark.parametrize("data", [
-    b"", b"HTTP/1.1 200 OK\r\n", b"SMTP hi\r\n\r\n", b"HTTP/1.1 200 OK\r\nbroken\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n", b"HTTP/1.1 200 OK\r\n\r\n" + bytes(70_000),
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", b"x" * 9_000,
-    # Guards: digits that `isdigit` passes and `int` does not ended the call's thread, and no one was told.
-    b"HTTP/1.1 \xb200 OK\r\nContent-Length: 0\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: \xb2\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
-    b"HTTP/1.1 100 Continue\r\n\r\n" * 99, b"HTTP/1.1 100 Continue\r\n\r\n",
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"HTTP/1.1 200 OK\r\n",
+        b"SMTP hi\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nbroken\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\n" + bytes(70_000),
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"x" * 9_000,
+        # Guards: digits that `isdigit` passes and `int` does not ended the call's thread, nobody was told.
+        b"HTTP/1.1 \xb200 OK\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: \xb2\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        b"HTTP/1.1 100 Continue\r\n\r\n" * 99,
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+    ],
+)
 def test_what_is_no_whole_http_reply_is_told_apart(data: bytes) -> None:
     ours, theirs = socket.socketpair()
     with ours:
@@ -249,11 +305,14 @@
             http.read_reply(ours, time.monotonic() + WAIT_S)
 
 
-@pytest.mark.parametrize("data", [
-    b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
-    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 X\r\nA: b\r\n\r\n"
-    b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 X\r\nA: b\r\n\r\n"
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+    ],
+)
 def test_what_stands_around_a_reply_is_no_part_of_it(data: bytes) -> None:
     """Guards: an interim head was taken for the reply."""
     ours, theirs = socket.socketpair()
@@ -278,4 +337,3 @@
         theirs.sendall(b"HTTP/1.1 200 OK\r\nX-A: b\r\n\r\nabc")
         theirs.close()
         assert http.read_reply(ours, time.monotonic() + WAIT_S) == http.Reply(200, {"x-a": "b"}, b"abc")
-
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -13,17 +13,19 @@
 
 OUTCOMES = (i.Outcome.OK, i.Outcome.ERROR, i.Outcome.TIMEOUT, i.Outcome.REJECTED, i.Outcome.UNREACHED)
 STEP = st.tuples(st.sampled_from("aaaaaffffncgtttd"), st.integers(0, 999), st.integers(0, 999))
-SETUP = st.fixed_dictionaries({
-    "halt": st.sampled_from(i.HaltMode),
-    "signal": st.sampled_from(i.Signal),
-    "downstream": st.sampled_from([i.Downstream.SHARED, i.Downstream.TIER]),
-    "fair_calls": st.sampled_from([0.0, 0.4, 1.0, 3.3, 20.0]),
-    "memory": st.sampled_from([500.0, 2_000.0, 100_000.0]),
-    "cold": st.booleans(),
-    "cold_from": st.just(0.25),
-    "cold_for": st.just(8_000 * MS),
-    "callers": st.sampled_from([0, 1, 5, 900]),
-})
+SETUP = st.fixed_dictionaries(
+    {
+        "halt": st.sampled_from(i.HaltMode),
+        "signal": st.sampled_from(i.Signal),
+        "downstream": st.sampled_from([i.Downstream.SHARED, i.Downstream.TIER]),
+        "fair_calls": st.sampled_from([0.0, 0.4, 1.0, 3.3, 20.0]),
+        "memory": st.sampled_from([500.0, 2_000.0, 100_000.0]),
+        "cold": st.booleans(),
+        "cold_from": st.just(0.25),
+        "cold_for": st.just(8_000 * MS),
+        "callers": st.sampled_from([0, 1, 5, 900]),
+    }
+)
 
 
 @tuned(max_examples=60, derandomize=True, deadline=None)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -18,12 +18,22 @@
 
 @settings(derandomize=True, max_examples=60, deadline=None)
 @given(
-    st.sampled_from(KINDS), st.integers(1, 12), st.sampled_from([2.0, 8.0, 30.0]),
-    st.sampled_from([1.0, 5.0, 13.0, 20.0]), st.sampled_from([0.02, 0.16, 0.32]), st.integers(1, 1_000),
+    st.sampled_from(KINDS),
+    st.integers(1, 12),
+    st.sampled_from([2.0, 8.0, 30.0]),
+    st.sampled_from([1.0, 5.0, 13.0, 20.0]),
+    st.sampled_from([0.02, 0.16, 0.32]),
+    st.integers(1, 1_000),
     st.booleans(),
 )
 def test_with_all_well_again_a_server_serves_again(
-    kind: str, length: int, size: float, rate: float, call_s: float, seed: int, tells_over: bool,
+    kind: str,
+    length: int,
+    size: float,
+    rate: float,
+    call_s: float,
+    seed: int,
+    tells_over: bool,
 ) -> None:
     life = Life(Trouble(kind, length, size), rate, call_s, seed, tells_over, watch_s=20).play()
     assert life.shut_s() <= SHUT_S
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -66,11 +66,18 @@
     assert of(h.send(i.Finished(1, outcome)), i.Fail) == [i.Fail(1)]
 
 
-@pytest.mark.parametrize(("cls", "called", "halts"), [
-    (KEYED, True, False), (KEYED, False, True), (SAFE, True, True),
-])
+@pytest.mark.parametrize(
+    ("cls", "called", "halts"),
+    [
+        (KEYED, True, False),
+        (KEYED, False, True),
+        (SAFE, True, True),
+    ],
+)
 def test_a_run_that_the_next_try_could_reuse_goes_on_without_its_caller(
-    cls: int, called: bool, halts: bool,
+    cls: int,
+    called: bool,
+    halts: bool,
 ) -> None:
     """Guards: a keyed run was stopped when its caller left, and the next try failed for want of a result."""
     h = host()
@@ -155,10 +162,17 @@
     assert of(h.log, i.Forget) == [i.Forget(9)]
 
 
-@pytest.mark.parametrize(("cls", "outcome", "again"), [
-    (SAFE, i.Outcome.ERROR, True), (KEYED, i.Outcome.ERROR, False), (KEYED, i.Outcome.TIMEOUT, False),
-    (UNSAFE, i.Outcome.BROKEN, False), (KEYED, i.Outcome.REJECTED, True), (UNSAFE, i.Outcome.UNREACHED, True),
-])
+@pytest.mark.parametrize(
+    ("cls", "outcome", "again"),
+    [
+        (SAFE, i.Outcome.ERROR, True),
+        (KEYED, i.Outcome.ERROR, False),
+        (KEYED, i.Outcome.TIMEOUT, False),
+        (UNSAFE, i.Outcome.BROKEN, False),
+        (KEYED, i.Outcome.REJECTED, True),
+        (UNSAFE, i.Outcome.UNREACHED, True),
+    ],
+)
 def test_call_is_repeated_only_if_it_provably_never_ran(cls: int, outcome: i.Outcome, again: bool) -> None:
     h = host(downstream=i.Downstream.SHARED, fair_calls=10.0)
     arrive(h, 1, cls)
@@ -264,8 +278,12 @@
 def test_a_jam_at_the_calls_keeps_back_only_those_who_call() -> None:
     """Guards: with all places for calls held nothing was begun, and callers were told to hold back, though
     the cores idled and a third of the requests needed no call. Those with a call failed at it."""
-    h = host(downstream=i.Downstream.SHARED, fair_calls=10.0, signal=i.Signal.CREDIT,
-             classes=(replace(CLASSES[SAFE], skip_worth=0.0), *CLASSES[1:]))
+    h = host(
+        downstream=i.Downstream.SHARED,
+        fair_calls=10.0,
+        signal=i.Signal.CREDIT,
+        classes=(replace(CLASSES[SAFE], skip_worth=0.0), *CLASSES[1:]),
+    )
     calls(h, 20 * MS, 10)
     h.control.call_cap = 1.0
     for rid in range(100, 108):
@@ -360,7 +378,8 @@
 ) -> None:
     """Round 34: calls were skipped on a guess. Round 71: with room for the call, the late were failed."""
     h = host(
-        downstream=i.Downstream.SHARED, fair_calls=1.2,
+        downstream=i.Downstream.SHARED,
+        fair_calls=1.2,
         classes=(replace(CLASSES[SAFE], late_worth=late_worth),),
     )
     arrive(h, 1)
@@ -465,7 +484,10 @@
     """Round 63: a call might last as long as its request; where all hang at once, the dependency falls."""
     window, linger = 5_000 * MS, 200 * MS
     h = host(
-        downstream=i.Downstream.SHARED, fair_calls=share, call_linger=linger, calls_window=window,
+        downstream=i.Downstream.SHARED,
+        fair_calls=share,
+        call_linger=linger,
+        calls_window=window,
         classes=(replace(CLASSES[SAFE], aim=60_000 * MS, patience=60_000 * MS),),
     )
     arrive(h, 1)
@@ -476,7 +498,11 @@
 def test_who_is_too_late_at_a_call_is_answered_while_the_cores_have_no_place() -> None:
     """Round 63: as with a full run limit, those at a call waited for a place before they were given up."""
     h = host(
-        cold=True, cold_from=0.01, cold_for=60_000 * MS, downstream=i.Downstream.SHARED, fair_calls=50.0,
+        cold=True,
+        cold_from=0.01,
+        cold_for=60_000 * MS,
+        downstream=i.Downstream.SHARED,
+        fair_calls=50.0,
         classes=(replace(CLASSES[SAFE], skip_worth=0.0),),
     )
     h.control.call_cap = 1.0
@@ -491,12 +517,15 @@
     assert set(waiting) <= {a.id for a in of(h.log, i.Fail)}
 
 
-@pytest.mark.parametrize(("again", "left", "runs"), [
-    (False, 1_500, True),  # as first tries are given
-    (True, 1_500, True),  # alike: its age does not show
-    (True, 2_800, True),  # a last try, 0.2 s after the first
-    (True, 1_200, False),  # 1.8 s after the first, past the aim
-])
+@pytest.mark.parametrize(
+    ("again", "left", "runs"),
+    [
+        (False, 1_500, True),  # as first tries are given
+        (True, 1_500, True),  # alike: its age does not show
+        (True, 2_800, True),  # a last try, 0.2 s after the first
+        (True, 1_200, False),  # 1.8 s after the first, past the aim
+    ],
+)
 def test_a_further_try_counts_from_its_first(again: bool, left: int, runs: bool) -> None:
     """Incident i1d3269: a third of the runs ended late for clients whose first try was long past."""
     h = host(classes=(CLASSES[SAFE],))
@@ -547,9 +576,12 @@
 
 def test_a_tenant_beyond_its_share_does_not_crowd_out_the_rest() -> None:
     """Round 52: one sent three times its share and was served in full, the others to 0.62 of theirs."""
-    h = host(tenants=TENANTS, over_share_worth=0.05, peers=20, classes=(
-        replace(CLASSES[SAFE], patience=60_000 * MS, aim=50_000 * MS),
-    ))
+    h = host(
+        tenants=TENANTS,
+        over_share_worth=0.05,
+        peers=20,
+        classes=(replace(CLASSES[SAFE], patience=60_000 * MS, aim=50_000 * MS),),
+    )
     for rid in range(1, 40):
         arrive(h, rid, tenant=0)
     arrive(h, 50, tenant=1)
@@ -629,10 +661,21 @@
     assert h.control.core_time == spent
 
 
-@pytest.mark.parametrize(("field", "value"), [
-    ("cores", 0), ("memory", -1.0), ("classes", ()), ("drain_grace", -1), ("crowd_multiple", 0.5),
-    ("halt", "drop"), ("cold_from", 1.5), ("peers", 0), ("over_share_worth", -0.1), ("memory", float("nan")),
-])
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("cores", 0),
+        ("memory", -1.0),
+        ("classes", ()),
+        ("drain_grace", -1),
+        ("crowd_multiple", 0.5),
+        ("halt", "drop"),
+        ("cold_from", 1.5),
+        ("peers", 0),
+        ("over_share_worth", -0.1),
+        ("memory", float("nan")),
+    ],
+)
 def test_impossible_settings_name_the_field(field: str, value: object) -> None:
     with pytest.raises(ValueError, match=field):
         host(1, **{field: value})
@@ -644,9 +687,14 @@
         i.RequestClass(**{"name": "x", "aim": 1, "patience": 1, field: value})  # type: ignore[arg-type]
 
 
-@pytest.mark.parametrize(("given", "field"), [
-    ({}, "cores"), ({"cores": 2}, "classes"), ({"cores": 2, "classes": CLASSES}, "memory"),
-])
+@pytest.mark.parametrize(
+    ("given", "field"),
+    [
+        ({}, "cores"),
+        ({"cores": 2}, "classes"),
+        ({"cores": 2, "classes": CLASSES}, "memory"),
+    ],
+)
 def test_missing_settings_name_the_field(given: dict[str, Any], field: str) -> None:
     with pytest.raises(ValueError, match=field):
         i.Settings(**given)
@@ -744,7 +792,10 @@
 def test_a_share_below_one_call_is_a_mean_not_a_pause_after_each() -> None:
     """Round 27: a pause of the whole linger after each short call left the cores idle at full size."""
     h = host(
-        downstream=i.Downstream.SHARED, fair_calls=0.4, call_linger=200 * MS, calls_window=5_000 * MS,
+        downstream=i.Downstream.SHARED,
+        fair_calls=0.4,
+        call_linger=200 * MS,
+        calls_window=5_000 * MS,
     )
     made = busy = 0
     for rid in range(1, 400):
@@ -764,7 +815,10 @@
 
 def test_a_share_below_one_call_is_kept_when_calls_grow_long() -> None:
     h = host(
-        downstream=i.Downstream.SHARED, fair_calls=0.4, call_linger=200 * MS, calls_window=5_000 * MS,
+        downstream=i.Downstream.SHARED,
+        fair_calls=0.4,
+        call_linger=200 * MS,
+        calls_window=5_000 * MS,
     )
     busy = 0
     for rid in range(1, 200):
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -72,17 +72,36 @@
             w.pool.notice("finished", uid, "fine", uid.encode())
         answers = [balancer.answer() for _ in range(3)]
         assert [(number, answer.body.decode()) for number, answer in answers] == [
-            (int(uid, 16), uid) for uid in reversed(uids)]
-
-
-@pytest.mark.parametrize("fields", [
-    {"HTTP_REQ_ID": "xyz"}, {"HTTP_REQ_ID": ""}, {"HTTP_REQ_TIME": "soon"}, {"HTTP_REQ_KB": "nan"},
-    {"HTTP_REQ_KB": "2000"}, {"HTTP_REQ_KB": "0"}, {"HTTP_REQ_KB": "1_0"}, {"HTTP_REQ_KB": "\u0663"},
-    {"HTTP_REQ_KB": " 5"}, {"HTTP_REQ_TIME": "1e3"}, {"HTTP_REQ_TIME": "9" * 15}, {"HTTP_REQ_TIME": "-5"},
-    {"HTTP_REQ_FROM": "0.5"}, {"HTTP_REQ_RANK": "1"}, {"CONTENT_LENGTH": "7"}, {"HTTP_REQ_TOKEN": "12"},
-    {"HTTP_REQ_TOKEN": TOKEN}, {"path": "/svc/write"}, {"REQUEST_METHOD": "GET"},
-    {"path": "/svc/unheard-of"}, {"path": "/elsewhere"},
-])
+            (int(uid, 16), uid) for uid in reversed(uids)
+        ]
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"HTTP_REQ_ID": "xyz"},
+        {"HTTP_REQ_ID": ""},
+        {"HTTP_REQ_TIME": "soon"},
+        {"HTTP_REQ_KB": "nan"},
+        {"HTTP_REQ_KB": "2000"},
+        {"HTTP_REQ_KB": "0"},
+        {"HTTP_REQ_KB": "1_0"},
+        {"HTTP_REQ_KB": "\u0663"},
+        {"HTTP_REQ_KB": " 5"},
+        {"HTTP_REQ_TIME": "1e3"},
+        {"HTTP_REQ_TIME": "9" * 15},
+        {"HTTP_REQ_TIME": "-5"},
+        {"HTTP_REQ_FROM": "0.5"},
+        {"HTTP_REQ_RANK": "1"},
+        {"CONTENT_LENGTH": "7"},
+        {"HTTP_REQ_TOKEN": "12"},
+        {"HTTP_REQ_TOKEN": TOKEN},
+        {"path": "/svc/write"},
+        {"REQUEST_METHOD": "GET"},
+        {"path": "/svc/unheard-of"},
+        {"path": "/elsewhere"},
+    ],
+)
 def test_impossible_fields_fail_that_request_alone(fields: dict[str, Any]) -> None:
     with world() as w:
         balancer = w.balancer()
@@ -91,19 +110,20 @@
         w.serve(balancer, 2)
 
 
-
-
-@pytest.mark.parametrize("data", [
-    b"GET / HTTP/1.1\r\n\r\n",
-    fastcgi.record(fastcgi.PARAMS, 1, bytes(fastcgi.MAX_CONTENT + 1)),
-    BEGIN + BEGIN,
-    fastcgi.record(fastcgi.BEGIN_REQUEST, 1, b"\0\1"),
-    fastcgi.record(99, 1, b""),
-    BEGIN + fastcgi.record(fastcgi.STDIN, 1, b"too early"),
-    BEGIN + fastcgi.record(fastcgi.PARAMS, 1, b"\x7f\x7fshort") + fastcgi.record(fastcgi.PARAMS, 1, b""),
-    BEGIN + fastcgi.record(fastcgi.PARAMS, 1, bytes(5_000)) * 2,
-    BEGIN + fastcgi.record(fastcgi.PARAMS, 1, b"") + fastcgi.record(fastcgi.STDIN, 1, bytes(2_049)),
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        fastcgi.record(fastcgi.PARAMS, 1, bytes(fastcgi.MAX_CONTENT + 1)),
+        BEGIN + BEGIN,
+        fastcgi.record(fastcgi.BEGIN_REQUEST, 1, b"\0\1"),
+        fastcgi.record(99, 1, b""),
+        BEGIN + fastcgi.record(fastcgi.STDIN, 1, b"too early"),
+        BEGIN + fastcgi.record(fastcgi.PARAMS, 1, b"\x7f\x7fshort") + fastcgi.record(fastcgi.PARAMS, 1, b""),
+        BEGIN + fastcgi.record(fastcgi.PARAMS, 1, bytes(5_000)) * 2,
+        BEGIN + fastcgi.record(fastcgi.PARAMS, 1, b"") + fastcgi.record(fastcgi.STDIN, 1, bytes(2_049)),
+    ],
+)
 def test_malformed_input_ends_that_connection_alone(data: bytes) -> None:
     with world() as w:
         bad, good = w.balancer(), w.balancer()
@@ -158,11 +178,18 @@
         assert first.answer()[1].body == b"done"
 
 
-@pytest.mark.parametrize("data", [
-    b"", BEGIN, BEGIN[:3], BEGIN + fastcgi.record(fastcgi.PARAMS, 1, b"\1\1ab"),
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        BEGIN,
+        BEGIN[:3],
+        BEGIN + fastcgi.record(fastcgi.PARAMS, 1, b"\1\1ab"),
+    ],
+)
 def test_who_says_nothing_whole_is_ended_and_who_did_may_idle(
-    data: bytes, monkeypatch: pytest.MonkeyPatch,
+    data: bytes,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards: nothing bounded the time to the first or to the whole request."""
     monkeypatch.setattr(connection, "SAY_WAIT_S", 0.2)
@@ -233,9 +260,15 @@
         assert w.pool.next("suspend")["uid"] == uid
 
 
-@pytest.mark.parametrize(("deep", "stored", "code", "status"), [
-    (False, False, "", 200), (True, False, "fine", 200), (True, False, "fault", 503), (True, True, "", 200),
-])
+@pytest.mark.parametrize(
+    ("deep", "stored", "code", "status"),
+    [
+        (False, False, "", 200),
+        (True, False, "fine", 200),
+        (True, False, "fault", 503),
+        (True, True, "", 200),
+    ],
+)
 def test_health(deep: bool, stored: bool, code: str, status: int) -> None:
     with world() as w:
         w.host._health.set(SetHealth(True, stored))
@@ -345,7 +378,9 @@
 
 @pytest.mark.parametrize(("beyond_us", "runs"), [(-1_000_000, 1), (1_000_000, 2)])
 def test_the_window_counts_from_the_arrival(
-    beyond_us: int, runs: int, monkeypatch: pytest.MonkeyPatch,
+    beyond_us: int,
+    runs: int,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Also of a try that is read long after its arrival, when the window has gone by."""
     with world() as w:
@@ -391,13 +426,22 @@
         assert w.pool.next("supply")["content"] == b""
 
 
-@pytest.mark.parametrize(("path", "first", "calls"), [
-    ("/svc/read", reply(500), 2), ("/svc/read", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut", 2),
-    ("/svc/write", reply(503, unseen=True), 2), ("/svc/write", reply(409, unseen=True), 2),
-    ("/svc/write", reply(503), 1), ("/svc/write", reply(504), 1), ("/svc/write", b"junk\r\n\r\n", 1),
-])
+@pytest.mark.parametrize(
+    ("path", "first", "calls"),
+    [
+        ("/svc/read", reply(500), 2),
+        ("/svc/read", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut", 2),
+        ("/svc/write", reply(503, unseen=True), 2),
+        ("/svc/write", reply(409, unseen=True), 2),
+        ("/svc/write", reply(503), 1),
+        ("/svc/write", reply(504), 1),
+        ("/svc/write", b"junk\r\n\r\n", 1),
+    ],
+)
 def test_a_call_with_an_effect_is_made_again_only_if_it_provably_never_ran(
-    path: str, first: bytes, calls: int,
+    path: str,
+    first: bytes,
+    calls: int,
 ) -> None:
     with world(first, reply(200, b"late")) as w:
         balancer = w.balancer()
@@ -444,11 +488,19 @@
     assert ends.get(timeout=WAIT_S) is Outcome.UNREACHED
 
 
-@pytest.mark.parametrize(("status", "unseen", "how"), [
-    (200, False, Outcome.OK), (503, True, Outcome.REJECTED), (503, False, Outcome.ERROR),
-    (500, False, Outcome.ERROR), (504, False, Outcome.TIMEOUT), (409, True, Outcome.MOOT),
-    (409, False, Outcome.ERROR), (302, False, Outcome.ERROR),
-])
+@pytest.mark.parametrize(
+    ("status", "unseen", "how"),
+    [
+        (200, False, Outcome.OK),
+        (503, True, Outcome.REJECTED),
+        (503, False, Outcome.ERROR),
+        (500, False, Outcome.ERROR),
+        (504, False, Outcome.TIMEOUT),
+        (409, True, Outcome.MOOT),
+        (409, False, Outcome.ERROR),
+        (302, False, Outcome.ERROR),
+    ],
+)
 def test_what_a_reply_proves(status: int, unseen: bool, how: Outcome) -> None:
     headers = {"x-refused-unseen": "1"} if unseen else {}
     assert vault.outcome(http.Reply(status, headers, b"")) is how
@@ -530,9 +582,14 @@
         assert 1 not in w.host._control.running
 
 
-@pytest.mark.parametrize("line", [
-    b"{broken\n", b"\xff\n", b'{"action":"finished","pos":1,"uid":"x","code":"fine","content":"?"}\n',
-])
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"{broken\n",
+        b"\xff\n",
+        b'{"action":"finished","pos":1,"uid":"x","code":"fine","content":"?"}\n',
+    ],
+)
 def test_a_line_that_cannot_be_read_is_asked_for_once_more(line: bytes) -> None:
     """Guards: it ended the link's thread for good, and nothing was run any more."""
     with world() as w:
@@ -624,4 +681,3 @@
         outlet.end()  # cuts off nothing of it
         assert theirs.recv(120_000, socket.MSG_WAITALL) == b"".join(messages)
         assert theirs.recv(1) == b""
-
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -94,7 +94,8 @@
 def _first_always(monkeypatch: pytest.MonkeyPatch) -> None:
     made = Lending.__init__
     monkeypatch.setattr(
-        Lending, "__init__", lambda self, floor, now, first=False: made(self, floor, now, True))
+        Lending, "__init__", lambda self, floor, now, first=False: made(self, floor, now, True)
+    )
 
 
 def _shorter_for_the_lender(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -108,11 +109,18 @@
     monkeypatch.setattr(lending._Lent, "amount", amount)
 
 
-@pytest.mark.parametrize(("mutant", "trouble"), [
-    (_first_always, "deaths"), (_shorter_for_the_lender, "cut"), (_last_grant_counts, "loss"),
-])
+@pytest.mark.parametrize(
+    ("mutant", "trouble"),
+    [
+        (_first_always, "deaths"),
+        (_shorter_for_the_lender, "cut"),
+        (_last_grant_counts, "loss"),
+    ],
+)
 def test_without_one_of_its_rules_the_limit_is_exceeded(
-    mutant: Callable[[pytest.MonkeyPatch], None], trouble: str, monkeypatch: pytest.MonkeyPatch,
+    mutant: Callable[[pytest.MonkeyPatch], None],
+    trouble: str,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     mutant(monkeypatch)
     assert max(World("lent", trouble, 6, seed).run().worst for seed in range(6)) > 0.001
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -28,8 +28,14 @@
 RID, OTHER = 0x0006B47E5D3A91C4, 0x000F11600E6F2B19
 PARAMS: dict[str, Any] = {
     "Classes": [{"GiveUpUs": 4_500_000, "OnTimeUs": 1_400_000, "Name": "a", "Repeat": "free", "NewKey": 1}],
-    "Extra": {"Cores": 6, "HeapKb": 61020.0, "Halt": "pause", "Say": "credit", "Downstream": "silent",
-              "Meters": ["cpu_busy", "runnable", "mem_used", "sockets", "new_gauge"]},
+    "Extra": {
+        "Cores": 6,
+        "HeapKb": 61020.0,
+        "Halt": "pause",
+        "Say": "credit",
+        "Downstream": "silent",
+        "Meters": ["cpu_busy", "runnable", "mem_used", "sockets", "new_gauge"],
+    },
     "Unknown": [],
 }
 
@@ -61,8 +67,12 @@
     assert fired.cpu_busy == pytest.approx(0.62)
     assert (fired.runnable, fired.connections) == (3.0, 120.0)
     assert seen[2:] == [
-        i.Gone(OTHER), i.Finished(RID, i.Outcome.OK, 0x4844), i.CallEnded(RID, i.Outcome.TIMEOUT, 0x13880),
-        i.CallNeeded(RID), i.Draining(0x3567E0), wire.Teardown(),
+        i.Gone(OTHER),
+        i.Finished(RID, i.Outcome.OK, 0x4844),
+        i.CallEnded(RID, i.Outcome.TIMEOUT, 0x13880),
+        i.CallNeeded(RID),
+        i.Draining(0x3567E0),
+        wire.Teardown(),
     ]
 
 
@@ -71,21 +81,24 @@
     assert events(for_(1), record) == [i.Arrival(5, 1, 0, None, 8.0, None, 2, 3, True, None)]
 
 
-@pytest.mark.parametrize(("action", "record"), [
-    (i.Run(RID), "53 0006b47e5d3a91c4 00000000000000"),
-    (i.Halt(RID), "52 0006b47e5d3a91c4 00000000000000"),
-    (i.Refuse(OTHER, 250_000, True), "51 000f11600e6f2b19 0003d090 01 0000"),
-    (i.Fail(OTHER), "55 000f11600e6f2b19 00000000000000"),
-    (i.Call(RID, 80_000), "5f 0006b47e5d3a91c4 00013880 000000"),
-    (i.SkipCall(RID), "50 0006b47e5d3a91c4 00000000000000"),
-    (i.Remember(RID, 8_000_000), "56 0006b47e5d3a91c4 007a1200 000000"),
-    (i.Forget(OTHER), "57 000f11600e6f2b19 00000000000000"),
-    (i.Reuse(RID), "54 0006b47e5d3a91c4 00000000000000"),
-    (i.SetHealth(False, True), "5a 00 01 00000000000000000000000000"),
-    (i.Advertise(0.25), "5d 3e800000 0000000000000000000000"),
-    (i.CloseIdle(2_000_000), "5e 001e8480 0000000000000000000000"),
-    (i.SetTimer(0x87FD7A, 77), "5b 000000000087fd7a 0000004d 000000"),
-])
+@pytest.mark.parametrize(
+    ("action", "record"),
+    [
+        (i.Run(RID), "53 0006b47e5d3a91c4 00000000000000"),
+        (i.Halt(RID), "52 0006b47e5d3a91c4 00000000000000"),
+        (i.Refuse(OTHER, 250_000, True), "51 000f11600e6f2b19 0003d090 01 0000"),
+        (i.Fail(OTHER), "55 000f11600e6f2b19 00000000000000"),
+        (i.Call(RID, 80_000), "5f 0006b47e5d3a91c4 00013880 000000"),
+        (i.SkipCall(RID), "50 0006b47e5d3a91c4 00000000000000"),
+        (i.Remember(RID, 8_000_000), "56 0006b47e5d3a91c4 007a1200 000000"),
+        (i.Forget(OTHER), "57 000f11600e6f2b19 00000000000000"),
+        (i.Reuse(RID), "54 0006b47e5d3a91c4 00000000000000"),
+        (i.SetHealth(False, True), "5a 00 01 00000000000000000000000000"),
+        (i.Advertise(0.25), "5d 3e800000 0000000000000000000000"),
+        (i.CloseIdle(2_000_000), "5e 001e8480 0000000000000000000000"),
+        (i.SetTimer(0x87FD7A, 77), "5b 000000000087fd7a 0000004d 000000"),
+    ],
+)
 def test_actions_of_the_page(action: i.Action, record: str) -> None:
     reply = wire.Reply()
     reply.add(action)
@@ -100,9 +113,11 @@
     reply.by(5)
     reply.add(i.Log("two servers known"))
     assert reply.frame() == bytes.fromhex("00000061 00000005") + bytes.fromhex(
-        "58 0003 00000000000000000000000000" "53 0006b47e5d3a91c4 00000000000000"
+        "58 0003 00000000000000000000000000"
+        "53 0006b47e5d3a91c4 00000000000000"
         "5b 000000000087fd7a 0000004d 000000"
-        "58 0005 00000000000000000000000000" "5c 00000000 00000011 00000000000000"
+        "58 0005 00000000000000000000000000"
+        "5c 00000000 00000011 00000000000000"
         "74776f2073657276657273206b6e6f776e"
     )
 
@@ -116,9 +131,16 @@
 
 def test_tenants_in_our_terms() -> None:
     tenants = [{"Name": "a", "QuotaPerS": 12.5, "Share": 0.6}, {"QuotaPerS": 0}]
-    read, _ = wire.read_settings(json.dumps(PARAMS | {
-        "Tenants": tenants, "OverShareWorth": 0.1, "PeersTotal": 20,
-    }))
+    read, _ = wire.read_settings(
+        json.dumps(
+            PARAMS
+            | {
+                "Tenants": tenants,
+                "OverShareWorth": 0.1,
+                "PeersTotal": 20,
+            }
+        )
+    )
     assert read.tenants == (i.Tenant("a", 12.5), i.Tenant("", 0))
     assert (read.over_share_worth, read.peers) == (0.1, 20)
     read, _ = wire.read_settings(json.dumps(PARAMS | {"PeersTotal": 0}))
@@ -155,24 +177,27 @@
     assert alone == beside
 
 
-@pytest.mark.parametrize(("frame", "word"), [
-    (batch()[:9], "batch header: cut short"),
-    (batch(for_(3), INBOUND)[:-5], "batch: cut short"),
-    (struct.pack(">QII", 0, 0, 4), "4 records do not fit"),
-    (batch(for_(3), bytes([99]) + bytes(55)), "unknown event code 99"),
-    (batch(INBOUND), "before any For"),
-    (batch(for_(3), bytes.fromhex("16 0006b47e5d3a91c4 07 00004844") + bytes(42)), "completion code 7"),
-    (hello(params=b"{nonsense"), "settings: not JSON"),
-    (hello(params=b"\xff\xfe"), "not UTF-8"),
-    (hello(params=[]), "settings:"),
-    (hello(params={"Classes": [], "Extra": {}}), "Cores is missing"),
-    (hello(params=PARAMS | {"Extra": PARAMS["Extra"] | {"Cores": 0}}), "Extra.Cores: impossible value 0"),
-    (hello(params=PARAMS | {"Extra": PARAMS["Extra"] | {"Halt": "hm"}}), "Halt: unknown word"),
-    (batch(for_(3), struct.pack(">BQII39x", 25, 1, 0, 50), tail=b"{}"), "tail"),
-    (hello(params=PARAMS | {"Tenants": [{"Name": "a"}]}), "QuotaPerS is missing"),
-    (hello(params=PARAMS | {"Tenants": [{"Name": "a", "QuotaPerS": -1}]}), "['a'].QuotaPerS: impossible"),
-    (hello(params=PARAMS | {"OverShareWorth": float("nan")}), "OverShareWorth: impossible value nan"),
-])
+@pytest.mark.parametrize(
+    ("frame", "word"),
+    [
+        (batch()[:9], "batch header: cut short"),
+        (batch(for_(3), INBOUND)[:-5], "batch: cut short"),
+        (struct.pack(">QII", 0, 0, 4), "4 records do not fit"),
+        (batch(for_(3), bytes([99]) + bytes(55)), "unknown event code 99"),
+        (batch(INBOUND), "before any For"),
+        (batch(for_(3), bytes.fromhex("16 0006b47e5d3a91c4 07 00004844") + bytes(42)), "completion code 7"),
+        (hello(params=b"{nonsense"), "settings: not JSON"),
+        (hello(params=b"\xff\xfe"), "not UTF-8"),
+        (hello(params=[]), "settings:"),
+        (hello(params={"Classes": [], "Extra": {}}), "Cores is missing"),
+        (hello(params=PARAMS | {"Extra": PARAMS["Extra"] | {"Cores": 0}}), "Extra.Cores: impossible value 0"),
+        (hello(params=PARAMS | {"Extra": PARAMS["Extra"] | {"Halt": "hm"}}), "Halt: unknown word"),
+        (batch(for_(3), struct.pack(">BQII39x", 25, 1, 0, 50), tail=b"{}"), "tail"),
+        (hello(params=PARAMS | {"Tenants": [{"Name": "a"}]}), "QuotaPerS is missing"),
+        (hello(params=PARAMS | {"Tenants": [{"Name": "a", "QuotaPerS": -1}]}), "['a'].QuotaPerS: impossible"),
+        (hello(params=PARAMS | {"OverShareWorth": float("nan")}), "OverShareWorth: impossible value nan"),
+    ],
+)
 def test_broken_input_is_named_and_ends_the_process(frame: bytes, word: str) -> None:
     code, out, error = drilled(frame)
     assert code != 0
--- a/tests/test_xds.py
+++ b/tests/test_xds.py
@@ -192,8 +192,11 @@
     def push_delta(self, most: int, again: bool) -> None:
         """Some of what has changed; `again`: something that the client has, once more."""
         self.nonce += 1
-        new = [name for name, (version, _) in sorted(self.truth.items())
-               if again or self.sent.get(name) != version][:most]
+        new = [
+            name
+            for name, (version, _) in sorted(self.truth.items())
+            if again or self.sent.get(name) != version
+        ][:most]
         gone = tuple(name for name in self.sent if name not in self.truth)
         resources = tuple((name, str(self.truth[name][0]), self.truth[name][1].encode()) for name in new)
         answer, _ = self.delta.received(DeltaResponse(f"n{self.nonce}", resources, gone))
@@ -223,5 +226,6 @@
 
 
 Reference.TestCase.settings = settings(
-    derandomize=True, max_examples=80, stateful_step_count=40, deadline=None)
+    derandomize=True, max_examples=80, stateful_step_count=40, deadline=None
+)
 TestReference = Reference.TestCase
--- a/tests/test_xds_grpc.py
+++ b/tests/test_xds_grpc.py
@@ -81,7 +81,8 @@
 
 
 def test_endpoints_that_do_not_come_in_time_are_told_of(
-    client: Client, monkeypatch: pytest.MonkeyPatch,
+    client: Client,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr("cairnvane.xds.known.MISSING_AFTER_US", 20_000)
     client.asked(CLUSTER)
--- a/tests/test_xds_resources.py
+++ b/tests/test_xds_resources.py
@@ -37,25 +37,45 @@
 
 
 def test_a_cluster_is_read_with_its_breakers() -> None:
-    told = one(cluster(
-        lb_policy="LEAST_REQUEST",
-        eds_cluster_config={"service_name": "ledger-eds", "eds_config": {"ads": {}}},
-        least_request_lb_config={"slow_start_config": {"slow_start_window": "1.5s"}},
-        common_lb_config={"healthy_panic_threshold": {"value": 30}},
-        circuit_breakers={"thresholds": [
-            {"priority": "HIGH", "max_requests": 1},
-            {"max_requests": 7, "retry_budget": {"budget_percent": {"value": 25.0}}}]}))
+    told = one(
+        cluster(
+            lb_policy="LEAST_REQUEST",
+            eds_cluster_config={"service_name": "ledger-eds", "eds_config": {"ads": {}}},
+            least_request_lb_config={"slow_start_config": {"slow_start_window": "1.5s"}},
+            common_lb_config={"healthy_panic_threshold": {"value": 30}},
+            circuit_breakers={
+                "thresholds": [
+                    {"priority": "HIGH", "max_requests": 1},
+                    {"max_requests": 7, "retry_budget": {"budget_percent": {"value": 25.0}}},
+                ]
+            },
+        )
+    )
     assert told == Cluster(
-        "ledger", "ledger-eds", Policy.LEAST_REQUEST,
-        Breakers(requests=7, budget=RetryBudget(percent=25.0)), 30.0, 1_500_000)
+        "ledger",
+        "ledger-eds",
+        Policy.LEAST_REQUEST,
+        Breakers(requests=7, budget=RetryBudget(percent=25.0)),
+        30.0,
+        1_500_000,
+    )
 
 
 def test_endpoints_are_read_with_weights_health_and_drops() -> None:
-    told = one(assignment(
-        {"locality": {"region": "mn", "zone": "khan-uul"}, "load_balancing_weight": 3, "lb_endpoints": [
-            endpoint(80), endpoint(81, load_balancing_weight=5, health_status="DRAINING")]},
-        {"priority": 1, "lb_endpoints": [endpoint(80, "::1", health_status="TIMEOUT")]},
-        policy={"drop_overloads": [{"category": "lb", "drop_percentage": {"numerator": 5}}]}))
+    told = one(
+        assignment(
+            {
+                "locality": {"region": "mn", "zone": "khan-uul"},
+                "load_balancing_weight": 3,
+                "lb_endpoints": [
+                    endpoint(80),
+                    endpoint(81, load_balancing_weight=5, health_status="DRAINING"),
+                ],
+            },
+            {"priority": 1, "lb_endpoints": [endpoint(80, "::1", health_status="TIMEOUT")]},
+            policy={"drop_overloads": [{"category": "lb", "drop_percentage": {"numerator": 5}}]},
+        )
+    )
     assert told.priorities() == 2 and told.drops == (("lb", 50_000),) and told.overprovisioning == 140
     near, far = told.localities
     assert (near.name, near.weight, near.priority) == ("mn/khan-uul", 3, 0)
@@ -63,24 +83,38 @@
     assert far.endpoints == {("::1", 80): Described(1, Health.UNHEALTHY)}
 
 
-@pytest.mark.parametrize(("told", "words"), [
-    (cluster(type="STRICT_DNS"), ["type: STRICT_DNS is refused"]), (cluster(name=""), ["name:"]),
-    (cluster(lb_policy="CLUSTER_PROVIDED"), ["lb_policy: CLUSTER_PROVIDED"]), (cluster(typo=1), ["typo"]),
-    ({"@type": CLUSTER, "name": "a", "cluster_type": {"name": "x"}}, ["cluster_type: 'x'"]),
-    (cluster(eds_cluster_config={"eds_config": {"path": "/x"}}), ["eds_config: path is refused"]),
-    (assignment(cluster_name=""), ["cluster_name:"]),
-    (assignment({"lb_endpoints": [endpoint(0)]}), ["[0].lb_endpoints[0].endpoint.address.port_value: 0"]),
-    (assignment({"lb_endpoints": [endpoint(80, "db.example")]}), ["'db.example' is no address in figures"]),
-    (assignment({"lb_endpoints": [endpoint(load_balancing_weight=0)]}), ["load_balancing_weight: 0"]),
-    (assignment({"lb_endpoints": [endpoint()]}, {"priority": 1, "lb_endpoints": [endpoint()]}),
-     ["10.0.0.1:80 stands in endpoints[0].lb_endpoints[0] too"]),
-    (assignment({"priority": 1}), ["priority [0] is left out"]), (assignment({}, {}), ["stands twice"]),
-    (assignment({"lb_endpoints": [endpoint(n, load_balancing_weight=(1 << 32) - 1) for n in (1, 2)]}),
-     ["weights add up to 8589934590"]),
-    (assignment({"priority": 129}), ["priority: 129"]),
-    (assignment(policy={"overprovisioning_factor": 50}), ["overprovisioning_factor: 50 is below 100"]),
-    ({"@type": "type.googleapis.com/x"}, ["'type.googleapis.com/x' is not understood"]), (3, ["no object"]),
-])
+@pytest.mark.parametrize(
+    ("told", "words"),
+    [
+        (cluster(type="STRICT_DNS"), ["type: STRICT_DNS is refused"]),
+        (cluster(name=""), ["name:"]),
+        (cluster(lb_policy="CLUSTER_PROVIDED"), ["lb_policy: CLUSTER_PROVIDED"]),
+        (cluster(typo=1), ["typo"]),
+        ({"@type": CLUSTER, "name": "a", "cluster_type": {"name": "x"}}, ["cluster_type: 'x'"]),
+        (cluster(eds_cluster_config={"eds_config": {"path": "/x"}}), ["eds_config: path is refused"]),
+        (assignment(cluster_name=""), ["cluster_name:"]),
+        (assignment({"lb_endpoints": [endpoint(0)]}), ["[0].lb_endpoints[0].endpoint.address.port_value: 0"]),
+        (
+            assignment({"lb_endpoints": [endpoint(80, "db.example")]}),
+            ["'db.example' is no address in figures"],
+        ),
+        (assignment({"lb_endpoints": [endpoint(load_balancing_weight=0)]}), ["load_balancing_weight: 0"]),
+        (
+            assignment({"lb_endpoints": [endpoint()]}, {"priority": 1, "lb_endpoints": [endpoint()]}),
+            ["10.0.0.1:80 stands in endpoints[0].lb_endpoints[0] too"],
+        ),
+        (assignment({"priority": 1}), ["priority [0] is left out"]),
+        (assignment({}, {}), ["stands twice"]),
+        (
+            assignment({"lb_endpoints": [endpoint(n, load_balancing_weight=(1 << 32) - 1) for n in (1, 2)]}),
+            ["weights add up to 8589934590"],
+        ),
+        (assignment({"priority": 129}), ["priority: 129"]),
+        (assignment(policy={"overprovisioning_factor": 50}), ["overprovisioning_factor: 50 is below 100"]),
+        ({"@type": "type.googleapis.com/x"}, ["'type.googleapis.com/x' is not understood"]),
+        (3, ["no object"]),
+    ],
+)
 def test_what_can_t_be_is_refused_with_its_field(told: Any, words: list[str]) -> None:
     good, bad = resources.check_json(json.dumps({"resources": [told, cluster()]}))
     assert [type(found) for found in good] == [Cluster]  # the good one counts
@@ -95,10 +129,15 @@
             decode("ledger", resources.parse(type_url, body)[1])
 
 
-@pytest.mark.parametrize(("text", "status", "word"), [
-    (json.dumps({"resources": [cluster()]}), 0, "good: cluster ledger"), ("{", 2, "no JSON"),
-    ("[]", 2, "resources: missing"), (json.dumps({"resources": [cluster(type="LOGICAL_DNS")]}), 1, "refused"),
-])
+@pytest.mark.parametrize(
+    ("text", "status", "word"),
+    [
+        (json.dumps({"resources": [cluster()]}), 0, "good: cluster ledger"),
+        ("{", 2, "no JSON"),
+        ("[]", 2, "resources: missing"),
+        (json.dumps({"resources": [cluster(type="LOGICAL_DNS")]}), 1, "refused"),
+    ],
+)
 def test_the_command_checks_a_file(tmp_path: Path, text: str, status: int, word: str) -> None:
     path = tmp_path / "fleet.json"
     path.write_text(text)
