Lab: tell the server its rig's process id, so that a killed rig is always missed

Cause: lab/victim.py took its parent's process id for the rig's in its orders thread, after that thread had imported ctypes. A rig that was killed before then was never missed: the thread was told the process that had taken the rig's place, and compared with that ever after.

Change: program.start hands the rig's process id over in CAIRNVANE_LAB_RIG, and the server compares its parent with that from its first look on. The test has a second case that forces the order: the server is told its parent only after the rig was killed. It failed before the change. The test also closes its pipe, and ends a server that stays.

--- a/cairnvane/lab/program.py
+++ b/cairnvane/lab/program.py
@@ -128,7 +128,9 @@
 def start(site: Site, kill: str = "", mutant: str = "", clock_s: float = 0.0) -> Life:
     """A life of the server, killed at the named point if one is given; its Unix time is off by `clock_s`."""
     environment = {name: value for name, value in os.environ.items() if not name.startswith(("LB_", "CAIRN"))}
-    environment |= site.write() | {victim.KILL: kill, victim.MUTANT: mutant, victim.CLOCK: str(clock_s)}
+    environment |= site.write()
+    environment |= {victim.KILL: kill, victim.MUTANT: mutant, victim.CLOCK: str(clock_s)}
+    environment[victim.RIG] = str(os.getpid())
     process = subprocess.Popen(
         [sys.executable, "-m", "cairnvane.lab.victim"], env=environment, stderr=subprocess.PIPE, text=True
     )
--- a/cairnvane/lab/victim.py
+++ b/cairnvane/lab/victim.py
@@ -3,7 +3,8 @@
 CAIRNVANE_LAB_KILL names the point and how often it is passed before, as in `written intent:3`. SIGKILL is
 what ends it, from within: nothing is flushed and no one is told. CAIRNVANE_LAB_MUTANT takes a part of the
 keeper out, to show that the judge sees what comes of it. CAIRNVANE_LAB_CLOCK sets its Unix time off by so
-many seconds. Further faults come by order, while it serves: see `FAULTS`.
+many seconds. Further faults come by order, while it serves: see `FAULTS`. CAIRNVANE_LAB_RIG is the process id
+of the rig that started it: it ends when that is no longer its parent.
 """
 
 from __future__ import annotations
@@ -31,6 +32,7 @@
 KILL, MUTANT = "CAIRNVANE_LAB_KILL", "CAIRNVANE_LAB_MUTANT"
 MUTANTS = ("no-intents", "no-results")
 CLOCK, ORDER = "CAIRNVANE_LAB_CLOCK", signal.SIGUSR1
+RIG = "CAIRNVANE_LAB_RIG"
 # By order, for or by so many seconds: all threads stand still, as one that holds the interpreter makes them;
 # the host thread alone does; Unix time jumps.
 FAULTS = ("hold", "busy", "clock")
@@ -51,12 +53,13 @@
     time.time_ns = lambda: before_ns() + int(seconds * 1e9)
 
 
-def _obey() -> None:
-    """A thread of its own waits for orders: a handler would run only when the main thread wakes."""
+def _obey(rig: int) -> None:
+    """A thread of its own waits for orders: a handler would run only when the main thread wakes. `rig` is the
+    rig's process id as the rig told it: the rig may have been killed before this thread could ask for its own
+    parent, and the answer would then be the process that took its place."""
     import ctypes  # what stands still then must not wait for it
 
     interpreter, path = ctypes.PyDLL(None), order_file(Path(os.environ["TMPDIR"]), os.getpid())
-    rig = os.getppid()
     while True:
         # It was seen to return at a notice to leave too, which the main thread got: no order stands then.
         if signal.sigtimedwait({ORDER}, LOOK_S) is None or not path.exists():
@@ -146,7 +149,7 @@
     # Before any thread: one that left them open would be ended by what the main thread waits for.
     signal.pthread_sigmask(signal.SIG_BLOCK, {ORDER, *LEAVE, RELOAD})
     Host.__init__ = _known(Host.__init__)  # type: ignore[method-assign]
-    threading.Thread(target=_obey, name="orders", daemon=True).start()
+    threading.Thread(target=_obey, args=(int(os.environ[RIG]),), name="orders", daemon=True).start()
     if shift := float(os.environ.get(CLOCK) or 0):
         _shift(shift)
     told = os.environ.get(KILL, "")
--- a/tests/test_fleet_lab.py
+++ b/tests/test_fleet_lab.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import os
 import random
+import signal
 import socket
 import subprocess
 import sys
@@ -423,25 +426,59 @@
         return False
 
 
-def test_a_server_ends_with_the_rig_that_started_it(tmp_path: Path) -> None:
-    code = (
-        "import sys, time; from pathlib import Path; from cairnvane.lab import program\n"
-        "from cairnvane.lab.fleet.nodes import settings\n"
-        "from cairnvane.lab.fleet.scenario import Scenario\n"
-        "site = program.Site(Path(sys.argv[1]), '127.0.0.1:1', '127.0.0.1:1', '127.0.0.1:1', "
-        "settings(Scenario('a')))\n"
-        "life = program.start(site); assert life.listens(); print(life.process.pid, flush=True)\n"
-        "time.sleep(60)"
+# Loaded by the interpreter before anything of ours: nobody is told its parent before the file is there.
+LATE_PARENT = """
+import os, time
+from pathlib import Path
+ask, told = os.getppid, Path({path!r})
+def ask_late():
+    while not told.exists():
+        time.sleep(0.01)
+    return ask()
+os.getppid = ask_late
+"""
+RIG = """
+import sys, time
+from pathlib import Path
+from cairnvane.lab import program
+from cairnvane.lab.fleet.nodes import settings
+from cairnvane.lab.fleet.scenario import Scenario
+nowhere = "127.0.0.1:1"
+site = program.Site(Path(sys.argv[1]), nowhere, nowhere, nowhere, settings(Scenario("a")))
+life = program.start(site)
+assert life.listens()
+print(life.process.pid, flush=True)
+time.sleep(60)
+"""
+
+
+@pytest.mark.parametrize("asks", ["before", "after"])
+def test_a_server_ends_with_the_rig_that_started_it(asks: str, tmp_path: Path) -> None:
+    """Whether the server asks for its parent's process id before the rig is killed or after that. Guards: it
+    took what it was told after that for the rig's, never missed the rig, and stayed."""
+    environment, killed = dict(os.environ), tmp_path / "killed"
+    if asks == "after":
+        late = tmp_path / "late"
+        late.mkdir()
+        (late / "sitecustomize.py").write_text(LATE_PARENT.format(path=str(killed)))
+        environment["PYTHONPATH"] = os.pathsep.join([str(late), str(Path(__file__).parents[1])])
+    rig = subprocess.Popen(
+        [sys.executable, "-c", RIG, str(tmp_path)], stdout=subprocess.PIPE, text=True, env=environment
     )
-    rig = subprocess.Popen([sys.executable, "-c", code, str(tmp_path)], stdout=subprocess.PIPE, text=True)
     assert rig.stdout is not None
-    pid = int(rig.stdout.readline())
-    rig.kill()
-    rig.wait()
-    end = time.monotonic() + 4 * WAIT_S
-    while runs(pid) and time.monotonic() < end:
-        time.sleep(0.05)
-    assert not runs(pid)
+    with rig.stdout:
+        pid = int(rig.stdout.readline())
+    try:
+        rig.kill()
+        rig.wait()
+        killed.touch()
+        end = time.monotonic() + 4 * WAIT_S
+        while runs(pid) and time.monotonic() < end:
+            time.sleep(0.05)
+        assert not runs(pid)
+    finally:
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(pid, signal.SIGKILL)
 
 
 def test_links_that_end_with_open_connections_say_nothing(caplog: pytest.LogCaptureFixture) -> None:
