Tests: an unhandled error in any thread fails the test in which it came

Cause: a failed assert in a peer's script ended its thread with a warning, and the test passed. In test_whatever_the_roster_says_the_next_report_comes the script asserted content on each connection; read in the code, roster.stop() may close one that was just opened, without a report.

RosterPeer reads whole reports, and accepts a cut one only after the test has begun to stop the server; the tests assert the reports themselves. Listener lets pass only errors of the connection, no longer any OSError. Two scripts that looped for ever on an ended connection return. The keyed tests silenced every thread error; they now expect Killed and PowerCut alone.

--- a/tests/peers.py
+++ b/tests/peers.py
@@ -11,7 +11,9 @@
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, ClassVar
+
+import pytest
 
 from cairnvane.host import Host
 from cairnvane.keys import Keeper
@@ -65,10 +67,23 @@
         time.sleep(0.001)
 
 
+def expect_thread_errors(monkeypatch: pytest.MonkeyPatch, *kinds: type[BaseException]) -> None:
+    """Threads may end by errors of these kinds; any other is still the test's failure."""
+    report = threading.excepthook
+
+    def report_others(args: threading.ExceptHookArgs) -> None:
+        if not issubclass(args.exc_type, kinds):
+            report(args)
+
+    monkeypatch.setattr(threading, "excepthook", report_others)
+
+
 class Held:
     """A function whose first call, of those meant, stops where it begins, until it is let go: so two events
     cross at will. What an earlier story left behind may make calls, too."""
 
+    overdue: ClassVar[list[str]] = []  # calls that nobody let go; a caller may catch the error of that
+
     def __init__(self, function: Callable[..., Any], meant: Callable[..., bool] = lambda *_: True) -> None:
         self._function, self._meant = function, meant
         self.reached, self.go = threading.Event(), threading.Event()
@@ -76,34 +91,85 @@
     def __call__(self, *args: Any, **named: Any) -> Any:
         if not self.reached.is_set() and self._meant(*args):
             self.reached.set()
-            assert self.go.wait(WAIT_S)
+            if not self.go.wait(WAIT_S):
+                self.overdue.append(repr(self._function))
+                raise AssertionError("a held call was not let go")
         return self._function(*args, **named)
 
 
 class Listener:
-    """A listening socket whose connections are served by a script, a thread each."""
+    """A listening socket whose connections are served by a script, a thread each, until the test is over. A
+    script may end by an error of its connection; any other error is the test's failure."""
+
+    _all: ClassVar[list[Listener]] = []
 
     def __init__(self, script: Callable[[socket.socket], None]) -> None:
         self._script = script
         self._socket = socket.create_server(("127.0.0.1", 0))
         self.address: tuple[str, int] = self._socket.getsockname()
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._connections: list[tuple[socket.socket, threading.Thread]] = []
+        self._accepting = threading.Thread(target=self._accept, daemon=True)
+        self._accepting.start()
+        self._all.append(self)
+
+    @classmethod
+    def end_all(cls) -> None:
+        """End those that were opened in this test: an error of any of their scripts is this test's."""
+        while cls._all:
+            cls._all.pop().end()
 
     def _accept(self) -> None:
         with contextlib.suppress(OSError):
             while True:
                 sock, _ = self._socket.accept()
-                threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+                thread = threading.Thread(target=self._serve, args=(sock,), daemon=True)
+                self._connections.append((sock, thread))
+                thread.start()
 
     def _serve(self, sock: socket.socket) -> None:
-        with sock, contextlib.suppress(OSError):
+        with sock, contextlib.suppress(ConnectionError):
             self._script(sock)
 
     def close(self) -> None:
+        """Accept no more."""
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
         self._socket.close()
 
+    def end(self) -> None:
+        """Accept no more, end what is open, and wait until each script has ended."""
+        self.close()
+        self._accepting.join(WAIT_S)
+        assert not self._accepting.is_alive()
+        for sock, thread in self._connections:
+            with contextlib.suppress(OSError):  # its script has closed it
+                sock.shutdown(socket.SHUT_RDWR)
+            thread.join(WAIT_S)
+            assert not thread.is_alive(), "a script does not end with its connection"
+
+
+class RosterPeer:
+    """A roster that gives each report the same reply, none if that is None; `reports` has them whole."""
+
+    def __init__(self, reply: bytes | None) -> None:
+        self.reports: queue.Queue[bytes] = queue.Queue()
+        self.stopping = threading.Event()  # set before the server is told to stop: a report may be cut off
+        self._reply = reply
+        self.address = Listener(self._serve).address
+
+    def _serve(self, sock: socket.socket) -> None:
+        report = b""
+        while not report.endswith(b"}"):
+            if not (more := sock.recv(4_096)):
+                assert self.stopping.is_set(), f"a connection ended within a report: {report!r}"
+                return
+            report += more
+        self.reports.put(report)
+        if self._reply is None:
+            sock.recv(1)  # until the server gives it up
+        else:
+            sock.sendall(self._reply)
+
 
 class PoolPeer:
     """A worker pool that does nothing by itself; gauges are answered, unless it is to keep silent."""
@@ -122,6 +188,8 @@
         self._link = sock
         with sock.makefile("rb") as lines:
             for line in lines:
+                if not line.endswith(b"\n"):
+                    return  # the link was cut within a command
                 command = json.loads(line)
                 if command["action"] == "poll":
                     self.linked.set()
@@ -200,7 +268,9 @@
     def _serve(self, sock: socket.socket) -> None:
         data = b""
         while b"\r\n\r\n" not in data or not data.partition(b"\r\n\r\n")[2]:
-            data += sock.recv(4_096)
+            if not (more := sock.recv(4_096)):
+                return  # a call that was given up before it was said
+            data += more
         self.calls.put(data)
         if self._replies:
             sock.sendall(self._replies.pop(0))
@@ -347,6 +417,20 @@
         return uid
 
 
+def _end_link(link: Pool, before: set[threading.Thread]) -> None:
+    """End a pool's link, which the server itself never does, and wait for its threads, which came after
+    `before`: none may reach, or fail in, a later test."""
+    with link._lock:
+        link._moves += 1
+        newest = link._newest
+    if newest is not None:
+        newest.cut()
+    for thread in set(threading.enumerate()) - before:
+        if thread.name == "pool":
+            thread.join(WAIT_S)
+            assert not thread.is_alive(), "a thread of the pool's link does not end"
+
+
 @contextlib.contextmanager
 def world(
     *replies: bytes,
@@ -363,6 +447,7 @@
     pool, vault = peer or PoolPeer(bound), VaultPeer(*replies)
     pool.linked.clear()
     host = Host(settings, gauges, seed=1)
+    before = set(threading.enumerate())
     link, server = Pool(pool.address, host), Server(("127.0.0.1", 0), host, most)
     lasting = Lasting(keeper, settings) if keeper is not None else None
     host.join(server, link, vault.address, lasting)
@@ -382,6 +467,5 @@
         server.retire(0)
         host.stop()
         thread.join(WAIT_S)
-        if keeper is not None:  # what was said on a link of an earlier life must not reach the next one
-            link._moves += 1
-            pool.cut()
+        pool.cut()  # what was said on a link of an earlier life must not reach the next one
+        _end_link(link, before)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -31,6 +31,7 @@
     Held,
     Listener,
     PoolPeer,
+    RosterPeer,
     VaultPeer,
     World,
     reply,
@@ -652,20 +653,12 @@
     """Guards: one that accepts and says nothing, or half of something, for longer than an entry lasts."""
     monkeypatch.setattr(roster, "EVERY_S", 0.01)
     monkeypatch.setattr(roster, "WAIT_S", 0.05)
-    came = threading.Semaphore(0)
-
-    def listen(sock: socket.socket) -> None:
-        assert sock.recv(4_096)
-        came.release()
-        if said is None:
-            sock.recv(4_096)  # and says nothing
-        else:
-            sock.sendall(said)
-
-    reports = roster.Roster(Listener(listen).address, "n1")
+    peer = RosterPeer(said)
+    reports = roster.Roster(peer.address, "n1")
     reports.start()
     for _ in range(3):
-        assert came.acquire(timeout=WAIT_S)
+        assert peer.reports.get(timeout=WAIT_S).startswith(b"PUT /roster/n1 ")
+    peer.stopping.set()
     reports.stop()
 
 
@@ -681,17 +674,13 @@
         return http.read_reply(*args)
 
     monkeypatch.setattr(roster, "http", SimpleNamespace(request=http.request, read_reply=fails))
-    came = threading.Semaphore(0)
-
-    def listen(sock: socket.socket) -> None:
-        assert sock.recv(4_096)
-        came.release()
-        sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
-
-    reports = roster.Roster(Listener(listen).address, "n1")
+    peer = RosterPeer(b"HTTP/1.1 204 No Content\r\n\r\n")
+    reports = roster.Roster(peer.address, "n1")
     reports.start()
     for _ in range(3):
-        assert came.acquire(timeout=WAIT_S)
+        assert peer.reports.get(timeout=WAIT_S).startswith(b"PUT /roster/n1 ")
+    assert failed.is_set()
+    peer.stopping.set()
     reports.stop()
 
 
--- a/tests/test_keyed_kills.py
+++ b/tests/test_keyed_kills.py
@@ -7,14 +7,14 @@
 from pathlib import Path
 
 import pytest
-from peers import WAIT_S
+from peers import WAIT_S, expect_thread_errors
 from test_ledger import SAME, UNREAD, Killed, Steps
 
 from cairnvane import clock
 from cairnvane.keyed import Beside, Store
 from cairnvane.keyed.beside import LEDGER
 from cairnvane.keys import Begun
-from cairnvane.lab.disk import Disk
+from cairnvane.lab.disk import Disk, PowerCut
 from cairnvane.ledger import Ledger, Lives
 from cairnvane.ledger.folder import OsFolder
 
@@ -101,7 +101,7 @@
     where: str,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(threading, "excepthook", lambda args: None)  # a writer that is killed says nothing
+    expect_thread_errors(monkeypatch, Killed, PowerCut)  # a writer that is killed
     for kill_at in range(200):
         path = tmp_path / str(kill_at)
         disk, folder = Disk(), Steps(path / f"{LEDGER}cafe0000")
--- a/tests/test_keyed_server.py
+++ b/tests/test_keyed_server.py
@@ -11,12 +11,12 @@
 from typing import Any
 
 import pytest
-from peers import TOKEN, WAIT_S, Answer, Balancer, PoolPeer, World, reply, world
+from peers import TOKEN, WAIT_S, Answer, Balancer, PoolPeer, World, expect_thread_errors, reply, world
 
 from cairnvane import lasting
 from cairnvane.keyed import Store, plan
 from cairnvane.keyed.index import BYTES_PER_ENTRY, Index
-from cairnvane.lab.disk import Disk
+from cairnvane.lab.disk import Disk, PowerCut
 
 BOOT, OTHER_BOOT = b"a" * 16, b"b" * 16
 WRITE: dict[str, Any] = {"path": "/svc/write", "HTTP_REQ_TOKEN": TOKEN}
@@ -84,8 +84,8 @@
 
 @pytest.fixture(autouse=True)
 def quiet(monkeypatch: pytest.MonkeyPatch) -> None:
-    """A writer that is killed says nothing, and what was recorded is answered from the record alone."""
-    monkeypatch.setattr(threading, "excepthook", lambda args: None)
+    """A writer may be killed, and what was recorded is answered from the record alone."""
+    expect_thread_errors(monkeypatch, Killed, PowerCut)
     monkeypatch.setattr(lasting, "RECENT", 0)
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -5,7 +5,6 @@
 import contextlib
 import json
 import os
-import queue
 import re
 import signal
 import socket
@@ -20,7 +19,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from peers import PARAMS, WAIT_S, Balancer, Listener, PoolPeer
+from peers import PARAMS, WAIT_S, Balancer, Listener, PoolPeer, RosterPeer
 
 from cairnvane import config
 from cairnvane.net import fastcgi, http
@@ -76,27 +75,19 @@
 
 
 def test_it_serves_reports_and_leaves_with_all_answered(tmp_path: Path) -> None:
-    reports: queue.Queue[bytes] = queue.Queue()
-
-    def roster(sock: socket.socket) -> None:
-        data = b""
-        while not data.endswith(b"}"):
-            data += sock.recv(4_096)
-        reports.put(data)
-        sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
-
-    pool, list_ = PoolPeer(), Listener(roster)
-    at = [f"{host}:{port}" for host, port in (pool.address, list_.address)]
+    pool, roster = PoolPeer(), RosterPeer(b"HTTP/1.1 204 No Content\r\n\r\n")
+    at = [f"{host}:{port}" for host, port in (pool.address, roster.address)]
     with program(tmp_path, at[0], at[1]) as (process, port):
         balancer = Balancer(("127.0.0.1", port))
         for _ in range(2):  # it goes on reporting
-            assert reports.get(timeout=WAIT_S).startswith(b"PUT /roster/n3 HTTP/1.1\r\n")
+            assert roster.reports.get(timeout=WAIT_S).startswith(b"PUT /roster/n3 HTTP/1.1\r\n")
         balancer.send(1)
         pool.next("bind")
         pool.run(b"done")
         assert balancer.answer()[1].body == b"done"
         balancer.send(2)
         uid = pool.next("spawn")["uid"]
+        roster.stopping.set()
         process.send_signal(signal.SIGTERM)
         with contextlib.suppress(ConnectionError):  # refused, or reset on the way: nobody new is let in
             while True:
