Keep folders that wrote, and compare what is printed and recovered

A log and a ledger outlive the version that wrote them, so the renamed one must read them alike. Kept are a log of three segments (intents, calls, results, faults, nevers, keys past their window), a ledger of two with a seal, and damaged copies of both; beside them what 'cairnvane keyed verify', 'show' (plain and JSON) and 'compact' print, and in neutral form what a start recovers, under the same boot and a later one. Both are also written on. The printed texts hold the lower-case names of states, which a renaming must leave alone.

--- /dev/null
+++ b/tests/test_golden_folders.py
@@ -0,0 +1,383 @@
+"""Folders of kept results as version f6762b4 wrote them: printed alike, and recovered to the same content.
+
+That version wrote `data/folders` and the expected files in it. `python tests/test_golden_folders.py`
+makes them anew, and is to be run on that version only. All times in them are of boots that no machine has:
+nothing that is printed depends on when it is.
+"""
+
+from __future__ import annotations
+
+import json
+import shutil
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from cairnvane.cli import main
+from cairnvane.keyed import index as places
+from cairnvane.keyed import record as keyed_record
+from cairnvane.keyed.files import OsFiles
+from cairnvane.keyed.index import Index
+from cairnvane.keyed.log import Entry, Log, Owner
+from cairnvane.keys import Begun, Recovered
+from cairnvane.ledger import Ledger, Lives
+from cairnvane.ledger import record as ledger_record
+from cairnvane.ledger.folder import OsFolder
+from cairnvane.ledger.state import State, Step
+
+FOLDERS = Path(__file__).parent / "data" / "folders"
+RECOVERED = FOLDERS / "expected_recovered.json"
+COMPACTED = FOLDERS / "expected_compact_log.txt"
+LEDGER = "ledger.0123abcd"
+PRINTED = ["log", "ledger", f"ledger/{LEDGER}", "damaged"]
+COMMANDS: dict[str, list[str]] = {"verify": ["verify"], "show": ["show"], "show_json": ["show", "--json"]}
+
+SECOND_US = 1_000_000
+WINDOW_US, UNREAD_US = 8 * SECOND_US, 2 * SECOND_US
+START_US = 100 * SECOND_US
+UNIX_MS = 1_700_000_000_000
+INSTANCE = "n1"
+BOOT, LATER_BOOT = b"boot of old time", b"a later boot now"
+DIGEST = bytes(range(16))
+TOKENS = 60
+MOST_DISK = 1 << 20
+INDEX_BYTES = 1 << 16
+# The first keys are past their window and past being read late by then, the last ones are not.
+RECOVERED_AT_US = START_US + 12 * SECOND_US
+LIVES = (7_000_000_001, 7_000_000_002)
+STATES: dict[State, str] = {
+    State.UNKNOWN: "unknown",
+    State.INTENDED: "intended",
+    State.CALLING: "calling",
+    State.FINISHED: "finished",
+    State.FAILED: "failed",
+    State.VOID: "void",
+    State.AGED: "aged",
+}
+
+
+def token(number: int) -> bytes:
+    return number.to_bytes(4, "big") * 4
+
+
+def result(number: int) -> bytes:
+    return bytes((number * 7 + place) % 251 for place in range(40 + 10 * number))
+
+
+# --- written by f6762b4
+
+
+def _log_entries(number: int) -> list[Entry]:
+    """The records of one key: each way that a keyed request can go comes up."""
+    at = START_US + number * 100_000
+    until = at + WINDOW_US
+    uid = f"{number:016x}"
+    lane = "write" if number % 2 else "caf\u00e9"
+    intent = keyed_record.put_intent(uid, DIGEST, at + SECOND_US, 24.5, lane)
+    entries = [Entry(Step.INTENT, token(number), at, until, intent, pos=number)]
+    never = number % 11 == 5
+    if number % 7 == 3 and not never:
+        call = keyed_record.put_call(number)
+        entries.append(Entry(Step.CALL, token(number), at + 10, until, call, pos=number))
+    if never:
+        entries.append(Entry(Step.NEVER, token(number), at + 20, until, b"", pos=number))
+    elif number % 13 != 6:
+        failed = number % 5 == 4
+        step = Step.FAULT if failed else Step.RESULT
+        end = keyed_record.put_end(DIGEST, b"" if failed else result(number))
+        entries.append(Entry(step, token(number), at + 30, until, end, pos=number))
+    return entries
+
+
+def _write_log(folder: Path) -> None:
+    files = OsFiles(folder)
+    files.make()
+    log = Log(files, Owner(INSTANCE, BOOT), most_disk=MOST_DISK, power=False, unread=UNREAD_US)
+    log.recover(Index(INDEX_BYTES), START_US)
+    link = keyed_record.put_link(START_US - SECOND_US)
+    log.append([Entry(Step.LINK, keyed_record.NO_TOKEN, START_US, START_US, link)], UNIX_MS)
+    for number in range(TOKENS):
+        log.append(_log_entries(number), UNIX_MS + number * 100)
+    log.close()
+
+
+def _put(kind: int, life: int, number: int, at: int, rest: bytes = b"", claimed: int | None = None) -> bytes:
+    """A record of a key that was claimed at `claimed`."""
+    until = (at if claimed is None else claimed) + WINDOW_US
+    return ledger_record.put(kind, life, token(number), at, until, rest)
+
+
+def _ledger_segments() -> list[bytes]:
+    one, two = LIVES
+    at = START_US
+    first = [
+        _put(Step.INTENT, one, 1, at, DIGEST),
+        _put(Step.INTENT, two, 1, at + 1, DIGEST),  # comes second
+        _put(Step.RESULT, one, 1, at + 50, DIGEST + result(1), claimed=at),
+        _put(Step.INTENT, one, 2, at, DIGEST),
+        _put(Step.FAULT, one, 2, at + 60, DIGEST, claimed=at),
+        _put(Step.INTENT, two, 3, at, DIGEST),
+        _put(Step.NEVER, two, 3, at + 70, claimed=at),
+        _put(Step.INTENT, one, 4, at, DIGEST),  # its end is never told
+        _put(Step.RESULT, two, 4, at + 80, DIGEST + result(4), claimed=at),  # not this life's to end
+        _put(Step.INTENT, two, 5, at, DIGEST),
+        _put(Step.RESULT, two, 5, at + 90, DIGEST + result(5), claimed=at),
+        _put(Step.INTENT, one, 5, at + WINDOW_US, DIGEST),  # its window is over: claimed anew
+        ledger_record.put(ledger_record.SEAL, one, ledger_record.NO_TOKEN, at, at),
+        _put(Step.INTENT, one, 6, at, DIGEST),  # behind the seal
+    ]
+    later = at + WINDOW_US + SECOND_US
+    second = [
+        _put(Step.RESULT, one, 5, later, DIGEST + result(6), claimed=at + WINDOW_US),
+        _put(Step.INTENT, two, 7, later, DIGEST),
+        _put(Step.RESULT, two, 7, later + 5, DIGEST, claimed=later),  # an empty result
+        _put(Step.INTENT, two, 8, later, DIGEST),
+        _put(Step.INTENT, one, 9, later, DIGEST)[:-3],  # torn
+    ]
+    return [b"".join(first), b"".join(second)]
+
+
+def _write_ledger(path: Path, segments: list[bytes]) -> None:
+    folder = OsFolder(path)
+    folder.make()
+    for number, data in enumerate(segments, 1):
+        segment = folder.open(number, create=True)
+        segment.append(data)
+        segment.close()
+
+
+def _write_damaged(folder: Path) -> None:
+    """The same, with a byte changed, a step that can't follow, the last write torn, a foreign file, and a
+    ledger with a gap."""
+    shutil.copytree(FOLDERS / "log", folder)
+    names = sorted(path.name for path in folder.iterdir())
+    middle, last = folder / names[1], folder / names[-1]
+    data = bytearray(middle.read_bytes())
+    data[len(data) // 2] ^= 1
+    middle.write_bytes(data)
+    at = START_US + SECOND_US
+    illegal = keyed_record.put(len(names), Step.NEVER, token(1), at, at + WINDOW_US, 0, b"")
+    last.write_bytes(last.read_bytes() + illegal + illegal[:-5])
+    (folder / "00000000000000ff.seg").write_bytes(b"something else")
+    first, second = _ledger_segments()
+    _write_ledger(folder / LEDGER, [b"torn" + first, second])
+
+
+def _write_folders() -> None:
+    shutil.rmtree(FOLDERS, ignore_errors=True)
+    _write_log(FOLDERS / "log")
+    _write_ledger(FOLDERS / "ledger" / LEDGER, _ledger_segments())
+    _write_damaged(FOLDERS / "damaged")
+    for name in PRINTED:
+        for command in COMMANDS:
+            _expected(name, command).write_text(printed(FOLDERS, name, command))
+    COMPACTED.write_text(compacted(FOLDERS))
+    RECOVERED.write_text(json.dumps(recovered_everywhere(FOLDERS), indent=1) + "\n")
+
+
+# --- what is printed
+
+
+@pytest.fixture
+def folders(tmp_path: Path) -> Path:
+    """A copy of all folders."""
+    return shutil.copytree(FOLDERS, tmp_path / "folders")
+
+
+def _expected(name: str, command: str) -> Path:
+    return FOLDERS / f"expected_{command}_{name.replace('/', '_')}.txt"
+
+
+def printed(folders: Path, name: str, command: str) -> str:
+    """What the command line says of a folder, and its status."""
+    told = CliRunner().invoke(main, ["keyed", *COMMANDS[command], str(folders / name)])
+    return f"{told.output}status {told.exit_code}\n"
+
+
+@pytest.mark.parametrize("command", COMMANDS)
+@pytest.mark.parametrize("name", PRINTED)
+def test_a_folder_is_printed_as_recorded(folders: Path, name: str, command: str) -> None:
+    assert printed(folders, name, command) == _expected(name, command).read_text()
+
+
+def compacted(folders: Path) -> str:
+    """What the command line says of the compaction of a copy, and of the copy behind it."""
+    copy = shutil.copytree(folders / "log", folders.with_name("copies"))
+    said = []
+    for command in ("compact", "verify", "show"):
+        told = CliRunner().invoke(main, ["keyed", command, str(copy)])
+        said.append(f"{told.output}status {told.exit_code}\n")
+    shutil.rmtree(copy)
+    return "".join(said)
+
+
+def test_a_log_is_compacted_as_recorded(folders: Path) -> None:
+    assert compacted(folders) == COMPACTED.read_text()
+
+
+# --- what is recovered
+
+
+def recovered_log(folder: Path, boot: bytes) -> dict[str, Any]:
+    """All that a life that starts at a fixed time takes up from a log; what is torn is cut off."""
+    log = Log(OsFiles(folder), Owner(INSTANCE, boot), most_disk=MOST_DISK, power=False, unread=UNREAD_US)
+    index = Index(INDEX_BYTES)
+    recovery = log.recover(index, RECOVERED_AT_US)
+    report = log.report
+    return {
+        "left": _left_form(recovery.conclude()),
+        "counts": [recovery.counts.records, recovery.counts.aged, recovery.counts.illegal],
+        "entries": [_index_form(log, index, number) for number in range(TOKENS)],
+        "report": [report.segments, report.bytes, report.damaged, report.torn, report.foreign],
+        "segments": [[one.number, one.began, one.size, one.ends, one.dead] for one in log.segments.values()],
+    }
+
+
+def _left_form(left: Recovered) -> list[Any]:
+    begun = [
+        [
+            one.token.hex(),
+            one.uid,
+            one.lane,
+            one.digest.hex(),
+            one.until,
+            one.due,
+            one.memory,
+            one.call_pos,
+        ]
+        for one in left.begun
+    ]
+    return [begun, [[*kept] for kept in left.kept], left.pos, left.pool_started]
+
+
+def _index_form(log: Log, index: Index, number: int) -> list[Any]:
+    """How a key ended, until when it counts, where its record stands, and its result."""
+    found = index.get(token(number))
+    if found is None:
+        return [number]
+    word, tick = found
+    kept = log.fetch(word, token(number), DIGEST)
+    return [
+        number,
+        STATES[places.state(word)],
+        tick,
+        [*places.where(word)],
+        None if kept is None else kept.hex(),
+    ]
+
+
+def _opened_ledger(path: Path, lives: Path) -> Ledger:
+    ledger = Ledger(OsFolder(path), Lives(lives), UNREAD_US)
+    ledger.open()
+    return ledger
+
+
+def _fetched(ledger: Ledger, name: bytes) -> list[str | None]:
+    """The results that a try is told of: exactly one, or none if there is no result."""
+    told: list[str | None] = []
+    ledger.fetch(name, DIGEST, lambda kept: told.append(None if kept is None else kept.hex()))
+    return told
+
+
+def recovered_ledger(path: Path) -> dict[str, Any]:
+    """All that a new life knows from a ledger, and what tries get that came at different times."""
+    ledger = _opened_ledger(path, path.parent / "no lives")
+    entries = [
+        [
+            name.hex(),
+            entry.life,
+            entry.same.hex(),
+            entry.at,
+            entry.until,
+            STATES[entry.state],
+            None if kept is None else kept.hex(),
+        ]
+        for name, entry, kept in ledger.entries()
+    ]
+    tries = []
+    for number in range(1, 10):
+        for arrived in (START_US + 100, START_US + WINDOW_US + 100, START_US + 3 * WINDOW_US):
+            past = ledger.recall(token(number), DIGEST, arrived)
+            tries.append([number, arrived, None if past is None else past.served])
+    results = [[number, _fetched(ledger, token(number))] for number in range(1, 10)]
+    ledger.close()
+    return {"entries": entries, "tries": tries, "results": results}
+
+
+def recovered_everywhere(folders: Path) -> dict[str, Any]:
+    """From copies, since what is torn is cut off."""
+    made: dict[str, Any] = {}
+    copies = folders.with_name("copies")
+    for name in ("log", "damaged"):
+        for label, boot in (("same boot", BOOT), ("later boot", LATER_BOOT)):
+            shutil.copytree(folders / name, copies)
+            made[f"{name}, {label}"] = recovered_log(copies, boot)
+            shutil.rmtree(copies)
+    for name in ("ledger", "damaged"):
+        shutil.copytree(folders / name, copies)
+        made[f"{name}, ledger"] = recovered_ledger(copies / LEDGER)
+        shutil.rmtree(copies)
+    return made
+
+
+def test_what_is_recovered_is_as_recorded(folders: Path) -> None:
+    expected = json.loads(RECOVERED.read_text())
+    found = json.loads(json.dumps(recovered_everywhere(folders)))
+    assert list(found) == list(expected)
+    for name, content in expected.items():
+        for part, told in content.items():
+            assert found[name][part] == told, (name, part)
+
+
+def test_the_recording_holds_every_way_that_a_key_can_go() -> None:
+    expected = json.loads(RECOVERED.read_text())
+    log = expected["log, same boot"]
+    states = {entry[1] for entry in log["entries"] if len(entry) > 1}
+    begun, kept, _, _ = log["left"]
+    assert states == {"finished", "failed"} and begun and kept
+    assert any(one[-1] for one in begun) and not all(one[-1] for one in begun), "at a call, and not"
+    assert log["counts"][1] > 0, "past their window"
+    assert len(log["segments"]) > 2
+    assert {entry[5] for entry in expected["ledger, ledger"]["entries"]} == {"intended", "finished", "failed"}
+
+
+def test_a_recorded_log_is_written_on(folders: Path) -> None:
+    """What is appended to an old folder is recovered beside what was there."""
+    log = Log(
+        OsFiles(folders / "log"), Owner(INSTANCE, BOOT), most_disk=MOST_DISK, power=False, unread=UNREAD_US
+    )
+    log.recover(Index(INDEX_BYTES), RECOVERED_AT_US)
+    number, until = TOKENS + 1, RECOVERED_AT_US + WINDOW_US
+    intent = keyed_record.put_intent(f"{number:016x}", DIGEST, RECOVERED_AT_US, 24.5, "write")
+    log.append([Entry(Step.INTENT, token(number), RECOVERED_AT_US, until, intent, pos=number)], UNIX_MS)
+    log.close()
+    before = json.loads(RECOVERED.read_text())["log, same boot"]
+    after = json.loads(json.dumps(recovered_log(folders / "log", BOOT)))
+    assert after["entries"] == before["entries"]
+    assert after["left"][0][:-1] == before["left"][0]
+    assert after["left"][0][-1][0] == token(number).hex()
+
+
+def test_a_recorded_ledger_is_written_on(folders: Path) -> None:
+    """A key that nobody holds can be claimed, and one that an earlier life holds can't."""
+    path = folders / "ledger" / LEDGER
+    ledger = _opened_ledger(path, folders / "lives")
+    told: list[str] = []
+    until = 1 << 62
+    for number in (4, 30):
+        begun = Begun(token(number), f"{number:016x}", "write", DIGEST, until, until, 24.5, 0)
+        ledger.intend(begun, lambda: told.append("claimed"), lambda known: told.append(f"refused {known}"))
+    ledger.ended(token(30), until, DIGEST, b"new", (), lambda: told.append("ended"))
+    ledger.close()
+    again = _opened_ledger(path, folders / "lives")
+    results = {name: kept for name, _, kept in again.entries()}
+    again.close()
+    assert told[-2:] == ["claimed", "ended"]
+    assert results[token(30)] == b"new"
+    assert results[token(1)] == result(1)
+
+
+if __name__ == "__main__":
+    _write_folders()
