--- /dev/null
+++ b/tests/test_recorded_actions.py
@@ -0,0 +1,183 @@
+"""What the controller does over many events and settings, action for action as version f6762b4 did.
+
+`data/recorded_actions.json` holds digests and counts that this version made: `python
+tests/test_recorded_actions.py` makes them anew, and is to be run on that version only.
+"""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+from neutral import ACTION_LABELS, EVENT_LABELS
+from seeded_host import MS, NO_CALLER_COMES_BACK, SECOND, Recording, Scenario, SeededHost
+
+from cairnvane import interface as i
+
+RECORDED = Path(__file__).parent / "data" / "recorded_actions.json"
+LEAST_EVENTS = 100_000
+NEVER_EMITTED = {ACTION_LABELS[i.Log]}  # the controller writes no lines for the operators
+EVENTS = 18_000
+
+READ = i.RequestClass("read", aim=300 * MS, patience=900 * MS, skip_worth=0.5)
+WRITE = i.RequestClass(
+    "write", aim=400 * MS, patience=1_500 * MS, worth=3.0, repeat=i.Repeat.KEYED, window=8 * SECOND
+)
+ONCE = i.RequestClass("once", aim=300 * MS, patience=1_000 * MS, worth=2.0, repeat=i.Repeat.UNSAFE)
+BATCH = i.RequestClass("batch", aim=600 * MS, patience=3_000 * MS, worth=0.5, late_worth=0.3, aim_stretch=2.0)
+LATE_WRITE = replace(WRITE, name="late write", late_worth=0.2, skip_worth=0.1, window=3 * SECOND)
+PLAIN = i.Settings(
+    cores=4,
+    memory=20_000.0,
+    classes=(READ, WRITE, ONCE, BATCH),
+    run_factor=8.0,
+    key_memory=1.0,
+    halt=i.HaltMode.DROP,
+    crowd_multiple=5.0,
+    drain_grace=2 * SECOND,
+    max_advice=SECOND,
+    callers=20,
+    round=MS,
+)
+TENANTS = (i.Tenant("a", 40.0), i.Tenant("b", 120.0), i.Tenant("c", 5.0))
+
+SCENARIOS: dict[str, Scenario] = {
+    "no signal, no halts, no calls": Scenario(
+        replace(PLAIN, halt=i.HaltMode.NONE, max_advice=0), seed=11, events=EVENTS, work=15 * MS, load=0.9
+    ),
+    "level, drop, shared calls": Scenario(
+        replace(
+            PLAIN,
+            signal=i.Signal.LEVEL,
+            downstream=i.Downstream.SHARED,
+            fair_calls=6.0,
+            call_linger=20 * MS,
+        ),
+        seed=12,
+        events=EVENTS,
+        work=15 * MS,
+        load=0.9,
+        call_chance=0.5,
+    ),
+    "credit, pause, tier, tenants": Scenario(
+        replace(
+            PLAIN,
+            halt=i.HaltMode.PAUSE,
+            signal=i.Signal.CREDIT,
+            downstream=i.Downstream.TIER,
+            tenants=TENANTS,
+            over_share_worth=0.3,
+            peers=2,
+        ),
+        seed=13,
+        events=EVENTS,
+        work=20 * MS,
+        load=1.0,
+        call_chance=0.4,
+        callers=60,
+    ),
+    "weight, cold start, new callers": Scenario(
+        replace(
+            PLAIN,
+            cores=8,
+            signal=i.Signal.WEIGHT,
+            cold=True,
+            cold_from=0.2,
+            cold_for=5 * SECOND,
+            crowd_multiple=3.0,
+        ),
+        seed=14,
+        events=EVENTS,
+        work=30 * MS,
+        load=1.1,
+        callers=NO_CALLER_COMES_BACK,
+        life=7 * SECOND,
+        drains=False,
+    ),
+    "share below one call, little memory": Scenario(
+        replace(
+            PLAIN,
+            cores=2,
+            memory=4_500.0,
+            classes=(READ, LATE_WRITE, ONCE),
+            key_memory=4.0,
+            signal=i.Signal.CREDIT,
+            downstream=i.Downstream.SHARED,
+            fair_calls=0.7,
+            calls_window=5 * SECOND,
+            call_linger=50 * MS,
+        ),
+        seed=15,
+        events=EVENTS,
+        work=10 * MS,
+        load=0.8,
+        call_chance=0.15,
+        call_time=40 * MS,
+        failing=0.1,
+    ),
+    "one core, late worth, tenants, cold": Scenario(
+        replace(
+            PLAIN,
+            cores=1,
+            classes=(BATCH, LATE_WRITE),
+            tenants=TENANTS[:2],
+            over_share_worth=0.0,
+            halt=i.HaltMode.PAUSE,
+            signal=i.Signal.WEIGHT,
+            downstream=i.Downstream.TIER,
+            cold=True,
+            cold_from=0.5,
+            cold_for=5 * SECOND,
+            crowd_multiple=8.0,
+            round=5 * MS,
+        ),
+        seed=16,
+        events=EVENTS,
+        work=8 * MS,
+        load=1.3,
+        call_chance=0.3,
+    ),
+}
+
+
+def _form(recording: Recording) -> dict[str, Any]:
+    return {
+        "digest": recording.digest,
+        "checkpoints": recording.checkpoints,
+        "events": dict(sorted(recording.events.items())),
+        "actions": dict(sorted(recording.actions.items())),
+    }
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_actions_are_as_recorded(name: str) -> None:
+    recorded = json.loads(RECORDED.read_text())[name]
+    made = _form(SeededHost(SCENARIOS[name]).record())
+    for part in ("checkpoints", "events", "actions", "digest"):
+        assert made[part] == recorded[part], part
+
+
+def test_the_recording_holds_every_event_and_action() -> None:
+    recorded = json.loads(RECORDED.read_text())
+    assert set(recorded) == set(SCENARIOS)
+    events: Counter[str] = Counter()
+    actions: Counter[str] = Counter()
+    for one in recorded.values():
+        events.update(one["events"])
+        actions.update(one["actions"])
+    assert set(events) == set(EVENT_LABELS.values())
+    assert set(actions) == set(ACTION_LABELS.values()) - NEVER_EMITTED
+    assert events.total() >= LEAST_EVENTS
+
+
+def _write_recording() -> None:
+    made = {name: _form(SeededHost(scenario).record()) for name, scenario in SCENARIOS.items()}
+    RECORDED.write_text(json.dumps(made, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    _write_recording()
