Record the pool's words, digests and an end without its intent as well

Now the answers to the pool's questions, what its words mean, a NEVER without an intent, and digests of class and body are recorded too.

--- a/tests/test_golden_bytes.py
+++ b/tests/test_golden_bytes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import queue
 import re
 import socket
 import struct
@@ -20,7 +21,8 @@
 from neutral import OUTCOMES, Form, action_form, event_form, settings_form
 
 from cairnvane import interface as i
-from cairnvane import wire
+from cairnvane import runs, wire
+from cairnvane.digest import digest
 from cairnvane.exchange import Answer, Check, Intake, Request, Verdict
 from cairnvane.keyed import record as keyed_record
 from cairnvane.ledger import record as ledger_record
@@ -508,15 +510,20 @@
     assert notices.unknown_told.wait(WAIT_S)
     links.append(pool.suspend(UID))
     links.append(pool.supply(UID, b"reply"))
-    for ask in (pool.poll, pool.sync, pool.verify):
-        _ask(ask)
-    return {"sent": peer.read().hex(), "links": links, "heard": notices.heard}
+    answers = [_ask(pool.poll), _ask(pool.sync), _ask(pool.verify)]
+    return {
+        "sent": peer.read().hex(),
+        "links": links,
+        "answers": answers,
+        "heard": notices.heard,
+        "ends": [[word, OUTCOMES[outcome]] for word, outcome in runs.ENDS.items()],
+    }
 
 
-def _ask(ask: Callable[[Callable[[Any], None]], None]) -> None:
-    answered = threading.Event()
-    ask(lambda answer: answered.set())
-    assert answered.wait(WAIT_S)
+def _ask(ask: Callable[[Callable[[Any], None]], None]) -> Any:
+    answers: queue.Queue[Any] = queue.Queue()
+    ask(answers.put)
+    return answers.get(timeout=WAIT_S)
 
 
 # --- kept results and the ledger
@@ -583,6 +590,12 @@
     }
 
 
+def digests() -> Made:
+    """Of class and body, as they stand in records."""
+    told = {"read": b"body", "write": b"", "caf\u00e9": bytes(range(256))}
+    return {lane: digest(lane, body).hex() for lane, body in told.items()}
+
+
 # --- membership
 
 KEY = b"sixteen-and-more"
@@ -624,6 +637,7 @@
     "pool": pool_commands,
     "keyed records": keyed_records,
     "ledger records": ledger_records,
+    "digests": digests,
     "members": member_messages,
 }
 
--- a/tests/test_golden_folders.py
+++ b/tests/test_golden_folders.py
@@ -100,6 +100,9 @@
     log.append([Entry(Step.LINK, keyed_record.NO_TOKEN, START_US, START_US, link)], UNIX_MS)
     for number in range(TOKENS):
         log.append(_log_entries(number), UNIX_MS + number * 100)
+    at = START_US + TOKENS * 100_000
+    never = Entry(Step.NEVER, token(TOKENS), at, at + WINDOW_US, b"", pos=TOKENS)  # its intent is gone
+    log.append([never], UNIX_MS + TOKENS * 100)
     log.close()
 
 
