--- a/tests/seeded_host.py
+++ b/tests/seeded_host.py
@@ -45,6 +45,8 @@
     call_time: int = 20 * MS
     failing: float = 0.02  # runs that fail, but for spells in which most do
     callers: int = 20
+    unread: float = 0.1  # requests that waited long before they were read
+    lost_timers: float = 0.0  # timers that never fire
     life: int = 7 * SECOND  # how long the instance lives
     drains: bool = True  # most of its lives are told before they are stopped
 
@@ -274,7 +276,9 @@
         entry = Entry(number, index, rng.choice((8.0, 24.5, 60.0)), work, False)
         entry.call = rng.random() < self._scenario.call_chance
         event = i.Arrival(number, index, memory=entry.memory)
-        event.queued = rng.randrange(5 * MS) if rng.random() < 0.9 else rng.randrange(cls.aim // 3)
+        event.queued = (
+            rng.randrange(5 * MS) if rng.random() < 1 - self._scenario.unread else rng.randrange(cls.aim // 3)
+        )
         event.again = rng.random() < 0.15
         if rng.random() < 0.6:
             part = rng.choice((1.0, 1.0, 0.6)) if not event.again else rng.random()
@@ -377,6 +381,8 @@
 
     def _carry_out(self, action: i.Action) -> None:
         if isinstance(action, i.SetTimer):
+            if self._scenario.lost_timers and self._random.random() < self._scenario.lost_timers:
+                return
             late = self._random.randrange(2 * MS)
             self._plan(Kind.TIMER, max(action.at - self._now, 1) + late, action.token)
         elif not isinstance(action, (i.SetHealth, i.Advertise, i.CloseIdle, i.Log)):
--- a/tests/test_recorded_actions.py
+++ b/tests/test_recorded_actions.py
@@ -141,6 +141,26 @@
         load=1.3,
         call_chance=0.3,
     ),
+    "full crowd, quick calls, late reading, lost timers": Scenario(
+        replace(
+            PLAIN,
+            cores=8,
+            crowd_multiple=2.0,
+            signal=i.Signal.WEIGHT,
+            downstream=i.Downstream.SHARED,
+            fair_calls=20.0,
+        ),
+        seed=17,
+        events=EVENTS,
+        work=30 * MS,
+        load=1.2,
+        call_chance=0.5,
+        call_time=6 * MS,
+        callers=2_000,
+        unread=0.5,
+        lost_timers=0.01,
+        life=30 * SECOND,
+    ),
 }
 
 
