--- a/benchmarks/door_cost.py
+++ b/benchmarks/door_cost.py
@@ -10,10 +10,10 @@
 
 import table
 
-from cairnvane.door import Duty, Tally
-from cairnvane.door.calls import Calls
-from cairnvane.door.listener import MOST_CALLERS, Door
-from cairnvane.exchange import Verdict
+from cairnvane.administration import Readiness, RequestCounters
+from cairnvane.administration.endpoints import Endpoints
+from cairnvane.administration.http_server import MOST_CALLERS, AdministrationServer
+from cairnvane.exchange import ResponseStatus
 from cairnvane.net import http
 
 CLASSES = ("price-view", "bid-update", "bid-commit")
@@ -23,15 +23,15 @@
 SILENT = 3 * MOST_CALLERS
 
 
-def counting(rounds: int, tally: Tally | None) -> float:
+def counting(rounds: int, tally: RequestCounters | None) -> float:
     """Microseconds a request for what the front does with the door on (taken, attempted, ended), or off."""
     start = time.perf_counter()
     for number in range(rounds):
         lane = CLASSES[number % 3]
         if tally is not None:
-            tally.taken()
-            tally.attempted(lane)
-            tally.ended(lane, Verdict.SERVED)
+            tally.request_accepted()
+            tally.run_started(lane)
+            tally.response_sent(lane, ResponseStatus.SERVED)
     return (time.perf_counter() - start) / rounds * 1e6
 
 
@@ -48,15 +48,15 @@
 
 
 def main() -> None:
-    plain, counted = counting(ROUNDS, None), counting(ROUNDS, Tally(CLASSES))
+    plain, counted = counting(ROUNDS, None), counting(ROUNDS, RequestCounters(CLASSES))
     table.show(
         "Counting on the serving path, µs a request",
         ("door", "µs", "beside off"),
         [("off", plain, 1.0), ("on", counted, counted / plain if plain else float("inf"))],
     )
-    duty = Duty(lambda: True)
-    tally = Tally(CLASSES)
-    door = Door(("127.0.0.1", 0), Calls(duty, tally), duty)
+    duty = Readiness(lambda: True)
+    tally = RequestCounters(CLASSES)
+    door = AdministrationServer(("127.0.0.1", 0), Endpoints(duty, tally), duty)
     door.start()
     rows = []
     quiet = answers(door.address, CALLS)
--- a/benchmarks/fleet_choice.py
+++ b/benchmarks/fleet_choice.py
@@ -10,7 +10,7 @@
 
 import table
 
-from cairnvane.fleet import Weighted
+from cairnvane.load_balancing import Weighted
 
 SIZES = (10, 1_000, 100_000)
 
--- a/benchmarks/fleet_hashing.py
+++ b/benchmarks/fleet_hashing.py
@@ -7,7 +7,7 @@
 
 import table
 
-from cairnvane.fleet.maglev import TABLE_SIZE, Maglev
+from cairnvane.load_balancing.maglev import TABLE_SIZE, Maglev
 
 SIZES = (10, 1_000, 10_000)
 CHOICES = 200_000
--- a/benchmarks/keyed_damage.py
+++ b/benchmarks/keyed_damage.py
@@ -12,7 +12,7 @@
 import rivals
 import table
 
-from cairnvane.keyed import index as places
+from cairnvane.idempotency.durable import index as places
 
 ENTRIES, TRIES, RESULT_BYTES = 300, 60, 500
 
--- a/benchmarks/keyed_index.py
+++ b/benchmarks/keyed_index.py
@@ -11,7 +11,7 @@
 
 import table
 
-from cairnvane.keyed.index import BYTES_PER_ENTRY, Index
+from cairnvane.idempotency.durable.index import BYTES_PER_ENTRY, Index
 
 SIZES = (10_000, 100_000, 1_000_000)
 CHUNK = 10_000
--- a/benchmarks/keyed_latency.py
+++ b/benchmarks/keyed_latency.py
@@ -17,10 +17,10 @@
 import table
 from hdrh.histogram import HdrHistogram
 
-from cairnvane.lab import program, restarts
-from cairnvane.lab.balancer import Reply, StandInBalancer
-from cairnvane.lab.pool import StandInPool
-from cairnvane.lab.vault import StandInRoster, StandInVault
+from cairnvane.testbed import program, restarts
+from cairnvane.testbed.balancer import Reply, StandInBalancer
+from cairnvane.testbed.pool import StandInPool
+from cairnvane.testbed.vault import StandInRoster, StandInVault
 
 SITE_RATE = 190
 RATES = [SITE_RATE, 6 * SITE_RATE]
--- a/benchmarks/keyed_server.py
+++ b/benchmarks/keyed_server.py
@@ -6,12 +6,12 @@
 import sqlite3
 import sys
 
-import cairnvane.keyed
-from cairnvane.__main__ import main
-from cairnvane.keys import Recovered
+import cairnvane.idempotency.durable
+from cairnvane.idempotency.store import RecoveredState
+from cairnvane.server.main import main
 
 
-class SqliteStore(cairnvane.keyed.Store):
+class SqliteStore(cairnvane.durable.DurableStore):
     """The same writer and queue, but each group is a transaction."""
 
     def _recover(self) -> None:
@@ -24,7 +24,7 @@
             "(token BLOB PRIMARY KEY, step INTEGER, until INTEGER, rest BLOB) WITHOUT ROWID"
         )
         self._ready = True
-        self._recovered(Recovered())
+        self._recovered(RecoveredState())
 
     def _write_once(self, group) -> None:  # type: ignore[no-untyped-def]
         self._db.execute("BEGIN IMMEDIATE")
@@ -40,5 +40,5 @@
     # As it is deployed: a server's threads share one core. Spread over several, each wakes with cold caches.
     os.sched_setaffinity(0, {max(os.sched_getaffinity(0))})
     if os.environ.get("BENCH_STORE") == "sqlite":
-        cairnvane.keyed.Store = SqliteStore  # type: ignore[misc]
+        cairnvane.durable.DurableStore = SqliteStore  # type: ignore[misc]
     sys.exit(main())
--- a/benchmarks/ledger_cost.py
+++ b/benchmarks/ledger_cost.py
@@ -11,12 +11,13 @@
 import table
 
 from cairnvane import clock
-from cairnvane.digest import digest
-from cairnvane.keyed import Store
-from cairnvane.keyed.files import OsFiles, boot_id
-from cairnvane.keys import Begun, Keeper, Table
-from cairnvane.ledger import Ledger, Lives
-from cairnvane.ledger.folder import OsFolder
+from cairnvane.claims import ClaimLog, Incarnations
+from cairnvane.claims.storage import OsFolder
+from cairnvane.idempotency.durable import DurableStore
+from cairnvane.idempotency.durable.storage import OsFiles, boot_id
+from cairnvane.idempotency.fingerprint import fingerprint
+from cairnvane.idempotency.key_table import KeyTable
+from cairnvane.idempotency.store import IdempotencyStore, StartedRun
 
 COMMITS = 5_000
 RESULT = b"r" * 500
@@ -24,12 +25,12 @@
 UNREAD = 5_800_000
 
 
-def begun(number: int, until: int) -> Begun:
-    return Begun(
+def begun(number: int, until: int) -> StartedRun:
+    return StartedRun(
         number.to_bytes(16, "little"),
         f"{number:016x}",
         "bid-commit",
-        digest("bid-commit", BODY),
+        fingerprint("bid-commit", BODY),
         until,
         until,
         8.0,
@@ -37,37 +38,37 @@
     )
 
 
-def drive(keeper: Keeper, other: Keeper | None) -> tuple[float, float]:
+def drive(keeper: IdempotencyStore, other: IdempotencyStore | None) -> tuple[float, float]:
     """Wall and CPU microseconds a commit, one after the other, as a host makes them."""
     done = threading.Semaphore(0)
     until = clock.now() + 60_000_000
     start, cpu = time.perf_counter(), time.process_time()
     for number in range(COMMITS):
         one = begun(number, until)
-        keeper.recall(one.token, one.digest, 0)
-        keeper.intend(one, done.release, lambda there: None)
+        keeper.look_up(one.key, one.fingerprint, 0)
+        keeper.record_start(one, done.release, lambda there: None)
         done.acquire()
-        keeper.ended(one.token, one.until, one.digest, RESULT, (), done.release)
+        keeper.record_end(one.key, one.expires_at, one.fingerprint, RESULT, (), done.release)
         done.acquire()
         if other is not None:
-            assert other.recall(one.token, one.digest, 0) is not None
+            assert other.look_up(one.key, one.fingerprint, 0) is not None
     return (time.perf_counter() - start) / COMMITS * 1e6, (time.process_time() - cpu) / COMMITS * 1e6
 
 
-def ledger(path: Path) -> Ledger:
-    lives = Lives(path / "lives")
+def ledger(path: Path) -> ClaimLog:
+    lives = Incarnations(path / "lives")
     lives.enter()
-    made = Ledger(OsFolder(path / "ledger"), lives, UNREAD)
+    made = ClaimLog(OsFolder(path / "ledger"), lives, UNREAD)
     made.open()
     made.start(lambda left: None, lambda: None, lambda why: None)
     return made
 
 
 def main() -> None:
-    keys = Table(UNREAD)
+    keys = KeyTable(UNREAD)
     start, cpu = time.perf_counter(), time.process_time()
     for number in range(COMMITS):
-        keys.enter(f"{number:032x}", number, 0)
+        keys.insert(f"{number:032x}", number, 0)
         keys.owner(f"{number:032x}", 0)
     keys.expire(10**12)
     plain = (time.perf_counter() - start) / COMMITS * 1e6, (time.process_time() - cpu) / COMMITS * 1e6
@@ -82,7 +83,7 @@
                 other.close()
     for power in (False, True):
         with tempfile.TemporaryDirectory() as folder:
-            store = Store(
+            store = DurableStore(
                 OsFiles(Path(folder)),
                 "n1",
                 boot_id(),
--- a/benchmarks/members_real.py
+++ b/benchmarks/members_real.py
@@ -17,11 +17,11 @@
 import table
 from keyed_latency import cpu_s
 
-from cairnvane.lab import program
-from cairnvane.lab.fleet.nodes import settings
-from cairnvane.lab.fleet.scenario import Scenario
-from cairnvane.lab.pool import StandInPool
-from cairnvane.lab.vault import StandInRoster, StandInVault
+from cairnvane.testbed import program
+from cairnvane.testbed.fleet.nodes import settings
+from cairnvane.testbed.fleet.scenario import Scenario
+from cairnvane.testbed.pool import StandInPool
+from cairnvane.testbed.vault import StandInRoster, StandInVault
 
 MEMBERS, KILLS = int(os.environ.get("BENCH_MEMBERS", "12")), int(os.environ.get("BENCH_KILLS", "20"))
 IDLE_S = float(os.environ.get("BENCH_SECONDS", "20"))
--- a/benchmarks/members_rumours.py
+++ b/benchmarks/members_rumours.py
@@ -8,8 +8,8 @@
 
 import table
 
-from cairnvane.membership.rumours import Rumours, tells
-from cairnvane.membership.state import Claim
+from cairnvane.membership.gossip import Rumours, tells
+from cairnvane.membership.member_table import Claim
 
 MEMBERS, MOST, PICKS = 1_000, 6, 2_000
 
--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -20,9 +20,9 @@
 import table
 from keyed_latency import cpu_s
 
-from cairnvane.lab import program, restarts
-from cairnvane.lab.balancer import Reply, StandInBalancer
-from cairnvane.lab.vault import StandInRoster, StandInVault
+from cairnvane.testbed import program, restarts
+from cairnvane.testbed.balancer import Reply, StandInBalancer
+from cairnvane.testbed.vault import StandInRoster, StandInVault
 
 CALLERS, REPEATS = 16, (0, 4, 49)
 HERE = Path(__file__).resolve().parent
--- a/benchmarks/rivals.py
+++ b/benchmarks/rivals.py
@@ -10,10 +10,10 @@
 
 import lmdb
 
-from cairnvane.keyed import log, record
-from cairnvane.keyed.files import OsFiles
-from cairnvane.keyed.index import BYTES_PER_ENTRY, Index
-from cairnvane.ledger.state import Step
+from cairnvane.claims.states import Step
+from cairnvane.idempotency.durable import records, segment_log
+from cairnvane.idempotency.durable.index import BYTES_PER_ENTRY, Index
+from cairnvane.idempotency.durable.storage import OsFiles
 
 Row = tuple[bytes, int, bytes]  # token, until, result
 WINDOW_US = 17_364_000
@@ -26,8 +26,8 @@
 
     def __init__(self, folder: Path, power: bool, entries: int = 1_000) -> None:
         self.now = time.monotonic_ns() // 1_000
-        owner = log.Owner("bench", bytes(16))
-        self.log = log.Log(OsFiles(folder), owner, most_disk=HUGE, power=power, unread=0)
+        owner = segment_log.Owner("bench", bytes(16))
+        self.log = segment_log.SegmentLog(OsFiles(folder), owner, most_disk=HUGE, power=power, unread=0)
         self.index = Index(entries * BYTES_PER_ENTRY)
         self.log.recover(self.index, self.now)
         self.open = len(self.index)
@@ -35,7 +35,7 @@
     def append(self, rows: list[Row]) -> None:
         self.log.append(
             (
-                log.Entry(Step.RESULT, token, self.now, until, record.put_end(DIGEST, result))
+                segment_log.Entry(Step.RESULT, token, self.now, until, records.put_end(DIGEST, result))
                 for token, until, result in rows
             ),
             unix_ms=0,
@@ -44,8 +44,10 @@
 
     def begin(self, rows: list[Row]) -> None:
         """The intents, which stand in a real log before each end."""
-        rest = record.put_intent("0" * 16, DIGEST, self.now, 24.5, "bid-commit")
-        self.log.append((log.Entry(Step.INTENT, row[0], self.now, row[1], rest) for row in rows), unix_ms=0)
+        rest = records.put_intent("0" * 16, DIGEST, self.now, 24.5, "bid-commit")
+        self.log.append(
+            (segment_log.Entry(Step.INTENT, row[0], self.now, row[1], rest) for row in rows), unix_ms=0
+        )
 
     def close(self) -> None:
         self.log.close()
--- a/cairnvane/door/__init__.py
+++ b/cairnvane/administration/__init__.py
@@ -5,7 +5,7 @@
 `__main__` hands them in only where a `control` address is given.
 """
 
-from .duty import Duty
-from .tally import Tally
+from .readiness import Readiness
+from .request_counters import RequestCounters
 
-__all__ = ["Duty", "Tally"]
+__all__ = ["Readiness", "RequestCounters"]
--- a/cairnvane/door/waiting.py
+++ b/cairnvane/administration/connection_slots.py
@@ -41,7 +41,7 @@
     until: float
 
 
-class Waiting(Generic[Key]):
+class ConnectionSlots(Generic[Key]):
     """The places, `most` of them."""
 
     def __init__(self, most: int, call_wait_s: float = CALL_WAIT_S) -> None:
--- a/cairnvane/door/calls.py
+++ b/cairnvane/administration/endpoints.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from .duty import Duty
-from .tally import Tally
+from .readiness import Readiness
+from .request_counters import RequestCounters
 
 OK, NOT_FOUND, NOT_ALLOWED, UNAVAILABLE = 200, 404, 405, 503
 REASONS = {
@@ -43,13 +43,13 @@
     return Reply(OK, view, kind="text/plain") if isinstance(view, bytes) else Reply(OK, _encode(view))
 
 
-class Calls:
+class Endpoints:
     """The door's four calls, and what further parts have to show."""
 
     def __init__(
         self,
-        duty: Duty,
-        tally: Tally,
+        duty: Readiness,
+        tally: RequestCounters,
         views: Mapping[str, Callable[[], object]] | None = None,
     ) -> None:
         self._duty, self._tally = duty, tally
--- a/cairnvane/door/listener.py
+++ b/cairnvane/administration/http_server.py
@@ -8,17 +8,19 @@
 from __future__ import annotations
 
 import contextlib
+import logging
 import selectors
 import socket
 import threading
 import time
 from dataclasses import dataclass, field
 
-from .. import log
-from .calls import REASONS, Calls, Reply
-from .duty import Duty
-from .head import BadCall, Head
-from .waiting import CALL_WAIT_S, Phase, Waiting
+from .connection_slots import CALL_WAIT_S, ConnectionSlots, Phase
+from .endpoints import REASONS, Endpoints, Reply
+from .http_request import BadCall, Head
+from .readiness import Readiness
+
+logger = logging.getLogger(__name__)
 
 # The kernel's queue: staff's calls stand in it behind silent callers that came back, and beyond it the
 # kernel drops a connection for a second. It holds no descriptor of ours.
@@ -45,21 +47,21 @@
     answered: bool = False
 
 
-class Door:
+class AdministrationServer:
     """Listens at the operators' address."""
 
     def __init__(
         self,
         address: tuple[str, int],
-        calls: Calls,
-        duty: Duty,
+        calls: Endpoints,
+        duty: Readiness,
         most: int = MOST_CALLERS,
         call_wait_s: float = CALL_WAIT_S,
     ) -> None:
         """Bind at once: `OSError` if the address can't be had. `most` callers may wait at a time, each of
         them `call_wait_s` for its call to be whole."""
         self._calls, self._duty = calls, duty
-        self._waiting: Waiting[_Caller] = Waiting(most, call_wait_s)
+        self._waiting: ConnectionSlots[_Caller] = ConnectionSlots(most, call_wait_s)
         self._socket = socket.create_server(address, backlog=BACKLOG)
         self._socket.setblocking(False)
         self.address: tuple[str, int] = self._socket.getsockname()
@@ -130,7 +132,7 @@
             except BlockingIOError:
                 return
             except OSError as error:
-                log.say("door", f"accept: {error}")
+                logger.warning("accept: %s", error)
                 self._resume_at = now + ACCEPT_RETRY_S
                 if (first := self._waiting.first_to_go(now)) is not None:
                     self._end(first)  # its descriptor may be what is wanted
@@ -140,7 +142,7 @@
                 sock.setblocking(False)
                 self._selector.register(sock, selectors.EVENT_READ, caller)
             except OSError as error:  # reset by now
-                log.say("door", f"accepted: {error}")
+                logger.warning("accepted: %s", error)
                 sock.close()
                 continue
             if (gone := self._waiting.enter(caller, now)) is not None:
@@ -154,7 +156,7 @@
         try:
             self._read(caller)
         except Exception as error:
-            log.say("door", f"call: {type(error).__name__} {error}")
+            logger.warning("call: %s %s", type(error).__name__, error)
             self._end(caller)
 
     def _read(self, caller: _Caller) -> None:
--- a/cairnvane/door/duty.py
+++ b/cairnvane/administration/readiness.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 
-class Duty:
+class Readiness:
     """Ready, drained, leaving: set from any thread, read from any thread."""
 
     def __init__(self, can_serve: Callable[[], bool]) -> None:
--- a/cairnvane/door/tally.py
+++ b/cairnvane/administration/request_counters.py
@@ -8,15 +8,15 @@
 
 import threading
 
-from ..exchange import Verdict
+from ..exchange import ResponseStatus
 
 # The names of the counts, in the order in which they are shown.
 COUNTS = ("served", "refused", "failed", "attempts")
-_INDEX = {Verdict.SERVED: 0, Verdict.REFUSED: 1, Verdict.FAILED: 2}
+_INDEX = {ResponseStatus.SERVED: 0, ResponseStatus.REJECTED: 1, ResponseStatus.FAILED: 2}
 ATTEMPTS = 3
 
 
-class Tally:
+class RequestCounters:
     """Requests taken, ended by verdict, left, and runs handed to the pool; by the name of the class."""
 
     def __init__(self, classes: tuple[str, ...]) -> None:
@@ -30,23 +30,23 @@
             return
         counts[index] += 1
 
-    def taken(self) -> None:
+    def request_accepted(self) -> None:
         """A request was read whole and handed over."""
         with self._lock:
             self._in_flight += 1
 
-    def ended(self, lane: str, verdict: Verdict) -> None:
+    def response_sent(self, lane: str, verdict: ResponseStatus) -> None:
         """Its final answer went out."""
         with self._lock:
             self._in_flight -= 1
             self._count(lane, _INDEX[verdict])
 
-    def left(self) -> None:
+    def client_disconnected(self) -> None:
         """Its caller left before it was answered."""
         with self._lock:
             self._in_flight -= 1
 
-    def attempted(self, lane: str) -> None:
+    def run_started(self, lane: str) -> None:
         """A run was handed to the worker pool."""
         with self._lock:
             self._count(lane, ATTEMPTS)
--- a/cairnvane/control.py
+++ b/cairnvane/admission/controller.py
@@ -10,107 +10,46 @@
 import heapq
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
-from enum import Enum
 from typing import Any
 
-from . import interface as i
-from .interface import Outcome, Repeat, Signal
-
-# Admission, from the paper: p falls fast, rises faster, and never shuts the door (p is a chance, 1 = all).
-GAMMA, ETA, P_MIN = 0.8, 0.4, 0.1
-# The mix of worths is remembered over so many arrivals: enough to know a class that is a tenth of them.
-MIX_OVER = 50
-# It looks again so often while something is pending, and meets due times by so much: well under any aim.
-TICK = 50_000
-# With no place to start anything, who has become late is looked for this often: each look goes over the hold.
-LOOK = 10_000
-# A tick that is overdue by this much was lost; another is asked for.
-TIMER_LOST = 500_000
-# Time constant of the service time estimate: tens of requests, yet short enough for a slow-down.
-MEMORY_OF_RATE = 3_000_000
-# The run limit climbs after so many finished runs a core, enough to compare; less gain justifies no crowd.
-CLIMB_RUNS, CLIMB_GAIN = 10, 1.05
-# Cores that were this busy of late are not idle, even if a disk leaves one free at this moment.
-CORES_BUSY = 0.9
-# Shares of what kills (crowd, memory, calls below) that are used, since estimates err.
-CROWD_SHARE, MEMORY_SHARE, CALLS_SHARE = 0.8, 0.9, 0.9
-# Requests at a call hold running memory and come back to the cores together: so many for each core.
-CALLS_PER_CORE = 2
-# A run is not begun if its call would have to wait for this part of its aim, as calls go now.
-CALL_WAIT_PART = 0.5
-# Calls are slow at this multiple of the best call time, which is forgotten within so long.
-CALL_SLOW, CALL_BASE_MEMORY = 3.0, 10_000_000
-# But shorter ones are not: so much of what is measured may be the instance's own delay.
-CALL_QUICK = 30_000
-# The call time is a mean over so many; of fewer, a lucky one would make all that follow look slow.
-CALL_MEAN_OVER = 8
-# A call that is out for so many times the usual one is taken for lost, as it holds a place. One with an
-# effect is not made again and gets so much longer; no call gets less than the least. Each loss raises the
-# usual, so that calls which have all become slow are waited for again.
-CALL_LOST, CALL_LOST_EFFECT, CALL_LOST_LEAST = 7.0, 4, 100_000
-CALL_USUAL_OVER, CALL_USUAL_RAISE = 50, 1.25
-# A share below one call may fall to this part of it: what is shared is slow long before it dies.
-CALLS_LEAST = 0.2
-# A call that provably never ran is tried so often in all.
-CALL_TRIES = 3
-# The free value follows refusals by AIMD as p does, but slowly: callers hear of it late, all at once.
-OPEN_FALL, OPEN_RISE, OPEN_MIN = 0.95, 0.02, 0.05
-# Who waited unread for this part of its aim shows a shortage of cores; who is refused after the second part,
-# unread or held, has little time left for further tries.
-UNREAD_PART, WAITED_PART = 0.1, 0.15
-# Below this free value the shortage is taken for everyone's: no refused request should walk on.
-OPEN_WALKS = 0.9
-# Health turns bad at this share of failed runs of late, good again at half; it fades, to be tried again.
-FAILING_BAD, FAILING_OVER, FAILING_FADE = 0.4, 16, 0.995
-# Requests in flight for each core that the callers share while the value is fully open.
-OPEN_CREDIT = 4.0
-# A tenant may save up its part of this instance's share for so long: arrivals are few and uneven here.
-SHARE_DEPTH = 10_000_000
-# Parts of a patience that differ by less are alike: the way here takes a little off.
-PART_ALIKE = 0.02
-# An idle connection costs about a new one's handshake in so long. Where most callers come back sooner, all
-# are kept; else they close at once, since their number costs cores and room.
-IDLE_WORTH, IDLE_SHORT, IDLE_OVER = 5_000_000, 100_000, 50
-# Doublings of IDLE_SHORT at the most, the mean part of the aim spent unread that adds one, and how fast (a
-# tick) they go while cores idle: one in two seconds.
-IDLE_LEVELS, IDLE_UNREAD, IDLE_FALL = 8, 0.05, 0.025
-
-
-class State(Enum):
-    """Where a request is. Only HELD counts as queue length, only RUNNING as a crowd on the cores."""
-
-    HELD = 0
-    REUSING = 1  # waits for the answer of the request it repeats
-    RUNNING = 2
-    AT_CALL = 3  # left the cores, its call not made
-    CALLING = 4
-
-
-@dataclass(slots=True)
-class Job:
-    """A request in hand."""
-
-    id: int
-    cls: i.RequestClass
-    arrived: int  # at the machine
-    due: int
-    aim: int  # an answer after this is late, or nobody waits for it
-    age: int  # of its first try when this one arrived, as far as it shows
-    worth: float  # its class's, less if its tenant is beyond its share
-    tenant: int | None  # whose share it takes from
-    cost: float | None  # work by the caller's hint
-    memory: float  # held
-    state: State | None = None
-    started: bool = False  # it may have run: no refusal, no second run
-    answered: bool = False
-    calls: int = CALL_TRIES  # that may still be made for this need
+from ..contract.actions import (
+    Action,
+    Cancel,
+    CloseIdleConnections,
+    Fail,
+    ForgetKey,
+    MakeCall,
+    Reject,
+    RememberKey,
+    ReplayResult,
+    ReportLoad,
+    SetHealth,
+    SetTimer,
+    SkipCall,
+    StartRun,
+)
+from ..contract.events import (
+    Arrival,
+    CallFinished,
+    CallRequested,
+    ClientDisconnected,
+    DrainStarted,
+    Event,
+    KeysRestored,
+    Outcome,
+    RunAdopted,
+    RunFinished,
+    TimerFired,
+)
+from ..contract.settings import CancelMode, DependencyKind, LoadSignal, RequestClass, RetrySemantics, Settings
+from . import parameters
+from .requests import Job, State
 
 
 class Controller:
     """The decisions of one service instance in one life."""
 
-    def __init__(self, settings: i.Settings, seed: int, now: int) -> None:
+    def __init__(self, settings: Settings, seed: int, now: int) -> None:
         self.settings = settings
         self.random = random.Random(seed)
         self.now = self.born = self.timer_at = now
@@ -125,20 +64,28 @@
         self.lingering: list[int] = []  # when abandoned calls leave the dependency's hands
         self.calls_timed, self.call_usual = 0, 0.0
         self.call_time = self.call_base = self.call_debt = 0.0  # debt: calls in hand x time beyond our share
-        shared = settings.downstream is i.Downstream.SHARED
-        self.most_calls = CALLS_SHARE * settings.fair_calls if shared else CALLS_PER_CORE * settings.cores
+        shared = settings.dependency is DependencyKind.SHARED
+        self.most_calls = (
+            parameters.CALLS_SHARE * settings.dependency_quota
+            if shared
+            else parameters.CALLS_PER_CORE * settings.cores
+        )
         self.call_cap, self.cut_at = self.most_calls, now
         self.timer_out = False  # a tick at `timer_at` is to come
         self.p = self.open = 1.0
-        self.most_worth = max(c.worth for c in settings.classes) or 1.0
+        self.most_worth = max(c.priority_weight for c in settings.classes) or 1.0
         self.first_part = 1.0  # of their patience, that first tries are given
         self.mix: dict[float, float] = {}  # how much of what arrived of late had this worth
         # What each tenant may still have run here within its share, and when that was reckoned.
-        self.shares = [(1e-6 * t.quota / settings.peers * SHARE_DEPTH, now) for t in settings.tenants]
+        self.shares = [
+            (1e-6 * t.quota / settings.replicas * parameters.SHARE_DEPTH, now) for t in settings.tenants
+        ]
         self.seen: dict[int, int] = {}  # caller -> when it came last
         self.looked = self.seen_at = now  # when it last went over the hold, and the table
         self.back, self.idle = 0.5, 0  # the share of arrivals whose caller had been here of late
-        self.unread = self.keep = 0.0  # the part of their aims that arrivals waited; doublings of IDLE_SHORT
+        self.unread = self.keep = (
+            0.0  # the part of their aims that arrivals waited; doublings of parameters.IDLE_SHORT
+        )
         self.failing, self.healthy = 0.0, True  # the recent share of runs that failed
         # All decayed alike: core time spent, successful runs, the time that they took and their hinted work.
         self.core_time = self.finished = self.took = self.cost = self.memory = 0.0
@@ -149,20 +96,20 @@
         self.crowded = self.pressed = self.starved = self.draining = False
         self.said: float | None = None
         self.grace_end = self.stop_at = 1 << 62
-        self.out: list[i.Action] = []
-        self.on: dict[type[i.Event], Callable[[Any], None]] = {
-            i.Arrival: self._arrive,
-            i.Finished: self._finish,
-            i.Gone: self._gone,
-            i.TimerFired: self._tick,
-            i.CallNeeded: self._leave_cores,
-            i.CallEnded: self._call_ended,
-            i.Draining: self._drain,
-            i.Kept: self._keep,
-            i.Adopted: self._adopt,
+        self.out: list[Action] = []
+        self.on: dict[type[Event], Callable[[Any], None]] = {
+            Arrival: self._arrive,
+            RunFinished: self._finish,
+            ClientDisconnected: self._gone,
+            TimerFired: self._tick,
+            CallRequested: self._leave_cores,
+            CallFinished: self._call_ended,
+            DrainStarted: self._drain,
+            KeysRestored: self._keep,
+            RunAdopted: self._adopt,
         }
 
-    def handle(self, now: int, events: Sequence[i.Event]) -> list[i.Action]:
+    def handle(self, now: int, events: Sequence[Event]) -> list[Action]:
         """What to do about these events, which happened at `now`."""
         self.out = []
         self._pass_time(max(now, self.now))
@@ -181,12 +128,12 @@
             n_high = max(0.0, job.aim + job.age - self.now - self._run_time(job)) * self._rate()
             held = len(self.hold) - 1  # the others
             if held > n_high:
-                self.p = max(P_MIN, self.p * GAMMA)
+                self.p = max(parameters.P_MIN, self.p * parameters.GAMMA)
             elif held < n_high / 2:
-                self.p = min(1.0, self.p + ETA)
+                self.p = min(1.0, self.p + parameters.ETA)
         # Risk: shedding blindly. Of the share p of all that comes, the worthier has the first claim.
         for worth in self.mix:
-            self.mix[worth] *= 1 - 1 / MIX_OVER
+            self.mix[worth] *= 1 - 1 / parameters.MIX_OVER
         self.mix[job.worth] = self.mix.get(job.worth, 0.0) + 1
         above = sum(part for worth, part in self.mix.items() if worth > job.worth)
         return self.random.random() * self.mix[job.worth] < self.p * sum(self.mix.values()) - above
@@ -195,19 +142,21 @@
         """Requests that busy cores finish in a microsecond."""
         return self.settings.cores * self.finished / max(1.0, self.core_time)
 
-    def _climb(self, gauge: i.TimerFired) -> None:
+    def _climb(self, gauge: TimerFired) -> None:
         # Risk: runs that wait for a disk leave cores idle. The demand of this moment tells; the mean busy
         # share lags, and let a mere burst raise the limit to where runs slow each other down.
         ceiling = int(self._crowd_ceiling())
         idle = (gauge.runnable or len(self.running)) < self.settings.cores
-        idle = idle and (gauge.cpu_busy or 0.0) < CORES_BUSY
+        idle = idle and (gauge.cpu_busy or 0.0) < parameters.CORES_BUSY
         if idle and self.hold and self.limit <= len(self.running) < ceiling:
             self.limit += 1
-        if self.done < CLIMB_RUNS * self.settings.cores:
+        if self.done < parameters.CLIMB_RUNS * self.settings.cores:
             return
         rate = self.done / max(1, self.now - self.climb_from)
         if self.crowded:  # only an interval in which the limit did bind says something about it
-            if rate < self.rate_before * (CLIMB_GAIN if self.climbing > 0 else 1 / CLIMB_GAIN):
+            if rate < self.rate_before * (
+                parameters.CLIMB_GAIN if self.climbing > 0 else 1 / parameters.CLIMB_GAIN
+            ):
                 self.climbing = -self.climbing
             self.limit = max(self.settings.cores, min(self.limit + self.climbing, ceiling))
         self.rate_before, self.done, self.climb_from = rate, 0, self.now
@@ -216,17 +165,21 @@
     def _crowd_ceiling(self) -> float:
         """Running requests that the cores survive, at the least speed that they may have while warming up."""
         s, age = self.settings, self.now - self.born
-        speed = s.cold_from + (1 - s.cold_from) * age / s.cold_for if s.cold and age < s.cold_for else 1.0
-        return max(1.0, CROWD_SHARE * (1 + (s.crowd_multiple - 1) * speed) * s.cores)
+        speed = (
+            s.cold_speed + (1 - s.cold_speed) * age / s.warmup_time
+            if s.cold_start and age < s.warmup_time
+            else 1.0
+        )
+        return max(1.0, parameters.CROWD_SHARE * (1 + (s.max_oversubscription - 1) * speed) * s.cores)
 
     def _start(self) -> None:
         """Start held requests, by worth, then oldest first, as far as the run limit and guards allow."""
         most = min(self.limit, self._crowd_ceiling() - len(self.calling))
         calls = len(self.at_call) + len(self.calling)
-        full = calls >= CALLS_PER_CORE * self.settings.cores
+        full = calls >= parameters.CALLS_PER_CORE * self.settings.cores
         calls += sum(job.cls.name in self.callers for job in self.running.values())
         wait = calls * self.call_time / max(1.0, self.call_cap)
-        if not self.hold or (len(self.running) >= most and self.now - self.looked < LOOK):
+        if not self.hold or (len(self.running) >= most and self.now - self.looked < parameters.LOOK):
             return
         self.looked = self.now
         late = {job.id: self._late(job) > 0 for job in self.hold.values()}
@@ -234,15 +187,17 @@
             # Risk: held for nothing. Who is late has all others before it: it runs now or never.
             place = len(self.running) < most
             # Risk: work that fails at its call. Who would wait too long for it leaves the core to others.
-            too_long = wait > CALL_WAIT_PART * job.cls.aim and not job.cls.skip_worth
+            too_long = (
+                wait > parameters.CALL_WAIT_PART * job.cls.latency_objective and not job.cls.degraded_fraction
+            )
             jam = job.cls.name in self.callers and (full or too_long)
             place = place and not jam
             if late[job.id] and (not place or self._hopeless(job)):
                 self._answer(job, jam)
-            elif place and self._fits(job.memory * (self.settings.run_factor - 1)):
+            elif place and self._fits(job.memory * (self.settings.running_memory_factor - 1)):
                 self._move(job, State.RUNNING)
                 job.started = True
-                self.out.append(i.Run(job.id))
+                self.out.append(StartRun(job.id))
 
     def _late(self, job: Job) -> float:
         """By how much it would miss its aim if it ran now. Such a run waits behind all others."""
@@ -252,7 +207,7 @@
         """Risk: work for answers that come too late. Without late worth it is turned away. An estimate that
         refuses all would never be mended: with a core free, only the clock counts."""
         calm = len(self.running) < (self.limit if self.open == 1.0 else self.settings.cores)
-        return job.cls.late_worth == 0 and (self.now > job.aim if calm else self._late(job) > 0)
+        return job.cls.late_fraction == 0 and (self.now > job.aim if calm else self._late(job) > 0)
 
     def _run_time(self, job: Job) -> float:
         """How long the request would run, by recent runs and its hint."""
@@ -260,107 +215,129 @@
             return job.cost * max(self.took, self.core_time) / self.cost
         return max(self.took, self.core_time) / self.finished if self.finished else 0.0
 
-    def _arrive(self, event: i.Arrival) -> None:
-        cls = self.settings.classes[event.cls]
-        arrived = self.now - event.queued
-        due = max(self.now, arrived + cls.patience) if event.time_left is None else self.now + event.time_left
+    def _arrive(self, event: Arrival) -> None:
+        cls = self.settings.classes[event.class_index]
+        arrived = self.now - event.queue_delay
+        due = (
+            max(self.now, arrived + cls.client_timeout)
+            if event.time_left is None
+            else self.now + event.time_left
+        )
         due = min(due, self.stop_at)
         age = self._age(event, cls)
-        aim = min(due, arrived - age + cls.aim + int(cls.aim_stretch * (event.cost or 0)))
+        aim = min(
+            due, arrived - age + cls.latency_objective + int(cls.objective_per_cost * (event.cost or 0))
+        )
         # Risk: one tenant crowds out the rest. Only what is beyond its share counts for less, and only here.
         # The last half of what it saved up is kept for its worthiest requests.
-        inside = self._share(event.tenant, 0) > (1 - cls.worth / self.most_worth) / 2
-        worth = cls.worth * (1 if inside else self.settings.over_share_worth)
+        inside = self._share(event.tenant, 0) > (1 - cls.priority_weight / self.most_worth) / 2
+        worth = cls.priority_weight * (1 if inside else self.settings.over_quota_fraction)
         tenant = event.tenant if inside else None
-        job = self.jobs[event.id] = Job(
-            event.id, cls, arrived, due, aim, age, worth, tenant, event.cost, event.memory
+        job = self.jobs[event.request_id] = Job(
+            event.request_id, cls, arrived, due, aim, age, worth, tenant, event.cost, event.memory
         )
         heapq.heappush(self.dues, (job.due, job.id))
-        soon = self.now - self.seen.get(event.caller, self.now - IDLE_WORTH) < IDLE_WORTH
-        self.back += (soon - self.back) / IDLE_OVER
-        self.unread += (event.queued / cls.aim - self.unread) / IDLE_OVER
-        self.seen[event.caller] = self.now
-        if self.now - self.seen_at > IDLE_WORTH:  # numbers of callers are always new: the table must not grow
+        soon = (
+            self.now - self.seen.get(event.client, self.now - parameters.IDLE_WORTH) < parameters.IDLE_WORTH
+        )
+        self.back += (soon - self.back) / parameters.IDLE_OVER
+        self.unread += (event.queue_delay / cls.latency_objective - self.unread) / parameters.IDLE_OVER
+        self.seen[event.client] = self.now
+        if (
+            self.now - self.seen_at > parameters.IDLE_WORTH
+        ):  # numbers of callers are always new: the table must not grow
             self.seen_at = self.now
-            self.seen = {caller: at for caller, at in self.seen.items() if self.now - at < IDLE_WORTH}
-        if event.queued > UNREAD_PART * cls.aim:
+            self.seen = {
+                caller: at for caller, at in self.seen.items() if self.now - at < parameters.IDLE_WORTH
+            }
+        if event.queue_delay > parameters.UNREAD_PART * cls.latency_objective:
             # Risk: reading shares the cores with what runs; a large crowd starves it, and all come late.
             self.starved, self.limit = True, self.settings.cores
-        if event.repeats is not None:
+        if event.duplicate_of is not None:
             # Risk: an effect twice. The forerunner's outcome answers, whether it is held, running or done.
             job.started = True
             self._move(job, State.REUSING)
             if self._fits(0):
-                self.out.append(i.Reuse(job.id))
+                self.out.append(ReplayResult(job.id))
             else:
                 self._answer(job)
             return
         self._move(job, State.HELD)
         # Risk: memory. A request is taken on only if it could run, its key remembered, beside all others.
-        key = self.settings.key_memory if cls.repeat is Repeat.KEYED else 0.0
-        room = self._fits(job.memory * (self.settings.run_factor - 1) + key)
+        key = self.settings.key_memory if cls.retry_semantics is RetrySemantics.IDEMPOTENCY_KEYED else 0.0
+        room = self._fits(job.memory * (self.settings.running_memory_factor - 1) + key)
         # Risk: an unsafe drain. Nor is there use in a caller that has all but given up.
-        late = arrived > self.grace_end or job.due <= self.now + TICK
+        late = arrived > self.grace_end or job.due <= self.now + parameters.TICK
         # Risk: an effect twice after a restart. What can't be kept is not begun, whoever waits for it.
-        if event.keep_after or late or not room or not self._admit(job) or self._hopeless(job):
-            return self._answer(job, away=event.keep_after)
+        if event.storage_delay or late or not room or not self._admit(job) or self._hopeless(job):
+            return self._answer(job, away=event.storage_delay)
         self._share(job.tenant, -1)
-        if cls.repeat is Repeat.KEYED:
+        if cls.retry_semantics is RetrySemantics.IDEMPOTENCY_KEYED:
             # Risk: a repeat of a held request that was not recorded bears no mark, and both might run.
-            life = cls.window + self.settings.round
+            life = cls.retry_window + self.settings.min_round_interval
             self._remember(job.id, life)
-            self.out.append(i.Remember(job.id, life))
+            self.out.append(RememberKey(job.id, life))
 
     def _remember(self, number: int, life: int) -> None:
         self.keys.add(number)
         heapq.heappush(self.key_ends, (self.now + life, number))
 
-    def _keep(self, event: i.Kept) -> None:
+    def _keep(self, event: KeysRestored) -> None:
         self.kept += event.count
-        heapq.heappush(self.kept_ends, (self.now + event.life, event.count))
+        heapq.heappush(self.kept_ends, (self.now + event.lifetime, event.count))
 
-    def _adopt(self, event: i.Adopted) -> None:
+    def _adopt(self, event: RunAdopted) -> None:
         """Risk: a run that no one counts crowds the cores, and goes on for ever."""
-        cls, due = self.settings.classes[event.cls], min(self.now + event.time_left, self.stop_at)
-        job = self.jobs[event.id] = Job(
-            event.id, cls, self.now, due, due, 0, cls.worth, None, None, event.memory, started=True
+        cls, due = self.settings.classes[event.class_index], min(self.now + event.time_left, self.stop_at)
+        job = self.jobs[event.request_id] = Job(
+            event.request_id,
+            cls,
+            self.now,
+            due,
+            due,
+            0,
+            cls.priority_weight,
+            None,
+            None,
+            event.memory,
+            started=True,
         )
         heapq.heappush(self.dues, (job.due, job.id))
-        self._remember(job.id, event.life)
+        self._remember(job.id, event.lifetime)
         self._move(job, State.RUNNING)
 
-    def _age(self, event: i.Arrival, cls: i.RequestClass) -> int:
+    def _age(self, event: Arrival, cls: RequestClass) -> int:
         """Risk: work for a client whose first try is long past, from which the aim counts. First tries are
         all given the same part of the patience, a last one what remains of it: that tells the age."""
         if event.time_left is None:
             return 0
-        part = (event.time_left + event.queued) / cls.patience
-        if not event.again:
+        part = (event.time_left + event.queue_delay) / cls.client_timeout
+        if not event.is_retry:
             self.first_part = part
-        alike = abs(part - self.first_part) < PART_ALIKE
-        return 0 if alike or not event.again else max(0, int((1 - part) * cls.patience))
+        alike = abs(part - self.first_part) < parameters.PART_ALIKE
+        return 0 if alike or not event.is_retry else max(0, int((1 - part) * cls.client_timeout))
 
     def _share(self, tenant: int | None, change: float) -> float:
         """The part that is left, after this change, of what the tenant may save up of its share."""
         if tenant is None or tenant >= len(self.shares):
             return 1.0
         left, since = self.shares[tenant]
-        rate = 1e-6 * self.settings.tenants[tenant].quota / self.settings.peers
-        full = max(1.0, rate * SHARE_DEPTH)
+        rate = 1e-6 * self.settings.tenants[tenant].quota / self.settings.replicas
+        full = max(1.0, rate * parameters.SHARE_DEPTH)
         left = min(full, left + rate * (self.now - since)) + change
         self.shares[tenant] = left, self.now
         return left / full
 
     def _fits(self, more: float) -> bool:
         used = self.memory + (len(self.keys) + self.kept) * self.settings.key_memory
-        return used + more <= MEMORY_SHARE * self.settings.memory
+        return used + more <= parameters.MEMORY_SHARE * self.settings.memory
 
     def _move(self, job: Job, to: State | None) -> None:
         """Keep account of a request's place and memory; None: it has left the instance."""
         for state, sign in ((job.state, -1), (to, 1)):
             if state is not None:
                 light = state in (State.HELD, State.REUSING)
-                self.memory += sign * job.memory * (1 if light else self.settings.run_factor)
+                self.memory += sign * job.memory * (1 if light else self.settings.running_memory_factor)
         if job.state is not None:
             del self.at[job.state][job.id]
         job.state = to
@@ -370,7 +347,7 @@
         del self.jobs[job.id]
         if not job.started and job.id in self.keys:  # it never ran: its key is free again
             self.keys.discard(job.id)
-            self.out.append(i.Forget(job.id))
+            self.out.append(ForgetKey(job.id))
 
     def _answer(self, job: Job, jam: bool = False, away: int = 0) -> None:
         """End a request without success: refused if it provably never ran, else failed, and stopped."""
@@ -378,14 +355,17 @@
         if not job.started:
             # A jam below is everyone's, and no reason to invite less of what needs no call; nor is a full
             # disk.
-            self.pressed |= job.worth >= job.cls.worth and not jam and not away
+            self.pressed |= job.worth >= job.cls.priority_weight and not jam and not away
             # Risk: walks. Each refusal costs a reading elsewhere; who has waited is asked to try no further.
-            waited = self.open < OPEN_WALKS or self.now - job.arrived > WAITED_PART * job.cls.aim
-            waited |= jam or job.worth < job.cls.worth  # it is beyond its share elsewhere too
-            away = max(self._advice(), min(away, self.settings.max_advice))
-            self.out.append(i.Refuse(job.id, away, waited))
+            waited = (
+                self.open < parameters.OPEN_WALKS
+                or self.now - job.arrived > parameters.WAITED_PART * job.cls.latency_objective
+            )
+            waited |= jam or job.worth < job.cls.priority_weight  # it is beyond its share elsewhere too
+            away = max(self._advice(), min(away, self.settings.max_retry_after))
+            self.out.append(Reject(job.id, away, waited))
             return self._move(job, None)
-        self.out.append(i.Fail(job.id))
+        self.out.append(Fail(job.id))
         if job.state is State.REUSING:
             self._move(job, None)
         else:
@@ -394,38 +374,46 @@
     def _advice(self) -> int:
         """How long callers should stay away: until half of the hold is worked off."""
         if self.draining:
-            return self.settings.max_advice
-        return min(self.settings.max_advice, int(len(self.hold) / rate / 2)) if (rate := self._rate()) else 0
+            return self.settings.max_retry_after
+        return (
+            min(self.settings.max_retry_after, int(len(self.hold) / rate / 2))
+            if (rate := self._rate())
+            else 0
+        )
 
-    def _finish(self, event: i.Finished) -> None:
-        if (job := self.jobs.get(event.id)) is None:
+    def _finish(self, event: RunFinished) -> None:
+        if (job := self.jobs.get(event.request_id)) is None:
             return
-        if event.outcome in (Outcome.CANCELLED, Outcome.MOOT) and not job.answered:
+        if event.outcome in (Outcome.CANCELLED, Outcome.NEVER_STARTED) and not job.answered:
             # Risk: a lost request. Its caller seems to have left, but nothing says that no answer is owed.
-            self.out.append(i.Fail(job.id))
-        if event.outcome is Outcome.MOOT and job.state is State.RUNNING:
+            self.out.append(Fail(job.id))
+        if event.outcome is Outcome.NEVER_STARTED and job.state is State.RUNNING:
             job.started = False  # it provably never ran: its key is free for who comes with it next
         if job.state is State.RUNNING:
             if not job.answered:
-                self.failing += ((event.outcome is Outcome.ERROR) - self.failing) / FAILING_OVER
+                self.failing += ((event.outcome is Outcome.ERROR) - self.failing) / parameters.FAILING_OVER
             if event.outcome is Outcome.OK:
                 self.finished += 1
-                self.took += event.took
+                self.took += event.duration
                 self.cost += job.cost or 0.0
                 self.done += 1
                 self.known.add(job.cls.name)
         elif job.state is State.CALLING:
-            heapq.heappush(self.lingering, self.now + self.settings.call_linger)
+            heapq.heappush(self.lingering, self.now + self.settings.abandoned_call_time)
         self._move(job, None)
 
-    def _gone(self, event: i.Gone) -> None:
-        if (job := self.jobs.get(event.id)) is None:
+    def _gone(self, event: ClientDisconnected) -> None:
+        if (job := self.jobs.get(event.request_id)) is None:
             return
         if not job.started or job.state is State.REUSING:
             return self._move(job, None)
         # Nobody waits: the core is better used. But what the next try could reuse goes on, once it has its
         # call behind it (at the next one it would be broken off).
-        behind = job.state is State.RUNNING and job.cls.repeat is Repeat.KEYED and job.calls < CALL_TRIES
+        behind = (
+            job.state is State.RUNNING
+            and job.cls.retry_semantics is RetrySemantics.IDEMPOTENCY_KEYED
+            and job.calls < parameters.CALL_TRIES
+        )
         if not job.answered and not behind:
             self._stop(job)
         job.answered = True
@@ -434,20 +422,22 @@
         if job.state is not State.RUNNING:
             # Risk: places held for good. What stands at a call ends there, whether or not that is ever told.
             if job.state is State.CALLING:
-                heapq.heappush(self.lingering, self.now + self.settings.call_linger)
+                heapq.heappush(self.lingering, self.now + self.settings.abandoned_call_time)
             self._move(job, None)
-        elif self.settings.halt is not i.HaltMode.NONE:
-            self.out.append(i.Halt(job.id))
+        elif self.settings.cancel_mode is not CancelMode.NONE:
+            self.out.append(Cancel(job.id))
 
     def _answer_due(self) -> None:
         """Risk: a lost request. What is in hand shortly before its due time is answered, even running."""
-        while self.dues and self.dues[0][0] <= self.now + TICK + 2 * self.settings.round:
+        while (
+            self.dues and self.dues[0][0] <= self.now + parameters.TICK + 2 * self.settings.min_round_interval
+        ):
             if (job := self.jobs.get(heapq.heappop(self.dues)[1])) and not job.answered:
                 self._answer(job)
 
-    def _leave_cores(self, event: i.CallNeeded) -> None:
-        if (job := self.jobs.get(event.id)) and job.state is State.RUNNING:
-            job.calls = CALL_TRIES
+    def _leave_cores(self, event: CallRequested) -> None:
+        if (job := self.jobs.get(event.request_id)) and job.state is State.RUNNING:
+            job.calls = parameters.CALL_TRIES
             self.callers.add(job.cls.name)
             self._move(job, None if job.answered else State.AT_CALL)
 
@@ -455,64 +445,76 @@
         """Risk: all instances together kill what they share. Calls in hand, abandoned ones too, stay in our
         share as a mean over its window (what is beyond is owed), and above one call at any time; the share
         follows the call time. Who can no longer be in time makes no call."""
-        window = self.settings.calls_window
-        spare = (1 - CALLS_SHARE) * self.call_cap * window
+        window = self.settings.dependency_window
+        spare = (1 - parameters.CALLS_SHARE) * self.call_cap * window
         # A share below one is kept by a single call only if that ends, lingering too, within its part.
-        longest = int(self.most_calls * window) - self.settings.call_linger
+        longest = int(self.most_calls * window) - self.settings.abandoned_call_time
         for job in list(self.at_call.values()):
             place = len(self.running) + len(self.calling) < self._crowd_ceiling()
             late = self.now + self.call_time * place > job.aim
             room = self._in_hand() + 1 <= max(1, self.call_cap) and self.call_debt <= spare
-            poorer = not room or job.cls.skip_worth > job.cls.late_worth  # in time beats late
-            hopeless = late and job.cls.late_worth == 0 and (self.now > job.aim or not job.cls.skip_worth)
-            if hopeless or not (job.calls or job.cls.skip_worth):
+            poorer = not room or job.cls.degraded_fraction > job.cls.late_fraction  # in time beats late
+            hopeless = (
+                late and job.cls.late_fraction == 0 and (self.now > job.aim or not job.cls.degraded_fraction)
+            )
+            if hopeless or not (job.calls or job.cls.degraded_fraction):
                 self._answer(job)
-            elif place and job.cls.skip_worth > 0 and (not job.calls or (late and poorer)):
+            elif place and job.cls.degraded_fraction > 0 and (not job.calls or (late and poorer)):
                 self._move(job, State.RUNNING)
-                self.out.append(i.SkipCall(job.id))
+                self.out.append(SkipCall(job.id))
             elif room and place:
                 self._move(job, State.CALLING)
                 job.calls -= 1
                 timeout = min(job.due - self.now, longest, self._lost_after(job))
-                self.out.append(i.Call(job.id, max(1, timeout)))
+                self.out.append(MakeCall(job.id, max(1, timeout)))
 
     def _lost_after(self, job: Job) -> int:
         """Risk: calls that are never answered. Each holds a place, and nothing is begun once all are held."""
-        times = CALL_LOST * (1 if job.cls.repeat is Repeat.SAFE else CALL_LOST_EFFECT)
-        return max(CALL_LOST_LEAST, int(times * self.call_usual)) if self.call_usual else job.cls.patience
+        times = parameters.CALL_LOST * (
+            1 if job.cls.retry_semantics is RetrySemantics.IDEMPOTENT else parameters.CALL_LOST_EFFECT
+        )
+        return (
+            max(parameters.CALL_LOST_LEAST, int(times * self.call_usual))
+            if self.call_usual
+            else job.cls.client_timeout
+        )
 
-    def _call_ended(self, event: i.CallEnded) -> None:
-        if (job := self.jobs.get(event.id)) is None or job.state is not State.CALLING:
+    def _call_ended(self, event: CallFinished) -> None:
+        if (job := self.jobs.get(event.request_id)) is None or job.state is not State.CALLING:
             return
-        unrun = event.outcome in (Outcome.REJECTED, Outcome.UNREACHED, Outcome.MOOT)
+        unrun = event.outcome in (Outcome.REJECTED, Outcome.UNREACHED, Outcome.NEVER_STARTED)
         # Risk: calls add up below where no local queue sees them. AIMD: far above the best of late, fewer.
         # What never ran tells nothing of the time that a call takes.
         # One that never ends tells of a loss, not of slowness: it takes several to count as that.
         if not unrun:
-            took = event.took
+            took = event.duration
             if event.outcome is Outcome.TIMEOUT and self.call_base:
-                took = min(took, int(2 * CALL_SLOW * self.call_base))
+                took = min(took, int(2 * parameters.CALL_SLOW * self.call_base))
             self.calls_timed += 1
-            self.call_time += (took - self.call_time) / min(CALL_MEAN_OVER, self.calls_timed)
-            if self.calls_timed >= CALL_MEAN_OVER:
+            self.call_time += (took - self.call_time) / min(parameters.CALL_MEAN_OVER, self.calls_timed)
+            if self.calls_timed >= parameters.CALL_MEAN_OVER:
                 self.call_base = min(self.call_base or self.call_time, self.call_time)
-        if not self.call_base or self.call_time <= max(CALL_QUICK, CALL_SLOW * self.call_base):
+        if not self.call_base or self.call_time <= max(
+            parameters.CALL_QUICK, parameters.CALL_SLOW * self.call_base
+        ):
             step = min(1.0, self.most_calls) / max(1.0, self.call_cap)
             self.call_cap = min(self.most_calls, self.call_cap + step)
         elif self.now - self.cut_at > self.call_time:
-            least = CALLS_LEAST * self.most_calls
+            least = parameters.CALLS_LEAST * self.most_calls
             least = max(1.0, least) if self.most_calls >= 1 else least
             if self.call_cap <= least:  # with so few out it is not us who slow it: calls take that long now
                 self.call_base = self.call_time
-            self.call_cap, self.cut_at = max(least, self.call_cap * GAMMA), self.now
+            self.call_cap, self.cut_at = max(least, self.call_cap * parameters.GAMMA), self.now
         if event.outcome is Outcome.OK:
-            self.call_usual += (event.took - self.call_usual) / min(CALL_USUAL_OVER, self.calls_timed)
+            self.call_usual += (event.duration - self.call_usual) / min(
+                parameters.CALL_USUAL_OVER, self.calls_timed
+            )
             return self._move(job, State.RUNNING)
         if event.outcome is Outcome.TIMEOUT:
-            self.call_usual *= CALL_USUAL_RAISE
+            self.call_usual *= parameters.CALL_USUAL_RAISE
         if not unrun:
-            heapq.heappush(self.lingering, self.now + self.settings.call_linger)
-            if job.cls.repeat is not Repeat.SAFE:
+            heapq.heappush(self.lingering, self.now + self.settings.abandoned_call_time)
+            if job.cls.retry_semantics is not RetrySemantics.IDEMPOTENT:
                 job.calls = 0  # Risk: an effect below twice. Nothing proves that it never ran.
         self._move(job, State.AT_CALL)
 
@@ -524,11 +526,11 @@
         passed, cores = now - self.now, self.settings.cores
         self.now = now
         busy = min(len(self.running), cores)
-        fade = max(0.0, 1 - busy / cores * passed / MEMORY_OF_RATE)
+        fade = max(0.0, 1 - busy / cores * passed / parameters.MEMORY_OF_RATE)
         self.finished, self.took, self.cost = self.finished * fade, self.took * fade, self.cost * fade
         self.core_time = self.core_time * fade + passed * busy
         self.call_debt = max(0.0, self.call_debt + (self._in_hand() - self.call_cap) * passed)
-        self.call_base *= 1 + passed / CALL_BASE_MEMORY
+        self.call_base *= 1 + passed / parameters.CALL_BASE_MEMORY
         while self.lingering and self.lingering[0] <= now:
             heapq.heappop(self.lingering)
         while self.key_ends and self.key_ends[0][0] <= now:
@@ -542,19 +544,19 @@
             heapq.heappop(self.dues)
         pending = self.hold or self.at_call or self.pressed or self.starved or self.open < 1
         pending = pending or self.said is None
-        pending = pending or not self.healthy or self.failing >= FAILING_BAD or self.keep > 0
-        at = self.now + TICK
+        pending = pending or not self.healthy or self.failing >= parameters.FAILING_BAD or self.keep > 0
+        at = self.now + parameters.TICK
         if not pending:
             if not self.dues:
                 return
-            at = max(at, self.dues[0][0] - TICK - self.settings.round)
+            at = max(at, self.dues[0][0] - parameters.TICK - self.settings.min_round_interval)
         # A timer that is due stays the one to wait for until it is told; its gauges make that a little later.
         # Where events come faster than that it would be replaced each time, and no tick ever count.
-        if not self.timer_out or at < self.timer_at or self.now - self.timer_at > TIMER_LOST:
+        if not self.timer_out or at < self.timer_at or self.now - self.timer_at > parameters.TIMER_LOST:
             self.timer_at, self.timer_out = at, True
-            self.out.append(i.SetTimer(at))
+            self.out.append(SetTimer(at))
 
-    def _tick(self, gauge: i.TimerFired) -> None:
+    def _tick(self, gauge: TimerFired) -> None:
         if self.now < self.timer_at:
             return  # set for what is over by now; a later one is to come
         self.timer_out = False
@@ -562,23 +564,30 @@
         self._climb(gauge)
         # Risk: handshakes swamp the cores. A full table costs less, and turns callers away unread; once cores
         # idle it does so for nothing, but if all close at once the storm comes back.
-        busy = (gauge.cpu_busy or 0.0) >= CORES_BUSY
+        busy = (gauge.cpu_busy or 0.0) >= parameters.CORES_BUSY
         # Reading on cores that are not full is only slow: callers that held back would leave them idle.
         full = busy or gauge.runnable is None or gauge.runnable >= self.settings.cores
         self.pressed, self.starved = self.pressed or (self.starved and full), False
-        step = -IDLE_FALL if not busy else float(self.unread > IDLE_UNREAD)
-        self.keep = min(IDLE_LEVELS, max(0.0, self.keep + step))
-        if (idle := 0 if self.back >= 0.5 else IDLE_SHORT << int(self.keep)) != self.idle:
+        step = -parameters.IDLE_FALL if not busy else float(self.unread > parameters.IDLE_UNREAD)
+        self.keep = min(parameters.IDLE_LEVELS, max(0.0, self.keep + step))
+        if (idle := 0 if self.back >= 0.5 else parameters.IDLE_SHORT << int(self.keep)) != self.idle:
             self.idle = idle
-            self.out.append(i.CloseIdle(idle))
+            self.out.append(CloseIdleConnections(idle))
         # Risk: quick failures free this instance for more. Callers that go by health are sent elsewhere, and
         # come back as the memory fades. It hurts if all instances fail at once for a cause that they share.
-        self.failing *= FAILING_FADE
-        good = self.failing < (FAILING_BAD if self.healthy else FAILING_BAD / 2) and not self.draining
+        self.failing *= parameters.FAILING_FADE
+        good = (
+            self.failing < (parameters.FAILING_BAD if self.healthy else parameters.FAILING_BAD / 2)
+            and not self.draining
+        )
         if good is not self.healthy:
             self.healthy = good
-            self.out.append(i.SetHealth(good, True))
-        self.open = max(OPEN_MIN, self.open * OPEN_FALL) if self.pressed else min(1.0, self.open + OPEN_RISE)
+            self.out.append(SetHealth(good, True))
+        self.open = (
+            max(parameters.OPEN_MIN, self.open * parameters.OPEN_FALL)
+            if self.pressed
+            else min(1.0, self.open + parameters.OPEN_RISE)
+        )
         self.pressed = False
         self._advertise()
 
@@ -586,19 +595,21 @@
         """Callers that heed the free value send less before we must read it."""
         s, share = self.settings, 0.0 if self.draining else self.open
         # In calm the credit binds nobody: one caller may carry much of the traffic.
-        credit = share * OPEN_CREDIT * s.cores / max(1, s.callers if share < 1 else 1)
+        credit = share * parameters.OPEN_CREDIT * s.cores / max(1, s.clients if share < 1 else 1)
         # Ranks fall into equal bands by class. But for a drain, the worthiest class is always invited.
         level = 1.0 if self.draining else (1 - share) * (1 - 1 / len(s.classes))
-        value = {Signal.WEIGHT: share, Signal.LEVEL: level, Signal.NONE: 0.0}.get(s.signal, credit)
-        if value != self.said and s.signal is not Signal.NONE:
-            self.out.append(i.Advertise(value))
+        value = {LoadSignal.WEIGHT: share, LoadSignal.LEVEL: level, LoadSignal.NONE: 0.0}.get(
+            s.load_signal, credit
+        )
+        if value != self.said and s.load_signal is not LoadSignal.NONE:
+            self.out.append(ReportLoad(value))
         self.said = value
 
-    def _drain(self, event: i.Draining) -> None:
+    def _drain(self, event: DrainStarted) -> None:
         """Risk: an unsafe drain. Nobody new is invited, and all is answered before the stop."""
         if not self.draining:
             self.draining, self.healthy, self.grace_end = True, False, self.now + self.settings.drain_grace
-            self.out.append(i.SetHealth(False, True))
+            self.out.append(SetHealth(False, True))
         self.stop_at = self.now + event.time_left
         for job in self.jobs.values():
             job.due = min(job.due, self.stop_at)
--- a/cairnvane/ledger/__init__.py
+++ b/cairnvane/claims/__init__.py
@@ -6,7 +6,7 @@
 the host is given. `docs/keeper.md` has the design.
 """
 
-from .keeper import Ledger
-from .lives import Lives
+from .claim_log import ClaimLog
+from .incarnations import Incarnations
 
-__all__ = ["Ledger", "Lives"]
+__all__ = ["ClaimLog", "Incarnations"]
--- a/cairnvane/ledger/keeper.py
+++ b/cairnvane/claims/claim_log.py
@@ -9,18 +9,21 @@
 from __future__ import annotations
 
 import contextlib
+import logging
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from .. import clock, log
-from ..keys import Begun, Past, Recovered
-from . import record
-from .folder import Folder, Segment
-from .lives import BEAT_S, Lives, Vital
-from .machine import Entry, Machine, Place
-from .record import SEAL, Record
-from .state import State, Step
+from .. import clock
+from ..idempotency.store import RecoveredState, StartedRun, StoredEntry
+from . import records
+from .claim_table import ClaimTable, Entry, Place
+from .incarnations import BEAT_S, Incarnations, Liveness
+from .records import SEAL, Record
+from .states import KeyState, Step
+from .storage import Folder, Segment
+
+logger = logging.getLogger(__name__)
 
 # A segment is sealed when it has grown to this: small, since it is dropped whole, and counts as memory.
 SEGMENT_BYTES = 512 << 10
@@ -53,15 +56,17 @@
     then: Callable[[bytes | None], None]
 
 
-class Ledger:
+class ClaimLog:
     """See `keys.Keeper`. Safe to call from any thread."""
 
-    prompt = True
+    synchronous = True
 
-    def __init__(self, folder: Folder, lives: Lives, unread: int, most_bytes: int = MOST_BYTES) -> None:
+    def __init__(
+        self, folder: Folder, lives: Incarnations, unread: int, most_bytes: int = MOST_BYTES
+    ) -> None:
         self._folder, self._lives, self._most = folder, lives, most_bytes
         self._life = lives.life
-        self._machine = Machine(unread)
+        self._machine = ClaimTable(unread)
         self._segments: dict[int, _Open] = {}  # oldest first
         self._current: _Open
         self._counted = 0  # records of this life that were read back where they count
@@ -82,7 +87,7 @@
 
     def start(
         self,
-        recovered: Callable[[Recovered], None],
+        recovered: Callable[[RecoveredState], None],
         delayed: Callable[[], None],
         lost: Callable[[str], None],
     ) -> None:
@@ -95,9 +100,13 @@
             with contextlib.suppress(OSError):
                 self._follow()
             return [
-                (token, replace(entry), self._result(token, entry) if entry.state is State.FINISHED else None)
+                (
+                    token,
+                    replace(entry),
+                    self._result(token, entry) if entry.state is KeyState.FINISHED else None,
+                )
                 for token, entry in self._machine.entries.items()
-                if entry.state is not State.VOID
+                if entry.state is not KeyState.VOID
             ]
 
     def mine(self, entry: Entry) -> bool:
@@ -110,7 +119,7 @@
 
     def dead(self, entry: Entry) -> bool:
         """Whether the life that claimed it is dead."""
-        return self._lives.vital(entry.life) is Vital.DEAD
+        return self._lives.vital(entry.life) is Liveness.DEAD
 
     def sync(self) -> None:
         """All that was said survives a power cut from now on; waits for the disk, `OSError`."""
@@ -146,20 +155,20 @@
     def _enter(self, number: int, create: bool) -> None:
         """Go over to this segment, and read it."""
         one = _Open(number, self._folder.open(number, create))
-        record.check_version(one.file.read(0, record.HEAD_BYTES))
+        records.check_version(one.file.read(0, records.HEAD_BYTES))
         self._segments[number] = self._current = one
         self._read(one, one.file.look()[0])
 
     def _read(self, one: _Open, size: int) -> None:
         """What came behind the last look."""
         while one.offset < size and (data := one.file.read(one.offset, size - one.offset)):
-            found = record.scan(data)
+            found = records.scan(data)
             for offset, length, told in found.records:
                 sealed = one.number in self._machine.sealed
                 self._machine.take(told, Place(one.number, one.offset + offset, length))
                 self._counted += told.life == self._life and not sealed
             if found.passed_over:
-                log.say("ledger", f"segment {one.number}: {found.passed_over} bytes passed over")
+                logger.warning("segment %s: %s bytes passed over", one.number, found.passed_over)
             one.offset += found.used
             if not found.used:
                 break  # a record that is being written, or was torn
@@ -190,18 +199,18 @@
 
     def _again(self) -> None:
         """The folder was removed: make it anew, and say again what of this life still counts."""
-        log.say("ledger", "the folder was removed; it is made anew")
+        logger.warning("the folder was removed; it is made anew")
         now = clock.now()
         again: list[Record] = []
         for token, entry in self._machine.entries.items():
-            if entry.life != self._life or entry.until <= now or entry.state is State.VOID:
+            if entry.life != self._life or entry.until <= now or entry.state is KeyState.VOID:
                 continue
             again.append(Record(Step.INTENT, self._life, token, entry.at, entry.until, entry.same))
-            if entry.state is State.FINISHED:
+            if entry.state is KeyState.FINISHED:
                 entry.result, entry.place = self._result(token, entry), None
                 rest = entry.same + (entry.result or b"")
                 again.append(Record(Step.RESULT, self._life, token, now, entry.until, rest))
-            elif entry.state is State.FAILED:
+            elif entry.state is KeyState.FAILED:
                 again.append(Record(Step.FAULT, self._life, token, now, entry.until, entry.same))
         self._unsaid = [*again, *self._unsaid]
         self._lives.beat()
@@ -212,7 +221,7 @@
 
     def _append(self, told: Record) -> None:
         """Say it, in the segment where it counts; `OSError`."""
-        data = record.put(*told)
+        data = records.put(*told)
         for _ in range(TRIES):
             one, before = self._current, self._counted
             one.file.append(data)
@@ -221,7 +230,7 @@
             if self._counted > before:
                 if one is self._current and one.offset > SEGMENT_BYTES:
                     now = clock.now()
-                    one.file.append(record.put(SEAL, self._life, record.NO_TOKEN, now, now))
+                    one.file.append(records.put(SEAL, self._life, records.NO_TOKEN, now, now))
                     self._follow()
                 return
         raise OSError("sealed before every try to write to it")
@@ -246,7 +255,7 @@
             return True
         except OSError as error:
             if not self._failing:
-                log.say("ledger", f"the folder fails: {error}; keys are kept in memory until it works again")
+                logger.info("the folder fails: %s; keys are kept in memory until it works again", error)
             self._failing, self._retry_at = True, clock.now() + RETRY_US
             return False
 
@@ -266,7 +275,7 @@
             self._retry_at = clock.now() + RETRY_US
             return False
         if self._failing:
-            log.say("ledger", "the folder works again")
+            logger.info("the folder works again")
         self._failing = False
         return True
 
@@ -280,7 +289,7 @@
 
     # --- what the host asks
 
-    def wait_us(self) -> int:
+    def capacity_wait_us(self) -> int:
         """See `Keeper`."""
         with self._lock:
             if self._failing and not self._mend() and not self._lives.alone():
@@ -296,32 +305,36 @@
     def release(self) -> None:
         """See `Keeper`."""
 
-    def intend(self, begun: Begun, then: Callable[[], None], other: Callable[[bool], None]) -> None:
+    def record_start(
+        self, begun: StartedRun, then: Callable[[], None], other: Callable[[bool], None]
+    ) -> None:
         """See `Keeper`: the claim."""
         with self._lock:
-            told = Record(Step.INTENT, self._life, begun.token, clock.now(), begun.until, begun.digest)
+            told = Record(
+                Step.INTENT, self._life, begun.key, clock.now(), begun.expires_at, begun.fingerprint
+            )
             known = self._say(told)
             if not known and self._lives.alone():
                 self._keep(told)
                 known = True
             if not known:  # a claim that failed may stand there all the same, and would keep others waiting
-                never = Record(Step.NEVER, self._life, begun.token, told.at, begun.until, b"")
+                never = Record(Step.NEVER, self._life, begun.key, told.at, begun.expires_at, b"")
                 self._unsaid.append(never)
-            mine = self._machine.holds(begun.token, self._life, told.at)
+            mine = self._machine.holds(begun.key, self._life, told.at)
         if known and mine:
             then()
         else:
             other(known)
 
-    def never(self, token: bytes, until: int, settles: tuple[int, ...]) -> None:
+    def record_never_started(self, token: bytes, until: int, settles: tuple[int, ...]) -> None:
         """See `Keeper`."""
         self._end(Step.NEVER, token, until, b"", None)
 
-    def calling(self, token: bytes, until: int, pos: int, then: Callable[[], None]) -> None:
+    def record_call(self, token: bytes, until: int, pos: int, then: Callable[[], None]) -> None:
         """See `Keeper`: the run ends with its life, so its call needs no record."""
         then()
 
-    def ended(
+    def record_end(
         self,
         token: bytes,
         until: int,
@@ -341,16 +354,16 @@
             if not self._say(told):
                 self._keep(told, result)
 
-    def noticed(self, pos: int, owed: bool) -> None:
+    def notice_read(self, pos: int, owed: bool) -> None:
         """See `Keeper`: the pool's notices end with the life."""
 
-    def linked(self, pool_started: int) -> None:
+    def pool_linked(self, pool_started: int) -> None:
         """See `Keeper`."""
 
-    def reset(self) -> None:
+    def pool_replaced(self) -> None:
         """See `Keeper`."""
 
-    def recall(self, token: bytes, same: bytes, arrived: int) -> Past | None:
+    def look_up(self, token: bytes, same: bytes, arrived: int) -> StoredEntry | None:
         """See `Keeper`."""
         with self._lock:
             with contextlib.suppress(OSError):  # what is known so far is what can be known
@@ -360,9 +373,9 @@
             return None
         if entry.same != same:
             raise ValueError("another class or body")
-        return Past(token, entry.state is not State.FAILED)
+        return StoredEntry(token, entry.state is not KeyState.FAILED)
 
-    def fetch(self, token: bytes, same: bytes, then: Callable[[bytes | None], None]) -> None:
+    def fetch_result(self, token: bytes, same: bytes, then: Callable[[bytes | None], None]) -> None:
         """See `Keeper`."""
         waiting = _Waiting(token, same, then)
         if not self._settle(waiting):
@@ -380,9 +393,9 @@
             entry = self._machine.entries.get(waiting.token)
             result = None
             if entry is not None and entry.same == waiting.same:
-                if entry.state is State.INTENDED and not self._is_over(entry):
+                if entry.state is KeyState.INTENDED and not self._is_over(entry):
                     return False
-                if entry.state is State.FINISHED:
+                if entry.state is KeyState.FINISHED:
                     result = self._result(waiting.token, entry)
         waiting.then(result)
         return True
@@ -390,11 +403,11 @@
     def _is_over(self, entry: Entry) -> bool:
         """Whether no end will come of a run that has none: its life is dead, and has said all it ever will.
         Nobody can tell whether its pool ran it, so it never runs again."""
-        if self._lives.vital(entry.life) is not Vital.DEAD:
+        if self._lives.vital(entry.life) is not Liveness.DEAD:
             return False
         with contextlib.suppress(OSError):
             self._follow()
-        return entry.state is State.INTENDED
+        return entry.state is KeyState.INTENDED
 
     def _result(self, token: bytes, entry: Entry) -> bytes | None:
         """The result of a finished run; None if it can't be read any more."""
@@ -404,13 +417,13 @@
         if one is None:
             return None
         try:
-            found = record.scan(one.file.read(entry.place.offset, entry.place.length)).records
+            found = records.scan(one.file.read(entry.place.offset, entry.place.length)).records
         except OSError as error:
-            log.say("ledger", f"a result can't be read: {error}")
+            logger.warning("a result can't be read: %s", error)
             return None
         if len(found) != 1 or found[0][2].token != token:
             return None
-        return found[0][2].rest[record.DIGEST_BYTES :]
+        return found[0][2].rest[records.DIGEST_BYTES :]
 
     # --- the watch
 
@@ -431,7 +444,7 @@
                 try:
                     self._look_after()
                 except Exception as error:  # without this thread the life would be taken for stopped
-                    log.say("ledger", f"looking after it: {type(error).__name__} {error}")
+                    logger.warning("looking after it: %s %s", type(error).__name__, error)
 
     def _look_after(self) -> None:
         """Once a beat: say that this life is well, and let go of what has aged."""
@@ -447,4 +460,4 @@
                 self._segments.pop(number).file.close()
                 self._machine.dropped(number)
         except OSError as error:
-            log.say("ledger", f"old segments: {error}")
+            logger.warning("old segments: %s", error)
--- a/cairnvane/ledger/machine.py
+++ b/cairnvane/claims/claim_table.py
@@ -15,9 +15,9 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from . import state
-from .record import DIGEST_BYTES, SEAL, Record
-from .state import IllegalStep, State, Step
+from . import states
+from .records import DIGEST_BYTES, SEAL, Record
+from .states import IllegalStepError, KeyState, Step
 
 
 class Place(NamedTuple):
@@ -36,12 +36,12 @@
     same: bytes  # the digest of class and body
     at: int  # when it was claimed
     until: int  # tries that reached the machine before are repeats
-    state: State
+    state: KeyState
     place: Place | None = None  # of its result
     result: bytes | None = None  # held only while no file has it
 
 
-class Machine:
+class ClaimTable:
     """The tokens, fed with records. `unread`: how much later a try may be read than it came."""
 
     def __init__(self, unread: int) -> None:
@@ -69,12 +69,12 @@
 
     def _claim(self, record: Record) -> None:
         entry = self.entries.get(record.token)
-        if entry is not None and entry.state is not State.VOID and record.at < entry.until:
+        if entry is not None and entry.state is not KeyState.VOID and record.at < entry.until:
             if (entry.life, entry.at) != (record.life, record.at):  # else it is said again, after a failure
                 self.lost += 1
             return
         self.entries[record.token] = Entry(
-            record.life, record.rest[:DIGEST_BYTES], record.at, record.until, State.INTENDED
+            record.life, record.rest[:DIGEST_BYTES], record.at, record.until, KeyState.INTENDED
         )
         heapq.heappush(self._old, (record.until + self._unread, record.token))
 
@@ -85,9 +85,9 @@
             return
         step = Step(record.kind)
         try:
-            entry.state = state.advance(entry.state, step)
-        except IllegalStep:
-            again = (entry.state, step) in ((State.FINISHED, Step.RESULT), (State.FAILED, Step.FAULT))
+            entry.state = states.advance(entry.state, step)
+        except IllegalStepError:
+            again = (entry.state, step) in ((KeyState.FINISHED, Step.RESULT), (KeyState.FAILED, Step.FAULT))
             if again and entry.place is None:  # the same end, said again once a file takes it
                 entry.place, entry.result = place, None
             else:
@@ -104,7 +104,7 @@
     def find(self, token: bytes, arrived: int) -> Entry | None:
         """What a try that reached the machine then repeats."""
         entry = self.entries.get(token)
-        if entry is None or entry.state is State.VOID or arrived >= entry.until:
+        if entry is None or entry.state is KeyState.VOID or arrived >= entry.until:
             return None
         return entry
 
--- a/cairnvane/ledger/lives.py
+++ b/cairnvane/claims/incarnations.py
@@ -27,7 +27,7 @@
 _MAGIC, _CHECKED_AT = b"CVA1", 8
 
 
-class Vital(Enum):
+class Liveness(Enum):
     """What can be told of a life from outside."""
 
     ALIVE = "alive"
@@ -35,7 +35,7 @@
     DEAD = "dead"
 
 
-class Lives:
+class Incarnations:
     """This life's file, and a look at the others'. Safe to call from any thread."""
 
     def __init__(self, folder: Path) -> None:
@@ -52,7 +52,7 @@
         """Be one of them; `OSError` if the folder can't be had."""
         self._folder.mkdir(mode=0o700, parents=True, exist_ok=True)
         for life in self.others():  # what a dead life left is of no use to anyone
-            if self.vital(life) is Vital.DEAD:
+            if self.vital(life) is Liveness.DEAD:
                 with contextlib.suppress(OSError):
                     self._path(life).unlink()
         # Locked before it has its name: nobody may meet it without a lock and take it for dead.
@@ -102,37 +102,37 @@
             return []
         return sorted(int(name) for name in names if name.isdigit() and int(name) != self.life)
 
-    def vital(self, life: int) -> Vital:
+    def vital(self, life: int) -> Liveness:
         """How that life is."""
         return self._look(life)[0]
 
-    def _look(self, life: int) -> tuple[Vital, bool]:
+    def _look(self, life: int) -> tuple[Liveness, bool]:
         """How that life is, and whether it can serve."""
         if life == self.life:
-            return Vital.ALIVE, self._ready
+            return Liveness.ALIVE, self._ready
         try:
             fd = os.open(self._path(life), os.O_RDONLY | os.O_CLOEXEC)
         except OSError:
-            return Vital.DEAD, False
+            return Liveness.DEAD, False
         try:
             fcntl.flock(fd, fcntl.LOCK_SH | fcntl.LOCK_NB)
-            return Vital.DEAD, False  # nobody holds it
+            return Liveness.DEAD, False  # nobody holds it
         except OSError:
             word = os.pread(fd, _WORD.size, 0)
         finally:
             os.close(fd)
         if len(word) < _WORD.size or crc32(word[_CHECKED_AT:]) != int.from_bytes(word[4:8], "little"):
-            return Vital.ALIVE, False  # it is speaking just now
+            return Liveness.ALIVE, False  # it is speaking just now
         _, _, at, _, ready = _WORD.unpack(word)
-        return (Vital.STOPPED if clock.now() - at > LEASE_US else Vital.ALIVE), ready
+        return (Liveness.STOPPED if clock.now() - at > LEASE_US else Liveness.ALIVE), ready
 
     def heir(self) -> bool:
         """Whether a later life is there, is well, and can serve."""
-        return any(life > self.life and self._look(life) == (Vital.ALIVE, True) for life in self.others())
+        return any(life > self.life and self._look(life) == (Liveness.ALIVE, True) for life in self.others())
 
     def alone(self) -> bool:
         """Whether no other life is there that may go on."""
-        return all(self.vital(life) is Vital.DEAD for life in self.others())
+        return all(self.vital(life) is Liveness.DEAD for life in self.others())
 
     def leave(self) -> None:
         """On the way out."""
--- a/cairnvane/ledger/inspect.py
+++ b/cairnvane/claims/inspection.py
@@ -8,10 +8,10 @@
 from pathlib import Path
 
 from .. import clock
-from . import record
-from .folder import OsFolder
-from .lives import LIVES, Lives, Vital
-from .machine import Machine, Place
+from . import records
+from .claim_table import ClaimTable, Place
+from .incarnations import LIVES, Incarnations, Liveness
+from .storage import OsFolder
 
 # A try is read so much later than it came at the most, where no settings tell.
 _UNREAD_US = 60_000_000
@@ -28,8 +28,8 @@
     passed_over: list[str] = field(default_factory=list)
     tail: int = 0  # bytes at the end that no record can be read from: being written, or cut short by a kill
     foreign: list[str] = field(default_factory=list)
-    machine: Machine = field(default_factory=lambda: Machine(_UNREAD_US))
-    lives: dict[int, Vital] = field(default_factory=dict)
+    machine: ClaimTable = field(default_factory=lambda: ClaimTable(_UNREAD_US))
+    lives: dict[int, Liveness] = field(default_factory=dict)
 
     @property
     def wrong(self) -> bool:
@@ -73,8 +73,8 @@
             data = segment.read(0, segment.look()[0])
         finally:
             segment.close()
-        record.check_version(data)
-        told = record.scan(data)
+        records.check_version(data)
+        told = records.scan(data)
         for offset, length, one in told.records:
             found.machine.take(one, Place(number, offset, length))
         found.segments += 1
@@ -86,7 +86,7 @@
     found.foreign = [one.name for one in path.iterdir() if one.suffix != ".ledger"]
     beside = path.parent / LIVES
     name = path.name.rpartition(".")[0]
-    lives = Lives(path.parent.parent / LIVES / name if not beside.is_dir() else beside)
+    lives = Incarnations(path.parent.parent / LIVES / name if not beside.is_dir() else beside)
     lives.life = 0
     found.lives = {life: lives.vital(life) for life in lives.others()}
     return found
@@ -97,7 +97,7 @@
     found, now = look(path), clock.now()
     here = path.name.rpartition(".")[2] == (clock.boot() or "unknown")[:8]
     for token, entry in found.machine.entries.items():
-        vital = found.lives.get(entry.life, Vital.DEAD)
+        vital = found.lives.get(entry.life, Liveness.DEAD)
         row = {
             "token": token.hex(),
             "state": entry.state.name.lower(),
@@ -106,6 +106,6 @@
             "life_is": vital.value,
         }
         if entry.place is not None:
-            size = entry.place.length - record.HEAD_BYTES - record.COMMON_BYTES - record.DIGEST_BYTES
+            size = entry.place.length - records.HEAD_BYTES - records.COMMON_BYTES - records.DIGEST_BYTES
             row["result_bytes"] = str(size)
         yield row
--- a/cairnvane/ledger/record.py
+++ b/cairnvane/claims/records.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 from zlib import crc32
 
-from .state import Step
+from .states import Step
 
 VERSION = 1
 _MARK = b"CVL"
@@ -29,7 +29,7 @@
 NO_TOKEN = bytes(16)
 
 
-class NewerVersion(OSError):
+class NewerVersionError(OSError):
     """Written by a version of the program that this one can't live beside. To a life that already serves, it
     is a folder that fails: it takes no new keys on."""
 
@@ -109,4 +109,4 @@
 def check_version(data: bytes) -> None:
     """`NewerVersion` if a segment that begins so was written by a later version of the format."""
     if data[:3] == _MARK and data[3:4].isdigit() and int(data[3:4]) > VERSION:
-        raise NewerVersion(f"format {data[3:4].decode()}; this one reads up to {VERSION}")
+        raise NewerVersionError(f"format {data[3:4].decode()}; this one reads up to {VERSION}")
--- a/cairnvane/ledger/state.py
+++ b/cairnvane/claims/states.py
@@ -14,7 +14,7 @@
 from enum import IntEnum
 
 
-class State(IntEnum):
+class KeyState(IntEnum):
     """Where the request of a key stands, as far as it is recorded."""
 
     UNKNOWN = 0
@@ -37,7 +37,7 @@
     LINK = 6  # of no key: the pool's link came up
 
 
-class Repeat(IntEnum):
+class RetryDecision(IntEnum):
     """What a repeat may get."""
 
     RUN = 0  # nothing stands in its way
@@ -46,47 +46,47 @@
     FAIL = 3  # at once: nothing better will ever be known
 
 
-class IllegalStep(Exception):
+class IllegalStepError(Exception):
     """A step that can't follow."""
 
 
-_BEGUN = (State.INTENDED, State.CALLING)
-_NEXT: dict[tuple[State, Step], State] = {
-    **{(state, Step.INTENT): State.INTENDED for state in (State.UNKNOWN, State.VOID, State.AGED)},
+_BEGUN = (KeyState.INTENDED, KeyState.CALLING)
+_NEXT: dict[tuple[KeyState, Step], KeyState] = {
+    **{(state, Step.INTENT): KeyState.INTENDED for state in (KeyState.UNKNOWN, KeyState.VOID, KeyState.AGED)},
     # The same intent again: after a write that failed half way the whole group is written once more.
     **{(state, Step.INTENT): state for state in _BEGUN},
-    **{(state, Step.CALL): State.CALLING for state in _BEGUN},
+    **{(state, Step.CALL): KeyState.CALLING for state in _BEGUN},
     # The intent of an end may be gone: compacted away, or damaged.
-    **{(state, Step.RESULT): State.FINISHED for state in (State.UNKNOWN, State.AGED, *_BEGUN)},
-    **{(state, Step.FAULT): State.FAILED for state in (State.UNKNOWN, State.AGED, *_BEGUN)},
-    (State.INTENDED, Step.NEVER): State.VOID,
-    (State.VOID, Step.NEVER): State.VOID,
-    (State.UNKNOWN, Step.NEVER): State.VOID,
+    **{(state, Step.RESULT): KeyState.FINISHED for state in (KeyState.UNKNOWN, KeyState.AGED, *_BEGUN)},
+    **{(state, Step.FAULT): KeyState.FAILED for state in (KeyState.UNKNOWN, KeyState.AGED, *_BEGUN)},
+    (KeyState.INTENDED, Step.NEVER): KeyState.VOID,
+    (KeyState.VOID, Step.NEVER): KeyState.VOID,
+    (KeyState.UNKNOWN, Step.NEVER): KeyState.VOID,
 }
 
 
-def advance(state: State, step: Step) -> State:
+def advance(state: KeyState, step: Step) -> KeyState:
     """The state after a step; `IllegalStep` if it can't follow."""
     after = _NEXT.get((state, step))
     if after is None:
-        raise IllegalStep(f"{step.name} after {state.name}")
+        raise IllegalStepError(f"{step.name} after {state.name}")
     return after
 
 
-def repeat(state: State, pool_lives: bool) -> Repeat:
+def repeat(state: KeyState, pool_lives: bool) -> RetryDecision:
     """What a repeat gets within the window. A run without a recorded end goes on only in the pool that was
     told to run it; in a new pool it may have had its effect and is never run again."""
     if state in _BEGUN:
-        return Repeat.WAIT if pool_lives else Repeat.FAIL
-    if state is State.FINISHED:
-        return Repeat.RESULT
-    return Repeat.FAIL if state is State.FAILED else Repeat.RUN
+        return RetryDecision.WAIT if pool_lives else RetryDecision.FAIL
+    if state is KeyState.FINISHED:
+        return RetryDecision.RESULT
+    return RetryDecision.FAIL if state is KeyState.FAILED else RetryDecision.RUN
 
 
-def call_may_be_made(state: State, recorded_for: int, asked_by: int) -> bool:
+def call_may_be_made(state: KeyState, recorded_for: int, asked_by: int) -> bool:
     """Whether a run of an earlier life that asks for its call (in notice `asked_by`) may have it. Not if that
     very call may have been made before: its effect would happen twice."""
-    return state is State.INTENDED or recorded_for != asked_by
+    return state is KeyState.INTENDED or recorded_for != asked_by
 
 
 # Two starts of a pool that lie closer are one: its age is told in whole milliseconds, and read a little
--- a/cairnvane/cli/keyed.py
+++ b/cairnvane/cli/keyed.py
@@ -8,10 +8,11 @@
 
 import click
 
-from ..keyed import FolderError, inspect
-from ..keyed.files import OsFiles
-from ..ledger import inspect as ledger
-from ..ledger.record import NewerVersion
+from ..claims import inspection as ledger
+from ..claims.records import NewerVersionError
+from ..idempotency.durable import FolderError
+from ..idempotency.durable import verify as verification
+from ..idempotency.durable.storage import OsFiles
 
 FOLDER = click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
 
@@ -33,8 +34,8 @@
     if a record may be lost."""
     try:
         beside = [ledger.look(path) for path in ledger.ledgers(folder)]
-        found = inspect.verify(OsFiles(folder))
-    except (FolderError, NewerVersion, OSError) as error:
+        found = verification.verify(OsFiles(folder))
+    except (FolderError, NewerVersionError, OSError) as error:
         return _stop(error)
     for line in [line for one in beside for line in one.lines()] + found.lines():
         click.echo(line)
@@ -48,14 +49,14 @@
     """List the keys in FOLDER, a log's or a ledger's, oldest first, and how each stands; results are not
     shown. What the log does not know stands behind, from the ledger."""
     try:
-        rows = list(inspect.show(OsFiles(folder)))
+        rows = list(verification.show(OsFiles(folder)))
         known = {row["token"] for row in rows}
         for path in ledger.ledgers(folder):
             rows += [row for row in ledger.show(path) if row["token"] not in known]
         for row in rows:
             plain = "  ".join(f"{key}={value}" for key, value in row.items())
             click.echo(json.dumps(row) if as_json else plain)
-    except (FolderError, NewerVersion, OSError) as error:
+    except (FolderError, NewerVersionError, OSError) as error:
         return _stop(error)
 
 
@@ -64,7 +65,7 @@
 def compact(folder: Path) -> None:
     """Rewrite FOLDER without what no longer counts. Not while a server uses it."""
     try:
-        before, after = inspect.compact(OsFiles(folder))
+        before, after = verification.compact(OsFiles(folder))
     except (FolderError, OSError) as error:
         return _stop(error)
     click.echo(f"{before:,} bytes before, {after:,} after")
--- a/cairnvane/cli/serve.py
+++ b/cairnvane/cli/serve.py
@@ -20,7 +20,7 @@
 )
 def serve(operator: str | None) -> None:
     """Serve as `python -m cairnvane` does: LB_CONFIG names the platform's configuration."""
-    from ..__main__ import main
+    from ..server.main import main
 
     if operator:
         os.environ[config.OPERATOR] = operator
--- a/cairnvane/config/__init__.py
+++ b/cairnvane/config/__init__.py
@@ -13,8 +13,9 @@
 
 import msgspec
 
-from ..interface import Settings
-from ..wire import WireError, read_settings
+from ..contract.settings import Settings
+from ..simulator.errors import ProtocolError
+from ..simulator.settings_reader import read_settings
 
 # What a scored day gives at most, for a configuration that leaves limits out.
 DEFAULT_SOCKETS = 1_024
@@ -35,7 +36,7 @@
 FIXED = ("name", "listen", "sockets", "settings", "control")
 
 
-class ConfigError(Exception):
+class ConfigurationError(Exception):
     """One line that names the faulty key."""
 
 
@@ -85,7 +86,7 @@
     except UnicodeError:
         number = -1
     if not (host and colon and 0 <= number < 65_536):
-        raise ConfigError(f"{key}: {text!r} is not HOST:PORT")
+        raise ConfigurationError(f"{key}: {text!r} is not HOST:PORT")
     return host, number
 
 
@@ -102,15 +103,15 @@
 
 def _text(key: str, text: str) -> str:
     if not text:
-        raise ConfigError(f"{key}: missing")
+        raise ConfigurationError(f"{key}: missing")
     return text
 
 
 def _within(key: str, value: int, least: int, most: int) -> int:
     if value < least:
-        raise ConfigError(f"{key}: {value} is under {least}")
+        raise ConfigurationError(f"{key}: {value} is under {least}")
     if value > most:
-        raise ConfigError(f"{key}: {value} is over {most}")
+        raise ConfigurationError(f"{key}: {value} is over {most}")
     return value
 
 
@@ -120,23 +121,25 @@
     try:
         raw = Path(path).read_bytes()
     except OSError as error:
-        raise ConfigError(f"LB_CONFIG: {path}: {error.strerror}") from None
+        raise ConfigurationError(f"LB_CONFIG: {path}: {error.strerror}") from None
     try:
         file = msgspec.json.decode(raw, type=_File)
     except msgspec.ValidationError as error:
-        raise ConfigError(f"LB_CONFIG: {error}{_found(raw, str(error))}") from None
+        raise ConfigurationError(f"LB_CONFIG: {error}{_found(raw, str(error))}") from None
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise ConfigError(f"LB_CONFIG: {error}") from None
+        raise ConfigurationError(f"LB_CONFIG: {error}") from None
     try:
         seed = int(file.seed, 16)
     except ValueError:
-        raise ConfigError(f"seed: {file.seed!r} is not a hexadecimal number") from None
+        raise ConfigurationError(f"seed: {file.seed!r} is not a hexadecimal number") from None
     try:
         settings, gauges = read_settings(bytes(file.settings).decode())
-    except WireError as error:
-        raise ConfigError(str(error)) from None
+    except ProtocolError as error:
+        raise ConfigurationError(str(error)) from None
     # The pool has no command to go on without a call, so no class may earn by that here.
-    settings = replace(settings, classes=tuple(replace(cls, skip_worth=0.0) for cls in settings.classes))
+    settings = replace(
+        settings, classes=tuple(replace(cls, degraded_fraction=0.0) for cls in settings.classes)
+    )
     return Config(
         name=_text("name", environment.get("LB_NAME") or file.name),
         listen=address("listen", environment.get("LB_LISTEN") or file.listen),
--- a/cairnvane/config/operator.py
+++ b/cairnvane/config/operator.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from . import ConfigError, address
+from . import ConfigurationError, address
 
 MEGABYTE = 1 << 20
 # Less has no room for two segments beside the one that is written; more can't be addressed by the index.
@@ -109,20 +109,20 @@
 
 def _between(key: str, value: int, least: int, most: int) -> None:
     if not least <= value <= most:
-        raise ConfigError(f"{key}: {value} is not between {least} and {most}")
+        raise ConfigurationError(f"{key}: {value} is not between {least} and {most}")
 
 
 def _check_members(asked: MembersOptions) -> None:
-    from ..membership.state import IPV4  # only where the section is there
+    from ..membership.member_table import IPV4  # only where the section is there
 
     for key, (host, _) in (("listen", asked.address), *(("contacts", other) for other in asked.others)):
         if IPV4.fullmatch(host) is None:  # a name would have to be looked up while others wait
-            raise ConfigError(f"members.{key}: {host!r} is not an IPv4 address")
+            raise ConfigurationError(f"members.{key}: {host!r} is not an IPv4 address")
         if host == "0.0.0.0":
-            raise ConfigError(f"members.{key}: {host} is no address that others can reach")
+            raise ConfigurationError(f"members.{key}: {host} is no address that others can reach")
     length = len(asked.key.encode())
     if not LEAST_KEY <= length <= MOST_KEY:  # the key itself is nobody's to read in a message
-        raise ConfigError(f"members.key: {length} bytes are not between {LEAST_KEY} and {MOST_KEY}")
+        raise ConfigurationError(f"members.key: {length} bytes are not between {LEAST_KEY} and {MOST_KEY}")
     _between("members.spare_ports", asked.spare_ports, 0, MOST_SPARES)
     _between("members.contacts", len(asked.others), 0, MOST_CONTACTS)
     _between("members.routes", len(asked.ways), 0, MOST_ROUTES)
@@ -134,18 +134,18 @@
     try:
         raw = path.read_bytes()
     except OSError as error:
-        raise ConfigError(f"operator's file {path}: {error.strerror}") from None
+        raise ConfigurationError(f"operator's file {path}: {error.strerror}") from None
     try:
         tree = msgspec.yaml.decode(raw) if raw.strip() else None
     except Exception as error:  # PyYAML's own, which name line and column in several lines
-        raise ConfigError(f"operator's file {path}: {' '.join(str(error).split())}") from None
+        raise ConfigurationError(f"operator's file {path}: {' '.join(str(error).split())}") from None
     try:
         told = msgspec.convert({} if tree is None else tree, type=Operator)
     except msgspec.ValidationError as error:
-        raise ConfigError(f"operator's file {path}: {_complaint(error, tree)}") from None
+        raise ConfigurationError(f"operator's file {path}: {_complaint(error, tree)}") from None
     for key, section in (tree or {}).items():
         if section is None:  # as good as misspelt: what it was to turn on would be silently off
-            raise ConfigError(f"operator's file {path}: {key}: nothing stands under it")
+            raise ConfigurationError(f"operator's file {path}: {key}: nothing stands under it")
     try:
         if told.members is not None:
             _check_members(told.members)
@@ -153,7 +153,7 @@
             return told
         _between("keyed.max_disk_mb", told.keyed.max_disk_mb, LEAST_DISK_MB, MOST_DISK_MB)
         _between("keyed.max_memory_mb", told.keyed.max_memory_mb, LEAST_MEMORY_MB, MOST_MEMORY_MB)
-    except ConfigError as error:
-        raise ConfigError(f"operator's file {path}: {error}") from None
+    except ConfigurationError as error:
+        raise ConfigurationError(f"operator's file {path}: {error}") from None
     folder = str((path.parent / told.keyed.folder).absolute())
     return msgspec.structs.replace(told, keyed=msgspec.structs.replace(told.keyed, folder=folder))
--- a/cairnvane/keyed/__init__.py
+++ b/cairnvane/idempotency/durable/__init__.py
@@ -7,8 +7,8 @@
 that the host is given; `beside` joins that with the ledger of the lives side by side.
 """
 
-from .beside import Beside
-from .files import FolderError
-from .store import Store
+from .storage import FolderError
+from .store import DurableStore
+from .takeover_store import TakeoverStore
 
-__all__ = ["Beside", "FolderError", "Store"]
+__all__ = ["TakeoverStore", "FolderError", "DurableStore"]
--- a/cairnvane/keyed/index.py
+++ b/cairnvane/idempotency/durable/index.py
@@ -12,7 +12,7 @@
 import mmap
 import struct
 
-from ..ledger.state import State
+from ...claims.states import KeyState
 
 _ENTRY = struct.Struct("<16sQII")  # token, place, tick of its end, the next older entry
 _WORD, _WORD_AT = struct.Struct("<Q"), 16
@@ -55,9 +55,9 @@
     return word >> _OFFSET_BITS, word & (MOST_OFFSET - 1)
 
 
-def state(word: int) -> State:
+def state(word: int) -> KeyState:
     """How its request ended."""
-    return State(word & ((1 << _STATE_BITS) - 1))
+    return KeyState(word & ((1 << _STATE_BITS) - 1))
 
 
 def alike(word: int, same: bytes) -> bool:
--- a/cairnvane/keyed/record.py
+++ b/cairnvane/idempotency/durable/records.py
@@ -15,7 +15,7 @@
 from google_crc32c import extend
 from google_crc32c import value as crc32c
 
-from ..ledger.state import Step
+from ...claims.states import Step
 
 VERSION, OLDEST = 1, 1
 MAGIC = b"CVKEYED\n"
@@ -38,11 +38,11 @@
 NO_TOKEN = bytes(16)
 
 
-class BadHeader(Exception):
+class InvalidHeaderError(Exception):
     """No segment, or one that this version can't read."""
 
 
-class NewerVersion(BadHeader):
+class NewerVersionError(InvalidHeaderError):
     """A segment of a later version: it must not be touched."""
 
 
@@ -94,16 +94,20 @@
 def header(data: bytes) -> Header:
     """Read the first 128 bytes; `BadHeader` says in a few words what is wrong with them."""
     if data[:8] != MAGIC:
-        raise BadHeader("not a segment" if data.strip(b"\0") else "empty")
+        raise InvalidHeaderError("not a segment" if data.strip(b"\0") else "empty")
     if len(data) < 12:
-        raise BadHeader("cut short in its header")
+        raise InvalidHeaderError("cut short in its header")
     version = int.from_bytes(data[8:10], "little")
     if version > VERSION:
-        raise NewerVersion(f"written by a newer version (format {version}; this one reads up to {VERSION})")
+        raise NewerVersionError(
+            f"written by a newer version (format {version}; this one reads up to {VERSION})"
+        )
     if version < OLDEST or len(data) < HEADER_BYTES:
-        raise BadHeader("cut short in its header" if version >= OLDEST else f"format {version} is no format")
+        raise InvalidHeaderError(
+            "cut short in its header" if version >= OLDEST else f"format {version} is no format"
+        )
     if _CRC.unpack_from(data, HEADER_BYTES - _CRC.size)[0] != crc32c(data[: HEADER_BYTES - _CRC.size]):
-        raise BadHeader("its header is damaged")
+        raise InvalidHeaderError("its header is damaged")
     _, _, _, number, boot, at, unix_ms, length, name = _HEADER.unpack_from(data)
     return Header(number, boot, at, unix_ms, name[:length].decode(errors="replace"))
 
--- a/cairnvane/keyed/recovery.py
+++ b/cairnvane/idempotency/durable/recovery.py
@@ -10,20 +10,20 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from ..keys import Begun, Recovered
+from ...claims import states
+from ...claims.states import IllegalStepError, KeyState, Step
+from ..store import RecoveredState, StartedRun
 from . import index as places
-from ..ledger import state
-from . import record
+from . import records
 from .index import Index
-from .plan import AGE_STEP_US, Segment
-from ..ledger.state import IllegalStep, State, Step
+from .retention import AGE_STEP_US, Segment
 
 # When a pool started of which nothing is left; no clock shows this.
 LONG_GONE = -(1 << 62)
 _STEPS = {int(step): step for step in Step}
 # As plain numbers: to look a member up takes as long as what it is compared for.
 INTENT, CALL, RESULT, FAULT, LINK = map(int, (Step.INTENT, Step.CALL, Step.RESULT, Step.FAULT, Step.LINK))
-HEAD_BYTES, COMMON_BYTES = record.HEAD_BYTES, record.COMMON_BYTES
+HEAD_BYTES, COMMON_BYTES = records.HEAD_BYTES, records.COMMON_BYTES
 # So many illegal steps are named; the rest is counted.
 MOST_NAMED = 20
 
@@ -60,40 +60,40 @@
         self._kept: dict[int, int] = {}
         self._shift = 0
 
-    def begin(self, header: record.Header) -> Segment:
+    def begin(self, header: records.Header) -> Segment:
         """The next segment; what follows is in it."""
         self._shift = 0 if header.boot == self._boot else self._now - header.at
         self._segment = Segment(header.number, header.at + self._shift)
         return self._segment
 
-    def _state(self, token: bytes) -> State:
+    def _state(self, token: bytes) -> KeyState:
         if (run := self.runs.get(token)) is not None:
-            return State.CALLING if run[4] else State.INTENDED
+            return KeyState.CALLING if run[4] else KeyState.INTENDED
         if token in self._void:
-            return State.VOID
+            return KeyState.VOID
         found = self._index.get(token)
         if found is None:
-            return State.UNKNOWN
+            return KeyState.UNKNOWN
         counts = self._index.counts(found[1], self._now - self._unread)
-        return places.state(found[0]) if counts else State.AGED
+        return places.state(found[0]) if counts else KeyState.AGED
 
     def read(
         self,
-        found: Iterable[tuple[int, int, bytes] | record.Damage],
-    ) -> tuple[list[record.Damage], int]:
+        found: Iterable[tuple[int, int, bytes] | records.Damage],
+    ) -> tuple[list[records.Damage], int]:
         """All that `record.scan` finds in the segment; what was damaged, and where the last record ends.
 
         Hundreds of thousands of records come here. The two steps of a usual commit are spelled out, with all
         that they need at hand: an intent of an unknown key, and the result of a run that is open.
         """
         segment, shift, runs, void, kept = self._segment, self._shift, self.runs, self._void, self._kept
-        common, get, put = record.common, self._index.get, self._index.put
-        finished = places.place(segment.number, 0, 0, State.FINISHED)
-        oldest, pos, ends, end, count = self._now - self._unread, self.pos, 0, record.HEADER_BYTES, 0
+        common, get, put = records.common, self._index.get, self._index.put
+        finished = places.place(segment.number, 0, 0, KeyState.FINISHED)
+        oldest, pos, ends, end, count = self._now - self._unread, self.pos, 0, records.HEADER_BYTES, 0
         by_end: dict[int, int] = {}
         bad = []
         for one in found:
-            if one.__class__ is record.Damage:
+            if one.__class__ is records.Damage:
                 bad.append(one)
                 continue
             kind, offset, payload = one  # type: ignore[misc]
@@ -140,8 +140,8 @@
             self.runs.pop(token, None)
             return
         try:
-            after = state.advance(self._state(token), _STEPS[kind])
-        except IllegalStep as error:
+            after = states.advance(self._state(token), _STEPS[kind])
+        except IllegalStepError as error:
             return self._name(f"{token.hex()}: {error}")
         if kind in (RESULT, FAULT):
             self._forget_run(token)
@@ -158,16 +158,16 @@
             else:
                 self.runs[token] = self._segment, size, payload, self._shift, 0
         elif kind == CALL:
-            self.runs[token] = *self.runs[token][:4], record.call(payload[COMMON_BYTES:])
+            self.runs[token] = *self.runs[token][:4], records.call(payload[COMMON_BYTES:])
             self._segment.dead += size
         else:
             self._forget_run(token)
             self._void[token] = None
 
     def _linked(self, payload: bytes) -> None:
-        started = record.link(payload[COMMON_BYTES:])
+        started = records.link(payload[COMMON_BYTES:])
         if started != self.pool_started:  # a new pool counts from 1
-            self.pos = record.common(payload)[3]
+            self.pos = records.common(payload)[3]
         # Of another boot: the pool that it speaks of can't be there any more, and no other is it.
         self.pool_started = started if self._shift == 0 else LONG_GONE
 
@@ -181,15 +181,15 @@
         else:
             self.counts.more_illegal += 1
 
-    def conclude(self) -> Recovered:
+    def conclude(self) -> RecoveredState:
         """What the host takes up."""
         begun = tuple(self._begun(token, run) for token, run in self.runs.items())
         ends = [(count, (step + 1) * AGE_STEP_US - self._now) for step, count in sorted(self._kept.items())]
         kept = tuple((count, left) for count, left in ends if left > 0)
-        return Recovered(begun, kept, self.pos, self.pool_started)
+        return RecoveredState(begun, kept, self.pos, self.pool_started)
 
-    def _begun(self, token: bytes, run: Run) -> Begun:
+    def _begun(self, token: bytes, run: Run) -> StartedRun:
         _, _, payload, shift, call_pos = run
-        told = record.parse(Step.INTENT, payload)
-        uid, same, due, memory, lane = record.intent(told.rest)
-        return Begun(token, uid, lane, same, told.until + shift, due + shift, memory, call_pos)
+        told = records.parse(Step.INTENT, payload)
+        uid, same, due, memory, lane = records.intent(told.rest)
+        return StartedRun(token, uid, lane, same, told.until + shift, due + shift, memory, call_pos)
--- a/cairnvane/keyed/plan.py
+++ b/cairnvane/idempotency/durable/retention.py
@@ -8,12 +8,12 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-from . import record
+from . import records
 from .index import MOST_OFFSET
 
 # The bound on the disk is divided into so many segments: each is dropped whole, so as much may lie idle.
 SEGMENTS = 16
-LEAST_SEGMENT, MOST_SEGMENT = 2 * record.BLOCK, min(8 << 20, MOST_OFFSET)
+LEAST_SEGMENT, MOST_SEGMENT = 2 * records.BLOCK, min(8 << 20, MOST_OFFSET)
 # A segment takes what comes within this part of a window, so that it is not kept long for its last record.
 WINDOW_PARTS, LEAST_AGE_US = 4, 1_000_000
 # Compaction is worth its writing only if space is wanted, and much of the segment is dead.
@@ -24,7 +24,7 @@
 # larger.
 RESULT_BYTES = 4_096
 # What one key takes on disk at the most: two records, the call's, and what blocks lose at their ends.
-KEY_BYTES = record.INTENT_BYTES + record.END_BYTES + record.size(8) + RESULT_BYTES * 9 // 8
+KEY_BYTES = records.INTENT_BYTES + records.END_BYTES + records.size(8) + RESULT_BYTES * 9 // 8
 # A write that has not come back after so long is slow: no new key is taken on behind it.
 SLOW_US = 100_000
 # How long callers are told to stay away while nothing better is known.
@@ -41,7 +41,7 @@
 
     number: int
     began: int
-    size: int = record.HEADER_BYTES
+    size: int = records.HEADER_BYTES
     ends: int = 0  # when the last of its keys no longer counts
     dead: int = 0  # bytes whose record a later one has made idle
     _by_end: dict[int, int] = field(default_factory=dict)  # bytes by when they are idle
@@ -70,7 +70,7 @@
 
 def is_full(segment: Segment, more: int, most: int, window: int, now: int) -> bool:
     """Whether the next record, of `more` bytes, begins a new segment; `window` is the longest one seen."""
-    if segment.size == record.HEADER_BYTES:
+    if segment.size == records.HEADER_BYTES:
         return False
     return segment.size + more > most or now - segment.began >= max(LEAST_AGE_US, window // WINDOW_PARTS)
 
--- a/cairnvane/keyed/log.py
+++ b/cairnvane/idempotency/durable/segment_log.py
@@ -11,17 +11,17 @@
 from collections.abc import Callable, Generator, Iterable, Iterator
 from dataclasses import dataclass, field
 
+from ...claims.states import Step
 from . import index as places
-from . import plan, record
-from .files import TEMPORARY, Files, FolderError, Handle, segment_name, segment_number
+from . import records, retention
 from .index import Index
-from .plan import Segment
 from .recovery import Recovery
-from ..ledger.state import Step
+from .retention import Segment
+from .storage import TEMPORARY, Files, FolderError, Handle, segment_name, segment_number
 
 _MOVE = struct.Struct("<16sQQ")
 # A compaction goes on by so much between two groups of records.
-COMPACT_BYTES = 4 * record.BLOCK
+COMPACT_BYTES = 4 * records.BLOCK
 
 
 @dataclass(slots=True)
@@ -46,7 +46,7 @@
     torn: list[str] = field(default_factory=list)  # a last write that was cut short, as a crash leaves it
     foreign: list[str] = field(default_factory=list)  # left alone
 
-    def take(self, name: str, bad: list[record.Damage], end: int) -> bool:
+    def take(self, name: str, bad: list[records.Damage], end: int) -> bool:
         """What is damaged in a segment whose last good record ends there; whether its end is torn. What
         stands before a good record, or behind all that a segment can be, is no last write that was cut
         short."""
@@ -72,7 +72,7 @@
     return sorted((number, name) for number, name in found if number is not None)
 
 
-def own(file: str, header: record.Header, name: str) -> None:
+def own(file: str, header: records.Header, name: str) -> None:
     """Raise `FolderError` if this segment is not this instance's."""
     if header.name != name:
         raise FolderError(f"{file}: belongs to the instance {header.name!r}, not to {name!r}")
@@ -89,27 +89,27 @@
 def blocks(
     files: Files,
     name: str,
-    header: record.Header,
-) -> Iterator[tuple[int, int, bytes] | record.Damage]:
+    header: records.Header,
+) -> Iterator[tuple[int, int, bytes] | records.Damage]:
     """The records of a segment, a block in memory at a time."""
-    for at in range(0, places.MOST_OFFSET, record.BLOCK):
-        data = files.read(name, at, record.BLOCK)
-        yield from record.scan(data, at, header.number)
-        if len(data) < record.BLOCK:
+    for at in range(0, places.MOST_OFFSET, records.BLOCK):
+        data = files.read(name, at, records.BLOCK)
+        yield from records.scan(data, at, header.number)
+        if len(data) < records.BLOCK:
             return
     if size := max(0, files.size(name) - places.MOST_OFFSET):
-        yield record.Damage(places.MOST_OFFSET, "longer than any segment", size)
+        yield records.Damage(places.MOST_OFFSET, "longer than any segment", size)
 
 
-def read_segment(files: Files, number: int, name: str, report: Report) -> record.Header | None:
+def read_segment(files: Files, number: int, name: str, report: Report) -> records.Header | None:
     """Its header, or None with a line in the report."""
     try:
-        header = record.header(files.read(name, 0, record.HEADER_BYTES))
+        header = records.header(files.read(name, 0, records.HEADER_BYTES))
         if header.number != number:
-            raise record.BadHeader(f"it says that it is segment {header.number}")
-    except record.NewerVersion as error:
+            raise records.InvalidHeaderError(f"it says that it is segment {header.number}")
+    except records.NewerVersionError as error:
         raise FolderError(f"{name}: {error}") from None
-    except record.BadHeader as error:
+    except records.InvalidHeaderError as error:
         report.foreign.append(f"{name}: {error}; left alone")
         return None
     report.segments += 1
@@ -117,7 +117,7 @@
     return header
 
 
-class Log:
+class SegmentLog:
     """The segments of one owner in one folder."""
 
     def __init__(
@@ -134,7 +134,7 @@
         self.report = Report()
         self._files, self._owner, self._power, self._unread = files, owner, power, unread
         self._point = points  # told of each named point of the work on segments
-        self._most = plan.segment_bytes(most_disk)
+        self._most = retention.segment_bytes(most_disk)
         self._most_disk = most_disk
         self._next = 1
         self._window = 0  # the longest seen
@@ -172,7 +172,7 @@
         self._link, self._pos = recovery.pool_started, recovery.pos
         return recovery
 
-    def _read(self, name: str, header: record.Header, recovery: Recovery) -> None:
+    def _read(self, name: str, header: records.Header, recovery: Recovery) -> None:
         segment = recovery.begin(header)
         bad, end = recovery.read(blocks(self._files, name, header))
         segment.size = self._files.size(name)
@@ -189,19 +189,19 @@
         buffer = bytearray()
         for entry in entries:
             self._window = max(self._window, entry.until - entry.at)
-            size = record.size(len(entry.rest))
-            if size > record.MAX_RECORD:
+            size = records.size(len(entry.rest))
+            if size > records.MAX_RECORD:
                 raise ValueError(f"a record of {size} bytes")
             segment = self._current
-            pad = record.padding(segment.size, size) if segment is not None else 0
-            if segment is None or plan.is_full(segment, pad + size, self._most, self._window, entry.at):
+            pad = records.padding(segment.size, size) if segment is not None else 0
+            if segment is None or retention.is_full(segment, pad + size, self._most, self._window, entry.at):
                 self._write(buffer)
                 segment = self._begin(entry.at, unix_ms)
-                pad = record.padding(segment.size, size)
+                pad = records.padding(segment.size, size)
             buffer += bytes(pad)
             segment.size += pad
             placed.append((segment.number, segment.size))
-            buffer += record.put(
+            buffer += records.put(
                 segment.number, entry.step, entry.token, entry.at, entry.until, entry.pos, entry.rest
             )
             self._pos = entry.pos
@@ -220,7 +220,7 @@
         elif entry.step in (Step.CALL, Step.LINK):
             segment.dead += size
             if entry.step is Step.LINK:
-                self._link = record.link(entry.rest)
+                self._link = records.link(entry.rest)
         elif (begun := self._begun.pop(entry.token, None)) is not None:
             begun[0].dead += begun[1]
 
@@ -241,11 +241,11 @@
         self._point("rotation")
         self.segments[number] = self._current = segment
         self._unsynced = self._new_name = True
-        data = record.put_header(record.Header(number, self._owner.boot, at, unix_ms, self._owner.name))
+        data = records.put_header(records.Header(number, self._owner.boot, at, unix_ms, self._owner.name))
         if self._link is not None:
-            rest = record.put_link(self._link)
-            data += record.put(number, Step.LINK, record.NO_TOKEN, at, at, self._pos, rest)
-            segment.add(len(data) - record.HEADER_BYTES, at)
+            rest = records.put_link(self._link)
+            data += records.put(number, Step.LINK, records.NO_TOKEN, at, at, self._pos, rest)
+            segment.add(len(data) - records.HEADER_BYTES, at)
         self._handle.write(data)
         return segment
 
@@ -295,14 +295,14 @@
         number = next((n for n in self.segments if n % places.MOST_SEGMENT == short), None)
         if number is None:
             return None
-        at = offset - offset % record.BLOCK
-        data = self._files.read(segment_name(number), at, record.BLOCK)
-        for found in record.scan(data[offset - at :], offset, number):
-            if isinstance(found, record.Damage):
+        at = offset - offset % records.BLOCK
+        data = self._files.read(segment_name(number), at, records.BLOCK)
+        for found in records.scan(data[offset - at :], offset, number):
+            if isinstance(found, records.Damage):
                 return None
             kind, _, payload = found
-            told = record.parse(kind, payload)
-            digest, result = record.end(told.rest)
+            told = records.parse(kind, payload)
+            digest, result = records.end(told.rest)
             right = told.step is Step.RESULT and told.token == token and digest == same
             return result if right else None
         return None
@@ -312,7 +312,7 @@
     def drop(self, now: int) -> int:
         """Delete the segments in which nothing counts any more; how many."""
         old = [s for s in self.segments.values() if s is not self._current]
-        numbers = plan.droppable(old, self._unread, now)
+        numbers = retention.droppable(old, self._unread, now)
         for number in numbers:
             self._files.remove(segment_name(number))
             self._point("drop")
@@ -328,7 +328,7 @@
         """Go on with a compaction, or begin one if it is worth it; False if there is nothing to do."""
         if self._compaction is None:
             old = [s for s in self.segments.values() if s is not self._current]
-            number = plan.to_compact(old, self._most_disk, now)
+            number = retention.to_compact(old, self._most_disk, now)
             if number is None:
                 return False
             self._compaction = self.compact(number, index, now)
@@ -342,33 +342,33 @@
         name = segment_name(number)
         temporary = name + TEMPORARY
         old = self.segments[number]
-        header = record.header(self._files.read(name, 0, record.HEADER_BYTES))
+        header = records.header(self._files.read(name, 0, records.HEADER_BYTES))
         shift = old.began - header.at
         new, moves = Segment(number, old.began), bytearray()
         if temporary in self._files.names():
             self._files.remove(temporary)
         handle = self._files.create(temporary)
         try:
-            handle.write(record.put_header(header))
+            handle.write(records.put_header(header))
             buffer = bytearray()
             for found in blocks(self._files, name, header):
-                if isinstance(found, record.Damage):
+                if isinstance(found, records.Damage):
                     continue
                 kind, offset, payload = found
-                size = record.HEAD_BYTES + len(payload)
-                token, at, until, pos = record.common(payload)
+                size = records.HEAD_BYTES + len(payload)
+                token, at, until, pos = records.common(payload)
                 word = self._still(Step(kind), token, until + shift, number, offset, index, now)
                 if word is None:
                     continue
-                pad = record.padding(new.size, size)
+                pad = records.padding(new.size, size)
                 buffer += bytes(pad)
                 new.size += pad
                 if word:
-                    mark = places.tag(payload[record.COMMON_BYTES :])
+                    mark = places.tag(payload[records.COMMON_BYTES :])
                     after = places.place(number, new.size, mark, places.state(word))
                     moves += _MOVE.pack(token, word, after)
-                rest = payload[record.COMMON_BYTES :]
-                buffer += record.put(number, Step(kind), token, at, until, pos, rest)
+                rest = payload[records.COMMON_BYTES :]
+                buffer += records.put(number, Step(kind), token, at, until, pos, rest)
                 new.add(size, until + shift)
                 if len(buffer) >= COMPACT_BYTES:
                     handle.write(bytes(buffer))
--- a/cairnvane/keyed/files.py
+++ b/cairnvane/idempotency/durable/storage.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Protocol
 
-from .. import clock
+from ... import clock
 
 # Segments hold callers' results: nobody else on the machine may read them.
 FILE_MODE, FOLDER_MODE = 0o600, 0o700
--- a/cairnvane/keyed/store.py
+++ b/cairnvane/idempotency/durable/store.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import contextlib
+import logging
 import threading
 import time
 from collections.abc import Callable
@@ -16,17 +17,20 @@
 from queue import Empty, SimpleQueue
 from typing import Protocol
 
-from .. import clock, log
-from ..keys import Begun, Past, Points, Recovered
+from ... import clock
+from ...claims import states
+from ...claims.states import KeyState, RetryDecision, Step
+from ...log_events import RESULTS_RECOVERED, STORE_WRITER_ENDED
+from ..store import RecoveredState, StartedRun, StepObserver, StoredEntry
 from . import index as places
-from ..ledger import state
-from . import plan, record
-from .files import Files, FolderError, Handle, InUse
+from . import records, retention
 from .index import Index
-from .log import Entry, Log, Owner
-from .log import check as check_folder
 from .recovery import Recovery, TooLarge
-from ..ledger.state import Repeat, State, Step
+from .segment_log import Entry, Owner, SegmentLog
+from .segment_log import check as check_folder
+from .storage import Files, FolderError, Handle, InUse
+
+logger = logging.getLogger(__name__)
 
 # So many records share a write; at any load seen they are far fewer.
 MOST_GROUP = 256
@@ -83,7 +87,7 @@
     then: Callable[[], None] | None
     same: bytes = b""  # of an end: the digest that its entry in the index shows
     settles: tuple[int, ...] = ()  # notices that need not come again once it is written
-    progress: plan.Progress | None = None  # of the pool that these are of
+    progress: retention.Progress | None = None  # of the pool that these are of
     needed: bool = True  # someone waits until it survives a power cut
     taken: bool = False  # it counts, and is only written again
 
@@ -100,11 +104,11 @@
     pass
 
 
-class Store:
+class DurableStore:
     """`keys.Keeper` on a folder of its own. Its points are "recovery", "rotation", "drop", "compaction" and
     "compacted", and "append", "written" or "synced" with the kind of a record in the group."""
 
-    prompt = False
+    synchronous = False
 
     def __init__(
         self,
@@ -116,11 +120,11 @@
         disk_bytes: int,
         memory_bytes: int,
         unread: int,
-        points: Points | None = None,
+        points: StepObserver | None = None,
     ) -> None:
         self._files, self._name, self._power = files, name, power
         self._most_disk, self._unread, self._points = disk_bytes, unread, points
-        self._most_queued = int(plan.QUEUE_SHARE * memory_bytes)
+        self._most_queued = int(retention.QUEUE_SHARE * memory_bytes)
         self._index_bytes = memory_bytes - self._most_queued
         self._index = Index(self._index_bytes)
         self._owner = Owner(name, boot)
@@ -128,7 +132,7 @@
         self._queue: SimpleQueue[_Write | _Fetch | _Close] = SimpleQueue()
         # Guards what host and writer both use: the index, the progress, and the sums.
         self._lock = threading.Lock()
-        self._progress = plan.Progress()
+        self._progress = retention.Progress()
         self._open_keys = self._queued = 0
         self._writing_since = 0  # 0: nothing is being written
         self._ready = self._failing = False
@@ -140,8 +144,8 @@
         self._thread = threading.Thread(target=self._run, name="keyed", daemon=True)
         self._stop = threading.Event()
 
-    def _new_log(self, files: Files) -> Log:
-        return Log(
+    def _new_log(self, files: Files) -> SegmentLog:
+        return SegmentLog(
             files,
             self._owner,
             most_disk=self._most_disk,
@@ -162,7 +166,7 @@
                 self._own()
             check_folder(self._files, self._name)
         except OSError as error:
-            log.say("keyed", f"the folder can't be used yet: {error}")
+            logger.warning("the folder can't be used yet: %s", error)
 
     def _own(self) -> None:
         end = time.monotonic() + LOCK_WAIT_S
@@ -178,7 +182,7 @@
 
     def start(
         self,
-        recovered: Callable[[Recovered], None],
+        recovered: Callable[[RecoveredState], None],
         delayed: Callable[[], None],
         lost: Callable[[str], None],
         held: Callable[[], bool] = lambda: False,
@@ -188,12 +192,12 @@
         self._recovered, self._delayed, self._lost, self._held = recovered, delayed, lost, held
         self._thread.start()
 
-    def wait_us(self) -> int:
+    def capacity_wait_us(self) -> int:
         """See `Keeper`."""
         now, since = clock.now(), self._writing_since
         with self._lock:
             first = self._index.oldest_end(now)
-            load = plan.Load(
+            load = retention.Load(
                 ready=self._ready,
                 failing=self._failing,
                 writing_for=now - since if since else 0,
@@ -207,7 +211,7 @@
                 queued=self._queued,
                 most_queued=self._most_queued,
             )
-        return plan.wait_us(load)
+        return retention.wait_us(load)
 
     def reserve(self) -> None:
         """See `Keeper`."""
@@ -219,22 +223,26 @@
         with self._lock:
             self._open_keys -= 1
 
-    def intend(self, begun: Begun, then: Callable[[], None], other: Callable[[bool], None]) -> None:
+    def record_start(
+        self, begun: StartedRun, then: Callable[[], None], other: Callable[[bool], None]
+    ) -> None:
         """See `Keeper`."""
-        rest = record.put_intent(begun.uid, begun.digest, begun.due, begun.memory, begun.lane)
-        self._put(_Write(Entry(Step.INTENT, begun.token, clock.now(), begun.until, rest), then))
+        rest = records.put_intent(
+            begun.uid, begun.fingerprint, begun.deadline, begun.memory, begun.class_name
+        )
+        self._put(_Write(Entry(Step.INTENT, begun.key, clock.now(), begun.expires_at, rest), then))
 
-    def never(self, token: bytes, until: int, settles: tuple[int, ...]) -> None:
+    def record_never_started(self, token: bytes, until: int, settles: tuple[int, ...]) -> None:
         """See `Keeper`."""
         entry = Entry(Step.NEVER, token, clock.now(), until, b"")
         self._put(_Write(entry, None, settles=settles, needed=False))
 
-    def calling(self, token: bytes, until: int, pos: int, then: Callable[[], None]) -> None:
+    def record_call(self, token: bytes, until: int, pos: int, then: Callable[[], None]) -> None:
         """See `Keeper`. A power cut ends the pool with us, and the run: only a kill has to be survived."""
-        entry = Entry(Step.CALL, token, clock.now(), until, record.put_call(pos))
+        entry = Entry(Step.CALL, token, clock.now(), until, records.put_call(pos))
         self._put(_Write(entry, then, settles=(pos,), needed=False))
 
-    def ended(
+    def record_end(
         self,
         token: bytes,
         until: int,
@@ -245,26 +253,26 @@
     ) -> None:
         """See `Keeper`."""
         step = Step.FAULT if result is None else Step.RESULT
-        entry = Entry(step, token, clock.now(), until, record.put_end(same, result or b""))
+        entry = Entry(step, token, clock.now(), until, records.put_end(same, result or b""))
         self._put(_Write(entry, then, same, settles, needed=result is not None))
 
-    def noticed(self, pos: int, owed: bool) -> None:
+    def notice_read(self, pos: int, owed: bool) -> None:
         """See `Keeper`."""
         with self._lock:
             self._progress.read(pos, owed)
 
-    def linked(self, pool_started: int) -> None:
+    def pool_linked(self, pool_started: int) -> None:
         """See `Keeper`."""
         now = clock.now()
-        entry = Entry(Step.LINK, record.NO_TOKEN, now, now, record.put_link(pool_started))
+        entry = Entry(Step.LINK, records.NO_TOKEN, now, now, records.put_link(pool_started))
         self._put(_Write(entry, None, needed=False))
 
-    def reset(self) -> None:
+    def pool_replaced(self) -> None:
         """The pool is a new one: its notices are numbered anew."""
         with self._lock:
-            self._progress = plan.Progress()
+            self._progress = retention.Progress()
 
-    def recall(self, token: bytes, same: bytes, arrived: int) -> Past | None:
+    def look_up(self, token: bytes, same: bytes, arrived: int) -> StoredEntry | None:
         """See `Keeper`."""
         with self._lock:
             found = self._index.get(token)
@@ -272,8 +280,8 @@
                 return None
         if not places.alike(found[0], same):
             raise ValueError("another class or body")
-        gets = state.repeat(places.state(found[0]), True)
-        return None if gets is Repeat.RUN else Past(token, gets is Repeat.RESULT)
+        gets = states.repeat(places.state(found[0]), True)
+        return None if gets is RetryDecision.RUN else StoredEntry(token, gets is RetryDecision.RESULT)
 
     def knows(self, token: bytes) -> bool:
         """Whether an end of this token is recorded."""
@@ -289,7 +297,7 @@
         """A result from a folder that another process owns; waits for the disk."""
         return self._fetch(_Fetch(token, same, lambda result: None))
 
-    def fetch(self, token: bytes, same: bytes, then: Callable[[bytes | None], None]) -> None:
+    def fetch_result(self, token: bytes, same: bytes, then: Callable[[bytes | None], None]) -> None:
         """See `Keeper`."""
         self._queue.put(_Fetch(token, same, then))
 
@@ -313,7 +321,7 @@
                 while self._serve():
                     pass
         except Exception as error:  # whatever it was: without this thread no keyed answer ever goes out
-            log.say("keyed", f"the writer has ended: {type(error).__name__} {error}")
+            logger.error(STORE_WRITER_ENDED, type(error).__name__, error)
             self._failing = True
             self._lost(f"{type(error).__name__} {error}")
         finally:
@@ -367,8 +375,8 @@
         with self._lock:
             self._index, self._log = index, reader
             if not waited:  # else the notices are those of this life's own pool
-                self._progress = plan.Progress(left.pos)
-            self._open_keys += len(left.begun)
+                self._progress = retention.Progress(left.last_notice)
+            self._open_keys += len(left.started_runs)
             self._ready = True
         self._measure(clock.now())
         self._say_recovered(recovery, clock.now() - start)
@@ -378,26 +386,22 @@
     def _say_recovered(self, recovery: Recovery, took: int) -> None:
         report, counts = self._log.report, recovery.counts
         for line in [*report.damaged, *report.torn, *report.foreign, *counts.illegal]:
-            log.say("keyed", line)
-        log.say(
-            "keyed",
-            f"{len(self._index)} kept results and {len(recovery.runs)} open runs from "
-            f"{report.segments} segments in {took / 1e3:.1f} ms",
-        )
+            logger.warning("%s", line)
+        logger.info(RESULTS_RECOVERED, len(self._index), len(recovery.runs), report.segments, took / 1e3)
 
     def _failed(self, error: OSError) -> bool:
         """Wait before the next try; True if told to end meanwhile."""
         self._failures += 1
         if not self._failing:  # said once, not with every try
             self._failing = True
-            log.say("keyed", f"the disk fails: {error}; new keyed requests are refused until it works again")
+            logger.info("the disk fails: %s; new keyed requests are refused until it works again", error)
         self._writing_since = 0
-        return self._stop.wait(plan.retry_after(self._failures) / 1e6)
+        return self._stop.wait(retention.retry_after(self._failures) / 1e6)
 
     def _worked(self) -> None:
         if self._failing:
             self._failing = False
-            log.say("keyed", f"the disk works again, after {self._failures} failures")
+            logger.info("the disk works again, after %s failures", self._failures)
         self._failures = 0
 
     def _serve(self) -> bool:
@@ -487,7 +491,7 @@
                     self._queued -= len(entry.rest) + _OVERHEAD
                     self._open_keys -= step in (Step.RESULT, Step.FAULT, Step.NEVER)
                 if step in (Step.RESULT, Step.FAULT):
-                    ended = State.FINISHED if step is Step.RESULT else State.FAILED
+                    ended = KeyState.FINISHED if step is Step.RESULT else KeyState.FAILED
                     word = places.place(segment, offset, places.tag(write.same), ended)
                     self._index.put(entry.token, word, entry.until)
                 write.taken = True
@@ -501,12 +505,12 @@
         """Its result. Where it stands is asked again: a compaction may have moved it."""
         with self._lock:
             found = self._index.get(fetch.token)
-        if found is None or places.state(found[0]) is not State.FINISHED:
+        if found is None or places.state(found[0]) is not KeyState.FINISHED:
             return None
         try:
             return self._log.fetch(found[0], fetch.token, fetch.same)
         except OSError as error:
-            log.say("keyed", f"a result can't be read: {error}")
+            logger.warning("a result can't be read: %s", error)
             return None
 
     def _make_room(self) -> None:
@@ -527,7 +531,7 @@
                 pass
         except OSError as error:
             self._log.stop_compacting()  # what is being written is not at fault
-            log.say("keyed", f"making room failed: {error}")
+            logger.warning("making room failed: %s", error)
         self._measure(now)
 
     def _measure(self, now: int) -> None:
@@ -540,7 +544,7 @@
         try:
             self._log.close()
         except OSError as error:
-            log.say("keyed", f"the last records may be lost: {error}")
+            logger.warning("the last records may be lost: %s", error)
 
     def _point(self, name: str, group: list[_Write] | None = None) -> None:
         if self._points is None:
--- a/cairnvane/keyed/beside.py
+++ b/cairnvane/idempotency/durable/takeover_store.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import contextlib
+import logging
 import shutil
 import threading
 from collections.abc import Callable
@@ -17,13 +18,15 @@
 from pathlib import Path
 from queue import SimpleQueue
 
-from .. import clock, log
-from ..keys import Begun, Past, Recovered
-from ..ledger import Ledger, record
-from ..ledger.folder import OsFolder
-from ..ledger.machine import Machine, Place
-from ..ledger.state import State, Step
-from .store import Store
+from ... import clock
+from ...claims import ClaimLog, records
+from ...claims.claim_table import ClaimTable, Place
+from ...claims.states import KeyState, Step
+from ...claims.storage import OsFolder
+from ..store import RecoveredState, StartedRun, StoredEntry
+from .store import DurableStore
+
+logger = logging.getLogger(__name__)
 
 # The ledger of one boot of the machine, in the folder of the log: times in it are of that boot's clock.
 LEDGER = "ledger."
@@ -37,12 +40,14 @@
     pass
 
 
-class Beside:
+class TakeoverStore:
     """See `keys.Keeper`."""
 
-    prompt = False
+    synchronous = False
 
-    def __init__(self, store: Store, ledger: Ledger, folder: Path, own: Path, *, power: bool) -> None:
+    def __init__(
+        self, store: DurableStore, ledger: ClaimLog, folder: Path, own: Path, *, power: bool
+    ) -> None:
         """`folder` is the log's, and `own` that of this boot's ledger in it."""
         self._store, self._ledger, self._power = store, ledger, power
         self._folder, self._own_ledger = folder, own
@@ -50,7 +55,7 @@
         self._owned = self._held = False
         # While the folder is another's: what the log will have to know.
         self._open = 0
-        self._begun: dict[bytes, Begun] = {}
+        self._begun: dict[bytes, StartedRun] = {}
         self._called: dict[bytes, int] = {}
         self._settled: list[int] = []
         self._pool_started: int | None = None
@@ -59,7 +64,7 @@
 
     def start(
         self,
-        recovered: Callable[[Recovered], None],
+        recovered: Callable[[RecoveredState], None],
         delayed: Callable[[], None],
         lost: Callable[[str], None],
     ) -> None:
@@ -74,11 +79,11 @@
         if self._ledger.alone():
             return False
         self._held = True
-        log.say("keyed", "another life owns the folder: this one serves beside it")
-        self._recovered(Recovered())
+        logger.info("another life owns the folder: this one serves beside it")
+        self._recovered(RecoveredState())
         return True
 
-    def _taken_up(self, left: Recovered) -> None:
+    def _taken_up(self, left: RecoveredState) -> None:
         """The folder is ours, and all is read."""
         with self._lock:
             for _ in range(self._open):
@@ -87,75 +92,75 @@
             self._store.settle(tuple(self._settled))
             self._settled.clear()
             if self._pool_started is not None:
-                self._store.linked(self._pool_started)
+                self._store.pool_linked(self._pool_started)
             self._owned = True
         if not self._held:
             # Once what was entered is written: then it can be recalled.
-            return self._written(lambda: self._recovered(replace(left, begun=begun)))
-        log.say("keyed", "the folder is this life's own now")
+            return self._written(lambda: self._recovered(replace(left, started_runs=begun)))
+        logger.info("the folder is this life's own now")
         for one in begun:  # of the life that had it; its pool was another
-            self._store.ended(one.token, one.until, one.digest, None, (), _nothing)
+            self._store.record_end(one.key, one.expires_at, one.fingerprint, None, (), _nothing)
 
-    def _enter(self, left: Recovered) -> tuple[Begun, ...]:
+    def _enter(self, left: RecoveredState) -> tuple[StartedRun, ...]:
         """Have the log know what only the ledger does. The runs whose end neither of them knows."""
-        begun = {one.token: one for one in left.begun}
+        begun = {one.key: one for one in left.started_runs}
         for token, entry, result in self._ledger.entries():
             if self._store.knows(token):
                 continue
-            if entry.state is State.INTENDED and self._ledger.mine(entry):
+            if entry.state is KeyState.INTENDED and self._ledger.mine(entry):
                 if (mine := self._begun.get(token)) is not None:
-                    self._store.intend(mine, _nothing, _no_other)
+                    self._store.record_start(mine, _nothing, _no_other)
                 if (pos := self._called.get(token)) is not None:
-                    self._store.calling(token, entry.until, pos, _nothing)
+                    self._store.record_call(token, entry.until, pos, _nothing)
                 continue
-            if entry.state is State.INTENDED and (token in begun or not self._ledger.dead(entry)):
+            if entry.state is KeyState.INTENDED and (token in begun or not self._ledger.dead(entry)):
                 continue  # its end is still to come
             if begun.pop(token, None) is None:
                 self._store.reserve()  # else it is on the log's account already
-            self._store.ended(token, entry.until, entry.same, result, (), _nothing)
+            self._store.record_end(token, entry.until, entry.same, result, (), _nothing)
         for path in self._folder.glob(f"{LEDGER}*"):
             if path != self._own_ledger:
                 self._enter_earlier(path, begun)
         return tuple(begun.values())
 
-    def _enter_earlier(self, path: Path, begun: dict[bytes, Begun]) -> None:
+    def _enter_earlier(self, path: Path, begun: dict[bytes, StartedRun]) -> None:
         """What a ledger of another boot knows. Of the time since nobody can vouch for, none counts as passed;
         its pools are gone, so a run without an end has none."""
-        machine = Machine(0)
+        machine = ClaimTable(0)
         results: dict[bytes, bytes] = {}
         try:
             folder = OsFolder(path)
             for number in folder.numbers():
                 segment = folder.open(number, create=False)
                 try:
-                    for offset, length, told in record.scan(segment.read(0, segment.look()[0])).records:
+                    for offset, length, told in records.scan(segment.read(0, segment.look()[0])).records:
                         machine.take(told, Place(number, offset, length))
                         if told.kind == Step.RESULT:
-                            results.setdefault(told.token, told.rest[record.DIGEST_BYTES :])
+                            results.setdefault(told.token, told.rest[records.DIGEST_BYTES :])
                 finally:
                     segment.close()
         except OSError as error:
-            return log.say("keyed", f"{path.name}: {error}; read again at the next start")
+            return logger.warning("%s: %s; read again at the next start", path.name, error)
         now = clock.now()
         for token, entry in machine.entries.items():
-            if entry.state is State.VOID or self._store.knows(token):
+            if entry.state is KeyState.VOID or self._store.knows(token):
                 continue
             if begun.pop(token, None) is None:
                 self._store.reserve()
-            result = results.get(token) if entry.state is State.FINISHED else None
-            self._store.ended(token, now + entry.until - entry.at, entry.same, result, (), _nothing)
+            result = results.get(token) if entry.state is KeyState.FINISHED else None
+            self._store.record_end(token, now + entry.until - entry.at, entry.same, result, (), _nothing)
         self._written(lambda: shutil.rmtree(path, ignore_errors=True))
 
     def _written(self, then: Callable[[], None]) -> None:
         """`then`, once all is written that the log was told so far: it does one thing after the other."""
-        self._store.fetch(record.NO_TOKEN, record.NO_TOKEN, lambda result: then())
+        self._store.fetch_result(records.NO_TOKEN, records.NO_TOKEN, lambda result: then())
 
     # --- what the host asks
 
-    def wait_us(self) -> int:
+    def capacity_wait_us(self) -> int:
         """See `Keeper`."""
-        wait = self._ledger.wait_us()
-        return wait if self._held and not self._owned else max(wait, self._store.wait_us())
+        wait = self._ledger.capacity_wait_us()
+        return wait if self._held and not self._owned else max(wait, self._store.capacity_wait_us())
 
     def reserve(self) -> None:
         """See `Keeper`."""
@@ -173,39 +178,43 @@
             else:
                 self._open -= 1
 
-    def intend(self, begun: Begun, then: Callable[[], None], other: Callable[[bool], None]) -> None:
+    def record_start(
+        self, begun: StartedRun, then: Callable[[], None], other: Callable[[bool], None]
+    ) -> None:
         """See `Keeper`."""
-        self._ledger.intend(begun, lambda: self._intend(begun, then), lambda there: self._not(other, there))
+        self._ledger.record_start(
+            begun, lambda: self._intend(begun, then), lambda there: self._not(other, there)
+        )
 
-    def _intend(self, begun: Begun, then: Callable[[], None]) -> None:
+    def _intend(self, begun: StartedRun, then: Callable[[], None]) -> None:
         with self._lock:
             if self._owned:
-                return self._store.intend(begun, then, _no_other)
-            self._begun[begun.token] = begun
+                return self._store.record_start(begun, then, _no_other)
+            self._begun[begun.key] = begun
         self._safe(then)
 
     def _not(self, other: Callable[[bool], None], there: bool) -> None:
         self.release()
         other(there)
 
-    def never(self, token: bytes, until: int, settles: tuple[int, ...]) -> None:
+    def record_never_started(self, token: bytes, until: int, settles: tuple[int, ...]) -> None:
         """See `Keeper`."""
-        self._ledger.never(token, until, settles)
+        self._ledger.record_never_started(token, until, settles)
         with self._lock:
             if self._owned:
-                return self._store.never(token, until, settles)
+                return self._store.record_never_started(token, until, settles)
             self._over(token, settles)
 
-    def calling(self, token: bytes, until: int, pos: int, then: Callable[[], None]) -> None:
+    def record_call(self, token: bytes, until: int, pos: int, then: Callable[[], None]) -> None:
         """See `Keeper`."""
         with self._lock:
             if self._owned:
-                return self._store.calling(token, until, pos, then)
+                return self._store.record_call(token, until, pos, then)
             self._called[token] = pos
             self._settled.append(pos)
         then()
 
-    def ended(
+    def record_end(
         self,
         token: bytes,
         until: int,
@@ -215,10 +224,10 @@
         then: Callable[[], None],
     ) -> None:
         """See `Keeper`."""
-        self._ledger.ended(token, until, same, result, settles, _nothing)
+        self._ledger.record_end(token, until, same, result, settles, _nothing)
         with self._lock:
             if self._owned:
-                return self._store.ended(token, until, same, result, settles, then)
+                return self._store.record_end(token, until, same, result, settles, then)
             self._over(token, settles)
         self._safe(then)
 
@@ -228,33 +237,33 @@
         self._called.pop(token, None)
         self._settled += settles
 
-    def noticed(self, pos: int, owed: bool) -> None:
+    def notice_read(self, pos: int, owed: bool) -> None:
         """See `Keeper`."""
-        self._store.noticed(pos, owed)
+        self._store.notice_read(pos, owed)
 
-    def linked(self, pool_started: int) -> None:
+    def pool_linked(self, pool_started: int) -> None:
         """See `Keeper`."""
         with self._lock:
             self._pool_started = pool_started
             if self._owned:
-                self._store.linked(pool_started)
+                self._store.pool_linked(pool_started)
 
-    def reset(self) -> None:
+    def pool_replaced(self) -> None:
         """See `Keeper`."""
-        self._store.reset()
+        self._store.pool_replaced()
 
-    def recall(self, token: bytes, same: bytes, arrived: int) -> Past | None:
+    def look_up(self, token: bytes, same: bytes, arrived: int) -> StoredEntry | None:
         """See `Keeper`. The log first: it may know the end of a run whose life is dead."""
-        return self._store.recall(token, same, arrived) or self._ledger.recall(token, same, arrived)
+        return self._store.look_up(token, same, arrived) or self._ledger.look_up(token, same, arrived)
 
-    def fetch(self, token: bytes, same: bytes, then: Callable[[bytes | None], None]) -> None:
+    def fetch_result(self, token: bytes, same: bytes, then: Callable[[bytes | None], None]) -> None:
         """See `Keeper`."""
         with self._lock:
             kept, owned = self._store.knows(token), self._owned or not self._held
         if not kept:
-            self._ledger.fetch(token, same, then)
+            self._ledger.fetch_result(token, same, then)
         elif owned:
-            self._store.fetch(token, same, then)
+            self._store.fetch_result(token, same, then)
         else:
             self._tasks.put(lambda: then(self._store.peeked(token, same)))
 
--- a/cairnvane/keyed/inspect.py
+++ b/cairnvane/idempotency/durable/verify.py
@@ -5,13 +5,13 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from .. import clock
-from ..ledger import state
-from ..ledger.state import State, Step
-from . import record
-from .files import OsFiles, boot_id
+from ... import clock
+from ...claims import states
+from ...claims.states import KeyState, Step
+from . import records
 from .index import BYTES_PER_ENTRY, Index
-from .log import Log, Owner, Report, blocks, read_segment, segment_names
+from .segment_log import Owner, Report, SegmentLog, blocks, read_segment, segment_names
+from .storage import OsFiles, boot_id
 
 # Room for all that a folder can hold is not known before it is read; memory is touched only as it fills.
 _INDEX_BYTES = 4_000_000 * BYTES_PER_ENTRY
@@ -52,8 +52,8 @@
 
 @dataclass(slots=True)
 class _Key:
-    state: State
-    header: record.Header
+    state: KeyState
+    header: records.Header
     at: int
     until: int
     detail: dict[str, str]
@@ -66,38 +66,38 @@
         header = read_segment(files, number, name, found.report)
         if header is None:
             continue
-        end, bad = record.HEADER_BYTES, []
+        end, bad = records.HEADER_BYTES, []
         for item in blocks(files, name, header):
-            if isinstance(item, record.Damage):
+            if isinstance(item, records.Damage):
                 bad.append(item)
                 continue
             kind, offset, payload = item
             found.records += 1
-            end = offset + record.HEAD_BYTES + len(payload)
-            _step(known, header, record.parse(kind, payload), found)
+            end = offset + records.HEAD_BYTES + len(payload)
+            _step(known, header, records.parse(kind, payload), found)
         found.report.take(name, bad, end)
     return known
 
 
-def _step(known: dict[bytes, _Key], header: record.Header, told: record.Record, found: Found) -> None:
+def _step(known: dict[bytes, _Key], header: records.Header, told: records.Record, found: Found) -> None:
     if told.step is Step.LINK:
         return
     before = known.get(told.token)
-    stood = State.UNKNOWN if before is None else before.state
+    stood = KeyState.UNKNOWN if before is None else before.state
     # A token may come again once its window is over.
     if before is not None and before.header.boot == header.boot and before.until <= told.at:
-        before, stood = None, State.AGED
+        before, stood = None, KeyState.AGED
     try:
-        after = state.advance(stood, told.step)
-    except state.IllegalStep as error:
+        after = states.advance(stood, told.step)
+    except states.IllegalStepError as error:
         found.illegal.append(f"{told.token.hex()}: {error}")
         return
     detail = before.detail if before is not None else {}
     if told.step is Step.INTENT:
-        uid, _, _, _, lane = record.intent(told.rest)
+        uid, _, _, _, lane = records.intent(told.rest)
         detail = {"uid": uid, "class": lane}
     elif told.step is Step.RESULT:
-        detail = detail | {"result_bytes": str(len(record.end(told.rest)[1]))}
+        detail = detail | {"result_bytes": str(len(records.end(told.rest)[1]))}
     known[told.token] = _Key(after, header, told.at, told.until, detail)
 
 
@@ -136,7 +136,7 @@
     files.lock()
     try:
         now, index = clock.now(), Index(_INDEX_BYTES)
-        log = Log(files, Owner(first.name, boot_id()), most_disk=1 << 40, power=True, unread=UNREAD_US)
+        log = SegmentLog(files, Owner(first.name, boot_id()), most_disk=1 << 40, power=True, unread=UNREAD_US)
         log.recover(index, now)
         before = log.size
         log.drop(now)
--- a/cairnvane/digest.py
+++ b/cairnvane/idempotency/fingerprint.py
@@ -7,9 +7,9 @@
 except ImportError:
     from hashlib import blake2b
 
-DIGEST_BYTES = 16
+FINGERPRINT_BYTES = 16
 
 
-def digest(lane: str, body: bytes) -> bytes:
+def fingerprint(lane: str, body: bytes) -> bytes:
     """Of class and body, in 16 bytes; another body under its token differs."""
-    return blake2b(lane.encode() + b"\0" + body, digest_size=DIGEST_BYTES).digest()
+    return blake2b(lane.encode() + b"\0" + body, digest_size=FINGERPRINT_BYTES).digest()
--- a/cairnvane/fleet/__init__.py
+++ b/cairnvane/load_balancing/__init__.py
@@ -7,10 +7,10 @@
 their tables. Not wired to the server yet: `docs/ROADMAP.md` says what is still to come.
 """
 
-from .bounds import Breakers, RetryBudget
-from .outliers import Outliers, slow_start
-from .shares import Health, localities, priorities
-from .weighted import Weighted
+from .circuit_breakers import Breakers, RetryBudget
+from .locality_weights import Health, localities, priorities
+from .outlier_detection import Outliers, slow_start
+from .weighted_choice import Weighted
 
 __all__ = [
     "Breakers",
--- a/cairnvane/fleet/bounds.py
+++ b/cairnvane/load_balancing/circuit_breakers.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from ..interface import Outcome
+from ..contract.events import Outcome
 
 # Envoy's own figures, where a description leaves them out.
 CONNECTIONS = PENDING = REQUESTS = 1_024
@@ -48,7 +48,7 @@
         return float(self.requests) if free_value is None else min(free_value, float(self.requests))
 
 
-_NEVER_RAN = (Outcome.REJECTED, Outcome.UNREACHED, Outcome.MOOT)
+_NEVER_RAN = (Outcome.REJECTED, Outcome.UNREACHED, Outcome.NEVER_STARTED)
 
 
 def may_go_elsewhere(outcome: Outcome, keyed: bool) -> bool:
--- a/cairnvane/fleet/description.py
+++ b/cairnvane/load_balancing/cluster.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from .bounds import Breakers
-from .members import Address, Described
-from .shares import OVERPROVISIONING, PANIC_THRESHOLD
+from .circuit_breakers import Breakers
+from .endpoints import Address, Described
+from .locality_weights import OVERPROVISIONING, PANIC_THRESHOLD
 
 MILLION = 1_000_000
 
--- a/cairnvane/fleet/members.py
+++ b/cairnvane/load_balancing/endpoints.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from .outliers import Outliers, slow_start
-from .weighted import Weighted
+from .outlier_detection import Outliers, slow_start
+from .weighted_choice import Weighted
 
 Address = tuple[str, int]
 
--- a/cairnvane/shedding/lending.py
+++ b/cairnvane/load_shedding/quota_leases.py
@@ -85,7 +85,7 @@
     asked_at: int = 0
 
 
-class Lending:
+class QuotaLeases:
     """One server's part of the vault. `life` numbers of others are those of their processes."""
 
     def __init__(self, floor: float, now: int, first: bool = False) -> None:
--- /dev/null
+++ b/cairnvane/log_events.py
@@ -0,0 +1,26 @@
+"""Log messages that other programs read, as `logging` templates: written by the server, parsed by testbeds.
+
+A message that is parsed somewhere has to stand here, so that its writer and its reader cannot differ.
+`pattern` makes the regular expression that finds a message in a line of the log.
+"""
+
+from __future__ import annotations
+
+import re
+
+# name, host, port
+LISTENING = "%s listens on %s:%d"
+# number of results, number of started runs, number of segments, milliseconds
+RESULTS_RECOVERED = "recovered %d stored results and %d started runs from %d segments in %.1f ms"
+# type of the error, error
+STORE_WRITER_ENDED = "the store's writer thread has ended: %s %s"
+# event, its subject and details as ` key=value`
+MEMBER_EVENT = "member.%s%s"
+
+_PLACEHOLDER = re.compile(r"%(?:\.\d+)?[sdf]")
+
+
+def pattern(template: str) -> re.Pattern[str]:
+    """The pattern of a template's messages, with a group for each value."""
+    literals = _PLACEHOLDER.split(template)
+    return re.compile("(.*)".join(map(re.escape, literals)))
--- /dev/null
+++ b/cairnvane/logging_setup.py
@@ -0,0 +1,49 @@
+"""Sets up the standard library's `logging`: plain lines on standard error, or JSON objects.
+
+Each module logs to a logger of its own name, so that a line leads to the code that wrote it.
+"""
+
+from __future__ import annotations
+
+import logging
+import sys
+
+PLAIN_FORMAT = "%(levelname)s %(name)s: %(message)s"
+
+
+def _replace_handler(formatter: logging.Formatter) -> None:
+    """Write each record as one line in one write, so that lines of several threads never mix."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(formatter)
+    logging.basicConfig(handlers=[handler], level=logging.INFO, force=True)
+
+
+def use_plain_lines() -> None:
+    """Plain lines with level, module and message."""
+    _replace_handler(logging.Formatter(PLAIN_FORMAT))
+
+
+def use_json_lines(server: str) -> None:
+    """One JSON object per line, with UTC time, server, level, logger and message; needs `structlog`."""
+    import structlog
+    from structlog.typing import EventDict
+
+    def add_server(_logger: object, _method: str, event: EventDict) -> EventDict:
+        event["server"] = server
+        return event
+
+    _replace_handler(
+        structlog.stdlib.ProcessorFormatter(
+            foreign_pre_chain=[
+                structlog.stdlib.add_log_level,
+                structlog.stdlib.add_logger_name,
+                structlog.processors.TimeStamper(fmt="iso", utc=True, key="time"),
+                add_server,
+            ],
+            processors=[
+                structlog.stdlib.ProcessorFormatter.remove_processors_meta,
+                structlog.processors.EventRenamer("message"),
+                structlog.processors.JSONRenderer(sort_keys=True),
+            ],
+        )
+    )
--- a/cairnvane/membership/survey.py
+++ b/cairnvane/membership/evidence.py
@@ -9,8 +9,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from .sight import Evidence, at_once
-from .state import Claim, Status, Table
+from .member_table import Claim, Status, Table
+from .partition_detector import Evidence, at_once
 
 
 @dataclass(frozen=True, slots=True)
--- a/cairnvane/membership/rumours.py
+++ b/cairnvane/membership/gossip.py
@@ -10,7 +10,7 @@
 
 import math
 
-from .state import Claim, Info
+from .member_table import Claim, Info
 
 TELLS = 4
 # So many claims at most wait to be told; beyond, the most told one goes.
--- a/cairnvane/membership/messages.py
+++ b/cairnvane/membership/messages.py
@@ -16,7 +16,7 @@
 except ImportError:
     from hashlib import blake2b
 
-from .state import Claim, Info
+from .member_table import Claim, Info
 
 # Below what any path carries in one piece, and what is accepted at all.
 MOST_BYTES = 1_400
--- a/cairnvane/membership/metrics.py
+++ b/cairnvane/membership/metrics.py
@@ -7,8 +7,8 @@
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 
-from .channel import STATUSES, Snapshot
-from .sight import Verdict
+from .partition_detector import Verdict
+from .transport import STATUSES, Snapshot
 
 PREFIX = "cairnvane_members"
 
--- a/cairnvane/membership/watch.py
+++ b/cairnvane/membership/observer.py
@@ -8,15 +8,15 @@
 from typing import Any, Protocol
 
 from .. import clock
-from ..exchange import Check, Intake, Request
-from .survey import Outside
-from .witness import Arrivals, Pulse
+from ..exchange import HealthCheck, Request, RequestSink
+from .evidence import Outside
+from .own_health import Arrivals, Pulse
 
 
-class Served(Intake, Protocol):
+class Served(RequestSink, Protocol):
     """Of the host, what is looked at here."""
 
-    load: float | None  # the free value that is told to callers
+    reported_load: float | None  # the free value that is told to callers
 
     def post(self, task: Callable[[], None]) -> None:
         """Have this done in the host thread."""
@@ -27,7 +27,7 @@
     return round(value, 1 - math.floor(math.log10(value))) if value > 0 else 0.0
 
 
-class Watch:
+class ServerObserver:
     """See the module; safe to use from any thread."""
 
     def __init__(
@@ -43,18 +43,18 @@
         self._roster, self._pool, self._calls = roster, pool, calls
         self._arrivals, self._pulse = Arrivals(), Pulse()
 
-    def arrived(self, request: Request) -> None:
+    def request_arrived(self, request: Request) -> None:
         """A whole request was read."""
         self._arrivals.note(clock.now())
-        self._host.arrived(request)
+        self._host.request_arrived(request)
 
-    def gone(self, request: Request) -> None:
+    def client_disconnected(self, request: Request) -> None:
         """Its caller has left before its answer."""
-        self._host.gone(request)
+        self._host.client_disconnected(request)
 
-    def checked(self, check: Check) -> None:
+    def health_check_arrived(self, check: HealthCheck) -> None:
         """A health check was read."""
-        self._host.checked(check)
+        self._host.health_check_arrived(check)
 
     def outside(self) -> Outside:
         """What is seen beside the channel; in the members' thread."""
@@ -74,6 +74,6 @@
             "held": not self._pulse.works(now),
             "version": self._version,
         }
-        if (free := self._host.load) is not None:
+        if (free := self._host.reported_load) is not None:
             told["free"] = _short(free)
         return told
--- a/cairnvane/membership/machine.py
+++ b/cairnvane/membership/swim.py
@@ -12,14 +12,13 @@
 from dataclasses import dataclass
 from typing import Any
 
-
+from .evidence import Outside, look
+from .gossip import Infos, Rumours
+from .local_health import JUDGES, MOST_WAIT, OTHERS_WAIT, Health, checks, wait_us
+from .member_table import Claim, Info, Life, Phase, Status, Table, info_fits, sane
 from .messages import MOST_CLAIMS, MOST_INFOS, VIEW_LIVES, Ack, Ask, Message, Nack, Numbers, Ping, View
-from .probing import MOST_PROBES, MOST_TRIES, Loss, Ring
-from .rumours import Infos, Rumours
-from .sight import Judgement, Sight
-from .state import Claim, Info, Life, Phase, Status, Table, info_fits, sane
-from .survey import Outside, look
-from .suspicion import JUDGES, MOST_WAIT, OTHERS_WAIT, Health, checks, wait_us
+from .partition_detector import Judgement, Sight
+from .ping_schedule import MOST_PROBES, MOST_TRIES, Loss, Ring
 
 Address = tuple[str, int]
 # With more lives than these, whole views are exchanged less often.
@@ -109,7 +108,7 @@
     insane: int = 0  # claims that can't be true
 
 
-class Member:
+class SwimMember:
     """See the module."""
 
     def __init__(
--- a/cairnvane/membership/channel.py
+++ b/cairnvane/membership/transport.py
@@ -20,11 +20,11 @@
 from typing import Any
 
 from .. import clock
-from .machine import Action, Address, Exchange, Member, Options, Send, Tell
+from .evidence import Outside
+from .member_table import Claim, Phase
 from .messages import MOST_BYTES, VIEW_BYTES, Bad, Message, View, seal, unseal
-from .sight import Sight
-from .state import Claim, Phase
-from .survey import Outside
+from .partition_detector import Sight
+from .swim import Action, Address, Exchange, Options, Send, SwimMember, Tell
 
 # In both directions, a second. A member of twelve sends 2 KB in 20 datagrams, at a third lost 4 KB in 30.
 MOST_OUT_BYTES, MOST_IN = 64 << 10, 1_000
@@ -100,7 +100,7 @@
         self.data = bytearray()
 
 
-class Channel:
+class MemberTransport:
     """See the module. `start`, `carry`, `leave` and `close` may come from any thread."""
 
     def __init__(
@@ -126,7 +126,7 @@
         self.address: Address = (host, port)
         rng = random.Random(os.urandom(16))
         own = Claim(rng.getrandbits(63) | 1, name, place, host, port, 0, 0)
-        self._member = Member(own, rng, clock.now(), contacts=contacts, options=options, spares=spares)
+        self._member = SwimMember(own, rng, clock.now(), contacts=contacts, options=options, spares=spares)
         self._key, self._outside, self._carried, self._tell = key, outside, carried, tell
         self._carry_at = 0
         self._ways = ways or {}  # by which address an address is reached from here
--- a/cairnvane/net/accepting.py
+++ b/cairnvane/net/accept_loop.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import logging
 import socket
 import time
 from collections.abc import Callable
 
-from .. import log
+logger = logging.getLogger(__name__)
+
 
 # After a failed `accept` (no descriptors, say) the next try waits so long.
 ACCEPT_RETRY_S = 0.1
@@ -22,7 +24,7 @@
             sock, _ = listener.accept()
         except OSError as error:
             if not stopped():
-                log.say(part, f"accept: {error}")
+                logger.warning("accept: %s", error)
                 time.sleep(ACCEPT_RETRY_S)
             continue
         hand(sock, take, part)
@@ -33,5 +35,5 @@
     try:
         take(sock)
     except (OSError, RuntimeError) as error:
-        log.say(part, f"accepted: {error}")
+        logger.warning("accepted: %s", error)
         sock.close()
--- a/cairnvane/net/connection.py
+++ b/cairnvane/net/connection.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 import contextlib
+import logging
 import socket
 import threading
 import time
 from enum import Enum
 from typing import Protocol
 
-from .. import log
-from ..exchange import Answer, Exchange, Intake, Meter, Request, Verdict
-from . import fastcgi, fields
-from .buffers import BufferPool
-from .outlet import Outlet
+from ..exchange import Exchange, Request, RequestSink, Response, ResponseCounter, ResponseStatus
+from . import fastcgi, request_parameters
+from .message_writer import MessageWriter
+from .read_buffers import BufferPool
+
+logger = logging.getLogger(__name__)
 
 # The protocol's own bound on open requests of a connection.
 MAX_OPEN = 32
@@ -48,8 +50,8 @@
 class Front(Protocol):
     """What a connection needs to know of the server."""
 
-    intake: Intake
-    meter: Meter | None  # counts final answers; None: nobody does
+    sink: RequestSink
+    response_counter: ResponseCounter | None  # counts final answers; None: nobody does
     buffers: BufferPool
     idle_s: float  # close connections that carried nothing for so long; 0: as late as allowed
     retiring: bool
@@ -69,7 +71,7 @@
     def __init__(self, front: Front, sock: socket.socket) -> None:
         self.front = front
         self.sock = sock
-        self.outlet = Outlet(sock)
+        self.outlet = MessageWriter(sock)
         self.standing = False  # something on it was answered 'served': a balancer's, as far as can be told
         self.last = time.monotonic()  # when it last carried something
         self.reading: dict[int, fastcgi.Incoming] = {}  # oldest first
@@ -143,8 +145,8 @@
             while (found := fastcgi.take(view, at, have)) is not None:
                 part, at = found
                 self._take(part)
-        except fastcgi.Malformed as error:
-            log.say("server", f"nothing more is read of a connection: {error}")
+        except fastcgi.MalformedRecordError as error:
+            logger.warning("nothing more is read of a connection: %s", error)
             self._suspect = True
             with self._lock:
                 self._take_no_more()
@@ -213,12 +215,12 @@
             elif incoming.add(part):
                 self._hand_over(incoming)
         else:
-            raise fastcgi.Malformed(f"record type {part.kind}")
+            raise fastcgi.MalformedRecordError(f"record type {part.kind}")
 
     def _count_void(self) -> None:
         self._void += 1
         if self._void > MOST_VOID:
-            raise fastcgi.Malformed(f"{self._void} records of no request, one after the other")
+            raise fastcgi.MalformedRecordError(f"{self._void} records of no request, one after the other")
 
     def _begin(self, part: fastcgi.Record) -> None:
         role, keep = fastcgi.begin(part)
@@ -228,7 +230,7 @@
             if not taken and not full and role == fastcgi.RESPONDER:
                 self.reading[part.request] = fastcgi.Incoming(part.request, keep, self.front.clock)
         if taken:
-            raise fastcgi.Malformed(f"request {part.request} began twice")
+            raise fastcgi.MalformedRecordError(f"request {part.request} began twice")
         if role != fastcgi.RESPONDER or full:
             self._suspect = True
             self._count_void()
@@ -242,42 +244,42 @@
         if exchange is None:
             self._count_void()
         if half is None:
-            if exchange is None or not exchange.withdraw():
+            if exchange is None or not exchange.abandon():
                 return  # answered already
             if isinstance(exchange, Request):
-                self.front.intake.gone(exchange)
+                self.front.sink.client_disconnected(exchange)
         self._write(number, fastcgi.end(number))  # frees the number; as an answer it is owed nothing
 
     def _hand_over(self, incoming: fastcgi.Incoming) -> None:
         lane = ""  # the class, once it is known
 
-        def deliver(answer: Answer) -> None:
-            self.standing |= answer.verdict is Verdict.SERVED
+        def deliver(answer: Response) -> None:
+            self.standing |= answer.status is ResponseStatus.SERVED
             # Counted before it goes out: whoever reads the figures after the answer has it in them.
-            if lane and (meter := self.front.meter) is not None:
-                meter.ended(lane, answer.verdict)
+            if lane and (meter := self.front.response_counter) is not None:
+                meter.response_sent(lane, answer.status)
             self._answer(incoming, answer)
 
-        check = fields.health_check(incoming.params, deliver)
+        check = request_parameters.health_check(incoming.params, deliver)
         if check is not None:
             if self._owe(incoming, check):
-                self.front.intake.checked(check)
+                self.front.sink.health_check_arrived(check)
             return
         try:
-            request = fields.service_request(incoming.params, incoming.body, deliver)
-        except fields.BadRequest as error:
-            log.say("server", str(error))
+            request = request_parameters.service_request(incoming.params, incoming.body, deliver)
+        except request_parameters.InvalidRequestError as error:
+            logger.error("%s", error)
             self._fail(incoming)
             return
         if self._owe(incoming, request):
-            lane = request.lane
-            self.front.intake.arrived(request)
+            lane = request.class_name
+            self.front.sink.request_arrived(request)
 
     def _fail(self, incoming: fastcgi.Incoming) -> None:
         """End a request that no balancer sends, before anyone else hears of it."""
         exchange = Exchange(lambda answer: self._answer(incoming, answer))
         if self._owe(incoming, exchange):
-            exchange.finish(Answer(Verdict.FAILED, suspect=True))
+            exchange.respond(Response(ResponseStatus.FAILED, invalid_request=True))
 
     def _owe(self, incoming: fastcgi.Incoming, exchange: Exchange) -> bool:
         """It is not read any more but owed an answer, in one step, so that it is seen at any moment. False if
@@ -290,9 +292,9 @@
             self._unheard_since, self._void = None, 0
         return True
 
-    def _answer(self, incoming: fastcgi.Incoming, answer: Answer) -> None:
-        self._suspect |= answer.suspect
-        self._write(incoming.id, fastcgi.response(incoming.id, fields.content(answer)))
+    def _answer(self, incoming: fastcgi.Incoming, answer: Response) -> None:
+        self._suspect |= answer.invalid_request
+        self._write(incoming.id, fastcgi.response(incoming.id, request_parameters.content(answer)))
         if self.front.retiring or not incoming.keep or self._state is State.ANSWERING:
             self.close_if_idle(asked=not incoming.keep)
 
@@ -344,10 +346,13 @@
             self._take_no_more()
             left = dict(self._open)
         for number, exchange in left.items():
-            if exchange.withdraw():
-                self._write(number, fastcgi.response(number, fields.content(Answer(Verdict.FAILED))))
+            if exchange.abandon():
+                self._write(
+                    number,
+                    fastcgi.response(number, request_parameters.content(Response(ResponseStatus.FAILED))),
+                )
                 if isinstance(exchange, Request):
-                    self.front.intake.gone(exchange)
+                    self.front.sink.client_disconnected(exchange)
         with self._lock:  # the rest have their answers on the way, in other threads
             self._answered.wait_for(lambda: not self._open, LAST_WRITE_S)
             self._end()
--- a/cairnvane/net/fastcgi.py
+++ b/cairnvane/net/fastcgi.py
@@ -26,7 +26,7 @@
 MAX_RECORD_OUT = 65_535
 
 
-class Malformed(Exception):
+class MalformedRecordError(Exception):
     """Bytes that no legal peer sends; the connection can't be read on from here."""
 
 
@@ -44,9 +44,9 @@
         return None
     version, kind, request, length, padding = _HEADER.unpack_from(view, at)
     if version != VERSION:
-        raise Malformed(f"version {version}")
+        raise MalformedRecordError(f"version {version}")
     if length > MAX_CONTENT:
-        raise Malformed(f"a record of {length} bytes")
+        raise MalformedRecordError(f"a record of {length} bytes")
     start = at + _HEADER.size
     end = start + length + padding
     return (Record(kind, request, bytes(view[start : start + length])), end) if end <= have else None
@@ -65,19 +65,19 @@
         lengths = []
         for _ in range(2):
             if at >= len(data):
-                raise Malformed("parameters cut short")
+                raise MalformedRecordError("parameters cut short")
             length = data[at]
             if length < 128:
                 at += 1
             else:
                 if at + 4 > len(data):
-                    raise Malformed("parameters cut short")
+                    raise MalformedRecordError("parameters cut short")
                 length = _LONG_LENGTH.unpack_from(data, at)[0] & 0x7FFFFFFF
                 at += 4
             lengths.append(length)
         middle, end = at + lengths[0], at + lengths[0] + lengths[1]
         if end > len(data):
-            raise Malformed("parameters cut short")
+            raise MalformedRecordError("parameters cut short")
         found[data[at:middle].decode("utf-8", "surrogateescape")] = data[middle:end].decode(
             "utf-8", "surrogateescape"
         )
@@ -125,11 +125,11 @@
     def add(self, part: Record) -> bool:
         """Take a PARAMS or STDIN record in; True when the request is whole."""
         if (part.kind == STDIN) is not self._named:
-            raise Malformed("parameters and body out of order")
+            raise MalformedRecordError("parameters and body out of order")
         if part.content:
             self._raw += part.content
             if len(self._raw) > (MAX_BODY if self._named else MAX_PARAMS):
-                raise Malformed("an oversized request")
+                raise MalformedRecordError("an oversized request")
             return False
         if self._named:
             self.body = bytes(self._raw)
@@ -142,7 +142,7 @@
 def begin(opening: Record) -> tuple[int, bool]:
     """The role and the wish to keep the connection that a BEGIN_REQUEST names."""
     if len(opening.content) != _BEGIN.size or opening.request == 0:
-        raise Malformed("a bad BEGIN_REQUEST")
+        raise MalformedRecordError("a bad BEGIN_REQUEST")
     role, flags = _BEGIN.unpack(opening.content)
     return role, bool(flags & KEEP_CONN)
 
--- a/cairnvane/net/http.py
+++ b/cairnvane/net/http.py
@@ -17,7 +17,7 @@
 _LENGTH = re.compile(r"[0-9]{1,10}")
 
 
-class BadReply(Exception):
+class InvalidReplyError(Exception):
     """What came back is no HTTP reply, or not a whole one."""
 
 
@@ -40,15 +40,15 @@
 def _head(data: bytes) -> tuple[int, dict[str, str]]:
     first, *lines = data.decode("latin-1").split("\r\n")
     if (status := _STATUS_LINE.fullmatch(first)) is None:
-        raise BadReply(f"status line {first[:80]!r}")
+        raise InvalidReplyError(f"status line {first[:80]!r}")
     headers: dict[str, str] = {}
     for line in lines:
         name, colon, value = line.partition(":")
         name, value = name.lower(), value.strip()
         if not colon or not name or name != name.strip():
-            raise BadReply(f"header line {line[:80]!r}")
+            raise InvalidReplyError(f"header line {line[:80]!r}")
         if name == "content-length" and headers.get(name, value) != value:
-            raise BadReply("two content lengths")
+            raise InvalidReplyError("two content lengths")
         headers[name] = value
     return int(status[1]), headers
 
@@ -56,14 +56,14 @@
 def _length(status: int, headers: dict[str, str]) -> int | None:
     """How long the body is; None: as long as the connection lasts."""
     if "transfer-encoding" in headers:
-        raise BadReply("a transfer encoding, which this client does not speak")
+        raise InvalidReplyError("a transfer encoding, which this client does not speak")
     text = headers.get("content-length")
     if text is None:
         return 0 if status in (204, 304) else None
     if not _LENGTH.fullmatch(text):
-        raise BadReply(f"content length {text[:80]!r}")
+        raise InvalidReplyError(f"content length {text[:80]!r}")
     if int(text) > MAX_BODY:
-        raise BadReply("an oversized body")
+        raise InvalidReplyError("an oversized body")
     return int(text)
 
 
@@ -77,25 +77,25 @@
     for _ in range(MAX_INTERIM + 1):
         while (mark := data.find(b"\r\n\r\n")) < 0:
             if len(data) > MAX_HEAD:
-                raise BadReply("an oversized head")
+                raise InvalidReplyError("an oversized head")
             if not (more := _more(sock, deadline)):
-                raise BadReply("cut short in the head")
+                raise InvalidReplyError("cut short in the head")
             data += more
         status, headers = _head(data[:mark])
         data = data[mark + 4 :]
         if status >= 200:
             break
     else:
-        raise BadReply("interim replies without end")
+        raise InvalidReplyError("interim replies without end")
     length = _length(status, headers)
     while length is None or len(data) < length:
         if not (more := _more(sock, deadline)):
             if length is None:
                 break
-            raise BadReply("cut short in the body")
+            raise InvalidReplyError("cut short in the body")
         data += more
         if length is None and len(data) > MAX_BODY:
-            raise BadReply("an oversized body")
+            raise InvalidReplyError("an oversized body")
     return Reply(status, headers, data[:length])
 
 
--- a/cairnvane/net/outlet.py
+++ b/cairnvane/net/message_writer.py
@@ -20,7 +20,7 @@
     sock.setsockopt(socket.SOL_SOCKET, option, struct.pack("ll", whole, int((seconds - whole) * 1e6)))
 
 
-class Outlet:
+class MessageWriter:
     """One writer at a time, whole messages only, so that records never interleave.
 
     The caller's own send takes what the socket has room for. What is left goes out from a thread that lives
--- a/cairnvane/net/fields.py
+++ b/cairnvane/net/request_parameters.py
@@ -11,7 +11,7 @@
 from urllib.parse import parse_qs
 
 from .. import clock
-from ..exchange import Answer, Check, Request, Verdict
+from ..exchange import HealthCheck, Request, Response, ResponseStatus
 
 SERVICE_PATH, HEALTH_PATH = "/svc/", "/status/live"
 # What the field names of the protocol allow.
@@ -24,19 +24,19 @@
 _WHOLE, _DECIMAL = re.compile(r"[0-9]{1,15}"), re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
 
 _STATUS = {
-    Verdict.SERVED: b"200 OK",
-    Verdict.REFUSED: b"503 Service Unavailable",
-    Verdict.FAILED: b"500 Failed",
+    ResponseStatus.SERVED: b"200 OK",
+    ResponseStatus.REJECTED: b"503 Service Unavailable",
+    ResponseStatus.FAILED: b"500 Failed",
 }
 
 
-class BadRequest(Exception):
+class InvalidRequestError(Exception):
     """A well-framed request whose fields can't be right."""
 
 
 def _text(params: dict[str, str], name: str, form: re.Pattern[str]) -> str:
     if not form.fullmatch(text := params.get(name, "")):
-        raise BadRequest(f"{name}: {text[:40]!r} can't be right")
+        raise InvalidRequestError(f"{name}: {text[:40]!r} can't be right")
     return text
 
 
@@ -46,25 +46,27 @@
 
 def _within(ok: bool, params: dict[str, str], name: str) -> None:
     if not ok:
-        raise BadRequest(f"{name}: {params[name]} is out of range")
+        raise InvalidRequestError(f"{name}: {params[name]} is out of range")
 
 
-def health_check(params: dict[str, str], deliver: Callable[[Answer], None]) -> Check | None:
+def health_check(params: dict[str, str], deliver: Callable[[Response], None]) -> HealthCheck | None:
     """The health check that these parameters ask for; None if they ask for something else."""
     if params.get("SCRIPT_NAME") != HEALTH_PATH:
         return None
-    return Check(deliver, "1" in parse_qs(params.get("QUERY_STRING", "")).get("real", []))
+    return HealthCheck(deliver, "1" in parse_qs(params.get("QUERY_STRING", "")).get("real", []))
 
 
-def service_request(params: dict[str, str], body: bytes, deliver: Callable[[Answer], None]) -> Request:
+def service_request(params: dict[str, str], body: bytes, deliver: Callable[[Response], None]) -> Request:
     """The request that these parameters and this body make; `BadRequest` if they can't."""
     path = params.get("SCRIPT_NAME", "")
     if not path.startswith(SERVICE_PATH):
-        raise BadRequest(f"SCRIPT_NAME: {path[:40]!r}")
+        raise InvalidRequestError(f"SCRIPT_NAME: {path[:40]!r}")
     if params.get("REQUEST_METHOD", "POST") != "POST":
-        raise BadRequest(f"REQUEST_METHOD: {params['REQUEST_METHOD'][:40]!r}")
+        raise InvalidRequestError(f"REQUEST_METHOD: {params['REQUEST_METHOD'][:40]!r}")
     if params.get("CONTENT_LENGTH", "") not in ("", str(len(body))):
-        raise BadRequest(f"CONTENT_LENGTH: {params['CONTENT_LENGTH'][:40]!r}, with {len(body)} bytes")
+        raise InvalidRequestError(
+            f"CONTENT_LENGTH: {params['CONTENT_LENGTH'][:40]!r}, with {len(body)} bytes"
+        )
     stamp = int(_text(params, "HTTP_REQ_TIME", _WHOLE))
     arrived, ahead = clock.place(stamp)
     _within(ahead <= MOST_AHEAD_US, params, "HTTP_REQ_TIME")
@@ -81,22 +83,22 @@
         _text(params, "HTTP_REQ_ID", _ID).lower(),
         path[len(SERVICE_PATH) :],
         body,
-        arrived=arrived,
-        caller=caller,
+        arrived_at=arrived,
+        client=caller,
         memory=memory,
-        token=token,
-        ahead=ahead,
+        idempotency_key=token,
+        clock_skew=ahead,
     )
 
 
-def content(answer: Answer) -> bytes:
+def content(answer: Response) -> bytes:
     """An answer as a CGI response."""
-    lines = [b"Status: " + _STATUS[answer.verdict]]
+    lines = [b"Status: " + _STATUS[answer.status]]
     if answer.load is not None:
         lines.append(b"Srv-Load: %.4f" % answer.load)
-    if answer.verdict is Verdict.REFUSED:
-        if answer.stay_away_ms > 0:
-            lines.append(b"Srv-Wait-Ms: %d" % answer.stay_away_ms)
-        if answer.last:
+    if answer.status is ResponseStatus.REJECTED:
+        if answer.retry_after_ms > 0:
+            lines.append(b"Srv-Wait-Ms: %d" % answer.retry_after_ms)
+        if answer.no_retry:
             lines.append(b"Srv-Last: 1")
     return b"\r\n".join([*lines, b"", answer.body])
--- a/cairnvane/net/server.py
+++ b/cairnvane/net/server.py
@@ -4,15 +4,17 @@
 
 import contextlib
 import errno
+import logging
 import socket
 import threading
 import time
 
-from .. import log
-from ..exchange import Intake, Meter
-from .accepting import accept, hand
-from .buffers import BufferPool
+from ..exchange import RequestSink, ResponseCounter
+from .accept_loop import accept, hand
 from .connection import MAX_OPEN, Connection
+from .read_buffers import BufferPool
+
+logger = logging.getLogger(__name__)
 
 # The connections are looked over this often for what is to end.
 LOOK_S = 0.5
@@ -30,22 +32,22 @@
     except OSError as error:
         if error.errno == errno.EADDRINUSE:
             raise
-        log.say("server", f"SO_REUSEPORT: {error.strerror}; no later version can listen beside this one")
+        logger.warning("SO_REUSEPORT: %s; no later version can listen beside this one", error.strerror)
         return socket.create_server(address, backlog=BACKLOG)
 
 
-class Server:
+class FastCgiServer:
     """Listens for balancers, on `most` connections at a time."""
 
     def __init__(
         self,
         address: tuple[str, int],
-        intake: Intake,
+        sink: RequestSink,
         most: int,
-        meter: Meter | None = None,
+        response_counter: ResponseCounter | None = None,
     ) -> None:
-        self.intake = intake
-        self.meter = meter
+        self.sink = sink
+        self.response_counter = response_counter
         self.buffers = BufferPool()
         self.idle_s = 0.0  # close connections that carried nothing for so long; 0: as late as allowed
         self.retiring = False
@@ -76,7 +78,7 @@
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
         self._socket.close()
-        log.say("server", "takes no more connections")
+        logger.info("takes no more connections")
         for connection in self._all():
             connection.close_if_idle()
         with self._changed:
@@ -104,7 +106,7 @@
                 try:
                     connection.look()
                 except Exception as error:  # one connection's trouble must not leave all others unwatched
-                    log.say("server", f"look: {type(error).__name__} {error}")
+                    logger.warning("look: %s %s", type(error).__name__, error)
 
     def _accept(self) -> None:
         accept(self._socket, lambda: self.retiring, self._take, "server")
--- a/cairnvane/net/roster.py
+++ b/cairnvane/net/service_registry.py
@@ -3,20 +3,22 @@
 from __future__ import annotations
 
 import contextlib
+import logging
 import socket
 import threading
 import time
 
-from .. import log
 from . import http
 
+logger = logging.getLogger(__name__)
+
 # An entry lapses 3 s after its last report: two reports may fail before that.
 EVERY_S = 0.8
 # A report that takes longer has failed; the next one is due.
 WAIT_S = 0.7
 
 
-class Roster:
+class ServiceRegistry:
     """Reports at a steady pace until told to stop; serves on without the roster."""
 
     def __init__(self, address: tuple[str, int], name: str) -> None:
@@ -84,4 +86,4 @@
             return
         if bool(problem) is not self._failing:  # said once, not with every report
             self._failing = bool(problem)
-            log.say("roster", f"{problem or 'reports arrive again'}")
+            logger.info("%s", problem or "reports arrive again")
--- a/cairnvane/net/vault.py
+++ b/cairnvane/net/vault.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import contextlib
+import logging
 import socket
 import threading
 import time
 from collections.abc import Callable
 from queue import SimpleQueue
 
-from .. import log
-from ..interface import Outcome
+from ..contract.events import Outcome
 from . import http
 
+logger = logging.getLogger(__name__)
+
 PATH = "/v2/read"
 # Threads that wait for their next call; as many as calls go out at once on a usual day.
 IDLE_THREADS = 16
@@ -26,7 +28,7 @@
     if reply.status == 200:
         return Outcome.OK
     if reply.headers.get("x-refused-unseen") == "1":
-        return Outcome.MOOT if reply.status == 409 else Outcome.REJECTED
+        return Outcome.NEVER_STARTED if reply.status == 409 else Outcome.REJECTED
     return Outcome.TIMEOUT if reply.status == 504 else Outcome.ERROR
 
 
@@ -61,7 +63,7 @@
 _threads = _Threads()
 
 
-class Call:
+class VaultCall:
     """One call on its way, in a thread that it has for itself."""
 
     def __init__(
@@ -81,7 +83,7 @@
         try:
             _threads.run(self._make)
         except RuntimeError as error:  # no more threads: the call fails, not who asked for it
-            log.say("vault", str(error))
+            logger.error("%s", error)
             ended(Outcome.UNREACHED, b"", 0)
 
     def give_up(self) -> None:
@@ -97,7 +99,7 @@
         try:
             how, body = self._ask(start + self._timeout_us / 1e6)
         except Exception as error:  # a call that never ends would hold its request to the last
-            log.say("vault", f"{self._uid}: {type(error).__name__} {error}")
+            logger.warning("%s: %s %s", self._uid, type(error).__name__, error)
             how, body = Outcome.BROKEN, b""
         took = int((time.monotonic() - start) * 1e6)
         if not self._given_up:
@@ -126,11 +128,11 @@
                 reply = http.read_reply(sock, deadline)
             except TimeoutError:
                 return Outcome.TIMEOUT, b""
-            except (OSError, http.BadReply) as error:
+            except (OSError, http.InvalidReplyError) as error:
                 # A connection that breaks during a call proves nothing, nor does a reply that can't be read:
                 # the call may have run.
                 if not self._given_up:
-                    log.say("vault", f"{self._uid}: {type(error).__name__} {error}")
+                    logger.warning("%s: %s %s", self._uid, type(error).__name__, error)
                 return Outcome.BROKEN, b""
             finally:
                 with self._lock:
