--- a/cairnvane/net/pool.py
+++ b/cairnvane/net/worker_pool.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import base64
+import logging
 import socket
 import threading
 import time
@@ -16,8 +17,10 @@
 
 import msgspec
 
-from .. import clock, log
-from .outlet import Outlet
+from .. import clock
+from .message_writer import MessageWriter
+
+logger = logging.getLogger(__name__)
 
 # A link that can't be had is tried again this often: well inside any aim.
 RETRY_S = 0.05
@@ -32,9 +35,9 @@
 # A replay of all 4,000 notices takes far less; a link that does not get so far is as good as lost.
 SYNC_WAIT_S = 10.0
 # No run lasts so long; a figure beyond any can't be reckoned with.
-MAX_WALL_MS = 1e9
+MAX_DURATION_MS = 1e9
 # How the pool says that a run ended.
-FINE, FAULT, BROKEN_OFF, LATE = "fine", "fault", "broken_off", "late"
+RUN_SUCCEEDED, RUN_FAILED, RUN_CANCELLED, RUN_NEVER_STARTED = "fine", "fault", "broken_off", "late"
 
 
 class Notice(msgspec.Struct):
@@ -50,7 +53,7 @@
     meters: tuple[float, ...] = ()
 
 
-class Notices(Protocol):
+class PoolListener(Protocol):
     """Whoever wants the pool's news, from the link's own thread."""
 
     def finished(self, uid: str, code: str, took_us: int, result: bytes, pos: int) -> None:
@@ -77,16 +80,16 @@
     timer: threading.Timer
 
 
-class Pool:
+class WorkerPool:
     """The link, and the thread that reads it."""
 
-    def __init__(self, address: tuple[str, int], notices: Notices) -> None:
+    def __init__(self, address: tuple[str, int], notices: PoolListener) -> None:
         self._address, self._notices = address, notices
         self._moves = 0
         self._pos = 0
         self._links = 0
-        self._outlet: Outlet | None = None
-        self._newest: Outlet | None = None  # of the link that is read, bound or not
+        self._outlet: MessageWriter | None = None
+        self._newest: MessageWriter | None = None  # of the link that is read, bound or not
         self._garbled_at = -1  # after which notice a line could not be read
         self._taking = threading.Lock()  # after a move, two links may have notices for a moment
         self._asked: dict[str, _Asked] = {}
@@ -146,7 +149,9 @@
 
     def verify(self, then: Callable[[bool], None]) -> None:
         """Ask for a deep check's work."""
-        self._ask("verify", VERIFY_WAIT_S, lambda notice: then(notice is not None and notice.code == FINE))
+        self._ask(
+            "verify", VERIFY_WAIT_S, lambda notice: then(notice is not None and notice.code == RUN_SUCCEEDED)
+        )
 
     def _ask(self, action: str, wait_s: float, then: Callable[[Notice | None], None]) -> None:
         with self._lock:
@@ -180,15 +185,15 @@
             try:
                 with socket.create_connection(address, CONNECT_WAIT_S) as sock:
                     self._converse(sock, moves)
-                log.say("pool", "link ended")
+                logger.info("link ended")
             except Exception as error:  # whatever a line held: without this thread nothing is ever run again
-                log.say("pool", f"link lost: {type(error).__name__} {error}")
+                logger.warning("link lost: %s %s", type(error).__name__, error)
             time.sleep(RETRY_S)
 
     def _converse(self, sock: socket.socket, moves: int) -> None:
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        outlet = Outlet(sock)
+        outlet = MessageWriter(sock)
         with self._lock:
             if moves != self._moves:
                 return
@@ -207,14 +212,14 @@
                 if self._newest is outlet:
                     self._newest = self._outlet = None
 
-    def _read(self, line: bytes, outlet: Outlet) -> None:
+    def _read(self, line: bytes, outlet: MessageWriter) -> None:
         if not line.endswith(b"\n"):
             raise ValueError("a line that is cut short or too long")
         try:
             notice = self._decoder.decode(line)
             content = base64.b64decode(notice.content, validate=True)
         except msgspec.ValidationError as error:  # sound JSON that this version has no use for
-            log.say("pool", f"message passed over: {error}")
+            logger.warning("message passed over: %s", error)
             return
         except (msgspec.DecodeError, ValueError) as error:
             # A notice may have been lost in it: a new link brings that again. If it comes no better a second
@@ -222,7 +227,7 @@
             if self._garbled_at != self._pos:
                 self._garbled_at = self._pos
                 raise
-            log.say("pool", f"line passed over: {error}")
+            logger.warning("line passed over: %s", error)
             return
         with self._taking:
             if notice.pos:
@@ -231,7 +236,7 @@
                 self._pos = notice.pos
             self._take(notice, content, outlet)
 
-    def _take(self, notice: Notice, content: bytes, outlet: Outlet) -> None:
+    def _take(self, notice: Notice, content: bytes, outlet: MessageWriter) -> None:
         if notice.action == "finished":
             self._notices.finished(notice.uid, notice.code, _us(notice.wall_ms), content, notice.pos)
         elif notice.action == "blocked":
@@ -265,12 +270,12 @@
             raise ConnectionError("a new pool, to be bound from its first notice on")
 
     def _refused(self, notice: Notice) -> None:
-        log.say("pool", f"not carried out: {notice.code} {notice.uid}")
+        logger.warning("not carried out: %s %s", notice.code, notice.uid)
         if notice.code == "spawn":
             self._notices.unknown(notice.uid)
         elif notice.code == "verify":  # no deep checks here: the link itself is the answer
             for echo in [echo for echo in list(self._asked) if echo.startswith("verify")]:
-                self._reply(echo, Notice("verified", code=FINE))
+                self._reply(echo, Notice("verified", code=RUN_SUCCEEDED))
 
 
 def _line(command: dict[str, Any]) -> bytes:
@@ -278,7 +283,7 @@
 
 
 def _us(wall_ms: float) -> int:
-    return int(min(max(0.0, wall_ms), MAX_WALL_MS) * 1e3)
+    return int(min(max(0.0, wall_ms), MAX_DURATION_MS) * 1e3)
 
 
 def _text(data: bytes) -> str:
--- a/cairnvane/wiring.py
+++ b/cairnvane/server/composition.py
@@ -5,27 +5,31 @@
 
 from __future__ import annotations
 
+import logging
 import threading
 from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from . import clock, config, log
-from .assembly import Part
-from .keys import Keeper, Points
-from .ledger import Ledger, Lives, earlier
-from .ledger.folder import OsFolder
-from .ledger.lives import LIVES
-from .ledger.record import NewerVersion
-from .net.pool import Pool
+from .. import clock, config, logging_setup
+from ..claims import ClaimLog, Incarnations, legacy
+from ..claims.incarnations import LIVES
+from ..claims.records import NewerVersionError
+from ..claims.storage import OsFolder
+from ..idempotency.store import IdempotencyStore, StepObserver
+from ..log_events import MEMBER_EVENT
+from ..net.worker_pool import WorkerPool
+from .lifecycle import Component
 
 if TYPE_CHECKING:
-    from .config.operator import KeyedOptions, MembersOptions, Operator
-    from .exchange import Intake, Meter
-    from .host import Host
-    from .lasting import Lasting
-    from .membership.channel import Channel
-    from .net.roster import Roster
+    from ..config.operator import KeyedOptions, MembersOptions, Operator
+    from ..exchange import RequestSink, ResponseCounter
+    from ..idempotency.durability import DurableKeys
+    from ..membership.transport import MemberTransport
+    from ..net.service_registry import ServiceRegistry
+    from .event_loop import EventLoop
+
+logger = logging.getLogger(__name__)
 
 # In `$TMPDIR`, with a folder for each name and boot.
 LEDGERS = "cairnvane-ledger"
@@ -45,18 +49,18 @@
     on."""
     if not path:
         return None
-    from .config import operator as file
+    from ..config import operator as file
 
     asked = file.load(path)
     if asked.members is not None:
-        from .membership.state import MOST_NAME
+        from ..membership.member_table import MOST_NAME
 
         if len(told.name) > MOST_NAME:
-            raise config.ConfigError(f"members: the name {told.name!r} is longer than {MOST_NAME} characters")
+            raise config.ConfigurationError(
+                f"members: the name {told.name!r} is longer than {MOST_NAME} characters"
+            )
     if asked.log.form == "json":
-        from .log_json import sink
-
-        log.use(sink(told.name))
+        logging_setup.use_json_lines(told.name)
     return asked
 
 
@@ -65,70 +69,76 @@
     return (clock.boot() or "unknown")[:8]
 
 
-def _lives(told: config.Config, temporary: Path, folder: Path) -> Lives | None:
+def _lives(told: config.Config, temporary: Path, folder: Path) -> Incarnations | None:
     """Be one of the lives of this bid server; None where the folder can't be had. `ConfigError` if another
     version of the program serves here that this one can't know the runs of."""
-    if (pid := earlier.serves(temporary, told.name)) is not None:
-        raise config.ConfigError(
+    if (pid := legacy.serves(temporary, told.name)) is not None:
+        raise config.ConfigurationError(
             f"an earlier version of the program serves here (process {pid}), which keeps keyed runs in "
             f"another form: end it first"
         )
-    lives = Lives(folder)
+    lives = Incarnations(folder)
     try:
         lives.enter()
     except OSError as error:
-        log.say("cairnvane", f"{folder}: {error}; no later version can take over from this process")
+        logger.warning("%s: %s; no later version can take over from this process", folder, error)
         return None
     return lives
 
 
-def _ledger(told: config.Config, folder: Path, lives: Lives) -> Ledger | None:
+def _ledger(told: config.Config, folder: Path, lives: Incarnations) -> ClaimLog | None:
     """The keys of the lives side by side; None where the folder can't be had, and keys are those of this life
     alone."""
-    ledger = Ledger(OsFolder(folder), lives, unread=max(cls.patience for cls in told.settings.classes))
+    ledger = ClaimLog(
+        OsFolder(folder), lives, unread=max(cls.client_timeout for cls in told.settings.classes)
+    )
     try:
         ledger.open()
-    except NewerVersion as error:
-        raise config.ConfigError(f"{folder}: a later version of the program serves here: {error}") from None
+    except NewerVersionError as error:
+        raise config.ConfigurationError(
+            f"{folder}: a later version of the program serves here: {error}"
+        ) from None
     except OSError as error:
-        log.say("cairnvane", f"keys of other processes: {error}; a later version may run a try again")
+        logger.warning("keys of other processes: %s; a later version may run a try again", error)
         return None
     return ledger
 
 
-def _kept(told: config.Config, asked: KeyedOptions, lives: Lives | None, points: Points | None) -> Keeper:
+def _kept(
+    told: config.Config, asked: KeyedOptions, lives: Incarnations | None, points: StepObserver | None
+) -> IdempotencyStore:
     """The log of kept results, and the ledger beside it; `ConfigError` if it can't be."""
-    from .keyed import Beside, FolderError, Store
-    from .keyed.beside import LEDGER
-    from .keyed.files import OsFiles, boot_id
+    from ..idempotency.durable import DurableStore, FolderError, TakeoverStore
+    from ..idempotency.durable.storage import OsFiles, boot_id
+    from ..idempotency.durable.takeover_store import LEDGER
 
     folder = Path(asked.folder)
     power = asked.durability == "power"
-    store = Store(
+    store = DurableStore(
         OsFiles(folder),
         told.name,
         boot_id(),
         power=power,
         disk_bytes=asked.disk_bytes,
         memory_bytes=asked.memory_bytes,
-        unread=max(cls.patience for cls in told.settings.classes),
+        unread=max(cls.client_timeout for cls in told.settings.classes),
         points=points,
     )
     try:
         store.check(beside=lives is not None and not lives.alone())
     except FolderError as error:
-        raise config.ConfigError(f"keyed.folder: {error}") from None
+        raise config.ConfigurationError(f"keyed.folder: {error}") from None
     own = folder / f"{LEDGER}{_boot()}"
     ledger = _ledger(told, own, lives) if lives is not None else None
-    return Beside(store, ledger, folder, own, power=power) if ledger is not None else store
+    return TakeoverStore(store, ledger, folder, own, power=power) if ledger is not None else store
 
 
 def memory(
     told: config.Config,
     asked: KeyedOptions | None,
     temporary: Path,
-    points: Points | None,
-) -> tuple[Lives | None, Keeper | None]:
+    points: StepObserver | None,
+) -> tuple[Incarnations | None, IdempotencyStore | None]:
     """The lives of this bid server, this one among them, and who keeps their keys; `ConfigError`."""
     where = Path(asked.folder) / LIVES if asked is not None else temporary / LIVES / told.name
     lives = _lives(told, temporary, where)
@@ -139,12 +149,12 @@
     return lives, _ledger(told, temporary / LEDGERS / f"{told.name}.{_boot()}", lives)
 
 
-def lives_part(lives: Lives | None) -> Part | None:
+def lives_part(lives: Incarnations | None) -> Component | None:
     """Be gone from among the lives at the end of all."""
-    return None if lives is None else Part("lives", end=lambda how: lives.leave())
+    return None if lives is None else Component("lives", stop=lambda how: lives.leave())
 
 
-def ready_part(lives: Lives | None, pool: Pool) -> Part | None:
+def ready_part(lives: Incarnations | None, pool: WorkerPool) -> Component | None:
     """Once the pool's link is up this life can serve, and an earlier one may hand over to it."""
     if lives is None:
         return None
@@ -153,54 +163,60 @@
         pool.bound.wait()
         lives.ready()
 
-    return Part(
+    return Component(
         "ready",
         ("lives", "server", "pool"),
         start=lambda: threading.Thread(target=ready, name="ready", daemon=True).start(),
     )
 
 
-def keeper_part(keeper: Keeper | None) -> Part | None:
+def keeper_part(keeper: IdempotencyStore | None) -> Component | None:
     """Who keeps keys for other lives; it starts with the pool's link, see `pool_part`."""
-    return None if keeper is None else Part("keeper", end=lambda how: keeper.close())
+    return None if keeper is None else Component("keeper", stop=lambda how: keeper.close())
 
 
-def pool_part(host: Host, pool: Pool, lasting: Lasting | None, lost: Callable[[str], None]) -> Part:
+def pool_part(
+    host: EventLoop, pool: WorkerPool, lasting: DurableKeys | None, lost: Callable[[str], None]
+) -> Component:
     """The link to the worker pool, which waits for what an earlier life left; `lost`: it can't be read."""
     if lasting is None:
-        return Part("pool", ("host",), start=pool.start)
-    return Part("pool", ("host", "keeper"), start=lambda: lasting.start(host, pool, lost))
+        return Component("pool", ("host",), start=pool.start)
+    return Component("pool", ("host", "keeper"), start=lambda: lasting.start(host, pool, lost))
 
 
-def lasting(keeper: Keeper | None, told: config.Config) -> Lasting | None:
+def lasting(keeper: IdempotencyStore | None, told: config.Config) -> DurableKeys | None:
     """The host's side of a keeper."""
     if keeper is None:
         return None
-    from .lasting import Lasting
+    from ..idempotency.durability import DurableKeys
 
-    return Lasting(keeper, told.settings)
+    return DurableKeys(keeper, told.settings)
 
 
 def members(
     told: config.Config,
     asked: MembersOptions | None,
-    host: Host,
-    pool: Pool,
-    roster: Roster,
-) -> tuple[Intake, Channel | None]:
+    host: EventLoop,
+    pool: WorkerPool,
+    roster: ServiceRegistry,
+) -> tuple[RequestSink, MemberTransport | None]:
     """Whom requests are handed to, and the channel between the bid servers, where an operator asked for it;
     `OSError` if it can't listen. Else the host itself, and nothing of it."""
     if asked is None:
         return host, None
-    from .membership.channel import Channel
-    from .membership.machine import Tell
-    from .membership.watch import Watch
+    from ..membership.observer import ServerObserver
+    from ..membership.swim import Tell
+    from ..membership.transport import MemberTransport
 
     def tell(event: Tell) -> None:
-        log.say("members", event.event + "".join(f" {key}={value}" for key, value in event.more.items()))
+        logger.info(
+            MEMBER_EVENT, event.event, "".join((f" {key}={value}" for key, value in event.more.items()))
+        )
 
-    watch = Watch(host, VERSION, lambda: roster.answers, pool.bound.is_set, lambda: host.runs.calls)
-    return watch, Channel(
+    watch = ServerObserver(
+        host, VERSION, lambda: roster.answers, pool.bound.is_set, lambda: host.executions.calls_in_flight
+    )
+    return watch, MemberTransport(
         asked.address,
         asked.key.encode(),
         told.name,
@@ -214,48 +230,53 @@
     )
 
 
-def members_part(channel: Channel | None) -> Part | None:
+def members_part(channel: MemberTransport | None) -> Component | None:
     """Be a member, tell the others of a drain, and leave them in order."""
     if channel is None:
         return None
-    return Part(
+    return Component(
         "members",
         ("server",),
         start=channel.start,
-        leave=lambda how: channel.drain(),
-        end=lambda how: channel.close(),
+        on_shutdown=lambda how: channel.drain(),
+        stop=lambda how: channel.close(),
     )
 
 
 def door(
     told: config.Config,
-    intake: Intake,
-    pool: Pool,
-    channel: Channel | None = None,
-) -> tuple[Intake, Meter | None, Part | None]:
+    intake: RequestSink,
+    pool: WorkerPool,
+    channel: MemberTransport | None = None,
+) -> tuple[RequestSink, ResponseCounter | None, Component | None]:
     """The operators' door, where the configuration names one: what the front hands requests to, who counts
     their answers, and the listener; `OSError` if it can't listen. Else `intake` as it is, and nothing is
     counted."""
     if told.control is None:
         return intake, None, None
-    from .door import Duty, Tally
-    from .door.calls import Calls
-    from .door.gate import Gate
-    from .door.listener import Door, places
-
-    duty, tally = Duty(pool.bound.is_set), Tally(tuple(cls.name for cls in told.settings.classes))
-    pool.spawned = tally.attempted
+    from ..administration import Readiness, RequestCounters
+    from ..administration.drain_gate import DrainGate
+    from ..administration.endpoints import Endpoints
+    from ..administration.http_server import AdministrationServer, places
+
+    duty, tally = (
+        Readiness(pool.bound.is_set),
+        RequestCounters(tuple(cls.name for cls in told.settings.classes)),
+    )
+    pool.spawned = tally.run_started
     views: dict[str, Callable[[], object]] = {}
     if channel is not None:
-        from .membership.channel import described
+        from ..membership.transport import described
 
         def figures() -> bytes:
-            from .membership import metrics  # its library, at the first fetch
+            from ..membership import metrics  # its library, at the first fetch
 
             return metrics.text(channel.snapshot)
 
         views["/-/members"] = lambda: described(channel.snapshot)
         views["/-/members/metrics"] = figures
-    listener = Door(told.control, Calls(duty, tally, views), duty, places(own_sockets(told)))
-    part = Part("door", ("server",), start=listener.start, leave=lambda how: listener.leave())
-    return Gate(intake, duty, tally), tally, part
+    listener = AdministrationServer(
+        told.control, Endpoints(duty, tally, views), duty, places(own_sockets(told))
+    )
+    part = Component("door", ("server",), start=listener.start, on_shutdown=lambda how: listener.leave())
+    return DrainGate(intake, duty, tally), tally, part
--- a/cairnvane/health.py
+++ b/cairnvane/server/health_checks.py
@@ -5,12 +5,12 @@
 import threading
 from collections.abc import Callable
 
-from . import interface as i
-from .exchange import Answer, Check, Verdict
-from .net.pool import Pool
+from ..contract.actions import SetHealth
+from ..exchange import HealthCheck, Response, ResponseStatus
+from ..net.worker_pool import WorkerPool
 
 
-class Health:
+class HealthResponder:
     """Good until told otherwise. A deep check has the pool do its work, unless the answer is to come from
     store; `load` gives the free value that goes with it.
 
@@ -18,17 +18,17 @@
     cost it cores and this process a timer's thread, and whoever asks by thousands would take all of both.
     """
 
-    def __init__(self, pool: Pool, load: Callable[[], float | None]) -> None:
+    def __init__(self, pool: WorkerPool, load: Callable[[], float | None]) -> None:
         self._pool, self._load = pool, load
         self._good, self._stored = True, False
         self._lock = threading.Lock()
-        self._waiting: list[Check] = []  # for the work that is under way
+        self._waiting: list[HealthCheck] = []  # for the work that is under way
 
-    def set(self, action: i.SetHealth) -> None:
+    def set(self, action: SetHealth) -> None:
         """Answer so from now on."""
-        self._good, self._stored = action.good, action.stored
+        self._good, self._stored = action.healthy, action.cached
 
-    def check(self, check: Check) -> None:
+    def check(self, check: HealthCheck) -> None:
         """Answer this one."""
         if not (self._good and check.deep and not self._stored):
             return self._reply(check, self._good)
@@ -45,5 +45,5 @@
         for check in waiting:
             self._reply(check, good)
 
-    def _reply(self, check: Check, good: bool) -> None:
-        check.finish(Answer(Verdict.SERVED if good else Verdict.REFUSED, load=self._load()))
+    def _reply(self, check: HealthCheck, good: bool) -> None:
+        check.respond(Response(ResponseStatus.SERVED if good else ResponseStatus.REJECTED, load=self._load()))
--- a/cairnvane/assembly.py
+++ b/cairnvane/server/lifecycle.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 
-class Leave:
+class Shutdown:
     """How this process goes: told to all parts, after the notice to leave."""
 
     __slots__ = ("grace_s", "handover", "time_left_s")
@@ -25,43 +25,43 @@
     return None
 
 
-def _unmoved(how: Leave) -> None:
+def _unmoved(how: Shutdown) -> None:
     return None
 
 
-class Part:
+class Component:
     """One part of a server. No call waits but `end`, and that no longer than the time that is left."""
 
-    __slots__ = ("end", "leave", "name", "needs", "start")
+    __slots__ = ("depends_on", "name", "on_shutdown", "start", "stop")
 
     def __init__(
         self,
         name: str,
-        needs: tuple[str, ...] = (),
+        depends_on: tuple[str, ...] = (),
         *,
         start: Callable[[], None] = _nothing,
-        leave: Callable[[Leave], None] = _unmoved,
-        end: Callable[[Leave], None] = _unmoved,
+        on_shutdown: Callable[[Shutdown], None] = _unmoved,
+        stop: Callable[[Shutdown], None] = _unmoved,
     ) -> None:
         self.name = name
-        self.needs = needs  # parts that are there before it, and outlast it
+        self.depends_on = depends_on  # parts that are there before it, and outlast it
         self.start = start
-        self.leave = leave  # the notice to leave has come
-        self.end = end  # its grace is over
+        self.on_shutdown = on_shutdown  # the notice to leave has come
+        self.stop = stop  # its grace is over
 
 
-class Assembly:
+class Lifecycle:
     """Parts in the order in which they start."""
 
     def __init__(self) -> None:
-        self._parts: list[Part] = []
+        self._parts: list[Component] = []
 
-    def add(self, part: Part | None) -> None:
+    def add(self, part: Component | None) -> None:
         """One more part, if it was asked for; `ValueError` if what it needs is not there."""
         if part is None:
             return
         known = {one.name for one in self._parts}
-        missing = [name for name in part.needs if name not in known]
+        missing = [name for name in part.depends_on if name not in known]
         if missing or part.name in known:
             raise ValueError(f"{part.name}: needs {', '.join(missing)}" if missing else f"{part.name}: twice")
         self._parts.append(part)
@@ -71,12 +71,12 @@
         for part in self._parts:
             part.start()
 
-    def leave(self, how: Leave) -> None:
+    def begin_shutdown(self, how: Shutdown) -> None:
         """Tell the last one first."""
         for part in reversed(self._parts):
-            part.leave(how)
+            part.on_shutdown(how)
 
-    def end(self, how: Leave) -> None:
+    def stop(self, how: Shutdown) -> None:
         """End the last one first."""
         for part in reversed(self._parts):
-            part.end(how)
+            part.stop(how)
--- /dev/null
+++ b/cairnvane/simulator/protocol.py
@@ -0,0 +1,253 @@
+"""Frames of the simulator's binary protocol: batches to events, actions to replies. Performs no I/O.
+
+All integers are big-endian; a record of an event has 56 bytes, one of an action 16. Text follows the records.
+Raises `ProtocolError` with the number of the record that is at fault.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from ..contract.actions import (
+    Action,
+    Cancel,
+    CloseIdleConnections,
+    Fail,
+    ForgetKey,
+    LogMessage,
+    MakeCall,
+    Reject,
+    RememberKey,
+    ReplayResult,
+    ReportLoad,
+    SetHealth,
+    SetTimer,
+    SkipCall,
+    StartRun,
+)
+from ..contract.events import (
+    Arrival,
+    CallFinished,
+    CallRequested,
+    ClientDisconnected,
+    DrainStarted,
+    Event,
+    Outcome,
+    RunFinished,
+)
+from ..contract.settings import Settings
+from .errors import ProtocolError
+from .settings_reader import MAX_U32, GaugeFields, read_settings
+
+BATCH_HEADER = struct.Struct(">QII")  # time in microseconds, length of the body, number of records
+REPLY_HEADER = struct.Struct(">II")  # length of the body, number of records
+EVENT_SIZE = 56
+ACTION_SIZE = 16
+
+# Codes of event records.
+CLIENT_DISCONNECTED, DRAIN_STARTED, ARRIVAL = 16, 17, 18
+INSTANCE, TEARDOWN = 19, 20  # the instance that the following events belong to; it has died
+CALL_FINISHED, RUN_FINISHED, WAKEUP, CALL_REQUESTED, HELLO = 21, 22, 23, 24, 25
+# Codes of action records that carry more than the request's number.
+REJECT, REMEMBER_KEY, REPLY_INSTANCE, FAULT, SET_HEALTH = 81, 86, 88, 89, 90
+SET_TIMER, TRACE, REPORT_LOAD, CLOSE_IDLE, MAKE_CALL = 91, 92, 93, 94, 95
+# Flags of an arrival.
+_HAS_COST, _IS_RETRY = 1, 2
+
+_INSTANCE = struct.Struct(">xH")
+_HELLO = struct.Struct(">xQII")
+_ID = struct.Struct(">xQ")
+_ID_CODE_TIME = struct.Struct(">xQBI")
+_ARRIVAL = struct.Struct(">xQBIQIIffBHIQ")
+_U32 = struct.Struct(">xI")
+_WAKEUP = struct.Struct(">xIBffff")
+
+_OUTCOMES = {
+    0: Outcome.OK,
+    255: Outcome.ERROR,
+    254: Outcome.REJECTED,
+    253: Outcome.TIMEOUT,
+    252: Outcome.UNREACHED,
+    251: Outcome.BROKEN,
+    250: Outcome.CANCELLED,
+    249: Outcome.NEVER_STARTED,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """An instance starts."""
+
+    seed: int
+    settings: Settings
+    gauges: GaugeFields
+
+
+@dataclass(frozen=True, slots=True)
+class Teardown:
+    """An instance has died."""
+
+
+class Wakeup(NamedTuple):
+    """A timer is due. Its values can only be named with the settings of the instance."""
+
+    token: int
+    values: list[float]
+
+
+Record = Event | Hello | Teardown | Wakeup
+
+
+def _text_span(body: bytes, tail: int, offset: int, length: int) -> bytes:
+    """The part of the text behind the records."""
+    if tail + offset + length > len(body):
+        raise ProtocolError(f"tail: {length} bytes at {offset} do not fit into {len(body) - tail}")
+    return body[tail + offset : tail + offset + length]
+
+
+def read_batch(body: bytes, count: int) -> Iterator[tuple[int, Record]]:
+    """The `count` records of a batch, each with the number of the instance that it belongs to."""
+    tail = count * EVENT_SIZE
+    if tail > len(body):
+        raise ProtocolError(f"batch: {count} records do not fit into {len(body)} bytes")
+    instance = -1
+    for number in range(count):
+        offset = number * EVENT_SIZE
+        code = body[offset]
+        if code == INSTANCE:
+            (instance,) = _INSTANCE.unpack_from(body, offset)
+            continue
+        if instance < 0:
+            raise ProtocolError(f"record {number}: event {code} comes before any For")
+        yield instance, _read_record(code, body, offset, tail, number)
+
+
+def _read_record(code: int, body: bytes, offset: int, tail: int, number: int) -> Record:
+    if code == ARRIVAL:
+        return _read_arrival(body, offset)
+    if code in (RUN_FINISHED, CALL_FINISHED):
+        request_id, outcome, duration = _ID_CODE_TIME.unpack_from(body, offset)
+        if outcome not in _OUTCOMES:
+            raise ProtocolError(f"record {number}: unknown completion code {outcome}")
+        kind = RunFinished if code == RUN_FINISHED else CallFinished
+        return kind(request_id, _OUTCOMES[outcome], duration)
+    if code == WAKEUP:
+        token, value_count, *values = _WAKEUP.unpack_from(body, offset)
+        return Wakeup(token, values[:value_count])
+    if code == CALL_REQUESTED:
+        return CallRequested(*_ID.unpack_from(body, offset))
+    if code == CLIENT_DISCONNECTED:
+        return ClientDisconnected(*_ID.unpack_from(body, offset))
+    if code == DRAIN_STARTED:
+        return DrainStarted(*_U32.unpack_from(body, offset))
+    if code == TEARDOWN:
+        return Teardown()
+    if code == HELLO:
+        return _read_hello(body, offset, tail, number)
+    raise ProtocolError(f"record {number}: unknown event code {code}")
+
+
+def _read_arrival(body: bytes, offset: int) -> Arrival:
+    fields = _ARRIVAL.unpack_from(body, offset)
+    request_id, class_index, tenant, _key, time_left, cost, memory, _rank, flags, client, delay, original = (
+        fields
+    )
+    return Arrival(
+        request_id=request_id,
+        class_index=class_index,
+        queue_delay=delay,
+        time_left=time_left or None,
+        memory=memory,
+        cost=cost if flags & _HAS_COST else None,
+        client=client,
+        tenant=tenant,
+        is_retry=bool(flags & _IS_RETRY),
+        duplicate_of=original or None,
+    )
+
+
+def _read_hello(body: bytes, offset: int, tail: int, number: int) -> Hello:
+    seed, text_offset, length = _HELLO.unpack_from(body, offset)
+    try:
+        text = _text_span(body, tail, text_offset, length).decode()
+    except UnicodeDecodeError:
+        raise ProtocolError(f"record {number}: settings: not UTF-8 text") from None
+    return Hello(seed, *read_settings(text))
+
+
+_ACTION_ID = struct.Struct(">BQ7x")
+_ACTION_ID_TIME = struct.Struct(">BQI3x")
+_ACTION_REJECT = struct.Struct(">BQIB2x")
+_ACTION_TEXT = struct.Struct(">BII7x")
+_ACTION_INSTANCE = struct.Struct(">BH13x")
+_ACTION_FLAGS = struct.Struct(">BBB13x")
+_ACTION_FLOAT = struct.Struct(">Bf11x")
+_ACTION_U32 = struct.Struct(">BI11x")
+# Codes of actions that carry nothing but the request's number.
+_PLAIN_CODES: dict[type, int] = {
+    StartRun: 83,
+    Fail: 85,
+    Cancel: 82,
+    SkipCall: 80,
+    ForgetKey: 87,
+    ReplayResult: 84,
+}
+
+
+def _action_record(action: Action) -> bytes:
+    """The record of an action without text; `TypeError` if it is none."""
+    kind = type(action)
+    if kind in _PLAIN_CODES:
+        return _ACTION_ID.pack(_PLAIN_CODES[kind], action.request_id)  # type: ignore[union-attr]
+    if isinstance(action, Reject):
+        retry_after = min(action.retry_after, MAX_U32)
+        return _ACTION_REJECT.pack(REJECT, action.request_id, retry_after, action.no_retry)
+    if isinstance(action, SetTimer):
+        return _ACTION_ID_TIME.pack(SET_TIMER, action.due_at, action.token)
+    if isinstance(action, MakeCall):
+        return _ACTION_ID_TIME.pack(MAKE_CALL, action.request_id, min(action.timeout, MAX_U32))
+    if isinstance(action, RememberKey):
+        return _ACTION_ID_TIME.pack(REMEMBER_KEY, action.request_id, min(action.lifetime, MAX_U32))
+    if isinstance(action, ReportLoad):
+        return _ACTION_FLOAT.pack(REPORT_LOAD, action.value)
+    if isinstance(action, SetHealth):
+        return _ACTION_FLAGS.pack(SET_HEALTH, action.healthy, action.cached)
+    if isinstance(action, CloseIdleConnections):
+        return _ACTION_U32.pack(CLOSE_IDLE, min(action.idle_time, MAX_U32))
+    raise TypeError(f"not an action: {action!r}")
+
+
+class Reply:
+    """Collects the actions of one reply."""
+
+    def __init__(self) -> None:
+        self._records: list[bytes] = []
+        self._tail = bytearray()
+
+    def begin_instance(self, instance: int) -> None:
+        """The actions that follow belong to this instance."""
+        self._records.append(_ACTION_INSTANCE.pack(REPLY_INSTANCE, instance))
+
+    def _add_text(self, code: int, text: str) -> None:
+        data = text.encode()
+        self._records.append(_ACTION_TEXT.pack(code, len(self._tail), len(data)))
+        self._tail += data
+
+    def add_fault(self, text: str) -> None:
+        """Decision code has failed."""
+        self._add_text(FAULT, text)
+
+    def add(self, action: Action) -> None:
+        """Append one action of the controller."""
+        if isinstance(action, LogMessage):
+            self._add_text(TRACE, action.message)
+        else:
+            self._records.append(_action_record(action))
+
+    def frame(self) -> bytes:
+        """The whole reply."""
+        body = b"".join(self._records) + bytes(self._tail)
+        return REPLY_HEADER.pack(len(body), len(self._records)) + body
--- a/cairnvane/lab/explore.py
+++ b/cairnvane/testbed/explore.py
@@ -18,12 +18,12 @@
 from typing import Any, TypeVar
 from unittest import mock
 
-from ..membership import machine
-from ..membership.machine import Action, Address, Member, Send, Tell
+from ..membership import swim
+from ..membership.gossip import Rumours
+from ..membership.local_health import CHECKS
+from ..membership.member_table import Claim, Status, Table
 from ..membership.messages import MOST_BYTES, Message, View, seal
-from ..membership.rumours import Rumours
-from ..membership.state import Claim, Status, Table
-from ..membership.suspicion import CHECKS
+from ..membership.swim import Action, Address, Send, SwimMember, Tell
 
 HOST, KEY = "10.0.0.1", b"of the laboratory"
 T = TypeVar("T")
@@ -118,9 +118,9 @@
     return *some[:number], one, *some[number + 1 :]
 
 
-def load(data: bytes) -> Member:
+def load(data: bytes) -> SwimMember:
     """A member out of a state."""
-    member: Member = pickle.loads(data)
+    member: SwimMember = pickle.loads(data)
     return member
 
 
@@ -132,9 +132,9 @@
 
     # --- beginnings
 
-    def _new(self, number: int, life: int, now: int) -> Member:
+    def _new(self, number: int, life: int, now: int) -> SwimMember:
         claim = Claim(life, f"n{number}", f"p{number}", *_at(number), 0, 0)
-        return Member(claim, Still(), now, contacts=[_at(one) for one in range(self.count)])
+        return SwimMember(claim, Still(), now, contacts=[_at(one) for one in range(self.count)])
 
     def joined(self) -> State:
         """All know each other, and nothing is on its way."""
@@ -186,7 +186,7 @@
 
     # --- steps
 
-    def _letters(self, member: Member, sent: int, actions: Sequence[Action]) -> list[Letter]:
+    def _letters(self, member: SwimMember, sent: int, actions: Sequence[Action]) -> list[Letter]:
         """What it sends, after so many messages before."""
         out: list[Letter] = []
         source = member.own.host, member.own.port
@@ -205,7 +205,7 @@
 
     def _handle(
         self,
-        member: Member,
+        member: SwimMember,
         now: int,
         letter: Letter,
         sent: int,
@@ -224,7 +224,7 @@
         self,
         state: State,
         number: int,
-        member: Member,
+        member: SwimMember,
         out: Sequence[Action],
         letters: Sequence[Letter],
     ) -> State:
@@ -380,7 +380,7 @@
             raise Broken(why)
 
 
-def _restless(members: dict[int, Member]) -> str:
+def _restless(members: dict[int, SwimMember]) -> str:
     """Why these have not come to rest; empty if they have."""
     lives = {member.own.life for member in members.values()}
     for number, member in members.items():
@@ -394,14 +394,14 @@
     return ""
 
 
-def _suspects(member: Member) -> dict[int, Address]:
+def _suspects(member: SwimMember) -> dict[int, Address]:
     """Where those are that it suspects."""
     return {
         life.claim.life: (life.claim.host, life.claim.port) for life in member.table.standing(Status.SUSPECT)
     }
 
 
-def _judged(number: int, suspects: dict[int, Address], member: Member, out: Sequence[Action]) -> None:
+def _judged(number: int, suspects: dict[int, Address], member: SwimMember, out: Sequence[Action]) -> None:
     """No verdict on a suspect without last probes, unless another life speaks from its address."""
     for action in out:
         if isinstance(action, Tell) and action.event == "member.failed" and "probed" in action.more:
@@ -412,8 +412,8 @@
 
 def _hold(
     number: int,
-    before: Member,
-    member: Member,
+    before: SwimMember,
+    member: SwimMember,
     out: Sequence[Action],
     owned: dict[int, tuple[int, bool]],
 ) -> None:
@@ -435,7 +435,7 @@
 
 # What is taken out of the decisions, for a run that must find something.
 def _mutants() -> dict[str, Callable[[], Any]]:
-    def refute_as_before(self: Member, claim: Claim) -> None:
+    def refute_as_before(self: SwimMember, claim: Claim) -> None:
         if claim.status != Status.ALIVE:
             self._rumours.add(self.own)
 
@@ -459,13 +459,13 @@
         return None
 
     return {
-        "no-refutation": lambda: mock.patch.object(Member, "_told_of_us", nobody),
-        "refutes-as-before": lambda: mock.patch.object(Member, "_told_of_us", refute_as_before),
-        "no-second-look": lambda: mock.patch.object(Member, "_revisit", nobody),
+        "no-refutation": lambda: mock.patch.object(SwimMember, "_told_of_us", nobody),
+        "refutes-as-before": lambda: mock.patch.object(SwimMember, "_told_of_us", refute_as_before),
+        "no-second-look": lambda: mock.patch.object(SwimMember, "_revisit", nobody),
         "any-claim-counts": lambda: mock.patch.object(Table, "take", take_any),
         "others-raise-incarnations": lambda: mock.patch.object(Claim, "saying", suspect_higher),
         "rumours-for-ever": lambda: mock.patch.object(Rumours, "pick", keep_telling),
-        "no-last-probes": lambda: mock.patch.object(machine, "checks", lambda doubt, tries: 0),
+        "no-last-probes": lambda: mock.patch.object(swim, "checks", lambda doubt, tries: 0),
     }
 
 
--- a/cairnvane/lab/fleet/scenario.py
+++ b/cairnvane/testbed/fleet/scenario.py
@@ -12,8 +12,8 @@
 import msgspec
 import yaml
 
-from ...config import ConfigError
-from ...membership.sight import Verdict as SightVerdict
+from ...config import ConfigurationError
+from ...membership.partition_detector import Verdict as SightVerdict
 from .conditions import KINDS, ONLY_UDP
 
 # A desk's machine carries so many servers, each with stand-ins of its own, and one rig process all their
@@ -171,14 +171,14 @@
     def __init__(self, name: str, lines: dict[str, int]) -> None:
         self._name, self._lines = name, lines
 
-    def error(self, path: str, what: str) -> ConfigError:
+    def error(self, path: str, what: str) -> ConfigurationError:
         """An error at a path; the line is that of the nearest thing that stands in the file."""
         near = path
         while near not in self._lines and near:
             near = near[: max(near.rfind("."), near.rfind("["), 0)]
         line = self._lines.get(near, 1)
         key = path.lstrip(".")
-        return ConfigError(f"{self._name}, line {line}: {key + ': ' if key else ''}{what}")
+        return ConfigurationError(f"{self._name}, line {line}: {key + ': ' if key else ''}{what}")
 
     def between(self, path: str, value: float, least: float, most: float) -> None:
         """A number within its bounds."""
@@ -262,7 +262,7 @@
         lines = _lines(yaml.compose(text, Loader=yaml.SafeLoader))
         tree: Any = yaml.safe_load(text)
     except yaml.YAMLError as error:
-        raise ConfigError(f"{name}: {' '.join(str(error).split())}") from None
+        raise ConfigurationError(f"{name}: {' '.join(str(error).split())}") from None
     check = _Check(name, lines)
     try:
         told = msgspec.convert({} if tree is None else tree, type=Scenario, strict=True)
@@ -295,9 +295,9 @@
     try:
         return parse(path.read_text(), str(path))
     except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from None
+        raise ConfigurationError(f"{path}: {error.strerror}") from None
     except UnicodeDecodeError:
-        raise ConfigError(f"{path}: not UTF-8") from None
+        raise ConfigurationError(f"{path}: not UTF-8") from None
 
 
 def shipped() -> Path:
--- a/cairnvane/lab/fuzz.py
+++ b/cairnvane/testbed/fuzz.py
@@ -14,10 +14,10 @@
 
 import msgspec
 
-from ..membership.channel import Channel
-from ..membership.machine import Member
+from ..membership.member_table import Claim, Info, Status
 from ..membership.messages import MOST_BYTES, Ack, Ask, Ping, seal
-from ..membership.state import Claim, Info, Status
+from ..membership.swim import SwimMember
+from ..membership.transport import MemberTransport
 from .sockets import HOST
 
 KEY, OTHER = b"of the laboratory only", b"of somebody else's fleet"
@@ -142,7 +142,7 @@
         ]
 
 
-def _seen(member: Member) -> dict[int, tuple[Any, ...]]:
+def _seen(member: SwimMember) -> dict[int, tuple[Any, ...]]:
     """All that a datagram could change of what is known."""
     return {life: (known.claim, known.info) for life, known in member.table.lives.items()} | {
         0: (member.own, sorted(member.table.up), member.table.count(Status.SUSPECT))
@@ -157,7 +157,7 @@
     """Let a channel take so many."""
     rng, report = random.Random(seed), Report(datagrams, seed)
     lives = _lives(rng)
-    channel = Channel((HOST, 0), KEY, "n0", "p0", [])
+    channel = MemberTransport((HOST, 0), KEY, "n0", "p0", [])
     member = channel._member
     old = [
         seal(KEY, one.life, number, Ping(number, member.own.life, [one]))
--- a/cairnvane/lab/hostile.py
+++ b/cairnvane/testbed/hostile.py
@@ -120,7 +120,7 @@
         with socket.create_connection(address, 5 * DUE_S) as sock:
             sock.sendall(http.request(verb, path, address, {}, b""))
             reply = http.read_reply(sock, time.monotonic() + 5 * DUE_S)
-    except (OSError, http.BadReply) as error:
+    except (OSError, http.InvalidReplyError) as error:
         calls.wrong.append(f"{verb} {path}: {type(error).__name__} {error}")
         calls.took_ms.append((time.monotonic() - start) * 1e3)
         return b""
--- a/cairnvane/lab/members.py
+++ b/cairnvane/testbed/members.py
@@ -15,9 +15,9 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any, Protocol
 
-from ..membership.machine import Action, Address, Exchange, Member, Options, Send, Tell
+from ..membership.member_table import Claim
 from ..membership.messages import Message, Nack, seal
-from ..membership.state import Claim
+from ..membership.swim import Action, Address, Exchange, Options, Send, SwimMember, Tell
 from .cores import spread
 
 SECOND = 1_000_000
@@ -60,7 +60,7 @@
         contacts: list[Address],
         options: Options,
     ) -> None:
-        self.member = Member(own, rng, now, contacts=contacts, options=options)
+        self.member = SwimMember(own, rng, now, contacts=contacts, options=options)
         self.life = own.life
         self.next_at, self.tick, self.handle = self.member.next_at, self.member.tick, self.member.handle
 
--- a/cairnvane/lab/program.py
+++ b/cairnvane/testbed/program.py
@@ -15,12 +15,13 @@
 from pathlib import Path
 from typing import Any
 
+from .. import log_events
 from . import victim
 
 START_WAIT_S = 20.0
 # An order is taken at once, but by a process that may have little of a core.
 ORDER_WAIT_S = 5.0
-_RECOVERED = re.compile(r"kept results and .* in ([0-9.]+) ms")
+_RECOVERED = log_events.pattern(log_events.RESULTS_RECOVERED)
 _LISTENS = re.compile(r"listens on 127\.0\.0\.1:([0-9]+)")
 
 
@@ -132,7 +133,7 @@
     environment |= {victim.KILL: kill, victim.MUTANT: mutant, victim.CLOCK: str(clock_s)}
     environment[victim.RIG] = str(os.getpid())
     process = subprocess.Popen(
-        [sys.executable, "-m", "cairnvane.lab.victim"], env=environment, stderr=subprocess.PIPE, text=True
+        [sys.executable, "-m", "cairnvane.testbed.victim"], env=environment, stderr=subprocess.PIPE, text=True
     )
     life = Life(process, time.monotonic())
     threading.Thread(target=life.watch, daemon=True).start()
--- a/cairnvane/lab/recovery.py
+++ b/cairnvane/testbed/recovery.py
@@ -16,43 +16,51 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
-from .. import interface as i
-from ..control import Controller
-from ..interface import Outcome
+from ..admission.controller import Controller
+from ..contract.actions import Action, Cancel, Fail, MakeCall, Reject, SetTimer, StartRun
+from ..contract.events import Arrival, CallFinished, CallRequested, Event, Outcome, RunFinished, TimerFired
+from ..contract.settings import (
+    CancelMode,
+    DependencyKind,
+    LoadSignal,
+    RequestClass,
+    RetrySemantics,
+    Settings,
+)
 
 SECOND = 1_000_000
 CORES = 4
 # Half of a request's work on a core at full speed, before its call and after it: 22 requests a second.
 HALF_S = 0.088
 CLASSES = (
-    i.RequestClass("price-view", aim=1_400_000, patience=3_400_000),
-    i.RequestClass("bid-update", aim=2_300_000, patience=5_800_000, worth=2.0),
-    i.RequestClass(
+    RequestClass("price-view", latency_objective=1_400_000, client_timeout=3_400_000),
+    RequestClass("bid-update", latency_objective=2_300_000, client_timeout=5_800_000, priority_weight=2.0),
+    RequestClass(
         "bid-commit",
-        aim=2_300_000,
-        patience=5_800_000,
-        worth=3.0,
-        late_worth=0.2,
-        repeat=i.Repeat.KEYED,
-        window=17_364_000,
+        latency_objective=2_300_000,
+        client_timeout=5_800_000,
+        priority_weight=3.0,
+        late_fraction=0.2,
+        retry_semantics=RetrySemantics.IDEMPOTENCY_KEYED,
+        retry_window=17_364_000,
     ),
 )
 MIX = (5, 3, 2)
-SETTINGS = i.Settings(
+SETTINGS = Settings(
     cores=CORES,
     memory=200_000.0,
     classes=CLASSES,
-    run_factor=16.0,
+    running_memory_factor=16.0,
     key_memory=1.0,
-    halt=i.HaltMode.DROP,
-    signal=i.Signal.CREDIT,
-    downstream=i.Downstream.SHARED,
-    fair_calls=4.0,
-    calls_window=5_000_000,
-    callers=8,
-    crowd_multiple=8.0,
+    cancel_mode=CancelMode.DISCARD,
+    load_signal=LoadSignal.CREDIT,
+    dependency=DependencyKind.SHARED,
+    dependency_quota=4.0,
+    dependency_window=5_000_000,
+    clients=8,
+    max_oversubscription=8.0,
     drain_grace=2_500_000,
-    max_advice=1_000_000,
+    max_retry_after=1_000_000,
 )
 # Callers try again so soon after a refusal, and so often in all.
 AGAIN_US, TRIES = 2_000, 5
@@ -158,42 +166,42 @@
     def _try(self, cls: int, number: int) -> None:
         rid = next(self._count)
         self._tries[rid] = cls, number
-        self._tell(i.Arrival(rid, cls, memory=24.5, caller=self.random.randrange(8)))
+        self._tell(Arrival(rid, cls, memory=24.5, client=self.random.randrange(8)))
 
     # --- the module
 
-    def _tell(self, *events: i.Event) -> None:
+    def _tell(self, *events: Event) -> None:
         for action in self.control.handle(self.now, events):
             self._carry_out(action)
 
-    def _carry_out(self, action: i.Action) -> None:
-        if isinstance(action, i.SetTimer):
-            self._at(max(0, action.at - self.now), self._tick)
-        elif isinstance(action, i.Run):
+    def _carry_out(self, action: Action) -> None:
+        if isinstance(action, SetTimer):
+            self._at(max(0, action.due_at - self.now), self._tick)
+        elif isinstance(action, StartRun):
             self.runs[self.now // SECOND] += 1
-            self._stage[action.id], self._began[action.id] = 1, self.now
-            self._queue.append(action.id)
+            self._stage[action.request_id], self._began[action.request_id] = 1, self.now
+            self._queue.append(action.request_id)
             self._work()
-        elif isinstance(action, i.Refuse):
+        elif isinstance(action, Reject):
             self.refused[self.now // SECOND] += 1
-            cls, number = self._tries.pop(action.id)
+            cls, number = self._tries.pop(action.request_id)
             if number < TRIES:
                 self._at(AGAIN_US, lambda: self._try(cls, number + 1))
-        elif isinstance(action, i.Fail):
-            if self._stage.get(action.id) == 2 and self.tells_over:
-                self._end(action.id, Outcome.CANCELLED)
-        elif isinstance(action, i.Halt):
-            if action.id in self._stage:
-                self._end(action.id, Outcome.CANCELLED)
-        elif isinstance(action, i.Call):
-            self._call(action.id, action.timeout)
+        elif isinstance(action, Fail):
+            if self._stage.get(action.request_id) == 2 and self.tells_over:
+                self._end(action.request_id, Outcome.CANCELLED)
+        elif isinstance(action, Cancel):
+            if action.request_id in self._stage:
+                self._end(action.request_id, Outcome.CANCELLED)
+        elif isinstance(action, MakeCall):
+            self._call(action.request_id, action.timeout)
 
     def _tick(self) -> None:
-        self._tell(i.TimerFired(0, self._busy / CORES, float(self._busy + len(self._queue)), 0.1, 10))
+        self._tell(TimerFired(0, self._busy / CORES, float(self._busy + len(self._queue)), 0.1, 10))
 
     # --- the pool
 
-    def _notice(self, event: i.Event) -> None:
+    def _notice(self, event: Event) -> None:
         """What the pool says is heard at once, or once its link is up."""
         away = self.troubled and self.trouble.kind in ("away", "late")
         self._at(self.over_us - self.now if away else 0, lambda: self._tell(event))
@@ -210,7 +218,7 @@
         self._busy -= 1
         if self._stage.get(rid) == 1:
             self._stage[rid] = 2
-            self._notice(i.CallNeeded(rid))
+            self._notice(CallRequested(rid))
         elif rid in self._stage:
             self.ends[self.now // SECOND] += 1
             self._end(rid, Outcome.OK)
@@ -221,7 +229,7 @@
         took = self.now - self._began.pop(rid)
         self._calls.pop(rid, None)
         self._tries.pop(rid, None)
-        self._notice(i.Finished(rid, outcome, took))
+        self._notice(RunFinished(rid, outcome, took))
 
     # --- the vault
 
@@ -245,7 +253,7 @@
             self._stage[rid] = 3
             self._queue.append(rid)
             self._work()
-        self._tell(i.CallEnded(rid, end, took))
+        self._tell(CallFinished(rid, end, took))
 
 
 RATES, LENGTHS_S, SEEDS = (1.0, 5.0, 13.0, 20.0, 50.0), (2, 6, 30), (1, 2, 3)
--- a/cairnvane/lab/shares.py
+++ b/cairnvane/testbed/shares.py
@@ -17,7 +17,7 @@
 from functools import partial
 from typing import Any, Self
 
-from ..shedding.lending import Grant, Lending, Word
+from ..load_shedding.quota_leases import Grant, QuotaLeases, Word
 from .cores import spread
 
 SECOND = 1_000_000
@@ -37,7 +37,7 @@
 @dataclass(slots=True)
 class _Server:
     life: int
-    lending: Lending
+    lending: QuotaLeases
     want: float = FLOOR
     up: bool = True
     still_until: int = 0
@@ -54,7 +54,7 @@
         self.now, self._order, self._lives = 0, itertools.count(), itertools.count(1)
         self._agenda: list[tuple[int, int, Callable[[], None]]] = []
         self.servers = [
-            _Server(next(self._lives), Lending(FLOOR, 0, first=True), told={}) for _ in range(servers)
+            _Server(next(self._lives), QuotaLeases(FLOOR, 0, first=True), told={}) for _ in range(servers)
         ]
         self.loss = 0.2 if trouble in ("loss", "all") else 0.0
         self.side = [0] * servers
@@ -180,7 +180,7 @@
 
     def _start(self, number: int) -> None:
         want = self.servers[number].want
-        self.servers[number] = _Server(next(self._lives), Lending(FLOOR, self.now), want, told={})
+        self.servers[number] = _Server(next(self._lives), QuotaLeases(FLOOR, self.now), want, told={})
 
     def run(self) -> Self:
         """All of it."""
--- a/cairnvane/lab/sockets.py
+++ b/cairnvane/testbed/sockets.py
@@ -8,7 +8,6 @@
 import threading
 from collections.abc import Callable
 
-
 HOST = "127.0.0.1"
 # Below the ports that outgoing connections get by themselves.
 LEAST_PORT, MOST_PORT = 20_000, 32_000
--- a/cairnvane/lab/vault.py
+++ b/cairnvane/testbed/vault.py
@@ -9,7 +9,6 @@
 
 from .sockets import Listener, read_http
 
-
 # A vault that fell over refuses everybody for so long.
 FALLEN_S = 1.0
 
--- a/cairnvane/lab/victim.py
+++ b/cairnvane/testbed/victim.py
@@ -1,4 +1,4 @@
-"""`python -m cairnvane.lab.victim`: the real program, killed at a named point of the keeper's work.
+"""`python -m cairnvane.testbed.victim`: the real program, killed at a named point of the keeper's work.
 
 CAIRNVANE_LAB_KILL names the point and how often it is passed before, as in `written intent:3`. SIGKILL is
 what ends it, from within: nothing is flushed and no one is told. CAIRNVANE_LAB_MUTANT takes a part of the
@@ -19,15 +19,15 @@
 from functools import partial
 from pathlib import Path
 
-from .. import lasting
-from ..__main__ import LEAVE, RELOAD, main
-from ..digest import DIGEST_BYTES
+from ..claims import ClaimLog
 from ..exchange import Request
-from ..host import Host
-from ..keyed import Beside, plan
-from ..keys import Begun
-from ..lasting import Lasting
-from ..ledger import Ledger
+from ..idempotency import durability
+from ..idempotency.durability import DurableKeys
+from ..idempotency.durable import TakeoverStore, retention
+from ..idempotency.fingerprint import FINGERPRINT_BYTES
+from ..idempotency.store import StartedRun
+from ..server.event_loop import EventLoop
+from ..server.main import LEAVE, RELOAD, main
 
 KILL, MUTANT = "CAIRNVANE_LAB_KILL", "CAIRNVANE_LAB_MUTANT"
 MUTANTS = ("no-intents", "no-results")
@@ -36,7 +36,7 @@
 # By order, for or by so many seconds: all threads stand still, as one that holds the interpreter makes them;
 # the host thread alone does; Unix time jumps.
 FAULTS = ("hold", "busy", "clock")
-_hosts: list[Host] = []
+_hosts: list[EventLoop] = []
 # Whether the rig is still there is looked at so often.
 LOOK_S = 1.0
 
@@ -78,7 +78,7 @@
 
 
 def _known(make: Callable[..., None]) -> Callable[..., None]:
-    def remember(self: Host, *args: object, **more: object) -> None:
+    def remember(self: EventLoop, *args: object, **more: object) -> None:
         make(self, *args, **more)
         _hosts.append(self)
 
@@ -101,8 +101,8 @@
 
 
 def _no_intents(
-    self: Beside,
-    begun: Begun,
+    self: TakeoverStore,
+    begun: StartedRun,
     then: Callable[[], None],
     other: Callable[[bool], None],
 ) -> None:
@@ -110,7 +110,7 @@
 
 
 def _no_results(
-    self: Beside,
+    self: TakeoverStore,
     token: bytes,
     until: int,
     same: bytes,
@@ -118,17 +118,17 @@
     settles: tuple[int, ...],
     then: Callable[[], None],
 ) -> None:
-    self._ledger.never(token, until, settles)  # and the log hears of no end
+    self._ledger.record_never_started(token, until, settles)  # and the log hears of no end
     then()
 
 
-def _no_digests(self: Lasting, request: Request) -> bytes:
-    return bytes(DIGEST_BYTES)
+def _no_digests(self: DurableKeys, request: Request) -> bytes:
+    return bytes(FINGERPRINT_BYTES)
 
 
 def _no_claims(
-    self: Ledger,
-    begun: Begun,
+    self: ClaimLog,
+    begun: StartedRun,
     then: Callable[[], None],
     other: Callable[[bool], None],
 ) -> None:
@@ -138,21 +138,21 @@
 if __name__ == "__main__":
     mutant = os.environ.get(MUTANT, "")
     if mutant == "no-intents":
-        Beside.intend = _no_intents  # type: ignore[method-assign]
+        TakeoverStore.record_start = _no_intents  # type: ignore[method-assign]
     elif mutant == "no-results":
-        Beside.ended = _no_results  # type: ignore[method-assign]
-        lasting.RECENT = 0  # nor does the life itself remember them
+        TakeoverStore.record_end = _no_results  # type: ignore[method-assign]
+        durability.RECENT_RESULTS = 0  # nor does the life itself remember them
     elif mutant == "no-claims":
-        Ledger.intend = _no_claims  # type: ignore[method-assign]
+        ClaimLog.record_start = _no_claims  # type: ignore[method-assign]
     elif mutant == "no-digests":
-        Lasting.digest = _no_digests  # type: ignore[method-assign]
+        DurableKeys.fingerprint = _no_digests  # type: ignore[method-assign]
     # Before any thread: one that left them open would be ended by what the main thread waits for.
     signal.pthread_sigmask(signal.SIG_BLOCK, {ORDER, *LEAVE, RELOAD})
-    Host.__init__ = _known(Host.__init__)  # type: ignore[method-assign]
+    EventLoop.__init__ = _known(EventLoop.__init__)  # type: ignore[method-assign]
     threading.Thread(target=_obey, args=(int(os.environ[RIG]),), name="orders", daemon=True).start()
     if shift := float(os.environ.get(CLOCK) or 0):
         _shift(shift)
     told = os.environ.get(KILL, "")
     if told.startswith("compact"):  # which would else wait for space to become scarce
-        plan.COMPACT_ABOVE, plan.COMPACT_DEAD = 0.0, 0.05
+        retention.COMPACT_ABOVE, retention.COMPACT_DEAD = 0.0, 0.05
     sys.exit(main(killer(told) if told else None))
--- a/cairnvane/xds/grpc_stream.py
+++ b/cairnvane/xds/grpc_stream.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import logging
 import threading
 import time
 from collections.abc import Callable
@@ -16,11 +17,12 @@
 from envoy.service.discovery.v3 import ads_pb2_grpc, discovery_pb2
 from google.rpc import status_pb2
 
-from .. import log
 from . import resources
 from .machine import DeltaRequest, DeltaResponse, Request, Response
 from .session import Session, Step, make_delta, make_state_of_the_world
 
+logger = logging.getLogger(__name__)
+
 # A stream that has ended is begun anew after so long, and after twice as long each time that nothing came
 # on it.
 RETRY_S, MOST_RETRY_S = 0.1, 5.0
@@ -106,7 +108,7 @@
                 try:
                     wait = RETRY_S if self._converse(channel) else min(MOST_RETRY_S, 2 * wait)
                 except grpc.RpcError as error:
-                    log.say("xds", f"stream ended: {error.code().name}")
+                    logger.warning("stream ended: %s", error.code().name)
             self._stopped.wait(wait)
 
     def _converse(self, channel: Any) -> bool:
--- a/cairnvane/xds/resources.py
+++ b/cairnvane/xds/resources.py
@@ -16,11 +16,11 @@
 from google.protobuf import json_format
 from google.protobuf.message import DecodeError
 
-from ..fleet.bounds import Breakers, RetryBudget
-from ..fleet.description import MILLION, Assignment, Cluster, Locality, Policy
-from ..fleet.members import Address, Described, Health
-from ..fleet.shares import PANIC_THRESHOLD
-from ..fleet.weighted import MOST_WEIGHT
+from ..load_balancing.circuit_breakers import Breakers, RetryBudget
+from ..load_balancing.cluster import MILLION, Assignment, Cluster, Locality, Policy
+from ..load_balancing.endpoints import Address, Described, Health
+from ..load_balancing.locality_weights import PANIC_THRESHOLD
+from ..load_balancing.weighted_choice import MOST_WEIGHT
 from .session import ASSIGNMENT, CLUSTER
 
 # Names are not looked up here, and no listener is there that could know an original destination.
--- a/cairnvane/xds/view.py
+++ b/cairnvane/xds/view.py
@@ -9,7 +9,7 @@
 
 from dataclasses import dataclass
 
-from ..fleet.description import Assignment, Cluster
+from ..load_balancing.cluster import Assignment, Cluster
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_door.py
+++ b/tests/administration/test_administration.py
@@ -15,15 +15,22 @@
 
 import pytest
 from peers import TOKEN, WAIT_S, Balancer, PoolPeer, world
-from test_program import NOWHERE, program
-
-from cairnvane.door import Duty, Tally
-from cairnvane.door.calls import Calls
-from cairnvane.door.gate import Gate
-from cairnvane.door.head import MAX_HEAD, BadCall, Call, Head
-from cairnvane.door.listener import LEAST_CALLERS, MOST_CALLERS, Door, places
-from cairnvane.door.waiting import CALL_WAIT_S, GRACE_S, MOST_PER_S, PACE_S, Phase, Waiting
-from cairnvane.exchange import Verdict
+from server.test_program import NOWHERE, program
+
+from cairnvane.administration import Readiness, RequestCounters
+from cairnvane.administration.connection_slots import (
+    CALL_WAIT_S,
+    GRACE_S,
+    MOST_PER_S,
+    PACE_S,
+    ConnectionSlots,
+    Phase,
+)
+from cairnvane.administration.drain_gate import DrainGate
+from cairnvane.administration.endpoints import Endpoints
+from cairnvane.administration.http_request import MAX_HEAD, BadCall, Call, Head
+from cairnvane.administration.http_server import LEAST_CALLERS, MOST_CALLERS, AdministrationServer, places
+from cairnvane.exchange import ResponseStatus
 from cairnvane.net import http
 
 
@@ -39,9 +46,9 @@
     can_serve: bool = True,
     most: int = MOST_CALLERS,
     call_wait_s: float = CALL_WAIT_S,
-) -> Iterator[tuple[Door, Duty, Tally]]:
-    duty, tally = Duty(lambda: can_serve), Tally(("read", "write"))
-    opened = Door(("127.0.0.1", 0), Calls(duty, tally), duty, most, call_wait_s)
+) -> Iterator[tuple[AdministrationServer, Readiness, RequestCounters]]:
+    duty, tally = Readiness(lambda: can_serve), RequestCounters(("read", "write"))
+    opened = AdministrationServer(("127.0.0.1", 0), Endpoints(duty, tally), duty, most, call_wait_s)
     opened.start()
     try:
         yield opened, duty, tally
@@ -51,10 +58,10 @@
 
 def test_the_four_calls_say_yes_and_no() -> None:
     with door() as (opened, duty, tally):
-        tally.taken()
-        tally.ended("read", Verdict.SERVED)
-        tally.attempted("read")
-        tally.taken()
+        tally.request_accepted()
+        tally.response_sent("read", ResponseStatus.SERVED)
+        tally.run_started("read")
+        tally.request_accepted()
         assert call(opened.address, "GET", "/-/ready").status == 200
         figures = json.loads(call(opened.address, "GET", "/-/metrics").body)
         assert figures["requests"]["read"] == {"served": 1, "refused": 0, "failed": 0, "attempts": 1}
@@ -130,7 +137,7 @@
 
 
 def test_who_goes_first_when_all_places_are_taken() -> None:
-    waiting: Waiting[str] = Waiting(3)
+    waiting: ConnectionSlots[str] = ConnectionSlots(3)
     for key in ("half", "silent", "answered"):
         assert waiting.pause(0.0) == 0.0 and waiting.enter(key, 0.0) is None
     waiting.said("half")
@@ -150,7 +157,7 @@
 
 def test_newcomers_wait_while_all_who_are_there_may_still_speak() -> None:
     """Guards: callers that had said half kept their places, and newcomers were gone within milliseconds."""
-    waiting: Waiting[int] = Waiting(4)
+    waiting: ConnectionSlots[int] = ConnectionSlots(4)
     for key in range(3):
         waiting.enter(key, 0.0)
         waiting.said(key)
@@ -162,7 +169,7 @@
 
 
 def test_newcomers_are_paced_only_while_no_place_is_free() -> None:
-    waiting: Waiting[int] = Waiting(1_000)
+    waiting: ConnectionSlots[int] = ConnectionSlots(1_000)
     for key in range(1_000):
         assert waiting.pause(0.0) == 0.0
         waiting.enter(key, 0.0)
@@ -211,9 +218,9 @@
 
 def test_a_drain_by_call_makes_health_bad_and_serves_on() -> None:
     with world() as there:
-        duty, tally = Duty(lambda: True), Tally(("read",))
-        gate = Gate(there.host, duty, tally)
-        there.server.intake, there.server.meter = gate, tally
+        duty, tally = Readiness(lambda: True), RequestCounters(("read",))
+        gate = DrainGate(there.host, duty, tally)
+        there.server.sink, there.server.response_counter = gate, tally
         health = there.balancer()
         health.send(1, path="/status/live", body=b"")
         assert health.answer()[1].status == 200
--- a/tests/test_properties.py
+++ b/tests/admission/test_properties.py
@@ -9,21 +9,22 @@
 from hypothesis import settings as tuned
 from hypothesis import strategies as st
 
-from cairnvane import interface as i
+from cairnvane.contract.events import Arrival, DrainStarted, Outcome
+from cairnvane.contract.settings import CancelMode, DependencyKind, LoadSignal
 
-OUTCOMES = (i.Outcome.OK, i.Outcome.ERROR, i.Outcome.TIMEOUT, i.Outcome.REJECTED, i.Outcome.UNREACHED)
+OUTCOMES = (Outcome.OK, Outcome.ERROR, Outcome.TIMEOUT, Outcome.REJECTED, Outcome.UNREACHED)
 STEP = st.tuples(st.sampled_from("aaaaaffffncgtttd"), st.integers(0, 999), st.integers(0, 999))
 SETUP = st.fixed_dictionaries(
     {
-        "halt": st.sampled_from(i.HaltMode),
-        "signal": st.sampled_from(i.Signal),
-        "downstream": st.sampled_from([i.Downstream.SHARED, i.Downstream.TIER]),
-        "fair_calls": st.sampled_from([0.0, 0.4, 1.0, 3.3, 20.0]),
+        "cancel_mode": st.sampled_from(CancelMode),
+        "load_signal": st.sampled_from(LoadSignal),
+        "dependency": st.sampled_from([DependencyKind.SHARED, DependencyKind.TIER]),
+        "dependency_quota": st.sampled_from([0.0, 0.4, 1.0, 3.3, 20.0]),
         "memory": st.sampled_from([500.0, 2_000.0, 100_000.0]),
-        "cold": st.booleans(),
-        "cold_from": st.just(0.25),
-        "cold_for": st.just(8_000 * MS),
-        "callers": st.sampled_from([0, 1, 5, 900]),
+        "cold_start": st.booleans(),
+        "cold_speed": st.just(0.25),
+        "warmup_time": st.just(8_000 * MS),
+        "clients": st.sampled_from([0, 1, 5, 900]),
     }
 )
 
@@ -45,11 +46,11 @@
             prior = prior if prior in h.kept else None
             left = None if x % 2 else (50 + y * 3) * MS
             queued = min(h.now, (y % 50) * 10 * MS)
-            h.send(i.Arrival(rid, cls, queued, left, 5.0 + x % 20, 1_000 + y, repeats=prior))
+            h.send(Arrival(rid, cls, queued, left, 5.0 + x % 20, 1_000 + y, duplicate_of=prior))
             if rid in h.kept:
                 keyed[key] = rid
         elif kind == "f" and running:
-            outcome = (i.Outcome.OK, i.Outcome.ERROR)[y % 5 == 0]
+            outcome = (Outcome.OK, Outcome.ERROR)[y % 5 == 0]
             h.finish(running[x % len(running)], outcome)
         elif kind == "n" and running:
             h.need(running[x % len(running)])
@@ -60,6 +61,6 @@
         elif kind == "t":
             h.pass_time((1 + y) * MS)
         elif kind == "d" and h.drain_at is None and y < 100:
-            h.send(i.Draining(5_000 * MS))
+            h.send(DrainStarted(5_000 * MS))
     h.pass_time(6_000 * MS)
     assert all(r.answered for r in h.requests.values())
--- a/tests/test_rules.py
+++ b/tests/admission/test_rules.py
@@ -8,12 +8,45 @@
 import pytest
 from helpers import CLASSES, KEYED, MS, SAFE, UNSAFE, Host, host, of, settings
 
-from cairnvane import interface as i
-from cairnvane.control import Controller
+from cairnvane.admission.controller import Controller
+from cairnvane.contract.actions import (
+    Action,
+    Cancel,
+    CloseIdleConnections,
+    Fail,
+    ForgetKey,
+    MakeCall,
+    Reject,
+    RememberKey,
+    ReplayResult,
+    ReportLoad,
+    SetHealth,
+    SetTimer,
+    SkipCall,
+    StartRun,
+)
+from cairnvane.contract.events import (
+    Arrival,
+    CallFinished,
+    CallRequested,
+    ClientDisconnected,
+    DrainStarted,
+    Outcome,
+    RunFinished,
+    TimerFired,
+)
+from cairnvane.contract.settings import (
+    CancelMode,
+    DependencyKind,
+    LoadSignal,
+    RequestClass,
+    Settings,
+    Tenant,
+)
 
 
-def arrive(h: Host, rid: int, cls: int = SAFE, memory: float = 10.0, **more: object) -> list[i.Action]:
-    return h.send(i.Arrival(rid, cls, memory=memory, **more))  # type: ignore[arg-type]
+def arrive(h: Host, rid: int, cls: int = SAFE, memory: float = 10.0, **more: object) -> list[Action]:
+    return h.send(Arrival(rid, cls, memory=memory, **more))  # type: ignore[arg-type]
 
 
 def fill(h: Host, count: int = 4, first: int = 1) -> None:
@@ -30,16 +63,16 @@
     h = host()
     arrive(h, 1, cls, time_left=500 * MS)
     h.pass_time(500 * MS)
-    assert of(h.log, i.Fail) == [i.Fail(1)]
-    assert of(h.log, i.Halt) == [i.Halt(1)]
+    assert of(h.log, Fail) == [Fail(1)]
+    assert of(h.log, Cancel) == [Cancel(1)]
 
 
 def test_work_that_cannot_be_stopped_is_answered_all_the_same() -> None:
-    h = host(halt=i.HaltMode.NONE)
+    h = host(cancel_mode=CancelMode.NONE)
     arrive(h, 1, time_left=500 * MS)
     h.pass_time(500 * MS)
-    assert of(h.log, i.Fail) == [i.Fail(1)]
-    assert not of(h.log, i.Halt)
+    assert of(h.log, Fail) == [Fail(1)]
+    assert not of(h.log, Cancel)
 
 
 def test_held_request_is_refused_before_it_is_due() -> None:
@@ -47,23 +80,23 @@
     fill(h)
     arrive(h, 9, time_left=400 * MS)
     h.pass_time(400 * MS)
-    assert [a.id for a in of(h.log, i.Refuse)] == [9]
+    assert [a.id for a in of(h.log, Reject)] == [9]
 
 
 def test_due_time_falls_back_to_the_class() -> None:
     h = host()
     h.now = 4_000 * MS
-    arrive(h, 1, queued=1_000 * MS)
+    arrive(h, 1, queue_delay=1_000 * MS)
     h.pass_time(2_000 * MS)
-    assert of(h.log, i.Fail) == [i.Fail(1)]
+    assert of(h.log, Fail) == [Fail(1)]
 
 
-@pytest.mark.parametrize("outcome", [i.Outcome.CANCELLED, i.Outcome.MOOT])
-def test_a_run_that_ended_without_an_answer_is_failed(outcome: i.Outcome) -> None:
+@pytest.mark.parametrize("outcome", [Outcome.CANCELLED, Outcome.NEVER_STARTED])
+def test_a_run_that_ended_without_an_answer_is_failed(outcome: Outcome) -> None:
     """Guards: the request was forgotten, its answer still owed."""
     h = host()
     arrive(h, 1)
-    assert of(h.send(i.Finished(1, outcome)), i.Fail) == [i.Fail(1)]
+    assert of(h.send(RunFinished(1, outcome)), Fail) == [Fail(1)]
 
 
 @pytest.mark.parametrize(
@@ -84,8 +117,8 @@
     arrive(h, 1, cls)
     if called:
         h.need(1)
-        h.called(1, i.Outcome.OK)
-    assert bool(of(h.gone(1), i.Halt)) is halts
+        h.called(1, Outcome.OK)
+    assert bool(of(h.gone(1), Cancel)) is halts
 
 
 def calls(h: Host, took: int, count: int) -> None:
@@ -95,23 +128,23 @@
         h.need(rid)
         h.now += took
         h.requests[rid].where = "running"
-        h.send(i.CallEnded(rid, i.Outcome.OK, took))
+        h.send(CallFinished(rid, Outcome.OK, took))
         h.finish(rid)
 
 
-@pytest.mark.parametrize("outcome", [i.Outcome.OK, i.Outcome.UNREACHED, i.Outcome.REJECTED])
-def test_one_short_call_does_not_make_all_others_look_slow(outcome: i.Outcome) -> None:
+@pytest.mark.parametrize("outcome", [Outcome.OK, Outcome.UNREACHED, Outcome.REJECTED])
+def test_one_short_call_does_not_make_all_others_look_slow(outcome: Outcome) -> None:
     """Guards: the first call's time was the best ever, and one call at a time was made for seconds."""
-    h = host(downstream=i.Downstream.SHARED, fair_calls=8.0, memory=1e6)
+    h = host(dependency=DependencyKind.SHARED, dependency_quota=8.0, memory=1e6)
     for rid in range(1, 20):
         arrive(h, rid)
         h.need(rid)
         took = 1 * MS if rid == 1 else 20 * MS
         h.now += took
         h.requests[rid].where = "running"
-        h.send(i.CallEnded(rid, outcome if rid == 1 else i.Outcome.OK, took))
-        if rid == 1 and outcome is not i.Outcome.OK:  # it is tried again
-            h.send(i.CallEnded(rid, i.Outcome.OK, 20 * MS))
+        h.send(CallFinished(rid, outcome if rid == 1 else Outcome.OK, took))
+        if rid == 1 and outcome is not Outcome.OK:  # it is tried again
+            h.send(CallFinished(rid, Outcome.OK, 20 * MS))
         h.finish(rid)
     for rid in range(20, 24):
         arrive(h, rid)
@@ -122,15 +155,15 @@
 def test_request_already_overdue_at_its_reading_is_answered_at_once() -> None:
     h = host()
     h.now = 5_000 * MS
-    assert of(arrive(h, 1, queued=4_000 * MS), i.Refuse)
+    assert of(arrive(h, 1, queue_delay=4_000 * MS), Reject)
 
 
 def test_gone_caller_is_owed_nothing_and_frees_the_core() -> None:
     h = host()
     arrive(h, 1)
-    assert of(h.gone(1), i.Halt) == [i.Halt(1)]
+    assert of(h.gone(1), Cancel) == [Cancel(1)]
     h.pass_time(5_000 * MS)
-    h.send(i.Finished(1, i.Outcome.CANCELLED))
+    h.send(RunFinished(1, Outcome.CANCELLED))
     assert not h.control.running
 
 
@@ -139,19 +172,19 @@
 
 def test_repeat_is_answered_from_its_forerunner() -> None:
     h = host()
-    assert of(arrive(h, 1, KEYED), i.Remember) == [i.Remember(1, 8_005 * MS)]
-    assert of(arrive(h, 2, KEYED, repeats=1), i.Reuse) == [i.Reuse(2)]
+    assert of(arrive(h, 1, KEYED), RememberKey) == [RememberKey(1, 8_005 * MS)]
+    assert of(arrive(h, 2, KEYED, duplicate_of=1), ReplayResult) == [ReplayResult(2)]
     h.finish(1)
     h.pass_time(7_900 * MS)
-    assert of(arrive(h, 3, KEYED, repeats=1), i.Reuse) == [i.Reuse(3)]
+    assert of(arrive(h, 3, KEYED, duplicate_of=1), ReplayResult) == [ReplayResult(3)]
 
 
 def test_waiting_repeat_is_failed_not_refused_when_due() -> None:
     h = host()
     arrive(h, 1, KEYED)
-    arrive(h, 2, KEYED, repeats=1, time_left=300 * MS)
+    arrive(h, 2, KEYED, duplicate_of=1, time_left=300 * MS)
     h.pass_time(300 * MS)
-    assert of(h.log, i.Fail) == [i.Fail(2)]
+    assert of(h.log, Fail) == [Fail(2)]
 
 
 def test_keyed_request_refused_unrun_leaves_no_entry() -> None:
@@ -159,27 +192,27 @@
     fill(h)
     arrive(h, 9, KEYED, time_left=300 * MS)
     h.pass_time(300 * MS)
-    assert of(h.log, i.Forget) == [i.Forget(9)]
+    assert of(h.log, ForgetKey) == [ForgetKey(9)]
 
 
 @pytest.mark.parametrize(
     ("cls", "outcome", "again"),
     [
-        (SAFE, i.Outcome.ERROR, True),
-        (KEYED, i.Outcome.ERROR, False),
-        (KEYED, i.Outcome.TIMEOUT, False),
-        (UNSAFE, i.Outcome.BROKEN, False),
-        (KEYED, i.Outcome.REJECTED, True),
-        (UNSAFE, i.Outcome.UNREACHED, True),
+        (SAFE, Outcome.ERROR, True),
+        (KEYED, Outcome.ERROR, False),
+        (KEYED, Outcome.TIMEOUT, False),
+        (UNSAFE, Outcome.BROKEN, False),
+        (KEYED, Outcome.REJECTED, True),
+        (UNSAFE, Outcome.UNREACHED, True),
     ],
 )
-def test_call_is_repeated_only_if_it_provably_never_ran(cls: int, outcome: i.Outcome, again: bool) -> None:
-    h = host(downstream=i.Downstream.SHARED, fair_calls=10.0)
+def test_call_is_repeated_only_if_it_provably_never_ran(cls: int, outcome: Outcome, again: bool) -> None:
+    h = host(dependency=DependencyKind.SHARED, dependency_quota=10.0)
     arrive(h, 1, cls)
-    assert of(h.need(1), i.Call)
+    assert of(h.need(1), MakeCall)
     actions = h.called(1, outcome)
-    assert bool(of(actions, i.Call)) is again
-    assert bool(of(actions, i.Fail)) is not again
+    assert bool(of(actions, MakeCall)) is again
+    assert bool(of(actions, Fail)) is not again
 
 
 # --- safe drains ---
@@ -188,17 +221,17 @@
 @pytest.mark.parametrize(("late", "runs"), [(2_000 * MS, True), (2_001 * MS, False)])
 def test_what_reached_the_machine_after_the_grace_does_not_run(late: int, runs: bool) -> None:
     h = host()
-    assert of(h.send(i.Draining(5_000 * MS)), i.SetHealth) == [i.SetHealth(False, True)]
+    assert of(h.send(DrainStarted(5_000 * MS)), SetHealth) == [SetHealth(False, True)]
     h.pass_time(2_100 * MS)
-    actions = arrive(h, 1, queued=2_100 * MS - late)
-    assert bool(of(actions, i.Run)) is runs
-    assert bool(of(actions, i.Refuse)) is not runs
+    actions = arrive(h, 1, queue_delay=2_100 * MS - late)
+    assert bool(of(actions, StartRun)) is runs
+    assert bool(of(actions, Reject)) is not runs
 
 
 def test_all_is_answered_before_the_stop() -> None:
     h = host()
     fill(h, 6)
-    h.send(i.Draining(1_000 * MS))
+    h.send(DrainStarted(1_000 * MS))
     h.pass_time(1_000 * MS)
     assert all(r.answered for r in h.requests.values())
 
@@ -208,21 +241,27 @@
 
 def test_what_does_not_fit_into_memory_is_refused() -> None:
     h = host(memory=200.0)
-    assert of(arrive(h, 1, memory=20.0), i.Run)
-    assert of(arrive(h, 2, memory=20.0), i.Refuse)
+    assert of(arrive(h, 1, memory=20.0), StartRun)
+    assert of(arrive(h, 2, memory=20.0), Reject)
 
 
 def test_waiting_repeats_do_not_fill_the_memory() -> None:
     h = host(memory=200.0)
     arrive(h, 1, KEYED, memory=15.0)
     for rid in range(2, 12):
-        arrive(h, rid, KEYED, memory=15.0, repeats=1)
-    assert of(h.log, i.Reuse)
-    assert [a.id for a in of(h.log, i.Fail)]
+        arrive(h, rid, KEYED, memory=15.0, duplicate_of=1)
+    assert of(h.log, ReplayResult)
+    assert [a.id for a in of(h.log, Fail)]
 
 
 def test_calls_do_not_return_as_a_crowd_to_a_cold_instance() -> None:
-    h = host(cold=True, cold_from=0.25, cold_for=10_000 * MS, downstream=i.Downstream.SHARED, fair_calls=50.0)
+    h = host(
+        cold_start=True,
+        cold_speed=0.25,
+        warmup_time=10_000 * MS,
+        dependency=DependencyKind.SHARED,
+        dependency_quota=50.0,
+    )
     h.control.call_cap = 1.0
     for rid in range(1, 40):
         arrive(h, rid)
@@ -235,7 +274,7 @@
 
 
 def test_cold_instance_runs_no_larger_crowd_than_it_survives() -> None:
-    h = host(cold=True, cold_from=0.25, cold_for=10_000 * MS)
+    h = host(cold_start=True, cold_speed=0.25, warmup_time=10_000 * MS)
     h.control.limit = 50
     fill(h, 30)
     assert h.count("running") <= 8
@@ -246,19 +285,19 @@
 
 
 def test_calls_in_hand_stay_in_the_share_with_those_that_linger() -> None:
-    h = host(downstream=i.Downstream.SHARED, fair_calls=2.5, call_linger=200 * MS)
+    h = host(dependency=DependencyKind.SHARED, dependency_quota=2.5, abandoned_call_time=200 * MS)
     fill(h)
     for rid in (1, 2, 3, 4):
         h.need(rid)
     assert h.count("calling") == 2
-    assert not of(h.called(1, i.Outcome.TIMEOUT), i.Call)  # the abandoned call is still in hand below
+    assert not of(h.called(1, Outcome.TIMEOUT), MakeCall)  # the abandoned call is still in hand below
     h.now += 200 * MS
-    assert of(h.send(), i.Call)
+    assert of(h.send(), MakeCall)
 
 
 def test_calls_give_way_when_they_grow_slow_and_come_back() -> None:
     """Incident ica6448: calls piled up below, out of sight of any local queue, and slowed each other down."""
-    h = host(downstream=i.Downstream.SHARED, fair_calls=10.0)
+    h = host(dependency=DependencyKind.SHARED, dependency_quota=10.0)
     most = h.control.call_cap
     calls(h, 20 * MS, 10)
     calls(h, 200 * MS, 10)
@@ -269,7 +308,7 @@
 
 def test_calls_that_stay_slow_with_one_out_are_no_longer_held_back() -> None:
     """Guards: a vault slow by itself was asked one call at a time, and most requests failed on that."""
-    h = host(downstream=i.Downstream.SHARED, fair_calls=10.0)
+    h = host(dependency=DependencyKind.SHARED, dependency_quota=10.0)
     calls(h, 20 * MS, 10)
     calls(h, 200 * MS, 40)
     assert h.control.call_cap > 2
@@ -279,28 +318,28 @@
     """Guards: with all places for calls held nothing was begun, and callers were told to hold back, though
     the cores idled and a third of the requests needed no call. Those with a call failed at it."""
     h = host(
-        downstream=i.Downstream.SHARED,
-        fair_calls=10.0,
-        signal=i.Signal.CREDIT,
-        classes=(replace(CLASSES[SAFE], skip_worth=0.0), *CLASSES[1:]),
+        dependency=DependencyKind.SHARED,
+        dependency_quota=10.0,
+        load_signal=LoadSignal.CREDIT,
+        classes=(replace(CLASSES[SAFE], degraded_fraction=0.0), *CLASSES[1:]),
     )
     calls(h, 20 * MS, 10)
     h.control.call_cap = 1.0
     for rid in range(100, 108):
         arrive(h, rid)
         h.need(rid)
-    assert not of(arrive(h, 200), i.Run)
-    assert of(arrive(h, 201, KEYED), i.Run)  # none of this class was seen to call
+    assert not of(arrive(h, 200), StartRun)
+    assert of(arrive(h, 201, KEYED), StartRun)  # none of this class was seen to call
     refused = []
     for _ in range(80):
         h.now += 20 * MS
-        refused += of(h.send(), i.Refuse)
+        refused += of(h.send(), Reject)
     assert [(refuse.id, refuse.no_retry) for refuse in refused] == [(200, True)]
     assert h.control.open == 1.0
 
 
 def test_what_may_be_our_own_delay_holds_no_call_back() -> None:
-    h = host(downstream=i.Downstream.SHARED, fair_calls=10.0)
+    h = host(dependency=DependencyKind.SHARED, dependency_quota=10.0)
     calls(h, 2 * MS, 10)
     most = h.control.call_cap
     calls(h, 12 * MS, 20)
@@ -309,27 +348,27 @@
 
 def test_a_call_that_never_ends_is_given_up_long_before_its_request_is() -> None:
     """Guards: each held a place until its caller left, and with all places held nothing was begun."""
-    h = host(downstream=i.Downstream.SHARED, fair_calls=10.0)
+    h = host(dependency=DependencyKind.SHARED, dependency_quota=10.0)
     calls(h, 20 * MS, 10)
     for rid, cls, most in ((901, SAFE, 140), (902, KEYED, 560)):
         arrive(h, rid, cls)
-        (call,) = of(h.need(rid), i.Call)
+        (call,) = of(h.need(rid), MakeCall)
         assert most * 0.9 <= call.timeout / MS <= most * 1.1
     cap = h.control.call_cap
     h.now += 140 * MS
     h.requests[901].where = "running"
-    h.send(i.CallEnded(901, i.Outcome.TIMEOUT, 140 * MS))
+    h.send(CallFinished(901, Outcome.TIMEOUT, 140 * MS))
     assert h.control.call_cap == cap  # one loss says nothing of the others
 
 
 def test_a_tick_counts_though_events_come_faster_than_its_gauges() -> None:
     """Guards: each event after a timer's time replaced that timer, and no tick counted for seconds."""
     control = Controller(settings(), 1, 0)
-    control.handle(0, [i.Arrival(1, SAFE)])
+    control.handle(0, [Arrival(1, SAFE)])
     at = control.timer_at
     for late in (1, 2):  # due, but its gauges are still on their way
-        assert not of(control.handle(at + late * MS, [i.Arrival(1 + late, SAFE)]), i.SetTimer)
-    (again,) = of(control.handle(at + 3 * MS, [i.TimerFired(0, cpu_busy=0.5, runnable=3)]), i.SetTimer)
+        assert not of(control.handle(at + late * MS, [Arrival(1 + late, SAFE)]), SetTimer)
+    (again,) = of(control.handle(at + 3 * MS, [TimerFired(0, cpu_busy=0.5, runnable=3)]), SetTimer)
     assert again.at > at
 
 
@@ -338,7 +377,7 @@
     h = host()
     for rid in range(1, 400):
         h.pass_time(60 * MS)
-        arrive(h, rid, caller=rid)
+        arrive(h, rid, client=rid)
         h.finish(rid)
     assert len(h.control.seen) < 200
 
@@ -352,14 +391,14 @@
     for rid in range(1, 5):
         h.requests[rid].where, h.requests[rid].answered = "over", True
     h.now = 400 * MS
-    h.send(*(i.Finished(rid, i.Outcome.OK, 400 * MS) for rid in range(1, 5)))
+    h.send(*(RunFinished(rid, Outcome.OK, 400 * MS) for rid in range(1, 5)))
     h.control.open = 0.9
-    assert of(arrive(h, 8, queued=700 * MS), i.Run)  # with a core free an estimate is not trusted
+    assert of(arrive(h, 8, queue_delay=700 * MS), StartRun)  # with a core free an estimate is not trusted
     h.control.limit = 8
     fill(h, 3, first=20)
-    actions = arrive(h, 9, queued=700 * MS)
-    assert not of(actions, i.Run)
-    assert [a.id for a in of(actions, i.Refuse)] == [9]
+    actions = arrive(h, 9, queue_delay=700 * MS)
+    assert not of(actions, StartRun)
+    assert [a.id for a in of(actions, Reject)] == [9]
 
 
 @pytest.mark.parametrize(("queued", "no_retry"), [(0, False), (140 * MS, False), (160 * MS, True)])
@@ -368,8 +407,8 @@
     h = host(memory=200.0)
     h.now = 5_000 * MS
     arrive(h, 1, memory=20.0)
-    actions = arrive(h, 2, memory=20.0, queued=queued)
-    assert [a.no_retry for a in of(actions, i.Refuse)] == [no_retry]
+    actions = arrive(h, 2, memory=20.0, queue_delay=queued)
+    assert [a.no_retry for a in of(actions, Reject)] == [no_retry]
 
 
 @pytest.mark.parametrize("late_worth", [0.0, 0.8])
@@ -378,25 +417,25 @@
 ) -> None:
     """Round 34: calls were skipped on a guess. Round 71: with room for the call, the late were failed."""
     h = host(
-        downstream=i.Downstream.SHARED,
-        fair_calls=1.2,
-        classes=(replace(CLASSES[SAFE], late_worth=late_worth),),
+        dependency=DependencyKind.SHARED,
+        dependency_quota=1.2,
+        classes=(replace(CLASSES[SAFE], late_fraction=late_worth),),
     )
     arrive(h, 1)
     h.need(1)
     h.now += 300 * MS
     h.requests[1].where = "running"
-    h.send(i.CallEnded(1, i.Outcome.OK, 300 * MS))  # calls are slow
-    arrive(h, 2, queued=750 * MS)
-    arrive(h, 3, queued=750 * MS)
+    h.send(CallFinished(1, Outcome.OK, 300 * MS))  # calls are slow
+    arrive(h, 2, queue_delay=750 * MS)
+    arrive(h, 3, queue_delay=750 * MS)
     assert h.requests[3].where == "running"
     actions = h.need(2)  # there is room for its call, which would end too late
-    assert bool(of(actions, i.SkipCall)) is (late_worth == 0.0)
-    assert not of(actions, i.Fail)
+    assert bool(of(actions, SkipCall)) is (late_worth == 0.0)
+    assert not of(actions, Fail)
     h.finish(1)
     arrive(h, 4)
     h.need(4)  # takes the one place, if it is free
-    assert of(h.need(3), i.SkipCall) == [i.SkipCall(3)]
+    assert of(h.need(3), SkipCall) == [SkipCall(3)]
 
 
 def test_waiting_unread_takes_the_run_limit_back_to_the_cores() -> None:
@@ -408,7 +447,7 @@
     h.pass_time(110 * MS)
     assert h.count("running") > 4
     h.runnable = 9
-    arrive(h, 20, queued=200 * MS)
+    arrive(h, 20, queue_delay=200 * MS)
     while h.count("running") > 3 and h.count("held"):
         h.finish(h.ids("running")[0])
     assert h.count("running") <= 4
@@ -419,16 +458,16 @@
     h = host()
     for rid in range(1, 200):
         h.pass_time(60 * MS)
-        arrive(h, rid, caller=rid)
+        arrive(h, rid, client=rid)
         h.finish(rid)
     h.pass_time(60 * MS)
-    assert [a.after for a in of(h.log, i.CloseIdle)] == [100 * MS]
+    assert [a.after for a in of(h.log, CloseIdleConnections)] == [100 * MS]
     for rid in range(200, 400):
         h.pass_time(60 * MS)
-        arrive(h, rid, caller=rid % 5)
+        arrive(h, rid, client=rid % 5)
         h.finish(rid)
     h.pass_time(60 * MS)
-    assert [a.after for a in of(h.log, i.CloseIdle)] == [100 * MS, 0]
+    assert [a.after for a in of(h.log, CloseIdleConnections)] == [100 * MS, 0]
 
 
 def test_idle_connections_are_kept_longer_while_handshakes_swamp_the_reading() -> None:
@@ -440,9 +479,9 @@
         h.log.clear()
         for rid in range(first, first + count):
             h.pass_time(60 * MS)
-            arrive(h, rid, caller=rid, queued=queued)
+            arrive(h, rid, client=rid, queue_delay=queued)
             h.finish(rid)
-        return [a.after for a in of(h.log, i.CloseIdle)]
+        return [a.after for a in of(h.log, CloseIdleConnections)]
 
     assert pass_by(1, 200, 0, 0.95) == [100 * MS]
     assert pass_by(201, 60, 400 * MS, 0.95)[-1] > 20_000 * MS
@@ -457,26 +496,26 @@
     """Round 50: at full size a walk costs a handshake and a reading at each server."""
     h = host(memory=200.0)
     arrive(h, 1, memory=20.0)
-    assert not of(arrive(h, 2, memory=20.0), i.Refuse)[0].no_retry
+    assert not of(arrive(h, 2, memory=20.0), Reject)[0].no_retry
     for rid in range(3, 60):
         h.pass_time(50 * MS)
         actions = arrive(h, rid, memory=20.0)
-    assert of(actions, i.Refuse)[0].no_retry
+    assert of(actions, Reject)[0].no_retry
 
 
-LATE = replace(CLASSES[SAFE], late_worth=0.2)
+LATE = replace(CLASSES[SAFE], late_fraction=0.2)
 
 
 def test_in_calm_the_credit_binds_no_caller() -> None:
     """Round 67: one caller with a tenth of all traffic turned its own requests away while cores idled."""
-    h = host(signal=i.Signal.CREDIT, callers=900)
+    h = host(load_signal=LoadSignal.CREDIT, clients=900)
     h.pass_time(60 * MS)
-    assert of(h.log, i.Advertise) == [i.Advertise(16.0)]
+    assert of(h.log, ReportLoad) == [ReportLoad(16.0)]
     h.now = 1_000 * MS
-    arrive(h, 1, queued=200 * MS)
+    arrive(h, 1, queue_delay=200 * MS)
     h.log.clear()
     h.pass_time(60 * MS)
-    assert of(h.log, i.Advertise)[0].value < 0.02
+    assert of(h.log, ReportLoad)[0].value < 0.02
 
 
 @pytest.mark.parametrize("share", [0.1, 0.4, 0.9])
@@ -484,26 +523,26 @@
     """Round 63: a call might last as long as its request; where all hang at once, the dependency falls."""
     window, linger = 5_000 * MS, 200 * MS
     h = host(
-        downstream=i.Downstream.SHARED,
-        fair_calls=share,
-        call_linger=linger,
-        calls_window=window,
-        classes=(replace(CLASSES[SAFE], aim=60_000 * MS, patience=60_000 * MS),),
+        dependency=DependencyKind.SHARED,
+        dependency_quota=share,
+        abandoned_call_time=linger,
+        dependency_window=window,
+        classes=(replace(CLASSES[SAFE], latency_objective=60_000 * MS, client_timeout=60_000 * MS),),
     )
     arrive(h, 1)
-    (call,) = of(h.need(1), i.Call)
+    (call,) = of(h.need(1), MakeCall)
     assert call.timeout + linger <= share * window
 
 
 def test_who_is_too_late_at_a_call_is_answered_while_the_cores_have_no_place() -> None:
     """Round 63: as with a full run limit, those at a call waited for a place before they were given up."""
     h = host(
-        cold=True,
-        cold_from=0.01,
-        cold_for=60_000 * MS,
-        downstream=i.Downstream.SHARED,
-        fair_calls=50.0,
-        classes=(replace(CLASSES[SAFE], skip_worth=0.0),),
+        cold_start=True,
+        cold_speed=0.01,
+        warmup_time=60_000 * MS,
+        dependency=DependencyKind.SHARED,
+        dependency_quota=50.0,
+        classes=(replace(CLASSES[SAFE], degraded_fraction=0.0),),
     )
     h.control.call_cap = 1.0
     for rid in range(1, 12):
@@ -514,7 +553,7 @@
     waiting = h.ids("at_call")
     assert waiting
     h.pass_time(1_100 * MS)
-    assert set(waiting) <= {a.id for a in of(h.log, i.Fail)}
+    assert set(waiting) <= {a.id for a in of(h.log, Fail)}
 
 
 @pytest.mark.parametrize(
@@ -530,27 +569,27 @@
     """Incident i1d3269: a third of the runs ended late for clients whose first try was long past."""
     h = host(classes=(CLASSES[SAFE],))
     fill(h, 1, first=100)
-    h.send(i.Arrival(1, SAFE, memory=10.0, time_left=1_500 * MS))
+    h.send(Arrival(1, SAFE, memory=10.0, time_left=1_500 * MS))
     h.control.open = 0.9  # not in calm
-    actions = arrive(h, 2, time_left=left * MS, again=again)
-    assert bool(of(actions, i.Run)) is runs
-    assert bool(of(actions, i.Refuse)) is not runs
+    actions = arrive(h, 2, time_left=left * MS, is_retry=again)
+    assert bool(of(actions, StartRun)) is runs
+    assert bool(of(actions, Reject)) is not runs
 
 
 def test_a_try_that_is_given_up_before_its_aim_is_not_started_in_vain() -> None:
     """Incident ia60c4c: a quarter of the runs were still running when due, and could not be stopped."""
-    h = host(halt=i.HaltMode.NONE)
+    h = host(cancel_mode=CancelMode.NONE)
     fill(h)
     h.now = 500 * MS
     for rid in range(1, 5):
         h.finish_after(rid, 500 * MS)
     fill(h, 4, first=11)
-    assert of(arrive(h, 20, time_left=400 * MS), i.Refuse)
-    assert not of(arrive(h, 21, time_left=600 * MS), i.Refuse)
+    assert of(arrive(h, 20, time_left=400 * MS), Reject)
+    assert not of(arrive(h, 21, time_left=600 * MS), Reject)
 
 
 @pytest.mark.parametrize("cls", [CLASSES[SAFE], LATE])
-def test_who_will_be_late_is_given_up_at_once_with_the_run_limit_full(cls: i.RequestClass) -> None:
+def test_who_will_be_late_is_given_up_at_once_with_the_run_limit_full(cls: RequestClass) -> None:
     """Round 54: late ones stayed in the hold until they were due, and those held shut out who came."""
     h = host(classes=(cls,))
     fill(h)
@@ -561,26 +600,26 @@
     arrive(h, 20)
     assert h.requests[20].where == "held"
     h.pass_time(650 * MS)
-    assert [a.id for a in of(h.log, i.Refuse)] == [20]
+    assert [a.id for a in of(h.log, Reject)] == [20]
     assert h.now < h.requests[20].due - 1_000 * MS
 
 
 def test_a_late_request_that_earns_something_runs_where_there_is_room() -> None:
     h = host(classes=(LATE,))
     h.now = 1_500 * MS
-    assert of(arrive(h, 1, queued=1_200 * MS), i.Run)
+    assert of(arrive(h, 1, queue_delay=1_200 * MS), StartRun)
 
 
-TENANTS = (i.Tenant("large", 40.0), i.Tenant("small", 40.0))
+TENANTS = (Tenant("large", 40.0), Tenant("small", 40.0))
 
 
 def test_a_tenant_beyond_its_share_does_not_crowd_out_the_rest() -> None:
     """Round 52: one sent three times its share and was served in full, the others to 0.62 of theirs."""
     h = host(
         tenants=TENANTS,
-        over_share_worth=0.05,
-        peers=20,
-        classes=(replace(CLASSES[SAFE], patience=60_000 * MS, aim=50_000 * MS),),
+        over_quota_fraction=0.05,
+        replicas=20,
+        classes=(replace(CLASSES[SAFE], client_timeout=60_000 * MS, latency_objective=50_000 * MS),),
     )
     for rid in range(1, 40):
         arrive(h, rid, tenant=0)
@@ -593,7 +632,7 @@
 
 def test_the_worthiest_requests_have_the_last_of_a_share() -> None:
     """Round 55: half of the worthiest class counted as beyond its tenant's share, which it never fills."""
-    h = host(tenants=(i.Tenant("one", 40.0),), over_share_worth=0.1, peers=20)
+    h = host(tenants=(Tenant("one", 40.0),), over_quota_fraction=0.1, replicas=20)
     for rid in range(1, 31):
         arrive(h, rid, SAFE, tenant=0)
     arrive(h, 40, KEYED, tenant=0)
@@ -602,15 +641,15 @@
 
 def test_what_is_refused_beyond_its_share_is_asked_to_try_no_further() -> None:
     """Round 64: it is beyond its share on every server, and a further try costs a handshake and a reading."""
-    h = host(memory=200.0, tenants=(i.Tenant("none", 0.0), TENANTS[1]), over_share_worth=0.05)
+    h = host(memory=200.0, tenants=(Tenant("none", 0.0), TENANTS[1]), over_quota_fraction=0.05)
     arrive(h, 1, memory=20.0, tenant=1)
-    assert [a.no_retry for a in of(arrive(h, 2, memory=20.0, tenant=1), i.Refuse)] == [False]
-    assert [a.no_retry for a in of(arrive(h, 3, memory=20.0, tenant=0), i.Refuse)] == [True]
+    assert [a.no_retry for a in of(arrive(h, 2, memory=20.0, tenant=1), Reject)] == [False]
+    assert [a.no_retry for a in of(arrive(h, 3, memory=20.0, tenant=0), Reject)] == [True]
 
 
-@pytest.mark.parametrize("tenants", [(), (i.Tenant("none", 0.0),), TENANTS])
-def test_odd_tenants_change_no_rule(tenants: tuple[i.Tenant, ...]) -> None:
-    h = host(tenants=tenants, over_share_worth=0.0)
+@pytest.mark.parametrize("tenants", [(), (Tenant("none", 0.0),), TENANTS])
+def test_odd_tenants_change_no_rule(tenants: tuple[Tenant, ...]) -> None:
+    h = host(tenants=tenants, over_quota_fraction=0.0)
     for rid in range(1, 30):
         arrive(h, rid, tenant=(0, 1, 99)[rid % 3])
         h.pass_time(40 * MS)
@@ -619,9 +658,9 @@
 
 
 def test_idle_cores_serve_a_tenant_beyond_its_share() -> None:
-    h = host(tenants=(i.Tenant("none", 0.0), TENANTS[1]), over_share_worth=0.05)
+    h = host(tenants=(Tenant("none", 0.0), TENANTS[1]), over_quota_fraction=0.05)
     for rid in range(1, 30):
-        assert of(arrive(h, rid, tenant=0), i.Run)
+        assert of(arrive(h, rid, tenant=0), StartRun)
         h.pass_time(20 * MS)
         h.finish(rid)
 
@@ -645,7 +684,12 @@
     h = host()
     arrive(h, 1)
     h.finish(1)
-    for event in (i.Finished(1, i.Outcome.OK), i.Gone(7), i.CallNeeded(7), i.CallEnded(7, i.Outcome.OK)):
+    for event in (
+        RunFinished(1, Outcome.OK),
+        ClientDisconnected(7),
+        CallRequested(7),
+        CallFinished(7, Outcome.OK),
+    ):
         assert not h.control.handle(h.now, [event])
     assert not h.control.running
     assert h.control.memory == 0.0
@@ -668,11 +712,11 @@
         ("memory", -1.0),
         ("classes", ()),
         ("drain_grace", -1),
-        ("crowd_multiple", 0.5),
+        ("max_oversubscription", 0.5),
         ("halt", "drop"),
-        ("cold_from", 1.5),
-        ("peers", 0),
-        ("over_share_worth", -0.1),
+        ("cold_speed", 1.5),
+        ("replicas", 0),
+        ("over_quota_fraction", -0.1),
         ("memory", float("nan")),
     ],
 )
@@ -681,10 +725,12 @@
         host(1, **{field: value})
 
 
-@pytest.mark.parametrize(("field", "value"), [("aim", 0), ("patience", -5), ("repeat", "often")])
+@pytest.mark.parametrize(
+    ("field", "value"), [("latency_objective", 0), ("client_timeout", -5), ("repeat", "often")]
+)
 def test_impossible_class_names_the_field(field: str, value: object) -> None:
     with pytest.raises(ValueError, match=field):
-        i.RequestClass(**{"name": "x", "aim": 1, "patience": 1, field: value})  # type: ignore[arg-type]
+        RequestClass(**{"name": "x", "aim": 1, "patience": 1, field: value})  # type: ignore[arg-type]
 
 
 @pytest.mark.parametrize(
@@ -697,12 +743,12 @@
 )
 def test_missing_settings_name_the_field(given: dict[str, Any], field: str) -> None:
     with pytest.raises(ValueError, match=field):
-        i.Settings(**given)
+        Settings(**given)
 
 
 def test_a_class_without_times_names_the_field() -> None:
     with pytest.raises(ValueError, match="aim"):
-        i.RequestClass("x")
+        RequestClass("x")
 
 
 def test_quick_failures_turn_health_bad_until_they_are_forgotten() -> None:
@@ -710,18 +756,18 @@
     h = host()
     for rid in range(1, 12):
         arrive(h, rid)
-        h.finish(rid, i.Outcome.ERROR)
+        h.finish(rid, Outcome.ERROR)
     h.pass_time(60 * MS)
-    assert of(h.log, i.SetHealth) == [i.SetHealth(False, True)]
+    assert of(h.log, SetHealth) == [SetHealth(False, True)]
     h.pass_time(15_000 * MS)
-    assert of(h.log, i.SetHealth)[1:] == [i.SetHealth(True, True)]
+    assert of(h.log, SetHealth)[1:] == [SetHealth(True, True)]
 
 
 def test_a_draining_instance_never_reports_good_again() -> None:
     h = host()
-    h.send(i.Draining(5_000 * MS))
+    h.send(DrainStarted(5_000 * MS))
     h.pass_time(4_000 * MS)
-    assert of(h.log, i.SetHealth) == [i.SetHealth(False, True)]
+    assert of(h.log, SetHealth) == [SetHealth(False, True)]
 
 
 def test_the_worthiest_class_in_time_starts_first() -> None:
@@ -737,35 +783,35 @@
 
 def test_waiting_unread_presses_the_free_value() -> None:
     """Incident i25c424: reading is swamped, and callers hear nothing but what comes with answers."""
-    h = host(signal=i.Signal.LEVEL)
+    h = host(load_signal=LoadSignal.LEVEL)
     h.pass_time(60 * MS)
     h.now = 1_000 * MS
-    arrive(h, 1, queued=200 * MS)
+    arrive(h, 1, queue_delay=200 * MS)
     h.log.clear()
     h.pass_time(60 * MS)
-    assert [a.value for a in of(h.log, i.Advertise)] == [pytest.approx(0.05 * 2 / 3)]
+    assert [a.value for a in of(h.log, ReportLoad)] == [pytest.approx(0.05 * 2 / 3)]
 
 
 def test_slow_reading_on_cores_that_are_not_full_tells_no_one_to_hold_back() -> None:
     """Guards: a slow server's readings took a tenth of the aim, and callers left its cores idle."""
-    h = host(signal=i.Signal.LEVEL)
+    h = host(load_signal=LoadSignal.LEVEL)
     h.pass_time(60 * MS)
     h.now, h.runnable = 1_000 * MS, 2
-    arrive(h, 1, queued=200 * MS)
+    arrive(h, 1, queue_delay=200 * MS)
     h.log.clear()
     h.pass_time(60 * MS)
-    assert not of(h.log, i.Advertise)
+    assert not of(h.log, ReportLoad)
 
 
 def test_the_level_spares_the_worthiest_class_but_in_a_drain() -> None:
     """Round 56: closed as far as it goes, the value turned away most of the worthiest class."""
-    h = host(signal=i.Signal.LEVEL)
+    h = host(load_signal=LoadSignal.LEVEL)
     for rid in range(1, 200):
         h.pass_time(50 * MS)
-        arrive(h, rid, queued=300 * MS)
-    values = [a.value for a in of(h.log, i.Advertise)]
+        arrive(h, rid, queue_delay=300 * MS)
+    values = [a.value for a in of(h.log, ReportLoad)]
     assert 0.6 < max(values) < 2 / 3
-    assert of(h.send(i.Draining(5_000 * MS)), i.Advertise) == [i.Advertise(1.0)]
+    assert of(h.send(DrainStarted(5_000 * MS)), ReportLoad) == [ReportLoad(1.0)]
 
 
 def test_no_core_time_yet_leaves_p_alone() -> None:
@@ -773,7 +819,7 @@
     h.control.known.add("read")
     fill(h, 8)
     assert h.control.p == 1.0
-    assert not of(h.log, i.Refuse)
+    assert not of(h.log, Reject)
 
 
 def test_a_slow_server_knows_that_it_is_slow() -> None:
@@ -782,7 +828,7 @@
     fill(h)
     h.now = 900 * MS
     for rid in (1, 2, 3, 4):
-        h.finish(rid, i.Outcome.OK if rid == 1 else i.Outcome.ERROR)
+        h.finish(rid, Outcome.OK if rid == 1 else Outcome.ERROR)
     job = h.control.jobs.get(1)
     assert job is None
     arrive(h, 9)
@@ -792,10 +838,10 @@
 def test_a_share_below_one_call_is_a_mean_not_a_pause_after_each() -> None:
     """Round 27: a pause of the whole linger after each short call left the cores idle at full size."""
     h = host(
-        downstream=i.Downstream.SHARED,
-        fair_calls=0.4,
-        call_linger=200 * MS,
-        calls_window=5_000 * MS,
+        dependency=DependencyKind.SHARED,
+        dependency_quota=0.4,
+        abandoned_call_time=200 * MS,
+        dependency_window=5_000 * MS,
     )
     made = busy = 0
     for rid in range(1, 400):
@@ -807,7 +853,7 @@
             h.pass_time(10 * MS)
             busy += 10
             made += 1
-            h.called(calling, i.Outcome.OK)
+            h.called(calling, Outcome.OK)
             h.finish(calling)
     assert made > 300  # short calls pass at the rate at which they come
     assert busy * MS < 0.4 * h.now
@@ -815,10 +861,10 @@
 
 def test_a_share_below_one_call_is_kept_when_calls_grow_long() -> None:
     h = host(
-        downstream=i.Downstream.SHARED,
-        fair_calls=0.4,
-        call_linger=200 * MS,
-        calls_window=5_000 * MS,
+        dependency=DependencyKind.SHARED,
+        dependency_quota=0.4,
+        abandoned_call_time=200 * MS,
+        dependency_window=5_000 * MS,
     )
     busy = 0
     for rid in range(1, 200):
@@ -829,21 +875,21 @@
         for calling in h.ids("calling"):
             h.pass_time(400 * MS)
             busy += 400
-            h.called(calling, i.Outcome.OK)
+            h.called(calling, Outcome.OK)
             h.finish(calling)
     assert busy * MS < 0.45 * h.now
 
 
 def test_a_request_answered_at_a_call_makes_no_call() -> None:
-    h = host(downstream=i.Downstream.SHARED, fair_calls=1.0)
+    h = host(dependency=DependencyKind.SHARED, dependency_quota=1.0)
     for rid in (1, 2):
         arrive(h, rid)
         h.need(rid)
     assert h.ids("calling") == [1]
     h.requests[2].answered = True
-    h.control.handle(h.now, [i.Gone(2)])
+    h.control.handle(h.now, [ClientDisconnected(2)])
     h.requests[1].where = "running"
-    assert not of(h.control.handle(h.now, [i.CallEnded(1, i.Outcome.OK, 10 * MS)]), i.Call)
+    assert not of(h.control.handle(h.now, [CallFinished(1, Outcome.OK, 10 * MS)]), MakeCall)
 
 
 def test_what_does_not_fit_holds_up_nobody_behind_it() -> None:
@@ -866,15 +912,15 @@
 
 def test_a_key_is_held_for_its_own_life() -> None:
     """Lives differ by class: an entry that ends early must not wait for an older one that ends late."""
-    brief = replace(CLASSES[KEYED], name="brief", window=1_000 * MS)
+    brief = replace(CLASSES[KEYED], name="brief", retry_window=1_000 * MS)
     h = host(classes=(*CLASSES, brief), memory=300.0, key_memory=100.0)
     arrive(h, 1, KEYED, memory=1.0)
     h.finish(1)
     arrive(h, 2, 3, memory=1.0)
     h.finish(2)
-    assert of(arrive(h, 3, KEYED, memory=1.0), i.Refuse)  # no room for a third key
+    assert of(arrive(h, 3, KEYED, memory=1.0), Reject)  # no room for a third key
     h.pass_time(1_100 * MS)
-    assert of(arrive(h, 4, KEYED, memory=1.0), i.Run)
+    assert of(arrive(h, 4, KEYED, memory=1.0), StartRun)
 
 
 def test_the_hopeless_are_refused_at_arrival_where_no_core_is_free() -> None:
@@ -887,13 +933,18 @@
         h.finish_after(rid, 400 * MS)
     for rid in range(11, 15):
         arrive(h, rid, cost=100 * MS)
-    assert of(arrive(h, 20, cost=300 * MS), i.Refuse)
-    assert not of(arrive(h, 21, cost=150 * MS), i.Refuse)
+    assert of(arrive(h, 20, cost=300 * MS), Reject)
+    assert not of(arrive(h, 21, cost=150 * MS), Reject)
 
 
 def test_a_share_below_one_call_falls_while_calls_are_slow_and_comes_back() -> None:
     """Round 37: where no share fell, a crowded dependency stayed crowded after its cause was over."""
-    h = host(downstream=i.Downstream.SHARED, fair_calls=0.5, call_linger=0, calls_window=5_000 * MS)
+    h = host(
+        dependency=DependencyKind.SHARED,
+        dependency_quota=0.5,
+        abandoned_call_time=0,
+        dependency_window=5_000 * MS,
+    )
     rid = 0
 
     def share(took: int) -> float:
@@ -911,7 +962,7 @@
                 h.pass_time(took)
                 busy += took
                 h.requests[calling].where = "running"
-                h.send(i.CallEnded(calling, i.Outcome.OK, took))
+                h.send(CallFinished(calling, Outcome.OK, took))
                 h.finish(calling)
         return busy / (h.now - start)
 
@@ -934,7 +985,7 @@
 
 
 def test_a_share_of_no_call_leaves_nobody_unanswered() -> None:
-    h = host(downstream=i.Downstream.SHARED, fair_calls=0.0)
+    h = host(dependency=DependencyKind.SHARED, dependency_quota=0.0)
     for rid in (1, 2, 3):
         arrive(h, rid, KEYED)
         h.need(rid)
--- a/tests/test_ledger.py
+++ b/tests/claims/test_claim_log.py
@@ -19,14 +19,15 @@
 from hypothesis import strategies as st
 from peers import WAIT_S, world
 
-from cairnvane import clock, lasting
-from cairnvane.keys import Begun, Past
-from cairnvane.ledger import Ledger, Lives, earlier, keeper, record
-from cairnvane.ledger.folder import OsFolder, Segment
-from cairnvane.ledger.lives import LEASE_US, Vital
-from cairnvane.ledger.machine import Machine, Place
-from cairnvane.ledger.record import SEAL, Record, put, scan
-from cairnvane.ledger.state import State, Step
+from cairnvane import clock
+from cairnvane.claims import ClaimLog, Incarnations, claim_log, legacy, records
+from cairnvane.claims.claim_table import ClaimTable, Place
+from cairnvane.claims.incarnations import LEASE_US, Liveness
+from cairnvane.claims.records import SEAL, Record, put, scan
+from cairnvane.claims.states import KeyState, Step
+from cairnvane.claims.storage import OsFolder, Segment
+from cairnvane.idempotency import durability
+from cairnvane.idempotency.store import StartedRun, StoredEntry
 
 TOKEN, OTHER = b"t" * 16, b"o" * 16
 SAME, FORGED = b"s" * 16, b"f" * 16
@@ -70,30 +71,30 @@
 
 
 def test_a_later_format_is_named() -> None:
-    record.check_version(b"")
-    record.check_version(put(*claim(1, 1)))
-    record.check_version(b"something else")
-    with pytest.raises(record.NewerVersion, match="format 2"):
-        record.check_version(b"CVL2" + bytes(20))
+    records.check_version(b"")
+    records.check_version(put(*claim(1, 1)))
+    records.check_version(b"something else")
+    with pytest.raises(records.NewerVersionError, match="format 2"):
+        records.check_version(b"CVL2" + bytes(20))
 
 
 # --- the order decides
 
 
 def test_the_first_claim_in_the_order_counts_and_only_its_life_can_end_it() -> None:
-    machine = Machine(UNREAD)
+    machine = ClaimTable(UNREAD)
     for told in (claim(2, 11), claim(1, 10), end(1, 12, Step.RESULT), end(1, 12, Step.NEVER)):
         machine.take(told, HERE)
     assert machine.holds(TOKEN, 2, 11) and not machine.holds(TOKEN, 1, 10)
-    assert (machine.entries[TOKEN].state, machine.lost, machine.illegal) == (State.INTENDED, 1, 2)
+    assert (machine.entries[TOKEN].state, machine.lost, machine.illegal) == (KeyState.INTENDED, 1, 2)
     machine.take(end(2, 13, Step.RESULT), HERE)
-    assert machine.entries[TOKEN].state is State.FINISHED
+    assert machine.entries[TOKEN].state is KeyState.FINISHED
     machine.take(end(2, 14, Step.FAULT), HERE)  # an end is final
-    assert machine.entries[TOKEN].state is State.FINISHED
+    assert machine.entries[TOKEN].state is KeyState.FINISHED
 
 
 def test_what_was_given_up_or_has_aged_may_be_claimed_again() -> None:
-    machine = Machine(UNREAD)
+    machine = ClaimTable(UNREAD)
     machine.take(claim(1, 10), HERE)
     machine.take(end(1, 11, Step.NEVER), HERE)
     assert machine.find(TOKEN, 20) is None
@@ -108,8 +109,8 @@
 
 
 def test_behind_a_seal_nothing_counts() -> None:
-    machine = Machine(UNREAD)
-    machine.take(Record(SEAL, 1, record.NO_TOKEN, 5, 5, b""), HERE)
+    machine = ClaimTable(UNREAD)
+    machine.take(Record(SEAL, 1, records.NO_TOKEN, 5, 5, b""), HERE)
     machine.take(claim(1, 6), HERE)
     assert not machine.entries
     machine.take(claim(2, 7), Place(2, 0, 0))
@@ -120,7 +121,7 @@
 @given(st.lists(st.tuples(st.integers(1, 3), st.sampled_from([*Step][:5]), st.integers(0, 1))))
 def test_no_history_lets_two_lives_hold_a_token(steps: list[tuple[int, Step, int]]) -> None:
     """Whatever lives say in whatever order, between two counted claims of a token lies its giving up."""
-    machine = Machine(UNREAD)
+    machine = ClaimTable(UNREAD)
     held: dict[bytes, int] = {}
     for at, (life, step, which) in enumerate(steps):
         if step is Step.CALL:
@@ -131,11 +132,11 @@
             step is Step.NEVER
             and before is not None
             and before.life == life
-            and before.state in (State.INTENDED, State.VOID)
+            and before.state in (KeyState.INTENDED, KeyState.VOID)
         )
         machine.take(Record(step, life, token, at, 1_000_000, SAME), HERE)
         entry = machine.entries.get(token)
-        if entry is not None and entry.state is not State.VOID:
+        if entry is not None and entry.state is not KeyState.VOID:
             assert held.setdefault(token, entry.life) == entry.life
         if gave_up:
             held.pop(token, None)
@@ -148,26 +149,26 @@
 class Life:
     """One process's side: what a host would do."""
 
-    lives: Lives
-    ledger: Ledger
+    lives: Incarnations
+    ledger: ClaimLog
     until: dict[bytes, int] = field(default_factory=dict)
 
     def run(self, token: bytes = TOKEN, same: bytes = SAME, until: int | None = None) -> str:
         """Try to run it: "runs", "elsewhere" or "refused"."""
         told: list[str] = []
         until = until or clock.now() + 60_000_000
-        begun = Begun(token, "a1", "write", same, until, until, 1.0, 0)
-        self.ledger.intend(
+        begun = StartedRun(token, "a1", "write", same, until, until, 1.0, 0)
+        self.ledger.record_start(
             begun, lambda: told.append("runs"), lambda there: told.append("elsewhere" if there else "refused")
         )
         self.until[token] = until
         return told[0]
 
     def ends(self, result: bytes | None, token: bytes = TOKEN, same: bytes = SAME) -> None:
-        self.ledger.ended(token, self.until[token], same, result, (), lambda: None)
+        self.ledger.record_end(token, self.until[token], same, result, (), lambda: None)
 
-    def recall(self, same: bytes = SAME, token: bytes = TOKEN) -> Past | None:
-        return self.ledger.recall(token, same, clock.now())
+    def recall(self, same: bytes = SAME, token: bytes = TOKEN) -> StoredEntry | None:
+        return self.ledger.look_up(token, same, clock.now())
 
     def fetch(self, token: bytes = TOKEN, same: bytes = SAME) -> Callable[[], bytes | None]:
         """Ask for its end; what is returned waits for the answer."""
@@ -178,7 +179,7 @@
             told.append(result)
             there.set()
 
-        self.ledger.fetch(token, same, then)
+        self.ledger.fetch_result(token, same, then)
 
         def wait() -> bytes | None:
             assert there.wait(WAIT_S)
@@ -203,9 +204,9 @@
         self.all: list[Life] = []
 
     def life(self, folder: OsFolder | None = None) -> Life:
-        lives = Lives(self.path / "lives")
+        lives = Incarnations(self.path / "lives")
         lives.enter()
-        ledger = Ledger(folder or OsFolder(self.path / "ledger"), lives, UNREAD)
+        ledger = ClaimLog(folder or OsFolder(self.path / "ledger"), lives, UNREAD)
         ledger.open()
         ledger.start(lambda left: None, lambda: None, lambda why: None)
         self.all.append(Life(lives, ledger))
@@ -225,11 +226,11 @@
 def test_a_try_in_another_life_gets_the_end_of_the_run(shop: Shop, result: bytes | None) -> None:
     old, new = shop.life(), shop.life()
     assert old.recall() is None and old.run() == "runs"
-    assert new.recall() == Past(TOKEN, True)  # it may come to have a result
+    assert new.recall() == StoredEntry(TOKEN, True)  # it may come to have a result
     waits = new.fetch()
     old.ends(result)
     assert waits() == result
-    assert new.recall() == Past(TOKEN, result is not None)
+    assert new.recall() == StoredEntry(TOKEN, result is not None)
     third = shop.life()  # who reads it from the beginning
     assert third.run() == "elsewhere" and third.fetch()() == result
 
@@ -238,15 +239,15 @@
     shop: Shop,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(lasting, "RECENT", 2)
+    monkeypatch.setattr(durability, "RECENT_RESULTS", 2)
     mine, asked = shop.life().ledger, list[bytes]()
-    fetch = mine.fetch
+    fetch = mine.fetch_result
 
     def counted(token: bytes, same: bytes, then: Callable[[bytes | None], None]) -> None:
         asked.append(token)
         fetch(token, same, then)
 
-    monkeypatch.setattr(mine, "fetch", counted)
+    monkeypatch.setattr(mine, "fetch_result", counted)
     tokens = [f"{number:032x}" for number in range(3)]
     with world(keeper=mine) as one:
         balancer = one.balancer()
@@ -277,7 +278,7 @@
 def test_a_claim_that_was_given_up_is_free(shop: Shop) -> None:
     old, new = shop.life(), shop.life()
     assert old.run() == "runs"
-    old.ledger.never(TOKEN, old.until[TOKEN], ())
+    old.ledger.record_never_started(TOKEN, old.until[TOKEN], ())
     assert new.recall() is None and new.run() == "runs"
     assert old.run() == "elsewhere"
 
@@ -301,7 +302,7 @@
     assert old.run() == "runs"
     ahead = clock.now() + LEASE_US + 1_000_000
     monkeypatch.setattr(clock, "now", lambda: ahead)
-    assert new.lives.vital(old.lives.life) is Vital.STOPPED
+    assert new.lives.vital(old.lives.life) is Liveness.STOPPED
     assert new.run() == "elsewhere"
     waits = new.fetch()
     monkeypatch.undo()
@@ -333,7 +334,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards: a life that was stopped for long writes into a segment that others have sealed and dropped."""
-    monkeypatch.setattr(keeper, "SEGMENT_BYTES", 2_000)
+    monkeypatch.setattr(claim_log, "SEGMENT_BYTES", 2_000)
     old, new = shop.life(), shop.life()
     stale = old.ledger._current
     for number in range(100):
@@ -356,12 +357,12 @@
     assert old.run() == "runs" and old.run(OTHER) == "runs"
     old.ends(b"result")
     shutil.rmtree(shop.path)
-    assert old.recall() == Past(TOKEN, True)
+    assert old.recall() == StoredEntry(TOKEN, True)
     assert old.fetch()() == b"result"
     with old.ledger._lock:
         old.ledger._look_after()
     new = shop.life()
-    assert new.lives.vital(old.lives.life) is Vital.ALIVE
+    assert new.lives.vital(old.lives.life) is Liveness.ALIVE
     assert new.fetch()() == b"result"
     assert new.run(OTHER) == "elsewhere"
 
@@ -391,12 +392,12 @@
     folder = Trouble(shop.path / "ledger")
     old = shop.life(folder)
     folder.failures = 1 << 30
-    assert old.run() == "runs" and old.ledger.wait_us() == 0
+    assert old.run() == "runs" and old.ledger.capacity_wait_us() == 0
     old.ends(b"result")
     assert old.fetch()() == b"result" and old.run() == "elsewhere"
     folder.failures = 0
     old.ledger._retry_at = 0
-    assert old.ledger.wait_us() == 0
+    assert old.ledger.capacity_wait_us() == 0
     assert shop.life().fetch()() == b"result"
 
 
@@ -406,13 +407,13 @@
     assert old.run() == "runs"
     folder.failures = 1 << 30
     assert old.run(OTHER) == "refused"
-    assert old.ledger.wait_us() > 0
+    assert old.ledger.capacity_wait_us() > 0
     old.ends(b"result")  # which is kept, and told once that is possible
     waits = new.fetch()
     assert new.run(OTHER) == "runs"
     folder.failures = 0
     assert waits() == b"result"
-    assert old.ledger.wait_us() == 0
+    assert old.ledger.capacity_wait_us() == 0
 
 
 def test_a_claim_that_failed_but_stands_there_keeps_nobody_waiting(shop: Shop) -> None:
@@ -423,25 +424,25 @@
     assert old.run() == "refused"
     assert new.run(OTHER) == "runs" and new.run() == "elsewhere"
     old.ledger._retry_at = 0
-    assert old.ledger.wait_us() == 0  # it works again, and has given the claim up
+    assert old.ledger.capacity_wait_us() == 0  # it works again, and has given the claim up
     assert new.run() == "runs"
 
 
 def test_a_later_format_beside_a_life_that_serves_is_a_folder_that_fails(shop: Shop) -> None:
     old, new = shop.life(), shop.life()
     with old.ledger._lock:
-        old.ledger._current.file.append(put(SEAL, 1, record.NO_TOKEN, 1, 1))
+        old.ledger._current.file.append(put(SEAL, 1, records.NO_TOKEN, 1, 1))
     (shop.path / "ledger" / "0000000002.ledger").write_bytes(b"CVL2" + bytes(60))
-    assert old.run() == "refused" and old.ledger.wait_us() > 0
+    assert old.run() == "refused" and old.ledger.capacity_wait_us() > 0
     assert new.recall() is None
 
 
 def test_at_its_bound_it_takes_no_key_on(shop: Shop) -> None:
     life = shop.life()
     life.ledger._most = 500
-    assert life.ledger.wait_us() == 0 and life.run() == "runs"
+    assert life.ledger.capacity_wait_us() == 0 and life.run() == "runs"
     life.ends(b"r" * 600)
-    assert life.ledger.wait_us() > 0
+    assert life.ledger.capacity_wait_us() > 0
 
 
 @pytest.mark.parametrize("seed", range(4))
@@ -467,7 +468,7 @@
     for token, result in results.items():
         with contextlib.suppress(ValueError):  # its claim is damaged, the digest with it
             past = new.recall(token=token)
-            if past is not None and past.served:
+            if past is not None and past.has_result:
                 found = new.fetch(token)()
                 assert found in (None, result)
                 right += found == result
@@ -479,18 +480,18 @@
 
 def test_only_a_later_life_that_is_well_and_can_serve_is_an_heir(tmp_path: Path) -> None:
     """Guards: the mark of a later version that had crashed made the old one hand over to nobody."""
-    first, second = Lives(tmp_path), Lives(tmp_path)
+    first, second = Incarnations(tmp_path), Incarnations(tmp_path)
     first.enter()
     second.enter()
-    assert not first.heir() and first.vital(second.life) is Vital.ALIVE
+    assert not first.heir() and first.vital(second.life) is Liveness.ALIVE
     second.ready()
     assert first.heir() and not second.heir()
     first.ready()
     assert not second.heir()  # which is older
     assert not first.alone()
     os.close(second._fd or -1)  # killed: its file stays, its lock does not
-    assert not first.heir() and first.vital(second.life) is Vital.DEAD and first.alone()
-    third = Lives(tmp_path)
+    assert not first.heir() and first.vital(second.life) is Liveness.DEAD and first.alone()
+    third = Incarnations(tmp_path)
     third.enter()
     assert third.others() == [first.life]  # what the dead one left is cleared away
     third.ready()
@@ -500,18 +501,18 @@
 
 
 def test_a_stopped_heir_is_none(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    first, second = Lives(tmp_path), Lives(tmp_path)
+    first, second = Incarnations(tmp_path), Incarnations(tmp_path)
     first.enter()
     second.enter()
     second.ready()
     ahead = clock.now() + LEASE_US + 1
     monkeypatch.setattr(clock, "now", lambda: ahead)
-    assert first.vital(second.life) is Vital.STOPPED and not first.heir() and not first.alone()
+    assert first.vital(second.life) is Liveness.STOPPED and not first.heir() and not first.alone()
 
 
 def test_a_life_is_never_seen_without_its_lock(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards: between its making and its lock a file would be taken for a dead life's, and removed."""
-    first, second = Lives(tmp_path), Lives(tmp_path)
+    first, second = Incarnations(tmp_path), Incarnations(tmp_path)
     first.enter()
     seen: list[list[int]] = []
     monkeypatch.setattr(fcntl, "flock", lambda fd, how: seen.append(first.others()))
@@ -520,18 +521,18 @@
 
 
 def test_an_earlier_version_that_serves_is_found_by_its_mark(tmp_path: Path) -> None:
-    assert earlier.serves(tmp_path, "n3") is None
-    marks = tmp_path / earlier.MARKS
+    assert legacy.serves(tmp_path, "n3") is None
+    marks = tmp_path / legacy.MARKS
     marks.mkdir()
     (marks / "n3.4194305.17").write_bytes(b"17\n")  # no such process
     (marks / f"n3.{os.getpid()}.17").write_bytes(b"17\n")  # its number is another process's by now
-    assert earlier.serves(tmp_path, "n3") is None
+    assert legacy.serves(tmp_path, "n3") is None
     proc = tmp_path / "proc" / "77"  # as long on as the machine
     proc.mkdir(parents=True)
     (proc / "stat").write_text("77 (a (b) c) S" + " 0" * 30)
     booted = time.time_ns() - time.clock_gettime_ns(time.CLOCK_BOOTTIME)
     (marks / f"n3.77.{booted + 1_000_000_000}").write_bytes(b"17\n")
-    assert earlier.serves(tmp_path, "n3", proc.parent) == 77
+    assert legacy.serves(tmp_path, "n3", proc.parent) == 77
 
 
 # --- killed at any step
@@ -591,7 +592,7 @@
         life.ends(result, token)
         told[token] = result
     began.remove(tokens[3])
-    life.ledger.never(tokens[3], life.until[tokens[3]], ())
+    life.ledger.record_never_started(tokens[3], life.until[tokens[3]], ())
     with life.ledger._lock:
         life.ledger._look_after()
 
@@ -602,7 +603,7 @@
 ) -> None:
     """At every step until none is left: what began is never run by the next life, and what was told is what
     it tells. A life beside the killed one has claimed in between, behind what was torn."""
-    monkeypatch.setattr(keeper, "SEGMENT_BYTES", 500)
+    monkeypatch.setattr(claim_log, "SEGMENT_BYTES", 500)
     kill_at = 0
     while True:
         shop = Shop(tmp_path / str(kill_at))
--- a/tests/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -13,19 +13,19 @@
 
 import pytest
 from click.testing import CliRunner
+from idempotency.test_durable_log import segment
 from peers import TOKEN, WAIT_S, Balancer, PoolPeer
-from test_keyed_log import segment
-from test_program import FILE, NOWHERE, program
+from server.test_program import FILE, NOWHERE, program
 
+from cairnvane.claims.incarnations import LIVES, Incarnations
+from cairnvane.claims.records import Record, put
+from cairnvane.claims.states import Step
 from cairnvane.cli import main
-from cairnvane.config import ConfigError, operator
-from cairnvane.keyed.files import OsFiles, segment_name
-from cairnvane.ledger.lives import LIVES, Lives
-from cairnvane.ledger.record import Record, put
-from cairnvane.ledger.state import Step
+from cairnvane.config import ConfigurationError, operator
+from cairnvane.idempotency.durable.storage import OsFiles, segment_name
 
 KEYED = "keyed:\n  folder: keyed\n"
-EXAMPLE = Path(__file__).parents[1] / "deploy" / "operator.yaml"
+EXAMPLE = Path(__file__).parents[2] / "deploy" / "operator.yaml"
 
 
 def operators(tmp_path: Path, text: str) -> Path:
@@ -71,7 +71,7 @@
     text: str,
     words: list[str],
 ) -> None:
-    with pytest.raises(ConfigError) as error:
+    with pytest.raises(ConfigurationError) as error:
         operator.load(operators(tmp_path, text))
     for word in words:
         assert word in str(error.value)
@@ -94,9 +94,9 @@
         "structlog",
         "yaml",
         "google_crc32c",
-        "cairnvane.keyed",
-        "cairnvane.lasting",
-        "cairnvane.lab",
+        "cairnvane.idempotency.durable",
+        "cairnvane.idempotency.durability",
+        "cairnvane.testbed",
         "cairnvane.config.operator",
         "cairnvane.membership",
     ]
@@ -199,7 +199,7 @@
 
 def test_a_ledger_is_shown_and_verified_as_lives_see_it(tmp_path: Path) -> None:
     """In `$TMPDIR`, with one life there and one dead."""
-    folder, lives = tmp_path / "cairnvane-ledger" / "n3.0badb007", Lives(tmp_path / LIVES / "n3")
+    folder, lives = tmp_path / "cairnvane-ledger" / "n3.0badb007", Incarnations(tmp_path / LIVES / "n3")
     lives.enter()
     folder.mkdir(parents=True)
     token = bytes.fromhex("5c" * 16)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,44 +5,78 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from cairnvane import interface as i
-from cairnvane.control import Controller
+from cairnvane.admission.controller import Controller
+from cairnvane.contract.actions import (
+    Action,
+    Cancel,
+    CloseIdleConnections,
+    Fail,
+    ForgetKey,
+    LogMessage,
+    MakeCall,
+    Reject,
+    RememberKey,
+    ReplayResult,
+    ReportLoad,
+    SetHealth,
+    SetTimer,
+    SkipCall,
+    StartRun,
+)
+from cairnvane.contract.events import (
+    Arrival,
+    CallFinished,
+    CallRequested,
+    ClientDisconnected,
+    DrainStarted,
+    Event,
+    Outcome,
+    RunFinished,
+    TimerFired,
+)
+from cairnvane.contract.settings import CancelMode, DependencyKind, RequestClass, RetrySemantics, Settings
 
 MS = 1_000
 SAFE, KEYED, UNSAFE = 0, 1, 2
 SLACK = 60 * MS  # an answer this long after its due time still counts
 CLASSES = (
-    i.RequestClass("read", aim=1_000 * MS, patience=3_000 * MS, skip_worth=0.5),
-    i.RequestClass(
+    RequestClass("read", latency_objective=1_000 * MS, client_timeout=3_000 * MS, degraded_fraction=0.5),
+    RequestClass(
         "write",
-        aim=1_000 * MS,
-        patience=3_000 * MS,
-        worth=3,
-        repeat=i.Repeat.KEYED,
-        window=8_000 * MS,
+        latency_objective=1_000 * MS,
+        client_timeout=3_000 * MS,
+        priority_weight=3,
+        retry_semantics=RetrySemantics.IDEMPOTENCY_KEYED,
+        retry_window=8_000 * MS,
+    ),
+    RequestClass(
+        "once",
+        latency_objective=1_000 * MS,
+        client_timeout=3_000 * MS,
+        priority_weight=2,
+        retry_semantics=RetrySemantics.NON_IDEMPOTENT,
     ),
-    i.RequestClass("once", aim=1_000 * MS, patience=3_000 * MS, worth=2, repeat=i.Repeat.UNSAFE),
 )
 
 
-def settings(**changes: Any) -> i.Settings:
+def settings(**changes: Any) -> Settings:
     """Four cores, plenty of memory, three classes."""
-    base = i.Settings(
+    base = Settings(
         cores=4,
         memory=100_000.0,
         classes=CLASSES,
-        run_factor=8.0,
+        running_memory_factor=8.0,
         key_memory=10.0,
-        halt=i.HaltMode.DROP,
-        crowd_multiple=5.0,
+        cancel_mode=CancelMode.DISCARD,
+        max_oversubscription=5.0,
         drain_grace=2_000 * MS,
-        max_advice=1_000 * MS,
-        round=5 * MS,
+        max_retry_after=1_000 * MS,
+        min_round_interval=5 * MS,
     )
     return replace(base, **changes)
 
 
-def of(actions: list[i.Action], kind: type) -> list[Any]:
+def of(actions: list[Action], kind: type) -> list[Any]:
     """The actions of one kind."""
     return [a for a in actions if type(a) is kind]
 
@@ -67,7 +101,7 @@
     """Carries out actions as a service instance would, and asserts the four rules."""
 
     control: Controller
-    settings: i.Settings
+    settings: Settings
     now: int = 0
     runnable: float | None = 4
     busy: float = 0.5
@@ -76,29 +110,29 @@
     timers: list[tuple[int, int]] = field(default_factory=list)
     drain_at: int | None = None
     stop_at: int | None = None
-    pending: list[i.Event] = field(default_factory=list)
-    log: list[i.Action] = field(default_factory=list)
+    pending: list[Event] = field(default_factory=list)
+    log: list[Action] = field(default_factory=list)
 
-    def send(self, *events: i.Event) -> list[i.Action]:
+    def send(self, *events: Event) -> list[Action]:
         """One batch, with what earlier actions brought about and the timers that fell due."""
         due = [t for t in self.timers if t[0] <= self.now]
         self.timers = [t for t in self.timers if t[0] > self.now]
-        fired = (i.TimerFired(token, cpu_busy=self.busy, runnable=self.runnable) for _, token in due)
+        fired = (TimerFired(token, cpu_busy=self.busy, runnable=self.runnable) for _, token in due)
         batch = [*self.pending, *events, *fired]
         self.pending = []
         for event in events:
-            if isinstance(event, i.Arrival):
+            if isinstance(event, Arrival):
                 wait = event.time_left
-                arrived = self.now - event.queued
+                arrived = self.now - event.queue_delay
                 due_at = (
                     self.now + wait
                     if wait is not None
-                    else max(self.now, arrived + self.settings.classes[event.cls].patience)
+                    else max(self.now, arrived + self.settings.classes[event.class_index].client_timeout)
                 )
-                self.requests[event.id] = Request(
-                    event.cls, arrived, due_at, event.memory, original=event.repeats
+                self.requests[event.request_id] = Request(
+                    event.class_index, arrived, due_at, event.memory, original=event.duplicate_of
                 )
-            elif isinstance(event, i.Draining):
+            elif isinstance(event, DrainStarted):
                 self.drain_at = self.now
                 self.stop_at = self.now + event.time_left
         actions = self.control.handle(self.now, batch)
@@ -108,51 +142,53 @@
         self.log += actions
         return actions
 
-    def _settle(self, rid: int, outcome: i.Outcome) -> None:
-        self.pending.append(i.Finished(rid, outcome))
+    def _settle(self, rid: int, outcome: Outcome) -> None:
+        self.pending.append(RunFinished(rid, outcome))
 
-    def _carry_out(self, action: i.Action) -> None:
-        if isinstance(action, i.SetTimer):
-            self.timers.append((max(action.at, self.now + 1), action.token))
+    def _carry_out(self, action: Action) -> None:
+        if isinstance(action, SetTimer):
+            self.timers.append((max(action.due_at, self.now + 1), action.token))
             return
-        if isinstance(action, (i.SetHealth, i.Advertise, i.CloseIdle, i.Log)):
+        if isinstance(action, (SetHealth, ReportLoad, CloseIdleConnections, LogMessage)):
             return
-        request = self.requests[action.id]
-        repeat = self.settings.classes[request.cls].repeat
-        if isinstance(action, i.Run):
+        request = self.requests[action.request_id]
+        repeat = self.settings.classes[request.cls].retry_semantics
+        if isinstance(action, StartRun):
             assert request.where == "held"
-            assert not (request.ran and repeat is not i.Repeat.SAFE), "an effect twice"
+            assert not (request.ran and repeat is not RetrySemantics.IDEMPOTENT), "an effect twice"
             latest = (self.drain_at or 0) + self.settings.drain_grace
             assert self.drain_at is None or request.arrived <= latest, "drain"
-            assert request.original is None or repeat is i.Repeat.SAFE, "a repeat was run"
+            assert request.original is None or repeat is RetrySemantics.IDEMPOTENT, "a repeat was run"
             request.where, request.ran = "running", True
-        elif isinstance(action, i.Refuse):
+        elif isinstance(action, Reject):
             assert not request.answered, "two answers"
-            assert repeat is i.Repeat.SAFE or not (request.ran or request.original), "refused after a run"
+            assert repeat is RetrySemantics.IDEMPOTENT or not (request.ran or request.original), (
+                "refused after a run"
+            )
             request.answered, request.where = True, "over"
-        elif isinstance(action, i.Fail):
+        elif isinstance(action, Fail):
             assert not request.answered, "two answers"
             request.answered = True
             if request.where in ("held", "reusing"):
                 request.where = "over"
             elif request.where in ("at_call", "calling"):
                 request.where = "over"
-                self._settle(action.id, i.Outcome.CANCELLED)
-        elif isinstance(action, i.Halt) and request.where == "running":
-            assert self.settings.halt is not i.HaltMode.NONE
+                self._settle(action.request_id, Outcome.CANCELLED)
+        elif isinstance(action, Cancel) and request.where == "running":
+            assert self.settings.cancel_mode is not CancelMode.NONE
             request.where = "over" if request.answered else "held"
-            self._settle(action.id, i.Outcome.CANCELLED)
-        elif isinstance(action, i.Call) and request.where == "at_call":
+            self._settle(action.request_id, Outcome.CANCELLED)
+        elif isinstance(action, MakeCall) and request.where == "at_call":
             assert not request.call_unsafe, "a call twice"
             request.where = "calling"
-        elif isinstance(action, i.SkipCall) and request.where == "at_call":
-            assert self.settings.classes[request.cls].skip_worth > 0
+        elif isinstance(action, SkipCall) and request.where == "at_call":
+            assert self.settings.classes[request.cls].degraded_fraction > 0
             request.where = "running"
-        elif isinstance(action, i.Remember):
-            self.kept[action.id] = self.now + action.life
-        elif isinstance(action, i.Forget):
-            self.kept.pop(action.id, None)
-        elif isinstance(action, i.Reuse):
+        elif isinstance(action, RememberKey):
+            self.kept[action.request_id] = self.now + action.lifetime
+        elif isinstance(action, ForgetKey):
+            self.kept.pop(action.request_id, None)
+        elif isinstance(action, ReplayResult):
             assert request.original is not None
             request.where = "reusing"
 
@@ -162,13 +198,13 @@
         s = self.settings
         held = sum(r.memory for r in self.requests.values() if r.where in ("held", "reusing"))
         run = sum(r.memory for r in self.requests.values() if r.where in ("running", "at_call", "calling"))
-        assert held + run * s.run_factor + len(self.kept) * s.key_memory <= s.memory, "memory"
+        assert held + run * s.running_memory_factor + len(self.kept) * s.key_memory <= s.memory, "memory"
         share = 1.0
-        if s.cold:
-            share = min(1.0, s.cold_from + (1 - s.cold_from) * self.now / max(1, s.cold_for))
-        assert self.count("running") <= max(1, (1 + (s.crowd_multiple - 1) * share) * s.cores), "crowd"
-        if s.downstream is i.Downstream.SHARED:
-            assert self.count("calling") <= max(1.0, s.fair_calls), "calls below"
+        if s.cold_start:
+            share = min(1.0, s.cold_speed + (1 - s.cold_speed) * self.now / max(1, s.warmup_time))
+        assert self.count("running") <= max(1, (1 + (s.max_oversubscription - 1) * share) * s.cores), "crowd"
+        if s.dependency is DependencyKind.SHARED:
+            assert self.count("calling") <= max(1.0, s.dependency_quota), "calls below"
         for rid, r in self.requests.items():
             due = r.due if self.stop_at is None else min(r.due, self.stop_at)
             assert r.answered or self.now <= due + SLACK, f"request {rid} lost"
@@ -181,7 +217,7 @@
         """Requests in these places, in order of arrival."""
         return [rid for rid, r in self.requests.items() if r.where in where]
 
-    def finish(self, rid: int, outcome: i.Outcome = i.Outcome.OK) -> list[i.Action]:
+    def finish(self, rid: int, outcome: Outcome = Outcome.OK) -> list[Action]:
         """A run ends."""
         request = self.requests[rid]
         request.where, request.answered = "over", True
@@ -189,31 +225,33 @@
             if self.requests[other].original == rid:
                 self.requests[other].where, self.requests[other].answered = "over", True
                 self._settle(other, outcome)
-        return self.send(i.Finished(rid, outcome))
+        return self.send(RunFinished(rid, outcome))
 
-    def finish_after(self, rid: int, took: int) -> list[i.Action]:
+    def finish_after(self, rid: int, took: int) -> list[Action]:
         """A run ends well that took so long."""
         self.requests[rid].where, self.requests[rid].answered = "over", True
-        return self.send(i.Finished(rid, i.Outcome.OK, took))
+        return self.send(RunFinished(rid, Outcome.OK, took))
 
-    def need(self, rid: int) -> list[i.Action]:
+    def need(self, rid: int) -> list[Action]:
         """A run reaches a call."""
         self.requests[rid].where = "at_call"
         self.requests[rid].call_unsafe = False
         if self.requests[rid].answered:
             self.requests[rid].where = "over"
-            return self.send(i.CallNeeded(rid), i.Finished(rid, i.Outcome.CANCELLED))
-        return self.send(i.CallNeeded(rid))
+            return self.send(CallRequested(rid), RunFinished(rid, Outcome.CANCELLED))
+        return self.send(CallRequested(rid))
 
-    def called(self, rid: int, outcome: i.Outcome) -> list[i.Action]:
+    def called(self, rid: int, outcome: Outcome) -> list[Action]:
         """A call ends."""
         request = self.requests[rid]
-        request.where = "running" if outcome is i.Outcome.OK else "at_call"
-        unrun = outcome in (i.Outcome.REJECTED, i.Outcome.UNREACHED, i.Outcome.MOOT)
-        request.call_unsafe = not unrun and self.settings.classes[request.cls].repeat is not i.Repeat.SAFE
-        return self.send(i.CallEnded(rid, outcome))
+        request.where = "running" if outcome is Outcome.OK else "at_call"
+        unrun = outcome in (Outcome.REJECTED, Outcome.UNREACHED, Outcome.NEVER_STARTED)
+        request.call_unsafe = (
+            not unrun and self.settings.classes[request.cls].retry_semantics is not RetrySemantics.IDEMPOTENT
+        )
+        return self.send(CallFinished(rid, outcome))
 
-    def gone(self, rid: int) -> list[i.Action]:
+    def gone(self, rid: int) -> list[Action]:
         """A caller gives up."""
         request = self.requests[rid]
         request.answered = True
@@ -221,8 +259,8 @@
             request.where = "over"
         elif request.where in ("at_call", "calling"):
             request.where = "over"
-            return self.send(i.Gone(rid), i.Finished(rid, i.Outcome.CANCELLED))
-        return self.send(i.Gone(rid))
+            return self.send(ClientDisconnected(rid), RunFinished(rid, Outcome.CANCELLED))
+        return self.send(ClientDisconnected(rid))
 
     def pass_time(self, by: int) -> None:
         """Move the clock, firing the timers on the way."""
--- a/tests/test_keyed_log.py
+++ b/tests/idempotency/test_durable_log.py
@@ -13,14 +13,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cairnvane.keyed import plan, record, recovery
-from cairnvane.ledger import state
-from cairnvane.keyed import index as places
-from cairnvane.keyed.files import FolderError, segment_name
-from cairnvane.keyed.index import Index
-from cairnvane.keyed.log import Entry, Log, Owner, check
-from cairnvane.ledger.state import IllegalStep, State, Step
-from cairnvane.lab.disk import Disk, PowerCut
+from cairnvane.claims import states
+from cairnvane.claims.states import IllegalStepError, KeyState, Step
+from cairnvane.idempotency.durable import index as places
+from cairnvane.idempotency.durable import records, recovery, retention
+from cairnvane.idempotency.durable.index import Index
+from cairnvane.idempotency.durable.segment_log import Entry, Owner, SegmentLog, check
+from cairnvane.idempotency.durable.storage import FolderError, segment_name
+from cairnvane.testbed.disk import Disk, PowerCut
 
 WINDOW, UNREAD, S = 8_000_000, 2_000_000, 1_000_000
 SAME = bytes(range(16))
@@ -50,7 +50,7 @@
 
     def __post_init__(self) -> None:
         self.index = Index(1 << 16)
-        self.log = Log(self.disk, Owner("n1", self.boot), most_disk=1 << 20, power=True, unread=UNREAD)
+        self.log = SegmentLog(self.disk, Owner("n1", self.boot), most_disk=1 << 20, power=True, unread=UNREAD)
         self.left = self.log.recover(self.index, self.now).conclude()
 
     def put(self, step: Step, number: int, rest: bytes = b"") -> tuple[int, int]:
@@ -63,15 +63,15 @@
     def begin(self, number: int) -> None:
         self.tried.add(number)
         if self.record_intents:
-            rest = record.put_intent(f"{number:016x}", SAME, self.now, 24.5, "write")
+            rest = records.put_intent(f"{number:016x}", SAME, self.now, 24.5, "write")
             self.put(Step.INTENT, number, rest)
         self.spawned[number] = self.now + WINDOW
 
     def end(self, number: int, with_result: bytes | None) -> None:
         self.ends[number] = with_result
         step = Step.FAULT if with_result is None else Step.RESULT
-        segment, offset = self.put(step, number, record.put_end(SAME, with_result or b""))
-        after = State.FAILED if with_result is None else State.FINISHED
+        segment, offset = self.put(step, number, records.put_end(SAME, with_result or b""))
+        after = KeyState.FAILED if with_result is None else KeyState.FINISHED
         word = places.place(segment, offset, places.tag(SAME), after)
         self.index.put(token(number), word, self.now + WINDOW)
         self.answered[number] = self.now + WINDOW
@@ -93,7 +93,7 @@
     for number in range(first, first + count):
         driver.begin(number)
         if number % 7 == 3:
-            driver.put(Step.CALL, number, record.put_call(number))
+            driver.put(Step.CALL, number, records.put_call(number))
         if number % 11 == 5:
             del driver.spawned[number]
             driver.put(Step.NEVER, number)
@@ -105,7 +105,7 @@
 def judge(before: Driver, image: dict[str, bytes], boot: bytes) -> Driver:
     """What is found must hold all that was promised, and nothing else."""
     after = Driver(Disk(image), boot, before.now + S // 10)
-    begun = {one.token for one in after.left.begun}
+    begun = {one.key for one in after.left.started_runs}
     for number, until in before.spawned.items():
         if until <= after.now:
             continue
@@ -113,13 +113,13 @@
         assert found is not None or token(number) in begun, f"run {number} is forgotten and would run again"
         if number in before.answered and found is not None:
             expected = before.ends[number]
-            ends = State.FAILED if expected is None else State.FINISHED
+            ends = KeyState.FAILED if expected is None else KeyState.FINISHED
             assert places.state(found[0]) is ends, number
     for number, until in before.answered.items():
         found = after.index.get(token(number))
         if until > after.now:
             assert found is not None, f"the answer of {number} is forgotten"
-        if found is not None and places.state(found[0]) is State.FINISHED:
+        if found is not None and places.state(found[0]) is KeyState.FINISHED:
             assert after.log.fetch(found[0], token(number), SAME) == before.ends[number]
     assert begun <= {token(number) for number in before.tried}, "a run was invented"
     return after
@@ -255,20 +255,20 @@
     except FolderError as error:
         assert "newer version" in str(error) or "belongs to" in str(error)
         return
-    begun = {one.token for one in after.left.begun}
+    begun = {one.key for one in after.left.started_runs}
     assert begun <= {token(number) for number in range(1, 13)}
     for number in range(1, 400):
         found = after.index.get(token(number))
         if found is not None:
             assert number in driver.ends
-            if places.state(found[0]) is State.FINISHED:
+            if places.state(found[0]) is KeyState.FINISHED:
                 assert after.log.fetch(found[0], token(number), SAME) in (driver.ends[number], None)
     if how == "cut":  # what stands whole before it counts
         for number in driver.ends:
             word = driver.index.get(token(number))
             assert word is not None
             offset = places.where(word[0])[1]
-            end = offset + record.END_BYTES + len(driver.ends[number] or b"")
+            end = offset + records.END_BYTES + len(driver.ends[number] or b"")
             assert at < end or after.index.get(token(number)) is not None
 
 
@@ -291,7 +291,7 @@
         (b"", "empty"),
         (b"\0" * 500, "empty"),
         (b"#!/bin/sh\n" * 90, "not a segment"),
-        (record.MAGIC + b"\x01\0", "cut short"),
+        (records.MAGIC + b"\x01\0", "cut short"),
         (random.Random(1).randbytes(400_000), "not a segment"),
     ],
 )
@@ -307,12 +307,12 @@
 @pytest.mark.parametrize(
     ("change", "word"),
     [
-        ({"version": record.VERSION + 1}, "newer version"),
+        ({"version": records.VERSION + 1}, "newer version"),
         ({"name": "n2"}, "belongs to the instance 'n2'"),
     ],
 )
 def test_a_newer_format_and_another_instance_are_refused(change: dict[str, Any], word: str) -> None:
-    header = record.put_header(record.Header(1, BOOTS[0], 0, 0, change.get("name", "n1")))
+    header = records.put_header(records.Header(1, BOOTS[0], 0, 0, change.get("name", "n1")))
     if "version" in change:
         header = header[:8] + change["version"].to_bytes(2, "little") + header[10:]
     disk = Disk({segment_name(1): header})
@@ -325,7 +325,7 @@
 
 def test_an_older_format_is_read(monkeypatch: pytest.MonkeyPatch) -> None:
     driver, name, data = segment()
-    monkeypatch.setattr(record, "VERSION", record.VERSION + 1)
+    monkeypatch.setattr(records, "VERSION", records.VERSION + 1)
     assert Driver(Disk({name: data}), BOOTS[0], driver.now).index.get(token(1)) is not None
 
 
@@ -378,66 +378,66 @@
 @pytest.mark.parametrize(
     ("before", "step", "after"),
     [
-        (State.UNKNOWN, Step.INTENT, State.INTENDED),
-        (State.INTENDED, Step.CALL, State.CALLING),
-        (State.INTENDED, Step.RESULT, State.FINISHED),
-        (State.CALLING, Step.RESULT, State.FINISHED),
-        (State.CALLING, Step.FAULT, State.FAILED),
-        (State.INTENDED, Step.NEVER, State.VOID),
-        (State.VOID, Step.INTENT, State.INTENDED),
-        (State.AGED, Step.INTENT, State.INTENDED),
-        (State.FINISHED, Step.INTENT, None),
-        (State.FINISHED, Step.RESULT, None),
-        (State.FAILED, Step.RESULT, None),
-        (State.CALLING, Step.NEVER, None),
-        (State.FINISHED, Step.NEVER, None),
-        (State.UNKNOWN, Step.CALL, None),
+        (KeyState.UNKNOWN, Step.INTENT, KeyState.INTENDED),
+        (KeyState.INTENDED, Step.CALL, KeyState.CALLING),
+        (KeyState.INTENDED, Step.RESULT, KeyState.FINISHED),
+        (KeyState.CALLING, Step.RESULT, KeyState.FINISHED),
+        (KeyState.CALLING, Step.FAULT, KeyState.FAILED),
+        (KeyState.INTENDED, Step.NEVER, KeyState.VOID),
+        (KeyState.VOID, Step.INTENT, KeyState.INTENDED),
+        (KeyState.AGED, Step.INTENT, KeyState.INTENDED),
+        (KeyState.FINISHED, Step.INTENT, None),
+        (KeyState.FINISHED, Step.RESULT, None),
+        (KeyState.FAILED, Step.RESULT, None),
+        (KeyState.CALLING, Step.NEVER, None),
+        (KeyState.FINISHED, Step.NEVER, None),
+        (KeyState.UNKNOWN, Step.CALL, None),
     ],
 )
-def test_each_step_leads_where_it_should(before: State, step: Step, after: State | None) -> None:
+def test_each_step_leads_where_it_should(before: KeyState, step: Step, after: KeyState | None) -> None:
     if after is None:
-        with pytest.raises(IllegalStep):
-            state.advance(before, step)
+        with pytest.raises(IllegalStepError):
+            states.advance(before, step)
     else:
-        assert state.advance(before, step) is after
+        assert states.advance(before, step) is after
 
 
 @pytest.mark.parametrize(
     ("stands", "lives", "gets"),
     [
-        (State.UNKNOWN, True, state.Repeat.RUN),
-        (State.VOID, False, state.Repeat.RUN),
-        (State.AGED, True, state.Repeat.RUN),
-        (State.INTENDED, True, state.Repeat.WAIT),
-        (State.CALLING, True, state.Repeat.WAIT),
-        (State.INTENDED, False, state.Repeat.FAIL),
-        (State.CALLING, False, state.Repeat.FAIL),
-        (State.FINISHED, False, state.Repeat.RESULT),
-        (State.FAILED, True, state.Repeat.FAIL),
+        (KeyState.UNKNOWN, True, states.RetryDecision.RUN),
+        (KeyState.VOID, False, states.RetryDecision.RUN),
+        (KeyState.AGED, True, states.RetryDecision.RUN),
+        (KeyState.INTENDED, True, states.RetryDecision.WAIT),
+        (KeyState.CALLING, True, states.RetryDecision.WAIT),
+        (KeyState.INTENDED, False, states.RetryDecision.FAIL),
+        (KeyState.CALLING, False, states.RetryDecision.FAIL),
+        (KeyState.FINISHED, False, states.RetryDecision.RESULT),
+        (KeyState.FAILED, True, states.RetryDecision.FAIL),
     ],
 )
-def test_what_a_repeat_gets(stands: State, lives: bool, gets: state.Repeat) -> None:
-    assert state.repeat(stands, lives) is gets
+def test_what_a_repeat_gets(stands: KeyState, lives: bool, gets: states.RetryDecision) -> None:
+    assert states.repeat(stands, lives) is gets
 
 
 @pytest.mark.parametrize(
     ("stands", "recorded", "asked", "may"),
     [
-        (State.INTENDED, 0, 4, True),
-        (State.CALLING, 4, 4, False),
-        (State.CALLING, 4, 9, True),
+        (KeyState.INTENDED, 0, 4, True),
+        (KeyState.CALLING, 4, 4, False),
+        (KeyState.CALLING, 4, 9, True),
     ],
 )
 def test_a_call_that_may_have_been_made_is_not_made_again(
-    stands: State,
+    stands: KeyState,
     recorded: int,
     asked: int,
     may: bool,
 ) -> None:
-    assert state.call_may_be_made(stands, recorded, asked) is may
+    assert states.call_may_be_made(stands, recorded, asked) is may
 
 
-LOAD = plan.Load(
+LOAD = retention.Load(
     ready=True,
     failing=False,
     writing_for=0,
@@ -457,25 +457,25 @@
     ("changes", "wait"),
     [
         ({}, 0),
-        ({"ready": False}, plan.AWAY_US),
-        ({"failing": True}, plan.AWAY_US),
-        ({"writing_for": plan.SLOW_US + 1}, plan.AWAY_US),
-        ({"queued": 1_001}, plan.BUSY_AWAY_US),
+        ({"ready": False}, retention.AWAY_US),
+        ({"failing": True}, retention.AWAY_US),
+        ({"writing_for": retention.SLOW_US + 1}, retention.AWAY_US),
+        ({"queued": 1_001}, retention.BUSY_AWAY_US),
         ({"open_keys": 5}, 3 * S),
-        ({"open_keys": 5, "first_end": None}, plan.BUSY_AWAY_US),
+        ({"open_keys": 5, "first_end": None}, retention.BUSY_AWAY_US),
         ({"disk": 1 << 20}, 2 * S),
-        ({"disk": (1 << 20) - 3 * plan.KEY_BYTES}, 0),
-        ({"disk": (1 << 20) - 3 * plan.KEY_BYTES + 1}, 2 * S),
-        ({"disk": 1 << 20, "first_drop": None}, plan.AWAY_US),
+        ({"disk": (1 << 20) - 3 * retention.KEY_BYTES}, 0),
+        ({"disk": (1 << 20) - 3 * retention.KEY_BYTES + 1}, 2 * S),
+        ({"disk": 1 << 20, "first_drop": None}, retention.AWAY_US),
     ],
 )
 def test_when_one_more_key_has_room(changes: dict[str, Any], wait: int) -> None:
     values = {name: getattr(LOAD, name) for name in LOAD.__slots__}
-    assert plan.wait_us(plan.Load(**(values | changes))) == wait
+    assert retention.wait_us(retention.Load(**(values | changes))) == wait
 
 
 def test_notices_come_again_from_the_first_whose_record_is_owed() -> None:
-    progress = plan.Progress(10)
+    progress = retention.Progress(10)
     progress.read(11, owed=False)
     assert progress.pos == 11
     progress.read(12, owed=True)
@@ -524,16 +524,18 @@
 @settings(derandomize=True, max_examples=200, deadline=None)
 @given(SOME)
 def test_recovery_goes_by_the_state_machine(steps: list[tuple[Step, int]]) -> None:
-    driver, stands = Driver(Disk()), {}  # type: Driver, dict[int, State]
-    rests = {Step.INTENT: record.put_intent("0" * 16, SAME, 0, 1.0, "write"), Step.CALL: record.put_call(3)}
+    driver, stands = Driver(Disk()), {}  # type: Driver, dict[int, KeyState]
+    rests = {Step.INTENT: records.put_intent("0" * 16, SAME, 0, 1.0, "write"), Step.CALL: records.put_call(3)}
     for step, number in steps:
-        driver.put(step, number, rests.get(step, record.put_end(SAME, b"")))
-        with contextlib.suppress(IllegalStep):
-            stands[number] = state.advance(stands.get(number, State.UNKNOWN), step)
+        driver.put(step, number, rests.get(step, records.put_end(SAME, b"")))
+        with contextlib.suppress(IllegalStepError):
+            stands[number] = states.advance(stands.get(number, KeyState.UNKNOWN), step)
     after = Driver(Disk(driver.disk.content()))
-    begun = {one.token: State.CALLING if one.call_pos else State.INTENDED for one in after.left.begun}
+    begun = {
+        one.key: KeyState.CALLING if one.call_notice else KeyState.INTENDED for one in after.left.started_runs
+    }
     for number in range(1, 4):
         found = after.index.get(token(number))
-        is_ = begun.get(token(number)) or (places.state(found[0]) if found else State.UNKNOWN)
-        expected = stands.get(number, State.UNKNOWN)
-        assert is_ is (State.UNKNOWN if expected is State.VOID else expected)
+        is_ = begun.get(token(number)) or (places.state(found[0]) if found else KeyState.UNKNOWN)
+        expected = stands.get(number, KeyState.UNKNOWN)
+        assert is_ is (KeyState.UNKNOWN if expected is KeyState.VOID else expected)
--- a/tests/test_keyed_server.py
+++ b/tests/idempotency/test_durable_server.py
@@ -13,10 +13,10 @@
 import pytest
 from peers import TOKEN, WAIT_S, Answer, Balancer, PoolPeer, World, expect_thread_errors, reply, world
 
-from cairnvane import lasting
-from cairnvane.keyed import Store, plan
-from cairnvane.keyed.index import BYTES_PER_ENTRY, Index
-from cairnvane.lab.disk import Disk, PowerCut
+from cairnvane.idempotency import durability
+from cairnvane.idempotency.durable import DurableStore, retention
+from cairnvane.idempotency.durable.index import BYTES_PER_ENTRY, Index
+from cairnvane.testbed.disk import Disk, PowerCut
 
 BOOT, OTHER_BOOT = b"a" * 16, b"b" * 16
 WRITE: dict[str, Any] = {"path": "/svc/write", "HTTP_REQ_TOKEN": TOKEN}
@@ -56,7 +56,7 @@
         """A server from its start to its end, which tells nobody anything."""
         (self.go_on.clear if hold else self.go_on.set)()
         self.killed.clear()
-        store = Store(
+        store = DurableStore(
             self.disk,
             "n1",
             self.boot,
@@ -86,7 +86,7 @@
 def quiet(monkeypatch: pytest.MonkeyPatch) -> None:
     """A writer may be killed, and what was recorded is answered from the record alone."""
     expect_thread_errors(monkeypatch, Killed, PowerCut)
-    monkeypatch.setattr(lasting, "RECENT", 0)
+    monkeypatch.setattr(durability, "RECENT_RESULTS", 0)
 
 
 @pytest.mark.parametrize("power", [False, True])
@@ -275,7 +275,7 @@
     lives = Lives()
     with lives.life(pos=None, hold=True) as one:
         answer = served(one, one.balancer(), 1)
-        assert (answer.status, int(answer.headers["Srv-Wait-Ms"])) == (503, plan.AWAY_US // 1_000)
+        assert (answer.status, int(answer.headers["Srv-Wait-Ms"])) == (503, retention.AWAY_US // 1_000)
         lives.go_on.set()
 
 
@@ -333,7 +333,7 @@
     if bound == "memory":
         lives.entries = 64
     else:
-        lives.disk_bytes = 40 * plan.KEY_BYTES
+        lives.disk_bytes = 40 * retention.KEY_BYTES
     with lives.life(KeyKb=0.01) as one:
         balancer, kept = one.balancer(), 0
         for number in range(1, 200):
@@ -416,15 +416,15 @@
 def test_a_record_of_the_pool_before_settles_no_notice_of_this_one() -> None:
     """Guards: both count from 1, and a late record of the one let the other's notice pass for recorded."""
     disk, read = Disk(), threading.Event()
-    store = Store(disk, "n1", BOOT, power=False, disk_bytes=8 << 20, memory_bytes=1 << 20, unread=1)
+    store = DurableStore(disk, "n1", BOOT, power=False, disk_bytes=8 << 20, memory_bytes=1 << 20, unread=1)
     store.start(lambda left: read.set(), lambda: None, lambda why: None)
     assert read.wait(WAIT_S)
     disk.gate.clear()
-    store.noticed(5, True)
-    store.ended(bytes(16), 1 << 60, bytes(16), None, (5,), lambda: None)
-    store.reset()
-    store.noticed(5, True)
-    store.noticed(6, False)
+    store.notice_read(5, True)
+    store.record_end(bytes(16), 1 << 60, bytes(16), None, (5,), lambda: None)
+    store.pool_replaced()
+    store.notice_read(5, True)
+    store.notice_read(6, False)
     disk.gate.set()
     store.close()
     assert store._progress.pos == 4
--- a/tests/test_keyed_kills.py
+++ b/tests/idempotency/test_kills_at_every_step.py
@@ -7,16 +7,16 @@
 from pathlib import Path
 
 import pytest
+from claims.test_claim_log import SAME, UNREAD, Killed, Steps
 from peers import WAIT_S, expect_thread_errors
-from test_ledger import SAME, UNREAD, Killed, Steps
 
 from cairnvane import clock
-from cairnvane.keyed import Beside, Store
-from cairnvane.keyed.beside import LEDGER
-from cairnvane.keys import Begun
-from cairnvane.lab.disk import Disk, PowerCut
-from cairnvane.ledger import Ledger, Lives
-from cairnvane.ledger.folder import OsFolder
+from cairnvane.claims import ClaimLog, Incarnations
+from cairnvane.claims.storage import OsFolder
+from cairnvane.idempotency.durable import DurableStore, TakeoverStore
+from cairnvane.idempotency.durable.takeover_store import LEDGER
+from cairnvane.idempotency.store import StartedRun
+from cairnvane.testbed.disk import Disk, PowerCut
 
 BOOT = b"a" * 16
 RESULTS: dict[bytes, bytes | None] = {b"\1" * 16: b"a" * 300, b"\2" * 16: b"b" * 300, b"\3" * 16: None}
@@ -28,12 +28,14 @@
     """One process: its keeper, and what a host would ask of it."""
 
     def __init__(self, path: Path, disk: Disk, folder: OsFolder) -> None:
-        self.lives = Lives(path / "lives")
+        self.lives = Incarnations(path / "lives")
         self.lives.enter()
-        self.ledger = Ledger(folder, self.lives, UNREAD)
+        self.ledger = ClaimLog(folder, self.lives, UNREAD)
         self.ledger.open()
-        store = Store(disk, "n1", BOOT, power=False, disk_bytes=8 << 20, memory_bytes=1 << 20, unread=UNREAD)
-        self.keeper = Beside(store, self.ledger, path, folder.path, power=False)
+        store = DurableStore(
+            disk, "n1", BOOT, power=False, disk_bytes=8 << 20, memory_bytes=1 << 20, unread=UNREAD
+        )
+        self.keeper = TakeoverStore(store, self.ledger, path, folder.path, power=False)
         self.until: dict[bytes, int] = {}
 
     def start(self, wait_s: float) -> bool:
@@ -52,13 +54,15 @@
 
         self.until[token] = clock.now() + 60_000_000
         self.keeper.reserve()
-        begun = Begun(token, "ab" * 8, "write", SAME, self.until[token], self.until[token], 1.0, 0)
-        self.keeper.intend(begun, lambda: say("runs"), lambda other: say("elsewhere" if other else "refused"))
+        begun = StartedRun(token, "ab" * 8, "write", SAME, self.until[token], self.until[token], 1.0, 0)
+        self.keeper.record_start(
+            begun, lambda: say("runs"), lambda other: say("elsewhere" if other else "refused")
+        )
         return told[0] if there.wait(wait_s) else "nothing"
 
     def ends(self, token: bytes, result: bytes | None, wait_s: float) -> bool:
         there = threading.Event()
-        self.keeper.ended(token, self.until[token], SAME, result, (), there.set)
+        self.keeper.record_end(token, self.until[token], SAME, result, (), there.set)
         return there.wait(wait_s)
 
     def fetch(self, token: bytes) -> bytes | None:
@@ -69,10 +73,10 @@
             told.append(result)
             there.set()
 
-        past = self.keeper.recall(token, SAME, clock.now())
-        if past is None or not past.served:
+        past = self.keeper.look_up(token, SAME, clock.now())
+        if past is None or not past.has_result:
             return None
-        self.keeper.fetch(token, SAME, then)
+        self.keeper.fetch_result(token, SAME, then)
         assert there.wait(WAIT_S)
         return told[0]
 
@@ -122,7 +126,7 @@
         new = Life(path, Disk(disk.content()), OsFolder(folder.path))
         assert new.start(WAIT_S), kill_at
         for token in began:
-            past = new.keeper.recall(token, SAME, clock.now())
+            past = new.keeper.look_up(token, SAME, clock.now())
             assert past is not None or new.run(token, WAIT_S) == "elsewhere", (kill_at, token)
             may = [told[token]] if token in told else [None, RESULTS.get(token)]
             assert new.fetch(token) in may, (kill_at, token)
--- a/tests/test_keyed_beside.py
+++ b/tests/idempotency/test_takeover.py
@@ -14,14 +14,14 @@
 
 import pytest
 from peers import TOKEN, WAIT_S, Answer, Balancer, PoolPeer, until
-from test_program import NOWHERE, program
+from server.test_program import NOWHERE, program
 
-from cairnvane.digest import digest
-from cairnvane.keyed.beside import LEDGER
-from cairnvane.keyed.files import OsFiles
-from cairnvane.ledger.lives import Lives, Vital
-from cairnvane.ledger.record import Record, put
-from cairnvane.ledger.state import Step
+from cairnvane.claims.incarnations import Incarnations, Liveness
+from cairnvane.claims.records import Record, put
+from cairnvane.claims.states import Step
+from cairnvane.idempotency.durable.storage import OsFiles
+from cairnvane.idempotency.durable.takeover_store import LEDGER
+from cairnvane.idempotency.fingerprint import fingerprint
 
 SECOND = TOKEN[::-1]
 
@@ -81,9 +81,9 @@
 
     def hand_over(self, old: subprocess.Popen[str]) -> None:
         """Once a second life can serve, have the first one hand over to it."""
-        lives = Lives(self.folder / "cairnvane-lives")
+        lives = Incarnations(self.folder / "cairnvane-lives")
         lives.life = 0
-        while sum(lives._look(life) == (Vital.ALIVE, True) for life in lives.others()) < 2:
+        while sum(lives._look(life) == (Liveness.ALIVE, True) for life in lives.others()) < 2:
             time.sleep(0.01)
         old.terminate()
         said = self.says(old, "takes no more connections")
@@ -195,7 +195,7 @@
 def test_a_ledger_of_another_boot_is_entered_into_the_log(site: Site) -> None:
     """A power cut while a life served beside the owner: only the ledger has what it answered."""
     token, open_token = bytes.fromhex(TOKEN), bytes.fromhex(SECOND)
-    same = digest("write", b"x")
+    same = fingerprint("write", b"x")
     ledger = site.folder / f"{LEDGER}0badb007"
     ledger.mkdir(parents=True)
     at, until = 9_000_000_000_000, 9_000_060_000_000  # of a clock that ran for months
--- a/tests/test_members.py
+++ b/tests/load_balancing/test_endpoints.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from cairnvane.fleet.members import Address, Described, Health, Members, Stage, Ticket
-from cairnvane.fleet.outliers import Outliers
+from cairnvane.load_balancing.endpoints import Address, Described, Health, Members, Stage, Ticket
+from cairnvane.load_balancing.outlier_detection import Outliers
 
 A, B, C = (("127.0.0.1", port) for port in (1, 2, 3))
 DRAINING, SICK = Described(health=Health.DRAINING), Described(health=Health.UNHEALTHY)
--- a/tests/test_fleet.py
+++ b/tests/load_balancing/test_load_balancing.py
@@ -9,7 +9,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cairnvane.fleet import (
+from cairnvane.contract.events import Outcome
+from cairnvane.load_balancing import (
     Breakers,
     Health,
     Outliers,
@@ -19,9 +20,8 @@
     priorities,
     slow_start,
 )
-from cairnvane.fleet.bounds import may_go_elsewhere
-from cairnvane.fleet.maglev import TABLE_SIZE, Maglev
-from cairnvane.interface import Outcome
+from cairnvane.load_balancing.circuit_breakers import may_go_elsewhere
+from cairnvane.load_balancing.maglev import TABLE_SIZE, Maglev
 
 
 def levels(*percents: int) -> list[Health]:
--- a/tests/test_shedding.py
+++ b/tests/load_shedding/test_quota_leases.py
@@ -10,25 +10,35 @@
 from click.testing import CliRunner
 
 from cairnvane.cli import main
-from cairnvane.lab.shares import FLOOR, TROUBLES, World
-from cairnvane.shedding import lending
-from cairnvane.shedding.lending import ANSWER_US, KEPT, LEASE_US, LEAST, Ask, Back, Grant, Lending, Word
+from cairnvane.load_shedding import quota_leases
+from cairnvane.load_shedding.quota_leases import (
+    ANSWER_US,
+    KEPT,
+    LEASE_US,
+    LEAST,
+    Ask,
+    Back,
+    Grant,
+    QuotaLeases,
+    Word,
+)
+from cairnvane.testbed.shares import FLOOR, TROUBLES, World
 
 RICH, POOR = 1, 2
 
 
-def pair() -> tuple[Lending, Lending]:
-    rich, poor = Lending(FLOOR, 0, first=True), Lending(FLOOR, 0, first=True)
+def pair() -> tuple[QuotaLeases, QuotaLeases]:
+    rich, poor = QuotaLeases(FLOOR, 0, first=True), QuotaLeases(FLOOR, 0, first=True)
     rich.note(0, 1.0, 0.0)
     poor.note(0, FLOOR, 4.0)
     return rich, poor
 
 
-def asks(poor: Lending, now: int, spare: float) -> list[Word]:
+def asks(poor: QuotaLeases, now: int, spare: float) -> list[Word]:
     return [word for life, word in poor.tick(now, {RICH: spare}) if life == RICH]
 
 
-def lent() -> tuple[Lending, Lending, Ask, Grant]:
+def lent() -> tuple[QuotaLeases, QuotaLeases, Ask, Grant]:
     rich, poor = pair()
     (ask,) = asks(poor, 0, rich.spare(0))
     assert isinstance(ask, Ask)
@@ -66,7 +76,7 @@
 def test_a_new_life_begins_with_what_is_never_lent() -> None:
     rich, poor, _, grant = lent()
     poor.hear(2_000, RICH, grant)
-    again = Lending(FLOOR, 3_000)
+    again = QuotaLeases(FLOOR, 3_000)
     assert again.cap(3_000) == KEPT * FLOOR and again.spare(3_000) == 0
     assert again.cap(3_000) + poor.cap(3_000) <= 2 * FLOOR
     assert again.cap(3_000 + 2 * LEASE_US) == FLOOR
@@ -92,21 +102,21 @@
 
 
 def _first_always(monkeypatch: pytest.MonkeyPatch) -> None:
-    made = Lending.__init__
+    made = QuotaLeases.__init__
     monkeypatch.setattr(
-        Lending, "__init__", lambda self, floor, now, first=False: made(self, floor, now, True)
+        QuotaLeases, "__init__", lambda self, floor, now, first=False: made(self, floor, now, True)
     )
 
 
 def _shorter_for_the_lender(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(lending, "DRIFT", -0.3)
+    monkeypatch.setattr(quota_leases, "DRIFT", -0.3)
 
 
 def _last_grant_counts(monkeypatch: pytest.MonkeyPatch) -> None:
-    def amount(self: lending._Lent, now: int) -> float:
+    def amount(self: quota_leases._Lent, now: int) -> float:
         return next((one for one, until in reversed(list(self.grants.values())) if now < until), 0.0)
 
-    monkeypatch.setattr(lending._Lent, "amount", amount)
+    monkeypatch.setattr(quota_leases._Lent, "amount", amount)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_members_processes.py
+++ b/tests/membership/test_member_processes.py
@@ -18,12 +18,12 @@
 from peers import WAIT_S
 
 from cairnvane.cli import main
-from cairnvane.lab import program
-from cairnvane.lab.fleet.nodes import settings
-from cairnvane.lab.fleet.scenario import Scenario
-from cairnvane.lab.pool import StandInPool
-from cairnvane.lab.sockets import free_ports
-from cairnvane.lab.vault import StandInRoster, StandInVault
+from cairnvane.testbed import program
+from cairnvane.testbed.fleet.nodes import settings
+from cairnvane.testbed.fleet.scenario import Scenario
+from cairnvane.testbed.pool import StandInPool
+from cairnvane.testbed.sockets import free_ports
+from cairnvane.testbed.vault import StandInRoster, StandInVault
 
 KEY = "of the tests, sixteen and more"
 
--- a/tests/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -13,16 +13,16 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cairnvane.lab.members import SECOND, Case, CaseReport, World, cases
-from cairnvane.membership import machine, messages, probing
-from cairnvane.membership.machine import Exchange, Member, Send
+from cairnvane.membership import messages, ping_schedule, swim
+from cairnvane.membership.evidence import Outside
+from cairnvane.membership.gossip import MOST, Rumours, tells
+from cairnvane.membership.local_health import wait_us
+from cairnvane.membership.member_table import Claim, Info, Phase, Table
 from cairnvane.membership.messages import Ack, Bad, Numbers, Ping, View, seal, unseal
-from cairnvane.membership.rumours import MOST, Rumours, tells
-from cairnvane.membership.sight import HOLD_US, Evidence, Judgement, Verdict, weigh
-from cairnvane.membership.state import Claim, Info, Phase, Table
-from cairnvane.membership.survey import Outside
-from cairnvane.membership.suspicion import wait_us
-from cairnvane.membership.witness import BEAT_US, HELD_UP_US, LEAST_GAP_US, Arrivals, Pulse
+from cairnvane.membership.own_health import BEAT_US, HELD_UP_US, LEAST_GAP_US, Arrivals, Pulse
+from cairnvane.membership.partition_detector import HOLD_US, Evidence, Judgement, Verdict, weigh
+from cairnvane.membership.swim import Exchange, Send, SwimMember
+from cairnvane.testbed.members import SECOND, Case, CaseReport, World, cases
 
 KEY = b"of the tests"
 # After a change all that are up and connected agree within this.
@@ -203,16 +203,16 @@
 
 
 def test_more_tries_where_links_lose_and_no_more_than_needed_where_they_do_not() -> None:
-    loss = probing.Loss(3)
-    assert loss.tries() == probing.LEAST_TRIES
+    loss = ping_schedule.Loss(3)
+    assert loss.tries() == ping_schedule.LEAST_TRIES
     rng, asked = random.Random(1), []
     for lost in (0.0, 0.05, 0.3, 0.5, 0.99, 0.0):
         for _ in range(400):
             tries = next(n for n in range(1, 50) if n == 49 or rng.random() >= lost)
             loss.answered(tries)
         asked.append(loss.tries())
-    assert asked[0] == asked[1] == asked[-1] == probing.LEAST_TRIES  # helpers make up for that
-    assert asked[1] < asked[2] < asked[3] < asked[4] == probing.MOST_TRIES
+    assert asked[0] == asked[1] == asked[-1] == ping_schedule.LEAST_TRIES  # helpers make up for that
+    assert asked[1] < asked[2] < asked[3] < asked[4] == ping_schedule.MOST_TRIES
 
 
 def test_sixty_with_three_in_ten_lost_call_nobody_dead_and_find_a_kill() -> None:
@@ -436,9 +436,9 @@
     members: int,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(Member, rule, _nobody)
+    monkeypatch.setattr(SwimMember, rule, _nobody)
     if rule == "_revisit":
-        monkeypatch.setattr(machine, "EXCHANGE_LIVES", 1e-9)  # nor does a whole view bring them back
+        monkeypatch.setattr(swim, "EXCHANGE_LIVES", 1e-9)  # nor does a whole view bring them back
     world = fleet(members)
     world.cut = islands({0, 1}, {2, 3, 4})
     world.run(world.now + 13 * SECOND)
@@ -447,16 +447,16 @@
 
 
 def test_with_two_tries_whatever_is_lost_many_are_suspected(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(probing.Loss, "tries", lambda loss: 2)
+    monkeypatch.setattr(ping_schedule.Loss, "tries", lambda loss: 2)
     world = fleet(60, loss=0.3)
     world.run(world.now + 10 * SECOND)
     assert sum(told.event == "member.suspected" and "why" in told.more for _, _, told in world.told) > 160
 
 
 def test_without_last_probes_the_living_are_called_dead(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(machine, "wait_us", lambda *args: 1_000)
-    monkeypatch.setattr(machine, "checks", lambda doubt, tries: 0)
-    monkeypatch.setattr(probing.Loss, "tries", lambda loss: 2)
+    monkeypatch.setattr(swim, "wait_us", lambda *args: 1_000)
+    monkeypatch.setattr(swim, "checks", lambda doubt, tries: 0)
+    monkeypatch.setattr(ping_schedule.Loss, "tries", lambda loss: 2)
     world = fleet(5)
     world.loss = 0.3
     world.run(world.now + 20 * SECOND)
@@ -555,7 +555,7 @@
 
 
 def test_a_contact_is_found_though_a_new_version_took_another_port() -> None:
-    member = Member(claim(1), random.Random(1), 0, contacts=[("h", 50)], spares=2)
+    member = SwimMember(claim(1), random.Random(1), 0, contacts=[("h", 50)], spares=2)
     tried = {
         action.to
         for step in range(1, 5)
--- a/tests/test_explore.py
+++ b/tests/membership/test_model_checker.py
@@ -9,9 +9,9 @@
 from click.testing import CliRunner
 
 from cairnvane.cli import main
-from cairnvane.lab.explore import MUTANTS, World, _shares, _walk, explore
-from cairnvane.lab.fuzz import fuzz
-from cairnvane.membership.channel import Channel
+from cairnvane.membership.transport import MemberTransport
+from cairnvane.testbed.explore import MUTANTS, World, _shares, _walk, explore
+from cairnvane.testbed.fuzz import fuzz
 
 
 def test_three_members_come_to_rest_whatever_happens_in_two_steps(tmp_path: Path) -> None:
@@ -54,14 +54,14 @@
 
 
 def test_a_claim_that_counts_though_it_can_not_be_true_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("cairnvane.membership.machine.sane", lambda claim: True)
+    monkeypatch.setattr("cairnvane.membership.swim.sane", lambda claim: True)
     assert fuzz(4_000, 3).changed
 
 
 def test_a_datagram_that_comes_to_no_count_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
-    take = Channel._take
+    take = MemberTransport._take
     monkeypatch.setattr(
-        Channel,
+        MemberTransport,
         "_take",
         lambda self, data, source, most: take(self, data, source, most) if len(data) <= most else None,
     )
--- a/tests/test_server.py
+++ b/tests/net/test_server.py
@@ -13,10 +13,11 @@
 from peers import TOKEN, WAIT_S, WINDOW_US, PoolPeer, reply, world
 
 from cairnvane import clock
-from cairnvane.exchange import Answer, Exchange, Verdict
-from cairnvane.interface import CloseIdle, Outcome, SetHealth
-from cairnvane.net import connection, fastcgi, http, pool, server, vault
-from cairnvane.net.outlet import MOST_WAITING, Outlet
+from cairnvane.contract.actions import CloseIdleConnections, SetHealth
+from cairnvane.contract.events import Outcome
+from cairnvane.exchange import Exchange, Response, ResponseStatus
+from cairnvane.net import connection, fastcgi, http, server, vault, worker_pool
+from cairnvane.net.message_writer import MOST_WAITING, MessageWriter
 
 BEGIN = fastcgi.record(fastcgi.BEGIN_REQUEST, 1, b"\0\1\1\0\0\0\0\0")
 KEYED: dict[str, Any] = {"path": "/svc/write", "HTTP_REQ_TOKEN": TOKEN}
@@ -233,7 +234,7 @@
         w.serve(idle, 1)
         busy.send(2)
         uid = w.pool.next("spawn")["uid"]
-        w.host._close_idle(CloseIdle(1))
+        w.host._close_idle(CloseIdleConnections(1))
         assert idle.ended()
         w.pool.notice("finished", uid, "fine", b"done")
         assert busy.answer()[1].body == b"done"
@@ -484,7 +485,7 @@
     with socket.create_server(("127.0.0.1", 0)) as gone:
         address = gone.getsockname()
     ends: queue.Queue[Outcome] = queue.Queue()
-    vault.Call(address, "0" * 16, b"", 1_000_000, lambda how, body, took: ends.put(how))
+    vault.VaultCall(address, "0" * 16, b"", 1_000_000, lambda how, body, took: ends.put(how))
     assert ends.get(timeout=WAIT_S) is Outcome.UNREACHED
 
 
@@ -496,7 +497,7 @@
         (503, False, Outcome.ERROR),
         (500, False, Outcome.ERROR),
         (504, False, Outcome.TIMEOUT),
-        (409, True, Outcome.MOOT),
+        (409, True, Outcome.NEVER_STARTED),
         (409, False, Outcome.ERROR),
         (302, False, Outcome.ERROR),
     ],
@@ -625,7 +626,7 @@
 def test_the_pool_may_move_and_come_back(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards: two threads served the address it came back to, and cut each other's links without end."""
     back, before = threading.Event(), set(threading.enumerate())
-    monkeypatch.setattr(pool, "time", SimpleNamespace(sleep=lambda s: back.wait(WAIT_S)))
+    monkeypatch.setattr(worker_pool, "time", SimpleNamespace(sleep=lambda s: back.wait(WAIT_S)))
     with world() as w:
         (first,) = [thread for thread in set(threading.enumerate()) - before if thread.name == "pool"]
         other = PoolPeer()
@@ -651,18 +652,18 @@
 
 
 def test_only_the_first_of_two_answers_goes_out() -> None:
-    sent: list[Answer] = []
+    sent: list[Response] = []
     exchange = Exchange(sent.append)
-    exchange.finish(Answer(Verdict.SERVED, b"1"))
-    exchange.finish(Answer(Verdict.FAILED))
+    exchange.respond(Response(ResponseStatus.SERVED, b"1"))
+    exchange.respond(Response(ResponseStatus.FAILED))
     assert [answer.body for answer in sent] == [b"1"]
-    assert not exchange.withdraw()
+    assert not exchange.abandon()
 
 
 def test_a_peer_that_does_not_read_keeps_no_one_waiting() -> None:
     ours, theirs = socket.socketpair()
     with ours, theirs:
-        outlet = Outlet(ours)
+        outlet = MessageWriter(ours)
         message = bytes(range(256)) * 64
         count = 0
         while outlet.send(message):  # returns at once each time, until the bound is met
@@ -675,7 +676,7 @@
     ours, theirs = socket.socketpair()
     with ours, theirs:
         ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
-        outlet = Outlet(ours)
+        outlet = MessageWriter(ours)
         messages = [bytes([n]) * 3_000 for n in range(40)]
         assert all(outlet.send(message) for message in messages)
         outlet.end()  # cuts off nothing of it
--- a/tests/neutral.py
+++ b/tests/neutral.py
@@ -9,155 +9,192 @@
 
 from typing import assert_never
 
-from cairnvane import interface as i
+from cairnvane.contract.actions import (
+    Action,
+    Cancel,
+    CloseIdleConnections,
+    Fail,
+    ForgetKey,
+    LogMessage,
+    MakeCall,
+    Reject,
+    RememberKey,
+    ReplayResult,
+    ReportLoad,
+    SetHealth,
+    SetTimer,
+    SkipCall,
+    StartRun,
+)
+from cairnvane.contract.events import (
+    Arrival,
+    CallFinished,
+    CallRequested,
+    ClientDisconnected,
+    DrainStarted,
+    Event,
+    KeysRestored,
+    Outcome,
+    RunAdopted,
+    RunFinished,
+    TimerFired,
+)
+from cairnvane.contract.settings import (
+    CancelMode,
+    DependencyKind,
+    LoadSignal,
+    RequestClass,
+    RetrySemantics,
+    Settings,
+)
 
 Plain = None | bool | int | float | str
 Form = list[Plain]
 
-OUTCOMES: dict[i.Outcome, str] = {
-    i.Outcome.OK: "ok",
-    i.Outcome.ERROR: "error",
-    i.Outcome.TIMEOUT: "timeout",
-    i.Outcome.BROKEN: "broken",
-    i.Outcome.CANCELLED: "cancelled",
-    i.Outcome.REJECTED: "rejected",
-    i.Outcome.UNREACHED: "unreached",
-    i.Outcome.MOOT: "moot",
+OUTCOMES: dict[Outcome, str] = {
+    Outcome.OK: "ok",
+    Outcome.ERROR: "error",
+    Outcome.TIMEOUT: "timeout",
+    Outcome.BROKEN: "broken",
+    Outcome.CANCELLED: "cancelled",
+    Outcome.REJECTED: "rejected",
+    Outcome.UNREACHED: "unreached",
+    Outcome.NEVER_STARTED: "moot",
 }
-REPEATS: dict[i.Repeat, str] = {
-    i.Repeat.SAFE: "safe",
-    i.Repeat.KEYED: "keyed",
-    i.Repeat.UNSAFE: "unsafe",
+REPEATS: dict[RetrySemantics, str] = {
+    RetrySemantics.IDEMPOTENT: "safe",
+    RetrySemantics.IDEMPOTENCY_KEYED: "keyed",
+    RetrySemantics.NON_IDEMPOTENT: "unsafe",
 }
-HALTS: dict[i.HaltMode, str] = {
-    i.HaltMode.NONE: "none",
-    i.HaltMode.DROP: "drop",
-    i.HaltMode.PAUSE: "pause",
+HALTS: dict[CancelMode, str] = {
+    CancelMode.NONE: "none",
+    CancelMode.DISCARD: "drop",
+    CancelMode.PAUSE: "pause",
 }
-SIGNALS: dict[i.Signal, str] = {
-    i.Signal.NONE: "none",
-    i.Signal.LEVEL: "level",
-    i.Signal.CREDIT: "credit",
-    i.Signal.WEIGHT: "weight",
+SIGNALS: dict[LoadSignal, str] = {
+    LoadSignal.NONE: "none",
+    LoadSignal.LEVEL: "level",
+    LoadSignal.CREDIT: "credit",
+    LoadSignal.WEIGHT: "weight",
 }
-DOWNSTREAMS: dict[i.Downstream, str] = {
-    i.Downstream.NONE: "none",
-    i.Downstream.SHARED: "shared",
-    i.Downstream.TIER: "tier",
+DOWNSTREAMS: dict[DependencyKind, str] = {
+    DependencyKind.NONE: "none",
+    DependencyKind.SHARED: "shared",
+    DependencyKind.TIER: "tier",
 }
-EVENT_LABELS: dict[type[i.Event], str] = {
-    i.Arrival: "arrival",
-    i.Kept: "kept",
-    i.Adopted: "adopted",
-    i.Finished: "finished",
-    i.Gone: "gone",
-    i.CallNeeded: "call-needed",
-    i.CallEnded: "call-ended",
-    i.Draining: "draining",
-    i.TimerFired: "timer-fired",
+EVENT_LABELS: dict[type[Event], str] = {
+    Arrival: "arrival",
+    KeysRestored: "kept",
+    RunAdopted: "adopted",
+    RunFinished: "finished",
+    ClientDisconnected: "gone",
+    CallRequested: "call-needed",
+    CallFinished: "call-ended",
+    DrainStarted: "draining",
+    TimerFired: "timer-fired",
 }
-ACTION_LABELS: dict[type[i.Action], str] = {
-    i.Run: "run",
-    i.Refuse: "refuse",
-    i.Fail: "fail",
-    i.Halt: "halt",
-    i.Call: "call",
-    i.SkipCall: "skip-call",
-    i.Remember: "remember",
-    i.Forget: "forget",
-    i.Reuse: "reuse",
-    i.SetHealth: "set-health",
-    i.Advertise: "advertise",
-    i.CloseIdle: "close-idle",
-    i.SetTimer: "set-timer",
-    i.Log: "log",
+ACTION_LABELS: dict[type[Action], str] = {
+    StartRun: "run",
+    Reject: "refuse",
+    Fail: "fail",
+    Cancel: "halt",
+    MakeCall: "call",
+    SkipCall: "skip-call",
+    RememberKey: "remember",
+    ForgetKey: "forget",
+    ReplayResult: "reuse",
+    SetHealth: "set-health",
+    ReportLoad: "advertise",
+    CloseIdleConnections: "close-idle",
+    SetTimer: "set-timer",
+    LogMessage: "log",
 }
 
 
-def event_form(event: i.Event) -> Form:
+def event_form(event: Event) -> Form:
     """The event's label and its field values."""
     return [EVENT_LABELS[type(event)], *_event_values(event)]
 
 
-def _event_values(event: i.Event) -> Form:
-    if isinstance(event, i.Arrival):
+def _event_values(event: Event) -> Form:
+    if isinstance(event, Arrival):
         return _arrival_values(event)
-    if isinstance(event, i.Kept):
-        return [event.count, event.life]
-    if isinstance(event, i.Adopted):
-        return [event.id, event.cls, event.time_left, event.life, event.memory]
-    if isinstance(event, i.Finished):
-        return [event.id, OUTCOMES[event.outcome], event.took]
-    if isinstance(event, i.Gone):
-        return [event.id]
-    if isinstance(event, i.CallNeeded):
-        return [event.id]
-    if isinstance(event, i.CallEnded):
-        return [event.id, OUTCOMES[event.outcome], event.took]
-    if isinstance(event, i.Draining):
+    if isinstance(event, KeysRestored):
+        return [event.count, event.lifetime]
+    if isinstance(event, RunAdopted):
+        return [event.request_id, event.class_index, event.time_left, event.lifetime, event.memory]
+    if isinstance(event, RunFinished):
+        return [event.request_id, OUTCOMES[event.outcome], event.duration]
+    if isinstance(event, ClientDisconnected):
+        return [event.request_id]
+    if isinstance(event, CallRequested):
+        return [event.request_id]
+    if isinstance(event, CallFinished):
+        return [event.request_id, OUTCOMES[event.outcome], event.duration]
+    if isinstance(event, DrainStarted):
         return [event.time_left]
-    if isinstance(event, i.TimerFired):
+    if isinstance(event, TimerFired):
         return [event.token, event.cpu_busy, event.runnable, event.memory_used, event.connections]
     assert_never(event)
 
 
-def _arrival_values(event: i.Arrival) -> Form:
+def _arrival_values(event: Arrival) -> Form:
     return [
-        event.id,
-        event.cls,
-        event.queued,
+        event.request_id,
+        event.class_index,
+        event.queue_delay,
         event.time_left,
         event.memory,
         event.cost,
-        event.caller,
+        event.client,
         event.tenant,
-        event.again,
-        event.repeats,
-        event.keep_after,
+        event.is_retry,
+        event.duplicate_of,
+        event.storage_delay,
     ]
 
 
-def action_form(action: i.Action) -> Form:
+def action_form(action: Action) -> Form:
     """The action's label and its field values."""
     return [ACTION_LABELS[type(action)], *_action_values(action)]
 
 
-def _action_values(action: i.Action) -> Form:
-    if isinstance(action, i.Refuse):
-        return [action.id, action.stay_away, action.no_retry]
-    if isinstance(action, i.Call):
-        return [action.id, action.timeout]
-    if isinstance(action, i.Remember):
-        return [action.id, action.life]
-    if isinstance(action, i.SetHealth):
-        return [action.good, action.stored]
-    if isinstance(action, i.Advertise):
+def _action_values(action: Action) -> Form:
+    if isinstance(action, Reject):
+        return [action.request_id, action.retry_after, action.no_retry]
+    if isinstance(action, MakeCall):
+        return [action.request_id, action.timeout]
+    if isinstance(action, RememberKey):
+        return [action.request_id, action.lifetime]
+    if isinstance(action, SetHealth):
+        return [action.healthy, action.cached]
+    if isinstance(action, ReportLoad):
         return [action.value]
-    if isinstance(action, i.CloseIdle):
-        return [action.after]
-    if isinstance(action, i.SetTimer):
-        return [action.at, action.token]
-    if isinstance(action, i.Log):
-        return [action.text]
-    return [action.id]  # the type checker knows that all others have only this
+    if isinstance(action, CloseIdleConnections):
+        return [action.idle_time]
+    if isinstance(action, SetTimer):
+        return [action.due_at, action.token]
+    if isinstance(action, LogMessage):
+        return [action.message]
+    return [action.request_id]  # the type checker knows that all others have only this
 
 
-def class_form(cls: i.RequestClass) -> Form:
+def class_form(cls: RequestClass) -> Form:
     """A class's field values."""
     return [
         cls.name,
-        cls.aim,
-        cls.patience,
-        cls.worth,
-        cls.late_worth,
-        REPEATS[cls.repeat],
-        cls.window,
-        cls.skip_worth,
-        cls.aim_stretch,
+        cls.latency_objective,
+        cls.client_timeout,
+        cls.priority_weight,
+        cls.late_fraction,
+        REPEATS[cls.retry_semantics],
+        cls.retry_window,
+        cls.degraded_fraction,
+        cls.objective_per_cost,
     ]
 
 
-def settings_form(settings: i.Settings) -> list[Form]:
+def settings_form(settings: Settings) -> list[Form]:
     """The classes, the tenants, and the other field values of settings."""
     classes = [class_form(cls) for cls in settings.classes]
     tenants: list[Form] = [[tenant.name, tenant.quota] for tenant in settings.tenants]
@@ -167,23 +204,23 @@
         [
             settings.cores,
             settings.memory,
-            settings.over_share_worth,
-            settings.peers,
-            settings.run_factor,
+            settings.over_quota_fraction,
+            settings.replicas,
+            settings.running_memory_factor,
             settings.key_memory,
-            HALTS[settings.halt],
-            SIGNALS[settings.signal],
-            DOWNSTREAMS[settings.downstream],
-            settings.fair_calls,
-            settings.calls_window,
-            settings.call_linger,
-            settings.callers,
-            settings.cold,
-            settings.cold_from,
-            settings.cold_for,
-            settings.crowd_multiple,
+            HALTS[settings.cancel_mode],
+            SIGNALS[settings.load_signal],
+            DOWNSTREAMS[settings.dependency],
+            settings.dependency_quota,
+            settings.dependency_window,
+            settings.abandoned_call_time,
+            settings.clients,
+            settings.cold_start,
+            settings.cold_speed,
+            settings.warmup_time,
+            settings.max_oversubscription,
             settings.drain_grace,
-            settings.max_advice,
-            settings.round,
+            settings.max_retry_after,
+            settings.min_round_interval,
         ],
     ]
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -15,14 +15,14 @@
 
 import pytest
 
-from cairnvane.host import Host
-from cairnvane.keys import Keeper
-from cairnvane.lasting import Lasting
+from cairnvane.idempotency.durability import DurableKeys
+from cairnvane.idempotency.store import IdempotencyStore
 from cairnvane.net import fastcgi
 from cairnvane.net.connection import Connection
-from cairnvane.net.pool import Pool
-from cairnvane.net.server import Server
-from cairnvane.wire import read_settings
+from cairnvane.net.server import FastCgiServer
+from cairnvane.net.worker_pool import WorkerPool
+from cairnvane.server.event_loop import EventLoop
+from cairnvane.simulator.settings_reader import read_settings
 
 WAIT_S = 20  # only a story that fails waits so long
 TOKEN = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
@@ -376,8 +376,8 @@
 
     pool: PoolPeer
     vault: VaultPeer
-    server: Server
-    host: Host
+    server: FastCgiServer
+    host: EventLoop
     balancers: list[Balancer] = field(default_factory=list)  # one that nobody holds would hang up
 
     @property
@@ -417,7 +417,7 @@
         return uid
 
 
-def _end_link(link: Pool, before: set[threading.Thread]) -> None:
+def _end_link(link: WorkerPool, before: set[threading.Thread]) -> None:
     """End a pool's link, which the server itself never does, and wait for its threads, which came after
     `before`: none may reach, or fail in, a later test."""
     with link._lock:
@@ -436,7 +436,7 @@
     *replies: bytes,
     bound: bool = True,
     most: int = 16,
-    keeper: Keeper | None = None,
+    keeper: IdempotencyStore | None = None,
     peer: PoolPeer | None = None,
     pos: int | None = 0,
     **extra: Any,
@@ -446,11 +446,11 @@
     settings, gauges = read_settings(json.dumps(PARAMS | {"Extra": PARAMS["Extra"] | extra}))
     pool, vault = peer or PoolPeer(bound), VaultPeer(*replies)
     pool.linked.clear()
-    host = Host(settings, gauges, seed=1)
+    host = EventLoop(settings, gauges, seed=1)
     before = set(threading.enumerate())
-    link, server = Pool(pool.address, host), Server(("127.0.0.1", 0), host, most)
-    lasting = Lasting(keeper, settings) if keeper is not None else None
-    host.join(server, link, vault.address, lasting)
+    link, server = WorkerPool(pool.address, host), FastCgiServer(("127.0.0.1", 0), host, most)
+    lasting = DurableKeys(keeper, settings) if keeper is not None else None
+    host.connect(server, link, vault.address, lasting)
     thread = threading.Thread(target=host.serve, daemon=True)
     thread.start()
     if lasting is not None:
