--- a/tests/test_golden_bytes.py
+++ b/tests/recordings/test_golden_bytes.py
@@ -1,6 +1,6 @@
 """What each codec writes, and what it reads, byte for byte as version f6762b4 did.
 
-`data/golden_bytes.json` was written by that version: `python tests/test_golden_bytes.py` makes it anew and is
+`data/golden_bytes.json` was written by that version: `python tests/recordings/test_golden_bytes.py` makes it anew and is
 to be run on that version only. Bytes are hexadecimal; what was read stands in the forms of `neutral.py`.
 """
 
@@ -20,20 +20,39 @@
 import pytest
 from neutral import OUTCOMES, Form, action_form, event_form, settings_form
 
-from cairnvane import interface as i
-from cairnvane import runs, wire
-from cairnvane.digest import digest
-from cairnvane.exchange import Answer, Check, Intake, Request, Verdict
-from cairnvane.keyed import record as keyed_record
-from cairnvane.ledger import record as ledger_record
-from cairnvane.ledger.state import Step
-from cairnvane.membership import messages, state
+from cairnvane.claims import records as ledger_record
+from cairnvane.claims.states import Step
+from cairnvane.contract.actions import (
+    Action,
+    Cancel,
+    CloseIdleConnections,
+    Fail,
+    ForgetKey,
+    LogMessage,
+    MakeCall,
+    Reject,
+    RememberKey,
+    ReplayResult,
+    ReportLoad,
+    SetHealth,
+    SetTimer,
+    SkipCall,
+    StartRun,
+)
+from cairnvane.contract.events import Outcome
+from cairnvane.exchange import HealthCheck, Request, RequestSink, Response, ResponseStatus
+from cairnvane.idempotency.durable import records as keyed_record
+from cairnvane.idempotency.fingerprint import fingerprint
+from cairnvane.membership import member_table, messages
 from cairnvane.net import fastcgi, http, vault
-from cairnvane.net.pool import Notices, Pool
-from cairnvane.net.roster import Roster
-from cairnvane.net.server import Server
-
-GOLDEN = Path(__file__).parent / "data" / "golden_bytes.json"
+from cairnvane.net.server import FastCgiServer
+from cairnvane.net.service_registry import ServiceRegistry
+from cairnvane.net.worker_pool import PoolListener, WorkerPool
+from cairnvane.server import executions
+from cairnvane.simulator import protocol
+from cairnvane.simulator.settings_reader import timer_fired
+
+GOLDEN = Path(__file__).parents[1] / "data" / "golden_bytes.json"
 WAIT_S = 20.0
 LOOPBACK = "127.0.0.1"
 TOKEN = bytes(range(16))
@@ -80,39 +99,39 @@
 
 
 ANSWERS = {
-    "served": Answer(Verdict.SERVED, b"result", load=0.25),
-    "refused": Answer(Verdict.REFUSED, stay_away_ms=150, last=True, load=1.0),
-    "advised": Answer(Verdict.REFUSED, stay_away_ms=20),
-    "failed": Answer(Verdict.FAILED),
+    "served": Response(ResponseStatus.SERVED, b"result", load=0.25),
+    "refused": Response(ResponseStatus.REJECTED, retry_after_ms=150, no_retry=True, load=1.0),
+    "advised": Response(ResponseStatus.REJECTED, retry_after_ms=20),
+    "failed": Response(ResponseStatus.FAILED),
 }
 
 
-class AnsweringIntake(Intake):
+class AnsweringIntake(RequestSink):
     """Answers at once, by the class of a request."""
 
     def __init__(self) -> None:
         self.seen: list[list[Any]] = []
 
-    def arrived(self, request: Request) -> None:
+    def request_arrived(self, request: Request) -> None:
         self.seen.append(
             [
                 request.uid,
-                request.lane,
+                request.class_name,
                 request.body.hex(),
-                request.caller,
+                request.client,
                 request.memory,
-                request.token,
-                request.ahead,
+                request.idempotency_key,
+                request.clock_skew,
             ]
         )
-        request.finish(ANSWERS[request.lane])
+        request.respond(ANSWERS[request.class_name])
 
-    def gone(self, request: Request) -> None:
+    def client_disconnected(self, request: Request) -> None:
         self.seen.append(["gone", request.uid])
 
-    def checked(self, check: Check) -> None:
+    def health_check_arrived(self, check: HealthCheck) -> None:
         self.seen.append(["check", check.deep])
-        check.finish(Answer(Verdict.SERVED, b"well"))
+        check.respond(Response(ResponseStatus.SERVED, b"well"))
 
 
 def _pairs(values: dict[str, str]) -> bytes:
@@ -153,7 +172,7 @@
 def fastcgi_connection() -> Made:
     """All that a connection writes, from its first byte to its end."""
     intake = AnsweringIntake()
-    server = Server((LOOPBACK, 0), intake, 4)
+    server = FastCgiServer((LOOPBACK, 0), intake, 4)
     server.start()
     said = [_record(9, 0, _pairs({"FCGI_MAX_CONNS": "", "FCGI_MAX_REQS": "", "FCGI_MPXS_CONNS": ""}))]
     said += [_request(number, _service_values(lane, b"{}"), b"{}") for number, lane in enumerate(ANSWERS, 1)]
@@ -180,44 +199,44 @@
 
 # --- the binary protocol
 
-ACTIONS: list[i.Action] = [
-    i.Run(1),
-    i.Run(LARGE),
-    i.Refuse(2),
-    i.Refuse(3, 250_000, True),
-    i.Refuse(4, MOST_TIME + 9, False),
-    i.Fail(5),
-    i.Halt(6),
-    i.Call(7, 120_000),
-    i.Call(8, MOST_TIME + 9),
-    i.SkipCall(9),
-    i.Remember(10, 8_005_000),
-    i.Remember(11, MOST_TIME + 9),
-    i.Forget(12),
-    i.Reuse(13),
-    i.SetHealth(True, False),
-    i.SetHealth(False, True),
-    i.Advertise(0.35),
-    i.CloseIdle(0),
-    i.CloseIdle(25_600_000),
-    i.SetTimer(LARGE, 3),
-    i.Log("caf\u00e9"),
+ACTIONS: list[Action] = [
+    StartRun(1),
+    StartRun(LARGE),
+    Reject(2),
+    Reject(3, 250_000, True),
+    Reject(4, MOST_TIME + 9, False),
+    Fail(5),
+    Cancel(6),
+    MakeCall(7, 120_000),
+    MakeCall(8, MOST_TIME + 9),
+    SkipCall(9),
+    RememberKey(10, 8_005_000),
+    RememberKey(11, MOST_TIME + 9),
+    ForgetKey(12),
+    ReplayResult(13),
+    SetHealth(True, False),
+    SetHealth(False, True),
+    ReportLoad(0.35),
+    CloseIdleConnections(0),
+    CloseIdleConnections(25_600_000),
+    SetTimer(LARGE, 3),
+    LogMessage("caf\u00e9"),
 ]
 
 
 def wire_replies() -> Made:
     """Each action in a reply of its own, and one reply with all of them."""
     made: Made = {}
-    whole = wire.Reply()
-    whole.by(513)
+    whole = protocol.Reply()
+    whole.begin_instance(513)
     for number, action in enumerate(ACTIONS):
-        reply = wire.Reply()
+        reply = protocol.Reply()
         reply.add(action)
         whole.add(action)
         made[f"{number} {json.dumps(action_form(action))}"] = reply.frame().hex()
-    whole.fault("it failed")
+    whole.add_fault("it failed")
     made["all"] = whole.frame().hex()
-    made["none"] = wire.Reply().frame().hex()
+    made["none"] = protocol.Reply().frame().hex()
     return made
 
 
@@ -300,19 +319,19 @@
 def wire_batches() -> Made:
     """What is read from a batch with every event."""
     records, tail = _batch_records()
-    body = b"".join(record.ljust(wire.EVENT_SIZE, b"\0") for record in records) + tail
+    body = b"".join(record.ljust(protocol.EVENT_SIZE, b"\0") for record in records) + tail
     gauges: tuple[str | None, ...] = ()
     read: list[Any] = []
-    for instance, told in wire.read_batch(body, len(records)):
-        if isinstance(told, wire.Hello):
+    for instance, told in protocol.read_batch(body, len(records)):
+        if isinstance(told, protocol.Hello):
             gauges = gauges or told.gauges
             known = [gauge is not None for gauge in told.gauges]
             read.append([instance, "hello", told.seed, settings_form(told.settings), known])
-        elif isinstance(told, wire.Teardown):
+        elif isinstance(told, protocol.Teardown):
             read.append([instance, "teardown"])
         elif isinstance(told, tuple):
             token, values = told
-            read.append([instance, event_form(wire.timer_fired(token, values, gauges))])
+            read.append([instance, event_form(timer_fired(token, values, gauges))])
         else:
             read.append([instance, event_form(told)])
     return {"body": body.hex(), "read": read}
@@ -399,7 +418,7 @@
         self.came = threading.Event()
         self.form: Form = []
 
-    def told(self, outcome: i.Outcome, body: bytes, took_us: int) -> None:
+    def told(self, outcome: Outcome, body: bytes, took_us: int) -> None:
         self.form = [OUTCOMES[outcome], body.hex()]
         self.came.set()
 
@@ -410,7 +429,7 @@
     for name, reply in VAULT_REPLIES.items():
         peer = OneConnection(_serve_http(reply))
         end = CallEnd()
-        vault.Call(peer.address, UID, b'{"key":1}', 10_000_000, end.told)
+        vault.VaultCall(peer.address, UID, b'{"key":1}', 10_000_000, end.told)
         assert end.came.wait(WAIT_S)
         sent = _without_port(peer.read(), peer.address)
         left = re.search(rb"X-Max-Ms: ([0-9]+)\r\n", sent)
@@ -422,7 +441,7 @@
 def roster_report() -> Made:
     """A report, but for its port."""
     peer = OneConnection(_serve_http(b"HTTP/1.1 204 No Content\r\n\r\n"))
-    roster = Roster(peer.address, "server-1")
+    roster = ServiceRegistry(peer.address, "server-1")
     roster.start()
     sent = peer.read()
     roster.stop()
@@ -432,7 +451,7 @@
 # --- the worker pool
 
 
-class HeardNotices(Notices):
+class HeardNotices(PoolListener):
     """Writes down what the link tells."""
 
     def __init__(self) -> None:
@@ -502,7 +521,7 @@
     """Every command as it was sent, in order, and what was made of the notices."""
     notices = HeardNotices()
     peer = OneConnection(_serve_pool, stays=True)
-    pool = Pool(peer.address, notices)
+    pool = WorkerPool(peer.address, notices)
     pool.resume(41, None, lambda recorded, started: True)
     pool.start()
     assert notices.up.wait(WAIT_S)
@@ -516,7 +535,7 @@
         "links": links,
         "answers": answers,
         "heard": notices.heard,
-        "ends": [[word, OUTCOMES[outcome]] for word, outcome in runs.ENDS.items()],
+        "ends": [[word, OUTCOMES[outcome]] for word, outcome in executions.ENDS.items()],
     }
 
 
@@ -593,7 +612,7 @@
 def digests() -> Made:
     """Of class and body, as they stand in records."""
     told = {"read": b"body", "write": b"", "caf\u00e9": bytes(range(256))}
-    return {lane: digest(lane, body).hex() for lane, body in told.items()}
+    return {lane: fingerprint(lane, body).hex() for lane, body in told.items()}
 
 
 # --- membership
@@ -604,10 +623,14 @@
 def member_messages() -> Made:
     """Every message under its envelope, and each read back."""
     claims = [
-        state.Claim(5, "n1", "here:1", "10.0.0.4", 7_000, int(state.Status.SUSPECT), 3, 9),
-        state.Claim(LARGE, "n2", "there:2", "10.0.0.5", 7_001, int(state.Status.LEFT), 0),
+        member_table.Claim(5, "n1", "here:1", "10.0.0.4", 7_000, int(member_table.Status.SUSPECT), 3, 9),
+        member_table.Claim(LARGE, "n2", "there:2", "10.0.0.5", 7_001, int(member_table.Status.LEFT), 0),
+    ]
+    infos = [
+        member_table.Info(
+            5, 3, 8, {"phase": int(member_table.Phase.SERVING), "load": 0.5, "name": "caf\u00e9"}
+        )
     ]
-    infos = [state.Info(5, 3, 8, {"phase": int(state.Phase.SERVING), "load": 0.5, "name": "caf\u00e9"})]
     told: dict[str, messages.Message] = {
         "ping": messages.Ping(1, 5, claims, infos),
         "plain ping": messages.Ping(2, 5),
--- a/tests/test_golden_folders.py
+++ b/tests/recordings/test_golden_folders.py
@@ -1,6 +1,6 @@
 """Folders of kept results as version f6762b4 wrote them: printed alike, and recovered to the same content.
 
-That version wrote `data/folders` and the expected files in it. `python tests/test_golden_folders.py`
+That version wrote `data/folders` and the expected files in it. `python tests/recordings/test_golden_folders.py`
 makes them anew, and is to be run on that version only. All times in them are of boots that no machine has:
 nothing that is printed depends on when it is.
 """
@@ -15,19 +15,19 @@
 import pytest
 from click.testing import CliRunner
 
+from cairnvane.claims import ClaimLog, Incarnations
+from cairnvane.claims import records as ledger_record
+from cairnvane.claims.states import KeyState, Step
+from cairnvane.claims.storage import OsFolder
 from cairnvane.cli import main
-from cairnvane.keyed import index as places
-from cairnvane.keyed import record as keyed_record
-from cairnvane.keyed.files import OsFiles
-from cairnvane.keyed.index import Index
-from cairnvane.keyed.log import Entry, Log, Owner
-from cairnvane.keys import Begun, Recovered
-from cairnvane.ledger import Ledger, Lives
-from cairnvane.ledger import record as ledger_record
-from cairnvane.ledger.folder import OsFolder
-from cairnvane.ledger.state import State, Step
-
-FOLDERS = Path(__file__).parent / "data" / "folders"
+from cairnvane.idempotency.durable import index as places
+from cairnvane.idempotency.durable import records as keyed_record
+from cairnvane.idempotency.durable.index import Index
+from cairnvane.idempotency.durable.segment_log import Entry, Owner, SegmentLog
+from cairnvane.idempotency.durable.storage import OsFiles
+from cairnvane.idempotency.store import RecoveredState, StartedRun
+
+FOLDERS = Path(__file__).parents[1] / "data" / "folders"
 RECOVERED = FOLDERS / "expected_recovered.json"
 COMPACTED = FOLDERS / "expected_compact_log.txt"
 LEDGER = "ledger.0123abcd"
@@ -47,14 +47,14 @@
 # The first keys are past their window and past being read late by then, the last ones are not.
 RECOVERED_AT_US = START_US + 12 * SECOND_US
 LIVES = (7_000_000_001, 7_000_000_002)
-STATES: dict[State, str] = {
-    State.UNKNOWN: "unknown",
-    State.INTENDED: "intended",
-    State.CALLING: "calling",
-    State.FINISHED: "finished",
-    State.FAILED: "failed",
-    State.VOID: "void",
-    State.AGED: "aged",
+STATES: dict[KeyState, str] = {
+    KeyState.UNKNOWN: "unknown",
+    KeyState.INTENDED: "intended",
+    KeyState.CALLING: "calling",
+    KeyState.FINISHED: "finished",
+    KeyState.FAILED: "failed",
+    KeyState.VOID: "void",
+    KeyState.AGED: "aged",
 }
 
 
@@ -94,7 +94,7 @@
 def _write_log(folder: Path) -> None:
     files = OsFiles(folder)
     files.make()
-    log = Log(files, Owner(INSTANCE, BOOT), most_disk=MOST_DISK, power=False, unread=UNREAD_US)
+    log = SegmentLog(files, Owner(INSTANCE, BOOT), most_disk=MOST_DISK, power=False, unread=UNREAD_US)
     log.recover(Index(INDEX_BYTES), START_US)
     link = keyed_record.put_link(START_US - SECOND_US)
     log.append([Entry(Step.LINK, keyed_record.NO_TOKEN, START_US, START_US, link)], UNIX_MS)
@@ -225,7 +225,9 @@
 
 def recovered_log(folder: Path, boot: bytes) -> dict[str, Any]:
     """All that a life that starts at a fixed time takes up from a log; what is torn is cut off."""
-    log = Log(OsFiles(folder), Owner(INSTANCE, boot), most_disk=MOST_DISK, power=False, unread=UNREAD_US)
+    log = SegmentLog(
+        OsFiles(folder), Owner(INSTANCE, boot), most_disk=MOST_DISK, power=False, unread=UNREAD_US
+    )
     index = Index(INDEX_BYTES)
     recovery = log.recover(index, RECOVERED_AT_US)
     report = log.report
@@ -238,24 +240,24 @@
     }
 
 
-def _left_form(left: Recovered) -> list[Any]:
+def _left_form(left: RecoveredState) -> list[Any]:
     begun = [
         [
-            one.token.hex(),
+            one.key.hex(),
             one.uid,
-            one.lane,
-            one.digest.hex(),
-            one.until,
-            one.due,
+            one.class_name,
+            one.fingerprint.hex(),
+            one.expires_at,
+            one.deadline,
             one.memory,
-            one.call_pos,
+            one.call_notice,
         ]
-        for one in left.begun
+        for one in left.started_runs
     ]
-    return [begun, [[*kept] for kept in left.kept], left.pos, left.pool_started]
+    return [begun, [[*kept] for kept in left.key_lifetimes], left.last_notice, left.pool_started_at]
 
 
-def _index_form(log: Log, index: Index, number: int) -> list[Any]:
+def _index_form(log: SegmentLog, index: Index, number: int) -> list[Any]:
     """How a key ended, until when it counts, where its record stands, and its result."""
     found = index.get(token(number))
     if found is None:
@@ -271,16 +273,16 @@
     ]
 
 
-def _opened_ledger(path: Path, lives: Path) -> Ledger:
-    ledger = Ledger(OsFolder(path), Lives(lives), UNREAD_US)
+def _opened_ledger(path: Path, lives: Path) -> ClaimLog:
+    ledger = ClaimLog(OsFolder(path), Incarnations(lives), UNREAD_US)
     ledger.open()
     return ledger
 
 
-def _fetched(ledger: Ledger, name: bytes) -> list[str | None]:
+def _fetched(ledger: ClaimLog, name: bytes) -> list[str | None]:
     """The results that a try is told of: exactly one, or none if there is no result."""
     told: list[str | None] = []
-    ledger.fetch(name, DIGEST, lambda kept: told.append(None if kept is None else kept.hex()))
+    ledger.fetch_result(name, DIGEST, lambda kept: told.append(None if kept is None else kept.hex()))
     return told
 
 
@@ -302,8 +304,8 @@
     tries = []
     for number in range(1, 10):
         for arrived in (START_US + 100, START_US + WINDOW_US + 100, START_US + 3 * WINDOW_US):
-            past = ledger.recall(token(number), DIGEST, arrived)
-            tries.append([number, arrived, None if past is None else past.served])
+            past = ledger.look_up(token(number), DIGEST, arrived)
+            tries.append([number, arrived, None if past is None else past.has_result])
     results = [[number, _fetched(ledger, token(number))] for number in range(1, 10)]
     ledger.close()
     return {"entries": entries, "tries": tries, "results": results}
@@ -348,7 +350,7 @@
 
 def test_a_recorded_log_is_written_on(folders: Path) -> None:
     """What is appended to an old folder is recovered beside what was there."""
-    log = Log(
+    log = SegmentLog(
         OsFiles(folders / "log"), Owner(INSTANCE, BOOT), most_disk=MOST_DISK, power=False, unread=UNREAD_US
     )
     log.recover(Index(INDEX_BYTES), RECOVERED_AT_US)
@@ -370,9 +372,11 @@
     told: list[str] = []
     until = 1 << 62
     for number in (4, 30):
-        begun = Begun(token(number), f"{number:016x}", "write", DIGEST, until, until, 24.5, 0)
-        ledger.intend(begun, lambda: told.append("claimed"), lambda known: told.append(f"refused {known}"))
-    ledger.ended(token(30), until, DIGEST, b"new", (), lambda: told.append("ended"))
+        begun = StartedRun(token(number), f"{number:016x}", "write", DIGEST, until, until, 24.5, 0)
+        ledger.record_start(
+            begun, lambda: told.append("claimed"), lambda known: told.append(f"refused {known}")
+        )
+    ledger.record_end(token(30), until, DIGEST, b"new", (), lambda: told.append("ended"))
     ledger.close()
     again = _opened_ledger(path, folders / "lives")
     results = {name: kept for name, _, kept in again.entries()}
--- a/tests/test_recorded_actions.py
+++ b/tests/recordings/test_recorded_actions.py
@@ -1,7 +1,7 @@
 """What the controller does over many events and settings, action for action as version f6762b4 did.
 
 `data/recorded_actions.json` holds digests and counts that this version made: `python
-tests/test_recorded_actions.py` makes them anew, and is to be run on that version only.
+tests/recordings/test_recorded_actions.py` makes them anew, and is to be run on that version only.
 """
 
 from __future__ import annotations
@@ -16,46 +16,79 @@
 from neutral import ACTION_LABELS, EVENT_LABELS
 from seeded_host import MS, NO_CALLER_COMES_BACK, SECOND, Recording, Scenario, SeededHost
 
-from cairnvane import interface as i
+from cairnvane.contract.actions import LogMessage
+from cairnvane.contract.settings import (
+    CancelMode,
+    DependencyKind,
+    LoadSignal,
+    RequestClass,
+    RetrySemantics,
+    Settings,
+    Tenant,
+)
 
-RECORDED = Path(__file__).parent / "data" / "recorded_actions.json"
+RECORDED = Path(__file__).parents[1] / "data" / "recorded_actions.json"
 LEAST_EVENTS = 100_000
-NEVER_EMITTED = {ACTION_LABELS[i.Log]}  # the controller writes no lines for the operators
+NEVER_EMITTED = {ACTION_LABELS[LogMessage]}  # the controller writes no lines for the operators
 EVENTS = 18_000
 
-READ = i.RequestClass("read", aim=300 * MS, patience=900 * MS, skip_worth=0.5)
-WRITE = i.RequestClass(
-    "write", aim=400 * MS, patience=1_500 * MS, worth=3.0, repeat=i.Repeat.KEYED, window=8 * SECOND
+READ = RequestClass("read", latency_objective=300 * MS, client_timeout=900 * MS, degraded_fraction=0.5)
+WRITE = RequestClass(
+    "write",
+    latency_objective=400 * MS,
+    client_timeout=1_500 * MS,
+    priority_weight=3.0,
+    retry_semantics=RetrySemantics.IDEMPOTENCY_KEYED,
+    retry_window=8 * SECOND,
+)
+ONCE = RequestClass(
+    "once",
+    latency_objective=300 * MS,
+    client_timeout=1_000 * MS,
+    priority_weight=2.0,
+    retry_semantics=RetrySemantics.NON_IDEMPOTENT,
+)
+BATCH = RequestClass(
+    "batch",
+    latency_objective=600 * MS,
+    client_timeout=3_000 * MS,
+    priority_weight=0.5,
+    late_fraction=0.3,
+    objective_per_cost=2.0,
+)
+LATE_WRITE = replace(
+    WRITE, name="late write", late_fraction=0.2, degraded_fraction=0.1, retry_window=3 * SECOND
 )
-ONCE = i.RequestClass("once", aim=300 * MS, patience=1_000 * MS, worth=2.0, repeat=i.Repeat.UNSAFE)
-BATCH = i.RequestClass("batch", aim=600 * MS, patience=3_000 * MS, worth=0.5, late_worth=0.3, aim_stretch=2.0)
-LATE_WRITE = replace(WRITE, name="late write", late_worth=0.2, skip_worth=0.1, window=3 * SECOND)
-PLAIN = i.Settings(
+PLAIN = Settings(
     cores=4,
     memory=20_000.0,
     classes=(READ, WRITE, ONCE, BATCH),
-    run_factor=8.0,
+    running_memory_factor=8.0,
     key_memory=1.0,
-    halt=i.HaltMode.DROP,
-    crowd_multiple=5.0,
+    cancel_mode=CancelMode.DISCARD,
+    max_oversubscription=5.0,
     drain_grace=2 * SECOND,
-    max_advice=SECOND,
-    callers=20,
-    round=MS,
+    max_retry_after=SECOND,
+    clients=20,
+    min_round_interval=MS,
 )
-TENANTS = (i.Tenant("a", 40.0), i.Tenant("b", 120.0), i.Tenant("c", 5.0))
+TENANTS = (Tenant("a", 40.0), Tenant("b", 120.0), Tenant("c", 5.0))
 
 SCENARIOS: dict[str, Scenario] = {
     "no signal, no halts, no calls": Scenario(
-        replace(PLAIN, halt=i.HaltMode.NONE, max_advice=0), seed=11, events=EVENTS, work=15 * MS, load=0.9
+        replace(PLAIN, cancel_mode=CancelMode.NONE, max_retry_after=0),
+        seed=11,
+        events=EVENTS,
+        work=15 * MS,
+        load=0.9,
     ),
     "level, drop, shared calls": Scenario(
         replace(
             PLAIN,
-            signal=i.Signal.LEVEL,
-            downstream=i.Downstream.SHARED,
-            fair_calls=6.0,
-            call_linger=20 * MS,
+            load_signal=LoadSignal.LEVEL,
+            dependency=DependencyKind.SHARED,
+            dependency_quota=6.0,
+            abandoned_call_time=20 * MS,
         ),
         seed=12,
         events=EVENTS,
@@ -66,12 +99,12 @@
     "credit, pause, tier, tenants": Scenario(
         replace(
             PLAIN,
-            halt=i.HaltMode.PAUSE,
-            signal=i.Signal.CREDIT,
-            downstream=i.Downstream.TIER,
+            cancel_mode=CancelMode.PAUSE,
+            load_signal=LoadSignal.CREDIT,
+            dependency=DependencyKind.TIER,
             tenants=TENANTS,
-            over_share_worth=0.3,
-            peers=2,
+            over_quota_fraction=0.3,
+            replicas=2,
         ),
         seed=13,
         events=EVENTS,
@@ -84,11 +117,11 @@
         replace(
             PLAIN,
             cores=8,
-            signal=i.Signal.WEIGHT,
-            cold=True,
-            cold_from=0.2,
-            cold_for=5 * SECOND,
-            crowd_multiple=3.0,
+            load_signal=LoadSignal.WEIGHT,
+            cold_start=True,
+            cold_speed=0.2,
+            warmup_time=5 * SECOND,
+            max_oversubscription=3.0,
         ),
         seed=14,
         events=EVENTS,
@@ -105,11 +138,11 @@
             memory=4_500.0,
             classes=(READ, LATE_WRITE, ONCE),
             key_memory=4.0,
-            signal=i.Signal.CREDIT,
-            downstream=i.Downstream.SHARED,
-            fair_calls=0.7,
-            calls_window=5 * SECOND,
-            call_linger=50 * MS,
+            load_signal=LoadSignal.CREDIT,
+            dependency=DependencyKind.SHARED,
+            dependency_quota=0.7,
+            dependency_window=5 * SECOND,
+            abandoned_call_time=50 * MS,
         ),
         seed=15,
         events=EVENTS,
@@ -125,15 +158,15 @@
             cores=1,
             classes=(BATCH, LATE_WRITE),
             tenants=TENANTS[:2],
-            over_share_worth=0.0,
-            halt=i.HaltMode.PAUSE,
-            signal=i.Signal.WEIGHT,
-            downstream=i.Downstream.TIER,
-            cold=True,
-            cold_from=0.5,
-            cold_for=5 * SECOND,
-            crowd_multiple=8.0,
-            round=5 * MS,
+            over_quota_fraction=0.0,
+            cancel_mode=CancelMode.PAUSE,
+            load_signal=LoadSignal.WEIGHT,
+            dependency=DependencyKind.TIER,
+            cold_start=True,
+            cold_speed=0.5,
+            warmup_time=5 * SECOND,
+            max_oversubscription=8.0,
+            min_round_interval=5 * MS,
         ),
         seed=16,
         events=EVENTS,
@@ -145,10 +178,10 @@
         replace(
             PLAIN,
             cores=8,
-            crowd_multiple=2.0,
-            signal=i.Signal.WEIGHT,
-            downstream=i.Downstream.SHARED,
-            fair_calls=20.0,
+            max_oversubscription=2.0,
+            load_signal=LoadSignal.WEIGHT,
+            dependency=DependencyKind.SHARED,
+            dependency_quota=20.0,
         ),
         seed=17,
         events=EVENTS,
--- a/tests/seeded_host.py
+++ b/tests/seeded_host.py
@@ -15,8 +15,38 @@
 
 from neutral import ACTION_LABELS, EVENT_LABELS, action_form, event_form
 
-from cairnvane import interface as i
-from cairnvane.control import Controller
+from cairnvane.admission.controller import Controller
+from cairnvane.contract.actions import (
+    Action,
+    Cancel,
+    CloseIdleConnections,
+    Fail,
+    ForgetKey,
+    LogMessage,
+    MakeCall,
+    Reject,
+    RememberKey,
+    ReplayResult,
+    ReportLoad,
+    SetHealth,
+    SetTimer,
+    SkipCall,
+    StartRun,
+)
+from cairnvane.contract.events import (
+    Arrival,
+    CallFinished,
+    CallRequested,
+    ClientDisconnected,
+    DrainStarted,
+    Event,
+    KeysRestored,
+    Outcome,
+    RunAdopted,
+    RunFinished,
+    TimerFired,
+)
+from cairnvane.contract.settings import RequestClass, RetrySemantics, Settings
 
 MS, SECOND = 1_000, 1_000_000
 # A digest of all so far is taken behind each so many events: the first one that differs tells where.
@@ -36,7 +66,7 @@
 class Scenario:
     """What a service instance is like, and what is asked of it."""
 
-    settings: i.Settings
+    settings: Settings
     seed: int
     events: int
     work: int  # the mean of a request's own work
@@ -102,15 +132,15 @@
     actions: Counter[str] = field(default_factory=Counter)
 
 
-ENDS = (i.Outcome.OK, i.Outcome.ERROR, i.Outcome.TIMEOUT, i.Outcome.BROKEN, i.Outcome.MOOT)
+ENDS = (Outcome.OK, Outcome.ERROR, Outcome.TIMEOUT, Outcome.BROKEN, Outcome.NEVER_STARTED)
 CALL_ENDS = (
-    i.Outcome.ERROR,
-    i.Outcome.TIMEOUT,
-    i.Outcome.BROKEN,
-    i.Outcome.CANCELLED,
-    i.Outcome.REJECTED,
-    i.Outcome.UNREACHED,
-    i.Outcome.MOOT,
+    Outcome.ERROR,
+    Outcome.TIMEOUT,
+    Outcome.BROKEN,
+    Outcome.CANCELLED,
+    Outcome.REJECTED,
+    Outcome.UNREACHED,
+    Outcome.NEVER_STARTED,
 )
 
 
@@ -130,7 +160,7 @@
         self._waiting: dict[int, list[Entry]] = {}  # for the end of the request that they repeat
         self._next_id = 1
         self._lives = 0
-        self._pending: list[i.Event] = []
+        self._pending: list[Event] = []
         self._hash = sha256()
         self._count = 0
         self._recording = Recording()
@@ -155,11 +185,15 @@
         self._recent.clear()
         self._lives += 1
         self._control = Controller(self._settings, self._scenario.seed * 1_000 + self._lives, self._now)
-        adopted = [entry for entry in running if self._class(entry).repeat is i.Repeat.KEYED][:3]
+        adopted = [
+            entry
+            for entry in running
+            if self._class(entry).retry_semantics is RetrySemantics.IDEMPOTENCY_KEYED
+        ][:3]
         for entry in adopted:
             self._adopt(entry, kept.pop(entry.id, self._now + SECOND))
         if kept:
-            self._pending.append(i.Kept(len(kept), max(kept.values()) - self._now))
+            self._pending.append(KeysRestored(len(kept), max(kept.values()) - self._now))
         self._plan(Kind.ARRIVAL, 0)
         length = int(self._scenario.life * self._random.uniform(0.7, 1.3))
         if self._scenario.drains and self._random.random() < DRAIN_CHANCE:
@@ -171,10 +205,10 @@
         self._entries[entry.id] = entry
         self._remembered[entry.id] = until
         time_left = self._random.randrange(200 * MS, 2 * SECOND)
-        self._pending.append(i.Adopted(entry.id, entry.cls, time_left, until - self._now, entry.memory))
+        self._pending.append(RunAdopted(entry.id, entry.cls, time_left, until - self._now, entry.memory))
         self._run_on(entry)
 
-    def _class(self, entry: Entry) -> i.RequestClass:
+    def _class(self, entry: Entry) -> RequestClass:
         return self._settings.classes[entry.cls]
 
     # --- time
@@ -188,7 +222,7 @@
         at = self._planned[0][0]
         self._now = max(self._now, at)
         if self._random.random() < 0.5:
-            self._now += self._settings.round  # what happens within it is told together
+            self._now += self._settings.min_round_interval  # what happens within it is told together
         events, self._pending = self._pending, []
         while self._planned and self._planned[0][0] <= self._now:
             _, _, kind, number, turn = heapq.heappop(self._planned)
@@ -202,20 +236,20 @@
             events.append(self._stray())
         self._tell(events)
 
-    def _stray(self) -> i.Event:
+    def _stray(self) -> Event:
         number = self._random.choice((0, self._next_id + 1_000, max(1, self._next_id // 2)))
         if number in self._entries:
             number = 0
         outcome = self._random.choice(CALL_ENDS)
         strays = (
-            i.Gone(number),
-            i.Finished(number, outcome),
-            i.CallNeeded(number),
-            i.CallEnded(number, outcome),
+            ClientDisconnected(number),
+            RunFinished(number, outcome),
+            CallRequested(number),
+            CallFinished(number, outcome),
         )
         return self._random.choice(strays)
 
-    def _tell(self, events: list[i.Event]) -> None:
+    def _tell(self, events: list[Event]) -> None:
         for event in events:
             self._recording.events[EVENT_LABELS[type(event)]] += 1
             self._count += 1
@@ -231,13 +265,13 @@
 
     # --- what happens
 
-    def _happen(self, kind: Kind, number: int, turn: int) -> list[i.Event]:
+    def _happen(self, kind: Kind, number: int, turn: int) -> list[Event]:
         if kind is Kind.ARRIVAL:
             return [self._arrive()]
         if kind is Kind.TIMER:
             return [self._fire(number)]
         if kind is Kind.DRAIN:
-            return [i.Draining(NOTICE - self._random.randrange(SECOND))]
+            return [DrainStarted(NOTICE - self._random.randrange(SECOND))]
         entry = self._entries.get(number)
         if entry is None:
             return []
@@ -248,7 +282,7 @@
         if kind is Kind.RUN_END:
             return self._end(entry, self._run_outcome())
         if kind is Kind.HALTED:
-            return self._end(entry, i.Outcome.CANCELLED)
+            return self._end(entry, Outcome.CANCELLED)
         if kind is Kind.REUSED:
             return self._end(entry, self._run_outcome())
         if kind is Kind.CALL_NEED:
@@ -266,7 +300,7 @@
         mean = self._scenario.work / (self._settings.cores * load)
         return max(1, int(self._random.expovariate(1 / mean)))
 
-    def _arrive(self) -> i.Event:
+    def _arrive(self) -> Event:
         rng = self._random
         self._plan(Kind.ARRIVAL, self._arrival_gap())
         number, self._next_id = self._next_id, self._next_id + 1
@@ -275,37 +309,39 @@
         work = max(1, int(rng.expovariate(1 / self._scenario.work)))
         entry = Entry(number, index, rng.choice((8.0, 24.5, 60.0)), work, False)
         entry.call = rng.random() < self._scenario.call_chance
-        event = i.Arrival(number, index, memory=entry.memory)
-        event.queued = (
-            rng.randrange(5 * MS) if rng.random() < 1 - self._scenario.unread else rng.randrange(cls.aim // 3)
+        event = Arrival(number, index, memory=entry.memory)
+        event.queue_delay = (
+            rng.randrange(5 * MS)
+            if rng.random() < 1 - self._scenario.unread
+            else rng.randrange(cls.latency_objective // 3)
         )
-        event.again = rng.random() < 0.15
+        event.is_retry = rng.random() < 0.15
         if rng.random() < 0.6:
-            part = rng.choice((1.0, 1.0, 0.6)) if not event.again else rng.random()
-            event.time_left = int(part * cls.patience)
+            part = rng.choice((1.0, 1.0, 0.6)) if not event.is_retry else rng.random()
+            event.time_left = int(part * cls.client_timeout)
         if rng.random() < 0.5:
             event.cost = int(work * rng.uniform(0.8, 1.2))
-        event.caller = rng.randrange(self._scenario.callers)
+        event.client = rng.randrange(self._scenario.callers)
         event.tenant = rng.randrange(len(self._settings.tenants) + 1) if self._settings.tenants else 0
-        if cls.repeat is i.Repeat.KEYED:
+        if cls.retry_semantics is RetrySemantics.IDEMPOTENCY_KEYED:
             self._set_key(event, entry)
         self._entries[number] = entry
         if rng.random() < 0.2:
-            self._plan(Kind.GONE, rng.randrange(cls.patience // 3), number)
+            self._plan(Kind.GONE, rng.randrange(cls.client_timeout // 3), number)
         return event
 
-    def _set_key(self, event: i.Arrival, entry: Entry) -> None:
+    def _set_key(self, event: Arrival, entry: Entry) -> None:
         """Some keyed requests repeat one of late, and for some the key can't be kept at once."""
         known = [number for number in self._recent if self._remembered.get(number, 0) > self._now]
         if known and self._random.random() < 0.25:
-            event.repeats = entry.original = self._random.choice(known)
+            event.duplicate_of = entry.original = self._random.choice(known)
         elif self._random.random() < 0.03:
-            event.keep_after = self._random.randrange(1, SECOND)
+            event.storage_delay = self._random.randrange(1, SECOND)
 
-    def _fire(self, token: int) -> i.Event:
+    def _fire(self, token: int) -> Event:
         rng = self._random
         running = self._running
-        event = i.TimerFired(token)
+        event = TimerFired(token)
         if rng.random() < 0.9:
             event.cpu_busy = min(1.0, running / self._settings.cores) * rng.uniform(0.7, 1.0)
         if rng.random() < 0.9:
@@ -314,49 +350,49 @@
             event.memory_used, event.connections = rng.random(), float(rng.randrange(40))
         return event
 
-    def _leave(self, entry: Entry) -> list[i.Event]:
-        gone = i.Gone(entry.id)
+    def _leave(self, entry: Entry) -> list[Event]:
+        gone = ClientDisconnected(entry.id)
         if entry.place in (Place.HELD, Place.REUSING):
             self._move(entry, Place.OVER)
         elif entry.place in (Place.AT_CALL, Place.CALLING):
             self._move(entry, Place.OVER)
-            return [gone, i.Finished(entry.id, i.Outcome.CANCELLED)]
+            return [gone, RunFinished(entry.id, Outcome.CANCELLED)]
         entry.answered = True
         return [gone]
 
-    def _run_outcome(self) -> i.Outcome:
+    def _run_outcome(self) -> Outcome:
         failing = 0.8 if self._bad_spell() else self._scenario.failing
         if self._random.random() >= failing:
-            return i.Outcome.OK
-        return self._random.choice((i.Outcome.ERROR, i.Outcome.ERROR, *ENDS[1:]))
+            return Outcome.OK
+        return self._random.choice((Outcome.ERROR, Outcome.ERROR, *ENDS[1:]))
 
-    def _end(self, entry: Entry, outcome: i.Outcome) -> list[i.Event]:
+    def _end(self, entry: Entry, outcome: Outcome) -> list[Event]:
         """A run is over, and with it those that wait for its end."""
         self._move(entry, Place.OVER)
         took = int(self._random.uniform(0.5, 2.0) * self._scenario.work)
-        events: list[i.Event] = [i.Finished(entry.id, outcome, took)]
+        events: list[Event] = [RunFinished(entry.id, outcome, took)]
         for other in self._waiting.pop(entry.id, []):
             if other.place is Place.REUSING:
                 self._move(other, Place.OVER)
-                events.append(i.Finished(other.id, outcome))
+                events.append(RunFinished(other.id, outcome))
         return events
 
-    def _need_call(self, entry: Entry) -> list[i.Event]:
+    def _need_call(self, entry: Entry) -> list[Event]:
         self._move(entry, Place.AT_CALL)
-        need = i.CallNeeded(entry.id)
+        need = CallRequested(entry.id)
         if not entry.answered:
             return [need]
         self._move(entry, Place.OVER)
-        return [need, i.Finished(entry.id, i.Outcome.CANCELLED)]
+        return [need, RunFinished(entry.id, Outcome.CANCELLED)]
 
-    def _end_call(self, entry: Entry) -> list[i.Event]:
+    def _end_call(self, entry: Entry) -> list[Event]:
         took = int(self._random.uniform(0.5, 2.0) * self._call_time())
         if self._random.random() < (0.5 if self._bad_spell() else 0.9):
             entry.call = False
             self._run_on(entry)
-            return [i.CallEnded(entry.id, i.Outcome.OK, took)]
+            return [CallFinished(entry.id, Outcome.OK, took)]
         self._move(entry, Place.AT_CALL)
-        return [i.CallEnded(entry.id, self._random.choice(CALL_ENDS), took)]
+        return [CallFinished(entry.id, self._random.choice(CALL_ENDS), took)]
 
     def _call_time(self) -> int:
         return self._scenario.call_time * (8 if self._bad_spell() else 1)
@@ -379,44 +415,44 @@
         if to is Place.OVER:
             del self._entries[entry.id]
 
-    def _carry_out(self, action: i.Action) -> None:
-        if isinstance(action, i.SetTimer):
+    def _carry_out(self, action: Action) -> None:
+        if isinstance(action, SetTimer):
             if self._scenario.lost_timers and self._random.random() < self._scenario.lost_timers:
                 return
             late = self._random.randrange(2 * MS)
-            self._plan(Kind.TIMER, max(action.at - self._now, 1) + late, action.token)
-        elif not isinstance(action, (i.SetHealth, i.Advertise, i.CloseIdle, i.Log)):
-            if isinstance(action, i.Remember):
-                self._recent.append(action.id)
-                self._remembered[action.id] = self._now + action.life
-            elif isinstance(action, i.Forget):
-                self._remembered.pop(action.id, None)
-            elif (entry := self._entries.get(action.id)) is not None:
+            self._plan(Kind.TIMER, max(action.due_at - self._now, 1) + late, action.token)
+        elif not isinstance(action, (SetHealth, ReportLoad, CloseIdleConnections, LogMessage)):
+            if isinstance(action, RememberKey):
+                self._recent.append(action.request_id)
+                self._remembered[action.request_id] = self._now + action.lifetime
+            elif isinstance(action, ForgetKey):
+                self._remembered.pop(action.request_id, None)
+            elif (entry := self._entries.get(action.request_id)) is not None:
                 self._act_on(entry, action)
 
-    def _act_on(self, entry: Entry, action: i.Action) -> None:
-        if isinstance(action, i.Run):
+    def _act_on(self, entry: Entry, action: Action) -> None:
+        if isinstance(action, StartRun):
             self._run_on(entry)
-        elif isinstance(action, i.Refuse):
+        elif isinstance(action, Reject):
             self._move(entry, Place.OVER)
-        elif isinstance(action, i.Fail):
+        elif isinstance(action, Fail):
             self._fail(entry)
-        elif isinstance(action, i.Halt):
+        elif isinstance(action, Cancel):
             self._halt(entry)
-        elif isinstance(action, i.Call):
+        elif isinstance(action, MakeCall):
             self._move(entry, Place.CALLING)
             takes = min(action.timeout, int(self._random.expovariate(1 / self._call_time())))
             self._plan(Kind.CALL_END, takes, entry.id, entry.turn)
-        elif isinstance(action, i.SkipCall):
+        elif isinstance(action, SkipCall):
             entry.call = False
             self._run_on(entry)
-        elif isinstance(action, i.Reuse):
+        elif isinstance(action, ReplayResult):
             self._reuse(entry)
 
     def _fail(self, entry: Entry) -> None:
         entry.answered = True
         if entry.place in (Place.AT_CALL, Place.CALLING):
-            self._pending.append(i.Finished(entry.id, i.Outcome.CANCELLED))
+            self._pending.append(RunFinished(entry.id, Outcome.CANCELLED))
         if entry.place is not Place.RUNNING:
             self._move(entry, Place.OVER)
 
--- a/tests/test_crossings.py
+++ b/tests/server/test_crossings.py
@@ -38,14 +38,14 @@
     until,
     world,
 )
-from test_program import NOWHERE, program
+from server.test_program import NOWHERE, program
 
 from cairnvane import clock
-from cairnvane.exchange import Answer
-from cairnvane.keys import Table
-from cairnvane.net import connection, fastcgi, fields, http, roster, server, vault
+from cairnvane.exchange import Response
+from cairnvane.idempotency.key_table import KeyTable
+from cairnvane.net import connection, fastcgi, http, request_parameters, server, service_registry, vault
 from cairnvane.net.connection import State
-from cairnvane.net.server import Server
+from cairnvane.net.server import FastCgiServer
 
 # Bytes of a request: half of its first record, and that with a part of the second.
 FEW, HALF = 5, 20
@@ -64,7 +64,7 @@
     return held
 
 
-def served(answer: Answer) -> bool:
+def served(answer: Response) -> bool:
     return answer.body == b"done"
 
 
@@ -84,7 +84,7 @@
 
 def test_a_request_on_its_way_to_the_host_is_no_reason_to_close(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards: whole, it was neither half read nor open for a moment; a close then lost its answer."""
-    held = hold(monkeypatch, fields, "service_request")
+    held = hold(monkeypatch, request_parameters, "service_request")
     with world() as w:
         balancer = w.balancer()
         balancer.send(1)
@@ -104,7 +104,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards: a request was closed before its answer was written; an end told in between cut that off."""
-    held = hold(monkeypatch, fields, "content", served)
+    held = hold(monkeypatch, request_parameters, "content", served)
     with world(most=1) as w:
         balancer = w.balancer()
         balancer.send(1)
@@ -206,7 +206,7 @@
 def test_a_request_on_a_connection_that_nobody_accepted_is_answered() -> None:
     """Guards: with the listener the kernel resets what it has completed, and the request on it was lost."""
     with world() as w:
-        late = Server(("127.0.0.1", 0), w.host, 16)  # its listener's thread never comes to it
+        late = FastCgiServer(("127.0.0.1", 0), w.host, 16)  # its listener's thread never comes to it
         balancer = Balancer(late.address)
         balancer.send(1)
         leaving = in_thread(lambda: late.retire(WAIT_S))
@@ -289,7 +289,7 @@
 
 
 def test_an_answer_on_its_way_as_the_peer_half_closes_arrives(monkeypatch: pytest.MonkeyPatch) -> None:
-    held = hold(monkeypatch, fields, "content", served)
+    held = hold(monkeypatch, request_parameters, "content", served)
     with world() as w:
         balancer = w.balancer()
         balancer.send(1)
@@ -324,7 +324,7 @@
 
 
 def test_an_abort_against_the_answer_leaves_one_end(monkeypatch: pytest.MonkeyPatch) -> None:
-    held = hold(monkeypatch, fields, "content", served)
+    held = hold(monkeypatch, request_parameters, "content", served)
     with world() as w:
         balancer = w.balancer()
         balancer.send(1)
@@ -384,6 +384,8 @@
 
     pool = PoolPeer()
     with program(tmp_path, f"127.0.0.1:{pool.address[1]}", NOWHERE, stop_ms=5_000) as (process, port):
+        assert process.stderr is not None
+        in_thread(process.stderr.read)  # a full pipe of log lines would keep the server from its exit
         floods = [
             threading.Thread(target=flood, args=(("127.0.0.1", port), *how), daemon=True)
             for how in FLOODS.values()
@@ -465,7 +467,7 @@
     threads: list[threading.Thread] = []
     ends: list[Any] = []
     monkeypatch.setattr(vault, "_threads", SimpleNamespace(run=lambda task: threads.append(in_thread(task))))
-    call = vault.Call(
+    call = vault.VaultCall(
         VaultPeer(reply(200)).address, "0" * 16, b"x", 60_000_000, lambda *end: ends.append(end)
     )
     assert held.reached.wait(WAIT_S)
@@ -484,7 +486,7 @@
             held(task)
             posted.set()
 
-        w.host.runs._post = post
+        w.host.executions._post = post
         uid = w.block(balancer)
         assert held.reached.wait(WAIT_S)
         balancer.abort(1)
@@ -496,8 +498,8 @@
 
 
 def test_a_window_ends_at_its_last_microsecond() -> None:
-    table = Table(unread=1_000_000)
-    table.enter("token", 7, 100)
+    table = KeyTable(read_delay=1_000_000)
+    table.insert("token", 7, 100)
     assert (table.owner("token", 99), table.owner("token", 100)) == (7, None)
     assert table.expire(100) == []  # a try that came in time may be read as much later
     assert table.expire(1_000_100) == [7]
@@ -515,7 +517,7 @@
         balancer.send(1, **keyed)
         first = w.pool.next("spawn")["uid"] if how != "left" else ""
         balancer.send(2, **keyed)
-        until(lambda: any(known.waiting for known in list(w.host._requests.values())))
+        until(lambda: any(known.waiting_duplicates for known in list(w.host._requests.values())))
         if how == "left":
             balancer.abort(1)
             assert balancer.answer()[0] == 1
@@ -538,7 +540,7 @@
         balancer = w.balancer()
         stamp = str(time.time_ns() // 1_000_000 + 1_500)
         w.serve(balancer, 1, path="/svc/write", HTTP_REQ_TOKEN=TOKEN, HTTP_REQ_TIME=stamp)
-        until_us = w.host._keys._keys[TOKEN].until
+        until_us = w.host._keys._entries[TOKEN].expires_at
         assert until_us >= time.monotonic_ns() // 1_000 + WINDOW_US + 1_000_000
 
 
@@ -625,8 +627,8 @@
 
     connected = Held(socket.create_connection)
     of_roster = SimpleNamespace(create_connection=connected, SHUT_RDWR=socket.SHUT_RDWR)
-    monkeypatch.setattr(roster, "socket", of_roster)
-    reports = roster.Roster(Listener(listen).address, "n1")
+    monkeypatch.setattr(service_registry, "socket", of_roster)
+    reports = service_registry.ServiceRegistry(Listener(listen).address, "n1")
     reports.start()
     assert connected.reached.wait(WAIT_S)
     reports.stop()
@@ -651,10 +653,10 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards: one that accepts and says nothing, or half of something, for longer than an entry lasts."""
-    monkeypatch.setattr(roster, "EVERY_S", 0.01)
-    monkeypatch.setattr(roster, "WAIT_S", 0.05)
+    monkeypatch.setattr(service_registry, "EVERY_S", 0.01)
+    monkeypatch.setattr(service_registry, "WAIT_S", 0.05)
     peer = RosterPeer(said)
-    reports = roster.Roster(peer.address, "n1")
+    reports = service_registry.ServiceRegistry(peer.address, "n1")
     reports.start()
     for _ in range(3):
         assert peer.reports.get(timeout=WAIT_S).startswith(b"PUT /roster/n1 ")
@@ -664,7 +666,7 @@
 
 def test_an_error_that_nobody_expected_costs_one_report(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards: the thread ended, and no balancer found the server any more."""
-    monkeypatch.setattr(roster, "EVERY_S", 0.01)
+    monkeypatch.setattr(service_registry, "EVERY_S", 0.01)
     failed = threading.Event()
 
     def fails(*args: Any) -> http.Reply:
@@ -673,9 +675,9 @@
             raise ValueError("of a kind that no one thought of")
         return http.read_reply(*args)
 
-    monkeypatch.setattr(roster, "http", SimpleNamespace(request=http.request, read_reply=fails))
+    monkeypatch.setattr(service_registry, "http", SimpleNamespace(request=http.request, read_reply=fails))
     peer = RosterPeer(b"HTTP/1.1 204 No Content\r\n\r\n")
-    reports = roster.Roster(peer.address, "n1")
+    reports = service_registry.ServiceRegistry(peer.address, "n1")
     reports.start()
     for _ in range(3):
         assert peer.reports.get(timeout=WAIT_S).startswith(b"PUT /roster/n1 ")
@@ -687,13 +689,13 @@
 def test_a_move_in_the_midst_of_a_report_is_followed_by_one_to_the_new_address(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(roster, "EVERY_S", 10 * WAIT_S)
+    monkeypatch.setattr(service_registry, "EVERY_S", 10 * WAIT_S)
     connected = Held(socket.create_connection)
     of_roster = SimpleNamespace(create_connection=connected, SHUT_RDWR=socket.SHUT_RDWR)
-    monkeypatch.setattr(roster, "socket", of_roster)
+    monkeypatch.setattr(service_registry, "socket", of_roster)
     came: queue.Queue[str] = queue.Queue()
     old, new = Listener(lambda sock: came.put("old")), Listener(lambda sock: came.put("new"))
-    reports = roster.Roster(old.address, "n1")
+    reports = service_registry.ServiceRegistry(old.address, "n1")
     reports.start()
     assert connected.reached.wait(WAIT_S)
     reports.move(new.address)
@@ -703,7 +705,7 @@
 
 
 def test_a_report_on_its_way_is_cut_off_by_the_notice(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(roster, "WAIT_S", 10 * WAIT_S)
+    monkeypatch.setattr(service_registry, "WAIT_S", 10 * WAIT_S)
     cut = threading.Event()
     here = threading.Event()
 
@@ -713,7 +715,7 @@
         if not sock.recv(4_096):  # the answer that would make it count is not waited for
             cut.set()
 
-    reports = roster.Roster(Listener(listen).address, "n1")
+    reports = service_registry.ServiceRegistry(Listener(listen).address, "n1")
     reports.start()
     assert here.wait(WAIT_S)
     reports.stop()
@@ -824,7 +826,7 @@
             }
         )
     )
-    run = tomllib.loads((Path(__file__).parents[1] / "deploy/balancer.toml").read_text())["run"]
+    run = tomllib.loads((Path(__file__).parents[2] / "deploy/balancer.toml").read_text())["run"]
     process = subprocess.Popen(
         ["/bin/sh", "-c", run.replace(".venv/bin/python", sys.executable)],
         text=True,
@@ -834,7 +836,7 @@
             **os.environ,
             "LB_CONFIG": str(config),
             "TMPDIR": str(tmp_path),
-            "PYTHONPATH": os.pathsep.join([str(slow), str(Path(__file__).parents[1])]),
+            "PYTHONPATH": os.pathsep.join([str(slow), str(Path(__file__).parents[2])]),
         },
     )
     try:
--- a/tests/test_assembly.py
+++ b/tests/server/test_lifecycle.py
@@ -7,29 +7,29 @@
 
 import pytest
 
-from cairnvane import wiring
-from cairnvane.assembly import Assembly, Leave, Part
+from cairnvane.server import composition
+from cairnvane.server.lifecycle import Component, Lifecycle, Shutdown
 
-HOW = Leave(time_left_s=1.0, grace_s=0.5, handover=False)
+HOW = Shutdown(time_left_s=1.0, grace_s=0.5, handover=False)
 
 
 def test_parts_start_in_order_and_leave_and_end_the_other_way_round() -> None:
     told: list[str] = []
-    assembly = Assembly()
+    assembly = Lifecycle()
     for name, needs in (("one", ()), ("two", ("one",)), ("three", ("one", "two"))):
         assembly.add(
-            Part(
+            Component(
                 name,
                 needs,
                 start=lambda n=name: told.append(f"start {n}"),  # type: ignore[misc]
-                leave=lambda how, n=name: told.append(f"leave {n}"),  # type: ignore[misc]
-                end=lambda how, n=name: told.append(f"end {n} {how.grace_s}"),  # type: ignore[misc]
+                on_shutdown=lambda how, n=name: told.append(f"leave {n}"),  # type: ignore[misc]
+                stop=lambda how, n=name: told.append(f"end {n} {how.grace_s}"),  # type: ignore[misc]
             )
         )
     assembly.add(None)
     assembly.start()
-    assembly.leave(HOW)
-    assembly.end(HOW)
+    assembly.begin_shutdown(HOW)
+    assembly.stop(HOW)
     assert told == [
         "start one",
         "start two",
@@ -46,17 +46,17 @@
 @pytest.mark.parametrize(
     ("parts", "told"),
     [
-        ([Part("door", ("server", "host"))], "door: needs server, host"),
-        ([Part("host"), Part("host")], "host: twice"),
+        ([Component("door", ("server", "host"))], "door: needs server, host"),
+        ([Component("host"), Component("host")], "host: twice"),
     ],
 )
-def test_a_part_without_what_it_needs_is_named(parts: list[Part], told: str) -> None:
-    assembly = Assembly()
+def test_a_part_without_what_it_needs_is_named(parts: list[Component], told: str) -> None:
+    assembly = Lifecycle()
     with pytest.raises(ValueError, match=told):
         for part in parts:
             assembly.add(part)
 
 
 def test_members_tell_each_other_the_version_that_the_package_has() -> None:
-    path = Path(__file__).parents[1] / "pyproject.toml"
-    assert tomllib.loads(path.read_text())["project"]["version"] == wiring.VERSION
+    path = Path(__file__).parents[2] / "pyproject.toml"
+    assert tomllib.loads(path.read_text())["project"]["version"] == composition.VERSION
--- a/tests/test_program.py
+++ b/tests/server/test_program.py
@@ -177,7 +177,7 @@
 def test_a_faulty_key_is_named_in_one_line(tmp_path: Path, changes: dict[str, Any], key: str) -> None:
     path = tmp_path / "config.json"
     path.write_text(json.dumps(FILE | changes))
-    with pytest.raises(config.ConfigError) as error:
+    with pytest.raises(config.ConfigurationError) as error:
         config.load({"LB_CONFIG": str(path)})
     assert key in str(error.value)
     assert "\n" not in str(error.value)
@@ -213,7 +213,7 @@
         path.write_text(json.dumps(FILE | {"settings": settings}))
         try:
             config.load({"LB_CONFIG": str(path)})
-        except config.ConfigError as error:
+        except config.ConfigurationError as error:
             refused += 1
             words = str(error)
             key = next(key for key in reversed(place) if isinstance(key, str))
@@ -292,7 +292,7 @@
     with ours:
         theirs.sendall(data)
         theirs.close()
-        with pytest.raises(http.BadReply):
+        with pytest.raises(http.InvalidReplyError):
             http.read_reply(ours, time.monotonic() + WAIT_S)
 
 
--- a/tests/test_wire.py
+++ b/tests/simulator/test_protocol.py
@@ -11,8 +11,36 @@
 
 import pytest
 
-from cairnvane import Controller, drill, wire
-from cairnvane import interface as i
+from cairnvane import Controller
+from cairnvane.contract.actions import (
+    Action,
+    Cancel,
+    CloseIdleConnections,
+    Fail,
+    ForgetKey,
+    LogMessage,
+    MakeCall,
+    Reject,
+    RememberKey,
+    ReplayResult,
+    ReportLoad,
+    SetHealth,
+    SetTimer,
+    SkipCall,
+    StartRun,
+)
+from cairnvane.contract.events import (
+    Arrival,
+    CallFinished,
+    CallRequested,
+    ClientDisconnected,
+    DrainStarted,
+    Outcome,
+    RunFinished,
+)
+from cairnvane.contract.settings import CancelMode, LoadSignal, RequestClass, Tenant
+from cairnvane.simulator import __main__, protocol
+from cairnvane.simulator.settings_reader import read_settings, timer_fired
 
 INBOUND = bytes.fromhex(
     "12 0006b47e5d3a91c4 00 00000000 91f03b7c55d20a64 0003a980 00002ee0 41c40000 3f200000 01 0011 0000073a"
@@ -55,63 +83,63 @@
 
 
 def events(*records: bytes) -> list[Any]:
-    return [event for _, event in wire.read_batch(b"".join(records), len(records))]
+    return [event for _, event in protocol.read_batch(b"".join(records), len(records))]
 
 
 def test_events_of_the_page() -> None:
     seen = events(for_(3), INBOUND, WAKEUP, WITHDRAWN, SETTLED, CALL_RESULT, NEEDS, RETIRE, TEARDOWN)
-    assert seen[0] == i.Arrival(RID, 0, 0x73A, 0x3A980, 24.5, 0x2EE0, 17, 0, False, OTHER)
+    assert seen[0] == Arrival(RID, 0, 0x73A, 0x3A980, 24.5, 0x2EE0, 17, 0, False, OTHER)
     token, values = seen[1]
     assert token == 77
-    fired = wire.timer_fired(token, values, ("cpu_busy", "runnable", "memory_used", "connections"))
+    fired = timer_fired(token, values, ("cpu_busy", "runnable", "memory_used", "connections"))
     assert fired.cpu_busy == pytest.approx(0.62)
     assert (fired.runnable, fired.connections) == (3.0, 120.0)
     assert seen[2:] == [
-        i.Gone(OTHER),
-        i.Finished(RID, i.Outcome.OK, 0x4844),
-        i.CallEnded(RID, i.Outcome.TIMEOUT, 0x13880),
-        i.CallNeeded(RID),
-        i.Draining(0x3567E0),
-        wire.Teardown(),
+        ClientDisconnected(OTHER),
+        RunFinished(RID, Outcome.OK, 0x4844),
+        CallFinished(RID, Outcome.TIMEOUT, 0x13880),
+        CallRequested(RID),
+        DrainStarted(0x3567E0),
+        protocol.Teardown(),
     ]
 
 
 def test_absent_fields_are_none() -> None:
     record = struct.pack(">BQBIQIIffBHIQ3x", 18, 5, 1, 3, 0, 0, 999, 8.0, 0.0, 6, 2, 0, 0)
-    assert events(for_(1), record) == [i.Arrival(5, 1, 0, None, 8.0, None, 2, 3, True, None)]
+    assert events(for_(1), record) == [Arrival(5, 1, 0, None, 8.0, None, 2, 3, True, None)]
 
 
 @pytest.mark.parametrize(
     ("action", "record"),
     [
-        (i.Run(RID), "53 0006b47e5d3a91c4 00000000000000"),
-        (i.Halt(RID), "52 0006b47e5d3a91c4 00000000000000"),
-        (i.Refuse(OTHER, 250_000, True), "51 000f11600e6f2b19 0003d090 01 0000"),
-        (i.Fail(OTHER), "55 000f11600e6f2b19 00000000000000"),
-        (i.Call(RID, 80_000), "5f 0006b47e5d3a91c4 00013880 000000"),
-        (i.SkipCall(RID), "50 0006b47e5d3a91c4 00000000000000"),
-        (i.Remember(RID, 8_000_000), "56 0006b47e5d3a91c4 007a1200 000000"),
-        (i.Forget(OTHER), "57 000f11600e6f2b19 00000000000000"),
-        (i.Reuse(RID), "54 0006b47e5d3a91c4 00000000000000"),
-        (i.SetHealth(False, True), "5a 00 01 00000000000000000000000000"),
-        (i.Advertise(0.25), "5d 3e800000 0000000000000000000000"),
-        (i.CloseIdle(2_000_000), "5e 001e8480 0000000000000000000000"),
-        (i.SetTimer(0x87FD7A, 77), "5b 000000000087fd7a 0000004d 000000"),
+        (StartRun(RID), "53 0006b47e5d3a91c4 00000000000000"),
+        (Cancel(RID), "52 0006b47e5d3a91c4 00000000000000"),
+        (Reject(OTHER, 250_000, True), "51 000f11600e6f2b19 0003d090 01 0000"),
+        (Fail(OTHER), "55 000f11600e6f2b19 00000000000000"),
+        (MakeCall(RID, 80_000), "5f 0006b47e5d3a91c4 00013880 000000"),
+        (SkipCall(RID), "50 0006b47e5d3a91c4 00000000000000"),
+        (RememberKey(RID, 8_000_000), "56 0006b47e5d3a91c4 007a1200 000000"),
+        (ForgetKey(OTHER), "57 000f11600e6f2b19 00000000000000"),
+        (ReplayResult(RID), "54 0006b47e5d3a91c4 00000000000000"),
+        (SetHealth(False, True), "5a 00 01 00000000000000000000000000"),
+        (ReportLoad(0.25), "5d 3e800000 0000000000000000000000"),
+        (CloseIdleConnections(2_000_000), "5e 001e8480 0000000000000000000000"),
+        (SetTimer(0x87FD7A, 77), "5b 000000000087fd7a 0000004d 000000"),
     ],
 )
-def test_actions_of_the_page(action: i.Action, record: str) -> None:
-    reply = wire.Reply()
+def test_actions_of_the_page(action: Action, record: str) -> None:
+    reply = protocol.Reply()
     reply.add(action)
     assert reply.frame() == struct.pack(">II", 16, 1) + bytes.fromhex(record)
 
 
 def test_reply_of_the_page() -> None:
-    reply = wire.Reply()
-    reply.by(3)
-    reply.add(i.Run(RID))
-    reply.add(i.SetTimer(0x87FD7A, 77))
-    reply.by(5)
-    reply.add(i.Log("two servers known"))
+    reply = protocol.Reply()
+    reply.begin_instance(3)
+    reply.add(StartRun(RID))
+    reply.add(SetTimer(0x87FD7A, 77))
+    reply.begin_instance(5)
+    reply.add(LogMessage("two servers known"))
     assert reply.frame() == bytes.fromhex("00000061 00000005") + bytes.fromhex(
         "58 0003 00000000000000000000000000"
         "53 0006b47e5d3a91c4 00000000000000"
@@ -123,15 +151,15 @@
 
 
 def test_settings_in_our_terms() -> None:
-    read, gauges = wire.read_settings(json.dumps(PARAMS))
-    assert (read.cores, read.halt, read.signal) == (6, i.HaltMode.PAUSE, i.Signal.CREDIT)
-    assert read.classes[0] == i.RequestClass("a", 1_400_000, 4_500_000)
+    read, gauges = read_settings(json.dumps(PARAMS))
+    assert (read.cores, read.cancel_mode, read.load_signal) == (6, CancelMode.PAUSE, LoadSignal.CREDIT)
+    assert read.classes[0] == RequestClass("a", 1_400_000, 4_500_000)
     assert gauges == ("cpu_busy", "runnable", "memory_used", "connections", None)
 
 
 def test_tenants_in_our_terms() -> None:
     tenants = [{"Name": "a", "QuotaPerS": 12.5, "Share": 0.6}, {"QuotaPerS": 0}]
-    read, _ = wire.read_settings(
+    read, _ = read_settings(
         json.dumps(
             PARAMS
             | {
@@ -141,14 +169,14 @@
             }
         )
     )
-    assert read.tenants == (i.Tenant("a", 12.5), i.Tenant("", 0))
-    assert (read.over_share_worth, read.peers) == (0.1, 20)
-    read, _ = wire.read_settings(json.dumps(PARAMS | {"PeersTotal": 0}))
-    assert (read.tenants, read.over_share_worth, read.peers) == ((), 1.0, 1)
+    assert read.tenants == (Tenant("a", 12.5), Tenant("", 0))
+    assert (read.over_quota_fraction, read.replicas) == (0.1, 20)
+    read, _ = read_settings(json.dumps(PARAMS | {"PeersTotal": 0}))
+    assert (read.tenants, read.over_quota_fraction, read.replicas) == ((), 1.0, 1)
 
 
 def drilled(*frames: bytes) -> tuple[int, bytes, str]:
-    command = [sys.executable, "-m", "cairnvane.drill"]
+    command = [sys.executable, "-m", "cairnvane.simulator"]
     done = subprocess.run(command, input=b"".join(frames), capture_output=True)
     return done.returncode, done.stdout, done.stderr.decode()
 
@@ -162,14 +190,14 @@
     sink = io.BytesIO()
     text = json.dumps(PARAMS).encode()
     again = batch(for_(3), TEARDOWN, struct.pack(">BQII39x", 25, 8, 0, len(text)), tail=text)
-    drill.serve(io.BytesIO(hello() + batch(for_(3), INBOUND) + again + batch(for_(3), WITHDRAWN)), sink)
+    __main__.serve(io.BytesIO(hello() + batch(for_(3), INBOUND) + again + batch(for_(3), WITHDRAWN)), sink)
     assert sink.getvalue().count(b"\x5b") >= 2  # each life armed its timer
 
 
 def test_instances_act_alike_apart_and_together() -> None:
     def actions(*frames: bytes) -> bytes:
         sink = io.BytesIO()
-        drill.serve(io.BytesIO(b"".join(frames)), sink)
+        __main__.serve(io.BytesIO(b"".join(frames)), sink)
         return sink.getvalue()[-32:]
 
     alone = actions(hello(3), batch(for_(3), INBOUND))
@@ -207,11 +235,11 @@
 
 
 def test_a_failing_decision_is_a_fault(monkeypatch: pytest.MonkeyPatch) -> None:
-    def fails(self: object, now: int, events: object) -> list[i.Action]:
+    def fails(self: object, now: int, events: object) -> list[Action]:
         raise IndexError("index out of range")
 
     monkeypatch.setattr(Controller, "handle", fails)
     sink = io.BytesIO()
-    drill.serve(io.BytesIO(hello()), sink)
+    __main__.serve(io.BytesIO(hello()), sink)
     assert b"\x59" in sink.getvalue()
     assert sink.getvalue().endswith(b"IndexError: index out of range")
--- a/tests/test_fleet_lab.py
+++ b/tests/testbed/test_cluster.py
@@ -22,19 +22,19 @@
 from peers import WAIT_S
 
 from cairnvane.cli import main
-from cairnvane.config import ConfigError
-from cairnvane.lab import overload
-from cairnvane.lab.fleet import scenario
-from cairnvane.lab.fleet.callers import Asked, Try
-from cairnvane.lab.fleet.conditions import REORDER_S, RESEND_S, Direction, Fault
-from cairnvane.lab.fleet.links import Network, TcpLink, UdpLink
-from cairnvane.lab.fleet.sightings import Kill, Traffic, read
-from cairnvane.lab.fleet.sightings import judge as judge_views
-from cairnvane.lab.fleet.schedule import draw
-from cairnvane.lab.fleet.verdict import Span, judge
-from cairnvane.lab.pool import Facts
-from cairnvane.lab.sockets import Listener, free_ports
-from cairnvane.lab.vault import StandInVault
+from cairnvane.config import ConfigurationError
+from cairnvane.testbed import overload
+from cairnvane.testbed.fleet import scenario
+from cairnvane.testbed.fleet.callers import Asked, Try
+from cairnvane.testbed.fleet.conditions import REORDER_S, RESEND_S, Direction, Fault
+from cairnvane.testbed.fleet.links import Network, TcpLink, UdpLink
+from cairnvane.testbed.fleet.schedule import draw
+from cairnvane.testbed.fleet.sightings import Kill, Traffic, read
+from cairnvane.testbed.fleet.sightings import judge as judge_views
+from cairnvane.testbed.fleet.verdict import Span, judge
+from cairnvane.testbed.pool import Facts
+from cairnvane.testbed.sockets import Listener, free_ports
+from cairnvane.testbed.vault import StandInVault
 
 HEAD = "name: a\nservers: 3\nseconds: 10\n"
 FAULT, MEMBERS = HEAD + "faults:\n  - ", HEAD + "members: true\n"
@@ -74,7 +74,7 @@
     ],
 )
 def test_a_faulty_scenario_is_named_by_line_and_value(text: str, told: str) -> None:
-    with pytest.raises(ConfigError) as error:
+    with pytest.raises(ConfigurationError) as error:
         scenario.parse(text, "file.yaml")
     assert told in str(error.value) and str(error.value).startswith("file.yaml")
 
@@ -441,8 +441,8 @@
 import sys, time
 from pathlib import Path
 from cairnvane.lab import program
-from cairnvane.lab.fleet.nodes import settings
-from cairnvane.lab.fleet.scenario import Scenario
+from cairnvane.testbed.fleet.nodes import settings
+from cairnvane.testbed.fleet.scenario import Scenario
 nowhere = "127.0.0.1:1"
 site = program.Site(Path(sys.argv[1]), nowhere, nowhere, nowhere, settings(Scenario("a")))
 life = program.start(site)
@@ -461,7 +461,7 @@
         late = tmp_path / "late"
         late.mkdir()
         (late / "sitecustomize.py").write_text(LATE_PARENT.format(path=str(killed)))
-        environment["PYTHONPATH"] = os.pathsep.join([str(late), str(Path(__file__).parents[1])])
+        environment["PYTHONPATH"] = os.pathsep.join([str(late), str(Path(__file__).parents[2])])
     rig = subprocess.Popen(
         [sys.executable, "-c", RIG, str(tmp_path)], stdout=subprocess.PIPE, text=True, env=environment
     )
--- a/tests/test_lab.py
+++ b/tests/testbed/test_experiments.py
@@ -13,9 +13,9 @@
 from peers import WAIT_S, Listener
 
 from cairnvane.cli import main
-from cairnvane.lab import balancer
-from cairnvane.lab.balancer import Reply, StandInBalancer
 from cairnvane.net import fastcgi
+from cairnvane.testbed import balancer
+from cairnvane.testbed.balancer import Reply, StandInBalancer
 
 
 def lab(tmp_path: Path, *words: str) -> tuple[int, dict[str, Any]]:
--- a/tests/test_recovery.py
+++ b/tests/testbed/test_overload_recovery.py
@@ -7,9 +7,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cairnvane import interface as i
 from cairnvane.cli import main
-from cairnvane.lab.recovery import CLASSES, KINDS, SETTINGS, Life, Trouble
+from cairnvane.contract.actions import Fail, MakeCall, SetTimer
+from cairnvane.contract.events import Arrival, CallRequested, ClientDisconnected, Outcome, RunFinished
+from cairnvane.testbed.recovery import CLASSES, KINDS, SETTINGS, Life, Trouble
 
 # So long at the most may requests come and nothing be begun, once all is well. At one request a second, all
 # that come within a few may be such as the module's random part turns away.
@@ -51,18 +52,18 @@
 
 def test_a_run_whose_request_is_over_leaves_at_its_call() -> None:
     """Guards: it kept its memory, and the place of a call in hand, until an end that might never be told."""
-    from cairnvane.control import Controller
+    from cairnvane.admission.controller import Controller
 
     for gone in (False, True):
         control = Controller(SETTINGS, 1, 0)
-        control.handle(0, [i.Arrival(1, 0, memory=24.5)])
-        at_call = control.handle(100_000, [i.CallNeeded(1)])
-        assert [type(action) for action in at_call if not isinstance(action, i.SetTimer)] == [i.Call]
-        over = [i.Gone(1)] if gone else []
-        actions = control.handle(CLASSES[0].patience, over)
-        assert gone or i.Fail(1) in actions
+        control.handle(0, [Arrival(1, 0, memory=24.5)])
+        at_call = control.handle(100_000, [CallRequested(1)])
+        assert [type(action) for action in at_call if not isinstance(action, SetTimer)] == [MakeCall]
+        over = [ClientDisconnected(1)] if gone else []
+        actions = control.handle(CLASSES[0].client_timeout, over)
+        assert gone or Fail(1) in actions
         assert (control.memory, control.jobs, len(control.calling)) == (0.0, {}, 0)
-        assert control.handle(CLASSES[0].patience + 1, [i.Finished(1, i.Outcome.CANCELLED)]) == []
+        assert control.handle(CLASSES[0].client_timeout + 1, [RunFinished(1, Outcome.CANCELLED)]) == []
 
 
 def test_a_trouble_that_does_not_exist_is_named() -> None:
--- a/tests/test_xds_grpc.py
+++ b/tests/xds_client/test_xds_grpc.py
@@ -10,9 +10,9 @@
 from envoy.config.cluster.v3 import cluster_pb2
 from envoy.config.endpoint.v3 import endpoint_pb2
 from google.protobuf import json_format
-from test_xds_resources import endpoint
+from xds_client.test_xds_resources import endpoint
 
-from cairnvane.lab.management import StandInManagement
+from cairnvane.testbed.management import StandInManagement
 from cairnvane.xds.grpc_stream import GrpcStream
 from cairnvane.xds.session import ASSIGNMENT, CLUSTER
 
--- a/tests/test_xds_resources.py
+++ b/tests/xds_client/test_xds_resources.py
@@ -10,9 +10,9 @@
 from click.testing import CliRunner
 
 from cairnvane.cli import main
-from cairnvane.fleet.bounds import Breakers, RetryBudget
-from cairnvane.fleet.description import Assignment, Cluster, Policy
-from cairnvane.fleet.members import Described, Health
+from cairnvane.load_balancing.circuit_breakers import Breakers, RetryBudget
+from cairnvane.load_balancing.cluster import Assignment, Cluster, Policy
+from cairnvane.load_balancing.endpoints import Described, Health
 from cairnvane.xds import resources
 from cairnvane.xds.session import ASSIGNMENT, CLUSTER
 from cairnvane.xds.view import Change, Ready, View
--- a/tests/test_xds_session.py
+++ b/tests/xds_client/test_xds_session.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cairnvane.fleet.description import Assignment, Cluster
+from cairnvane.load_balancing.cluster import Assignment, Cluster
 from cairnvane.xds import DeltaRequest, DeltaResponse, Request, Response
 from cairnvane.xds.known import MISSING_AFTER_US
 from cairnvane.xds.session import ASSIGNMENT, CLUSTER, make_delta, make_state_of_the_world
