Split the claim log by concern, and name its parts in the field's terms

ClaimLog did five jobs in one class of 386 lines: reading the segments, writing records, waiting for results, housekeeping, and the store's protocol; names such as told, same, vital or machine had to be explained. Unclear: which method needs the lock, and which state belongs to which job.

Now: segment_reader, segment_writer, result_waiters and housekeeping own their state; claim_log is the IdempotencyStore made of them. errors.py holds the base ClaimError; look_up raises KeyConflictError. Order of steps, locks, bytes, folder names and what the command line prints are the same. The log line for a failed folder is a warning now, that for failed housekeeping an error.

Measured: tests/claims, both golden recordings and the kills at every step: 68 passed.

--- a/cairnvane/claims/claim_table.py
+++ b/cairnvane/claims/claim_table.py
@@ -1,12 +1,12 @@
-"""Whose a token is, and to what end it came: concluded from the records in their order. No I/O, no clock.
+"""Which incarnation holds the claim of a key, and how its run ended: derived from the records in order.
 
-All lives read the same records in the same order, and nothing here asks for the time: what has aged is told
-by the times in the records. So all of them come to the same conclusions, however late each one reads.
+No I/O and no clock: expiry follows from the times in the records. All incarnations read the same records in
+the same order, so all of them come to the same conclusions, however late each one reads.
 
-- A claim counts if its token is unknown, was given up as never begun, or if it was made behind the end of the
-  claim before.
-- Only the life that holds a claim can end it or give it up.
-- Behind the seal of a segment nothing counts.
+- A claim counts if its key is unknown, if the claim before it was given up as never started, or if it was
+  made after the claim before it had expired.
+- Only the incarnation that holds a claim can end it or give it up.
+- Nothing behind the seal of a segment counts.
 """
 
 from __future__ import annotations
@@ -19,9 +19,14 @@
 from .records import DIGEST_BYTES, SEAL, Record
 from .states import IllegalStepError, KeyState, Step
 
+# `Step(kind)` takes several times as long, and this is done for each record.
+_STEPS_BY_NUMBER = {step.value: step for step in Step}
+# An end that is written a second time, after a failed write that may have come through.
+_REPEATED_ENDS = ((KeyState.FINISHED, Step.RESULT), (KeyState.FAILED, Step.FAULT))
+
 
 class Place(NamedTuple):
-    """Where a record stands."""
+    """Where a record stands; offset and length in bytes."""
 
     segment: int
     offset: int
@@ -30,105 +35,124 @@
 
 @dataclass(slots=True)
 class Entry:
-    """What is known of a token."""
+    """What is recorded of a key. Times are microseconds of the machine's monotonic clock."""
 
-    life: int
-    same: bytes  # the digest of class and body
+    life: int  # the incarnation that holds the claim
+    same: bytes  # the request's fingerprint
     at: int  # when it was claimed
-    until: int  # tries that reached the machine before are repeats
+    until: int  # when it expires: requests that arrived earlier are duplicates
     state: KeyState
-    place: Place | None = None  # of its result
-    result: bytes | None = None  # held only while no file has it
+    result_location: Place | None = None
+    unwritten_result: bytes | None = None  # held only while no file has it
 
 
 class ClaimTable:
-    """The tokens, fed with records. `unread`: how much later a try may be read than it came."""
+    """The keys and their claims, built from records in their order.
+
+    `unread` is how much later than its arrival a request may be read, in microseconds.
+    """
 
     def __init__(self, unread: int) -> None:
         self.entries: dict[bytes, Entry] = {}
-        self.sealed: set[int] = set()
-        self.ends: dict[int, int] = {}  # when the last key of a segment no longer counts
-        self.lost = 0  # claims that came second
-        self.illegal = 0  # steps that can't follow: of a claim that does not count, or twice
-        self._unread = unread
-        self._old: list[tuple[int, bytes]] = []
+        self.sealed_segments: set[int] = set()
+        self.rejected_claims = 0  # made while another claim of the key counted
+        self.illegal_steps = 0  # of a claim that does not count, or made twice
+        self._max_read_delay = unread
+        self._last_expiry: dict[int, int] = {}  # by segment: when its last key expires
+        self._expiry_queue: list[tuple[int, bytes]] = []  # a heap: when a key can be forgotten, and the key
 
     def take(self, record: Record, place: Place) -> None:
-        """The next record, which stands there."""
+        """Apply the next record, which stands at this place."""
         segment = place.segment
-        if segment in self.sealed:
+        if segment in self.sealed_segments:
             return
         if record.kind == SEAL:
-            self.sealed.add(segment)
+            self.sealed_segments.add(segment)
             return
-        self.ends[segment] = max(self.ends.get(segment, 0), record.until)
+        if record.until > self._last_expiry.get(segment, 0):
+            self._last_expiry[segment] = record.until
         if record.kind == Step.INTENT:
-            self._claim(record)
+            self._apply_claim(record)
         else:
-            self._end(record, place)
+            self._apply_end(record, place)
+
+    def is_holder(self, key: bytes, incarnation: int, claimed_at: int) -> bool:
+        """Whether the claim that this incarnation made at this time is the one that counts."""
+        entry = self.entries.get(key)
+        return entry is not None and (entry.life, entry.at) == (incarnation, claimed_at)
+
+    def find(self, key: bytes, arrived_at: int) -> Entry | None:
+        """The entry that a request which arrived at this time is a duplicate of."""
+        entry = self.entries.get(key)
+        if entry is None or entry.state is KeyState.VOID or arrived_at >= entry.until:
+            return None
+        return entry
+
+    def expire(self, now: int) -> int:
+        """Forget the keys of which no duplicate can be read any more; return how many."""
+        forgotten = 0
+        while self._expiry_queue and self._expiry_queue[0][0] <= now:
+            _, key = heapq.heappop(self._expiry_queue)
+            entry = self.entries.get(key)
+            if entry is not None and entry.until + self._max_read_delay <= now:
+                del self.entries[key]
+                forgotten += 1
+        return forgotten
+
+    def segment_expiry(self, segment: int) -> int:
+        """When the last key of this segment expires; 0 if it holds none."""
+        return self._last_expiry.get(segment, 0)
+
+    def droppable_segments(self, segments: list[int], now: int) -> list[int]:
+        """Of these segments, oldest first, the leading ones that are sealed and hold nothing that counts."""
+        droppable = []
+        for segment in segments:
+            is_expired = self.segment_expiry(segment) + self._max_read_delay <= now
+            if segment not in self.sealed_segments or not is_expired:
+                break
+            droppable.append(segment)
+        return droppable
+
+    def forget_segment(self, segment: int) -> None:
+        """Note that a segment was deleted; the keys in it stay until they expire."""
+        self.sealed_segments.discard(segment)
+        self._last_expiry.pop(segment, None)
 
-    def _claim(self, record: Record) -> None:
+    def forget_all_segments(self) -> None:
+        """Note that all segments are gone with their folder; the keys in them stay until they expire."""
+        self.sealed_segments.clear()
+        self._last_expiry.clear()
+
+    def _apply_claim(self, record: Record) -> None:
         entry = self.entries.get(record.token)
         if entry is not None and entry.state is not KeyState.VOID and record.at < entry.until:
-            if (entry.life, entry.at) != (record.life, record.at):  # else it is said again, after a failure
-                self.lost += 1
+            is_rewritten = (entry.life, entry.at) == (record.life, record.at)  # after a failed write
+            if not is_rewritten:
+                self.rejected_claims += 1
             return
         self.entries[record.token] = Entry(
             record.life, record.rest[:DIGEST_BYTES], record.at, record.until, KeyState.INTENDED
         )
-        heapq.heappush(self._old, (record.until + self._unread, record.token))
+        heapq.heappush(self._expiry_queue, (record.until + self._max_read_delay, record.token))
 
-    def _end(self, record: Record, place: Place) -> None:
+    def _apply_end(self, record: Record, place: Place) -> None:
         entry = self.entries.get(record.token)
         if entry is None or entry.life != record.life or entry.until != record.until:
-            self.illegal += 1
+            self.illegal_steps += 1
             return
-        step = Step(record.kind)
+        step = _STEPS_BY_NUMBER[record.kind]
         try:
             entry.state = states.advance(entry.state, step)
         except IllegalStepError:
-            again = (entry.state, step) in ((KeyState.FINISHED, Step.RESULT), (KeyState.FAILED, Step.FAULT))
-            if again and entry.place is None:  # the same end, said again once a file takes it
-                entry.place, entry.result = place, None
-            else:
-                self.illegal += 1
+            self._apply_repeated_end(entry, step, place)
             return
         if step is Step.RESULT:
-            entry.place = place
-
-    def holds(self, token: bytes, life: int, at: int) -> bool:
-        """Whether the claim that this life made then is the one that counts."""
-        entry = self.entries.get(token)
-        return entry is not None and (entry.life, entry.at) == (life, at)
-
-    def find(self, token: bytes, arrived: int) -> Entry | None:
-        """What a try that reached the machine then repeats."""
-        entry = self.entries.get(token)
-        if entry is None or entry.state is KeyState.VOID or arrived >= entry.until:
-            return None
-        return entry
+            entry.result_location = place
 
-    def expire(self, now: int) -> int:
-        """Let go of what no try can repeat any more; how many went."""
-        gone = 0
-        while self._old and self._old[0][0] <= now:
-            _, token = heapq.heappop(self._old)
-            entry = self.entries.get(token)
-            if entry is not None and entry.until + self._unread <= now:
-                del self.entries[token]
-                gone += 1
-        return gone
-
-    def droppable(self, segments: list[int], now: int) -> list[int]:
-        """Of these, oldest first, the sealed ones in which nothing counts any more."""
-        numbers = []
-        for number in segments:
-            if number not in self.sealed or self.ends.get(number, 0) + self._unread > now:
-                break
-            numbers.append(number)
-        return numbers
-
-    def dropped(self, segment: int) -> None:
-        """A segment is no more."""
-        self.sealed.discard(segment)
-        self.ends.pop(segment, None)
+    def _apply_repeated_end(self, entry: Entry, step: Step, place: Place) -> None:
+        """Take over the place of an end that was held in memory until a file took it."""
+        if (entry.state, step) in _REPEATED_ENDS and entry.result_location is None:
+            entry.result_location = place
+            entry.unwritten_result = None
+        else:
+            self.illegal_steps += 1
--- a/cairnvane/claims/inspection.py
+++ b/cairnvane/claims/inspection.py
@@ -1,111 +1,149 @@
-"""What the command line does with a ledger: read it, as any life would, and say how it stands. Nothing is
-changed, and servers may go on using it."""
+"""What the command line shows of a claim log: its segments read as any incarnation would, and its state.
+
+Nothing is changed, and servers may go on using it.
+"""
 
 from __future__ import annotations
 
+import contextlib
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
 from .. import clock
 from . import records
-from .claim_table import ClaimTable, Place
+from .claim_table import ClaimTable, Entry, Place
 from .incarnations import LIVES, Incarnations, Liveness
-from .storage import OsFolder
+from .storage import SEGMENT_SUFFIX, OsFolder
 
-# A try is read so much later than it came at the most, where no settings tell.
-_UNREAD_US = 60_000_000
+# How much later than its arrival a request is read at the most, where no settings say so.
+_MAX_READ_DELAY_US = 60_000_000
+_FOLDER_PREFIX = "ledger"
+# So many digits of the boot id stand in the name of a claim log's folder.
+_BOOT_ID_DIGITS = 8
+# What a record of a result holds beside the result.
+_RESULT_OVERHEAD_BYTES = records.HEAD_BYTES + records.COMMON_BYTES + records.DIGEST_BYTES
 
 
 @dataclass(slots=True)
 class Found:
-    """What a ledger holds."""
+    """What a claim log holds."""
 
     path: Path
     segments: int = 0
     bytes: int = 0
     records: int = 0
-    passed_over: list[str] = field(default_factory=list)
-    tail: int = 0  # bytes at the end that no record can be read from: being written, or cut short by a kill
-    foreign: list[str] = field(default_factory=list)
-    machine: ClaimTable = field(default_factory=lambda: ClaimTable(_UNREAD_US))
-    lives: dict[int, Liveness] = field(default_factory=dict)
+    passed_over: list[str] = field(default_factory=list)  # segments with data that no record was read from
+    tail: int = 0  # unreadable bytes at the end: being written, or cut short by a kill
+    foreign: list[str] = field(default_factory=list)  # files that are no segments
+    table: ClaimTable = field(default_factory=lambda: ClaimTable(_MAX_READ_DELAY_US))
+    incarnations: dict[int, Liveness] = field(default_factory=dict)
 
     @property
     def wrong(self) -> bool:
-        """A record may be lost."""
+        """Whether a record may be lost."""
         return bool(self.passed_over)
 
     def lines(self) -> list[str]:
-        """For people."""
-        states: dict[str, int] = {}
-        for entry in self.machine.entries.values():
-            name = entry.state.name.lower()
-            states[name] = states.get(name, 0) + 1
-        keys = ", ".join(f"{count} {name}" for name, count in states.items()) or "none"
-        vital = ", ".join(f"{life} {how.value}" for life, how in self.lives.items()) or "none"
-        machine = self.machine
-        return [
-            *(f"damaged: {line}" for line in self.passed_over),
-            *(f"foreign: {line}" for line in self.foreign),
-            *([f"torn: {self.tail} bytes at the end"] if self.tail else []),
+        """A report for people, one finding a line."""
+        lines = [f"damaged: {finding}" for finding in self.passed_over]
+        lines += [f"foreign: {name}" for name in self.foreign]
+        if self.tail:
+            lines.append(f"torn: {self.tail} bytes at the end")
+        lines.append(
             f"ledger {self.path.name}: {self.segments} segments, {self.bytes:,} bytes, "
-            f"{self.records:,} records; keys: {keys}",
-            f"claims that came second: {machine.lost}; steps that can't follow: {machine.illegal}",
-            f"lives: {vital}",
-        ]
+            f"{self.records:,} records; keys: {self._key_counts()}"
+        )
+        lines.append(
+            f"claims that came second: {self.table.rejected_claims}; "
+            f"steps that can't follow: {self.table.illegal_steps}"
+        )
+        lines.append(f"lives: {self._incarnation_list()}")
+        return lines
+
+    def _key_counts(self) -> str:
+        counts = Counter(entry.state.name.lower() for entry in self.table.entries.values())
+        return ", ".join(f"{count} {state}" for state, count in counts.items()) or "none"
+
+    def _incarnation_list(self) -> str:
+        statuses = (f"{number} {liveness.value}" for number, liveness in self.incarnations.items())
+        return ", ".join(statuses) or "none"
 
 
 def ledgers(folder: Path) -> list[Path]:
-    """The ledgers that this folder is or holds."""
-    if any(folder.glob("*.ledger")):
+    """The folders of the claim logs that this folder is or holds."""
+    if any(folder.glob(f"*{SEGMENT_SUFFIX}")):
         return [folder]
-    return sorted(path for path in folder.glob("ledger.*") if path.is_dir())
+    return sorted(path for path in folder.glob(f"{_FOLDER_PREFIX}.*") if path.is_dir())
 
 
 def look(path: Path) -> Found:
-    """Read one; `record.NewerVersion` or `OSError` if it can't be."""
+    """Read a claim log; `records.NewerVersionError` or `OSError` if that is impossible."""
     found = Found(path)
     folder = OsFolder(path)
     for number in folder.numbers():
-        segment = folder.open(number, create=False)
-        try:
-            data = segment.read(0, segment.look()[0])
-        finally:
-            segment.close()
-        records.check_version(data)
-        told = records.scan(data)
-        for offset, length, one in told.records:
-            found.machine.take(one, Place(number, offset, length))
-        found.segments += 1
-        found.bytes += len(data)
-        found.records += len(told.records)
-        found.tail = len(data) - told.used
-        if told.passed_over:
-            found.passed_over.append(f"segment {number}: {told.passed_over} bytes passed over")
-    found.foreign = [one.name for one in path.iterdir() if one.suffix != ".ledger"]
-    beside = path.parent / LIVES
-    name = path.name.rpartition(".")[0]
-    lives = Incarnations(path.parent.parent / LIVES / name if not beside.is_dir() else beside)
-    lives.life = 0
-    found.lives = {life: lives.vital(life) for life in lives.others()}
+        with contextlib.closing(folder.open(number, create=False)) as segment:
+            data = segment.read(0, segment.look().size)
+        _add_segment(found, number, data)
+    found.foreign = [file.name for file in path.iterdir() if file.suffix != SEGMENT_SUFFIX]
+    found.incarnations = _read_incarnations(path)
     return found
 
 
 def show(path: Path) -> Iterator[dict[str, str]]:
-    """A row for each key."""
-    found, now = look(path), clock.now()
-    here = path.name.rpartition(".")[2] == (clock.boot() or "unknown")[:8]
-    for token, entry in found.machine.entries.items():
-        vital = found.lives.get(entry.life, Liveness.DEAD)
+    """Read a claim log, and yield a row for each key; errors as of `look`."""
+    found = look(path)
+    now = clock.now()
+    boot_id = clock.boot() or "unknown"
+    is_this_boot = path.name.rpartition(".")[2] == boot_id[:_BOOT_ID_DIGITS]
+    for key, entry in found.table.entries.items():
+        liveness = found.incarnations.get(entry.life, Liveness.DEAD)
+        remaining_s = f"{max(0, entry.until - now) / 1e6:.1f}"
         row = {
-            "token": token.hex(),
+            "token": key.hex(),
             "state": entry.state.name.lower(),
-            "counts_for_s": f"{max(0, entry.until - now) / 1e6:.1f}" if here else "of an earlier boot",
+            "counts_for_s": remaining_s if is_this_boot else "of an earlier boot",
             "life": str(entry.life),
-            "life_is": vital.value,
+            "life_is": liveness.value,
         }
-        if entry.place is not None:
-            size = entry.place.length - records.HEAD_BYTES - records.COMMON_BYTES - records.DIGEST_BYTES
-            row["result_bytes"] = str(size)
+        result_bytes = _result_bytes(entry)
+        if result_bytes is not None:
+            row["result_bytes"] = str(result_bytes)
         yield row
+
+
+def _add_segment(found: Found, number: int, data: bytes) -> None:
+    """Add the content of the next segment; `records.NewerVersionError`."""
+    records.check_version(data)
+    scan = records.scan(data)
+    for offset, length, record in scan.records:
+        found.table.take(record, Place(number, offset, length))
+    found.segments += 1
+    found.bytes += len(data)
+    found.records += len(scan.records)
+    found.tail = len(data) - scan.used
+    if scan.passed_over:
+        found.passed_over.append(f"segment {number}: {scan.passed_over} bytes passed over")
+
+
+def _read_incarnations(path: Path) -> dict[int, Liveness]:
+    """The incarnations that use the claim log in this folder.
+
+    Their files lie beside the folder if it is in the folder of cached results, else in a folder for each
+    server name in `$TMPDIR`.
+    """
+    incarnations_folder = path.parent / LIVES
+    if not incarnations_folder.is_dir():
+        server_name = path.name.rpartition(".")[0]
+        incarnations_folder = path.parent.parent / LIVES / server_name
+    incarnations = Incarnations(incarnations_folder)
+    incarnations.life = 0  # a reader is none of them
+    return {number: incarnations.liveness(number) for number in incarnations.others()}
+
+
+def _result_bytes(entry: Entry) -> int | None:
+    """The size of a result; None if there is none."""
+    if entry.result_location is None:
+        return None
+    return entry.result_location.length - _RESULT_OVERHEAD_BYTES
--- a/cairnvane/claims/legacy.py
+++ b/cairnvane/claims/legacy.py
@@ -1,6 +1,6 @@
-"""A version of the program from before the ledger, which keeps claims of keyed runs in another form.
+"""Detection of program versions from before the claim log, which keep claims in another form.
 
-The two can't know of each other's runs, so they must not serve side by side.
+Such a version and this one can't know of each other's runs, so they must not serve at the same time.
 """
 
 from __future__ import annotations
@@ -10,23 +10,31 @@
 import time
 from pathlib import Path
 
-# Where such a version leaves its marks, as NAME.PID.NANOSECONDS of the Unix clock.
-MARKS = "cairnvane-ready"
-# It takes its time so soon after its start, on a slow machine; a process that began at another time than its
-# mark says has only been given the same number.
-START_S = 15.0
-_STARTED = 19  # the field of /proc/PID/stat behind the command's name
+# The folder of such a version's marker files, named NAME.PID.NANOSECONDS by the Unix clock.
+MARKERS = "cairnvane-ready"
+# A marker is written at most so many seconds after its process started, on a slow machine; a process that
+# started at another time merely has the same id.
+MAX_START_DELAY_S = 15.0
+# The start of a process and its marker's time come from two clocks, and may seem swapped by this much.
+_CLOCK_TOLERANCE_S = 1.0
+_STARTTIME_FIELD = 19  # of /proc/PID/stat, counted behind the command's name
 
 
 def serves(temporary: Path, name: str, proc: Path = Path("/proc")) -> int | None:
-    """The process of an earlier version that serves under this name, if there is one."""
+    """Return the id of a process of such a version that serves under this name; None if there is none."""
     with contextlib.suppress(OSError):
-        for mark in (temporary / MARKS).glob(f"{name}.*.*"):
-            pid, began = mark.name.split(".")[-2:]
+        for marker in (temporary / MARKERS).glob(f"{name}.*.*"):
             with contextlib.suppress(OSError, ValueError, IndexError):  # its process has ended
-                fields = (proc / pid / "stat").read_text().rpartition(")")[2].split()
-                started = int(fields[_STARTED]) / os.sysconf("SC_CLK_TCK")
-                age = time.clock_gettime(time.CLOCK_BOOTTIME) - started
-                if -1.0 <= int(began) / 1e9 - (time.time() - age) <= START_S:
+                pid, written_at_ns = marker.name.split(".")[-2:]
+                start_delay = int(written_at_ns) / 1e9 - _started_at(proc / pid)
+                if -_CLOCK_TOLERANCE_S <= start_delay <= MAX_START_DELAY_S:
                     return int(pid)
     return None
+
+
+def _started_at(process: Path) -> float:
+    """When a process was started, in seconds of the Unix clock."""
+    fields = (process / "stat").read_text().rpartition(")")[2].split()
+    started_after_boot = int(fields[_STARTTIME_FIELD]) / os.sysconf("SC_CLK_TCK")
+    age = time.clock_gettime(time.CLOCK_BOOTTIME) - started_after_boot
+    return time.time() - age
--- a/cairnvane/claims/records.py
+++ b/cairnvane/claims/records.py
@@ -1,8 +1,8 @@
-"""The format of the ledger's records, to bytes and back. No I/O.
+"""The format of the claim log's records, to bytes and back. No I/O.
 
-Several lives append to one file, and a write may be cut short where another's follows. So each record begins
-with a mark and carries one checksum over all of it; where none can be read, the next one that can is looked
-for.
+Several incarnations append to one file, and a write may be cut short where another's follows. So each record
+begins with a magic number and carries one checksum over all of it; where no record can be read, the next
+readable one is searched for.
 """
 
 from __future__ import annotations
@@ -11,102 +11,123 @@
 from typing import NamedTuple
 from zlib import crc32
 
+from .errors import ClaimError, RecordTooLongError
 from .states import Step
 
 VERSION = 1
-_MARK = b"CVL"
-MAGIC = _MARK + b"%d" % VERSION
-_HEAD = struct.Struct("<4sIHBxQ")  # magic, checksum of all behind it, payload's length, kind, life
-HEAD_BYTES = _HEAD.size
-_CHECKED_AT = 8
-_COMMON = struct.Struct("<16sQQ")  # token, at, until
+_FORMAT_NAME = b"CVL"
+MAGIC = _FORMAT_NAME + b"%d" % VERSION
+_HEADER = struct.Struct("<4sIHBxQ")  # magic, checksum of all behind it, payload's length, kind, incarnation
+HEAD_BYTES = _HEADER.size
+_CHECKSUM_AT = len(MAGIC)
+_CHECKED_FROM = 8  # the checksum covers the record from this offset on
+_COMMON = struct.Struct("<16sQQ")  # key, time of the record, expiry
 COMMON_BYTES = _COMMON.size
-DIGEST_BYTES = 16
-MOST_REST = (1 << 16) - 1 - COMMON_BYTES
-# Behind this record, nothing in its segment counts. Steps of a key have their own numbers.
+DIGEST_BYTES = 16  # of a request's fingerprint
+MAX_REST_BYTES = (1 << 16) - 1 - COMMON_BYTES
+# A record of this kind ends its segment: nothing behind it counts. The kinds of all other records are the
+# numbers of `Step`.
 SEAL = 16
 _KINDS = {SEAL, Step.INTENT, Step.RESULT, Step.FAULT, Step.NEVER}
-NO_TOKEN = bytes(16)
+NO_TOKEN = bytes(16)  # the key of a record that concerns no key
 
 
-class NewerVersionError(OSError):
-    """Written by a version of the program that this one can't live beside. To a life that already serves, it
-    is a folder that fails: it takes no new keys on."""
+class NewerVersionError(ClaimError, OSError):
+    """A segment was written by a program version whose format this one can't read.
+
+    To an incarnation that already serves, this is a folder that fails: it accepts no new keys.
+    """
 
 
 class Record(NamedTuple):
     """One record. Times are microseconds of the machine's monotonic clock."""
 
     kind: int
-    life: int
-    token: bytes
+    life: int  # the incarnation that wrote it
+    token: bytes  # the idempotency key
     at: int  # when it was made
-    until: int  # until when its key counts
-    rest: bytes  # of an intent: the digest; of an end: the digest and the result
+    until: int  # when its key expires
+    rest: bytes  # of an intent: the fingerprint; of an end: the fingerprint and the result
 
 
-def put(kind: int, life: int, token: bytes, at: int, until: int, rest: bytes = b"") -> bytes:
-    """A record's bytes; `ValueError` if it is too long."""
-    if len(rest) > MOST_REST:
-        raise ValueError(f"a record of {len(rest)} bytes")
-    payload = _COMMON.pack(token, at, until) + rest
-    head = _HEAD.pack(MAGIC, 0, len(payload), kind, life)
-    return (
-        head[:4]
-        + crc32(payload, crc32(head[_CHECKED_AT:])).to_bytes(4, "little")
-        + head[_CHECKED_AT:]
-        + payload
-    )
-
-
-def _at(data: bytes, at: int) -> tuple[Record, int] | None:
-    """The record that begins here, and its length; None if none can be read."""
-    if len(data) - at < HEAD_BYTES:
-        return None
-    magic, crc, length, kind, life = _HEAD.unpack_from(data, at)
-    end = at + HEAD_BYTES + length
-    if magic != MAGIC or kind not in _KINDS or length < COMMON_BYTES or end > len(data):
-        return None
-    if crc != crc32(data[at + _CHECKED_AT : end]):
-        return None
-    token, made, until = _COMMON.unpack_from(data, at + HEAD_BYTES)
-    rest = data[at + HEAD_BYTES + COMMON_BYTES : end]
-    return Record(kind, life, token, made, until, rest), HEAD_BYTES + length
+class ScannedRecord(NamedTuple):
+    """A record, and where it stands in the scanned data."""
+
+    offset: int
+    length: int
+    record: Record
 
 
 class Scan(NamedTuple):
     """What a piece of a segment holds."""
 
-    records: list[tuple[int, int, Record]]  # offset and length in the piece
+    records: list[ScannedRecord]
     used: int  # bytes up to which nothing needs to be read again
-    passed_over: int  # bytes among these that no record was read from
+    passed_over: int  # bytes among these that no record could be read from
+
+
+def put(kind: int, life: int, token: bytes, at: int, until: int, rest: bytes = b"") -> bytes:
+    """Encode a record; `RecordTooLongError` (a `ValueError`) if it does not fit."""
+    if len(rest) > MAX_REST_BYTES:
+        raise RecordTooLongError(
+            f"record of key {token.hex()}: {len(rest)} bytes, at most {MAX_REST_BYTES} fit"
+        )
+    payload = _COMMON.pack(token, at, until) + rest
+    header = _HEADER.pack(MAGIC, 0, len(payload), kind, life)
+    checked_header = header[_CHECKED_FROM:]
+    checksum = crc32(payload, crc32(checked_header))
+    return header[:_CHECKSUM_AT] + checksum.to_bytes(4, "little") + checked_header + payload
 
 
 def scan(data: bytes) -> Scan:
-    """All records of a piece. What can't be read is passed over once something that can be stands behind it;
-    before that it may be being written."""
-    records = []
-    at = passed = 0
-    while (found := _at(data, at)) is not None or (next_ := _next(data, at)) is not None:
+    """Return all records of a piece of a segment.
+
+    Unreadable data is passed over once a readable record stands behind it; before that, it may be a record
+    that is still being written.
+    """
+    records: list[ScannedRecord] = []
+    offset = 0
+    passed_over = 0
+    while True:
+        found = _decode(data, offset)
         if found is None:
-            assert next_ is not None
-            passed += next_ - at
-            at = next_
+            next_offset = _find_next(data, offset)
+            if next_offset is None:
+                return Scan(records, offset, passed_over)
+            passed_over += next_offset - offset
+            offset = next_offset
             continue
-        records.append((at, found[1], found[0]))
-        at += found[1]
-    return Scan(records, at, passed)
+        records.append(found)
+        offset += found.length
 
 
-def _next(data: bytes, at: int) -> int | None:
-    """Where the next record that can be read begins, behind one that can't."""
-    while (at := data.find(MAGIC, at + 1)) >= 0:
-        if _at(data, at) is not None:
-            return at
-    return None
+def check_version(data: bytes) -> None:
+    """Raise `NewerVersionError` if a segment that begins so has a later version of the format."""
+    name = data[: len(_FORMAT_NAME)]
+    version = data[len(_FORMAT_NAME) : len(_FORMAT_NAME) + 1]
+    if name == _FORMAT_NAME and version.isdigit() and int(version) > VERSION:
+        raise NewerVersionError(f"format {version.decode()}; this one reads up to {VERSION}")
 
 
-def check_version(data: bytes) -> None:
-    """`NewerVersion` if a segment that begins so was written by a later version of the format."""
-    if data[:3] == _MARK and data[3:4].isdigit() and int(data[3:4]) > VERSION:
-        raise NewerVersionError(f"format {data[3:4].decode()}; this one reads up to {VERSION}")
+def _decode(data: bytes, offset: int) -> ScannedRecord | None:
+    """The record that begins at this offset; None if none can be read there."""
+    if len(data) - offset < HEAD_BYTES:
+        return None
+    magic, checksum, payload_length, kind, incarnation = _HEADER.unpack_from(data, offset)
+    end = offset + HEAD_BYTES + payload_length
+    if magic != MAGIC or kind not in _KINDS or payload_length < COMMON_BYTES or end > len(data):
+        return None
+    if checksum != crc32(data[offset + _CHECKED_FROM : end]):
+        return None
+    key, made_at, expires_at = _COMMON.unpack_from(data, offset + HEAD_BYTES)
+    rest = data[offset + HEAD_BYTES + COMMON_BYTES : end]
+    record = Record(kind, incarnation, key, made_at, expires_at, rest)
+    return ScannedRecord(offset, HEAD_BYTES + payload_length, record)
+
+
+def _find_next(data: bytes, offset: int) -> int | None:
+    """Where the next readable record begins behind an unreadable one; None if there is none."""
+    while (offset := data.find(MAGIC, offset + 1)) >= 0:
+        if _decode(data, offset) is not None:
+            return offset
+    return None
--- /dev/null
+++ b/cairnvane/claims/segment_writer.py
@@ -0,0 +1,155 @@
+"""Appending records to the claim log, and keeping those that the folder does not take."""
+
+from __future__ import annotations
+
+import logging
+
+from .. import clock
+from . import records
+from .claim_table import ClaimTable, Entry, Place
+from .errors import SegmentSealedError
+from .incarnations import Incarnations
+from .records import SEAL, Record
+from .segment_reader import SegmentReader
+from .states import KeyState, Step
+from .storage import Folder
+
+logger = logging.getLogger(__name__)
+
+# A segment is sealed when it has grown to this: small, since it is deleted whole, and counts as memory.
+SEGMENT_BYTES = 512 << 10
+# A record that lands behind a seal is appended again to the next segment; this many times is never needed.
+MAX_APPEND_ATTEMPTS = 16
+# A folder that failed is left alone for so long before it is tried again.
+RETRY_DELAY_US = 100_000
+# The place of a record that no file has.
+_IN_MEMORY = Place(-1, 0, 0)
+
+
+class SegmentWriter:
+    """Appends this incarnation's records, and holds those that are still to be written.
+
+    All methods need the claim log's lock.
+    """
+
+    def __init__(
+        self, folder: Folder, table: ClaimTable, reader: SegmentReader, incarnations: Incarnations
+    ) -> None:
+        self.is_failing = False  # the last write failed
+        self._folder = folder
+        self._table = table
+        self._reader = reader
+        self._incarnations = incarnations
+        self._incarnation = incarnations.life
+        self._pending: list[Record] = []  # what the folder did not take, oldest first
+        self._retry_at = 0
+
+    @property
+    def has_pending(self) -> bool:
+        """Whether some records are still to be written."""
+        return bool(self._pending)
+
+    def write(self, record: Record) -> bool:
+        """Append a record, after all that are pending; False if the folder does not take it."""
+        if (self.is_failing or self._pending) and not self.flush():
+            return False
+        try:
+            self._append(record)
+            return True
+        except OSError as error:
+            if not self.is_failing:
+                logger.warning("claim log folder failed; keys are kept in memory: %s", error)
+            self.is_failing = True
+            self._retry_at = clock.now() + RETRY_DELAY_US
+            return False
+
+    def flush(self, *, at_once: bool = False) -> bool:
+        """Try to write what is pending; False if that fails, or if the last failure was a moment ago.
+
+        With `at_once`, try in the latter case, too.
+        """
+        if not at_once and clock.now() < self._retry_at:
+            return False
+        try:
+            self._write_pending()
+        except OSError:
+            self._retry_at = clock.now() + RETRY_DELAY_US
+            return False
+        if self.is_failing:
+            logger.info("claim log folder works again")
+        self.is_failing = False
+        return True
+
+    def add_pending(self, record: Record) -> None:
+        """Write this record once the folder takes it; it does not count before."""
+        self._pending.append(record)
+
+    def keep_in_memory(self, record: Record, result: bytes | None = None) -> None:
+        """Let a record that the folder did not take count for this incarnation, and write it later."""
+        self._table.take(record, _IN_MEMORY)
+        entry = self._table.entries.get(record.token)
+        if entry is not None and record.kind == Step.RESULT:
+            entry.result_location = None
+            entry.unwritten_result = result
+        self._pending.append(record)
+
+    def rewrite_own_claims(self) -> None:
+        """Put all records of this incarnation that still count before the pending ones."""
+        now = clock.now()
+        rewritten: list[Record] = []
+        for key, entry in self._table.entries.items():
+            if entry.life == self._incarnation and entry.until > now and entry.state is not KeyState.VOID:
+                rewritten += self._records_of(key, entry, now)
+        self._pending = [*rewritten, *self._pending]
+
+    def _records_of(self, key: bytes, entry: Entry, now: int) -> list[Record]:
+        """The records of this incarnation that lead to an entry; its result is held in memory from now on."""
+        incarnation = self._incarnation
+        made = [Record(Step.INTENT, incarnation, key, entry.at, entry.until, entry.same)]
+        if entry.state is KeyState.FINISHED:
+            entry.unwritten_result = self._reader.result(key, entry)
+            entry.result_location = None
+            rest = entry.same + (entry.unwritten_result or b"")
+            made.append(Record(Step.RESULT, incarnation, key, now, entry.until, rest))
+        elif entry.state is KeyState.FAILED:
+            made.append(Record(Step.FAULT, incarnation, key, now, entry.until, entry.same))
+        return made
+
+    def _write_pending(self) -> None:
+        if not self._incarnations.entered:
+            self._incarnations.enter()
+        self._folder.make()
+        while self._pending:
+            self._append(self._pending[0])
+            del self._pending[0]
+        self._reader.follow()
+
+    def _append(self, record: Record) -> None:
+        """Append a record to the segment where it counts; `OSError`."""
+        data = records.put(*record)
+        for _ in range(MAX_APPEND_ATTEMPTS):
+            if self._append_to_current(record, data):
+                return
+        raise SegmentSealedError(
+            f"segment {self._reader.current.number}: sealed before each of {MAX_APPEND_ATTEMPTS} writes"
+        )
+
+    def _append_to_current(self, record: Record, data: bytes) -> bool:
+        """Append a record to the current segment; False if that was sealed meanwhile."""
+        reader = self._reader
+        segment = reader.current
+        own_records_before = reader.own_records
+        segment.file.append(data)
+        if not reader.apply_appended(record, len(data)):
+            reader.follow()
+        if reader.own_records == own_records_before:
+            return False
+        if segment is reader.current and segment.offset > SEGMENT_BYTES:
+            self._seal_current()
+        return True
+
+    def _seal_current(self) -> None:
+        now = clock.now()
+        seal = records.put(SEAL, self._incarnation, records.NO_TOKEN, now, now)
+        self._reader.current.file.append(seal)
+        self._reader.follow()
--- a/cairnvane/claims/storage.py
+++ b/cairnvane/claims/storage.py
@@ -1,7 +1,7 @@
-"""The ledger's files: segments that several processes append to, each write whole and in one place.
+"""The files of the claim log: segments that several processes append to, each write whole and in one place.
 
-A segment is a file with a number; the kernel puts each O_APPEND write behind all before it. What is here may
-be swapped for a model that fails at any step.
+A segment is a numbered file; the kernel puts each O_APPEND write behind all earlier ones. `Segment` and
+`Folder` are protocols, so that tests can put in a model that fails at any step.
 """
 
 from __future__ import annotations
@@ -10,65 +10,80 @@
 import os
 import re
 from pathlib import Path
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 # Segments hold callers' results: nobody else on the machine may read them.
-_FILE_MODE, _FOLDER_MODE = 0o600, 0o700
-_SEGMENT = re.compile(r"([0-9]{10})\.ledger")
+_FILE_MODE = 0o600
+_FOLDER_MODE = 0o700
+SEGMENT_SUFFIX = ".ledger"
+_SEGMENT_NAME = re.compile(r"([0-9]{10})" + re.escape(SEGMENT_SUFFIX))
+
+
+class SegmentStatus(NamedTuple):
+    """What the file system says about an open segment."""
+
+    size: int  # bytes
+    # It still has its name. It loses that when it is deleted as old, or with its folder; its content can
+    # still be read.
+    is_linked: bool
 
 
 class Segment(Protocol):
-    """An open segment. All but `close` raise `OSError`."""
+    """An open segment. All methods but `close` raise `OSError`."""
 
     def append(self, data: bytes) -> None:
-        """Behind all that is there, in one write; after an `OSError` a part of it may be."""
+        """Append the data in one write; after an `OSError` a part of it may have been written."""
 
-    def look(self) -> tuple[int, bool]:
-        """Its size in bytes, and whether it still has its name: it loses that when it is dropped as old, or
-        its folder is removed. What it holds can be read on."""
+    def look(self) -> SegmentStatus:
+        """Return its size, and whether its file still has a name."""
 
     def read(self, offset: int, length: int) -> bytes:
-        """As many of these bytes as there are."""
+        """Return as many of these bytes as there are."""
 
     def sync(self) -> None:
-        """What was appended survives a power cut from now on."""
+        """Wait until all appended data would survive a power cut."""
 
     def close(self) -> None:
-        """Never raises."""
+        """Close the file; never raises."""
 
 
 class Folder(Protocol):
-    """Where they are. All raise `OSError`."""
+    """The folder of the segments. All methods raise `OSError`."""
 
     def make(self) -> None:
-        """Create the folder, if it is not there."""
+        """Create the folder if it does not exist."""
 
     def numbers(self) -> list[int]:
-        """The segments that are there, oldest first."""
+        """Return the numbers of the existing segments, oldest first."""
 
     def open(self, number: int, create: bool) -> Segment:
-        """One of them; `create`: if it is not there, it is made."""
+        """Open a segment; with `create`, make it if it does not exist."""
 
     def remove(self, number: int) -> None:
-        """Delete one; no fault if another life did so before."""
+        """Delete a segment; no error if another incarnation has already done so."""
 
 
 class OsSegment:
-    """A file of the system's."""
+    """A segment in a file of the operating system."""
 
     def __init__(self, path: Path, create: bool) -> None:
-        flags = os.O_RDWR | os.O_APPEND | os.O_CLOEXEC | (os.O_CREAT if create else 0)
+        flags = os.O_RDWR | os.O_APPEND | os.O_CLOEXEC
+        if create:
+            flags |= os.O_CREAT
+        self._path = path
         self._fd = os.open(path, flags, _FILE_MODE)
 
     def append(self, data: bytes) -> None:
         """See `Segment`."""
-        if os.write(self._fd, data) != len(data):
-            raise OSError(errno.ENOSPC, "a write was cut short")
+        written = os.write(self._fd, data)
+        if written != len(data):
+            reason = f"a write was cut short at {written} of {len(data)} bytes"
+            raise OSError(errno.ENOSPC, reason, str(self._path))
 
-    def look(self) -> tuple[int, bool]:
+    def look(self) -> SegmentStatus:
         """See `Segment`."""
-        told = os.fstat(self._fd)
-        return told.st_size, told.st_nlink > 0
+        status = os.fstat(self._fd)
+        return SegmentStatus(status.st_size, status.st_nlink > 0)
 
     def read(self, offset: int, length: int) -> bytes:
         """See `Segment`."""
@@ -84,27 +99,27 @@
 
 
 class OsFolder:
-    """A folder of the system's."""
+    """A folder of the operating system."""
 
     def __init__(self, path: Path) -> None:
         self.path = path
 
-    def _name(self, number: int) -> Path:
-        return self.path / f"{number:010d}.ledger"
-
     def make(self) -> None:
         """See `Folder`."""
         self.path.mkdir(mode=_FOLDER_MODE, parents=True, exist_ok=True)
 
     def numbers(self) -> list[int]:
         """See `Folder`."""
-        found = (_SEGMENT.fullmatch(name) for name in os.listdir(self.path))
-        return sorted(int(one[1]) for one in found if one is not None)
+        matches = (_SEGMENT_NAME.fullmatch(path.name) for path in self.path.iterdir())
+        return sorted(int(match[1]) for match in matches if match is not None)
 
     def open(self, number: int, create: bool) -> Segment:
         """See `Folder`."""
-        return OsSegment(self._name(number), create)
+        return OsSegment(self._segment_path(number), create)
 
     def remove(self, number: int) -> None:
         """See `Folder`."""
-        self._name(number).unlink(missing_ok=True)
+        self._segment_path(number).unlink(missing_ok=True)
+
+    def _segment_path(self, number: int) -> Path:
+        return self.path / f"{number:010d}{SEGMENT_SUFFIX}"
--- a/tests/claims/test_claim_log.py
+++ b/tests/claims/test_claim_log.py
@@ -20,9 +20,9 @@
 from peers import WAIT_S, world
 
 from cairnvane import clock
-from cairnvane.claims import ClaimLog, Incarnations, claim_log, legacy, records
+from cairnvane.claims import ClaimLog, Incarnations, legacy, records, segment_writer
 from cairnvane.claims.claim_table import ClaimTable, Place
-from cairnvane.claims.incarnations import LEASE_US, Liveness
+from cairnvane.claims.incarnations import HEARTBEAT_TIMEOUT_US, Liveness
 from cairnvane.claims.records import SEAL, Record, put, scan
 from cairnvane.claims.states import KeyState, Step
 from cairnvane.claims.storage import OsFolder, Segment
@@ -85,8 +85,12 @@
     machine = ClaimTable(UNREAD)
     for told in (claim(2, 11), claim(1, 10), end(1, 12, Step.RESULT), end(1, 12, Step.NEVER)):
         machine.take(told, HERE)
-    assert machine.holds(TOKEN, 2, 11) and not machine.holds(TOKEN, 1, 10)
-    assert (machine.entries[TOKEN].state, machine.lost, machine.illegal) == (KeyState.INTENDED, 1, 2)
+    assert machine.is_holder(TOKEN, 2, 11) and not machine.is_holder(TOKEN, 1, 10)
+    assert (machine.entries[TOKEN].state, machine.rejected_claims, machine.illegal_steps) == (
+        KeyState.INTENDED,
+        1,
+        2,
+    )
     machine.take(end(2, 13, Step.RESULT), HERE)
     assert machine.entries[TOKEN].state is KeyState.FINISHED
     machine.take(end(2, 14, Step.FAULT), HERE)  # an end is final
@@ -99,11 +103,11 @@
     machine.take(end(1, 11, Step.NEVER), HERE)
     assert machine.find(TOKEN, 20) is None
     machine.take(claim(2, 12), HERE)
-    assert machine.holds(TOKEN, 2, 12)
+    assert machine.is_holder(TOKEN, 2, 12)
     machine.take(claim(3, 999), HERE)
-    assert machine.holds(TOKEN, 2, 12)
+    assert machine.is_holder(TOKEN, 2, 12)
     machine.take(claim(3, 1_000, until=3_000), HERE)  # behind its end, whenever this is read
-    assert machine.holds(TOKEN, 3, 1_000)
+    assert machine.is_holder(TOKEN, 3, 1_000)
     assert machine.find(TOKEN, 2_999) is not None and machine.find(TOKEN, 3_000) is None
     assert machine.expire(3_000 + UNREAD - 1) == 0 and machine.expire(3_000 + UNREAD) == 1
 
@@ -114,8 +118,8 @@
     machine.take(claim(1, 6), HERE)
     assert not machine.entries
     machine.take(claim(2, 7), Place(2, 0, 0))
-    assert machine.holds(TOKEN, 2, 7)
-    assert machine.droppable([1, 2], 9_000_000) == [1]  # the other one is not sealed
+    assert machine.is_holder(TOKEN, 2, 7)
+    assert machine.droppable_segments([1, 2], 9_000_000) == [1]  # the other one is not sealed
 
 
 @given(st.lists(st.tuples(st.integers(1, 3), st.sampled_from([*Step][:5]), st.integers(0, 1))))
@@ -300,9 +304,9 @@
     """The old process is stopped between the claim and the `spawn`; the new one may not run it meanwhile."""
     old, new = shop.life(), shop.life()
     assert old.run() == "runs"
-    ahead = clock.now() + LEASE_US + 1_000_000
+    ahead = clock.now() + HEARTBEAT_TIMEOUT_US + 1_000_000
     monkeypatch.setattr(clock, "now", lambda: ahead)
-    assert new.lives.vital(old.lives.life) is Liveness.STOPPED
+    assert new.lives.liveness(old.lives.life) is Liveness.STOPPED
     assert new.run() == "elsewhere"
     waits = new.fetch()
     monkeypatch.undo()
@@ -334,22 +338,22 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards: a life that was stopped for long writes into a segment that others have sealed and dropped."""
-    monkeypatch.setattr(claim_log, "SEGMENT_BYTES", 2_000)
+    monkeypatch.setattr(segment_writer, "SEGMENT_BYTES", 2_000)
     old, new = shop.life(), shop.life()
-    stale = old.ledger._current
+    stale = old.ledger._reader.current
     for number in range(100):
         token = number.to_bytes(16, "little")
         assert new.run(token, until=clock.now() + 1) == "runs"
         new.ends(b"r" * 100, token)
     with new.ledger._lock:
-        new.ledger._machine._unread = -UNREAD  # so that all but what follows has aged
-        new.ledger._look_after()
+        new.ledger._table._max_read_delay = -UNREAD  # so that all but what follows has aged
+        new.ledger._housekeeping.run_tasks()
     left = OsFolder(shop.path / "ledger").numbers()
     assert left and left[0] > 5
-    assert old.ledger._current is stale  # it has slept all the while
+    assert old.ledger._reader.current is stale  # it has slept all the while
     assert new.run() == "runs"
     assert old.run() == "elsewhere"
-    assert old.ledger._current.number == left[-1]
+    assert old.ledger._reader.current.number == left[-1]
 
 
 def test_a_removed_folder_is_made_anew_with_all_that_counts(shop: Shop) -> None:
@@ -360,9 +364,9 @@
     assert old.recall() == StoredEntry(TOKEN, True)
     assert old.fetch()() == b"result"
     with old.ledger._lock:
-        old.ledger._look_after()
+        old.ledger._housekeeping.run_tasks()
     new = shop.life()
-    assert new.lives.vital(old.lives.life) is Liveness.ALIVE
+    assert new.lives.liveness(old.lives.life) is Liveness.ALIVE
     assert new.fetch()() == b"result"
     assert new.run(OTHER) == "elsewhere"
 
@@ -396,7 +400,7 @@
     old.ends(b"result")
     assert old.fetch()() == b"result" and old.run() == "elsewhere"
     folder.failures = 0
-    old.ledger._retry_at = 0
+    old.ledger._writer._retry_at = 0
     assert old.ledger.capacity_wait_us() == 0
     assert shop.life().fetch()() == b"result"
 
@@ -423,7 +427,7 @@
     folder.failures, folder.part = 1, 1.0
     assert old.run() == "refused"
     assert new.run(OTHER) == "runs" and new.run() == "elsewhere"
-    old.ledger._retry_at = 0
+    old.ledger._writer._retry_at = 0
     assert old.ledger.capacity_wait_us() == 0  # it works again, and has given the claim up
     assert new.run() == "runs"
 
@@ -431,7 +435,7 @@
 def test_a_later_format_beside_a_life_that_serves_is_a_folder_that_fails(shop: Shop) -> None:
     old, new = shop.life(), shop.life()
     with old.ledger._lock:
-        old.ledger._current.file.append(put(SEAL, 1, records.NO_TOKEN, 1, 1))
+        old.ledger._reader.current.file.append(put(SEAL, 1, records.NO_TOKEN, 1, 1))
     (shop.path / "ledger" / "0000000002.ledger").write_bytes(b"CVL2" + bytes(60))
     assert old.run() == "refused" and old.ledger.capacity_wait_us() > 0
     assert new.recall() is None
@@ -439,7 +443,7 @@
 
 def test_at_its_bound_it_takes_no_key_on(shop: Shop) -> None:
     life = shop.life()
-    life.ledger._most = 500
+    life.ledger._max_bytes = 500
     assert life.ledger.capacity_wait_us() == 0 and life.run() == "runs"
     life.ends(b"r" * 600)
     assert life.ledger.capacity_wait_us() > 0
@@ -483,14 +487,14 @@
     first, second = Incarnations(tmp_path), Incarnations(tmp_path)
     first.enter()
     second.enter()
-    assert not first.heir() and first.vital(second.life) is Liveness.ALIVE
+    assert not first.heir() and first.liveness(second.life) is Liveness.ALIVE
     second.ready()
     assert first.heir() and not second.heir()
     first.ready()
     assert not second.heir()  # which is older
     assert not first.alone()
     os.close(second._fd or -1)  # killed: its file stays, its lock does not
-    assert not first.heir() and first.vital(second.life) is Liveness.DEAD and first.alone()
+    assert not first.heir() and first.liveness(second.life) is Liveness.DEAD and first.alone()
     third = Incarnations(tmp_path)
     third.enter()
     assert third.others() == [first.life]  # what the dead one left is cleared away
@@ -505,9 +509,9 @@
     first.enter()
     second.enter()
     second.ready()
-    ahead = clock.now() + LEASE_US + 1
+    ahead = clock.now() + HEARTBEAT_TIMEOUT_US + 1
     monkeypatch.setattr(clock, "now", lambda: ahead)
-    assert first.vital(second.life) is Liveness.STOPPED and not first.heir() and not first.alone()
+    assert first.liveness(second.life) is Liveness.STOPPED and not first.heir() and not first.alone()
 
 
 def test_a_life_is_never_seen_without_its_lock(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -522,7 +526,7 @@
 
 def test_an_earlier_version_that_serves_is_found_by_its_mark(tmp_path: Path) -> None:
     assert legacy.serves(tmp_path, "n3") is None
-    marks = tmp_path / legacy.MARKS
+    marks = tmp_path / legacy.MARKERS
     marks.mkdir()
     (marks / "n3.4194305.17").write_bytes(b"17\n")  # no such process
     (marks / f"n3.{os.getpid()}.17").write_bytes(b"17\n")  # its number is another process's by now
@@ -594,7 +598,7 @@
     began.remove(tokens[3])
     life.ledger.record_never_started(tokens[3], life.until[tokens[3]], ())
     with life.ledger._lock:
-        life.ledger._look_after()
+        life.ledger._housekeeping.run_tasks()
 
 
 def test_killed_at_any_step_no_run_is_forgotten_and_no_answer_changed(
@@ -603,7 +607,7 @@
 ) -> None:
     """At every step until none is left: what began is never run by the next life, and what was told is what
     it tells. A life beside the killed one has claimed in between, behind what was torn."""
-    monkeypatch.setattr(claim_log, "SEGMENT_BYTES", 500)
+    monkeypatch.setattr(segment_writer, "SEGMENT_BYTES", 500)
     kill_at = 0
     while True:
         shop = Shop(tmp_path / str(kill_at))
