ClaimLog.entries: a NamedTuple says what its places mean

The takeover of the durable log read bare tuples of key, entry and result. ClaimedKey unpacks the same way.

--- a/cairnvane/claims/claim_log.py
+++ b/cairnvane/claims/claim_log.py
@@ -12,6 +12,7 @@
 import threading
 from collections.abc import Callable
 from dataclasses import replace
+from typing import NamedTuple
 
 from .. import clock
 from ..idempotency.store import KeyConflictError, RecoveredState, StartedRun, StoredEntry
@@ -31,6 +32,14 @@
 MIN_CAPACITY_WAIT_US = 500_000
 
 
+class ClaimedKey(NamedTuple):
+    """A key that counts, with its claim."""
+
+    key: bytes
+    entry: Entry  # a copy
+    result: bytes | None  # None unless the run has finished and its result can be read
+
+
 class ClaimLog:
     """An `IdempotencyStore` that is shared with concurrent incarnations. Safe to call from any thread."""
 
@@ -44,7 +53,7 @@
         self._incarnations = incarnations
         self._incarnation = incarnations.life
         self._max_bytes = max_bytes
-        self._closed = False
+        self._closed = False  # ends the housekeeping thread
         # Guards the table, the segments, and what is pending or waits. Taken again by methods that call each
         # other.
         self._lock = threading.RLock()
@@ -99,12 +108,12 @@
 
     # --- for the takeover of the durable log
 
-    def entries(self) -> list[tuple[bytes, Entry, bytes | None]]:
-        """All keys that count, with their entries and, if they have finished, their results."""
+    def entries(self) -> list[ClaimedKey]:
+        """All keys that count, in the order of their claims."""
         with self._lock:
             self._reader.try_follow()
             return [
-                (key, replace(entry), self._finished_result(key, entry))
+                ClaimedKey(key, replace(entry), self._finished_result(key, entry))
                 for key, entry in self._table.entries.items()
                 if entry.state is not KeyState.VOID
             ]
