Split the controller by concern, with its tables and estimates apart

One class of 470 lines held AIMD admission, the concurrency limit, dependency and tenant quotas, idle connections, health and the load signal, with attributes named in metaphors. Each has its own module now; requests.py, lifecycle.py, estimators.py and timer.py keep account and measure. Floating point operations keep their order.

--- /dev/null
+++ b/cairnvane/admission/load_signal.py
@@ -0,0 +1,54 @@
+"""The load signal: what clients learn of the load with every response."""
+
+from __future__ import annotations
+
+from ..contract.actions import ReportLoad
+from ..contract.settings import LoadSignal, Settings
+from . import parameters
+
+
+class LoadReports:
+    """Clients that heed the load signal send less before their requests must be read."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self.share = 1.0  # of the usual load that clients are invited to send
+        self.overloaded = False  # since the last timer
+        self.reading_delayed = False  # since the last timer
+        self.reported: float | None = None
+
+    def needs_timer(self) -> bool:
+        """Whether the value may change with time."""
+        return self.overloaded or self.reading_delayed or self.share < 1 or self.reported is None
+
+    def on_timer(self, cores_full: bool, draining: bool) -> ReportLoad | None:
+        """Move the share by AIMD; a changed value is to be reported."""
+        # Reading on cores that are not full is only slow: clients that held back would leave them idle.
+        if self.overloaded or (self.reading_delayed and cores_full):
+            self.share = max(parameters.LOAD_SIGNAL_MINIMUM, self.share * parameters.LOAD_SIGNAL_DECREASE)
+        else:
+            self.share = min(1.0, self.share + parameters.LOAD_SIGNAL_INCREASE)
+        self.overloaded = False
+        self.reading_delayed = False
+        return self.report(draining)
+
+    def report(self, draining: bool) -> ReportLoad | None:
+        """The value to send from now on, if it has changed."""
+        value = self._value(draining)
+        changed = value != self.reported
+        self.reported = value
+        return ReportLoad(value) if changed and self._settings.load_signal is not LoadSignal.NONE else None
+
+    def _value(self, draining: bool) -> float:
+        settings = self._settings
+        share = 0.0 if draining else self.share
+        if settings.load_signal is LoadSignal.NONE:
+            return 0.0
+        if settings.load_signal is LoadSignal.WEIGHT:
+            return share
+        if settings.load_signal is LoadSignal.LEVEL:
+            # Ranks fall into equal bands by class. But for a drain, the greatest weight is always invited.
+            return 1.0 if draining else (1 - share) * (1 - 1 / len(settings.classes))
+        # While the share is full the credit binds nobody: one client may carry much of the traffic.
+        clients = settings.clients if share < 1 else 1
+        return share * parameters.CREDITS_PER_CORE * settings.cores / max(1, clients)
--- a/cairnvane/contract/events.py
+++ b/cairnvane/contract/events.py
@@ -19,6 +19,10 @@
     NEVER_STARTED = "never_started"
 
 
+UNEXECUTED_OUTCOMES = (Outcome.REJECTED, Outcome.UNREACHED, Outcome.NEVER_STARTED)
+"""The outcomes which prove that nothing was executed."""
+
+
 @dataclass(slots=True)
 class Arrival:
     """A request was read; it stays queued until an action says otherwise, and is owed one final response."""
--- a/tests/admission/test_design.py
+++ b/tests/admission/test_design.py
@@ -11,6 +11,7 @@
 from helpers import MS, SAFE, UNSAFE, Host, host
 
 from cairnvane.admission import controller, parameters
+from cairnvane.admission.requests import RequestState
 from cairnvane.contract.actions import Action
 from cairnvane.contract.events import Arrival, Outcome, RunFinished
 
@@ -33,34 +34,34 @@
 
 def test_p_starts_at_one_and_needs_a_finished_run() -> None:
     h = host()
-    assert h.control.p == 1.0
+    assert h.control.admission.probability == 1.0
     hold(h, 60)
     h.send(Arrival(1, SAFE))
-    assert h.control.p == 1.0
+    assert h.control.admission.probability == 1.0
 
 
 def test_p_falls_above_n_high_and_rises_below_n_low_and_is_clamped() -> None:
     h = host()
     known_rate(h)
-    n_high = (1_000 - 100) * MS * h.control._rate()
+    n_high = (1_000 - 100) * MS * h.control.service.rate()
     assert 30 < n_high < 40
     hold(h, 45)
     h.send(Arrival(1, SAFE))
-    assert h.control.p == parameters.GAMMA
+    assert h.control.admission.probability == parameters.MULTIPLICATIVE_DECREASE
     for rid in range(2, 40):
         h.send(Arrival(rid, SAFE))
-    assert h.control.p == parameters.P_MIN
-    for rid in list(h.control.hold)[:-25]:
+    assert h.control.admission.probability == parameters.MINIMUM_PROBABILITY
+    for rid in list(h.control.queue)[:-25]:
         h.gone(rid)
     h.send(Arrival(50, SAFE))
-    assert h.control.p == parameters.P_MIN  # between N_low and N_high
-    for rid in list(h.control.hold)[:-5]:
+    assert h.control.admission.probability == parameters.MINIMUM_PROBABILITY  # between N_low and N_high
+    for rid in list(h.control.queue)[:-5]:
         h.gone(rid)
     h.send(Arrival(51, SAFE))
-    assert h.control.p == parameters.P_MIN + parameters.ETA
+    assert h.control.admission.probability == parameters.MINIMUM_PROBABILITY + parameters.ADDITIVE_INCREASE
     for rid in range(52, 56):
         h.send(Arrival(rid, SAFE))
-    assert h.control.p == 1.0
+    assert h.control.admission.probability == 1.0
 
 
 def test_held_requests_start_oldest_first() -> None:
@@ -81,7 +82,7 @@
     def interval(per_second: int) -> int:
         """As many finished runs as a step needs, with requests held all the while."""
         nonlocal rid
-        for _ in range(parameters.CLIMB_RUNS * h.settings.cores):
+        for _ in range(parameters.CLIMB_RUNS_PER_CORE * h.settings.cores):
             while h.count("held") < 6:
                 rid += 1
                 h.send(Arrival(rid, SAFE, time_left=60_000 * MS))
@@ -117,7 +118,6 @@
 LINE_LENGTH_LIMIT = 110
 PACKAGE = Path(controller.__file__).parent
 ROOT = PACKAGE.parent.parent
-NOT_POLICY = ("__init__.py", "parameters.py", "requests.py")  # they hold no decision logic
 PURE_MODULES = {
     "__future__",
     "collections",
@@ -129,9 +129,16 @@
     "typing",
 }
 OWN_PACKAGES = ("cairnvane.admission", "cairnvane.contract")
-# What a file that decides nothing may hold: declarations of data, without a choice between two courses.
-DECLARATIONS = (ast.Import, ast.ImportFrom, ast.ClassDef, ast.Assign, ast.AnnAssign, ast.Expr)
-CHOICES = (ast.If, ast.IfExp, ast.Match, ast.For, ast.While, ast.Compare, ast.BoolOp, ast.Try, ast.Assert)
+IMPURE_BUILTINS = {"open", "print", "input", "exec", "eval", "__import__", "breakpoint"}
+# Files that hold no decision logic: constants, and what keeps account and measures.
+DECLARATIONS = ("__init__.py", "parameters.py")
+BOOKKEEPING = ("estimators.py", "lifecycle.py", "requests.py", "timer.py")
+NOT_POLICY = DECLARATIONS + BOOKKEEPING
+DECLARING_STATEMENTS = (ast.Import, ast.ImportFrom, ast.Assign, ast.Expr)
+CHOICES = (ast.If, ast.IfExp, ast.Match, ast.For, ast.While, ast.Compare, ast.BoolOp, ast.Try, ast.Lambda)
+# What ends a request or refuses it something is decided in the policy alone; `lifecycle.py` records it.
+ACTION_RECORDERS = {"lifecycle.py", "timer.py"}
+BOOKKEEPING_NUMBERS = {0, 1}
 
 
 def policy_files() -> list[Path]:
@@ -152,7 +159,9 @@
             modules.update(alias.name for alias in node.names)
         elif isinstance(node, ast.ImportFrom):
             parents = ["cairnvane", "admission"][: 3 - node.level] if node.level else []
-            modules.add(".".join([*parents, *([node.module] if node.module else [])]))
+            module = ".".join([*parents, *([node.module] if node.module else [])])
+            is_package = module in OWN_PACKAGES
+            modules.update([f"{module}.{alias.name}" for alias in node.names] if is_package else [module])
     return modules
 
 
@@ -179,13 +188,43 @@
     for module in imported_modules(path) - PURE_MODULES:
         assert any(module == package or module.startswith(f"{package}.") for package in OWN_PACKAGES), module
     calls = [node.func for node in ast.walk(ast.parse(path.read_text())) if isinstance(node, ast.Call)]
-    called = {function.id for function in calls if isinstance(function, ast.Name)}
-    assert not called & {"open", "print", "input", "exec", "eval", "__import__", "breakpoint"}
+    assert not {function.id for function in calls if isinstance(function, ast.Name)} & IMPURE_BUILTINS
 
 
-@pytest.mark.parametrize("name", NOT_POLICY)
-def test_files_outside_the_policy_only_declare_data(name: str) -> None:
+@pytest.mark.parametrize("name", DECLARATIONS)
+def test_files_of_constants_only_declare(name: str) -> None:
     module = ast.parse((PACKAGE / name).read_text())
-    assert all(isinstance(statement, DECLARATIONS) for statement in module.body)
+    assert all(isinstance(statement, DECLARING_STATEMENTS) for statement in module.body)
     assert not [ast.unparse(node) for node in ast.walk(module) if isinstance(node, CHOICES)]
-    assert not [node.name for node in ast.walk(module) if isinstance(node, (ast.FunctionDef, ast.Lambda))]
+
+
+@pytest.mark.parametrize("name", BOOKKEEPING)
+def test_bookkeeping_depends_on_no_policy_and_has_no_numbers_of_its_own(name: str) -> None:
+    """No file of it can make a decision by chance, by a threshold of its own, or by asking the policy."""
+    imported = imported_modules(PACKAGE / name)
+    assert not imported & {f"cairnvane.admission.{path.stem}" for path in policy_files()}
+    assert "random" not in imported
+    assert name in ACTION_RECORDERS or "cairnvane.contract.actions" not in imported
+    module = ast.parse((PACKAGE / name).read_text())
+    constants = {node.value for node in ast.walk(module) if isinstance(node, ast.Constant)}
+    numbers = {value for value in constants if isinstance(value, (int, float))}
+    enumerated = {state.value for state in RequestState} if name == "requests.py" else set()
+    assert numbers - enumerated <= BOOKKEEPING_NUMBERS
+
+
+def test_each_action_is_recorded_without_a_choice() -> None:
+    """The recorders decide nothing: the action follows from the call, whatever the settings and estimates."""
+    module = ast.parse((PACKAGE / "lifecycle.py").read_text())
+    recorders = [
+        function
+        for function in ast.walk(module)
+        if isinstance(function, ast.FunctionDef)
+        and any(
+            ast.unparse(node).startswith("actions.")
+            for node in ast.walk(function)
+            if isinstance(node, ast.Call)
+        )
+    ]
+    assert len(recorders) >= 8
+    choosing = [f.name for f in recorders if any(isinstance(node, CHOICES) for node in ast.walk(f))]
+    assert choosing == ["remove"]  # it frees the key of a request that never ran, as the contract defines
--- a/tests/admission/test_rules.py
+++ b/tests/admission/test_rules.py
@@ -262,12 +262,12 @@
         dependency=DependencyKind.SHARED,
         dependency_quota=50.0,
     )
-    h.control.call_cap = 1.0
+    h.control.dependency.limit = 1.0
     for rid in range(1, 40):
         arrive(h, rid)
         if h.requests[rid].where == "running":
             h.need(rid)
-    h.control.call_cap = 45.0
+    h.control.dependency.limit = 45.0
     h.send()
     assert h.count("at_call") > 0
     assert h.count("running") + h.count("calling") <= 8
@@ -275,11 +275,11 @@
 
 def test_cold_instance_runs_no_larger_crowd_than_it_survives() -> None:
     h = host(cold_start=True, cold_speed=0.25, warmup_time=10_000 * MS)
-    h.control.limit = 50
+    h.control.concurrency.limit = 50
     fill(h, 30)
     assert h.count("running") <= 8
     h.now = 10_000 * MS
-    h.control.limit = 50
+    h.control.concurrency.limit = 50
     fill(h, 30, first=100)
     assert 8 < h.count("running") <= 20
 
@@ -298,12 +298,12 @@
 def test_calls_give_way_when_they_grow_slow_and_come_back() -> None:
     """Incident ica6448: calls piled up below, out of sight of any local queue, and slowed each other down."""
     h = host(dependency=DependencyKind.SHARED, dependency_quota=10.0)
-    most = h.control.call_cap
+    most = h.control.dependency.limit
     calls(h, 20 * MS, 10)
     calls(h, 200 * MS, 10)
-    assert h.control.call_cap < 0.8 * most
+    assert h.control.dependency.limit < 0.8 * most
     calls(h, 20 * MS, 60)
-    assert h.control.call_cap == most
+    assert h.control.dependency.limit == most
 
 
 def test_calls_that_stay_slow_with_one_out_are_no_longer_held_back() -> None:
@@ -311,7 +311,7 @@
     h = host(dependency=DependencyKind.SHARED, dependency_quota=10.0)
     calls(h, 20 * MS, 10)
     calls(h, 200 * MS, 40)
-    assert h.control.call_cap > 2
+    assert h.control.dependency.limit > 2
 
 
 def test_a_jam_at_the_calls_keeps_back_only_those_who_call() -> None:
@@ -324,7 +324,7 @@
         classes=(replace(CLASSES[SAFE], degraded_fraction=0.0), *CLASSES[1:]),
     )
     calls(h, 20 * MS, 10)
-    h.control.call_cap = 1.0
+    h.control.dependency.limit = 1.0
     for rid in range(100, 108):
         arrive(h, rid)
         h.need(rid)
@@ -335,15 +335,15 @@
         h.now += 20 * MS
         refused += of(h.send(), Reject)
     assert [(refuse.request_id, refuse.no_retry) for refuse in refused] == [(200, True)]
-    assert h.control.open == 1.0
+    assert h.control.load_reports.share == 1.0
 
 
 def test_what_may_be_our_own_delay_holds_no_call_back() -> None:
     h = host(dependency=DependencyKind.SHARED, dependency_quota=10.0)
     calls(h, 2 * MS, 10)
-    most = h.control.call_cap
+    most = h.control.dependency.limit
     calls(h, 12 * MS, 20)
-    assert h.control.call_cap == most
+    assert h.control.dependency.limit == most
 
 
 def test_a_call_that_never_ends_is_given_up_long_before_its_request_is() -> None:
@@ -354,18 +354,18 @@
         arrive(h, rid, cls)
         (call,) = of(h.need(rid), MakeCall)
         assert most * 0.9 <= call.timeout / MS <= most * 1.1
-    cap = h.control.call_cap
+    cap = h.control.dependency.limit
     h.now += 140 * MS
     h.requests[901].where = "running"
     h.send(CallFinished(901, Outcome.TIMEOUT, 140 * MS))
-    assert h.control.call_cap == cap  # one loss says nothing of the others
+    assert h.control.dependency.limit == cap  # one loss says nothing of the others
 
 
 def test_a_tick_counts_though_events_come_faster_than_its_gauges() -> None:
     """Guards: each event after a timer's time replaced that timer, and no tick counted for seconds."""
     control = Controller(settings(), 1, 0)
     control.handle(0, [Arrival(1, SAFE)])
-    at = control.timer_at
+    at = control.timer.due_at
     for late in (1, 2):  # due, but its gauges are still on their way
         assert not of(control.handle(at + late * MS, [Arrival(1 + late, SAFE)]), SetTimer)
     (again,) = of(control.handle(at + 3 * MS, [TimerFired(0, cpu_busy=0.5, runnable=3)]), SetTimer)
@@ -379,7 +379,7 @@
         h.pass_time(60 * MS)
         arrive(h, rid, client=rid)
         h.finish(rid)
-    assert len(h.control.seen) < 200
+    assert len(h.control.idle_connections.clients.last_seen) < 200
 
 
 # --- what rounds have found ---
@@ -392,9 +392,9 @@
         h.requests[rid].where, h.requests[rid].answered = "over", True
     h.now = 400 * MS
     h.send(*(RunFinished(rid, Outcome.OK, 400 * MS) for rid in range(1, 5)))
-    h.control.open = 0.9
+    h.control.load_reports.share = 0.9
     assert of(arrive(h, 8, queue_delay=700 * MS), StartRun)  # with a core free an estimate is not trusted
-    h.control.limit = 8
+    h.control.concurrency.limit = 8
     fill(h, 3, first=20)
     actions = arrive(h, 9, queue_delay=700 * MS)
     assert not of(actions, StartRun)
@@ -544,12 +544,12 @@
         dependency_quota=50.0,
         classes=(replace(CLASSES[SAFE], degraded_fraction=0.0),),
     )
-    h.control.call_cap = 1.0
+    h.control.dependency.limit = 1.0
     for rid in range(1, 12):
         arrive(h, rid)
         if rid < 6 and h.requests[rid].where == "running":
             h.need(rid)
-    h.control.call_cap = 45.0
+    h.control.dependency.limit = 45.0
     waiting = h.ids("at_call")
     assert waiting
     h.pass_time(1_100 * MS)
@@ -570,7 +570,7 @@
     h = host(classes=(CLASSES[SAFE],))
     fill(h, 1, first=100)
     h.send(Arrival(1, SAFE, memory=10.0, time_left=1_500 * MS))
-    h.control.open = 0.9  # not in calm
+    h.control.load_reports.share = 0.9  # not in calm
     actions = arrive(h, 2, time_left=left * MS, is_retry=again)
     assert bool(of(actions, StartRun)) is runs
     assert bool(of(actions, Reject)) is not runs
@@ -636,7 +636,7 @@
     for rid in range(1, 31):
         arrive(h, rid, SAFE, tenant=0)
     arrive(h, 40, KEYED, tenant=0)
-    assert [h.control.jobs[rid].worth for rid in (1, 30, 40)] == [1.0, 0.1, 3.0]
+    assert [h.control.requests.by_id[rid].weight for rid in (1, 30, 40)] == [1.0, 0.1, 3.0]
 
 
 def test_what_is_refused_beyond_its_share_is_asked_to_try_no_further() -> None:
@@ -692,17 +692,17 @@
     ):
         assert not h.control.handle(h.now, [event])
     assert not h.control.running
-    assert h.control.memory == 0.0
+    assert h.control.requests.memory == 0.0
 
 
 def test_a_clock_that_steps_back_is_no_negative_time() -> None:
     h = host()
     h.now = 1_000 * MS
     fill(h, 1)
-    spent = h.control.core_time
+    spent = h.control.service.core_time
     h.control.handle(500 * MS, [])
     assert h.control.now == 1_000 * MS
-    assert h.control.core_time == spent
+    assert h.control.service.core_time == spent
 
 
 @pytest.mark.parametrize(
@@ -816,9 +816,9 @@
 
 def test_no_core_time_yet_leaves_p_alone() -> None:
     h = host()
-    h.control.known.add("read")
+    h.control.service.known_classes.add("read")
     fill(h, 8)
-    assert h.control.p == 1.0
+    assert h.control.admission.probability == 1.0
     assert not of(h.log, Reject)
 
 
@@ -829,10 +829,10 @@
     h.now = 900 * MS
     for rid in (1, 2, 3, 4):
         h.finish(rid, Outcome.OK if rid == 1 else Outcome.ERROR)
-    job = h.control.jobs.get(1)
+    job = h.control.requests.by_id.get(1)
     assert job is None
     arrive(h, 9)
-    assert h.control._run_time(h.control.jobs[9]) > 2_000 * MS
+    assert h.control.service.run_time(h.control.requests.by_id[9].cost) > 2_000 * MS
 
 
 def test_a_share_below_one_call_is_a_mean_not_a_pause_after_each() -> None:
--- a/tests/net/test_server.py
+++ b/tests/net/test_server.py
@@ -196,7 +196,9 @@
     monkeypatch.setattr(connection, "SAY_WAIT_S", 0.2)
     monkeypatch.setattr(server, "LOOK_S", 0.05)
     with world() as w:
-        w.host._control.back = 1.0  # it does not want idle connections closed
+        w.host._control.idle_connections.clients.returning_fraction = (
+            1.0  # it does not want idle connections closed
+        )
         bad, good = w.balancer(), w.balancer()
         w.serve(good, 1)
         bad.sock.sendall(data)
--- a/tests/testbed/test_overload_recovery.py
+++ b/tests/testbed/test_overload_recovery.py
@@ -62,7 +62,7 @@
         over = [ClientDisconnected(1)] if gone else []
         actions = control.handle(CLASSES[0].client_timeout, over)
         assert gone or Fail(1) in actions
-        assert (control.memory, control.jobs, len(control.calling)) == (0.0, {}, 0)
+        assert (control.requests.memory, control.requests.by_id, len(control.calling)) == (0.0, {}, 0)
         assert control.handle(CLASSES[0].client_timeout + 1, [RunFinished(1, Outcome.CANCELLED)]) == []
 
 
