--- /dev/null
+++ b/tests/admission/test_controller_dependency.py
@@ -0,0 +1,195 @@
+"""The dependency quota and the calls of requests."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from admission_helpers import (
+    CLASSES,
+    IDEMPOTENT,
+    KEYED,
+    MS,
+    Place,
+    SimulatedHost,
+    actions_of,
+    arrive,
+    occupy_cores,
+    start_host,
+)
+
+from cairnvane.contract.actions import Fail, MakeCall, Reject, SkipCall, StartRun
+from cairnvane.contract.events import CallFinished, ClientDisconnected, Outcome
+from cairnvane.contract.settings import DependencyKind, LoadSignal
+
+
+def make_calls(host: SimulatedHost, duration: int, count: int) -> None:
+    """So many requests, one after the other, each with a call that takes so long."""
+    for request_id in range(len(host.requests) + 1, len(host.requests) + count + 1):
+        arrive(host, request_id)
+        host.request_call(request_id)
+        host.now += duration
+        host.requests[request_id].place = Place.RUNNING
+        host.send(CallFinished(request_id, Outcome.OK, duration))
+        host.finish(request_id)
+
+
+@pytest.mark.parametrize("outcome", [Outcome.OK, Outcome.UNREACHED, Outcome.REJECTED])
+def test_one_short_call_does_not_make_all_others_look_slow(outcome: Outcome) -> None:
+    """Guards against taking the first call as the best time: one call at a time was made for seconds."""
+    host = start_host(dependency=DependencyKind.SHARED, dependency_quota=8.0, memory=1e6)
+    for request_id in range(1, 20):
+        arrive(host, request_id)
+        host.request_call(request_id)
+        duration = 1 * MS if request_id == 1 else 20 * MS
+        host.now += duration
+        host.requests[request_id].place = Place.RUNNING
+        host.send(CallFinished(request_id, outcome if request_id == 1 else Outcome.OK, duration))
+        if request_id == 1 and outcome is not Outcome.OK:  # it is retried
+            host.send(CallFinished(request_id, Outcome.OK, 20 * MS))
+        host.finish(request_id)
+    for request_id in range(20, 24):
+        arrive(host, request_id)
+        host.request_call(request_id)
+    assert host.count(Place.CALLING) == 4
+
+
+def test_calls_in_flight_and_abandoned_calls_stay_within_the_quota() -> None:
+    host = start_host(dependency=DependencyKind.SHARED, dependency_quota=2.5, abandoned_call_time=200 * MS)
+    occupy_cores(host)
+    for request_id in (1, 2, 3, 4):
+        host.request_call(request_id)
+    assert host.count(Place.CALLING) == 2
+    # The abandoned call still occupies the dependency.
+    assert not actions_of(host.finish_call(1, Outcome.TIMEOUT), MakeCall)
+    host.now += 200 * MS
+    assert actions_of(host.send(), MakeCall)
+
+
+def test_the_limit_falls_when_calls_grow_slow_and_recovers() -> None:
+    """Incident ica6448: calls piled up where no local queue shows it, and slowed each other down."""
+    host = start_host(dependency=DependencyKind.SHARED, dependency_quota=10.0)
+    most = host.controller.dependency.limit
+    make_calls(host, 20 * MS, 10)
+    make_calls(host, 200 * MS, 10)
+    assert host.controller.dependency.limit < 0.8 * most
+    make_calls(host, 20 * MS, 60)
+    assert host.controller.dependency.limit == most
+
+
+def test_calls_that_stay_slow_with_one_in_flight_are_no_longer_limited() -> None:
+    """Guards against calling a dependency that is slow by itself one call at a time: most requests failed."""
+    host = start_host(dependency=DependencyKind.SHARED, dependency_quota=10.0)
+    make_calls(host, 20 * MS, 10)
+    make_calls(host, 200 * MS, 40)
+    assert host.controller.dependency.limit > 2
+
+
+def test_congestion_of_the_dependency_delays_only_requests_that_call() -> None:
+    """Guards against starting nothing while all calls are in flight, and asking clients to send less.
+
+    The cores idled, though a third of the requests needed no call. Those with a call failed at it.
+    """
+    host = start_host(
+        dependency=DependencyKind.SHARED,
+        dependency_quota=10.0,
+        load_signal=LoadSignal.CREDIT,
+        classes=(replace(CLASSES[IDEMPOTENT], degraded_fraction=0.0), *CLASSES[1:]),
+    )
+    make_calls(host, 20 * MS, 10)
+    host.controller.dependency.limit = 1.0
+    for request_id in range(100, 108):
+        arrive(host, request_id)
+        host.request_call(request_id)
+    assert not actions_of(arrive(host, 200), StartRun)
+    assert actions_of(arrive(host, 201, KEYED), StartRun)  # none of this class was seen to call
+    rejected = []
+    for _ in range(80):
+        host.now += 20 * MS
+        rejected += actions_of(host.send(), Reject)
+    assert [(reject.request_id, reject.no_retry) for reject in rejected] == [(200, True)]
+    assert host.controller.load_reports.share == 1.0
+
+
+def test_delays_that_may_be_the_instances_own_reduce_no_limit() -> None:
+    host = start_host(dependency=DependencyKind.SHARED, dependency_quota=10.0)
+    make_calls(host, 2 * MS, 10)
+    most = host.controller.dependency.limit
+    make_calls(host, 12 * MS, 20)
+    assert host.controller.dependency.limit == most
+
+
+def test_a_call_that_never_ends_is_abandoned_long_before_its_request() -> None:
+    """Guards against calls that occupy capacity until their client leaves: nothing more was started."""
+    host = start_host(dependency=DependencyKind.SHARED, dependency_quota=10.0)
+    make_calls(host, 20 * MS, 10)
+    for request_id, class_index, most in ((901, IDEMPOTENT, 140), (902, KEYED, 560)):
+        arrive(host, request_id, class_index)
+        (call,) = actions_of(host.request_call(request_id), MakeCall)
+        assert most * 0.9 <= call.timeout / MS <= most * 1.1
+    before = host.controller.dependency.limit
+    host.now += 140 * MS
+    host.requests[901].place = Place.RUNNING
+    host.send(CallFinished(901, Outcome.TIMEOUT, 140 * MS))
+    assert host.controller.dependency.limit == before  # one loss says nothing of the others
+
+
+@pytest.mark.parametrize("late_fraction", [0.0, 0.8])
+def test_a_late_call_is_skipped_without_capacity_or_if_a_degraded_answer_earns_more(
+    late_fraction: float,
+) -> None:
+    """Round 34: calls were skipped on a guess. Round 71: late requests were failed despite capacity."""
+    host = start_host(
+        dependency=DependencyKind.SHARED,
+        dependency_quota=1.2,
+        classes=(replace(CLASSES[IDEMPOTENT], late_fraction=late_fraction),),
+    )
+    arrive(host, 1)
+    host.request_call(1)
+    host.now += 300 * MS
+    host.requests[1].place = Place.RUNNING
+    host.send(CallFinished(1, Outcome.OK, 300 * MS))  # calls are slow
+    arrive(host, 2, queue_delay=750 * MS)
+    arrive(host, 3, queue_delay=750 * MS)
+    assert host.requests[3].place is Place.RUNNING
+    actions = host.request_call(2)  # there is capacity for its call, which would end too late
+    assert bool(actions_of(actions, SkipCall)) is (late_fraction == 0.0)
+    assert not actions_of(actions, Fail)
+    host.finish(1)
+    arrive(host, 4)
+    host.request_call(4)  # takes the one call, if it is free
+    assert actions_of(host.request_call(3), SkipCall) == [SkipCall(3)]
+
+
+def test_a_request_too_late_for_its_call_is_answered_while_the_cores_are_full() -> None:
+    """Round 63: requests at a call waited for a core before they were given up."""
+    host = start_host(
+        cold_start=True,
+        cold_speed=0.01,
+        warmup_time=60_000 * MS,
+        dependency=DependencyKind.SHARED,
+        dependency_quota=50.0,
+        classes=(replace(CLASSES[IDEMPOTENT], degraded_fraction=0.0),),
+    )
+    host.controller.dependency.limit = 1.0
+    for request_id in range(1, 12):
+        arrive(host, request_id)
+        if request_id < 6 and host.requests[request_id].place is Place.RUNNING:
+            host.request_call(request_id)
+    host.controller.dependency.limit = 45.0
+    waiting = host.ids(Place.AWAITING_CALL)
+    assert waiting
+    host.advance(1_100 * MS)
+    assert set(waiting) <= {action.request_id for action in actions_of(host.actions, Fail)}
+
+
+def test_a_request_that_was_answered_makes_no_call() -> None:
+    host = start_host(dependency=DependencyKind.SHARED, dependency_quota=1.0)
+    for request_id in (1, 2):
+        arrive(host, request_id)
+        host.request_call(request_id)
+    assert host.ids(Place.CALLING) == [1]
+    host.requests[2].answered = True
+    host.controller.handle(host.now, [ClientDisconnected(2)])
+    host.requests[1].place = Place.RUNNING
+    assert not actions_of(host.controller.handle(host.now, [CallFinished(1, Outcome.OK, 10 * MS)]), MakeCall)
--- a/tests/admission/test_properties.py
+++ b/tests/admission/test_properties.py
@@ -1,10 +1,10 @@
-"""Random legal event sequences against the four rules, which `helpers.Host` asserts after every batch."""
+"""Random legal event sequences against the four rules, which `SimulatedHost` asserts after every batch."""
 
 from __future__ import annotations
 
 from typing import Any
 
-from helpers import CLASSES, KEYED, MS, host
+from admission_helpers import CLASSES, KEYED, MS, Place, start_host
 from hypothesis import given
 from hypothesis import settings as tuned
 from hypothesis import strategies as st
@@ -32,35 +32,37 @@
 @tuned(max_examples=60, derandomize=True, deadline=None)
 @given(SETUP, st.lists(STEP, min_size=30, max_size=150))
 def test_the_four_rules_hold(setup: dict[str, Any], steps: list[tuple[str, int, int]]) -> None:
-    h = host(**setup)
-    rid = 0
+    host = start_host(**setup)
+    request_id = 0
     keyed: dict[int, int] = {}
     for kind, x, y in steps:
-        running, calls = h.ids("running"), h.ids("calling")
-        alive = [r for r in h.requests if not h.requests[r].answered]
+        running, calls = host.ids(Place.RUNNING), host.ids(Place.CALLING)
+        alive = [r for r in host.requests if not host.requests[r].answered]
         if kind == "a":
-            rid += 1
-            cls = x % len(CLASSES)
+            request_id += 1
+            class_index = x % len(CLASSES)
             key = y % 7
-            prior = keyed.get(key) if cls == KEYED else None
-            prior = prior if prior in h.kept else None
+            prior = keyed.get(key) if class_index == KEYED else None
+            prior = prior if prior in host.remembered_keys else None
             left = None if x % 2 else (50 + y * 3) * MS
-            queued = min(h.now, (y % 50) * 10 * MS)
-            h.send(Arrival(rid, cls, queued, left, 5.0 + x % 20, 1_000 + y, duplicate_of=prior))
-            if rid in h.kept:
-                keyed[key] = rid
+            queued = min(host.now, (y % 50) * 10 * MS)
+            host.send(
+                Arrival(request_id, class_index, queued, left, 5.0 + x % 20, 1_000 + y, duplicate_of=prior)
+            )
+            if request_id in host.remembered_keys:
+                keyed[key] = request_id
         elif kind == "f" and running:
             outcome = (Outcome.OK, Outcome.ERROR)[y % 5 == 0]
-            h.finish(running[x % len(running)], outcome)
+            host.finish(running[x % len(running)], outcome)
         elif kind == "n" and running:
-            h.need(running[x % len(running)])
+            host.request_call(running[x % len(running)])
         elif kind == "c" and calls:
-            h.called(calls[x % len(calls)], OUTCOMES[y % 5])
+            host.finish_call(calls[x % len(calls)], OUTCOMES[y % 5])
         elif kind == "g" and alive:
-            h.gone(alive[x % len(alive)])
+            host.disconnect(alive[x % len(alive)])
         elif kind == "t":
-            h.pass_time((1 + y) * MS)
-        elif kind == "d" and h.drain_at is None and y < 100:
-            h.send(DrainStarted(5_000 * MS))
-    h.pass_time(6_000 * MS)
-    assert all(r.answered for r in h.requests.values())
+            host.advance((1 + y) * MS)
+        elif kind == "d" and host.drain_at is None and y < 100:
+            host.send(DrainStarted(5_000 * MS))
+    host.advance(6_000 * MS)
+    assert all(request.answered for request in host.requests.values())
