--- a/cairnvane/admission/controller.py
+++ b/cairnvane/admission/controller.py
@@ -178,7 +178,7 @@
 
         An estimate that rejects everything would never be corrected: with a core free, only the clock counts.
         """
-        limit = self.concurrency.limit if self.load_reports.share == 1.0 else self.settings.cores
+        limit = self.concurrency.limit if self.load_reports.invited_fraction == 1.0 else self.settings.cores
         if request.request_class.late_fraction != 0:
             return False
         return self.now > request.objective_at if len(self.running) < limit else self._lateness(request) > 0
@@ -224,7 +224,7 @@
         # beyond its quota here is so elsewhere too.
         waited = self.now - request.arrived_at
         no_retry = (
-            self.load_reports.share < parameters.RETRY_LOAD_SIGNAL
+            self.load_reports.invited_fraction < parameters.RETRY_LOAD_SIGNAL
             or waited > parameters.NO_RETRY_WAIT_FRACTION * request_class.latency_objective
             or congested
             or is_beyond_quota
--- a/cairnvane/admission/load_signal.py
+++ b/cairnvane/admission/load_signal.py
@@ -13,22 +13,23 @@
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
-        self.share = 1.0  # of the usual load that clients are invited to send
+        self.invited_fraction = 1.0  # of the usual load that clients are invited to send
         self.overloaded = False  # since the last timer
         self.reading_delayed = False  # since the last timer
         self.reported: float | None = None
 
     def needs_timer(self) -> bool:
         """Whether the value may change with time."""
-        return self.overloaded or self.reading_delayed or self.share < 1 or self.reported is None
+        return self.overloaded or self.reading_delayed or self.invited_fraction < 1 or self.reported is None
 
     def on_timer(self, cores_full: bool, draining: bool) -> ReportLoad | None:
-        """Move the share by AIMD; a changed value is to be reported."""
+        """Move the invited fraction by AIMD; a changed value is to be reported."""
         # Reading on cores that are not full is only slow: clients that held back would leave them idle.
         if self.overloaded or (self.reading_delayed and cores_full):
-            self.share = max(parameters.LOAD_SIGNAL_MINIMUM, self.share * parameters.LOAD_SIGNAL_DECREASE)
+            reduced = self.invited_fraction * parameters.LOAD_SIGNAL_DECREASE
+            self.invited_fraction = max(parameters.LOAD_SIGNAL_MINIMUM, reduced)
         else:
-            self.share = min(1.0, self.share + parameters.LOAD_SIGNAL_INCREASE)
+            self.invited_fraction = min(1.0, self.invited_fraction + parameters.LOAD_SIGNAL_INCREASE)
         self.overloaded = False
         self.reading_delayed = False
         return self.report(draining)
@@ -42,17 +43,17 @@
 
     def _value(self, draining: bool) -> float:
         settings = self._settings
-        share = 0.0 if draining else self.share
+        invited = 0.0 if draining else self.invited_fraction
         if settings.load_signal is LoadSignal.NONE:
             return 0.0
         if settings.load_signal is LoadSignal.WEIGHT:
-            return share
+            return invited
         if settings.load_signal is LoadSignal.LEVEL:
             # Ranks fall into equal bands by class. But for a drain, the greatest weight is always invited.
-            return 1.0 if draining else (1 - share) * (1 - 1 / len(settings.classes))
-        # While the share is full the credit binds nobody: one client may carry much of the traffic.
-        clients = settings.clients if share < 1 else 1
-        return share * parameters.CREDITS_PER_CORE * settings.cores / max(1, clients)
+            return 1.0 if draining else (1 - invited) * (1 - 1 / len(settings.classes))
+        # While all are invited the credit binds nobody: one client may carry much of the traffic.
+        clients = settings.clients if invited < 1 else 1
+        return invited * parameters.CREDITS_PER_CORE * settings.cores / max(1, clients)
 
 
 class Health:
--- a/cairnvane/contract/__init__.py
+++ b/cairnvane/contract/__init__.py
@@ -3,7 +3,7 @@
 `settings` describes what an instance is configured with, `events` what the host reports, and `actions` what
 the controller asks the host to do. The host owes the controller:
 
-* one `Controller` per life of a service instance, created at its start from `Settings`, a random seed and the
+* one `Controller` per incarnation of an instance, created at its start from `Settings`, a random seed and the
   current time; a restart creates a new one, and no state is carried over;
 * calls of `handle(now, events)` from a single thread, with events in the order in which they happened, as
   soon as they happened (events of the same moment may share a call) and whenever a `SetTimer` is due;
