--- a/tests/admission/test_properties.py
+++ b/tests/admission/test_properties.py
@@ -1,10 +1,11 @@
-"""Random legal event sequences against the four rules, which `helpers.Host` asserts after every batch."""
+"""Random legal event sequences against the four rules, which `SimulatedHost` asserts after every batch."""
 
 from __future__ import annotations
 
+from enum import Enum, auto
 from typing import Any
 
-from helpers import CLASSES, KEYED, MS, host
+from admission_helpers import CLASSES, KEYED, MS, Place, SimulatedHost, start_host
 from hypothesis import given
 from hypothesis import settings as tuned
 from hypothesis import strategies as st
@@ -13,7 +14,31 @@
 from cairnvane.contract.settings import CancelMode, DependencyKind, LoadSignal
 
 OUTCOMES = (Outcome.OK, Outcome.ERROR, Outcome.TIMEOUT, Outcome.REJECTED, Outcome.UNREACHED)
-STEP = st.tuples(st.sampled_from("aaaaaffffncgtttd"), st.integers(0, 999), st.integers(0, 999))
+
+
+class Step(Enum):
+    """What happens to the host; each step has two numbers that choose among the possibilities."""
+
+    ARRIVE = auto()
+    FINISH_RUN = auto()
+    REQUEST_CALL = auto()
+    FINISH_CALL = auto()
+    DISCONNECT = auto()
+    ADVANCE = auto()
+    DRAIN = auto()
+
+
+STEP_FREQUENCIES = {
+    Step.ARRIVE: 5,
+    Step.FINISH_RUN: 4,
+    Step.REQUEST_CALL: 1,
+    Step.FINISH_CALL: 1,
+    Step.DISCONNECT: 1,
+    Step.ADVANCE: 3,
+    Step.DRAIN: 1,
+}
+WEIGHTED_STEPS = [step for step, frequency in STEP_FREQUENCIES.items() for _ in range(frequency)]
+STEP = st.tuples(st.sampled_from(WEIGHTED_STEPS), st.integers(0, 999), st.integers(0, 999))
 SETUP = st.fixed_dictionaries(
     {
         "cancel_mode": st.sampled_from(CancelMode),
@@ -29,38 +54,45 @@
 )
 
 
+def arrive_or_retry(host: SimulatedHost, request_id: int, originals: dict[int, int], x: int, y: int) -> None:
+    """A request arrives; a keyed one is a duplicate if the key that `y` chooses is remembered."""
+    class_index = x % len(CLASSES)
+    key = y % 7
+    original = originals.get(key) if class_index == KEYED else None
+    original = original if original in host.remembered_keys else None
+    time_left = None if x % 2 else (50 + y * 3) * MS
+    queue_delay = min(host.now, (y % 50) * 10 * MS)
+    memory = 5.0 + x % 20
+    cost = 1_000 + y
+    host.send(Arrival(request_id, class_index, queue_delay, time_left, memory, cost, duplicate_of=original))
+    if request_id in host.remembered_keys:
+        originals[key] = request_id
+
+
 @tuned(max_examples=60, derandomize=True, deadline=None)
 @given(SETUP, st.lists(STEP, min_size=30, max_size=150))
-def test_the_four_rules_hold(setup: dict[str, Any], steps: list[tuple[str, int, int]]) -> None:
-    h = host(**setup)
-    rid = 0
-    keyed: dict[int, int] = {}
-    for kind, x, y in steps:
-        running, calls = h.ids("running"), h.ids("calling")
-        alive = [r for r in h.requests if not h.requests[r].answered]
-        if kind == "a":
-            rid += 1
-            cls = x % len(CLASSES)
-            key = y % 7
-            prior = keyed.get(key) if cls == KEYED else None
-            prior = prior if prior in h.kept else None
-            left = None if x % 2 else (50 + y * 3) * MS
-            queued = min(h.now, (y % 50) * 10 * MS)
-            h.send(Arrival(rid, cls, queued, left, 5.0 + x % 20, 1_000 + y, duplicate_of=prior))
-            if rid in h.kept:
-                keyed[key] = rid
-        elif kind == "f" and running:
-            outcome = (Outcome.OK, Outcome.ERROR)[y % 5 == 0]
-            h.finish(running[x % len(running)], outcome)
-        elif kind == "n" and running:
-            h.need(running[x % len(running)])
-        elif kind == "c" and calls:
-            h.called(calls[x % len(calls)], OUTCOMES[y % 5])
-        elif kind == "g" and alive:
-            h.gone(alive[x % len(alive)])
-        elif kind == "t":
-            h.pass_time((1 + y) * MS)
-        elif kind == "d" and h.drain_at is None and y < 100:
-            h.send(DrainStarted(5_000 * MS))
-    h.pass_time(6_000 * MS)
-    assert all(r.answered for r in h.requests.values())
+def test_the_four_rules_hold(setup: dict[str, Any], steps: list[tuple[Step, int, int]]) -> None:
+    host = start_host(**setup)
+    request_id = 0
+    originals: dict[int, int] = {}  # key -> the request that was remembered with it
+    for step, x, y in steps:
+        running = host.ids(Place.RUNNING)
+        calling = host.ids(Place.CALLING)
+        unanswered = [number for number, request in host.requests.items() if not request.answered]
+        if step is Step.ARRIVE:
+            request_id += 1
+            arrive_or_retry(host, request_id, originals, x, y)
+        elif step is Step.FINISH_RUN and running:
+            host.finish(running[x % len(running)], Outcome.ERROR if y % 5 == 0 else Outcome.OK)
+        elif step is Step.REQUEST_CALL and running:
+            host.request_call(running[x % len(running)])
+        elif step is Step.FINISH_CALL and calling:
+            host.finish_call(calling[x % len(calling)], OUTCOMES[y % 5])
+        elif step is Step.DISCONNECT and unanswered:
+            host.disconnect(unanswered[x % len(unanswered)])
+        elif step is Step.ADVANCE:
+            host.advance((1 + y) * MS)
+        elif step is Step.DRAIN and host.drain_at is None and y < 100:
+            host.send(DrainStarted(5_000 * MS))
+    host.advance(6_000 * MS)
+    assert all(request.answered for request in host.requests.values())
