--- a/cairnvane/idempotency/durability.py
+++ b/cairnvane/idempotency/durability.py
@@ -1,400 +1,365 @@
-"""The host's part in keys that outlast it: what waits for a record, and for how long.
+"""The server's side of the idempotency store: what waits for a record, and for how long.
 
-The host thread alone calls this, but where said. What a record was waited for is done by the writer itself, a
-`spawn` or an answer: to wake the host for it would cost more than the record does. A record that is late
-costs its request, never the thread: what has not begun is refused, what has ended is failed when its
-caller gives up, and stays recorded for the next try.
+Called in the server thread alone, unless a method says otherwise. What a record was awaited for (a start, an
+answer) is done by the store's writer thread itself: waking the server thread would cost more than the record
+does. A late record costs its request, never the thread: a run that has not started is rejected; a run that
+has ended is failed when its client gives up, and stays recorded for the next attempt.
 """
 
 from __future__ import annotations
 
 import logging
-import threading
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from .. import clock
 from ..claims import states
-from ..contract.events import Event, KeysRestored, Outcome
+from ..contract.events import Outcome
 from ..contract.settings import Settings
 from ..exchange import Request, ResponseStatus
 from ..net.worker_pool import WorkerPool
 from ..server.in_flight import InFlightRequest
 from .fingerprint import fingerprint
+from .overdue_watch import OverdueWatch
+from .pending_records import OpenKey, PendingEnds, PendingStarts
+from .recent_results import RecentResults
+from .recovery_gate import RecoveryGate
+from .run_recovery import NumberedClass, RecoveryOwner, RunRecovery
 from .store import IdempotencyStore, RecoveredState, StartedRun, StoredEntry
 
 logger = logging.getLogger(__name__)
 
-# A look at what waits; only while something does.
-WATCH_S = 0.05
-# A run whose record is not written by then is not begun. Ordinary writes take a hundredth of it.
-BEGIN_WAIT_US = 250_000
-# A try that came before all had been read is kept so long before it is refused.
-PARK_US = 1_000_000
-# An answer is given this long before its time is over, beside the look's own delay.
-MARGIN_US = 60_000
-# The last results, that repeats get from memory: most repeats come soon, and to ask the record takes locks, a
-# look at the file and a further turn of the host. So much is little beside the least memory a server gets.
-RECENT_RESULTS, RECENT_BYTES = 256, 256 << 10
-# A run of an earlier life goes on until its caller would have given up, and for this long at the least: its
-# end may stand in a notice that is still to come.
-ADOPT_US = 1_000_000
-
-
-class RequestOwner(Protocol):
-    """What the host lets its part do."""
+# A run whose start record is not written by then is not started. Ordinary writes take a hundredth of it.
+START_RECORD_TIMEOUT_US = 250_000
+# A request that arrived before recovery was complete is queued for this long before it is rejected.
+RECOVERY_QUEUE_US = 1_000_000
+# An answer is failed this long before its deadline, in addition to the delay of the watchdog.
+ANSWER_MARGIN_US = 60_000
+# The last results, which duplicates get from memory: most duplicates come soon, and to ask the store takes
+# locks, a read of the file and a further turn of the server thread. These bounds are small beside the least
+# memory that a server gets.
+RECENT_RESULTS = 256
+RECENT_RESULT_BYTES = 256 << 10
+# Later than any time of the monotonic clock.
+NEVER_US = 1 << 62
 
-    def post(self, task: Callable[[], None]) -> None:
-        """Have it done in the host thread; from any thread."""
 
-    def notify(self, event: Event) -> None:
-        """Let the controller know."""
+class RequestOwner(RecoveryOwner, Protocol):
+    """What the server does on behalf of `DurableKeys`."""
+
+    def post(self, task: Callable[[], None]) -> None:
+        """Run a task in the server thread. From any thread."""
 
-    def start_run(self, known: InFlightRequest) -> None:
-        """Have the pool run it. From any thread."""
+    def start_run(self, in_flight: InFlightRequest) -> None:
+        """Have the worker pool run the request. From any thread."""
 
-    def respond(self, request: Request, verdict: ResponseStatus, body: bytes = b"", away_ms: int = 0) -> None:
-        """Its final answer, unless it has one. From any thread."""
+    def respond(self, request: Request, status: ResponseStatus, body: bytes = b"", away_ms: int = 0) -> None:
+        """Give the final answer, unless one was given. `away_ms` is the retry-after. From any thread."""
 
-    def run_never_started(self, known: InFlightRequest) -> None:
-        """What was to run provably has not."""
+    def run_never_started(self, in_flight: InFlightRequest) -> None:
+        """A run that was about to start provably has not."""
 
-    def run_ended_elsewhere(self, known: InFlightRequest, result: bytes | None) -> None:
-        """What was to run here ran in another life, to this end (None: without a result)."""
+    def run_ended_elsewhere(self, in_flight: InFlightRequest, result: bytes | None) -> None:
+        """A run that was to start here has ended in another incarnation (None: without a result)."""
 
-    def run_ended(self, known: InFlightRequest, outcome: Outcome) -> None:
-        """It will not run any more: tell all who wait."""
+    def run_ended(self, in_flight: InFlightRequest, outcome: Outcome) -> None:
+        """The run is over: notify all who wait for it."""
 
-    def release(self, known: InFlightRequest) -> None:
-        """Remember it no more: the record does."""
+    def release(self, in_flight: InFlightRequest) -> None:
+        """The request may leave memory: the store has it."""
 
-    def adopt_run(self, begun: StartedRun, cls: int, time_left: int) -> InFlightRequest:
-        """Take a run of an earlier life for one's own; it is stopped after `time_left`."""
 
-    def retry_arrival(self, request: Request) -> None:
-        """Look at an arrival once more."""
+class _CallSettlement(NamedTuple):
+    """The notices that a record of an end settles; 0: none."""
 
+    call_notice: int  # whatever became of the call that the run last asked for, its end settles that too
+    end_notice: int
 
-@dataclass(slots=True)
-class _Key:
-    """A key on account."""
 
-    token: bytes
-    until: int
-    intended: bool = False  # its intent was handed over
-    called: int = 0  # the notice whose call may have been made in an earlier life
+def _retry_after_ms(wait_us: int) -> int:
+    """Microseconds as milliseconds, rounded up."""
+    return -(-wait_us // 1_000)
 
 
-@dataclass(slots=True)
-class _Wait:
-    known: InFlightRequest
-    until: int
+def _stored_key(request: Request) -> bytes:
+    assert request.idempotency_key is not None
+    return bytes.fromhex(request.idempotency_key)
 
 
-def _bytes(known: InFlightRequest) -> int:
-    return len(known.request.body) + len(known.result)
+def _client_deadline(in_flight: InFlightRequest) -> int:
+    return in_flight.request.arrived_at + in_flight.request_class.client_timeout
 
 
 class DurableKeys:
-    """What waits for the keeper."""
-
-    def __init__(self, keeper: IdempotencyStore, settings: Settings) -> None:
-        self._keeper = keeper
-        self._classes = {cls.name: (number, cls) for number, cls in enumerate(settings.classes)}
-        self._keys: dict[int, _Key] = {}  # by request, until their end is handed over
-        self._begins: dict[int, _Wait] = {}
-        self._ends: dict[int, _Wait] = {}
-        self._elsewhere: dict[int, InFlightRequest] = {}  # runs that another life claimed first
-        self._done: deque[tuple[InFlightRequest, bool]] = deque()  # recorded, the host has not looked yet
-        self._recent: deque[InFlightRequest] = deque()  # recorded, and still remembered; oldest first
-        self._recent_bytes = 0
-        self._parked: list[tuple[int, Request]] | None = []  # None once all has been read
-        self._watching = self._early = False  # early: linked to the pool before all was read
-        self._stop_at = 1 << 62
-
-    def start(self, side: RequestOwner, pool: WorkerPool, fail: Callable[[str], None]) -> None:
-        """Take up what an earlier life left, then link to the pool. `fail`: it can't be; from any thread."""
-        self._side, self._pool = side, pool
-        if self._keeper.synchronous:
-            self._parked = None
-            pool.start()
-        self._keeper.start(
-            lambda left: side.post(lambda: self._recovered(left)), lambda: side.post(self._delayed), fail
+    """Keyed requests whose keys and results other incarnations of the server have to know."""
+
+    def __init__(self, store: IdempotencyStore, settings: Settings) -> None:
+        self._store = store
+        self._classes = {
+            request_class.name: NumberedClass(number, request_class)
+            for number, request_class in enumerate(settings.classes)
+        }
+        self._open_keys: dict[int, OpenKey] = {}  # by request
+        self._starts = PendingStarts()
+        self._ends = PendingEnds()
+        # Recorded ends that the server thread has not processed yet: appended by the writer thread.
+        self._recorded_ends: deque[tuple[InFlightRequest, bool]] = deque()
+        self._recent = RecentResults()
+        self._gate = RecoveryGate()
+        self._drain_deadline = NEVER_US
+
+    def start(self, owner: RequestOwner, pool: WorkerPool, fail: Callable[[str], None]) -> None:
+        """Recover what an earlier incarnation left, then link to the pool.
+
+        `fail` gets the reason why recovery is impossible; it is called from any thread.
+        """
+        self._owner = owner
+        self._pool = pool
+        self._watch = OverdueWatch(owner.post, self._check_overdue)
+        recovery = RunRecovery(
+            self._store, self._classes, self._gate, self._open_keys.__setitem__, owner, pool
         )
+        if self._store.synchronous:
+            self._gate.open()
+            pool.start()
+
+        def recovered(state: RecoveredState) -> None:
+            owner.post(lambda: recovery.store_recovered(state))
+
+        self._store.start(recovered, lambda: owner.post(recovery.store_delayed), fail)
 
     # --- arrivals
 
     def hold_until_recovered(self, request: Request) -> bool:
-        """Whether this keyed try has to wait until all has been read; nobody knows yet what it repeats."""
-        if self._parked is None:
+        """Queue a keyed request if recovery is not complete: nobody knows yet what it duplicates."""
+        if self._gate.is_open:
             return False
-        limit = min(PARK_US, self._classes[request.class_name][1].client_timeout // 2)
-        self._parked.append((clock.now() + limit, request))
-        self._watch()
+        client_timeout = self._classes[request.class_name].request_class.client_timeout
+        self._gate.enqueue(request, clock.now() + min(RECOVERY_QUEUE_US, client_timeout // 2))
+        self._watch.arm()
         return True
 
     def fingerprint(self, request: Request) -> bytes:
-        """What all its tries have in common."""
+        """What all attempts of a request have in common."""
         return fingerprint(request.class_name, request.body)
 
-    def look_up(self, request: Request, same: bytes) -> StoredEntry | None:
-        """What it repeats, if the host no longer holds that; `ValueError` if its token is another's."""
-        assert request.idempotency_key is not None
-        return self._keeper.look_up(bytes.fromhex(request.idempotency_key), same, request.arrived_at)
+    def look_up(self, request: Request, request_fingerprint: bytes) -> StoredEntry | None:
+        """The stored entry that this request duplicates; `KeyConflictError` if its key is another's."""
+        return self._store.look_up(_stored_key(request), request_fingerprint, request.arrived_at)
 
     def capacity_wait_us(self) -> int:
-        """How long until one more key can be kept."""
-        return self._keeper.capacity_wait_us()
-
-    def replay(self, known: InFlightRequest, past: StoredEntry, then: Callable[[bytes | None], None]) -> None:
-        """`then`, in the host thread, with the result that it may have; None: it failed."""
-        if past.has_result:
-            self._keeper.fetch_result(
-                past.key, known.fingerprint, lambda result: self._side.post(lambda: then(result))
-            )
-        else:
+        """Microseconds until one more key can be stored."""
+        return self._store.capacity_wait_us()
+
+    def replay(
+        self, in_flight: InFlightRequest, entry: StoredEntry, then: Callable[[bytes | None], None]
+    ) -> None:
+        """Call `then` in the server thread with the stored result; None: the original request failed."""
+        if not entry.has_result:
             then(None)
+            return
+        self._store.fetch_result(
+            entry.key, in_flight.fingerprint, lambda result: self._owner.post(lambda: then(result))
+        )
 
-    # --- a request's way
+    # --- the states of a request
 
-    def key_remembered(self, known: InFlightRequest, until: int) -> None:
-        """Its key is taken on."""
-        assert known.request.idempotency_key is not None
-        self._keys[known.request_id] = _Key(bytes.fromhex(known.request.idempotency_key), until)
-        self._keeper.reserve()
+    def key_remembered(self, in_flight: InFlightRequest, expires_at: int) -> None:
+        """The request is admitted, and its key counts until `expires_at`."""
+        self._open_keys[in_flight.request_id] = OpenKey(_stored_key(in_flight.request), expires_at)
+        self._store.reserve()
 
-    def key_forgotten(self, known: InFlightRequest) -> None:
-        """It never ran."""
-        if (key := self._keys.pop(known.request_id, None)) is None:
+    def key_forgotten(self, in_flight: InFlightRequest) -> None:
+        """The request never ran."""
+        open_key = self._open_keys.pop(in_flight.request_id, None)
+        if open_key is None:
             return
-        if key.intended:
-            self._keeper.record_never_started(key.token, key.until, ())
+        if open_key.start_requested:
+            self._store.record_never_started(open_key.key, open_key.expires_at, ())
         else:
-            self._keeper.release()
-
-    def request_start(self, known: InFlightRequest) -> None:
-        """It is to run, once that is recorded."""
-        exchange, key = known.request, self._keys[known.request_id]
-        key.intended = True
-        self._begins[known.request_id] = _Wait(known, clock.now() + BEGIN_WAIT_US)
-        due = exchange.arrived_at + known.request_class.client_timeout
-        begun = StartedRun(
-            key.token,
-            exchange.uid,
-            exchange.class_name,
-            known.fingerprint,
-            key.until,
-            due,
-            exchange.memory,
+            self._store.release()
+
+    def request_start(self, in_flight: InFlightRequest) -> None:
+        """Start the run once its start is recorded."""
+        request = in_flight.request
+        open_key = self._open_keys[in_flight.request_id]
+        open_key.start_requested = True
+        self._starts.add(in_flight, clock.now() + START_RECORD_TIMEOUT_US)
+        run = StartedRun(
+            open_key.key,
+            request.uid,
+            request.class_name,
+            in_flight.fingerprint,
+            open_key.expires_at,
+            _client_deadline(in_flight),
+            request.memory,
             0,
         )
-        self._keeper.record_start(
-            begun, lambda: self._begin(known), lambda there: self._kept_back(known, there)
+        self._store.record_start(
+            run,
+            lambda: self._start_recorded(in_flight),
+            lambda is_elsewhere: self._start_prevented(in_flight, is_elsewhere),
         )
-        if not self._keeper.synchronous:
-            self._watch()
-
-    def _begin(self, known: InFlightRequest) -> None:
-        """In the writer's thread; whoever takes the wait out of the table has the say."""
-        if self.withdraw_start(known):
-            self._side.start_run(known)
-
-    def _kept_back(self, known: InFlightRequest, elsewhere: bool) -> None:
-        """In the host thread: it must not run here. If another life runs it, its end is that run's end, and
-        until then it counts as a run of ours: its place is soon free again."""
-        if not self.withdraw_start(known):
+        if not self._store.synchronous:
+            self._watch.arm()
+
+    def _start_recorded(self, in_flight: InFlightRequest) -> None:
+        """In the writer thread, which competes with the server thread for the pending start."""
+        if self.withdraw_start(in_flight):
+            self._owner.start_run(in_flight)
+
+    def _start_prevented(self, in_flight: InFlightRequest, is_elsewhere: bool) -> None:
+        """In the server thread: the run must not start here.
+
+        If another incarnation runs it, its end is that run's end. Until then it counts as a run of this
+        incarnation: its place is soon free again.
+        """
+        if not self.withdraw_start(in_flight):
+            return
+        del self._open_keys[in_flight.request_id]
+        if not is_elsewhere:
+            self._reject_start(in_flight, "the start can't be recorded")
             return
-        del self._keys[known.request_id]
-        if not elsewhere:
-            return self._refuse_begin(known, "can't be recorded")
-        self._elsewhere[known.request_id] = known
-        assert known.request.idempotency_key is not None
-        self._keeper.fetch_result(
-            bytes.fromhex(known.request.idempotency_key),
-            known.fingerprint,
-            lambda result: self._side.post(lambda: self._ended_elsewhere(known, result)),
+        self._starts.add_claimed_elsewhere(in_flight)
+        self._store.fetch_result(
+            _stored_key(in_flight.request),
+            in_flight.fingerprint,
+            lambda result: self._owner.post(lambda: self._ended_elsewhere(in_flight, result)),
         )
 
-    def _ended_elsewhere(self, known: InFlightRequest, result: bytes | None) -> None:
-        if known.request_id in self._elsewhere:
-            self._side.run_ended_elsewhere(known, result)
-
-    def withdraw_start(self, known: InFlightRequest) -> bool:
-        """True once, if it was to run and the pool has not been told."""
-        waited = self._begins.pop(known.request_id, None) is not None
-        return self._elsewhere.pop(known.request_id, None) is not None or waited
-
-    def awaits_start(self, known: InFlightRequest) -> bool:
-        """Whether the pool has not been told to run it."""
-        return known.request_id in self._begins or known.request_id in self._elsewhere
-
-    def call_requested(self, known: InFlightRequest) -> bool:
-        """It asks for its call. False if that may have been made in an earlier life: its end is not known."""
-        self._keeper.notice_read(known.call_notice, True)
-        called = self._keys[known.request_id].called
-        was = states.KeyState.CALLING if called else states.KeyState.INTENDED
-        return states.call_may_be_made(was, called, known.call_notice)
-
-    def record_call(self, known: InFlightRequest, go: Callable[[], None]) -> None:
-        """`go`, in the host thread, once it is recorded that its call is about to be made."""
-        key, pos = self._keys[known.request_id], known.call_notice
-        self._keeper.record_call(
-            key.token,
-            key.until,
-            pos,
-            lambda: self._side.post(lambda: go() if known.call_notice == pos else None),
+    def _ended_elsewhere(self, in_flight: InFlightRequest, result: bytes | None) -> None:
+        if self._starts.is_claimed_elsewhere(in_flight):
+            self._owner.run_ended_elsewhere(in_flight, result)
+
+    def withdraw_start(self, in_flight: InFlightRequest) -> bool:
+        """True once, if the run was about to start and the pool has not been told. From any thread."""
+        return self._starts.withdraw(in_flight)
+
+    def awaits_start(self, in_flight: InFlightRequest) -> bool:
+        """Whether the run is about to start and the pool has not been told."""
+        return in_flight in self._starts
+
+    def call_requested(self, in_flight: InFlightRequest) -> bool:
+        """The run asks for its call; False if an earlier incarnation may have made that call."""
+        self._store.notice_read(in_flight.call_notice, True)
+        earlier_call_notice = self._open_keys[in_flight.request_id].earlier_call_notice
+        state = states.KeyState.CALLING if earlier_call_notice else states.KeyState.INTENDED
+        return states.call_may_be_made(state, earlier_call_notice, in_flight.call_notice)
+
+    def record_call(self, in_flight: InFlightRequest, make_call: Callable[[], None]) -> None:
+        """Run `make_call` in the server thread once it is recorded that the call is about to be made."""
+        open_key = self._open_keys[in_flight.request_id]
+        notice = in_flight.call_notice
+
+        def call_recorded() -> None:
+            if in_flight.call_notice == notice:
+                make_call()
+
+        self._store.record_call(
+            open_key.key, open_key.expires_at, notice, lambda: self._owner.post(call_recorded)
         )
 
-    def run_ended(self, known: InFlightRequest, outcome: Outcome, pos: int) -> None:
-        """Its run is over, says notice `pos` (0: none does). With a result, its answer waits for the
-        record."""
-        key = self._keys.pop(known.request_id, None)
-        self._begins.pop(known.request_id, None)
-        if key is None:  # it ran in another life, if at all, and that has recorded it
-            self._elsewhere.pop(known.request_id, None)
+    def run_ended(self, in_flight: InFlightRequest, outcome: Outcome, notice: int) -> None:
+        """The run is over, as the pool's notice says (0: no notice does).
+
+        An answer with a result waits for the record.
+        """
+        open_key = self._open_keys.pop(in_flight.request_id, None)
+        self._starts.record_settled(in_flight)
+        if open_key is None:  # it ran in another incarnation, if at all, which has recorded its end
+            self._starts.end_settled(in_flight)
             if outcome is not Outcome.NEVER_STARTED:
-                self._recorded(known, outcome is Outcome.OK)
+                self._end_recorded(in_flight, outcome is Outcome.OK)
             return
-        if pos:
-            self._keeper.notice_read(pos, True)
-        # Whatever became of the call that it last asked for: its end settles that too.
-        settles = known.call_notice, pos
+        if notice:
+            self._store.notice_read(notice, True)
+        settles = _CallSettlement(in_flight.call_notice, notice)
         if outcome is Outcome.NEVER_STARTED:
-            return self._keeper.record_never_started(key.token, key.until, settles)
-        good = outcome is Outcome.OK
-        if good and not self._keeper.synchronous:
-            due = known.request.arrived_at + known.request_class.client_timeout
-            self._ends[known.request_id] = _Wait(known, min(due, self._stop_at) - MARGIN_US)
-            self._watch()
-        self._keeper.record_end(
-            key.token,
-            key.until,
-            known.fingerprint,
-            known.result if good else None,
+            self._store.record_never_started(open_key.key, open_key.expires_at, settles)
+            return
+        self._record_end(in_flight, open_key, outcome is Outcome.OK, settles)
+
+    def _record_end(
+        self, in_flight: InFlightRequest, open_key: OpenKey, has_result: bool, settles: _CallSettlement
+    ) -> None:
+        if has_result and not self._store.synchronous:
+            deadline = min(_client_deadline(in_flight), self._drain_deadline)
+            self._ends.add(in_flight, deadline - ANSWER_MARGIN_US)
+            self._watch.arm()
+        self._store.record_end(
+            open_key.key,
+            open_key.expires_at,
+            in_flight.fingerprint,
+            in_flight.result if has_result else None,
             settles,
-            lambda: self._recorded(known, good),
+            lambda: self._end_recorded(in_flight, has_result),
         )
 
-    def _recorded(self, known: InFlightRequest, good: bool) -> None:
-        """In the writer's thread. The host looks at the rest when it is next awake, or is woken if someone
-        waits: who comes to wait after this look comes before the host's own, at the end of the same pass."""
-        if good:
-            self._side.respond(known.request, ResponseStatus.SERVED, known.result)
-        self._done.append((known, good))
-        if known.waiting_duplicates:
-            self._side.post(lambda: None)
+    def _end_recorded(self, in_flight: InFlightRequest, has_result: bool) -> None:
+        """In the writer thread: answer. The server thread does the rest when it is next awake.
+
+        It is woken if duplicates wait. A duplicate that starts to wait after this check does so before the
+        server thread processes recorded ends, at the end of the same pass.
+        """
+        if has_result:
+            self._owner.respond(in_flight.request, ResponseStatus.SERVED, in_flight.result)
+        self._recorded_ends.append((in_flight, has_result))
+        if in_flight.waiting_duplicates:
+            self._owner.post(lambda: None)
 
     def settle_recorded(self) -> None:
-        """What was recorded since the host last looked."""
-        while self._done:
-            known, good = self._done.popleft()
-            self._ends.pop(known.request_id, None)
-            if not good:
-                self._side.release(known)
+        """Process the ends that were recorded since the last call."""
+        while self._recorded_ends:
+            in_flight, has_result = self._recorded_ends.popleft()
+            self._ends.settled(in_flight)
+            if not has_result:
+                self._owner.release(in_flight)
                 continue
-            self._side.run_ended(known, Outcome.OK)
-            self._recent.append(known)
-            self._recent_bytes += _bytes(known)
-        while len(self._recent) > RECENT_RESULTS or self._recent_bytes > RECENT_BYTES:
-            oldest = self._recent.popleft()
-            self._recent_bytes -= _bytes(oldest)
-            self._side.release(oldest)
+            self._owner.run_ended(in_flight, Outcome.OK)
+            self._recent.add(in_flight)
+        for in_flight in self._recent.evict(RECENT_RESULTS, RECENT_RESULT_BYTES):
+            self._owner.release(in_flight)
 
-    def notice_read(self, pos: int) -> None:
-        """A notice that changes nothing here."""
-        if pos:
-            self._keeper.notice_read(pos, False)
+    def notice_read(self, notice: int) -> None:
+        """The pool sent a notice without consequence for any key."""
+        if notice:
+            self._store.notice_read(notice, False)
 
-    # --- the pool
+    # --- the worker pool
 
     def pool_linked(self) -> None:
-        """The pool's link is up."""
+        """The link to the pool is up."""
         if self._pool.started is not None:
-            self._keeper.pool_linked(self._pool.started)
+            self._store.pool_linked(self._pool.started)
 
     def pool_replaced(self) -> None:
         """The pool is a new one."""
-        self._keeper.pool_replaced()
+        self._store.pool_replaced()
 
-    # --- an earlier life
-
-    def _delayed(self) -> None:
-        """What needs no key goes on without the disk. The pool's notices are not waited for, so runs of an
-        earlier life will have no end that anyone hears of."""
-        self._early = True
-        self._pool.resume(0, None, states.same_pool)
-        self._pool.start()
-
-    def _recovered(self, left: RecoveredState) -> None:
-        now = clock.now()
-        if self._early:
-            self._keeper.pool_replaced()
-        for count, life in left.key_lifetimes:
-            self._side.notify(KeysRestored(count, life))
-        for begun in left.started_runs:
-            number, cls = self._classes.get(begun.class_name, (0, None))
-            if (
-                cls is None
-                or states.repeat(states.KeyState.INTENDED, not self._early) is states.RetryDecision.FAIL
-            ):
-                why = "its class is gone" if cls is None else "its pool's notices have passed by"
-                logger.warning("%s: failed, since %s", begun.uid, why)
-                self._keeper.record_end(
-                    begun.key, begun.expires_at, begun.fingerprint, None, (), lambda: None
-                )
-                continue
-            # The reply to a call died with the earlier life, unless it had been passed on.
-            left_us = 0 if begun.call_notice else begun.deadline - now
-            known = self._side.adopt_run(begun, number, max(ADOPT_US, left_us))
-            self._keys[known.request_id] = _Key(begun.key, begun.expires_at, True, begun.call_notice)
-        if not self._early:
-            self._pool.resume(left.last_notice, left.pool_started_at, states.same_pool)
-            self._pool.start()
-        parked, self._parked = self._parked or [], None
-        for _, request in parked:
-            self._side.retry_arrival(request)
+    # --- deadlines
 
     def drain(self, time_left: int) -> None:
-        """All is answered by then."""
-        self._stop_at = clock.now() + time_left
+        """Every request is answered within `time_left` microseconds."""
+        self._drain_deadline = clock.now() + time_left
 
-    # --- the watch
-
-    def _watch(self) -> None:
-        if not self._watching:
-            self._watching = True
-            timer = threading.Timer(WATCH_S, lambda: self._side.post(self._look))
-            timer.daemon = True
-            timer.start()
-
-    def _refuse_begin(self, known: InFlightRequest, why: str) -> None:
+    def _reject_start(self, in_flight: InFlightRequest, cause: str) -> None:
         """Nothing ran, and nothing will."""
-        logger.warning("%s: refused, since its run %s", known.request.uid, why)
-        away_ms = -(-max(self._keeper.capacity_wait_us(), BEGIN_WAIT_US) // 1_000)
-        self._side.respond(known.request, ResponseStatus.REJECTED, away_ms=away_ms)
-        self._side.run_never_started(known)
-
-    def _look(self) -> None:
-        """Who has waited long enough for a record."""
-        self._watching = False
+        logger.warning("run %s rejected: %s", in_flight.request.uid, cause)
+        wait_us = max(self._store.capacity_wait_us(), START_RECORD_TIMEOUT_US)
+        self._owner.respond(in_flight.request, ResponseStatus.REJECTED, away_ms=_retry_after_ms(wait_us))
+        self._owner.run_never_started(in_flight)
+
+    def _check_overdue(self) -> bool:
+        """Answer requests that have waited long enough for a record; whether others still wait."""
         now = clock.now()
-        for wait in [wait for wait in list(self._begins.values()) if wait.until <= now]:
-            known = wait.known
-            if not self.withdraw_start(known):
-                continue  # begun meanwhile
-            self._refuse_begin(known, "was not recorded in time")
-        ends = self._ends.items()
-        for number in [number for number, wait in ends if min(wait.until, self._stop_at) <= now]:
-            exchange = self._ends.pop(number).known.request
-            logger.warning("%s: failed, since its result was not recorded in time", exchange.uid)
-            self._side.respond(exchange, ResponseStatus.FAILED)
-        if self._parked:
-            over = [request for until, request in self._parked if until <= now]
-            self._parked = [(until, request) for until, request in self._parked if until > now]
-            for request in over:
-                away_ms = -(-self._keeper.capacity_wait_us() // 1_000)
-                self._side.respond(request, ResponseStatus.REJECTED, away_ms=away_ms)
-        if self._begins or self._ends or self._parked:
-            self._watch()
+        for in_flight in self._starts.overdue(now):
+            if self.withdraw_start(in_flight):  # else it was started meanwhile
+                self._reject_start(in_flight, "the start was not recorded in time")
+        for request in self._ends.take_overdue(now, self._drain_deadline):
+            logger.warning("request %s failed: its result was not recorded in time", request.uid)
+            self._owner.respond(request, ResponseStatus.FAILED)
+        for request in self._gate.take_overdue(now):
+            away_ms = _retry_after_ms(self._store.capacity_wait_us())
+            self._owner.respond(request, ResponseStatus.REJECTED, away_ms=away_ms)
+        return bool(self._starts) or bool(self._ends) or bool(self._gate)
--- /dev/null
+++ b/cairnvane/idempotency/durable/appender.py
@@ -0,0 +1,178 @@
+"""Appends records to the current segment, and begins the next one when it is full.
+
+Every method that touches the disk raises `OSError` as it comes; `abandon` must be called after one.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from ...claims.states import Step
+from . import records, retention
+from .errors import RecordTooLargeError
+from .retention import Segment
+from .start_records import StartRecords
+from .storage import Files, Handle, segment_name
+
+
+@dataclass(frozen=True, slots=True)
+class Owner:
+    """The instance that a log belongs to."""
+
+    name: str
+    boot: bytes  # of the machine: the monotonic clock counts within it
+
+
+@dataclass(slots=True)
+class Entry:
+    """A record to be written."""
+
+    step: Step
+    token: bytes
+    at: int
+    until: int
+    rest: bytes
+    pos: int = 0  # with this record, notices up to this one have had their effect recorded
+
+
+class RecordLocation(NamedTuple):
+    """Where a record stands."""
+
+    segment: int
+    offset: int
+
+
+class SegmentAppender:
+    """Writes the newest segment of a log."""
+
+    def __init__(
+        self,
+        files: Files,
+        owner: Owner,
+        segments: dict[int, Segment],
+        start_records: StartRecords,
+        *,
+        most_disk: int,
+        power: bool,
+        report_step: Callable[[str], None],
+    ) -> None:
+        """`segments` is the log's table, to which new segments are added."""
+        self.current: Segment | None = None
+        self.next_number = 1
+        self._files = files
+        self._owner = owner
+        self._segments = segments
+        self._start_records = start_records
+        self._segment_bytes = retention.segment_bytes(most_disk)
+        self._power = power
+        self._report_step = report_step
+        self._longest_window = 0  # how long a key counts, at the most seen so far
+        self._handle: Handle | None = None
+        self._has_unsynced_data = False
+        self._has_unsynced_name = False
+        self._pool_started_at: int | None = None
+        self._last_pos = 0  # of the last record
+
+    def restore(self, pool_started_at: int | None, last_pos: int) -> None:
+        """Take over what recovery has found."""
+        self._pool_started_at = pool_started_at
+        self._last_pos = last_pos
+
+    def append(self, entries: Iterable[Entry], unix_ms: int) -> list[RecordLocation]:
+        """Write a group, in one write where it fits into the segment; returns the location of each record."""
+        locations: list[RecordLocation] = []
+        buffer = bytearray()
+        for entry in entries:
+            self._longest_window = max(self._longest_window, entry.until - entry.at)
+            size = records.size(len(entry.rest))
+            if size > records.MAX_RECORD:
+                raise RecordTooLargeError(f"key {entry.token.hex()}: a record of {size} bytes")
+            segment = self.current
+            pad = records.padding(segment.size, size) if segment is not None else 0
+            if segment is None or self._is_full(segment, pad + size, entry.at):
+                self._write(buffer)
+                segment = self._begin_segment(entry.at, unix_ms)
+                pad = records.padding(segment.size, size)
+            buffer += bytes(pad)
+            segment.size += pad
+            locations.append(RecordLocation(segment.number, segment.size))
+            buffer += records.put(
+                segment.number, entry.step, entry.token, entry.at, entry.until, entry.pos, entry.rest
+            )
+            self._appended(entry, segment, size)
+        self._write(buffer)
+        return locations
+
+    def _is_full(self, segment: Segment, more: int, now: int) -> bool:
+        return retention.is_full(segment, more, self._segment_bytes, self._longest_window, now)
+
+    def _appended(self, entry: Entry, segment: Segment, size: int) -> None:
+        self._last_pos = entry.pos
+        segment.add(size, entry.until)
+        if entry.step is Step.LINK:
+            self._pool_started_at = records.link(entry.rest)
+        self._start_records.appended(entry.step, entry.token, segment, size)
+
+    def _write(self, buffer: bytearray) -> None:
+        if buffer:
+            assert self._handle is not None
+            self._has_unsynced_data = True
+            self._handle.write(bytes(buffer))
+            buffer.clear()
+
+    def _begin_segment(self, at: int, unix_ms: int) -> Segment:
+        """Begin a new segment.
+
+        It opens with the current link to the worker pool: older segments may be dropped.
+        """
+        self.sync()
+        self._close_handle()
+        number = self.next_number
+        self.next_number += 1
+        segment = Segment(number, at)
+        self._handle = self._files.create(segment_name(number))
+        self._report_step("rotation")
+        self._segments[number] = segment
+        self.current = segment
+        self._has_unsynced_data = True
+        self._has_unsynced_name = True
+        header = records.Header(number, self._owner.boot, at, unix_ms, self._owner.name)
+        data = records.put_header(header)
+        if self._pool_started_at is not None:
+            rest = records.put_link(self._pool_started_at)
+            link = records.put(number, Step.LINK, records.NO_TOKEN, at, at, self._last_pos, rest)
+            data += link
+            segment.add(len(link), at)
+        self._handle.write(data)
+        return segment
+
+    def sync(self) -> None:
+        """Where a power cut is to be survived, wait until what was appended would survive one."""
+        if not self._power or not self._has_unsynced_data or self._handle is None:
+            return
+        self._handle.sync()
+        if self._has_unsynced_name:
+            self._files.sync_folder()
+        self._has_unsynced_data = False
+        self._has_unsynced_name = False
+
+    def _close_handle(self) -> None:
+        if self._handle is not None:
+            self._handle.close()
+        self._handle = None
+        self.current = None
+
+    def abandon(self) -> None:
+        """Leave the current segment as it is, after an `OSError`."""
+        self._close_handle()
+        self._has_unsynced_data = False
+        self._has_unsynced_name = False
+
+    def close(self) -> None:
+        """Sync, and write no more."""
+        try:
+            self.sync()
+        finally:
+            self._close_handle()
--- a/cairnvane/idempotency/durable/records.py
+++ b/cairnvane/idempotency/durable/records.py
@@ -1,4 +1,4 @@
-"""The format: segment headers and records, to bytes and back. No I/O.
+"""The format on disk: segment headers and records, to bytes and back. No I/O.
 
 A segment is a header of 128 bytes and records. It is divided into blocks of 64 KiB; a record never crosses
 from one block into the next, and the rest of a block is zeros. Each record has a head of 16 bytes with a
@@ -11,13 +11,16 @@
 import struct
 from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from google_crc32c import extend
 from google_crc32c import value as crc32c
 
 from ...claims.states import Step
+from .errors import InvalidHeaderError, NewerVersionError
 
-VERSION, OLDEST = 1, 1
+VERSION = 1
+OLDEST_VERSION = 1
 MAGIC = b"CVKEYED\n"
 BLOCK = 65_536
 HEADER_BYTES = 128
@@ -28,30 +31,22 @@
 _CRC = struct.Struct("<I")
 _HEAD = struct.Struct("<IIIB3x")  # crc of what follows, payload's crc, payload's length, kind
 HEAD_BYTES = _HEAD.size
-_CHECKED = slice(4, 16)  # of a head, what its checksum is over
-_COMMON = struct.Struct("<16sQQQ")  # token, at, until, pos
+_CHECKED_HEAD = slice(4, 16)  # the part of a head that its checksum covers
+_COMMON = struct.Struct("<16sQQQ")  # idempotency key, at, until, pos
 COMMON_BYTES = _COMMON.size
-_INTENT = struct.Struct("<8s16sQf")  # uid, digest, due, memory; the lane behind
-_END = struct.Struct("<16s")  # digest; the result behind
-_CALL = struct.Struct("<Q")  # the notice that asks for it
-_LINK = struct.Struct("<q")  # when the pool started
+_INTENT = struct.Struct("<8s16sQf")  # uid, fingerprint, deadline, memory; then the class name
+_END = struct.Struct("<16s")  # fingerprint; then the result
+_CALL = struct.Struct("<Q")  # the notice that asks for the call
+_LINK = struct.Struct("<q")  # when the worker pool started
 NO_TOKEN = bytes(16)
 
 
-class InvalidHeaderError(Exception):
-    """No segment, or one that this version can't read."""
-
-
-class NewerVersionError(InvalidHeaderError):
-    """A segment of a later version: it must not be touched."""
-
-
 @dataclass(frozen=True, slots=True)
 class Header:
-    """What a segment says of itself."""
+    """The header of a segment."""
 
     number: int
-    boot: bytes  # of the machine: its monotonic clock counts within it only
+    boot: bytes  # of the machine: the monotonic clock counts within it only
     at: int  # microseconds of the monotonic clock
     unix_ms: int  # for people
     name: str  # of the instance that it belongs to
@@ -59,30 +54,30 @@
 
 @dataclass(frozen=True, slots=True)
 class Record:
-    """A record, taken apart."""
+    """A parsed record."""
 
     step: Step
-    token: bytes
-    at: int  # when it was made
-    until: int  # until when its key counts
+    token: bytes  # the idempotency key
+    at: int  # when the record was made; microseconds of the monotonic clock, as the next one
+    until: int  # until when the key counts
     pos: int  # notices up to this one have had their effect recorded
-    rest: bytes
+    rest: bytes  # the record's own part, by its kind
 
 
 @dataclass(frozen=True, slots=True)
 class Damage:
-    """A place that can't be read."""
+    """A place that is not readable."""
 
     offset: int
     what: str
-    length: int  # bytes that are passed over
+    length: int  # bytes that are skipped
 
     def __str__(self) -> str:
         return f"{self.what} at byte {self.offset}, {self.length} bytes passed over"
 
 
 def put_header(header: Header) -> bytes:
-    """128 bytes."""
+    """The 128 bytes of a segment's header."""
     name = header.name.encode()[:MAX_NAME]
     data = _HEADER.pack(
         MAGIC, VERSION, HEADER_BYTES, header.number, header.boot, header.at, header.unix_ms, len(name), name
@@ -92,7 +87,7 @@
 
 
 def header(data: bytes) -> Header:
-    """Read the first 128 bytes; `BadHeader` says in a few words what is wrong with them."""
+    """Parse the first 128 bytes of a segment; `InvalidHeaderError` says what is wrong with them."""
     if data[:8] != MAGIC:
         raise InvalidHeaderError("not a segment" if data.strip(b"\0") else "empty")
     if len(data) < 12:
@@ -102,9 +97,9 @@
         raise NewerVersionError(
             f"written by a newer version (format {version}; this one reads up to {VERSION})"
         )
-    if version < OLDEST or len(data) < HEADER_BYTES:
+    if version < OLDEST_VERSION or len(data) < HEADER_BYTES:
         raise InvalidHeaderError(
-            "cut short in its header" if version >= OLDEST else f"format {version} is no format"
+            "cut short in its header" if version >= OLDEST_VERSION else f"format {version} is no format"
         )
     if _CRC.unpack_from(data, HEADER_BYTES - _CRC.size)[0] != crc32c(data[: HEADER_BYTES - _CRC.size]):
         raise InvalidHeaderError("its header is damaged")
@@ -113,42 +108,57 @@
 
 
 def salt(number: int) -> int:
-    """Where the checksums of a segment's heads begin: a block of another segment is none of this one's."""
+    """The initial value of the checksums of a segment's heads.
+
+    With it, a block of another segment is never taken for one of this segment.
+    """
     return int(crc32c(number.to_bytes(8, "little")))
 
 
-def put(number: int, step: Step, token: bytes, at: int, until: int, pos: int, rest: bytes) -> bytes:
-    """A record of segment `number`."""
-    payload = _COMMON.pack(token, at, until, pos) + rest
+def put(number: int, step: Step, key: bytes, at: int, until: int, pos: int, rest: bytes) -> bytes:
+    """The bytes of a record in segment `number`."""
+    payload = _COMMON.pack(key, at, until, pos) + rest
     head = _HEAD.pack(0, crc32c(payload), len(payload), step)
-    return _CRC.pack(extend(salt(number), head[_CHECKED])) + head[_CHECKED] + payload
+    return _CRC.pack(extend(salt(number), head[_CHECKED_HEAD])) + head[_CHECKED_HEAD] + payload
 
 
 def size(rest: int) -> int:
-    """The bytes of a record whose own part has `rest` bytes."""
+    """The size of a record whose own part has `rest` bytes."""
     return HEAD_BYTES + COMMON_BYTES + rest
 
 
-INTENT_BYTES, END_BYTES = size(_INTENT.size + 32), size(_END.size)
+# With a class name of 32 bytes.
+INTENT_BYTES = size(_INTENT.size + 32)
+# Without the result.
+END_BYTES = size(_END.size)
 
 
 def padding(offset: int, length: int) -> int:
-    """Zeros to put before a record of this length, so that it stays within its block."""
+    """The number of zeros before a record of this length that keep it within one block."""
     left = BLOCK - offset % BLOCK
     return left if length > left else 0
 
 
-_NOTHING = bytes(HEAD_BYTES)
+_NO_HEAD = bytes(HEAD_BYTES)
 _STEPS = {int(step): step for step in Step}
 
 
-def scan(data: bytes, at: int, number: int) -> Iterator[tuple[int, int, bytes] | Damage]:
-    """The records of a block whose first byte is byte `at` of segment `number`: kind, offset in the segment,
-    and payload. The header, in the first block, is passed over."""
-    offset, end, salted = (HEADER_BYTES if at == 0 else 0), len(data), salt(number)
+# The kind of a record, its offset in the segment, and its payload. No class of its own: recovery reads
+# hundreds of thousands of them.
+RawRecord = tuple[int, int, bytes]
+
+
+def scan(data: bytes, at: int, number: int) -> Iterator[RawRecord | Damage]:
+    """The records of a block whose first byte is byte `at` of segment `number`.
+
+    The header, in the first block, is skipped.
+    """
+    offset = HEADER_BYTES if at == 0 else 0
+    end = len(data)
+    salted = salt(number)
     while end - offset >= HEAD_BYTES:
         head, crc, length, kind = _HEAD.unpack_from(data, offset)
-        if kind == 0 and data[offset : offset + HEAD_BYTES] == _NOTHING:
+        if kind == 0 and data[offset : offset + HEAD_BYTES] == _NO_HEAD:
             if data[offset:].strip(b"\0"):
                 yield Damage(at + offset, "zeros before something", end - offset)
             return
@@ -180,51 +190,69 @@
     Step.LINK: _LINK.size,
 }
 
-common = _COMMON.unpack_from  # token, at, until, pos
+common = _COMMON.unpack_from  # idempotency key, at, until, pos
 
 
 def parse(kind: int, payload: bytes) -> Record:
-    """The payload of a record that `scan` has found."""
-    token, at, until, pos = _COMMON.unpack_from(payload)
-    return Record(_STEPS[kind], token, at, until, pos, payload[COMMON_BYTES:])
+    """Parse the payload of a record that `scan` has found."""
+    key, at, until, pos = _COMMON.unpack_from(payload)
+    return Record(_STEPS[kind], key, at, until, pos, payload[COMMON_BYTES:])
+
+
+class StartPart(NamedTuple):
+    """The own part of a start record."""
+
+    uid: str
+    fingerprint: bytes
+    deadline: int
+    memory: float
+    class_name: str
+
+
+class EndPart(NamedTuple):
+    """The own part of an end record."""
+
+    fingerprint: bytes
+    result: bytes
 
 
-def put_intent(uid: str, digest: bytes, due: int, memory: float, lane: str) -> bytes:
-    """An intent's own part."""
-    return _INTENT.pack(bytes.fromhex(uid), digest, due, memory) + lane.encode()
+def put_intent(uid: str, fingerprint: bytes, deadline: int, memory: float, class_name: str) -> bytes:
+    """The own part of a start record."""
+    return _INTENT.pack(bytes.fromhex(uid), fingerprint, deadline, memory) + class_name.encode()
 
 
-def intent(rest: bytes) -> tuple[str, bytes, int, float, str]:
-    """The uid, digest, due time, memory and lane of an intent."""
-    uid, digest, due, memory = _INTENT.unpack_from(rest)
-    return uid.hex(), digest, due, memory, rest[_INTENT.size :].decode(errors="replace")
+def intent(rest: bytes) -> StartPart:
+    """Parse the own part of a start record."""
+    uid, fingerprint, deadline, memory = _INTENT.unpack_from(rest)
+    class_name = rest[_INTENT.size :].decode(errors="replace")
+    return StartPart(uid.hex(), fingerprint, deadline, memory, class_name)
 
 
-def put_end(digest: bytes, result: bytes) -> bytes:
-    """An end's own part."""
-    return _END.pack(digest) + result
+def put_end(fingerprint: bytes, result: bytes) -> bytes:
+    """The own part of an end record."""
+    return _END.pack(fingerprint) + result
 
 
-def end(rest: bytes) -> tuple[bytes, bytes]:
-    """The digest and result of an end."""
-    return rest[: _END.size], rest[_END.size :]
+def end(rest: bytes) -> EndPart:
+    """Parse the own part of an end record."""
+    return EndPart(rest[: _END.size], rest[_END.size :])
 
 
-def put_call(pos: int) -> bytes:
-    """A call's own part."""
-    return _CALL.pack(pos)
+def put_call(notice: int) -> bytes:
+    """The own part of a call record."""
+    return _CALL.pack(notice)
 
 
 def call(rest: bytes) -> int:
-    """The notice that asked for the call."""
+    """The notice that asked for the call, from the own part of a call record."""
     return int(_CALL.unpack_from(rest)[0])
 
 
-def put_link(started: int) -> bytes:
-    """A link's own part."""
-    return _LINK.pack(started)
+def put_link(pool_started_at: int) -> bytes:
+    """The own part of a link record."""
+    return _LINK.pack(pool_started_at)
 
 
 def link(rest: bytes) -> int:
-    """When the pool of this link started."""
+    """When the worker pool started, from the own part of a link record."""
     return int(_LINK.unpack_from(rest)[0])
--- a/cairnvane/idempotency/durable/recovery.py
+++ b/cairnvane/idempotency/durable/recovery.py
@@ -1,8 +1,8 @@
-"""What an earlier life's segments say, all taken together. No I/O: it is fed with what was read.
+"""Concludes the state of all keys from the segments of a log. No I/O: it is given what was read.
 
-The monotonic clock of another boot says nothing here. What was written under it is taken to have been written
-when its segment began, and the segment to have begun now: no time that nobody can vouch for counts against a
-key's window. The system's Unix clock, which may be set at any time, is never asked.
+The monotonic clock of another boot says nothing here. Records of another boot are treated as written when
+their segment began, and the segment as begun now: time that nobody has measured does not count against the
+window of a key. The system's Unix clock, which may be set at any time, is never read.
 """
 
 from __future__ import annotations
@@ -15,89 +15,101 @@
 from ..store import RecoveredState, StartedRun
 from . import index as places
 from . import records
+from .errors import IndexFullError
 from .index import Index
 from .retention import AGE_STEP_US, Segment
 
-# When a pool started of which nothing is left; no clock shows this.
+# The start of a worker pool of another boot, of which nothing is left; no clock shows this time.
 LONG_GONE = -(1 << 62)
 _STEPS = {int(step): step for step in Step}
-# As plain numbers: to look a member up takes as long as what it is compared for.
+# As plain numbers, since looking up an enum member takes as long as the work that depends on it.
 INTENT, CALL, RESULT, FAULT, LINK = map(int, (Step.INTENT, Step.CALL, Step.RESULT, Step.FAULT, Step.LINK))
 HEAD_BYTES, COMMON_BYTES = records.HEAD_BYTES, records.COMMON_BYTES
-# So many illegal steps are named; the rest is counted.
-MOST_NAMED = 20
+# This many illegal steps are described; the rest is counted.
+MAX_DESCRIBED = 20
 
 
-class TooLarge(Exception):
-    """More keys are within their window than the memory has room for."""
-
-
-# A run without a recorded end: its segment, the record's size and payload, the shift of its times, and the
-# notice whose call was about to be made (0: none was). No class: one is made for each intent that is read.
+# A run without a recorded end: the segment of its start record, the record's size and payload, the shift of
+# its times, and the notice whose call was about to be made (0: none was). No class of its own, which would be
+# slower to make: one is made for each start record that is read.
 Run = tuple[Segment, int, bytes, int, int]
 
 
 @dataclass(slots=True)
 class Counts:
-    """For people."""
+    """What recovery has read, for people."""
 
     records: int = 0
-    aged: int = 0
+    aged: int = 0  # records of keys that have expired
     illegal: list[str] = field(default_factory=list)
     more_illegal: int = 0
 
 
 class Recovery:
-    """Fed with segments, oldest first."""
+    """Is given the records of all segments, oldest first."""
 
     def __init__(self, index: Index, boot: bytes, unread: int, now: int) -> None:
         self.counts = Counts()
         self.runs: dict[bytes, Run] = {}
         self.pos = 0
         self.pool_started: int | None = None
-        self._index, self._boot, self._unread, self._now = index, boot, unread, now
-        self._void: dict[bytes, None] = {}
-        self._kept: dict[int, int] = {}
-        self._shift = 0
+        self._index = index
+        self._boot = boot
+        self._unread = unread
+        self._now = now
+        self._never_started: set[bytes] = set()  # keys whose run provably never started
+        self._indexed_by_end: dict[int, int] = {}  # number of keys by the step in which they expire
+        self._shift = 0  # of the current segment's times
 
     def begin(self, header: records.Header) -> Segment:
-        """The next segment; what follows is in it."""
+        """Begin the next segment; the records that follow are in it."""
         self._shift = 0 if header.boot == self._boot else self._now - header.at
         self._segment = Segment(header.number, header.at + self._shift)
         return self._segment
 
-    def _state(self, token: bytes) -> KeyState:
-        if (run := self.runs.get(token)) is not None:
+    def _state(self, key: bytes) -> KeyState:
+        if (run := self.runs.get(key)) is not None:
             return KeyState.CALLING if run[4] else KeyState.INTENDED
-        if token in self._void:
+        if key in self._never_started:
             return KeyState.VOID
-        found = self._index.get(token)
+        found = self._index.get(key)
         if found is None:
             return KeyState.UNKNOWN
-        counts = self._index.counts(found[1], self._now - self._unread)
-        return places.state(found[0]) if counts else KeyState.AGED
+        is_current = self._index.counts(found[1], self._now - self._unread)
+        return places.state(found[0]) if is_current else KeyState.AGED
 
     def read(
         self,
-        found: Iterable[tuple[int, int, bytes] | records.Damage],
+        scanned: Iterable[records.RawRecord | records.Damage],
     ) -> tuple[list[records.Damage], int]:
-        """All that `record.scan` finds in the segment; what was damaged, and where the last record ends.
+        """Process all that `records.scan` finds in the segment.
 
-        Hundreds of thousands of records come here. The two steps of a usual commit are spelled out, with all
-        that they need at hand: an intent of an unknown key, and the result of a run that is open.
+        Returns what was damaged, and where the last record ends. Hundreds of thousands of records come here,
+        so the two steps of an ordinary request are inlined, with all that they need in locals: the start of
+        an unknown key, and the result of a started run.
         """
-        segment, shift, runs, void, kept = self._segment, self._shift, self.runs, self._void, self._kept
-        common, get, put = records.common, self._index.get, self._index.put
+        segment = self._segment
+        shift = self._shift
+        runs = self.runs
+        never_started = self._never_started
+        indexed_by_end = self._indexed_by_end
+        common = records.common
+        get = self._index.get
+        put = self._index.put
         finished = places.place(segment.number, 0, 0, KeyState.FINISHED)
-        oldest, pos, ends, end, count = self._now - self._unread, self.pos, 0, records.HEADER_BYTES, 0
+        oldest = self._now - self._unread
+        pos = self.pos
+        ends = 0
+        end = records.HEADER_BYTES
+        count = 0
         by_end: dict[int, int] = {}
-        bad = []
-        for one in found:
-            if one.__class__ is records.Damage:
-                bad.append(one)
+        damages = []
+        for item in scanned:
+            if item.__class__ is records.Damage:
+                damages.append(item)
                 continue
-            kind, offset, payload = one  # type: ignore[misc]
-            token, _, until, record_pos = common(payload)
+            kind, offset, payload = item  # type: ignore[misc]
+            key, _, until, record_pos = common(payload)
             until += shift
             size = HEAD_BYTES + len(payload)
             end = offset + size
@@ -109,87 +121,103 @@
             if record_pos > pos:
                 pos = record_pos
             if until > oldest:
-                if kind == INTENT and token not in runs and token not in void and get(token) is None:
-                    runs[token] = segment, size, payload, shift, 0
+                if kind == INTENT and key not in runs and key not in never_started and get(key) is None:
+                    runs[key] = segment, size, payload, shift, 0
                     continue
-                if kind == RESULT and (run := runs.pop(token, None)) is not None:
+                if kind == RESULT and (run := runs.pop(key, None)) is not None:
                     run[0].dead += run[1]
                     mark = (payload[COMMON_BYTES] | payload[COMMON_BYTES + 1] << 8) & places.MARK_MASK
                     word = finished | offset << places.OFFSET_SHIFT | mark << places.MARK_SHIFT
-                    if not put(token, word, until):
-                        raise self._too_large()
-                    kept[step] = kept.get(step, 0) + 1
+                    if not put(key, word, until):
+                        raise self._index_full()
+                    indexed_by_end[step] = indexed_by_end.get(step, 0) + 1
                     continue
             self.pos = pos
-            self._other(kind, token, offset, payload, until, size)
+            self._other(kind, key, offset, payload, until, size)
             pos = self.pos
         self.pos = pos
         self.counts.records += count
         segment.note(by_end, ends)
-        return bad, end
+        return damages, end
 
-    def _too_large(self) -> TooLarge:
-        return TooLarge(f"more than {self._index.capacity:,} keys are within their window")
+    def _index_full(self) -> IndexFullError:
+        return IndexFullError(f"more than {self._index.capacity:,} keys are within their window")
 
-    def _other(self, kind: int, token: bytes, offset: int, payload: bytes, until: int, size: int) -> None:
-        """What is not two in three records of a usual log."""
+    def _other(self, kind: int, key: bytes, offset: int, payload: bytes, until: int, size: int) -> None:
+        """Process a record that `read` does not inline: one in three of an ordinary log."""
         if kind == LINK:
-            return self._linked(payload)
+            self._linked(payload)
+            return
         if until + self._unread <= self._now:
             self.counts.aged += 1
-            self.runs.pop(token, None)
+            self.runs.pop(key, None)
             return
         try:
-            after = states.advance(self._state(token), _STEPS[kind])
+            after = states.advance(self._state(key), _STEPS[kind])
         except IllegalStepError as error:
-            return self._name(f"{token.hex()}: {error}")
+            self._describe_illegal(f"{key.hex()}: {error}")
+            return
         if kind in (RESULT, FAULT):
-            self._forget_run(token)
+            self._forget_run(key)
             mark = places.tag(payload[COMMON_BYTES : COMMON_BYTES + 2])
             word = places.place(self._segment.number, offset, mark, after)
-            if not self._index.put(token, word, until):
-                raise self._too_large()
+            if not self._index.put(key, word, until):
+                raise self._index_full()
             step = until // AGE_STEP_US
-            self._kept[step] = self._kept.get(step, 0) + 1
+            self._indexed_by_end[step] = self._indexed_by_end.get(step, 0) + 1
         elif kind == INTENT:
-            self._void.pop(token, None)
-            if token in self.runs:
+            self._never_started.discard(key)
+            if key in self.runs:
                 self._segment.dead += size
             else:
-                self.runs[token] = self._segment, size, payload, self._shift, 0
+                self.runs[key] = self._segment, size, payload, self._shift, 0
         elif kind == CALL:
-            self.runs[token] = *self.runs[token][:4], records.call(payload[COMMON_BYTES:])
+            self.runs[key] = *self.runs[key][:4], records.call(payload[COMMON_BYTES:])
             self._segment.dead += size
         else:
-            self._forget_run(token)
-            self._void[token] = None
+            self._forget_run(key)
+            self._never_started.add(key)
 
     def _linked(self, payload: bytes) -> None:
         started = records.link(payload[COMMON_BYTES:])
         if started != self.pool_started:  # a new pool counts from 1
             self.pos = records.common(payload)[3]
-        # Of another boot: the pool that it speaks of can't be there any more, and no other is it.
+        # A pool of another boot is gone, and no other pool is taken for it.
         self.pool_started = started if self._shift == 0 else LONG_GONE
 
-    def _forget_run(self, token: bytes) -> None:
-        if (begun := self.runs.pop(token, None)) is not None:
-            begun[0].dead += begun[1]
+    def _forget_run(self, key: bytes) -> None:
+        run = self.runs.pop(key, None)
+        if run is not None:
+            segment, size = run[:2]
+            segment.dead += size
 
-    def _name(self, what: str) -> None:
-        if len(self.counts.illegal) < MOST_NAMED:
-            self.counts.illegal.append(what)
+    def _describe_illegal(self, description: str) -> None:
+        if len(self.counts.illegal) < MAX_DESCRIBED:
+            self.counts.illegal.append(description)
         else:
             self.counts.more_illegal += 1
 
     def conclude(self) -> RecoveredState:
-        """What the host takes up."""
-        begun = tuple(self._begun(token, run) for token, run in self.runs.items())
-        ends = [(count, (step + 1) * AGE_STEP_US - self._now) for step, count in sorted(self._kept.items())]
-        kept = tuple((count, left) for count, left in ends if left > 0)
-        return RecoveredState(begun, kept, self.pos, self.pool_started)
-
-    def _begun(self, token: bytes, run: Run) -> StartedRun:
-        _, _, payload, shift, call_pos = run
-        told = records.parse(Step.INTENT, payload)
-        uid, same, due, memory, lane = records.intent(told.rest)
-        return StartedRun(token, uid, lane, same, told.until + shift, due + shift, memory, call_pos)
+        """What the server takes over."""
+        started_runs = tuple(self._started_run(run) for run in self.runs.values())
+        lifetimes = (
+            (count, (step + 1) * AGE_STEP_US - self._now)
+            for step, count in sorted(self._indexed_by_end.items())
+        )
+        key_lifetimes = tuple((count, lifetime) for count, lifetime in lifetimes if lifetime > 0)
+        return RecoveredState(started_runs, key_lifetimes, self.pos, self.pool_started)
+
+    def _started_run(self, run: Run) -> StartedRun:
+        _, _, payload, shift, call_notice = run
+        record = records.parse(Step.INTENT, payload)
+        start = records.intent(record.rest)
+        return StartedRun(
+            key=record.token,
+            uid=start.uid,
+            class_name=start.class_name,
+            fingerprint=start.fingerprint,
+            expires_at=record.until + shift,
+            deadline=start.deadline + shift,
+            memory=start.memory,
+            call_notice=call_notice,
+        )
--- /dev/null
+++ b/cairnvane/idempotency/durable/space_maintenance.py
@@ -0,0 +1,41 @@
+"""Expires entries, drops and compacts segments at intervals. Writer thread only."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from .state import StoreState
+
+logger = logging.getLogger(__name__)
+
+# Space is reclaimed at most this often.
+INTERVAL_US = 500_000
+
+
+class SpaceMaintenance:
+    """Reclaims memory and disk space."""
+
+    def __init__(self, state: StoreState, is_idle: Callable[[], bool], *, unread: int) -> None:
+        """`is_idle`: no message waits for the writer; compaction goes on only while that holds."""
+        self._state = state
+        self._is_idle = is_idle
+        self._unread = unread
+        self._last_run = 0
+
+    def run(self, now: int) -> None:
+        """Reclaim space, unless that was done a moment ago or the disk fails."""
+        state = self._state
+        if now - self._last_run < INTERVAL_US or state.is_failing:
+            return
+        self._last_run = now
+        with state.lock:
+            state.index.expire(now - self._unread)
+        try:
+            state.log.drop(now)
+            while state.log.compact_a_little(state.index, now) and self._is_idle():
+                pass
+        except OSError as error:
+            state.log.stop_compacting()  # the segment that is being written is not at fault
+            logger.warning("reclaiming disk space failed: %s", error)
+        state.measure_disk(now)
--- a/cairnvane/idempotency/durable/storage.py
+++ b/cairnvane/idempotency/durable/storage.py
@@ -1,4 +1,4 @@
-"""The disk below the log: a small protocol, and the system's files behind it."""
+"""The disk below the log: a small protocol, and its implementation on the files of the system."""
 
 from __future__ import annotations
 
@@ -12,22 +12,16 @@
 from typing import Protocol
 
 from ... import clock
+from .errors import FolderInUseError
 
-# Segments hold callers' results: nobody else on the machine may read them.
-FILE_MODE, FOLDER_MODE = 0o600, 0o700
+# Segments hold the results of clients: no other user of the machine may read them.
+FILE_MODE = 0o600
+FOLDER_MODE = 0o700
 LOCK = "lock"
 _SEGMENT = re.compile(r"([0-9a-f]{16})\.seg")
 TEMPORARY = ".tmp"
 
 
-class FolderError(Exception):
-    """The folder can't be used as it is; one line that says why."""
-
-
-class InUse(FolderError):
-    """Another process owns the folder."""
-
-
 class Handle(Protocol):
     """A file that is being written."""
 
@@ -35,26 +29,26 @@
         """Append all of it, or raise `OSError`."""
 
     def sync(self) -> None:
-        """What was written survives a power cut from now on. After an `OSError` none of it counts."""
+        """Have what was written survive a power cut. After an `OSError` none of it counts."""
 
     def close(self) -> None:
-        """No more is written; never raises."""
+        """Close the file; never raises."""
 
 
 class Files(Protocol):
-    """One folder. All but `close` raise `OSError`."""
+    """The files of one folder. Every method may raise `OSError`."""
 
     def names(self) -> list[str]:
-        """What is in it."""
+        """The names in the folder."""
 
     def size(self, name: str) -> int:
-        """In bytes."""
+        """The size of a file in bytes."""
 
     def create(self, name: str) -> Handle:
-        """A new file; one of that name must not be there."""
+        """Create a file; one of that name must not exist."""
 
     def read(self, name: str, offset: int, length: int) -> bytes:
-        """As many of these bytes as there are."""
+        """Read as many of these bytes as there are."""
 
     def cut(self, name: str, size: int) -> None:
         """Shorten a file."""
@@ -66,35 +60,79 @@
         """Delete a file."""
 
     def sync_folder(self) -> None:
-        """New, renamed and deleted names survive a power cut from now on."""
+        """Have new, renamed and deleted names survive a power cut."""
+
+
+class Folder(Files, Protocol):
+    """A folder that one process owns at a time."""
+
+    def make(self) -> None:
+        """Create the folder if it is not there."""
+
+    def lock(self) -> None:
+        """Own the folder; `FolderInUseError` if another process does."""
+
+    def unlock(self) -> None:
+        """Give up ownership."""
+
+
+class ReadOnlyFiles:
+    """A folder that another process owns: it is read and never changed."""
+
+    def __init__(self, files: Files) -> None:
+        self.names = files.names
+        self.size = files.size
+        self.read = files.read
+
+    def create(self, name: str) -> Handle:
+        """Never called: nothing is appended."""
+        raise AssertionError(f"{name}: the folder belongs to another process")
+
+    def cut(self, name: str, size: int) -> None:
+        """Do nothing: what seems torn is being written."""
+
+    def replace(self, name: str, by: str) -> None:
+        """Do nothing: nothing is compacted."""
+
+    def remove(self, name: str) -> None:
+        """Do nothing: what seems left over is being written."""
+
+    def sync_folder(self) -> None:
+        """Do nothing: nothing was changed."""
 
 
 def segment_name(number: int) -> str:
-    """A segment's file."""
+    """The file name of a segment."""
     return f"{number:016x}.seg"
 
 
 def segment_number(name: str) -> int | None:
-    """The number of the segment in a file of this name; None if it is none."""
+    """The number of the segment in a file of this name; None if that is no segment."""
     found = _SEGMENT.fullmatch(name)
     return int(found[1], 16) if found else None
 
 
 def boot_id() -> bytes:
-    """Of this boot of the machine, 16 bytes. Where the system tells none, each process counts as a boot of
-    its own: keys are then kept a little longer than they need to be."""
-    told = clock.boot()
-    return bytes.fromhex(told) if told is not None else uuid.uuid4().bytes
+    """The 16 bytes that identify this boot of the machine.
+
+    Where the system reports none, each process counts as a boot of its own: keys are then kept a little
+    longer than necessary.
+    """
+    boot = clock.boot()
+    return bytes.fromhex(boot) if boot is not None else uuid.uuid4().bytes
 
 
 class _OsHandle:
+    """A file of the system that is being written."""
+
     def __init__(self, fd: int) -> None:
         self._fd = fd
 
     def write(self, data: bytes) -> None:
-        left = memoryview(data)
-        while left:
-            left = left[os.write(self._fd, left) :]
+        remaining = memoryview(data)
+        while remaining:
+            written = os.write(self._fd, remaining)
+            remaining = remaining[written:]
 
     def sync(self) -> None:
         os.fdatasync(self._fd)
@@ -105,18 +143,18 @@
 
 
 class OsFiles:
-    """A folder of the system's; `lock` makes it this process's own until it ends, however it does."""
+    """A folder of the system; `lock` makes it this process's own until that ends, in whatever way."""
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
-        self._lock: int | None = None
+        self._lock: int | None = None  # the descriptor of the lock file, while this process owns the folder
 
     def make(self) -> None:
-        """Create it if it is not there."""
+        """Create the folder if it is not there."""
         self._folder.mkdir(mode=FOLDER_MODE, parents=True, exist_ok=True)
 
     def lock(self) -> None:
-        """Take it, or raise `InUse`; nothing if it is taken."""
+        """Own the folder, or raise `FolderInUseError`. Does nothing if this process owns it."""
         if self._lock is not None:
             return
         path = self._folder / LOCK
@@ -127,30 +165,30 @@
             os.close(fd)
             if error.errno not in (errno.EWOULDBLOCK, errno.EACCES):
                 raise
-            raise InUse(f"{self._folder}: in use by another process") from None
+            raise FolderInUseError(f"{self._folder}: in use by another process") from None
         self._lock = fd
 
     def unlock(self) -> None:
-        """Let go of it."""
+        """Give up ownership."""
         if self._lock is not None:
             os.close(self._lock)
             self._lock = None
 
     def names(self) -> list[str]:
-        """What is in it."""
-        return os.listdir(self._folder)
+        """The names in the folder."""
+        return [path.name for path in self._folder.iterdir()]
 
     def size(self, name: str) -> int:
-        """In bytes."""
-        return os.stat(self._folder / name).st_size
+        """The size of a file in bytes."""
+        return (self._folder / name).stat().st_size
 
     def create(self, name: str) -> Handle:
-        """A new file, for this user alone."""
+        """Create a file that only this user may read."""
         flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND | os.O_CLOEXEC
         return _OsHandle(os.open(self._folder / name, flags, FILE_MODE))
 
     def read(self, name: str, offset: int, length: int) -> bytes:
-        """As many of these bytes as there are."""
+        """Read as many of these bytes as there are."""
         fd = os.open(self._folder / name, os.O_RDONLY | os.O_CLOEXEC)
         try:
             return os.pread(fd, length, offset)
@@ -163,14 +201,14 @@
 
     def replace(self, name: str, by: str) -> None:
         """Give file `by` this name, in one step."""
-        os.replace(self._folder / by, self._folder / name)
+        (self._folder / by).replace(self._folder / name)
 
     def remove(self, name: str) -> None:
         """Delete a file."""
-        os.unlink(self._folder / name)
+        (self._folder / name).unlink()
 
     def sync_folder(self) -> None:
-        """New, renamed and deleted names survive a power cut from now on."""
+        """Have new, renamed and deleted names survive a power cut."""
         fd = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
         try:
             os.fsync(fd)
--- a/cairnvane/idempotency/durable/takeover_store.py
+++ b/cairnvane/idempotency/durable/takeover_store.py
@@ -1,66 +1,59 @@
-"""The log and the ledger together: kept results, and a later version that serves beside the one that keeps
-them.
+"""The durable log and the claim log together: stored results, and concurrent incarnations of the server.
 
-The log has one writer at a time. A life that finds its folder owned serves on the ledger alone, which lies in
-that folder too, and knows what was kept before from reading the log. Once the folder is its own, what the
-ledger knows beyond the log is entered there (`_enter`), and from then on both are written: the ledger for the
-lives that are there, the log for those that come after all of them.
+The durable log has one writer at a time. An incarnation that finds its folder owned by another process
+serves on the claim log alone, which lies in that folder too, and learns what was stored before by reading the
+durable log. Once it owns the folder, what the claim log knows beyond the durable log is entered there
+(`ClaimTransfer`), and from then on both are written: the claim log for concurrent incarnations, the durable
+log for those that come after all of them.
 """
 
 from __future__ import annotations
 
 import contextlib
 import logging
-import shutil
 import threading
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
-from queue import SimpleQueue
 
-from ... import clock
-from ...claims import ClaimLog, records
-from ...claims.claim_table import ClaimTable, Place
-from ...claims.states import KeyState, Step
-from ...claims.storage import OsFolder
+from ...claims import ClaimLog
 from ..store import RecoveredState, StartedRun, StoredEntry
+from .background_tasks import BackgroundTasks
+from .claim_transfer import LEDGER, ClaimTransfer, ignore_not_started, ignore_written
+from .deferred_records import DeferredRecords
 from .store import DurableStore
 
-logger = logging.getLogger(__name__)
-
-# The ledger of one boot of the machine, in the folder of the log: times in it are of that boot's clock.
-LEDGER = "ledger."
-
-
-def _nothing() -> None:
-    pass
+__all__ = ["LEDGER", "TakeoverStore"]
 
+logger = logging.getLogger(__name__)
 
-def _no_other(there: bool) -> None:
-    pass
+# A sync of the claim log that failed is retried after this long; whoever waits has a deadline of its own.
+SYNC_RETRY_S = 0.05
 
 
 class TakeoverStore:
-    """See `keys.Keeper`."""
+    """An `IdempotencyStore` on a durable log and a claim log."""
 
     synchronous = False
 
     def __init__(
         self, store: DurableStore, ledger: ClaimLog, folder: Path, own: Path, *, power: bool
     ) -> None:
-        """`folder` is the log's, and `own` that of this boot's ledger in it."""
-        self._store, self._ledger, self._power = store, ledger, power
-        self._folder, self._own_ledger = folder, own
-        self._lock = threading.RLock()  # host and writer: who of them has seen the folder change hands
-        self._owned = self._held = False
-        # While the folder is another's: what the log will have to know.
-        self._open = 0
-        self._begun: dict[bytes, StartedRun] = {}
-        self._called: dict[bytes, int] = {}
-        self._settled: list[int] = []
-        self._pool_started: int | None = None
-        self._tasks: SimpleQueue[Callable[[], None] | None] = SimpleQueue()
-        self._helper = threading.Thread(target=self._help, name="beside", daemon=True)
+        """`folder` is that of the durable log, and `own` this boot's claim log in it.
+
+        `power`: results survive a power cut.
+        """
+        self._store = store
+        self._ledger = ledger
+        self._power = power
+        # Guards `_is_owner` and `_deferred`: the server thread writes to the durable log or defers, and the
+        # writer thread takes the folder over.
+        self._lock = threading.RLock()
+        self._is_owner = False  # this process owns the folder, and all claims were transferred
+        self._found_owned = False  # another process owned the folder at the start
+        self._deferred = DeferredRecords()
+        self._transfer = ClaimTransfer(store, ledger, folder, own, self._deferred)
+        self._tasks = BackgroundTasks("takeover-tasks")
 
     def start(
         self,
@@ -68,227 +61,177 @@
         delayed: Callable[[], None],
         lost: Callable[[str], None],
     ) -> None:
-        """See `Keeper`."""
+        """See `IdempotencyStore`."""
         self._recovered = recovered
         self._ledger.start(recovered, delayed, lost)
-        self._helper.start()
-        self._store.start(self._taken_up, delayed, lost, self._waits)
+        self._tasks.start()
+        self._store.start(self._folder_recovered, delayed, lost, self._folder_owned_elsewhere)
+
+    # --- taking over the folder, in the writer thread
 
-    def _waits(self) -> bool:
-        """Another process owns the folder: serve beside it, if it is one that writes to the ledger."""
+    def _folder_owned_elsewhere(self) -> bool:
+        """Serve concurrently with the owner of the folder, if it writes a claim log; whether it does."""
         if self._ledger.alone():
             return False
-        self._held = True
-        logger.info("another life owns the folder: this one serves beside it")
+        self._found_owned = True
+        logger.info("another process owns the folder: serving concurrently with it")
         self._recovered(RecoveredState())
         return True
 
-    def _taken_up(self, left: RecoveredState) -> None:
-        """The folder is ours, and all is read."""
+    def _folder_recovered(self, recovered: RecoveredState) -> None:
+        """This process owns the folder, and all is read."""
         with self._lock:
-            for _ in range(self._open):
-                self._store.reserve()
-            begun = self._enter(left)
-            self._store.settle(tuple(self._settled))
-            self._settled.clear()
-            if self._pool_started is not None:
-                self._store.pool_linked(self._pool_started)
-            self._owned = True
-        if not self._held:
-            # Once what was entered is written: then it can be recalled.
-            return self._written(lambda: self._recovered(replace(left, started_runs=begun)))
-        logger.info("the folder is this life's own now")
-        for one in begun:  # of the life that had it; its pool was another
-            self._store.record_end(one.key, one.expires_at, one.fingerprint, None, (), _nothing)
-
-    def _enter(self, left: RecoveredState) -> tuple[StartedRun, ...]:
-        """Have the log know what only the ledger does. The runs whose end neither of them knows."""
-        begun = {one.key: one for one in left.started_runs}
-        for token, entry, result in self._ledger.entries():
-            if self._store.knows(token):
-                continue
-            if entry.state is KeyState.INTENDED and self._ledger.mine(entry):
-                if (mine := self._begun.get(token)) is not None:
-                    self._store.record_start(mine, _nothing, _no_other)
-                if (pos := self._called.get(token)) is not None:
-                    self._store.record_call(token, entry.until, pos, _nothing)
-                continue
-            if entry.state is KeyState.INTENDED and (token in begun or not self._ledger.dead(entry)):
-                continue  # its end is still to come
-            if begun.pop(token, None) is None:
-                self._store.reserve()  # else it is on the log's account already
-            self._store.record_end(token, entry.until, entry.same, result, (), _nothing)
-        for path in self._folder.glob(f"{LEDGER}*"):
-            if path != self._own_ledger:
-                self._enter_earlier(path, begun)
-        return tuple(begun.values())
-
-    def _enter_earlier(self, path: Path, begun: dict[bytes, StartedRun]) -> None:
-        """What a ledger of another boot knows. Of the time since nobody can vouch for, none counts as passed;
-        its pools are gone, so a run without an end has none."""
-        machine = ClaimTable(0)
-        results: dict[bytes, bytes] = {}
-        try:
-            folder = OsFolder(path)
-            for number in folder.numbers():
-                segment = folder.open(number, create=False)
-                try:
-                    for offset, length, told in records.scan(segment.read(0, segment.look()[0])).records:
-                        machine.take(told, Place(number, offset, length))
-                        if told.kind == Step.RESULT:
-                            results.setdefault(told.token, told.rest[records.DIGEST_BYTES :])
-                finally:
-                    segment.close()
-        except OSError as error:
-            return logger.warning("%s: %s; read again at the next start", path.name, error)
-        now = clock.now()
-        for token, entry in machine.entries.items():
-            if entry.state is KeyState.VOID or self._store.knows(token):
-                continue
-            if begun.pop(token, None) is None:
-                self._store.reserve()
-            result = results.get(token) if entry.state is KeyState.FINISHED else None
-            self._store.record_end(token, now + entry.until - entry.at, entry.same, result, (), _nothing)
-        self._written(lambda: shutil.rmtree(path, ignore_errors=True))
-
-    def _written(self, then: Callable[[], None]) -> None:
-        """`then`, once all is written that the log was told so far: it does one thing after the other."""
-        self._store.fetch_result(records.NO_TOKEN, records.NO_TOKEN, lambda result: then())
-
-    # --- what the host asks
+            self._deferred.reserve_in(self._store)
+            unfinished = self._transfer.run(recovered)
+            self._deferred.settle_in(self._store)
+            self._is_owner = True
+        if not self._found_owned:
+            # Reported once the transferred records are written: then they can be looked up.
+            state = replace(recovered, started_runs=unfinished)
+            self._store.call_after_writes(lambda: self._recovered(state))
+            return
+        logger.info("this process owns the folder now")
+        for run in unfinished:  # of the incarnation that owned the folder; its worker pool was another
+            self._store.record_end(run.key, run.expires_at, run.fingerprint, None, (), ignore_written)
+
+    # --- requests, in the server thread
 
     def capacity_wait_us(self) -> int:
-        """See `Keeper`."""
-        wait = self._ledger.capacity_wait_us()
-        return wait if self._held and not self._owned else max(wait, self._store.capacity_wait_us())
+        """See `IdempotencyStore`."""
+        claim_wait = self._ledger.capacity_wait_us()
+        if self._found_owned and not self._is_owner:
+            return claim_wait
+        return max(claim_wait, self._store.capacity_wait_us())
 
     def reserve(self) -> None:
-        """See `Keeper`."""
+        """See `IdempotencyStore`."""
         with self._lock:
-            if self._owned:
+            if self._is_owner:
                 self._store.reserve()
             else:
-                self._open += 1
+                self._deferred.open_keys += 1
 
     def release(self) -> None:
-        """See `Keeper`."""
+        """See `IdempotencyStore`."""
         with self._lock:
-            if self._owned:
+            if self._is_owner:
                 self._store.release()
             else:
-                self._open -= 1
+                self._deferred.open_keys -= 1
 
     def record_start(
-        self, begun: StartedRun, then: Callable[[], None], other: Callable[[bool], None]
+        self, run: StartedRun, then: Callable[[], None], not_started: Callable[[bool], None], /
     ) -> None:
-        """See `Keeper`."""
+        """See `IdempotencyStore`. Positional only: the testbed replaces it by functions of its own."""
         self._ledger.record_start(
-            begun, lambda: self._intend(begun, then), lambda there: self._not(other, there)
+            run,
+            lambda: self._start_claimed(run, then),
+            lambda is_elsewhere: self._start_prevented(not_started, is_elsewhere),
         )
 
-    def _intend(self, begun: StartedRun, then: Callable[[], None]) -> None:
+    def _start_claimed(self, run: StartedRun, then: Callable[[], None]) -> None:
         with self._lock:
-            if self._owned:
-                return self._store.record_start(begun, then, _no_other)
-            self._begun[begun.key] = begun
-        self._safe(then)
+            if self._is_owner:
+                self._store.record_start(run, then, ignore_not_started)
+                return
+            self._deferred.started_runs[run.key] = run
+        self._call_when_durable(then)
 
-    def _not(self, other: Callable[[bool], None], there: bool) -> None:
+    def _start_prevented(self, not_started: Callable[[bool], None], is_elsewhere: bool) -> None:
         self.release()
-        other(there)
+        not_started(is_elsewhere)
 
-    def record_never_started(self, token: bytes, until: int, settles: tuple[int, ...]) -> None:
-        """See `Keeper`."""
-        self._ledger.record_never_started(token, until, settles)
+    def record_never_started(self, key: bytes, expires_at: int, settles: tuple[int, ...]) -> None:
+        """See `IdempotencyStore`."""
+        self._ledger.record_never_started(key, expires_at, settles)
         with self._lock:
-            if self._owned:
-                return self._store.record_never_started(token, until, settles)
-            self._over(token, settles)
+            if self._is_owner:
+                self._store.record_never_started(key, expires_at, settles)
+                return
+            self._deferred.run_over(key, settles)
 
-    def record_call(self, token: bytes, until: int, pos: int, then: Callable[[], None]) -> None:
-        """See `Keeper`."""
+    def record_call(self, key: bytes, expires_at: int, notice: int, then: Callable[[], None]) -> None:
+        """See `IdempotencyStore`."""
         with self._lock:
-            if self._owned:
-                return self._store.record_call(token, until, pos, then)
-            self._called[token] = pos
-            self._settled.append(pos)
+            if self._is_owner:
+                self._store.record_call(key, expires_at, notice, then)
+                return
+            self._deferred.call_made(key, notice)
         then()
 
     def record_end(
         self,
-        token: bytes,
-        until: int,
-        same: bytes,
+        key: bytes,
+        expires_at: int,
+        fingerprint: bytes,
         result: bytes | None,
         settles: tuple[int, ...],
         then: Callable[[], None],
+        /,
     ) -> None:
-        """See `Keeper`."""
-        self._ledger.record_end(token, until, same, result, settles, _nothing)
+        """See `IdempotencyStore`. Positional only, as `record_start`."""
+        self._ledger.record_end(key, expires_at, fingerprint, result, settles, ignore_written)
         with self._lock:
-            if self._owned:
-                return self._store.record_end(token, until, same, result, settles, then)
-            self._over(token, settles)
-        self._safe(then)
-
-    def _over(self, token: bytes, settles: tuple[int, ...]) -> None:
-        self._open -= 1
-        self._begun.pop(token, None)
-        self._called.pop(token, None)
-        self._settled += settles
-
-    def notice_read(self, pos: int, owed: bool) -> None:
-        """See `Keeper`."""
-        self._store.notice_read(pos, owed)
-
-    def pool_linked(self, pool_started: int) -> None:
-        """See `Keeper`."""
+            if self._is_owner:
+                self._store.record_end(key, expires_at, fingerprint, result, settles, then)
+                return
+            self._deferred.run_over(key, settles)
+        self._call_when_durable(then)
+
+    def notice_read(self, notice: int, pending: bool) -> None:
+        """See `IdempotencyStore`."""
+        self._store.notice_read(notice, pending)
+
+    def pool_linked(self, pool_started_at: int) -> None:
+        """See `IdempotencyStore`."""
         with self._lock:
-            self._pool_started = pool_started
-            if self._owned:
-                self._store.pool_linked(pool_started)
+            self._deferred.pool_started_at = pool_started_at
+            if self._is_owner:
+                self._store.pool_linked(pool_started_at)
 
     def pool_replaced(self) -> None:
-        """See `Keeper`."""
+        """See `IdempotencyStore`."""
         self._store.pool_replaced()
 
-    def look_up(self, token: bytes, same: bytes, arrived: int) -> StoredEntry | None:
-        """See `Keeper`. The log first: it may know the end of a run whose life is dead."""
-        return self._store.look_up(token, same, arrived) or self._ledger.look_up(token, same, arrived)
+    def look_up(self, key: bytes, fingerprint: bytes, arrived_at: int) -> StoredEntry | None:
+        """See `IdempotencyStore`.
+
+        The durable log is asked first: it may know the end of a run whose incarnation has died.
+        """
+        stored = self._store.look_up(key, fingerprint, arrived_at)
+        return stored or self._ledger.look_up(key, fingerprint, arrived_at)
 
-    def fetch_result(self, token: bytes, same: bytes, then: Callable[[bytes | None], None]) -> None:
-        """See `Keeper`."""
+    def fetch_result(self, key: bytes, fingerprint: bytes, then: Callable[[bytes | None], None]) -> None:
+        """See `IdempotencyStore`."""
         with self._lock:
-            kept, owned = self._store.knows(token), self._owned or not self._held
-        if not kept:
-            self._ledger.fetch_result(token, same, then)
-        elif owned:
-            self._store.fetch_result(token, same, then)
+            is_stored = self._store.knows(key)
+            can_ask_writer = self._is_owner or not self._found_owned
+        if not is_stored:
+            self._ledger.fetch_result(key, fingerprint, then)
+        elif can_ask_writer:
+            self._store.fetch_result(key, fingerprint, then)
         else:
-            self._tasks.put(lambda: then(self._store.peeked(token, same)))
+            self._tasks.add(lambda: then(self._store.peeked(key, fingerprint)))
 
     def close(self) -> None:
-        """See `Keeper`."""
+        """See `IdempotencyStore`."""
         self._ledger.close()
         self._store.close()
-        self._tasks.put(None)
+        self._tasks.stop()
 
-    # --- the helper, while the folder is another's
+    # --- syncing the claim log, while another process owns the folder
 
-    def _safe(self, then: Callable[[], None]) -> None:
-        """`then`, once what was said survives what has to be survived."""
+    def _call_when_durable(self, then: Callable[[], None]) -> None:
+        """Call `then` once the claim log survives what it has to survive."""
         if self._power:
-            self._tasks.put(lambda: self._synced(then))
+            self._tasks.add(lambda: self._sync_claims(then))
         else:
             then()
 
-    def _synced(self, then: Callable[[], None]) -> None:
+    def _sync_claims(self, then: Callable[[], None]) -> None:
         while True:
             with contextlib.suppress(OSError):
                 self._ledger.sync()
-                return then()
-            threading.Event().wait(0.05)  # whoever waits gives up by its own time
-
-    def _help(self) -> None:
-        while (task := self._tasks.get()) is not None:
-            task()
+                then()
+                return
+            threading.Event().wait(SYNC_RETRY_S)
--- a/cairnvane/idempotency/durable/verify.py
+++ b/cairnvane/idempotency/durable/verify.py
@@ -1,4 +1,4 @@
-"""What the command line does with a folder: `verify`, `show`, `compact`."""
+"""What the command line does with a folder of a durable log: `verify`, `show` and `compact`."""
 
 from __future__ import annotations
 
@@ -10,12 +10,13 @@
 from ...claims.states import KeyState, Step
 from . import records
 from .index import BYTES_PER_ENTRY, Index
-from .segment_log import Owner, Report, SegmentLog, blocks, read_segment, segment_names
+from .segment_log import Owner, SegmentLog
+from .segment_reader import Report, blocks, read_segment, segment_names
 from .storage import OsFiles, boot_id
 
-# Room for all that a folder can hold is not known before it is read; memory is touched only as it fills.
+# How many keys a folder holds is not known before it is read. Memory is touched only as the index fills.
 _INDEX_BYTES = 4_000_000 * BYTES_PER_ENTRY
-# How late a repeat that came within its window may still be read, where no settings tell.
+# How much later than it arrived a duplicate may be read, where no settings say so.
 UNREAD_US = 60_000_000
 
 
@@ -30,11 +31,11 @@
 
     @property
     def wrong(self) -> bool:
-        """A record may be lost."""
+        """Whether a record may be lost."""
         return bool(self.report.damaged or self.report.foreign or self.illegal)
 
     def lines(self) -> list[str]:
-        """For people."""
+        """The report, for people."""
         report = self.report
         named = [
             ("damaged", report.damaged),
@@ -52,57 +53,67 @@
 
 @dataclass(slots=True)
 class _Key:
+    """The state of a key after the records read so far."""
+
     state: KeyState
-    header: records.Header
-    at: int
+    header: records.Header  # of the segment of its last record
+    at: int  # when its last record was made
     until: int
     detail: dict[str, str]
 
 
 def _read(files: OsFiles, found: Found) -> dict[bytes, _Key]:
-    """Every key and how it stands, whether it still counts or not."""
-    known: dict[bytes, _Key] = {}
+    """The state of every key, expired or not."""
+    keys: dict[bytes, _Key] = {}
     for number, name in segment_names(files):
         header = read_segment(files, number, name, found.report)
         if header is None:
             continue
-        end, bad = records.HEADER_BYTES, []
+        end = records.HEADER_BYTES
+        damages = []
         for item in blocks(files, name, header):
             if isinstance(item, records.Damage):
-                bad.append(item)
+                damages.append(item)
                 continue
             kind, offset, payload = item
             found.records += 1
             end = offset + records.HEAD_BYTES + len(payload)
-            _step(known, header, records.parse(kind, payload), found)
-        found.report.take(name, bad, end)
-    return known
+            _apply(keys, header, records.parse(kind, payload), found)
+        found.report.take(name, damages, end)
+    return keys
 
 
-def _step(known: dict[bytes, _Key], header: records.Header, told: records.Record, found: Found) -> None:
-    if told.step is Step.LINK:
+def _apply(keys: dict[bytes, _Key], header: records.Header, record: records.Record, found: Found) -> None:
+    """Apply a record to the state of its key."""
+    if record.step is Step.LINK:
         return
-    before = known.get(told.token)
-    stood = KeyState.UNKNOWN if before is None else before.state
-    # A token may come again once its window is over.
-    if before is not None and before.header.boot == header.boot and before.until <= told.at:
-        before, stood = None, KeyState.AGED
+    previous = keys.get(record.token)
+    state = KeyState.UNKNOWN if previous is None else previous.state
+    # A key may come again once it has expired.
+    if previous is not None and previous.header.boot == header.boot and previous.until <= record.at:
+        previous = None
+        state = KeyState.AGED
     try:
-        after = states.advance(stood, told.step)
+        next_state = states.advance(state, record.step)
     except states.IllegalStepError as error:
-        found.illegal.append(f"{told.token.hex()}: {error}")
+        found.illegal.append(f"{record.token.hex()}: {error}")
         return
-    detail = before.detail if before is not None else {}
-    if told.step is Step.INTENT:
-        uid, _, _, _, lane = records.intent(told.rest)
-        detail = {"uid": uid, "class": lane}
-    elif told.step is Step.RESULT:
-        detail = detail | {"result_bytes": str(len(records.end(told.rest)[1]))}
-    known[told.token] = _Key(after, header, told.at, told.until, detail)
+    detail = _detail(record, {} if previous is None else previous.detail)
+    keys[record.token] = _Key(next_state, header, record.at, record.until, detail)
+
+
+def _detail(record: records.Record, previous: dict[str, str]) -> dict[str, str]:
+    """What is shown of a key in addition to its state."""
+    if record.step is Step.INTENT:
+        start = records.intent(record.rest)
+        return {"uid": start.uid, "class": start.class_name}
+    if record.step is Step.RESULT:
+        return previous | {"result_bytes": str(len(records.end(record.rest).result))}
+    return previous
 
 
 def verify(files: OsFiles) -> Found:
-    """Read all there is; nothing is changed, and a server may go on using it."""
+    """Read everything. Nothing is changed, and a server may use the folder meanwhile."""
     found = Found()
     for key in _read(files, found).values():
         name = key.state.name.lower()
@@ -111,31 +122,35 @@
 
 
 def show(files: OsFiles) -> Iterator[dict[str, str]]:
-    """A row for each key."""
-    now, boot = clock.now(), boot_id()
+    """A row for each key, oldest first."""
+    now = clock.now()
+    boot = boot_id()
     for token, key in _read(files, Found()).items():
-        here = key.header.boot == boot
-        left = f"{max(0, key.until - now) / 1e6:.1f}" if here else "of an earlier boot"
-        unix = key.header.unix_ms / 1e3 + (key.at - key.header.at) / 1e6
+        is_this_boot = key.header.boot == boot
+        time_left = f"{max(0, key.until - now) / 1e6:.1f}" if is_this_boot else "of an earlier boot"
+        unix_s = key.header.unix_ms / 1e3 + (key.at - key.header.at) / 1e6
         yield {
             "token": token.hex(),
             "state": key.state.name.lower(),
-            "at_unix_s": f"{unix:.3f}",
-            "counts_for_s": left,
+            "at_unix_s": f"{unix_s:.3f}",
+            "counts_for_s": time_left,
             **key.detail,
         }
 
 
 def compact(files: OsFiles) -> tuple[int, int]:
-    """Rewrite all segments without what no longer counts; the bytes before and after. What is no segment
-    is left alone, as a server does."""
+    """Rewrite all segments without what no longer counts; returns the bytes before and after.
+
+    A file that is no segment is left alone, as a server does.
+    """
     headers = (read_segment(files, number, name, Report()) for number, name in segment_names(files))
     first = next((header for header in headers if header is not None), None)
     if first is None:
         return 0, 0
     files.lock()
     try:
-        now, index = clock.now(), Index(_INDEX_BYTES)
+        now = clock.now()
+        index = Index(_INDEX_BYTES)
         log = SegmentLog(files, Owner(first.name, boot_id()), most_disk=1 << 40, power=True, unread=UNREAD_US)
         log.recover(index, now)
         before = log.size
--- a/cairnvane/idempotency/fingerprint.py
+++ b/cairnvane/idempotency/fingerprint.py
@@ -1,8 +1,8 @@
-"""What all tries of a keyed request have in common."""
+"""The request fingerprint: what all attempts of a keyed request have in common."""
 
 from __future__ import annotations
 
-try:  # what hashlib hands on. With hashlib itself comes OpenSSL, and a process takes 2.7 MB more
+try:  # what hashlib re-exports. Importing hashlib loads OpenSSL, which takes another 2.7 MB of memory
     from _blake2 import blake2b
 except ImportError:
     from hashlib import blake2b
@@ -10,6 +10,6 @@
 FINGERPRINT_BYTES = 16
 
 
-def fingerprint(lane: str, body: bytes) -> bytes:
-    """Of class and body, in 16 bytes; another body under its token differs."""
-    return blake2b(lane.encode() + b"\0" + body, digest_size=FINGERPRINT_BYTES).digest()
+def fingerprint(class_name: str, body: bytes) -> bytes:
+    """The 16 bytes for a class and a body; another body under the same key has other ones."""
+    return blake2b(class_name.encode() + b"\0" + body, digest_size=FINGERPRINT_BYTES).digest()
--- /dev/null
+++ b/tests/durable_log_driver.py
@@ -0,0 +1,135 @@
+"""Drives a durable log on the model of a disk, and checks what recovery finds after a power cut."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from cairnvane.claims.states import KeyState, Step
+from cairnvane.idempotency.durable import index as places
+from cairnvane.idempotency.durable import records
+from cairnvane.idempotency.durable.appender import RecordLocation
+from cairnvane.idempotency.durable.index import Index
+from cairnvane.idempotency.durable.segment_log import Entry, Owner, SegmentLog
+from cairnvane.testbed.disk import Disk
+
+SECOND_US = 1_000_000
+WINDOW_US = 8 * SECOND_US  # how long a key counts
+UNREAD_US = 2 * SECOND_US  # how much later than it arrived a duplicate may be read
+FINGERPRINT = bytes(range(16))
+BOOTS = [bytes([number]) * 16 for number in range(4)]
+
+
+def key(number: int) -> bytes:
+    """The idempotency key of a request."""
+    return number.to_bytes(4, "big") * 4
+
+
+def result(number: int, size: int = 3_000) -> bytes:
+    """The result of a request."""
+    return random.Random(number).randbytes(size)
+
+
+@dataclass
+class Driver:
+    """Does with a log what the store does, in one thread, and notes what was promised to clients."""
+
+    disk: Disk
+    boot: bytes = BOOTS[0]
+    now: int = 100 * SECOND_US
+    record_starts: bool = True
+    attempted: set[int] = field(default_factory=set)  # all requests that were to be started
+    started: dict[int, int] = field(default_factory=dict)  # started runs, and until when their keys count
+    answered: dict[int, int] = field(default_factory=dict)
+    ends: dict[int, bytes | None] = field(default_factory=dict)  # of all that were ever handed over
+
+    def __post_init__(self) -> None:
+        self.index = Index(1 << 16)
+        self.log = SegmentLog(
+            self.disk, Owner("n1", self.boot), most_disk=1 << 20, power=True, unread=UNREAD_US
+        )
+        self.recovered = self.log.recover(self.index, self.now).conclude()
+
+    def write(self, step: Step, number: int, own_part: bytes = b"") -> RecordLocation:
+        """Write one record and sync it."""
+        entry = Entry(step, key(number), self.now, self.now + WINDOW_US, own_part, pos=number)
+        [location] = self.log.append([entry], unix_ms=0)
+        self.log.sync()
+        return location
+
+    def start(self, number: int) -> None:
+        """Record the start of a run."""
+        self.attempted.add(number)
+        if self.record_starts:
+            own_part = records.put_intent(f"{number:016x}", FINGERPRINT, self.now, 24.5, "write")
+            self.write(Step.INTENT, number, own_part)
+        self.started[number] = self.now + WINDOW_US
+
+    def end(self, number: int, with_result: bytes | None) -> None:
+        """Record the end of a run and enter it into the index."""
+        self.ends[number] = with_result
+        step = Step.FAULT if with_result is None else Step.RESULT
+        segment, offset = self.write(step, number, records.put_end(FINGERPRINT, with_result or b""))
+        state = KeyState.FAILED if with_result is None else KeyState.FINISHED
+        word = places.place(segment, offset, places.tag(FINGERPRINT), state)
+        self.index.put(key(number), word, self.now + WINDOW_US)
+        self.answered[number] = self.now + WINDOW_US
+
+    def pass_time(self, by: int) -> None:
+        """Advance the clock, and drop what has expired."""
+        self.now += by
+        self.index.expire(self.now - UNREAD_US)
+        self.log.drop(self.now)
+
+    def compact(self, all_: bool = True) -> None:
+        """Compact all segments but the current one, or only the first."""
+        for number in list(self.log.segments)[: None if all_ else 1]:
+            if self.log.segments[number] is not self.log.current:
+                for _ in self.log.compact(number, self.index, self.now):
+                    pass
+
+
+def run_requests(driver: Driver, first: int, count: int, gap: int = SECOND_US // 10) -> None:
+    """All that a log does: ends with and without results, runs without an end, rotation, dropping."""
+    for number in range(first, first + count):
+        driver.start(number)
+        if number % 7 == 3:
+            driver.write(Step.CALL, number, records.put_call(number))
+        if number % 11 == 5:
+            del driver.started[number]
+            driver.write(Step.NEVER, number)
+        elif number % 13 != 6:
+            driver.end(number, None if number % 5 == 4 else result(number))
+        driver.pass_time(gap)
+
+
+def check_recovery(before: Driver, image: dict[str, bytes], boot: bytes) -> Driver:
+    """What recovery finds on a disk must hold all that was promised before, and nothing else."""
+    after = Driver(Disk(image), boot, before.now + SECOND_US // 10)
+    started = {run.key for run in after.recovered.started_runs}
+    for number, until in before.started.items():
+        if until <= after.now:
+            continue
+        found = after.index.get(key(number))
+        assert found is not None or key(number) in started, f"run {number} is forgotten and would run again"
+        if number in before.answered and found is not None:
+            expected = before.ends[number]
+            state = KeyState.FAILED if expected is None else KeyState.FINISHED
+            assert places.state(found[0]) is state, number
+    for number, until in before.answered.items():
+        found = after.index.get(key(number))
+        if until > after.now:
+            assert found is not None, f"the answer of {number} is forgotten"
+        if found is not None and places.state(found[0]) is KeyState.FINISHED:
+            assert after.log.fetch(found[0], key(number), FINGERPRINT) == before.ends[number]
+    assert started <= {key(number) for number in before.attempted}, "a run was invented"
+    return after
+
+
+def segment() -> tuple[Driver, str, bytes]:
+    """A log of one segment: its driver, and the segment's file name and content."""
+    disk = Disk()
+    driver = Driver(disk)
+    run_requests(driver, 1, 12, gap=1)
+    [name] = disk.names()
+    return driver, name, disk.content()[name]
--- /dev/null
+++ b/tests/idempotency/conftest.py
@@ -0,0 +1,17 @@
+"""Fixtures of the tests on stored results."""
+
+from __future__ import annotations
+
+import pytest
+from durable_servers import Killed
+from peers import expect_thread_errors
+
+from cairnvane.idempotency import durability
+from cairnvane.testbed.disk import PowerCut
+
+
+@pytest.fixture
+def killed_writers(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A writer thread may be killed, and duplicates are answered from the store alone."""
+    expect_thread_errors(monkeypatch, Killed, PowerCut)
+    monkeypatch.setattr(durability, "RECENT_RESULTS", 0)
--- /dev/null
+++ b/tests/idempotency/test_durable_notices.py
@@ -0,0 +1,118 @@
+"""Notices of the worker pool, and worker pools that are replaced, with a durable store."""
+
+from __future__ import annotations
+
+import threading
+
+import pytest
+from durable_servers import BOOT, KEYED, Servers, keyed, served
+from peers import WAIT_S
+
+from cairnvane.idempotency.durable import DurableStore
+from cairnvane.testbed.disk import Disk
+
+pytestmark = pytest.mark.usefixtures("killed_writers")
+
+
+def test_a_notice_without_a_record_is_sent_again() -> None:
+    servers = Servers()
+    with servers.run() as server:
+        balancer = server.balancer()
+        balancer.send(1, **KEYED)
+        uid = servers.pool.next("spawn")["uid"]
+        servers.kill_at = "append result", 0
+        servers.pool.notice("finished", uid, "fine", b"lost with the process")
+        assert servers.killed.wait(WAIT_S)
+    with servers.run() as server:  # bound from 0, not from 1
+        balancer = server.balancer()
+        balancer.send(2, **KEYED)
+        servers.pool.notice("finished", uid, "fine", b"real", again=True)
+        assert balancer.answer()[1].body == b"real"
+
+
+def test_with_a_new_worker_pool_a_run_without_an_end_fails_and_is_never_repeated() -> None:
+    servers = Servers()
+    with servers.run() as server:
+        balancer = server.balancer()
+        balancer.send(1, **KEYED)
+        servers.pool.next("spawn")
+        server.balancer().send(7)  # another notice, so that the next server binds behind it
+        servers.pool.notice("finished", servers.pool.next("spawn")["uid"], "fine")
+        balancer.send(9, path="/svc/write", HTTP_REQ_TOKEN="ab" * 16)
+        servers.pool.run()
+        assert balancer.answer()[0] == 9
+    servers.pool.restart()
+    with servers.run(pos=2) as server:
+        assert servers.pool.next("bind")["pos"] == 0  # a new pool counts from 1
+        balancer = server.balancer()
+        for number in (2, 3):
+            assert served(server, balancer, number).status == 500
+        balancer.send(4)
+        servers.pool.run(b"others are served")  # notice 1 of the new pool is none of the old one's
+        assert balancer.answer()[1].body == b"others are served"
+
+
+def test_a_worker_pool_replaced_while_the_server_runs_fails_its_runs_only() -> None:
+    servers = Servers()
+    with servers.run() as server:
+        balancer = server.balancer()
+        balancer.send(1, **KEYED)
+        balancer.send(2)
+        servers.pool.next("spawn")
+        servers.pool.next("spawn")
+        servers.pool.restart()
+        servers.pool.cut()
+        assert {balancer.answer()[1].status for _ in range(2)} == {500}
+        servers.pool.next("bind")
+        assert served(server, balancer, 3).status == 500
+        balancer.send(4)
+        servers.pool.run(b"new")
+        assert balancer.answer()[1].body == b"new"
+
+
+def test_every_record_tells_which_notices_are_settled() -> None:
+    servers = Servers()
+    with servers.run() as server:
+        balancer = server.balancer()
+        for number in range(1, 6):
+            balancer.send(number, **keyed(number))
+            servers.pool.run()
+            assert balancer.answer()[1].status == 200
+    with servers.run(pos=5):
+        pass
+
+
+def test_a_call_that_was_never_made_does_not_keep_its_notice_pending() -> None:
+    """Guards: a run that ended while it waited for its call kept its notice pending for good."""
+    servers = Servers()
+    with servers.run(FairCalls=1.0) as server:
+        balancer = server.balancer()
+        uids = []
+        for number in (1, 2):
+            balancer.send(number, **keyed(number))
+            uids.append(servers.pool.next("spawn")["uid"])
+            servers.pool.notice("blocked", uids[-1], content=b"call")
+        assert server.vault.calls.get(timeout=WAIT_S)  # of the first; the second has no room for one
+        servers.pool.notice("finished", uids[1], "broken_off")
+        servers.pool.notice("finished", uids[0], "fine", b"done")
+        assert {balancer.answer()[1].status for _ in uids} == {200, 500}
+        assert server.vault.calls.empty()
+    with servers.run(pos=4):
+        pass
+
+
+def test_a_record_of_an_earlier_worker_pool_settles_no_notice_of_this_one() -> None:
+    """Guards: both count from 1, and a late record of the one let the other's notice pass for recorded."""
+    disk, read = Disk(), threading.Event()
+    store = DurableStore(disk, "n1", BOOT, power=False, disk_bytes=8 << 20, memory_bytes=1 << 20, unread=1)
+    store.start(lambda left: read.set(), lambda: None, lambda why: None)
+    assert read.wait(WAIT_S)
+    disk.gate.clear()
+    store.notice_read(5, True)
+    store.record_end(bytes(16), 1 << 60, bytes(16), None, (5,), lambda: None)
+    store.pool_replaced()
+    store.notice_read(5, True)
+    store.notice_read(6, False)
+    disk.gate.set()
+    store.close()
+    assert store._state.progress.pos == 4
--- /dev/null
+++ b/tests/idempotency/test_durable_restarts.py
@@ -0,0 +1,147 @@
+"""Stored results over restarts of the server: what clients, worker pool and vault observe."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from durable_servers import BOOT, KEYED, OTHER_BOOT, Servers, served
+from peers import WAIT_S, reply
+
+from cairnvane.idempotency.durable.retention import AWAY_US
+
+pytestmark = pytest.mark.usefixtures("killed_writers")
+
+
+@pytest.mark.parametrize("power", [False, True])
+@pytest.mark.parametrize("boot", [BOOT, OTHER_BOOT])
+def test_a_duplicate_gets_the_answer_of_an_earlier_incarnation(power: bool, boot: bytes) -> None:
+    servers = Servers(power=power)
+    with servers.run() as server:
+        balancer = server.balancer()
+        balancer.send(1, **KEYED)
+        servers.pool.run(b"original")
+        assert balancer.answer()[1].body == b"original"
+        assert served(server, balancer, 2).body == b"original"  # read back from the disk
+    servers.boot = boot
+    with servers.run(pos=None) as server:
+        answer = served(server, server.balancer(), 3)
+        assert (answer.status, answer.body) == (200, b"original")
+        assert servers.pool.linked.wait(WAIT_S)  # before it, the run would be one of the pool that is gone
+        server.balancer().send(4)  # the pool sees nothing but binds and this
+        while (command := servers.pool.commands.get(timeout=WAIT_S))["action"] == "bind":
+            pass
+        assert (command["action"], command["uid"]) == ("spawn", f"{4:016x}")
+
+
+def test_a_run_in_flight_is_adopted_and_gets_its_result_from_the_worker_pool() -> None:
+    servers = Servers()
+    with servers.run() as server:
+        server.balancer().send(1, **KEYED)
+        uid = servers.pool.next("spawn")["uid"]
+    with servers.run() as server:
+        balancer = server.balancer()
+        balancer.send(2, **KEYED)
+        servers.pool.notice("finished", uid, "fine", b"real")
+        assert balancer.answer()[1].body == b"real"
+        assert servers.pool.commands.empty()
+    with servers.run(pos=1) as server:  # whose effect is recorded, and need not come again
+        assert served(server, server.balancer(), 3).body == b"real"
+
+
+def test_a_result_that_was_recorded_and_not_answered_is_stored() -> None:
+    servers = Servers()
+    with servers.run() as server:
+        server.balancer().send(1, **KEYED)
+        uid = servers.pool.next("spawn")["uid"]
+        servers.kill_at = "written result", 0
+        servers.pool.notice("finished", uid, "fine", b"stored")
+        assert servers.killed.wait(WAIT_S)
+    with servers.run(pos=None) as server:
+        assert served(server, server.balancer(), 2).body == b"stored"
+
+
+@pytest.mark.parametrize("point", ["append", "written"])
+def test_a_kill_between_start_record_and_start_never_runs_the_request_twice(point: str) -> None:
+    servers = Servers()
+    with servers.run() as server:
+        servers.kill_at = f"{point} intent", 0
+        server.balancer().send(1, **KEYED)
+        assert servers.killed.wait(WAIT_S)
+        assert servers.pool.commands.empty()
+    servers.pool.restart()
+    with servers.run(pos=None) as server:
+        assert servers.pool.next("bind")["pos"] == 0
+        balancer = server.balancer()
+        balancer.send(2, **KEYED)
+        if point == "append":  # nothing was written: nobody knows of it, and it runs for the first time
+            servers.pool.run(b"first")
+            assert balancer.answer()[1].body == b"first"
+        else:
+            assert balancer.answer()[1].status == 500
+
+
+@pytest.mark.parametrize("recorded", [False, True])
+def test_a_call_that_may_have_been_made_is_not_repeated_by_the_next_incarnation(recorded: bool) -> None:
+    """The vault's own record is the witness: a second call would be a second effect."""
+    servers = Servers()
+    with servers.run() as server:
+        server.balancer().send(1, **KEYED)
+        uid = servers.pool.next("spawn")["uid"]
+        if not recorded:
+            servers.kill_at = "append call", 0
+        servers.pool.notice("blocked", uid, content=b"call")
+        if recorded:
+            assert server.vault.calls.get(timeout=WAIT_S)
+        else:
+            assert servers.killed.wait(WAIT_S)
+    with servers.run(reply(200, b"balance"), pos=int(recorded)) as server:
+        servers.pool.notice("blocked", uid, content=b"call", again=True)
+        if recorded:
+            assert servers.pool.next("suspend")["uid"] == uid
+            servers.pool.notice("finished", uid, "broken_off")
+            assert server.vault.calls.empty()
+        else:
+            assert servers.pool.next("supply")["content"] == b"balance"
+            servers.pool.notice("finished", uid, "fine", b"done")
+        assert served(server, server.balancer(), 2).status == (500 if recorded else 200)
+
+
+@pytest.mark.parametrize("fields", [{"body": b"another"}, {"path": "/svc/write", "body": b""}])
+def test_a_key_with_another_body_fails_and_the_original_answer_stays(fields: dict[str, Any]) -> None:
+    servers = Servers()
+    with servers.run() as server:
+        balancer = server.balancer()
+        balancer.send(1, **KEYED)
+        servers.pool.run(b"mine")
+        assert balancer.answer()[1].body == b"mine"
+        assert served(server, balancer, 2, **fields).status == 500
+    with servers.run(pos=1) as server:
+        balancer = server.balancer()
+        assert served(server, balancer, 3, **fields).status == 500
+        assert served(server, balancer, 4).body == b"mine"
+
+
+def test_a_duplicate_during_recovery_waits_for_it() -> None:
+    servers = Servers()
+    with servers.run() as server:
+        balancer = server.balancer()
+        balancer.send(1, **KEYED)
+        servers.pool.run(b"original")
+        assert balancer.answer()[1].status == 200
+    with servers.run(pos=None, hold=True) as server:
+        balancer = server.balancer()
+        assert servers.recovering.wait(WAIT_S)
+        balancer.send(2, **KEYED)
+        balancer.send(3, path="/svc/nothing")  # read behind it, answered before it
+        assert balancer.answer()[0] == 3
+        servers.go_on.set()
+        assert balancer.answer()[1].body == b"original"
+
+
+def test_a_request_that_waits_too_long_for_recovery_is_rejected_with_retry_after() -> None:
+    servers = Servers()
+    with servers.run(pos=None, hold=True) as server:
+        answer = served(server, server.balancer(), 1)
+        assert (answer.status, int(answer.headers["Srv-Wait-Ms"])) == (503, AWAY_US // 1_000)
+        servers.go_on.set()
--- a/tests/idempotency/test_takeover.py
+++ b/tests/idempotency/test_takeover.py
@@ -104,7 +104,7 @@
 
     def owned(self, process: subprocess.Popen[str]) -> None:
         """Wait until it says that the folder is its own."""
-        self.says(process, "this life's own now")
+        self.says(process, "this process owns the folder now")
 
 
 @pytest.fixture(params=["process", "power"])
