--- a/cairnvane/idempotency/durable/recovery.py
+++ b/cairnvane/idempotency/durable/recovery.py
@@ -24,7 +24,8 @@
 _STEPS = {int(step): step for step in Step}
 # As plain numbers, since looking up an enum member takes as long as the work that depends on it.
 INTENT, CALL, RESULT, FAULT, LINK = map(int, (Step.INTENT, Step.CALL, Step.RESULT, Step.FAULT, Step.LINK))
-HEAD_BYTES, COMMON_BYTES = records.HEAD_BYTES, records.COMMON_BYTES
+HEAD_BYTES = records.HEAD_BYTES
+COMMON_BYTES = records.COMMON_BYTES
 # This many illegal steps are described; the rest is counted.
 MAX_DESCRIBED = 20
 
@@ -46,13 +47,16 @@
 
 
 class Recovery:
-    """Is given the records of all segments, oldest first."""
+    """Is given the records of all segments, oldest first.
+
+    Raises `IndexFullError` if more keys are within their window than the index has room for.
+    """
 
     def __init__(self, index: Index, boot: bytes, unread: int, now: int) -> None:
         self.counts = Counts()
         self.runs: dict[bytes, Run] = {}
-        self.pos = 0
-        self.pool_started: int | None = None
+        self.pos = 0  # notices up to this one have had their effect recorded
+        self.pool_started: int | None = None  # when the last worker pool started; None: there was none
         self._index = index
         self._boot = boot
         self._unread = unread
@@ -68,7 +72,8 @@
         return self._segment
 
     def _state(self, key: bytes) -> KeyState:
-        if (run := self.runs.get(key)) is not None:
+        run = self.runs.get(key)
+        if run is not None:
             return KeyState.CALLING if run[4] else KeyState.INTENDED
         if key in self._never_started:
             return KeyState.VOID
@@ -158,19 +163,9 @@
             self._describe_illegal(f"{key.hex()}: {error}")
             return
         if kind in (RESULT, FAULT):
-            self._forget_run(key)
-            mark = places.tag(payload[COMMON_BYTES : COMMON_BYTES + 2])
-            word = places.place(self._segment.number, offset, mark, after)
-            if not self._index.put(key, word, until):
-                raise self._index_full()
-            step = until // AGE_STEP_US
-            self._indexed_by_end[step] = self._indexed_by_end.get(step, 0) + 1
+            self._ended(key, offset, payload, until, after)
         elif kind == INTENT:
-            self._never_started.discard(key)
-            if key in self.runs:
-                self._segment.dead += size
-            else:
-                self.runs[key] = self._segment, size, payload, self._shift, 0
+            self._about_to_start(key, payload, size)
         elif kind == CALL:
             self.runs[key] = *self.runs[key][:4], records.call(payload[COMMON_BYTES:])
             self._segment.dead += size
@@ -178,9 +173,25 @@
             self._forget_run(key)
             self._never_started.add(key)
 
+    def _ended(self, key: bytes, offset: int, payload: bytes, until: int, end_state: KeyState) -> None:
+        self._forget_run(key)
+        mark = places.tag(payload[COMMON_BYTES : COMMON_BYTES + 2])
+        word = places.place(self._segment.number, offset, mark, end_state)
+        if not self._index.put(key, word, until):
+            raise self._index_full()
+        step = until // AGE_STEP_US
+        self._indexed_by_end[step] = self._indexed_by_end.get(step, 0) + 1
+
+    def _about_to_start(self, key: bytes, payload: bytes, size: int) -> None:
+        self._never_started.discard(key)
+        if key in self.runs:
+            self._segment.dead += size  # written again after a write that failed half way
+        else:
+            self.runs[key] = self._segment, size, payload, self._shift, 0
+
     def _linked(self, payload: bytes) -> None:
         started = records.link(payload[COMMON_BYTES:])
-        if started != self.pool_started:  # a new pool counts from 1
+        if started != self.pool_started:  # a new worker pool numbers its notices from 1 again
             self.pos = records.common(payload)[3]
         # A pool of another boot is gone, and no other pool is taken for it.
         self.pool_started = started if self._shift == 0 else LONG_GONE
--- a/cairnvane/idempotency/run_recovery.py
+++ b/cairnvane/idempotency/run_recovery.py
@@ -7,17 +7,16 @@
 
 import logging
 from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from .. import clock
 from ..claims import states
-from ..contract.events import Event, KeysRestored
+from ..contract.events import KeysRestored
 from ..contract.settings import RequestClass
-from ..exchange import Request
 from ..net.worker_pool import WorkerPool
-from ..server.in_flight import InFlightRequest
 from .pending_records import OpenKey
 from .recovery_gate import RecoveryGate
+from .request_owner import RequestOwner
 from .store import IdempotencyStore, RecoveredState, StartedRun
 
 logger = logging.getLogger(__name__)
@@ -34,19 +33,6 @@
     request_class: RequestClass
 
 
-class RecoveryOwner(Protocol):
-    """What the server does for recovery."""
-
-    def notify(self, event: Event) -> None:
-        """Hand an event to the controller."""
-
-    def adopt_run(self, run: StartedRun, class_number: int, time_left: int) -> InFlightRequest:
-        """Treat a run of an earlier incarnation as one's own; it is cancelled after `time_left`."""
-
-    def retry_arrival(self, request: Request) -> None:
-        """Process an arrival once more."""
-
-
 class RunRecovery:
     """Takes over what an earlier incarnation has left."""
 
@@ -56,7 +42,7 @@
         classes: dict[str, NumberedClass],
         gate: RecoveryGate,
         add_key: Callable[[int, OpenKey], None],
-        owner: RecoveryOwner,
+        owner: RequestOwner,
         pool: WorkerPool,
     ) -> None:
         """`add_key` gets the number of an adopted request and its key."""
--- a/tests/idempotency/test_durable_disk_errors.py
+++ b/tests/idempotency/test_durable_disk_errors.py
@@ -13,7 +13,7 @@
 
 
 @pytest.mark.parametrize("kind", ["write", "sync", "create"])
-@pytest.mark.parametrize("error", [errno.ENOSPC, errno.EROFS])
+@pytest.mark.parametrize("error", [errno.ENOSPC, errno.EROFS], ids=["disk full", "read-only"])
 def test_while_the_disk_fails_new_keyed_requests_are_rejected(kind: str, error: int) -> None:
     servers = Servers(power=True)
     with servers.run() as server:
@@ -26,7 +26,7 @@
         balancer.send(2, **keyed(2))
         answer = balancer.answer()[1]
         assert answer.status == 503 and int(answer.headers["Srv-Wait-Ms"]) > 0
-        server.serve(balancer, 3)  # who has no key goes on
+        server.serve(balancer, 3)  # a request without a key is served
         servers.disk.fails = {}
         number = 4
         while True:  # without a restart
@@ -50,7 +50,7 @@
         assert served(server, other, 3, **keyed(3)).status == 503  # at once, behind a slow write
         server.serve(other, 4)
         servers.pool.notice("finished", uid, "fine", b"late")
-        other.send(5, **keyed(1))  # its repeat waits as well
+        other.send(5, **keyed(1))  # its duplicate waits as well
         servers.disk.gate.set()
         assert balancer.answer()[1].body == b"late"
         assert other.answer()[1].body == b"late"
--- a/tests/idempotency/test_durable_log.py
+++ b/tests/idempotency/test_durable_log.py
@@ -68,7 +68,7 @@
             assert number in driver.ends
             if places.state(found[0]) is KeyState.FINISHED:
                 assert after.log.fetch(found[0], key(number), FINGERPRINT) in (driver.ends[number], None)
-    if kind == "cut":  # what stands whole before it counts
+    if kind == "cut":  # a record that is whole before the cut counts
         for number in driver.ends:
             word = driver.index.get(key(number))
             assert word is not None
@@ -99,6 +99,7 @@
         (records.MAGIC + b"\x01\0", "cut short"),
         (random.Random(1).randbytes(400_000), "not a segment"),
     ],
+    ids=["empty", "zeros", "text", "header cut short", "large noise"],
 )
 def test_a_file_that_is_no_segment_is_reported_and_left_alone(data: bytes, expected: str) -> None:
     disk = Disk({segment_name(7): data, "notes.txt": b"mine"})
@@ -115,6 +116,7 @@
         ({"version": records.VERSION + 1}, "newer version"),
         ({"name": "n2"}, "belongs to the instance 'n2'"),
     ],
+    ids=["newer format", "another instance"],
 )
 def test_a_newer_format_and_another_instances_folder_are_rejected(
     change: dict[str, Any], expected: str
@@ -149,7 +151,7 @@
         assert (after.index.get(key(1)) is not None) is counts
     late = after.now + WINDOW_US + UNREAD_US + SECOND_US
     after.index.expire(late - UNREAD_US)
-    assert after.index.get(key(1)) is None  # but it does age once its time is counted again
+    assert after.index.get(key(1)) is None  # but it does expire once its time is counted again
 
 
 def test_expired_segments_are_dropped_and_compaction_keeps_live_records() -> None:
--- a/tests/idempotency/test_durable_notices.py
+++ b/tests/idempotency/test_durable_notices.py
@@ -103,10 +103,11 @@
 
 def test_a_record_of_an_earlier_worker_pool_settles_no_notice_of_this_one() -> None:
     """Guards: both count from 1, and a late record of the one let the other's notice pass for recorded."""
-    disk, read = Disk(), threading.Event()
+    disk = Disk()
+    recovered = threading.Event()
     store = DurableStore(disk, "n1", BOOT, power=False, disk_bytes=8 << 20, memory_bytes=1 << 20, unread=1)
-    store.start(lambda left: read.set(), lambda: None, lambda why: None)
-    assert read.wait(WAIT_S)
+    store.start(lambda state: recovered.set(), lambda: None, lambda cause: None)
+    assert recovered.wait(WAIT_S)
     disk.gate.clear()
     store.notice_read(5, True)
     store.record_end(bytes(16), 1 << 60, bytes(16), None, (5,), lambda: None)
--- a/tests/idempotency/test_durable_restarts.py
+++ b/tests/idempotency/test_durable_restarts.py
@@ -13,8 +13,8 @@
 pytestmark = pytest.mark.usefixtures("killed_writers")
 
 
-@pytest.mark.parametrize("power", [False, True])
-@pytest.mark.parametrize("boot", [BOOT, OTHER_BOOT])
+@pytest.mark.parametrize("power", [False, True], ids=["process", "power"])
+@pytest.mark.parametrize("boot", [BOOT, OTHER_BOOT], ids=["same boot", "another boot"])
 def test_a_duplicate_gets_the_answer_of_an_earlier_incarnation(power: bool, boot: bytes) -> None:
     servers = Servers(power=power)
     with servers.run() as server:
@@ -61,11 +61,11 @@
         assert served(server, server.balancer(), 2).body == b"stored"
 
 
-@pytest.mark.parametrize("point", ["append", "written"])
-def test_a_kill_between_start_record_and_start_never_runs_the_request_twice(point: str) -> None:
+@pytest.mark.parametrize("step", ["append", "written"])
+def test_a_kill_between_start_record_and_start_never_runs_the_request_twice(step: str) -> None:
     servers = Servers()
     with servers.run() as server:
-        servers.kill_at = f"{point} intent", 0
+        servers.kill_at = f"{step} intent", 0
         server.balancer().send(1, **KEYED)
         assert servers.killed.wait(WAIT_S)
         assert servers.pool.commands.empty()
@@ -74,14 +74,14 @@
         assert servers.pool.next("bind")["pos"] == 0
         balancer = server.balancer()
         balancer.send(2, **KEYED)
-        if point == "append":  # nothing was written: nobody knows of it, and it runs for the first time
+        if step == "append":  # nothing was written: nobody knows of it, and it runs for the first time
             servers.pool.run(b"first")
             assert balancer.answer()[1].body == b"first"
         else:
             assert balancer.answer()[1].status == 500
 
 
-@pytest.mark.parametrize("recorded", [False, True])
+@pytest.mark.parametrize("recorded", [False, True], ids=["not recorded", "recorded"])
 def test_a_call_that_may_have_been_made_is_not_repeated_by_the_next_incarnation(recorded: bool) -> None:
     """The vault's own record is the witness: a second call would be a second effect."""
     servers = Servers()
@@ -107,7 +107,11 @@
         assert served(server, server.balancer(), 2).status == (500 if recorded else 200)
 
 
-@pytest.mark.parametrize("fields", [{"body": b"another"}, {"path": "/svc/write", "body": b""}])
+@pytest.mark.parametrize(
+    "fields",
+    [{"body": b"another"}, {"path": "/svc/write", "body": b""}],
+    ids=["another body", "empty body"],
+)
 def test_a_key_with_another_body_fails_and_the_original_answer_stays(fields: dict[str, Any]) -> None:
     servers = Servers()
     with servers.run() as server:
--- a/tests/idempotency/test_kills_at_every_step.py
+++ b/tests/idempotency/test_kills_at_every_step.py
@@ -1,4 +1,4 @@
-"""The log and the ledger together, killed at every step of either until none is left."""
+"""The durable log and the claim log together, killed at every step of either."""
 
 from __future__ import annotations
 
@@ -20,119 +20,126 @@
 
 BOOT = b"a" * 16
 RESULTS: dict[bytes, bytes | None] = {b"\1" * 16: b"a" * 300, b"\2" * 16: b"b" * 300, b"\3" * 16: None}
-OPEN = b"\4" * 16
-SHORT_S = 0.2  # what has not come by then was killed
+OPEN_KEY = b"\4" * 16
+SHORT_S = 0.2  # a writer that has not answered by then was killed
 
 
-class Life:
-    """One process: its keeper, and what a host would ask of it."""
+class Incarnation:
+    """One process: its store, and what a server would ask of it."""
 
     def __init__(self, path: Path, disk: Disk, folder: OsFolder) -> None:
-        self.lives = Incarnations(path / "lives")
-        self.lives.enter()
-        self.ledger = ClaimLog(folder, self.lives, UNREAD)
-        self.ledger.open()
+        self.incarnations = Incarnations(path / "lives")
+        self.incarnations.enter()
+        self.claim_log = ClaimLog(folder, self.incarnations, UNREAD)
+        self.claim_log.open()
         store = DurableStore(
             disk, "n1", BOOT, power=False, disk_bytes=8 << 20, memory_bytes=1 << 20, unread=UNREAD
         )
-        self.keeper = TakeoverStore(store, self.ledger, path, folder.path, power=False)
-        self.until: dict[bytes, int] = {}
+        self.store = TakeoverStore(store, self.claim_log, path, folder.path, power=False)
+        self.expires_at: dict[bytes, int] = {}
 
     def start(self, wait_s: float) -> bool:
-        """Whether all was read in time."""
+        """Whether recovery is complete in time."""
         ready = threading.Event()
-        self.keeper.start(lambda left: ready.set(), lambda: None, lambda why: None)
+        self.store.start(lambda state: ready.set(), lambda: None, lambda cause: None)
         return ready.wait(wait_s)
 
-    def run(self, token: bytes, wait_s: float) -> str:
-        told: list[str] = []
-        there = threading.Event()
-
-        def say(what: str) -> None:
-            told.append(what)
-            there.set()
-
-        self.until[token] = clock.now() + 60_000_000
-        self.keeper.reserve()
-        begun = StartedRun(token, "ab" * 8, "write", SAME, self.until[token], self.until[token], 1.0, 0)
-        self.keeper.record_start(
-            begun, lambda: say("runs"), lambda other: say("elsewhere" if other else "refused")
+    def run(self, key: bytes, wait_s: float) -> str:
+        """Record the start of a run; what the store answers, "nothing" if it does not in time."""
+        answers: list[str] = []
+        is_answered = threading.Event()
+
+        def answer(text: str) -> None:
+            answers.append(text)
+            is_answered.set()
+
+        expires_at = clock.now() + 60_000_000
+        self.expires_at[key] = expires_at
+        self.store.reserve()
+        run = StartedRun(key, "ab" * 8, "write", SAME, expires_at, expires_at, 1.0, 0)
+        self.store.record_start(
+            run,
+            lambda: answer("runs"),
+            lambda is_elsewhere: answer("elsewhere" if is_elsewhere else "rejected"),
         )
-        return told[0] if there.wait(wait_s) else "nothing"
+        return answers[0] if is_answered.wait(wait_s) else "nothing"
 
-    def ends(self, token: bytes, result: bytes | None, wait_s: float) -> bool:
-        there = threading.Event()
-        self.keeper.record_end(token, self.until[token], SAME, result, (), there.set)
-        return there.wait(wait_s)
+    def end(self, key: bytes, result: bytes | None, wait_s: float) -> bool:
+        """Record the end of a run; whether that is recorded in time."""
+        is_recorded = threading.Event()
+        self.store.record_end(key, self.expires_at[key], SAME, result, (), is_recorded.set)
+        return is_recorded.wait(wait_s)
 
-    def fetch(self, token: bytes) -> bytes | None:
-        told: list[bytes | None] = []
-        there = threading.Event()
+    def fetch(self, key: bytes) -> bytes | None:
+        """The stored result of a key; None if there is none."""
+        results: list[bytes | None] = []
+        is_fetched = threading.Event()
 
         def then(result: bytes | None) -> None:
-            told.append(result)
-            there.set()
+            results.append(result)
+            is_fetched.set()
 
-        past = self.keeper.look_up(token, SAME, clock.now())
-        if past is None or not past.has_result:
+        stored = self.store.look_up(key, SAME, clock.now())
+        if stored is None or not stored.has_result:
             return None
-        self.keeper.fetch_result(token, SAME, then)
-        assert there.wait(WAIT_S)
-        return told[0]
+        self.store.fetch_result(key, SAME, then)
+        assert is_fetched.wait(WAIT_S)
+        return results[0]
 
-    def dies(self) -> None:
-        """As if killed: its locks fall, and it says nothing more."""
-        self.lives.beat = lambda: None  # type: ignore[method-assign]
-        self.lives.leave()
-        self.ledger._closed = True
+    def die(self) -> None:
+        """As if killed: its locks are released, and it notifies nobody any more."""
+        self.incarnations.beat = lambda: None  # type: ignore[method-assign]
+        self.incarnations.leave()
+        self.claim_log._closed = True
 
 
-def history(life: Life, began: list[bytes], told: dict[bytes, bytes | None]) -> None:
-    """Three commits that end and one in the middle, until the kill; each step waits for the one before."""
-    for token in (*RESULTS, OPEN):
-        if life.run(token, SHORT_S) != "runs":
+def history(incarnation: Incarnation, started: list[bytes], answered: dict[bytes, bytes | None]) -> None:
+    """Three requests that end and one that stays open, until the kill; each step waits for the one before."""
+    for key in (*RESULTS, OPEN_KEY):
+        if incarnation.run(key, SHORT_S) != "runs":
             raise Killed
-        began.append(token)
-        if token in RESULTS:
-            if not life.ends(token, RESULTS[token], SHORT_S):
+        started.append(key)
+        if key in RESULTS:
+            if not incarnation.end(key, RESULTS[key], SHORT_S):
                 raise Killed
-            told[token] = RESULTS[token]
+            answered[key] = RESULTS[key]
 
 
-@pytest.mark.parametrize("where", ["ledger", "log"])
-def test_killed_at_any_step_of_log_or_ledger_nothing_runs_again(
+@pytest.mark.parametrize("killed_log", ["claim log", "durable log"])
+def test_a_kill_at_any_step_of_either_log_never_runs_a_request_twice(
     tmp_path: Path,
-    where: str,
+    killed_log: str,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     expect_thread_errors(monkeypatch, Killed, PowerCut)  # a writer that is killed
     for kill_at in range(200):
         path = tmp_path / str(kill_at)
-        disk, folder = Disk(), Steps(path / f"{LEDGER}cafe0000")
-        folder.kill_at = kill_at if where == "ledger" else -1
-        disk.cut_at = kill_at if where == "log" else None
-        began: list[bytes] = []
-        told: dict[bytes, bytes | None] = {}
-        finished = False
-        old: Life | None = None
+        disk = Disk()
+        folder = Steps(path / f"{LEDGER}cafe0000")
+        folder.kill_at = kill_at if killed_log == "claim log" else -1
+        disk.cut_at = kill_at if killed_log == "durable log" else None
+        started: list[bytes] = []
+        answered: dict[bytes, bytes | None] = {}
+        is_finished = False
+        old: Incarnation | None = None
         with contextlib.suppress(Killed):
-            old = Life(path, disk, folder)
+            old = Incarnation(path, disk, folder)
             if not old.start(SHORT_S):
                 raise Killed
-            history(old, began, told)
-            finished = True
+            history(old, started, answered)
+            is_finished = True
         if old is not None:
-            old.dies()
-        new = Life(path, Disk(disk.content()), OsFolder(folder.path))
+            old.die()
+        new = Incarnation(path, Disk(disk.content()), OsFolder(folder.path))
         assert new.start(WAIT_S), kill_at
-        for token in began:
-            past = new.keeper.look_up(token, SAME, clock.now())
-            assert past is not None or new.run(token, WAIT_S) == "elsewhere", (kill_at, token)
-            may = [told[token]] if token in told else [None, RESULTS.get(token)]
-            assert new.fetch(token) in may, (kill_at, token)
-        new.keeper.close()
-        new.lives.leave()
-        if finished:
+        for key in started:
+            stored = new.store.look_up(key, SAME, clock.now())
+            assert stored is not None or new.run(key, WAIT_S) == "elsewhere", (kill_at, key)
+            allowed = [answered[key]] if key in answered else [None, RESULTS.get(key)]
+            assert new.fetch(key) in allowed, (kill_at, key)
+        new.store.close()
+        new.incarnations.leave()
+        if is_finished:
             assert kill_at > 8
             return
-    raise AssertionError("never finished")
+    raise AssertionError("never is_finished")
