Return named values from the index and from recovery, and name the store's own methods

The index returned bare pairs, and a recovered segment a bare pair of damage and end. They are IndexEntry, WordLocation and SegmentReading now, and read by name. Methods that only the takeover store and the writer use say what they do: has_end, settle_notices, read_unowned_result, compact_step, may_match, is_before_end, replace_word.

--- a/cairnvane/idempotency/durable/claim_transfer.py
+++ b/cairnvane/idempotency/durable/claim_transfer.py
@@ -76,7 +76,7 @@
         """Transfer everything; returns the started runs whose end no log knows."""
         started = {run.key: run for run in recovered.started_runs}
         for key, entry, result in self._claim_log.entries():
-            if not self._store.knows(key):
+            if not self._store.has_end(key):
                 self._transfer(key, entry, result, started)
         for path in self._folder.glob(f"{LEDGER}*"):
             if path != self._own_path:
@@ -115,7 +115,7 @@
             return
         now = clock.now()
         for key, entry in claims.entries.items():
-            if entry.state is KeyState.VOID or self._store.knows(key):
+            if entry.state is KeyState.VOID or self._store.has_end(key):
                 continue
             result = claims.results.get(key) if entry.state is KeyState.FINISHED else None
             self._record_end(key, now + entry.until - entry.at, entry.same, result, started)
--- a/cairnvane/idempotency/durable/compaction.py
+++ b/cairnvane/idempotency/durable/compaction.py
@@ -121,9 +121,8 @@
         found = self._index.get(key)
         if found is None:
             return None
-        word = found[0]
-        is_here = places.where(word) == (self._number % places.MOST_SEGMENT, offset)
-        return word if is_here else None
+        location = places.WordLocation(self._number % places.MOST_SEGMENT, offset)
+        return found.word if places.where(found.word) == location else None
 
     def _replace(self, old: Segment, new: Segment) -> None:
         self._report_step("compaction")
@@ -132,6 +131,6 @@
         self._segments[self._number] = new
         self._start_records.segment_replaced(old, new)
         for key, old_word, new_word in _MOVE.iter_unpack(self._moves):
-            self._index.move(key, old_word, new_word)
+            self._index.replace_word(key, old_word, new_word)
         if self._power:
             self._files.sync_folder()
--- a/cairnvane/idempotency/durable/deferred_records.py
+++ b/cairnvane/idempotency/durable/deferred_records.py
@@ -35,7 +35,7 @@
 
     def settle_in(self, store: DurableStore) -> None:
         """Settle the notices, and report the worker pool. The last step, after the runs were entered."""
-        store.settle(tuple(self._settled_notices))
+        store.settle_notices(tuple(self._settled_notices))
         self._settled_notices.clear()
         if self.pool_started_at is not None:
             store.pool_linked(self.pool_started_at)
--- a/cairnvane/idempotency/durable/index.py
+++ b/cairnvane/idempotency/durable/index.py
@@ -11,6 +11,7 @@
 
 import mmap
 import struct
+from typing import NamedTuple
 
 from ...claims.states import KeyState
 
@@ -55,10 +56,24 @@
     )
 
 
-def where(word: int) -> tuple[int, int]:
+class WordLocation(NamedTuple):
+    """The place of a record, as a word has it."""
+
+    segment: int  # modulo `MOST_SEGMENT`
+    offset: int
+
+
+class IndexEntry(NamedTuple):
+    """What the index has of a key."""
+
+    word: int
+    end_tick: int
+
+
+def where(word: int) -> WordLocation:
     """The segment (modulo `MOST_SEGMENT`) and the offset in a word."""
     word >>= _TAG_BITS + _STATE_BITS
-    return word >> _OFFSET_BITS, word & (MOST_OFFSET - 1)
+    return WordLocation(word >> _OFFSET_BITS, word & (MOST_OFFSET - 1))
 
 
 def state(word: int) -> KeyState:
@@ -66,7 +81,7 @@
     return KeyState(word & _STATE_MASK)
 
 
-def alike(word: int, fingerprint: bytes) -> bool:
+def may_match(word: int, fingerprint: bytes) -> bool:
     """Whether a word may be that of this request; only the whole fingerprint on disk proves it."""
     return word >> _STATE_BITS & MARK_MASK == tag(fingerprint)
 
@@ -126,16 +141,16 @@
                 return at, word, end
             behind = back
 
-    def get(self, key: bytes) -> tuple[int, int] | None:
+    def get(self, key: bytes) -> IndexEntry | None:
         """The word of a key and the tick of its end."""
         found = self._find(key)
-        return found[1:] if found is not None else None
+        return IndexEntry(found[1], found[2]) if found is not None else None
 
-    def counts(self, tick: int, arrived: int) -> bool:
+    def is_before_end(self, tick: int, arrived: int) -> bool:
         """Whether the end at this tick lies after the time `arrived`."""
         return tick - arrived // TICK_US - 1 & _MASK < _HALF
 
-    def move(self, key: bytes, before: int, after: int) -> bool:
+    def replace_word(self, key: bytes, before: int, after: int) -> bool:
         """Replace the word `before` of a key; False if the entry has been replaced meanwhile."""
         found = self._find(key)
         if found is None or found[1] != before:
--- a/cairnvane/idempotency/durable/recovery.py
+++ b/cairnvane/idempotency/durable/recovery.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from ...claims import states
 from ...claims.states import IllegalStepError, KeyState, Step
@@ -46,6 +47,13 @@
     more_illegal: int = 0
 
 
+class SegmentReading(NamedTuple):
+    """What reading a segment has found in addition to its records."""
+
+    damages: list[records.Damage]
+    end: int  # of the last good record
+
+
 class Recovery:
     """Is given the records of all segments, oldest first.
 
@@ -80,18 +88,17 @@
         found = self._index.get(key)
         if found is None:
             return KeyState.UNKNOWN
-        is_current = self._index.counts(found[1], self._now - self._unread)
-        return places.state(found[0]) if is_current else KeyState.AGED
+        is_current = self._index.is_before_end(found.end_tick, self._now - self._unread)
+        return places.state(found.word) if is_current else KeyState.AGED
 
     def read(
         self,
         scanned: Iterable[records.RawRecord | records.Damage],
-    ) -> tuple[list[records.Damage], int]:
+    ) -> SegmentReading:
         """Process all that `records.scan` finds in the segment.
 
-        Returns what was damaged, and where the last record ends. Hundreds of thousands of records come here,
-        so the two steps of an ordinary request are inlined, with all that they need in locals: the start of
-        an unknown key, and the result of a started run.
+        Hundreds of thousands of records come here, so the two steps of an ordinary request are inlined, with
+        all that they need in locals: the start of an unknown key, and the result of a started run.
         """
         segment = self._segment
         shift = self._shift
@@ -143,7 +150,7 @@
         self.pos = pos
         self.counts.records += count
         segment.note(by_end, ends)
-        return damages, end
+        return SegmentReading(damages, end)
 
     def _index_full(self) -> IndexFullError:
         return IndexFullError(f"more than {self._index.capacity:,} keys are within their window")
--- a/cairnvane/idempotency/durable/segment_log.py
+++ b/cairnvane/idempotency/durable/segment_log.py
@@ -99,11 +99,11 @@
 
     def _read(self, name: str, header: records.Header, recovery: Recovery) -> None:
         segment = recovery.begin(header)
-        damages, end = recovery.read(blocks(self._files, name, header))
+        reading = recovery.read(blocks(self._files, name, header))
         segment.size = self._files.size(name)
-        if self.report.take(name, damages, end):
-            self._files.cut(name, end)
-            segment.size = end
+        if self.report.take(name, reading.damages, reading.end):
+            self._files.cut(name, reading.end)
+            segment.size = reading.end
         self.segments[header.number] = segment
 
     # --- appending
@@ -175,7 +175,7 @@
         oldest = next(iter(self.segments.values()), None)
         return None if oldest is None else max(0, oldest.ends + self._unread - now)
 
-    def compact_a_little(self, index: Index, now: int) -> bool:
+    def compact_step(self, index: Index, now: int) -> bool:
         """Continue a compaction, or begin one if it is worth it; False if there is nothing to do."""
         if self._compaction is None:
             number = retention.to_compact(self._closed_segments(), self._most_disk, now)
--- a/cairnvane/idempotency/durable/space_maintenance.py
+++ b/cairnvane/idempotency/durable/space_maintenance.py
@@ -33,7 +33,7 @@
             state.index.expire(now - self._unread)
         try:
             state.log.drop(now)
-            while state.log.compact_a_little(state.index, now) and self._is_idle():
+            while state.log.compact_step(state.index, now) and self._is_idle():
                 pass
         except OSError as error:
             state.log.stop_compacting()  # the segment that is being written is not at fault
--- a/cairnvane/idempotency/durable/state.py
+++ b/cairnvane/idempotency/durable/state.py
@@ -77,10 +77,10 @@
         """
         with self.lock:
             found = self.index.get(key)
-        if found is None or places.state(found[0]) is not KeyState.FINISHED:
+        if found is None or places.state(found.word) is not KeyState.FINISHED:
             return None
         try:
-            return self.log.fetch(found[0], key, fingerprint)
+            return self.log.fetch(found.word, key, fingerprint)
         except OSError as error:
             logger.warning("a stored result is not readable: key=%s cause=%s", key.hex(), error)
             return None
--- a/cairnvane/idempotency/durable/store.py
+++ b/cairnvane/idempotency/durable/store.py
@@ -198,27 +198,27 @@
         state = self._state
         with state.lock:
             found = state.index.get(key)
-            if found is None or not state.index.counts(found[1], arrived_at):
+            if found is None or not state.index.is_before_end(found.end_tick, arrived_at):
                 return None
-        word = found[0]
-        if not places.alike(word, fingerprint):
+        word = found.word
+        if not places.may_match(word, fingerprint):
             raise KeyConflictError(f"key {key.hex()} is stored for another class or body")
         decision = states.repeat(places.state(word), True)
         if decision is RetryDecision.RUN:
             return None
         return StoredEntry(key, decision is RetryDecision.RESULT)
 
-    def knows(self, key: bytes) -> bool:
+    def has_end(self, key: bytes) -> bool:
         """Whether an end of this key is recorded."""
         with self._state.lock:
             return self._state.index.get(key) is not None
 
-    def settle(self, settles: tuple[int, ...]) -> None:
+    def settle_notices(self, settles: tuple[int, ...]) -> None:
         """The effect of these notices is recorded elsewhere."""
         with self._state.lock:
             self._state.progress.written(settles)
 
-    def peeked(self, key: bytes, fingerprint: bytes) -> bytes | None:
+    def read_unowned_result(self, key: bytes, fingerprint: bytes) -> bytes | None:
         """Read a result from a folder that another process owns; None if it is not available.
 
         Waits for the disk.
--- a/cairnvane/idempotency/durable/takeover_store.py
+++ b/cairnvane/idempotency/durable/takeover_store.py
@@ -204,14 +204,14 @@
     def fetch_result(self, key: bytes, fingerprint: bytes, then: Callable[[bytes | None], None]) -> None:
         """See `IdempotencyStore`."""
         with self._lock:
-            is_stored = self._store.knows(key)
+            is_stored = self._store.has_end(key)
             can_ask_writer = self._is_owner or not self._found_owned
         if not is_stored:
             self._ledger.fetch_result(key, fingerprint, then)
         elif can_ask_writer:
             self._store.fetch_result(key, fingerprint, then)
         else:
-            self._tasks.add(lambda: then(self._store.peeked(key, fingerprint)))
+            self._tasks.add(lambda: then(self._store.read_unowned_result(key, fingerprint)))
 
     def close(self) -> None:
         """See `IdempotencyStore`."""
