Server: split the event loop into arrivals, duplicates and actions

One class of 400 lines kept the inbox, the table of requests, the idempotency keys and the duplicates, and carried out the controller's actions. Its names were invented ones.

Now each part owns its state: `event_loop` (inbox, thread, order), `arrivals` (checks what was read), `duplicates` (keys, waiting duplicates), `action_executor` (actions to parts), `responder` (final responses with the load signal) and the table in `in_flight`. `executions`, `timers` and `health_checks` have the field's names and say what their locks guard. The methods that others call keep their names, and steps keep their order.

Two tests compared log lines of the old form (`cairnvane: settings: ...`): they now compare the line that `logging` writes, as exactly as before.

--- /dev/null
+++ b/cairnvane/server/action_executor.py
@@ -0,0 +1,155 @@
+"""Carries out the controller's actions, one at a time, in the event loop's thread."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from ..contract.actions import (
+    Action,
+    Cancel,
+    CloseIdleConnections,
+    Fail,
+    ForgetKey,
+    LogMessage,
+    MakeCall,
+    Reject,
+    RememberKey,
+    ReplayResult,
+    ReportLoad,
+    SetHealth,
+    SetTimer,
+    StartRun,
+)
+from ..exchange import ResponseStatus
+from ..net.server import FastCgiServer
+from .duplicates import Duplicates
+from .executions import Executions
+from .health_checks import HealthResponder
+from .in_flight import InFlightRequest, InFlightTable
+from .responder import Responder
+from .timers import ControllerTimers
+
+if TYPE_CHECKING:  # only where an operator turned it on
+    from ..idempotency.durability import DurableKeys
+
+logger = logging.getLogger(__name__)
+
+MICROSECONDS_PER_MILLISECOND = 1_000
+MICROSECONDS_PER_SECOND = 1e6
+
+
+class ActionExecutor:
+    """Maps each type of action to the part of the server that carries it out.
+
+    `run_never_started` takes a request whose run was withdrawn before the pool was told of it.
+    """
+
+    def __init__(
+        self,
+        requests: InFlightTable,
+        executions: Executions,
+        duplicates: Duplicates,
+        responder: Responder,
+        health: HealthResponder,
+        timers: ControllerTimers,
+        server: FastCgiServer,
+        durable_keys: DurableKeys | None,
+        *,
+        run_never_started: Callable[[InFlightRequest], None],
+    ) -> None:
+        self._requests = requests
+        self._executions = executions
+        self._duplicates = duplicates
+        self._responder = responder
+        self._server = server
+        self._durable_keys = durable_keys
+        self._run_never_started = run_never_started
+        self._server_handlers: dict[type[Action], Callable[..., None]] = {
+            SetHealth: health.set,
+            ReportLoad: self._report_load,
+            CloseIdleConnections: self.close_idle_connections,
+            SetTimer: timers.set,
+            LogMessage: self._log_message,
+        }
+        self._request_handlers: dict[type[Action], Callable[..., None]] = {
+            StartRun: self._start_run,
+            Reject: self._reject,
+            Fail: self._fail,
+            Cancel: self._cancel,
+            MakeCall: self._make_call,
+            RememberKey: self._remember_key,
+            ForgetKey: self._forget_key,
+            ReplayResult: self._replay_result,
+        }
+
+    def execute(self, action: Action) -> None:
+        """Carry out an action; one for a request that is no longer in flight changes nothing."""
+        server_handler = self._server_handlers.get(type(action))
+        if server_handler is not None:
+            server_handler(action)
+            return
+        in_flight = self._requests.find(action.request_id)  # type: ignore[union-attr]
+        if in_flight is not None:
+            self._request_handlers[type(action)](in_flight, action)
+
+    # --- actions for the whole server
+
+    def _report_load(self, action: ReportLoad) -> None:
+        self._responder.reported_load = action.value
+
+    def close_idle_connections(self, action: CloseIdleConnections) -> None:
+        """Set how long a connection may be idle before it is closed."""
+        self._server.idle_s = action.idle_time / MICROSECONDS_PER_SECOND
+
+    def _log_message(self, action: LogMessage) -> None:
+        logger.warning("%s", action.message)
+
+    # --- actions for one request
+
+    def _start_run(self, in_flight: InFlightRequest, action: StartRun) -> None:
+        in_flight.is_queued = False
+        in_flight.is_running = True
+        if self._durable_keys is not None and in_flight.is_keyed:
+            self._durable_keys.request_start(in_flight)
+        else:
+            self._executions.start(in_flight)
+
+    def _reject(self, in_flight: InFlightRequest, action: Reject) -> None:
+        retry_after_ms = -(-action.retry_after // MICROSECONDS_PER_MILLISECOND)  # rounded up
+        self._responder.respond(
+            in_flight.request,
+            ResponseStatus.REJECTED,
+            retry_after_ms=retry_after_ms,
+            no_retry=action.no_retry,
+        )
+        self._duplicates.remove_if_over(in_flight)
+
+    def _fail(self, in_flight: InFlightRequest, action: Fail) -> None:
+        self._responder.respond(in_flight.request, ResponseStatus.FAILED)
+        self._executions.client_disconnected(in_flight)
+        self._duplicates.remove_if_over(in_flight)
+
+    def _cancel(self, in_flight: InFlightRequest, action: Cancel) -> None:
+        if self._durable_keys is not None and self._durable_keys.withdraw_start(in_flight):
+            self._run_never_started(in_flight)  # the pool was not told to run it
+        else:
+            self._executions.cancel(in_flight)
+
+    def _make_call(self, in_flight: InFlightRequest, action: MakeCall) -> None:
+        if self._durable_keys is not None and in_flight.is_keyed:
+            self._durable_keys.record_call(
+                in_flight, lambda: self._executions.make_call(in_flight, action.timeout)
+            )
+        else:
+            self._executions.make_call(in_flight, action.timeout)
+
+    def _remember_key(self, in_flight: InFlightRequest, action: RememberKey) -> None:
+        self._duplicates.remember_key(in_flight, action.lifetime)
+
+    def _forget_key(self, in_flight: InFlightRequest, action: ForgetKey) -> None:
+        self._duplicates.forget_key(in_flight)
+
+    def _replay_result(self, in_flight: InFlightRequest, action: ReplayResult) -> None:
+        self._duplicates.replay(in_flight)
--- a/cairnvane/server/executions.py
+++ b/cairnvane/server/executions.py
@@ -1,7 +1,7 @@
-"""What the pool and the vault are told of each run, and told again where a link was lost.
+"""The runs in the worker pool and their calls to the vault: sends commands, and resends those that were lost.
 
-The host thread alone calls this, but for `begin`, which may come from whoever recorded the run. Nothing is
-decided here; `docs/server.md` has the table of what is said again.
+Used by the event loop's thread alone, except `start`, which the thread that recorded a start may call.
+Nothing is decided here; `docs/server.md` has the table of what is sent again.
 """
 
 from __future__ import annotations
@@ -17,138 +17,173 @@
 from ..net.worker_pool import RUN_CANCELLED, RUN_FAILED, RUN_NEVER_STARTED, RUN_SUCCEEDED, WorkerPool
 from .in_flight import InFlightRequest
 
-# Of what was said on a link that broke, only the last 50 ms can be lost. It may take us so much longer to see
-# the break; what is older has arrived.
-DOUBTFUL_US = 1_000_000
+# Only the commands of the last 50 ms before a link broke can be lost. Noticing the break may take this much
+# longer; older commands have arrived.
+POSSIBLY_LOST_US = 1_000_000
 
-# What the pool's words for an end mean, and which of these ends are answers.
+# The outcome that each of the pool's end codes stands for.
 ENDS = {
     RUN_SUCCEEDED: Outcome.OK,
     RUN_FAILED: Outcome.ERROR,
     RUN_CANCELLED: Outcome.CANCELLED,
     RUN_NEVER_STARTED: Outcome.NEVER_STARTED,
 }
-VERDICTS = {Outcome.OK: ResponseStatus.SERVED, Outcome.ERROR: ResponseStatus.FAILED}
+# The outcomes of a run that answer its client, and how.
+RESPONSE_STATUSES = {Outcome.OK: ResponseStatus.SERVED, Outcome.ERROR: ResponseStatus.FAILED}
 
-# How a call ended, its reply, and how long it took in microseconds.
+# Takes a request whose call ended, the outcome, and the call's duration in microseconds.
 CallEnded = Callable[[InFlightRequest, Outcome, int], None]
 
 
 class Executions:
-    """Commands and calls of the runs in hand."""
+    """Sends the commands for runs to the worker pool, and makes their calls to the vault.
+
+    `run_lost` takes a request whose run was lost with a link; `call_ended` takes the end of each call. Both
+    are called in the event loop's thread, which `post` has a task done in.
+    """
 
     def __init__(
         self,
         pool: WorkerPool,
         vault: tuple[str, int],
         post: Callable[[Callable[[], None]], None],
-        halts: bool,
+        can_cancel: bool,
         *,
-        never_began: Callable[[InFlightRequest], None],
+        run_lost: Callable[[InFlightRequest], None],
         call_ended: CallEnded,
     ) -> None:
-        self.vault = vault  # for all calls from now on; those on their way end where they are
-        self.calls_in_flight = 0  # in the vault's hands
-        self._pool, self._post = pool, post
-        self._never_began, self._call_ended = never_began, call_ended
-        self._halts = halts  # the settings allow `suspend`
-        self._link = 0
-        # A command and the link that it went out on are one to whoever looks for what a link has lost.
-        self._saying = threading.RLock()
-        self._calls_first: dict[str, bool] = {}  # of classes with a finished run: none of these had no call
-
-    def start(self, known: InFlightRequest) -> None:
-        """Have it run, or run on with the reply to its call."""
-        exchange = known.request
-        with self._saying:
-            known.command_sent_at = clock.now()
-            if known.call_reply is not None:
-                known.command_link = self._pool.supply(exchange.uid, known.call_reply)
+        self.vault = vault  # the address for all calls from now on; those under way end where they are
+        self.calls_in_flight = 0  # calls to the vault that have not ended
+        self._pool = pool
+        self._post = post
+        self._can_cancel = can_cancel  # the settings allow `suspend`
+        self._run_lost = run_lost
+        self._call_ended = call_ended
+        self._link = 0  # the pool's newest link whose notices have been replayed
+        # Guards `command_sent_at` and `command_link` of all requests: sending a command and noting its link
+        # are one step for whoever looks for commands that a link has lost.
+        self._commands_lock = threading.RLock()
+        # By class name, for classes with a finished run: whether every run made a call.
+        self._always_calls: dict[str, bool] = {}
+
+    # --- commands to the pool
+
+    def start(self, in_flight: InFlightRequest) -> None:
+        """Have the pool run a request, or continue its run with the reply to its call."""
+        request = in_flight.request
+        with self._commands_lock:
+            in_flight.command_sent_at = clock.now()
+            if in_flight.call_reply is not None:
+                in_flight.command_link = self._pool.supply(request.uid, in_flight.call_reply)
             else:
-                known.command_link = self._pool.spawn(exchange.uid, exchange.class_name, exchange.body)
-
-    def finished(self, known: InFlightRequest, good: bool) -> None:
-        """Its end was told."""
-        known.is_running, known.command_link, known.cancel_link = False, None, None
-        self._drop_call(known)
-        if (
-            good and known.command_sent_at
-        ):  # else it was never told to run here: nothing was seen of its calls
-            name = known.request_class.name
-            self._calls_first[name] = self._calls_first.get(name, True) and known.call_reply is not None
+                in_flight.command_link = self._pool.spawn(request.uid, request.class_name, request.body)
+
+    def finished(self, in_flight: InFlightRequest, succeeded: bool) -> None:
+        """Note that the pool has reported the end of a run."""
+        in_flight.is_running = False
+        in_flight.command_link = None
+        in_flight.cancel_link = None
+        self._abandon_call(in_flight)
+        was_started_here = in_flight.command_sent_at != 0  # else its calls were not seen
+        if succeeded and was_started_here:
+            class_name = in_flight.request_class.name
+            made_a_call = in_flight.call_reply is not None
+            self._always_calls[class_name] = self._always_calls.get(class_name, True) and made_a_call
 
     def resend_lost_commands(self, link: int, requests: Iterable[InFlightRequest]) -> None:
-        """What an earlier link may have lost, now that its replay has shown what arrived."""
-        with self._saying:
-            self._resend_lost_commands(link, requests)
-
-    def _resend_lost_commands(self, link: int, requests: Iterable[InFlightRequest]) -> None:
-        self._link = link
-        recent = clock.now() - DOUBTFUL_US
-        for known in requests:
-            cls = known.request_class
-            if known.cancel_link is not None and known.cancel_link < link:
-                self.cancel(known)
-            elif known.command_link is None or known.command_link >= link or not known.is_running:
-                continue
-            elif known.command_link == 0 or (
-                known.call_reply is None and cls.retry_semantics is RetrySemantics.IDEMPOTENT
-            ):
-                self.start(known)
-            elif known.command_sent_at >= recent and (
-                known.call_reply is not None or self._calls_first.get(cls.name)
-            ):
-                # A run takes no second `spawn` while it goes on, and one that has to call can't end unseen.
-                self.start(known)
-
-    def cancel(self, known: InFlightRequest) -> None:
-        """Stop a run. One that was lost with a link would never be told to have ended, and its place be taken
-        for good: there, the answer to a later question shows whether an end is still to come."""
-        known.cancel_link = self._pool.suspend(known.request.uid)
-
-        def passed(there: bool) -> None:
-            if there:
-                self._post(lambda: self._passed(known))
-
-        if known.cancel_link and known.command_link is not None and known.command_link != known.cancel_link:
-            self._pool.sync(passed)
-
-    def _passed(self, known: InFlightRequest) -> None:
-        if known.is_running and known.command_link is not None and known.cancel_link == self._link:
-            self._never_began(known)
-
-    def make_call(self, known: InFlightRequest, timeout: int) -> None:
-        """Make the call that it waits for, unless it waits no more."""
-        if not known.is_running or not known.request.is_open:
+        """Send again what earlier links may have lost, now that the replay on `link` shows what arrived."""
+        with self._commands_lock:
+            self._link = link
+            lost_since = clock.now() - POSSIBLY_LOST_US
+            for in_flight in requests:
+                if in_flight.cancel_link is not None and in_flight.cancel_link < link:
+                    self.cancel(in_flight)
+                elif self._is_command_lost(in_flight, link, lost_since):
+                    self.start(in_flight)
+
+    def _is_command_lost(self, in_flight: InFlightRequest, link: int, lost_since: int) -> bool:
+        """Whether the last command of a run may be lost, and can be sent again without running it twice.
+
+        Commands that were sent before `lost_since` have arrived.
+        """
+        command_link = in_flight.command_link
+        if command_link is None or command_link >= link or not in_flight.is_running:
+            return False
+        if command_link == 0:
+            return True
+        resumes = in_flight.call_reply is not None
+        request_class = in_flight.request_class
+        if not resumes and request_class.retry_semantics is RetrySemantics.IDEMPOTENT:
+            return True
+        if in_flight.command_sent_at < lost_since:
+            return False
+        # A run takes no second `spawn` while it goes on, and one that makes a call can't end unseen.
+        return resumes or self._always_calls.get(request_class.name, False)
+
+    def cancel(self, in_flight: InFlightRequest) -> None:
+        """Cancel a run.
+
+        Guards against a run that was lost with a link: its end would never be reported, and its place in the
+        pool would stay taken. The pool's answer to a later `sync` shows whether an end is still to come.
+        """
+        in_flight.cancel_link = self._pool.suspend(in_flight.request.uid)
+
+        def synced(is_linked: bool) -> None:
+            if is_linked:
+                self._post(lambda: self._end_if_lost(in_flight))
+
+        may_be_lost = in_flight.command_link is not None and in_flight.command_link != in_flight.cancel_link
+        if in_flight.cancel_link and may_be_lost:
+            self._pool.sync(synced)
+
+    def _end_if_lost(self, in_flight: InFlightRequest) -> None:
+        is_unacknowledged = in_flight.is_running and in_flight.command_link is not None
+        if is_unacknowledged and in_flight.cancel_link == self._link:
+            self._run_lost(in_flight)
+
+    # --- calls to the vault
+
+    def make_call(self, in_flight: InFlightRequest, timeout: int) -> None:
+        """Make the call that a run waits for, with a timeout in microseconds, unless it no longer waits."""
+        if not in_flight.is_running or not in_flight.request.is_open:
             return
 
-        def ended(outcome: Outcome, body: bytes, took: int) -> None:
-            self._post(lambda: self._end_call(known, call, outcome, body, took))
+        def ended(outcome: Outcome, body: bytes, duration: int) -> None:
+            self._post(lambda: self._end_call(in_flight, call, outcome, body, duration))
 
         self.calls_in_flight += 1
-        call = known.vault_call = VaultCall(self.vault, known.request.uid, known.call_body, timeout, ended)
+        call = VaultCall(self.vault, in_flight.request.uid, in_flight.call_body, timeout, ended)
+        in_flight.vault_call = call
 
     def _end_call(
-        self, known: InFlightRequest, call: VaultCall, outcome: Outcome, body: bytes, took: int
+        self,
+        in_flight: InFlightRequest,
+        call: VaultCall,
+        outcome: Outcome,
+        body: bytes,
+        duration: int,
     ) -> None:
-        if known.vault_call is not call:
-            return  # given up meanwhile
-        known.vault_call = None
+        if in_flight.vault_call is not call:
+            return  # abandoned meanwhile
+        in_flight.vault_call = None
         self.calls_in_flight -= 1
         if outcome is Outcome.OK:
-            known.call_reply = body
-            self.start(known)
-        self._call_ended(known, outcome, took)
-
-    def client_disconnected(self, known: InFlightRequest) -> None:
-        """Nobody waits for it any more: give up its call, if one is on its way. A run that stands at a call
-        is over by that. A pool that does not know so by itself would keep it and its memory for good."""
-        self._drop_call(known)
-        if known.is_running and known.command_link is None and known.cancel_link is None and self._halts:
-            self.cancel(known)
-
-    def _drop_call(self, known: InFlightRequest) -> None:
-        if known.vault_call is not None:
-            known.vault_call.give_up()
-            known.vault_call = None
+            in_flight.call_reply = body
+            self.start(in_flight)
+        self._call_ended(in_flight, outcome, duration)
+
+    def client_disconnected(self, in_flight: InFlightRequest) -> None:
+        """Abandon the call of a run whose client no longer waits, and cancel the run if it waits for a call.
+
+        Guards against a pool that would not notice, and keep such a run and its memory for good.
+        """
+        self._abandon_call(in_flight)
+        waits_for_call = in_flight.is_running and in_flight.command_link is None
+        if waits_for_call and in_flight.cancel_link is None and self._can_cancel:
+            self.cancel(in_flight)
+
+    def _abandon_call(self, in_flight: InFlightRequest) -> None:
+        if in_flight.vault_call is not None:
+            in_flight.vault_call.give_up()
+            in_flight.vault_call = None
             self.calls_in_flight -= 1
--- a/cairnvane/server/health_checks.py
+++ b/cairnvane/server/health_checks.py
@@ -1,4 +1,4 @@
-"""Answers to health checks, as the module wants them given."""
+"""Answers health checks as the controller asked last."""
 
 from __future__ import annotations
 
@@ -11,39 +11,48 @@
 
 
 class HealthResponder:
-    """Good until told otherwise. A deep check has the pool do its work, unless the answer is to come from
-    store; `load` gives the free value that goes with it.
+    """Answers health checks: healthy until the controller says otherwise.
 
-    The pool does one deep check's work at a time, and its end answers all that came meanwhile: each would
-    cost it cores and this process a timer's thread, and whoever asks by thousands would take all of both.
+    For a deep check the pool does real work, unless the answer is to come from cache. `load` gives the load
+    signal that goes with an answer.
+
+    The pool does the work of one deep check at a time, and its result answers all that arrived meanwhile.
+    Guards against a flood of deep checks: each would cost the pool cores, and this process a timer's thread.
     """
 
     def __init__(self, pool: WorkerPool, load: Callable[[], float | None]) -> None:
-        self._pool, self._load = pool, load
-        self._good, self._stored = True, False
-        self._lock = threading.Lock()
-        self._waiting: list[HealthCheck] = []  # for the work that is under way
+        self._pool = pool
+        self._load = load
+        self._is_healthy = True
+        self._is_cached = False
+        self._lock = threading.Lock()  # guards `_waiting`
+        self._waiting: list[HealthCheck] = []  # deep checks, for the work that is under way
 
     def set(self, action: SetHealth) -> None:
         """Answer so from now on."""
-        self._good, self._stored = action.healthy, action.cached
+        self._is_healthy = action.healthy
+        self._is_cached = action.cached
 
     def check(self, check: HealthCheck) -> None:
-        """Answer this one."""
-        if not (self._good and check.deep and not self._stored):
-            return self._reply(check, self._good)
+        """Answer a health check, at once or after the pool's work."""
+        needs_work = self._is_healthy and check.deep and not self._is_cached
+        if not needs_work:
+            self._respond(check, self._is_healthy)
+            return
         with self._lock:
             self._waiting.append(check)
-            first = len(self._waiting) == 1
-        if first:
+            is_first = len(self._waiting) == 1
+        if is_first:
             self._pool.verify(self._verified)
 
-    def _verified(self, good: bool) -> None:
+    def _verified(self, succeeded: bool) -> None:
         """In the thread of the pool's link, or of its timer."""
         with self._lock:
-            waiting, self._waiting = self._waiting, []
+            waiting = self._waiting
+            self._waiting = []
         for check in waiting:
-            self._reply(check, good)
+            self._respond(check, succeeded)
 
-    def _reply(self, check: HealthCheck, good: bool) -> None:
-        check.respond(Response(ResponseStatus.SERVED if good else ResponseStatus.REJECTED, load=self._load()))
+    def _respond(self, check: HealthCheck, is_healthy: bool) -> None:
+        status = ResponseStatus.SERVED if is_healthy else ResponseStatus.REJECTED
+        check.respond(Response(status, load=self._load()))
--- a/cairnvane/server/timers.py
+++ b/cairnvane/server/timers.py
@@ -1,4 +1,4 @@
-"""The controller's timers: a library timer for each, and the gauges that a tick brings."""
+"""The controller's timers: each is a timer thread, which fetches the resource gauges when it is due."""
 
 from __future__ import annotations
 
@@ -11,29 +11,40 @@
 from ..net.worker_pool import WorkerPool
 from ..simulator.settings_reader import timer_fired
 
+MICROSECONDS_PER_SECOND = 1e6
+
 
 class ControllerTimers:
-    """`tick` is called with the event and the time before which it may not be told, in whatever thread."""
+    """Starts timers, and reports those that are due.
+
+    `gauges` names the values in the pool's answer, in their order; None: of no interest. `fired` is called in
+    any thread, with the event and the time in microseconds before which it may not be reported.
+    """
 
     def __init__(
         self,
         pool: WorkerPool,
         gauges: tuple[str | None, ...],
-        tick: Callable[[TimerFired, int], None],
+        fired: Callable[[TimerFired, int], None],
     ) -> None:
-        self._pool, self._gauges, self._tick = pool, gauges, tick
+        self._pool = pool
+        self._gauges = gauges
+        self._fired = fired
 
     def set(self, action: SetTimer) -> None:
-        """Ask for a tick."""
-        timer = threading.Timer(max(0, action.due_at - clock.now()) / 1e6, self._due, (action,))
+        """Start a timer."""
+        delay_s = max(0, action.due_at - clock.now()) / MICROSECONDS_PER_SECOND
+        timer = threading.Timer(delay_s, self._fetch_gauges, (action,))
         timer.daemon = True
         timer.start()
 
-    def _due(self, timer: SetTimer) -> None:
-        """In the timer's thread: fetch the gauges."""
+    def _fetch_gauges(self, action: SetTimer) -> None:
+        """In the timer's thread."""
 
-        def gauged(meters: tuple[float, ...]) -> None:
-            # Never before its time by a rounding: the controller takes that for one that it replaced.
-            self._tick(timer_fired(timer.token, list(meters), self._gauges), timer.due_at)
+        def fetched(values: tuple[float, ...]) -> None:
+            event = timer_fired(action.token, list(values), self._gauges)
+            # The timer may have ended early by a rounding, and the controller takes an early event for one
+            # of a timer that it has replaced.
+            self._fired(event, action.due_at)
 
-        self._pool.poll(gauged)
+        self._pool.poll(fetched)
--- a/tests/server/test_crossings.py
+++ b/tests/server/test_crossings.py
@@ -517,7 +517,7 @@
         balancer.send(1, **keyed)
         first = w.pool.next("spawn")["uid"] if how != "left" else ""
         balancer.send(2, **keyed)
-        until(lambda: any(known.waiting_duplicates for known in list(w.host._requests.values())))
+        until(lambda: any(known.waiting_duplicates for known in w.host._requests.all()))
         if how == "left":
             balancer.abort(1)
             assert balancer.answer()[0] == 1
@@ -540,7 +540,7 @@
         balancer = w.balancer()
         stamp = str(time.time_ns() // 1_000_000 + 1_500)
         w.serve(balancer, 1, path="/svc/write", HTTP_REQ_TOKEN=TOKEN, HTTP_REQ_TIME=stamp)
-        until_us = w.host._keys._entries[TOKEN].expires_at
+        until_us = w.host._duplicates._keys._entries[TOKEN].expires_at
         assert until_us >= time.monotonic_ns() // 1_000 + WINDOW_US + 1_000_000
 
 
@@ -784,7 +784,10 @@
         capture_output=True,
         text=True,
     )
-    assert (done.returncode, done.stderr) == (2, "cairnvane: settings: Extra.Cores: impossible value 0\n")
+    assert (done.returncode, done.stderr) == (
+        2,
+        "ERROR cairnvane.server.main: settings: Extra.Cores: impossible value 0\n",
+    )
 
 
 def test_a_torn_configuration_is_named_and_the_whole_one_after_it_counts(tmp_path: Path) -> None:
@@ -847,7 +850,7 @@
         process.stdin.close()
         assert "n3 listens on" in process.stderr.readline()
         process.send_signal(signal.SIGHUP)  # and is heard from here on
-        while "cairnvane: pool" not in process.stderr.readline():
+        while "cairnvane.server.main: pool" not in process.stderr.readline():
             pass
         process.send_signal(signal.SIGTERM)
         assert process.wait(WAIT_S) == 0
