Server: build, signals, reload and the end of the process in modules of their own

`main` did everything from the configuration to the parts in 110 lines, and `composition` passed bare tuples. Configuration fields and constants had names of the file's keys or none that said what they bound.

Now `main` goes from the configuration to an exit status, `signals` and `reload` do what they say, `event_loop_thread` ends the process if the loop fails, and `composition` builds the server from `store_setup`, `member_setup` and `administration_setup`, which return named results. `lifecycle` has a typed error. `config` and `config.operator` read, check and bound in named steps; keys, variables and messages are as before. Log lines of reload and recovery say event, subject and cause; tests that wait for the old words wait for the new ones, as exactly.

The plain line imports the new modules of this package and nothing else in addition.

--- a/cairnvane/cli/serve.py
+++ b/cairnvane/cli/serve.py
@@ -14,7 +14,7 @@
 @click.option(
     "--operator",
     metavar="FILE",
-    envvar=config.OPERATOR,
+    envvar=config.OPERATOR_VARIABLE,
     show_envvar=True,
     help="The operator's own YAML file; without it, nothing that it could turn on is on.",
 )
@@ -23,5 +23,5 @@
     from ..server.main import main
 
     if operator:
-        os.environ[config.OPERATOR] = operator
+        os.environ[config.OPERATOR_VARIABLE] = operator
     sys.exit(main())
--- a/cairnvane/config/__init__.py
+++ b/cairnvane/config/__init__.py
@@ -1,7 +1,7 @@
-"""The one place where configuration is read, checked and given defaults.
+"""The platform's configuration: reads the JSON file, checks it and fills in defaults.
 
-Here stands the platform's JSON. The operator's own YAML is read by `config.operator`, which is only imported
-where such a file is named: the plain line `run` has no room for what it needs.
+The operator's own YAML file is read by `config.operator`, which is only imported if such a file is named: a
+server that is started without it has no memory to spare for the YAML reader.
 """
 
 from __future__ import annotations
@@ -17,27 +17,30 @@
 from ..simulator.errors import ProtocolError
 from ..simulator.settings_reader import read_settings
 
-# What a scored day gives at most, for a configuration that leaves limits out.
+# The most that the platform gives on a scored day, for a configuration that leaves limits out.
 DEFAULT_SOCKETS = 1_024
 DEFAULT_STOP_MS = 3_000
-# 64 of them are kept for links, calls and connections on their way out; as many should be balancers.
-LEAST_SOCKETS = 128
-# More than any system gives a process, and longer than anyone waits for one to end.
-MOST_SOCKETS, MOST_STOP_MS = 1 << 20, 86_400_000
+# 64 of them are reserved for links, calls and connections that close; as many should be left for balancers.
+MIN_SOCKETS = 128
+# More than any system gives a process.
+MAX_SOCKETS = 1 << 20
+# One day: longer than anyone waits for a process to end.
+MAX_STOP_MS = 86_400_000
+MAX_PORT = 65_535
+
+# Environment variables. The first one names the platform's file, the next three override keys of it.
+CONFIG_VARIABLE = "LB_CONFIG"
+NAME_VARIABLE = "LB_NAME"
+LISTEN_VARIABLE = "LB_LISTEN"
+CONTROL_VARIABLE = "LB_CONTROL"
+# Names the operator's own file; see `config.operator`.
+OPERATOR_VARIABLE = "CAIRNVANE_OPERATOR"
 
-
-# The variable that names the operator's own file; see `config.operator`.
-OPERATOR = "CAIRNVANE_OPERATOR"
-
-# The variable that names the operators' door, before the file's `control`; older days have neither.
-CONTROL = "LB_CONTROL"
-
-# What a server can't change while it runs.
-FIXED = ("name", "listen", "sockets", "settings", "control")
+Address = tuple[str, int]
 
 
 class ConfigurationError(Exception):
-    """One line that names the faulty key."""
+    """The configuration is at fault; the message is one line that names the key and the value."""
 
 
 class _Limits(msgspec.Struct):
@@ -45,6 +48,8 @@
 
 
 class _File(msgspec.Struct):
+    """The platform's file, by its own keys."""
+
     pool: str
     roster: str
     vault: str
@@ -57,41 +62,58 @@
     control: str = ""
 
 
-Address = tuple[str, int]
-
-
 @dataclass(frozen=True, slots=True)
 class Config:
-    """All that a server is told at its start."""
+    """The whole configuration of one server, checked."""
 
     name: str
     listen: Address
     pool: Address
-    roster: Address
+    registry: Address
     vault: Address
     seed: int
-    stop_ms: int
-    sockets: int
+    stop_ms: int  # how long after a signal to shut down the process is stopped
+    sockets: int  # descriptors that the process may have open
     settings: Settings
     gauges: tuple[str | None, ...]  # in the order in which the pool sends them; None: of no interest
-    control: Address | None = None  # the operators' door; None: there is none
+    administration: Address | None = None  # of the administration endpoint; None: it is off
+
+
+# What a server can't change while it runs: keys of the platform's file, and the fields that they set.
+_FIXED_FIELDS = {
+    "name": "name",
+    "listen": "listen",
+    "sockets": "sockets",
+    "settings": "settings",
+    "control": "administration",
+}
+
+
+def keys_that_need_restart(current: Config, new: Config) -> list[str]:
+    """The keys of the file that differ, and take effect only at the next start."""
+    return [key for key, field in _FIXED_FIELDS.items() if getattr(new, field) != getattr(current, field)]
 
 
 def address(key: str, text: str) -> Address:
-    """HOST:PORT; `ConfigError` names the key."""
-    host, colon, port = text.rpartition(":")
+    """Read HOST:PORT. Raises a `ConfigurationError` that names `key`."""
+    host, colon, port_text = text.rpartition(":")
+    port = int(port_text) if port_text.isascii() and port_text.isdigit() else -1
+    if not (host and colon and _is_host_name(host) and 0 <= port <= MAX_PORT):
+        raise ConfigurationError(f"{key}: {text!r} is not HOST:PORT")
+    return host, port
+
+
+def _is_host_name(host: str) -> bool:
+    """Whether the system can encode this name; it would do so later, in whatever thread first connects."""
     try:
-        host.encode("idna")  # as the system would do it, in whatever thread first connects
-        number = int(port) if port.isascii() and port.isdigit() else -1
+        host.encode("idna")
     except UnicodeError:
-        number = -1
-    if not (host and colon and 0 <= number < 65_536):
-        raise ConfigurationError(f"{key}: {text!r} is not HOST:PORT")
-    return host, number
+        return False
+    return True
 
 
-def _found(raw: bytes, problem: str) -> str:
-    """What stands at the place that msgspec names, which says only what should."""
+def _describe_value(raw: bytes, problem: str) -> str:
+    """The value at the place that a message of msgspec names; the message only says what it expected."""
     place = re.search(r"at `\$\.([\w.]+)`", problem)
     if place is None:
         return ""
@@ -101,55 +123,71 @@
     return f": {value!r}"
 
 
-def _text(key: str, text: str) -> str:
+def _required(key: str, text: str) -> str:
     if not text:
         raise ConfigurationError(f"{key}: missing")
     return text
 
 
-def _within(key: str, value: int, least: int, most: int) -> int:
-    if value < least:
-        raise ConfigurationError(f"{key}: {value} is under {least}")
-    if value > most:
-        raise ConfigurationError(f"{key}: {value} is over {most}")
+def _bounded(key: str, value: int, minimum: int, maximum: int) -> int:
+    if value < minimum:
+        raise ConfigurationError(f"{key}: {value} is under {minimum}")
+    if value > maximum:
+        raise ConfigurationError(f"{key}: {value} is over {maximum}")
     return value
 
 
-def load(environment: Mapping[str, str]) -> Config:
-    """Read `LB_CONFIG`; `LB_NAME`, `LB_LISTEN` and `LB_CONTROL` go before what it says."""
-    path = _text("LB_CONFIG", environment.get("LB_CONFIG", ""))
+def _read_file(path: str) -> _File:
     try:
         raw = Path(path).read_bytes()
     except OSError as error:
-        raise ConfigurationError(f"LB_CONFIG: {path}: {error.strerror}") from None
+        raise ConfigurationError(f"{CONFIG_VARIABLE}: {path}: {error.strerror}") from None
     try:
-        file = msgspec.json.decode(raw, type=_File)
+        return msgspec.json.decode(raw, type=_File)
     except msgspec.ValidationError as error:
-        raise ConfigurationError(f"LB_CONFIG: {error}{_found(raw, str(error))}") from None
+        value = _describe_value(raw, str(error))
+        raise ConfigurationError(f"{CONFIG_VARIABLE}: {error}{value}") from None
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise ConfigurationError(f"LB_CONFIG: {error}") from None
+        raise ConfigurationError(f"{CONFIG_VARIABLE}: {error}") from None
+
+
+def _read_seed(text: str) -> int:
     try:
-        seed = int(file.seed, 16)
+        return int(text, 16)
     except ValueError:
-        raise ConfigurationError(f"seed: {file.seed!r} is not a hexadecimal number") from None
+        raise ConfigurationError(f"seed: {text!r} is not a hexadecimal number") from None
+
+
+def _read_settings(raw: msgspec.Raw) -> tuple[Settings, tuple[str | None, ...]]:
+    """The controller's settings, and the names of the pool's gauges."""
     try:
-        settings, gauges = read_settings(bytes(file.settings).decode())
+        settings, gauges = read_settings(bytes(raw).decode())
     except ProtocolError as error:
         raise ConfigurationError(str(error)) from None
-    # The pool has no command to go on without a call, so no class may earn by that here.
-    settings = replace(
-        settings, classes=tuple(replace(cls, degraded_fraction=0.0) for cls in settings.classes)
-    )
+    # The pool has no command to continue a run without its call, so here no class has degraded answers.
+    classes = tuple(replace(cls, degraded_fraction=0.0) for cls in settings.classes)
+    return replace(settings, classes=classes), gauges
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    """Read the file that `LB_CONFIG` names; `LB_NAME`, `LB_LISTEN` and `LB_CONTROL` override its keys.
+
+    Raises `ConfigurationError`.
+    """
+    file = _read_file(_required(CONFIG_VARIABLE, environment.get(CONFIG_VARIABLE, "")))
+    seed = _read_seed(file.seed)
+    settings, gauges = _read_settings(file.settings)
+    administration = environment.get(CONTROL_VARIABLE) or file.control
     return Config(
-        name=_text("name", environment.get("LB_NAME") or file.name),
-        listen=address("listen", environment.get("LB_LISTEN") or file.listen),
+        name=_required("name", environment.get(NAME_VARIABLE) or file.name),
+        listen=address("listen", environment.get(LISTEN_VARIABLE) or file.listen),
         pool=address("pool", file.pool),
-        roster=address("roster", file.roster),
+        registry=address("roster", file.roster),
         vault=address("vault", file.vault),
         seed=seed,
-        stop_ms=_within("stop_ms", file.stop_ms, 1, MOST_STOP_MS),
-        sockets=_within("limits.sockets", file.limits.sockets, LEAST_SOCKETS, MOST_SOCKETS),
+        stop_ms=_bounded("stop_ms", file.stop_ms, 1, MAX_STOP_MS),
+        sockets=_bounded("limits.sockets", file.limits.sockets, MIN_SOCKETS, MAX_SOCKETS),
         settings=settings,
         gauges=gauges,
-        control=address("control", door) if (door := environment.get(CONTROL) or file.control) else None,
+        administration=address("control", administration) if administration else None,
     )
--- /dev/null
+++ b/cairnvane/server/administration_setup.py
@@ -0,0 +1,82 @@
+"""Sets up the administration endpoint, which is imported only if the configuration names its address."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, NamedTuple
+
+from .. import config
+from ..net.worker_pool import WorkerPool
+from .lifecycle import Component
+
+if TYPE_CHECKING:
+    from ..exchange import RequestSink, ResponseCounter
+    from ..membership.transport import MemberTransport
+
+# Descriptors that are not for balancers: the links, one for each call, and those that close as others open.
+MIN_RESERVED_SOCKETS = 64
+RESERVED_SOCKETS_DIVISOR = 4
+
+
+class Administration(NamedTuple):
+    """The sink that requests are handed to; the counter and the endpoint's component, None if it is off."""
+
+    request_sink: RequestSink
+    response_counter: ResponseCounter | None
+    component: Component | None
+
+
+def reserved_sockets(configuration: config.Config) -> int:
+    """How many descriptors are not for connections of balancers."""
+    return max(MIN_RESERVED_SOCKETS, configuration.sockets // RESERVED_SOCKETS_DIVISOR)
+
+
+def _member_views(transport: MemberTransport) -> dict[str, Callable[[], object]]:
+    """The resources that show the members, by path."""
+    from ..membership.transport import described
+
+    def metrics_text() -> bytes:
+        from ..membership import metrics  # imports the metrics library at the first request
+
+        return metrics.text(transport.snapshot)
+
+    return {
+        "/-/members": lambda: described(transport.snapshot),
+        "/-/members/metrics": metrics_text,
+    }
+
+
+def set_up_administration(
+    configuration: config.Config,
+    request_sink: RequestSink,
+    pool: WorkerPool,
+    transport: MemberTransport | None,
+) -> Administration:
+    """Set up the endpoint, if it is on; its drain gate then sees every request before `request_sink`.
+
+    Raises `OSError` if it can't listen.
+    """
+    if configuration.administration is None:
+        return Administration(request_sink, None, None)
+    from ..administration import Readiness, RequestCounters
+    from ..administration.drain_gate import DrainGate
+    from ..administration.endpoints import Endpoints
+    from ..administration.http_server import AdministrationServer, places
+
+    readiness = Readiness(pool.bound.is_set)
+    counters = RequestCounters(tuple(cls.name for cls in configuration.settings.classes))
+    pool.spawned = counters.run_started
+    views = _member_views(transport) if transport is not None else {}
+    http_server = AdministrationServer(
+        configuration.administration,
+        Endpoints(readiness, counters, views),
+        readiness,
+        places(reserved_sockets(configuration)),
+    )
+    component = Component(
+        "administration",
+        ("server",),
+        start=http_server.start,
+        on_shutdown=lambda shutdown: http_server.leave(),
+    )
+    return Administration(DrainGate(request_sink, readiness, counters), counters, component)
--- a/cairnvane/server/duplicates.py
+++ b/cairnvane/server/duplicates.py
@@ -13,7 +13,7 @@
 from ..contract.events import ClientDisconnected, Event, Outcome, RunFinished
 from ..exchange import Request, ResponseStatus
 from ..idempotency.key_table import KeyTable
-from ..idempotency.store import StoredEntry
+from ..idempotency.store import KeyConflictError, StoredEntry
 from .in_flight import InFlightRequest, InFlightTable
 from .responder import Responder
 
@@ -27,10 +27,6 @@
 STORED_ORIGINAL = 0
 
 
-class KeyConflictError(ValueError):
-    """An idempotency key belongs to a request of another class or with another body."""
-
-
 class OriginalRequest(NamedTuple):
     """What is known of the original request of an attempt; nothing if the attempt is the first one."""
 
@@ -65,8 +61,8 @@
     def find_original(self, request: Request, key: str, fingerprint: bytes) -> OriginalRequest:
         """Find the original request of this attempt.
 
-        Raises a `ValueError` if the key belongs to another request: `KeyConflictError`, or what the durable
-        store raises.
+        Raises `KeyConflictError` if the key belongs to another request, and a `ValueError` if the durable
+        store can't read the key.
         """
         request_id = self._keys.owner(key, request.arrived_at)
         if request_id is not None:
--- /dev/null
+++ b/cairnvane/server/event_loop_thread.py
@@ -0,0 +1,64 @@
+"""The thread of the event loop; the process ends if it fails."""
+
+from __future__ import annotations
+
+import logging
+import os
+import signal
+import threading
+
+from .event_loop import EventLoop
+from .lifecycle import Component, Shutdown
+
+logger = logging.getLogger(__name__)
+
+# How long the end of the process waits for the thread to finish its last task.
+LAST_TASK_WAIT_S = 0.2
+MICROSECONDS_PER_SECOND = 1e6
+
+
+class EventLoopThread:
+    """Runs the event loop in a thread of its own.
+
+    Without it no request would be answered, so its failure ends the process, which is then started again.
+    """
+
+    def __init__(self, event_loop: EventLoop) -> None:
+        self.has_failed = threading.Event()
+        self._event_loop = event_loop
+        self._thread = threading.Thread(target=self._serve, name="event-loop", daemon=True)
+
+    def _serve(self) -> None:
+        try:
+            self._event_loop.serve()
+        except BaseException:
+            self._fail()
+            raise
+
+    def _fail(self) -> None:
+        """Wake the main thread, which waits for a signal, to end the process."""
+        self.has_failed.set()
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    def fail_recovery(self, reason: str) -> None:
+        """End the process: the state of an earlier incarnation can't be read. From any thread."""
+        logger.error("recovery of stored results failed: %s", reason)
+        self._fail()
+
+    def stop(self, timeout_s: float | None = None) -> None:
+        """Stop the event loop and wait for its thread; None: without a limit."""
+        self._event_loop.stop()
+        self._thread.join(timeout_s)
+
+    def component(self) -> Component:
+        """The thread as a component."""
+
+        def drain(shutdown: Shutdown) -> None:
+            self._event_loop.drain(int(shutdown.time_left_s * MICROSECONDS_PER_SECOND))
+
+        return Component(
+            "event loop",
+            start=self._thread.start,
+            on_shutdown=drain,
+            stop=lambda shutdown: self.stop(LAST_TASK_WAIT_S),
+        )
--- a/cairnvane/server/lifecycle.py
+++ b/cairnvane/server/lifecycle.py
@@ -1,82 +1,79 @@
-"""A server put together from parts: each is made only if it was asked for, starts after what it needs, and
-ends before it.
+"""The components of a server: each starts after those that it depends on, and stops before them.
 
-What a part does stands elsewhere; here is only the order. A part that nobody asked for has no line in the
-assembly, and nothing of it is imported.
+What a component does stands elsewhere; here is only the order. An optional component that is turned off is
+not added, and nothing of it is imported.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 
-class Shutdown:
-    """How this process goes: told to all parts, after the notice to leave."""
+class ComponentError(ValueError):
+    """A component can't be added; the message names it and the cause."""
+
 
-    __slots__ = ("grace_s", "handover", "time_left_s")
+@dataclass(frozen=True, slots=True)
+class Shutdown:
+    """How this process shuts down; passed to all components."""
 
-    def __init__(self, time_left_s: float, grace_s: float, handover: bool) -> None:
-        self.time_left_s = time_left_s  # until all must have been answered
-        self.grace_s = grace_s  # of that, for which new work may still come
-        self.handover = handover  # a later version of the program takes the new connections
+    time_left_s: float  # until all requests must have been answered
+    grace_s: float  # of that, how long new requests may still arrive
+    handover: bool  # a later incarnation takes the new connections
 
 
-def _nothing() -> None:
+def _do_nothing() -> None:
     return None
 
 
-def _unmoved(how: Shutdown) -> None:
+def _ignore_shutdown(shutdown: Shutdown) -> None:
     return None
 
 
+@dataclass(frozen=True, slots=True)
 class Component:
-    """One part of a server. No call waits but `end`, and that no longer than the time that is left."""
-
-    __slots__ = ("depends_on", "name", "on_shutdown", "start", "stop")
-
-    def __init__(
-        self,
-        name: str,
-        depends_on: tuple[str, ...] = (),
-        *,
-        start: Callable[[], None] = _nothing,
-        on_shutdown: Callable[[Shutdown], None] = _unmoved,
-        stop: Callable[[Shutdown], None] = _unmoved,
-    ) -> None:
-        self.name = name
-        self.depends_on = depends_on  # parts that are there before it, and outlast it
-        self.start = start
-        self.on_shutdown = on_shutdown  # the notice to leave has come
-        self.stop = stop  # its grace is over
+    """One component of a server. No call blocks but `stop`, and that no longer than the time that is left."""
+
+    name: str
+    depends_on: tuple[str, ...] = ()  # components that start before it and stop after it
+    start: Callable[[], None] = _do_nothing
+    on_shutdown: Callable[[Shutdown], None] = _ignore_shutdown  # the graceful shutdown begins
+    stop: Callable[[Shutdown], None] = _ignore_shutdown  # the grace is over
 
 
 class Lifecycle:
-    """Parts in the order in which they start."""
+    """Components in the order in which they start."""
 
     def __init__(self) -> None:
-        self._parts: list[Component] = []
+        self._components: list[Component] = []
+
+    def add(self, component: Component | None) -> None:
+        """Add a component; None, one that is turned off, changes nothing.
 
-    def add(self, part: Component | None) -> None:
-        """One more part, if it was asked for; `ValueError` if what it needs is not there."""
-        if part is None:
+        Raises `ComponentError` if it was added before, or something that it depends on was not.
+        """
+        if component is None:
             return
-        known = {one.name for one in self._parts}
-        missing = [name for name in part.depends_on if name not in known]
-        if missing or part.name in known:
-            raise ValueError(f"{part.name}: needs {', '.join(missing)}" if missing else f"{part.name}: twice")
-        self._parts.append(part)
+        names = {added.name for added in self._components}
+        missing = [name for name in component.depends_on if name not in names]
+        if missing:
+            raise ComponentError(f"{component.name}: depends on {', '.join(missing)}")
+        if component.name in names:
+            raise ComponentError(f"{component.name}: added twice")
+        self._components.append(component)
 
     def start(self) -> None:
-        """All of them."""
-        for part in self._parts:
-            part.start()
-
-    def begin_shutdown(self, how: Shutdown) -> None:
-        """Tell the last one first."""
-        for part in reversed(self._parts):
-            part.on_shutdown(how)
-
-    def stop(self, how: Shutdown) -> None:
-        """End the last one first."""
-        for part in reversed(self._parts):
-            part.stop(how)
+        """Start all components, the first one first."""
+        for component in self._components:
+            component.start()
+
+    def begin_shutdown(self, shutdown: Shutdown) -> None:
+        """Announce the shutdown to all components, the last one first."""
+        for component in reversed(self._components):
+            component.on_shutdown(shutdown)
+
+    def stop(self, shutdown: Shutdown) -> None:
+        """Stop all components, the last one first."""
+        for component in reversed(self._components):
+            component.stop(shutdown)
--- /dev/null
+++ b/cairnvane/server/member_setup.py
@@ -0,0 +1,95 @@
+"""Sets up membership, which is imported only if the operator turned it on."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, NamedTuple
+
+from .. import config
+from ..log_events import MEMBER_EVENT
+from ..net.service_registry import ServiceRegistry
+from ..net.worker_pool import WorkerPool
+from .event_loop import EventLoop
+from .lifecycle import Component
+
+if TYPE_CHECKING:
+    from ..config.operator import MembersOptions
+    from ..exchange import RequestSink
+    from ..membership.swim import Tell
+    from ..membership.transport import MemberTransport
+
+logger = logging.getLogger(__name__)
+
+# Sent to the other members; the same as in pyproject.toml.
+VERSION = "0.2.0"
+
+
+class Membership(NamedTuple):
+    """The sink that requests are handed to, and the channel to the other members; None: it is off."""
+
+    request_sink: RequestSink
+    transport: MemberTransport | None
+
+
+def check_name(name: str) -> None:
+    """Raise a `ConfigurationError` if the server's name does not fit into the members' messages."""
+    from ..membership.member_table import MOST_NAME
+
+    if len(name) > MOST_NAME:
+        raise config.ConfigurationError(f"members: the name {name!r} is longer than {MOST_NAME} characters")
+
+
+def _log_event(event: Tell) -> None:
+    details = "".join(f" {key}={value}" for key, value in event.more.items())
+    logger.info(MEMBER_EVENT, event.event, details)
+
+
+def set_up_members(
+    configuration: config.Config,
+    options: MembersOptions | None,
+    event_loop: EventLoop,
+    pool: WorkerPool,
+    registry: ServiceRegistry,
+) -> Membership:
+    """Set up membership, if it is on; its observer then sees every request before the event loop.
+
+    Raises `OSError` if the transport can't listen.
+    """
+    if options is None:
+        return Membership(event_loop, None)
+    from ..membership.observer import ServerObserver
+    from ..membership.transport import MemberTransport
+
+    observer = ServerObserver(
+        event_loop,
+        VERSION,
+        lambda: registry.answers,
+        pool.bound.is_set,
+        lambda: event_loop.executions.calls_in_flight,
+    )
+    transport = MemberTransport(
+        options.listen_address,
+        options.key.encode(),
+        configuration.name,
+        "{}:{}".format(*configuration.listen),
+        options.contact_addresses,
+        outside=observer.outside,
+        carried=observer.carried,
+        tell=_log_event,
+        ways=options.route_addresses,
+        spares=options.spare_ports,
+    )
+    return Membership(observer, transport)
+
+
+def members_component(transport: MemberTransport | None) -> Component | None:
+    """Joins the other members, tells them of a drain, and leaves them."""
+    if transport is None:
+        return None
+    return Component(
+        "members",
+        ("server",),
+        start=transport.start,
+        on_shutdown=lambda shutdown: transport.drain(),
+        stop=lambda shutdown: transport.close(),
+    )
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -83,8 +83,8 @@
     assert told.keyed is not None and told.keyed.folder == str(EXAMPLE.parent / "keyed")
     assert (told.keyed.disk_bytes, told.keyed.memory_bytes) == (64 << 20, 8 << 20)
     members = operator.load(EXAMPLE.with_name("operator-members.yaml")).members
-    assert members is not None and (members.address[1], len(members.others)) == (7400, 2)
-    assert operator.load(operators(tmp_path, "# nothing yet\n")) == operator.Operator()
+    assert members is not None and (members.listen_address[1], len(members.contact_addresses)) == (7400, 2)
+    assert operator.load(operators(tmp_path, "# nothing yet\n")) == operator.OperatorOptions()
 
 
 def test_the_plain_line_imports_nothing_that_it_does_not_need() -> None:
--- a/tests/server/test_crossings.py
+++ b/tests/server/test_crossings.py
@@ -800,7 +800,7 @@
         for torn in (whole[:0], whole[: len(whole) // 2], whole[:-1]):
             path.write_text(torn)
             process.send_signal(signal.SIGHUP)
-            while "stays as it was: LB_CONFIG:" not in process.stderr.readline():
+            while "the previous one stays in use: LB_CONFIG:" not in process.stderr.readline():
                 pass
         path.write_text(whole)
         process.send_signal(signal.SIGHUP)
@@ -850,7 +850,7 @@
         process.stdin.close()
         assert "n3 listens on" in process.stderr.readline()
         process.send_signal(signal.SIGHUP)  # and is heard from here on
-        while "cairnvane.server.main: pool" not in process.stderr.readline():
+        while "cairnvane.server.reload: configuration reloaded: pool" not in process.stderr.readline():
             pass
         process.send_signal(signal.SIGTERM)
         assert process.wait(WAIT_S) == 0
--- a/tests/server/test_lifecycle.py
+++ b/tests/server/test_lifecycle.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cairnvane.server import composition
+from cairnvane.server import member_setup
 from cairnvane.server.lifecycle import Component, Lifecycle, Shutdown
 
 HOW = Shutdown(time_left_s=1.0, grace_s=0.5, handover=False)
@@ -46,8 +46,11 @@
 @pytest.mark.parametrize(
     ("parts", "told"),
     [
-        ([Component("door", ("server", "host"))], "door: needs server, host"),
-        ([Component("host"), Component("host")], "host: twice"),
+        (
+            [Component("administration", ("server", "event loop"))],
+            "^administration: depends on server, event loop$",
+        ),
+        ([Component("pool"), Component("pool")], "^pool: added twice$"),
     ],
 )
 def test_a_part_without_what_it_needs_is_named(parts: list[Component], told: str) -> None:
@@ -59,4 +62,4 @@
 
 def test_members_tell_each_other_the_version_that_the_package_has() -> None:
     path = Path(__file__).parents[2] / "pyproject.toml"
-    assert tomllib.loads(path.read_text())["project"]["version"] == composition.VERSION
+    assert tomllib.loads(path.read_text())["project"]["version"] == member_setup.VERSION
--- a/tests/server/test_program.py
+++ b/tests/server/test_program.py
@@ -119,7 +119,7 @@
         good = json.loads(path.read_text())
         path.write_text(json.dumps(good | {"vault": "nowhere"}))
         process.send_signal(signal.SIGHUP)
-        while "stays as it was: vault:" not in process.stderr.readline():
+        while "the previous one stays in use: vault:" not in process.stderr.readline():
             pass
         path.write_text(json.dumps(good | dict(zip(("pool", "roster"), at[1], strict=True))))
         process.send_signal(signal.SIGHUP)
