Exchange, clock and command line: the field's names, named steps

`exchange` still spoke of hosts, intakes and callers that leave; `clock` returned a bare tuple; the commands of `lab` repeated the same checks and options.

Now names and docstrings are ordinary ones, a placed time stamp is a `NamedTuple`, and `lab` has one check of choices, one report option and one progress printer. Verbs, options, exit statuses and output are as before.

--- a/cairnvane/cli/__init__.py
+++ b/cairnvane/cli/__init__.py
@@ -1,5 +1,7 @@
-"""`cairnvane`: the command line. Status 0: good; 1: something wrong was found; 2: wrong use or
-configuration."""
+"""The command line `cairnvane`.
+
+Exit status 0: no fault; 1: a fault was found; 2: wrong use or configuration.
+"""
 
 from __future__ import annotations
 
--- a/cairnvane/cli/keyed.py
+++ b/cairnvane/cli/keyed.py
@@ -1,14 +1,15 @@
-"""`cairnvane keyed`: look after a folder of kept results."""
+"""`cairnvane keyed`: inspects and compacts a folder of stored results."""
 
 from __future__ import annotations
 
 import json
 import sys
 from pathlib import Path
+from typing import NoReturn
 
 import click
 
-from ..claims import inspection as ledger
+from ..claims import inspection
 from ..claims.records import NewerVersionError
 from ..idempotency.durable import FolderError
 from ..idempotency.durable import verify as verification
@@ -22,7 +23,8 @@
     """Kept results of keyed requests."""
 
 
-def _stop(error: Exception) -> None:
+def _fail(error: Exception) -> NoReturn:
+    """End the command: the folder can't be read."""
     click.echo(f"cairnvane keyed: {error}", err=True)
     sys.exit(2)
 
@@ -33,13 +35,17 @@
     """Read everything in FOLDER, a log's or a ledger's, and say what is damaged; nothing is changed. Status 1
     if a record may be lost."""
     try:
-        beside = [ledger.look(path) for path in ledger.ledgers(folder)]
-        found = verification.verify(OsFiles(folder))
+        claim_reports = [inspection.look(path) for path in inspection.ledgers(folder)]
+        log_report = verification.verify(OsFiles(folder))
     except (FolderError, NewerVersionError, OSError) as error:
-        return _stop(error)
-    for line in [line for one in beside for line in one.lines()] + found.lines():
+        _fail(error)
+    for claim_report in claim_reports:
+        for line in claim_report.lines():
+            click.echo(line)
+    for line in log_report.lines():
         click.echo(line)
-    sys.exit(1 if found.wrong or any(one.wrong for one in beside) else 0)
+    is_damaged = log_report.wrong or any(claim_report.wrong for claim_report in claim_reports)
+    sys.exit(1 if is_damaged else 0)
 
 
 @keyed.command()
@@ -50,14 +56,14 @@
     shown. What the log does not know stands behind, from the ledger."""
     try:
         rows = list(verification.show(OsFiles(folder)))
-        known = {row["token"] for row in rows}
-        for path in ledger.ledgers(folder):
-            rows += [row for row in ledger.show(path) if row["token"] not in known]
+        keys_in_log = {row["token"] for row in rows}
+        for path in inspection.ledgers(folder):
+            rows += [row for row in inspection.show(path) if row["token"] not in keys_in_log]
         for row in rows:
-            plain = "  ".join(f"{key}={value}" for key, value in row.items())
-            click.echo(json.dumps(row) if as_json else plain)
+            text = "  ".join(f"{key}={value}" for key, value in row.items())
+            click.echo(json.dumps(row) if as_json else text)
     except (FolderError, NewerVersionError, OSError) as error:
-        return _stop(error)
+        _fail(error)
 
 
 @keyed.command()
@@ -65,7 +71,7 @@
 def compact(folder: Path) -> None:
     """Rewrite FOLDER without what no longer counts. Not while a server uses it."""
     try:
-        before, after = verification.compact(OsFiles(folder))
+        bytes_before, bytes_after = verification.compact(OsFiles(folder))
     except (FolderError, OSError) as error:
-        return _stop(error)
-    click.echo(f"{before:,} bytes before, {after:,} after")
+        _fail(error)
+    click.echo(f"{bytes_before:,} bytes before, {bytes_after:,} after")
--- a/cairnvane/cli/lab.py
+++ b/cairnvane/cli/lab.py
@@ -1,15 +1,29 @@
-"""`cairnvane lab`: experiments on the real program."""
+"""`cairnvane lab`: runs the testbed's experiments, and prints their reports.
+
+Each command imports its experiment only when it is called.
+"""
 
 from __future__ import annotations
 
 import json
 import sys
 import tempfile
+from collections.abc import Iterable, Sequence
 from pathlib import Path
 from typing import Any, NoReturn, Protocol
 
 import click
 
+# Of the temporary folder of an experiment.
+FOLDER_PREFIX = "cairnvane-lab-"
+
+_report_file = click.option(
+    "--json",
+    "json_file",
+    type=click.Path(dir_okay=False, path_type=Path),
+    help="For the report.",
+)
+
 
 @click.group()
 def lab() -> None:
@@ -17,16 +31,32 @@
 
 
 class _Report(Protocol):
+    """What an experiment found."""
+
     @property
-    def good(self) -> bool: ...
+    def good(self) -> bool:
+        """Whether no rule was broken."""
+
+    def lines(self) -> list[str]:
+        """The report for a terminal."""
 
-    def lines(self) -> list[str]: ...
+    def as_json(self) -> dict[str, Any]:
+        """The report for a program."""
 
-    def as_json(self) -> dict[str, Any]: ...
 
+def _print_progress(line: str) -> None:
+    click.echo(line, err=True)
 
-def _end(report: _Report, json_file: Path | None) -> NoReturn:
-    """Show it, and end with what it found."""
+
+def _check_choices(option: str, chosen: Iterable[str], choices: Sequence[str]) -> None:
+    """Raise `click.BadParameter`, which names the option, at the first value that is no choice."""
+    for value in chosen:
+        if value not in choices:
+            raise click.BadParameter(f"{value!r} is none of {', '.join(choices)}", param_hint=option)
+
+
+def _finish(report: _Report, json_file: Path | None) -> NoReturn:
+    """Print the report, write it to the file if there is one, and exit with its status."""
     for line in report.lines():
         click.echo(line)
     if json_file is not None:
@@ -41,7 +71,7 @@
 @click.option("--durability", type=click.Choice(["process", "power"]), default="process", show_default=True)
 @click.option("--rate", type=click.FloatRange(1), default=250.0, show_default=True, help="Commits a second.")
 @click.option("--disk-mb", type=click.IntRange(2), default=8, show_default=True, help="The keeper's bound.")
-@click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="For the report.")
+@_report_file
 @click.option("--mutant", default="", hidden=True, help="Take a part of the keeper out; see lab.victim.")
 def restarts(
     commits: int,
@@ -58,7 +88,7 @@
     Status 1 if one does."""
     from ..testbed.restarts import Restarts
 
-    with tempfile.TemporaryDirectory(prefix="cairnvane-lab-") as folder:
+    with tempfile.TemporaryDirectory(prefix=FOLDER_PREFIX) as folder:
         experiment = Restarts(
             Path(folder),
             commits=commits,
@@ -68,10 +98,10 @@
             rate=rate,
             disk_mb=disk_mb,
             mutant=mutant,
-            say=lambda line: click.echo(line, err=True),
+            say=_print_progress,
         )
         report = experiment.run()
-    _end(report, json_file)
+    _finish(report, json_file)
 
 
 @lab.command()
@@ -91,7 +121,7 @@
     help="How results are kept; memory: for the lives side by side only.",
 )
 @click.option("--rate", type=click.FloatRange(1), default=150.0, show_default=True, help="Commits a second.")
-@click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="For the report.")
+@_report_file
 @click.option("--mutant", default="", hidden=True, help="Take a part of the keeper out; see lab.victim.")
 def upgrade(
     rounds: int,
@@ -111,7 +141,7 @@
     Status 1 if anything falls short."""
     from ..testbed.upgrades import Upgrades
 
-    with tempfile.TemporaryDirectory(prefix="cairnvane-lab-") as folder:
+    with tempfile.TemporaryDirectory(prefix=FOLDER_PREFIX) as folder:
         experiment = Upgrades(
             Path(folder),
             rounds=rounds,
@@ -123,26 +153,24 @@
             durability=durability,
             rate=rate,
             mutant=mutant,
-            say=lambda line: click.echo(line, err=True),
+            say=_print_progress,
         )
         report = experiment.run()
-    _end(report, json_file)
+    _finish(report, json_file)
 
 
 @lab.command()
 @click.option("--trouble", "kinds", multiple=True, help="Of these kinds only; may be given more than once.")
 @click.option("--rate", "rates", type=click.FloatRange(0.1, 200), multiple=True, help="First tries a second.")
-@click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="For the report.")
+@_report_file
 def recovery(kinds: tuple[str, ...], rates: tuple[float, ...], json_file: Path | None) -> None:
     """Play one server's decisions through troubles of pool and vault on a virtual clock: when is it back?
 
     Status 1 if it does not come back from one."""
-    from ..testbed import recovery as lives
+    from ..testbed import recovery as experiment
 
-    if unknown := [kind for kind in kinds if kind not in lives.KINDS]:
-        known = ", ".join(lives.KINDS)
-        raise click.BadParameter(f"{unknown[0]!r} is none of {known}", param_hint="--trouble")
-    _end(lives.play(kinds or lives.KINDS, rates or lives.RATES), json_file)
+    _check_choices("--trouble", kinds, experiment.KINDS)
+    _finish(experiment.play(kinds or experiment.KINDS, rates or experiment.RATES), json_file)
 
 
 @lab.command()
@@ -158,38 +186,36 @@
     back. Status 1 if a rule is broken or a statement of the scenario does not hold, 2 if the file is at
     fault."""
     from ..config import ConfigurationError
-    from ..testbed.fleet import scenario as words
+    from ..testbed.fleet import scenario as scenarios
     from ..testbed.fleet.play import Play
     from ..testbed.fleet.schedule import draw
 
     try:
-        told = words.load(scenario if scenario is not None else words.shipped())
+        plan = scenarios.load(scenario if scenario is not None else scenarios.shipped())
     except ConfigurationError as error:
         click.echo(f"cairnvane: {error}", err=True)
         sys.exit(2)
     if check:
-        for step in draw(told, seed):
+        for step in draw(plan, seed):
             click.echo(f"{step.at:6.1f} s  {step.line()}")
         return
-    click.echo(f"{told.name}: {told.servers} servers, {told.seconds:g} s, seed {seed}", err=True)
-    with tempfile.TemporaryDirectory(prefix="cairnvane-lab-") as folder:
-        report = Play(
-            told, seed, Path(folder), events=events, say=lambda line: click.echo(line, err=True)
-        ).run()
-    _end(report, json_file)
+    click.echo(f"{plan.name}: {plan.servers} servers, {plan.seconds:g} s, seed {seed}", err=True)
+    with tempfile.TemporaryDirectory(prefix=FOLDER_PREFIX) as folder:
+        report = Play(plan, seed, Path(folder), events=events, say=_print_progress).run()
+    _finish(report, json_file)
 
 
 @lab.command()
 @click.option("--datagrams", type=click.IntRange(1), default=1_000_000, show_default=True, help="How many.")
 @click.option("--seed", type=int, default=7, show_default=True, help="For all that is left to chance.")
-@click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="For the report.")
+@_report_file
 def fuzz(datagrams: int, seed: int, json_file: Path | None) -> None:
     """Let a members' channel take datagrams of strangers, torn, changed, replayed and insane ones.
 
     Status 1 if one raises, changes what is known, or memory grows."""
     from ..testbed.fuzz import fuzz as run
 
-    _end(run(datagrams, seed, say=lambda line: click.echo(line, err=True)), json_file)
+    _finish(run(datagrams, seed, say=_print_progress), json_file)
 
 
 @lab.command()
@@ -201,7 +227,7 @@
 )
 @click.option("--workers", type=click.IntRange(1), help="Processes; all cores without it.")
 @click.option("--mutant", default="", help="Take a rule out, which the search must then find.")
-@click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="For the report.")
+@_report_file
 def explore(
     members: int,
     depth: int,
@@ -215,23 +241,19 @@
     departures up to a depth.
 
     Status 1 if something that must hold does not, or if a mutant is not found."""
-    from ..testbed import explore as worlds
-
-    for told, known, hint in (
-        (beginnings, worlds.BEGINNINGS, "--from"),
-        ([mutant] if mutant else [], tuple(worlds.MUTANTS), "--mutant"),
-    ):
-        if unknown := [name for name in told if name not in known]:
-            raise click.BadParameter(f"{unknown[0]!r} is none of {', '.join(known)}", param_hint=hint)
-    _end(
-        worlds.explore(
+    from ..testbed import explore as model_checker
+
+    _check_choices("--from", beginnings, model_checker.BEGINNINGS)
+    _check_choices("--mutant", [mutant] if mutant else [], tuple(model_checker.MUTANTS))
+    _finish(
+        model_checker.explore(
             members,
             depth,
-            beginnings=beginnings or worlds.BEGINNINGS,
+            beginnings=beginnings or model_checker.BEGINNINGS,
             mutant=mutant,
             most=most,
             workers=workers,
-            say=lambda line: click.echo(line, err=True),
+            say=_print_progress,
         ),
         json_file,
     )
@@ -249,23 +271,21 @@
     help="How many; may be given more than once.",
 )
 @click.option("--seeds", type=click.IntRange(1), default=3, show_default=True)
-@click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="For the report.")
+@_report_file
 def overload(kinds: tuple[str, ...], sizes: tuple[int, ...], seeds: int, json_file: Path | None) -> None:
     """Bring trouble over a fleet whose balancers walk on: what is served, how often it is tried, what meets a
     sick vault, and when it is back.
 
     Status 1 if a rule is broken."""
-    from ..testbed import overload as troubles
-
-    if unknown := [kind for kind in kinds if kind not in troubles.TROUBLES]:
-        known = ", ".join(troubles.TROUBLES)
-        raise click.BadParameter(f"{unknown[0]!r} is none of {known}", param_hint="--trouble")
-    _end(
-        troubles.measure(
-            kinds or troubles.TROUBLES,
+    from ..testbed import overload as experiment
+
+    _check_choices("--trouble", kinds, experiment.TROUBLES)
+    _finish(
+        experiment.measure(
+            kinds or experiment.TROUBLES,
             sizes,
             range(1, seeds + 1),
-            say=lambda line: click.echo(line, err=True),
+            say=_print_progress,
         ),
         json_file,
     )
@@ -282,7 +302,7 @@
     help="How many; may be given more than once.",
 )
 @click.option("--seeds", type=click.IntRange(1), default=10, show_default=True)
-@click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="For the report.")
+@_report_file
 def shares(sizes: tuple[int, ...], seeds: int, json_file: Path | None) -> None:
     """The vault as one limit in virtual time: what servers lend each other, beside fixed parts and parts by
     how many each sees.
@@ -290,7 +310,7 @@
     Status 1 if what is lent ever adds up to more than the limit."""
     from ..testbed.shares import measure
 
-    _end(measure(sizes, seeds, say=lambda line: click.echo(line, err=True)), json_file)
+    _finish(measure(sizes, seeds, say=_print_progress), json_file)
 
 
 @lab.command()
@@ -315,17 +335,17 @@
 @click.option("--seeds", type=click.IntRange(1), default=10, show_default=True)
 @click.option(
     "--case",
-    "hard",
+    "special_cases",
     type=click.Choice(["join", "third", "flap"]),
     multiple=True,
     help="Instead: all join at once, a third is lost at once, one in twenty keeps restarting.",
 )
-@click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="For the report.")
+@_report_file
 def members(
     sizes: tuple[int, ...],
     losses: tuple[float, ...],
     seeds: int,
-    hard: tuple[str, ...],
+    special_cases: tuple[str, ...],
     json_file: Path | None,
 ) -> None:
     """Members in virtual time, beside a plain heartbeat to all and probes without suspicion: how soon all
@@ -334,6 +354,6 @@
     Status 1 if the real one misses a kill or calls a living member dead."""
     from ..testbed.members import cases, measure
 
-    if hard:
-        _end(cases(sizes, seeds, hard, say=lambda line: click.echo(line, err=True)), json_file)
-    _end(measure(sizes, losses, seeds, say=lambda line: click.echo(line, err=True)), json_file)
+    if special_cases:
+        _finish(cases(sizes, seeds, special_cases, say=_print_progress), json_file)
+    _finish(measure(sizes, losses, seeds, say=_print_progress), json_file)
--- a/cairnvane/cli/members.py
+++ b/cairnvane/cli/members.py
@@ -1,4 +1,4 @@
-"""`cairnvane members`: who is there, as one server sees it."""
+"""`cairnvane members`: shows the members of a fleet as one server sees them."""
 
 from __future__ import annotations
 
@@ -6,36 +6,60 @@
 import sys
 import urllib.error
 import urllib.request
+from http import HTTPStatus
 from typing import Any
 
 import click
 
-WAIT_S = 2.0
+TIMEOUT_S = 2.0
+INCARNATION_DIGITS = 6  # the last ones, which differ between incarnations
+MILLISECONDS_PER_SECOND = 1e3
+TOGETHER = "together"  # the verdict of a server that is not partitioned from the others
 
 
-def _age(told: dict[str, Any]) -> str:
-    return "never" if told["heard_ms"] is None else f"{told['heard_ms'] / 1e3:.1f} s ago"
+def _last_heard(member: dict[str, Any]) -> str:
+    if member["heard_ms"] is None:
+        return "never"
+    return f"{member['heard_ms'] / MILLISECONDS_PER_SECOND:.1f} s ago"
 
 
-def lines(told: dict[str, Any]) -> list[str]:
-    """For a terminal."""
-    own, sight = told["own"], told["sight"]
-    health = f"doubt {told['doubt']}" if told["doubt"] else "well"
-    shown = [
-        f"{own['name']} (life {own['life'][-6:]}) at {own['address']}: {sight['verdict']}, "
+def _own_line(snapshot: dict[str, Any]) -> str:
+    own = snapshot["own"]
+    sight = snapshot["sight"]
+    health = f"doubt {snapshot['doubt']}" if snapshot["doubt"] else "well"
+    return (
+        f"{own['name']} (life {own['life'][-INCARNATION_DIGITS:]}) at {own['address']}: {sight['verdict']}, "
         f"confidence {sight['confidence']:.2f}, epoch {sight['epoch']}; surely there {sight['least']}, "
         f"at most {sight['most']}; its own health: {health}"
-    ]
+    )
+
+
+def _member_line(member: dict[str, Any]) -> str:
+    return (
+        f"  {member['name']:12} {member['life'][-INCARNATION_DIGITS:]:6} {member['status']:8} "
+        f"{member['phase']:9} {member['incarnation']:11} {_last_heard(member):>12}  {member['place']}"
+    )
+
+
+def lines(snapshot: dict[str, Any]) -> list[str]:
+    """The server's JSON description of the members as lines for a terminal."""
     head = f"  {'member':12} {'life':6} {'status':8} {'phase':9} {'incarnation':>11} {'heard':>12}  serves at"
-    return [
-        *shown,
-        head,
-        *(
-            f"  {one['name']:12} {one['life'][-6:]:6} {one['status']:8} {one['phase']:9} "
-            f"{one['incarnation']:11} {_age(one):>12}  {one['place']}"
-            for one in told["members"]
-        ),
-    ]
+    return [_own_line(snapshot), head, *map(_member_line, snapshot["members"])]
+
+
+def _fetch(administration: str) -> dict[str, Any]:
+    """The members as the server at this address describes them; raises `click.ClickException`."""
+    try:
+        with urllib.request.urlopen(f"http://{administration}/-/members", timeout=TIMEOUT_S) as response:
+            snapshot: dict[str, Any] = json.load(response)
+    except urllib.error.HTTPError as error:
+        reason = str(error)
+        if error.code == HTTPStatus.NOT_FOUND:
+            reason = "it has no members: turn them on in its operator's file"
+        raise click.ClickException(f"{administration}: {reason}") from None
+    except (OSError, ValueError) as error:
+        raise click.ClickException(f"{administration}: {error}") from None
+    return snapshot
 
 
 @click.command()
@@ -45,13 +69,6 @@
     """Show which servers one server knows, who failed, and whether it is cut off.
 
     Status 1 if it thinks that it is cut off, or can't be asked."""
-    try:
-        with urllib.request.urlopen(f"http://{door}/-/members", timeout=WAIT_S) as answer:
-            told = json.load(answer)
-    except urllib.error.HTTPError as error:
-        why = "it has no members: turn them on in its operator's file" if error.code == 404 else str(error)
-        raise click.ClickException(f"{door}: {why}") from None
-    except (OSError, ValueError) as error:
-        raise click.ClickException(f"{door}: {error}") from None
-    click.echo(json.dumps(told, indent=1) if as_json else "\n".join(lines(told)))
-    sys.exit(0 if told["sight"]["verdict"] == "together" else 1)
+    snapshot = _fetch(door)
+    click.echo(json.dumps(snapshot, indent=1) if as_json else "\n".join(lines(snapshot)))
+    sys.exit(0 if snapshot["sight"]["verdict"] == TOGETHER else 1)
--- a/cairnvane/cli/serve.py
+++ b/cairnvane/cli/serve.py
@@ -1,4 +1,4 @@
-"""`cairnvane serve`."""
+"""`cairnvane serve`: runs a server with the operator's options."""
 
 from __future__ import annotations
 
--- a/cairnvane/cli/xds.py
+++ b/cairnvane/cli/xds.py
@@ -1,9 +1,10 @@
-"""`cairnvane xds`: descriptions of fleets in Envoy's terms."""
+"""`cairnvane xds`: checks descriptions of fleets in the form of Envoy's discovery service."""
 
 from __future__ import annotations
 
 import sys
 from pathlib import Path
+from typing import NoReturn
 
 import click
 
@@ -13,6 +14,12 @@
     """Clusters and endpoints in xDS form."""
 
 
+def _fail(reason: str) -> NoReturn:
+    """End the command: the file can't be checked."""
+    click.echo(f"cairnvane xds: {reason}", err=True)
+    sys.exit(2)
+
+
 @xds.command()
 @click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
 def check(file: Path) -> None:
@@ -21,15 +28,13 @@
     try:
         from ..xds.resources import check_json
     except ImportError as error:
-        click.echo(f"cairnvane xds: {error}; pip install '.[xds]'", err=True)
-        sys.exit(2)
+        _fail(f"{error}; pip install '.[xds]'")
     try:
-        good, bad = check_json(file.read_text())
+        resources, problems = check_json(file.read_text())
     except (ValueError, OSError) as error:
-        click.echo(f"cairnvane xds: {file}: {error}", err=True)
-        sys.exit(2)
-    for line in bad:
-        click.echo(f"refused: {line}")
-    for one in good:
-        click.echo(f"good: {type(one).__name__.lower()} {one.name}")
-    sys.exit(1 if bad else 0)
+        _fail(f"{file}: {error}")
+    for problem in problems:
+        click.echo(f"refused: {problem}")
+    for resource in resources:
+        click.echo(f"good: {type(resource).__name__.lower()} {resource.name}")
+    sys.exit(1 if problems else 0)
--- a/cairnvane/clock.py
+++ b/cairnvane/clock.py
@@ -1,30 +1,43 @@
-"""The two clocks: a monotonic one for all decisions, Unix time only to place what peers stamp with it."""
+"""The two clocks: a monotonic one for all decisions, and Unix time only to read what peers stamp with it."""
 
 from __future__ import annotations
 
 import time
 from pathlib import Path
+from typing import NamedTuple
 
-_BOOT = Path("/proc/sys/kernel/random/boot_id")
+_BOOT_ID_FILE = Path("/proc/sys/kernel/random/boot_id")
+BOOT_ID_DIGITS = 32
+NANOSECONDS_PER_MICROSECOND = 1_000
+MICROSECONDS_PER_MILLISECOND = 1_000
+
+
+class PlacedStamp(NamedTuple):
+    """A Unix time stamp on the monotonic clock, in microseconds."""
+
+    at: int  # never later than now
+    ahead: int  # how far the stamp lies in the future; 0: it does not
 
 
 def now() -> int:
     """Microseconds of the monotonic clock."""
-    return time.monotonic_ns() // 1_000
+    return time.monotonic_ns() // NANOSECONDS_PER_MICROSECOND
 
 
-def place(unix_ms: int) -> tuple[int, int]:
-    """The monotonic time of a Unix time stamp, one from the future counting as now; and by how many
-    microseconds it lies there."""
-    ahead = unix_ms * 1_000 - time.time_ns() // 1_000
-    return now() + min(0, ahead), max(0, ahead)
+def place(unix_ms: int) -> PlacedStamp:
+    """Place a Unix time stamp on the monotonic clock; one from the future counts as now."""
+    unix_now = time.time_ns() // NANOSECONDS_PER_MICROSECOND
+    ahead = unix_ms * MICROSECONDS_PER_MILLISECOND - unix_now
+    return PlacedStamp(now() + min(0, ahead), max(0, ahead))
 
 
 def boot() -> str | None:
-    """Which boot of the machine this is, 32 hexadecimal digits: its monotonic clock counts within it only.
-    None where the system does not tell."""
+    """The id of the machine's present boot, 32 hexadecimal digits; None where the system does not tell.
+
+    Times of the monotonic clock are comparable within one boot only.
+    """
     try:
-        told = _BOOT.read_text().strip().replace("-", "")
+        boot_id = _BOOT_ID_FILE.read_text().strip().replace("-", "")
     except OSError:
         return None
-    return told if len(told) == 32 and told.isalnum() else None
+    return boot_id if len(boot_id) == BOOT_ID_DIGITS and boot_id.isalnum() else None
--- a/cairnvane/exchange.py
+++ b/cairnvane/exchange.py
@@ -1,7 +1,7 @@
-"""What a front protocol and the host pass each other: the only thing that both know.
+"""Requests, health checks and responses: the interface between a front protocol and the server behind it.
 
-A front (today `net.server`, FastCGI) turns its wire into a `Request` or a `Check` and hands it to the
-`Intake`. Whoever holds it ends it with `finish`; the front's `deliver` puts the answer on the wire.
+A front (`net.server`, which speaks FastCGI) turns what it reads into a `Request` or a `HealthCheck` and hands
+it to a `RequestSink`. Whoever holds it ends it with `respond`; the front's `deliver` writes the response.
 """
 
 from __future__ import annotations
@@ -14,57 +14,62 @@
 
 
 class ResponseStatus(Enum):
-    """What an answer says of the try."""
+    """What became of the attempt."""
 
     SERVED = "served"
-    REJECTED = "refused"  # a promise that this try never ran
+    REJECTED = "refused"  # with the promise that this attempt never ran
     FAILED = "failed"
 
 
 @dataclass(frozen=True, slots=True)
 class Response:
-    """A final answer, in no protocol's words."""
+    """A final response, independent of the protocol."""
 
     status: ResponseStatus
     body: bytes = b""
-    retry_after_ms: int = 0  # refused: how long the caller should stay away
-    no_retry: bool = False  # refused: the wish that no other server is tried
-    load: float | None = None  # the free value that counts from this answer on
-    invalid_request: bool = False  # no balancer sends such a request
+    retry_after_ms: int = 0  # if rejected: how long the client should avoid this server
+    no_retry: bool = False  # if rejected: whether the client is asked not to retry elsewhere
+    load: float | None = None  # the server's load signal as of this response
+    invalid_request: bool = False  # the request is one that no balancer sends
 
 
 class Exchange:
-    """Something that is owed one answer, whoever tries to give it and however often."""
+    """Something that is owed one response, whoever tries to give it and however often.
+
+    `deliver` is called with the response, at most once, in the thread that gives it.
+    """
 
     __slots__ = ("_deliver", "_is_open", "_lock")
 
     def __init__(self, deliver: Callable[[Response], None]) -> None:
         self._deliver = deliver
-        self._lock = threading.Lock()
+        self._lock = threading.Lock()  # guards `_is_open`
         self._is_open = True
 
     def _close(self) -> bool:
+        """Close the exchange; whether it was open until now."""
         with self._lock:
-            was_open, self._is_open = self._is_open, False
+            was_open = self._is_open
+            self._is_open = False
         return was_open
 
     @property
     def is_open(self) -> bool:
-        """No answer was given and the caller has not left."""
+        """Whether no response was given and the client has not disconnected."""
         return self._is_open
 
-    def respond(self, answer: Response) -> None:
-        """Give the final answer. Guards the rule on duplicates: only the first one is delivered."""
+    def respond(self, response: Response) -> None:
+        """Give the final response; only the first one is delivered, and none after `abandon`."""
         if self._close():
-            self._deliver(answer)
+            self._deliver(response)
 
     def abandon(self) -> bool:
-        """The caller has left: no answer is owed, none goes out. False if it was answered before."""
+        """Note that the client has disconnected, so no response is owed; False if one was given before."""
         return self._close()
 
 
 class Request(Exchange):
-    """A try of a request, as it was read."""
+    """One attempt of a request, as it was read."""
 
     __slots__ = (
         "arrived_at",
@@ -92,42 +97,41 @@
     ) -> None:
         super().__init__(deliver)
         self.uid = uid
-        self.class_name = class_name  # the name of its class
+        self.class_name = class_name
         self.body = body
         self.arrived_at = arrived_at  # when it reached the machine, in microseconds of the monotonic clock
-        self.clock_skew = (
-            clock_skew  # how far its stamp lay in the future: what counts from the stamp ends later
-        )
+        # How many microseconds its time stamp lay in the future: what counts from the stamp ends later.
+        self.clock_skew = clock_skew
         self.client = client
-        self.memory = memory  # kilobytes that are booked while it is held
-        self.idempotency_key = idempotency_key  # the same for all tries of one keyed request
+        self.memory = memory  # kilobytes that are reserved while it is queued
+        self.idempotency_key = idempotency_key  # the same for all attempts of one keyed request
 
 
 class HealthCheck(Exchange):
-    """A health check."""
+    """A health check by a client."""
 
     __slots__ = ("deep",)
 
     def __init__(self, deliver: Callable[[Response], None], deep: bool) -> None:
         super().__init__(deliver)
-        self.deep = deep  # the caller wants to know whether work gets done
+        self.deep = deep  # the client wants to know whether real work gets done
 
 
 class RequestSink(Protocol):
-    """Where fronts hand over what they read. Safe to call from any thread."""
+    """Takes what fronts read. Safe to call from any thread."""
 
     def request_arrived(self, request: Request) -> None:
         """A whole request was read."""
 
     def client_disconnected(self, request: Request) -> None:
-        """Its caller has left, or can't be reached any more."""
+        """The client of a request has disconnected, or can't be reached any more."""
 
     def health_check_arrived(self, check: HealthCheck) -> None:
         """A health check was read."""
 
 
 class ResponseCounter(Protocol):
-    """Who counts final answers as they go out, where the operators' door shows figures."""
+    """Counts final responses as they are written, for the administration endpoint."""
 
-    def response_sent(self, lane: str, verdict: ResponseStatus) -> None:
-        """A request of this class got its final answer."""
+    def response_sent(self, class_name: str, status: ResponseStatus) -> None:
+        """A request of this class got its final response."""
--- a/cairnvane/logging_setup.py
+++ b/cairnvane/logging_setup.py
@@ -19,17 +19,17 @@
 
 
 def use_plain_lines() -> None:
-    """Plain lines with level, module and message."""
+    """Write plain lines with level, module and message."""
     _replace_handler(logging.Formatter(PLAIN_FORMAT))
 
 
-def use_json_lines(server: str) -> None:
-    """One JSON object per line, with UTC time, server, level, logger and message; needs `structlog`."""
+def use_json_lines(server_name: str) -> None:
+    """Write one JSON object per line, with UTC time, server, level, logger and message; needs `structlog`."""
     import structlog
     from structlog.typing import EventDict
 
     def add_server(_logger: object, _method: str, event: EventDict) -> EventDict:
-        event["server"] = server
+        event["server"] = server_name
         return event
 
     _replace_handler(
