--- a/cairnvane/cli/keyed.py
+++ b/cairnvane/cli/keyed.py
@@ -33,7 +33,8 @@
 @FOLDER
 def verify(folder: Path) -> None:
     """Read everything in FOLDER, a log's or a ledger's, and say what is damaged; nothing is changed. Status 1
-    if a record may be lost."""
+    if a record may be lost.
+    """
     try:
         claim_reports = [inspection.look(path) for path in inspection.ledgers(folder)]
         log_report = verification.verify(OsFiles(folder))
@@ -53,7 +54,8 @@
 @click.option("--json", "as_json", is_flag=True, help="One JSON object a line.")
 def show(folder: Path, as_json: bool) -> None:
     """List the keys in FOLDER, a log's or a ledger's, oldest first, and how each stands; results are not
-    shown. What the log does not know stands behind, from the ledger."""
+    shown. What the log does not know stands behind, from the ledger.
+    """
     try:
         rows = list(verification.show(OsFiles(folder)))
         keys_in_log = {row["token"] for row in rows}
--- a/cairnvane/cli/lab.py
+++ b/cairnvane/cli/lab.py
@@ -85,7 +85,8 @@
 ) -> None:
     """Kill the server under load and replay every commit: none may run twice, or be answered otherwise.
 
-    Status 1 if one does."""
+    Status 1 if one does.
+    """
     from ..testbed.restarts import Restarts
 
     with tempfile.TemporaryDirectory(prefix=FOLDER_PREFIX) as folder:
@@ -138,7 +139,8 @@
     """Upgrade the server under load, again and again: no commit may run twice, no forged one be served, and
     staff are answered at the door.
 
-    Status 1 if anything falls short."""
+    Status 1 if anything falls short.
+    """
     from ..testbed.upgrades import Upgrades
 
     with tempfile.TemporaryDirectory(prefix=FOLDER_PREFIX) as folder:
@@ -166,7 +168,8 @@
 def recovery(kinds: tuple[str, ...], rates: tuple[float, ...], json_file: Path | None) -> None:
     """Play one server's decisions through troubles of pool and vault on a virtual clock: when is it back?
 
-    Status 1 if it does not come back from one."""
+    Status 1 if it does not come back from one.
+    """
     from ..testbed import recovery as experiment
 
     _check_choices("--trouble", kinds, experiment.KINDS)
@@ -184,7 +187,8 @@
 
     Without a SCENARIO (YAML, docs/fleet-lab.md) a short one is played: three servers, one is killed and comes
     back. Status 1 if a rule is broken or a statement of the scenario does not hold, 2 if the file is at
-    fault."""
+    fault.
+    """
     from ..config import ConfigurationError
     from ..testbed.fleet import scenario as scenarios
     from ..testbed.fleet.play import Play
@@ -212,7 +216,8 @@
 def fuzz(datagrams: int, seed: int, json_file: Path | None) -> None:
     """Let a members' channel take datagrams of strangers, torn, changed, replayed and insane ones.
 
-    Status 1 if one raises, changes what is known, or memory grows."""
+    Status 1 if one raises, changes what is known, or memory grows.
+    """
     from ..testbed.fuzz import fuzz as run
 
     _finish(run(datagrams, seed, say=_print_progress), json_file)
@@ -240,7 +245,8 @@
     """Explore a small world of members whole: every order of messages, losses, duplicates, restarts and
     departures up to a depth.
 
-    Status 1 if something that must hold does not, or if a mutant is not found."""
+    Status 1 if something that must hold does not, or if a mutant is not found.
+    """
     from ..testbed import explore as model_checker
 
     _check_choices("--from", beginnings, model_checker.BEGINNINGS)
@@ -276,7 +282,8 @@
     """Bring trouble over a fleet whose balancers walk on: what is served, how often it is tried, what meets a
     sick vault, and when it is back.
 
-    Status 1 if a rule is broken."""
+    Status 1 if a rule is broken.
+    """
     from ..testbed import overload as experiment
 
     _check_choices("--trouble", kinds, experiment.TROUBLES)
@@ -307,7 +314,8 @@
     """The vault as one limit in virtual time: what servers lend each other, beside fixed parts and parts by
     how many each sees.
 
-    Status 1 if what is lent ever adds up to more than the limit."""
+    Status 1 if what is lent ever adds up to more than the limit.
+    """
     from ..testbed.shares import measure
 
     _finish(measure(sizes, seeds, say=_print_progress), json_file)
@@ -351,7 +359,8 @@
     """Members in virtual time, beside a plain heartbeat to all and probes without suspicion: how soon all
     know of a kill, how often the living are called dead, and what it costs.
 
-    Status 1 if the real one misses a kill or calls a living member dead."""
+    Status 1 if the real one misses a kill or calls a living member dead.
+    """
     from ..testbed.members import cases, measure
 
     if special_cases:
--- a/cairnvane/cli/members.py
+++ b/cairnvane/cli/members.py
@@ -68,7 +68,8 @@
 def members(door: str, as_json: bool) -> None:
     """Show which servers one server knows, who failed, and whether it is cut off.
 
-    Status 1 if it thinks that it is cut off, or can't be asked."""
+    Status 1 if it thinks that it is cut off, or can't be asked.
+    """
     snapshot = _fetch(door)
     click.echo(json.dumps(snapshot, indent=1) if as_json else "\n".join(lines(snapshot)))
     sys.exit(0 if snapshot["sight"]["verdict"] == TOGETHER else 1)
--- a/cairnvane/cli/xds.py
+++ b/cairnvane/cli/xds.py
@@ -24,7 +24,8 @@
 @click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
 def check(file: Path) -> None:
     """Check FILE, a DiscoveryResponse in JSON with clusters and endpoints. Status 1 if a resource is
-    refused."""
+    refused.
+    """
     try:
         from ..xds.resources import check_json
     except ImportError as error:
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -1,4 +1,4 @@
-"""The command line and the operator's file, as a new user meets them."""
+"""The command line and the operator's file: faults, exit statuses, and the tools for stored results."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 from click.testing import CliRunner
 from idempotency.test_durable_log import segment
 from peers import TOKEN, WAIT_S, Balancer, PoolPeer
-from server.test_program import FILE, NOWHERE, program
+from server_process import FILE, NOWHERE, program
 
 from cairnvane.claims.incarnations import LIVES, Incarnations
 from cairnvane.claims.records import Record, put
@@ -28,7 +28,7 @@
 EXAMPLE = Path(__file__).parents[2] / "deploy" / "operator.yaml"
 
 
-def operators(tmp_path: Path, text: str) -> Path:
+def write_operator_file(tmp_path: Path, text: str) -> Path:
     path = tmp_path / "operator.yaml"
     path.write_text(text)
     return path
@@ -66,29 +66,29 @@
         ("\x00", ["operator.yaml"]),
     ],
 )
-def test_a_fault_in_the_operators_file_is_named_in_one_line(
+def test_fault_in_the_operator_file_is_named_in_one_line(
     tmp_path: Path,
     text: str,
     words: list[str],
 ) -> None:
     with pytest.raises(ConfigurationError) as error:
-        operator.load(operators(tmp_path, text))
+        operator.load(write_operator_file(tmp_path, text))
     for word in words:
         assert word in str(error.value)
     assert "\n" not in str(error.value)
 
 
-def test_the_example_is_right_and_an_empty_file_turns_nothing_on(tmp_path: Path) -> None:
-    told = operator.load(EXAMPLE)
-    assert told.keyed is not None and told.keyed.folder == str(EXAMPLE.parent / "keyed")
-    assert (told.keyed.disk_bytes, told.keyed.memory_bytes) == (64 << 20, 8 << 20)
+def test_examples_are_valid_and_an_empty_file_turns_nothing_on(tmp_path: Path) -> None:
+    options = operator.load(EXAMPLE)
+    assert options.keyed is not None and options.keyed.folder == str(EXAMPLE.parent / "keyed")
+    assert (options.keyed.disk_bytes, options.keyed.memory_bytes) == (64 << 20, 8 << 20)
     members = operator.load(EXAMPLE.with_name("operator-members.yaml")).members
     assert members is not None and (members.listen_address[1], len(members.contact_addresses)) == (7400, 2)
-    assert operator.load(operators(tmp_path, "# nothing yet\n")) == operator.OperatorOptions()
+    assert operator.load(write_operator_file(tmp_path, "# nothing yet\n")) == operator.OperatorOptions()
 
 
-def test_the_plain_line_imports_nothing_that_it_does_not_need() -> None:
-    heavy = [
+def test_server_without_operator_file_imports_no_optional_feature() -> None:
+    optional = [
         "click",
         "hashlib",
         "structlog",
@@ -100,7 +100,7 @@
         "cairnvane.config.operator",
         "cairnvane.membership",
     ]
-    code = f"import cairnvane.__main__, sys; print([name for name in {heavy} if name in sys.modules])"
+    code = f"import cairnvane.__main__, sys; print([name for name in {optional} if name in sys.modules])"
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
 
@@ -118,13 +118,13 @@
         (["nothing"], 2),
     ],
 )
-def test_wrong_use_has_status_2(words: list[str], status: int) -> None:
+def test_wrong_use_exits_with_status_2(words: list[str], status: int) -> None:
     assert run(*words).exit_code == status
 
 
-def test_a_commit_is_kept_over_a_kill_of_the_real_program(tmp_path: Path) -> None:
-    """And the folder's tools say what is in it, to nobody but its owner."""
-    path = operators(tmp_path, "log: {form: json}\n" + KEYED)
+def test_result_survives_a_kill_of_the_program(tmp_path: Path) -> None:
+    """And the commands show what is in the folder, which its owner alone can read."""
+    path = write_operator_file(tmp_path, "log: {form: json}\n" + KEYED)
     pool = PoolPeer()
     at = f"{pool.address[0]}:{pool.address[1]}"
     write = {"path": "/svc/write", "HTTP_REQ_TOKEN": TOKEN}
@@ -135,8 +135,8 @@
         pool.next("bind")
         pool.run(b"original")
         assert balancer.answer()[1].body == b"original"
-        refused = run("keyed", "compact", folder)
-        assert (refused.exit_code, "in use" in refused.output) == (2, True)
+        rejected = run("keyed", "compact", folder)
+        assert (rejected.exit_code, "in use" in rejected.output) == (2, True)
         process.kill()
         process.wait(WAIT_S)
     for name in folder.rglob("*"):
@@ -154,7 +154,7 @@
 
 
 @pytest.mark.parametrize(
-    ("spoil", "status", "word"),
+    ("damage", "status", "word"),
     [
         (lambda data: data, 0, "good"),
         (lambda data: data[:-7], 0, "torn"),
@@ -163,9 +163,9 @@
         (lambda data: data[:8] + b"\x63\0" + data[10:], 2, "newer version"),
     ],
 )
-def test_verify_says_what_is_wrong(tmp_path: Path, spoil: Any, status: int, word: str) -> None:
+def test_verify_names_the_damage(tmp_path: Path, damage: Any, status: int, word: str) -> None:
     _, name, data = segment()
-    (tmp_path / name).write_bytes(spoil(data))
+    (tmp_path / name).write_bytes(damage(data))
     before = (tmp_path / name).read_bytes()
     done = run("keyed", "verify", tmp_path)
     assert (done.exit_code, word in done.output) == (status, True), done.output
@@ -173,8 +173,8 @@
 
 
 @pytest.mark.parametrize("other", ["another instance", "another process"])
-def test_a_folder_that_is_anothers_ends_the_start_with_one_line(tmp_path: Path, other: str) -> None:
-    path = operators(tmp_path, KEYED)
+def test_folder_of_another_instance_fails_the_start_with_one_line(tmp_path: Path, other: str) -> None:
+    path = write_operator_file(tmp_path, KEYED)
     folder = tmp_path / "keyed"
     folder.mkdir()
     holder = OsFiles(folder)
@@ -197,22 +197,23 @@
     holder.unlock()
 
 
-def test_a_ledger_is_shown_and_verified_as_lives_see_it(tmp_path: Path) -> None:
-    """In `$TMPDIR`, with one life there and one dead."""
-    folder, lives = tmp_path / "cairnvane-ledger" / "n3.0badb007", Incarnations(tmp_path / LIVES / "n3")
-    lives.enter()
+def test_claims_are_shown_and_verified_as_incarnations_see_them(tmp_path: Path) -> None:
+    """In `$TMPDIR`, with one incarnation alive and one dead."""
+    folder = tmp_path / "cairnvane-ledger" / "n3.0badb007"
+    incarnations = Incarnations(tmp_path / LIVES / "n3")
+    incarnations.enter()
     folder.mkdir(parents=True)
     token = bytes.fromhex("5c" * 16)
     records = [
-        Record(Step.INTENT, lives.life, token, 5, 9, bytes(16)),
+        Record(Step.INTENT, incarnations.life, token, 5, 9, bytes(16)),
         Record(Step.INTENT, 7, token, 6, 9, bytes(16)),
-        Record(Step.RESULT, lives.life, token, 8, 9, bytes(16) + b"result"),
+        Record(Step.RESULT, incarnations.life, token, 8, 9, bytes(16) + b"result"),
     ]
     path = folder / "0000000001.ledger"
-    path.write_bytes(b"".join(put(*one) for one in records))
+    path.write_bytes(b"".join(put(*record) for record in records))
     verified = run("keyed", "verify", str(folder))
     assert verified.exit_code == 0 and "1 finished" in verified.output
-    assert f"{lives.life} alive" in verified.output and "came second: 1" in verified.output
+    assert f"{incarnations.life} alive" in verified.output and "came second: 1" in verified.output
     [row] = [json.loads(line) for line in run("keyed", "show", "--json", str(folder)).output.splitlines()]
     assert (row["token"], row["state"], row["life_is"]) == (token.hex(), "finished", "alive")
     assert row["result_bytes"] == "6"
@@ -221,4 +222,4 @@
     path.write_bytes(b"CVL2" + bytes(30))
     newer = run("keyed", "verify", str(folder))
     assert newer.exit_code == 2 and "format 2" in newer.output
-    lives.leave()
+    incarnations.leave()
--- /dev/null
+++ b/tests/server/test_floods.py
@@ -0,0 +1,103 @@
+"""Floods by faulty or hostile clients cost no other client its response, and stay within the limits."""
+
+from __future__ import annotations
+
+import contextlib
+import signal
+import socket
+import threading
+from pathlib import Path
+
+from peers import WAIT_S, Balancer, PoolPeer, until, world
+from server_helpers import ABORT, BEGIN, in_thread
+from server_process import NOWHERE, program
+
+from cairnvane.net import connection, fastcgi
+
+
+def test_records_of_ended_requests_are_tolerated_up_to_the_limit() -> None:
+    with world() as w:
+        balancer = w.balancer()
+        for number in range(1, 4):
+            balancer.sock.sendall(ABORT * (connection.MOST_VOID - 1))
+            w.serve(balancer, number)
+
+
+def _reader(sock: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        while sock.recv(65_536):
+            pass
+
+
+# The data of each flood, and whether its client reads; each reconnects when its connection is closed.
+FLOODS = {
+    "records of nothing": (fastcgi.record(fastcgi.STDIN, 7, b"") * 1_000, True),
+    "management records that are not read": (fastcgi.record(50, 0, b"") * 1_000, False),
+    "beginnings and aborts": ((BEGIN + ABORT) * 500, True),
+    "requests beyond the most": (
+        b"".join(BEGIN[:2] + number.to_bytes(2, "big") + BEGIN[4:] for number in range(1, 600)),
+        True,
+    ),
+    "garbage": (b"GET / HTTP/1.1\r\n\r\n" * 100, True),
+    "an oversized record": (fastcgi.record(fastcgi.PARAMS, 1, bytes(60_000)), True),
+    "half a record": (BEGIN[:5], True),
+}
+
+
+def test_floods_cost_no_response_no_drain_and_no_memory(tmp_path: Path) -> None:
+    """Each flood goes on from three connections while a balancer is served and the program shuts down."""
+    over = threading.Event()
+
+    def flood(address: tuple[str, int], data: bytes, read: bool) -> None:
+        while not over.is_set():
+            with contextlib.suppress(OSError), socket.create_connection(address, 1) as sock:
+                if read:
+                    in_thread(lambda: _reader(sock))
+                while not over.wait(0.001):  # so that this process has time for its own balancer
+                    sock.sendall(data)
+
+    pool = PoolPeer()
+    with program(tmp_path, f"127.0.0.1:{pool.address[1]}", NOWHERE, stop_ms=5_000) as (process, port):
+        assert process.stderr is not None
+        in_thread(process.stderr.read)  # a full pipe of log lines would keep the server from its exit
+        floods = [
+            threading.Thread(target=flood, args=(("127.0.0.1", port), *how), daemon=True)
+            for how in FLOODS.values()
+            for _ in range(3)
+        ]
+        balancer = Balancer(("127.0.0.1", port))
+        pool.next("bind")
+        for each in floods:
+            each.start()
+        for number in range(1, 101):
+            balancer.send(number % 32 + 1, HTTP_REQ_ID=f"{number:016x}")
+            pool.run(b"done")
+            assert balancer.answer()[1].body == b"done"
+        status = Path(f"/proc/{process.pid}/status").read_text()
+        peak_kb = next(int(line.split()[1]) for line in status.splitlines() if line.startswith("VmHWM"))
+        assert peak_kb < 64 * 1_024
+        balancer.send(1, HTTP_REQ_ID="a" * 16)
+        uid = pool.next("spawn")["uid"]
+        process.send_signal(signal.SIGTERM)
+        pool.notice("finished", uid, "fine", b"last")
+        assert balancer.answer()[1].body == b"last"
+        assert process.wait(WAIT_S) == 0
+        over.set()
+        for each in floods:
+            each.join(WAIT_S)
+
+
+def test_concurrent_deep_health_checks_share_one_check_of_the_pool() -> None:
+    """Guards against a flood: each check cost the pool its work, and this process a timer's thread."""
+    with world() as w:
+        balancer = w.balancer()
+        for number in range(1, 20):
+            balancer.send(number, "/status/live", b"", QUERY_STRING="real=1")
+        echo = w.pool.next("verify")["echo"]
+        until(lambda: len(w.host._health._waiting) == 19)
+        w.pool.tell(action="verified", echo=echo, code="fine")
+        assert [balancer.answer()[1].status for _ in range(19)] == [200] * 19
+        w.serve(balancer, 21)  # its `spawn` is what the pool hears next
+        balancer.send(20, "/status/live", b"", QUERY_STRING="real=1")
+        w.pool.tell(action="verified", echo=w.pool.next("verify")["echo"], code="fault")
+        assert balancer.answer()[1].status == 503
--- a/tests/server/test_lifecycle.py
+++ b/tests/server/test_lifecycle.py
@@ -1,4 +1,4 @@
-"""Parts start after what they need and end before it; what is not asked for has no place."""
+"""Components start after those that they depend on and stop before them."""
 
 from __future__ import annotations
 
@@ -8,43 +8,43 @@
 import pytest
 
 from cairnvane.server import member_setup
-from cairnvane.server.lifecycle import Component, Lifecycle, Shutdown
+from cairnvane.server.lifecycle import Component, ComponentError, Lifecycle, Shutdown
 
-HOW = Shutdown(time_left_s=1.0, grace_s=0.5, handover=False)
+SHUTDOWN = Shutdown(time_left_s=1.0, grace_s=0.5, handover=False)
 
 
-def test_parts_start_in_order_and_leave_and_end_the_other_way_round() -> None:
-    told: list[str] = []
-    assembly = Lifecycle()
-    for name, needs in (("one", ()), ("two", ("one",)), ("three", ("one", "two"))):
-        assembly.add(
+def test_components_start_in_order_and_stop_in_reverse() -> None:
+    calls: list[str] = []
+    lifecycle = Lifecycle()
+    for name, depends_on in (("one", ()), ("two", ("one",)), ("three", ("one", "two"))):
+        lifecycle.add(
             Component(
                 name,
-                needs,
-                start=lambda n=name: told.append(f"start {n}"),  # type: ignore[misc]
-                on_shutdown=lambda how, n=name: told.append(f"leave {n}"),  # type: ignore[misc]
-                stop=lambda how, n=name: told.append(f"end {n} {how.grace_s}"),  # type: ignore[misc]
+                depends_on,
+                start=lambda n=name: calls.append(f"start {n}"),  # type: ignore[misc]
+                on_shutdown=lambda shutdown, n=name: calls.append(f"shutdown {n}"),  # type: ignore[misc]
+                stop=lambda shutdown, n=name: calls.append(f"stop {n} {shutdown.grace_s}"),  # type: ignore[misc]
             )
         )
-    assembly.add(None)
-    assembly.start()
-    assembly.begin_shutdown(HOW)
-    assembly.stop(HOW)
-    assert told == [
+    lifecycle.add(None)
+    lifecycle.start()
+    lifecycle.begin_shutdown(SHUTDOWN)
+    lifecycle.stop(SHUTDOWN)
+    assert calls == [
         "start one",
         "start two",
         "start three",
-        "leave three",
-        "leave two",
-        "leave one",
-        "end three 0.5",
-        "end two 0.5",
-        "end one 0.5",
+        "shutdown three",
+        "shutdown two",
+        "shutdown one",
+        "stop three 0.5",
+        "stop two 0.5",
+        "stop one 0.5",
     ]
 
 
 @pytest.mark.parametrize(
-    ("parts", "told"),
+    ("components", "message"),
     [
         (
             [Component("administration", ("server", "event loop"))],
@@ -53,13 +53,13 @@
         ([Component("pool"), Component("pool")], "^pool: added twice$"),
     ],
 )
-def test_a_part_without_what_it_needs_is_named(parts: list[Component], told: str) -> None:
-    assembly = Lifecycle()
-    with pytest.raises(ValueError, match=told):
-        for part in parts:
-            assembly.add(part)
+def test_component_that_cannot_be_added_is_named(components: list[Component], message: str) -> None:
+    lifecycle = Lifecycle()
+    with pytest.raises(ComponentError, match=message):
+        for component in components:
+            lifecycle.add(component)
 
 
-def test_members_tell_each_other_the_version_that_the_package_has() -> None:
+def test_members_send_the_version_of_the_package() -> None:
     path = Path(__file__).parents[2] / "pyproject.toml"
     assert tomllib.loads(path.read_text())["project"]["version"] == member_setup.VERSION
--- /dev/null
+++ b/tests/server/test_run_races.py
@@ -0,0 +1,76 @@
+"""Cancellation of runs and calls, against their ends and replies at the same instant."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from peers import WAIT_S, Held, VaultPeer, reply, world
+from server_helpers import hold, in_thread
+
+from cairnvane.net import vault
+
+
+@pytest.mark.parametrize("notice", ["fine", "fault", "broken_off", "late", "blocked", "unknown"])
+def test_notice_that_coincides_with_a_cancellation_changes_nothing(notice: str) -> None:
+    """The client has disconnected, and the pool had sent this notice, or no longer knew the run."""
+    with world() as w:
+        balancer, uid = w.running()
+        balancer.abort(1)
+        assert balancer.answer()[1].status == 0
+        assert w.pool.next("suspend")["uid"] == uid
+        if notice == "unknown":
+            w.pool.tell(action="unknown", code="suspend", uid=uid)
+        elif notice == "blocked":
+            w.pool.notice("blocked", uid, content=b"call")
+        else:
+            w.pool.notice("finished", uid, notice, b"done" if notice == "fine" else b"")
+        w.serve(balancer, 1, HTTP_REQ_ID="f" * 16)  # the next command, and the next response of that number
+        assert w.vault.calls.empty()
+
+
+def test_reply_for_a_run_unknown_to_the_pool_changes_nothing() -> None:
+    with world(reply(200, b"reply")) as w:
+        balancer = w.balancer()
+        uid = w.block(balancer)
+        w.pool.next("supply")
+        w.pool.tell(action="unknown", code="supply", uid=uid)
+        w.end(balancer, uid)
+
+
+def test_reply_to_an_abandoned_call_is_not_reported(monkeypatch: pytest.MonkeyPatch) -> None:
+    held = hold(monkeypatch, vault, "outcome")
+    threads: list[threading.Thread] = []
+    ends: list[Any] = []
+    monkeypatch.setattr(vault, "_threads", SimpleNamespace(run=lambda task: threads.append(in_thread(task))))
+    call = vault.VaultCall(
+        VaultPeer(reply(200)).address, "0" * 16, b"x", 60_000_000, lambda *end: ends.append(end)
+    )
+    assert held.reached.wait(WAIT_S)
+    call.give_up()
+    held.go.set()
+    threads[0].join(WAIT_S)
+    assert ends == []
+
+
+def test_reply_reported_after_a_disconnect_is_not_supplied() -> None:
+    with world(reply(200, b"late")) as w:
+        balancer, posted = w.balancer(), threading.Event()
+        held = Held(w.host.post)
+
+        def post(task: Callable[[], None]) -> None:
+            held(task)
+            posted.set()
+
+        w.host.executions._post = post
+        uid = w.block(balancer)
+        assert held.reached.wait(WAIT_S)
+        balancer.abort(1)
+        assert w.pool.next("suspend")["uid"] == uid
+        held.go.set()
+        assert posted.wait(WAIT_S)
+        assert balancer.answer()[0] == 1
+        w.serve(balancer, 2)  # its `spawn` is what the pool hears next
