--- a/cairnvane/server/composition.py
+++ b/cairnvane/server/composition.py
@@ -92,15 +92,18 @@
     event_loop_thread = EventLoopThread(event_loop)
 
     lifecycle = Lifecycle()
-    lifecycle.add(store_setup.incarnations_component(shared_state.incarnations))
-    lifecycle.add(store_setup.store_component(shared_state.store))
-    lifecycle.add(event_loop_thread.component())
-    lifecycle.add(store_setup.pool_component(event_loop, pool, keys, event_loop_thread.fail_recovery))
-    lifecycle.add(_front_component(front))
-    lifecycle.add(_registry_component(registry))
-    lifecycle.add(_readiness_component(shared_state.incarnations, pool))
-    lifecycle.add(member_setup.members_component(membership.transport))
-    lifecycle.add(administration.component)
+    for component in (
+        store_setup.incarnations_component(shared_state.incarnations),
+        store_setup.store_component(shared_state.store),
+        event_loop_thread.component(),
+        store_setup.pool_component(event_loop, pool, keys, event_loop_thread.fail_recovery),
+        _front_component(front),
+        _registry_component(registry),
+        _readiness_component(shared_state.incarnations, pool),
+        member_setup.members_component(membership.transport),
+        administration.component,
+    ):
+        lifecycle.add(component)
     return Server(
         event_loop, event_loop_thread, pool, registry, shared_state.incarnations, lifecycle, front.address
     )
--- a/cairnvane/server/event_loop.py
+++ b/cairnvane/server/event_loop.py
@@ -72,16 +72,7 @@
         """Build the parts that carry out actions; called once, before `serve`."""
         self._pool = pool
         self._durable_keys = durable_keys  # None: keys are remembered by this process alone
-        self.executions = Executions(
-            pool,
-            vault,
-            self.post,
-            self._settings.cancel_mode is not CancelMode.NONE,
-            run_lost=lambda in_flight: self._end_run(in_flight.request.uid, RUN_CANCELLED),
-            call_ended=lambda in_flight, outcome, duration: self.notify(
-                CallFinished(in_flight.request_id, outcome, duration)
-            ),
-        )
+        self.executions = self._make_executions(pool, vault)
         self._duplicates = Duplicates(
             self._requests,
             # A duplicate that arrived before its key expired may be read as much later as a client waits.
@@ -114,6 +105,18 @@
         )
         self._close_idle = self._actions.close_idle_connections
 
+    def _make_executions(self, pool: WorkerPool, vault: tuple[str, int]) -> Executions:
+        return Executions(
+            pool,
+            vault,
+            self.post,
+            self._settings.cancel_mode is not CancelMode.NONE,
+            run_lost=lambda in_flight: self._end_run(in_flight.request.uid, RUN_CANCELLED),
+            call_ended=lambda in_flight, outcome, duration: self.notify(
+                CallFinished(in_flight.request_id, outcome, duration)
+            ),
+        )
+
     @property
     def reported_load(self) -> float | None:
         """The load signal that goes with every response; None before the controller's first report."""
