Server: what the pool's notices mean for runs in a class of its own

`EventLoop` still held the ends, calls and losses of runs beside its inbox. `Runs` has them now; the steps and their order are the same.

--- a/cairnvane/server/event_loop.py
+++ b/cairnvane/server/event_loop.py
@@ -15,13 +15,10 @@
 from ..admission.controller import Controller
 from ..contract.events import (
     CallFinished,
-    CallRequested,
-    ClientDisconnected,
     DrainStarted,
     Event,
     Outcome,
     RunAdopted,
-    RunFinished,
     TimerFired,
 )
 from ..contract.settings import CancelMode, Settings
@@ -33,10 +30,11 @@
 from .action_executor import ActionExecutor
 from .arrivals import Arrivals
 from .duplicates import Duplicates
-from .executions import ENDS, RESPONSE_STATUSES, Executions
+from .executions import Executions
 from .health_checks import HealthResponder
 from .in_flight import InFlightRequest, InFlightTable, adopted_run
 from .responder import Responder
+from .runs import Runs
 from .timers import ControllerTimers
 
 if TYPE_CHECKING:  # only where an operator turned it on
@@ -82,6 +80,14 @@
             notify_next=self._follow_up,
             arrive_again=lambda request: self.post(lambda: self._arrivals.arrive(request)),
         )
+        self._runs = Runs(
+            self._requests,
+            self.executions,
+            self._duplicates,
+            self._responder,
+            durable_keys,
+            notify=self.notify,
+        )
         self._arrivals = Arrivals(
             self._settings,
             self._requests,
@@ -111,7 +117,7 @@
             vault,
             self.post,
             self._settings.cancel_mode is not CancelMode.NONE,
-            run_lost=lambda in_flight: self._end_run(in_flight.request.uid, RUN_CANCELLED),
+            run_lost=lambda in_flight: self._runs.end(in_flight.request.uid, RUN_CANCELLED),
             call_ended=lambda in_flight, outcome, duration: self.notify(
                 CallFinished(in_flight.request_id, outcome, duration)
             ),
@@ -142,7 +148,7 @@
 
     def client_disconnected(self, request: Request) -> None:
         """The client of a request has disconnected."""
-        self._inbox.put(lambda: self._disconnect(request))
+        self._inbox.put(lambda: self._runs.disconnect(request))
 
     def health_check_arrived(self, check: HealthCheck) -> None:
         """A health check was read."""
@@ -150,23 +156,23 @@
 
     def finished(self, uid: str, code: str, took_us: int, result: bytes, pos: int) -> None:
         """The pool's notice at position `pos`: a run is over."""
-        self._inbox.put(lambda: self._end_run(uid, code, took_us, result, pos))
+        self._inbox.put(lambda: self._runs.end(uid, code, took_us, result, pos))
 
     def unknown(self, uid: str) -> None:
         """The pool has no such request: it will never run, and no notice of its end will come."""
-        self._inbox.put(lambda: self._end_unknown_run(uid))
+        self._inbox.put(lambda: self._runs.end_unknown(uid))
 
     def blocked(self, uid: str, body: bytes, pos: int) -> None:
         """The pool's notice at position `pos`: a run waits for a call with this body."""
-        self._inbox.put(lambda: self._request_call(uid, body, pos))
+        self._inbox.put(lambda: self._runs.request_call(uid, body, pos))
 
     def replaced(self) -> None:
         """The pool is a new one, and has none of the runs."""
-        self._inbox.put(self._fail_lost_runs)
+        self._inbox.put(self._runs.fail_lost)
 
     def linked(self, link: int) -> None:
         """The pool's link of this number is up, and the pool's notices have been replayed."""
-        self._inbox.put(lambda: self._resend_lost_commands(link))
+        self._inbox.put(lambda: self._runs.resend_lost_commands(link))
 
     def drain(self, time_left_us: int) -> None:
         """The server will be stopped after this time."""
@@ -236,98 +242,6 @@
             self._durable_keys.drain(time_left_us)
         self.notify(DrainStarted(time_left_us))
 
-    def _disconnect(self, request: Request) -> None:
-        in_flight = self._requests.find_uid(request.uid)
-        if in_flight is None or in_flight.request is not request:
-            return
-        self.executions.client_disconnected(in_flight)
-        self.notify(ClientDisconnected(in_flight.request_id))
-        self._duplicates.remove_if_over(in_flight)
-
-    # --- the pool's notices
-
-    def _skip_notice(self, position: int) -> None:
-        """A notice that changes nothing for any key was read."""
-        if self._durable_keys is not None:
-            self._durable_keys.notice_read(position)
-
-    def _end_run(
-        self,
-        uid: str,
-        code: str,
-        duration: int = 0,
-        result: bytes = b"",
-        notice: int = 0,
-    ) -> None:
-        in_flight = self._requests.find_uid(uid)
-        if in_flight is None or not in_flight.is_running:
-            self._skip_notice(notice)
-            return
-        outcome = ENDS.get(code, Outcome.ERROR)
-        self.executions.finished(in_flight, outcome is Outcome.OK)
-        if outcome is Outcome.OK and in_flight.is_keyed:
-            in_flight.result = result
-        if self._durable_keys is not None and in_flight.is_keyed:
-            self._durable_keys.run_ended(in_flight, outcome, notice)
-            is_recorded_first = outcome is Outcome.OK  # its response waits for the record of its result
-        else:
-            self._skip_notice(notice)
-            is_recorded_first = False
-        if not is_recorded_first:
-            self._complete_run(in_flight, outcome, result)
-        self.notify(RunFinished(in_flight.request_id, outcome, duration))
-        self._duplicates.remove_if_over(in_flight)
-
-    def _complete_run(self, in_flight: InFlightRequest, outcome: Outcome, result: bytes) -> None:
-        """Answer the client of a run, if its end is an answer, and its duplicates."""
-        status = RESPONSE_STATUSES.get(outcome)
-        if status is not None:
-            body = result if outcome is Outcome.OK else b""
-            self._responder.respond(in_flight.request, status, body)
-        self._duplicates.complete_waiting(in_flight, outcome)
-
-    def _end_unknown_run(self, uid: str) -> None:
-        in_flight = self._requests.find_uid(uid)
-        if in_flight is not None and in_flight.is_running:
-            self._responder.respond_invalid(in_flight.request)
-            self._end_run(uid, RUN_NEVER_STARTED)
-
-    def _request_call(self, uid: str, body: bytes, notice: int) -> None:
-        in_flight = self._requests.find_uid(uid)
-        if in_flight is None or not in_flight.is_running:
-            self._skip_notice(notice)
-            return
-        in_flight.command_link = None
-        in_flight.call_body = body
-        in_flight.call_notice = notice
-        if self._durable_keys is None or not in_flight.is_keyed:
-            self._skip_notice(notice)
-        elif not self._durable_keys.call_requested(in_flight):
-            self.executions.cancel(in_flight)  # its call may have been made, and would be made twice
-            return
-        self.notify(CallRequested(in_flight.request_id))
-        if not in_flight.request.is_open:
-            self.executions.client_disconnected(in_flight)
-
-    def _fail_lost_runs(self) -> None:
-        """Fail the runs of a replaced pool: no notice of their end will come.
-
-        They may have had an effect, so they are not run again.
-        """
-        lost = [in_flight for in_flight in self._requests.all() if in_flight.is_running]
-        if self._durable_keys is not None:
-            lost = [in_flight for in_flight in lost if not self._durable_keys.awaits_start(in_flight)]
-        logger.warning("worker pool replaced: %d runs of the previous pool are lost", len(lost))
-        for in_flight in lost:
-            self._end_run(in_flight.request.uid, RUN_FAILED)
-        if self._durable_keys is not None:
-            self._durable_keys.pool_replaced()  # after the ends, which settle notices of the previous pool
-
-    def _resend_lost_commands(self, link: int) -> None:
-        if self._durable_keys is not None:
-            self._durable_keys.pool_linked()
-        self.executions.resend_lost_commands(link, self._requests.all())
-
     # --- for durable keys; see `idempotency.durability.RequestOwner`
 
     def start_run(self, in_flight: InFlightRequest) -> None:
@@ -354,12 +268,12 @@
 
     def run_never_started(self, in_flight: InFlightRequest) -> None:
         """A request was to run, and provably has not."""
-        self._end_run(in_flight.request.uid, RUN_NEVER_STARTED)
+        self._runs.end(in_flight.request.uid, RUN_NEVER_STARTED)
 
     def run_ended_elsewhere(self, in_flight: InFlightRequest, result: bytes | None) -> None:
         """Another incarnation ran a request, with this result; None: it failed."""
         code = RUN_FAILED if result is None else RUN_SUCCEEDED
-        self._end_run(in_flight.request.uid, code, 0, result or b"")
+        self._runs.end(in_flight.request.uid, code, 0, result or b"")
 
     def release(self, in_flight: InFlightRequest) -> None:
         """Leave the duplicates of this request to the durable store from now on."""
