Split a connection's reading, its records and its end into parts with their own state

Connection held the parsing, the requests, the end and the deadlines in one class of 320 lines, and its one lock did not say what it guards. connection_lifecycle.py now owns what is owed and whether the connection has ended, under that one lock; record_handler.py acts on records and writes responses; connection.py keeps the reader's loop, the deadlines and the orderly close. Order of steps unchanged.

--- a/cairnvane/net/server.py
+++ b/cairnvane/net/server.py
@@ -138,11 +138,11 @@
                 return True
             if count >= self._most + CLOSING:
                 return False
-            order = sorted(self._connections, key=lambda c: (c.standing, c.last))
+            order = sorted(self._connections, key=lambda c: (c.has_served, c.last_activity))
         # Who has half said something may be a client that drips, or a balancer at an ill moment: in need, the
         # former make room.
         return any(connection.make_room() for connection in order) or any(
-            connection.make_room(half_said=True) for connection in order if not connection.standing
+            connection.make_room(even_if_partial=True) for connection in order if not connection.has_served
         )
 
     def _serve(self, connection: Connection) -> None:
