--- a/cairnvane/net/message_writer.py
+++ b/cairnvane/net/message_writer.py
@@ -1,4 +1,4 @@
-"""Writes to one peer, in order, that never make the caller wait."""
+"""Writes whole messages to one peer, in order, without ever making the caller wait."""
 
 from __future__ import annotations
 
@@ -8,63 +8,63 @@
 import threading
 from collections import deque
 
-# What a peer that does not read may leave waiting here: an answer for each of 32 open requests.
+# What a peer that does not read may leave waiting here, in bytes: an answer for each of 32 open requests.
 MOST_WAITING = 256 * 1024
 # A peer that takes nothing for so long is given up. Longer than a pause of the machine.
-WRITE_WAIT_S = 10
+WRITE_TIMEOUT_S = 10
 
+_TIMEVAL = struct.Struct("ll")  # seconds and microseconds, as the kernel reads them
 
-def set_wait(sock: socket.socket, option: int, seconds: float) -> None:
-    """Bound a blocking socket's waits in the kernel; the socket itself stays blocking."""
-    whole = int(seconds)
-    sock.setsockopt(socket.SOL_SOCKET, option, struct.pack("ll", whole, int((seconds - whole) * 1e6)))
+
+def set_socket_timeout(sock: socket.socket, option: int, seconds: float) -> None:
+    """Bound a blocking socket's waits in the kernel (`SO_SNDTIMEO`, `SO_RCVTIMEO`).
+
+    The socket itself stays blocking.
+    """
+    whole_seconds = int(seconds)
+    microseconds = int((seconds - whole_seconds) * 1e6)
+    sock.setsockopt(socket.SOL_SOCKET, option, _TIMEVAL.pack(whole_seconds, microseconds))
 
 
 class MessageWriter:
     """One writer at a time, whole messages only, so that records never interleave.
 
-    The caller's own send takes what the socket has room for. What is left goes out from a thread that lives
+    The caller's own send writes what the socket has room for. What is left goes out from a thread that lives
     as long as there is a backlog: a slow peer stalls neither the host nor any other connection.
     """
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
-        self._lock = threading.Lock()
-        self._waiting: deque[bytes] = deque()
-        self._size = 0
-        self._broken = self._ending = False
-        self._writer: threading.Thread | None = None
-        set_wait(sock, socket.SO_SNDTIMEO, WRITE_WAIT_S)
+        self._lock = threading.Lock()  # guards the backlog, the two flags, and the order of writes
+        self._backlog: deque[bytes] = deque()
+        self._backlog_size = 0
+        self._is_broken = False
+        self._is_ending = False  # close our side once the backlog has left
+        self._drainer: threading.Thread | None = None
+        set_socket_timeout(sock, socket.SO_SNDTIMEO, WRITE_TIMEOUT_S)
 
     def send(self, data: bytes) -> bool:
         """Write, now or soon. False if the connection is lost, and with it the message."""
         with self._lock:
-            if self._broken:
+            if self._is_broken:
                 return False
-            if self._waiting:
-                return self._put_off(data)
+            if self._backlog:
+                return self._enqueue(data)
             try:
                 sent = self._sock.send(data, socket.MSG_DONTWAIT)
             except BlockingIOError:
                 sent = 0
             except OSError:
-                return self._break()
+                self._break()
+                return False
             if sent == len(data):
                 return True
-            if not self._put_off(data[sent:]):
-                return False
-            self._writer = threading.Thread(target=self._drain, name="outlet", daemon=True)
-            try:
-                self._writer.start()
-            except RuntimeError:  # no more threads: this peer is given up, not the caller
-                self._writer = None
-                return self._break()
-            return True
+            return self._enqueue(data[sent:]) and self._start_drainer()
 
     @property
     def waiting(self) -> bool:
         """Something that was sent has not left yet."""
-        return bool(self._waiting)
+        return bool(self._backlog)
 
     def cut(self) -> None:
         """End the connection at once."""
@@ -72,52 +72,70 @@
             self._break()
 
     def end(self) -> None:
-        """Tell the peer that no more comes, once what was sent has left."""
+        """Close our side of the connection, once what was sent has left."""
         with self._lock:
-            self._ending = True
-            if not self._waiting:
-                self._shut(socket.SHUT_WR)
+            self._is_ending = True
+            if not self._backlog:
+                self._shut_down(socket.SHUT_WR)
 
-    def finish(self, wait_s: float) -> None:
+    def finish(self, timeout_s: float) -> None:
         """End, and wait so long at the most until all has left."""
         self.end()
-        if (writer := self._writer) is not None:
-            writer.join(wait_s)
-
-    def _put_off(self, data: bytes) -> bool:
-        if self._size + len(data) > MOST_WAITING:
-            return self._break()
-        self._waiting.append(data)
-        self._size += len(data)
+        if (drainer := self._drainer) is not None:
+            drainer.join(timeout_s)
+
+    # --- with the lock held
+
+    def _enqueue(self, data: bytes) -> bool:
+        if self._backlog_size + len(data) > MOST_WAITING:
+            self._break()
+            return False
+        self._backlog.append(data)
+        self._backlog_size += len(data)
+        return True
+
+    def _start_drainer(self) -> bool:
+        self._drainer = threading.Thread(target=self._drain, name="backlog writer", daemon=True)
+        try:
+            self._drainer.start()
+        except RuntimeError:  # no more threads: this peer is given up, not the caller
+            self._drainer = None
+            self._break()
+            return False
         return True
 
+    def _remove_sent(self, message: bytes, sent: int) -> None:
+        self._backlog_size -= sent
+        if sent == len(message):
+            self._backlog.popleft()
+        else:
+            self._backlog[0] = message[sent:]
+
+    def _break(self) -> None:
+        self._is_broken = True
+        self._backlog.clear()
+        self._shut_down(socket.SHUT_RDWR)  # wakes the reader, which closes it
+
+    def _shut_down(self, how: int) -> None:
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(how)
+
+    # --- the backlog's thread
+
     def _drain(self) -> None:
+        """Write the backlog until none is left or the connection is lost."""
         while True:
             with self._lock:
-                if not self._waiting:
-                    if self._ending:
-                        self._shut(socket.SHUT_WR)
+                if not self._backlog:
+                    if self._is_ending:
+                        self._shut_down(socket.SHUT_WR)
                     return
-                data = self._waiting[0]
+                message = self._backlog[0]
             try:
-                sent = self._sock.send(data)
+                sent = self._sock.send(message)
             except OSError:  # the bounded wait has run out, or the peer is gone
                 with self._lock:
                     self._break()
                 return
             with self._lock:
-                self._size -= sent
-                if sent == len(data):
-                    self._waiting.popleft()
-                else:
-                    self._waiting[0] = data[sent:]
-
-    def _break(self) -> bool:
-        self._broken = True
-        self._waiting.clear()
-        self._shut(socket.SHUT_RDWR)  # wakes the reader, which closes it
-        return False
-
-    def _shut(self, how: int) -> None:
-        with contextlib.suppress(OSError):
-            self._sock.shutdown(how)
+                self._remove_sent(message, sent)
