Set the worker pool's link, its messages and its pending questions apart from the client

WorkerPool was the codec, the reconnecting connection, the table of questions and the client at once, and its one lock guarded unrelated things. Each part now owns its state; the words on the wire are known in the codec alone; errors of the link have a common base.

--- a/cairnvane/net/worker_pool_messages.py
+++ b/cairnvane/net/worker_pool_messages.py
@@ -41,6 +41,10 @@
     """Sound JSON of a form that this version has no use for."""
 
 
+class PoolReplacedError(WorkerPoolError):
+    """Another pool answered than the one whose notices were counted: the link has to be bound anew."""
+
+
 class Notice(msgspec.Struct):
     """Any message of the worker pool."""
 
--- a/tests/net/test_server.py
+++ b/tests/net/test_server.py
@@ -10,13 +10,13 @@
 from typing import Any
 
 import pytest
-from peers import TOKEN, WAIT_S, WINDOW_US, PoolPeer, reply, world
+from peers import LINK_THREAD_NAME, TOKEN, WAIT_S, WINDOW_US, PoolPeer, reply, world
 
 from cairnvane import clock
 from cairnvane.contract.actions import CloseIdleConnections, SetHealth
 from cairnvane.contract.events import Outcome
 from cairnvane.exchange import Exchange, Response, ResponseStatus
-from cairnvane.net import connection, fastcgi, http, server, vault, worker_pool
+from cairnvane.net import connection, fastcgi, http, server, vault, worker_pool_link
 from cairnvane.net.message_writer import MOST_WAITING, MessageWriter
 
 BEGIN = fastcgi.record(fastcgi.BEGIN_REQUEST, 1, b"\0\1\1\0\0\0\0\0")
@@ -626,9 +626,11 @@
 def test_the_pool_may_move_and_come_back(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards: two threads served the address it came back to, and cut each other's links without end."""
     back, before = threading.Event(), set(threading.enumerate())
-    monkeypatch.setattr(worker_pool, "time", SimpleNamespace(sleep=lambda s: back.wait(WAIT_S)))
+    monkeypatch.setattr(worker_pool_link, "time", SimpleNamespace(sleep=lambda s: back.wait(WAIT_S)))
     with world() as w:
-        (first,) = [thread for thread in set(threading.enumerate()) - before if thread.name == "pool"]
+        (first,) = [
+            thread for thread in set(threading.enumerate()) - before if thread.name == LINK_THREAD_NAME
+        ]
         other = PoolPeer()
         w.host._pool.move(other.address)
         other.next("bind")
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -25,6 +25,7 @@
 from cairnvane.simulator.settings_reader import read_settings
 
 WAIT_S = 20  # only a story that fails waits so long
+LINK_THREAD_NAME = "worker pool link"
 TOKEN = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
 WINDOW_US = 8_000_000
 PARAMS: dict[str, Any] = {
@@ -417,16 +418,19 @@
         return uid
 
 
-def _end_link(link: WorkerPool, before: set[threading.Thread]) -> None:
-    """End a pool's link, which the server itself never does, and wait for its threads, which came after
-    `before`: none may reach, or fail in, a later test."""
+def _end_link(pool: WorkerPool, before: set[threading.Thread]) -> None:
+    """End a pool's link, which the server itself never does, and wait for its threads.
+
+    These are the ones that came after `before`: none may reach, or fail in, a later test.
+    """
+    link = pool._link
     with link._lock:
         link._moves += 1
-        newest = link._newest
-    if newest is not None:
-        newest.cut()
+        newest_writer = link._newest_writer
+    if newest_writer is not None:
+        newest_writer.cut()
     for thread in set(threading.enumerate()) - before:
-        if thread.name == "pool":
+        if thread.name == LINK_THREAD_NAME:
             thread.join(WAIT_S)
             assert not thread.is_alive(), "a thread of the pool's link does not end"
 
