--- a/cairnvane/net/service_registry.py
+++ b/cairnvane/net/service_registry.py
@@ -1,4 +1,4 @@
-"""Reports to the roster, by which balancers find this server."""
+"""Registers this server with the service registry, by which balancers find it."""
 
 from __future__ import annotations
 
@@ -12,78 +12,96 @@
 
 logger = logging.getLogger(__name__)
 
-# An entry lapses 3 s after its last report: two reports may fail before that.
+# An entry expires 3 s after its last report: two reports may fail before that.
 EVERY_S = 0.8
 # A report that takes longer has failed; the next one is due.
 WAIT_S = 0.7
+REPORT_ACCEPTED = 204
+REPORT_BODY = b'{"duty":"on"}'
 
 
 class ServiceRegistry:
-    """Reports at a steady pace until told to stop; serves on without the roster."""
+    """Reports at a steady interval until it is stopped; the server serves on if none arrives."""
 
     def __init__(self, address: tuple[str, int], name: str) -> None:
-        self._address, self._name = address, name
-        self._stopped = False
-        self._lock = threading.Lock()
-        self._saying: socket.socket | None = None  # a report is on its way
-        self._wake = threading.Event()
-        self._failing = False
+        self._address = address
+        self._name = name
+        self._is_stopped = False
+        self._lock = threading.Lock()  # guards the stop against a report that is about to be sent
+        self._report_socket: socket.socket | None = None  # while a report is on its way
+        self._wake_up = threading.Event()
+        self._is_failing = False
 
     def start(self) -> None:
         """Report from now on."""
-        threading.Thread(target=self._run, name="roster", daemon=True).start()
+        threading.Thread(target=self._report_regularly, name="service registry reports", daemon=True).start()
 
     def move(self, address: tuple[str, int]) -> None:
-        """Report there from now on, and at once: the new roster knows of no report to the old one."""
+        """Report there from now on, and at once: the new registry knows of no report to the old one."""
         if address != self._address:
             self._address = address
-            self._wake.set()
+            self._wake_up.set()
 
     @property
     def answers(self) -> bool:
         """Whether the last report arrived, as far as is known."""
-        return not self._failing
+        return not self._is_failing
 
     def stop(self) -> None:
-        """Say nothing more: any report, `off` too, would keep the entry for another 3 s. One that is on its
-        way is cut off, since it may not have been said."""
+        """Send nothing more: any report, `off` too, would keep the entry for another 3 s.
+
+        A report that is on its way is cut off, since it may not have been sent whole.
+        """
         with self._lock:
-            self._stopped = True
-            if self._saying is not None:
+            self._is_stopped = True
+            if self._report_socket is not None:
                 with contextlib.suppress(OSError):
-                    self._saying.shutdown(socket.SHUT_RDWR)
-        self._wake.set()
+                    self._report_socket.shutdown(socket.SHUT_RDWR)
+        self._wake_up.set()
 
-    def _run(self) -> None:
+    def _report_regularly(self) -> None:
+        """The thread of the reports."""
         while True:
-            self._wake.clear()  # before the look at what it may have woken for
-            if self._stopped:
+            self._wake_up.clear()  # before the stop and the address are read, which it may be set for
+            if self._is_stopped:
                 return
             start = time.monotonic()
             self._report(self._address)
             # Counted from the start: a report that got no answer must not push the next one towards the 3 s.
-            self._wake.wait(max(0.0, start + EVERY_S - time.monotonic()))
+            self._wake_up.wait(max(0.0, start + EVERY_S - time.monotonic()))
 
     def _report(self, address: tuple[str, int]) -> None:
-        headers = {"Content-Type": "application/json"}
-        data = http.request("PUT", f"/roster/{self._name}", address, headers, b'{"duty":"on"}')
-        deadline = time.monotonic() + WAIT_S
+        """Send one report, and note whether it arrived."""
         try:
-            with socket.create_connection(address, WAIT_S) as sock:
-                with self._lock:
-                    if self._stopped:
-                        return
-                    self._saying = sock
-                sock.sendall(data)
-                status = http.read_reply(sock, deadline).status
-            problem = "" if status == 204 else f"status {status}"
+            status = self._send_report(address)
+            problem = "" if status in (None, REPORT_ACCEPTED) else f"status {status}"
         except Exception as error:  # whatever came back: without this thread no balancer finds the server
             problem = str(error) or type(error).__name__
         finally:
             with self._lock:
-                self._saying = None
-        if self._stopped:
+                self._report_socket = None
+        if not self._is_stopped:
+            self._note_outcome(problem)
+
+    def _send_report(self, address: tuple[str, int]) -> int | None:
+        """The status of the reply to one report; None if it was stopped before it was sent."""
+        headers = {"Content-Type": "application/json"}
+        report = http.request("PUT", f"/roster/{self._name}", address, headers, REPORT_BODY)
+        deadline = time.monotonic() + WAIT_S
+        with socket.create_connection(address, WAIT_S) as sock:
+            with self._lock:
+                if self._is_stopped:
+                    return None
+                self._report_socket = sock
+            sock.sendall(report)
+            return http.read_reply(sock, deadline).status
+
+    def _note_outcome(self, problem: str) -> None:
+        """Log a change between failure and success once, not with every report."""
+        if bool(problem) is self._is_failing:
             return
-        if bool(problem) is not self._failing:  # said once, not with every report
-            self._failing = bool(problem)
-            logger.info("%s", problem or "reports arrive again")
+        self._is_failing = bool(problem)
+        if problem:
+            logger.warning("service registry report failed: %s", problem)
+        else:
+            logger.info("service registry reports arrive again")
