Name the administration endpoint's parts in HTTP's and admission's terms

Connection slots, request parser, endpoints and server had the names of an invented style; steps of accepting, reading and answering are functions of their own, routes and counts are typed, and the errors of the net package have a common base. Paths, JSON keys, error texts and metric names on the wire are unchanged.

--- a/cairnvane/administration/drain_gate.py
+++ b/cairnvane/administration/drain_gate.py
@@ -1,5 +1,7 @@
-"""Between the front and the host: counts what is handed over, and answers health checks as bad while the
-operators have the process drained. Only in place where the door is."""
+"""A request sink before the host's: counts requests, and fails health checks while the process is drained.
+
+Only in place where there is an administration endpoint.
+"""
 
 from __future__ import annotations
 
@@ -9,24 +11,26 @@
 
 
 class DrainGate:
-    """An `Intake` before the host's."""
+    """A `RequestSink` before the host's."""
 
     def __init__(self, host: RequestSink, duty: Readiness, tally: RequestCounters) -> None:
-        self._host, self._duty, self._tally = host, duty, tally
+        self._next_sink = host
+        self._readiness = duty
+        self._counters = tally
 
     def request_arrived(self, request: Request) -> None:
-        """A whole request was read."""
-        self._tally.request_accepted()
-        self._host.request_arrived(request)
+        """Count a request that was read, and pass it on."""
+        self._counters.request_accepted()
+        self._next_sink.request_arrived(request)
 
     def client_disconnected(self, request: Request) -> None:
-        """Its caller has left before its answer."""
-        self._tally.client_disconnected()
-        self._host.client_disconnected(request)
+        """Count a request whose client disconnected before its answer, and pass that on."""
+        self._counters.client_disconnected()
+        self._next_sink.client_disconnected(request)
 
     def health_check_arrived(self, check: HealthCheck) -> None:
-        """A health check was read: bad at once while drained, else the host's."""
-        if self._duty.drained:
+        """Reject a health check at once while drained, else pass it on."""
+        if self._readiness.drained:
             check.respond(Response(ResponseStatus.REJECTED))
         else:
-            self._host.health_check_arrived(check)
+            self._next_sink.health_check_arrived(check)
--- a/cairnvane/administration/endpoints.py
+++ b/cairnvane/administration/endpoints.py
@@ -1,4 +1,4 @@
-"""What each call to the door means, and its answer: no sockets here.
+"""The administration requests and their answers: no sockets here.
 
 2xx means yes, 4xx or 5xx means no. A drain or a resume that changes nothing is still a yes: the state asked
 for holds.
@@ -8,43 +8,65 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from typing import NamedTuple
 
 import msgspec
 
+from .http_request import BAD_REQUEST, HEADER_FIELDS_TOO_LARGE
 from .readiness import Readiness
 from .request_counters import RequestCounters
 
-OK, NOT_FOUND, NOT_ALLOWED, UNAVAILABLE = 200, 404, 405, 503
+OK = 200
+NOT_FOUND = 404
+NOT_ALLOWED = 405
+REQUEST_TIMEOUT = 408
+UNAVAILABLE = 503
+
 REASONS = {
     OK: "OK",
-    400: "Bad Request",
+    BAD_REQUEST: "Bad Request",
     NOT_FOUND: "Not Found",
     NOT_ALLOWED: "Method Not Allowed",
-    408: "Request Timeout",
-    431: "Request Header Fields Too Large",
+    REQUEST_TIMEOUT: "Request Timeout",
+    HEADER_FIELDS_TOO_LARGE: "Request Header Fields Too Large",
     UNAVAILABLE: "Service Unavailable",
 }
 
-_encode = msgspec.json.Encoder().encode
+# How much of a path or method is repeated in an error.
+_SHOWN_PATH_CHARACTERS = 80
+_SHOWN_METHOD_CHARACTERS = 16
+
+_encode_json = msgspec.json.Encoder().encode
 
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """An answer in no protocol's words."""
+    """The answer to a request."""
 
     status: int
     body: bytes
     allow: str = ""  # for 405: the method that the path takes
-    kind: str = "application/json"
+    kind: str = "application/json"  # the content type
+
+
+class _Route(NamedTuple):
+    method: str
+    handler: Callable[[], Reply]
 
 
-def _shown(view: object) -> Reply:
-    """What is text already goes out as it is; all else, as JSON."""
-    return Reply(OK, view, kind="text/plain") if isinstance(view, bytes) else Reply(OK, _encode(view))
+def _json(status: int, value: object) -> Reply:
+    return Reply(status, _encode_json(value))
+
+
+def _rendered(view: object) -> Reply:
+    """A view's answer: bytes go out as text, all else as JSON."""
+    if isinstance(view, bytes):
+        return Reply(OK, view, kind="text/plain")
+    return _json(OK, view)
 
 
 class Endpoints:
-    """The door's four calls, and what further parts have to show."""
+    """The four endpoints, and the views of further components."""
 
     def __init__(
         self,
@@ -52,53 +74,58 @@
         tally: RequestCounters,
         views: Mapping[str, Callable[[], object]] | None = None,
     ) -> None:
-        self._duty, self._tally = duty, tally
-        self._routes: dict[str, tuple[str, Callable[[], Reply]]] = {
-            "/-/ready": ("GET", self._ready),
-            "/-/metrics": ("GET", self._metrics),
-            "/-/drain": ("POST", self._drain),
-            "/-/resume": ("POST", self._resume),
+        """`views` are called with each GET of their paths."""
+        self._readiness = duty
+        self._counters = tally
+        self._routes = {
+            "/-/ready": _Route("GET", self._ready),
+            "/-/metrics": _Route("GET", self._metrics),
+            "/-/drain": _Route("POST", self._drain),
+            "/-/resume": _Route("POST", self._resume),
         }
         for path, view in (views or {}).items():
-            self._routes[path] = "GET", lambda view=view: _shown(view())  # type: ignore[misc]
+            self._routes[path] = _view_route(view)
 
     def answer(self, method: str, target: str) -> Reply:
-        """The answer to one call; a query string is of no account."""
+        """The answer to one request; its query string is ignored."""
         path = target.partition("?")[0]
         route = self._routes.get(path)
         if route is None:
-            return Reply(NOT_FOUND, _encode({"error": f"no such path: {path[:80]}"}))
-        wanted, do = route
-        if method != wanted:
-            return Reply(NOT_ALLOWED, _encode({"error": f"{path} takes {wanted}, not {method[:16]}"}), wanted)
-        return do()
+            return _json(NOT_FOUND, {"error": f"no such path: {path[:_SHOWN_PATH_CHARACTERS]}"})
+        if method != route.method:
+            error = f"{path} takes {route.method}, not {method[:_SHOWN_METHOD_CHARACTERS]}"
+            return Reply(NOT_ALLOWED, _encode_json({"error": error}), allow=route.method)
+        return route.handler()
 
     def _ready(self) -> Reply:
-        ready = self._duty.ready
-        return Reply(OK if ready else UNAVAILABLE, _encode({"ready": ready, "drained": self._duty.drained}))
+        is_ready = self._readiness.ready
+        status = OK if is_ready else UNAVAILABLE
+        return _json(status, {"ready": is_ready, "drained": self._readiness.drained})
 
     def _metrics(self) -> Reply:
-        requests, in_flight, attempts = self._tally.figures()
-        return Reply(
+        figures = self._counters.figures()
+        return _json(
             OK,
-            _encode(
-                {
-                    "requests": requests,
-                    "in_flight": in_flight,
-                    "attempts": attempts,
-                    "ready": self._duty.ready,
-                    "drained": self._duty.drained,
-                    "drains": self._duty.drains,
-                }
-            ),
+            {
+                "requests": figures.requests,
+                "in_flight": figures.in_flight,
+                "attempts": figures.attempts,
+                "ready": self._readiness.ready,
+                "drained": self._readiness.drained,
+                "drains": self._readiness.drains,
+            },
         )
 
     def _drain(self) -> Reply:
-        began = self._duty.drain()
-        return Reply(OK, _encode({"drained": True, "began": began}))
+        has_begun = self._readiness.drain()
+        return _json(OK, {"drained": True, "began": has_begun})
 
     def _resume(self) -> Reply:
-        ended = self._duty.resume()
-        if self._duty.drained:  # on its way out: there is no coming back from that
-            return Reply(UNAVAILABLE, _encode({"drained": True, "error": "the process is leaving"}))
-        return Reply(OK, _encode({"drained": False, "ended": ended}))
+        has_ended = self._readiness.resume()
+        if self._readiness.drained:  # shutting down: there is no resume from that
+            return _json(UNAVAILABLE, {"drained": True, "error": "the process is leaving"})
+        return _json(OK, {"drained": False, "ended": has_ended})
+
+
+def _view_route(view: Callable[[], object]) -> _Route:
+    return _Route("GET", lambda: _rendered(view()))
--- a/cairnvane/administration/http_request.py
+++ b/cairnvane/administration/http_request.py
@@ -1,7 +1,6 @@
-"""One call as it comes in: bytes to a method and a target, with no socket and no clock.
+"""An incremental parser of one HTTP/1.1 request: bytes to a method and a target, with no socket and no clock.
 
-A call of the door is a line and a few headers; a body is counted and put aside. `Head` says after each piece
-whether the call is whole, and raises `BadCall` at the first byte that can't be right.
+A request to the administration endpoint is a line and a few headers; a body is counted and dropped.
 """
 
 from __future__ import annotations
@@ -9,76 +8,91 @@
 import re
 from dataclasses import dataclass
 
-MAX_HEAD, MAX_BODY = 8_192, 65_536  # bytes; the longest call that staff's tools make has a few hundred
+# In bytes; the longest request that the operators' tools make has a few hundred.
+MAX_HEAD = 8_192
+MAX_BODY = 65_536
+
+BAD_REQUEST = 400
+HEADER_FIELDS_TOO_LARGE = 431
+
 _REQUEST_LINE = re.compile(rb"([A-Z]{1,16}) (\S{1,2048}) HTTP/1\.[01]")
 _LENGTH = re.compile(rb"[0-9]{1,10}")
-_END = b"\r\n\r\n"
+_HEAD_END = b"\r\n\r\n"
 
 
-class BadCall(Exception):
-    """What came is no HTTP/1.1 call; with the status to answer."""
+class InvalidHttpRequestError(Exception):
+    """What came is no HTTP/1.1 request; with the status to answer."""
 
-    def __init__(self, status: int, why: str) -> None:
-        super().__init__(why)
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
         self.status = status
 
 
 @dataclass(frozen=True, slots=True)
-class Call:
-    """A whole call."""
+class HttpRequest:
+    """A whole request."""
 
     method: str
     target: str
 
 
-class Head:
-    """What has come of one call."""
+class RequestParser:
+    """What has come of one request."""
 
-    __slots__ = ("_call", "_data", "_left")
+    __slots__ = ("_body_remaining", "_head", "_request")
 
     def __init__(self) -> None:
-        self._data = bytearray()
-        self._call: Call | None = None  # the head has come; `_left` bytes of its body have not
-        self._left = 0
+        self._head = bytearray()
+        self._request: HttpRequest | None = None  # its head is whole, and its body is not
+        self._body_remaining = 0  # bytes
 
     @property
-    def begun(self) -> bool:
+    def has_begun(self) -> bool:
         """Something has come."""
-        return self._call is not None or bool(self._data)
-
-    def feed(self, data: bytes) -> Call | None:
-        """The next piece; the call once it is whole, and what stands behind it is not looked at."""
-        if self._call is None:
-            looked = max(0, len(self._data) - len(_END) + 1)  # a caller may drip: no byte is searched twice
-            self._data += data
-            end = self._data.find(_END, looked)
-            if end < 0:
-                if len(self._data) > MAX_HEAD:
-                    raise BadCall(431, "the head is too long")
-                return None
-            self._call, length = _parse(bytes(self._data[:end]))
-            self._left = length - (len(self._data) - end - len(_END))
-            self._data.clear()
-        else:
-            self._left -= len(data)
-        return self._call if self._left <= 0 else None
+        return self._request is not None or bool(self._head)
 
+    def feed(self, data: bytes) -> HttpRequest | None:
+        """Add the next piece; the request once it is whole, and what stands behind it is not looked at.
 
-def _parse(head: bytes) -> tuple[Call, int]:
-    """The call of this head, and the length of its body."""
-    first, *lines = head.split(b"\r\n")
-    if (found := _REQUEST_LINE.fullmatch(first)) is None:
-        raise BadCall(400, "no request line")
-    length = 0
+        `InvalidHttpRequestError` once the head is whole and can't be right, or is too long.
+        """
+        if self._request is None:
+            self._feed_head(data)
+        else:
+            self._body_remaining -= len(data)
+        return self._request if self._body_remaining <= 0 else None
+
+    def _feed_head(self, data: bytes) -> None:
+        # A client may drip: no byte is searched twice.
+        search_from = max(0, len(self._head) - len(_HEAD_END) + 1)
+        self._head += data
+        head_end = self._head.find(_HEAD_END, search_from)
+        if head_end < 0:
+            if len(self._head) > MAX_HEAD:
+                raise InvalidHttpRequestError(HEADER_FIELDS_TOO_LARGE, "the head is too long")
+            return
+        self._request, body_length = _parse_head(bytes(self._head[:head_end]))
+        self._body_remaining = body_length - (len(self._head) - head_end - len(_HEAD_END))
+        self._head.clear()
+
+
+def _parse_head(head: bytes) -> tuple[HttpRequest, int]:
+    """The request of this head, and the length of its body in bytes."""
+    request_line, *lines = head.split(b"\r\n")
+    match = _REQUEST_LINE.fullmatch(request_line)
+    if match is None:
+        raise InvalidHttpRequestError(BAD_REQUEST, "no request line")
+    body_length = 0
     for line in lines:
         name, colon, value = line.partition(b":")
         if not colon:
-            raise BadCall(400, "a header line without a colon")
-        name, value = name.strip().lower(), value.strip()
+            raise InvalidHttpRequestError(BAD_REQUEST, "a header line without a colon")
+        name = name.strip().lower()
+        value = value.strip()
         if name == b"transfer-encoding":
-            raise BadCall(400, "a transfer encoding, which the door does not speak")
+            raise InvalidHttpRequestError(BAD_REQUEST, "a transfer encoding, which the door does not speak")
         if name == b"content-length":
             if _LENGTH.fullmatch(value) is None or int(value) > MAX_BODY:
-                raise BadCall(400, "a content length that can't be")
-            length = int(value)
-    return Call(found[1].decode(), found[2].decode("latin-1")), length
+                raise InvalidHttpRequestError(BAD_REQUEST, "a content length that can't be")
+            body_length = int(value)
+    return HttpRequest(match[1].decode(), match[2].decode("latin-1")), body_length
--- a/cairnvane/administration/readiness.py
+++ b/cairnvane/administration/readiness.py
@@ -1,7 +1,8 @@
-"""What the operators asked of this process, and what it can do: no I/O, no clock of its own.
+"""Whether this process is ready, drained by its operators, or shutting down: no I/O, no clock of its own.
 
-A drain by call is not the notice to leave. The process serves on as before; only health checks are answered
-as bad, so that the platform takes it off the list, until the drain ends. What is let in stays the module's.
+A drain by call is not a shutdown. The process serves on as before; only health checks fail, so that the
+platform takes it off the endpoint list, until the drain ends. What is admitted stays the controller's to
+decide.
 """
 
 from __future__ import annotations
@@ -11,39 +12,42 @@
 
 
 class Readiness:
-    """Ready, drained, leaving: set from any thread, read from any thread."""
+    """Ready, drained, shutting down: set from any thread, read from any thread."""
 
     def __init__(self, can_serve: Callable[[], bool]) -> None:
-        # Whether the parts that serve are up (the listener, the link to the pool); asked at each look.
+        # Whether the components that serve are up (the listener, the link to the pool); asked each time.
         self._can_serve = can_serve
-        self._lock = threading.Lock()
-        self._drained = False
-        self._leaving = False
-        self.drains = 0  # calls that began a drain, for the figures
+        self._lock = threading.Lock()  # guards the drain and its count
+        self._is_drained = False
+        self._is_shutting_down = False
+        self.drains = 0  # calls that began a drain, for the metrics
 
     @property
     def drained(self) -> bool:
-        """Health checks are to be answered as bad."""
-        return self._drained or self._leaving
+        """Health checks are to fail."""
+        return self._is_drained or self._is_shutting_down
 
     @property
     def ready(self) -> bool:
-        """This process can serve, and is not on its way out."""
-        return not self._leaving and self._can_serve()
+        """This process can serve, and is not shutting down."""
+        return not self._is_shutting_down and self._can_serve()
 
     def drain(self) -> bool:
-        """A drain by call; False if one was under way already, which is no fault."""
+        """Begin a drain by call; False if one was under way already, which is no fault."""
         with self._lock:
-            began, self._drained = not self._drained, True
-            self.drains += began
-        return began
+            has_begun = not self._is_drained
+            self._is_drained = True
+            if has_begun:
+                self.drains += 1
+        return has_begun
 
     def resume(self) -> bool:
-        """The drain is over; False if there was none. A process on its way out stays drained."""
+        """End the drain; False if there was none. A process that is shutting down stays drained."""
         with self._lock:
-            ended, self._drained = self._drained, False
-        return ended
+            has_ended = self._is_drained
+            self._is_drained = False
+        return has_ended
 
     def leave(self) -> None:
-        """The notice to leave: never ready again, and never good."""
-        self._leaving = True
+        """Shut down: never ready again, and health checks fail from now on."""
+        self._is_shutting_down = True
--- a/cairnvane/net/fastcgi.py
+++ b/cairnvane/net/fastcgi.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from .errors import ProtocolError
+
 VERSION = 1
 # Types of records.
 BEGIN_REQUEST, ABORT_REQUEST, END_REQUEST, PARAMS, STDIN, STDOUT = 1, 2, 3, 4, 5, 6
@@ -32,7 +34,7 @@
 MAX_RECORD_OUT = 65_535
 
 
-class MalformedRecordError(Exception):
+class MalformedRecordError(ProtocolError):
     """Bytes that no legal peer sends; the connection can't be read on from here."""
 
 
--- a/cairnvane/net/http.py
+++ b/cairnvane/net/http.py
@@ -7,6 +7,8 @@
 import time
 from dataclasses import dataclass
 
+from .errors import ProtocolError
+
 # Replies of the vault and of the service registry are a few KiB at most.
 MAX_HEAD = 8_192  # bytes
 MAX_BODY = 65_536  # bytes
@@ -21,7 +23,7 @@
 _LENGTH = re.compile(r"[0-9]{1,10}")
 
 
-class InvalidReplyError(Exception):
+class InvalidReplyError(ProtocolError):
     """What came back is no HTTP reply, or not a whole one."""
 
 
--- a/cairnvane/net/request_parameters.py
+++ b/cairnvane/net/request_parameters.py
@@ -12,6 +12,7 @@
 
 from .. import clock
 from ..exchange import HealthCheck, Request, Response, ResponseStatus
+from .errors import ProtocolError
 
 SERVICE_PATH = "/svc/"
 HEALTH_PATH = "/status/live"
@@ -36,7 +37,7 @@
 }
 
 
-class InvalidRequestError(Exception):
+class InvalidRequestError(ProtocolError):
     """A well-framed request whose fields can't be right."""
 
 
--- a/cairnvane/net/worker_pool_messages.py
+++ b/cairnvane/net/worker_pool_messages.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from .errors import ProtocolError
+
 # A notice holds at most a 4 KiB result in base64 and a few words.
 MAX_LINE_BYTES = 65_536
 # No run lasts so long; a figure beyond any can't be reckoned with.
@@ -25,7 +27,7 @@
 POLLED, VERIFIED = "polled", "verified"
 
 
-class WorkerPoolError(Exception):
+class WorkerPoolError(ProtocolError):
     """The link to the worker pool can't go on as it is."""
 
 
--- a/tests/administration/test_administration.py
+++ b/tests/administration/test_administration.py
@@ -19,16 +19,21 @@
 
 from cairnvane.administration import Readiness, RequestCounters
 from cairnvane.administration.connection_slots import (
-    CALL_WAIT_S,
-    GRACE_S,
-    MOST_PER_S,
-    PACE_S,
+    EVICTION_GRACE_S,
+    MAX_ACCEPTS_PER_S,
+    RATE_LIMIT_WINDOW_S,
+    REQUEST_TIMEOUT_S,
     ConnectionSlots,
     Phase,
 )
 from cairnvane.administration.drain_gate import DrainGate
 from cairnvane.administration.endpoints import Endpoints
-from cairnvane.administration.http_request import MAX_HEAD, BadCall, Call, Head
+from cairnvane.administration.http_request import (
+    MAX_HEAD,
+    HttpRequest,
+    InvalidHttpRequestError,
+    RequestParser,
+)
 from cairnvane.administration.http_server import LEAST_CALLERS, MOST_CALLERS, AdministrationServer, places
 from cairnvane.exchange import ResponseStatus
 from cairnvane.net import http
@@ -45,7 +50,7 @@
 def door(
     can_serve: bool = True,
     most: int = MOST_CALLERS,
-    call_wait_s: float = CALL_WAIT_S,
+    call_wait_s: float = REQUEST_TIMEOUT_S,
 ) -> Iterator[tuple[AdministrationServer, Readiness, RequestCounters]]:
     duty, tally = Readiness(lambda: can_serve), RequestCounters(("read", "write"))
     opened = AdministrationServer(("127.0.0.1", 0), Endpoints(duty, tally), duty, most, call_wait_s)
@@ -137,48 +142,48 @@
 
 
 def test_who_goes_first_when_all_places_are_taken() -> None:
-    waiting: ConnectionSlots[str] = ConnectionSlots(3)
+    slots: ConnectionSlots[str] = ConnectionSlots(3)
     for key in ("half", "silent", "answered"):
-        assert waiting.pause(0.0) == 0.0 and waiting.enter(key, 0.0) is None
-    waiting.said("half")
-    waiting.said("answered")
-    waiting.answered("answered", 0.0)
-    assert waiting.enter("d", 0.1) == "answered"
-    assert waiting.enter("e", 0.2) == "silent"  # older than d
-    waiting.said("e")
-    assert waiting.enter("f", 0.3) == "d"
-    waiting.said("f")
-    assert waiting.enter("g", 0.4) == "half"  # all have said half: the oldest
-    assert waiting.first_to_go(0.45) == "e"
-    assert waiting.first_to_go(0.25) is None  # all have only just come
-    assert waiting.over(CALL_WAIT_S + 0.25) == [("e", Phase.HALF)]
-    assert waiting.next_end() == pytest.approx(CALL_WAIT_S + 0.3)
+        assert slots.accept_delay(0.0) == 0.0 and slots.add(key, 0.0) is None
+    slots.request_begun("half")
+    slots.request_begun("answered")
+    slots.answered("answered", 0.0)
+    assert slots.add("d", 0.1) == "answered"
+    assert slots.add("e", 0.2) == "silent"  # older than d
+    slots.request_begun("e")
+    assert slots.add("f", 0.3) == "d"
+    slots.request_begun("f")
+    assert slots.add("g", 0.4) == "half"  # all have said half: the oldest
+    assert slots.eviction_candidate(0.45) == "e"
+    assert slots.eviction_candidate(0.25) is None  # all have only just come
+    assert slots.expire(REQUEST_TIMEOUT_S + 0.25) == [("e", Phase.PARTIAL)]
+    assert slots.next_deadline() == pytest.approx(REQUEST_TIMEOUT_S + 0.3)
 
 
 def test_newcomers_wait_while_all_who_are_there_may_still_speak() -> None:
     """Guards: callers that had said half kept their places, and newcomers were gone within milliseconds."""
-    waiting: ConnectionSlots[int] = ConnectionSlots(4)
+    slots: ConnectionSlots[int] = ConnectionSlots(4)
     for key in range(3):
-        waiting.enter(key, 0.0)
-        waiting.said(key)
-    waiting.enter(3, 1.0)
-    assert waiting.pause(1.0) == 0.0 and waiting.enter(4, 1.0) == 0  # not 3, which has only just come
-    assert [waiting.enter(5, 1.0), waiting.enter(6, 1.0)] == [1, 2]
-    assert waiting.first_to_go(1.0) is None and waiting.pause(1.0) > 0
-    assert waiting.pause(1.0 + GRACE_S) == 0.0 and waiting.enter(7, 1.0 + GRACE_S) == 3
+        slots.add(key, 0.0)
+        slots.request_begun(key)
+    slots.add(3, 1.0)
+    assert slots.accept_delay(1.0) == 0.0 and slots.add(4, 1.0) == 0  # not 3, which has only just come
+    assert [slots.add(5, 1.0), slots.add(6, 1.0)] == [1, 2]
+    assert slots.eviction_candidate(1.0) is None and slots.accept_delay(1.0) > 0
+    assert slots.accept_delay(1.0 + EVICTION_GRACE_S) == 0.0 and slots.add(7, 1.0 + EVICTION_GRACE_S) == 3
 
 
 def test_newcomers_are_paced_only_while_no_place_is_free() -> None:
-    waiting: ConnectionSlots[int] = ConnectionSlots(1_000)
+    slots: ConnectionSlots[int] = ConnectionSlots(1_000)
     for key in range(1_000):
-        assert waiting.pause(0.0) == 0.0
-        waiting.enter(key, 0.0)
+        assert slots.accept_delay(0.0) == 0.0
+        slots.add(key, 0.0)
     came = 1_000
-    while waiting.pause(10.0) == 0.0:
-        assert waiting.enter(came, 10.0) == came - 1_000
+    while slots.accept_delay(10.0) == 0.0:
+        assert slots.add(came, 10.0) == came - 1_000
         came += 1
-    assert came - 1_000 == MOST_PER_S * PACE_S
-    assert waiting.pause(11.0) == 0.0  # a second later, some may come again
+    assert came - 1_000 == MAX_ACCEPTS_PER_S * RATE_LIMIT_WINDOW_S
+    assert slots.accept_delay(11.0) == 0.0  # a second later, some may come again
 
 
 def test_places_are_half_of_the_process_own_descriptors() -> None:
@@ -188,15 +193,15 @@
 @pytest.mark.parametrize("piece", [1, 3, 1_000])
 def test_a_call_is_read_in_pieces_of_any_size(piece: int) -> None:
     data = b"POST /-/drain?x HTTP/1.1\r\nContent-Length: 5\r\nA:b\r\n\r\nhello"
-    head = Head()
-    assert not head.begun
+    head = RequestParser()
+    assert not head.has_begun
     told = [head.feed(data[at : at + piece]) for at in range(0, len(data), piece)]
-    assert head.begun and told[-1] == Call("POST", "/-/drain?x") and not any(told[:-1])
+    assert head.has_begun and told[-1] == HttpRequest("POST", "/-/drain?x") and not any(told[:-1])
 
 
 def test_a_head_without_end_is_refused() -> None:
-    head = Head()
-    with pytest.raises(BadCall) as error:
+    head = RequestParser()
+    with pytest.raises(InvalidHttpRequestError) as error:
         for _ in range(MAX_HEAD + 1):
             assert head.feed(b"x") is None
     assert error.value.status == 431
