--- a/cairnvane/administration/http_server.py
+++ b/cairnvane/administration/http_server.py
@@ -133,8 +133,9 @@
     # --- new connections
 
     def _accept(self) -> None:
-        """Accept as many connections as the rate limit lets; each is read at once, since most have sent their
-        request by now.
+        """Accept as many connections as the rate limit lets.
+
+        Each is read at once, since most have sent their request by now.
         """
         while True:
             now = time.monotonic()
@@ -214,8 +215,9 @@
         self._close_client(client)
 
     def _answer(self, client: _Client, reply: Reply) -> None:
-        """Send the answer and close our side; the connection is closed once the client has closed its own, or
-        has had the time for it.
+        """Send the answer and close our side.
+
+        The connection is closed once the client has closed its own side, or has had the time for it.
         """
         client.is_answered = True
         if self._send(client, reply):
--- a/cairnvane/net/connection.py
+++ b/cairnvane/net/connection.py
@@ -119,8 +119,9 @@
         return remaining
 
     def _close_after_parsing(self) -> bool:
-        """True if unparsed bytes were all that kept the connection from its end: who asked before found it
-        busy.
+        """Close the connection if only unparsed bytes kept it from its end; True if it has ended now.
+
+        Who asked for the end before found it busy.
         """
         self._lifecycle.parsing_finished()
         is_closing = self._server.retiring or self._lifecycle.state is State.ANSWERING
--- a/cairnvane/net/connection_lifecycle.py
+++ b/cairnvane/net/connection_lifecycle.py
@@ -196,8 +196,9 @@
         return Expired(connection, late)
 
     def close_if_idle(self, asked: bool) -> bool:
-        """End a connection with no open request if the peer asked for it, the server retires, or it has idled
-        for too long. True if it has ended now.
+        """End a connection with no open request, if that is wanted; True if it has ended now.
+
+        It is wanted if the peer asked for it, the server retires, or the connection has idled for too long.
         """
         with self._lock:
             if self.state is State.ENDED or self._open_exchanges:
@@ -210,8 +211,10 @@
         return True
 
     def evict(self, even_if_partial: bool) -> bool:
-        """End it at once. False if an answer is owed on it, or, unless `even_if_partial`, something has come
-        that may become a request.
+        """End it at once.
+
+        False if an answer is owed on it, or, unless `even_if_partial`, something has come that may become a
+        request.
         """
         with self._lock:
             if self.state is State.ENDED or self._open_exchanges or self.writer.waiting:
@@ -250,8 +253,9 @@
             self.writer.end()
 
     def _is_overdue(self, since: float | None, cutoff: float) -> bool:
-        """Unparsed bytes may be what was waited for, and have a little longer: a busy core is not the peer's
-        fault.
+        """Whether the peer should have sent before `cutoff` what it owes since `since`.
+
+        Unparsed bytes may be that, and have a little longer: a busy core is not the peer's fault.
         """
         if since is None or since > cutoff:
             return False
@@ -268,8 +272,10 @@
         return self._has_unread_bytes()
 
     def _has_unread_bytes(self) -> bool:
-        """Bytes have come that nobody has received: a connection that holds some is not idle, however long
-        ago they came. A busy core may keep the reader from them.
+        """Bytes have come that nobody has received.
+
+        A connection that holds some is not idle, however long ago they came: a busy core may keep the reader
+        from them.
         """
         try:
             return bool(self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
--- a/cairnvane/net/record_handler.py
+++ b/cairnvane/net/record_handler.py
@@ -61,8 +61,9 @@
             exchange.respond(Response(ResponseStatus.FAILED, invalid_request=True))
 
     def abandon(self, number: int, exchange: Exchange) -> None:
-        """The peer has ended its side while this request was open: answer it as failed, unless an answer is
-        on its way already, and let nothing run on for it.
+        """Answer an open request as failed, since the peer has ended its side, and let nothing run on for it.
+
+        Nothing is done if an answer is on its way already.
         """
         if not exchange.abandon():
             return
--- a/cairnvane/net/server.py
+++ b/cairnvane/net/server.py
@@ -93,8 +93,10 @@
             connection.leave()
 
     def _accept_backlog(self) -> None:
-        """Accept what the kernel has completed: a request may be whole on such a connection, and with the
-        listener they would all be reset. The listener's thread may accept some of them.
+        """Accept what the kernel has completed.
+
+        A request may be whole on such a connection, and with the listener they would all be reset. The
+        listener's thread may accept some of them.
         """
         with contextlib.suppress(OSError):  # no more of them
             self._socket.setblocking(False)
--- a/cairnvane/net/worker_pool.py
+++ b/cairnvane/net/worker_pool.py
@@ -72,8 +72,10 @@
         return self._link.pool_started_at
 
     def resume(self, pos: int, started: int | None, same: SamePool) -> None:
-        """Before `start`: go on where an earlier incarnation left the pool that started then, if it is still
-        that one (`same` tells). Without this, a pool is assumed to live and end with this process.
+        """Before `start`: go on after notice `pos`, where an earlier incarnation left the pool.
+
+        Holds if it is still the pool that started then (`same` tells). Without this, a pool is assumed to
+        live and end with this process.
         """
         self._link.resume(pos, started, same)
 
--- /dev/null
+++ b/tests/administration/test_version_handover.py
@@ -0,0 +1,108 @@
+"""A later version of the program takes over on the same address, as two real processes."""
+
+from __future__ import annotations
+
+import contextlib
+import signal
+import socket
+import time
+from pathlib import Path
+from typing import Any
+
+from administration_helpers import call
+from peers import TOKEN, WAIT_S, Balancer, PoolPeer
+from server.test_program import NOWHERE, program
+
+
+def test_later_version_listens_on_the_same_address_and_takes_over(tmp_path: Path) -> None:
+    """Guards: the second process could not listen where the first one did, and exited with 2."""
+    pools = PoolPeer(), PoolPeer()
+    old_door, new_door = (("127.0.0.1", _free_port()) for _ in range(2))
+    with program(tmp_path, _address_text(pools[0]), NOWHERE, control=_address_text(old_door)) as (old, port):
+        pools[0].next("bind")
+        assert _becomes_ready(old_door)
+        balancer = Balancer(("127.0.0.1", port))  # before the new one listens: the old one's
+        with program(
+            tmp_path,
+            _address_text(pools[1]),
+            NOWHERE,
+            control=_address_text(new_door),
+            listen=f"127.0.0.1:{port}",
+        ) as (
+            new,
+            same,
+        ):
+            assert same == port
+            pools[1].next("bind")
+            assert _becomes_ready(new_door)
+            balancer.send(1)
+            uid = pools[0].next("spawn")["uid"]
+            old.send_signal(signal.SIGTERM)
+            assert old.stderr is not None
+            while "hands over" not in old.stderr.readline():
+                pass
+            assert call(old_door, "GET", "/-/ready").status == 503
+            pools[0].notice("finished", uid, "fine", b"done")
+            assert balancer.answer()[1].body == b"done"  # what it had is answered
+            assert balancer.ended()
+            assert old.wait(WAIT_S) == 0
+            for number in range(2, 5):  # and the new one serves the same address
+                late = Balancer(("127.0.0.1", port))
+                late.send(number)
+                pools[1].run(b"new")
+                assert late.answer()[1].body == b"new"
+            assert new.poll() is None
+
+
+def _free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+def _address_text(where: PoolPeer | tuple[str, int]) -> str:
+    host, port = where.address if isinstance(where, PoolPeer) else where
+    return f"{host}:{port}"
+
+
+def _becomes_ready(address: tuple[str, int]) -> bool:
+    """Asked until the door says yes: the pool has seen `bind` a moment before its answer is read here."""
+    end = time.monotonic() + WAIT_S
+    while time.monotonic() < end:
+        with contextlib.suppress(ConnectionError):
+            if call(address, "GET", "/-/ready").status == 200:
+                return True
+    return False
+
+
+def test_result_committed_by_the_old_version_is_replayed_by_the_new_one(tmp_path: Path) -> None:
+    """Two real processes at one address: the result is handed on, another body fails, and a run whose process
+    was killed is failed at once, all without a second run."""
+    keyed: dict[str, Any] = {"path": "/svc/write", "HTTP_REQ_TOKEN": TOKEN}
+    other: dict[str, Any] = {"path": "/svc/write", "HTTP_REQ_TOKEN": TOKEN[::-1]}
+    pools = PoolPeer(), PoolPeer()
+    with program(tmp_path, _address_text(pools[0]), NOWHERE) as (old, port):
+        pools[0].next("bind")
+        before = Balancer(("127.0.0.1", port))
+        before.send(1, **keyed)
+        pools[0].run(b"done")
+        assert before.answer()[1].body == b"done"
+        before.send(2, **other)
+        pools[0].next("spawn")
+        held = Balancer(("127.0.0.1", port))
+        held.send(3)
+        pools[0].next("spawn")
+        with program(tmp_path, _address_text(pools[1]), NOWHERE, listen=f"127.0.0.1:{port}") as (_, _):
+            pools[1].next("bind")
+            old.kill()
+            old.wait()
+            after = Balancer(("127.0.0.1", port))
+            after.send(4, **keyed)
+            assert after.answer()[1].body == b"done"
+            after.send(5, body=b"another body", **keyed)
+            assert after.answer()[1].status == 500
+            after.send(6, **other)  # nobody will ever know how it ended
+            assert after.answer()[1].status == 500
+            after.send(7)
+            assert pools[1].next("spawn")["uid"] == f"{7:016x}"  # the only one
--- /dev/null
+++ b/tests/net/test_connections.py
@@ -0,0 +1,108 @@
+"""Balancers' connections: their maximum number, their deadlines, and how they end."""
+
+from __future__ import annotations
+
+import pytest
+from peers import world
+
+from cairnvane.contract.actions import CloseIdleConnections
+from cairnvane.net import connection, fastcgi, server
+
+BEGIN = fastcgi.record(fastcgi.BEGIN_REQUEST, 1, b"\0\1\1\0\0\0\0\0")
+
+
+def test_new_connection_evicts_the_idlest() -> None:
+    """Guards: connections that said nothing, or had once asked, took all places, and balancers waited."""
+    with world(most=3) as w:
+        idle, busy, silent = w.balancer(), w.balancer(), w.balancer()
+        w.serve(idle, 1)
+        busy.send(2)
+        uid = w.pool.next("spawn")["uid"]
+        third = w.balancer()
+        assert silent.ended()
+        w.serve(third, 3)
+        fourth = w.balancer()
+        assert idle.ended()
+        w.serve(fourth, 4)
+        w.pool.notice("finished", uid, "fine", b"done")
+        assert busy.answer()[1].body == b"done"
+
+
+def test_new_connection_is_closed_while_all_others_are_busy() -> None:
+    with world(most=1) as w:
+        first = w.balancer()
+        first.send(1)
+        uid = w.pool.next("spawn")["uid"]
+        assert w.balancer().ended()
+        w.pool.notice("finished", uid, "fine", b"done")
+        assert first.answer()[1].body == b"done"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        BEGIN,
+        BEGIN[:3],
+        BEGIN + fastcgi.record(fastcgi.PARAMS, 1, b"\1\1ab"),
+    ],
+)
+def test_connection_without_a_whole_request_is_closed_at_its_deadline(
+    data: bytes,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards: nothing bounded the time to the first or to the whole request."""
+    monkeypatch.setattr(connection, "SAY_WAIT_S", 0.2)
+    monkeypatch.setattr(server, "LOOK_S", 0.05)
+    with world() as w:
+        w.host._control.back = 1.0  # it does not want idle connections closed
+        bad, good = w.balancer(), w.balancer()
+        w.serve(good, 1)
+        bad.sock.sendall(data)
+        assert bad.ended()
+        w.serve(good, 2)
+
+
+def test_partial_request_fails_at_its_deadline(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(connection, "SAY_WAIT_S", 0.2)
+    monkeypatch.setattr(server, "LOOK_S", 0.05)
+    with world() as w:
+        balancer = w.balancer()
+        balancer.send(2)
+        uid = w.pool.next("spawn")["uid"]
+        balancer.sock.sendall(BEGIN)
+        assert balancer.answer()[1].status == 500  # what else is open on the connection goes on
+        w.pool.notice("finished", uid, "fine", b"done")
+        assert balancer.answer()[1].body == b"done"
+
+
+def test_peer_that_sends_on_after_the_end_is_cut_off() -> None:
+    """Guards: the last reading of an ended connection went on as long as its peer sent."""
+    with world() as w:
+        bad, uid = w.running()
+        bad.sock.sendall(bytes(65_536))
+        w.end(bad, uid)
+        with pytest.raises(ConnectionError):
+            while True:
+                bad.sock.sendall(bytes(65_536))
+
+
+def test_idle_connection_is_closed_unless_a_request_is_open() -> None:
+    with world() as w:
+        busy, idle = w.balancer(), w.balancer()
+        w.serve(idle, 1)
+        busy.send(2)
+        uid = w.pool.next("spawn")["uid"]
+        w.host._close_idle(CloseIdleConnections(1))
+        assert idle.ended()
+        w.pool.notice("finished", uid, "fine", b"done")
+        assert busy.answer()[1].body == b"done"
+
+
+def test_lost_connection_cancels_its_requests() -> None:
+    with world() as w:
+        balancer = w.balancer()
+        balancer.send(1)
+        uid = w.pool.next("spawn")["uid"]
+        balancer.sock.close()
+        assert w.pool.next("suspend")["uid"] == uid
--- /dev/null
+++ b/tests/net/test_vault_calls.py
@@ -0,0 +1,121 @@
+"""Calls of a run to the vault: what is sent, which are retried, and how they are cancelled."""
+
+from __future__ import annotations
+
+import queue
+import socket
+from typing import Any
+
+import pytest
+from peers import TOKEN, WAIT_S, reply, world
+
+from cairnvane.contract.events import Outcome
+from cairnvane.net import http, vault
+
+KEYED: dict[str, Any] = {"path": "/svc/write", "HTTP_REQ_TOKEN": TOKEN}
+
+
+def test_call_passes_ticket_body_and_reply_on() -> None:
+    with world(reply(200, b"\0reply")) as w:
+        balancer = w.balancer()
+        balancer.send(1)
+        uid = w.pool.next("spawn")["uid"]
+        w.pool.notice("blocked", uid, content=b"\xffcall")
+        head, _, body = w.vault.calls.get(timeout=WAIT_S).partition(b"\r\n\r\n")
+        assert head.startswith(b"POST /v2/read HTTP/1.1\r\n")
+        assert b"X-Ticket: " + uid.encode() in head
+        assert body == b"\xffcall"
+        assert w.pool.next("supply")["content"] == b"\0reply"
+        w.pool.notice("finished", uid, "fine", b"done")
+        assert balancer.answer()[1].status == 200
+
+
+def test_empty_reply_is_supplied_again_after_a_reconnect() -> None:
+    """Guards: after a break, an empty reply was taken for none, and the run was spawned again."""
+    with world(reply(200)) as w:
+        balancer = w.balancer()
+        w.block(balancer)
+        w.pool.next("supply")
+        w.pool.cut()
+        w.pool.next("bind")
+        assert w.pool.next("supply")["content"] == b""
+
+
+@pytest.mark.parametrize(
+    ("path", "first", "calls"),
+    [
+        ("/svc/read", reply(500), 2),
+        ("/svc/read", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut", 2),
+        ("/svc/write", reply(503, unseen=True), 2),
+        ("/svc/write", reply(409, unseen=True), 2),
+        ("/svc/write", reply(503), 1),
+        ("/svc/write", reply(504), 1),
+        ("/svc/write", b"junk\r\n\r\n", 1),
+    ],
+)
+def test_keyed_call_is_retried_only_if_it_provably_never_ran(
+    path: str,
+    first: bytes,
+    calls: int,
+) -> None:
+    with world(first, reply(200, b"late")) as w:
+        balancer = w.balancer()
+        uid = w.block(balancer, path=path, HTTP_REQ_TOKEN=TOKEN if path == KEYED["path"] else "")
+        for _ in range(calls):
+            w.vault.calls.get(timeout=WAIT_S)
+        if calls == 2:
+            w.pool.next("supply")
+            w.pool.notice("finished", uid, "fine", b"done")
+        assert balancer.answer()[1].status == (200 if calls == 2 else 500)
+        assert w.vault.calls.empty()
+
+
+def test_call_is_cancelled_when_its_client_disconnects() -> None:
+    with world() as w:
+        balancer = w.balancer()
+        w.block(balancer)
+        w.vault.calls.get(timeout=WAIT_S)
+        balancer.abort(1)
+        assert w.vault.closed.wait(WAIT_S)
+
+
+@pytest.mark.parametrize("left", [True, False])
+def test_run_blocked_at_its_call_is_suspended_when_its_request_ends(left: bool) -> None:
+    """Guards: a pool that does not see by itself that a request is over kept its run, and the memory."""
+    with world() as w:  # whose vault answers no call
+        balancer = w.balancer()
+        uid = w.block(balancer)
+        w.vault.calls.get(timeout=WAIT_S)
+        if left:
+            balancer.abort(1)
+        else:
+            w.host.drain(500_000)
+            assert balancer.answer()[1].status == 500
+        assert w.pool.next("suspend")["uid"] == uid
+        w.pool.notice("finished", uid, "broken_off")
+
+
+def test_refused_connection_proves_that_no_call_ran() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as gone:
+        address = gone.getsockname()
+    ends: queue.Queue[Outcome] = queue.Queue()
+    vault.VaultCall(address, "0" * 16, b"", 1_000_000, lambda how, body, took: ends.put(how))
+    assert ends.get(timeout=WAIT_S) is Outcome.UNREACHED
+
+
+@pytest.mark.parametrize(
+    ("status", "unseen", "how"),
+    [
+        (200, False, Outcome.OK),
+        (503, True, Outcome.REJECTED),
+        (503, False, Outcome.ERROR),
+        (500, False, Outcome.ERROR),
+        (504, False, Outcome.TIMEOUT),
+        (409, True, Outcome.NEVER_STARTED),
+        (409, False, Outcome.ERROR),
+        (302, False, Outcome.ERROR),
+    ],
+)
+def test_outcome_of_a_reply(status: int, unseen: bool, how: Outcome) -> None:
+    headers = {"x-refused-unseen": "1"} if unseen else {}
+    assert vault.outcome(http.Reply(status, headers, b"")) is how
--- /dev/null
+++ b/tests/net/test_worker_pool_link.py
@@ -0,0 +1,154 @@
+"""The link to the worker pool: binding, reconnecting, replay of notices, and unreadable lines."""
+
+from __future__ import annotations
+
+import threading
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from peers import LINK_THREAD_NAME, TOKEN, WAIT_S, PoolPeer, reply, world
+
+from cairnvane.net import worker_pool_link
+
+KEYED: dict[str, Any] = {"path": "/svc/write", "HTTP_REQ_TOKEN": TOKEN}
+
+
+def test_no_command_is_sent_before_the_pool_is_bound() -> None:
+    with world(bound=False) as w:
+        balancer = w.balancer()
+        balancer.send(1)
+        w.pool.bound = True
+        w.pool.tell(action="bound", code="starting", wall_ms=1)
+        w.pool.run()
+        assert balancer.answer()[1].status == 200
+
+
+@pytest.mark.parametrize(("path", "token", "again"), [("/svc/read", "", True), ("/svc/write", TOKEN, False)])
+def test_only_idempotent_runs_are_spawned_again_after_a_reconnect(path: str, token: str, again: bool) -> None:
+    with world() as w:
+        balancer = w.balancer()
+        balancer.send(1, path, HTTP_REQ_TOKEN=token)
+        uid = w.pool.next("spawn")["uid"]
+        w.pool.notice("finished", "f" * 16, "fine")  # of no request here; its number counts all the same
+        balancer.send(2, "/status/live", b"", QUERY_STRING="real=1")
+        w.pool.tell(action="verified", echo=w.pool.next("verify")["echo"], code="fine")
+        assert balancer.answer()[1].status == 200  # so the notice before it was read
+        w.pool.cut()
+        assert w.pool.next("bind")["pos"] == 1
+        if again:
+            assert w.pool.next("spawn")["uid"] == uid
+        w.pool.notice("finished", "f" * 16, "fine", again=True)
+        w.pool.notice("finished", uid, "fine", b"done")
+        assert balancer.answer()[1].body == b"done"
+        assert w.pool.commands.empty()
+
+
+def test_supply_is_sent_again_after_a_reconnect() -> None:
+    with world(reply(200, b"reply")) as w:
+        balancer = w.balancer()
+        w.block(balancer, **KEYED)
+        w.pool.next("supply")
+        w.pool.cut()
+        w.pool.next("bind")
+        assert w.pool.next("supply")["content"] == b"reply"
+
+
+def test_keyed_run_of_a_calling_class_is_spawned_again_after_a_reconnect() -> None:
+    """Guards: one lost with the link was left to its due time. It can't have ended without a call to us."""
+    with world(reply(200, b"reply")) as w:
+        balancer = w.balancer()
+        uid = w.block(balancer, **KEYED)
+        w.pool.next("supply")
+        w.pool.notice("finished", uid, "fine", b"done")
+        assert balancer.answer()[1].status == 200
+        balancer.send(2, path="/svc/write", HTTP_REQ_TOKEN="0" * 32)
+        uid = w.pool.next("spawn")["uid"]
+        w.pool.cut()
+        w.pool.next("bind")
+        assert w.pool.next("spawn")["uid"] == uid
+        w.pool.notice("finished", uid, "fine", b"done")
+        assert balancer.answer()[1].status == 200
+
+
+def test_run_lost_with_its_link_frees_its_capacity_when_cancelled() -> None:
+    """Guards: nothing is told of the end of what never began, and the controller counted it as running."""
+    with world() as w:
+        balancer = w.balancer()
+        balancer.send(1, **KEYED)
+        uid = w.pool.next("spawn")["uid"]
+        w.pool.cut()
+        w.pool.next("bind")
+        w.serve(balancer, 2)
+        balancer.abort(1)
+        assert w.pool.next("suspend")["uid"] == uid
+        balancer.answer()
+        w.serve(balancer, 3)  # its notice comes after the answer to what was asked behind `suspend`
+        assert 1 not in w.host._control.running
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"{broken\n",
+        b"\xff\n",
+        b'{"action":"finished","pos":1,"uid":"x","code":"fine","content":"?"}\n',
+    ],
+)
+def test_unreadable_line_is_requested_once_more(line: bytes) -> None:
+    """Guards: it ended the link's thread for good, and nothing was run any more."""
+    with world() as w:
+        w.pool.raw(line)
+        assert w.pool.next("bind")["pos"] == 0
+        w.pool.raw(line)  # no better: passed over
+        w.serve(w.balancer(), 1)
+
+
+def test_notice_of_unsupported_form_is_skipped() -> None:
+    with world() as w:
+        balancer = w.balancer()
+        balancer.send(1)
+        uid = w.pool.next("spawn")["uid"]
+        w.pool.tell(action="unknown", code="spawn", uid=None)
+        w.pool.tell(action="chatter", pos=0, code="hm")
+        w.pool.notice("finished", uid, "fine", b"done")
+        assert balancer.answer()[1].body == b"done"
+        assert w.pool.commands.empty()
+
+
+def test_repeated_notice_is_ignored() -> None:
+    with world(reply(200, b"a"), reply(200, b"b")) as w:
+        balancer = w.balancer()
+        uid = w.block(balancer)
+        w.pool.notice("blocked", uid, content=b"call", again=True)
+        w.pool.next("supply")
+        w.pool.notice("finished", uid, "fine", b"done")
+        assert balancer.answer()[1].body == b"done"
+        assert w.vault.calls.qsize() == 1
+
+
+def test_pool_moves_to_another_address_and_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards: two threads served the address it came back to, and cut each other's links without end."""
+    back, before = threading.Event(), set(threading.enumerate())
+    monkeypatch.setattr(worker_pool_link, "time", SimpleNamespace(sleep=lambda s: back.wait(WAIT_S)))
+    with world() as w:
+        (first,) = [
+            thread for thread in set(threading.enumerate()) - before if thread.name == LINK_THREAD_NAME
+        ]
+        other = PoolPeer()
+        w.host._pool.move(other.address)
+        other.next("bind")
+        w.host._pool.move(w.pool.address)
+        w.pool.next("bind")
+        back.set()
+        first.join(WAIT_S)
+        assert not first.is_alive()
+        w.serve(w.balancer(), 1)
+
+
+def test_spawn_unknown_to_the_pool_fails_its_request() -> None:
+    with world() as w:
+        balancer = w.balancer()
+        balancer.send(1)
+        w.pool.tell(action="unknown", code="spawn", uid=w.pool.next("spawn")["uid"])
+        assert balancer.answer()[1].status == 500
