--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""What holds for every test."""
+"""Fixtures that apply to every test."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 @pytest.fixture(autouse=True)
 def peers_end_with_their_test() -> Iterator[None]:
-    """The scripts of a test's peers have ended before the next test begins: their errors are this test's."""
+    """End the scripts of a test's peers before the next test begins: their errors are this test's."""
     yield
     Listener.end_all()
     overdue = Held.overdue.copy()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -1,4 +1,8 @@
-"""Scripted peers on loopback, and a server between them: the one helper of all socket stories."""
+"""Scripted peers on loopback, and a server in this process between them, for the tests over sockets.
+
+`world` starts the server; `Balancer`, `PoolPeer`, `VaultPeer` and `RosterPeer` play its neighbours, each on a
+`Listener` or a connection of its own. `Held` forces the order of two events.
+"""
 
 from __future__ import annotations
 
@@ -24,7 +28,9 @@
 from cairnvane.server.event_loop import EventLoop
 from cairnvane.simulator.settings_reader import read_settings
 
-WAIT_S = 20  # only a story that fails waits so long
+WAIT_S = 20  # only a test that fails waits so long
+RECEIVE_SIZE = 4_096
+LARGE_RECEIVE_SIZE = 65_536
 LINK_THREAD_NAME = "worker pool link"
 TOKEN = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
 WINDOW_US = 8_000_000
@@ -60,11 +66,11 @@
 }
 
 
-def until(what: Callable[[], object]) -> None:
-    """Wait for a state that no event tells of."""
-    end = time.monotonic() + WAIT_S
-    while not what():
-        assert time.monotonic() < end, "it never came"
+def until(condition: Callable[[], object]) -> None:
+    """Poll for a state of which no event notifies."""
+    deadline = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < deadline, "the condition never held"
         time.sleep(0.001)
 
 
@@ -80,17 +86,22 @@
 
 
 class Held:
-    """A function whose first call, of those meant, stops where it begins, until it is let go: so two events
-    cross at will. What an earlier story left behind may make calls, too."""
+    """A function whose first matching call stops where it begins, until `go` is set.
+
+    So the order of two concurrent events is forced. `meant` tells which calls match, since threads of an
+    earlier test may make calls, too. `reached` is set once a call has stopped.
+    """
 
-    overdue: ClassVar[list[str]] = []  # calls that nobody let go; a caller may catch the error of that
+    overdue: ClassVar[list[str]] = []  # calls that were never let go; a caller may catch the error of that
 
     def __init__(self, function: Callable[..., Any], meant: Callable[..., bool] = lambda *_: True) -> None:
-        self._function, self._meant = function, meant
-        self.reached, self.go = threading.Event(), threading.Event()
+        self._function = function
+        self._is_meant = meant
+        self.reached = threading.Event()
+        self.go = threading.Event()
 
     def __call__(self, *args: Any, **named: Any) -> Any:
-        if not self.reached.is_set() and self._meant(*args):
+        if not self.reached.is_set() and self._is_meant(*args):
             self.reached.set()
             if not self.go.wait(WAIT_S):
                 self.overdue.append(repr(self._function))
@@ -99,8 +110,10 @@
 
 
 class Listener:
-    """A listening socket whose connections are served by a script, a thread each, until the test is over. A
-    script may end by an error of its connection; any other error is the test's failure."""
+    """A listening socket whose connections are served by a script, a thread each, until the test is over.
+
+    A script may end by an error of its connection; any other error is the test's failure.
+    """
 
     _all: ClassVar[list[Listener]] = []
 
@@ -109,13 +122,13 @@
         self._socket = socket.create_server(("127.0.0.1", 0))
         self.address: tuple[str, int] = self._socket.getsockname()
         self._connections: list[tuple[socket.socket, threading.Thread]] = []
-        self._accepting = threading.Thread(target=self._accept, daemon=True)
-        self._accepting.start()
+        self._accept_thread = threading.Thread(target=self._accept, daemon=True)
+        self._accept_thread.start()
         self._all.append(self)
 
     @classmethod
     def end_all(cls) -> None:
-        """End those that were opened in this test: an error of any of their scripts is this test's."""
+        """End all listeners of this test: an error of any of their scripts is this test's."""
         while cls._all:
             cls._all.pop().end()
 
@@ -140,8 +153,8 @@
     def end(self) -> None:
         """Accept no more, end what is open, and wait until each script has ended."""
         self.close()
-        self._accepting.join(WAIT_S)
-        assert not self._accepting.is_alive()
+        self._accept_thread.join(WAIT_S)
+        assert not self._accept_thread.is_alive()
         for sock, thread in self._connections:
             with contextlib.suppress(OSError):  # its script has closed it
                 sock.shutdown(socket.SHUT_RDWR)
@@ -150,35 +163,42 @@
 
 
 class RosterPeer:
-    """A roster that gives each report the same reply, none if that is None; `reports` has them whole."""
+    """A service registry that gives each report the same reply, none if that is None.
+
+    `reports` has each report whole.
+    """
 
     def __init__(self, reply: bytes | None) -> None:
         self.reports: queue.Queue[bytes] = queue.Queue()
-        self.stopping = threading.Event()  # set before the server is told to stop: a report may be cut off
+        self.stopping = threading.Event()  # set before the server is stopped: a report may be cut off
         self._reply = reply
         self.address = Listener(self._serve).address
 
     def _serve(self, sock: socket.socket) -> None:
         report = b""
         while not report.endswith(b"}"):
-            if not (more := sock.recv(4_096)):
+            chunk = sock.recv(RECEIVE_SIZE)
+            if not chunk:
                 assert self.stopping.is_set(), f"a connection ended within a report: {report!r}"
                 return
-            report += more
+            report += chunk
         self.reports.put(report)
         if self._reply is None:
-            sock.recv(1)  # until the server gives it up
+            sock.recv(1)  # until the server closes it
         else:
             sock.sendall(self._reply)
 
 
 class PoolPeer:
-    """A worker pool that does nothing by itself; gauges are answered, unless it is to keep silent."""
+    """A worker pool that runs nothing by itself; it answers polls, and binds if `bound` is set.
+
+    `commands` has all other commands, in order.
+    """
 
     def __init__(self, bound: bool = True) -> None:
         self.commands: queue.Queue[dict[str, Any]] = queue.Queue()
         self.bound = bound
-        self.linked = threading.Event()  # commands arrive from now on
+        self.linked = threading.Event()  # the link is bound: commands arrive from now on
         self.started = time.monotonic() - 60
         self._link: socket.socket | None = None
         self._pos = 0
@@ -202,14 +222,16 @@
                     self.tell(action="bound", code="running", wall_ms=age_ms)
 
     def tell(self, **message: Any) -> None:
+        """Send a message of these fields."""
         assert self._link is not None
         self._link.sendall(json.dumps(message).encode() + b"\n")
 
     def skip(self, count: int) -> None:
-        """So many notices went out on another address."""
+        """Count so many notices that were sent from another address."""
         self._pos += count
 
     def raw(self, data: bytes) -> None:
+        """Send bytes as they are."""
         assert self._link is not None
         self._link.sendall(data)
 
@@ -221,7 +243,7 @@
         content: bytes = b"",
         again: bool = False,
     ) -> None:
-        """A numbered notice; `again`: the last number once more."""
+        """Send a numbered notice; with `again`, the last number is repeated."""
         self._pos += not again
         self.tell(
             action=action,
@@ -233,7 +255,7 @@
         )
 
     def next(self, action: str) -> dict[str, Any]:
-        """The next command, which must be this one."""
+        """The next command, which must be of this action; its content is decoded."""
         command = self.commands.get(timeout=WAIT_S)
         assert command["action"] == action, command
         if "content" in command:
@@ -241,37 +263,39 @@
         return command
 
     def run(self, result: bytes = b"done", code: str = "fine") -> dict[str, Any]:
-        """Take the next `spawn` and end its run."""
+        """Receive the next `spawn` and end its run; the command."""
         command = self.next("spawn")
         self.notice("finished", command["uid"], code, result if code == "fine" else b"")
         return command
 
     def restart(self) -> None:
-        """It knows of nothing any more, and counts from 1."""
-        self._pos, self.started = 0, time.monotonic()
+        """Forget all runs, and count notices from 1 again."""
+        self._pos = 0
+        self.started = time.monotonic()
 
     def cut(self) -> None:
-        """Break the link, if there is one."""
+        """Shut the link down, if there is one."""
         if self._link is not None:
             with contextlib.suppress(OSError):
                 self._link.shutdown(socket.SHUT_RDWR)
 
 
 class VaultPeer:
-    """A vault with one script for each call; the calls that came stand in `calls`."""
+    """A vault with one reply for each call, none once they are used up; `calls` has the calls that came."""
 
     def __init__(self, *replies: bytes) -> None:
         self.calls: queue.Queue[bytes] = queue.Queue()
-        self.closed = threading.Event()  # a call without a reply was given up
+        self.closed = threading.Event()  # a call without a reply was cancelled
         self._replies = list(replies)
         self.address = Listener(self._serve).address
 
     def _serve(self, sock: socket.socket) -> None:
         data = b""
         while b"\r\n\r\n" not in data or not data.partition(b"\r\n\r\n")[2]:
-            if not (more := sock.recv(4_096)):
-                return  # a call that was given up before it was said
-            data += more
+            chunk = sock.recv(RECEIVE_SIZE)
+            if not chunk:
+                return  # a call that was cancelled before it was sent whole
+            data += chunk
         self.calls.put(data)
         if self._replies:
             sock.sendall(self._replies.pop(0))
@@ -281,19 +305,19 @@
 
 
 def reply(status: int, body: bytes = b"", unseen: bool = False) -> bytes:
-    """A vault's reply."""
-    mark = b"X-Refused-Unseen: 1\r\n" if unseen else b""
-    return b"HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s" % (status, mark, len(body), body)
+    """A vault's reply; with `unseen` it promises that the call never ran."""
+    header = b"X-Refused-Unseen: 1\r\n" if unseen else b""
+    return b"HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s" % (status, header, len(body), body)
 
 
 @dataclass
 class Answer:
-    """What a balancer reads."""
+    """A response as a balancer reads it."""
 
-    status: int
+    status: int  # 0: the request ended without a response
     headers: dict[str, str]
     body: bytes
-    protocol: int
+    protocol: int  # FastCGI's own status
 
 
 @dataclass
@@ -302,14 +326,15 @@
 
     address: tuple[str, int]
     sock: socket.socket = field(init=False)
-    _out: dict[int, bytearray] = field(default_factory=dict)
-    _data: bytes = b""
+    _output: dict[int, bytearray] = field(default_factory=dict)  # by request number
+    _unparsed: bytes = b""
 
     def __post_init__(self) -> None:
         self.sock = socket.create_connection(self.address, WAIT_S)
 
     def fields(self, number: int, path: str, **more: str) -> dict[str, str]:
-        known = {
+        """The parameters of a valid request, changed by `more`; empty ones are left out."""
+        defaults = {
             "SCRIPT_NAME": path,
             "REQUEST_METHOD": "POST",
             "HTTP_REQ_ID": f"{number:016x}",
@@ -318,10 +343,10 @@
             "HTTP_REQ_KB": "20.5",
             "HTTP_REQ_RANK": "0.5",
         }
-        return {name: value for name, value in (known | more).items() if value}
+        return {name: value for name, value in (defaults | more).items() if value}
 
     def request(self, number: int, path: str = "/svc/read", body: bytes = b"x", **more: str) -> bytes:
-        """The records of a request; its Req-Id is its number unless another is given."""
+        """The records of a request; its id is its number unless another is given."""
         params = fastcgi.put_pairs(self.fields(number, path, **more))
         return b"".join(
             [
@@ -334,39 +359,45 @@
         )
 
     def send(self, number: int, path: str = "/svc/read", body: bytes = b"x", **more: str) -> None:
+        """Send a request."""
         self.sock.sendall(self.request(number, path, body, **more))
 
     def abort(self, number: int) -> None:
+        """Abort a request."""
         self.sock.sendall(fastcgi.record(fastcgi.ABORT_REQUEST, number, b""))
 
     def read(self, count: int) -> bytes:
-        """So many bytes as they come."""
+        """The next bytes, as many as `count`, unparsed."""
         with self.sock.makefile("rb") as stream:
             return stream.read(count)
 
     def answer(self) -> tuple[int, Answer]:
         """The next answer and the number of its request."""
         while True:
-            found = fastcgi.take(memoryview(self._data), 0, len(self._data))
-            if found is None:
-                got = self.sock.recv(65_536)
-                assert got, "the connection has ended"
-                self._data += got
-                continue
-            part, at = found
-            self._data = self._data[at:]
-            if part.kind == fastcgi.STDOUT:
-                self._out.setdefault(part.request, bytearray()).extend(part.content)
-            elif part.kind == fastcgi.END_REQUEST:
-                head, _, body = bytes(self._out.pop(part.request, b"")).partition(b"\r\n\r\n")
+            record = self._next_record()
+            if record.kind == fastcgi.STDOUT:
+                self._output.setdefault(record.request, bytearray()).extend(record.content)
+            elif record.kind == fastcgi.END_REQUEST:
+                head, _, body = bytes(self._output.pop(record.request, b"")).partition(b"\r\n\r\n")
                 headers = dict(line.split(": ", 1) for line in head.decode().split("\r\n") if line)
                 status = int(headers.get("Status", "0 ").split(" ")[0])
-                return part.request, Answer(status, headers, body, part.content[4])
+                return record.request, Answer(status, headers, body, record.content[4])
+
+    def _next_record(self) -> fastcgi.Record:
+        while True:
+            found = fastcgi.take(memoryview(self._unparsed), 0, len(self._unparsed))
+            if found is not None:
+                record, size = found
+                self._unparsed = self._unparsed[size:]
+                return record
+            chunk = self.sock.recv(LARGE_RECEIVE_SIZE)
+            assert chunk, "the connection has ended"
+            self._unparsed += chunk
 
     def ended(self) -> bool:
-        """Wait for the end of the connection."""
+        """Wait for the end of the connection, and drop what still comes."""
         with contextlib.suppress(ConnectionResetError):
-            while self.sock.recv(65_536):
+            while self.sock.recv(LARGE_RECEIVE_SIZE):
                 pass
         return True
 
@@ -379,7 +410,7 @@
     vault: VaultPeer
     server: FastCgiServer
     host: EventLoop
-    balancers: list[Balancer] = field(default_factory=list)  # one that nobody holds would hang up
+    balancers: list[Balancer] = field(default_factory=list)  # held here, since an unreferenced one closes
 
     @property
     def connection(self) -> Connection:
@@ -388,30 +419,31 @@
         return next(iter(self.server._connections))
 
     def balancer(self) -> Balancer:
+        """A new connection of a balancer."""
         self.balancers.append(Balancer(self.server.address))
         return self.balancers[-1]
 
     def serve(self, balancer: Balancer, number: int, **fields: Any) -> Answer:
-        """A request that is run and answered."""
+        """Send a request, have it run, and receive its response, which must be a success."""
         balancer.send(number, **fields)
         self.pool.run()
-        told, answer = balancer.answer()
-        assert (told, answer.status) == (number, 200)
+        answered_number, answer = balancer.answer()
+        assert (answered_number, answer.status) == (number, 200)
         return answer
 
     def running(self, number: int = 1, **fields: Any) -> tuple[Balancer, str]:
-        """A connection with one request on it that runs; its uid."""
+        """A new connection with one request on it that runs, and the request's uid."""
         balancer = self.balancer()
         balancer.send(number, **fields)
         return balancer, self.pool.next("spawn")["uid"]
 
     def end(self, balancer: Balancer, uid: str, body: bytes = b"done") -> None:
-        """The run ends well, and is answered."""
+        """End the run with success, and receive its response."""
         self.pool.notice("finished", uid, "fine", body)
         assert balancer.answer()[1].body == body
 
     def block(self, balancer: Balancer, **fields: Any) -> str:
-        """A request, number 1, that is run as far as its call; its uid."""
+        """Send request number 1, and run it as far as its call to the vault; its uid."""
         balancer.send(1, **fields)
         uid: str = self.pool.next("spawn")["uid"]
         self.pool.notice("blocked", uid, content=b"call")
@@ -445,20 +477,26 @@
     pos: int | None = 0,
     **extra: Any,
 ) -> Iterator[World]:
-    """A running server; `replies` are what the vault says, `extra` changes the settings' `Extra`. With a
-    keeper, `peer` may be the pool of an earlier life, which is bound from `pos` on (None: not waited for)."""
+    """A running server.
+
+    `replies` are what the vault says, `extra` changes the settings' `Extra`, `keeper` makes idempotency keys
+    durable. With a keeper, `peer` may be the pool of an earlier incarnation, which is bound from notice `pos`
+    on (None: not waited for).
+    """
     settings, gauges = read_settings(json.dumps(PARAMS | {"Extra": PARAMS["Extra"] | extra}))
-    pool, vault = peer or PoolPeer(bound), VaultPeer(*replies)
+    pool = peer or PoolPeer(bound)
+    vault = VaultPeer(*replies)
     pool.linked.clear()
     host = EventLoop(settings, gauges, seed=1)
-    before = set(threading.enumerate())
-    link, server = WorkerPool(pool.address, host), FastCgiServer(("127.0.0.1", 0), host, most)
-    lasting = DurableKeys(keeper, settings) if keeper is not None else None
-    host.connect(server, link, vault.address, lasting)
+    threads_before = set(threading.enumerate())
+    link = WorkerPool(pool.address, host)
+    server = FastCgiServer(("127.0.0.1", 0), host, most)
+    durable_keys = DurableKeys(keeper, settings) if keeper is not None else None
+    host.connect(server, link, vault.address, durable_keys)
     thread = threading.Thread(target=host.serve, daemon=True)
     thread.start()
-    if lasting is not None:
-        lasting.start(host, link, lambda why: None)
+    if durable_keys is not None:
+        durable_keys.start(host, link, lambda why: None)
     else:
         link.start()
     server.start()
@@ -471,5 +509,5 @@
         server.retire(0)
         host.stop()
         thread.join(WAIT_S)
-        pool.cut()  # what was said on a link of an earlier life must not reach the next one
-        _end_link(link, before)
+        pool.cut()  # what was sent on a link of an earlier incarnation must not reach the next one
+        _end_link(link, threads_before)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,4 +1,4 @@
-"""What the peers of other tests rely on: an error in one of their scripts fails the test that it came in."""
+"""An error in the script of a peer fails the test in which it came."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 TESTS = Path(__file__).parent
 # The connection's script fails at once, or only when the test is over and its connection ends.
-FAILS = """
+TEST_WITH_A_FAILING_SCRIPT = """
 import socket, threading
 from peers import WAIT_S, Listener
 
@@ -31,20 +31,30 @@
 """
 
 
-@pytest.mark.parametrize("condition", ["False", "sock.recv(1)"])
-def test_an_error_in_a_script_fails_its_own_test(condition: str, tmp_path: Path) -> None:
+@pytest.mark.parametrize("condition", ["False", "sock.recv(1)"], ids=["at once", "at the end"])
+def test_error_in_a_script_fails_its_own_test(condition: str, tmp_path: Path) -> None:
     """Guards: the script's thread ended by its `assert`, and the test passed."""
     path = tmp_path / "test_script.py"
-    path.write_text(FAILS.format(condition=condition))
-    words = ["-c", str(TESTS.parent / "pyproject.toml"), "-p", "conftest", "-p", "no:cacheprovider", "-rA"]
-    done = subprocess.run(
-        [sys.executable, "-m", "pytest", *words, str(path)],
+    path.write_text(TEST_WITH_A_FAILING_SCRIPT.format(condition=condition))
+    arguments = [
+        "-c",
+        str(TESTS.parent / "pyproject.toml"),
+        "-p",
+        "conftest",
+        "-p",
+        "no:cacheprovider",
+        "-rA",
+    ]
+    completed = subprocess.run(
+        [sys.executable, "-m", "pytest", *arguments, str(path)],
         env={**os.environ, "PYTHONPATH": os.pathsep.join([str(TESTS), str(TESTS.parent)])},
         capture_output=True,
         text=True,
         timeout=4 * WAIT_S,
     )
-    assert done.returncode == 1 and "the script failed" in done.stdout, done.stdout + done.stderr
-    lines = [line.split(" ")[:2] for line in done.stdout.splitlines() if "::test_" in line]
-    wrong = {where.rpartition("::")[2] for outcome, where in lines if outcome in ("FAILED", "ERROR")}
-    assert wrong == {"test_first"}, done.stdout
+    assert completed.returncode == 1 and "the script failed" in completed.stdout, (
+        completed.stdout + completed.stderr
+    )
+    lines = [line.split(" ")[:2] for line in completed.stdout.splitlines() if "::test_" in line]
+    failed = {test.rpartition("::")[2] for outcome, test in lines if outcome in ("FAILED", "ERROR")}
+    assert failed == {"test_first"}, completed.stdout
