--- a/cairnvane/net/connection.py
+++ b/cairnvane/net/connection.py
@@ -59,6 +59,7 @@
 
     @property
     def _state(self) -> State:
+        """How far its end has come."""
         return self._lifecycle.state
 
     @property
--- a/tests/administration/test_administration_server.py
+++ b/tests/administration/test_administration_server.py
@@ -28,13 +28,15 @@
         assert figures["requests"]["read"] == {"served": 1, "refused": 0, "failed": 0, "attempts": 1}
         assert (figures["in_flight"], figures["attempts"]) == (1, 1)
         assert call(server.address, "POST", "/-/drain").status == 200
-        assert readiness.drained and call(server.address, "POST", "/-/drain").status == 200  # no fault twice
+        assert (
+            readiness.drained and call(server.address, "POST", "/-/drain").status == 200
+        )  # a second drain is no fault
         assert call(server.address, "POST", "/-/resume").status == 200
         assert not readiness.drained
         wrong = call(server.address, "GET", "/-/drain")
         assert (wrong.status, wrong.headers["allow"]) == (405, "POST")
         assert call(server.address, "GET", "/-/nothing").status == 404
-        server.leave()  # the notice to leave: no longer ready, and no resume from it
+        server.leave()  # shut down: no longer ready, and no resume from it
         assert call(server.address, "GET", "/-/ready").status == 503
         assert call(server.address, "POST", "/-/resume").status == 503
 
@@ -45,7 +47,7 @@
 
 
 def test_silent_and_partial_clients_time_out_and_block_nobody() -> None:
-    """Guards: one thread for all calls, which a silent caller would hold until it gave up."""
+    """Regression: a silent client held the one thread that serves all connections."""
     with administration_server() as (server, _, _):
         silent = socket.create_connection(server.address)
         half = socket.create_connection(server.address)
@@ -60,22 +62,24 @@
 
 
 def test_requests_are_answered_while_silent_clients_hold_every_slot() -> None:
-    """Guards: 242 of 269 calls of staff got 503, since a silent connection held a place for its second. With
-    a deadline beyond the test's own time, no place comes free by itself."""
+    """Regression: 242 of 269 requests got 503, since a silent connection held its slot for a second.
+
+    With a request timeout beyond the test's own time, no slot comes free by itself.
+    """
     with administration_server(most=32, call_wait_s=WAIT_S * 100) as (server, _, _):
         stop = threading.Event()
 
-        def come_back(half: bytes) -> None:
+        def reconnect(partial_request: bytes) -> None:
             while not stop.is_set():
                 with contextlib.suppress(OSError), socket.create_connection(server.address, WAIT_S) as sock:
-                    sock.sendall(half)
-                    sock.settimeout(0.05)  # looks now and then whether the test is over
+                    sock.sendall(partial_request)
+                    sock.settimeout(0.05)  # to see now and then whether the test is over
                     while not stop.is_set():
                         with contextlib.suppress(TimeoutError):
                             if not sock.recv(64):
                                 break
 
-        threads = [threading.Thread(target=come_back, args=(half,)) for half in [b"", b"GET /"] * 24]
+        threads = [threading.Thread(target=reconnect, args=(partial,)) for partial in [b"", b"GET /"] * 24]
         for thread in threads:
             thread.start()
         try:
@@ -91,7 +95,7 @@
     with administration_server(most=4) as (server, _, _):
         deaf = [socket.create_connection(server.address) for _ in range(8)]
         for sock in deaf:
-            sock.sendall(b"GET /-/metrics HTTP/1.1\r\n\r\n" * 20)  # and says more than it may
+            sock.sendall(b"GET /-/metrics HTTP/1.1\r\n\r\n" * 20)  # and sends on after its request
         assert call(server.address, "GET", "/-/ready").status == 200
         for sock in deaf:
             sock.close()
@@ -128,7 +132,7 @@
         health.send(2, path="/status/live", body=b"")
         assert health.answer()[1].status == 503
         balancer = w.balancer()
-        w.serve(balancer, 3)  # what still comes is answered as ever
+        w.serve(balancer, 3)  # requests are still answered
         assert counters.figures()[0]["read"]["served"] == 1 and counters.figures()[1] == 0
         readiness.resume()
         health = w.balancer()
--- a/tests/administration/test_connection_slots.py
+++ b/tests/administration/test_connection_slots.py
@@ -26,7 +26,7 @@
     slots.request_begun("e")
     assert slots.add("f", 0.3) == "d"
     slots.request_begun("f")
-    assert slots.add("g", 0.4) == "half"  # all have said half: the oldest
+    assert slots.add("g", 0.4) == "half"  # all have sent a part of a request: the oldest
     assert slots.eviction_candidate(0.45) == "e"
     assert slots.eviction_candidate(0.25) is None  # all have only just come
     assert slots.expire(REQUEST_TIMEOUT_S + 0.25) == [("e", Phase.PARTIAL)]
@@ -34,7 +34,7 @@
 
 
 def test_no_connection_is_evicted_within_its_grace_period() -> None:
-    """Guards: callers that had said half kept their places, and newcomers were gone within milliseconds."""
+    """Regression: clients with half a request kept their slots; new ones lost theirs in milliseconds."""
     slots: ConnectionSlots[int] = ConnectionSlots(4)
     for key in range(3):
         slots.add(key, 0.0)
@@ -51,9 +51,9 @@
     for key in range(1_000):
         assert slots.accept_delay(0.0) == 0.0
         slots.add(key, 0.0)
-    came = 1_000
+    next_key = 1_000
     while slots.accept_delay(10.0) == 0.0:
-        assert slots.add(came, 10.0) == came - 1_000
-        came += 1
-    assert came - 1_000 == MAX_ACCEPTS_PER_S * RATE_LIMIT_WINDOW_S
+        assert slots.add(next_key, 10.0) == next_key - 1_000
+        next_key += 1
+    assert next_key - 1_000 == MAX_ACCEPTS_PER_S * RATE_LIMIT_WINDOW_S
     assert slots.accept_delay(11.0) == 0.0  # a second later, some may come again
--- a/tests/administration/test_version_handover.py
+++ b/tests/administration/test_version_handover.py
@@ -15,13 +15,15 @@
 
 
 def test_later_version_listens_on_the_same_address_and_takes_over(tmp_path: Path) -> None:
-    """Guards: the second process could not listen where the first one did, and exited with 2."""
+    """Regression: the second process could not listen where the first one did, and exited with 2."""
     pools = PoolPeer(), PoolPeer()
     old_door, new_door = (("127.0.0.1", _free_port()) for _ in range(2))
     with program(tmp_path, _address_text(pools[0]), NOWHERE, control=_address_text(old_door)) as (old, port):
         pools[0].next("bind")
         assert _becomes_ready(old_door)
-        balancer = Balancer(("127.0.0.1", port))  # before the new one listens: the old one's
+        balancer = Balancer(
+            ("127.0.0.1", port)
+        )  # accepted by the old one, since the new one does not listen yet
         with program(
             tmp_path,
             _address_text(pools[1]),
@@ -43,7 +45,7 @@
                 pass
             assert call(old_door, "GET", "/-/ready").status == 503
             pools[0].notice("finished", uid, "fine", b"done")
-            assert balancer.answer()[1].body == b"done"  # what it had is answered
+            assert balancer.answer()[1].body == b"done"  # the old one answers its open request
             assert balancer.ended()
             assert old.wait(WAIT_S) == 0
             for number in range(2, 5):  # and the new one serves the same address
@@ -67,7 +69,7 @@
 
 
 def _becomes_ready(address: tuple[str, int]) -> bool:
-    """Asked until the door says yes: the pool has seen `bind` a moment before its answer is read here."""
+    """Whether the server becomes ready in time, which it is a moment after the pool has seen `bind`."""
     end = time.monotonic() + WAIT_S
     while time.monotonic() < end:
         with contextlib.suppress(ConnectionError):
@@ -77,8 +79,10 @@
 
 
 def test_result_committed_by_the_old_version_is_replayed_by_the_new_one(tmp_path: Path) -> None:
-    """Two real processes at one address: the result is handed on, another body fails, and a run whose process
-    was killed is failed at once, all without a second run."""
+    """The result is replayed, another body with its key fails, and so does a run whose process was killed.
+
+    All without a second run.
+    """
     keyed: dict[str, Any] = {"path": "/svc/write", "HTTP_REQ_TOKEN": TOKEN}
     other: dict[str, Any] = {"path": "/svc/write", "HTTP_REQ_TOKEN": TOKEN[::-1]}
     pools = PoolPeer(), PoolPeer()
@@ -102,7 +106,7 @@
             assert after.answer()[1].body == b"done"
             after.send(5, body=b"another body", **keyed)
             assert after.answer()[1].status == 500
-            after.send(6, **other)  # nobody will ever know how it ended
+            after.send(6, **other)  # its outcome is unknown for good
             assert after.answer()[1].status == 500
             after.send(7)
-            assert pools[1].next("spawn")["uid"] == f"{7:016x}"  # the only one
+            assert pools[1].next("spawn")["uid"] == f"{7:016x}"  # the only run
--- a/tests/net/test_connections.py
+++ b/tests/net/test_connections.py
@@ -12,7 +12,7 @@
 
 
 def test_new_connection_evicts_the_idlest() -> None:
-    """Guards: connections that said nothing, or had once asked, took all places, and balancers waited."""
+    """Regression: connections that carried nothing, or nothing lately, took all capacity."""
     with world(most=3) as w:
         idle, busy, silent = w.balancer(), w.balancer(), w.balancer()
         w.serve(idle, 1)
@@ -46,12 +46,13 @@
         BEGIN[:3],
         BEGIN + fastcgi.record(fastcgi.PARAMS, 1, b"\1\1ab"),
     ],
+    ids=["nothing", "first record only", "part of a record", "part of the parameters"],
 )
 def test_connection_without_a_whole_request_is_closed_at_its_deadline(
     data: bytes,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards: nothing bounded the time to the first or to the whole request."""
+    """Regression: nothing bounded the time to the first or to the whole request."""
     monkeypatch.setattr(connection, "SAY_WAIT_S", 0.2)
     monkeypatch.setattr(server, "LOOK_S", 0.05)
     with world() as w:
@@ -71,13 +72,13 @@
         balancer.send(2)
         uid = w.pool.next("spawn")["uid"]
         balancer.sock.sendall(BEGIN)
-        assert balancer.answer()[1].status == 500  # what else is open on the connection goes on
+        assert balancer.answer()[1].status == 500  # the other open request goes on
         w.pool.notice("finished", uid, "fine", b"done")
         assert balancer.answer()[1].body == b"done"
 
 
 def test_peer_that_sends_on_after_the_end_is_cut_off() -> None:
-    """Guards: the last reading of an ended connection went on as long as its peer sent."""
+    """Regression: an ended connection was read for as long as its peer sent."""
     with world() as w:
         bad, uid = w.running()
         bad.sock.sendall(bytes(65_536))
--- a/tests/net/test_fastcgi_requests.py
+++ b/tests/net/test_fastcgi_requests.py
@@ -14,7 +14,7 @@
 BEGIN = fastcgi.record(fastcgi.BEGIN_REQUEST, 1, b"\0\1\1\0\0\0\0\0")
 
 
-@pytest.mark.parametrize("result", [b"done", b"", bytes(range(256)) * 16])
+@pytest.mark.parametrize("result", [b"done", b"", bytes(range(256)) * 16], ids=["text", "empty", "binary"])
 def test_request_body_and_result_pass_unchanged(result: bytes) -> None:
     with world() as w:
         balancer = w.balancer()
@@ -27,7 +27,7 @@
 
 
 def test_client_number_0_is_valid() -> None:
-    """Guards: 0 was once taken for impossible, and all of that balancer's requests failed."""
+    """Regression: 0 was once taken for invalid, and all requests of that balancer failed."""
     with world() as w:
         balancer = w.balancer()
         w.serve(balancer, 1, HTTP_REQ_FROM="0")
@@ -35,7 +35,7 @@
 
 @pytest.mark.parametrize("code", ["fault", "late", "broken_off"])
 def test_unsuccessful_run_is_answered_as_failed(code: str) -> None:
-    """Guards: a run that the pool ended by itself, its caller not known to have left, had no answer."""
+    """Regression: a run that the pool ended by itself, with its client still connected, had no answer."""
     with world() as w:
         balancer = w.balancer()
         balancer.send(1)
@@ -46,7 +46,7 @@
 def test_rejected_request_never_reaches_the_pool() -> None:
     with world() as w:
         balancer = w.balancer()
-        balancer.send(1, HTTP_REQ_KB="1900")  # it could never run beside its key
+        balancer.send(1, HTTP_REQ_KB="1900")  # more memory than there is beside its key
         number, answer = balancer.answer()
         assert (number, answer.status) == (1, 503)
         assert float(answer.headers.get("Srv-Load", "0")) >= 0
@@ -115,6 +115,17 @@
         BEGIN + fastcgi.record(fastcgi.PARAMS, 1, bytes(5_000)) * 2,
         BEGIN + fastcgi.record(fastcgi.PARAMS, 1, b"") + fastcgi.record(fastcgi.STDIN, 1, bytes(2_049)),
     ],
+    ids=[
+        "no FastCGI",
+        "oversized record",
+        "number in use",
+        "short begin record",
+        "unknown record type",
+        "body before parameters",
+        "truncated parameters",
+        "oversized parameters",
+        "oversized body",
+    ],
 )
 def test_malformed_record_ends_that_connection_alone(data: bytes) -> None:
     with world() as w:
@@ -150,7 +161,7 @@
         uid = w.pool.next("spawn")["uid"]
         balancer.abort(1)
         assert w.pool.next("suspend")["uid"] == uid
-        assert balancer.answer()[1].status == 0  # an end and no answer
+        assert balancer.answer()[1].status == 0  # an end without a response
         w.pool.notice("finished", uid, "broken_off")
         w.serve(balancer, 1, HTTP_REQ_ID="f" * 16)
 
@@ -163,6 +174,7 @@
         (True, False, "fault", 503),
         (True, True, "", 200),
     ],
+    ids=["plain", "deep, healthy", "deep, faulty", "deep, from the last result"],
 )
 def test_health_check(deep: bool, stored: bool, code: str, status: int) -> None:
     with world() as w:
--- a/tests/net/test_idempotent_requests.py
+++ b/tests/net/test_idempotent_requests.py
@@ -27,7 +27,7 @@
 
 @pytest.mark.parametrize("ended", [False, True])
 def test_same_key_with_another_body_fails_and_disturbs_no_one(ended: bool) -> None:
-    """Guards: a repeat was matched by its token alone, and a stranger served with another's result."""
+    """Regression: a duplicate was matched by its key alone, and got the result of another request."""
     with world() as w:
         balancer, stranger = w.balancer(), w.balancer()
         balancer.send(1, **KEYED)
@@ -46,7 +46,7 @@
 
 
 def test_key_of_a_request_unknown_to_the_pool_stays_free() -> None:
-    """Guards: the key of a request that the pool did not know was kept, and its owner's first try failed."""
+    """Regression: the key of a request unknown to the pool was kept, and its owner's first attempt failed."""
     with world() as w:
         stranger, balancer = w.balancer(), w.balancer()
         stranger.send(1, body=b"made up", **KEYED)
@@ -104,7 +104,7 @@
     runs: int,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Also of a try that is read long after its arrival, when the window has gone by."""
+    """It does so too for an attempt that is read long after its arrival, when the window is over."""
     with world() as w:
         balancer = w.balancer()
         first = time.time_ns() // 1_000_000
--- a/tests/net/test_message_writer.py
+++ b/tests/net/test_message_writer.py
@@ -10,10 +10,10 @@
 def test_send_never_waits_for_a_peer_that_does_not_read() -> None:
     ours, theirs = socket.socketpair()
     with ours, theirs:
-        outlet = MessageWriter(ours)
+        writer = MessageWriter(ours)
         message = bytes(range(256)) * 64
         count = 0
-        while outlet.send(message):  # returns at once each time, until the bound is met
+        while writer.send(message):  # returns at once each time, until the bound is met
             count += 1
             assert count * len(message) < 64 * MOST_WAITING
         assert count * len(message) > MOST_WAITING
@@ -23,9 +23,9 @@
     ours, theirs = socket.socketpair()
     with ours, theirs:
         ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
-        outlet = MessageWriter(ours)
+        writer = MessageWriter(ours)
         messages = [bytes([n]) * 3_000 for n in range(40)]
-        assert all(outlet.send(message) for message in messages)
-        outlet.end()  # cuts off nothing of it
+        assert all(writer.send(message) for message in messages)
+        writer.end()  # only once all of it has left
         assert theirs.recv(120_000, socket.MSG_WAITALL) == b"".join(messages)
         assert theirs.recv(1) == b""
--- a/tests/net/test_vault_calls.py
+++ b/tests/net/test_vault_calls.py
@@ -31,7 +31,7 @@
 
 
 def test_empty_reply_is_supplied_again_after_a_reconnect() -> None:
-    """Guards: after a break, an empty reply was taken for none, and the run was spawned again."""
+    """Regression: after a reconnect, an empty reply was taken for none, and the run was spawned again."""
     with world(reply(200)) as w:
         balancer = w.balancer()
         w.block(balancer)
@@ -81,8 +81,8 @@
 
 @pytest.mark.parametrize("left", [True, False])
 def test_run_blocked_at_its_call_is_suspended_when_its_request_ends(left: bool) -> None:
-    """Guards: a pool that does not see by itself that a request is over kept its run, and the memory."""
-    with world() as w:  # whose vault answers no call
+    """Regression: a pool that does not see by itself that a request is over kept its run, and the memory."""
+    with world() as w:  # its vault answers no call
         balancer = w.balancer()
         uid = w.block(balancer)
         w.vault.calls.get(timeout=WAIT_S)
--- a/tests/net/test_worker_pool_link.py
+++ b/tests/net/test_worker_pool_link.py
@@ -30,7 +30,7 @@
         balancer = w.balancer()
         balancer.send(1, path, HTTP_REQ_TOKEN=token)
         uid = w.pool.next("spawn")["uid"]
-        w.pool.notice("finished", "f" * 16, "fine")  # of no request here; its number counts all the same
+        w.pool.notice("finished", "f" * 16, "fine")  # of no request here, but its number counts
         balancer.send(2, "/status/live", b"", QUERY_STRING="real=1")
         w.pool.tell(action="verified", echo=w.pool.next("verify")["echo"], code="fine")
         assert balancer.answer()[1].status == 200  # so the notice before it was read
@@ -55,7 +55,7 @@
 
 
 def test_keyed_run_of_a_calling_class_is_spawned_again_after_a_reconnect() -> None:
-    """Guards: one lost with the link was left to its due time. It can't have ended without a call to us."""
+    """Regression: a run lost with the link was left to its deadline. It can't have ended without a call."""
     with world(reply(200, b"reply")) as w:
         balancer = w.balancer()
         uid = w.block(balancer, **KEYED)
@@ -72,7 +72,7 @@
 
 
 def test_run_lost_with_its_link_frees_its_capacity_when_cancelled() -> None:
-    """Guards: nothing is told of the end of what never began, and the controller counted it as running."""
+    """Regression: no notice comes for a run that never began, and the controller counted it as running."""
     with world() as w:
         balancer = w.balancer()
         balancer.send(1, **KEYED)
@@ -83,7 +83,7 @@
         balancer.abort(1)
         assert w.pool.next("suspend")["uid"] == uid
         balancer.answer()
-        w.serve(balancer, 3)  # its notice comes after the answer to what was asked behind `suspend`
+        w.serve(balancer, 3)  # its notice comes after the answer to the question sent after `suspend`
         assert 1 not in w.host._control.running
 
 
@@ -94,13 +94,14 @@
         b"\xff\n",
         b'{"action":"finished","pos":1,"uid":"x","code":"fine","content":"?"}\n',
     ],
+    ids=["truncated JSON", "no UTF-8", "no base64"],
 )
 def test_unreadable_line_is_requested_once_more(line: bytes) -> None:
-    """Guards: it ended the link's thread for good, and nothing was run any more."""
+    """Regression: it ended the link's thread for good, and nothing was run any more."""
     with world() as w:
         w.pool.raw(line)
         assert w.pool.next("bind")["pos"] == 0
-        w.pool.raw(line)  # no better: passed over
+        w.pool.raw(line)  # unreadable again: skipped
         w.serve(w.balancer(), 1)
 
 
@@ -128,19 +129,22 @@
 
 
 def test_pool_moves_to_another_address_and_back(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards: two threads served the address it came back to, and cut each other's links without end."""
-    back, before = threading.Event(), set(threading.enumerate())
-    monkeypatch.setattr(worker_pool_link, "time", SimpleNamespace(sleep=lambda s: back.wait(WAIT_S)))
+    """Regression: two threads served the address it came back to, and cut each other's links without end."""
+    is_back = threading.Event()
+    threads_before = set(threading.enumerate())
+    monkeypatch.setattr(worker_pool_link, "time", SimpleNamespace(sleep=lambda s: is_back.wait(WAIT_S)))
     with world() as w:
         (first,) = [
-            thread for thread in set(threading.enumerate()) - before if thread.name == LINK_THREAD_NAME
+            thread
+            for thread in set(threading.enumerate()) - threads_before
+            if thread.name == LINK_THREAD_NAME
         ]
         other = PoolPeer()
         w.host._pool.move(other.address)
         other.next("bind")
         w.host._pool.move(w.pool.address)
         w.pool.next("bind")
-        back.set()
+        is_back.set()
         first.join(WAIT_S)
         assert not first.is_alive()
         w.serve(w.balancer(), 1)
