Log the listener's end in the words that the tests of a takeover wait for

The renamed message of the server made six tests in tests/idempotency/test_takeover.py wait in vain; the message is as it was.

--- a/cairnvane/net/server.py
+++ b/cairnvane/net/server.py
@@ -84,7 +84,7 @@
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
         self._socket.close()
-        logger.info("listener closed, draining connections")
+        logger.info("takes no more connections")
         for connection in self._all():
             connection.close_if_idle()
         with self._connections_changed:
