--- /dev/null
+++ b/cairnvane/membership/actions.py
@@ -0,0 +1,63 @@
+"""What a member asks its driver to do: send a datagram, exchange whole states, report an event."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from .member_table import Claim
+from .messages import Message
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send a datagram."""
+
+    to: Address
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """Send the whole state over TCP and take the peer's in return."""
+
+    to: Address
+
+
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """Report a structured event such as `member.suspected`, with its evidence."""
+
+    event: str
+    more: dict[str, Any]
+
+
+Action = Send | Exchange | Tell
+
+
+class Outbox:
+    """Collects the actions of one step of a member."""
+
+    def __init__(self) -> None:
+        self._actions: list[Action] = []
+
+    def begin_step(self) -> list[Action]:
+        """Start a new, empty list of actions and return it; later actions are appended to it."""
+        self._actions = []
+        return self._actions
+
+    def send(self, address: Address, message: Message) -> None:
+        """Send a datagram."""
+        self._actions.append(Send(address, message))
+
+    def exchange(self, address: Address) -> None:
+        """Exchange whole states with the member at this address."""
+        self._actions.append(Exchange(address))
+
+    def report(self, event: str, claim: Claim, by: int = 0, **details: Any) -> None:
+        """Report an event about the claim's subject; `by` is the instance that caused it, 0 if none."""
+        subject = {"name": claim.name, "life": f"{claim.life:016x}", "incarnation": claim.incarnation}
+        cause = {"by": f"{by:016x}"} if by else {}
+        self._actions.append(Tell(event, subject | cause | details))
--- /dev/null
+++ b/cairnvane/membership/claim_merger.py
@@ -0,0 +1,108 @@
+"""Merges claims about other members into the table, and starts what follows from each. No I/O, no clock."""
+
+from __future__ import annotations
+
+from .actions import Outbox
+from .dissemination import Dissemination
+from .local_member import LocalMember
+from .member_table import Claim, MemberRecord, Status, Table
+from .partition_monitor import PartitionMonitor
+from .ping_schedule import PingSchedule
+from .suspicion import Suspicions
+
+EVENT_OF_STATUS = {
+    Status.ALIVE: "member.alive",
+    Status.SUSPECT: "member.suspected",
+    Status.FAILED: "member.failed",
+    Status.LEFT: "member.left",
+}
+RECOVERED_EVENT = "member.back"
+
+
+class ClaimMerger:
+    """Decides which claims count, and owns the record of name conflicts that were reported."""
+
+    def __init__(
+        self,
+        local: LocalMember,
+        table: Table,
+        dissemination: Dissemination,
+        suspicions: Suspicions,
+        partition: PartitionMonitor,
+        schedule: PingSchedule,
+        outbox: Outbox,
+    ) -> None:
+        self._local = local
+        self._table = table
+        self._dissemination = dissemination
+        self._suspicions = suspicions
+        self._partition = partition
+        self._schedule = schedule
+        self._outbox = outbox
+        self._conflicts_reported: set[int] = set()
+
+    def merge(self, claim: Claim, now: int) -> None:
+        """Let a valid claim about another member count, if it says anything new."""
+        record = self._table.lives.get(claim.life)
+        if record is None and claim.status >= Status.FAILED:
+            # Nobody here ever knew it: kept as a tombstone, so that no older claim makes it known as alive.
+            self._table.take(claim, now)
+            return
+        if claim.status == Status.SUSPECT and record is not None and claim.rank == record.claim.rank:
+            self._suspicions.confirm(record, claim.by)
+            return
+        status_before = record.status if record is not None else None
+        changed = self._table.take(claim, now)
+        if changed is None:
+            return
+        self._dissemination.claims.add(claim)
+        self._follow_up(changed, claim, now)
+        if status_before is not changed.status:
+            self._report_status(status_before, changed, claim)
+        if changed.status is Status.ALIVE:
+            self._report_name_conflicts(changed)
+
+    def _follow_up(self, record: MemberRecord, claim: Claim, now: int) -> None:
+        if claim.status == Status.SUSPECT:
+            self._suspicions.begin(record, claim.by, now)
+            self._schedule.prioritize(claim.life, len(self._table.lives) + 1)
+        elif claim.status == Status.FAILED:
+            self._partition.record_loss(claim.life, now)
+        else:
+            self._partition.clear_loss(claim.life)
+
+    def _report_status(self, before: Status | None, record: MemberRecord, claim: Claim) -> None:
+        recovered = before is Status.FAILED and record.status is Status.ALIVE
+        event = RECOVERED_EVENT if recovered else EVENT_OF_STATUS[record.status]
+        self._outbox.report(event, claim, by=claim.by)
+
+    def _report_name_conflicts(self, record: MemberRecord) -> None:
+        """Two versions of one server are one member; two servers under one name are a configuration error."""
+        claim = record.claim
+        local = self._local.claim
+        if claim.name == local.name and claim.place != local.place:
+            other_places = [local.place]
+        else:
+            conflicting = self._table.same_name_elsewhere(claim.name, claim.place)
+            other_places = [other.claim.place for other in conflicting]
+        if not other_places or claim.life in self._conflicts_reported:
+            return
+        self._conflicts_reported.add(claim.life)
+        self._outbox.report("member.same_name", claim, place=claim.place, other_place=other_places[0])
+
+    def replace_predecessors(self, record: MemberRecord, source: tuple[str, int], now: int) -> None:
+        """An instance speaks from its own address: whoever had that before is over, without suspicion."""
+        if source != (record.claim.host, record.claim.port):
+            return
+        for other in self._table.at(source):
+            if other is not record:
+                self._suspicions.declare_failed(other, now)
+
+    def has_left(self, instance_id: int) -> bool:
+        """Whether this instance has left: what it sent before may still arrive."""
+        record = self._table.lives.get(instance_id)
+        return record is not None and record.status is Status.LEFT
+
+    def forget(self, instance_id: int) -> None:
+        """An instance is no longer remembered."""
+        self._conflicts_reported.discard(instance_id)
--- /dev/null
+++ b/cairnvane/membership/dissemination.py
@@ -0,0 +1,75 @@
+"""Sends messages with claims and metadata piggybacked on them (gossip). No I/O, no clock."""
+
+from __future__ import annotations
+
+from .actions import Address, Outbox
+from .gossip import MetadataQueue, Rumours
+from .local_member import LocalMember
+from .member_table import Claim, Info, Status, Table
+from .messages import MAX_CLAIMS, MAX_METADATA_ENTRIES, Ack, Ask, Ping
+
+
+class Dissemination:
+    """Owns what waits to be gossiped, and numbers and writes the messages that carry it."""
+
+    def __init__(self, local: LocalMember, table: Table, outbox: Outbox) -> None:
+        self.claims = Rumours()
+        self.metadata = MetadataQueue()
+        self._local = local
+        self._table = table
+        self._outbox = outbox
+        self._last_number = 0
+
+    def next_number(self) -> int:
+        """A number for a ping that no other ping of this member has."""
+        self._last_number += 1
+        return self._last_number
+
+    def address_of(self, instance_id: int) -> Address:
+        """Where an instance in the table is reached; `KeyError` if it is not there."""
+        claim = self._table.lives[instance_id].claim
+        return claim.host, claim.port
+
+    def forget(self, instance_id: int) -> None:
+        """Gossip nothing more about this instance."""
+        self.claims.drop(instance_id)
+        self.metadata.drop(instance_id)
+
+    def _piggyback(self, recipient: int) -> tuple[list[Claim], list[Info]]:
+        """What rides on a message; first what is claimed of its recipient, so that it can refute it."""
+        member_count = len(self._table.lives) + 1
+        claims = self.claims.pick(MAX_CLAIMS, member_count, recipient)
+        record = self._table.lives.get(recipient)
+        if record is not None and record.status is not Status.ALIVE and record.claim not in claims:
+            claims = [record.claim, *claims[: MAX_CLAIMS - 1]]
+        if record is None or not record.last_heard_at:
+            claims = [self._local.claim, *claims[: MAX_CLAIMS - 1]]
+        return claims, self.metadata.pick(MAX_METADATA_ENTRIES, member_count)
+
+    def send_ping(self, target: int, number: int) -> None:
+        """Ping an instance."""
+        claims, metadata = self._piggyback(target)
+        self._outbox.send(self.address_of(target), Ping(number, target, claims, metadata))
+
+    def send_ping_request(self, helper: int, target: int, number: int) -> None:
+        """Ask a helper for an indirect ping of the target."""
+        claims, metadata = self._piggyback(helper)
+        self._outbox.send(self.address_of(helper), Ask(number, target, claims, metadata))
+
+    def send_ack(self, recipient: int, address: Address, ping: Ping) -> None:
+        """Answer a ping; first of all with our own claim if the ping made one about us."""
+        claims, metadata = self._piggyback(recipient)
+        own_id = self._local.instance_id
+        if any(claim.life == own_id for claim in ping.claims):
+            others = (claim for claim in claims if claim.life != own_id)
+            claims = [self._local.claim, *others][:MAX_CLAIMS]
+        self._outbox.send(address, Ack(ping.number, own_id, claims, metadata))
+
+    def send_identity(self, address: Address, ping: Ping) -> None:
+        """Answer a ping that was meant for an earlier instance: our claim shows that it is over."""
+        message = Ack(ping.number, self._local.instance_id, [self._local.claim], [self._local.metadata])
+        self._outbox.send(address, message)
+
+    def farewell(self, recipient: int) -> Ping:
+        """A ping that carries our own claim and metadata alone."""
+        return Ping(self.next_number(), recipient, [self._local.claim], [self._local.metadata])
--- a/cairnvane/membership/evidence.py
+++ b/cairnvane/membership/evidence.py
@@ -10,17 +10,17 @@
 from dataclasses import dataclass
 
 from .member_table import Claim, Status, Table
-from .partition_detector import Evidence, at_once
+from .partition_detector import Evidence, max_concurrent
 
 
 @dataclass(frozen=True, slots=True)
-class Outside:
+class ExternalSignals:
     """What is seen of the world beside the channel; None: nothing was looked for."""
 
-    roster: bool | None = None
-    balancers: bool | None = None
-    pool: bool | None = None
-    host: bool | None = None  # whether our own host thread works
+    registry_answers: bool | None = None
+    requests_arrive: bool | None = None
+    worker_pool_bound: bool | None = None
+    event_loop_responsive: bool | None = None  # whether our own host thread works
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,12 +28,12 @@
     """The evidence, and what may be said of how many are there."""
 
     evidence: Evidence
-    least: int
-    most: int
-    lost: dict[int, int]  # of the lives that went silent, those that still are, and since when
+    min_members: int
+    max_members: int
+    still_lost: dict[int, int]  # of the lives that went silent, those that still are, and since when
 
 
-def look(
+def collect_evidence(
     own: Claim,
     table: Table,
     lost: Mapping[int, int],
@@ -41,28 +41,28 @@
     lease: int,
     losses: int,
     doubt: int,
-    outside: Outside,
+    outside: ExternalSignals,
 ) -> Survey:
     """`lease`: who was heard within it is surely there. `losses`: those within it came at once."""
     gone = table.standing(Status.FAILED)
     if gone:
-        servers = {(life.claim.name, life.claim.place) for life in table.there()}
+        servers = {(life.claim.name, life.claim.place) for life in table.up_records()}
         servers.add((own.name, own.place))
         gone = [life for life in gone if (life.claim.name, life.claim.place) not in servers]
     silent = {life.claim.life for life in gone}
     silent.update(life.claim.life for life in table.standing(Status.SUSPECT))
     still = {life: at for life, at in lost.items() if life in silent}
-    many = at_once(list(still.values()), losses)
-    heard = sum(now - life.heard < lease for life in table.standing(Status.ALIVE))
+    many = max_concurrent(list(still.values()), losses)
+    heard = sum(now - life.last_heard_at < lease for life in table.standing(Status.ALIVE))
     alive = table.count(Status.ALIVE)
     evidence = Evidence(
-        were=1 + alive + many,
+        previously_up=1 + alive + many,
         heard=1 + alive,
         silent=many,
-        undecided=table.count(Status.SUSPECT),
-        doubt=doubt,
-        roster=outside.roster,
-        balancers=outside.balancers,
-        pool=outside.pool,
+        suspected=table.count(Status.SUSPECT),
+        health_score=doubt,
+        registry_answers=outside.registry_answers,
+        requests_arrive=outside.requests_arrive,
+        worker_pool_bound=outside.worker_pool_bound,
     )
     return Survey(evidence, 1 + heard, 1 + len(table.up) + len(gone), still)
--- a/cairnvane/membership/gossip.py
+++ b/cairnvane/membership/gossip.py
@@ -12,14 +12,14 @@
 
 from .member_table import Claim, Info
 
-TELLS = 4
+RETRANSMIT_FACTOR = 4
 # So many claims at most wait to be told; beyond, the most told one goes.
-MOST = 512
+MAX_QUEUED_CLAIMS = 512
 
 
-def tells(members: int) -> int:
+def transmit_limit(members: int) -> int:
     """How often each member tells a rumour."""
-    return TELLS * math.ceil(math.log2(members + 2))
+    return RETRANSMIT_FACTOR * math.ceil(math.log2(members + 2))
 
 
 class Rumours:
@@ -37,7 +37,7 @@
         """News: it takes the place of what was told of that life before."""
         self.drop(claim.life)
         self._put(0, claim)
-        if len(self._level) > MOST:
+        if len(self._level) > MAX_QUEUED_CLAIMS:
             worst = max(level for level, some in enumerate(self._levels) if some)
             self.drop(next(iter(self._levels[worst])))
 
@@ -55,7 +55,7 @@
     def pick(self, most: int, members: int, first: int | None = None) -> list[Claim]:
         """Up to so many claims for one datagram; that about the life `first` before all others, since who is
         spoken of should be the first to hear it."""
-        limit, picked = tells(members), list[Claim]()
+        limit, picked = transmit_limit(members), list[Claim]()
         if first is not None and first in self._level:
             picked.append(self._levels[self._level[first]][first])
         for some in self._levels:
@@ -72,7 +72,7 @@
         return picked
 
 
-class Infos:
+class MetadataQueue:
     """What members carry, told on in turn: a fixed part of each datagram, however large the fleet is."""
 
     def __init__(self) -> None:
@@ -92,7 +92,7 @@
 
     def pick(self, most: int, members: int) -> list[Info]:
         """Up to so many, whoever has waited longest first; each goes behind the others once it was told."""
-        limit, picked = tells(members), list[Info]()
+        limit, picked = transmit_limit(members), list[Info]()
         for life in list(self._waiting)[:most]:
             told, info = self._waiting.pop(life)
             picked.append(info)
--- a/cairnvane/membership/local_health.py
+++ b/cairnvane/membership/local_health.py
@@ -10,61 +10,64 @@
 import math
 
 # Two doubts of one's own health add up to this at the most; every wait is so many times as long, and one.
-MOST_DOUBT = 8
+MAX_SCORE = 8
 # Accusers beyond the first that bring the wait down to its least.
 CONFIRMATIONS = 3
 # The longest wait, over the least one.
-LONGEST = 6.0
+MAX_TIMEOUT_RATIO = 6.0
 # So many members judge a suspect, drawn by chance; the others wait this much longer, in case none of them
 # did.
-JUDGES, OTHERS_WAIT = 12, 2
+EXPECTED_DECIDERS, NON_DECIDER_FACTOR = 12, 2
 # Before a verdict the judge probes by itself, so often and once more for each doubt of itself: a suspect
 # whose word was lost on its way is heard then.
-CHECKS, MOST_CHECKS = 3, 8
+CHECKS, MAX_FINAL_PINGS = 3, 8
 # Of several suspects at once each waits longer: one more time for each further tenth of the fleet, or each
 # further two, and three times at the most. It may be the way to all of them that is bad, and refutations take
 # theirs.
-TOGETHER_PART, TOGETHER_LEAST, TOGETHER_MOST = 0.1, 2, 3.0
+CONCURRENT_FLEET_SHARE, CONCURRENT_MIN_MEMBERS, CONCURRENT_MAX_FACTOR = 0.1, 2, 3.0
 # No doubt makes a wait longer than so many times the least: who is cut off must come to a verdict too.
-MOST_WAIT = 24
+MAX_TIMEOUT_FACTOR = 24
 
 
-def wait_us(least_us: int, accusers: int, members: int, suspects: int = 1) -> int:
+def suspicion_timeout_us(least_us: int, accusers: int, members: int, suspects: int = 1) -> int:
     """How long a suspicion stands before its life counts as failed."""
     needed = min(CONFIRMATIONS, members - 2)
     least = least_us * max(1.0, math.log10(max(members, 1)))
     if needed < 1:
-        return int(least * LONGEST / 2)  # nobody could confirm it
-    least *= together(suspects, members)
+        return int(least * MAX_TIMEOUT_RATIO / 2)  # nobody could confirm it
+    least *= concurrent_suspects_factor(suspects, members)
     part = math.log(accusers) / math.log(needed + 1) if accusers > 0 else 0.0
-    return int(max(least, least * (LONGEST - (LONGEST - 1) * part)))
+    return int(max(least, least * (MAX_TIMEOUT_RATIO - (MAX_TIMEOUT_RATIO - 1) * part)))
 
 
-def together(suspects: int, members: int) -> float:
+def concurrent_suspects_factor(suspects: int, members: int) -> float:
     """By which all verdicts wait longer while there are so many suspects."""
-    return min(TOGETHER_MOST, 1 + max(0, suspects - 1) / max(TOGETHER_LEAST, TOGETHER_PART * members))
+    return min(
+        CONCURRENT_MAX_FACTOR,
+        1 + max(0, suspects - 1) / max(CONCURRENT_MIN_MEMBERS, CONCURRENT_FLEET_SHARE * members),
+    )
 
 
 def checks(doubt: int, tries: int) -> int:
     """How often a suspect is probed before the verdict; `tries`: how often anybody is, before a suspicion."""
-    return max(tries, min(MOST_CHECKS, CHECKS + doubt))
+    return max(tries, min(MAX_FINAL_PINGS, CHECKS + doubt))
 
 
-class Health:
+class LocalHealth:
     """How far this member doubts itself."""
 
     def __init__(self) -> None:
-        self.doubt = 0
+        self.score = 0
 
-    def worse(self, by: int = 1) -> None:
+    def degrade(self, by: int = 1) -> None:
         """An answer was missing, it was accused, or it was held up."""
-        self.doubt = min(MOST_DOUBT, self.doubt + by)
+        self.score = min(MAX_SCORE, self.score + by)
 
-    def better(self) -> None:
+    def improve(self) -> None:
         """An answer came in time."""
-        self.doubt = max(0, self.doubt - 1)
+        self.score = max(0, self.score - 1)
 
     @property
-    def factor(self) -> int:
+    def multiplier(self) -> int:
         """By which all its waits are longer."""
-        return self.doubt + 1
+        return self.score + 1
--- a/cairnvane/membership/messages.py
+++ b/cairnvane/membership/messages.py
@@ -21,20 +21,20 @@
 # Below what any path carries in one piece, and what is accepted at all.
 MOST_BYTES = 1_400
 # How much of it claims and infos may take; a whole view goes over TCP, in pieces of so many lives.
-MOST_CLAIMS, MOST_INFOS, VIEW_LIVES = 6, 2, 64
-VIEW_BYTES = 1 << 20
+MAX_CLAIMS, MAX_METADATA_ENTRIES, MEMBERS_PER_VIEW = 6, 2, 64
+MAX_VIEW_BYTES = 1 << 20
 MAGIC, VERSION = b"CVM", 1
 _HEAD = struct.Struct("<3sBQQ")  # magic, version, life, number
 HASH_BYTES = 16
 # A datagram may overtake so many others; what is older counts as played again.
-WINDOW = 64
+REPLAY_WINDOW = 64
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Are you there? `to` is the life that is meant; another one at its address does not answer for it."""
 
     number: int
-    to: int
+    target: int
     claims: list[Claim] = []
     infos: list[Info] = []
 
@@ -43,7 +43,7 @@
     """I am; or, for a life that was asked for, it is."""
 
     number: int
-    of: int
+    target: int
     claims: list[Claim] = []
     infos: list[Info] = []
 
@@ -52,7 +52,7 @@
     """Probe that life for me."""
 
     number: int
-    of: int
+    target: int
     claims: list[Claim] = []
     infos: list[Info] = []
 
@@ -61,7 +61,7 @@
     """I heard you, but not whom you asked for."""
 
     number: int
-    of: int
+    target: int
 
 
 class View(msgspec.Struct, frozen=True, array_like=True, tag=5):
@@ -77,7 +77,7 @@
 _DECODE = msgspec.msgpack.Decoder(Message)
 
 
-class Bad(ValueError):
+class EnvelopeError(ValueError):
     """Not from a member, or not to be read; the text is a word for the count of such."""
 
 
@@ -94,23 +94,23 @@
 def unseal(key: bytes, data: bytes, most: int = MOST_BYTES) -> tuple[int, int, Message]:
     """The sender's life, its number, and the message; `Bad` if it is none."""
     if len(data) > most:
-        raise Bad("oversized")
+        raise EnvelopeError("oversized")
     if len(data) < _HEAD.size + HASH_BYTES:
-        raise Bad("torn")
+        raise EnvelopeError("torn")
     magic, version, life, number = _HEAD.unpack_from(data)
     if magic != MAGIC:
-        raise Bad("stranger")
+        raise EnvelopeError("stranger")
     if _hash(key, data[:-HASH_BYTES]) != data[-HASH_BYTES:]:
-        raise Bad("stranger")
+        raise EnvelopeError("stranger")
     if version != VERSION:
-        raise Bad("version")
+        raise EnvelopeError("version")
     try:
         return life, number, _DECODE.decode(data[_HEAD.size : -HASH_BYTES])
     except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
-        raise Bad("unreadable") from None
+        raise EnvelopeError("unreadable") from None
 
 
-class Numbers:
+class ReplayWindow:
     """Which numbers of one sender have come: the highest, and which of those just below it."""
 
     __slots__ = ("_high", "_seen")
@@ -118,14 +118,16 @@
     def __init__(self) -> None:
         self._high, self._seen = 0, 0
 
-    def new(self, number: int) -> bool:
+    def accept(self, number: int) -> bool:
         """Whether this one has not come before, as far as that can be told."""
         if number > self._high:
-            self._seen = ((self._seen << min(number - self._high, WINDOW)) | 1) & ((1 << WINDOW) - 1)
+            self._seen = ((self._seen << min(number - self._high, REPLAY_WINDOW)) | 1) & (
+                (1 << REPLAY_WINDOW) - 1
+            )
             self._high = number
             return True
         back = self._high - number
-        if number <= 0 or back >= WINDOW or self._seen >> back & 1:
+        if number <= 0 or back >= REPLAY_WINDOW or self._seen >> back & 1:
             return False
         self._seen |= 1 << back
         return True
--- a/cairnvane/membership/metrics.py
+++ b/cairnvane/membership/metrics.py
@@ -8,7 +8,7 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 
 from .partition_detector import Verdict
-from .transport import STATUSES, Snapshot
+from .transport import STATUSES, MembershipSnapshot
 
 PREFIX = "cairnvane_members"
 
@@ -16,12 +16,12 @@
 class _Collector:
     """One snapshot as metrics: made for one fetch."""
 
-    def __init__(self, seen: Snapshot) -> None:
+    def __init__(self, seen: MembershipSnapshot) -> None:
         self._seen = seen
 
     def collect(self) -> Iterator[Metric]:
         """All of them."""
-        seen, sight = self._seen, self._seen.sight
+        seen, sight = self._seen, self._seen.assessment
         lives = GaugeMetricFamily(f"{PREFIX}_lives", "Lives that are known, by status.", labels=["status"])
         for status in STATUSES:
             lives.add_metric([status], sum(one.status == status for one in seen.members))
@@ -34,11 +34,11 @@
         yield verdicts
         for name, what, value in (
             ("sight_confidence", "How sure that is, 0 to 1.", sight.confidence),
-            ("surely_there", "Lives that are surely there, this one counted.", sight.least),
-            ("at_most_there", "Lives that may be there.", sight.most),
+            ("surely_there", "Lives that are surely there, this one counted.", sight.min_members),
+            ("at_most_there", "Lives that may be there.", sight.max_members),
             ("epoch", "Rises whenever the view changes.", sight.epoch),
-            ("doubt", "How far this server doubts its own health, 0 to 8.", seen.doubt),
-            ("probe_loss", "Share of probes of the living that got no answer.", seen.loss),
+            ("doubt", "How far this server doubts its own health, 0 to 8.", seen.health_score),
+            ("probe_loss", "Share of probes of the living that got no answer.", seen.ping_loss),
         ):
             yield GaugeMetricFamily(f"{PREFIX}_{name}", what, value=value)
         events = CounterMetricFamily(f"{PREFIX}_events", "What was counted, by kind.", labels=["kind"])
@@ -47,7 +47,7 @@
         yield events
 
 
-def text(seen: Snapshot) -> bytes:
+def text(seen: MembershipSnapshot) -> bytes:
     """For a fetch."""
     registry = CollectorRegistry()
     registry.register(_Collector(seen))
--- a/cairnvane/membership/observer.py
+++ b/cairnvane/membership/observer.py
@@ -9,8 +9,8 @@
 
 from .. import clock
 from ..exchange import HealthCheck, Request, RequestSink
-from .evidence import Outside
-from .own_health import Arrivals, Pulse
+from .evidence import ExternalSignals
+from .own_health import EventLoopMonitor, RequestArrivals
 
 
 class Served(RequestSink, Protocol):
@@ -41,11 +41,11 @@
         """`roster`, `pool`: whether they answer. `calls`: how many the vault has in hand for us."""
         self._host, self._version = host, version
         self._roster, self._pool, self._calls = roster, pool, calls
-        self._arrivals, self._pulse = Arrivals(), Pulse()
+        self._arrivals, self._pulse = RequestArrivals(), EventLoopMonitor()
 
     def request_arrived(self, request: Request) -> None:
         """A whole request was read."""
-        self._arrivals.note(clock.now())
+        self._arrivals.record(clock.now())
         self._host.request_arrived(request)
 
     def client_disconnected(self, request: Request) -> None:
@@ -56,12 +56,14 @@
         """A health check was read."""
         self._host.health_check_arrived(check)
 
-    def outside(self) -> Outside:
+    def outside(self) -> ExternalSignals:
         """What is seen beside the channel; in the members' thread."""
         now = clock.now()
-        if self._pulse.ask(now):
-            self._host.post(self._pulse.beat)
-        return Outside(self._roster(), self._arrivals.come(now), self._pool(), self._pulse.works(now))
+        if self._pulse.should_ask(now):
+            self._host.post(self._pulse.answered)
+        return ExternalSignals(
+            self._roster(), self._arrivals.are_arriving(now), self._pool(), self._pulse.is_responsive(now)
+        )
 
     def carried(self) -> dict[str, Any]:
         """What the others are to know of this server: how many requests come a second (`asked`), the free
@@ -69,9 +71,9 @@
         program's version."""
         now = clock.now()
         told: dict[str, Any] = {
-            "asked": _short(self._arrivals.a_second(now)),
+            "asked": _short(self._arrivals.per_second(now)),
             "calls": self._calls(),
-            "held": not self._pulse.works(now),
+            "held": not self._pulse.is_responsive(now),
             "version": self._version,
         }
         if (free := self._host.reported_load) is not None:
--- a/cairnvane/membership/partition_detector.py
+++ b/cairnvane/membership/partition_detector.py
@@ -28,58 +28,62 @@
 class Evidence:
     """What this member has seen of late. Each None: nothing was looked for."""
 
-    were: int  # lives that were there before the last losses, this one counted
+    previously_up: int  # lives that were there before the last losses, this one counted
     heard: int  # of them, those that were heard by ourselves within the lease, this one counted
     silent: int  # of them, those that are suspected or were found failed of late
-    doubt: int  # of one's own health
-    undecided: int = 0  # suspects, of whom there is no verdict yet
-    roster: bool | None = None  # it answers
-    balancers: bool | None = None  # requests still come
-    pool: bool | None = None
+    health_score: int  # of one's own health
+    suspected: int = 0  # suspects, of whom there is no verdict yet
+    registry_answers: bool | None = None  # it answers
+    requests_arrive: bool | None = None  # requests still come
+    worker_pool_bound: bool | None = None
 
 
 @dataclass(frozen=True, slots=True)
-class Sight:
+class Assessment:
     """The contract with whoever uses the view."""
 
     epoch: int  # rises with each change of the verdict or of who is there
     verdict: Verdict
     confidence: float  # 0 to 1
     since: int  # when the verdict came, microseconds
-    least: int  # lives that are surely there, this one counted
-    most: int  # lives that may be there
+    min_members: int  # lives that are surely there, this one counted
+    max_members: int  # lives that may be there
 
 
 # So many lives silent at once, and this share of those that were there, are more than chance.
-MANY, MANY_SHARE = 2, 0.3
+MIN_SILENT, MIN_SILENT_SHARE = 2, 0.3
 # A doubt of one's own health beyond this is a reason to judge nobody.
-DOUBTS = 4
+MAX_TRUSTED_HEALTH_SCORE = 4
 # A better verdict has to hold for so long before it counts.
-HOLD_US = 2_000_000
+RECOVERY_HOLD_US = 2_000_000
 
 
-def weigh(seen: Evidence) -> tuple[Verdict, float]:
+def assess(seen: Evidence) -> tuple[Verdict, float]:
     """The verdict on this evidence alone, and how sure it is."""
-    many = seen.silent >= MANY and seen.silent >= MANY_SHARE * seen.were
+    many = seen.silent >= MIN_SILENT and seen.silent >= MIN_SILENT_SHARE * seen.previously_up
     if not many:
         # One that is silent has failed, as far as anyone can tell.
-        if seen.doubt > DOUBTS:
+        if seen.health_score > MAX_TRUSTED_HEALTH_SCORE:
             return Verdict.DOUBTFUL, 0.5
-        return Verdict.TOGETHER, 1.0 - seen.silent / max(2, seen.were)
-    if 2 * seen.undecided > seen.silent:  # no verdict on them, and so none on us
+        return Verdict.TOGETHER, 1.0 - seen.silent / max(2, seen.previously_up)
+    if 2 * seen.suspected > seen.silent:  # no verdict on them, and so none on us
         return Verdict.DOUBTFUL, 0.5
-    few = 2 * seen.heard < seen.were
+    few = 2 * seen.heard < seen.previously_up
     # Outside of the channel: with all of it silent too, it is us; with all of it there, they may as well have
     # died.
-    outside = [told for told in (seen.roster, seen.balancers, seen.pool) if told is not None]
+    outside = [
+        told
+        for told in (seen.registry_answers, seen.requests_arrive, seen.worker_pool_bound)
+        if told is not None
+    ]
     lost = sum(not told for told in outside) / len(outside) if outside else 0.5
-    share = 1 - seen.heard / max(1, seen.were)
+    share = 1 - seen.heard / max(1, seen.previously_up)
     if few:
         return Verdict.APART_FEW, min(1.0, 0.3 + 0.4 * share + 0.3 * lost)
     return Verdict.APART_MANY, min(1.0, 0.4 + 0.4 * (1 - share) + 0.2 * (1 - lost))
 
 
-def at_once(times: list[int], within: int) -> int:
+def max_concurrent(times: list[int], within: int) -> int:
     """How many of these fell together: the most within such a stretch."""
     times = sorted(times)
     most = first = 0
@@ -90,24 +94,24 @@
     return most
 
 
-class Judgement:
+class PartitionDetector:
     """The verdict over time: worse at once, better only once that has held."""
 
     def __init__(self, now: int) -> None:
-        self.sight = Sight(1, Verdict.TOGETHER, 1.0, now, 1, 1)
+        self.assessment = Assessment(1, Verdict.TOGETHER, 1.0, now, 1, 1)
         self._better_since: int | None = None
 
-    def look(self, now: int, seen: Evidence, least: int, most: int, changed: bool) -> bool:
+    def update(self, now: int, seen: Evidence, least: int, most: int, changed: bool) -> bool:
         """Weigh anew; whether the verdict is another. `changed`: who is there has changed."""
-        verdict, confidence = weigh(seen)
-        before = self.sight
+        verdict, confidence = assess(seen)
+        before = self.assessment
         if verdict is Verdict.TOGETHER and before.verdict is not Verdict.TOGETHER:
             self._better_since = self._better_since if self._better_since is not None else now
-            if now - self._better_since < HOLD_US:
+            if now - self._better_since < RECOVERY_HOLD_US:
                 verdict, confidence = before.verdict, before.confidence
         else:
             self._better_since = None
         other = verdict is not before.verdict
-        epoch = before.epoch + (other or changed or (least, most) != (before.least, before.most))
-        self.sight = Sight(epoch, verdict, confidence, now if other else before.since, least, most)
+        epoch = before.epoch + (other or changed or (least, most) != (before.min_members, before.max_members))
+        self.assessment = Assessment(epoch, verdict, confidence, now if other else before.since, least, most)
         return other
--- /dev/null
+++ b/cairnvane/membership/partition_monitor.py
@@ -0,0 +1,95 @@
+"""Feeds the partition detector: which members went silent, and whether those that are up have changed."""
+
+from __future__ import annotations
+
+from .actions import Outbox
+from .evidence import ExternalSignals, collect_evidence
+from .local_health import LocalHealth
+from .local_member import LocalMember
+from .member_table import Table
+from .options import Options
+from .partition_detector import Assessment, Evidence, PartitionDetector
+
+# While nobody comes or goes, the assessment is made no more often than this: it counts over all members.
+ASSESS_INTERVAL_US = 100_000
+
+
+class PartitionMonitor:
+    """Owns the record of losses and the assessment that is made of it."""
+
+    def __init__(
+        self,
+        options: Options,
+        local: LocalMember,
+        table: Table,
+        health: LocalHealth,
+        outbox: Outbox,
+        now: int,
+    ) -> None:
+        self.detector = PartitionDetector(now)
+        self._options = options
+        self._local = local
+        self._table = table
+        self._health = health
+        self._outbox = outbox
+        self._lost_at: dict[int, int] = {}  # by instance: when it went silent
+        self._up: frozenset[int] = frozenset()  # as of the last assessment
+        self._assessed_version = -1  # of the table
+        self._assess_at = now
+
+    def record_loss(self, instance_id: int, now: int) -> None:
+        """An instance is suspected or has failed."""
+        self._lost_at.setdefault(instance_id, now)
+
+    def clear_loss(self, instance_id: int) -> None:
+        """An instance is alive, has left, or is no longer remembered."""
+        self._lost_at.pop(instance_id, None)
+
+    def tick(self, now: int, signals: ExternalSignals) -> None:
+        """Assess anew if the table has changed or some time has passed; report another verdict."""
+        if self._table.version == self._assessed_version and now < self._assess_at:
+            return
+        self._assess_at = now + ASSESS_INTERVAL_US
+        membership_changed = self._membership_changed()
+        survey = collect_evidence(
+            self._local.claim,
+            self._table,
+            self._lost_at,
+            now,
+            self._heard_lease(),
+            self._options.loss_window,
+            self._health.score,
+            signals,
+        )
+        self._lost_at = survey.still_lost
+        before = self.detector.assessment
+        verdict_changed = self.detector.update(
+            now, survey.evidence, survey.min_members, survey.max_members, membership_changed
+        )
+        if verdict_changed:
+            self._report(before, survey.evidence)
+
+    def _membership_changed(self) -> bool:
+        """Whether other instances are up than at the last assessment."""
+        if self._table.version == self._assessed_version:
+            return False
+        self._assessed_version = self._table.version
+        up_before = self._up
+        self._up = frozenset(self._table.up)
+        return self._up != up_before
+
+    def _heard_lease(self) -> int:
+        """Long enough that everybody is heard once within it, whatever the number of members."""
+        return max(self._options.heard_lease, self._options.period * (len(self._table.lives) + 1))
+
+    def _report(self, before: Assessment, evidence: Evidence) -> None:
+        assessment = self.detector.assessment
+        self._outbox.report(
+            "member.sight",
+            self._local.claim,
+            verdict=assessment.verdict.value,
+            was=before.verdict.value,
+            confidence=round(assessment.confidence, 2),
+            were=evidence.previously_up,
+            silent=evidence.silent,
+        )
--- a/cairnvane/membership/ping_schedule.py
+++ b/cairnvane/membership/ping_schedule.py
@@ -13,46 +13,46 @@
 import random
 from collections.abc import Collection
 
-CALLED = 4
+EXPECTED_PRIORITIZERS = 4
 # Of probes of the living, so many at the most may miss for lost datagrams alone; and so often at the least
 # and at the most one is asked.
-CHANCE_MISS, LEAST_TRIES, MOST_TRIES = 1e-4, 2, 16
+FALSE_MISS_PROBABILITY, MIN_ATTEMPTS, MAX_ATTEMPTS = 1e-4, 2, 16
 # How many probes may be without an answer at a time.
-MOST_PROBES = 24
+MAX_OUTSTANDING_PINGS = 24
 # Of the loss, a probe that was answered counts for so much.
-LOSS_WEIGHT = 1 / 16
+LOSS_SMOOTHING = 1 / 16
 
 
-class Loss:
+class PingLossEstimator:
     """How many of our probes get no answer, though whoever is asked lives."""
 
-    def __init__(self, helpers: int, most: int = MOST_TRIES) -> None:
+    def __init__(self, helpers: int, most: int = MAX_ATTEMPTS) -> None:
         """`helpers`: others that are asked to probe as well."""
-        self.share, self._helpers, self._most = 0.0, helpers, most
+        self.loss_ratio, self._helpers, self._most = 0.0, helpers, most
 
-    def answered(self, tries: int) -> None:
+    def record_answer(self, tries: int) -> None:
         """A probe was answered at this try: all before it were lost, on their way or on the way back."""
         for lost in [1.0] * (tries - 1) + [0.0]:
-            self.share += LOSS_WEIGHT * (lost - self.share)
+            self.loss_ratio += LOSS_SMOOTHING * (lost - self.loss_ratio)
 
-    def tries(self) -> int:
+    def attempts_needed(self) -> int:
         """After how many tries without an answer it is no longer chance."""
-        if self.share <= CHANCE_MISS:
-            return LEAST_TRIES
-        lost = min(self.share, 0.99)
+        if self.loss_ratio <= FALSE_MISS_PROBABILITY:
+            return MIN_ATTEMPTS
+        lost = min(self.loss_ratio, 0.99)
         by_helper = min(1.0, 2 * lost)  # whose way is twice as long
-        needed = (math.log(CHANCE_MISS) - self._helpers * math.log(by_helper)) / math.log(lost)
-        return min(self._most, max(LEAST_TRIES, math.ceil(needed)))
+        needed = (math.log(FALSE_MISS_PROBABILITY) - self._helpers * math.log(by_helper)) / math.log(lost)
+        return min(self._most, max(MIN_ATTEMPTS, math.ceil(needed)))
 
 
-class Ring:
+class PingSchedule:
     """The order of one member's probes."""
 
     def __init__(self, rng: random.Random) -> None:
         self._random = rng
         self._round: list[int] = []
 
-    def next(self, there: Collection[int]) -> int | None:
+    def next_target(self, there: Collection[int]) -> int | None:
         """The next one to probe, of those that are there."""
         for _ in range(2):
             while self._round:
@@ -63,12 +63,12 @@
             self._random.shuffle(self._round)
         return None
 
-    def called(self, life: int, members: int) -> None:
+    def prioritize(self, life: int, members: int) -> None:
         """Somebody suspects it: see for oneself, next."""
-        if self._random.random() < CALLED / max(1, members):
+        if self._random.random() < EXPECTED_PRIORITIZERS / max(1, members):
             self._round.append(life)
 
-    def others(self, there: Collection[int], but: int, most: int) -> list[int]:
+    def pick_helpers(self, there: Collection[int], but: int, most: int) -> list[int]:
         """Members to ask for a probe of their own."""
         some = list(there)
         chosen = self._random.sample(some, min(most + 1, len(some)))
--- /dev/null
+++ b/cairnvane/membership/state_exchange.py
@@ -0,0 +1,134 @@
+"""Joins the cluster, exchanges whole states now and then, and looks for members that were declared failed.
+
+Both sides of a healed partition find each other again by the latter. No I/O, no clock.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+
+from .actions import Address, Outbox
+from .dissemination import Dissemination
+from .local_member import LocalMember
+from .member_table import Status, Table
+from .messages import MEMBERS_PER_VIEW, View
+from .options import Options
+
+# Beyond this number of members, whole states are exchanged less often: the bytes a second stay the same.
+FULL_RATE_MEMBERS = 24
+# How many contacts a member that knows nobody asks at a time.
+MAX_JOIN_CONTACTS = 8
+# The time between two exchanges is drawn between these multiples of the configured one.
+MIN_JITTER, MAX_JITTER = 0.5, 1.5
+
+
+class StateExchange:
+    """Owns the contacts and the times of joins, exchanges and pings of failed members."""
+
+    def __init__(
+        self,
+        options: Options,
+        local: LocalMember,
+        table: Table,
+        dissemination: Dissemination,
+        outbox: Outbox,
+        rng: random.Random,
+        now: int,
+        contacts: Iterable[Address],
+        spare_ports: int,
+    ) -> None:
+        own_address = (local.claim.host, local.claim.port)
+        self._options = options
+        self._local = local
+        self._table = table
+        self._dissemination = dissemination
+        self._outbox = outbox
+        self._random = rng
+        self._contacts = [contact for contact in contacts if contact != own_address]
+        self._spare_ports = spare_ports
+        self._join_attempts = 0
+        self._join_at = now
+        self._exchange_at = now + options.exchange_interval
+        self._revisit_at = now + options.revisit_interval
+
+    def due_times(self) -> list[int]:
+        """When there is something to do."""
+        times = [self._exchange_at, self._revisit_at]
+        if not self._table.up:
+            times.append(self._join_at)
+        return times
+
+    def hasten(self, at: int) -> None:
+        """Exchange states by this time at the latest."""
+        self._exchange_at = min(self._exchange_at, at)
+
+    def join_if_due(self, now: int) -> None:
+        """While nobody is known, ask some contacts, each time at the next of the ports they may have."""
+        if self._table.up or now < self._join_at:
+            return
+        self._join_at = now + self._options.revisit_interval
+        contacts = self._random.sample(self._contacts, min(MAX_JOIN_CONTACTS, len(self._contacts)))
+        port_offset = self._join_attempts % (self._spare_ports + 1)
+        self._join_attempts += 1
+        for host, port in contacts:
+            self._outbox.exchange((host, port + port_offset))
+
+    def exchange_if_due(self, now: int) -> None:
+        """Exchange whole states with a random member."""
+        if now < self._exchange_at:
+            return
+        size_factor = max(1.0, len(self._table.lives) / FULL_RATE_MEMBERS)
+        interval = self._options.exchange_interval * (
+            size_factor * self._random.uniform(MIN_JITTER, MAX_JITTER)
+        )
+        self._exchange_at = now + int(interval)
+        if self._table.up:
+            peer = self._random.choice(list(self._table.up))
+            self._outbox.exchange(self._dissemination.address_of(peer))
+
+    def revisit_is_due(self, now: int) -> bool:
+        """Whether it is time to look for a failed member; if so, the next time is set."""
+        if now < self._revisit_at:
+            return False
+        self._revisit_at = now + self._options.revisit_interval
+        return True
+
+    def revisit(self) -> None:
+        """Ping a failed member, and now and then contact an address where nobody is known any more."""
+        self._ping_failed_member()
+        self._contact_missing_address()
+
+    def _ping_failed_member(self) -> None:
+        failed = [
+            record
+            for record in self._table.standing(Status.FAILED)
+            if not self._table.at((record.claim.host, record.claim.port))
+        ]
+        if failed:
+            target = self._random.choice(failed).claim.life
+            self._dissemination.send_ping(target, self._dissemination.next_number())
+
+    def _contact_missing_address(self) -> None:
+        missing = [contact for contact in self._contacts if not self._is_known(contact)]
+        # All members together make about one such attempt at a time.
+        if missing and self._random.random() < 1 / max(1, len(self._table.up)):
+            host, port = self._random.choice(missing)
+            self._outbox.exchange((host, port + self._random.randint(0, self._spare_ports)))
+
+    def _is_known(self, contact: Address) -> bool:
+        """Whether a member is up at one of the ports of this contact."""
+        host, port = contact
+        return any(self._table.at((host, port + offset)) for offset in range(self._spare_ports + 1))
+
+    def views(self, answer: bool) -> list[View]:
+        """The whole state in messages; `answer`: the peer is to send its own."""
+        claims = [self._local.claim, *(record.claim for record in self._table.lives.values())]
+        metadata_of = {record.claim.life: record.info for record in self._table.lives.values()}
+        metadata_of[self._local.instance_id] = self._local.metadata
+        views = []
+        for start in range(0, len(claims), MEMBERS_PER_VIEW):
+            part = claims[start : start + MEMBERS_PER_VIEW]
+            metadata = [info for claim in part if (info := metadata_of[claim.life]) is not None]
+            views.append(View(answer and start == 0, part, metadata))
+        return views
--- /dev/null
+++ b/cairnvane/membership/suspicion.py
@@ -0,0 +1,152 @@
+"""Suspects members, confirms suspicions, and declares suspects failed that stay silent. No I/O, no clock."""
+
+from __future__ import annotations
+
+import random
+
+from .actions import Outbox
+from .dissemination import Dissemination
+from .local_health import (
+    EXPECTED_DECIDERS,
+    MAX_TIMEOUT_FACTOR,
+    NON_DECIDER_FACTOR,
+    LocalHealth,
+    suspicion_timeout_us,
+)
+from .local_member import LocalMember
+from .member_table import MemberRecord, Status, Table
+from .options import Counts, Options
+from .partition_monitor import PartitionMonitor
+
+
+class Suspicions:
+    """Owns the decisions on suspects; the state of each suspicion stands in the suspect's record."""
+
+    def __init__(
+        self,
+        options: Options,
+        local: LocalMember,
+        table: Table,
+        health: LocalHealth,
+        counts: Counts,
+        dissemination: Dissemination,
+        partition: PartitionMonitor,
+        outbox: Outbox,
+        rng: random.Random,
+        now: int,
+    ) -> None:
+        self._options = options
+        self._local = local
+        self._table = table
+        self._health = health
+        self._counts = counts
+        self._dissemination = dissemination
+        self._partition = partition
+        self._outbox = outbox
+        self._random = rng
+        self._held_up_until = now
+
+    def suspect(self, record: MemberRecord, by: int, now: int, reason: str) -> None:
+        """Raise a suspicion, or confirm the one that stands."""
+        if record.status is Status.SUSPECT:
+            self.confirm(record, by)
+            return
+        claim = record.claim.saying(Status.SUSPECT, record.claim.incarnation, by)
+        self._table.take(claim, now)
+        self.begin(record, by, now)
+        self._counts.suspected += 1
+        self._dissemination.claims.add(claim)
+        self._outbox.report("member.suspected", claim, by=by, why=reason)
+
+    def confirm(self, record: MemberRecord, accuser: int) -> None:
+        """A further member suspects the suspect: its timeout is shorter, and others are told."""
+        if not accuser or accuser in record.accusers:
+            return
+        record.accusers.add(accuser)
+        claim = record.claim.saying(Status.SUSPECT, record.claim.incarnation, accuser)
+        self._dissemination.claims.add(claim)
+
+    def begin(self, record: MemberRecord, by: int, now: int) -> None:
+        """Start the timeout of a suspicion that this or another member raised."""
+        record.accusers = {by}
+        record.final_pings = 0
+        deciders_share = EXPECTED_DECIDERS / (len(self._table.lives) + 1)
+        record.decides_suspicion = self._random.random() < deciders_share
+        self._partition.record_loss(record.claim.life, now)
+
+    def declare_failed(self, record: MemberRecord, now: int) -> None:
+        """Claim that a member has failed."""
+        claim = record.claim.saying(Status.FAILED, record.claim.incarnation, self._local.instance_id)
+        evidence = {
+            "accusers": len(record.accusers),
+            "suspected_us": now - record.status_since,
+            "probed": record.final_pings,
+        }
+        self._table.take(claim, now)
+        self._counts.failed += 1
+        self._dissemination.claims.add(claim)
+        self._outbox.report("member.failed", claim, by=self._local.instance_id, **evidence)
+
+    def delay_verdicts(self, now: int) -> None:
+        """This process stood still: no timeout runs from before this time."""
+        self._held_up_until = now
+
+    def due_times(self, final_pings_needed: int) -> list[int]:
+        """When there is something to do for each suspect."""
+        suspects = self._table.standing(Status.SUSPECT)
+        members = len(self._table.up) + 1
+        return [self._due_at(record, members, len(suspects), final_pings_needed) for record in suspects]
+
+    def tick(self, now: int, final_pings_needed: int) -> None:
+        """Clear, ping once more, or declare failed each suspect that is due."""
+        suspects = self._table.standing(Status.SUSPECT)
+        for record in suspects:
+            members = len(self._table.up) + 1
+            self._review(record, now, members, len(suspects), final_pings_needed)
+
+    def _review(
+        self,
+        record: MemberRecord,
+        now: int,
+        members: int,
+        suspects: int,
+        final_pings_needed: int,
+    ) -> None:
+        if record.last_heard_at > record.status_since:
+            self._extend(record, now)
+        elif now < self._due_at(record, members, suspects, final_pings_needed):
+            return
+        elif record.final_pings >= final_pings_needed:
+            self.declare_failed(record, now)
+        else:
+            record.final_pings += 1
+            record.final_ping_at = now
+            self._dissemination.send_ping(record.claim.life, self._dissemination.next_number())
+
+    def _extend(self, record: MemberRecord, now: int) -> None:
+        """The suspect was heard, so it is up whoever denies it: start over, and leave it to it to refute."""
+        record.status_since = now
+        record.final_pings = 0
+        record.accusers.clear()
+
+    def _due_at(
+        self,
+        record: MemberRecord,
+        members: int,
+        suspects: int,
+        final_pings_needed: int,
+    ) -> int:
+        """When a suspect gets its next final ping, or is declared failed."""
+        ack_timeout = self._options.ack_timeout
+        pings_left = max(0, final_pings_needed - record.final_pings)
+        due_at = self._fails_at(record, members, suspects) - pings_left * ack_timeout
+        if record.final_pings:
+            return max(due_at, record.final_ping_at + ack_timeout)
+        return due_at
+
+    def _fails_at(self, record: MemberRecord, members: int, suspects: int) -> int:
+        """When the timeout of a suspicion ends, counted from no earlier than this member could hear."""
+        timeout = suspicion_timeout_us(self._options.suspicion, len(record.accusers), members, suspects)
+        timeout *= self._health.multiplier * (1 if record.decides_suspicion else NON_DECIDER_FACTOR)
+        timeout = min(timeout, MAX_TIMEOUT_FACTOR * self._options.suspicion)
+        return max(record.status_since, self._held_up_until) + timeout
--- a/cairnvane/membership/transport.py
+++ b/cairnvane/membership/transport.py
@@ -20,10 +20,10 @@
 from typing import Any
 
 from .. import clock
-from .evidence import Outside
+from .evidence import ExternalSignals
 from .member_table import Claim, Phase
-from .messages import MOST_BYTES, VIEW_BYTES, Bad, Message, View, seal, unseal
-from .partition_detector import Sight
+from .messages import MAX_VIEW_BYTES, MOST_BYTES, EnvelopeError, Message, View, seal, unseal
+from .partition_detector import Assessment
 from .swim import Action, Address, Exchange, Options, Send, SwimMember, Tell
 
 # In both directions, a second. A member of twelve sends 2 KB in 20 datagrams, at a third lost 4 KB in 30.
@@ -42,7 +42,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Seen:
+class MemberView:
     """One life, as this member sees it."""
 
     name: str
@@ -57,15 +57,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Snapshot:
+class MembershipSnapshot:
     """All that a consumer may read; never changed once it is there."""
 
-    own: Seen
-    members: tuple[Seen, ...]
-    sight: Sight
-    at: int  # microseconds of the monotonic clock
-    doubt: int
-    loss: float  # of our probes of the living
+    own: MemberView
+    members: tuple[MemberView, ...]
+    assessment: Assessment
+    taken_at: int  # microseconds of the monotonic clock
+    health_score: int
+    ping_loss: float  # of our probes of the living
     counts: dict[str, int]
 
 
@@ -112,7 +112,7 @@
         contacts: list[Address],
         *,
         options: Options | None = None,
-        outside: Callable[[], Outside] = Outside,
+        outside: Callable[[], ExternalSignals] = ExternalSignals,
         carried: Callable[[], dict[str, Any]] = dict,
         tell: Callable[[Tell], None] = lambda event: None,
         ways: Mapping[Address, Address] | None = None,
@@ -200,7 +200,7 @@
             self._orders.popleft()()
         now = clock.now()
         if now >= self._member.next_at():
-            self._member.outside = self._outside()
+            self._member.external_signals = self._outside()
             if now >= self._carry_at:
                 self._carry_at = now + CARRY_US
                 self._member.carry(self._carried())
@@ -272,7 +272,7 @@
     def _take(self, data: bytes, source: Address, most: int) -> Message | None:
         try:
             life, number, message = unseal(self._key, data, most)
-        except Bad as error:
+        except EnvelopeError as error:
             self.counts[str(error)] += 1
             return None
         self.counts["taken"] += 1
@@ -333,14 +333,14 @@
             return
         if data := view.sock.recv(65_536):
             view.data += data
-            if len(view.data) > VIEW_BYTES:
+            if len(view.data) > MAX_VIEW_BYTES:
                 self._drop(view, "oversized")
             return
         answer, at = False, 0
         while at + _LENGTH.size <= len(view.data):
             (length,) = _LENGTH.unpack_from(view.data, at)
             at += _LENGTH.size + length
-            message = self._take(bytes(view.data[at - length : at]), view.peer, VIEW_BYTES)
+            message = self._take(bytes(view.data[at - length : at]), view.peer, MAX_VIEW_BYTES)
             answer |= isinstance(message, View) and message.answer
         if view.ours or not answer:
             return self._drop(view)
@@ -349,27 +349,29 @@
 
     # --- what is seen
 
-    def _look(self) -> Snapshot:
+    def _look(self) -> MembershipSnapshot:
         member, now = self._member, clock.now()
-        own = _seen(member.own, Phase(member.info.told.get("phase", 0)).name, None, member.info.told)
+        own = _seen(
+            member.own, Phase(member.metadata.metadata.get("phase", 0)).name, None, member.metadata.metadata
+        )
         members = tuple(
             _seen(
                 life.claim,
                 life.phase.name,
-                (now - life.heard) // 1_000 if life.heard else None,
-                life.info.told if life.info is not None else {},
+                (now - life.last_heard_at) // 1_000 if life.last_heard_at else None,
+                life.info.metadata if life.info is not None else {},
             )
             for life in sorted(member.table.lives.values(), key=lambda one: (one.claim.name, one.claim.life))
         )
         machine = {name: getattr(member.counts, name) for name in member.counts.__slots__}
         self._look_at = now + max(LOOK_US, LOOK_LIFE_US * len(members))
-        return Snapshot(
+        return MembershipSnapshot(
             own,
             members,
-            member.sight,
+            member.assessment,
             now,
-            member.health.doubt,
-            member.loss.share,
+            member.health.score,
+            member.ping_loss.loss_ratio,
             machine | dict(self.counts),
         )
 
@@ -377,8 +379,8 @@
 STATUSES = ("alive", "suspect", "failed", "left")
 
 
-def _seen(claim: Claim, phase: str, heard_ms: int | None, told: dict[str, Any]) -> Seen:
-    return Seen(
+def _seen(claim: Claim, phase: str, heard_ms: int | None, told: dict[str, Any]) -> MemberView:
+    return MemberView(
         claim.name,
         f"{claim.life:016x}",
         claim.place,
@@ -391,13 +393,13 @@
     )
 
 
-def described(snapshot: Snapshot) -> dict[str, Any]:
+def described(snapshot: MembershipSnapshot) -> dict[str, Any]:
     """For the door and the command line."""
 
-    def plain(seen: Seen) -> dict[str, Any]:
-        return {name: getattr(seen, name) for name in Seen.__slots__}
+    def plain(seen: MemberView) -> dict[str, Any]:
+        return {name: getattr(seen, name) for name in MemberView.__slots__}
 
-    sight = snapshot.sight
+    sight = snapshot.assessment
     return {
         "own": plain(snapshot.own),
         "members": [plain(seen) for seen in snapshot.members],
@@ -405,11 +407,11 @@
             "verdict": sight.verdict.value,
             "confidence": round(sight.confidence, 2),
             "epoch": sight.epoch,
-            "least": sight.least,
-            "most": sight.most,
-            "age_ms": (clock.now() - snapshot.at) // 1_000,
+            "least": sight.min_members,
+            "most": sight.max_members,
+            "age_ms": (clock.now() - snapshot.taken_at) // 1_000,
         },
-        "doubt": snapshot.doubt,
-        "loss": round(snapshot.loss, 3),
+        "doubt": snapshot.health_score,
+        "loss": round(snapshot.ping_loss, 3),
         "counts": snapshot.counts,
     }
--- a/tests/membership/test_member_processes.py
+++ b/tests/membership/test_member_processes.py
@@ -135,7 +135,7 @@
     fleet.lives[2].process.send_signal(signal.SIGCONT)  # believing itself well
     until(lambda: fleet.all_see(EVERYBODY, "alive", EVERYBODY))
     until(lambda: any("member.held_up" in line for line in fleet.lives[2].lines))  # the others may know first
-    said = [line for line in fleet.lives[2].lines if line.startswith("members: ")]
+    said = list(fleet.lives[2].lines)
     woken = next(number for number, line in enumerate(said) if "member.held_up" in line)
     assert not any("member.failed" in line and "accusers" in line for line in said[woken:])
 
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -13,14 +13,26 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cairnvane.membership import messages, ping_schedule, swim
-from cairnvane.membership.evidence import Outside
-from cairnvane.membership.gossip import MOST, Rumours, tells
-from cairnvane.membership.local_health import wait_us
+from cairnvane.membership import messages, ping_schedule, state_exchange, suspicion, swim
+from cairnvane.membership.evidence import ExternalSignals
+from cairnvane.membership.gossip import MAX_QUEUED_CLAIMS, Rumours, transmit_limit
+from cairnvane.membership.local_health import suspicion_timeout_us
 from cairnvane.membership.member_table import Claim, Info, Phase, Table
-from cairnvane.membership.messages import Ack, Bad, Numbers, Ping, View, seal, unseal
-from cairnvane.membership.own_health import BEAT_US, HELD_UP_US, LEAST_GAP_US, Arrivals, Pulse
-from cairnvane.membership.partition_detector import HOLD_US, Evidence, Judgement, Verdict, weigh
+from cairnvane.membership.messages import Ack, EnvelopeError, Ping, ReplayWindow, View, seal, unseal
+from cairnvane.membership.own_health import (
+    ASK_INTERVAL_US,
+    MIN_SILENCE_US,
+    UNRESPONSIVE_AFTER_US,
+    EventLoopMonitor,
+    RequestArrivals,
+)
+from cairnvane.membership.partition_detector import (
+    RECOVERY_HOLD_US,
+    Evidence,
+    PartitionDetector,
+    Verdict,
+    assess,
+)
 from cairnvane.membership.swim import Exchange, Send, SwimMember
 from cairnvane.testbed.members import SECOND, Case, CaseReport, World, cases
 
@@ -74,9 +86,9 @@
 def test_keys_of_a_later_version_are_kept_and_what_is_too_much_is_not() -> None:
     table = Table()
     table.take(claim(), 0)
-    assert table.inform(Info(1, 0, 2, {"load": 0.5, "of a later version": "x"}))
-    assert not table.inform(Info(1, 0, 1, {"load": 0.9}))
-    assert not table.inform(Info(1, 0, 3, {"a": "x" * 999}))
+    assert table.update_metadata(Info(1, 0, 2, {"load": 0.5, "of a later version": "x"}))
+    assert not table.update_metadata(Info(1, 0, 1, {"load": 0.9}))
+    assert not table.update_metadata(Info(1, 0, 3, {"a": "x" * 999}))
     assert table.lives[1].info == Info(1, 0, 2, {"load": 0.5, "of a later version": "x"})
 
 
@@ -84,19 +96,19 @@
     table = Table()
     for life in range(1, 9):
         table.take(claim(life, 2), life)
-    assert table.forget(10, after=100, most=4) == [1, 2, 3, 4]
-    assert table.forget(107, after=100, most=4) == [5, 6] and set(table.lives) == {7, 8}
+    assert table.remove_expired(10, after=100, most=4) == [1, 2, 3, 4]
+    assert table.remove_expired(107, after=100, most=4) == [5, 6] and set(table.lives) == {7, 8}
 
 
 def test_no_rumour_is_told_for_ever_and_their_number_is_bounded() -> None:
     rumours = Rumours()
-    for life in range(MOST + 50):
+    for life in range(MAX_QUEUED_CLAIMS + 50):
         rumours.add(claim(life))
-    assert len(rumours) == MOST
+    assert len(rumours) == MAX_QUEUED_CLAIMS
     picked = 0
     while some := rumours.pick(6, 12):
         picked += len(some)
-    assert picked == MOST * tells(12)
+    assert picked == MAX_QUEUED_CLAIMS * transmit_limit(12)
     rumours.add(claim(7, 1))
     rumours.add(claim(8, 1))
     assert rumours.pick(2, 12, first=7)[0].life == 7
@@ -118,7 +130,7 @@
     suspects: int,
     most: int,
 ) -> None:
-    took = wait_us(500_000, accusers, members, suspects)
+    took = suspicion_timeout_us(500_000, accusers, members, suspects)
     assert 0.9 * most <= took <= most
 
 
@@ -130,10 +142,10 @@
     data = seal(KEY, 5, 9, message)
     assert unseal(KEY, data) == (5, 9, message)
     for at in range(len(data)):
-        with pytest.raises(Bad):
+        with pytest.raises(EnvelopeError):
             unseal(KEY, data[:at] + bytes([data[at] ^ 1]) + data[at + 1 :])
     for wrong, told in ((data[:-1], "stranger"), (data[:20], "torn"), (data + bytes(2_000), "oversized")):
-        with pytest.raises(Bad, match=told):
+        with pytest.raises(EnvelopeError, match=told):
             unseal(KEY, wrong)
 
 
@@ -142,16 +154,16 @@
 def test_no_bytes_of_a_stranger_or_under_our_key_do_more_than_count(body: bytes) -> None:
     head = seal(KEY, 5, 9, Ping(1, 2))[:20]
     for data in (body, head + body, head + body + messages._hash(KEY, head + body)):
-        with contextlib.suppress(Bad):
+        with contextlib.suppress(EnvelopeError):
             unseal(KEY, data)
 
 
 @settings(derandomize=True)
 @given(st.lists(st.integers(0, 200), max_size=300))
 def test_a_number_counts_once(numbers: list[int]) -> None:
-    seen, taken = Numbers(), list[int]()
+    seen, taken = ReplayWindow(), list[int]()
     for number in numbers:
-        if seen.new(number):
+        if seen.accept(number):
             taken.append(number)
     assert len(taken) == len(set(taken)) and 0 not in taken
     assert not numbers or max(numbers) == 0 or max(numbers) in taken
@@ -160,7 +172,7 @@
 def test_a_datagram_stays_below_what_any_path_carries() -> None:
     long = Claim(1 << 63, "n" * 40, "255.255.255.255:65535", "255.255.255.255", 65_535, 2, 1 << 30, 1 << 63)
     info = Info(1 << 63, 1 << 30, 1 << 30, {"x": "y" * 200})
-    largest = Ack(1 << 40, 1 << 63, [long] * messages.MOST_CLAIMS, [info] * messages.MOST_INFOS)
+    largest = Ack(1 << 40, 1 << 63, [long] * messages.MAX_CLAIMS, [info] * messages.MAX_METADATA_ENTRIES)
     assert len(seal(KEY, 1 << 63, 1 << 63, largest)) < messages.MOST_BYTES
 
 
@@ -203,16 +215,16 @@
 
 
 def test_more_tries_where_links_lose_and_no_more_than_needed_where_they_do_not() -> None:
-    loss = ping_schedule.Loss(3)
-    assert loss.tries() == ping_schedule.LEAST_TRIES
+    loss = ping_schedule.PingLossEstimator(3)
+    assert loss.attempts_needed() == ping_schedule.MIN_ATTEMPTS
     rng, asked = random.Random(1), []
     for lost in (0.0, 0.05, 0.3, 0.5, 0.99, 0.0):
         for _ in range(400):
             tries = next(n for n in range(1, 50) if n == 49 or rng.random() >= lost)
-            loss.answered(tries)
-        asked.append(loss.tries())
-    assert asked[0] == asked[1] == asked[-1] == ping_schedule.LEAST_TRIES  # helpers make up for that
-    assert asked[1] < asked[2] < asked[3] < asked[4] == ping_schedule.MOST_TRIES
+            loss.record_answer(tries)
+        asked.append(loss.attempts_needed())
+    assert asked[0] == asked[1] == asked[-1] == ping_schedule.MIN_ATTEMPTS  # helpers make up for that
+    assert asked[1] < asked[2] < asked[3] < asked[4] == ping_schedule.MAX_ATTEMPTS
 
 
 def test_sixty_with_three_in_ten_lost_call_nobody_dead_and_find_a_kill() -> None:
@@ -274,14 +286,14 @@
     world.run(world.now + 18 * SECOND)
     for side in sides:
         assert world.agree(sorted(side))
-    sights = {n: world.players[n].member.sight for n in world.players}  # type: ignore[attr-defined]
+    sights = {n: world.players[n].member.assessment for n in world.players}  # type: ignore[attr-defined]
     count = len(world.players)
     for side in sides:
         for number in side:
             few = 2 * len(side) < count
             if few:
                 assert sights[number].verdict is Verdict.APART_FEW
-            assert sights[number].least <= len(side) and sights[number].most == count
+            assert sights[number].min_members <= len(side) and sights[number].max_members == count
     last = max(world.players)
     world.kill(last)
     world.cut = lambda source, to: False
@@ -340,14 +352,17 @@
     world = fleet(3)
     world.run(world.now + 5 * SECOND)
     member = world.players[0].member  # type: ignore[attr-defined]
-    before = member.sight
+    before = member.assessment
     life = next(one for one in member.there() if one.claim.name == "n2")
     member.table.drop(life.claim.life)
     member.table.take(msgspec.structs.replace(life.claim, life=99, name="n9"), world.now)
-    member.table.lives[99].heard = life.heard
+    member.table.lives[99].last_heard_at = life.last_heard_at
     member.tick(world.now)
-    assert (member.sight.least, member.sight.most) == (before.least, before.most)
-    assert member.sight.epoch == before.epoch + 1
+    assert (member.assessment.min_members, member.assessment.max_members) == (
+        before.min_members,
+        before.max_members,
+    )
+    assert member.assessment.epoch == before.epoch + 1
 
 
 def test_servers_that_were_all_restarted_are_together_and_counted_once() -> None:
@@ -358,8 +373,8 @@
         world.start(number)
     assert agrees(world)
     world.run(world.now + 3 * SECOND)
-    sights = [player.member.sight for player in world.players.values()]  # type: ignore[attr-defined]
-    assert {(one.verdict, one.least, one.most) for one in sights} == {(Verdict.TOGETHER, 3, 3)}
+    sights = [player.member.assessment for player in world.players.values()]  # type: ignore[attr-defined]
+    assert {(one.verdict, one.min_members, one.max_members) for one in sights} == {(Verdict.TOGETHER, 3, 3)}
 
 
 def test_one_that_leaves_is_suspected_by_nobody() -> None:
@@ -404,23 +419,28 @@
     ],
 )
 def test_the_verdict_on_some_evidence(seen: Evidence, verdict: Verdict) -> None:
-    assert weigh(seen)[0] is verdict
+    assert assess(seen)[0] is verdict
 
 
 def test_what_is_silent_outside_of_the_channel_too_makes_us_surer_that_it_is_us() -> None:
     sure = [
-        weigh(Evidence(5, 1, 4, 0, roster=told, balancers=told, pool=told))[1] for told in (True, None, False)
+        assess(Evidence(5, 1, 4, 0, registry_answers=told, requests_arrive=told, worker_pool_bound=told))[1]
+        for told in (True, None, False)
     ]
     assert sure == sorted(sure) and sure[0] < sure[2]
 
 
 def test_a_better_verdict_counts_once_it_has_held() -> None:
-    judgement = Judgement(0)
-    assert judgement.look(1, Evidence(5, 1, 4, 0), 1, 5, False)
-    some = (2, Verdict.APART_FEW), (HOLD_US, Verdict.APART_FEW), (HOLD_US + 2, Verdict.TOGETHER)
+    judgement = PartitionDetector(0)
+    assert judgement.update(1, Evidence(5, 1, 4, 0), 1, 5, False)
+    some = (
+        (2, Verdict.APART_FEW),
+        (RECOVERY_HOLD_US, Verdict.APART_FEW),
+        (RECOVERY_HOLD_US + 2, Verdict.TOGETHER),
+    )
     for at, verdict in some:
-        judgement.look(at, Evidence(5, 5, 0, 0), 5, 5, False)
-        assert judgement.sight.verdict is verdict
+        judgement.update(at, Evidence(5, 5, 0, 0), 5, 5, False)
+        assert judgement.assessment.verdict is verdict
 
 
 # --- a rule that is taken out is missed
@@ -438,7 +458,9 @@
 ) -> None:
     monkeypatch.setattr(SwimMember, rule, _nobody)
     if rule == "_revisit":
-        monkeypatch.setattr(swim, "EXCHANGE_LIVES", 1e-9)  # nor does a whole view bring them back
+        monkeypatch.setattr(
+            state_exchange, "FULL_RATE_MEMBERS", 1e-9
+        )  # nor does a whole view bring them back
     world = fleet(members)
     world.cut = islands({0, 1}, {2, 3, 4})
     world.run(world.now + 13 * SECOND)
@@ -447,16 +469,16 @@
 
 
 def test_with_two_tries_whatever_is_lost_many_are_suspected(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(ping_schedule.Loss, "tries", lambda loss: 2)
+    monkeypatch.setattr(ping_schedule.PingLossEstimator, "attempts_needed", lambda loss: 2)
     world = fleet(60, loss=0.3)
     world.run(world.now + 10 * SECOND)
     assert sum(told.event == "member.suspected" and "why" in told.more for _, _, told in world.told) > 160
 
 
 def test_without_last_probes_the_living_are_called_dead(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(swim, "wait_us", lambda *args: 1_000)
+    monkeypatch.setattr(suspicion, "suspicion_timeout_us", lambda *args: 1_000)
     monkeypatch.setattr(swim, "checks", lambda doubt, tries: 0)
-    monkeypatch.setattr(ping_schedule.Loss, "tries", lambda loss: 2)
+    monkeypatch.setattr(ping_schedule.PingLossEstimator, "attempts_needed", lambda loss: 2)
     world = fleet(5)
     world.loss = 0.3
     world.run(world.now + 20 * SECOND)
@@ -500,7 +522,7 @@
     member = world.players[0].member  # type: ignore[attr-defined]
     out = member.handle(world.now, 77, 1, ("h", 9), Ping(3, 12_345))
     (sent,) = [action for action in out if isinstance(action, Send)]
-    assert isinstance(sent.message, Ack) and sent.message.of == member.own.life
+    assert isinstance(sent.message, Ack) and sent.message.target == member.own.life
     assert member.handle(world.now, 77, 1, ("h", 9), Ping(3, 12_345)) == [] and member.counts.replayed == 1
     assert member.handle(world.now, member.own.life, 2, ("h", 9), View(False)) == []
 
@@ -509,36 +531,40 @@
 
 
 def test_balancers_are_missed_by_the_gap_that_they_used_to_keep() -> None:
-    arrivals, now = Arrivals(), 0
-    assert arrivals.come(now) is None
+    arrivals, now = RequestArrivals(), 0
+    assert arrivals.are_arriving(now) is None
     for _ in range(60):
         now += 20_000
-        arrivals.note(now)
-    assert arrivals.come(now + LEAST_GAP_US - 1) and not arrivals.come(now + LEAST_GAP_US)
-    assert 45 < arrivals.a_second(now) < 55 and arrivals.a_second(now + 60 * SECOND) < 1
+        arrivals.record(now)
+    assert arrivals.are_arriving(now + MIN_SILENCE_US - 1) and not arrivals.are_arriving(now + MIN_SILENCE_US)
+    assert 45 < arrivals.per_second(now) < 55 and arrivals.per_second(now + 60 * SECOND) < 1
     for _ in range(200):
         now += SECOND // 2
-        arrivals.note(now)
-    assert arrivals.come(now + 9 * SECOND) and not arrivals.come(now + 11 * SECOND)
+        arrivals.record(now)
+    assert arrivals.are_arriving(now + 9 * SECOND) and not arrivals.are_arriving(now + 11 * SECOND)
 
 
 def test_a_host_that_gives_no_word_makes_its_member_doubt_itself_and_accuse_nobody() -> None:
-    pulse = Pulse()
-    assert pulse.ask(0) and not pulse.ask(BEAT_US) and pulse.works(HELD_UP_US - 1)
-    assert not pulse.works(HELD_UP_US)
-    pulse.beat()
-    assert pulse.works(HELD_UP_US) and pulse.ask(BEAT_US)
+    pulse = EventLoopMonitor()
+    assert (
+        pulse.should_ask(0)
+        and not pulse.should_ask(ASK_INTERVAL_US)
+        and pulse.is_responsive(UNRESPONSIVE_AFTER_US - 1)
+    )
+    assert not pulse.is_responsive(UNRESPONSIVE_AFTER_US)
+    pulse.answered()
+    assert pulse.is_responsive(UNRESPONSIVE_AFTER_US) and pulse.should_ask(ASK_INTERVAL_US)
 
     world = fleet(5)
     member = world.players[2].member  # type: ignore[attr-defined]
     for works in (False, True):
-        member.outside = Outside(host=works)
+        member.external_signals = ExternalSignals(event_loop_responsive=works)
         world.run(world.now + 3 * SECOND)
         said = [told.event for _, number, told in world.told if number == 2]
         assert ("member.host_works" in said) is works and "member.host_held_up" in said
-        assert works or member.health.doubt > 0
+        assert works or member.health.score > 0
     assert verdicts(world) == 0 and not any(told.event == "member.suspected" for _, _, told in world.told)
-    assert world.run(world.now + 12 * SECOND, lambda: member.health.doubt == 0)
+    assert world.run(world.now + 12 * SECOND, lambda: member.health.score == 0)
 
 
 def test_whoever_was_held_up_once_does_not_take_itself_for_held_up_ever_after() -> None:
@@ -551,7 +577,7 @@
     world.freeze(1, False)
     world.run(world.now + 15 * SECOND)
     member = world.players[1].member  # type: ignore[attr-defined]
-    assert member.counts.held_up == 1 and member.health.doubt == 0
+    assert member.counts.held_up == 1 and member.health.score == 0
 
 
 def test_a_contact_is_found_though_a_new_version_took_another_port() -> None:
--- a/tests/membership/test_model_checker.py
+++ b/tests/membership/test_model_checker.py
@@ -54,7 +54,7 @@
 
 
 def test_a_claim_that_counts_though_it_can_not_be_true_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("cairnvane.membership.swim.sane", lambda claim: True)
+    monkeypatch.setattr("cairnvane.membership.swim.is_valid_claim", lambda claim: True)
     assert fuzz(4_000, 3).changed
 
 
