--- a/cairnvane/membership/actions.py
+++ b/cairnvane/membership/actions.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from .member_table import Claim
+from .claims import Claim
 from .messages import Message
 
 Address = tuple[str, int]
--- a/cairnvane/membership/claim_merger.py
+++ b/cairnvane/membership/claim_merger.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from .actions import Outbox
+from .claims import Claim, Status
 from .dissemination import Dissemination
 from .local_member import LocalMember
-from .member_table import Claim, MemberRecord, Status, Table
+from .member_table import MemberRecord, Table
 from .partition_monitor import PartitionMonitor
 from .ping_schedule import PingSchedule
 from .suspicion import Suspicions
--- a/cairnvane/membership/dissemination.py
+++ b/cairnvane/membership/dissemination.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from .actions import Address, Outbox
+from .claims import Claim, Info, Status
 from .gossip import MetadataQueue, Rumours
 from .local_member import LocalMember
-from .member_table import Claim, Info, Status, Table
+from .member_table import Table
 from .messages import MAX_CLAIMS, MAX_METADATA_ENTRIES, Ack, Ask, Ping
 
 
--- a/cairnvane/membership/evidence.py
+++ b/cairnvane/membership/evidence.py
@@ -1,7 +1,7 @@
-"""What a member has seen of late, counted over all lives at once, for the verdict on being cut off. No I/O.
+"""Collects the evidence for the verdict on being cut off, over all instances at once. No I/O.
 
-A life that has a successor (another life of the same server is there) is over, and not lost: three servers
-that were all restarted are as much together as before.
+An instance that has a successor (another instance of the same server is up) is over, and not lost: three
+servers that were all restarted are as much together as before.
 """
 
 from __future__ import annotations
@@ -9,60 +9,70 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from .member_table import Claim, Status, Table
+from .claims import Claim, Status
+from .member_table import MemberRecord, Table
 from .partition_detector import Evidence, max_concurrent
 
 
 @dataclass(frozen=True, slots=True)
 class ExternalSignals:
-    """What is seen of the world beside the channel; None: nothing was looked for."""
+    """What is observed outside of the members' channel; None: not observed."""
 
     registry_answers: bool | None = None
     requests_arrive: bool | None = None
     worker_pool_bound: bool | None = None
-    event_loop_responsive: bool | None = None  # whether our own host thread works
+    event_loop_responsive: bool | None = None  # of this server
 
 
 @dataclass(frozen=True, slots=True)
 class Survey:
-    """The evidence, and what may be said of how many are there."""
+    """The evidence, and bounds on how many instances are up."""
 
     evidence: Evidence
     min_members: int
     max_members: int
-    still_lost: dict[int, int]  # of the lives that went silent, those that still are, and since when
+    still_lost: dict[int, int]  # instances that went silent and still are, and since when
 
 
 def collect_evidence(
     own: Claim,
     table: Table,
-    lost: Mapping[int, int],
+    lost_at: Mapping[int, int],
     now: int,
-    lease: int,
-    losses: int,
-    doubt: int,
-    outside: ExternalSignals,
+    heard_lease: int,
+    loss_window: int,
+    health_score: int,
+    signals: ExternalSignals,
 ) -> Survey:
-    """`lease`: who was heard within it is surely there. `losses`: those within it came at once."""
-    gone = table.standing(Status.FAILED)
-    if gone:
-        servers = {(life.claim.name, life.claim.place) for life in table.up_records()}
-        servers.add((own.name, own.place))
-        gone = [life for life in gone if (life.claim.name, life.claim.place) not in servers]
-    silent = {life.claim.life for life in gone}
-    silent.update(life.claim.life for life in table.standing(Status.SUSPECT))
-    still = {life: at for life, at in lost.items() if life in silent}
-    many = max_concurrent(list(still.values()), losses)
-    heard = sum(now - life.last_heard_at < lease for life in table.standing(Status.ALIVE))
-    alive = table.count(Status.ALIVE)
+    """Count over the table.
+
+    `heard_lease`: whoever was heard within it is certainly up. `loss_window`: losses within it count as
+    simultaneous. Both in microseconds.
+    """
+    failed = _failed_without_successor(own, table)
+    silent = {record.claim.life for record in failed}
+    silent.update(record.claim.life for record in table.standing(Status.SUSPECT))
+    still_lost = {instance_id: at for instance_id, at in lost_at.items() if instance_id in silent}
+    lost_at_once = max_concurrent(list(still_lost.values()), loss_window)
+    alive = table.standing(Status.ALIVE)
+    recently_heard = sum(now - record.last_heard_at < heard_lease for record in alive)
     evidence = Evidence(
-        previously_up=1 + alive + many,
-        heard=1 + alive,
-        silent=many,
+        previously_up=1 + len(alive) + lost_at_once,
+        heard=1 + len(alive),
+        silent=lost_at_once,
         suspected=table.count(Status.SUSPECT),
-        health_score=doubt,
-        registry_answers=outside.registry_answers,
-        requests_arrive=outside.requests_arrive,
-        worker_pool_bound=outside.worker_pool_bound,
+        health_score=health_score,
+        registry_answers=signals.registry_answers,
+        requests_arrive=signals.requests_arrive,
+        worker_pool_bound=signals.worker_pool_bound,
     )
-    return Survey(evidence, 1 + heard, 1 + len(table.up) + len(gone), still)
+    return Survey(evidence, 1 + recently_heard, 1 + len(table.up) + len(failed), still_lost)
+
+
+def _failed_without_successor(own: Claim, table: Table) -> list[MemberRecord]:
+    failed = table.standing(Status.FAILED)
+    if not failed:
+        return []
+    servers_up = {(record.claim.name, record.claim.place) for record in table.up_records()}
+    servers_up.add((own.name, own.place))
+    return [record for record in failed if (record.claim.name, record.claim.place) not in servers_up]
--- a/cairnvane/membership/local_member.py
+++ b/cairnvane/membership/local_member.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from .member_table import Claim, Info, Phase, Status, metadata_fits
+from .claims import Claim, Info, Phase, Status, metadata_fits
 
 
 class LocalMember:
--- a/cairnvane/membership/ping_schedule.py
+++ b/cairnvane/membership/ping_schedule.py
@@ -1,10 +1,10 @@
-"""Whom to probe next: everybody once a round, in an order that is drawn anew each time. No I/O, no clock.
+"""Whom to ping next: everybody once a round, in an order that is drawn anew each time. No I/O, no clock.
 
-Who gives no answer is asked again, as often as the loss that is seen calls for: a suspicion that comes of
-lost datagrams alone is to be rare, since each costs the fleet two rumours, its own and what refutes it.
+Whoever does not answer is pinged again, as often as the observed loss calls for: a suspicion that comes of
+lost datagrams alone is to be rare, since each costs the cluster two claims, its own and its refutation.
 
-So each life is probed within two rounds at the latest, by everybody; and a life of which somebody else says
-something bad comes sooner, drawn so that about `CALLED` members look at it at once however many there are.
+So each member is pinged within two rounds at the latest, by everybody; and one that somebody else suspects
+comes sooner, drawn so that about `EXPECTED_PRIORITIZERS` members ping it at once however many there are.
 """
 
 from __future__ import annotations
@@ -14,62 +14,72 @@
 from collections.abc import Collection
 
 EXPECTED_PRIORITIZERS = 4
-# Of probes of the living, so many at the most may miss for lost datagrams alone; and so often at the least
-# and at the most one is asked.
-FALSE_MISS_PROBABILITY, MIN_ATTEMPTS, MAX_ATTEMPTS = 1e-4, 2, 16
-# How many probes may be without an answer at a time.
+# Of pings of members that are up, this share at most may go unanswered for lost datagrams alone.
+FALSE_MISS_PROBABILITY = 1e-4
+MIN_ATTEMPTS = 2
+MAX_ATTEMPTS = 16
+# How many pings may be without an answer at a time.
 MAX_OUTSTANDING_PINGS = 24
-# Of the loss, a probe that was answered counts for so much.
+# The weight of one attempt in the estimated loss.
 LOSS_SMOOTHING = 1 / 16
+# Keeps the number of attempts finite.
+MAX_LOSS_RATIO = 0.99
 
 
 class PingLossEstimator:
-    """How many of our probes get no answer, though whoever is asked lives."""
+    """Estimates which share of pings gets no answer although the target is up."""
 
-    def __init__(self, helpers: int, most: int = MAX_ATTEMPTS) -> None:
-        """`helpers`: others that are asked to probe as well."""
-        self.loss_ratio, self._helpers, self._most = 0.0, helpers, most
+    def __init__(self, helpers: int, max_attempts: int = MAX_ATTEMPTS) -> None:
+        """`helpers`: members that are asked for an indirect ping as well."""
+        self.loss_ratio = 0.0
+        self._helpers = helpers
+        self._max_attempts = max_attempts
 
-    def record_answer(self, tries: int) -> None:
-        """A probe was answered at this try: all before it were lost, on their way or on the way back."""
-        for lost in [1.0] * (tries - 1) + [0.0]:
-            self.loss_ratio += LOSS_SMOOTHING * (lost - self.loss_ratio)
+    def record_answer(self, attempts: int) -> None:
+        """A ping was answered at this attempt: those before it were lost, or their answers were."""
+        for _ in range(attempts - 1):
+            self._record_attempt(1.0)
+        self._record_attempt(0.0)
+
+    def _record_attempt(self, lost: float) -> None:
+        self.loss_ratio += LOSS_SMOOTHING * (lost - self.loss_ratio)
 
     def attempts_needed(self) -> int:
-        """After how many tries without an answer it is no longer chance."""
+        """After how many attempts a missing answer is no longer explained by loss."""
         if self.loss_ratio <= FALSE_MISS_PROBABILITY:
             return MIN_ATTEMPTS
-        lost = min(self.loss_ratio, 0.99)
-        by_helper = min(1.0, 2 * lost)  # whose way is twice as long
-        needed = (math.log(FALSE_MISS_PROBABILITY) - self._helpers * math.log(by_helper)) / math.log(lost)
-        return min(self._most, max(MIN_ATTEMPTS, math.ceil(needed)))
+        direct_loss = min(self.loss_ratio, MAX_LOSS_RATIO)
+        indirect_loss = min(1.0, 2 * direct_loss)  # twice as many links
+        log_needed = math.log(FALSE_MISS_PROBABILITY) - self._helpers * math.log(indirect_loss)
+        needed = log_needed / math.log(direct_loss)
+        return min(self._max_attempts, max(MIN_ATTEMPTS, math.ceil(needed)))
 
 
 class PingSchedule:
-    """The order of one member's probes."""
+    """The order in which one member pings the others."""
 
     def __init__(self, rng: random.Random) -> None:
         self._random = rng
-        self._round: list[int] = []
+        self._round: list[int] = []  # the next target last
 
-    def next_target(self, there: Collection[int]) -> int | None:
-        """The next one to probe, of those that are there."""
-        for _ in range(2):
+    def next_target(self, up: Collection[int]) -> int | None:
+        """The next instance to ping, of those that are up; None if there is none."""
+        for _ in range(2):  # the rest of this round, then a new one
             while self._round:
-                life = self._round.pop()
-                if life in there:
-                    return life
-            self._round = sorted(there)
+                instance_id = self._round.pop()
+                if instance_id in up:
+                    return instance_id
+            self._round = sorted(up)
             self._random.shuffle(self._round)
         return None
 
-    def prioritize(self, life: int, members: int) -> None:
-        """Somebody suspects it: see for oneself, next."""
+    def prioritize(self, instance_id: int, members: int) -> None:
+        """Somebody suspects this instance: ping it next, if drawn to do so."""
         if self._random.random() < EXPECTED_PRIORITIZERS / max(1, members):
-            self._round.append(life)
+            self._round.append(instance_id)
 
-    def pick_helpers(self, there: Collection[int], but: int, most: int) -> list[int]:
-        """Members to ask for a probe of their own."""
-        some = list(there)
-        chosen = self._random.sample(some, min(most + 1, len(some)))
-        return [life for life in chosen if life != but][:most]
+    def pick_helpers(self, up: Collection[int], target: int, count: int) -> list[int]:
+        """Random instances to ask for an indirect ping of the target."""
+        candidates = list(up)
+        drawn = self._random.sample(candidates, min(count + 1, len(candidates)))
+        return [instance_id for instance_id in drawn if instance_id != target][:count]
--- a/cairnvane/membership/state_exchange.py
+++ b/cairnvane/membership/state_exchange.py
@@ -9,9 +9,10 @@
 from collections.abc import Iterable
 
 from .actions import Address, Outbox
+from .claims import Status
 from .dissemination import Dissemination
 from .local_member import LocalMember
-from .member_table import Status, Table
+from .member_table import Table
 from .messages import MEMBERS_PER_VIEW, View
 from .options import Options
 
--- a/cairnvane/membership/suspicion.py
+++ b/cairnvane/membership/suspicion.py
@@ -5,6 +5,7 @@
 import random
 
 from .actions import Outbox
+from .claims import Status
 from .dissemination import Dissemination
 from .local_health import (
     EXPECTED_DECIDERS,
@@ -14,7 +15,7 @@
     suspicion_timeout_us,
 )
 from .local_member import LocalMember
-from .member_table import MemberRecord, Status, Table
+from .member_table import MemberRecord, Table
 from .options import Counts, Options
 from .partition_monitor import PartitionMonitor
 
--- a/cairnvane/membership/swim.py
+++ b/cairnvane/membership/swim.py
@@ -17,13 +17,15 @@
 
 from .actions import Action, Address, Exchange, Outbox, Send, Tell
 from .claim_merger import ClaimMerger
+from .claims import Claim, Info, Phase, Status, is_valid_claim
 from .dissemination import Dissemination
+from .envelope import ReplayWindow
 from .evidence import ExternalSignals
 from .failure_detector import FailureDetector
 from .local_health import LocalHealth, checks
 from .local_member import LocalMember
-from .member_table import Claim, Info, MemberRecord, Phase, Status, Table, is_valid_claim
-from .messages import Ack, Ask, Message, Nack, Ping, ReplayWindow, View
+from .member_table import MemberRecord, Table
+from .messages import Ack, Ask, Message, Nack, Ping, View
 from .options import Counts, Options
 from .partition_detector import Assessment, PartitionDetector
 from .partition_monitor import PartitionMonitor
--- a/cairnvane/membership/transport.py
+++ b/cairnvane/membership/transport.py
@@ -20,9 +20,10 @@
 from typing import Any
 
 from .. import clock
+from .claims import Claim, Phase
+from .envelope import EnvelopeError
 from .evidence import ExternalSignals
-from .member_table import Claim, Phase
-from .messages import MAX_VIEW_BYTES, MOST_BYTES, EnvelopeError, Message, View, seal, unseal
+from .messages import MAX_VIEW_BYTES, MOST_BYTES, Message, View, seal, unseal
 from .partition_detector import Assessment
 from .swim import Action, Address, Exchange, Options, Send, SwimMember, Tell
 
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -14,11 +14,12 @@
 from hypothesis import strategies as st
 
 from cairnvane.membership import messages, ping_schedule, state_exchange, suspicion, swim
+from cairnvane.membership.envelope import EnvelopeError, ReplayWindow, keyed_hash
 from cairnvane.membership.evidence import ExternalSignals
 from cairnvane.membership.gossip import MAX_QUEUED_CLAIMS, Rumours, transmit_limit
 from cairnvane.membership.local_health import suspicion_timeout_us
 from cairnvane.membership.member_table import Claim, Info, Phase, Table
-from cairnvane.membership.messages import Ack, EnvelopeError, Ping, ReplayWindow, View, seal, unseal
+from cairnvane.membership.messages import Ack, Ping, View, seal, unseal
 from cairnvane.membership.own_health import (
     ASK_INTERVAL_US,
     MIN_SILENCE_US,
@@ -96,8 +97,8 @@
     table = Table()
     for life in range(1, 9):
         table.take(claim(life, 2), life)
-    assert table.remove_expired(10, after=100, most=4) == [1, 2, 3, 4]
-    assert table.remove_expired(107, after=100, most=4) == [5, 6] and set(table.lives) == {7, 8}
+    assert table.remove_expired(10, retention=100, max_per_name=4) == [1, 2, 3, 4]
+    assert table.remove_expired(107, retention=100, max_per_name=4) == [5, 6] and set(table.lives) == {7, 8}
 
 
 def test_no_rumour_is_told_for_ever_and_their_number_is_bounded() -> None:
@@ -153,7 +154,7 @@
 @given(st.binary(max_size=1_500))
 def test_no_bytes_of_a_stranger_or_under_our_key_do_more_than_count(body: bytes) -> None:
     head = seal(KEY, 5, 9, Ping(1, 2))[:20]
-    for data in (body, head + body, head + body + messages._hash(KEY, head + body)):
+    for data in (body, head + body, head + body + keyed_hash(KEY, head + body)):
         with contextlib.suppress(EnvelopeError):
             unseal(KEY, data)
 
