--- a/cairnvane/membership/__init__.py
+++ b/cairnvane/membership/__init__.py
@@ -1,7 +1,10 @@
-"""Who is there, who has failed, and whether it is us who are cut off: for servers that may talk to each
-other.
+"""Which bid servers of the cluster are up, which have failed, and whether it is this one that is cut off.
 
-`state.py` says what is known of each life and which of two claims counts; `rumours.py`, `suspicion.py`,
-`probing.py` and `sight.py` hold one decision each; `machine.py` puts them together. None of them does I/O or
-reads a clock, and all chance is handed in. `docs/membership.md` weighs the ways.
+`swim` coordinates one member: `failure_detector` pings, `suspicion` decides on suspects, `claim_merger`
+merges what others claim, `dissemination` and `gossip` pass it on, `state_exchange` joins and exchanges
+whole states, `partition_monitor`, `evidence` and `partition_detector` assess whether this member is cut
+off. `claims`, `member_table`, `messages` and `envelope` are the data. None of them does I/O or reads a
+clock, all chance is handed in. `transport` with `sockets`, `state_connections`, `traffic_limits` and
+`snapshot` drives a member over the network; `observer`, `own_health` and `metrics` connect it to the
+server. `docs/membership.md` weighs the alternatives.
 """
--- a/cairnvane/membership/observer.py
+++ b/cairnvane/membership/observer.py
@@ -1,5 +1,7 @@
-"""The host as its members' channel sees it: an `Intake` before the host's that notes arrivals, a pulse, and
-what this server carries for the others. Only in place where members are on."""
+"""Observes the server for its members' channel: arrivals, the event loop, and what is published to others.
+
+A `RequestSink` in front of the server's own; only in place where membership is on.
+"""
 
 from __future__ import annotations
 
@@ -14,21 +16,21 @@
 
 
 class Served(RequestSink, Protocol):
-    """Of the host, what is looked at here."""
+    """What is needed of the server's event loop here."""
 
-    reported_load: float | None  # the free value that is told to callers
+    reported_load: float | None  # the load signal that is reported to clients
 
     def post(self, task: Callable[[], None]) -> None:
-        """Have this done in the host thread."""
+        """Run this in the event loop's thread."""
 
 
-def _short(value: float) -> float:
-    """Two digits: what hardly changes is not told anew."""
+def _two_digits(value: float) -> float:
+    """Two significant digits: a value that hardly changes is not published anew."""
     return round(value, 1 - math.floor(math.log10(value))) if value > 0 else 0.0
 
 
 class ServerObserver:
-    """See the module; safe to use from any thread."""
+    """Passes requests on and observes them; safe to use from any thread."""
 
     def __init__(
         self,
@@ -38,44 +40,55 @@
         pool: Callable[[], bool],
         calls: Callable[[], int],
     ) -> None:
-        """`roster`, `pool`: whether they answer. `calls`: how many the vault has in hand for us."""
-        self._host, self._version = host, version
-        self._roster, self._pool, self._calls = roster, pool, calls
-        self._arrivals, self._pulse = RequestArrivals(), EventLoopMonitor()
+        """`roster`: whether the service registry answers. `pool`: whether the worker pool is bound. `calls`:
+        how many calls to the downstream dependency are in flight."""
+        self._server = host
+        self._version = version
+        self._registry_answers = roster
+        self._worker_pool_bound = pool
+        self._calls_in_flight = calls
+        self._arrivals = RequestArrivals()
+        self._event_loop = EventLoopMonitor()
 
     def request_arrived(self, request: Request) -> None:
         """A whole request was read."""
         self._arrivals.record(clock.now())
-        self._host.request_arrived(request)
+        self._server.request_arrived(request)
 
     def client_disconnected(self, request: Request) -> None:
-        """Its caller has left before its answer."""
-        self._host.client_disconnected(request)
+        """A client has disconnected before its answer."""
+        self._server.client_disconnected(request)
 
     def health_check_arrived(self, check: HealthCheck) -> None:
         """A health check was read."""
-        self._host.health_check_arrived(check)
+        self._server.health_check_arrived(check)
 
     def outside(self) -> ExternalSignals:
-        """What is seen beside the channel; in the members' thread."""
+        """What is observed outside of the members' channel; called in its thread."""
         now = clock.now()
-        if self._pulse.should_ask(now):
-            self._host.post(self._pulse.answered)
+        if self._event_loop.should_ask(now):
+            self._server.post(self._event_loop.answered)
         return ExternalSignals(
-            self._roster(), self._arrivals.are_arriving(now), self._pool(), self._pulse.is_responsive(now)
+            registry_answers=self._registry_answers(),
+            requests_arrive=self._arrivals.are_arriving(now),
+            worker_pool_bound=self._worker_pool_bound(),
+            event_loop_responsive=self._event_loop.is_responsive(now),
         )
 
     def carried(self) -> dict[str, Any]:
-        """What the others are to know of this server: how many requests come a second (`asked`), the free
-        value (`free`), calls in the vault's hands (`calls`), whether its host stands still (`held`), and the
-        program's version."""
+        """The metadata that this server publishes.
+
+        Keys: requests a second (`asked`), the load signal (`free`), calls to the dependency in flight
+        (`calls`), whether the event loop stands still (`held`), and the program's version.
+        """
         now = clock.now()
-        told: dict[str, Any] = {
-            "asked": _short(self._arrivals.per_second(now)),
-            "calls": self._calls(),
-            "held": not self._pulse.is_responsive(now),
+        metadata: dict[str, Any] = {
+            "asked": _two_digits(self._arrivals.per_second(now)),
+            "calls": self._calls_in_flight(),
+            "held": not self._event_loop.is_responsive(now),
             "version": self._version,
         }
-        if (free := self._host.reported_load) is not None:
-            told["free"] = _short(free)
-        return told
+        load = self._server.reported_load
+        if load is not None:
+            metadata["free"] = _two_digits(load)
+        return metadata
