--- /dev/null
+++ b/tests/membership/test_cluster_changes.py
@@ -0,0 +1,68 @@
+"""Members in virtual time: restarts, departures, new versions, name conflicts."""
+
+from __future__ import annotations
+
+import random
+
+from cluster_simulation import agrees, make_claim, member_of, start_cluster
+
+from cairnvane.membership.claims import Phase
+from cairnvane.membership.swim import Exchange, SwimMember
+from cairnvane.testbed.members import SECOND
+
+
+def test_all_restart_within_two_seconds() -> None:
+    world = start_cluster(6)
+    for number in range(6):
+        world.kill(number)
+        world.run(world.now + SECOND // 3)
+        world.start(number)
+    assert agrees(world)
+
+
+def test_gossip_of_a_crash_loop_does_not_grow() -> None:
+    world = start_cluster(5)
+    for _ in range(30):
+        world.kill(4)
+        world.run(world.now + SECOND)
+        world.start(4)
+        world.run(world.now + SECOND)
+    for number in range(4):
+        member = member_of(world, number)
+        assert sum(life.claim.name == "n4" for life in member.table.lives.values()) <= 10
+        assert len(member._rumours) <= 12
+    assert agrees(world)
+
+
+def test_two_versions_are_one_member_and_two_servers_under_one_name_are_reported() -> None:
+    world = start_cluster(3)
+    world.start(3, name="n1", place="p1")  # the same server, a new version beside the old one
+    assert agrees(world)
+    assert not any(event.event == "member.same_name" for _, _, event in world.told)
+    world.start(4, name="n1", place="elsewhere")
+    assert agrees(world)
+    reporters = {number for _, number, event in world.told if event.event == "member.same_name"}
+    assert reporters == {0, 1, 2, 3, 4}
+
+
+def test_a_member_that_leaves_is_suspected_by_nobody() -> None:
+    world = start_cluster(5)
+    world.run(world.now + 3 * SECOND)
+    member = member_of(world, 3)
+    assert all(life.phase is Phase.SERVING for life in member_of(world, 0).there())
+    world._do(3, member.leave(world.now))
+    world.run(world.now + SECOND // 2)
+    world.kill(3)
+    assert agrees(world, within_s=3)
+    assert not any(event.event in ("member.suspected", "member.failed") for _, _, event in world.told)
+
+
+def test_a_contact_is_tried_at_its_spare_ports() -> None:
+    member = SwimMember(make_claim(1), random.Random(1), 0, contacts=[("h", 50)], spares=2)
+    tried = {
+        action.to
+        for step in range(1, 5)
+        for action in member.tick(step * 1_100_000)
+        if isinstance(action, Exchange)
+    }
+    assert tried == {("h", 50), ("h", 51), ("h", 52)}
--- /dev/null
+++ b/tests/membership/test_member_claims.py
@@ -0,0 +1,106 @@
+"""Which claims and metadata count, and how long they are remembered and gossiped."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import msgspec
+import pytest
+from cluster_simulation import make_claim, member_of, start_cluster
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cairnvane.membership.claims import Claim, Info
+from cairnvane.membership.gossip import MAX_QUEUED_CLAIMS, Rumours, transmit_limit
+from cairnvane.membership.member_table import Table
+from cairnvane.membership.messages import Ping
+
+claims = st.builds(make_claim, st.integers(1, 3), st.integers(0, 3), st.integers(0, 3))
+
+
+@settings(derandomize=True)
+@given(st.lists(claims, max_size=12), st.randoms(use_true_random=False))
+def test_order_and_repetition_of_claims_make_no_difference(
+    received: list[Claim],
+    rng: random.Random,
+) -> None:
+    table, shuffled_table = Table(), Table()
+    shuffled = received * 2
+    rng.shuffle(shuffled)
+    for claim in received:
+        table.take(claim, 0)
+    for claim in shuffled:
+        shuffled_table.take(claim, 0)
+    ranks = {life: record.claim.rank for life, record in table.lives.items()}
+    assert ranks == {life: record.claim.rank for life, record in shuffled_table.lives.items()}
+
+
+def test_only_a_higher_incarnation_revives_a_failed_instance_and_nothing_one_that_left() -> None:
+    table = Table()
+    for claim, status in (
+        (make_claim(), 0),
+        (make_claim(status=2), 2),
+        (make_claim(), 2),
+        (make_claim(incarnation=1), 0),
+        (make_claim(status=1, incarnation=1), 1),
+        (make_claim(incarnation=1), 1),
+        (make_claim(status=3), 3),
+        (make_claim(incarnation=9), 3),
+    ):
+        table.take(claim, 0)
+        assert table.lives[1].status == status
+
+
+def test_metadata_keys_of_a_later_version_are_kept_and_oversized_metadata_is_not() -> None:
+    table = Table()
+    table.take(make_claim(), 0)
+    assert table.update_metadata(Info(1, 0, 2, {"load": 0.5, "of a later version": "x"}))
+    assert not table.update_metadata(Info(1, 0, 1, {"load": 0.9}))
+    assert not table.update_metadata(Info(1, 0, 3, {"a": "x" * 999}))
+    assert table.lives[1].info == Info(1, 0, 2, {"load": 0.5, "of a later version": "x"})
+
+
+def test_tombstones_expire_by_age_and_by_number() -> None:
+    table = Table()
+    for life in range(1, 9):
+        table.take(make_claim(life, 2), life)
+    assert table.remove_expired(10, retention=100, max_per_name=4) == [1, 2, 3, 4]
+    assert table.remove_expired(107, retention=100, max_per_name=4) == [5, 6] and set(table.lives) == {7, 8}
+
+
+def test_claims_are_gossiped_a_limited_number_of_times_and_their_number_is_bounded() -> None:
+    queue = Rumours()
+    for life in range(MAX_QUEUED_CLAIMS + 50):
+        queue.add(make_claim(life))
+    assert len(queue) == MAX_QUEUED_CLAIMS
+    picked = 0
+    while some := queue.pick(6, 12):
+        picked += len(some)
+    assert picked == MAX_QUEUED_CLAIMS * transmit_limit(12)
+    queue.add(make_claim(7, 1))
+    queue.add(make_claim(8, 1))
+    assert queue.pick(2, 12, first=7)[0].life == 7
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {"host": "name.to.look.up"},
+        {"port": 0},
+        {"port": 70_000},
+        {"name": "n" * 41},
+        {"status": 9},
+        {"incarnation": 1 << 40},
+    ],
+)
+def test_an_invalid_claim_adds_no_member(wrong: dict[str, Any]) -> None:
+    world = start_cluster(2)
+    member = member_of(world, 0)
+    known = set(member.table.lives)
+    good = Claim(55, "n5", "p5", "10.0.0.1", 5, 0, 0)
+    bad = msgspec.structs.replace(good, **wrong)
+    member.handle(world.now, 77, 1, ("h", 9), Ping(3, member.own.life, [bad]))
+    assert set(member.table.lives) == known and member.counts.insane == 1
+    member.handle(world.now, 77, 2, ("h", 9), Ping(3, member.own.life, [good]))
+    assert set(member.table.lives) == known | {55}
