Load shedding: request, grant, renew and release of quota leases as named steps

QuotaLeases.tick dropped, released, renewed and requested leases in one loop, and hear decided on requests between. Each is a step of its own now, what was used of late has its own class, and bare tuples became NamedTuples. The tests of quota leases, of member processes and of the model checker are named in the field's terms.

--- a/cairnvane/load_shedding/quota_leases.py
+++ b/cairnvane/load_shedding/quota_leases.py
@@ -1,43 +1,51 @@
-"""The vault as one limit: each server owns a part of it, and lends what it does not use.
+"""The downstream dependency as one limit: each server has a quota of it, and leases out what it doesn't use.
 
-Each is told its part of the calls that the vault bears, its *floor*; all floors together are the limit. A
-server that could use more asks another that has some to spare, which grants a lease: it counts the amount as
-lent from then on, and the borrower counts it as its own once the grant has come. Whatever is lost, late, cut
-off, stopped or killed, all that servers hold together never exceeds the floors:
+Each server is configured with its quota of the calls that the dependency bears, its *floor*; all floors
+together are the limit. A server that could use more requests a lease from another one that has some to spare.
+The lender counts the amount as lent from the grant on, and the borrower as its own once the grant has
+arrived. Whatever is lost, late, partitioned, frozen or killed, all that servers hold together never exceeds
+the floors:
 
-- the lease of the borrower runs from when it *asked*, that of the lender from when it granted, which is
+- the borrower's lease runs from when it was *requested*, the lender's from when it was granted, which is
   later; and the lender's is longer by what two clocks may drift apart;
-- who renews holds one grant at a time, the lender counts the greatest that has not run out;
-- what a server may lend is only a part of its floor, and a new life of it begins with the rest alone, until
-  all that its forerunner may have lent has run out.
+- a borrower that renews holds one grant at a time, the lender counts the greatest that has not expired;
+- a server may lend only a part of its floor, and a new process of it begins with the rest alone, until all
+  that the process before may have lent has expired.
 
-So safety needs no agreement on who is there: a view that is wrong costs use of the vault, never its limit.
-No I/O, no clock.
+So safety needs no agreement on membership: a wrong view costs use of the dependency, never its limit. No I/O,
+no clock. Times are microseconds, amounts are calls in flight; `life` numbers identify processes.
 """
 
 from __future__ import annotations
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
-# Of its floor, a server never lends so much: it can serve at once when its callers come back, and a new life
-# may begin with it.
+# This share of its floor a server never lends: it can serve at once when its clients come back, and a new
+# process may begin with it.
 KEPT = 0.25
-# How long a lease lasts, and by how much the lender's is longer: clocks of two machines drift less.
-LEASE_US, DRIFT = 2_000_000, 0.002
-# An ask without an answer is given up after so long; a lease is renewed when so much of it is left.
-ANSWER_US, RENEW_LEFT = 300_000, 0.4
-# What is not used of late is spare: the most in hand within this, and a margin of calls.
-LATE_US, MARGIN = 1_000_000, 1.0
-# So many lenders at a time, and of what one has to spare no more than this at once: others ask too.
-MOST_LINES, MOST_PART = 4, 0.5
-# Less is not worth a message.
+# How long a lease lasts, and by which share the lender's is longer: clocks of two machines drift less.
+LEASE_US = 2_000_000
+DRIFT = 0.002
+# A request without an answer is given up after so long.
+ANSWER_US = 300_000
+# A lease is renewed when this share of it is left.
+RENEW_LEFT = 0.4
+# What is not used is spare: beyond the most calls in flight within this time, and a margin of calls.
+USAGE_WINDOW_US = 1_000_000
+MARGIN = 1.0
+# A borrower holds so many leases at most.
+MAX_LEASES = 4
+# It requests no more than this share of what a lender has to spare: others request too.
+MAX_REQUESTED_SHARE = 0.5
+# Smaller amounts are not worth a message.
 LEAST = 0.5
 
 
 @dataclass(frozen=True, slots=True)
 class Ask:
-    """Lend me so much; on a line that is held already, go on lending."""
+    """Requests a lease of this amount, or renews the one on a line that is held already."""
 
     line: int
     number: int
@@ -46,7 +54,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """So much is yours, for a lease from your ask on; 0: nothing."""
+    """Grants this amount for a lease that runs from the request on; 0 rejects the request."""
 
     line: int
     number: int
@@ -55,23 +63,38 @@
 
 @dataclass(frozen=True, slots=True)
 class Back:
-    """I hold nothing of this line any more, and never will."""
+    """Releases a line: the borrower holds nothing of it any more, and never will."""
 
     line: int
 
 
 Word = Ask | Grant | Back
+# A message, and the process that it is for.
+Outgoing = tuple[int, Word]
+
+
+class _GrantedAmount(NamedTuple):
+    amount: float
+    expires_at: int
+
+
+class _LentLine(NamedTuple):
+    """What identifies a line to its lender."""
+
+    borrower: int
+    line: int
 
 
 @dataclass(slots=True)
 class _Lent:
-    """One line, as its lender counts it: all grants that have not run out, and the greatest counts."""
+    """One line, as its lender counts it: of all grants that have not expired, the greatest counts."""
 
-    grants: dict[int, tuple[float, int]] = field(default_factory=dict)  # by the ask's number: amount, until
+    grants: dict[int, _GrantedAmount] = field(default_factory=dict)  # by the number of the request
 
     def amount(self, now: int) -> float:
-        self.grants = {number: one for number, one in self.grants.items() if now < one[1]}
-        return max((amount for amount, _ in self.grants.values()), default=0.0)
+        """What the borrower may hold of it; drops expired grants."""
+        self.grants = {number: granted for number, granted in self.grants.items() if now < granted.expires_at}
+        return max((granted.amount for granted in self.grants.values()), default=0.0)
 
 
 @dataclass(slots=True)
@@ -80,135 +103,209 @@
 
     lender: int
     amount: float = 0.0
-    until: int = 0
-    asked: int = 0  # the number of the ask that has no answer yet; 0: none
-    asked_at: int = 0
+    expires_at: int = 0  # 0: nothing was granted yet
+    pending_request: int = 0  # the number of the request that has no answer yet; 0: none
+    requested_at: int = 0
+
+    def time_out_request(self, now: int) -> None:
+        """Give up a request that has had no answer for too long."""
+        if self.pending_request and now - self.requested_at >= ANSWER_US:
+            self.pending_request = 0
+
+
+class _Usage:
+    """The most calls in flight within the usage window."""
+
+    def __init__(self) -> None:
+        # Times and calls in flight: falling, the newest last. So the first is the most within the window.
+        self._peaks: list[tuple[int, float]] = []
+
+    def record(self, now: int, in_flight: float) -> None:
+        """Calls that are in flight now."""
+        while self._peaks and self._peaks[-1][1] <= in_flight:
+            self._peaks.pop()
+        self._peaks.append((now, in_flight))
+        while self._peaks[0][0] < now - USAGE_WINDOW_US:
+            self._peaks.pop(0)
+
+    @property
+    def peak(self) -> float | None:
+        """The most in flight; None before the first record."""
+        return self._peaks[0][1] if self._peaks else None
 
 
 class QuotaLeases:
-    """One server's part of the vault. `life` numbers of others are those of their processes."""
+    """One server's quota of the dependency, with what it has lent and borrowed."""
 
     def __init__(self, floor: float, now: int, first: bool = False) -> None:
-        """`floor`: in calls in hand. `first`: no life of this server was there before, as when a fleet is
-        new; else it may have lent what has not run out yet."""
+        """`floor`: in calls in flight. `first`: no process of this server ran before, as when a cluster is
+        new; else one may have lent what has not expired yet."""
         self.floor = floor
-        self._whole_at = now if first else now + int(LEASE_US * (1 + DRIFT))
-        self._lent: dict[tuple[int, int], _Lent] = {}
+        self._whole_floor_at = now if first else now + _lender_lease_us()
+        self._lent: dict[_LentLine, _Lent] = {}
         self._borrowed: dict[int, _Borrowed] = {}  # by line
-        self._lines = self._numbers = 0
-        self._used: list[tuple[int, float]] = []  # the most in hand of late: falling, the newest last
-        self._short = 0.0
+        self._last_line = 0
+        self._last_request = 0
+        self._usage = _Usage()
+        self._shortage = 0.0  # calls that wait for quota
 
-    # --- what it may use
+    # --- the quota
 
     def lent(self, now: int) -> float:
-        """Of the floor, what others may hold."""
-        return sum(one.amount(now) for one in self._lent.values())
+        """How much of the floor others may hold."""
+        return sum(lent.amount(now) for lent in self._lent.values())
 
     def borrowed(self, now: int) -> float:
-        """What it holds of others."""
-        return sum(one.amount for one in self._borrowed.values() if now < one.until)
+        """How much this server holds of others."""
+        return sum(borrowed.amount for borrowed in self._borrowed.values() if now < borrowed.expires_at)
 
     def cap(self, now: int) -> float:
-        """Calls that it may have in the vault's hands."""
-        own = self.floor if now >= self._whole_at else KEPT * self.floor
+        """How many calls this server may have in flight."""
+        own = self.floor if now >= self._whole_floor_at else KEPT * self.floor
         return own - self.lent(now) + self.borrowed(now)
 
     def spare(self, now: int) -> float:
-        """What it would lend; told to the others."""
-        if now < self._whole_at or self._short > 0 or self.borrowed(now) > 0:
+        """How much it would lend; published to the others."""
+        if now < self._whole_floor_at or self._shortage > 0 or self.borrowed(now) > 0:
             return 0.0
-        used = self._used[0][1] + MARGIN if self._used else MARGIN
+        peak = self._usage.peak
+        used = MARGIN if peak is None else peak + MARGIN
         return max(0.0, self.floor - max(KEPT * self.floor, used) - self.lent(now))
 
-    # --- what it sees
+    def note(self, now: int, in_flight: float, waiting: float) -> None:
+        """Record the calls in flight, and those that wait for quota."""
+        self._usage.record(now, in_flight)
+        self._shortage = max(0.0, waiting)
+
+    # --- as a borrower
 
-    def note(self, now: int, in_hand: float, waiting: float) -> None:
-        """Calls in the vault's hands, and those that would be made if there were room."""
-        while self._used and self._used[-1][1] <= in_hand:
-            self._used.pop()
-        self._used.append((now, in_hand))
-        while self._used[0][0] < now - LATE_US:
-            self._used.pop(0)
-        self._short = max(0.0, waiting)
+    def tick(self, now: int, others: Mapping[int, float]) -> list[Outgoing]:
+        """Release, renew and request leases; returns messages with the processes that they are for.
 
-    # --- asking
+        `others`: by process, what each had to spare when it was last heard.
+        """
+        self._drop_expired_grants(now)
+        outgoing: list[Outgoing] = []
+        for line, borrowed in list(self._borrowed.items()):
+            outgoing += self._release_or_renew(now, line, borrowed, others)
+        outgoing += self._request_leases(now, others)
+        return outgoing
 
-    def tick(self, now: int, others: Mapping[int, float]) -> list[tuple[int, Word]]:
-        """Whom to ask for what; `others`: by life, what each had to spare when it was last heard."""
-        out: list[tuple[int, Word]] = []
-        for key in [key for key, lent in self._lent.items() if lent.amount(now) == 0]:
+    def _drop_expired_grants(self, now: int) -> None:
+        expired = [key for key, lent in self._lent.items() if lent.amount(now) == 0]
+        for key in expired:
             del self._lent[key]
-        for line, one in list(self._borrowed.items()):
-            if one.asked and now - one.asked_at >= ANSWER_US:
-                one.asked = 0
-            if now >= one.until and not one.asked:
-                del self._borrowed[line]
-                out.append((one.lender, Back(line)))
-            elif not one.asked and (
-                one.until - now <= RENEW_LEFT * LEASE_US
-                or (self._short >= LEAST and others.get(one.lender, 0.0) * MOST_PART >= LEAST)
-            ):
-                self._renew(now, line, one, out)
-        asked = sum(one.asked > 0 and one.amount == 0 for one in self._borrowed.values())
-        wanted, lenders = self._short, {one.lender for one in self._borrowed.values()}
-        for life, spare in sorted(others.items(), key=lambda item: (-item[1], item[0])):
-            if wanted < LEAST or asked or len(self._borrowed) >= MOST_LINES or spare * MOST_PART < LEAST:
-                break
-            if life not in lenders:
-                amount = min(wanted, spare * MOST_PART)
-                wanted -= amount
-                self._lines += 1
-                one = self._borrowed[self._lines] = _Borrowed(life)
-                out.append((life, self._ask(now, self._lines, one, amount)))
-        return out
-
-    def _renew(self, now: int, line: int, one: _Borrowed, out: list[tuple[int, Word]]) -> None:
-        """Go on with what is still used of it, in the order of lines; the rest runs out."""
-        before = sum(
-            other.amount for number, other in self._borrowed.items() if number < line and now < other.until
+
+    def _release_or_renew(
+        self,
+        now: int,
+        line: int,
+        borrowed: _Borrowed,
+        others: Mapping[int, float],
+    ) -> list[Outgoing]:
+        borrowed.time_out_request(now)
+        if borrowed.pending_request:
+            return []
+        if now >= borrowed.expires_at:
+            del self._borrowed[line]
+            return [(borrowed.lender, Back(line))]
+        expires_soon = borrowed.expires_at - now <= RENEW_LEFT * LEASE_US
+        lender_share = others.get(borrowed.lender, 0.0) * MAX_REQUESTED_SHARE
+        could_use_more = self._shortage >= LEAST and lender_share >= LEAST
+        if expires_soon or could_use_more:
+            return self._renew(now, line, borrowed)
+        return []
+
+    def _renew(self, now: int, line: int, borrowed: _Borrowed) -> list[Outgoing]:
+        """Renew what is still used of a line, in the order of lines; the rest expires."""
+        earlier_lines = sum(
+            other.amount
+            for number, other in self._borrowed.items()
+            if number < line and now < other.expires_at
         )
-        used = self._used[0][1] + MARGIN + self._short if self._used else 0.0
-        useful = min(one.amount + self._short, used - self.floor - before)
-        if useful >= LEAST:
-            out.append((one.lender, self._ask(now, line, one, useful)))
+        peak = self._usage.peak
+        used = 0.0 if peak is None else peak + MARGIN + self._shortage
+        useful = min(borrowed.amount + self._shortage, used - self.floor - earlier_lines)
+        if useful < LEAST:
+            return []
+        return [(borrowed.lender, self._make_request(now, line, borrowed, useful))]
+
+    def _request_leases(self, now: int, others: Mapping[int, float]) -> list[Outgoing]:
+        """Request leases on new lines, of those first that have the most to spare."""
+        if any(lease.pending_request > 0 and lease.amount == 0 for lease in self._borrowed.values()):
+            return []  # wait for the answers before requesting more
+        outgoing: list[Outgoing] = []
+        wanted = self._shortage
+        lenders = {lease.lender for lease in self._borrowed.values()}
+        by_spare = sorted(others.items(), key=lambda item: (-item[1], item[0]))
+        for lender, spare in by_spare:
+            available = spare * MAX_REQUESTED_SHARE
+            if wanted < LEAST or len(self._borrowed) >= MAX_LEASES or available < LEAST:
+                break
+            if lender in lenders:
+                continue
+            amount = min(wanted, available)
+            wanted -= amount
+            outgoing.append((lender, self._request_new_line(now, lender, amount)))
+        return outgoing
+
+    def _request_new_line(self, now: int, lender: int, amount: float) -> Ask:
+        self._last_line += 1
+        borrowed = _Borrowed(lender)
+        self._borrowed[self._last_line] = borrowed
+        return self._make_request(now, self._last_line, borrowed, amount)
+
+    def _make_request(self, now: int, line: int, borrowed: _Borrowed, amount: float) -> Ask:
+        self._last_request += 1
+        borrowed.pending_request = self._last_request
+        borrowed.requested_at = now
+        return Ask(line, self._last_request, amount)
+
+    def _on_grant(self, lender: int, grant: Grant) -> None:
+        borrowed = self._borrowed.get(grant.line)
+        if borrowed is None or borrowed.lender != lender or borrowed.pending_request != grant.number:
+            return  # of a request that was given up, or a duplicate
+        borrowed.pending_request = 0
+        if grant.amount > 0:
+            borrowed.amount = grant.amount
+            borrowed.expires_at = borrowed.requested_at + LEASE_US
+        elif not borrowed.expires_at:
+            del self._borrowed[grant.line]
 
-    def _ask(self, now: int, line: int, one: _Borrowed, amount: float) -> Ask:
-        self._numbers += 1
-        one.asked, one.asked_at = self._numbers, now
-        return Ask(line, self._numbers, amount)
+    # --- as a lender
 
     def hear(self, now: int, life: int, word: Word) -> Grant | None:
-        """A word of another; the answer to it, if there is one."""
+        """Handle a message of another process; returns the answer to it, if there is one."""
         if isinstance(word, Ask):
-            return self._asked(now, life, word)
+            return self._on_request(now, life, word)
         if isinstance(word, Grant):
-            self._granted(life, word)
-        elif (lent := self._lent.get((life, word.line))) is not None:
-            lent.grants.clear()  # the borrower let go of it before it said so
+            self._on_grant(life, word)
+            return None
+        lent = self._lent.get(_LentLine(life, word.line))
+        if lent is not None:
+            lent.grants.clear()  # the borrower stopped using it before it released it
         return None
 
-    def _asked(self, now: int, life: int, ask: Ask) -> Grant:
-        lent = self._lent.setdefault((life, ask.line), _Lent())
-        if ask.number in lent.grants:  # told again: the same answer, and nothing more is lent
-            return Grant(ask.line, ask.number, lent.grants[ask.number][0])
-        if ask.number < max(lent.grants, default=0):  # it came late, after a later word
-            return Grant(ask.line, ask.number, 0.0)
-        held = lent.amount(now)
-        amount = min(max(0.0, ask.amount), held + self.spare(now))
-        if self._short > 0 and held:  # its own callers are back: what is lent comes home as it runs out
-            amount = 0.0
+    def _on_request(self, now: int, borrower: int, request: Ask) -> Grant:
+        lent = self._lent.setdefault(_LentLine(borrower, request.line), _Lent())
+        if request.number in lent.grants:  # a duplicate: the same answer, and nothing more is lent
+            return Grant(request.line, request.number, lent.grants[request.number].amount)
+        if request.number < max(lent.grants, default=0):  # overtaken by a later request
+            return Grant(request.line, request.number, 0.0)
+        amount = self._grantable(now, lent, request)
         if amount < LEAST:
-            return Grant(ask.line, ask.number, 0.0)
-        lent.grants[ask.number] = amount, now + int(LEASE_US * (1 + DRIFT))
-        return Grant(ask.line, ask.number, amount)
-
-    def _granted(self, life: int, grant: Grant) -> None:
-        one = self._borrowed.get(grant.line)
-        if one is None or one.lender != life or one.asked != grant.number:
-            return  # of an ask that was given up, or told twice
-        one.asked = 0
-        if grant.amount > 0:
-            one.amount, one.until = grant.amount, one.asked_at + LEASE_US
-        elif not one.until:
-            del self._borrowed[grant.line]
+            return Grant(request.line, request.number, 0.0)
+        lent.grants[request.number] = _GrantedAmount(amount, now + _lender_lease_us())
+        return Grant(request.line, request.number, amount)
+
+    def _grantable(self, now: int, lent: _Lent, request: Ask) -> float:
+        """How much of a request can be granted on this line."""
+        held = lent.amount(now)
+        if self._shortage > 0 and held:  # its own clients are back: what is lent returns as it expires
+            return 0.0
+        return min(max(0.0, request.amount), held + self.spare(now))
+
+
+def _lender_lease_us() -> int:
+    """How long the lender counts a lease."""
+    return int(LEASE_US * (1 + DRIFT))
--- a/tests/load_shedding/test_quota_leases.py
+++ b/tests/load_shedding/test_quota_leases.py
@@ -1,4 +1,4 @@
-"""The vault as one limit: whatever is lost, late, stopped or killed, all parts together never exceed it."""
+"""The dependency as one limit: whatever is lost, late, frozen or killed, all quotas stay within it."""
 
 from __future__ import annotations
 
@@ -24,97 +24,100 @@
 )
 from cairnvane.testbed.shares import FLOOR, TROUBLES, World
 
-RICH, POOR = 1, 2
+LENDER, BORROWER = 1, 2
 
 
-def pair() -> tuple[QuotaLeases, QuotaLeases]:
-    rich, poor = QuotaLeases(FLOOR, 0, first=True), QuotaLeases(FLOOR, 0, first=True)
-    rich.note(0, 1.0, 0.0)
-    poor.note(0, FLOOR, 4.0)
-    return rich, poor
+def lender_and_borrower() -> tuple[QuotaLeases, QuotaLeases]:
+    lender, borrower = QuotaLeases(FLOOR, 0, first=True), QuotaLeases(FLOOR, 0, first=True)
+    lender.note(0, 1.0, 0.0)
+    borrower.note(0, FLOOR, 4.0)
+    return lender, borrower
 
 
-def asks(poor: QuotaLeases, now: int, spare: float) -> list[Word]:
-    return [word for life, word in poor.tick(now, {RICH: spare}) if life == RICH]
+def messages_to_lender(borrower: QuotaLeases, now: int, spare: float) -> list[Word]:
+    return [message for process, message in borrower.tick(now, {LENDER: spare}) if process == LENDER]
 
 
-def lent() -> tuple[QuotaLeases, QuotaLeases, Ask, Grant]:
-    rich, poor = pair()
-    (ask,) = asks(poor, 0, rich.spare(0))
+def granted_lease() -> tuple[QuotaLeases, QuotaLeases, Ask, Grant]:
+    lender, borrower = lender_and_borrower()
+    (ask,) = messages_to_lender(borrower, 0, lender.spare(0))
     assert isinstance(ask, Ask)
-    grant = rich.hear(1_000, POOR, ask)
+    grant = lender.hear(1_000, BORROWER, ask)
     assert grant is not None and grant.amount > LEAST
-    return rich, poor, ask, grant
+    return lender, borrower, ask, grant
 
 
-def test_what_one_holds_more_the_other_holds_less_from_before_until_after() -> None:
-    rich, poor, _, grant = lent()
-    assert rich.cap(1_000) == FLOOR - grant.amount and poor.cap(1_000) == FLOOR
-    poor.hear(2_000, RICH, grant)
-    assert poor.cap(2_000) == FLOOR + grant.amount
-    assert poor.cap(LEASE_US - 1) > FLOOR and poor.cap(LEASE_US) == FLOOR
-    assert rich.cap(LEASE_US) < FLOOR and rich.cap(2 * LEASE_US) == FLOOR
+def test_the_lender_counts_a_lease_from_before_until_after_the_borrower() -> None:
+    lender, borrower, _, grant = granted_lease()
+    assert lender.cap(1_000) == FLOOR - grant.amount and borrower.cap(1_000) == FLOOR
+    borrower.hear(2_000, LENDER, grant)
+    assert borrower.cap(2_000) == FLOOR + grant.amount
+    assert borrower.cap(LEASE_US - 1) > FLOOR and borrower.cap(LEASE_US) == FLOOR
+    assert lender.cap(LEASE_US) < FLOOR and lender.cap(2 * LEASE_US) == FLOOR
 
 
-def test_a_grant_that_comes_late_or_twice_counts_for_nothing_more() -> None:
-    rich, poor, ask, grant = lent()
-    assert rich.hear(2_000, POOR, ask) == grant and rich.lent(2_000) == grant.amount  # told again
-    poor.tick(ANSWER_US, {})
-    poor.hear(ANSWER_US + 1, RICH, grant)
-    assert poor.cap(ANSWER_US + 1) == FLOOR
+def test_a_late_or_duplicate_grant_adds_nothing() -> None:
+    lender, borrower, ask, grant = granted_lease()
+    assert lender.hear(2_000, BORROWER, ask) == grant and lender.lent(2_000) == grant.amount  # a duplicate
+    borrower.tick(ANSWER_US, {})
+    borrower.hear(ANSWER_US + 1, LENDER, grant)
+    assert borrower.cap(ANSWER_US + 1) == FLOOR
 
 
-def test_who_wakes_with_an_old_lease_does_not_use_it_and_gives_the_line_back() -> None:
-    rich, poor, _, grant = lent()
-    poor.hear(2_000, RICH, grant)
+def test_an_expired_lease_is_not_used_and_its_line_is_released() -> None:
+    lender, borrower, _, grant = granted_lease()
+    borrower.hear(2_000, LENDER, grant)
     woken = 10 * LEASE_US
-    assert poor.cap(woken) == FLOOR
-    (back,) = [word for word in asks(poor, woken, 0.0) if isinstance(word, Back)]
-    assert rich.hear(woken, POOR, back) is None and rich.cap(woken) == FLOOR
+    assert borrower.cap(woken) == FLOOR
+    (release,) = [word for word in messages_to_lender(borrower, woken, 0.0) if isinstance(word, Back)]
+    assert lender.hear(woken, BORROWER, release) is None and lender.cap(woken) == FLOOR
 
 
-def test_a_new_life_begins_with_what_is_never_lent() -> None:
-    rich, poor, _, grant = lent()
-    poor.hear(2_000, RICH, grant)
-    again = QuotaLeases(FLOOR, 3_000)
-    assert again.cap(3_000) == KEPT * FLOOR and again.spare(3_000) == 0
-    assert again.cap(3_000) + poor.cap(3_000) <= 2 * FLOOR
-    assert again.cap(3_000 + 2 * LEASE_US) == FLOOR
-    assert grant.amount <= (1 - KEPT) * FLOOR and rich.cap(1_000) >= KEPT * FLOOR
+def test_a_new_process_begins_with_the_share_that_is_never_lent() -> None:
+    lender, borrower, _, grant = granted_lease()
+    borrower.hear(2_000, LENDER, grant)
+    restarted = QuotaLeases(FLOOR, 3_000)
+    assert restarted.cap(3_000) == KEPT * FLOOR and restarted.spare(3_000) == 0
+    assert restarted.cap(3_000) + borrower.cap(3_000) <= 2 * FLOOR
+    assert restarted.cap(3_000 + 2 * LEASE_US) == FLOOR
+    assert grant.amount <= (1 - KEPT) * FLOOR and lender.cap(1_000) >= KEPT * FLOOR
 
 
-def test_a_lender_whose_callers_are_back_lends_no_further() -> None:
-    rich, poor, _, grant = lent()
-    poor.hear(2_000, RICH, grant)
-    rich.note(3_000, rich.cap(3_000), 5.0)
+def test_a_lender_whose_clients_are_back_renews_no_lease() -> None:
+    lender, borrower, _, grant = granted_lease()
+    borrower.hear(2_000, LENDER, grant)
+    lender.note(3_000, lender.cap(3_000), 5.0)
     late = int(LEASE_US * 0.8)
-    (again,) = [word for word in asks(poor, late, 0.0) if isinstance(word, Ask)]
-    refused = rich.hear(late, POOR, again)
-    assert refused is not None and refused.amount == 0 and rich.spare(late) == 0
+    (renewal,) = [word for word in messages_to_lender(borrower, late, 0.0) if isinstance(word, Ask)]
+    rejected = lender.hear(late, BORROWER, renewal)
+    assert rejected is not None and rejected.amount == 0 and lender.spare(late) == 0
 
 
 @pytest.mark.parametrize("trouble", TROUBLES)
 @pytest.mark.parametrize("seed", range(3))
-def test_all_parts_together_never_exceed_the_limit(trouble: str, seed: int) -> None:
+def test_all_quotas_together_never_exceed_the_limit(trouble: str, seed: int) -> None:
     world = World("lent", trouble, 5, seed).run()
     assert world.worst <= 1e-9, f"seed {seed}"
     assert world.made / world.could > 0.75, f"seed {seed}"
 
 
-def _first_always(monkeypatch: pytest.MonkeyPatch) -> None:
-    made = QuotaLeases.__init__
+def _always_first_process(monkeypatch: pytest.MonkeyPatch) -> None:
+    initialize = QuotaLeases.__init__
     monkeypatch.setattr(
-        QuotaLeases, "__init__", lambda self, floor, now, first=False: made(self, floor, now, True)
+        QuotaLeases, "__init__", lambda self, floor, now, first=False: initialize(self, floor, now, True)
     )
 
 
-def _shorter_for_the_lender(monkeypatch: pytest.MonkeyPatch) -> None:
+def _lender_lease_is_shorter(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(quota_leases, "DRIFT", -0.3)
 
 
 def _last_grant_counts(monkeypatch: pytest.MonkeyPatch) -> None:
     def amount(self: quota_leases._Lent, now: int) -> float:
-        return next((one for one, until in reversed(list(self.grants.values())) if now < until), 0.0)
+        return next(
+            (granted.amount for granted in reversed(list(self.grants.values())) if now < granted.expires_at),
+            0.0,
+        )
 
     monkeypatch.setattr(quota_leases._Lent, "amount", amount)
 
@@ -122,8 +125,8 @@
 @pytest.mark.parametrize(
     ("mutant", "trouble"),
     [
-        (_first_always, "deaths"),
-        (_shorter_for_the_lender, "cut"),
+        (_always_first_process, "deaths"),
+        (_lender_lease_is_shorter, "cut"),
         (_last_grant_counts, "loss"),
     ],
 )
@@ -136,7 +139,9 @@
     assert max(World("lent", trouble, 6, seed).run().worst for seed in range(6)) > 0.001
 
 
-def test_more_is_made_than_by_fixed_parts_and_parts_by_view_exceed_the_limit(tmp_path: Path) -> None:
+def test_leases_serve_more_than_fixed_quotas_and_quotas_by_membership_exceed_the_limit(
+    tmp_path: Path,
+) -> None:
     path = tmp_path / "report.json"
     done = CliRunner().invoke(main, ["lab", "shares", "--servers", "6", "--seeds", "2", "--json", str(path)])
     rows = {(row["trouble"], row["arm"]): row for row in json.loads(path.read_text())["rows"]}
--- a/tests/membership/test_member_own_health.py
+++ b/tests/membership/test_member_own_health.py
@@ -45,8 +45,8 @@
     for works in (False, True):
         member.external_signals = ExternalSignals(event_loop_responsive=works)
         world.run(world.now + 3 * SECOND)
-        said = [event.event for _, number, event in world.told if number == 2]
-        assert ("member.host_works" in said) is works and "member.host_held_up" in said
+        events = [event.event for _, number, event in world.told if number == 2]
+        assert ("member.host_works" in events) is works and "member.host_held_up" in events
         assert works or member.health.score > 0
     assert count_failure_verdicts(world) == 0 and not any(
         event.event == "member.suspected" for _, _, event in world.told
--- a/tests/membership/test_member_processes.py
+++ b/tests/membership/test_member_processes.py
@@ -28,17 +28,17 @@
 KEY = "of the tests, sixteen and more"
 
 
-def free() -> int:
+def free_port() -> int:
     """With the next one free as well, for a new version."""
     return free_ports(1, above=1)[0]
 
 
 @dataclass
-class Fleet:
-    """Servers with members on, and their doors."""
+class Cluster:
+    """Servers with members on, and their administration endpoints."""
 
     folder: Path
-    doors: list[str] = field(default_factory=list)
+    admin_addresses: list[str] = field(default_factory=list)
     lives: list[program.Life] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -48,8 +48,8 @@
     def add(self) -> None:
         number = len(self.sites)
         pool = StandInPool(number)
-        self.ports.append(free())
-        self.doors.append(f"127.0.0.1:{free()}")
+        self.ports.append(free_port())
+        self.admin_addresses.append(f"127.0.0.1:{free_port()}")
         text = (
             f"members: {{listen: '127.0.0.1:{self.ports[-1]}', key: {KEY!r}, "
             f"contacts: ['127.0.0.1:{self.ports[0]}']}}\n"
@@ -64,35 +64,40 @@
                 self.roster.address,
                 settings(Scenario("a")),
                 text,
-                control=self.doors[-1],
+                control=self.admin_addresses[-1],
                 name=f"n{number}",
-                listen=f"127.0.0.1:{free()}",
+                listen=f"127.0.0.1:{free_port()}",
             )
         )
         self.lives.append(program.start(self.sites[-1]))
         assert self.lives[-1].listens(), self.lives[-1].lines
 
-    def again(self, number: int) -> None:
+    def restart(self, number: int) -> None:
         self.lives[number] = program.start(self.sites[number])
         assert self.lives[number].listens(), self.lives[number].lines
 
-    def told(self, number: int) -> dict[str, Any]:
-        with urllib.request.urlopen(f"http://{self.doors[number]}/-/members", timeout=WAIT_S) as answer:
+    def membership(self, number: int) -> dict[str, Any]:
+        with urllib.request.urlopen(
+            f"http://{self.admin_addresses[number]}/-/members", timeout=WAIT_S
+        ) as answer:
             got: dict[str, Any] = json.load(answer)
             return got
 
-    def sees(self, number: int) -> dict[str, str]:
+    def seen_statuses(self, number: int) -> dict[str, str]:
         """The best that it knows of each name."""
         rank = ("alive", "suspect", "failed", "left")
         seen: dict[str, str] = {}
-        for one in self.told(number)["members"]:
-            before = seen.get(one["name"], "left")
-            seen[one["name"]] = min(before, one["status"], key=rank.index)
+        for member in self.membership(number)["members"]:
+            before = seen.get(member["name"], "left")
+            seen[member["name"]] = min(before, member["status"], key=rank.index)
         return seen
 
     def all_see(self, who: list[int], status: str, of: list[int]) -> bool:
         return all(
-            self.sees(number).get(f"n{other}") == status for number in who for other in of if other != number
+            self.seen_statuses(number).get(f"n{other}") == status
+            for number in who
+            for other in of
+            if other != number
         )
 
     def close(self) -> None:
@@ -104,15 +109,15 @@
 
 
 @pytest.fixture
-def fleet(tmp_path: Path) -> Iterator[Fleet]:
-    made = Fleet(tmp_path)
+def cluster(tmp_path: Path) -> Iterator[Cluster]:
+    made = Cluster(tmp_path)
     for _ in range(4):
         made.add()
     with contextlib.closing(made):
         yield made
 
 
-def until(holds: Callable[[], bool]) -> None:
+def wait_until(holds: Callable[[], bool]) -> None:
     """A generous bound: what is judged is that it comes, not when."""
     end = time.monotonic() + 30
     while not holds():
@@ -123,82 +128,94 @@
 EVERYBODY = [0, 1, 2, 3]
 
 
-def test_a_member_that_is_killed_stopped_restarted_and_drained_is_seen_so_by_all(fleet: Fleet) -> None:
-    until(lambda: fleet.all_see(EVERYBODY, "alive", EVERYBODY))
-    fleet.lives[3].kill()
-    until(lambda: fleet.all_see([0, 1, 2], "failed", [3]))
-    fleet.again(3)
-    until(lambda: fleet.all_see(EVERYBODY, "alive", EVERYBODY))
-
-    fleet.lives[2].process.send_signal(signal.SIGSTOP)
-    until(lambda: fleet.all_see([0, 1, 3], "failed", [2]))
-    fleet.lives[2].process.send_signal(signal.SIGCONT)  # believing itself well
-    until(lambda: fleet.all_see(EVERYBODY, "alive", EVERYBODY))
-    until(lambda: any("member.held_up" in line for line in fleet.lives[2].lines))  # the others may know first
-    said = list(fleet.lives[2].lines)
-    woken = next(number for number, line in enumerate(said) if "member.held_up" in line)
-    assert not any("member.failed" in line and "accusers" in line for line in said[woken:])
-
-    done = CliRunner().invoke(main, ["members", "--door", fleet.doors[0]])
+def test_a_member_that_is_killed_frozen_restarted_and_drained_is_seen_so_by_all(cluster: Cluster) -> None:
+    wait_until(lambda: cluster.all_see(EVERYBODY, "alive", EVERYBODY))
+    cluster.lives[3].kill()
+    wait_until(lambda: cluster.all_see([0, 1, 2], "failed", [3]))
+    cluster.restart(3)
+    wait_until(lambda: cluster.all_see(EVERYBODY, "alive", EVERYBODY))
+
+    cluster.lives[2].process.send_signal(signal.SIGSTOP)
+    wait_until(lambda: cluster.all_see([0, 1, 3], "failed", [2]))
+    cluster.lives[2].process.send_signal(signal.SIGCONT)  # believing itself well
+    wait_until(lambda: cluster.all_see(EVERYBODY, "alive", EVERYBODY))
+    wait_until(
+        lambda: any("member.held_up" in line for line in cluster.lives[2].lines)
+    )  # the others may know first
+    log_lines = list(cluster.lives[2].lines)
+    woken = next(number for number, line in enumerate(log_lines) if "member.held_up" in line)
+    assert not any("member.failed" in line and "accusers" in line for line in log_lines[woken:])
+
+    done = CliRunner().invoke(main, ["members", "--door", cluster.admin_addresses[0]])
     assert all(f"n{number}" in done.output for number in EVERYBODY), done.output
-    with urllib.request.urlopen(f"http://{fleet.doors[0]}/-/members/metrics", timeout=WAIT_S) as answer:
+    with urllib.request.urlopen(
+        f"http://{cluster.admin_addresses[0]}/-/members/metrics", timeout=WAIT_S
+    ) as answer:
         text = answer.read().decode()
     assert answer.headers["Content-Type"] == "text/plain"
     assert 'cairnvane_members_lives{status="alive"} 3.0' in text and "cairnvane_members_doubt" in text
-    carried = [one["told"] for one in fleet.told(0)["members"] if one["status"] == "alive"]
-    assert all(one.keys() >= {"asked", "calls", "held", "version", "phase"} for one in carried), carried
-    assert not any(one["held"] for one in carried)
+    published = [member["told"] for member in cluster.membership(0)["members"] if member["status"] == "alive"]
+    assert all(metadata.keys() >= {"asked", "calls", "held", "version", "phase"} for metadata in published), (
+        published
+    )
+    assert not any(metadata["held"] for metadata in published)
 
-    assert fleet.lives[1].stop(WAIT_S) == 0
-    until(lambda: fleet.all_see([0, 2, 3], "left", [1]))
-    said = [line for life in (fleet.lives[0], fleet.lives[2], fleet.lives[3]) for line in life.lines]
-    assert not any("member.suspected" in line and "name=n1" in line for line in said)
+    assert cluster.lives[1].stop(WAIT_S) == 0
+    wait_until(lambda: cluster.all_see([0, 2, 3], "left", [1]))
+    log_lines = [
+        line for life in (cluster.lives[0], cluster.lives[2], cluster.lives[3]) for line in life.lines
+    ]
+    assert not any("member.suspected" in line and "name=n1" in line for line in log_lines)
 
 
-def test_a_new_version_beside_takes_another_port_and_is_the_same_member(fleet: Fleet) -> None:
-    until(lambda: fleet.all_see(EVERYBODY, "alive", EVERYBODY))
-    old = fleet.lives[1]
+def test_a_concurrent_new_version_takes_another_port_and_is_the_same_member(cluster: Cluster) -> None:
+    wait_until(lambda: cluster.all_see(EVERYBODY, "alive", EVERYBODY))
+    old = cluster.lives[1]
     site = replace(
-        fleet.sites[1],
+        cluster.sites[1],
         label="-new",
         listen=f"127.0.0.1:{old.port}",
-        control=f"127.0.0.1:{free()}",
+        control=f"127.0.0.1:{free_port()}",
         pool=StandInPool(9).address,
     )
     new = program.start(site)
-    fleet.lives.append(new)
+    cluster.lives.append(new)
     assert new.listens(), new.lines
 
     def lives() -> set[tuple[str, str]]:
-        return {(one["status"], one["address"]) for one in fleet.told(0)["members"] if one["name"] == "n1"}
-
-    first, second = (f"127.0.0.1:{fleet.ports[1] + above}" for above in (0, 1))
-    until(lambda: lives() == {("alive", first), ("alive", second)})
+        return {
+            (member["status"], member["address"])
+            for member in cluster.membership(0)["members"]
+            if member["name"] == "n1"
+        }
+
+    first, second = (f"127.0.0.1:{cluster.ports[1] + above}" for above in (0, 1))
+    wait_until(lambda: lives() == {("alive", first), ("alive", second)})
     assert old.stop(WAIT_S) == 0
-    until(lambda: lives() == {("left", first), ("alive", second)})
-    assert fleet.told(0)["sight"]["verdict"] == "together"
-    said = [line for life in fleet.lives for line in life.lines]
-    bad = [line for line in said if "member.same_name" in line or "member.suspected" in line]
+    wait_until(lambda: lives() == {("left", first), ("alive", second)})
+    assert cluster.membership(0)["sight"]["verdict"] == "together"
+    log_lines = [line for life in cluster.lives for line in life.lines]
+    bad = [line for line in log_lines if "member.same_name" in line or "member.suspected" in line]
     assert not bad, bad
 
 
-def test_what_strangers_send_costs_a_count_and_nothing_else(fleet: Fleet) -> None:
-    until(lambda: fleet.all_see(EVERYBODY, "alive", EVERYBODY))
+def test_unauthenticated_bytes_are_counted_and_change_nothing(cluster: Cluster) -> None:
+    wait_until(lambda: cluster.all_see(EVERYBODY, "alive", EVERYBODY))
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
         for data in (b"", b"x" * 50, b"CVM\x01" + bytes(60), bytes(1_500)) * 20:
-            sock.sendto(data, ("127.0.0.1", fleet.ports[0]))
-    with socket.create_connection(("127.0.0.1", fleet.ports[0]), WAIT_S) as whole:
+            sock.sendto(data, ("127.0.0.1", cluster.ports[0]))
+    with socket.create_connection(("127.0.0.1", cluster.ports[0]), WAIT_S) as whole:
         whole.sendall(b"\0\0\0\x20" + bytes(32))
 
     def counted() -> bool:
-        counts = fleet.told(0)["counts"]
+        counts = cluster.membership(0)["counts"]
         return [counts.get(name, 0) for name in ("torn", "stranger", "oversized")] == [21, 40, 20]
 
-    until(counted)
-    assert fleet.all_see(EVERYBODY, "alive", EVERYBODY)
+    wait_until(counted)
+    assert cluster.all_see(EVERYBODY, "alive", EVERYBODY)
 
 
-def test_a_server_without_members_says_how_to_turn_them_on(tmp_path: Path) -> None:
-    door = f"127.0.0.1:{free()}"
-    done = CliRunner().invoke(main, ["members", "--door", door])
-    assert done.exit_code == 1 and door in done.output
+def test_the_members_command_fails_and_names_the_address_without_membership(tmp_path: Path) -> None:
+    address = f"127.0.0.1:{free_port()}"
+    done = CliRunner().invoke(main, ["members", "--door", address])
+    assert done.exit_code == 1 and address in done.output
--- a/tests/membership/test_model_checker.py
+++ b/tests/membership/test_model_checker.py
@@ -1,4 +1,4 @@
-"""Small worlds of members explored whole, each rule missed where it is taken out; datagrams of strangers."""
+"""The model checker explores small clusters exhaustively and finds mutants; fuzzed datagrams do no harm."""
 
 from __future__ import annotations
 
@@ -14,16 +14,16 @@
 from cairnvane.testbed.fuzz import fuzz
 
 
-def test_three_members_come_to_rest_whatever_happens_in_two_steps(tmp_path: Path) -> None:
+def test_three_members_agree_in_the_end_whatever_happens_in_two_steps(tmp_path: Path) -> None:
     path = tmp_path / "report.json"
     done = CliRunner().invoke(main, ["lab", "explore", "--depth", "2", "--workers", "1", "--json", str(path)])
-    told = json.loads(path.read_text())
-    assert done.exit_code == 0 and not told["cut_short"], done.output
-    assert all(count >= 50 for count in told["states"].values()) and sum(told["ends"].values()) > 200
+    report = json.loads(path.read_text())
+    assert done.exit_code == 0 and not report["cut_short"], done.output
+    assert all(count >= 50 for count in report["states"].values()) and sum(report["ends"].values()) > 200
 
 
 # What a mutant needs to be found: members, steps, and where from.
-FOUND = {
+MUTANT_FOUND_BY = {
     "no-refutation": (3, 2, "suspected"),
     "refutes-as-before": (3, 2, "suspected"),
     "no-second-look": (4, 1, "cut"),
@@ -35,8 +35,8 @@
 
 
 @pytest.mark.parametrize("mutant", list(MUTANTS))
-def test_each_rule_that_is_taken_out_is_missed(mutant: str) -> None:
-    members, depth, beginning = FOUND[mutant]
+def test_each_mutant_breaks_an_invariant(mutant: str) -> None:
+    members, depth, beginning = MUTANT_FOUND_BY[mutant]
     report = explore(members, depth, beginnings=[beginning], mutant=mutant, workers=1)
     assert report.broken and report.path[0] == f"from {beginning}" and report.good, report.lines()
 
@@ -46,30 +46,32 @@
     assert done.exit_code == 2 and "no-refutation" in done.output
 
 
-def test_what_no_member_sent_changes_nothing() -> None:
+def test_fuzzed_datagrams_change_nothing() -> None:
     report = fuzz(4_000, 3)
     assert report.good, report.lines()
     assert {"stranger", "torn", "oversized", "unreadable"} <= report.counts.keys()
     assert report.counts["of these replayed"] > 300 and report.counts["of these insane"] > 300
 
 
-def test_a_claim_that_counts_though_it_can_not_be_true_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_the_fuzzer_notices_invalid_claims_that_count(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("cairnvane.membership.swim.is_valid_claim", lambda claim: True)
     assert fuzz(4_000, 3).changed
 
 
-def test_a_datagram_that_comes_to_no_count_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_the_fuzzer_notices_datagrams_that_are_not_counted(monkeypatch: pytest.MonkeyPatch) -> None:
     take = MemberTransport._take
     monkeypatch.setattr(
         MemberTransport,
         "_take",
-        lambda self, data, source, most: take(self, data, source, most) if len(data) <= most else None,
+        lambda self, data, source, max_bytes: (
+            take(self, data, source, max_bytes) if len(data) <= max_bytes else None
+        ),
     )
     report = fuzz(900, 3)
     assert report.uncounted == 100 and not report.good
 
 
-def test_no_first_step_is_left_out_however_many_there_are() -> None:
+def test_sharing_work_by_first_steps_leaves_out_no_state() -> None:
     """Work is shared by first steps; the same states have to come out as of one walk."""
     world = World(3)
     begin = world.restarted()
--- a/tests/membership/test_network_partitions.py
+++ b/tests/membership/test_network_partitions.py
@@ -88,7 +88,7 @@
     assert agrees(world)
     world.run(world.now + 3 * SECOND)
     assessments = [member_of(world, number).assessment for number in world.players]
-    assert {(one.verdict, one.min_members, one.max_members) for one in assessments} == {
+    assert {(found.verdict, found.min_members, found.max_members) for found in assessments} == {
         (Verdict.TOGETHER, 3, 3)
     }
 
