--- a/cairnvane/load_balancing/__init__.py
+++ b/cairnvane/load_balancing/__init__.py
@@ -1,24 +1,25 @@
-"""What is known of clusters and endpoints, and where a call goes. No I/O, no clock, no random source of
-its own.
+"""Clusters and endpoints, and where a call goes. No I/O, no clock, no random source of its own.
 
-`shares` says how much of a cluster's traffic each priority and locality gets, `weighted` draws an endpoint
-by weight and in-flight calls, `bounds` are circuit breakers and the retry budget, `outliers` ejects and
-slow start joins. The rules are those that Envoy's documentation publishes; `tests/test_fleet.py` quotes
-their tables. Not wired to the server yet: `docs/ROADMAP.md` says what is still to come.
+`locality_weights` says how much of a cluster's traffic each priority and locality gets, `weighted_choice`
+draws an endpoint by weight and calls in flight, `maglev` by a hash. `circuit_breakers` bounds calls and
+retries, `outlier_detection` ejects failing endpoints and has joining ones start slowly, `endpoints` keeps the
+life cycle of each, `cluster` is the description. The rules are those that Envoy's documentation publishes;
+`tests/load_balancing` quotes their tables. Not wired to the server yet: `docs/ROADMAP.md` says what is still
+to come.
 """
 
-from .circuit_breakers import Breakers, RetryBudget
-from .locality_weights import Health, localities, priorities
-from .outlier_detection import Outliers, slow_start
+from .circuit_breakers import CircuitBreakers, RetryBudget
+from .locality_weights import HealthCount, locality_shares, priority_loads
+from .outlier_detection import OutlierDetector, slow_start
 from .weighted_choice import Weighted
 
 __all__ = [
-    "Breakers",
-    "Health",
-    "Outliers",
+    "CircuitBreakers",
+    "HealthCount",
+    "OutlierDetector",
     "RetryBudget",
     "Weighted",
-    "localities",
-    "priorities",
+    "locality_shares",
+    "priority_loads",
     "slow_start",
 ]
--- a/cairnvane/load_balancing/circuit_breakers.py
+++ b/cairnvane/load_balancing/circuit_breakers.py
@@ -6,52 +6,64 @@
 
 from ..contract.events import Outcome
 
-# Envoy's own figures, where a description leaves them out.
-CONNECTIONS = PENDING = REQUESTS = 1_024
-RETRIES = 3
-BUDGET_PERCENT, LEAST_RETRIES = 20.0, 3
+# Envoy's defaults, for what a description leaves out.
+MAX_CONNECTIONS = 1_024
+MAX_PENDING_REQUESTS = 1_024
+MAX_REQUESTS = 1_024
+MAX_RETRIES = 3
+BUDGET_PERCENT = 20.0
+MIN_RETRIES = 3
 
 
 @dataclass(frozen=True, slots=True)
 class RetryBudget:
-    """So many retries as go with what is in flight."""
+    """Allows retries in proportion to the requests in flight."""
 
     percent: float = BUDGET_PERCENT
-    least: int = LEAST_RETRIES
+    min_retries: int = MIN_RETRIES  # allowed however few requests are in flight
 
     def allows(self, in_flight: int, retrying: int) -> bool:
-        """Whether one more retry may go out beside `retrying` of them."""
-        return retrying < max(self.least, int(self.percent * in_flight / 100))
+        """Whether one more retry may be sent while `retrying` are in flight."""
+        return retrying < max(self.min_retries, int(self.percent * in_flight / 100))
 
 
 @dataclass(frozen=True, slots=True)
-class Breakers:
+class CircuitBreakers:
     """The thresholds; 0 lets nothing through."""
 
-    connections: int = CONNECTIONS
-    pending: int = PENDING
-    requests: int = REQUESTS
-    retries: int = RETRIES
-    budget: RetryBudget | None = None  # takes the place of `retries`
+    connections: int = MAX_CONNECTIONS
+    pending: int = MAX_PENDING_REQUESTS
+    requests: int = MAX_REQUESTS
+    retries: int = MAX_RETRIES
+    budget: RetryBudget | None = None  # replaces `retries`
 
     def allows_call(self, in_flight: int, is_retry: bool = False, retrying: int = 0) -> bool:
-        """Whether one more call may go out."""
+        """Whether one more call may be sent."""
         if in_flight >= self.requests:
             return False
         if not is_retry:
             return True
-        return self.budget.allows(in_flight, retrying) if self.budget else retrying < self.retries
+        if self.budget is not None:
+            return self.budget.allows(in_flight, retrying)
+        return retrying < self.retries
 
-    def credit(self, free_value: float | None) -> float:
-        """How many calls one caller may have here, by both sides' advice: the lower of the free value and the
-        breaker, since each is a bound that its side has a reason for."""
-        return float(self.requests) if free_value is None else min(free_value, float(self.requests))
+    def call_allowance(self, load_signal: float | None) -> float:
+        """How many calls one client may have in flight here.
 
+        The lower of the server's load signal and the breaker: each is a bound that its side has a reason for.
+        """
+        max_requests = float(self.requests)
+        return max_requests if load_signal is None else min(load_signal, max_requests)
 
-_NEVER_RAN = (Outcome.REJECTED, Outcome.UNREACHED, Outcome.NEVER_STARTED)
 
+_NEVER_EXECUTED = (Outcome.REJECTED, Outcome.UNREACHED, Outcome.NEVER_STARTED)
 
-def may_go_elsewhere(outcome: Outcome, keyed: bool) -> bool:
-    """Whether a call that ended so may be made to another endpoint: one with an effect only if it provably
-    never ran at the first."""
-    return outcome in _NEVER_RAN or (not keyed and outcome is not Outcome.OK)
+
+def may_retry_elsewhere(outcome: Outcome, keyed: bool) -> bool:
+    """Whether a call that ended so may be sent to another endpoint.
+
+    `keyed`: it has an effect, so only if it provably never executed at the first one.
+    """
+    if outcome in _NEVER_EXECUTED:
+        return True
+    return not keyed and outcome is not Outcome.OK
--- a/cairnvane/load_balancing/cluster.py
+++ b/cairnvane/load_balancing/cluster.py
@@ -1,4 +1,4 @@
-"""Clusters and endpoints as a description has them, in no protocol's words."""
+"""Clusters and endpoints as a description has them, independent of any protocol."""
 
 from __future__ import annotations
 
@@ -6,14 +6,14 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from .circuit_breakers import Breakers
-from .endpoints import Address, Described
+from .circuit_breakers import CircuitBreakers
+from .endpoints import Address, EndpointDescription
 from .locality_weights import OVERPROVISIONING, PANIC_THRESHOLD
 
 MILLION = 1_000_000
 
 
-class Policy(Enum):
+class LoadBalancingPolicy(Enum):
     """How an endpoint is chosen."""
 
     ROUND_ROBIN = "round robin"
@@ -25,12 +25,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Locality:
-    """Endpoints in one place. One without weight gets nothing where localities share by weight."""
+    """The endpoints of one locality; without weight, it gets nothing where localities share by weight."""
 
     name: str
     priority: int
     weight: int
-    endpoints: Mapping[Address, Described]
+    endpoints: Mapping[Address, EndpointDescription]
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,22 +39,22 @@
 
     name: str
     localities: tuple[Locality, ...] = ()
-    overprovisioning: int = OVERPROVISIONING
-    drops: tuple[tuple[str, int], ...] = ()  # of each category so many in a million calls are dropped
+    overprovisioning: int = OVERPROVISIONING  # percent
+    drops: tuple[tuple[str, int], ...] = ()  # categories, and how many in a million calls each drops
 
-    def priorities(self) -> int:
-        """How many there are."""
+    def priority_count(self) -> int:
+        """How many priorities there are."""
         return 1 + max((locality.priority for locality in self.localities), default=-1)
 
 
 @dataclass(frozen=True, slots=True)
 class Cluster:
-    """A cluster, without its endpoints unless they stand in it."""
+    """A cluster, without its endpoints unless they are inline."""
 
     name: str
-    service: str  # the name that its endpoints are asked for by
-    policy: Policy = Policy.ROUND_ROBIN
-    breakers: Breakers = field(default_factory=Breakers)
-    panic: float = PANIC_THRESHOLD
+    service_name: str  # under which its endpoints are requested
+    policy: LoadBalancingPolicy = LoadBalancingPolicy.ROUND_ROBIN
+    circuit_breakers: CircuitBreakers = field(default_factory=CircuitBreakers)
+    panic_threshold: float = PANIC_THRESHOLD  # percent of healthy endpoints
     slow_start_us: int = 0
-    inline: Assignment | None = None
+    inline_assignment: Assignment | None = None
--- a/cairnvane/load_balancing/endpoints.py
+++ b/cairnvane/load_balancing/endpoints.py
@@ -1,8 +1,8 @@
-"""The life of an endpoint: joining, active, draining, gone while calls to it go on, back under its address.
+"""The life cycle of an endpoint: joining, active, draining, removed while calls to it go on, back again.
 
-No I/O, no clock. A description says who belongs to a cluster; this says who gets calls, and keeps what a
-call is on until it has ended. An address stands for one endpoint within a cluster; a
-description that names it twice is refused where it is read.
+No I/O, no clock; times are microseconds. A description says which endpoints a cluster has; this decides which
+of them get calls, and keeps an endpoint until its last call has ended. An address stands for one endpoint
+within a cluster; a description that names it twice is rejected where it is read.
 """
 
 from __future__ import annotations
@@ -11,13 +11,13 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from .outlier_detection import Outliers, slow_start
+from .outlier_detection import OutlierDetector, slow_start
 from .weighted_choice import Weighted
 
 Address = tuple[str, int]
 
 
-class Health(Enum):
+class EndpointHealth(Enum):
     """What a description says of an endpoint."""
 
     HEALTHY = "healthy"  # or unknown, which counts as healthy
@@ -27,161 +27,194 @@
 
 
 class Stage(Enum):
-    """Where an endpoint is in its life here."""
+    """Where an endpoint is in its life cycle."""
 
-    JOINING = "joining"  # gets a growing share
+    JOINING = "joining"  # gets a growing share of calls
     ACTIVE = "active"
-    DRAINING = "draining"  # described, and gets nothing new
+    DRAINING = "draining"  # described, and gets no new calls
     LEAVING = "leaving"  # no longer described; calls to it go on
 
 
 @dataclass(frozen=True, slots=True)
-class Described:
+class EndpointDescription:
     """An endpoint, as a description has it."""
 
     weight: int = 1
-    health: Health = Health.HEALTHY
+    health: EndpointHealth = EndpointHealth.HEALTHY
 
 
 @dataclass(slots=True)
-class Member:
-    """An endpoint, as it stands here."""
+class Endpoint:
+    """The state of one endpoint."""
 
-    described: Described
-    joined: int
+    description: EndpointDescription
+    joined_at: int
     stage: Stage
-    calls: int = 0  # in flight, of all its time under this address
-    since: int = 0  # the number of its life: a call of an earlier one says nothing of this one
+    calls: int = 0  # in flight, of all generations under this address
+    generation: int = 0  # the result of a call to an earlier one says nothing of this one
 
 
 @dataclass(frozen=True, slots=True)
-class Ticket:
-    """A call that has gone out."""
+class CallHandle:
+    """A call in flight."""
 
     address: Address
-    life: int
+    generation: int
 
 
-class Members:
+class EndpointSet:
     """The endpoints of one priority of a cluster."""
 
-    def __init__(self, *, slow_start_us: int = 0, outliers: Outliers[Address] | None = None) -> None:
-        self.known: dict[Address, Member] = {}
-        self._choice: Weighted[Address] = Weighted()
-        self._all: Weighted[Address] = Weighted()  # those too that are unhealthy or ejected, for a panic
-        self._window = slow_start_us
+    def __init__(self, *, slow_start_us: int = 0, outliers: OutlierDetector[Address] | None = None) -> None:
+        self.endpoints: dict[Address, Endpoint] = {}
+        self._choice: Weighted[Address] = Weighted()  # those that take calls
+        self._all: Weighted[Address] = Weighted()  # also unhealthy and ejected ones, for panic mode
+        self._slow_start_us = slow_start_us
         self._outliers = outliers
-        self._lives = 0
-        self._joining: dict[Address, None] = {}
-
-    def describe(self, now: int, found: Mapping[Address, Described], first: bool = False) -> None:
-        """The description has changed. `first`: nothing was known before, so nobody joins what runs
-        already."""
-        for address in [address for address in self.known if address not in found]:
-            self._vanish(address)
-        for address, described in found.items():
-            member = self.known.get(address)
-            if member is None or member.stage is Stage.LEAVING:
-                self._join(address, described, now, first)
-            elif member.described != described:
-                self._change(address, member, described, now)
-
-    def _join(self, address: Address, described: Described, now: int, first: bool) -> None:
-        """New, or back under an address on which calls of its earlier life may still go on."""
-        calls = self.known[address].calls if address in self.known else 0
-        self._lives += 1
-        stage = Stage.ACTIVE if first or not self._window else Stage.JOINING
-        member = self.known[address] = Member(described, now, stage, calls, self._lives)
+        self._last_generation = 0
+        self._joining: dict[Address, None] = {}  # an ordered set
+
+    def update(self, now: int, found: Mapping[Address, EndpointDescription], first: bool = False) -> None:
+        """Apply a changed description.
+
+        `first`: nothing was known before, so that no endpoint joins a cluster that takes calls already.
+        """
+        removed = [address for address in self.endpoints if address not in found]
+        for address in removed:
+            self._remove(address)
+        for address, description in found.items():
+            endpoint = self.endpoints.get(address)
+            if endpoint is None or endpoint.stage is Stage.LEAVING:
+                self._add(address, description, now, first)
+            elif endpoint.description != description:
+                self._change(address, endpoint, description, now)
+
+    def _add(self, address: Address, description: EndpointDescription, now: int, first: bool) -> None:
+        """Add an endpoint; calls of an earlier one under its address may still be in flight."""
+        calls = self.endpoints[address].calls if address in self.endpoints else 0
+        self._last_generation += 1
+        stage = Stage.ACTIVE if first or not self._slow_start_us else Stage.JOINING
+        endpoint = Endpoint(description, now, stage, calls, self._last_generation)
+        self.endpoints[address] = endpoint
         if stage is Stage.JOINING:
             self._joining[address] = None
-        self._change(address, member, described, now)
-
-    def _change(self, address: Address, member: Member, described: Described, now: int) -> None:
-        was, member.described = member.described, described
-        if described.health is Health.DRAINING:
-            member.stage = Stage.DRAINING
+        self._change(address, endpoint, description, now)
+
+    def _change(
+        self,
+        address: Address,
+        endpoint: Endpoint,
+        description: EndpointDescription,
+        now: int,
+    ) -> None:
+        before = endpoint.description
+        endpoint.description = description
+        recovered = before.health is EndpointHealth.UNHEALTHY and description.health is EndpointHealth.HEALTHY
+        if description.health is EndpointHealth.DRAINING:
+            endpoint.stage = Stage.DRAINING
             self._joining.pop(address, None)
-        elif member.stage is Stage.DRAINING:  # taken back into service: as one that joins
-            member.stage, member.joined = (Stage.JOINING if self._window else Stage.ACTIVE), now
-            if self._window:
-                self._joining[address] = None
-        elif was.health is Health.UNHEALTHY and described.health is Health.HEALTHY and self._window:
-            member.stage, member.joined = Stage.JOINING, now
-            self._joining[address] = None
-        self._weigh(address, member, now)
-
-    def _vanish(self, address: Address) -> None:
-        member = self.known[address]
+        elif endpoint.stage is Stage.DRAINING and not self._slow_start_us:
+            endpoint.stage = Stage.ACTIVE
+            endpoint.joined_at = now
+        elif self._slow_start_us and (endpoint.stage is Stage.DRAINING or recovered):
+            self._start_slowly(address, endpoint, now)
+        self._update_weights(address, endpoint, now)
+
+    def _start_slowly(self, address: Address, endpoint: Endpoint, now: int) -> None:
+        """Treat an endpoint that is back in service like one that joins."""
+        endpoint.stage = Stage.JOINING
+        endpoint.joined_at = now
+        self._joining[address] = None
+
+    def _remove(self, address: Address) -> None:
+        """Take an endpoint out of service; its record stays until its last call has ended."""
+        endpoint = self.endpoints[address]
         self._joining.pop(address, None)
         if self._outliers is not None:
             self._outliers.forget(address)
-        member.stage = Stage.LEAVING
-        self._weigh(address, member, 0)
-        if not member.calls:
-            del self.known[address]
-
-    def _weigh(self, address: Address, member: Member, now: int) -> None:
-        """Its place in both choices, by all that is known of it."""
-        weight: int | None = member.described.weight
-        if member.stage is Stage.JOINING:
-            weight = slow_start(member.described.weight, now - member.joined, self._window)
-        elif member.stage is not Stage.ACTIVE:
-            weight = None
-        ejected = self._outliers is not None and self._outliers.ejected(address)
-        fit = member.described.health is Health.HEALTHY and not ejected
-        self._place(self._all, address, member, weight)
-        self._place(self._choice, address, member, weight if fit else None)
-
-    def _place(self, tree: Weighted[Address], address: Address, member: Member, weight: int | None) -> None:
-        there = address in tree
+        endpoint.stage = Stage.LEAVING
+        self._update_weights(address, endpoint, 0)
+        if not endpoint.calls:
+            del self.endpoints[address]
+
+    def _update_weights(self, address: Address, endpoint: Endpoint, now: int) -> None:
+        """Set an endpoint's weight for normal and for panic mode, by all that is known of it."""
+        weight = self._weight(endpoint, now)
+        ejected = self._outliers is not None and self._outliers.is_ejected(address)
+        takes_calls = endpoint.description.health is EndpointHealth.HEALTHY and not ejected
+        self._set_weight(self._all, address, endpoint, weight)
+        self._set_weight(self._choice, address, endpoint, weight if takes_calls else None)
+
+    def _weight(self, endpoint: Endpoint, now: int) -> int | None:
+        """The weight by life cycle alone; None: no new calls."""
+        if endpoint.stage is Stage.JOINING:
+            return slow_start(endpoint.description.weight, now - endpoint.joined_at, self._slow_start_us)
+        return endpoint.description.weight if endpoint.stage is Stage.ACTIVE else None
+
+    def _set_weight(
+        self,
+        choice: Weighted[Address],
+        address: Address,
+        endpoint: Endpoint,
+        weight: int | None,
+    ) -> None:
+        is_present = address in choice
         if weight is None:
-            if there:
-                tree.remove(address)
-        elif not there or tree.weight(address) != weight:
-            tree.put(address, weight)
-            if not there:
-                tree.begin(address, member.calls)
-
-    def look(self, now: int) -> None:
-        """Time has passed: those that join take more, those that were ejected may be back."""
+            if is_present:
+                choice.remove(address)
+        elif not is_present:
+            choice.put(address, weight)
+            choice.begin(address, endpoint.calls)
+        elif choice.weight(address) != weight:
+            choice.put(address, weight)
+
+    def refresh(self, now: int) -> None:
+        """Time has passed: joining endpoints get a larger share, ejected ones may be readmitted."""
         for address in list(self._joining):
-            member = self.known[address]
-            if now - member.joined >= self._window:
-                member.stage = Stage.ACTIVE
+            endpoint = self.endpoints[address]
+            if now - endpoint.joined_at >= self._slow_start_us:
+                endpoint.stage = Stage.ACTIVE
                 del self._joining[address]
-            self._weigh(address, member, now)
-        for address in self._outliers.look(now) if self._outliers is not None else ():
-            if address in self.known:
-                self._weigh(address, self.known[address], now)
+            self._update_weights(address, endpoint, now)
+        readmitted = self._outliers.readmit_due(now) if self._outliers is not None else []
+        for address in readmitted:
+            if address in self.endpoints:
+                self._update_weights(address, self.endpoints[address], now)
 
     def choose(self, below: Callable[[int], int], panic: bool = False) -> Address | None:
-        """Where the next call goes; None if nobody takes any. In panic all that are described may, but for
-        those that drain: they were told to take nothing new."""
+        """Where the next call goes; None if no endpoint takes any.
+
+        In panic mode all described endpoints may get it but draining ones: those were told to take no new
+        calls. `below(n)` gives a random whole number from 0 to under n.
+        """
         return (self._all if panic else self._choice).choose(below)
 
-    def begin(self, address: Address) -> Ticket:
-        """A call goes out."""
-        member = self.known[address]
-        member.calls += 1
-        for tree in (self._choice, self._all):
-            if address in tree:
-                tree.begin(address)
-        return Ticket(address, member.since)
-
-    def end(self, ticket: Ticket, good: bool, now: int) -> None:
-        """A call is over. Whoever has vanished meanwhile is forgotten with its last call; what it did in an
-        earlier life is not held against it now."""
-        member = self.known.get(ticket.address)
-        if member is None or not member.calls:
+    def call_started(self, address: Address) -> CallHandle:
+        """Count a call that goes out; `KeyError` if the address is not known."""
+        endpoint = self.endpoints[address]
+        endpoint.calls += 1
+        for choice in (self._choice, self._all):
+            if address in choice:
+                choice.begin(address)
+        return CallHandle(address, endpoint.generation)
+
+    def call_ended(self, call: CallHandle, good: bool, now: int) -> None:
+        """Count the end of a call, and its result for outlier detection.
+
+        A removed endpoint is forgotten with its last call; the result of a call to an earlier generation is
+        not held against the present one.
+        """
+        endpoint = self.endpoints.get(call.address)
+        if endpoint is None or not endpoint.calls:
             return
-        member.calls -= 1
-        self._choice.end(ticket.address)
-        self._all.end(ticket.address)
-        if member.stage is Stage.LEAVING:
-            if not member.calls:
-                del self.known[ticket.address]
+        endpoint.calls -= 1
+        self._choice.end(call.address)
+        self._all.end(call.address)
+        if endpoint.stage is Stage.LEAVING:
+            if not endpoint.calls:
+                del self.endpoints[call.address]
             return
-        if self._outliers is None or ticket.life != member.since:
+        if self._outliers is None or call.generation != endpoint.generation:
             return
-        if self._outliers.told(ticket.address, good, len(self.known), now):
-            self._weigh(ticket.address, member, now)
+        if self._outliers.record_result(call.address, good, len(self.endpoints), now):
+            self._update_weights(call.address, endpoint, now)
--- a/cairnvane/load_balancing/maglev.py
+++ b/cairnvane/load_balancing/maglev.py
@@ -18,47 +18,69 @@
 
 
 def _is_prime(number: int) -> bool:
-    return number > 1 and all(number % part for part in range(2, int(number**0.5) + 1))
+    return number > 1 and all(number % divisor for divisor in range(2, int(number**0.5) + 1))
+
+
+class _Permutation:
+    """The order in which one endpoint goes over the table, by two hashes of its name."""
+
+    def __init__(self, name: bytes, size: int) -> None:
+        self._size = size
+        self._place = zlib.crc32(name) % size
+        self._step = zlib.crc32(name, 1) % (size - 1) + 1
+
+    def next_empty(self, table: array[int]) -> int:
+        """The next place of this order that is empty."""
+        while table[self._place] != _EMPTY:
+            self._advance()
+        place = self._place
+        self._advance()
+        return place
+
+    def _advance(self) -> None:
+        self._place = (self._place + self._step) % self._size
 
 
 class Maglev(Generic[Key]):
-    """A table for one set of weights; another set makes another table. Names tell endpoints apart and have
-    the table come out the same in every process, whatever order they stand in."""
+    """A lookup table for one set of weights; another set needs another table.
+
+    The table depends on the names of the endpoints alone: it is the same in every process, whatever their
+    order.
+    """
 
     def __init__(self, weights: Mapping[Key, int], size: int = TABLE_SIZE) -> None:
+        """`ValueError` if the size is no prime."""
         if not _is_prime(size):
             raise ValueError(f"table size: {size} is no prime")
         self._keys: Sequence[Key] = sorted((key for key, weight in weights.items() if weight > 0), key=repr)
         self._table = self._fill([weights[key] for key in self._keys], size) if self._keys else array("i")
 
     def _fill(self, weights: list[int], size: int) -> array[int]:
-        names = [repr(key).encode() for key in self._keys]
-        # Where each begins, and in which steps it goes over the table: by two hashes of its name.
-        at = [zlib.crc32(name) % size for name in names]
-        step = [zlib.crc32(name, 1) % (size - 1) + 1 for name in names]
-        table, most, left = array("i", [_EMPTY]) * size, max(weights), size
-        owed = [0] * len(weights)
+        """Let endpoints take turns by weight; in its turn, each takes the next free place of its sequence."""
+        sequences = [_Permutation(repr(key).encode(), size) for key in self._keys]
+        table = array("i", [_EMPTY]) * size
+        largest = max(weights)
+        credits = [0] * len(weights)
+        empty_places = size
         while True:
             for number, weight in enumerate(weights):
-                owed[number] += weight
-                if owed[number] < most:
+                credits[number] += weight
+                if credits[number] < largest:
                     continue
-                owed[number] -= most
-                place = at[number]
-                while table[place] != _EMPTY:
-                    place = (place + step[number]) % size
-                table[place] = number
-                at[number] = (place + step[number]) % size
-                left -= 1
-                if not left:
+                credits[number] -= largest
+                table[sequences[number].next_empty(table)] = number
+                empty_places -= 1
+                if not empty_places:
                     return table
 
     def choose(self, hash_: int) -> Key | None:
         """The endpoint of a key with this hash; None if there is none."""
-        return self._keys[self._table[hash_ % len(self._table)]] if self._keys else None
+        if not self._keys:
+            return None
+        return self._keys[self._table[hash_ % len(self._table)]]
 
     def shares(self) -> dict[Key, float]:
-        """How much of the table each has."""
+        """The share of the table that each endpoint has."""
         counts = [0] * len(self._keys)
         for number in self._table:
             counts[number] += 1
--- a/cairnvane/load_balancing/outlier_detection.py
+++ b/cairnvane/load_balancing/outlier_detection.py
@@ -1,5 +1,7 @@
-"""Endpoints that fail are ejected for a while (Envoy: 'Outlier detection'), and those that join get their
-share slowly ('Slow start mode'). Times are microseconds."""
+"""Ejects endpoints that fail for a while, and raises the share of joining ones slowly.
+
+The rules are Envoy's ('Outlier detection', 'Slow start mode'). Times are microseconds.
+"""
 
 from __future__ import annotations
 
@@ -7,82 +9,106 @@
 from typing import Generic, TypeVar
 
 Key = TypeVar("Key")
-# Envoy's own figures.
-CONSECUTIVE, BASE_US, MOST_US = 5, 30_000_000, 300_000_000
-MOST_PERCENT = 10
-# A share of its weight that a joining endpoint gets at once.
-LEAST_SHARE = 0.1
+# Envoy's defaults.
+CONSECUTIVE_FAILURES = 5
+BASE_EJECTION_US = 30_000_000
+MAX_EJECTION_US = 300_000_000
+MAX_EJECTED_PERCENT = 10
+# The share of its weight that a joining endpoint gets at once.
+MIN_SLOW_START_SHARE = 0.1
 
 
 @dataclass(slots=True)
-class _Standing:
-    failures: int = 0  # in a row
-    ejections: int = 0  # multiplies the time; falls while it behaves
-    until: int = 0  # ejected until then
+class _Record:
+    """What is known of one endpoint."""
+
+    consecutive_failures: int = 0
+    ejections: int = 0  # multiplies the ejection time; falls while the endpoint behaves
+    ejected_until: int = 0
 
 
-class Outliers(Generic[Key]):
-    """Who is ejected. At most `percent` of the endpoints are at any time, but one may always be."""
+class OutlierDetector(Generic[Key]):
+    """Decides which endpoints are ejected: at most a share of them at any time, but one may always be."""
 
     def __init__(
         self,
         *,
-        consecutive: int = CONSECUTIVE,
-        base_us: int = BASE_US,
-        most_us: int = MOST_US,
-        percent: int = MOST_PERCENT,
+        consecutive_failures: int = CONSECUTIVE_FAILURES,
+        base_ejection_us: int = BASE_EJECTION_US,
+        max_ejection_us: int = MAX_EJECTION_US,
+        max_ejected_percent: int = MAX_EJECTED_PERCENT,
     ) -> None:
-        self._consecutive, self._base, self._most, self._percent = consecutive, base_us, most_us, percent
-        self._known: dict[Key, _Standing] = {}
-        self._ejected: dict[Key, None] = {}
+        self._consecutive_failures = consecutive_failures
+        self._base_ejection_us = base_ejection_us
+        self._max_ejection_us = max_ejection_us
+        self._max_ejected_percent = max_ejected_percent
+        self._records: dict[Key, _Record] = {}
+        self._ejected: dict[Key, None] = {}  # an ordered set
 
-    def ejected(self, key: Key) -> bool:
-        """Whether it gets no calls."""
+    def is_ejected(self, key: Key) -> bool:
+        """Whether an endpoint gets no calls."""
         return key in self._ejected
 
-    def told(self, key: Key, good: bool, members: int, now: int) -> bool:
-        """How a call to it ended, of `members` endpoints; True if that has it ejected."""
-        standing = self._known.setdefault(key, _Standing())
+    def record_result(self, key: Key, good: bool, endpoint_count: int, now: int) -> bool:
+        """Record how a call ended, in a set of so many endpoints; True if that ejects the endpoint."""
+        record = self._records.setdefault(key, _Record())
         if good:
-            standing.failures = 0
+            record.consecutive_failures = 0
             return False
-        standing.failures += 1
-        if standing.failures < self._consecutive or key in self._ejected or not self._room(members):
+        record.consecutive_failures += 1
+        if record.consecutive_failures < self._consecutive_failures or key in self._ejected:
             return False
-        standing.failures = 0
-        standing.ejections += 1
-        standing.until = now + min(self._base * standing.ejections, max(self._base, self._most))
-        self._ejected[key] = None
+        if not self._may_eject(endpoint_count):
+            return False
+        self._eject(key, record, now)
         return True
 
-    def _room(self, members: int) -> bool:
-        return not self._ejected or 100 * (len(self._ejected) + 1) <= self._percent * members
+    def _may_eject(self, endpoint_count: int) -> bool:
+        if not self._ejected:
+            return True
+        return 100 * (len(self._ejected) + 1) <= self._max_ejected_percent * endpoint_count
 
-    def look(self, now: int) -> list[Key]:
-        """Who is let back in. To be called once an interval; who behaved through it is trusted a little
-        more."""
-        back = [key for key in self._ejected if self._known[key].until <= now]
-        for key in back:
+    def _eject(self, key: Key, record: _Record, now: int) -> None:
+        record.consecutive_failures = 0
+        record.ejections += 1
+        longest = max(self._base_ejection_us, self._max_ejection_us)
+        record.ejected_until = now + min(self._base_ejection_us * record.ejections, longest)
+        self._ejected[key] = None
+
+    def readmit_due(self, now: int) -> list[Key]:
+        """Readmit endpoints whose time is over, and return them.
+
+        To be called once an interval: an endpoint that behaved through it is trusted a little more.
+        """
+        readmitted = [key for key in self._ejected if self._records[key].ejected_until <= now]
+        for key in readmitted:
             del self._ejected[key]
-        for key, standing in self._known.items():
-            if key not in self._ejected and key not in back and standing.ejections and not standing.failures:
-                standing.ejections -= 1
-        return back
+        for key, record in self._records.items():
+            in_service = key not in self._ejected and key not in readmitted
+            if in_service and record.ejections and not record.consecutive_failures:
+                record.ejections -= 1
+        return readmitted
 
     def forget(self, key: Key) -> None:
-        """It is no member any more; back under the same address, it begins anew."""
-        self._known.pop(key, None)
+        """An endpoint was removed; back under the same address, it starts anew."""
+        self._records.pop(key, None)
         self._ejected.pop(key, None)
 
 
 def slow_start(
-    weight: int, joined_for: int, window: int, aggression: float = 1.0, least: float = LEAST_SHARE
+    weight: int,
+    joined_for: int,
+    window: int,
+    aggression: float = 1.0,
+    min_share: float = MIN_SLOW_START_SHARE,
 ) -> int:
-    """The weight of an endpoint that joined so long ago; never below 1, unless it has none. A higher
-    aggression takes it up faster at first."""
+    """The weight of an endpoint that joined so long ago; never below 1, unless it has none.
+
+    A higher aggression raises it faster at first; `ValueError` if that is not above 0.
+    """
     if aggression <= 0:
         raise ValueError(f"aggression: {aggression} is not above 0")
     if weight == 0 or window <= 0 or joined_for >= window:
         return weight
     share = (max(0, joined_for) / window) ** (1 / aggression)
-    return max(1, int(weight * max(least, share)))
+    return max(1, int(weight * max(min_share, share)))
--- a/cairnvane/xds/__init__.py
+++ b/cairnvane/xds/__init__.py
@@ -1,21 +1,30 @@
-"""An xDS v3 client: the protocol's state machine, in its two forms. No I/O, no clock; transports move it.
+"""An xDS v3 client: the protocol's state machine, in its two forms.
 
-`known` keeps what is known of each resource, whichever form brought it. `machine` speaks: state of the
-world or incremental, versions, nonces, ACK and NACK. Terms and rules are those of Envoy's 'xDS REST and
-gRPC protocol'.
+`resource_table` keeps the state of each resource, whichever form brought it. `protocol` is the
+conversation: state of the world or incremental, versions, nonces, ACK and NACK. `session` joins clusters
+and endpoints on stream, `cluster_view` decides which clusters are active, `resources` reads Envoy's
+messages. None of these does I/O or reads a clock; `grpc_stream` drives a session over gRPC. Terms and rules
+are those of Envoy's 'xDS REST and gRPC protocol'.
 """
 
-from .known import Event, Known, Resources
-from .machine import Delta, DeltaRequest, DeltaResponse, Request, Response, StateOfTheWorld
+from .protocol import (
+    DeltaDiscoveryRequest,
+    DeltaDiscoveryResponse,
+    DeltaProtocol,
+    DiscoveryRequest,
+    DiscoveryResponse,
+    StateOfTheWorldProtocol,
+)
+from .resource_table import ResourceEvent, ResourceState, ResourceTable
 
 __all__ = [
-    "Delta",
-    "DeltaRequest",
-    "DeltaResponse",
-    "Event",
-    "Known",
-    "Request",
-    "Resources",
-    "Response",
-    "StateOfTheWorld",
+    "DeltaDiscoveryRequest",
+    "DeltaDiscoveryResponse",
+    "DeltaProtocol",
+    "DiscoveryRequest",
+    "DiscoveryResponse",
+    "ResourceEvent",
+    "ResourceState",
+    "ResourceTable",
+    "StateOfTheWorldProtocol",
 ]
--- a/cairnvane/xds/grpc_stream.py
+++ b/cairnvane/xds/grpc_stream.py
@@ -1,6 +1,6 @@
 """The aggregated stream over gRPC, on grpcio and the published message classes (the extra `xds`).
 
-A thread keeps a stream open and begins a new one when it ends; the session decides what is said on it.
+A thread keeps a stream open and starts a new one when it ends; the session decides what is sent on it.
 """
 
 from __future__ import annotations
@@ -18,72 +18,95 @@
 from google.rpc import status_pb2
 
 from . import resources
-from .machine import DeltaRequest, DeltaResponse, Request, Response
+from .protocol import (
+    DeltaDiscoveryRequest,
+    DeltaDiscoveryResponse,
+    DiscoveryRequest,
+    DiscoveryResponse,
+)
 from .session import Session, Step, make_delta, make_state_of_the_world
 
 logger = logging.getLogger(__name__)
 
-# A stream that has ended is begun anew after so long, and after twice as long each time that nothing came
-# on it.
-RETRY_S, MOST_RETRY_S = 0.1, 5.0
-INVALID = 3  # google.rpc.Code.INVALID_ARGUMENT, which a NACK carries
-MOST_MESSAGE = 64 << 20  # 100,000 endpoints in one message are about 5 MB
+# Exponential backoff between streams; it starts over once something came on a stream.
+MIN_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 5.0
+INVALID_ARGUMENT = 3  # google.rpc.Code, in a NACK
+MAX_MESSAGE_BYTES = 64 << 20  # 100,000 endpoints in one message are about 5 MB
+US_PER_SECOND = 1e6
 
 
-# Whoever goes by the session; called in a thread of the stream's, after each message that changed
-# something, and when something that was asked for is missing.
-Told = Callable[[Step[Any]], None]
+# Called in a thread of the stream's, after each message that changed something, and when something that was
+# requested is missing.
+StepListener = Callable[[Step[Any]], None]
 
 
-def _clock() -> int:
+def _now_us() -> int:
     return time.monotonic_ns() // 1_000
 
 
-def _put(asked: Request | DeltaRequest, node: Any) -> Any:
-    error = status_pb2.Status(code=INVALID, message=asked.error) if asked.error else None
-    if isinstance(asked, Request):
+def _request_message(request: DiscoveryRequest | DeltaDiscoveryRequest, node: Any) -> Any:
+    """The protocol buffer of a request."""
+    error = status_pb2.Status(code=INVALID_ARGUMENT, message=request.error) if request.error else None
+    if isinstance(request, DiscoveryRequest):
         return discovery_pb2.DiscoveryRequest(
-            version_info=asked.version,
+            version_info=request.version,
             node=node,
-            resource_names=asked.names,
-            type_url=asked.type_url,
-            response_nonce=asked.nonce,
+            resource_names=request.names,
+            type_url=request.type_url,
+            response_nonce=request.nonce,
             error_detail=error,
         )
     return discovery_pb2.DeltaDiscoveryRequest(
         node=node,
-        type_url=asked.type_url,
-        resource_names_subscribe=asked.subscribe,
-        resource_names_unsubscribe=asked.unsubscribe,
-        initial_resource_versions=asked.initial_versions,
-        response_nonce=asked.nonce,
+        type_url=request.type_url,
+        resource_names_subscribe=request.subscribe,
+        resource_names_unsubscribe=request.unsubscribe,
+        initial_resource_versions=request.initial_versions,
+        response_nonce=request.nonce,
         error_detail=error,
     )
 
 
-def _parse(type_url: str, found: Any) -> tuple[str, Any]:
-    """A resource of another type than its response's is none that can be read."""
-    return resources.parse(type_url, found.value) if found.type_url == type_url else ("", None)
+def _parse(type_url: str, resource: Any) -> tuple[str, Any]:
+    """Name and message of a resource; one of another type than its response's can't be read."""
+    if resource.type_url != type_url:
+        return "", None
+    return resources.parse_resource(type_url, resource.value)
 
 
-def _take(told: Any) -> Response | DeltaResponse:
-    if isinstance(told, discovery_pb2.DiscoveryResponse):
-        return Response(
-            told.version_info, told.nonce, tuple(_parse(told.type_url, one) for one in told.resources)
-        )
-    changed = tuple((one.name, one.version, _parse(told.type_url, one.resource)[1]) for one in told.resources)
-    return DeltaResponse(told.nonce, changed, tuple(told.removed_resources))
+def _response(message: Any) -> DiscoveryResponse | DeltaDiscoveryResponse:
+    """The response in a protocol buffer."""
+    type_url = message.type_url
+    if isinstance(message, discovery_pb2.DiscoveryResponse):
+        parsed = tuple(_parse(type_url, resource) for resource in message.resources)
+        return DiscoveryResponse(message.version_info, message.nonce, parsed)
+    changed = tuple(
+        (resource.name, resource.version, _parse(type_url, resource.resource)[1])
+        for resource in message.resources
+    )
+    return DeltaDiscoveryResponse(message.nonce, changed, tuple(message.removed_resources))
 
 
 class GrpcStream:
     """A client of one management server."""
 
-    def __init__(self, address: str, node_id: str, told: Told, *, delta: bool = False) -> None:
+    def __init__(
+        self,
+        address: str,
+        node_id: str,
+        listener: StepListener,
+        *,
+        delta: bool = False,
+    ) -> None:
         make: Callable[..., Session[Any, Any]] = make_delta if delta else make_state_of_the_world
-        self.session = make(resources.cluster, resources.assignment)
-        self._address, self._delta, self._told = address, delta, told
+        self.session = make(resources.parse_cluster, resources.parse_assignment)
+        self._address = address
+        self._delta = delta
+        self._listener = listener
         self._node = base_pb2.Node(id=node_id, user_agent_name="cairnvane")
-        self._lock = threading.Lock()  # the session is moved by the stream and by its timer
+        # Guards the session and the timer, which the stream's thread and the timer's thread both use.
+        self._lock = threading.Lock()
         self._timer: threading.Timer | None = None
         self._stopped = threading.Event()
         self._call: Any = None
@@ -94,66 +117,72 @@
         self._thread.start()
 
     def stop(self, wait_s: float = 2.0) -> None:
-        """End the stream and its thread; what counts, counts on."""
+        """End the stream and its thread; active clusters remain active."""
         self._stopped.set()
-        if (call := self._call) is not None:
+        call = self._call
+        if call is not None:
             call.cancel()
         self._thread.join(wait_s)
 
     def _run(self) -> None:
-        wait = RETRY_S
-        options = [("grpc.max_receive_message_length", MOST_MESSAGE)]
+        backoff_s = MIN_BACKOFF_S
+        options = [("grpc.max_receive_message_length", MAX_MESSAGE_BYTES)]
         while not self._stopped.is_set():
             with grpc.insecure_channel(self._address, options=options) as channel:
                 try:
-                    wait = RETRY_S if self._converse(channel) else min(MOST_RETRY_S, 2 * wait)
+                    received_any = self._run_stream(channel)
+                    backoff_s = MIN_BACKOFF_S if received_any else min(MAX_BACKOFF_S, 2 * backoff_s)
                 except grpc.RpcError as error:
-                    logger.warning("stream ended: %s", error.code().name)
-            self._stopped.wait(wait)
+                    logger.warning("stream to %s ended: %s", self._address, error.code().name)
+            self._stopped.wait(backoff_s)
 
-    def _converse(self, channel: Any) -> bool:
-        """One stream; whether anything came on it."""
+    def _run_stream(self, channel: Any) -> bool:
+        """Run one stream to its end; returns whether anything was received on it."""
         stub = ads_pb2_grpc.AggregatedDiscoveryServiceStub(channel)
-        begin = stub.DeltaAggregatedResources if self._delta else stub.StreamAggregatedResources
-        out: SimpleQueue[Any] = SimpleQueue()
-        came = False
+        open_stream = stub.DeltaAggregatedResources if self._delta else stub.StreamAggregatedResources
+        requests: SimpleQueue[Any] = SimpleQueue()
+        received_any = False
         with self._lock:
-            self._say(out, self.session.opened(_clock()))
-        self._call = begin(iter(out.get, None))
+            self._perform(requests, self.session.opened(_now_us()))
+        self._call = open_stream(iter(requests.get, None))
         try:
-            for told in self._call:
-                came = True
-                taken = _take(told)
+            for message in self._call:
+                received_any = True
+                response = _response(message)
                 with self._lock:
-                    self._say(out, self.session.received(told.type_url, taken, _clock()))
+                    step = self.session.received(message.type_url, response, _now_us())
+                    self._perform(requests, step)
         finally:
-            out.put(None)  # ends the requests' iterator, and the thread that goes over it
+            requests.put(None)  # ends the requests' iterator, and the thread that reads it
             with self._lock:
                 self.session.closed()
                 self._set_timer()
-        return came
+        return received_any
 
-    def _say(self, out: SimpleQueue[Any], step: Step[Any]) -> None:
-        for asked in step.send:
-            out.put(_put(asked, self._node))
+    def _perform(self, requests: SimpleQueue[Any], step: Step[Any]) -> None:
+        for request in step.send:
+            requests.put(_request_message(request, self._node))
         if step.changes:
-            self._told(step)
+            self._listener(step)
         self._set_timer()
 
     def _set_timer(self) -> None:
-        """For the next resource that will be missing."""
+        """Set the timer for the next resource that will be missing."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        if (due := self.session.due()) is not None:
-            self._timer = threading.Timer(max(0, due - _clock()) / 1e6, self._look)
-            self._timer.daemon = True
-            self._timer.start()
-
-    def _look(self) -> None:
-        """In the timer's thread."""
+        timeout_at = self.session.next_timeout_at()
+        if timeout_at is None:
+            return
+        wait_s = max(0, timeout_at - _now_us()) / US_PER_SECOND
+        self._timer = threading.Timer(wait_s, self._expire)
+        self._timer.daemon = True
+        self._timer.start()
+
+    def _expire(self) -> None:
+        """Report missing resources; in the timer's thread."""
         with self._lock:
-            step = self.session.look(_clock())
+            step = self.session.expire(_now_us())
             if step.missing:
-                self._told(step)
+                self._listener(step)
             self._set_timer()
--- a/cairnvane/xds/resources.py
+++ b/cairnvane/xds/resources.py
@@ -1,14 +1,15 @@
 """Envoy's messages to descriptions, on the published message classes (xds-protos; the extra `xds`).
 
-`ValueError` names the field and what is wrong with it; the resource is then refused, and the last good one
-counts on. `docs/fleet.md` has the table of fields that are understood, ignored and refused.
+`DescriptionError` names the field and what is wrong with it; the resource is then rejected, and the last good
+one remains active. `docs/fleet.md` has the table of fields that are understood, ignored and rejected.
 """
 
 from __future__ import annotations
 
 import json
+from collections import defaultdict
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 from envoy.config.cluster.v3 import cluster_pb2
 from envoy.config.core.v3 import health_check_pb2
@@ -16,200 +17,295 @@
 from google.protobuf import json_format
 from google.protobuf.message import DecodeError
 
-from ..load_balancing.circuit_breakers import Breakers, RetryBudget
-from ..load_balancing.cluster import MILLION, Assignment, Cluster, Locality, Policy
-from ..load_balancing.endpoints import Address, Described, Health
-from ..load_balancing.locality_weights import PANIC_THRESHOLD
-from ..load_balancing.weighted_choice import MOST_WEIGHT
+from ..load_balancing.circuit_breakers import CircuitBreakers, RetryBudget
+from ..load_balancing.cluster import MILLION, Assignment, Cluster, LoadBalancingPolicy, Locality
+from ..load_balancing.endpoints import Address, EndpointDescription, EndpointHealth
+from ..load_balancing.locality_weights import OVERPROVISIONING, PANIC_THRESHOLD
+from ..load_balancing.weighted_choice import MAX_WEIGHT
 from .session import ASSIGNMENT, CLUSTER
 
-# Names are not looked up here, and no listener is there that could know an original destination.
-_TYPES = ("EDS", "STATIC")
+# No names are resolved here, and there is no listener that could know an original destination.
+_DISCOVERY_TYPES = ("EDS", "STATIC")
+_CONFIG_SOURCES = ("ads", "self", None)
 _POLICIES = {
-    "ROUND_ROBIN": Policy.ROUND_ROBIN,
-    "LEAST_REQUEST": Policy.LEAST_REQUEST,
-    "RANDOM": Policy.RANDOM,
-    "RING_HASH": Policy.RING_HASH,
-    "MAGLEV": Policy.MAGLEV,
+    "ROUND_ROBIN": LoadBalancingPolicy.ROUND_ROBIN,
+    "LEAST_REQUEST": LoadBalancingPolicy.LEAST_REQUEST,
+    "RANDOM": LoadBalancingPolicy.RANDOM,
+    "RING_HASH": LoadBalancingPolicy.RING_HASH,
+    "MAGLEV": LoadBalancingPolicy.MAGLEV,
 }
 _HEALTH = {
-    health_check_pb2.UNHEALTHY: Health.UNHEALTHY,
-    health_check_pb2.TIMEOUT: Health.UNHEALTHY,
-    health_check_pb2.DRAINING: Health.DRAINING,
-    health_check_pb2.DEGRADED: Health.DEGRADED,
+    health_check_pb2.UNHEALTHY: EndpointHealth.UNHEALTHY,
+    health_check_pb2.TIMEOUT: EndpointHealth.UNHEALTHY,
+    health_check_pb2.DRAINING: EndpointHealth.DRAINING,
+    health_check_pb2.DEGRADED: EndpointHealth.DEGRADED,
 }  # all others, those of later versions too, count as healthy
-_PER = {"HUNDRED": MILLION // 100, "TEN_THOUSAND": MILLION // 10_000, "MILLION": 1}
-MOST_PRIORITY = 128  # the protocol's own bound
+# How many in a million a numerator of one stands for, by denominator.
+_PER_MILLION = {"HUNDRED": MILLION // 100, "TEN_THOUSAND": MILLION // 10_000, "MILLION": 1}
+_DEFAULT_ROUTING_PRIORITY = 0
+MAX_PRIORITY = 128  # the protocol's own bound
+MAX_PORT = 65_535
+MIN_OVERPROVISIONING = 100
+ADDRESS_DIGITS = "0123456789abcdefABCDEF"
 
 
-def _require(ok: bool, field: str, what: object) -> None:
-    if not ok:
-        raise ValueError(f"{field}: {what}")
+class DescriptionError(ValueError):
+    """A field of a description that is not understood; the text names it and what is wrong."""
 
+    def __init__(self, field: str, problem: object) -> None:
+        super().__init__(f"{field}: {problem}")
+        self.field = field
 
-def _us(duration: Any) -> int:
+
+def _require(condition: bool, field: str, problem: object) -> None:
+    if not condition:
+        raise DescriptionError(field, problem)
+
+
+def _microseconds(duration: Any) -> int:
     return int(duration.seconds * MILLION + duration.nanos // 1_000)
 
 
-def cluster(name: str, told: Any) -> Cluster:
-    """A Cluster message; None if there was none to be read."""
-    _require(told is not None, "resource", "no Cluster")
-    _require(bool(told.name) and told.name == name, "name", f"{told.name!r} in the resource {name!r}")
-    kind = cluster_pb2.Cluster.DiscoveryType.Name(told.type)
-    _require(not told.HasField("cluster_type"), "cluster_type", f"{told.cluster_type.name!r} is refused")
-    _require(kind in _TYPES, "type", f"{kind} is refused; only {' and '.join(_TYPES)} are understood")
-    policy = cluster_pb2.Cluster.LbPolicy.Name(told.lb_policy)
+# --- clusters
+
+
+def parse_cluster(name: str, message: Any) -> Cluster:
+    """The cluster in a message, None if it could not be read; `DescriptionError` names what is wrong."""
+    _require(message is not None, "resource", "no Cluster")
+    name_matches = bool(message.name) and message.name == name
+    _require(name_matches, "name", f"{message.name!r} in the resource {name!r}")
+    discovery_type = _discovery_type(message)
+    policy = cluster_pb2.Cluster.LbPolicy.Name(message.lb_policy)
     _require(policy in _POLICIES, "lb_policy", f"{policy} is refused")
-    if kind == "EDS":
-        source = told.eds_cluster_config.eds_config.WhichOneof("config_source_specifier")
-        known = source in ("ads", "self", None)
-        _require(known, "eds_cluster_config.eds_config", f"{source} is refused; only ads")
-    inline = assignment(name, told.load_assignment) if kind == "STATIC" else None
-    percent = told.common_lb_config.healthy_panic_threshold
-    panic = percent.value if told.common_lb_config.HasField("healthy_panic_threshold") else PANIC_THRESHOLD
-    _require(0 <= panic <= 100, "common_lb_config.healthy_panic_threshold", panic)
-    lb = told.least_request_lb_config if policy == "LEAST_REQUEST" else told.round_robin_lb_config
-    start = _us(lb.slow_start_config.slow_start_window)
-    service = told.eds_cluster_config.service_name or name
-    return Cluster(name, service, _POLICIES[policy], _breakers(told), panic, start, inline)
-
-
-def _breakers(told: Any) -> Breakers:
-    """Of the priority DEFAULT; HIGH is for traffic that is marked so, which none here is."""
-    for found in told.circuit_breakers.thresholds:
-        if found.priority != 0:
-            continue
-        plain = Breakers()
-
-        def given(field: str, default: int, found: Any = found) -> int:
-            return int(getattr(found, field).value) if found.HasField(field) else default
-
-        budget = None
-        if found.HasField("retry_budget"):
-            kept = RetryBudget()
-            share = found.retry_budget.budget_percent
-            budget = RetryBudget(
-                share.value if found.retry_budget.HasField("budget_percent") else kept.percent,
-                given("min_retry_concurrency", kept.least, found.retry_budget),
-            )
-        return Breakers(
-            given("max_connections", plain.connections),
-            given("max_pending_requests", plain.pending),
-            given("max_requests", plain.requests),
-            given("max_retries", plain.retries),
-            budget,
-        )
-    return Breakers()
-
-
-def assignment(name: str, told: Any) -> Assignment:
-    """A ClusterLoadAssignment message; None if there was none to be read."""
-    _require(told is not None, "resource", "no ClusterLoadAssignment")
+    if discovery_type == "EDS":
+        _check_config_source(message)
+    is_static = discovery_type == "STATIC"
+    return Cluster(
+        name,
+        message.eds_cluster_config.service_name or name,
+        _POLICIES[policy],
+        inline_assignment=parse_assignment(name, message.load_assignment) if is_static else None,
+        panic_threshold=_panic_threshold(message),
+        slow_start_us=_slow_start_us(message, policy),
+        circuit_breakers=_circuit_breakers(message),
+    )
+
+
+def _discovery_type(message: Any) -> str:
+    discovery_type: str = cluster_pb2.Cluster.DiscoveryType.Name(message.type)
+    has_custom_type = message.HasField("cluster_type")
+    _require(not has_custom_type, "cluster_type", f"{message.cluster_type.name!r} is refused")
+    understood = " and ".join(_DISCOVERY_TYPES)
+    is_understood = discovery_type in _DISCOVERY_TYPES
+    _require(is_understood, "type", f"{discovery_type} is refused; only {understood} are understood")
+    return discovery_type
+
+
+def _check_config_source(message: Any) -> None:
+    source = message.eds_cluster_config.eds_config.WhichOneof("config_source_specifier")
+    _require(source in _CONFIG_SOURCES, "eds_cluster_config.eds_config", f"{source} is refused; only ads")
+
+
+def _panic_threshold(message: Any) -> float:
+    config = message.common_lb_config
+    if not config.HasField("healthy_panic_threshold"):
+        return PANIC_THRESHOLD
+    percent: float = config.healthy_panic_threshold.value
+    _require(0 <= percent <= 100, "common_lb_config.healthy_panic_threshold", percent)
+    return percent
+
+
+def _slow_start_us(message: Any, policy: str) -> int:
+    is_least_request = policy == "LEAST_REQUEST"
+    config = message.least_request_lb_config if is_least_request else message.round_robin_lb_config
+    return _microseconds(config.slow_start_config.slow_start_window)
+
+
+def _circuit_breakers(message: Any) -> CircuitBreakers:
+    """Those of the routing priority DEFAULT; HIGH is for marked traffic, which does not occur here."""
+    for thresholds in message.circuit_breakers.thresholds:
+        if thresholds.priority == _DEFAULT_ROUTING_PRIORITY:
+            return _thresholds(thresholds)
+    return CircuitBreakers()
+
+
+def _thresholds(message: Any) -> CircuitBreakers:
+    defaults = CircuitBreakers()
+    return CircuitBreakers(
+        connections=_number(message, "max_connections", defaults.connections),
+        pending=_number(message, "max_pending_requests", defaults.pending),
+        requests=_number(message, "max_requests", defaults.requests),
+        retries=_number(message, "max_retries", defaults.retries),
+        budget=_retry_budget(message.retry_budget) if message.HasField("retry_budget") else None,
+    )
+
+
+def _retry_budget(message: Any) -> RetryBudget:
+    defaults = RetryBudget()
+    has_percent = message.HasField("budget_percent")
+    return RetryBudget(
+        percent=message.budget_percent.value if has_percent else defaults.percent,
+        min_retries=_number(message, "min_retry_concurrency", defaults.min_retries),
+    )
+
+
+def _number(message: Any, field: str, default: int) -> int:
+    """The value of a wrapped number, or its default if it is not set."""
+    return int(getattr(message, field).value) if message.HasField(field) else default
+
+
+# --- endpoints
+
+
+def parse_assignment(name: str, message: Any) -> Assignment:
+    """The endpoints in a message, None if it could not be read; `DescriptionError` names what is wrong."""
+    _require(message is not None, "resource", "no ClusterLoadAssignment")
+    name_matches = bool(message.cluster_name) and message.cluster_name == name
+    _require(name_matches, "cluster_name", f"{message.cluster_name!r} in the resource {name!r}")
+    fields_by_address: dict[Address, str] = {}
+    localities = tuple(
+        _locality(f"endpoints[{index}]", locality, fields_by_address)
+        for index, locality in enumerate(message.endpoints)
+    )
+    _check_localities(localities)
+    policy = message.policy
+    drops = tuple(
+        _drop(f"policy.drop_overloads[{index}]", drop) for index, drop in enumerate(policy.drop_overloads)
+    )
+    overprovisioning = _number(policy, "overprovisioning_factor", OVERPROVISIONING)
+    is_enough = overprovisioning >= MIN_OVERPROVISIONING
     _require(
-        bool(told.cluster_name) and told.cluster_name == name,
-        "cluster_name",
-        f"{told.cluster_name!r} in the resource {name!r}",
+        is_enough, "policy.overprovisioning_factor", f"{overprovisioning} is below {MIN_OVERPROVISIONING}"
     )
-    seen: dict[Address, str] = {}
-    found = tuple(_locality(f"endpoints[{at}]", one, seen) for at, one in enumerate(told.endpoints))
-    priorities = {one.priority for one in found}
+    return Assignment(name, localities, overprovisioning, drops)
+
+
+def _check_localities(localities: tuple[Locality, ...]) -> None:
+    """Priorities without gaps, weights within bounds, no locality twice in one priority."""
+    priorities = {locality.priority for locality in localities}
     missing = sorted(set(range(len(priorities))) - priorities)
     _require(not missing, "endpoints", f"priority {missing[:1]} is left out")
+    totals: defaultdict[int, int] = defaultdict(int)
+    for locality in localities:
+        totals[locality.priority] += locality.weight
     for priority in priorities:
-        total = sum(one.weight for one in found if one.priority == priority)
-        _require(total <= MOST_WEIGHT, "endpoints", f"weights of priority {priority} add up to {total}")
-    places = [(one.name, one.priority) for one in found]
-    _require(len(set(places)) == len(places), "endpoints", "a locality stands twice in one priority")
-    policy = told.policy
-    drops = tuple(_drop(f"policy.drop_overloads[{at}]", one) for at, one in enumerate(policy.drop_overloads))
-    factor = policy.overprovisioning_factor.value if policy.HasField("overprovisioning_factor") else 140
-    _require(factor >= 100, "policy.overprovisioning_factor", f"{factor} is below 100")
-    return Assignment(name, found, factor, drops)
-
-
-def _drop(field: str, told: Any) -> tuple[str, int]:
-    _require(bool(told.category), f"{field}.category", "missing")
-    share = told.drop_percentage
-    million = share.numerator * _PER[type(share).DenominatorType.Name(share.denominator)]
-    return told.category, min(MILLION, million)
-
-
-def _locality(field: str, told: Any, seen: dict[Address, str]) -> Locality:
-    _require(told.priority <= MOST_PRIORITY, f"{field}.priority", f"{told.priority} is above {MOST_PRIORITY}")
-    parts = (told.locality.region, told.locality.zone, told.locality.sub_zone)
+        total = totals[priority]
+        _require(total <= MAX_WEIGHT, "endpoints", f"weights of priority {priority} add up to {total}")
+    places = [(locality.name, locality.priority) for locality in localities]
+    is_unique = len(set(places)) == len(places)
+    _require(is_unique, "endpoints", "a locality stands twice in one priority")
+
+
+def _drop(field: str, message: Any) -> tuple[str, int]:
+    """A category, and how many in a million calls it drops."""
+    _require(bool(message.category), f"{field}.category", "missing")
+    share = message.drop_percentage
+    denominator = type(share).DenominatorType.Name(share.denominator)
+    per_million = share.numerator * _PER_MILLION[denominator]
+    return message.category, min(MILLION, per_million)
+
+
+def _locality(field: str, message: Any, fields_by_address: dict[Address, str]) -> Locality:
+    """One locality; `fields_by_address` has the endpoints of all localities so far, and gets its own."""
+    priority = message.priority
+    _require(priority <= MAX_PRIORITY, f"{field}.priority", f"{priority} is above {MAX_PRIORITY}")
+    parts = (message.locality.region, message.locality.zone, message.locality.sub_zone)
     name = "/".join(part for part in parts if part)
-    endpoints: dict[Address, Described] = {}
-    for at, one in enumerate(told.lb_endpoints):
-        here = f"{field}.lb_endpoints[{at}]"
-        address = _address(f"{here}.endpoint.address", one.endpoint.address)
-        _require(address not in seen, here, f"{address[0]}:{address[1]} stands in {seen.get(address)} too")
-        seen[address] = here
-        weight = one.load_balancing_weight.value if one.HasField("load_balancing_weight") else 1
-        _require(weight >= 1, f"{here}.load_balancing_weight", "0; leave the endpoint out, or have it drain")
-        endpoints[address] = Described(weight, _HEALTH.get(one.health_status, Health.HEALTHY))
-    total = sum(one.weight for one in endpoints.values())
-    _require(total <= MOST_WEIGHT, f"{field}.lb_endpoints", f"weights add up to {total}")
-    return Locality(name, told.priority, told.load_balancing_weight.value, endpoints)
-
-
-def _address(field: str, told: Any) -> Address:
-    socket = told.socket_address
-    _require(told.WhichOneof("address") == "socket_address", field, "no socket_address")
-    _require(socket.WhichOneof("port_specifier") == "port_value", f"{field}.port_value", "missing")
-    _require(0 < socket.port_value < 65_536, f"{field}.port_value", socket.port_value)
+    endpoints: dict[Address, EndpointDescription] = {}
+    for index, endpoint in enumerate(message.lb_endpoints):
+        endpoint_field = f"{field}.lb_endpoints[{index}]"
+        address = _address(f"{endpoint_field}.endpoint.address", endpoint.endpoint.address)
+        earlier = fields_by_address.get(address)
+        _require(earlier is None, endpoint_field, f"{address[0]}:{address[1]} stands in {earlier} too")
+        fields_by_address[address] = endpoint_field
+        endpoints[address] = _endpoint(endpoint_field, endpoint)
+    total = sum(endpoint.weight for endpoint in endpoints.values())
+    _require(total <= MAX_WEIGHT, f"{field}.lb_endpoints", f"weights add up to {total}")
+    return Locality(name, priority, message.load_balancing_weight.value, endpoints)
+
+
+def _endpoint(field: str, message: Any) -> EndpointDescription:
+    weight = _number(message, "load_balancing_weight", 1)
+    weight_field = f"{field}.load_balancing_weight"
+    _require(weight >= 1, weight_field, "0; leave the endpoint out, or have it drain")
+    return EndpointDescription(weight, _HEALTH.get(message.health_status, EndpointHealth.HEALTHY))
+
+
+def _address(field: str, message: Any) -> Address:
+    socket = message.socket_address
+    _require(message.WhichOneof("address") == "socket_address", field, "no socket_address")
+    port_field = f"{field}.port_value"
+    _require(socket.WhichOneof("port_specifier") == "port_value", port_field, "missing")
+    _require(0 < socket.port_value <= MAX_PORT, port_field, socket.port_value)
     digits = socket.address.replace(".", "").replace(":", "")
-    plain = bool(digits) and all(sign in "0123456789abcdefABCDEF" for sign in digits)
-    _require(plain, f"{field}.address", f"{socket.address!r} is no address in figures; none is looked up")
+    is_numeric = bool(digits) and all(digit in ADDRESS_DIGITS for digit in digits)
+    problem = f"{socket.address!r} is no address in figures; none is looked up"
+    _require(is_numeric, f"{field}.address", problem)
     return socket.address, socket.port_value
 
 
-_KINDS: dict[str, tuple[Any, str, Callable[[str, Any], Any]]] = {
-    CLUSTER: (cluster_pb2.Cluster, "name", cluster),
-    ASSIGNMENT: (endpoint_pb2.ClusterLoadAssignment, "cluster_name", assignment),
+# --- resources
+
+
+class _Kind(NamedTuple):
+    """How resources of one type are read."""
+
+    message_class: Any
+    name_field: str
+    parse: Callable[[str, Any], Any]
+
+
+_KINDS: dict[str, _Kind] = {
+    CLUSTER: _Kind(cluster_pb2.Cluster, "name", parse_cluster),
+    ASSIGNMENT: _Kind(endpoint_pb2.ClusterLoadAssignment, "cluster_name", parse_assignment),
 }
 
 
-def parse(type_url: str, body: bytes) -> tuple[str, Any]:
+def parse_resource(type_url: str, body: bytes) -> tuple[str, Any]:
     """The name that a resource gives itself, and its message; empty and None if it can't be read."""
     if type_url not in _KINDS:
         return "", None
-    make, key, _ = _KINDS[type_url]
+    kind = _KINDS[type_url]
     try:
-        message = make.FromString(body)
+        message = kind.message_class.FromString(body)
     except DecodeError:
         return "", None
-    return str(getattr(message, key)), message
+    return str(getattr(message, kind.name_field)), message
 
 
 def check_json(text: str) -> tuple[list[Cluster | Assignment], list[str]]:
-    """A description as a file has it: a DiscoveryResponse in JSON, with `resources`. What is good, and a
-    line for each resource that is not. `ValueError` if it is none at all."""
+    """Read a description from a file: a DiscoveryResponse in JSON, with `resources`.
+
+    Returns the good resources, and a line for each bad one. `ValueError` if the text is no such response.
+    """
     try:
-        told = json.loads(text)
+        document = json.loads(text)
     except ValueError as error:
         raise ValueError(f"no JSON: {error}") from None
-    found = told.get("resources") if isinstance(told, dict) else None
-    _require(isinstance(found, list), "resources", "missing, or no list")
-    assert isinstance(found, list)
+    entries = document.get("resources") if isinstance(document, dict) else None
+    if not isinstance(entries, list):
+        raise DescriptionError("resources", "missing, or no list")
     good: list[Cluster | Assignment] = []
     bad: list[str] = []
-    for at, one in enumerate(found):
+    for index, entry in enumerate(entries):
         try:
-            good.append(_from_json(one))
+            good.append(_from_json(entry))
         except ValueError as error:
-            bad.append(f"resources[{at}].{error}")
+            bad.append(f"resources[{index}].{error}")
     return good, bad
 
 
-def _from_json(told: Any) -> Cluster | Assignment:
-    _require(isinstance(told, dict), "@type", "no object")
-    kind = told.get("@type")
-    _require(kind in _KINDS, "@type", f"{kind!r} is not understood")
-    make, key, take = _KINDS[kind]
+def _from_json(entry: Any) -> Cluster | Assignment:
+    if not isinstance(entry, dict):
+        raise DescriptionError("@type", "no object")
+    type_url = entry.get("@type")
+    _require(type_url in _KINDS, "@type", f"{type_url!r} is not understood")
+    kind = _KINDS[str(type_url)]
+    fields = {name: value for name, value in entry.items() if name != "@type"}
     try:
-        fields = {name: value for name, value in told.items() if name != "@type"}
-        message = json_format.ParseDict(fields, make())
+        message = json_format.ParseDict(fields, kind.message_class())
     except json_format.ParseError as error:
-        raise ValueError(f"{kind.rpartition('.')[2]}: {str(error).splitlines()[0]}") from None
-    found: Cluster | Assignment = take(getattr(message, key), message)
-    return found
+        message_name = str(type_url).rpartition(".")[2]
+        raise DescriptionError(message_name, str(error).splitlines()[0]) from None
+    parsed: Cluster | Assignment = kind.parse(getattr(message, kind.name_field), message)
+    return parsed
--- a/cairnvane/xds/session.py
+++ b/cairnvane/xds/session.py
@@ -1,8 +1,8 @@
-"""One aggregated stream: clusters and their endpoints together. No I/O, no clock; a transport moves it.
+"""One aggregated stream: clusters and their endpoints together. No I/O, no clock; a transport drives it.
 
-Endpoints are asked for by the names that the clusters give, as soon as they give them, and let go of when
-no cluster that counts needs them. Each method gives what is to be sent, in order, and which clusters have
-changed.
+Endpoints are subscribed to by the names that the clusters give, as soon as they give them, and unsubscribed
+from when no active cluster needs them. Each method returns what is to be sent, in order, and which clusters
+have changed.
 """
 
 from __future__ import annotations
@@ -10,99 +10,127 @@
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
-from .known import Decode, Event, Resources, What
-from .machine import Delta, DeltaRequest, DeltaResponse, Machine, Request, Response, StateOfTheWorld
-from .view import Change, View
+from .cluster_view import ClusterChange, ClusterView
+from .protocol import (
+    DeltaDiscoveryRequest,
+    DeltaDiscoveryResponse,
+    DeltaProtocol,
+    DiscoveryRequest,
+    DiscoveryResponse,
+    StateOfTheWorldProtocol,
+    SubscriptionProtocol,
+)
+from .resource_table import Decode, EventKind, ResourceEvent, ResourceTable
 
 CLUSTER = "type.googleapis.com/envoy.config.cluster.v3.Cluster"
 ASSIGNMENT = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
 
-Asks = TypeVar("Asks")
-Tells = TypeVar("Tells")
+RequestT = TypeVar("RequestT")
+ResponseT = TypeVar("ResponseT")
 
 
 @dataclass(slots=True)
-class Step(Generic[Asks]):
-    """What comes of something."""
+class Step(Generic[RequestT]):
+    """The result of one step of a session."""
 
-    send: list[Asks] = field(default_factory=list)
-    changes: list[Change] = field(default_factory=list)
-    missing: list[str] = field(default_factory=list)  # endpoints that were asked for and did not come
+    send: list[RequestT] = field(default_factory=list)
+    changes: list[ClusterChange] = field(default_factory=list)
+    missing: list[str] = field(default_factory=list)  # endpoints that were requested and did not come
 
 
-class Session(Generic[Asks, Tells]):
-    """`make_state_of_the_world` and `make_delta` make one."""
+class Session(Generic[RequestT, ResponseT]):
+    """Both subscriptions of a stream; made by `make_state_of_the_world` or `make_delta`."""
 
-    def __init__(self, clusters: Machine[Asks, Tells], endpoints: Machine[Asks, Tells]) -> None:
-        self.view = View()
-        self._clusters, self._endpoints = clusters, endpoints
-        # A first request without names would ask for all endpoints that there are: it waits for a name.
-        self._asked = False
+    def __init__(
+        self,
+        clusters: SubscriptionProtocol[RequestT, ResponseT],
+        endpoints: SubscriptionProtocol[RequestT, ResponseT],
+    ) -> None:
+        self.view = ClusterView()
+        self._clusters = clusters
+        self._endpoints = endpoints
+        # A first request without names would subscribe to all endpoints: it waits for a name.
+        self._endpoints_requested = False
 
-    def opened(self, now: int) -> Step[Asks]:
+    def opened(self, now: int) -> Step[RequestT]:
         """A stream is up."""
-        step: Step[Asks] = Step()
-        self._asked = False
+        step: Step[RequestT] = Step()
+        self._endpoints_requested = False
         step.send.append(self._clusters.opened(now))
-        self._ask(step, now)
+        self._update_subscriptions(step, now)
         return step
 
     def closed(self) -> None:
-        """It has ended. All that counts counts on."""
+        """The stream has ended; all that is active remains so."""
         self._clusters.closed()
         self._endpoints.closed()
 
-    def received(self, type_url: str, response: Tells, now: int) -> Step[Asks]:
-        """A response of a type; one that nobody asked for is answered by nothing."""
-        step: Step[Asks] = Step()
-        machine = {CLUSTER: self._clusters, ASSIGNMENT: self._endpoints}.get(type_url)
-        if machine is None or (machine is self._endpoints and not self._asked):
+    def received(self, type_url: str, response: ResponseT, now: int) -> Step[RequestT]:
+        """Take a response of a type; one of a type that was not requested gets no answer."""
+        step: Step[RequestT] = Step()
+        if type_url == CLUSTER:
+            answer, events = self._clusters.received(response)
+            step.changes = [change for event in events for change in self._on_cluster(event)]
+        elif type_url == ASSIGNMENT and self._endpoints_requested:
+            answer, events = self._endpoints.received(response)
+            step.changes = [change for event in events for change in self._on_assignment(event)]
+        else:
             return step
-        answer, events = machine.received(response)
         if answer is not None:
             step.send.append(answer)
-        for event in events:
-            step.changes += self._cluster(event) if machine is self._clusters else self._assignment(event)
-        self._ask(step, now)
+        self._update_subscriptions(step, now)
         return step
 
-    def _cluster(self, event: Event) -> list[Change]:
-        updated = event.what is What.UPDATED
-        return self.view.cluster(event.value) if updated else self.view.no_cluster(event.name)
-
-    def _assignment(self, event: Event) -> list[Change]:
-        """That a resource is gone or missing says nothing of the endpoints: the last good ones count on,
-        until their cluster is gone or says something else."""
-        return self.view.assignment(event.value) if event.what is What.UPDATED else []
-
-    def _ask(self, step: Step[Asks], now: int) -> None:
-        """Have endpoints asked for whose names are needed, and for no others."""
-        needed, known = self.view.services(), set(self._endpoints.resources.known)
-        more = self._endpoints.subscribe(sorted(needed - known), now)
-        less = self._endpoints.unsubscribe(sorted(known - needed))
-        if self._asked:
-            step.send += [asked for asked in (more, less) if asked is not None]
-        elif needed and self._clusters.resources.open:
-            self._asked = True
+    def _on_cluster(self, event: ResourceEvent) -> list[ClusterChange]:
+        if event.kind is EventKind.UPDATED:
+            return self.view.update_cluster(event.value)
+        return self.view.remove_cluster(event.name)
+
+    def _on_assignment(self, event: ResourceEvent) -> list[ClusterChange]:
+        """A removed or missing resource says nothing of the endpoints.
+
+        The last good ones remain active until their cluster is removed or names others.
+        """
+        if event.kind is EventKind.UPDATED:
+            return self.view.update_assignment(event.value)
+        return []
+
+    def _update_subscriptions(self, step: Step[RequestT], now: int) -> None:
+        """Subscribe to the endpoints that are needed, and to no others."""
+        needed = self.view.needed_services()
+        subscribed = set(self._endpoints.resources.entries)
+        more = self._endpoints.subscribe(sorted(needed - subscribed), now)
+        fewer = self._endpoints.unsubscribe(sorted(subscribed - needed))
+        if self._endpoints_requested:
+            step.send += [request for request in (more, fewer) if request is not None]
+        elif needed and self._clusters.resources.is_stream_open:
+            self._endpoints_requested = True
             step.send.append(self._endpoints.opened(now))
 
-    def due(self) -> int | None:
-        """When to `look`."""
-        return self._endpoints.resources.due()
-
-    def look(self, now: int) -> Step[Asks]:
-        """What did not come in time."""
-        return Step(missing=[event.name for event in self._endpoints.resources.look(now)])
-
-
-def make_state_of_the_world(cluster: Decode, assignment: Decode) -> Session[Request, Response]:
-    """For a stream on which each response brings all that is asked for."""
-    return Session(
-        StateOfTheWorld(CLUSTER, Resources(cluster), True),
-        StateOfTheWorld(ASSIGNMENT, Resources(assignment, ()), False),
-    )
-
-
-def make_delta(cluster: Decode, assignment: Decode) -> Session[DeltaRequest, DeltaResponse]:
-    """For a stream on which each response brings what has changed."""
-    return Session(Delta(CLUSTER, Resources(cluster)), Delta(ASSIGNMENT, Resources(assignment, ())))
+    def next_timeout_at(self) -> int | None:
+        """When `expire` is wanted; None: not at all."""
+        return self._endpoints.resources.next_timeout_at()
+
+    def expire(self, now: int) -> Step[RequestT]:
+        """Report the endpoints that did not come in time."""
+        return Step(missing=[event.name for event in self._endpoints.resources.expire(now)])
+
+
+def make_state_of_the_world(
+    cluster: Decode,
+    assignment: Decode,
+) -> Session[DiscoveryRequest, DiscoveryResponse]:
+    """A session of the form in which each response brings all that is subscribed to."""
+    clusters = StateOfTheWorldProtocol(CLUSTER, ResourceTable(cluster), full=True)
+    endpoints = StateOfTheWorldProtocol(ASSIGNMENT, ResourceTable(assignment, ()), full=False)
+    return Session(clusters, endpoints)
+
+
+def make_delta(
+    cluster: Decode,
+    assignment: Decode,
+) -> Session[DeltaDiscoveryRequest, DeltaDiscoveryResponse]:
+    """A session of the form in which each response brings what has changed."""
+    clusters = DeltaProtocol(CLUSTER, ResourceTable(cluster))
+    endpoints = DeltaProtocol(ASSIGNMENT, ResourceTable(assignment, ()))
+    return Session(clusters, endpoints)
--- a/tests/load_balancing/test_load_balancing.py
+++ b/tests/load_balancing/test_load_balancing.py
@@ -11,21 +11,21 @@
 
 from cairnvane.contract.events import Outcome
 from cairnvane.load_balancing import (
-    Breakers,
-    Health,
-    Outliers,
+    CircuitBreakers,
+    HealthCount,
+    OutlierDetector,
     RetryBudget,
     Weighted,
-    localities,
-    priorities,
+    locality_shares,
+    priority_loads,
     slow_start,
 )
-from cairnvane.load_balancing.circuit_breakers import may_go_elsewhere
+from cairnvane.load_balancing.circuit_breakers import may_retry_elsewhere
 from cairnvane.load_balancing.maglev import TABLE_SIZE, Maglev
 
 
-def levels(*percents: int) -> list[Health]:
-    return [Health(percent, 100) for percent in percents]
+def levels(*percents: int) -> list[HealthCount]:
+    return [HealthCount(percent, 100) for percent in percents]
 
 
 @pytest.mark.parametrize(
@@ -53,7 +53,7 @@
     ],
 )
 def test_priorities_share_as_published(healthy: tuple[int, ...], loads: list[int]) -> None:
-    assert [level.load for level in priorities(levels(*healthy))] == loads
+    assert [level.load for level in priority_loads(levels(*healthy))] == loads
 
 
 @pytest.mark.parametrize(
@@ -67,20 +67,20 @@
     ],
 )
 def test_panic_only_where_all_together_lack_health(healthy: tuple[int, ...], panics: list[bool]) -> None:
-    assert [level.panic for level in priorities(levels(*healthy))] == panics
+    assert [level.panic for level in priority_loads(levels(*healthy))] == panics
 
 
 def test_with_nobody_healthy_the_load_goes_by_size_and_with_nobody_at_all_nowhere() -> None:
-    assert [level.load for level in priorities([Health(0, 30), Health(0, 10)])] == [75, 25]
-    assert [level.load for level in priorities([Health(0, 0), Health(0, 0)])] == [0, 0]
-    assert [level.load for level in priorities([Health(0, 0), Health(3, 3)])] == [0, 100]
+    assert [level.load for level in priority_loads([HealthCount(0, 30), HealthCount(0, 10)])] == [75, 25]
+    assert [level.load for level in priority_loads([HealthCount(0, 0), HealthCount(0, 0)])] == [0, 0]
+    assert [level.load for level in priority_loads([HealthCount(0, 0), HealthCount(3, 3)])] == [0, 100]
 
 
 @settings(derandomize=True, max_examples=200, deadline=None)
 @given(st.lists(st.tuples(st.integers(0, 50), st.integers(0, 50)), min_size=1, max_size=6))
 def test_loads_add_up_and_nobody_empty_gets_any(pairs: list[tuple[int, int]]) -> None:
-    found = [Health(min(pair), max(pair)) for pair in pairs]
-    shares = priorities(found)
+    found = [HealthCount(min(pair), max(pair)) for pair in pairs]
+    shares = priority_loads(found)
     assert sum(level.load for level in shares) == (100 if any(one.total for one in found) else 0)
     assert all(one.total or not level.load for one, level in zip(found, shares, strict=True))
 
@@ -99,7 +99,7 @@
     ],
 )
 def test_localities_share_by_weight_and_health(healthy: tuple[int, int], shares: tuple[int, int]) -> None:
-    got = localities([Health(healthy[0], 100, weight=1), Health(healthy[1], 100, weight=2)])
+    got = locality_shares([HealthCount(healthy[0], 100, weight=1), HealthCount(healthy[1], 100, weight=2)])
     assert tuple(round(100 * share) for share in got) == shares
 
 
@@ -166,13 +166,16 @@
 
 
 def test_breakers_and_the_retry_budget() -> None:
-    plain = Breakers(requests=10, retries=1)
+    plain = CircuitBreakers(requests=10, retries=1)
     assert plain.allows_call(9) and not plain.allows_call(10)
     assert plain.allows_call(5, True, 0) and not plain.allows_call(5, True, 1)
-    budget = RetryBudget(percent=20, least=3)
+    budget = RetryBudget(percent=20, min_retries=3)
     assert budget.allows(5, 2) and not budget.allows(5, 3) and budget.allows(100, 19)
-    assert not Breakers(requests=0).allows_call(0)
-    assert Breakers(requests=8).credit(2.5) == 2.5 and Breakers(requests=8).credit(None) == 8.0
+    assert not CircuitBreakers(requests=0).allows_call(0)
+    assert (
+        CircuitBreakers(requests=8).call_allowance(2.5) == 2.5
+        and CircuitBreakers(requests=8).call_allowance(None) == 8.0
+    )
 
 
 @pytest.mark.parametrize(
@@ -188,21 +191,24 @@
     ],
 )
 def test_a_keyed_call_goes_elsewhere_only_if_it_never_ran(outcome: Outcome, keyed: bool, may: bool) -> None:
-    assert may_go_elsewhere(outcome, keyed) is may
+    assert may_retry_elsewhere(outcome, keyed) is may
 
 
 def test_who_fails_is_ejected_for_longer_each_time_and_never_too_many_at_once() -> None:
-    out: Outliers[str] = Outliers(consecutive=2, base_us=10, most_us=25, percent=20)
-    assert [out.told("a", good, 10, 0) for good in (False, True, False, False)] == [False, False, False, True]
-    assert out.ejected("a") and out.look(9) == [] and out.look(10) == ["a"]
-    assert [out.told("a", False, 10, 10) for _ in range(2)] == [False, True]
-    assert out.look(29) == [] and out.look(30) == ["a"]  # twice as long
+    out: OutlierDetector[str] = OutlierDetector(
+        consecutive_failures=2, base_ejection_us=10, max_ejection_us=25, max_ejected_percent=20
+    )
+    results = (False, True, False, False)
+    assert [out.record_result("a", good, 10, 0) for good in results] == [False, False, False, True]
+    assert out.is_ejected("a") and out.readmit_due(9) == [] and out.readmit_due(10) == ["a"]
+    assert [out.record_result("a", False, 10, 10) for _ in range(2)] == [False, True]
+    assert out.readmit_due(29) == [] and out.readmit_due(30) == ["a"]  # twice as long
     for key in "bcd":
-        out.told(key, False, 10, 30)
-        out.told(key, False, 10, 30)
-    assert [out.ejected(key) for key in "bcd"] == [True, True, False]  # a fifth of ten at the most
+        out.record_result(key, False, 10, 30)
+        out.record_result(key, False, 10, 30)
+    assert [out.is_ejected(key) for key in "bcd"] == [True, True, False]  # a fifth of ten at the most
     out.forget("b")
-    assert not out.ejected("b")
+    assert not out.is_ejected("b")
 
 
 @pytest.mark.parametrize(
--- a/tests/xds_client/test_xds.py
+++ b/tests/xds_client/test_xds.py
@@ -9,8 +9,16 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from cairnvane.xds import Delta, DeltaRequest, DeltaResponse, Known, Resources, Response, StateOfTheWorld
-from cairnvane.xds.known import MISSING_AFTER_US, Event, What
+from cairnvane.xds import (
+    DeltaDiscoveryRequest,
+    DeltaDiscoveryResponse,
+    DeltaProtocol,
+    DiscoveryResponse,
+    ResourceState,
+    ResourceTable,
+    StateOfTheWorldProtocol,
+)
+from cairnvane.xds.resource_table import RESOURCE_TIMEOUT_US, EventKind, ResourceEvent
 
 TYPE = "type.googleapis.com/envoy.config.cluster.v3.Cluster"
 
@@ -21,21 +29,21 @@
     return body.decode()
 
 
-def world(*names: str, full: bool = True) -> StateOfTheWorld:
-    one = StateOfTheWorld(TYPE, Resources(decode, names or None), full)
+def world(*names: str, full: bool = True) -> StateOfTheWorldProtocol:
+    one = StateOfTheWorldProtocol(TYPE, ResourceTable(decode, names or None), full)
     one.opened(0)
     return one
 
 
-def delta(*names: str) -> Delta:
-    one = Delta(TYPE, Resources(decode, names or None))
+def delta(*names: str) -> DeltaProtocol:
+    one = DeltaProtocol(TYPE, ResourceTable(decode, names or None))
     one.opened(0)
     return one
 
 
-def response(version: str, **bodies: str) -> Response:
+def response(version: str, **bodies: str) -> DiscoveryResponse:
     found = tuple((name, body.encode()) for name, body in bodies.items())
-    return Response(version, f"nonce-{version}", found)
+    return DiscoveryResponse(version, f"nonce-{version}", found)
 
 
 def test_ack_and_nack_as_published() -> None:
@@ -43,13 +51,13 @@
     one = world()
     ack, events = one.received(response("1", a="x", b="y"))
     assert ack is not None and (ack.version, ack.nonce, ack.error) == ("1", "nonce-1", "")
-    assert events == [Event(What.UPDATED, "a", "x"), Event(What.UPDATED, "b", "y")]
+    assert events == [ResourceEvent(EventKind.UPDATED, "a", "x"), ResourceEvent(EventKind.UPDATED, "b", "y")]
     nack, events = one.received(response("2", a="bad", b="z"))
     assert nack is not None and (nack.version, nack.nonce) == ("1", "nonce-2")
     assert nack.error == "a: can't be right: bad"
-    assert events == [Event(What.UPDATED, "b", "z")]
+    assert events == [ResourceEvent(EventKind.UPDATED, "b", "z")]
     assert one.resources.held() == {"a": "x", "b": "z"}  # the last good one of each
-    assert one.resources.known["a"].fault
+    assert one.resources.entries["a"].fault
     ack, events = one.received(response("3", a="new", b="z"))
     assert ack is not None and (ack.version, ack.error) == ("3", "") and len(events) == 1
 
@@ -58,7 +66,7 @@
     one, other = world(), world("a", "b", full=False)
     for machine in (one, other):
         machine.received(response("1", a="x", b="y"))
-    assert one.received(response("2", a="x"))[1] == [Event(What.REMOVED, "b")]
+    assert one.received(response("2", a="x"))[1] == [ResourceEvent(EventKind.REMOVED, "b")]
     assert other.received(response("2", a="x"))[1] == []
     assert (one.resources.held(), other.resources.held()) == ({"a": "x"}, {"a": "x", "b": "y"})
 
@@ -72,26 +80,30 @@
     assert (first.version, first.nonce, first.names) == ("7", "", ("a",))
     # A management server that was restarted may have older versions: it is the one that counts.
     ack, events = one.received(response("2", a="older"))
-    assert ack is not None and ack.version == "2" and events == [Event(What.UPDATED, "a", "older")]
+    assert (
+        ack is not None and ack.version == "2" and events == [ResourceEvent(EventKind.UPDATED, "a", "older")]
+    )
 
 
 def test_a_delta_stream_begins_with_the_versions_that_are_held() -> None:
     one = delta()
-    one.received(DeltaResponse("n1", (("a", "3", b"x"), ("b", "4", b"bad"), ("c", "5", b"z"))))
-    one.received(DeltaResponse("n2", removed=("c", "never heard of")))
+    one.received(DeltaDiscoveryResponse("n1", (("a", "3", b"x"), ("b", "4", b"bad"), ("c", "5", b"z"))))
+    one.received(DeltaDiscoveryResponse("n2", removed=("c", "never heard of")))
     one.closed()
-    assert one.opened(9) == DeltaRequest(TYPE, (), (), {"a": "3"})
+    assert one.opened(9) == DeltaDiscoveryRequest(TYPE, (), (), {"a": "3"})
 
 
 def test_a_bad_delta_is_named_and_a_good_one_follows() -> None:
     one = delta("a")
-    nack, _ = one.received(DeltaResponse("n1", (("a", "1", b"bad"), ("stranger", "1", b"x"))))
-    assert nack == DeltaRequest(TYPE, nonce="n1", error="a: can't be right: bad")
-    ack, events = one.received(DeltaResponse("n2", (("a", "2", b"x"),)))
-    assert ack == DeltaRequest(TYPE, nonce="n2") and events == [Event(What.UPDATED, "a", "x")]
+    nack, _ = one.received(DeltaDiscoveryResponse("n1", (("a", "1", b"bad"), ("stranger", "1", b"x"))))
+    assert nack == DeltaDiscoveryRequest(TYPE, nonce="n1", error="a: can't be right: bad")
+    ack, events = one.received(DeltaDiscoveryResponse("n2", (("a", "2", b"x"),)))
+    assert ack == DeltaDiscoveryRequest(TYPE, nonce="n2") and events == [
+        ResourceEvent(EventKind.UPDATED, "a", "x")
+    ]
     assert one.subscribe(["a"], 0) is None
-    assert one.subscribe(["b"], 0) == DeltaRequest(TYPE, subscribe=("b",))
-    assert one.unsubscribe(["a", "zz"]) == DeltaRequest(TYPE, unsubscribe=("a",))
+    assert one.subscribe(["b"], 0) == DeltaDiscoveryRequest(TYPE, subscribe=("b",))
+    assert one.unsubscribe(["a", "zz"]) == DeltaDiscoveryRequest(TYPE, unsubscribe=("a",))
 
 
 @pytest.mark.parametrize("make", [world, delta])
@@ -99,29 +111,29 @@
     """'Knowing When a Requested Resource Does Not Exist'; the time does not run without a stream."""
     one = make("a", "b")
     one.closed()
-    assert one.resources.due() is None
+    assert one.resources.next_timeout_at() is None
     one.opened(100)
-    assert one.resources.look(100 + MISSING_AFTER_US - 1) == []
-    if isinstance(one, StateOfTheWorld):
+    assert one.resources.expire(100 + RESOURCE_TIMEOUT_US - 1) == []
+    if isinstance(one, StateOfTheWorldProtocol):
         one.received(response("1", b="bad"))
     else:
-        one.received(DeltaResponse("n", (("b", "1", b"bad"),)))
+        one.received(DeltaDiscoveryResponse("n", (("b", "1", b"bad"),)))
     # A bad one shows that it exists.
-    assert one.resources.look(100 + MISSING_AFTER_US) == [Event(What.MISSING, "a")]
-    assert one.resources.known["a"].state is Known.MISSING
-    one.subscribe(["c"], 200 + MISSING_AFTER_US)
-    assert one.resources.due() == 200 + 2 * MISSING_AFTER_US
+    assert one.resources.expire(100 + RESOURCE_TIMEOUT_US) == [ResourceEvent(EventKind.MISSING, "a")]
+    assert one.resources.entries["a"].state is ResourceState.MISSING
+    one.subscribe(["c"], 200 + RESOURCE_TIMEOUT_US)
+    assert one.resources.next_timeout_at() == 200 + 2 * RESOURCE_TIMEOUT_US
 
 
 def test_a_name_twice_in_one_response_is_a_fault() -> None:
     one = world()
-    nack, _ = one.received(Response("1", "n", (("a", b"x"), ("a", b"y"))))
+    nack, _ = one.received(DiscoveryResponse("1", "n", (("a", b"x"), ("a", b"y"))))
     assert nack is not None and "stands twice" in nack.error and one.resources.held() == {"a": "x"}
 
 
 def test_a_resource_without_a_name_is_a_fault() -> None:
     """Guards: bytes that were no message were passed over, and the response was taken."""
-    nack, _ = world("a", full=False).received(Response("1", "n", (("", b"\xff"),)))
+    nack, _ = world("a", full=False).received(DiscoveryResponse("1", "n", (("", b"\xff"),)))
     assert nack is not None and "no name" in nack.error and nack.version == ""
 
 
@@ -142,8 +154,8 @@
         super().__init__()
         self.truth: dict[str, tuple[int, str]] = {}
         self.version = self.nonce = 0
-        self.world = StateOfTheWorld(TYPE, Resources(decode), True)
-        self.delta = Delta(TYPE, Resources(decode))
+        self.world = StateOfTheWorldProtocol(TYPE, ResourceTable(decode), True)
+        self.delta = DeltaProtocol(TYPE, ResourceTable(decode))
         self.good: dict[str, dict[str, str]] = {"world": {}, "delta": {}}  # what each must hold
         self.sent: dict[str, int] = {}  # what the delta server believes that the client has
         self.removed: set[str] = set()
@@ -179,7 +191,7 @@
     def push_world(self) -> None:
         self.nonce += 1
         bodies = tuple((name, body.encode()) for name, (_, body) in sorted(self.truth.items()))
-        answer, _ = self.world.received(Response(str(self.version), f"n{self.nonce}", bodies))
+        answer, _ = self.world.received(DiscoveryResponse(str(self.version), f"n{self.nonce}", bodies))
         if not self.up:
             assert answer is None
             return
@@ -199,7 +211,7 @@
         ][:most]
         gone = tuple(name for name in self.sent if name not in self.truth)
         resources = tuple((name, str(self.truth[name][0]), self.truth[name][1].encode()) for name in new)
-        answer, _ = self.delta.received(DeltaResponse(f"n{self.nonce}", resources, gone))
+        answer, _ = self.delta.received(DeltaDiscoveryResponse(f"n{self.nonce}", resources, gone))
         if not self.up:
             assert answer is None
             return
--- a/tests/xds_client/test_xds_grpc.py
+++ b/tests/xds_client/test_xds_grpc.py
@@ -84,7 +84,7 @@
     client: Client,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("cairnvane.xds.known.MISSING_AFTER_US", 20_000)
+    monkeypatch.setattr("cairnvane.xds.resource_table.RESOURCE_TIMEOUT_US", 20_000)
     client.asked(CLUSTER)
     client.server.push({"ledger": LEDGER}, CLUSTER)
     step = client.told.get(timeout=WAIT_S)
--- a/tests/xds_client/test_xds_resources.py
+++ b/tests/xds_client/test_xds_resources.py
@@ -10,12 +10,12 @@
 from click.testing import CliRunner
 
 from cairnvane.cli import main
-from cairnvane.load_balancing.circuit_breakers import Breakers, RetryBudget
-from cairnvane.load_balancing.cluster import Assignment, Cluster, Policy
-from cairnvane.load_balancing.endpoints import Described, Health
+from cairnvane.load_balancing.circuit_breakers import CircuitBreakers, RetryBudget
+from cairnvane.load_balancing.cluster import Assignment, Cluster, LoadBalancingPolicy
+from cairnvane.load_balancing.endpoints import EndpointDescription, EndpointHealth
 from cairnvane.xds import resources
+from cairnvane.xds.cluster_view import ClusterChange, ClusterView, ReadyCluster
 from cairnvane.xds.session import ASSIGNMENT, CLUSTER
-from cairnvane.xds.view import Change, Ready, View
 
 
 def endpoint(port: Any = 80, address: str = "10.0.0.1", **more: Any) -> dict[str, Any]:
@@ -54,8 +54,8 @@
     assert told == Cluster(
         "ledger",
         "ledger-eds",
-        Policy.LEAST_REQUEST,
-        Breakers(requests=7, budget=RetryBudget(percent=25.0)),
+        LoadBalancingPolicy.LEAST_REQUEST,
+        CircuitBreakers(requests=7, budget=RetryBudget(percent=25.0)),
         30.0,
         1_500_000,
     )
@@ -76,11 +76,11 @@
             policy={"drop_overloads": [{"category": "lb", "drop_percentage": {"numerator": 5}}]},
         )
     )
-    assert told.priorities() == 2 and told.drops == (("lb", 50_000),) and told.overprovisioning == 140
+    assert told.priority_count() == 2 and told.drops == (("lb", 50_000),) and told.overprovisioning == 140
     near, far = told.localities
     assert (near.name, near.weight, near.priority) == ("mn/khan-uul", 3, 0)
-    assert near.endpoints[("10.0.0.1", 81)] == Described(5, Health.DRAINING)
-    assert far.endpoints == {("::1", 80): Described(1, Health.UNHEALTHY)}
+    assert near.endpoints[("10.0.0.1", 81)] == EndpointDescription(5, EndpointHealth.DRAINING)
+    assert far.endpoints == {("::1", 80): EndpointDescription(1, EndpointHealth.UNHEALTHY)}
 
 
 @pytest.mark.parametrize(
@@ -124,9 +124,9 @@
 
 @pytest.mark.parametrize("body", [b"\xff", b"\x0a\xff", b"not a message"])
 def test_bytes_that_are_no_message_are_a_fault_and_no_crash(body: bytes) -> None:
-    for type_url, decode in ((CLUSTER, resources.cluster), (ASSIGNMENT, resources.assignment)):
+    for type_url, decode in ((CLUSTER, resources.parse_cluster), (ASSIGNMENT, resources.parse_assignment)):
         with pytest.raises(ValueError):
-            decode("ledger", resources.parse(type_url, body)[1])
+            decode("ledger", resources.parse_resource(type_url, body)[1])
 
 
 @pytest.mark.parametrize(
@@ -150,22 +150,28 @@
 
 def test_a_cluster_counts_once_its_endpoints_are_there() -> None:
     """'Eventual consistency considerations': make before break."""
-    view = View()
-    assert view.cluster(OLD) == [] and view.services() == {"old"} and view.waiting() == {"c"}
-    assert view.assignment(Assignment("stranger")) == []
-    ready = Ready(OLD, Assignment("old"))
-    assert view.assignment(Assignment("old")) == [Change("c", ready)]
-    assert view.cluster(NEW) == [] and view.ready == {"c": ready}
-    assert view.services() == {"old", "new"} and view.waiting() == {"c"}
+    view = ClusterView()
+    assert (
+        view.update_cluster(OLD) == []
+        and view.needed_services() == {"old"}
+        and view.pending_clusters() == {"c"}
+    )
+    assert view.update_assignment(Assignment("stranger")) == []
+    ready = ReadyCluster(OLD, Assignment("old"))
+    assert view.update_assignment(Assignment("old")) == [ClusterChange("c", ready)]
+    assert view.update_cluster(NEW) == [] and view.ready == {"c": ready}
+    assert view.needed_services() == {"old", "new"} and view.pending_clusters() == {"c"}
     fuller = Assignment("old", overprovisioning=200)  # what still counts may still change
-    assert view.assignment(fuller) == [Change("c", Ready(OLD, fuller))]
-    assert view.assignment(Assignment("new")) == [Change("c", Ready(NEW, Assignment("new")))]
-    assert view.services() == {"new"} and not view.waiting()
-    assert view.no_cluster("c") == [Change("c", None)] and view.no_cluster("c") == []
-    assert view.services() == set()
+    assert view.update_assignment(fuller) == [ClusterChange("c", ReadyCluster(OLD, fuller))]
+    assert view.update_assignment(Assignment("new")) == [
+        ClusterChange("c", ReadyCluster(NEW, Assignment("new")))
+    ]
+    assert view.needed_services() == {"new"} and not view.pending_clusters()
+    assert view.remove_cluster("c") == [ClusterChange("c", None)] and view.remove_cluster("c") == []
+    assert view.needed_services() == set()
 
 
 def test_a_cluster_with_its_endpoints_in_it_counts_at_once() -> None:
-    view, static = View(), Cluster("c", "c", inline=Assignment("c"))
-    assert view.cluster(static) == [Change("c", Ready(static, Assignment("c")))]
-    assert view.cluster(static) == [] and view.services() == set()
+    view, static = ClusterView(), Cluster("c", "c", inline_assignment=Assignment("c"))
+    assert view.update_cluster(static) == [ClusterChange("c", ReadyCluster(static, Assignment("c")))]
+    assert view.update_cluster(static) == [] and view.needed_services() == set()
--- a/tests/xds_client/test_xds_session.py
+++ b/tests/xds_client/test_xds_session.py
@@ -8,8 +8,8 @@
 import pytest
 
 from cairnvane.load_balancing.cluster import Assignment, Cluster
-from cairnvane.xds import DeltaRequest, DeltaResponse, Request, Response
-from cairnvane.xds.known import MISSING_AFTER_US
+from cairnvane.xds import DeltaDiscoveryRequest, DeltaDiscoveryResponse, DiscoveryRequest, DiscoveryResponse
+from cairnvane.xds.resource_table import RESOURCE_TIMEOUT_US
 from cairnvane.xds.session import ASSIGNMENT, CLUSTER, make_delta, make_state_of_the_world
 
 
@@ -50,9 +50,9 @@
         for told in step.send:
             if told.error:
                 self.nacks.append(told.error)
-            if isinstance(told, Request):
+            if isinstance(told, DiscoveryRequest):
                 self.asked[told.type_url] = set(told.names) if told.type_url == ASSIGNMENT else None
-            elif isinstance(told, DeltaRequest) and told.type_url == ASSIGNMENT:
+            elif isinstance(told, DeltaDiscoveryRequest) and told.type_url == ASSIGNMENT:
                 names = self.asked.setdefault(ASSIGNMENT, set())
                 assert names is not None
                 names.update(told.subscribe)
@@ -66,10 +66,10 @@
             names = [name for name in names if name in (self.asked.get(ASSIGNMENT) or set())]
         found = [(name, self.state[type_url][name].encode()) for name in names]
         version = str(self.version)
-        response: Any = Response(version, f"n{version}", tuple(found))
+        response: Any = DiscoveryResponse(version, f"n{version}", tuple(found))
         if self.delta:
             new = tuple((name, version, body) for name, body in found)
-            response = DeltaResponse(f"n{version}", new, gone)
+            response = DeltaDiscoveryResponse(f"n{version}", new, gone)
         self._take(self.session.received(type_url, response, 0))
 
     def counts(self) -> dict[str, int]:
@@ -132,8 +132,8 @@
 def test_endpoints_that_do_not_come_are_named_and_the_rest_goes_on(server: Server) -> None:
     server.state[CLUSTER]["late"] = "late-eds"
     server.push(CLUSTER)
-    assert server.session.due() == MISSING_AFTER_US
-    assert server.session.look(MISSING_AFTER_US).missing == ["late-eds"]
+    assert server.session.next_timeout_at() == RESOURCE_TIMEOUT_US
+    assert server.session.expire(RESOURCE_TIMEOUT_US).missing == ["late-eds"]
     assert server.counts() == {"ledger": 140, "other": 150}
     server.state[ASSIGNMENT]["late-eds"] = "130"  # later than late is not never
     server.push(ASSIGNMENT)
@@ -141,5 +141,5 @@
 
 
 def test_a_type_that_nobody_asked_for_is_answered_by_nothing(server: Server) -> None:
-    told = Response("1", "n", ()) if not server.delta else DeltaResponse("n")
+    told = DiscoveryResponse("1", "n", ()) if not server.delta else DeltaDiscoveryResponse("n")
     assert server.session.received("type.googleapis.com/other", told, 0).send == []
