--- a/tests/xds_client/test_xds.py
+++ b/tests/xds_client/test_xds.py
@@ -1,4 +1,4 @@
-"""The xDS client's state machine, against a reference server that knows what it said and what is true."""
+"""The xDS client's state machine, against a reference server."""
 
 from __future__ import annotations
 
@@ -29,16 +29,16 @@
     return body.decode()
 
 
-def world(*names: str, full: bool = True) -> StateOfTheWorldProtocol:
-    one = StateOfTheWorldProtocol(TYPE, ResourceTable(decode, names or None), full)
-    one.opened(0)
-    return one
+def state_of_the_world(*names: str, full: bool = True) -> StateOfTheWorldProtocol:
+    protocol = StateOfTheWorldProtocol(TYPE, ResourceTable(decode, names or None), full)
+    protocol.opened(0)
+    return protocol
 
 
 def delta(*names: str) -> DeltaProtocol:
-    one = DeltaProtocol(TYPE, ResourceTable(decode, names or None))
-    one.opened(0)
-    return one
+    protocol = DeltaProtocol(TYPE, ResourceTable(decode, names or None))
+    protocol.opened(0)
+    return protocol
 
 
 def response(version: str, **bodies: str) -> DiscoveryResponse:
@@ -48,98 +48,98 @@
 
 def test_ack_and_nack_as_published() -> None:
     """'ACK and NACK': a NACK carries the last accepted version, the response's nonce and the reason."""
-    one = world()
-    ack, events = one.received(response("1", a="x", b="y"))
+    protocol = state_of_the_world()
+    ack, events = protocol.received(response("1", a="x", b="y"))
     assert ack is not None and (ack.version, ack.nonce, ack.error) == ("1", "nonce-1", "")
     assert events == [ResourceEvent(EventKind.UPDATED, "a", "x"), ResourceEvent(EventKind.UPDATED, "b", "y")]
-    nack, events = one.received(response("2", a="bad", b="z"))
+    nack, events = protocol.received(response("2", a="bad", b="z"))
     assert nack is not None and (nack.version, nack.nonce) == ("1", "nonce-2")
     assert nack.error == "a: can't be right: bad"
     assert events == [ResourceEvent(EventKind.UPDATED, "b", "z")]
-    assert one.resources.held() == {"a": "x", "b": "z"}  # the last good one of each
-    assert one.resources.entries["a"].fault
-    ack, events = one.received(response("3", a="new", b="z"))
+    assert protocol.resources.held() == {"a": "x", "b": "z"}  # the last good protocol of each
+    assert protocol.resources.entries["a"].fault
+    ack, events = protocol.received(response("3", a="new", b="z"))
     assert ack is not None and (ack.version, ack.error) == ("3", "") and len(events) == 1
 
 
-def test_what_a_full_response_leaves_out_is_gone_and_what_a_partial_one_does_is_not() -> None:
-    one, other = world(), world("a", "b", full=False)
-    for machine in (one, other):
-        machine.received(response("1", a="x", b="y"))
-    assert one.received(response("2", a="x"))[1] == [ResourceEvent(EventKind.REMOVED, "b")]
-    assert other.received(response("2", a="x"))[1] == []
-    assert (one.resources.held(), other.resources.held()) == ({"a": "x"}, {"a": "x", "b": "y"})
+def test_a_full_response_removes_what_it_leaves_out_and_a_partial_one_does_not() -> None:
+    protocol, partial = state_of_the_world(), state_of_the_world("a", "b", full=False)
+    for either in (protocol, partial):
+        either.received(response("1", a="x", b="y"))
+    assert protocol.received(response("2", a="x"))[1] == [ResourceEvent(EventKind.REMOVED, "b")]
+    assert partial.received(response("2", a="x"))[1] == []
+    assert (protocol.resources.held(), partial.resources.held()) == ({"a": "x"}, {"a": "x", "b": "y"})
 
 
-def test_a_new_stream_says_the_version_and_no_nonce_and_answers_nothing_of_the_old_one() -> None:
-    one = world("a", full=False)
-    one.received(response("7", a="x"))
-    one.closed()
-    assert one.received(response("8", a="late")) == (None, [])
-    first = one.opened(5)
+def test_a_new_stream_has_the_version_without_nonce_and_ignores_the_old_stream() -> None:
+    protocol = state_of_the_world("a", full=False)
+    protocol.received(response("7", a="x"))
+    protocol.closed()
+    assert protocol.received(response("8", a="late")) == (None, [])
+    first = protocol.opened(5)
     assert (first.version, first.nonce, first.names) == ("7", "", ("a",))
-    # A management server that was restarted may have older versions: it is the one that counts.
-    ack, events = one.received(response("2", a="older"))
+    # A management server that was restarted may have older versions: it is the protocol that counts.
+    ack, events = protocol.received(response("2", a="older"))
     assert (
         ack is not None and ack.version == "2" and events == [ResourceEvent(EventKind.UPDATED, "a", "older")]
     )
 
 
-def test_a_delta_stream_begins_with_the_versions_that_are_held() -> None:
-    one = delta()
-    one.received(DeltaDiscoveryResponse("n1", (("a", "3", b"x"), ("b", "4", b"bad"), ("c", "5", b"z"))))
-    one.received(DeltaDiscoveryResponse("n2", removed=("c", "never heard of")))
-    one.closed()
-    assert one.opened(9) == DeltaDiscoveryRequest(TYPE, (), (), {"a": "3"})
+def test_a_delta_stream_begins_with_the_held_versions() -> None:
+    protocol = delta()
+    protocol.received(DeltaDiscoveryResponse("n1", (("a", "3", b"x"), ("b", "4", b"bad"), ("c", "5", b"z"))))
+    protocol.received(DeltaDiscoveryResponse("n2", removed=("c", "never heard of")))
+    protocol.closed()
+    assert protocol.opened(9) == DeltaDiscoveryRequest(TYPE, (), (), {"a": "3"})
 
 
-def test_a_bad_delta_is_named_and_a_good_one_follows() -> None:
-    one = delta("a")
-    nack, _ = one.received(DeltaDiscoveryResponse("n1", (("a", "1", b"bad"), ("stranger", "1", b"x"))))
+def test_a_bad_delta_resource_is_named_in_the_nack_and_a_good_one_follows() -> None:
+    protocol = delta("a")
+    nack, _ = protocol.received(DeltaDiscoveryResponse("n1", (("a", "1", b"bad"), ("stranger", "1", b"x"))))
     assert nack == DeltaDiscoveryRequest(TYPE, nonce="n1", error="a: can't be right: bad")
-    ack, events = one.received(DeltaDiscoveryResponse("n2", (("a", "2", b"x"),)))
+    ack, events = protocol.received(DeltaDiscoveryResponse("n2", (("a", "2", b"x"),)))
     assert ack == DeltaDiscoveryRequest(TYPE, nonce="n2") and events == [
         ResourceEvent(EventKind.UPDATED, "a", "x")
     ]
-    assert one.subscribe(["a"], 0) is None
-    assert one.subscribe(["b"], 0) == DeltaDiscoveryRequest(TYPE, subscribe=("b",))
-    assert one.unsubscribe(["a", "zz"]) == DeltaDiscoveryRequest(TYPE, unsubscribe=("a",))
+    assert protocol.subscribe(["a"], 0) is None
+    assert protocol.subscribe(["b"], 0) == DeltaDiscoveryRequest(TYPE, subscribe=("b",))
+    assert protocol.unsubscribe(["a", "zz"]) == DeltaDiscoveryRequest(TYPE, unsubscribe=("a",))
 
 
-@pytest.mark.parametrize("make", [world, delta])
-def test_what_does_not_come_within_15_s_of_a_stream_is_missing(make: Any) -> None:
+@pytest.mark.parametrize("make", [state_of_the_world, delta])
+def test_a_resource_that_does_not_come_within_15_s_of_a_stream_is_missing(make: Any) -> None:
     """'Knowing When a Requested Resource Does Not Exist'; the time does not run without a stream."""
-    one = make("a", "b")
-    one.closed()
-    assert one.resources.next_timeout_at() is None
-    one.opened(100)
-    assert one.resources.expire(100 + RESOURCE_TIMEOUT_US - 1) == []
-    if isinstance(one, StateOfTheWorldProtocol):
-        one.received(response("1", b="bad"))
+    protocol = make("a", "b")
+    protocol.closed()
+    assert protocol.resources.next_timeout_at() is None
+    protocol.opened(100)
+    assert protocol.resources.expire(100 + RESOURCE_TIMEOUT_US - 1) == []
+    if isinstance(protocol, StateOfTheWorldProtocol):
+        protocol.received(response("1", b="bad"))
     else:
-        one.received(DeltaDiscoveryResponse("n", (("b", "1", b"bad"),)))
-    # A bad one shows that it exists.
-    assert one.resources.expire(100 + RESOURCE_TIMEOUT_US) == [ResourceEvent(EventKind.MISSING, "a")]
-    assert one.resources.entries["a"].state is ResourceState.MISSING
-    one.subscribe(["c"], 200 + RESOURCE_TIMEOUT_US)
-    assert one.resources.next_timeout_at() == 200 + 2 * RESOURCE_TIMEOUT_US
+        protocol.received(DeltaDiscoveryResponse("n", (("b", "1", b"bad"),)))
+    # A bad protocol shows that it exists.
+    assert protocol.resources.expire(100 + RESOURCE_TIMEOUT_US) == [ResourceEvent(EventKind.MISSING, "a")]
+    assert protocol.resources.entries["a"].state is ResourceState.MISSING
+    protocol.subscribe(["c"], 200 + RESOURCE_TIMEOUT_US)
+    assert protocol.resources.next_timeout_at() == 200 + 2 * RESOURCE_TIMEOUT_US
 
 
-def test_a_name_twice_in_one_response_is_a_fault() -> None:
-    one = world()
-    nack, _ = one.received(DiscoveryResponse("1", "n", (("a", b"x"), ("a", b"y"))))
-    assert nack is not None and "stands twice" in nack.error and one.resources.held() == {"a": "x"}
+def test_a_duplicate_name_in_one_response_is_a_fault() -> None:
+    protocol = state_of_the_world()
+    nack, _ = protocol.received(DiscoveryResponse("1", "n", (("a", b"x"), ("a", b"y"))))
+    assert nack is not None and "stands twice" in nack.error and protocol.resources.held() == {"a": "x"}
 
 
 def test_a_resource_without_a_name_is_a_fault() -> None:
     """Guards: bytes that were no message were passed over, and the response was taken."""
-    nack, _ = world("a", full=False).received(DiscoveryResponse("1", "n", (("", b"\xff"),)))
+    nack, _ = state_of_the_world("a", full=False).received(DiscoveryResponse("1", "n", (("", b"\xff"),)))
     assert nack is not None and "no name" in nack.error and nack.version == ""
 
 
 def test_a_nack_of_many_faults_stays_short() -> None:
-    one = world()
-    nack, _ = one.received(response("1", **{f"r{n}": "bad" for n in range(40)}))
+    protocol = state_of_the_world()
+    nack, _ = protocol.received(response("1", **{f"r{n}": "bad" for n in range(40)}))
     assert nack is not None and "and 30 more" in nack.error
 
 
@@ -147,7 +147,7 @@
 BODIES = st.sampled_from(["x", "y", "bad"])
 
 
-class Reference(RuleBasedStateMachine):
+class ReferenceServer(RuleBasedStateMachine):
     """A server with a truth, a client of each form, and streams that are cut at any message."""
 
     def __init__(self) -> None:
@@ -237,7 +237,7 @@
         assert self.delta.resources.held() == self.good["delta"]
 
 
-Reference.TestCase.settings = settings(
+ReferenceServer.TestCase.settings = settings(
     derandomize=True, max_examples=80, stateful_step_count=40, deadline=None
 )
-TestReference = Reference.TestCase
+TestReferenceServer = ReferenceServer.TestCase
--- a/tests/xds_client/test_xds_grpc.py
+++ b/tests/xds_client/test_xds_grpc.py
@@ -53,13 +53,13 @@
 
 @pytest.fixture(params=[False, True], ids=["state of the world", "delta"])
 def client(request: pytest.FixtureRequest) -> Iterator[Client]:
-    one = Client(request.param)
-    yield one
-    one.stream.stop()
-    one.server.close()
+    client = Client(request.param)
+    yield client
+    client.stream.stop()
+    client.server.close()
 
 
-def test_a_bad_update_is_refused_with_its_reason_and_a_good_one_follows(client: Client) -> None:
+def test_a_bad_update_is_rejected_with_its_reason_and_a_good_one_follows(client: Client) -> None:
     client.begin()
     nonce = client.server.push({"ledger": ports(1, 0)}, ASSIGNMENT)
     nack = client.asked(ASSIGNMENT)
@@ -69,7 +69,7 @@
     assert client.changed() == [3]
 
 
-def test_a_stream_that_is_cut_is_begun_anew_and_what_counts_counts_on(client: Client) -> None:
+def test_a_broken_stream_is_reopened_and_active_clusters_remain(client: Client) -> None:
     client.begin()
     client.server.cut()
     again = client.asked(CLUSTER)
@@ -80,7 +80,7 @@
     assert client.changed() == [4]
 
 
-def test_endpoints_that_do_not_come_in_time_are_told_of(
+def test_endpoints_that_do_not_come_in_time_are_reported(
     client: Client,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -102,7 +102,7 @@
     assert client.changed() == [7]
 
 
-def test_bytes_that_are_no_message_end_nothing(client: Client) -> None:
+def test_unreadable_bytes_do_not_end_the_stream(client: Client) -> None:
     client.begin()
     client.server.push({"ledger": b"\xff\xff"}, ASSIGNMENT)
     assert client.asked(ASSIGNMENT).error_detail.message
--- a/tests/xds_client/test_xds_resources.py
+++ b/tests/xds_client/test_xds_resources.py
@@ -1,4 +1,4 @@
-"""Envoy's messages to descriptions: what is understood, what is refused, and make before break."""
+"""Envoy's messages to descriptions: what is understood, what is rejected, and make before break."""
 
 from __future__ import annotations
 
@@ -30,14 +30,14 @@
     return {"@type": ASSIGNMENT, "cluster_name": "ledger", "endpoints": list(endpoints), **more}
 
 
-def one(told: dict[str, Any]) -> Any:
+def read_one(told: dict[str, Any]) -> Any:
     good, bad = resources.check_json(json.dumps({"resources": [told]}))
     assert not bad, bad
     return good[0]
 
 
-def test_a_cluster_is_read_with_its_breakers() -> None:
-    told = one(
+def test_a_cluster_is_read_with_its_circuit_breakers() -> None:
+    told = read_one(
         cluster(
             lb_policy="LEAST_REQUEST",
             eds_cluster_config={"service_name": "ledger-eds", "eds_config": {"ads": {}}},
@@ -62,7 +62,7 @@
 
 
 def test_endpoints_are_read_with_weights_health_and_drops() -> None:
-    told = one(
+    told = read_one(
         assignment(
             {
                 "locality": {"region": "mn", "zone": "khan-uul"},
@@ -115,15 +115,15 @@
         (3, ["no object"]),
     ],
 )
-def test_what_can_t_be_is_refused_with_its_field(told: Any, words: list[str]) -> None:
+def test_a_bad_resource_is_rejected_with_its_field(told: Any, words: list[str]) -> None:
     good, bad = resources.check_json(json.dumps({"resources": [told, cluster()]}))
-    assert [type(found) for found in good] == [Cluster]  # the good one counts
+    assert [type(found) for found in good] == [Cluster]  # the good one is read
     assert len(bad) == 1 and bad[0].startswith("resources[0].") and "\n" not in bad[0]
     assert all(word in bad[0] for word in words), bad
 
 
 @pytest.mark.parametrize("body", [b"\xff", b"\x0a\xff", b"not a message"])
-def test_bytes_that_are_no_message_are_a_fault_and_no_crash(body: bytes) -> None:
+def test_unreadable_bytes_are_a_fault(body: bytes) -> None:
     for type_url, decode in ((CLUSTER, resources.parse_cluster), (ASSIGNMENT, resources.parse_assignment)):
         with pytest.raises(ValueError):
             decode("ledger", resources.parse_resource(type_url, body)[1])
@@ -148,7 +148,7 @@
 OLD, NEW = Cluster("c", "old"), Cluster("c", "new")
 
 
-def test_a_cluster_counts_once_its_endpoints_are_there() -> None:
+def test_a_cluster_is_active_once_its_endpoints_are_there() -> None:
     """'Eventual consistency considerations': make before break."""
     view = ClusterView()
     assert (
@@ -161,7 +161,7 @@
     assert view.update_assignment(Assignment("old")) == [ClusterChange("c", ready)]
     assert view.update_cluster(NEW) == [] and view.ready == {"c": ready}
     assert view.needed_services() == {"old", "new"} and view.pending_clusters() == {"c"}
-    fuller = Assignment("old", overprovisioning=200)  # what still counts may still change
+    fuller = Assignment("old", overprovisioning=200)  # an active version may still change
     assert view.update_assignment(fuller) == [ClusterChange("c", ReadyCluster(OLD, fuller))]
     assert view.update_assignment(Assignment("new")) == [
         ClusterChange("c", ReadyCluster(NEW, Assignment("new")))
@@ -171,7 +171,7 @@
     assert view.needed_services() == set()
 
 
-def test_a_cluster_with_its_endpoints_in_it_counts_at_once() -> None:
+def test_a_cluster_with_inline_endpoints_is_active_at_once() -> None:
     view, static = ClusterView(), Cluster("c", "c", inline_assignment=Assignment("c"))
     assert view.update_cluster(static) == [ClusterChange("c", ReadyCluster(static, Assignment("c")))]
     assert view.update_cluster(static) == [] and view.needed_services() == set()
--- a/tests/xds_client/test_xds_session.py
+++ b/tests/xds_client/test_xds_session.py
@@ -46,7 +46,7 @@
         self._take(self.session.opened(now))
 
     def _take(self, step: Any) -> None:
-        self.changed += [f"{c.name}{'' if c.ready else ' gone'}" for c in step.changes]
+        self.changed += [f"{change.name}{'' if change.ready else ' gone'}" for change in step.changes]
         for told in step.send:
             if told.error:
                 self.nacks.append(told.error)
@@ -73,31 +73,31 @@
         self._take(self.session.received(type_url, response, 0))
 
     def counts(self) -> dict[str, int]:
-        return {name: one.assignment.overprovisioning for name, one in self.session.view.ready.items()}
+        return {name: ready.assignment.overprovisioning for name, ready in self.session.view.ready.items()}
 
 
 @pytest.fixture(params=[False, True], ids=["state of the world", "delta"])
 def server(request: pytest.FixtureRequest) -> Server:
-    one = Server(request.param)
-    one.state[CLUSTER] = {"ledger": "ledger-eds", "other": "other-eds"}
-    one.state[ASSIGNMENT] = {"ledger-eds": "140", "other-eds": "150"}
-    one.open()
-    assert ASSIGNMENT not in one.asked  # no name, no question: it would ask for all that there are
-    one.push(CLUSTER)
-    assert one.asked[ASSIGNMENT] == {"ledger-eds", "other-eds"} and one.counts() == {}
-    one.push(ASSIGNMENT)
-    assert one.counts() == {"ledger": 140, "other": 150}
-    return one
-
-
-def test_a_whole_cluster_vanishes_and_its_endpoints_are_let_go(server: Server) -> None:
+    server = Server(request.param)
+    server.state[CLUSTER] = {"ledger": "ledger-eds", "other": "other-eds"}
+    server.state[ASSIGNMENT] = {"ledger-eds": "140", "other-eds": "150"}
+    server.open()
+    assert ASSIGNMENT not in server.asked  # no name, no question: it would ask for all that there are
+    server.push(CLUSTER)
+    assert server.asked[ASSIGNMENT] == {"ledger-eds", "other-eds"} and server.counts() == {}
+    server.push(ASSIGNMENT)
+    assert server.counts() == {"ledger": 140, "other": 150}
+    return server
+
+
+def test_a_removed_cluster_unsubscribes_from_its_endpoints(server: Server) -> None:
     del server.state[CLUSTER]["other"]
     server.push(CLUSTER, gone=("other",))
     assert server.counts() == {"ledger": 140} and server.asked[ASSIGNMENT] == {"ledger-eds"}
     assert server.changed[-1] == "other gone"
 
 
-def test_a_bad_update_and_a_good_one_behind_it(server: Server) -> None:
+def test_a_bad_update_is_rejected_and_a_good_one_behind_it_counts(server: Server) -> None:
     server.state[ASSIGNMENT]["ledger-eds"] = "bad"
     server.push(ASSIGNMENT)
     assert server.counts()["ledger"] == 140 and server.nacks == ["ledger-eds: bad"]
@@ -106,7 +106,7 @@
     assert server.counts()["ledger"] == 200
 
 
-def test_a_cluster_that_moves_to_other_endpoints_counts_as_before_until_they_come(server: Server) -> None:
+def test_a_cluster_that_moves_to_other_endpoints_keeps_the_old_ones_until_they_come(server: Server) -> None:
     server.state[CLUSTER]["ledger"] = "new-eds"
     server.push(CLUSTER)
     assert server.counts()["ledger"] == 140
@@ -116,7 +116,7 @@
     assert server.counts()["ledger"] == 160 and server.asked[ASSIGNMENT] == {"new-eds", "other-eds"}
 
 
-def test_a_server_that_dies_changes_nothing_and_one_that_comes_back_older_counts(server: Server) -> None:
+def test_a_lost_stream_changes_nothing_and_an_older_version_on_a_new_one_counts(server: Server) -> None:
     server.session.closed()
     assert server.counts() == {"ledger": 140, "other": 150}
     server.push(ASSIGNMENT)  # of the stream that has ended
@@ -129,7 +129,7 @@
     assert server.counts() == {"ledger": 120, "other": 150}
 
 
-def test_endpoints_that_do_not_come_are_named_and_the_rest_goes_on(server: Server) -> None:
+def test_missing_endpoints_are_named_and_the_rest_remains(server: Server) -> None:
     server.state[CLUSTER]["late"] = "late-eds"
     server.push(CLUSTER)
     assert server.session.next_timeout_at() == RESOURCE_TIMEOUT_US
@@ -140,6 +140,6 @@
     assert server.counts()["late"] == 130
 
 
-def test_a_type_that_nobody_asked_for_is_answered_by_nothing(server: Server) -> None:
+def test_a_response_of_a_type_that_was_not_requested_gets_no_answer(server: Server) -> None:
     told = DiscoveryResponse("1", "n", ()) if not server.delta else DeltaDiscoveryResponse("n")
     assert server.session.received("type.googleapis.com/other", told, 0).send == []
