Membership: the parts of a member take one shared context

Each part took up to ten constructor arguments of the same kind. MemberContext names what they share; the parts' own state stays theirs. Docstrings have a summary line.

--- a/cairnvane/load_shedding/quota_leases.py
+++ b/cairnvane/load_shedding/quota_leases.py
@@ -138,8 +138,11 @@
     """One server's quota of the dependency, with what it has lent and borrowed."""
 
     def __init__(self, floor: float, now: int, first: bool = False) -> None:
-        """`floor`: in calls in flight. `first`: no process of this server ran before, as when a cluster is
-        new; else one may have lent what has not expired yet."""
+        """Start with this floor, in calls in flight.
+
+        `first`: no process of this server ran before, as when a cluster is new; else one may have lent what
+        has not expired yet.
+        """
         self.floor = floor
         self._whole_floor_at = now if first else now + _lender_lease_us()
         self._lent: dict[_LentLine, _Lent] = {}
--- a/cairnvane/membership/claim_merger.py
+++ b/cairnvane/membership/claim_merger.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from .actions import Outbox
 from .claims import Claim, Status
+from .context import MemberContext
 from .dissemination import Dissemination
-from .local_member import LocalMember
-from .member_table import MemberRecord, Table
+from .member_table import MemberRecord
 from .partition_monitor import PartitionMonitor
 from .ping_schedule import PingSchedule
 from .suspicion import Suspicions
@@ -25,21 +24,19 @@
 
     def __init__(
         self,
-        local: LocalMember,
-        table: Table,
+        context: MemberContext,
         dissemination: Dissemination,
         suspicions: Suspicions,
         partition: PartitionMonitor,
         schedule: PingSchedule,
-        outbox: Outbox,
     ) -> None:
-        self._local = local
-        self._table = table
+        self._local = context.local
+        self._table = context.table
         self._dissemination = dissemination
         self._suspicions = suspicions
         self._partition = partition
         self._schedule = schedule
-        self._outbox = outbox
+        self._outbox = context.outbox
         self._conflicts_reported: set[int] = set()
 
     def merge(self, claim: Claim, now: int) -> None:
--- a/cairnvane/membership/dissemination.py
+++ b/cairnvane/membership/dissemination.py
@@ -2,23 +2,22 @@
 
 from __future__ import annotations
 
-from .actions import Address, Outbox
+from .actions import Address
 from .claims import Claim, Info, Status
+from .context import MemberContext
 from .gossip import MetadataQueue, Rumours
-from .local_member import LocalMember
-from .member_table import Table
 from .messages import MAX_CLAIMS, MAX_METADATA_ENTRIES, Ack, Ask, Ping
 
 
 class Dissemination:
     """Owns what waits to be gossiped, and numbers and writes the messages that carry it."""
 
-    def __init__(self, local: LocalMember, table: Table, outbox: Outbox) -> None:
+    def __init__(self, context: MemberContext) -> None:
         self.claims = Rumours()
         self.metadata = MetadataQueue()
-        self._local = local
-        self._table = table
-        self._outbox = outbox
+        self._local = context.local
+        self._table = context.table
+        self._outbox = context.outbox
         self._last_number = 0
 
     def next_number(self) -> int:
--- a/cairnvane/membership/failure_detector.py
+++ b/cairnvane/membership/failure_detector.py
@@ -5,16 +5,12 @@
 
 from __future__ import annotations
 
-import random
 from dataclasses import dataclass
 
-from .actions import Address, Outbox
+from .actions import Address
+from .context import MemberContext
 from .dissemination import Dissemination
-from .local_health import LocalHealth
-from .local_member import LocalMember
-from .member_table import Table
 from .messages import Ack, Ask, Nack
-from .options import Counts, Options
 from .ping_schedule import MAX_OUTSTANDING_PINGS, PingLossEstimator, PingSchedule
 from .suspicion import Suspicions
 
@@ -46,30 +42,24 @@
 
     def __init__(
         self,
-        options: Options,
-        local: LocalMember,
-        table: Table,
-        health: LocalHealth,
-        counts: Counts,
+        context: MemberContext,
         dissemination: Dissemination,
         suspicions: Suspicions,
-        outbox: Outbox,
-        rng: random.Random,
         now: int,
     ) -> None:
-        self.loss = PingLossEstimator(options.helpers, options.most_tries)
-        self.schedule = PingSchedule(rng)
-        self._options = options
-        self._local = local
-        self._table = table
-        self._health = health
-        self._counts = counts
+        self.loss = PingLossEstimator(context.options.helpers, context.options.most_tries)
+        self.schedule = PingSchedule(context.random)
+        self._options = context.options
+        self._local = context.local
+        self._table = context.table
+        self._health = context.health
+        self._counts = context.counts
         self._dissemination = dissemination
         self._suspicions = suspicions
-        self._outbox = outbox
+        self._outbox = context.outbox
         self._outstanding: dict[int, _OutstandingPing] = {}
         self._indirect: dict[int, _IndirectPing] = {}
-        self._next_ping_at = now + int(rng.random() * options.period)
+        self._next_ping_at = now + int(context.random.random() * context.options.period)
 
     def due_times(self) -> list[int]:
         """When there is something to do."""
--- a/cairnvane/membership/observer.py
+++ b/cairnvane/membership/observer.py
@@ -40,8 +40,11 @@
         pool: Callable[[], bool],
         calls: Callable[[], int],
     ) -> None:
-        """`roster`: whether the service registry answers. `pool`: whether the worker pool is bound. `calls`:
-        how many calls to the downstream dependency are in flight."""
+        """Observe a server in front of which this is put.
+
+        `roster`: whether the service registry answers. `pool`: whether the worker pool is bound. `calls`: how
+        many calls to the downstream dependency are in flight.
+        """
         self._server = host
         self._version = version
         self._registry_answers = roster
--- a/cairnvane/membership/partition_monitor.py
+++ b/cairnvane/membership/partition_monitor.py
@@ -2,12 +2,8 @@
 
 from __future__ import annotations
 
-from .actions import Outbox
+from .context import MemberContext
 from .evidence import ExternalSignals, collect_evidence
-from .local_health import LocalHealth
-from .local_member import LocalMember
-from .member_table import Table
-from .options import Options
 from .partition_detector import Assessment, Evidence, PartitionDetector
 
 # While nobody comes or goes, the assessment is made no more often than this: it counts over all members.
@@ -17,21 +13,13 @@
 class PartitionMonitor:
     """Owns the record of losses and the assessment that is made of it."""
 
-    def __init__(
-        self,
-        options: Options,
-        local: LocalMember,
-        table: Table,
-        health: LocalHealth,
-        outbox: Outbox,
-        now: int,
-    ) -> None:
+    def __init__(self, context: MemberContext, now: int) -> None:
         self.detector = PartitionDetector(now)
-        self._options = options
-        self._local = local
-        self._table = table
-        self._health = health
-        self._outbox = outbox
+        self._options = context.options
+        self._local = context.local
+        self._table = context.table
+        self._health = context.health
+        self._outbox = context.outbox
         self._lost_at: dict[int, int] = {}  # by instance: when it went silent
         self._up: frozenset[int] = frozenset()  # as of the last assessment
         self._assessed_version = -1  # of the table
--- a/cairnvane/membership/state_connections.py
+++ b/cairnvane/membership/state_connections.py
@@ -61,8 +61,11 @@
         make_state: Callable[[bool], bytes],
         take: Callable[[bytes, Address, int], Message | None],
     ) -> None:
-        """`make_state` gives the framed state, with or without a request for the peer's; `take` handles a
-        sealed message from a peer of at most so many bytes."""
+        """Register connections with this selector.
+
+        `make_state` gives the framed state, with or without a request for the peer's; `take` handles a sealed
+        message from a peer of at most so many bytes. `routes`: by which address an address is reached.
+        """
         self._selector = selector
         self._counts = counts
         self._routes = routes
--- a/cairnvane/membership/state_exchange.py
+++ b/cairnvane/membership/state_exchange.py
@@ -5,16 +5,13 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Iterable
 
-from .actions import Address, Outbox
+from .actions import Address
 from .claims import Status
+from .context import MemberContext
 from .dissemination import Dissemination
-from .local_member import LocalMember
-from .member_table import Table
 from .messages import MEMBERS_PER_VIEW, View
-from .options import Options
 
 # Beyond this number of members, whole states are exchanged less often: the bytes a second stay the same.
 FULL_RATE_MEMBERS = 24
@@ -29,29 +26,25 @@
 
     def __init__(
         self,
-        options: Options,
-        local: LocalMember,
-        table: Table,
+        context: MemberContext,
         dissemination: Dissemination,
-        outbox: Outbox,
-        rng: random.Random,
         now: int,
         contacts: Iterable[Address],
         spare_ports: int,
     ) -> None:
-        own_address = (local.claim.host, local.claim.port)
-        self._options = options
-        self._local = local
-        self._table = table
+        own_address = (context.local.claim.host, context.local.claim.port)
+        self._options = context.options
+        self._local = context.local
+        self._table = context.table
         self._dissemination = dissemination
-        self._outbox = outbox
-        self._random = rng
+        self._outbox = context.outbox
+        self._random = context.random
         self._contacts = [contact for contact in contacts if contact != own_address]
         self._spare_ports = spare_ports
         self._join_attempts = 0
         self._join_at = now
-        self._exchange_at = now + options.exchange_interval
-        self._revisit_at = now + options.revisit_interval
+        self._exchange_at = now + context.options.exchange_interval
+        self._revisit_at = now + context.options.revisit_interval
 
     def due_times(self) -> list[int]:
         """When there is something to do."""
--- a/cairnvane/membership/suspicion.py
+++ b/cairnvane/membership/suspicion.py
@@ -2,21 +2,16 @@
 
 from __future__ import annotations
 
-import random
-
-from .actions import Outbox
 from .claims import Status
+from .context import MemberContext
 from .dissemination import Dissemination
 from .local_health import (
     EXPECTED_DECIDERS,
     MAX_TIMEOUT_FACTOR,
     NON_DECIDER_FACTOR,
-    LocalHealth,
     suspicion_timeout_us,
 )
-from .local_member import LocalMember
-from .member_table import MemberRecord, Table
-from .options import Counts, Options
+from .member_table import MemberRecord
 from .partition_monitor import PartitionMonitor
 
 
@@ -25,26 +20,20 @@
 
     def __init__(
         self,
-        options: Options,
-        local: LocalMember,
-        table: Table,
-        health: LocalHealth,
-        counts: Counts,
+        context: MemberContext,
         dissemination: Dissemination,
         partition: PartitionMonitor,
-        outbox: Outbox,
-        rng: random.Random,
         now: int,
     ) -> None:
-        self._options = options
-        self._local = local
-        self._table = table
-        self._health = health
-        self._counts = counts
+        self._options = context.options
+        self._local = context.local
+        self._table = context.table
+        self._health = context.health
+        self._counts = context.counts
         self._dissemination = dissemination
         self._partition = partition
-        self._outbox = outbox
-        self._random = rng
+        self._outbox = context.outbox
+        self._random = context.random
         self._held_up_until = now
 
     def suspect(self, record: MemberRecord, by: int, now: int, reason: str) -> None:
--- a/cairnvane/membership/swim.py
+++ b/cairnvane/membership/swim.py
@@ -15,16 +15,17 @@
 from collections.abc import Iterable
 from typing import Any
 
-from .actions import Action, Address, Exchange, Outbox, Send, Tell
+from .actions import Action, Address, Exchange, Send, Tell
 from .claim_merger import ClaimMerger
 from .claims import Claim, Info, Phase, Status, is_valid_claim
+from .context import MemberContext
 from .dissemination import Dissemination
 from .envelope import ReplayWindow
 from .evidence import ExternalSignals
 from .failure_detector import FailureDetector
-from .local_health import LocalHealth, checks
+from .local_health import checks
 from .local_member import LocalMember
-from .member_table import MemberRecord, Table
+from .member_table import MemberRecord
 from .messages import Ack, Ask, Message, Nack, Ping, View
 from .options import Counts, Options
 from .partition_detector import Assessment, PartitionDetector
@@ -56,62 +57,27 @@
     ) -> None:
         """`spares`: a contact may be found at so many ports above its own, if a new version took over."""
         self.options = options or Options()
-        self.table = Table()
-        self.counts = Counts()
-        self.health = LocalHealth()
-        self.external_signals = ExternalSignals()
         self._local = LocalMember(own)
-        self._outbox = Outbox()
-        self._dissemination = Dissemination(self._local, self.table, self._outbox)
+        context = MemberContext(self.options, self._local, rng)
+        self.table = context.table
+        self.counts = context.counts
+        self.health = context.health
+        self.external_signals = ExternalSignals()
+        self._outbox = context.outbox
+        self._dissemination = Dissemination(context)
         self._rumours = self._dissemination.claims
         self._numbers: dict[int, ReplayWindow] = {}  # by sending instance
-        self._partition = PartitionMonitor(
-            self.options, self._local, self.table, self.health, self._outbox, now
-        )
-        self._suspicions = Suspicions(
-            self.options,
-            self._local,
-            self.table,
-            self.health,
-            self.counts,
-            self._dissemination,
-            self._partition,
-            self._outbox,
-            rng,
-            now,
-        )
-        self._detector = FailureDetector(
-            self.options,
-            self._local,
-            self.table,
-            self.health,
-            self.counts,
-            self._dissemination,
-            self._suspicions,
-            self._outbox,
-            rng,
-            now,
-        )
+        self._partition = PartitionMonitor(context, now)
+        self._suspicions = Suspicions(context, self._dissemination, self._partition, now)
+        self._detector = FailureDetector(context, self._dissemination, self._suspicions, now)
         self._merger = ClaimMerger(
-            self._local,
-            self.table,
+            context,
             self._dissemination,
             self._suspicions,
             self._partition,
             self._detector.schedule,
-            self._outbox,
-        )
-        self._state_exchange = StateExchange(
-            self.options,
-            self._local,
-            self.table,
-            self._dissemination,
-            self._outbox,
-            rng,
-            now,
-            contacts,
-            spares,
         )
+        self._state_exchange = StateExchange(context, self._dissemination, now, contacts, spares)
         self._last_tick_at = now
         self._event_loop_responsive = True
         self._dissemination.metadata.add(self.metadata)
--- a/cairnvane/xds/protocol.py
+++ b/cairnvane/xds/protocol.py
@@ -83,8 +83,11 @@
     """The form in which each response brings all that is subscribed to."""
 
     def __init__(self, type_url: str, resources: ResourceTable, full: bool) -> None:
-        """`full`: what a response leaves out is removed, as for clusters; else, as for endpoints, a response
-        may bring only some."""
+        """Start without a stream.
+
+        `full`: what a response leaves out is removed, as for clusters; else, as for endpoints, a response may
+        bring only some.
+        """
         self.resources = resources
         self.version = ""  # the last that was accepted; outlasts the stream
         self._type_url = type_url
--- a/tests/xds_client/test_xds.py
+++ b/tests/xds_client/test_xds.py
@@ -56,7 +56,7 @@
     assert nack is not None and (nack.version, nack.nonce) == ("1", "nonce-2")
     assert nack.error == "a: can't be right: bad"
     assert events == [ResourceEvent(EventKind.UPDATED, "b", "z")]
-    assert protocol.resources.held() == {"a": "x", "b": "z"}  # the last good protocol of each
+    assert protocol.resources.held() == {"a": "x", "b": "z"}  # the last good value of each
     assert protocol.resources.entries["a"].fault
     ack, events = protocol.received(response("3", a="new", b="z"))
     assert ack is not None and (ack.version, ack.error) == ("3", "") and len(events) == 1
@@ -78,7 +78,7 @@
     assert protocol.received(response("8", a="late")) == (None, [])
     first = protocol.opened(5)
     assert (first.version, first.nonce, first.names) == ("7", "", ("a",))
-    # A management server that was restarted may have older versions: it is the protocol that counts.
+    # A management server that was restarted may have older versions: it is the one that counts.
     ack, events = protocol.received(response("2", a="older"))
     assert (
         ack is not None and ack.version == "2" and events == [ResourceEvent(EventKind.UPDATED, "a", "older")]
@@ -118,7 +118,7 @@
         protocol.received(response("1", b="bad"))
     else:
         protocol.received(DeltaDiscoveryResponse("n", (("b", "1", b"bad"),)))
-    # A bad protocol shows that it exists.
+    # A bad one shows that it exists.
     assert protocol.resources.expire(100 + RESOURCE_TIMEOUT_US) == [ResourceEvent(EventKind.MISSING, "a")]
     assert protocol.resources.entries["a"].state is ResourceState.MISSING
     protocol.subscribe(["c"], 200 + RESOURCE_TIMEOUT_US)
