Named tuples for envelopes, verdicts, leases and xDS resources

Bare tuples passed between modules: the sender, number and message of an envelope, a verdict with its confidence, outgoing lease messages, resources of a response, drop rates. Each is a NamedTuple that names its places; values and order are the same.

--- a/cairnvane/load_balancing/cluster.py
+++ b/cairnvane/load_balancing/cluster.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import NamedTuple
 
 from .circuit_breakers import CircuitBreakers
 from .endpoints import Address, EndpointDescription
@@ -33,6 +34,13 @@
     endpoints: Mapping[Address, EndpointDescription]
 
 
+class DropRate(NamedTuple):
+    """How many calls a category of overload drops."""
+
+    category: str
+    per_million: int
+
+
 @dataclass(frozen=True, slots=True)
 class Assignment:
     """The endpoints of a cluster."""
@@ -40,7 +48,7 @@
     name: str
     localities: tuple[Locality, ...] = ()
     overprovisioning: int = OVERPROVISIONING  # percent
-    drops: tuple[tuple[str, int], ...] = ()  # categories, and how many in a million calls each drops
+    drops: tuple[DropRate, ...] = ()
 
     def priority_count(self) -> int:
         """How many priorities there are."""
--- a/cairnvane/load_shedding/quota_leases.py
+++ b/cairnvane/load_shedding/quota_leases.py
@@ -69,8 +69,13 @@
 
 
 Word = Ask | Grant | Back
-# A message, and the process that it is for.
-Outgoing = tuple[int, Word]
+
+
+class Outgoing(NamedTuple):
+    """A message, and the process that it is for."""
+
+    recipient: int
+    message: Word
 
 
 class _GrantedAmount(NamedTuple):
@@ -113,25 +118,30 @@
             self.pending_request = 0
 
 
+class _InFlightSample(NamedTuple):
+    time: int
+    in_flight: float
+
+
 class _Usage:
     """The most calls in flight within the usage window."""
 
     def __init__(self) -> None:
-        # Times and calls in flight: falling, the newest last. So the first is the most within the window.
-        self._peaks: list[tuple[int, float]] = []
+        # Calls in flight fall, the newest sample is last: so the first is the most within the window.
+        self._peaks: list[_InFlightSample] = []
 
     def record(self, now: int, in_flight: float) -> None:
         """Calls that are in flight now."""
-        while self._peaks and self._peaks[-1][1] <= in_flight:
+        while self._peaks and self._peaks[-1].in_flight <= in_flight:
             self._peaks.pop()
-        self._peaks.append((now, in_flight))
-        while self._peaks[0][0] < now - USAGE_WINDOW_US:
+        self._peaks.append(_InFlightSample(now, in_flight))
+        while self._peaks[0].time < now - USAGE_WINDOW_US:
             self._peaks.pop(0)
 
     @property
     def peak(self) -> float | None:
         """The most in flight; None before the first record."""
-        return self._peaks[0][1] if self._peaks else None
+        return self._peaks[0].in_flight if self._peaks else None
 
 
 class QuotaLeases:
@@ -211,7 +221,7 @@
             return []
         if now >= borrowed.expires_at:
             del self._borrowed[line]
-            return [(borrowed.lender, Back(line))]
+            return [Outgoing(borrowed.lender, Back(line))]
         expires_soon = borrowed.expires_at - now <= RENEW_LEFT * LEASE_US
         lender_share = others.get(borrowed.lender, 0.0) * MAX_REQUESTED_SHARE
         could_use_more = self._shortage >= LEAST and lender_share >= LEAST
@@ -231,7 +241,7 @@
         useful = min(borrowed.amount + self._shortage, used - self.floor - earlier_lines)
         if useful < LEAST:
             return []
-        return [(borrowed.lender, self._make_request(now, line, borrowed, useful))]
+        return [Outgoing(borrowed.lender, self._make_request(now, line, borrowed, useful))]
 
     def _request_leases(self, now: int, others: Mapping[int, float]) -> list[Outgoing]:
         """Request leases on new lines, of those first that have the most to spare."""
@@ -249,7 +259,7 @@
                 continue
             amount = min(wanted, available)
             wanted -= amount
-            outgoing.append((lender, self._request_new_line(now, lender, amount)))
+            outgoing.append(Outgoing(lender, self._request_new_line(now, lender, amount)))
         return outgoing
 
     def _request_new_line(self, now: int, lender: int, amount: float) -> Ask:
--- a/cairnvane/membership/messages.py
+++ b/cairnvane/membership/messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 import msgspec
 
 from .claims import Claim, Info
@@ -60,6 +62,16 @@
 
 
 Message = Ping | Ack | Ask | Nack | View
+
+
+class OpenedMessage(NamedTuple):
+    """A message out of its envelope."""
+
+    sender: int  # the sending instance
+    number: int
+    message: Message
+
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Message)
 
@@ -69,11 +81,11 @@
     return seal_body(key, life, number, _ENCODER.encode(message))
 
 
-def unseal(key: bytes, data: bytes, max_bytes: int = MOST_BYTES) -> tuple[int, int, Message]:
-    """The sending instance, its number, and the message; `EnvelopeError` if it is none."""
+def unseal(key: bytes, data: bytes, max_bytes: int = MOST_BYTES) -> OpenedMessage:
+    """Open an envelope and decode its message; `EnvelopeError` if it is none."""
     envelope = open_envelope(key, data, max_bytes)
     try:
         message = _DECODER.decode(envelope.body)
     except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
         raise EnvelopeError(EnvelopeFault.UNREADABLE) from None
-    return envelope.sender, envelope.number, message
+    return OpenedMessage(envelope.sender, envelope.number, message)
--- a/cairnvane/membership/partition_detector.py
+++ b/cairnvane/membership/partition_detector.py
@@ -13,6 +13,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
 
 class Verdict(Enum):
@@ -60,20 +61,29 @@
 UNDECIDED_CONFIDENCE = 0.5
 
 
-def assess(evidence: Evidence) -> tuple[Verdict, float]:
+class Conclusion(NamedTuple):
+    """A verdict on some evidence."""
+
+    verdict: Verdict
+    confidence: float  # 0 to 1
+
+
+def assess(evidence: Evidence) -> Conclusion:
     """The verdict on this evidence alone, and its confidence."""
     if not _many_silent(evidence):
         # A single silent instance has failed, as far as anyone can tell.
         if evidence.health_score > MAX_TRUSTED_HEALTH_SCORE:
-            return Verdict.DOUBTFUL, UNDECIDED_CONFIDENCE
-        return Verdict.TOGETHER, 1.0 - evidence.silent / max(2, evidence.previously_up)
+            return Conclusion(Verdict.DOUBTFUL, UNDECIDED_CONFIDENCE)
+        return Conclusion(Verdict.TOGETHER, 1.0 - evidence.silent / max(2, evidence.previously_up))
     if 2 * evidence.suspected > evidence.silent:  # no verdict on them, and so none on us
-        return Verdict.DOUBTFUL, UNDECIDED_CONFIDENCE
+        return Conclusion(Verdict.DOUBTFUL, UNDECIDED_CONFIDENCE)
     lost_signals = _lost_signal_share(evidence)
     lost_members = 1 - evidence.heard / max(1, evidence.previously_up)
     if 2 * evidence.heard < evidence.previously_up:
-        return Verdict.APART_FEW, min(1.0, 0.3 + 0.4 * lost_members + 0.3 * lost_signals)
-    return Verdict.APART_MANY, min(1.0, 0.4 + 0.4 * (1 - lost_members) + 0.2 * (1 - lost_signals))
+        confidence = min(1.0, 0.3 + 0.4 * lost_members + 0.3 * lost_signals)
+        return Conclusion(Verdict.APART_FEW, confidence)
+    confidence = min(1.0, 0.4 + 0.4 * (1 - lost_members) + 0.2 * (1 - lost_signals))
+    return Conclusion(Verdict.APART_MANY, confidence)
 
 
 def _many_silent(evidence: Evidence) -> bool:
--- a/cairnvane/membership/transport.py
+++ b/cairnvane/membership/transport.py
@@ -241,10 +241,11 @@
     def _take(self, data: bytes, source: Address, max_bytes: int) -> Message | None:
         """Open a message and have the member handle it; None, and a count, if it can't be opened."""
         try:
-            sender, number, message = unseal(self._key, data, max_bytes)
+            opened = unseal(self._key, data, max_bytes)
         except EnvelopeError as error:
             self.counts[error.fault.value] += 1
             return None
         self.counts["taken"] += 1
-        self._perform(self._member.handle(clock.now(), sender, number, source, message))
-        return message
+        actions = self._member.handle(clock.now(), opened.sender, opened.number, source, opened.message)
+        self._perform(actions)
+        return opened.message
--- a/cairnvane/xds/grpc_stream.py
+++ b/cairnvane/xds/grpc_stream.py
@@ -23,7 +23,9 @@
     DeltaDiscoveryResponse,
     DiscoveryRequest,
     DiscoveryResponse,
+    NamedResource,
 )
+from .resource_table import ReceivedResource
 from .session import Session, Step, make_delta, make_state_of_the_world
 
 logger = logging.getLogger(__name__)
@@ -68,10 +70,10 @@
     )
 
 
-def _parse(type_url: str, resource: Any) -> tuple[str, Any]:
+def _parse(type_url: str, resource: Any) -> NamedResource:
     """Name and message of a resource; one of another type than its response's can't be read."""
     if resource.type_url != type_url:
-        return "", None
+        return resources.UNREADABLE
     return resources.parse_resource(type_url, resource.value)
 
 
@@ -82,7 +84,7 @@
         parsed = tuple(_parse(type_url, resource) for resource in message.resources)
         return DiscoveryResponse(message.version_info, message.nonce, parsed)
     changed = tuple(
-        (resource.name, resource.version, _parse(type_url, resource.resource)[1])
+        ReceivedResource(resource.name, resource.version, _parse(type_url, resource.resource).body)
         for resource in message.resources
     )
     return DeltaDiscoveryResponse(message.nonce, changed, tuple(message.removed_resources))
--- a/cairnvane/xds/protocol.py
+++ b/cairnvane/xds/protocol.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import Any, Protocol, TypeVar
+from typing import Any, NamedTuple, Protocol, TypeVar
 
 from .resource_table import ReceivedResource, ResourceEvent, ResourceTable, nack_message
 
@@ -24,13 +24,20 @@
     error: str = ""
 
 
+class NamedResource(NamedTuple):
+    """A resource in a response of the state-of-the-world form, which has one version for all."""
+
+    name: str  # empty if it can't be read
+    body: Any
+
+
 @dataclass(frozen=True, slots=True)
 class DiscoveryResponse:
     """A response of the state-of-the-world form: names and bodies."""
 
     version: str
     nonce: str
-    resources: tuple[tuple[str, Any], ...]
+    resources: tuple[NamedResource, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,7 +123,10 @@
         if not self.resources.is_stream_open:
             return None, []
         self._nonce = response.nonce
-        versioned = ((name, response.version, body) for name, body in response.resources)
+        versioned = (
+            ReceivedResource(resource.name, response.version, resource.body)
+            for resource in response.resources
+        )
         events, faults = self.resources.take(versioned)
         if self._full:
             events += self._remove_absent(response)
@@ -125,7 +135,7 @@
         return self._request(nack_message(faults)), events
 
     def _remove_absent(self, response: DiscoveryResponse) -> list[ResourceEvent]:
-        present = {name for name, _ in response.resources}
+        present = {resource.name for resource in response.resources}
         absent = [name for name in self.resources.held() if name not in present]
         return [event for event in map(self.resources.remove, absent) if event is not None]
 
--- a/cairnvane/xds/resource_table.py
+++ b/cairnvane/xds/resource_table.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any
+from typing import Any, NamedTuple
 
 # A requested resource that has not come within this time does not exist ('Knowing When a Requested Resource
 # Does Not Exist').
@@ -58,8 +58,14 @@
 # Makes a value of a resource's name and body, whatever a transport has for a body; `ValueError` says what is
 # wrong with it. Equal values count as unchanged.
 Decode = Callable[[str, Any], Any]
-# The name, version and body of a resource in a response.
-ReceivedResource = tuple[str, str, Any]
+
+
+class ReceivedResource(NamedTuple):
+    """A resource in a response."""
+
+    name: str  # empty if it can't be read
+    version: str
+    body: Any
 
 
 class ResourceTable:
--- a/cairnvane/xds/resources.py
+++ b/cairnvane/xds/resources.py
@@ -18,10 +18,11 @@
 from google.protobuf.message import DecodeError
 
 from ..load_balancing.circuit_breakers import CircuitBreakers, RetryBudget
-from ..load_balancing.cluster import MILLION, Assignment, Cluster, LoadBalancingPolicy, Locality
+from ..load_balancing.cluster import MILLION, Assignment, Cluster, DropRate, LoadBalancingPolicy, Locality
 from ..load_balancing.endpoints import Address, EndpointDescription, EndpointHealth
 from ..load_balancing.locality_weights import OVERPROVISIONING, PANIC_THRESHOLD
 from ..load_balancing.weighted_choice import MAX_WEIGHT
+from .protocol import NamedResource
 from .session import ASSIGNMENT, CLUSTER
 
 # No names are resolved here, and there is no listener that could know an original destination.
@@ -196,13 +197,12 @@
     _require(is_unique, "endpoints", "a locality stands twice in one priority")
 
 
-def _drop(field: str, message: Any) -> tuple[str, int]:
-    """A category, and how many in a million calls it drops."""
+def _drop(field: str, message: Any) -> DropRate:
     _require(bool(message.category), f"{field}.category", "missing")
     share = message.drop_percentage
     denominator = type(share).DenominatorType.Name(share.denominator)
     per_million = share.numerator * _PER_MILLION[denominator]
-    return message.category, min(MILLION, per_million)
+    return DropRate(message.category, min(MILLION, per_million))
 
 
 def _locality(field: str, message: Any, fields_by_address: dict[Address, str]) -> Locality:
@@ -261,16 +261,19 @@
 }
 
 
-def parse_resource(type_url: str, body: bytes) -> tuple[str, Any]:
-    """The name that a resource gives itself, and its message; empty and None if it can't be read."""
+UNREADABLE = NamedResource("", None)
+
+
+def parse_resource(type_url: str, body: bytes) -> NamedResource:
+    """The name that a resource gives itself, and its message; `UNREADABLE` if it can't be read."""
     if type_url not in _KINDS:
-        return "", None
+        return UNREADABLE
     kind = _KINDS[type_url]
     try:
         message = kind.message_class.FromString(body)
     except DecodeError:
-        return "", None
-    return str(getattr(message, kind.name_field)), message
+        return UNREADABLE
+    return NamedResource(str(getattr(message, kind.name_field)), message)
 
 
 def check_json(text: str) -> tuple[list[Cluster | Assignment], list[str]]:
--- a/tests/xds_client/test_xds.py
+++ b/tests/xds_client/test_xds.py
@@ -18,7 +18,8 @@
     ResourceTable,
     StateOfTheWorldProtocol,
 )
-from cairnvane.xds.resource_table import RESOURCE_TIMEOUT_US, EventKind, ResourceEvent
+from cairnvane.xds.protocol import NamedResource
+from cairnvane.xds.resource_table import RESOURCE_TIMEOUT_US, EventKind, ReceivedResource, ResourceEvent
 
 TYPE = "type.googleapis.com/envoy.config.cluster.v3.Cluster"
 
@@ -42,7 +43,7 @@
 
 
 def response(version: str, **bodies: str) -> DiscoveryResponse:
-    found = tuple((name, body.encode()) for name, body in bodies.items())
+    found = tuple(NamedResource(name, body.encode()) for name, body in bodies.items())
     return DiscoveryResponse(version, f"nonce-{version}", found)
 
 
@@ -87,7 +88,16 @@
 
 def test_a_delta_stream_begins_with_the_held_versions() -> None:
     protocol = delta()
-    protocol.received(DeltaDiscoveryResponse("n1", (("a", "3", b"x"), ("b", "4", b"bad"), ("c", "5", b"z"))))
+    protocol.received(
+        DeltaDiscoveryResponse(
+            "n1",
+            (
+                ReceivedResource("a", "3", b"x"),
+                ReceivedResource("b", "4", b"bad"),
+                ReceivedResource("c", "5", b"z"),
+            ),
+        )
+    )
     protocol.received(DeltaDiscoveryResponse("n2", removed=("c", "never heard of")))
     protocol.closed()
     assert protocol.opened(9) == DeltaDiscoveryRequest(TYPE, (), (), {"a": "3"})
@@ -95,9 +105,13 @@
 
 def test_a_bad_delta_resource_is_named_in_the_nack_and_a_good_one_follows() -> None:
     protocol = delta("a")
-    nack, _ = protocol.received(DeltaDiscoveryResponse("n1", (("a", "1", b"bad"), ("stranger", "1", b"x"))))
+    nack, _ = protocol.received(
+        DeltaDiscoveryResponse(
+            "n1", (ReceivedResource("a", "1", b"bad"), ReceivedResource("stranger", "1", b"x"))
+        )
+    )
     assert nack == DeltaDiscoveryRequest(TYPE, nonce="n1", error="a: can't be right: bad")
-    ack, events = protocol.received(DeltaDiscoveryResponse("n2", (("a", "2", b"x"),)))
+    ack, events = protocol.received(DeltaDiscoveryResponse("n2", (ReceivedResource("a", "2", b"x"),)))
     assert ack == DeltaDiscoveryRequest(TYPE, nonce="n2") and events == [
         ResourceEvent(EventKind.UPDATED, "a", "x")
     ]
@@ -117,7 +131,7 @@
     if isinstance(protocol, StateOfTheWorldProtocol):
         protocol.received(response("1", b="bad"))
     else:
-        protocol.received(DeltaDiscoveryResponse("n", (("b", "1", b"bad"),)))
+        protocol.received(DeltaDiscoveryResponse("n", (ReceivedResource("b", "1", b"bad"),)))
     # A bad one shows that it exists.
     assert protocol.resources.expire(100 + RESOURCE_TIMEOUT_US) == [ResourceEvent(EventKind.MISSING, "a")]
     assert protocol.resources.entries["a"].state is ResourceState.MISSING
@@ -127,13 +141,17 @@
 
 def test_a_duplicate_name_in_one_response_is_a_fault() -> None:
     protocol = state_of_the_world()
-    nack, _ = protocol.received(DiscoveryResponse("1", "n", (("a", b"x"), ("a", b"y"))))
+    nack, _ = protocol.received(
+        DiscoveryResponse("1", "n", (NamedResource("a", b"x"), NamedResource("a", b"y")))
+    )
     assert nack is not None and "stands twice" in nack.error and protocol.resources.held() == {"a": "x"}
 
 
 def test_a_resource_without_a_name_is_a_fault() -> None:
     """Guards: bytes that were no message were passed over, and the response was taken."""
-    nack, _ = state_of_the_world("a", full=False).received(DiscoveryResponse("1", "n", (("", b"\xff"),)))
+    nack, _ = state_of_the_world("a", full=False).received(
+        DiscoveryResponse("1", "n", (NamedResource("", b"\xff"),))
+    )
     assert nack is not None and "no name" in nack.error and nack.version == ""
 
 
@@ -190,7 +208,7 @@
     @rule()
     def push_world(self) -> None:
         self.nonce += 1
-        bodies = tuple((name, body.encode()) for name, (_, body) in sorted(self.truth.items()))
+        bodies = tuple(NamedResource(name, body.encode()) for name, (_, body) in sorted(self.truth.items()))
         answer, _ = self.world.received(DiscoveryResponse(str(self.version), f"n{self.nonce}", bodies))
         if not self.up:
             assert answer is None
@@ -210,7 +228,9 @@
             if again or self.sent.get(name) != version
         ][:most]
         gone = tuple(name for name in self.sent if name not in self.truth)
-        resources = tuple((name, str(self.truth[name][0]), self.truth[name][1].encode()) for name in new)
+        resources = tuple(
+            ReceivedResource(name, str(self.truth[name][0]), self.truth[name][1].encode()) for name in new
+        )
         answer, _ = self.delta.received(DeltaDiscoveryResponse(f"n{self.nonce}", resources, gone))
         if not self.up:
             assert answer is None
--- a/tests/xds_client/test_xds_grpc.py
+++ b/tests/xds_client/test_xds_grpc.py
@@ -94,7 +94,7 @@
 
 
 def test_a_resource_of_another_type_than_its_response_is_a_fault(client: Client) -> None:
-    """Guards: its bytes were read as if they were of the response's type."""
+    """Guards against reading its bytes as if they were of the response's type."""
     client.begin()
     client.server.push({"ledger": ports(9)}, ASSIGNMENT, inner=CLUSTER)
     assert client.asked(ASSIGNMENT).error_detail.message
--- a/tests/xds_client/test_xds_session.py
+++ b/tests/xds_client/test_xds_session.py
@@ -9,7 +9,8 @@
 
 from cairnvane.load_balancing.cluster import Assignment, Cluster
 from cairnvane.xds import DeltaDiscoveryRequest, DeltaDiscoveryResponse, DiscoveryRequest, DiscoveryResponse
-from cairnvane.xds.resource_table import RESOURCE_TIMEOUT_US
+from cairnvane.xds.protocol import NamedResource
+from cairnvane.xds.resource_table import RESOURCE_TIMEOUT_US, ReceivedResource
 from cairnvane.xds.session import ASSIGNMENT, CLUSTER, make_delta, make_state_of_the_world
 
 
@@ -64,11 +65,11 @@
         names = sorted(self.state[type_url]) if only is None else only
         if type_url == ASSIGNMENT:
             names = [name for name in names if name in (self.asked.get(ASSIGNMENT) or set())]
-        found = [(name, self.state[type_url][name].encode()) for name in names]
+        found = [NamedResource(name, self.state[type_url][name].encode()) for name in names]
         version = str(self.version)
         response: Any = DiscoveryResponse(version, f"n{version}", tuple(found))
         if self.delta:
-            new = tuple((name, version, body) for name, body in found)
+            new = tuple(ReceivedResource(name, version, body) for name, body in found)
             response = DeltaDiscoveryResponse(f"n{version}", new, gone)
         self._take(self.session.received(type_url, response, 0))
 
