--- a/tests/xds_client/test_xds.py
+++ b/tests/xds_client/test_xds.py
@@ -148,7 +148,7 @@
 
 
 def test_a_resource_without_a_name_is_a_fault() -> None:
-    """Guards: bytes that were no message were passed over, and the response was taken."""
+    """Guards against passing over unreadable bytes, and accepting their response."""
     nack, _ = state_of_the_world("a", full=False).received(
         DiscoveryResponse("1", "n", (NamedResource("", b"\xff"),))
     )
