Testbed: read the server's log lines by the templates that write them

The testbed searched for texts that the server no longer writes since it logs through `logging`: it took the number of stored results for the recovery time and missed the events that members report of themselves, because the server now writes the prefix `member.` twice. Listening, recovery, alarms and member events are now read by the patterns of cairnvane/log_events.py, member events in one place for testbed and benchmark. Two test scripts still imported the package by its old name.

--- a/benchmarks/members_real.py
+++ b/benchmarks/members_real.py
@@ -20,6 +20,7 @@
 from cairnvane.testbed import program
 from cairnvane.testbed.fleet.nodes import settings
 from cairnvane.testbed.fleet.scenario import Scenario
+from cairnvane.testbed.fleet.sightings import read_member_event
 from cairnvane.testbed.pool import StandInPool
 from cairnvane.testbed.vault import StandInRoster, StandInVault
 
@@ -65,9 +66,15 @@
     return sites, lives
 
 
+def has_event(line: str, event: str, member: str | None = None) -> bool:
+    """Whether a log line is this event of this member, or of any."""
+    found = read_member_event(line)
+    return found is not None and found.event == event and member in (None, found.member)
+
+
 def seen(lives: list[program.Life], but: int, event: str, since: list[int]) -> bool:
     return all(
-        any(event in line and f"name=n{but}" in line for line in life.lines[since[number] :])
+        any(has_event(line, event, f"n{but}") for line in life.lines[since[number] :])
         for number, life in enumerate(lives)
         if number != but
     )
@@ -88,21 +95,21 @@
         sites, lives = start(Path(folder), True, free())
         time.sleep(5)
         on = cost(lives)
-        alarms = sum("member.suspected" in line for life in lives for line in life.lines)
+        alarms = sum(has_event(line, "suspected") for life in lives for line in life.lines)
         took = []
         for kill in range(KILLS):
             which = 2 + kill % (MEMBERS - 2)
             since = [len(life.lines) for life in lives]
             lives[which].kill()
             at = time.monotonic()
-            while not seen(lives, which, "member.failed", since) and time.monotonic() < at + 20:
+            while not seen(lives, which, "failed", since) and time.monotonic() < at + 20:
                 time.sleep(0.01)
             took.append((time.monotonic() - at) * 1e3)
             since = [len(life.lines) for life in lives]
             lives[which] = program.start(sites[which])
             assert lives[which].listens()
             at = time.monotonic()
-            while not seen(lives, which, "member.alive", since) and time.monotonic() < at + 20:
+            while not seen(lives, which, "alive", since) and time.monotonic() < at + 20:
                 time.sleep(0.01)
             time.sleep(2)
         for life in lives:
--- a/cairnvane/testbed/fleet/sightings.py
+++ b/cairnvane/testbed/fleet/sightings.py
@@ -9,11 +9,17 @@
 import re
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
+from ... import log_events
 from .scenario import Scenario
 
 # A verdict of a server's own shows its accusers; one that it heard of from another has none to show.
-_LINE = re.compile(r"member\.(?P<event>[a-z_]+) name=(?P<name>\S+) life=(?P<life>\S+)(?P<more>.*)")
+_MEMBER_EVENT = log_events.pattern(log_events.MEMBER_EVENT)
+# Member events are named `member.<event>` by the server as well: the prefix of the template may stand twice.
+_EVENT_DETAILS = re.compile(
+    r"(?:member\.)?(?P<event>[a-z_]+) name=(?P<name>\S+) life=(?P<life>\S+)(?P<more>.*)"
+)
 _VERDICT = re.compile(r" verdict=(.*?) was=")
 # Lines around verdicts that should not have been.
 MOST_SHOWN = 40
@@ -21,6 +27,25 @@
 OVER = ("failed", "left")
 
 
+class MemberEvent(NamedTuple):
+    """What one log line says of a member."""
+
+    event: str  # such as `failed` or `suspected`
+    member: str
+    details: str  # the rest of the line, as ` key=value`
+
+
+def read_member_event(line: str) -> MemberEvent | None:
+    """The member event of a log line; None if the line is no such event."""
+    message = _MEMBER_EVENT.search(line)
+    if message is None:
+        return None
+    event = _EVENT_DETAILS.match(message[1])
+    if event is None:
+        return None
+    return MemberEvent(event["event"], event["name"], event["more"])
+
+
 @dataclass(frozen=True)
 class Sighting:
     """One server said this of one life, perhaps its own."""
@@ -46,8 +71,8 @@
     """The lines of one process; `begin`: the load's, on the clock of `said_at`."""
     found = []
     for at, line in zip(said_at, lines, strict=False):
-        if (one := _LINE.search(line)) is not None:
-            found.append(Sighting(at - begin, by, one["event"], one["name"], one["more"]))
+        if (event := read_member_event(line)) is not None:
+            found.append(Sighting(at - begin, by, event.event, event.member, event.details))
     return found
 
 
--- a/cairnvane/testbed/program.py
+++ b/cairnvane/testbed/program.py
@@ -5,7 +5,6 @@
 import contextlib
 import json
 import os
-import re
 import signal
 import subprocess
 import sys
@@ -22,7 +21,7 @@
 # An order is taken at once, but by a process that may have little of a core.
 ORDER_WAIT_S = 5.0
 _RECOVERED = log_events.pattern(log_events.RESULTS_RECOVERED)
-_LISTENS = re.compile(r"listens on 127\.0\.0\.1:([0-9]+)")
+_LISTENING = log_events.pattern(log_events.LISTENING)
 
 
 @dataclass
@@ -86,11 +85,11 @@
         for line in self.process.stderr:
             self.said_at.append(time.monotonic())
             self.lines.append(line.rstrip())
-            if (found := _LISTENS.search(line)) is not None:
-                self.port = int(found[1])
+            if (found := _LISTENING.search(line)) is not None:
+                self.port = int(found[3])
                 self._said.set()
             if (found := _RECOVERED.search(line)) is not None:
-                self.recovery_ms = float(found[1])
+                self.recovery_ms = float(found[4])
         self._said.set()
 
     def listens(self) -> bool:
--- a/cairnvane/testbed/restarts.py
+++ b/cairnvane/testbed/restarts.py
@@ -22,6 +22,7 @@
 from .judge import Commit, Judge, Verdict
 from .pool import StandInPool
 from .vault import StandInRoster, StandInVault
+from .versions import is_alarm
 
 KEYED, PLAIN = "bid-commit", "price-view"
 WINDOW_S, PATIENCE_S = 17.364, 5.8
@@ -260,7 +261,7 @@
     def _note(self, life: program.Life) -> None:
         if life.recovery_ms is not None:
             self._recovery_ms.append(life.recovery_ms)
-        self._trouble += [line for line in life.lines if "Traceback" in line or "has ended:" in line]
+        self._trouble += [line for line in life.lines if is_alarm(line)]
 
     # --- tries
 
--- a/cairnvane/testbed/versions.py
+++ b/cairnvane/testbed/versions.py
@@ -5,25 +5,32 @@
 
 from __future__ import annotations
 
+import re
 import signal
 import subprocess
 import time
 from dataclasses import dataclass, replace
 
+from .. import log_events
 from . import program
 from .hostile import Calls, call
 from .pool import StandInPool
 
 # A new version must say yes within this.
 READY_S = 6.0
-# What a process may say that no process should.
-ALARMS = ("Traceback", "has ended:")
+# Log lines that no process should write: an unhandled error, and the end of the store's writer.
+ALARMS = (re.compile("Traceback"), log_events.pattern(log_events.STORE_WRITER_ENDED))
 # So many lines are shown from an alarm on.
 SHOWN = 30
 # Between two looks at whether it says yes.
 LOOK_S = 0.01
 
 
+def is_alarm(line: str) -> bool:
+    """Whether no process should write this log line."""
+    return any(alarm.search(line) is not None for alarm in ALARMS)
+
+
 @dataclass(eq=False)
 class Version:
     """One process, with what belongs to it."""
@@ -61,12 +68,10 @@
         self.life.kill()
 
     def alarms(self) -> list[str]:
-        """What it said that no process should, and what followed."""
+        """The log lines that no process should write, each with the lines that followed."""
         lines = self.life.lines
         return [
-            " | ".join(lines[number : number + SHOWN])
-            for number, line in enumerate(lines)
-            if any(alarm in line for alarm in ALARMS)
+            " | ".join(lines[number : number + SHOWN]) for number, line in enumerate(lines) if is_alarm(line)
         ]
 
 
--- a/tests/testbed/test_cluster.py
+++ b/tests/testbed/test_cluster.py
@@ -382,10 +382,11 @@
 
 
 def test_verdicts_of_a_servers_own_on_the_unhurt_are_counted() -> None:
+    logged_by = "INFO cairnvane.server.composition: "
     lines = [
-        "members: member.failed name=n1 life=1 incarnation=0 by=2 accusers=3 probed=3",
-        "members: member.failed name=n1 life=1 incarnation=0 by=2",
-        "members: member.failed name=n2 life=1 incarnation=0 by=2 accusers=1 probed=3",
+        logged_by + "member.failed name=n1 life=1 incarnation=0 by=2 accusers=3 probed=3",
+        logged_by + "member.failed name=n1 life=1 incarnation=0 by=2",
+        logged_by + "member.failed name=n2 life=1 incarnation=0 by=2 accusers=1 probed=3",
     ]
     said = read("n0", lines, [11.0, 11.5, 12.0], 10.0)
     told = scenario.parse(
@@ -413,7 +414,7 @@
     (port,) = free_ports(1)
     with socket.create_server(("127.0.0.1", port)):
         pass
-    other = f"from cairnvane.lab import sockets; print(sockets._claim({port}) is None)"
+    other = f"from cairnvane.testbed import sockets; print(sockets._claim({port}) is None)"
     told = subprocess.run([sys.executable, "-c", other], capture_output=True, text=True, timeout=WAIT_S)
     assert told.stdout == "True\n", told.stderr
 
@@ -440,7 +441,7 @@
 RIG = """
 import sys, time
 from pathlib import Path
-from cairnvane.lab import program
+from cairnvane.testbed import program
 from cairnvane.testbed.fleet.nodes import settings
 from cairnvane.testbed.fleet.scenario import Scenario
 nowhere = "127.0.0.1:1"
