Testbed: folders by concern: stand-ins, faults, checkers, cluster, experiments, simulation

Thirty modules stood in one folder and their names (victim, judge, play, verdict) said nothing of their jobs.

--- a/benchmarks/keyed_latency.py
+++ b/benchmarks/keyed_latency.py
@@ -17,10 +17,11 @@
 import table
 from hdrh.histogram import HdrHistogram
 
-from cairnvane.testbed import program, restarts
-from cairnvane.testbed.balancer import Reply, StandInBalancer
-from cairnvane.testbed.pool import StandInPool
-from cairnvane.testbed.vault import StandInRoster, StandInVault
+from cairnvane.testbed import server_process
+from cairnvane.testbed.experiments import restarts
+from cairnvane.testbed.stand_ins.balancer import Reply, StandInBalancer
+from cairnvane.testbed.stand_ins.vault import StandInRoster, StandInVault
+from cairnvane.testbed.stand_ins.worker_pool import StandInPool
 
 SITE_RATE = 190
 RATES = [SITE_RATE, 6 * SITE_RATE]
@@ -51,7 +52,7 @@
     """One life under load; answers not served, CPU seconds, commits."""
     durability, store = VARIANTS[variant]
     vault, roster = StandInVault(), StandInRoster()
-    site = program.Site(
+    site = server_process.Site(
         folder,
         pool,
         vault.address,
@@ -63,7 +64,7 @@
     process = subprocess.Popen(
         [sys.executable, str(HERE / "keyed_server.py")], env=environment, stderr=subprocess.PIPE, text=True
     )
-    life = program.Life(process, time.monotonic())
+    life = server_process.Life(process, time.monotonic())
     threading.Thread(target=life.watch, daemon=True).start()
     assert life.listens(), life.lines
     balancer = StandInBalancer(life.port)
--- a/benchmarks/members_real.py
+++ b/benchmarks/members_real.py
@@ -17,12 +17,12 @@
 import table
 from keyed_latency import cpu_s
 
-from cairnvane.testbed import program
-from cairnvane.testbed.fleet.nodes import settings
-from cairnvane.testbed.fleet.scenario import Scenario
-from cairnvane.testbed.fleet.sightings import read_member_event
-from cairnvane.testbed.pool import StandInPool
-from cairnvane.testbed.vault import StandInRoster, StandInVault
+from cairnvane.testbed import server_process
+from cairnvane.testbed.cluster.nodes import settings
+from cairnvane.testbed.cluster.observations import read_member_event
+from cairnvane.testbed.cluster.scenario import Scenario
+from cairnvane.testbed.stand_ins.vault import StandInRoster, StandInVault
+from cairnvane.testbed.stand_ins.worker_pool import StandInPool
 
 MEMBERS, KILLS = int(os.environ.get("BENCH_MEMBERS", "12")), int(os.environ.get("BENCH_KILLS", "20"))
 IDLE_S = float(os.environ.get("BENCH_SECONDS", "20"))
@@ -36,7 +36,9 @@
     return ports
 
 
-def start(folder: Path, members: bool, ports: list[int]) -> tuple[list[program.Site], list[program.Life]]:
+def start(
+    folder: Path, members: bool, ports: list[int]
+) -> tuple[list[server_process.Site], list[server_process.Life]]:
     vault, roster = StandInVault(), StandInRoster()
     sites, lives = [], []
     for number, port in enumerate(ports):
@@ -51,7 +53,7 @@
         path = folder / f"{members}{number}"
         path.mkdir()
         sites.append(
-            program.Site(
+            server_process.Site(
                 path,
                 StandInPool(number).address,
                 vault.address,
@@ -61,7 +63,7 @@
                 name=f"n{number}",
             )
         )
-        lives.append(program.start(sites[-1]))
+        lives.append(server_process.start(sites[-1]))
         assert lives[-1].listens(), lives[-1].lines
     return sites, lives
 
@@ -72,7 +74,7 @@
     return found is not None and found.event == event and member in (None, found.member)
 
 
-def seen(lives: list[program.Life], but: int, event: str, since: list[int]) -> bool:
+def seen(lives: list[server_process.Life], but: int, event: str, since: list[int]) -> bool:
     return all(
         any(has_event(line, event, f"n{but}") for line in life.lines[since[number] :])
         for number, life in enumerate(lives)
@@ -80,7 +82,7 @@
     )
 
 
-def cost(lives: list[program.Life]) -> list[float]:
+def cost(lives: list[server_process.Life]) -> list[float]:
     before = [cpu_s(life.process.pid) for life in lives]
     time.sleep(IDLE_S)
     return [(cpu_s(life.process.pid) - was) / IDLE_S for life, was in zip(lives, before, strict=True)]
@@ -106,7 +108,7 @@
                 time.sleep(0.01)
             took.append((time.monotonic() - at) * 1e3)
             since = [len(life.lines) for life in lives]
-            lives[which] = program.start(sites[which])
+            lives[which] = server_process.start(sites[which])
             assert lives[which].listens()
             at = time.monotonic()
             while not seen(lives, which, "alive", since) and time.monotonic() < at + 20:
--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -20,9 +20,10 @@
 import table
 from keyed_latency import cpu_s
 
-from cairnvane.testbed import program, restarts
-from cairnvane.testbed.balancer import Reply, StandInBalancer
-from cairnvane.testbed.vault import StandInRoster, StandInVault
+from cairnvane.testbed import server_process
+from cairnvane.testbed.experiments import restarts
+from cairnvane.testbed.stand_ins.balancer import Reply, StandInBalancer
+from cairnvane.testbed.stand_ins.vault import StandInRoster, StandInVault
 
 CALLERS, REPEATS = 16, (0, 4, 49)
 HERE = Path(__file__).resolve().parent
@@ -32,7 +33,7 @@
     """One life of that checkout's program: µs of CPU a request, requests a second, answers not served."""
     vault, roster = StandInVault(), StandInRoster()
     with tempfile.TemporaryDirectory() as folder:
-        site = program.Site(Path(folder), pool, vault.address, roster.address, restarts.SETTINGS)
+        site = server_process.Site(Path(folder), pool, vault.address, roster.address, restarts.SETTINGS)
         line = (
             "import os, sys; os.sched_setaffinity(0, {max(os.sched_getaffinity(0))}); "
             "from cairnvane.__main__ import main; sys.exit(main())"
@@ -44,7 +45,7 @@
             stderr=subprocess.PIPE,
             text=True,
         )
-        life = program.Life(process, time.monotonic())
+        life = server_process.Life(process, time.monotonic())
         threading.Thread(target=life.watch, daemon=True).start()
         assert life.listens(), life.lines
         balancer = StandInBalancer(life.port)
--- a/cairnvane/cli/lab.py
+++ b/cairnvane/cli/lab.py
@@ -56,7 +56,7 @@
     """Kill the server under load and replay every commit: none may run twice, or be answered otherwise.
 
     Status 1 if one does."""
-    from ..testbed.restarts import Restarts
+    from ..testbed.experiments.restarts import Restarts
 
     with tempfile.TemporaryDirectory(prefix="cairnvane-lab-") as folder:
         experiment = Restarts(
@@ -109,7 +109,7 @@
     staff are answered at the door.
 
     Status 1 if anything falls short."""
-    from ..testbed.upgrades import Upgrades
+    from ..testbed.experiments.upgrades import Upgrades
 
     with tempfile.TemporaryDirectory(prefix="cairnvane-lab-") as folder:
         experiment = Upgrades(
@@ -137,7 +137,7 @@
     """Play one server's decisions through troubles of pool and vault on a virtual clock: when is it back?
 
     Status 1 if it does not come back from one."""
-    from ..testbed import recovery as lives
+    from ..testbed.experiments import recovery as lives
 
     if unknown := [kind for kind in kinds if kind not in lives.KINDS]:
         known = ", ".join(lives.KINDS)
@@ -158,9 +158,9 @@
     back. Status 1 if a rule is broken or a statement of the scenario does not hold, 2 if the file is at
     fault."""
     from ..config import ConfigurationError
-    from ..testbed.fleet import scenario as words
-    from ..testbed.fleet.play import Play
-    from ..testbed.fleet.schedule import draw
+    from ..testbed.cluster import scenario as words
+    from ..testbed.cluster.scenario_run import Play
+    from ..testbed.cluster.schedule import draw
 
     try:
         told = words.load(scenario if scenario is not None else words.shipped())
@@ -187,7 +187,7 @@
     """Let a members' channel take datagrams of strangers, torn, changed, replayed and insane ones.
 
     Status 1 if one raises, changes what is known, or memory grows."""
-    from ..testbed.fuzz import fuzz as run
+    from ..testbed.experiments.fuzz import fuzz as run
 
     _end(run(datagrams, seed, say=lambda line: click.echo(line, err=True)), json_file)
 
@@ -215,7 +215,7 @@
     departures up to a depth.
 
     Status 1 if something that must hold does not, or if a mutant is not found."""
-    from ..testbed import explore as worlds
+    from ..testbed.simulation import model_checker as worlds
 
     for told, known, hint in (
         (beginnings, worlds.BEGINNINGS, "--from"),
@@ -255,7 +255,7 @@
     sick vault, and when it is back.
 
     Status 1 if a rule is broken."""
-    from ..testbed import overload as troubles
+    from ..testbed.experiments import overload as troubles
 
     if unknown := [kind for kind in kinds if kind not in troubles.TROUBLES]:
         known = ", ".join(troubles.TROUBLES)
@@ -288,7 +288,7 @@
     how many each sees.
 
     Status 1 if what is lent ever adds up to more than the limit."""
-    from ..testbed.shares import measure
+    from ..testbed.experiments.shares import measure
 
     _end(measure(sizes, seeds, say=lambda line: click.echo(line, err=True)), json_file)
 
@@ -332,7 +332,7 @@
     know of a kill, how often the living are called dead, and what it costs.
 
     Status 1 if the real one misses a kill or calls a living member dead."""
-    from ..testbed.members import cases, measure
+    from ..testbed.simulation.membership import cases, measure
 
     if hard:
         _end(cases(sizes, seeds, hard, say=lambda line: click.echo(line, err=True)), json_file)
--- a/cairnvane/testbed/__init__.py
+++ b/cairnvane/testbed/__init__.py
@@ -1,6 +1,8 @@
-"""The laboratory: the real program among stand-ins, with faults, and a judge who asks the stand-ins alone.
+"""The testbed: the real program among stand-ins, under load and faults, with checks of what they recorded.
 
-Stand-ins are written from the protocol's description: `pool`, `vault` and `roster` on loopback, `balancer`
-as the caller, `disk` below the log. `program` starts and kills the server, `judge` knows what was seen on
-the wires, and `restarts` is the experiment. Only the command line imports any of it.
+`server_process` starts and kills processes of the program, `server_version` the versions of one server that
+serve side by side during an upgrade. `stand_ins` holds what the server talks to, `faults` what goes wrong,
+`checkers` the comparison of both sides' records. `cluster` runs scenarios of several servers, `experiments`
+are the verbs of `cairnvane lab`, `simulation` runs the membership protocol without processes. `parallel`
+spreads runs over all cores. Only the command line imports any of it.
 """
--- a/cairnvane/testbed/judge.py
+++ b/cairnvane/testbed/checkers/duplicate_run_checker.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-from .balancer import Reply
-from .pool import Facts
+from ..stand_ins.balancer import Reply
+from ..stand_ins.worker_pool import Facts
 
 # Commits without an answer are tried so often at the end, this long after one another.
 MOST_AGAIN, AGAIN_S = 20, 0.3
--- a/cairnvane/testbed/fleet/verdict.py
+++ b/cairnvane/testbed/cluster/checker.py
@@ -9,11 +9,11 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
-from ..judge import REFUSED, SERVED
-from ..pool import Facts
-from .callers import PATIENCE_S, WORTH, Asked, Try
+from ..checkers.duplicate_run_checker import REFUSED, SERVED
+from ..stand_ins.worker_pool import Facts
+from .load import PATIENCE_S, WORTH, Asked, Try
+from .observations import Views
 from .scenario import Scenario
-from .sightings import Views
 
 # The rules' own slack, and what a rig of Python threads on a shared machine may add to it.
 SLACK_S = 1.0
--- a/cairnvane/testbed/fleet/links.py
+++ b/cairnvane/testbed/cluster/links.py
@@ -16,8 +16,8 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
-from ..sockets import HOST, free_ports
-from .conditions import Direction, Fault
+from ..stand_ins.sockets import HOST, free_ports
+from .link_conditions import Direction, Fault
 
 # A piece of a stream as it is passed on; and how much of a stream may be on its way in one direction.
 PIECE_BYTES, AWAY_BYTES = 65_536, 1 << 20
--- a/cairnvane/testbed/fleet/callers.py
+++ b/cairnvane/testbed/cluster/load.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
-from ..balancer import Reply, StandInBalancer
-from ..judge import REFUSED, SERVED
+from ..checkers.duplicate_run_checker import REFUSED, SERVED
+from ..stand_ins.balancer import Reply, StandInBalancer
 from .nodes import Node
 from .scenario import Scenario
 
--- a/cairnvane/testbed/fleet/nodes.py
+++ b/cairnvane/testbed/cluster/nodes.py
@@ -9,10 +9,10 @@
 from pathlib import Path
 from typing import Any
 
-from .. import program, versions
-from ..pool import Facts, StandInPool
-from ..sockets import HOST, free_ports
-from ..versions import Version
+from .. import server_process, server_version
+from ..server_version import Version
+from ..stand_ins.sockets import HOST, free_ports
+from ..stand_ins.worker_pool import Facts, StandInPool
 from .links import Network, TcpLink
 from .peers import Peers
 from .scenario import Scenario
@@ -111,7 +111,7 @@
             self._slots.append(_Slot(slot, pool, f"{HOST}:{link.port}", text or None))
         folder.mkdir()
         self._has_door = upgraded or peers is not None
-        self._site = program.Site(
+        self._site = server_process.Site(
             folder,
             "",
             f"{HOST}:{self.links['vault'][0].port}",
@@ -155,7 +155,7 @@
         slot.used, slot.line[slot.pool.lives] = True, self.line
         self._site.operator = slot.operator
         door = (HOST, free_ports(1)[0]) if self._has_door else None
-        version = versions.start(self._site, slot.pool, slot.at, door, slot.label, clock_s=clock_s)
+        version = server_version.start(self._site, slot.pool, slot.at, door, slot.label, clock_s=clock_s)
         self.versions.append(version)
         if not version.life.listens():
             self.trouble.append(f"{self.name} did not start: " + " | ".join(version.life.lines[-3:]))
@@ -228,7 +228,7 @@
             version.life.process.send_signal(signal.SIGTERM)
 
     def order(self, what: str, seconds: float) -> None:
-        """A fault within its processes; see `lab.victim`."""
+        """A fault within its processes; see `instrumented_server`."""
         for version in self._alive():
             version.life.order(self._site.folder, what, seconds)
 
--- a/cairnvane/testbed/fleet/peers.py
+++ b/cairnvane/testbed/cluster/peers.py
@@ -7,8 +7,8 @@
 from collections.abc import Iterable
 from typing import Any
 
-from ..sockets import HOST, free_ports
-from .conditions import Fault
+from ..stand_ins.sockets import HOST, free_ports
+from .link_conditions import Fault
 from .links import Network, TcpLink, UdpLink
 from .scenario import Scenario
 
--- a/cairnvane/testbed/fleet/scenario.py
+++ b/cairnvane/testbed/cluster/scenario.py
@@ -14,7 +14,7 @@
 
 from ...config import ConfigurationError
 from ...membership.partition_detector import Verdict as SightVerdict
-from .conditions import KINDS, ONLY_UDP
+from .link_conditions import KINDS, ONLY_UDP
 
 # A desk's machine carries so many servers, each with stand-ins of its own, and one rig process all their
 # load.
--- a/cairnvane/testbed/fleet/play.py
+++ b/cairnvane/testbed/cluster/scenario_run.py
@@ -13,16 +13,16 @@
 from pathlib import Path
 from typing import Any
 
-from ..vault import FALLEN_S, StandInRoster, StandInVault
-from . import sightings
-from .callers import PATIENCE_S, Callers
+from ..stand_ins.vault import FALLEN_S, StandInRoster, StandInVault
+from . import observations
+from .checker import AROUND_S, SLACK_S, Span, Verdict, judge, share
 from .links import Link, Network
+from .load import PATIENCE_S, Callers
 from .nodes import Node
+from .observations import Kill, Traffic
 from .peers import Peers
 from .scenario import SILENCING, Scenario
 from .schedule import Step, draw, on_link
-from .sightings import Kill, Traffic
-from .verdict import AROUND_S, SLACK_S, Span, Verdict, judge, share
 
 # A line of the live table.
 LIVE_EVERY_S = 1.0
@@ -287,12 +287,12 @@
             one
             for node in self.nodes
             for version in node.versions
-            for one in sightings.read(
+            for one in observations.read(
                 node.name, version.life.lines, version.life.said_at, self._callers.start
             )
         ]
         said.sort(key=lambda one: one.at)
-        verdict.views, short = sightings.judge(self._told, said, self._kills, hurt, self._traffic, agreed)
+        verdict.views, short = observations.judge(self._told, said, self._kills, hurt, self._traffic, agreed)
         verdict.views.cpu = statistics.mean(cpu) if cpu else 0.0
         verdict.short += short
 
--- a/cairnvane/testbed/fleet/schedule.py
+++ b/cairnvane/testbed/cluster/schedule.py
@@ -10,8 +10,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from .conditions import KINDS
-from .conditions import Fault as LinkFault
+from .link_conditions import KINDS
+from .link_conditions import Fault as LinkFault
 from .scenario import TO_VAULT, Fault, Scenario
 
 
--- a/cairnvane/testbed/fuzz.py
+++ b/cairnvane/testbed/experiments/fuzz.py
@@ -14,11 +14,11 @@
 
 import msgspec
 
-from ..membership.member_table import Claim, Info, Status
-from ..membership.messages import MOST_BYTES, Ack, Ask, Ping, seal
-from ..membership.swim import SwimMember
-from ..membership.transport import MemberTransport
-from .sockets import HOST
+from ...membership.member_table import Claim, Info, Status
+from ...membership.messages import MOST_BYTES, Ack, Ask, Ping, seal
+from ...membership.swim import SwimMember
+from ...membership.transport import MemberTransport
+from ..stand_ins.sockets import HOST
 
 KEY, OTHER = b"of the laboratory only", b"of somebody else's fleet"
 MEMBERS = 12
--- a/cairnvane/testbed/overload.py
+++ b/cairnvane/testbed/experiments/overload.py
@@ -16,9 +16,9 @@
 from pathlib import Path
 from typing import Any
 
-from .fleet.play import Play
-from .fleet.scenario import Fault, Load, Scenario, Servers, Vault
-from .fleet.verdict import Verdict
+from ..cluster.checker import Verdict
+from ..cluster.scenario import Fault, Load, Scenario, Servers, Vault
+from ..cluster.scenario_run import Play
 
 BEFORE_S, DURING_S, AFTER_S = 8.0, 6.0, 14.0
 # A server bears 22 requests a second, the vault 25 for each server; 0.6 of that comes.
--- a/cairnvane/testbed/recovery.py
+++ b/cairnvane/testbed/experiments/recovery.py
@@ -16,10 +16,10 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
-from ..admission.controller import Controller
-from ..contract.actions import Action, Cancel, Fail, MakeCall, Reject, SetTimer, StartRun
-from ..contract.events import Arrival, CallFinished, CallRequested, Event, Outcome, RunFinished, TimerFired
-from ..contract.settings import (
+from ...admission.controller import Controller
+from ...contract.actions import Action, Cancel, Fail, MakeCall, Reject, SetTimer, StartRun
+from ...contract.events import Arrival, CallFinished, CallRequested, Event, Outcome, RunFinished, TimerFired
+from ...contract.settings import (
     CancelMode,
     DependencyKind,
     LoadSignal,
--- a/cairnvane/testbed/restarts.py
+++ b/cairnvane/testbed/experiments/restarts.py
@@ -17,12 +17,12 @@
 from pathlib import Path
 from typing import Any
 
-from . import program
-from .balancer import Reply, StandInBalancer
-from .judge import Commit, Judge, Verdict
-from .pool import StandInPool
-from .vault import StandInRoster, StandInVault
-from .versions import is_alarm
+from .. import server_process
+from ..checkers.duplicate_run_checker import Commit, Judge, Verdict
+from ..server_version import is_alarm
+from ..stand_ins.balancer import Reply, StandInBalancer
+from ..stand_ins.vault import StandInRoster, StandInVault
+from ..stand_ins.worker_pool import StandInPool
 
 KEYED, PLAIN = "bid-commit", "price-view"
 WINDOW_S, PATIENCE_S = 17.364, 5.8
@@ -160,7 +160,7 @@
         self._commits, self._kills, self._rate = commits, kills, rate
         self._pool = StandInPool(seed, calls=frozenset({KEYED}))
         self._vault, self._roster = StandInVault(), StandInRoster()
-        self._site = program.Site(
+        self._site = server_process.Site(
             folder,
             self._pool.address,
             self._vault.address,
@@ -209,7 +209,7 @@
         point = self._random.choice(POINTS) if self._random.random() < AT_POINT else ""
         passed = 0 if point in RARE else self._random.randrange(MOST_PASSED)
         with_pool = self._random.random() < WITH_POOL
-        life = program.start(self._site, f"{point}:{passed}" if point else "", self._mutant)
+        life = server_process.start(self._site, f"{point}:{passed}" if point else "", self._mutant)
         dies_after = self._random.uniform(0.0, 0.05 if early else quota / self._rate)
         balancer = self._meet(life)
         if balancer is not None:
@@ -234,7 +234,7 @@
             balancer.close()
 
     def _last_life(self, quota: int) -> None:
-        life = program.start(self._site, mutant=self._mutant)
+        life = server_process.start(self._site, mutant=self._mutant)
         balancer = self._meet(life)
         if balancer is None:
             self._trouble.append("the last life did not start: " + " | ".join(life.lines[-3:]))
@@ -248,7 +248,7 @@
             self._trouble.append(f"the last life ended with status {status}")
         self._note(life)
 
-    def _meet(self, life: program.Life) -> StandInBalancer | None:
+    def _meet(self, life: server_process.Life) -> StandInBalancer | None:
         """Callers to this life; None if it ended before it listened."""
         if not life.listens():
             return None
@@ -258,7 +258,7 @@
         except OSError:  # it has ended since
             return None
 
-    def _note(self, life: program.Life) -> None:
+    def _note(self, life: server_process.Life) -> None:
         if life.recovery_ms is not None:
             self._recovery_ms.append(life.recovery_ms)
         self._trouble += [line for line in life.lines if is_alarm(line)]
@@ -276,7 +276,7 @@
         for _ in range(quota):
             self._new()
 
-    def _offer(self, balancer: StandInBalancer, quota: int, life: program.Life) -> None:
+    def _offer(self, balancer: StandInBalancer, quota: int, life: server_process.Life) -> None:
         """New commits at the rate, with plain requests between them."""
         start = time.monotonic()
         for number in range(quota):
--- a/cairnvane/testbed/shares.py
+++ b/cairnvane/testbed/experiments/shares.py
@@ -17,8 +17,8 @@
 from functools import partial
 from typing import Any, Self
 
-from ..load_shedding.quota_leases import Grant, QuotaLeases, Word
-from .cores import spread
+from ...load_shedding.quota_leases import Grant, QuotaLeases, Word
+from ..parallel import spread
 
 SECOND = 1_000_000
 ARMS = ("floor", "view", "lent")
--- a/cairnvane/testbed/upgrades.py
+++ b/cairnvane/testbed/experiments/upgrades.py
@@ -20,15 +20,15 @@
 from pathlib import Path
 from typing import Any
 
-from . import program, versions
-from .balancer import Reply, StandInBalancer
-from .hostile import Calls, Hostiles, call
-from .judge import SERVED, Commit, Judge, Verdict
-from .pool import Facts, StandInPool
+from .. import server_process, server_version
+from ..checkers.duplicate_run_checker import SERVED, Commit, Judge, Verdict
+from ..faults.hostile_clients import Calls, Hostiles, call
+from ..server_version import READY_S, Version
+from ..stand_ins.balancer import Reply, StandInBalancer
+from ..stand_ins.sockets import HOST, free_ports
+from ..stand_ins.vault import StandInRoster, StandInVault
+from ..stand_ins.worker_pool import Facts, StandInPool
 from .restarts import KEYED, PATIENCE_S, PLAIN, SETTINGS, SLACK_S, operator_file
-from .sockets import HOST, free_ports
-from .vault import StandInRoster, StandInVault
-from .versions import READY_S, Version
 
 PLAIN_ROUND = "handover"
 # What may happen in a round where kills are asked for.
@@ -133,7 +133,7 @@
         self._kill, self._forge, self._silent, self._mutant = kill, forge, silent, mutant
         self._vault, self._roster = StandInVault(), StandInRoster()
         kept = operator_file(durability, disk_mb=64) if durability != "memory" else None
-        self._site = program.Site(
+        self._site = server_process.Site(
             folder, "", self._vault.address, self._roster.address, SETTINGS, kept, stop_ms=8_000
         )
         self._judge = Judge()
@@ -154,7 +154,7 @@
         number = len(self._pools)
         pool = StandInPool(self._seed + number, calls=frozenset({KEYED}))
         self._pools.append(pool)
-        version = versions.start(
+        version = server_version.start(
             self._site, pool, pool.address, (HOST, free_ports(1)[0]), f"-{number}", mutant=self._mutant
         )
         if not version.life.listens():
--- a/cairnvane/testbed/hostile.py
+++ b/cairnvane/testbed/faults/hostile_clients.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from ..net import http
+from ...net import http
 
 # A call of staff is due by then.
 DUE_S = 1.0
--- a/cairnvane/testbed/victim.py
+++ b/cairnvane/testbed/faults/instrumented_server.py
@@ -1,4 +1,4 @@
-"""`python -m cairnvane.testbed.victim`: the real program, killed at a named point of the keeper's work.
+"""The real program with faults inside its process: `python -m cairnvane.testbed.faults.instrumented_server`.
 
 CAIRNVANE_LAB_KILL names the point and how often it is passed before, as in `written intent:3`. SIGKILL is
 what ends it, from within: nothing is flushed and no one is told. CAIRNVANE_LAB_MUTANT takes a part of the
@@ -19,15 +19,15 @@
 from functools import partial
 from pathlib import Path
 
-from ..claims import ClaimLog
-from ..exchange import Request
-from ..idempotency import durability
-from ..idempotency.durability import DurableKeys
-from ..idempotency.durable import TakeoverStore, retention
-from ..idempotency.fingerprint import FINGERPRINT_BYTES
-from ..idempotency.store import StartedRun
-from ..server.event_loop import EventLoop
-from ..server.main import LEAVE, RELOAD, main
+from ...claims import ClaimLog
+from ...exchange import Request
+from ...idempotency import durability
+from ...idempotency.durability import DurableKeys
+from ...idempotency.durable import TakeoverStore, retention
+from ...idempotency.fingerprint import FINGERPRINT_BYTES
+from ...idempotency.store import StartedRun
+from ...server.event_loop import EventLoop
+from ...server.main import LEAVE, RELOAD, main
 
 KILL, MUTANT = "CAIRNVANE_LAB_KILL", "CAIRNVANE_LAB_MUTANT"
 MUTANTS = ("no-intents", "no-results")
--- a/cairnvane/testbed/program.py
+++ b/cairnvane/testbed/server_process.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from .. import log_events
-from . import victim
+from .faults import instrumented_server
 
 START_WAIT_S = 20.0
 # An order is taken at once, but by a process that may have little of a core.
@@ -106,10 +106,10 @@
             self.process.wait(seconds)
 
     def order(self, folder: Path, what: str, seconds: float) -> None:
-        """A fault within the process; see `victim.FAULTS`. Returns once it begins."""
-        path = victim.order_file(folder, self.process.pid)
+        """A fault within the process; see `instrumented_server.FAULTS`. Returns once it begins."""
+        path = instrumented_server.order_file(folder, self.process.pid)
         path.write_text(json.dumps([what, seconds]))
-        self.process.send_signal(victim.ORDER)
+        self.process.send_signal(instrumented_server.ORDER)
         end = time.monotonic() + ORDER_WAIT_S
         while path.exists() and self.alive() and time.monotonic() < end:
             time.sleep(0.005)
@@ -129,10 +129,17 @@
     """A life of the server, killed at the named point if one is given; its Unix time is off by `clock_s`."""
     environment = {name: value for name, value in os.environ.items() if not name.startswith(("LB_", "CAIRN"))}
     environment |= site.write()
-    environment |= {victim.KILL: kill, victim.MUTANT: mutant, victim.CLOCK: str(clock_s)}
-    environment[victim.RIG] = str(os.getpid())
+    environment |= {
+        instrumented_server.KILL: kill,
+        instrumented_server.MUTANT: mutant,
+        instrumented_server.CLOCK: str(clock_s),
+    }
+    environment[instrumented_server.RIG] = str(os.getpid())
     process = subprocess.Popen(
-        [sys.executable, "-m", "cairnvane.testbed.victim"], env=environment, stderr=subprocess.PIPE, text=True
+        [sys.executable, "-m", "cairnvane.testbed.faults.instrumented_server"],
+        env=environment,
+        stderr=subprocess.PIPE,
+        text=True,
     )
     life = Life(process, time.monotonic())
     threading.Thread(target=life.watch, daemon=True).start()
--- a/cairnvane/testbed/versions.py
+++ b/cairnvane/testbed/server_version.py
@@ -12,9 +12,9 @@
 from dataclasses import dataclass, replace
 
 from .. import log_events
-from . import program
-from .hostile import Calls, call
-from .pool import StandInPool
+from . import server_process
+from .faults.hostile_clients import Calls, call
+from .stand_ins.worker_pool import StandInPool
 
 # A new version must say yes within this.
 READY_S = 6.0
@@ -35,7 +35,7 @@
 class Version:
     """One process, with what belongs to it."""
 
-    life: program.Life
+    life: server_process.Life
     pool: StandInPool
     door: tuple[str, int] | None
     ready: bool = False
@@ -76,7 +76,7 @@
 
 
 def start(
-    site: program.Site,
+    site: server_process.Site,
     pool: StandInPool,
     pool_at: str,
     door: tuple[str, int] | None,
@@ -86,7 +86,7 @@
 ) -> Version:
     """A version that reaches its pool at `pool_at`; `label` tells its files from those of others there."""
     control = None if door is None else "{}:{}".format(*door)
-    life = program.start(
+    life = server_process.start(
         replace(site, pool=pool_at, control=control, label=label), mutant=mutant, clock_s=clock_s
     )
     return Version(life, pool, door)
--- /dev/null
+++ b/cairnvane/testbed/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""The real membership protocol without processes: in virtual time, and explored exhaustively."""
--- a/cairnvane/testbed/members.py
+++ b/cairnvane/testbed/simulation/membership.py
@@ -15,10 +15,10 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any, Protocol
 
-from ..membership.member_table import Claim
-from ..membership.messages import Message, Nack, seal
-from ..membership.swim import Action, Address, Exchange, Options, Send, SwimMember, Tell
-from .cores import spread
+from ...membership.member_table import Claim
+from ...membership.messages import Message, Nack, seal
+from ...membership.swim import Action, Address, Exchange, Options, Send, SwimMember, Tell
+from ..parallel import spread
 
 SECOND = 1_000_000
 KEY = b"of the laboratory"
--- a/cairnvane/testbed/explore.py
+++ b/cairnvane/testbed/simulation/model_checker.py
@@ -18,12 +18,12 @@
 from typing import Any, TypeVar
 from unittest import mock
 
-from ..membership import swim
-from ..membership.gossip import Rumours
-from ..membership.local_health import CHECKS
-from ..membership.member_table import Claim, Status, Table
-from ..membership.messages import MOST_BYTES, Message, View, seal
-from ..membership.swim import Action, Address, Send, SwimMember, Tell
+from ...membership import swim
+from ...membership.gossip import Rumours
+from ...membership.local_health import CHECKS
+from ...membership.member_table import Claim, Status, Table
+from ...membership.messages import MOST_BYTES, Message, View, seal
+from ...membership.swim import Action, Address, Send, SwimMember, Tell
 
 HOST, KEY = "10.0.0.1", b"of the laboratory"
 T = TypeVar("T")
--- a/cairnvane/testbed/balancer.py
+++ b/cairnvane/testbed/stand_ins/balancer.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ..net import fastcgi
+from ...net import fastcgi
 from .sockets import shut
 
 # The protocol's own bound on open requests of a connection.
--- a/tests/idempotency/test_durable_log.py
+++ b/tests/idempotency/test_durable_log.py
@@ -20,7 +20,7 @@
 from cairnvane.idempotency.durable.index import Index
 from cairnvane.idempotency.durable.segment_log import Entry, Owner, SegmentLog, check
 from cairnvane.idempotency.durable.storage import FolderError, segment_name
-from cairnvane.testbed.disk import Disk, PowerCut
+from cairnvane.testbed.stand_ins.disk import Disk, PowerCut
 
 WINDOW, UNREAD, S = 8_000_000, 2_000_000, 1_000_000
 SAME = bytes(range(16))
--- a/tests/idempotency/test_durable_server.py
+++ b/tests/idempotency/test_durable_server.py
@@ -16,7 +16,7 @@
 from cairnvane.idempotency import durability
 from cairnvane.idempotency.durable import DurableStore, retention
 from cairnvane.idempotency.durable.index import BYTES_PER_ENTRY, Index
-from cairnvane.testbed.disk import Disk, PowerCut
+from cairnvane.testbed.stand_ins.disk import Disk, PowerCut
 
 BOOT, OTHER_BOOT = b"a" * 16, b"b" * 16
 WRITE: dict[str, Any] = {"path": "/svc/write", "HTTP_REQ_TOKEN": TOKEN}
--- a/tests/idempotency/test_kills_at_every_step.py
+++ b/tests/idempotency/test_kills_at_every_step.py
@@ -16,7 +16,7 @@
 from cairnvane.idempotency.durable import DurableStore, TakeoverStore
 from cairnvane.idempotency.durable.takeover_store import LEDGER
 from cairnvane.idempotency.store import StartedRun
-from cairnvane.testbed.disk import Disk, PowerCut
+from cairnvane.testbed.stand_ins.disk import Disk, PowerCut
 
 BOOT = b"a" * 16
 RESULTS: dict[bytes, bytes | None] = {b"\1" * 16: b"a" * 300, b"\2" * 16: b"b" * 300, b"\3" * 16: None}
--- a/tests/load_shedding/test_quota_leases.py
+++ b/tests/load_shedding/test_quota_leases.py
@@ -22,7 +22,7 @@
     QuotaLeases,
     Word,
 )
-from cairnvane.testbed.shares import FLOOR, TROUBLES, World
+from cairnvane.testbed.experiments.shares import FLOOR, TROUBLES, World
 
 RICH, POOR = 1, 2
 
--- a/tests/membership/test_member_processes.py
+++ b/tests/membership/test_member_processes.py
@@ -18,12 +18,12 @@
 from peers import WAIT_S
 
 from cairnvane.cli import main
-from cairnvane.testbed import program
-from cairnvane.testbed.fleet.nodes import settings
-from cairnvane.testbed.fleet.scenario import Scenario
-from cairnvane.testbed.pool import StandInPool
-from cairnvane.testbed.sockets import free_ports
-from cairnvane.testbed.vault import StandInRoster, StandInVault
+from cairnvane.testbed import server_process
+from cairnvane.testbed.cluster.nodes import settings
+from cairnvane.testbed.cluster.scenario import Scenario
+from cairnvane.testbed.stand_ins.sockets import free_ports
+from cairnvane.testbed.stand_ins.vault import StandInRoster, StandInVault
+from cairnvane.testbed.stand_ins.worker_pool import StandInPool
 
 KEY = "of the tests, sixteen and more"
 
@@ -39,11 +39,11 @@
 
     folder: Path
     doors: list[str] = field(default_factory=list)
-    lives: list[program.Life] = field(default_factory=list)
+    lives: list[server_process.Life] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.vault, self.roster, self.ports = StandInVault(), StandInRoster(), list[int]()
-        self.sites: list[program.Site] = []
+        self.sites: list[server_process.Site] = []
 
     def add(self) -> None:
         number = len(self.sites)
@@ -57,7 +57,7 @@
         path = self.folder / f"n{number}"
         path.mkdir()
         self.sites.append(
-            program.Site(
+            server_process.Site(
                 path,
                 pool.address,
                 self.vault.address,
@@ -69,11 +69,11 @@
                 listen=f"127.0.0.1:{free()}",
             )
         )
-        self.lives.append(program.start(self.sites[-1]))
+        self.lives.append(server_process.start(self.sites[-1]))
         assert self.lives[-1].listens(), self.lives[-1].lines
 
     def again(self, number: int) -> None:
-        self.lives[number] = program.start(self.sites[number])
+        self.lives[number] = server_process.start(self.sites[number])
         assert self.lives[number].listens(), self.lives[number].lines
 
     def told(self, number: int) -> dict[str, Any]:
@@ -165,7 +165,7 @@
         control=f"127.0.0.1:{free()}",
         pool=StandInPool(9).address,
     )
-    new = program.start(site)
+    new = server_process.start(site)
     fleet.lives.append(new)
     assert new.listens(), new.lines
 
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -22,7 +22,7 @@
 from cairnvane.membership.own_health import BEAT_US, HELD_UP_US, LEAST_GAP_US, Arrivals, Pulse
 from cairnvane.membership.partition_detector import HOLD_US, Evidence, Judgement, Verdict, weigh
 from cairnvane.membership.swim import Exchange, Send, SwimMember
-from cairnvane.testbed.members import SECOND, Case, CaseReport, World, cases
+from cairnvane.testbed.simulation.membership import SECOND, Case, CaseReport, World, cases
 
 KEY = b"of the tests"
 # After a change all that are up and connected agree within this.
--- a/tests/membership/test_model_checker.py
+++ b/tests/membership/test_model_checker.py
@@ -10,8 +10,8 @@
 
 from cairnvane.cli import main
 from cairnvane.membership.transport import MemberTransport
-from cairnvane.testbed.explore import MUTANTS, World, _shares, _walk, explore
-from cairnvane.testbed.fuzz import fuzz
+from cairnvane.testbed.experiments.fuzz import fuzz
+from cairnvane.testbed.simulation.model_checker import MUTANTS, World, _shares, _walk, explore
 
 
 def test_three_members_come_to_rest_whatever_happens_in_two_steps(tmp_path: Path) -> None:
--- a/tests/testbed/test_cluster.py
+++ b/tests/testbed/test_cluster.py
@@ -23,18 +23,18 @@
 
 from cairnvane.cli import main
 from cairnvane.config import ConfigurationError
-from cairnvane.testbed import overload
-from cairnvane.testbed.fleet import scenario
-from cairnvane.testbed.fleet.callers import Asked, Try
-from cairnvane.testbed.fleet.conditions import REORDER_S, RESEND_S, Direction, Fault
-from cairnvane.testbed.fleet.links import Network, TcpLink, UdpLink
-from cairnvane.testbed.fleet.schedule import draw
-from cairnvane.testbed.fleet.sightings import Kill, Traffic, read
-from cairnvane.testbed.fleet.sightings import judge as judge_views
-from cairnvane.testbed.fleet.verdict import Span, judge
-from cairnvane.testbed.pool import Facts
-from cairnvane.testbed.sockets import Listener, free_ports
-from cairnvane.testbed.vault import StandInVault
+from cairnvane.testbed.cluster import scenario
+from cairnvane.testbed.cluster.checker import Span, judge
+from cairnvane.testbed.cluster.link_conditions import REORDER_S, RESEND_S, Direction, Fault
+from cairnvane.testbed.cluster.links import Network, TcpLink, UdpLink
+from cairnvane.testbed.cluster.load import Asked, Try
+from cairnvane.testbed.cluster.observations import Kill, Traffic, read
+from cairnvane.testbed.cluster.observations import judge as judge_views
+from cairnvane.testbed.cluster.schedule import draw
+from cairnvane.testbed.experiments import overload
+from cairnvane.testbed.stand_ins.sockets import Listener, free_ports
+from cairnvane.testbed.stand_ins.vault import StandInVault
+from cairnvane.testbed.stand_ins.worker_pool import Facts
 
 HEAD = "name: a\nservers: 3\nseconds: 10\n"
 FAULT, MEMBERS = HEAD + "faults:\n  - ", HEAD + "members: true\n"
@@ -414,7 +414,7 @@
     (port,) = free_ports(1)
     with socket.create_server(("127.0.0.1", port)):
         pass
-    other = f"from cairnvane.testbed import sockets; print(sockets._claim({port}) is None)"
+    other = f"from cairnvane.testbed.stand_ins import sockets; print(sockets._claim({port}) is None)"
     told = subprocess.run([sys.executable, "-c", other], capture_output=True, text=True, timeout=WAIT_S)
     assert told.stdout == "True\n", told.stderr
 
@@ -441,12 +441,12 @@
 RIG = """
 import sys, time
 from pathlib import Path
-from cairnvane.testbed import program
-from cairnvane.testbed.fleet.nodes import settings
-from cairnvane.testbed.fleet.scenario import Scenario
+from cairnvane.testbed import server_process
+from cairnvane.testbed.cluster.nodes import settings
+from cairnvane.testbed.cluster.scenario import Scenario
 nowhere = "127.0.0.1:1"
-site = program.Site(Path(sys.argv[1]), nowhere, nowhere, nowhere, settings(Scenario("a")))
-life = program.start(site)
+site = server_process.Site(Path(sys.argv[1]), nowhere, nowhere, nowhere, settings(Scenario("a")))
+life = server_process.start(site)
 assert life.listens()
 print(life.process.pid, flush=True)
 time.sleep(60)
--- a/tests/testbed/test_experiments.py
+++ b/tests/testbed/test_experiments.py
@@ -14,8 +14,8 @@
 
 from cairnvane.cli import main
 from cairnvane.net import fastcgi
-from cairnvane.testbed import balancer
-from cairnvane.testbed.balancer import Reply, StandInBalancer
+from cairnvane.testbed.stand_ins import balancer
+from cairnvane.testbed.stand_ins.balancer import Reply, StandInBalancer
 
 
 def lab(tmp_path: Path, *words: str) -> tuple[int, dict[str, Any]]:
--- a/tests/testbed/test_overload_recovery.py
+++ b/tests/testbed/test_overload_recovery.py
@@ -10,7 +10,7 @@
 from cairnvane.cli import main
 from cairnvane.contract.actions import Fail, MakeCall, SetTimer
 from cairnvane.contract.events import Arrival, CallRequested, ClientDisconnected, Outcome, RunFinished
-from cairnvane.testbed.recovery import CLASSES, KINDS, SETTINGS, Life, Trouble
+from cairnvane.testbed.experiments.recovery import CLASSES, KINDS, SETTINGS, Life, Trouble
 
 # So long at the most may requests come and nothing be begun, once all is well. At one request a second, all
 # that come within a few may be such as the module's random part turns away.
--- a/tests/xds_client/test_xds_grpc.py
+++ b/tests/xds_client/test_xds_grpc.py
@@ -12,7 +12,7 @@
 from google.protobuf import json_format
 from xds_client.test_xds_resources import endpoint
 
-from cairnvane.testbed.management import StandInManagement
+from cairnvane.testbed.stand_ins.management_server import StandInManagement
 from cairnvane.xds.grpc_stream import GrpcStream
 from cairnvane.xds.session import ASSIGNMENT, CLUSTER
 
