--- a/benchmarks/keyed_latency.py
+++ b/benchmarks/keyed_latency.py
@@ -18,7 +18,7 @@
 from hdrh.histogram import HdrHistogram
 
 from cairnvane.testbed import server_process
-from cairnvane.testbed.experiments import restarts
+from cairnvane.testbed.experiments.keyed_workload import KEYED_CLASS, SETTINGS, operator_file
 from cairnvane.testbed.stand_ins.balancer import Reply, StandInBalancer
 from cairnvane.testbed.stand_ins.vault import StandInRoster, StandInVault
 from cairnvane.testbed.stand_ins.worker_pool import StandInPool
@@ -57,8 +57,8 @@
         pool,
         vault.address,
         roster.address,
-        restarts.SETTINGS,
-        restarts.operator_file(durability) if durability else None,
+        SETTINGS,
+        operator_file(durability) if durability else None,
     )
     environment = {**os.environ, **site.write(), "BENCH_STORE": store}
     process = subprocess.Popen(
@@ -92,7 +92,7 @@
             used = cpu_s(process.pid)
         body, token = b"%d %d" % (number, rng.getrandbits(60)), rng.randbytes(16).hex()
         uid = f"{rng.getrandbits(64):016x}"
-        balancer.send(uid, restarts.KEYED, body, token, lambda r, n=number, due=due: told(n, due, r))
+        balancer.send(uid, KEYED_CLASS, body, token, lambda r, n=number, due=due: told(n, due, r))
     for _ in range(left + warm):
         assert done.acquire(timeout=10)
     spent = cpu_s(process.pid) - used
--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -21,7 +21,7 @@
 from keyed_latency import cpu_s
 
 from cairnvane.testbed import server_process
-from cairnvane.testbed.experiments import restarts
+from cairnvane.testbed.experiments.keyed_workload import KEYED_CLASS, SETTINGS
 from cairnvane.testbed.stand_ins.balancer import Reply, StandInBalancer
 from cairnvane.testbed.stand_ins.vault import StandInRoster, StandInVault
 
@@ -33,7 +33,7 @@
     """One life of that checkout's program: µs of CPU a request, requests a second, answers not served."""
     vault, roster = StandInVault(), StandInRoster()
     with tempfile.TemporaryDirectory() as folder:
-        site = server_process.Site(Path(folder), pool, vault.address, roster.address, restarts.SETTINGS)
+        site = server_process.Site(Path(folder), pool, vault.address, roster.address, SETTINGS)
         line = (
             "import os, sys; os.sched_setaffinity(0, {max(os.sched_getaffinity(0))}); "
             "from cairnvane.__main__ import main; sys.exit(main())"
@@ -62,7 +62,7 @@
             while time.monotonic() < until:
                 token, body = rng.randbytes(16).hex(), rng.randbytes(40)
                 for _ in range(1 + repeats):
-                    balancer.send(f"{rng.getrandbits(64):016x}", restarts.KEYED, body, token, told)
+                    balancer.send(f"{rng.getrandbits(64):016x}", KEYED_CLASS, body, token, told)
                     assert passed.acquire(timeout=20)
             with lock:
                 counts[0] += len(replies)
--- a/cairnvane/cli/lab.py
+++ b/cairnvane/cli/lab.py
@@ -158,7 +158,7 @@
     back. Status 1 if a rule is broken or a statement of the scenario does not hold, 2 if the file is at
     fault."""
     from ..config import ConfigurationError
-    from ..testbed.cluster import scenario as words
+    from ..testbed.cluster import scenario_file as words
     from ..testbed.cluster.scenario_run import Play
     from ..testbed.cluster.schedule import draw
 
--- a/cairnvane/testbed/checkers/duplicate_run_checker.py
+++ b/cairnvane/testbed/checkers/duplicate_run_checker.py
@@ -1,6 +1,7 @@
-"""The judge of keyed requests: what callers were told, against what the pool and the vault saw.
+"""Checks keyed requests for duplicate runs: what clients received, against pool and dependency.
 
-It never asks the server. A commit is known by its body, which no other commit has.
+It never asks the server. A commit, as a keyed request is called here, is identified by its body, which no
+other commit has.
 """
 
 from __future__ import annotations
@@ -11,120 +12,136 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-from ..stand_ins.balancer import Reply
-from ..stand_ins.worker_pool import Facts
+from ..stand_ins.balancer import DISCONNECTED, Reply
+from ..stand_ins.worker_pool import RunRecord
 
-# Commits without an answer are tried so often at the end, this long after one another.
-MOST_AGAIN, AGAIN_S = 20, 0.3
-SERVED, REFUSED = (200,), (429, 503)
+# At the end, commits without an answer are retried so often, at this interval.
+MAX_FINAL_RETRIES = 20
+FINAL_RETRY_INTERVAL_S = 0.3
+ANSWER_POLL_S = 0.01
+SERVED_STATUSES = (200,)
+REJECTED_STATUSES = (429, 503)
 
 
 @dataclass
 class Commit:
-    """One keyed request, over all its tries."""
+    """One keyed request, over all its attempts."""
 
     body: bytes
-    token: str
-    first_sent: float = 0.0
-    served: list[bytes] = field(default_factory=list)  # each answer 'served'
+    idempotency_key: str
+    first_sent_at: float = 0.0  # on the monotonic clock; 0: not sent
+    served_bodies: list[bytes] = field(default_factory=list)  # of each response that served it
     failed: int = 0
     failed_after_served: int = 0
-    refused: int = 0
-    broken: int = 0  # tries whose connection ended with the server
-    open: int = 0  # tries that are owed an answer
+    rejected: int = 0
+    broken: int = 0  # attempts whose connection ended with the server
+    in_flight: int = 0  # attempts that have not been answered
 
 
 @dataclass
 class Verdict:
-    """What the experiment has shown."""
+    """Counts over all commits; the names are the keys of the JSON report."""
 
     commits: int
     tries: int
     runs: int
     second_runs: int
     second_calls: int
-    differing: int
-    invented: int
-    unanswered: int
-    lost: int
+    differing: int  # commits with responses that differ
+    invented: int  # commits with a response that no run made
+    unanswered: int  # attempts
+    lost: int  # commits without any answer
     refusals: int
     failed: int
     broken_tries: int
 
     @property
     def good(self) -> bool:
-        """All that was promised."""
+        """Whether every guarantee held."""
         wrong = self.second_runs + self.second_calls + self.differing + self.invented
         return wrong + self.unanswered + self.lost == 0
 
 
-class Judge:
-    """Keeps what callers were told. Safe to use from any thread."""
+class DuplicateRunChecker:
+    """Records what clients received. Its methods may be called from any thread."""
 
     def __init__(self) -> None:
         self.commits: list[Commit] = []
-        self._lock = threading.Lock()
-        self.tries = 0
+        self.attempts = 0
+        self._lock = threading.Lock()  # guards the commits and all their fields
 
     def add(self, commit: Commit) -> None:
-        """One more commit."""
+        """Add a commit."""
         with self._lock:
             self.commits.append(commit)
 
-    def sent(self, commit: Commit, now: float) -> None:
-        """A try goes out."""
+    def record_attempt(self, commit: Commit, now: float) -> None:
+        """Record that an attempt is sent."""
         with self._lock:
-            self.tries += 1
-            commit.open += 1
-            commit.first_sent = commit.first_sent or now
+            self.attempts += 1
+            commit.in_flight += 1
+            commit.first_sent_at = commit.first_sent_at or now
 
-    def told(self, commit: Commit, reply: Reply) -> None:
-        """A try is over."""
+    def record_reply(self, commit: Commit, reply: Reply) -> None:
+        """Record how an attempt ended."""
         with self._lock:
-            commit.open -= 1
-            if reply.status == 0:
+            commit.in_flight -= 1
+            if reply.status == DISCONNECTED:
                 commit.broken += 1
-            elif reply.status in SERVED:
-                commit.served.append(reply.body)
-            elif reply.status in REFUSED:
-                commit.refused += 1
+            elif reply.status in SERVED_STATUSES:
+                commit.served_bodies.append(reply.body)
+            elif reply.status in REJECTED_STATUSES:
+                commit.rejected += 1
             else:
                 commit.failed += 1
-                commit.failed_after_served += bool(commit.served)
-
-    def settle(self, again: Callable[[Commit], None], wait_s: float) -> None:
-        """At the end: wait until no try is owed an answer, `wait_s` at the most, and have those tried once
-        more that were refused, or that nobody has read yet."""
-        for _ in range(MOST_AGAIN):
-            self._answered(wait_s)
-            left = [commit for commit in self.commits if not commit.served and not commit.failed]
-            if not left:
+                commit.failed_after_served += bool(commit.served_bodies)
+
+    def settle(self, retry: Callable[[Commit], None], wait_s: float) -> None:
+        """Wait at the end until all attempts are answered, `wait_s` at the most for each round.
+
+        Commits that were neither served nor failed are retried: they were rejected, or nobody has read them.
+        """
+        for _ in range(MAX_FINAL_RETRIES):
+            self._await_answers(wait_s)
+            open_commits = [
+                commit for commit in self.commits if not commit.served_bodies and not commit.failed
+            ]
+            if not open_commits:
                 return
-            for commit in left:
-                again(commit)
-            time.sleep(AGAIN_S)
-        self._answered(wait_s)
-
-    def _answered(self, wait_s: float) -> None:
-        end = time.monotonic() + wait_s
-        while time.monotonic() < end and any(commit.open for commit in self.commits):
-            time.sleep(0.01)
-
-    def verdict(self, pool: Mapping[bytes, Facts], calls: Counter[bytes]) -> Verdict:
-        """Against the pool's and the vault's own records."""
+            for commit in open_commits:
+                retry(commit)
+            time.sleep(FINAL_RETRY_INTERVAL_S)
+        self._await_answers(wait_s)
+
+    def _await_answers(self, wait_s: float) -> None:
+        deadline = time.monotonic() + wait_s
+        while time.monotonic() < deadline and any(commit.in_flight for commit in self.commits):
+            time.sleep(ANSWER_POLL_S)
+
+    def verdict(self, pool: Mapping[bytes, RunRecord], calls: Counter[bytes]) -> Verdict:
+        """Compare with the pool's records by body, and with the dependency's count of calls by body."""
         commits = self.commits
-        ran = {commit.body: pool.get(commit.body, Facts()) for commit in commits}
+        records = {commit.body: pool.get(commit.body, RunRecord()) for commit in commits}
         return Verdict(
             commits=len(commits),
-            tries=self.tries,
-            runs=sum(facts.runs for facts in ran.values()),
-            second_runs=sum(max(0, facts.runs - 1) for facts in ran.values()),
+            tries=self.attempts,
+            runs=sum(record.runs for record in records.values()),
+            second_runs=sum(max(0, record.runs - 1) for record in records.values()),
             second_calls=sum(max(0, calls[b"call for " + commit.body] - 1) for commit in commits),
-            differing=sum(len(set(c.served)) > 1 or c.failed_after_served > 0 for c in commits),
-            invented=sum(any(body not in ran[c.body].results for body in c.served) for c in commits),
-            unanswered=sum(commit.open for commit in commits),
-            lost=sum(not commit.served and not commit.failed for commit in commits),
-            refusals=sum(commit.refused for commit in commits),
-            failed=sum(c.failed for c in commits),
+            differing=sum(_responses_differ(commit) for commit in commits),
+            invented=sum(_is_invented(commit, records[commit.body]) for commit in commits),
+            unanswered=sum(commit.in_flight for commit in commits),
+            lost=sum(not commit.served_bodies and not commit.failed for commit in commits),
+            refusals=sum(commit.rejected for commit in commits),
+            failed=sum(commit.failed for commit in commits),
             broken_tries=sum(commit.broken for commit in commits),
         )
+
+
+def _responses_differ(commit: Commit) -> bool:
+    return len(set(commit.served_bodies)) > 1 or commit.failed_after_served > 0
+
+
+def _is_invented(commit: Commit, record: RunRecord) -> bool:
+    """Whether a response carries a result that no run made."""
+    return any(body not in record.results for body in commit.served_bodies)
--- a/cairnvane/testbed/cluster/checker.py
+++ b/cairnvane/testbed/cluster/checker.py
@@ -1,6 +1,7 @@
-"""What callers, pools and vault recorded, held against the rules and the scenario's statements. No I/O.
+"""Compares the records of clients and worker pools with the rules and the scenario's expectations. No I/O.
 
-Nothing here was told by a server. A try is known by its id, a request by its body, which no other has.
+Nothing here was reported by a server. An attempt is identified by its request id, a request by its body,
+which no other request has.
 """
 
 from __future__ import annotations
@@ -9,91 +10,95 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
-from ..checkers.duplicate_run_checker import REFUSED, SERVED
-from ..stand_ins.worker_pool import Facts
-from .load import PATIENCE_S, WORTH, Asked, Try
+from ..checkers.duplicate_run_checker import REJECTED_STATUSES, SERVED_STATUSES
+from ..stand_ins.balancer import DISCONNECTED
+from ..stand_ins.worker_pool import RunRecord
+from .load import CLIENT_TIMEOUTS_S, PRIORITY_WEIGHTS, Attempt, ClientRequest
 from .observations import Views
 from .scenario import Scenario
 
-# The rules' own slack, and what a rig of Python threads on a shared machine may add to it.
-SLACK_S = 1.0
-# "As much as before": this share of it, over so many seconds, looked at every half second.
-BACK_PART, BACK_OVER_S, BACK_STEP_S = 0.95, 2.0, 0.5
-# A try that was open, or was sent, so shortly around a fault of its server or link may have been hit by it.
-AROUND_S = 0.5
+# What a testbed of Python threads on a shared machine may add to the deadlines.
+DEADLINE_SLACK_S = 1.0
+# Recovered: this fraction of the share before is served over this window; looked at in these steps.
+RECOVERED_FRACTION = 0.95
+RECOVERY_WINDOW_S = 2.0
+RECOVERY_STEP_S = 0.5
+# An attempt that was open, or was sent, so shortly around a fault of its server or link may have been hit.
+FAULT_MARGIN_S = 0.5
+# In each handover, so many attempts may end unread at the closing listener; their balancers send them again.
+MAX_UNREAD_PER_HANDOVER = 2
+# Lost attempts that are reported one by one.
+MAX_LOST_SHOWN = 8
 
 
 @dataclass(frozen=True)
-class Span:
-    """While this lasted, a try at that server may break or stay unanswered without fault of the program."""
-
-    node: int
-    begins: float
-    ends: float
-    handover: bool = False  # a new version took over: what never ran may end at the closing door, a few times
+class FaultWindow:
+    """While it lasts, an attempt at that server may break or stay unanswered through no fault of the program.
 
+    In a `handover` a new version took over, and only attempts that never ran may end.
+    """
 
-# So many tries may end at the door, unread, in each handover; their balancers bring them again.
-FREE_AT_DOOR = 2
-# Lost tries that are shown one by one.
-MOST_SHOWN = 8
+    node: int
+    begins_at: float
+    ends_at: float
+    handover: bool = False
 
 
 @dataclass
 class Verdict:
-    """What one play has shown."""
+    """Result of one run of a scenario; the names are the keys of the JSON report."""
 
     scenario: str
     seed: int
     requests: int = 0
     tries: int = 0
-    served: float = 0.0  # the share in time, of all requests
-    worth: float = 0.0  # the same by worth
-    refused: int = 0  # tries
+    served: float = 0.0  # the share of all requests that was served in time
+    worth: float = 0.0  # the same, weighted by priority
+    refused: int = 0  # attempts
     failed: int = 0
     broken: int = 0
     given_up: int = 0  # by balancers that waited long enough
-    lost: int = 0  # tries that broke or stayed unanswered with nothing wrong around them
-    at_door: int = 0  # that ended, never run, at the closing door of a version with a successor
-    lost_tries: list[str] = field(default_factory=list)  # some of the lost ones
+    lost: int = 0  # attempts that broke or stayed unanswered without a fault around them
+    at_door: int = 0  # that ended, never run, at the closing listener of a version with a successor
+    lost_tries: list[str] = field(default_factory=list)  # descriptions of some of the lost ones
     lost_at: list[tuple[int, float, float]] = field(default_factory=list)  # their servers and times
-    twice: int = 0  # runs of a keyed request beyond one, in one life of a server
+    twice: int = 0  # runs of a keyed request beyond one, in one incarnation of a server
     refused_after_run: int = 0
-    differing: int = 0  # keyed requests with two answers that differ, in one life
-    invented: int = 0  # answers that no run made
+    differing: int = 0  # keyed requests with two responses that differ, in one incarnation
+    invented: int = 0  # responses that no run made
     tries_a_request: float = 0.0
     before: float = 0.0  # the share in time before the first fault
-    worth_before: float = 0.0  # the same by worth; then while faults lasted, and after the last one
-    worth_during: float = 0.0
-    worth_after: float = 0.0
-    again: float = 0.0  # of all tries, the share whose request had been refused before
-    sick_calls: float = 0.0  # calls a second that met a vault that was slow, down, silent or fallen
-    vault_over: float = 0.0  # the share of time that the vault had more than its slots in hand
-    back_s: float | None = None  # seconds from the last fault's end; None: not back, or no fault
+    worth_before: float = 0.0  # the same, weighted by priority
+    worth_during: float = 0.0  # while faults lasted
+    worth_after: float = 0.0  # after the last fault
+    again: float = 0.0  # of all attempts, the share whose request had been rejected before
+    sick_calls: float = 0.0  # calls a second that met a faulty dependency
+    vault_over: float = 0.0  # the share of time that the dependency had more calls in flight than slots
+    back_s: float | None = None  # seconds from the last fault's end; None: not recovered, or no fault
     vault_most: int = 0
     vault_fell: int = 0
-    most_crowded: float = 0.0  # runs that wanted a core, for each core
+    most_crowded: float = 0.0  # the most runnable runs, for each core
     lag_ms: float = 0.0
     views: Views | None = None  # with `members`
     trouble: list[str] = field(default_factory=list)
-    short: list[str] = field(default_factory=list)  # statements of the scenario that do not hold
+    short: list[str] = field(default_factory=list)  # expectations of the scenario that were not met
 
     @property
     def wrong(self) -> int:
-        """Broken rules."""
+        """Number of broken rules."""
         return self.lost + self.twice + self.refused_after_run + self.differing + self.invented
 
     @property
     def good(self) -> bool:
-        """All that was promised holds."""
+        """Whether all rules held and all expectations were met."""
         return not (self.wrong or self.trouble or self.short)
 
     def as_json(self) -> dict[str, Any]:
-        """For a file."""
+        """The report for a file."""
         return asdict(self) | {"good": self.good}
 
     def lines(self) -> list[str]:
-        """For a terminal."""
+        """The report for a terminal."""
         back = "" if self.back_s is None else f", back {self.back_s:.1f} s after the last fault"
         return [
             f"{self.scenario}, seed {self.seed}",
@@ -114,118 +119,192 @@
         ]
 
 
-def share(asked: Sequence[Asked], since: float, until: float, worth: bool = False) -> float:
-    """Of the requests born in this stretch, the share served in time; 1 if there are none."""
-    some = [one for one in asked if since <= one.born < until]
-    whole = sum(WORTH[one.lane] if worth else 1.0 for one in some)
-    good = sum(WORTH[one.lane] if worth else 1.0 for one in some if one.in_time)
-    return good / whole if whole else 1.0
+def served_share(requests: Sequence[ClientRequest], since: float, until: float, worth: bool = False) -> float:
+    """Of the requests created in this period, the share that was served in time; 1 if there are none.
+
+    `worth`: weighted by priority.
+    """
+    created = [request for request in requests if since <= request.created_at < until]
+    weights = [PRIORITY_WEIGHTS[request.request_class] if worth else 1.0 for request in created]
+    served = [weight for request, weight in zip(created, weights, strict=True) if request.in_time]
+    return sum(served) / sum(weights) if sum(weights) else 1.0
 
 
-def back_after(asked: Sequence[Asked], before: float, over: float, until: float) -> float | None:
-    """Seconds from `over` until the share in time is what it was; None if it is not by the end."""
+def recovery_time(
+    requests: Sequence[ClientRequest], before: float, over: float, until: float
+) -> float | None:
+    """Seconds from `over` until the share in time is what it was `before`; None if it is not by `until`."""
     at = over
-    while at + BACK_OVER_S <= until:
-        if share(asked, at, at + BACK_OVER_S) >= BACK_PART * before:
+    while at + RECOVERY_WINDOW_S <= until:
+        if served_share(requests, at, at + RECOVERY_WINDOW_S) >= RECOVERED_FRACTION * before:
             return at - over
-        at += BACK_STEP_S
+        at += RECOVERY_STEP_S
     return None
 
 
-def excused(one: Try, spans: Sequence[Span], handover: bool = False) -> bool:
-    """Whether something was wrong with its server, or on the way there, while it was open; or (`handover`) a
-    version handed over."""
-    ended = one.ended if one.status is not None else float("inf")
+def is_excused(attempt: Attempt, windows: Sequence[FaultWindow], handover: bool = False) -> bool:
+    """Whether a fault of its server, or on the way there, overlaps with the attempt.
+
+    With `handover`, whether a handover between two versions does.
+    """
+    ended_at = attempt.ended_at if attempt.status is not None else float("inf")
     return any(
-        span.node == one.node and span.begins - AROUND_S <= ended and one.sent <= span.ends + AROUND_S
-        for span in spans
-        if span.handover is handover
+        window.node == attempt.node
+        and window.begins_at - FAULT_MARGIN_S <= ended_at
+        and attempt.sent_at <= window.ends_at + FAULT_MARGIN_S
+        for window in windows
+        if window.handover is handover
     )
 
 
-def _lost(verdict: Verdict, one: Asked, tried: Try, spans: Sequence[Span], ran: bool) -> None:
-    """Without a final answer, and nothing of the scenario's to blame."""
-    if excused(tried, spans):
+def _describe_end(attempt: Attempt) -> str:
+    if attempt.status is None:
+        return "no answer"
+    return "given up" if attempt.timed_out else "broken off"
+
+
+def _count_unanswered(
+    verdict: Verdict,
+    request: ClientRequest,
+    attempt: Attempt,
+    windows: Sequence[FaultWindow],
+    ran: bool,
+) -> None:
+    """Count an attempt without a final answer as lost, unless a fault of the scenario excuses it."""
+    if is_excused(attempt, windows):
         return
-    if tried.status == 0 and not tried.given_up and not ran and excused(tried, spans, handover=True):
+    disconnected = attempt.status == DISCONNECTED and not attempt.timed_out
+    if disconnected and not ran and is_excused(attempt, windows, handover=True):
         verdict.at_door += 1
         return
     verdict.lost += 1
-    if len(verdict.lost_tries) < MOST_SHOWN:
-        how = "no answer" if tried.status is None else "given up" if tried.given_up else "broken off"
-        verdict.lost_at.append((tried.node, tried.sent, tried.ended))
+    if len(verdict.lost_tries) < MAX_LOST_SHOWN:
+        verdict.lost_at.append((attempt.node, attempt.sent_at, attempt.ended_at))
         verdict.lost_tries.append(
-            f"{one.lane} at server {tried.node}, line {tried.life}, {tried.sent:.2f} to {tried.ended:.2f} s: "
-            f"{how}, {'ran' if ran else 'never ran'}"
+            f"{request.request_class} at server {attempt.node}, line {attempt.incarnation}, "
+            f"{attempt.sent_at:.2f} to {attempt.ended_at:.2f} s: "
+            f"{_describe_end(attempt)}, {'ran' if ran else 'never ran'}"
         )
 
 
-def _count(verdict: Verdict, one: Asked, spans: Sequence[Span], uids: set[str]) -> None:
-    for tried in one.tries:
+def _count_attempts(
+    verdict: Verdict,
+    request: ClientRequest,
+    windows: Sequence[FaultWindow],
+    ids_that_ran: set[str],
+) -> None:
+    for attempt in request.attempts:
         verdict.tries += 1
-        if tried.status in REFUSED:
+        ran = attempt.request_id in ids_that_ran
+        if attempt.status in REJECTED_STATUSES:
             verdict.refused += 1
-        elif tried.given_up:
+        elif attempt.timed_out:
             verdict.given_up += 1
-            too_long = tried.ended - tried.sent > PATIENCE_S[one.lane] + SLACK_S
-            if too_long:
-                _lost(verdict, one, tried, spans, tried.uid in uids)
-        elif tried.status == 0:
+            client_timeout_s = CLIENT_TIMEOUTS_S[request.request_class]
+            if attempt.ended_at - attempt.sent_at > client_timeout_s + DEADLINE_SLACK_S:
+                _count_unanswered(verdict, request, attempt, windows, ran)
+        elif attempt.status == DISCONNECTED:
             verdict.broken += 1
-            if not tried.nobody:
-                _lost(verdict, one, tried, spans, tried.uid in uids)
-        elif tried.status is None:
-            _lost(verdict, one, tried, spans, tried.uid in uids)
-        elif tried.status not in SERVED:
+            if not attempt.unreachable:
+                _count_unanswered(verdict, request, attempt, windows, ran)
+        elif attempt.status is None:
+            _count_unanswered(verdict, request, attempt, windows, ran)
+        elif attempt.status not in SERVED_STATUSES:
             verdict.failed += 1
 
 
-def judge(
-    told: Scenario,
-    seed: int,
-    asked: Sequence[Asked],
-    facts: Sequence[Mapping[bytes, Facts]],
-    spans: Sequence[Span],
-    first_fault: float,
-) -> Verdict:
-    """`facts`: by server, what its pool saw. Deadlines of the classes have passed for all that was asked."""
-    verdict = Verdict(told.name, seed, requests=len(asked))
-    for one in asked:
-        here = [known[one.body] for known in facts if one.body in known]
-        uids = {uid for fact in here for uid in fact.uids}
-        _count(verdict, one, spans, uids)
-        verdict.refused_after_run += sum(t.status in REFUSED and t.uid in uids for t in one.tries)
-        results = [result for fact in here for result in fact.results]
-        verdict.invented += sum(t.result is not None and t.result not in results for t in one.tries)
-        if one.token is not None:
-            verdict.twice += sum(runs - 1 for fact in here for runs in fact.by_life.values())
-            answers = {(t.node, t.life, t.result) for t in one.tries if t.result is not None}
-            verdict.differing += len(answers) > len({(node, life) for node, life, _ in answers})
-    verdict.tries_a_request = verdict.tries / max(1, len(asked))
-    verdict.served = share(asked, 0.0, told.seconds)
-    verdict.worth = share(asked, 0.0, told.seconds, worth=True)
-    verdict.before = share(asked, 0.0, first_fault)
-    over = told.last_end() if told.faults else told.seconds
-    verdict.worth_before = share(asked, 0.0, first_fault, worth=True)
-    verdict.worth_during = share(asked, first_fault, over, worth=True)
-    verdict.worth_after = share(asked, over, told.seconds, worth=True)
-    again = sum(
-        any(tried.status in REFUSED for tried in one.tries[:number])
-        for one in asked
-        for number in range(len(one.tries))
+def _check_request(
+    verdict: Verdict,
+    request: ClientRequest,
+    records: Sequence[RunRecord],
+    windows: Sequence[FaultWindow],
+) -> None:
+    """Count what one request shows; `records`: those of the pools that ran it."""
+    ids_that_ran = {request_id for record in records for request_id in record.request_ids}
+    _count_attempts(verdict, request, windows, ids_that_ran)
+    verdict.refused_after_run += sum(
+        attempt.status in REJECTED_STATUSES and attempt.request_id in ids_that_ran
+        for attempt in request.attempts
+    )
+    results = [result for record in records for result in record.results]
+    verdict.invented += sum(
+        attempt.result is not None and attempt.result not in results for attempt in request.attempts
+    )
+    if request.idempotency_key is not None:
+        verdict.twice += sum(runs - 1 for record in records for runs in record.runs_by_incarnation.values())
+        verdict.differing += _responses_differ(request)
+
+
+def _responses_differ(request: ClientRequest) -> bool:
+    """Whether one incarnation of a server gave two responses that differ."""
+    answers = {
+        (attempt.node, attempt.incarnation, attempt.result)
+        for attempt in request.attempts
+        if attempt.result is not None
+    }
+    return len(answers) > len({(node, incarnation) for node, incarnation, _ in answers})
+
+
+def _retries_after_rejection(requests: Sequence[ClientRequest]) -> int:
+    """Number of attempts whose request had been rejected before."""
+    return sum(
+        any(attempt.status in REJECTED_STATUSES for attempt in request.attempts[:number])
+        for request in requests
+        for number in range(len(request.attempts))
     )
-    verdict.again = again / max(1, verdict.tries)
-    if told.faults:
-        verdict.back_s = back_after(asked, verdict.before, told.last_end(), told.seconds)
-    wants, handovers = told.expect, sum(span.handover for span in spans)
-    if verdict.at_door > FREE_AT_DOOR * handovers:
+
+
+def _measure_service(
+    verdict: Verdict, scenario: Scenario, requests: Sequence[ClientRequest], first_fault: float
+) -> None:
+    """What was served, over the whole run and around the faults."""
+    seconds = scenario.seconds
+    verdict.tries_a_request = verdict.tries / max(1, len(requests))
+    verdict.served = served_share(requests, 0.0, seconds)
+    verdict.worth = served_share(requests, 0.0, seconds, worth=True)
+    verdict.before = served_share(requests, 0.0, first_fault)
+    faults_end = scenario.last_end() if scenario.faults else seconds
+    verdict.worth_before = served_share(requests, 0.0, first_fault, worth=True)
+    verdict.worth_during = served_share(requests, first_fault, faults_end, worth=True)
+    verdict.worth_after = served_share(requests, faults_end, seconds, worth=True)
+    verdict.again = _retries_after_rejection(requests) / max(1, verdict.tries)
+    if scenario.faults:
+        verdict.back_s = recovery_time(requests, verdict.before, faults_end, seconds)
+
+
+def _check_expectations(verdict: Verdict, scenario: Scenario, windows: Sequence[FaultWindow]) -> None:
+    """Report the expectations of the scenario that were not met."""
+    expect = scenario.expect
+    handovers = sum(window.handover for window in windows)
+    if verdict.at_door > MAX_UNREAD_PER_HANDOVER * handovers:
         verdict.short.append(f"{verdict.at_door} tries ended at the door in {handovers} handovers")
-    if verdict.served < wants.served:
-        verdict.short.append(f"served {verdict.served:.3f}, at least {wants.served:g} was expected")
-    if wants.tries is not None and verdict.tries_a_request > wants.tries:
+    if verdict.served < expect.served:
+        verdict.short.append(f"served {verdict.served:.3f}, at least {expect.served:g} was expected")
+    if expect.tries is not None and verdict.tries_a_request > expect.tries:
         tries = verdict.tries_a_request
-        verdict.short.append(f"{tries:.2f} tries a request, {wants.tries:g} at most were expected")
-    if wants.back_within is not None and (verdict.back_s is None or verdict.back_s > wants.back_within):
+        verdict.short.append(f"{tries:.2f} tries a request, {expect.tries:g} at most were expected")
+    if expect.back_within is not None and (verdict.back_s is None or verdict.back_s > expect.back_within):
         back = "not" if verdict.back_s is None else f"{verdict.back_s:.1f} s after the last fault"
-        verdict.short.append(f"back {back}, expected within {wants.back_within:g} s")
+        verdict.short.append(f"back {back}, expected within {expect.back_within:g} s")
+
+
+def check(
+    scenario: Scenario,
+    seed: int,
+    requests: Sequence[ClientRequest],
+    records_by_server: Sequence[Mapping[bytes, RunRecord]],
+    windows: Sequence[FaultWindow],
+    first_fault: float,
+) -> Verdict:
+    """The verdict on one run; the client timeouts of all requests have passed.
+
+    `records_by_server`: for each server, what its pool recorded by body. `first_fault`: when it begins, in
+    seconds of the load, as all times here.
+    """
+    verdict = Verdict(scenario.name, seed, requests=len(requests))
+    for request in requests:
+        records = [by_body[request.body] for by_body in records_by_server if request.body in by_body]
+        _check_request(verdict, request, records, windows)
+    _measure_service(verdict, scenario, requests, first_fault)
+    _check_expectations(verdict, scenario, windows)
     return verdict
--- a/cairnvane/testbed/cluster/load.py
+++ b/cairnvane/testbed/cluster/load.py
@@ -1,4 +1,4 @@
-"""Balancers of a fleet: open-loop load, tries that walk on after a refusal, advice that some of them heed."""
+"""Load on a cluster: balancers that send requests at a rate, retry elsewhere, and may heed retry-after."""
 
 from __future__ import annotations
 
@@ -10,206 +10,247 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
-from ..checkers.duplicate_run_checker import REFUSED, SERVED
-from ..stand_ins.balancer import Reply, StandInBalancer
+from ..checkers.duplicate_run_checker import REJECTED_STATUSES, SERVED_STATUSES
+from ..stand_ins.balancer import DISCONNECTED, Reply, StandInBalancer
 from .nodes import Node
 from .scenario import Scenario
 
-LANES, MIX_PLAIN = ("price-view", "bid-update", "bid-commit"), (5, 3)
-AIMS_S = {"price-view": 1.4, "bid-update": 2.3, "bid-commit": 2.3}
-PATIENCE_S = {"price-view": 3.4, "bid-update": 5.8, "bid-commit": 5.8}
-WORTH = {"price-view": 1.0, "bid-update": 2.0, "bid-commit": 3.0}
-# A try that was turned away goes on after so long; one that broke or failed, after longer.
-AGAIN_S, BROKEN_AGAIN_S = 0.002, 0.02
-# A balancer that breaks off with a server leaves it alone for so long.
-SHUNS_S = 1.0
-# Connections of a balancer to one server.
-CONNECTIONS = 2
-# Callers give a request up when it is late by so much of its aim.
-GIVE_UP = 1.2
+KEYED_CLASS = "bid-commit"
+NON_KEYED_CLASSES = ("price-view", "bid-update")
+NON_KEYED_MIX = (5, 3)
+LATENCY_OBJECTIVES_S = {"price-view": 1.4, "bid-update": 2.3, "bid-commit": 2.3}
+CLIENT_TIMEOUTS_S = {"price-view": 3.4, "bid-update": 5.8, "bid-commit": 5.8}
+PRIORITY_WEIGHTS = {"price-view": 1.0, "bid-update": 2.0, "bid-commit": 3.0}
+# Delay before the retry of a rejected attempt, and of one that was disconnected or failed.
+RETRY_AFTER_REJECTION_S = 0.002
+RETRY_AFTER_FAILURE_S = 0.02
+# A balancer that was disconnected from a server avoids it for this time.
+AVOID_AFTER_DISCONNECT_S = 1.0
+CONNECTIONS_PER_SERVER = 2
+# A request is not retried once it is late by this multiple of its latency objective.
+MAX_LATENESS = 1.2
+# The longest wait of the load's thread for a change.
+MAX_WAIT_S = 0.05
 
 
 @dataclass
-class Try:
-    """One try of a request, as its balancer saw it."""
+class Attempt:
+    """One attempt of a request, as its balancer saw it."""
 
-    uid: str
+    request_id: str
     node: int
-    life: int
-    sent: float
-    ended: float = 0.0
-    status: int | None = None  # 0: its connection ended, or it was given up; None: not over
-    given_up: bool = False
-    nobody: bool = False  # nobody listened, or no connection had room: it was never read
+    incarnation: int  # the line of versions of the server, along which idempotency keys are kept
+    sent_at: float
+    ended_at: float = 0.0
+    status: int | None = None  # `DISCONNECTED`: also if the balancer gave up; None: not over
+    timed_out: bool = False  # the balancer gave up
+    unreachable: bool = False  # nobody listened, or no connection had capacity: it was never read
     result: bytes | None = None  # with which it was served
 
 
 @dataclass
-class Asked:
-    """One request, over all its tries. Times are seconds of the load."""
+class ClientRequest:
+    """One request, over all its attempts. Times are seconds of the load."""
 
     body: bytes
-    lane: str
-    born: float
-    token: str | None
+    request_class: str
+    created_at: float
+    idempotency_key: str | None
     balancer: int
-    tries: list[Try] = field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
     served_at: float | None = None
 
     @property
     def in_time(self) -> bool:
-        """Served within its aim."""
-        return self.served_at is not None and self.served_at - self.born <= AIMS_S[self.lane]
+        """Whether it was served within its latency objective."""
+        return (
+            self.served_at is not None
+            and self.served_at - self.created_at <= LATENCY_OBJECTIVES_S[self.request_class]
+        )
+
+
+def _disconnected() -> Reply:
+    return Reply(DISCONNECTED, b"", 0, 0.0)
 
 
-class Callers:
-    """All balancers; one thread makes requests and later tries, others hear the answers."""
+class LoadGenerator:
+    """All balancers: one thread creates requests and sends retries, others receive the replies."""
 
-    def __init__(self, told: Scenario, seed: int, nodes: Sequence[Node]) -> None:
-        self._told, self._nodes = told, nodes
+    def __init__(self, scenario: Scenario, seed: int, nodes: Sequence[Node]) -> None:
+        self.requests: list[ClientRequest] = []
+        self.rate_factor = 1.0  # set by a surge
+        self.start = 0.0  # of the load, on the monotonic clock
+        self.max_lag_s = 0.0  # the most that a request was sent behind its time
+        self._scenario = scenario
+        self._nodes = nodes
         self._random = random.Random(f"{seed} load")
-        self.asked: list[Asked] = []
-        self.surge = 1.0
-        self._links: dict[tuple[int, int], StandInBalancer] = {}
-        self._away: dict[tuple[int, int], float] = {}  # as advised
-        self._shunned: dict[tuple[int, int], float] = {}  # by a balancer's own sight
-        self._agenda: list[tuple[float, int, Callable[[], None]]] = []
-        self._count = itertools.count(1)
-        self._lock = threading.Lock()
+        self._count = itertools.count(1)  # of request ids, and of tasks in their order
+        self._lock = threading.Lock()  # guards what follows, and all requests and attempts
         self._changed = threading.Condition(self._lock)
+        self._agenda: list[tuple[float, int, Callable[[], None]]] = []  # due time, order, task
         self._over = False
-        self.start = 0.0  # of the load, on the monotonic clock
-        self.lag_s = 0.0  # the most that a request went out behind its time
+        # By balancer and server: connections, and until when the server is avoided.
+        self._balancers: dict[tuple[int, int], StandInBalancer] = {}
+        self._retry_after: dict[tuple[int, int], float] = {}  # as the server advised
+        self._avoid_until: dict[tuple[int, int], float] = {}  # after a disconnect
 
     def now(self) -> float:
         """Seconds since the load's start."""
         return time.monotonic() - self.start
 
-    def play(self) -> None:
-        """The whole load, in the caller's thread; returns at its end."""
+    def run(self) -> None:
+        """Generate the whole load in the caller's thread; return at its end."""
         self.start = time.monotonic()
-        at, end = 0.0, self._told.seconds
+        at = 0.0
+        end = self._scenario.seconds
         while at < end:
-            at += self._random.expovariate(self._told.load.rate * self.surge)
-            self._until(at)
-            self.lag_s = max(self.lag_s, self.now() - at)
-            self._request(at)
-        self._until(end)
+            at += self._random.expovariate(self._scenario.load.rate * self.rate_factor)
+            self._run_tasks_until(at)
+            self.max_lag_s = max(self.max_lag_s, self.now() - at)
+            self._create_request(at)
+        self._run_tasks_until(end)
 
     def settle(self, seconds: float) -> None:
-        """Wait for what is owed, so long at the most; nothing is tried again."""
+        """Wait until all attempts have ended, but no longer than this; nothing is retried."""
         self._over = True
-        self._until(self.now() + seconds, self._all_over)
+        self._run_tasks_until(self.now() + seconds, self._all_ended)
 
-    def _all_over(self) -> bool:
-        return all(tried.status is not None for one in self.asked for tried in one.tries)
+    def _all_ended(self) -> bool:
+        return all(attempt.status is not None for request in self.requests for attempt in request.attempts)
 
-    def _until(self, at: float, enough: Callable[[], bool] = lambda: False) -> None:
-        """Make the tries that fall due until then."""
+    def _run_tasks_until(self, at: float, enough: Callable[[], bool] = lambda: False) -> None:
+        """Run the tasks that fall due by then, or until there is `enough`."""
         while True:
             with self._lock:
                 now = self.now()
                 if now >= at or enough():
                     return
                 if not self._agenda or self._agenda[0][0] > now:
-                    wait = min(at, self._agenda[0][0] if self._agenda else at) - now
-                    self._changed.wait(min(wait, 0.05))
+                    next_at = min(at, self._agenda[0][0] if self._agenda else at)
+                    self._changed.wait(min(next_at - now, MAX_WAIT_S))
                     continue
                 task = heapq.heappop(self._agenda)[2]
             task()
 
-    def _request(self, born: float) -> None:
+    def _schedule(self, at: float, task: Callable[[], None]) -> None:
+        heapq.heappush(self._agenda, (at, next(self._count), task))
+
+    # --- requests
+
+    def _create_request(self, created_at: float) -> None:
         rng = self._random
-        keyed = rng.random() < self._told.load.keyed
-        lane = LANES[2] if keyed else rng.choices(LANES[:2], MIX_PLAIN)[0]
-        token = rng.randbytes(16).hex() if keyed else None
-        body = b"%s %d" % (lane.encode(), len(self.asked))
-        one = Asked(body, lane, born, token, rng.randrange(self._told.load.balancers))
-        self.asked.append(one)
-        self._try(one, rng.randrange(len(self._nodes)))
-
-    def _try(self, one: Asked, first: int) -> None:
-        """At this server, or at the next one that is not to be stayed away from."""
-        heeds = one.balancer < self._told.load.balancers * self._told.load.heed
-        now, count = self.now(), len(self._nodes)
-        numbers = [(first + step) % count for step in range(count)]
-        number = next(
-            (
-                n
-                for n in numbers
-                if self._shunned.get((one.balancer, n), 0.0) <= now
-                and not (heeds and self._away.get((one.balancer, n), 0.0) > now)
-            ),
-            numbers[0],
-        )
-        node = self._nodes[number]
-        uid = f"{next(self._count):016x}"
-        made = Try(uid, number, node.line, now)
-        one.tries.append(made)
-        nobody = Reply(0, b"", 0, 0.0)
-        if (balancer := self._balancer(one.balancer, number)) is None:
-            return self._told_of(one, made, nobody, ran=False)
-        give_up = balancer.send(
-            uid, one.lane, one.body, one.token, lambda reply: self._told_of(one, made, reply), wait=False
+        keyed = rng.random() < self._scenario.load.keyed
+        request_class = KEYED_CLASS if keyed else rng.choices(NON_KEYED_CLASSES, NON_KEYED_MIX)[0]
+        idempotency_key = rng.randbytes(16).hex() if keyed else None
+        body = b"%s %d" % (request_class.encode(), len(self.requests))
+        balancer = rng.randrange(self._scenario.load.balancers)
+        request = ClientRequest(body, request_class, created_at, idempotency_key, balancer)
+        self.requests.append(request)
+        self._send_attempt(request, rng.randrange(len(self._nodes)))
+
+    def _send_attempt(self, request: ClientRequest, preferred: int) -> None:
+        """Send an attempt to the preferred server, or to the next one that is not to be avoided."""
+        now = self.now()
+        number = self._choose_server(request.balancer, preferred, now)
+        request_id = f"{next(self._count):016x}"
+        attempt = Attempt(request_id, number, self._nodes[number].version_line, now)
+        request.attempts.append(attempt)
+        balancer = self._connected_balancer(request.balancer, number)
+        if balancer is None:
+            return self._end_attempt(request, attempt, _disconnected(), reached=False)
+        abort = balancer.send(
+            request_id,
+            request.request_class,
+            request.body,
+            request.idempotency_key,
+            lambda reply: self._end_attempt(request, attempt, reply),
+            wait=False,
         )
-        if give_up is None:
-            return self._told_of(one, made, nobody, ran=False)
+        if abort is None:
+            return self._end_attempt(request, attempt, _disconnected(), reached=False)
         with self._lock:
-            self._push(now + self._told.load.wait, lambda: self._overdue(one, made, give_up))
-
-    def _push(self, at: float, task: Callable[[], None]) -> None:
-        heapq.heappush(self._agenda, (at, next(self._count), task))
+            self._schedule(now + self._scenario.load.wait, lambda: self._time_out(request, attempt, abort))
 
-    def _overdue(self, one: Asked, made: Try, give_up: Callable[[], None]) -> None:
-        """The balancer waits no longer for this try."""
-        if made.status is None:
-            made.given_up = True
-            give_up()
-            self._told_of(one, made, Reply(0, b"", 0, 0.0))
+    def _choose_server(self, balancer: int, preferred: int, now: float) -> int:
+        """The first server from the preferred one on that is not to be avoided; else the preferred one."""
+        heeds_advice = balancer < self._scenario.load.balancers * self._scenario.load.heed
+        for step in range(len(self._nodes)):
+            number = (preferred + step) % len(self._nodes)
+            avoided = self._avoid_until.get((balancer, number), 0.0) > now
+            advised = heeds_advice and self._retry_after.get((balancer, number), 0.0) > now
+            if not avoided and not advised:
+                return number
+        return preferred % len(self._nodes)
 
-    def _balancer(self, balancer: int, number: int) -> StandInBalancer | None:
-        """Its connections to this server; None while nobody listens there."""
+    def _connected_balancer(self, balancer: int, number: int) -> StandInBalancer | None:
+        """The connections of a balancer to a server; None while nobody listens there."""
         if not self._nodes[number].up:
             return None
-        found = self._links.get((balancer, number))
-        if found is None:
+        connected = self._balancers.get((balancer, number))
+        if connected is None:
             try:
-                found = self._links[balancer, number] = StandInBalancer(
-                    self._nodes[number].port, links=CONNECTIONS, renew=True
+                connected = StandInBalancer(
+                    self._nodes[number].port, links=CONNECTIONS_PER_SERVER, renew=True
                 )
             except OSError:
                 return None
-        return found
+            self._balancers[balancer, number] = connected
+        return connected
+
+    def _time_out(self, request: ClientRequest, attempt: Attempt, abort: Callable[[], None]) -> None:
+        """Give an attempt up, if it has not ended."""
+        if attempt.status is None:
+            attempt.timed_out = True
+            abort()
+            self._end_attempt(request, attempt, _disconnected())
+
+    # --- replies
 
-    def _told_of(self, one: Asked, made: Try, reply: Reply, ran: bool = True) -> None:
-        """In a reader's thread: the end of a try. `ran` False: nobody listened, which proves that it did
-        not."""
+    def _end_attempt(
+        self, request: ClientRequest, attempt: Attempt, reply: Reply, reached: bool = True
+    ) -> None:
+        """Record the end of an attempt, and schedule a retry; called in a reader's thread.
+
+        `reached` False: nobody listened, which proves that the attempt did not run.
+        """
         now = self.now()
         with self._lock:
-            if made.status is not None:
-                return
-            made.ended, made.status, made.nobody = now, reply.status, not ran
-            if reply.status == 0:
-                self._shunned[one.balancer, made.node] = now + SHUNS_S
-            if reply.status in SERVED:
-                made.result = reply.body
-                one.served_at = one.served_at if one.served_at is not None else now
-            refused = reply.status in REFUSED
-            if refused:
-                self._away[one.balancer, made.node] = now + reply.wait_ms / 1e3
-            # Nothing proves that a keyed request which failed or broke off did not run: it goes back there.
-            stays = one.token is not None and not refused and ran
-            done = reply.status in SERVED or (reply.status not in (0, *REFUSED))
-            late = now - one.born > AIMS_S[one.lane] * GIVE_UP
-            if self._over or done or late or len(one.tries) >= self._told.load.tries:
-                self._changed.notify()
+            if attempt.status is not None:
                 return
-            onward = made.node if stays or not self._told.load.walk else made.node + 1
-            again = now + (AGAIN_S if refused else BROKEN_AGAIN_S)
-            self._push(again, lambda: self._try(one, onward))
+            self._record_end(request, attempt, reply, reached, now)
+            if self._may_retry(request, reply.status, now):
+                self._schedule_retry(request, attempt, reached, now)
             self._changed.notify()
 
+    def _record_end(
+        self, request: ClientRequest, attempt: Attempt, reply: Reply, reached: bool, now: float
+    ) -> None:
+        attempt.ended_at = now
+        attempt.status = reply.status
+        attempt.unreachable = not reached
+        if reply.status == DISCONNECTED:
+            self._avoid_until[request.balancer, attempt.node] = now + AVOID_AFTER_DISCONNECT_S
+        if reply.status in SERVED_STATUSES:
+            attempt.result = reply.body
+            request.served_at = request.served_at if request.served_at is not None else now
+        if reply.status in REJECTED_STATUSES:
+            self._retry_after[request.balancer, attempt.node] = now + reply.retry_after_ms / 1e3
+
+    def _may_retry(self, request: ClientRequest, status: int, now: float) -> bool:
+        final = status not in (DISCONNECTED, *REJECTED_STATUSES)
+        late = now - request.created_at > LATENCY_OBJECTIVES_S[request.request_class] * MAX_LATENESS
+        exhausted = len(request.attempts) >= self._scenario.load.tries
+        return not (self._over or final or late or exhausted)
+
+    def _schedule_retry(self, request: ClientRequest, attempt: Attempt, reached: bool, now: float) -> None:
+        rejected = attempt.status in REJECTED_STATUSES
+        # Nothing proves that a keyed request which failed or was disconnected did not run: it returns there.
+        stays = request.idempotency_key is not None and not rejected and reached
+        preferred = attempt.node if stays or not self._scenario.load.walk else attempt.node + 1
+        delay_s = RETRY_AFTER_REJECTION_S if rejected else RETRY_AFTER_FAILURE_S
+        self._schedule(now + delay_s, lambda: self._send_attempt(request, preferred))
+
     def close(self) -> None:
-        """Hang up."""
-        for balancer in self._links.values():
+        """Close all connections."""
+        for balancer in self._balancers.values():
             balancer.close()
--- a/cairnvane/testbed/cluster/nodes.py
+++ b/cairnvane/testbed/cluster/nodes.py
@@ -1,39 +1,47 @@
-"""One server of the fleet: its versions, their pools, and the links that all it talks to goes through."""
+"""One server of the cluster: its versions, their worker pools, and the links to everything it talks to."""
 
 from __future__ import annotations
 
 import signal
 import threading
-from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 from .. import server_process, server_version
-from ..server_version import Version
+from ..server_version import ServerVersion
 from ..stand_ins.sockets import HOST, free_ports
-from ..stand_ins.worker_pool import Facts, StandInPool
+from ..stand_ins.worker_pool import RunRecord, StandInPool
 from .links import Network, TcpLink
 from .peers import Peers
 from .scenario import Scenario
 
 STOP_MS = 3_000
+# Beyond its own time for a graceful shutdown, a server may take this long to end.
+STOP_MARGIN_S = 2
+# Classes of requests that call the dependency.
 CALLING = frozenset({"price-view", "bid-commit"})
+# A run's work is drawn between these multiples of its mean.
+LEAST_WORK = 0.7
+MOST_WORK = 1.3
 
 
-def settings(told: Scenario) -> dict[str, Any]:
-    """What each server is told, as the platform does: the classes, the machine, its share of the vault."""
+def _request_class(
+    name: str, weight: float, objective_ms: int, timeout_ms: int, **more: Any
+) -> dict[str, Any]:
+    times = {"OnTimeUs": objective_ms * 1_000, "GiveUpUs": timeout_ms * 1_000}
+    return {"Name": name, "Worth": weight} | times | more
 
-    def cls(name: str, worth: float, aim_ms: int, patience_ms: int, **more: Any) -> dict[str, Any]:
-        times = {"OnTimeUs": aim_ms * 1_000, "GiveUpUs": patience_ms * 1_000}
-        return {"Name": name, "Worth": worth} | times | more
 
+def settings(told: Scenario) -> dict[str, Any]:
+    """The settings of each server, as the platform gives them: classes, machine, share of the dependency."""
     keyed = {"Repeat": "guarded", "WindowUs": 17_364_000, "LateWorth": 0.2}
     return {
         "Classes": [
-            cls("price-view", 1.0, 1_400, 3_400),
-            cls("bid-update", 2.0, 2_300, 5_800),
-            cls("bid-commit", 3.0, 2_300, 5_800, **keyed),
+            _request_class("price-view", 1.0, 1_400, 3_400),
+            _request_class("bid-update", 2.0, 2_300, 5_800),
+            _request_class("bid-commit", 3.0, 2_300, 5_800, **keyed),
         ],
         "Extra": {
             "Cores": told.server.cores,
@@ -60,205 +68,253 @@
     return host, int(port)
 
 
+@dataclass
 class _Slot:
-    """A place for a version, with a pool that is used again: two by turns where a server is upgraded."""
+    """A place for a version, with a pool that is reused; an upgraded server uses two of them in turn."""
+
+    label: str
+    pool: StandInPool
+    pool_address: str  # of the link to the pool
+    operator: str | None  # the text of the operator's file
+    used: bool = False
+    # By incarnation of the pool, the line of versions that ran in it.
+    line_by_incarnation: dict[int, int] = field(default_factory=dict)
+
+
+class Handover(NamedTuple):
+    """When the old version was told to shut down, and when it had ended, in seconds of the load."""
 
-    def __init__(self, number: int, pool: StandInPool, at: str, operator: str | None) -> None:
-        self.label, self.pool, self.at, self.operator = f"-{number}", pool, at, operator
-        self.used = False
-        self.line: dict[int, int] = {}  # by the pool's life, the line of versions that ran in it
+    began_at: float
+    ended_at: float
+
+
+@dataclass(frozen=True)
+class NodeEnvironment:
+    """What all servers of a cluster share."""
+
+    network: Network
+    vault: str  # address
+    roster: str  # address
+    event: Callable[..., None]  # logs an event with its details
+    peers: Peers | None
 
 
 class Node:
-    """Safe to use from any thread; what is done to it is done by one."""
+    """One server. It may be read from any thread; only one thread at a time may act on it."""
 
     def __init__(
         self,
-        told: Scenario,
+        scenario: Scenario,
         number: int,
         seed: int,
         folder: Path,
-        network: Network,
-        vault: str,
-        roster: str,
-        event: Callable[..., None],
+        environment: NodeEnvironment,
         refused: Callable[[], None],
-        peers: Peers | None,
     ) -> None:
-        """`refused`: a balancer's connection was refused by a process that is there; from any thread."""
-        self.name, self._number = told.names[number], number
-        self._network, self._event, self._peers = network, event, peers
+        """`refused` is called, in any thread, when a process that is up refuses a balancer's connection."""
+        self.name = scenario.names[number]
+        self.versions: list[ServerVersion] = []
+        # Number of the current line of versions that took over from each other: keys are kept along a line.
+        self.version_line = 0
+        self.trouble: list[str] = []
+        self._scenario = scenario
+        self._number = number
+        self._seed = seed
+        self._network = environment.network
+        self._event = environment.event
+        self._peers = environment.peers
         self._port: int | None = None  # of the process that listens
-        self.links: dict[str, list[TcpLink]] = {
-            "balancers": [network.add(TcpLink(f"{seed} {self.name} balancers", self._to, refused))]
-        }
-        for name, address in (("vault", vault), ("roster", roster)):
-            self.links[name] = [self._link(f"{seed} {self.name} {name}", address)]
-        self.links["pool"] = []
-        upgraded = self.name in told.upgraded
-        self._slots = []
-        half_ms = told.server.work_ms / 2
-        for slot in range(1 + upgraded):
-            pool = StandInPool(
-                seed * 100 + number + 50 * slot,
-                CALLING,
-                (half_ms * 0.7, half_ms * 1.3),
-                cores=told.server.cores,
-            )
-            link = self._link(f"{seed} {self.name} pool{slot or ''}", pool.address)
-            self.links["pool"].append(link)
-            text = told.operator + ("" if peers is None else peers.section(number, slot))
-            self._slots.append(_Slot(slot, pool, f"{HOST}:{link.port}", text or None))
+        self._killed: set[ServerVersion] = set()  # by the scenario's will, not ended in order
+        self.links = self._create_links(environment, refused)
+        upgraded = self.name in scenario.upgraded
+        self._slots = [self._create_slot(slot) for slot in range(1 + upgraded)]
         folder.mkdir()
-        self._has_door = upgraded or peers is not None
-        self._site = server_process.Site(
+        self._has_administration = upgraded or self._peers is not None
+        self._site = self._create_site(folder)
+        self._network.set_listening(self.links["balancers"][0], False)
+
+    def _create_links(
+        self, environment: NodeEnvironment, refused: Callable[[], None]
+    ) -> dict[str, list[TcpLink]]:
+        """The links by their other end; those to pools follow with their slots."""
+        from_balancers = TcpLink(f"{self._seed} {self.name} balancers", self._serving_address, refused)
+        return {
+            "balancers": [self._network.add(from_balancers)],
+            "vault": [self._link("vault", environment.vault)],
+            "roster": [self._link("roster", environment.roster)],
+            "pool": [],
+        }
+
+    def _link(self, end: str, address: str) -> TcpLink:
+        return self._network.add(TcpLink(f"{self._seed} {self.name} {end}", lambda: _address(address)))
+
+    def _create_slot(self, number: int) -> _Slot:
+        scenario = self._scenario
+        half_ms = scenario.server.work_ms / 2
+        pool = StandInPool(
+            self._seed * 100 + self._number + 50 * number,
+            CALLING,
+            (half_ms * LEAST_WORK, half_ms * MOST_WORK),
+            cores=scenario.server.cores,
+        )
+        link = self._link(f"pool{number or ''}", pool.address)
+        self.links["pool"].append(link)
+        members = "" if self._peers is None else self._peers.operator_section(self._number, number)
+        operator = scenario.operator + members
+        return _Slot(f"-{number}", pool, f"{HOST}:{link.port}", operator or None)
+
+    def _create_site(self, folder: Path) -> server_process.Site:
+        return server_process.Site(
             folder,
             "",
             f"{HOST}:{self.links['vault'][0].port}",
             f"{HOST}:{self.links['roster'][0].port}",
-            settings(told),
+            settings(self._scenario),
             stop_ms=STOP_MS,
             name=self.name,
             listen=f"{HOST}:{free_ports(1)[0]}",
         )
-        self.versions: list[Version] = []
-        self.line = 0  # counts lines of versions that took over from each other: keys are kept along one
-        self._killed: set[Version] = set()  # did not end in order, by the scenario's will
-        self.trouble: list[str] = []
-        network.listen(self.links["balancers"][0], False)
-
-    def _link(self, seed: str, address: str) -> TcpLink:
-        return self._network.add(TcpLink(seed, lambda: _address(address)))
 
     @property
     def port(self) -> int:
-        """Where balancers find it."""
+        """Where balancers connect to."""
         return self.links["balancers"][0].port
 
     @property
     def up(self) -> bool:
-        """A process serves."""
+        """Whether a process serves."""
         return self._port is not None
 
-    def _to(self) -> tuple[str, int] | None:
+    def _serving_address(self) -> tuple[str, int] | None:
         return (HOST, self._port) if self._port is not None else None
 
-    def _alive(self) -> list[Version]:
-        return [version for version in self.versions if version.life.alive()]
+    def _running(self) -> list[ServerVersion]:
+        return [version for version in self.versions if version.server.alive()]
+
+    def _add_trouble(self, version: ServerVersion, what: str, last_lines: int) -> None:
+        self.trouble.append(f"{self.name} {what}: " + " | ".join(version.server.lines[-last_lines:]))
 
     # --- starts
 
-    def _start(self, slot: _Slot, clock_s: float = 0.0) -> Version | None:
-        """A version in this place; None if it did not come to listen."""
+    def _start_version(self, slot: _Slot, clock_s: float = 0.0) -> ServerVersion | None:
+        """A version in this slot; None if it did not come to listen."""
         if slot.used:
             slot.pool.restart()
-        slot.used, slot.line[slot.pool.lives] = True, self.line
+        slot.used = True
+        slot.line_by_incarnation[slot.pool.incarnation] = self.version_line
         self._site.operator = slot.operator
-        door = (HOST, free_ports(1)[0]) if self._has_door else None
-        version = server_version.start(self._site, slot.pool, slot.at, door, slot.label, clock_s=clock_s)
+        administration = (HOST, free_ports(1)[0]) if self._has_administration else None
+        version = server_version.start(
+            self._site, slot.pool, slot.pool_address, administration, slot.label, clock_s=clock_s
+        )
         self.versions.append(version)
-        if not version.life.listens():
-            self.trouble.append(f"{self.name} did not start: " + " | ".join(version.life.lines[-3:]))
+        if not version.server.listens():
+            self._add_trouble(version, "did not start", 3)
             return None
-        threading.Thread(target=self._watch, args=(version,), daemon=True).start()
+        threading.Thread(target=self._watch, args=(version,), name="server watcher", daemon=True).start()
         return version
 
     def start(self, clock_s: float = 0.0) -> None:
-        """A new life, with a pool that has only just started; returns once it listens."""
-        if self._alive():
+        """Start a new incarnation, with a pool that has only just started; return once it listens."""
+        if self._running():
             return
-        self.line += 1
-        if (version := self._start(self._slots[0], clock_s)) is not None:
-            self._serves(version)
-            self._port = version.life.port
-            self._network.listen(self.links["balancers"][0], True)
-
-    def _serves(self, version: Version) -> None:
-        if self._peers is not None and version.door is not None:
-            self._peers.doors[self._number] = version.door
+        self.version_line += 1
+        if (version := self._start_version(self._slots[0], clock_s)) is not None:
+            self._serve_with(version)
+            self._port = version.server.port
+            self._network.set_listening(self.links["balancers"][0], True)
+
+    def _serve_with(self, version: ServerVersion) -> None:
+        if self._peers is not None and version.administration is not None:
+            self._peers.administration[self._number] = version.administration
         self._event("started", who=self.name, life=self.versions.index(version) + 1)
 
-    def upgrade(self, clock: Callable[[], float]) -> tuple[float, float] | None:
-        """A new version beside the one that serves, which then leaves; from when until when it did, by this
-        clock. None if there was nothing to take over from, or nobody who did."""
+    def upgrade(self, clock: Callable[[], float]) -> Handover | None:
+        """Start a new version beside the one that serves, which then shuts down.
+
+        None if nothing serves, or if the new version was not ready in time. Times are those of `clock`.
+        """
         old = self.versions[-1]
-        if not old.life.alive():
+        if not old.server.alive():
             return None
         slot = next(slot for slot in self._slots if slot.pool is not old.pool)
-        new = self._start(slot)
+        new = self._start_version(slot)
         if new is None or new.await_ready() is None:
-            self.trouble.append(f"{self.name}: its new version was not ready in time")
-            if new is not None and new.life.alive():
-                self._killed.add(new)
-                new.kill()
-            self.versions.sort(key=lambda version: version is old)  # which goes on
+            self._abandon_upgrade(old, new)
             return None
-        self._serves(new)
-        began = clock()
-        old.life.process.send_signal(signal.SIGTERM)
-        old.life.process.wait()
-        return began, clock()
+        self._serve_with(new)
+        began_at = clock()
+        old.server.process.send_signal(signal.SIGTERM)
+        old.server.process.wait()
+        return Handover(began_at, clock())
+
+    def _abandon_upgrade(self, old: ServerVersion, new: ServerVersion | None) -> None:
+        self.trouble.append(f"{self.name}: its new version was not ready in time")
+        if new is not None and new.server.alive():
+            self._killed.add(new)
+            new.kill()
+        self.versions.sort(key=lambda version: version is old)  # the last one is the one that serves
 
     # --- ends
 
-    def _watch(self, version: Version) -> None:
-        """Until it ends; what should not have ended is trouble."""
-        status = version.life.process.wait()
+    def _watch(self, version: ServerVersion) -> None:
+        """Wait until a version ends; an end that was not to be is reported as trouble."""
+        status = version.server.process.wait()
         if self.versions[-1] is version and self._port is not None:
             self._port = None
-            self._network.listen(self.links["balancers"][0], False)
+            self._network.set_listening(self.links["balancers"][0], False)
         self._event("ended", who=self.name, life=self.versions.index(version) + 1, status=status)
         if version not in self._killed and status != 0:
-            self.trouble.append(f"{self.name} ended with {status}: " + " | ".join(version.life.lines[-2:]))
+            self._add_trouble(version, f"ended with {status}", 2)
 
     def kill(self) -> None:
-        """SIGKILL, as a machine that is lost."""
-        for version in self._alive():
+        """Send SIGKILL to all processes, as when the machine is lost."""
+        for version in self._running():
             self._killed.add(version)
             version.kill()
 
     def stop(self, stopped: bool) -> None:
-        """SIGSTOP, or SIGCONT."""
-        for version in self._alive():
-            version.life.process.send_signal(signal.SIGSTOP if stopped else signal.SIGCONT)
+        """Send SIGSTOP, or SIGCONT, to all processes."""
+        for version in self._running():
+            version.server.process.send_signal(signal.SIGSTOP if stopped else signal.SIGCONT)
 
-    def leave(self) -> None:
-        """SIGTERM; it drains, and ends by itself."""
-        for version in self._alive():
-            version.life.process.send_signal(signal.SIGTERM)
+    def shut_down(self) -> None:
+        """Send SIGTERM to all processes, which drain and end by themselves."""
+        for version in self._running():
+            version.server.process.send_signal(signal.SIGTERM)
 
     def order(self, what: str, seconds: float) -> None:
-        """A fault within its processes; see `instrumented_server`."""
-        for version in self._alive():
-            version.life.order(self._site.folder, what, seconds)
+        """Order a fault within all processes, one of `instrumented_server.FAULTS`."""
+        for version in self._running():
+            version.server.order(self._site.folder, what, seconds)
 
     def end(self) -> None:
-        """At the end of all: in order, and for good."""
-        for version in self._alive():
-            version.life.process.send_signal(signal.SIGCONT)
-            if version.leave(STOP_MS / 1e3 + 2) == -signal.SIGKILL:
+        """Shut everything down at the end of the run, and collect the alarms."""
+        for version in self._running():
+            version.server.process.send_signal(signal.SIGCONT)
+            if version.shut_down(STOP_MS / 1e3 + STOP_MARGIN_S) == -signal.SIGKILL:
                 self._killed.add(version)
                 self.trouble.append(f"{self.name} did not end within its time")
         for slot in self._slots:
             slot.pool.close()
         self.trouble += [f"{self.name}: {line}" for version in self.versions for line in version.alarms()]
 
-    # --- what was seen
+    # --- records
 
     @property
-    def crowded(self) -> int:
+    def max_runnable(self) -> int:
         """The most runs that wanted a core of it at a time."""
-        return max(slot.pool.most_crowded for slot in self._slots)
+        return max(slot.pool.max_runnable for slot in self._slots)
 
-    def facts(self) -> dict[bytes, Facts]:
-        """What its pools saw, as those of one server: runs by line of versions, over which keys are kept."""
-        seen: dict[bytes, Facts] = {}
+    def run_records(self) -> dict[bytes, RunRecord]:
+        """What its pools recorded by body, as one server: runs by line of versions, not by incarnation."""
+        merged: dict[bytes, RunRecord] = {}
         for slot in self._slots:
-            for body, one in slot.pool.facts.items():
-                whole = seen.setdefault(body, Facts(by_life=Counter()))
-                whole.runs += one.runs
-                whole.results += one.results
-                whole.uids |= one.uids
-                for life, runs in one.by_life.items():
-                    whole.by_life[slot.line[life]] += runs
-        return seen
+            for body, record in slot.pool.records.items():
+                total = merged.setdefault(body, RunRecord())
+                total.runs += record.runs
+                total.results += record.results
+                total.request_ids |= record.request_ids
+                for incarnation, runs in record.runs_by_incarnation.items():
+                    total.runs_by_incarnation[slot.line_by_incarnation[incarnation]] += runs
+        return merged
--- a/cairnvane/testbed/cluster/observations.py
+++ b/cairnvane/testbed/cluster/observations.py
@@ -1,7 +1,6 @@
-"""What the servers' own log lines say of each other, held against what the rig did to them. No I/O.
+"""Compares what the servers' log lines say of each other with the faults that the testbed caused. No I/O.
 
-Only here is a server asked how it sees things: what is judged is that sight itself. Times are seconds of the
-load.
+Only here is a server's own view used: that view itself is what is checked. Times are seconds of the load.
 """
 
 from __future__ import annotations
@@ -12,19 +11,18 @@
 from typing import NamedTuple
 
 from ... import log_events
-from .scenario import Scenario
+from .scenario import Expect, Scenario
 
-# A verdict of a server's own shows its accusers; one that it heard of from another has none to show.
 _MEMBER_EVENT = log_events.pattern(log_events.MEMBER_EVENT)
-# Member events are named `member.<event>` by the server as well: the prefix of the template may stand twice.
+# The server names its member events `member.<event>` as well: the prefix of the template may stand twice.
 _EVENT_DETAILS = re.compile(
     r"(?:member\.)?(?P<event>[a-z_]+) name=(?P<name>\S+) life=(?P<life>\S+)(?P<more>.*)"
 )
-_VERDICT = re.compile(r" verdict=(.*?) was=")
-# Lines around verdicts that should not have been.
-MOST_SHOWN = 40
-# By these a server knows that a life is over.
-OVER = ("failed", "left")
+_PARTITION_VERDICT = re.compile(r" verdict=(.*?) was=")
+# Log lines that are reported around failure verdicts on healthy servers.
+MAX_EVENTS_SHOWN = 40
+# By these events a server knows that an incarnation has ended.
+TERMINAL_EVENTS = ("failed", "left")
 
 
 class MemberEvent(NamedTuple):
@@ -47,47 +45,52 @@
 
 
 @dataclass(frozen=True)
-class Sighting:
-    """One server said this of one life, perhaps its own."""
+class Observation:
+    """What one server logged of a member, perhaps of itself."""
 
     at: float
-    by: str
+    observer: str
     event: str
-    name: str
-    more: str
+    member: str
+    details: str
 
     @property
     def own_verdict(self) -> bool:
-        """It found this life failed by itself."""
-        return self.event == "failed" and "accusers=" in self.more
+        """Whether the observer itself declared the member failed.
+
+        Its own verdict names the accusers; a verdict that it heard of by gossip does not.
+        """
+        return self.event == "failed" and "accusers=" in self.details
 
     @property
     def own_suspicion(self) -> bool:
-        """It got no answer from this life itself."""
-        return self.event == "suspected" and " why=" in self.more
+        """Whether the observer itself got no answer from the member."""
+        return self.event == "suspected" and " why=" in self.details
 
 
-def read(by: str, lines: Sequence[str], said_at: Sequence[float], begin: float) -> list[Sighting]:
-    """The lines of one process; `begin`: the load's, on the clock of `said_at`."""
-    found = []
+def read_observations(
+    observer: str, lines: Sequence[str], said_at: Sequence[float], begin: float
+) -> list[Observation]:
+    """The observations of one process; `begin` is the start of the load on the clock of `said_at`."""
+    observations = []
     for at, line in zip(said_at, lines, strict=False):
         if (event := read_member_event(line)) is not None:
-            found.append(Sighting(at - begin, by, event.event, event.member, event.details))
-    return found
+            observations.append(Observation(at - begin, observer, event.event, event.member, event.details))
+    return observations
 
 
 @dataclass(frozen=True)
-class Kill:
-    """A life that was killed, and who was up and in reach from then until the next thing happened to it."""
+class KilledServer:
+    """A server that was killed, and the servers that were up and reachable then and have to detect it."""
 
     at: float
-    who: str
-    others: frozenset[str]
+    server: str
+    observers: frozenset[str]
 
 
 @dataclass
 class Traffic:
-    """What went over the links between servers, second by second, both ways together."""
+    """What went over the links between servers, second by second, both directions together."""
 
     members: int
     bytes_by_second: list[int] = field(default_factory=list)
@@ -95,48 +98,54 @@
 
     @property
     def kb_a_second(self) -> float:
-        """Of one member, over all the time."""
-        whole = sum(self.bytes_by_second) / 1_024
-        return whole / max(1, len(self.bytes_by_second)) / self.members
+        """Of one member, over the whole load."""
+        total_kb = sum(self.bytes_by_second) / 1_024
+        return total_kb / max(1, len(self.bytes_by_second)) / self.members
 
     @property
     def peak_kb(self) -> float:
-        """Of one member, in the fullest second."""
+        """Of one member, in the second with the most traffic."""
         return max(self.bytes_by_second, default=0) / 1_024 / self.members
 
     @property
     def datagrams_a_second(self) -> float:
-        """Of one member."""
+        """Of one member, over the whole load."""
         return self.datagrams / max(1, len(self.bytes_by_second)) / self.members
 
 
-def known_after(kill: Kill, said: Iterable[Sighting]) -> float | None:
-    """Seconds until all others had said that it is over; None if one never did."""
-    first: dict[str, float] = {}
-    for one in said:
-        if one.name == kill.who and one.event in OVER and one.at >= kill.at and one.by in kill.others:
-            first[one.by] = min(first.get(one.by, one.at), one.at)
-    if set(first) != kill.others:
+def detection_time(killed: KilledServer, observations: Iterable[Observation]) -> float | None:
+    """Seconds until all observers had logged the end of a killed server; None if one never did."""
+    detected_at: dict[str, float] = {}
+    for observation in observations:
+        if (
+            observation.member == killed.server
+            and observation.event in TERMINAL_EVENTS
+            and observation.at >= killed.at
+            and observation.observer in killed.observers
+        ):
+            earlier = detected_at.get(observation.observer, observation.at)
+            detected_at[observation.observer] = min(earlier, observation.at)
+    if set(detected_at) != killed.observers:
         return None
-    return max((at - kill.at for at in first.values()), default=0.0)
+    return max((at - killed.at for at in detected_at.values()), default=0.0)
 
 
 @dataclass
 class Views:
-    """The servers' views of each other, over one play."""
+    """The servers' views of each other over one run; the names are the keys of the JSON report."""
 
-    called_dead: int = 0  # verdicts of a server's own on servers that nothing was done to
-    suspected: int = 0  # suspicions of such
-    found_s: list[float] = field(default_factory=list)  # until all knew of each kill
-    not_found: int = 0  # kills that one never came to know of
+    called_dead: int = 0  # a server's own failure verdicts on servers that no fault was applied to
+    suspected: int = 0  # suspicions of such servers
+    found_s: list[float] = field(default_factory=list)  # detection time of each killed server
+    not_found: int = 0  # killed servers that some observer never detected
     agreed_s: float | None = None  # from the load's end until all saw each other; None: not, or not asked
-    kb_a_second: float = 0.0  # a member's, to others
+    kb_a_second: float = 0.0  # sent by a member to others
     peak_kb: float = 0.0
     datagrams_a_second: float = 0.0
-    cpu: float = 0.0  # of a core, a process, in the mean of those alive at the load's end
+    cpu: float = 0.0  # of a core, the mean of the processes that were alive at the load's end
 
     def line(self) -> str:
-        """For a terminal."""
+        """The report for a terminal."""
         times = ", ".join(f"{seconds:.2f}" for seconds in self.found_s)
         found = f"kills known to all after {times} s; " if times else ""
         agreed = "" if self.agreed_s is None else f"; all agree {self.agreed_s:.1f} s after the load's end"
@@ -148,63 +157,110 @@
         )
 
 
-def judge(
-    told: Scenario,
-    said: Sequence[Sighting],
-    kills: Sequence[Kill],
+def _false_verdicts(
+    expect: Expect, views: Views, observations: Sequence[Observation], unhurt: set[str]
+) -> list[str]:
+    if expect.called_dead is None or views.called_dead <= expect.called_dead:
+        return []
+    accused = {
+        observation.member
+        for observation in observations
+        if observation.own_verdict and observation.member in unhurt
+    }
+    context = [
+        f"  {observation.at:.2f} s {observation.observer}: {observation.event} "
+        f"{observation.member}{observation.details}"
+        for observation in observations
+        if observation.member in accused or observation.event in ("held_up", "host_held_up")
+    ]
+    return [
+        f"{views.called_dead} verdicts on the living, {expect.called_dead} at most were expected",
+        *context[:MAX_EVENTS_SHOWN],
+    ]
+
+
+def _slow_detections(
+    expect: Expect, kills: Sequence[KilledServer], times: Sequence[float | None]
+) -> list[str]:
+    if expect.found_within is None:
+        return []
+    unmet = []
+    for killed, time_s in zip(kills, times, strict=True):
+        if time_s is None or time_s > expect.found_within:
+            after = "never" if time_s is None else f"after {time_s:.2f} s"
+            unmet.append(
+                f"the end of {killed.server} at {killed.at:.1f} s was known to all {after}, "
+                f"expected within {expect.found_within:g} s"
+            )
+    return unmet
+
+
+def _missing_events(expect: Expect, observations: Sequence[Observation]) -> list[str]:
+    """Stalls that servers did not log of themselves, though they were expected to."""
+    expected = [("held_up", name) for name in expect.held_up]
+    expected += [("host_held_up", name) for name in expect.host_held_up]
+    logged = {(observation.event, observation.observer) for observation in observations}
+    return [f"{name} never said {event} of itself" for event, name in expected if (event, name) not in logged]
+
+
+def _missing_partition_verdicts(expect: Expect, observations: Sequence[Observation]) -> list[str]:
+    unmet = []
+    for name, expected in expect.sights.items():
+        verdicts = {
+            found[1]
+            for observation in observations
+            if observation.observer == name
+            and observation.event == "sight"
+            and (found := _PARTITION_VERDICT.search(observation.details)) is not None
+        }
+        if expected not in verdicts:
+            instead = ", ".join(sorted(verdicts)) or "nothing"
+            unmet.append(f"{name} never took itself for {expected}, but for {instead}")
+    return unmet
+
+
+def _excessive_traffic(expect: Expect, views: Views) -> list[str]:
+    limits = (
+        ("", expect.kb_a_second, views.kb_a_second),
+        (" in one second", expect.peak_kb, views.peak_kb),
+    )
+    return [
+        f"{measured:.1f} KB/s a member{period}, {limit:g} at most were expected"
+        for period, limit, measured in limits
+        if limit is not None and measured > limit
+    ]
+
+
+def check_views(
+    scenario: Scenario,
+    observations: Sequence[Observation],
+    kills: Sequence[KilledServer],
     hurt: set[str],
     traffic: Traffic,
     agreed_s: float | None,
 ) -> tuple[Views, list[str]]:
-    """The views, and the statements of the scenario on them that do not hold. `hurt`: servers that something
-    was done to by the scenario's will."""
-    wants, unhurt = told.expect, set(told.names) - hurt
+    """The views, and the expectations of the scenario on them that were not met.
+
+    `hurt`: servers that the scenario applied a fault to.
+    """
+    expect = scenario.expect
+    unhurt = set(scenario.names) - hurt
+    times = [detection_time(killed, observations) for killed in kills]
     views = Views(
-        called_dead=sum(one.own_verdict and one.name in unhurt for one in said),
-        suspected=sum(one.own_suspicion and one.name in unhurt for one in said),
+        called_dead=sum(one.own_verdict and one.member in unhurt for one in observations),
+        suspected=sum(one.own_suspicion and one.member in unhurt for one in observations),
+        found_s=[time_s for time_s in times if time_s is not None],
+        not_found=times.count(None),
         agreed_s=agreed_s,
         kb_a_second=traffic.kb_a_second,
         peak_kb=traffic.peak_kb,
         datagrams_a_second=traffic.datagrams_a_second,
     )
-    short = []
-    took = [known_after(kill, said) for kill in kills]
-    views.found_s, views.not_found = [one for one in took if one is not None], took.count(None)
-    if wants.called_dead is not None and views.called_dead > wants.called_dead:
-        short.append(f"{views.called_dead} verdicts on the living, {wants.called_dead} at most were expected")
-        accused = {one.name for one in said if one.own_verdict and one.name in unhurt}
-        short += [
-            f"  {one.at:.2f} s {one.by}: {one.event} {one.name}{one.more}"
-            for one in said
-            if one.name in accused or one.event in ("held_up", "host_held_up")
-        ][:MOST_SHOWN]
-    if wants.agree_within is not None and agreed_s is None:
-        short.append(f"the servers do not agree within {wants.agree_within:g} s")
-    if wants.found_within is not None:
-        for kill, one in zip(kills, took, strict=True):
-            if one is None or one > wants.found_within:
-                after = "never" if one is None else f"after {one:.2f} s"
-                short.append(
-                    f"the end of {kill.who} at {kill.at:.1f} s was known to all {after}, "
-                    f"expected within {wants.found_within:g} s"
-                )
-    for event, names in (("held_up", wants.held_up), ("host_held_up", wants.host_held_up)):
-        for name in names:
-            if not any(one.by == name and one.event == event for one in said):
-                short.append(f"{name} never said {event} of itself")
-    for name, sight in wants.sights.items():
-        took_for = {
-            found[1]
-            for one in said
-            if one.by == name and one.event == "sight" and (found := _VERDICT.search(one.more)) is not None
-        }
-        if sight not in took_for:
-            instead = ", ".join(sorted(took_for)) or "nothing"
-            short.append(f"{name} never took itself for {sight}, but for {instead}")
-    for what, limit, got in (
-        ("", wants.kb_a_second, views.kb_a_second),
-        (" in one second", wants.peak_kb, views.peak_kb),
-    ):
-        if limit is not None and got > limit:
-            short.append(f"{got:.1f} KB/s a member{what}, {limit:g} at most were expected")
-    return views, short
+    unmet = _false_verdicts(expect, views, observations, unhurt)
+    if expect.agree_within is not None and agreed_s is None:
+        unmet.append(f"the servers do not agree within {expect.agree_within:g} s")
+    unmet += _slow_detections(expect, kills, times)
+    unmet += _missing_events(expect, observations)
+    unmet += _missing_partition_verdicts(expect, observations)
+    unmet += _excessive_traffic(expect, views)
+    return views, unmet
--- a/cairnvane/testbed/cluster/peers.py
+++ b/cairnvane/testbed/cluster/peers.py
@@ -1,98 +1,132 @@
-"""The links between the servers themselves, and what each is told to find the others through them."""
+"""The links between the servers, and the configuration by which they find each other through them."""
 
 from __future__ import annotations
 
 import json
 import urllib.request
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, NamedTuple
 
 from ..stand_ins.sockets import HOST, free_ports
-from .link_conditions import Fault
+from .link_conditions import LinkFault
 from .links import Network, TcpLink, UdpLink
 from .scenario import Scenario
 
-KEY, CONTACTS, WAIT_S = "of-the-laboratory-only", 3, 2.0
-_FLIPPED = {"there": "back", "back": "there", "both": "both"}
-# A version of a server: the server's number, and its place, of which there are two where it is upgraded.
-End = tuple[int, int]
+KEY = "of-the-laboratory-only"
+MAX_CONTACTS = 3
+HTTP_TIMEOUT_S = 2.0
+_REVERSED = {"there": "back", "back": "there", "both": "both"}
+
+
+class Endpoint(NamedTuple):
+    """A version of a server: the server's number, and its slot, of which an upgraded server has two."""
+
+    server: int
+    slot: int
+
+
+class _PairLinks(NamedTuple):
+    """The links between two endpoints: datagrams, and connections opened by the first and by the second."""
+
+    datagrams: UdpLink
+    there: TcpLink
+    back: TcpLink
+
+
+class PeerTraffic(NamedTuple):
+    """What members have sent to each other so far, full views included."""
+
+    bytes: int
+    datagrams: int
+
+
+def _join(address: tuple[str, int]) -> str:
+    host, port = address
+    return f"{host}:{port}"
 
 
 class Peers:
-    """For each pair of places one datagram link, and on the same two ports a connection link each way."""
-
-    def __init__(self, told: Scenario, seed: int, network: Network) -> None:
-        self._network, self._names = network, told.names
-        self.doors: dict[int, tuple[str, int]] = {}  # of the version that serves
-        firsts = free_ports(told.servers, above=1)  # a new version listens one above
-        self._ends: dict[End, tuple[str, int]] = {
-            (number, slot): (HOST, firsts[number] + slot)
-            for number, name in enumerate(told.names)
-            for slot in range(1 + (name in told.upgraded))
+    """For each pair of endpoints one datagram link, and on the same two ports a TCP link each way."""
+
+    def __init__(self, scenario: Scenario, seed: int, network: Network) -> None:
+        self.administration: dict[int, tuple[str, int]] = {}  # by server, of the version that serves
+        self._network = network
+        self._names = scenario.names
+        first_ports = free_ports(scenario.servers, above=1)  # a new version listens one above
+        self._addresses: dict[Endpoint, tuple[str, int]] = {
+            Endpoint(number, slot): (HOST, first_ports[number] + slot)
+            for number, name in enumerate(scenario.names)
+            for slot in range(1 + (name in scenario.upgraded))
         }
-        self._routes: dict[End, dict[str, str]] = {end: {} for end in self._ends}
-        self._links: dict[tuple[int, int], list[tuple[UdpLink, TcpLink, TcpLink]]] = {}
-        for one in self._ends:
-            for other in self._ends:
-                if one[0] < other[0]:
-                    self._pair(one, other, f"{seed} {_told(one)} {_told(other)}")
-
-    def _pair(self, one: End, other: End, seed: str) -> None:
-        ends = self._ends[one], self._ends[other]
-        # Connections first: their ports are taken by nobody else, and so are free for datagrams too.
-        views = (
-            self._network.add(TcpLink(f"{seed} view", lambda: ends[1])),
-            self._network.add(TcpLink(f"{seed} view back", lambda: ends[0])),
-        )
+        self._routes: dict[Endpoint, dict[str, str]] = {end: {} for end in self._addresses}
+        self._links: dict[tuple[int, int], list[_PairLinks]] = {}
+        for first in self._addresses:
+            for second in self._addresses:
+                if first.server < second.server:
+                    self._connect(first, second, f"{seed} {_seed_part(first)} {_seed_part(second)}")
+
+    def _connect(self, first: Endpoint, second: Endpoint, seed: str) -> None:
+        first_address = self._addresses[first]
+        second_address = self._addresses[second]
+        # TCP first: their ports are taken by nobody else, and so are free for datagrams too.
+        there = self._network.add(TcpLink(f"{seed} view", lambda: second_address))
+        back = self._network.add(TcpLink(f"{seed} view back", lambda: first_address))
         datagrams = self._network.add(
-            UdpLink(seed, (lambda: ends[0], lambda: ends[1]), (views[0].port, views[1].port))
+            UdpLink(seed, (lambda: first_address, lambda: second_address), (there.port, back.port))
         )
-        self._links.setdefault((one[0], other[0]), []).append((datagrams, *views))
-        for end, whom, by in ((one, ends[1], views[0].port), (other, ends[0], views[1].port)):
-            self._routes[end]["{}:{}".format(*whom)] = f"{HOST}:{by}"
-
-    def section(self, number: int, slot: int) -> str:
-        """Of the operator's file of this version."""
-        some = list(range(len(self._names)))[:CONTACTS]
-        told = {
-            "listen": "{}:{}".format(*self._ends[number, 0]),
+        pair = self._links.setdefault((first.server, second.server), [])
+        pair.append(_PairLinks(datagrams, there, back))
+        self._routes[first][_join(second_address)] = f"{HOST}:{there.port}"
+        self._routes[second][_join(first_address)] = f"{HOST}:{back.port}"
+
+    def operator_section(self, number: int, slot: int) -> str:
+        """The section of the operator's file of this version."""
+        contacts = list(range(len(self._names)))[:MAX_CONTACTS]
+        members = {
+            "listen": _join(self._addresses[Endpoint(number, 0)]),
             "key": KEY,
             "spare_ports": 1,
-            "contacts": ["{}:{}".format(*self._ends[one, 0]) for one in some],
-            "routes": self._routes[number, slot],
+            "contacts": [_join(self._addresses[Endpoint(contact, 0)]) for contact in contacts],
+            "routes": self._routes[Endpoint(number, slot)],
         }
-        return f"\nmembers: {json.dumps(told)}\n"
+        return f"\nmembers: {json.dumps(members)}\n"
 
-    def set(self, first: int, second: int, way: str, event: int, fault: Fault | None) -> None:
-        """A fault of the links between these two; `there` is from the first."""
+    def set_fault(self, first: int, second: int, way: str, event: int, fault: LinkFault | None) -> None:
+        """Begin a fault of the links between two servers, or (None) end it; `there` is from the first."""
         if first > second:
-            first, second, way = second, first, _FLIPPED[way]
-        for datagrams, there, back in self._links[first, second]:
-            self._network.set(datagrams, way, event, fault)
-            self._network.set(there, way, event, fault)
-            self._network.set(back, _FLIPPED[way], event, fault)
-
-    def agree(self, up: Iterable[int]) -> bool:
-        """Whether each of these sees all the others alive, by their own doors."""
-        up = list(up)
-        names = {self._names[number] for number in up}
-        for number in up:
-            door = "http://{}:{}/-/members".format(*self.doors[number])
-            try:
-                with urllib.request.urlopen(door, timeout=WAIT_S) as answer:
-                    told: dict[str, Any] = json.load(answer)
-            except (OSError, ValueError):
-                return False
-            alive = {one["name"] for one in told["members"] if one["status"] == "alive"}
-            if alive | {self._names[number]} != names:
+            first, second, way = second, first, _REVERSED[way]
+        for links in self._links[first, second]:
+            self._network.set_fault(links.datagrams, way, event, fault)
+            self._network.set_fault(links.there, way, event, fault)
+            self._network.set_fault(links.back, _REVERSED[way], event, fault)
+
+    def all_see_each_other(self, up: Iterable[int]) -> bool:
+        """Whether each of these servers reports all the others as alive, and nobody else."""
+        numbers = list(up)
+        names = {self._names[number] for number in numbers}
+        for number in numbers:
+            alive = self._reported_alive(number)
+            if alive is None or alive | {self._names[number]} != names:
                 return False
         return True
 
-    def traffic(self) -> tuple[int, int]:
-        """Bytes that members sent to each other so far, whole views too, and datagrams."""
-        links = [link for pair in self._links.values() for some in pair for link in some]
-        return (sum(link.counts["bytes"] for link in links), sum(link.counts["datagrams"] for link in links))
+    def _reported_alive(self, number: int) -> set[str] | None:
+        """Names of the members that a server reports as alive; None if it gives no report."""
+        url = f"http://{_join(self.administration[number])}/-/members"
+        try:
+            with urllib.request.urlopen(url, timeout=HTTP_TIMEOUT_S) as response:
+                report: dict[str, Any] = json.load(response)
+        except (OSError, ValueError):
+            return None
+        return {member["name"] for member in report["members"] if member["status"] == "alive"}
+
+    def traffic(self) -> PeerTraffic:
+        """What members have sent to each other so far."""
+        links = [link for pairs in self._links.values() for pair in pairs for link in pair]
+        return PeerTraffic(
+            sum(link.counts["bytes"] for link in links), sum(link.counts["datagrams"] for link in links)
+        )
 
 
-def _told(end: End) -> str:
-    return f"{end[0]}" + (f".{end[1]}" if end[1] else "")
+def _seed_part(endpoint: Endpoint) -> str:
+    return f"{endpoint.server}" + (f".{endpoint.slot}" if endpoint.slot else "")
--- a/cairnvane/testbed/cluster/scenario_run.py
+++ b/cairnvane/testbed/cluster/scenario_run.py
@@ -1,8 +1,7 @@
-"""Plays a scenario: starts the fleet, brings the load, does what the schedule says, has it all judged."""
+"""Runs a scenario: starts the cluster, generates load, follows the schedule, and checks the records."""
 
 from __future__ import annotations
 
-import contextlib
 import json
 import os
 import statistics
@@ -13,44 +12,56 @@
 from pathlib import Path
 from typing import Any
 
-from ..stand_ins.vault import FALLEN_S, StandInRoster, StandInVault
-from . import observations
-from .checker import AROUND_S, SLACK_S, Span, Verdict, judge, share
+from ..checkers.duplicate_run_checker import REJECTED_STATUSES, SERVED_STATUSES
+from ..stand_ins.balancer import DISCONNECTED
+from ..stand_ins.vault import OUTAGE_S, StandInRoster, StandInVault
+from .checker import DEADLINE_SLACK_S, FAULT_MARGIN_S, FaultWindow, Verdict, check, served_share
 from .links import Link, Network
-from .load import PATIENCE_S, Callers
-from .nodes import Node
-from .observations import Kill, Traffic
-from .peers import Peers
+from .load import CLIENT_TIMEOUTS_S, LoadGenerator
+from .nodes import Node, NodeEnvironment
+from .observations import KilledServer, Observation, Traffic, check_views, read_observations
+from .peers import Peers, PeerTraffic
 from .scenario import SILENCING, Scenario
-from .schedule import Step, draw, on_link
-
-# A line of the live table.
-LIVE_EVERY_S = 1.0
-
-
-def cpu_share(pid: int) -> float:
-    """Of a core, over the life of a process."""
+from .schedule import Step, draw, link_fault
+
+# Interval of the lines that report progress.
+PROGRESS_INTERVAL_S = 1.0
+# Number of the latest requests whose attempts a line of progress counts.
+PROGRESS_REQUESTS = 400
+# The shortest wait between two looks at the schedule.
+MIN_WAIT_S = 0.005
+AGREEMENT_POLL_S = 0.05
+# Fields of /proc/PID/stat after the name of the process: clock ticks in user and system mode, and at start.
+_STAT_USER_TICKS = 11
+_STAT_SYSTEM_TICKS = 12
+_STAT_START_TICKS = 19
+
+
+def cpu_usage(pid: int) -> float:
+    """CPU time of a process over its lifetime, as a fraction of one core."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    hertz = os.sysconf("SC_CLK_TCK")
-    used, began = (int(fields[11]) + int(fields[12])) / hertz, int(fields[19]) / hertz
-    return used / max(1e-9, time.clock_gettime(time.CLOCK_BOOTTIME) - began)
+    ticks_per_second = os.sysconf("SC_CLK_TCK")
+    used_s = (int(fields[_STAT_USER_TICKS]) + int(fields[_STAT_SYSTEM_TICKS])) / ticks_per_second
+    started_s = int(fields[_STAT_START_TICKS]) / ticks_per_second
+    return used_s / max(1e-9, time.clock_gettime(time.CLOCK_BOOTTIME) - started_s)
 
 
-def told_sick(steps: Sequence[Step]) -> float:
-    """For how many seconds the scenario has the vault sick."""
-    return sum(step.fault.for_ for step in steps if step.begins and step.who == "vault")
+def scheduled_dependency_fault_s(steps: Sequence[Step]) -> float:
+    """Seconds during which the scenario has the dependency faulty."""
+    return sum(step.fault.duration for step in steps if step.begins and step.who == "vault")
 
 
-class Events:
-    """The rig's record: one JSON object a line, times in seconds of the load."""
+class EventLog:
+    """The testbed's record: one JSON object a line, times in seconds of the load."""
 
     def __init__(self, path: Path | None) -> None:
+        """Write to `path`; None: nowhere."""
         self._file = path.open("w") if path is not None else None
-        self._lock = threading.Lock()
+        self._lock = threading.Lock()  # guards the file
         self._start = time.monotonic()
 
     def begin(self) -> None:
-        """Times count from now on."""
+        """Count times from now on."""
         self._start = time.monotonic()
 
     def __call__(self, what: str, **more: Any) -> None:
@@ -60,15 +71,24 @@
                 self._file.write(json.dumps({"t": at, "event": what} | more) + "\n")
 
     def close(self) -> None:
-        """No more of them."""
+        """Close the file; later events are dropped."""
         with self._lock:
             if self._file is not None:
                 self._file.close()
                 self._file = None
 
 
+def _outcome(status: int) -> str:
+    """What a line of progress calls an attempt that ended with this status."""
+    if status in SERVED_STATUSES:
+        return "served"
+    if status in REJECTED_STATUSES:
+        return "refused"
+    return "broken" if status == DISCONNECTED else "failed"
+
+
 class Play:
-    """One play of a scenario."""
+    """One run of a scenario."""
 
     def __init__(
         self,
@@ -79,254 +99,278 @@
         events: Path | None = None,
         say: Callable[[str], None] = lambda line: None,
     ) -> None:
-        self._told, self._seed, self._say = told, seed, say
+        """`events`: the file of the event log. `say` is called with each line of progress."""
+        self._scenario = told
+        self._seed = seed
+        self._say = say
         self._steps = draw(told, seed)
-        self._event = Events(events)
+        self._event = EventLog(events)
         self._network = Network()
         self._vault = StandInVault(told.vault.call_ms / 1e3, told.vault.slots, told.vault.falls_at)
         self._roster = StandInRoster()
         self._peers = Peers(told, seed, self._network) if told.members else None
-        self.nodes = [
+        self.nodes = self._create_nodes(folder)
+        self._load = LoadGenerator(told, seed, self.nodes)
+        self._fault_began: dict[int, float] = {}  # by number of the fault
+        self._windows: list[FaultWindow] = []
+        self._kills: list[KilledServer] = []
+        self._traffic = Traffic(told.servers)
+        self._traffic_before = PeerTraffic(0, 0)
+
+    def _create_nodes(self, folder: Path) -> list[Node]:
+        environment = NodeEnvironment(
+            self._network, self._vault.address, self._roster.address, self._event, self._peers
+        )
+        return [
             Node(
-                told,
+                self._scenario,
                 number,
-                seed,
+                self._seed,
                 folder / name,
-                self._network,
-                self._vault.address,
-                self._roster.address,
-                self._event,
-                lambda number=number: self._refused(number),  # type: ignore[misc]
-                self._peers,
+                environment,
+                lambda number=number: self._connection_refused(number),  # type: ignore[misc]
             )
-            for number, name in enumerate(told.names)
+            for number, name in enumerate(self._scenario.names)
         ]
-        self._callers = Callers(told, seed, self.nodes)
-        self._began: dict[int, float] = {}
-        self._spans: list[Span] = []
-        self._kills: list[Kill] = []
-        self._traffic, self._counted = Traffic(told.servers), (0, 0)
 
     def run(self) -> Verdict:
-        """All of it."""
+        """Run the scenario, and check what was recorded."""
         try:
-            with self._side_by_side(node.start for node in self.nodes):
-                pass
+            self._in_parallel(node.start for node in self.nodes)
             started = all(node.up for node in self.nodes)
             self._event.begin()
             if self._peers is not None:
-                self._counted = self._peers.traffic()
-            load = threading.Thread(target=self._callers.play, daemon=True)
+                self._traffic_before = self._peers.traffic()
             if started:
-                load.start()
-                self._follow(load)
-                load.join()
-                self._callers.settle(max(PATIENCE_S.values()) + SLACK_S)
+                self._run_load()
             return self._end()
         finally:
             self._event.close()
 
-    @contextlib.contextmanager
-    def _side_by_side(self, tasks: Iterator[Callable[[], None]]) -> Iterator[None]:
+    def _run_load(self) -> None:
+        load = threading.Thread(target=self._load.run, name="load", daemon=True)
+        load.start()
+        self._follow_schedule(load)
+        load.join()
+        self._load.settle(max(CLIENT_TIMEOUTS_S.values()) + DEADLINE_SLACK_S)
+
+    def _in_parallel(self, tasks: Iterator[Callable[[], None]]) -> None:
         threads = [threading.Thread(target=task, daemon=True) for task in tasks]
         for thread in threads:
             thread.start()
-        yield
         for thread in threads:
             thread.join()
 
-    def _follow(self, load: threading.Thread) -> None:
-        """The schedule, and the live table, while the load lasts."""
-        steps, shown = list(self._steps), 0.0
+    def _follow_schedule(self, load: threading.Thread) -> None:
+        """Execute the steps, and report progress, while the load lasts."""
+        steps = list(self._steps)
+        shown_at = 0.0
         while load.is_alive():
-            now = self._callers.now()
+            now = self._load.now()
             while steps and steps[0].at <= now:
-                self._do(steps.pop(0))
-            if now >= shown + LIVE_EVERY_S:
-                shown += LIVE_EVERY_S
-                self._show(shown)
-            next_at = min(steps[0].at if steps else self._told.seconds, shown + LIVE_EVERY_S)
-            load.join(max(0.005, min(next_at - self._callers.now(), LIVE_EVERY_S)))
-
-    # --- the schedule
-
-    def _do(self, step: Step) -> None:
-        """In a thread of its own where it takes time: the next step must not wait for it."""
-        self._event("fault", **step.told())
+                self._execute(steps.pop(0))
+            if now >= shown_at + PROGRESS_INTERVAL_S:
+                shown_at += PROGRESS_INTERVAL_S
+                self._show_progress(shown_at)
+            next_step_at = steps[0].at if steps else self._scenario.seconds
+            next_at = min(next_step_at, shown_at + PROGRESS_INTERVAL_S)
+            load.join(max(MIN_WAIT_S, min(next_at - self._load.now(), PROGRESS_INTERVAL_S)))
+
+    # --- faults
+
+    def _execute(self, step: Step) -> None:
+        self._event("fault", **step.as_json())
         self._say(f"{step.at:6.1f} s  {step.line()}")
         if step.links:
-            for ends in step.links:
-                self._on_link(step, *ends)
+            for first, second in step.links:
+                self._apply_to_link(step, first, second)
         elif step.who == "vault":
-            self._on_vault(step)
+            self._apply_to_vault(step)
         elif step.do == "surge":
-            self._callers.surge = step.fault.times if step.begins else 1.0
-        else:
-            threading.Thread(target=self._on_node, args=(step,), daemon=True).start()
+            self._load.rate_factor = step.fault.times if step.begins else 1.0
+        else:  # in a thread of its own, since it takes time: the next step must not wait for it
+            threading.Thread(target=self._apply_to_node, args=(step,), daemon=True).start()
 
-    def _refused(self, number: int) -> None:
-        """It takes no more connections: what met that was never read."""
-        now = self._callers.now()
-        self._spans.append(Span(number, now, now))
+    def _connection_refused(self, number: int) -> None:
+        """A server takes no more connections: an attempt that met this was never read."""
+        now = self._load.now()
+        self._windows.append(FaultWindow(number, now, now))
 
-    def _span(self, step: Step, nodes: list[int]) -> None:
+    def _record_window(self, step: Step, number: int) -> None:
+        """Record the window of a fault of this server, once the fault is over."""
         if step.begins:
-            self._began[step.number] = step.at
+            self._fault_began[step.number] = step.at
         else:
-            self._spans += [Span(node, self._began[step.number], step.at) for node in nodes]
+            self._windows.append(FaultWindow(number, self._fault_began[step.number], step.at))
 
-    def _on_link(self, step: Step, first: str, second: str) -> None:
-        names = self._told.names
-        fault = on_link(step.fault) if step.begins else None
+    def _apply_to_link(self, step: Step, first: str, second: str) -> None:
+        names = self._scenario.names
+        fault = link_fault(step.fault) if step.begins else None
         if first in names and second in names:
             assert self._peers is not None
-            pair = names.index(first), names.index(second)
-            return self._peers.set(*pair, step.fault.way, step.number, fault)
+            first_number = names.index(first)
+            second_number = names.index(second)
+            return self._peers.set_fault(first_number, second_number, step.fault.way, step.number, fault)
         node, other = (first, second) if first in names else (second, first)
-        # `there` is from the first that is named; the rig's own links are named from whoever connects.
-        connects = other if other == "balancers" else node
+        # The scenario's `there` is from the end that it names first, the link's from the end that connects.
+        connecting = other if other == "balancers" else node
         way = step.fault.way
-        if way != "both" and connects != first:
+        if way != "both" and connecting != first:
             way = "back" if way == "there" else "there"
         for link in self._links(node, other):
-            self._network.set(link, way, step.number, fault)
+            self._network.set_fault(link, way, step.number, fault)
         if other == "balancers":
-            self._span(step, [names.index(node)])
+            self._record_window(step, names.index(node))
 
     def _links(self, node: str, other: str) -> Sequence[Link]:
-        return self.nodes[self._told.names.index(node)].links[other]
+        return self.nodes[self._scenario.names.index(node)].links[other]
 
-    def _on_vault(self, step: Step) -> None:
+    def _apply_to_vault(self, step: Step) -> None:
         if step.do == "slow":
-            self._vault.slower = step.fault.times if step.begins else 1.0
+            self._vault.slowdown = step.fault.times if step.begins else 1.0
         elif step.do == "down":
             self._vault.down = step.begins
         else:
             self._vault.silent = step.begins
 
-    def _on_node(self, step: Step) -> None:
-        number = self._told.names.index(step.who)
+    def _apply_to_node(self, step: Step) -> None:
+        number = self._scenario.names.index(step.who)
         node = self.nodes[number]
         if step.do == "kill":
-            # Who is held up or stopped hears of it later.
-            silenced = {one.who for one in self._steps if one.do in SILENCING and one.fault.for_}
-            others = {other.name for other in self.nodes if other.up} - {node.name} - silenced
-            self._kills.append(Kill(self._callers.now(), node.name, frozenset(others)))
-            node.kill()
-            self._spans.append(Span(number, step.at, self._callers.now()))
+            self._kill(step, number)
         elif step.do == "start":
             node.start(step.fault.by)
         elif step.do == "stop":
-            self._span(step, [number])
+            self._record_window(step, number)
             node.stop(step.begins)
         elif step.do == "clock":
             node.order(step.do, step.fault.by)
         elif step.do in ("hold", "busy"):
             if step.begins:
-                node.order(step.do, step.fault.for_)
-                began = self._callers.now()
-                self._spans.append(Span(number, step.at, began + step.fault.for_))
+                node.order(step.do, step.fault.duration)
+                ends_at = self._load.now() + step.fault.duration
+                self._windows.append(FaultWindow(number, step.at, ends_at))
         elif step.do == "upgrade":
-            if (took := node.upgrade(self._callers.now)) is not None:
-                self._spans.append(Span(number, *took, handover=True))
+            if (handover := node.upgrade(self._load.now)) is not None:
+                window = FaultWindow(number, handover.began_at, handover.ended_at, handover=True)
+                self._windows.append(window)
         else:
-            # What was read is answered; what meets the closed door is not, and goes elsewhere.
-            self._spans.append(Span(number, step.at, step.at))
-            node.leave()
-
-    # --- what is seen
+            # What was read is answered; what meets the closed listener is not, and is retried elsewhere.
+            self._windows.append(FaultWindow(number, step.at, step.at))
+            node.shut_down()
 
-    def _count(self) -> None:
-        """What went between the servers within this second."""
+    def _kill(self, step: Step, number: int) -> None:
+        node = self.nodes[number]
+        # A server that is stopped or held detects the kill later.
+        silenced = {other.who for other in self._steps if other.do in SILENCING and other.fault.duration}
+        up = {other.name for other in self.nodes if other.up}
+        observers = frozenset(up - {node.name} - silenced)
+        self._kills.append(KilledServer(self._load.now(), node.name, observers))
+        node.kill()
+        self._windows.append(FaultWindow(number, step.at, self._load.now()))
+
+    # --- progress
+
+    def _count_traffic(self) -> None:
+        """Count what went between the servers since the last call, a second ago."""
         if self._peers is not None:
-            before, self._counted = self._counted, self._peers.traffic()
-            self._traffic.bytes_by_second.append(self._counted[0] - before[0])
-            self._traffic.datagrams += self._counted[1] - before[1]
-
-    def _show(self, second: float) -> None:
-        """A line of the live table."""
-        self._count()
-        asked = list(self._callers.asked)
-        ends: Counter[str] = Counter()
-        for one in asked[-400:]:
-            for tried in list(one.tries):
-                if tried.status is not None and second - 1 <= tried.ended < second:
-                    ends[
-                        "served"
-                        if tried.status == 200
-                        else "refused"
-                        if tried.status in (429, 503)
-                        else "broken"
-                        if tried.status == 0
-                        else "failed"
-                    ] += 1
+            before = self._traffic_before
+            self._traffic_before = self._peers.traffic()
+            self._traffic.bytes_by_second.append(self._traffic_before.bytes - before.bytes)
+            self._traffic.datagrams += self._traffic_before.datagrams - before.datagrams
+
+    def _show_progress(self, second: float) -> None:
+        """Report the last second, and the share in time of requests that had time to be served."""
+        self._count_traffic()
+        requests = list(self._load.requests)
+        outcomes: Counter[str] = Counter()
+        for request in requests[-PROGRESS_REQUESTS:]:
+            for attempt in list(request.attempts):
+                if attempt.status is not None and second - 1 <= attempt.ended_at < second:
+                    outcomes[_outcome(attempt.status)] += 1
         states = " ".join(f"{node.name}:{'up' if node.up else 'DOWN'}" for node in self.nodes)
-        in_time = share(asked, second - 3, second - 2) if second >= 3 else 1.0
-        told = " ".join(f"{name} {ends[name]:3}" for name in ("served", "refused", "failed", "broken"))
-        self._say(f"{second:6.1f} s  {told}  in time {in_time:4.2f}  {states}")
-        self._event("second", **ends, up=[node.up for node in self.nodes], vault=self._vault.in_hand)
-
-    def _agreed_s(self) -> float | None:
-        """Seconds until all that are up see each other; None: not within the time that is stated."""
-        within = self._told.expect.agree_within
+        in_time = served_share(requests, second - 3, second - 2) if second >= 3 else 1.0
+        counts = " ".join(f"{name} {outcomes[name]:3}" for name in ("served", "refused", "failed", "broken"))
+        self._say(f"{second:6.1f} s  {counts}  in time {in_time:4.2f}  {states}")
+        up = [node.up for node in self.nodes]
+        self._event("second", **outcomes, up=up, vault=self._vault.in_flight)
+
+    # --- the end
+
+    def _agreement_s(self) -> float | None:
+        """Seconds until all that are up see each other; None: not within the time that is expected."""
+        within = self._scenario.expect.agree_within
         if self._peers is None or within is None:
             return None
         start = time.monotonic()
-        while (took := time.monotonic() - start) <= within:
-            if self._peers.agree([number for number, node in enumerate(self.nodes) if node.up]):
-                return took
-            time.sleep(0.05)
+        while (elapsed_s := time.monotonic() - start) <= within:
+            up = [number for number, node in enumerate(self.nodes) if node.up]
+            if self._peers.all_see_each_other(up):
+                return elapsed_s
+            time.sleep(AGREEMENT_POLL_S)
         return None
 
-    def _views(self, verdict: Verdict, agreed: float | None, cpu: list[float]) -> None:
-        """What the scenario states of the servers' views of each other."""
-        if self._peers is None:
-            return
-        hurt = {step.who for step in self._steps if step.do in SILENCING}
-        said = [
-            one
+    def _observations(self) -> list[Observation]:
+        observations = [
+            observation
             for node in self.nodes
             for version in node.versions
-            for one in observations.read(
-                node.name, version.life.lines, version.life.said_at, self._callers.start
+            for observation in read_observations(
+                node.name, version.server.lines, version.server.said_at, self._load.start
             )
         ]
-        said.sort(key=lambda one: one.at)
-        verdict.views, short = observations.judge(self._told, said, self._kills, hurt, self._traffic, agreed)
+        return sorted(observations, key=lambda observation: observation.at)
+
+    def _check_views(self, verdict: Verdict, agreed_s: float | None, cpu: list[float]) -> None:
+        """Check what the scenario expects of the servers' views of each other."""
+        if self._peers is None:
+            return
+        hurt = {step.who for step in self._steps if step.do in SILENCING}
+        verdict.views, unmet = check_views(
+            self._scenario, self._observations(), self._kills, hurt, self._traffic, agreed_s
+        )
         verdict.views.cpu = statistics.mean(cpu) if cpu else 0.0
-        verdict.short += short
+        verdict.short += unmet
 
-    def _lost_around(self, verdict: Verdict) -> None:
-        """What servers said, and their links saw, around the tries that were lost."""
-        for number, begins, ends in verdict.lost_at:
+    def _describe_lost_attempts(self, verdict: Verdict) -> None:
+        """Add what servers logged, and their links counted, around the attempts that were lost."""
+        for number, begins_at, ends_at in verdict.lost_at:
             node = self.nodes[number]
             for version in node.versions:
-                for at, line in zip(version.life.said_at, version.life.lines, strict=False):
-                    at -= self._callers.start
-                    if begins - AROUND_S < at < ends + AROUND_S:
+                for read_at, line in zip(version.server.said_at, version.server.lines, strict=False):
+                    at = read_at - self._load.start
+                    if begins_at - FAULT_MARGIN_S < at < ends_at + FAULT_MARGIN_S:
                         verdict.lost_tries.append(f"{node.name} at {at:.2f} s: {line}")
             verdict.lost_tries.append(f"{node.name}: {dict(node.links['balancers'][0].counts)}")
 
+    def _add_measurements(self, verdict: Verdict) -> None:
+        """What the stand-ins and the load generator measured."""
+        verdict.vault_most = self._vault.max_in_flight
+        verdict.vault_fell = self._vault.outages
+        fault_s = scheduled_dependency_fault_s(self._steps) + self._vault.outages * OUTAGE_S
+        verdict.sick_calls = self._vault.calls_during_faults / fault_s if fault_s else 0.0
+        verdict.vault_over = self._vault.over_capacity_s / self._scenario.seconds
+        max_runnable = max(node.max_runnable for node in self.nodes)
+        verdict.most_crowded = max_runnable / self._scenario.server.cores
+        verdict.lag_ms = self._load.max_lag_s * 1e3
+
     def _end(self) -> Verdict:
-        cpu = [cpu_share(node.versions[-1].life.process.pid) for node in self.nodes if node.up]
-        agreed = self._agreed_s()
-        with self._side_by_side(node.end for node in self.nodes):
-            pass
-        first = self._steps[0].at if self._steps else self._told.seconds
-        facts = [node.facts() for node in self.nodes]
-        verdict = judge(self._told, self._seed, self._callers.asked, facts, self._spans, first)
-        verdict.vault_most, verdict.vault_fell = self._vault.most_in_hand, self._vault.fell
-        sick_s = told_sick(self._steps) + self._vault.fell * FALLEN_S
-        verdict.sick_calls = self._vault.met_sick / sick_s if sick_s else 0.0
-        verdict.vault_over = self._vault.over_s / self._told.seconds
-        verdict.most_crowded = max(node.crowded for node in self.nodes) / self._told.server.cores
-        verdict.lag_ms = self._callers.lag_s * 1e3
-        self._views(verdict, agreed, cpu)
-        self._lost_around(verdict)
+        cpu = [cpu_usage(node.versions[-1].server.process.pid) for node in self.nodes if node.up]
+        agreed_s = self._agreement_s()
+        self._in_parallel(node.end for node in self.nodes)
+        first_fault = self._steps[0].at if self._steps else self._scenario.seconds
+        records = [node.run_records() for node in self.nodes]
+        verdict = check(self._scenario, self._seed, self._load.requests, records, self._windows, first_fault)
+        self._add_measurements(verdict)
+        self._check_views(verdict, agreed_s, cpu)
+        self._describe_lost_attempts(verdict)
         verdict.trouble = [line for node in self.nodes for line in node.trouble]
-        self._callers.close()
+        self._close()
+        self._event("verdict", **verdict.as_json())
+        return verdict
+
+    def _close(self) -> None:
+        self._load.close()
         self._network.close()
         self._vault.close()
         self._roster.close()
-        self._event("verdict", **verdict.as_json())
-        return verdict
--- a/cairnvane/testbed/cluster/schedule.py
+++ b/cairnvane/testbed/cluster/schedule.py
@@ -1,7 +1,7 @@
-"""When each fault begins and ends, and whom it hits: drawn from the scenario and one seed. No I/O.
+"""When each fault begins and ends, and which server it hits: drawn from the scenario and one seed. No I/O.
 
-The same seed gives the same schedule, whatever happens meanwhile; each fault draws from a stream of its own,
-so one more fault does not change the others.
+The same seed gives the same schedule, whatever happens meanwhile; each fault draws from a random stream of
+its own, so one more fault does not change the others.
 """
 
 from __future__ import annotations
@@ -10,39 +10,38 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from .link_conditions import KINDS
-from .link_conditions import Fault as LinkFault
+from .link_conditions import LINK_FAULT_KINDS, LinkFault
 from .scenario import TO_VAULT, Fault, Scenario
 
 
 @dataclass(frozen=True)
 class Step:
-    """One thing to do, so many seconds after the load's start."""
+    """The beginning or the end of a fault, at a time in seconds of the load."""
 
     at: float
     number: int  # of its fault
     do: str
-    begins: bool  # else what it began is over
+    begins: bool  # else the fault is over
     who: str
-    links: tuple[tuple[str, str], ...]  # none, if it is done to no link
+    links: tuple[tuple[str, str], ...]  # empty, if it is not a fault of links
     fault: Fault
 
-    def told(self) -> dict[str, object]:
-        """For the record of events."""
-        what: dict[str, object] = {"at": round(self.at, 3), "do": self.do, "begins": self.begins}
+    def as_json(self) -> dict[str, object]:
+        """The step for the event log."""
+        step: dict[str, object] = {"at": round(self.at, 3), "do": self.do, "begins": self.begins}
         if self.links:
-            return what | {"link": list(self.fault.link), "way": self.fault.way}
-        return what | {"who": self.who}
+            return step | {"link": list(self.fault.link), "way": self.fault.way}
+        return step | {"who": self.who}
 
     def line(self) -> str:
-        """For a person."""
+        """The step for a terminal."""
         ends = (end if isinstance(end, str) else "+".join(end) for end in self.fault.link)
-        whom = " - ".join(ends) if self.links else self.who or "the load"
-        return f"{self.do} {whom}" if self.begins else f"{self.do} {whom} is over"
+        target = " - ".join(ends) if self.links else self.who or "the load"
+        return f"{self.do} {target}" if self.begins else f"{self.do} {target} is over"
 
 
-def on_link(fault: Fault) -> LinkFault:
-    """What the link has to know of it."""
+def link_fault(fault: Fault) -> LinkFault:
+    """The fault of a link that the scenario's fault describes."""
     return LinkFault(
         fault.do,
         share=fault.share,
@@ -52,19 +51,20 @@
     )
 
 
-def _steps(told: Scenario, number: int, seed: int) -> Iterator[Step]:
-    fault, rng = told.faults[number], random.Random(f"{seed} fault {number}")
+def _steps(scenario: Scenario, number: int, seed: int) -> Iterator[Step]:
+    fault = scenario.faults[number]
+    rng = random.Random(f"{seed} fault {number}")
     at = fault.at + rng.uniform(0.0, fault.jitter)
-    who = rng.choice(told.names) if fault.who == "any" else fault.who
+    target = rng.choice(scenario.names) if fault.who == "any" else fault.who
     if fault.do in TO_VAULT:
-        who = "vault"
-    links = told.links(fault) if fault.do in KINDS else ()
-    yield Step(at, number, fault.do, True, who, links, fault)
-    if fault.for_:
-        yield Step(at + fault.for_, number, fault.do, False, who, links, fault)
+        target = "vault"
+    links = scenario.links(fault) if fault.do in LINK_FAULT_KINDS else ()
+    yield Step(at, number, fault.do, True, target, links, fault)
+    if fault.duration:
+        yield Step(at + fault.duration, number, fault.do, False, target, links, fault)
 
 
-def draw(told: Scenario, seed: int) -> list[Step]:
-    """All steps, in their order."""
-    steps = [step for number in range(len(told.faults)) for step in _steps(told, number, seed)]
+def draw(scenario: Scenario, seed: int) -> list[Step]:
+    """All steps, in the order of their times."""
+    steps = [step for number in range(len(scenario.faults)) for step in _steps(scenario, number, seed)]
     return sorted(steps, key=lambda step: (step.at, step.number, not step.begins))
--- a/cairnvane/testbed/experiments/overload.py
+++ b/cairnvane/testbed/experiments/overload.py
@@ -31,9 +31,9 @@
     at, span = BEFORE_S, DURING_S
     third = range(max(1, servers // 3))
     if kind == "vault":
-        return [Fault("slow", at, for_=span, times=8.0)]
+        return [Fault("slow", at, duration=span, times=8.0)]
     if kind == "surge":
-        return [Fault("surge", at, for_=span, times=3.0)]
+        return [Fault("surge", at, duration=span, times=3.0)]
     if kind == "lost":
         return [
             fault
@@ -41,9 +41,9 @@
             for fault in (Fault("kill", at, who=f"n{n}"), Fault("start", at + span, who=f"n{n}"))
         ]
     if kind == "flap":
-        return [Fault("down", at + step * span / 5, for_=span / 5 - 0.2) for step in range(5)]
+        return [Fault("down", at + step * span / 5, duration=span / 5 - 0.2) for step in range(5)]
     return [
-        Fault("down", at, for_=span),
+        Fault("down", at, duration=span),
         *(
             fault
             for n in range(servers)
--- a/cairnvane/testbed/experiments/recovery.py
+++ b/cairnvane/testbed/experiments/recovery.py
@@ -75,7 +75,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Trouble:
+class Fault:
     """What goes wrong, from `CALM_S` on (`late`: from the start on).
 
     `slow`: calls take `size` times as long. `silent`: calls are never answered. `refusing`, `down`: calls are
@@ -84,22 +84,22 @@
     """
 
     kind: str
-    length_s: int
-    size: float = 8.0
+    duration_s: int
+    factor: float = 8.0
 
 
 @dataclass
-class Life:
+class ServerSimulation:
     """One server, from its start to `WATCH_S` after the trouble's end."""
 
-    trouble: Trouble
+    trouble: Fault
     rate: float  # first tries a second
     call_s: float = 0.16
     seed: int = 1
     tells_over: bool = True  # the pool ends a run at a call by itself, once its request is over
     watch_s: int = WATCH_S  # after the trouble's end
-    ends: Counter[int] = field(default_factory=Counter)  # served in each second
-    refused: Counter[int] = field(default_factory=Counter)
+    served: Counter[int] = field(default_factory=Counter)  # served in each second
+    rejected: Counter[int] = field(default_factory=Counter)
     runs: Counter[int] = field(default_factory=Counter)
 
     def __post_init__(self) -> None:
@@ -107,7 +107,7 @@
         self.control = Controller(SETTINGS, self.seed, 0)
         self.now = 0
         self.from_us = 0 if self.trouble.kind == "late" else CALM_S * SECOND
-        self.over_us = (CALM_S + self.trouble.length_s) * SECOND
+        self.over_us = (CALM_S + self.trouble.duration_s) * SECOND
         self._agenda: list[tuple[int, int, Callable[[], None]]] = []
         self._count = itertools.count(1)
         self._queue: list[int] = []  # runs that wait for a core
@@ -120,11 +120,11 @@
         self._tell()
 
     @property
-    def troubled(self) -> bool:
+    def faulty(self) -> bool:
         """Whether the trouble lasts."""
         return self.from_us <= self.now < self.over_us
 
-    def play(self) -> Life:
+    def run(self) -> ServerSimulation:
         """All of it."""
         end = self.over_us + self.watch_s * SECOND
         while self._agenda[0][0] < end:
@@ -132,24 +132,24 @@
             task()
         return self
 
-    def back_s(self) -> int | None:
+    def recovery_s(self) -> int | None:
         """Seconds from the trouble's end until as much is served as before, or as comes; None: not at all."""
         over = self.over_us // SECOND
         before = range(2, CALM_S)
         usual = min(self.rate, SERVES)
         if self.trouble.kind != "late":
-            usual = min(usual, sum(self.ends[second] for second in before) / len(before))
+            usual = min(usual, sum(self.served[second] for second in before) / len(before))
         for second in range(over, over + self.watch_s - BACK_OVER_S):
-            served = sum(self.ends[second + more] for more in range(BACK_OVER_S)) / BACK_OVER_S
+            served = sum(self.served[second + more] for more in range(BACK_OVER_S)) / BACK_OVER_S
             if served >= BACK_PART * usual:
                 return second - over
         return None
 
-    def shut_s(self) -> int:
+    def longest_standstill_s(self) -> int:
         """The longest stretch after the trouble in which requests came and nothing was begun."""
         over, longest, shut = self.over_us // SECOND, 0, 0
         for second in range(over, over + self.watch_s):
-            idle = not self.runs[second] and self.refused[second]
+            idle = not self.runs[second] and self.rejected[second]
             shut = shut + 1 if idle else 0
             longest = max(longest, shut)
         return longest
@@ -183,7 +183,7 @@
             self._queue.append(action.request_id)
             self._work()
         elif isinstance(action, Reject):
-            self.refused[self.now // SECOND] += 1
+            self.rejected[self.now // SECOND] += 1
             cls, number = self._tries.pop(action.request_id)
             if number < TRIES:
                 self._at(AGAIN_US, lambda: self._try(cls, number + 1))
@@ -203,7 +203,7 @@
 
     def _notice(self, event: Event) -> None:
         """What the pool says is heard at once, or once its link is up."""
-        away = self.troubled and self.trouble.kind in ("away", "late")
+        away = self.faulty and self.trouble.kind in ("away", "late")
         self._at(self.over_us - self.now if away else 0, lambda: self._tell(event))
 
     def _work(self) -> None:
@@ -211,7 +211,7 @@
             rid = self._queue.pop(0)
             if rid in self._stage:
                 self._busy += 1
-                slow = self.trouble.size if self.troubled and self.trouble.kind == "cores" else 1.0
+                slow = self.trouble.factor if self.faulty and self.trouble.kind == "cores" else 1.0
                 self._at(HALF_S * slow * SECOND, lambda rid=rid: self._worked(rid))  # type: ignore[misc]
 
     def _worked(self, rid: int) -> None:
@@ -220,7 +220,7 @@
             self._stage[rid] = 2
             self._notice(CallRequested(rid))
         elif rid in self._stage:
-            self.ends[self.now // SECOND] += 1
+            self.served[self.now // SECOND] += 1
             self._end(rid, Outcome.OK)
         self._work()
 
@@ -234,9 +234,9 @@
     # --- the vault
 
     def _call(self, rid: int, timeout: int) -> None:
-        trouble = self.trouble.kind if self.troubled else ""
+        trouble = self.trouble.kind if self.faulty else ""
         took = self.call_s * SECOND * self.random.uniform(0.7, 1.3)
-        took *= self.trouble.size if trouble == "slow" else 1.0
+        took *= self.trouble.factor if trouble == "slow" else 1.0
         end = {"refusing": Outcome.REJECTED, "down": Outcome.UNREACHED}.get(trouble, Outcome.OK)
         if end is not Outcome.OK:
             took = 1_000
@@ -304,15 +304,15 @@
 def _row(case: tuple[str, float, bool]) -> Row:
     kind, rate, tells = case
     lives = [
-        [Life(Trouble(kind, length), rate, seed=seed, tells_over=tells).play() for seed in SEEDS]
+        [ServerSimulation(Fault(kind, length), rate, seed=seed, tells_over=tells).run() for seed in SEEDS]
         for length in LENGTHS_S
     ]
     return Row(
         kind,
         rate,
         tells,
-        [[life.back_s() for life in row] for row in lives],
-        max(life.shut_s() for row in lives for life in row),
+        [[life.recovery_s() for life in row] for row in lives],
+        max(life.longest_standstill_s() for row in lives for life in row),
     )
 
 
--- a/cairnvane/testbed/experiments/restarts.py
+++ b/cairnvane/testbed/experiments/restarts.py
@@ -1,9 +1,8 @@
-"""`cairnvane lab restarts`: the real program is killed again and again under load, and every commit comes
-back.
+"""`cairnvane lab restarts`: the real program is killed again and again under load, and no commit may be lost.
 
-After each restart, all commits whose window is not over are tried once more. The pool lives on through
-most of the kills and is restarted with the server in others. Kills come at random moments and at named
-points of the keeper's work; some of them three in a row.
+After each restart, all commits whose retry window is not over are retried. The worker pool outlives most of
+the kills and is restarted with the server in others. Kills come at random moments and at named steps of the
+store's work; some of them three in a row.
 """
 
 from __future__ import annotations
@@ -18,18 +17,25 @@
 from typing import Any
 
 from .. import server_process
-from ..checkers.duplicate_run_checker import Commit, Judge, Verdict
+from ..checkers.duplicate_run_checker import Commit, DuplicateRunChecker, Verdict
 from ..server_version import is_alarm
-from ..stand_ins.balancer import Reply, StandInBalancer
+from ..stand_ins.balancer import StandInBalancer
 from ..stand_ins.vault import StandInRoster, StandInVault
 from ..stand_ins.worker_pool import StandInPool
+from .keyed_workload import (
+    CLIENT_TIMEOUT_S,
+    DEADLINE_SLACK_S,
+    KEYED_CLASS,
+    NON_KEYED_CLASS,
+    RETRY_WINDOW_S,
+    SETTINGS,
+    operator_file,
+)
 
-KEYED, PLAIN = "bid-commit", "price-view"
-WINDOW_S, PATIENCE_S = 17.364, 5.8
-# A commit is not tried again so shortly before its window is over: the judge's clock is not the server's.
+# A commit is not retried so shortly before its window is over: the checker's clock is not the server's.
 WINDOW_MARGIN_S = 2.0
-SLACK_S = 1.0
-POINTS = (
+# The steps of the store's work at which the process may be killed.
+STEPS = (
     "append intent",
     "written intent",
     "append call",
@@ -45,63 +51,31 @@
     "compacted",
 )
 # These come once in a while, the others with each commit.
-RARE = ("recovery", "rotation", "drop", "compaction", "compacted")
-# Of the kills: at a named point, and with the pool as well.
-AT_POINT, WITH_POOL = 0.6, 0.25
-# Each named point is passed so often at the most before the kill: it comes while new commits do.
-MOST_PASSED = 10
+RARE_STEPS = ("recovery", "rotation", "drop", "compaction", "compacted")
+# Shares of the kills that come at a named step, and with a restart of the pool.
+KILL_AT_STEP = 0.6
+KILL_WITH_POOL = 0.25
+# A step is passed fewer times than this before the kill: it comes while new commits do.
+MAX_STEPS_PASSED = 10
 THREE_IN_A_ROW = 0.15
-# A point is waited for so long when the commits of this life are through; then a plain kill comes.
-RARE_WAIT_S, POINT_WAIT_S = 0.8, 0.2
-SETTINGS: dict[str, Any] = {
-    "Classes": [
-        {"Name": PLAIN, "OnTimeUs": 1_400_000, "GiveUpUs": 3_400_000},
-        {
-            "Name": KEYED,
-            "OnTimeUs": 2_300_000,
-            "GiveUpUs": int(PATIENCE_S * 1e6),
-            "Worth": 3.0,
-            "Repeat": "guarded",
-            "WindowUs": int(WINDOW_S * 1e6),
-            "LateWorth": 0.2,
-        },
-    ],
-    "Extra": {
-        "Cores": 16,
-        "HeapKb": 400_000.0,
-        "RunFactor": 4.0,
-        "KeyKb": 1.0,
-        "Halt": "drop",
-        "Say": "credit",
-        "Downstream": "shared",
-        "FairCalls": 64.0,
-        "CallsOverUs": 5_000_000,
-        "LingerUs": 0,
-        "ClientsTotal": 3,
-        "Meters": ["cpu_busy", "runnable", "mem_used", "sockets"],
-        "TellsGone": True,
-    },
-    "Guarantees": {"TipMultiple": 16.0, "StopSendingWithinUs": 0},
-    "Limits": {"MaxRetryAfterUs": 1_000_000},
-}
-
-
-def operator_file(durability: str, *, disk_mb: int = 64, memory_mb: int = 8) -> str:
-    """The operator's file of the experiments, in the folder of the site."""
-    return (
-        f"keyed: {{folder: keyed, durability: {durability}, max_disk_mb: {disk_mb}, "
-        f"max_memory_mb: {memory_mb}}}\n"
-    )
+# A step is waited for so long once all commits of an incarnation are sent; then a plain kill comes.
+RARE_STEP_WAIT_S = 0.8
+STEP_WAIT_S = 0.2
+# An early kill comes within this time.
+EARLY_KILL_S = 0.05
+# Beyond its own time for a graceful shutdown, the server may take this long to end.
+STOP_MARGIN_S = 5
+PROGRESS_KILLS = 10
 
 
 @dataclass
 class Report:
-    """What an experiment has shown, for people and as JSON."""
+    """Result of the experiment; the names are the keys of the JSON report."""
 
     seed: int
     durability: str
     kills: int
-    points: dict[str, int]
+    points: dict[str, int]  # number of kills by step
     verdict: Verdict
     recovery_ms: list[float] = field(default_factory=list)
     ready_ms: list[float] = field(default_factory=list)
@@ -109,22 +83,16 @@
 
     @property
     def good(self) -> bool:
-        """Nothing was found wrong."""
+        """Whether every guarantee held, and nothing else went wrong."""
         return self.verdict.good and not self.trouble
 
     def as_json(self) -> dict[str, Any]:
-        """For a file."""
+        """The report for a file."""
         return asdict(self) | {"good": self.good}
 
     def lines(self) -> list[str]:
-        """For a terminal."""
+        """The report for a terminal."""
         v = self.verdict
-
-        def times(values: list[float]) -> str:
-            if not values:
-                return "none"
-            return f"median {statistics.median(values):.1f} ms, worst {max(values):.1f} ms, of {len(values)}"
-
         return [
             f"seed {self.seed}, durability {self.durability}: {self.kills} kills, {v.commits} commits, "
             f"{v.tries} tries",
@@ -132,13 +100,19 @@
             f"answers that differ {v.differing}, results that no run made {v.invented}",
             f"unanswered tries {v.unanswered}, commits without any answer {v.lost}",
             f"refusals {v.refusals}, tries failed {v.failed}, tries broken by a kill {v.broken_tries}",
-            f"recovery: {times(self.recovery_ms)}; from start to listening: {times(self.ready_ms)}",
+            f"recovery: {_summary(self.recovery_ms)}; from start to listening: {_summary(self.ready_ms)}",
             "kills at: " + ", ".join(f"{point} {count}" for point, count in sorted(self.points.items())),
             *(f"trouble: {line}" for line in self.trouble),
             "good" if self.good else "WRONG",
         ]
 
 
+def _summary(times_ms: list[float]) -> str:
+    if not times_ms:
+        return "none"
+    return f"median {statistics.median(times_ms):.1f} ms, worst {max(times_ms):.1f} ms, of {len(times_ms)}"
+
+
 class Restarts:
     """One experiment."""
 
@@ -155,11 +129,18 @@
         mutant: str = "",
         say: Callable[[str], None] = lambda line: None,
     ) -> None:
+        """`rate`: new commits a second; `mutant`: see `instrumented_server`; `say` gets lines of progress."""
         self._random = random.Random(seed)
-        self._seed, self._durability, self._mutant, self._say = seed, durability, mutant, say
-        self._commits, self._kills, self._rate = commits, kills, rate
-        self._pool = StandInPool(seed, calls=frozenset({KEYED}))
-        self._vault, self._roster = StandInVault(), StandInRoster()
+        self._seed = seed
+        self._durability = durability
+        self._mutant = mutant
+        self._say = say
+        self._commits = commits
+        self._kills = kills
+        self._rate = rate
+        self._pool = StandInPool(seed, calls=frozenset({KEYED_CLASS}))
+        self._vault = StandInVault()
+        self._roster = StandInRoster()
         self._site = server_process.Site(
             folder,
             self._pool.address,
@@ -168,139 +149,168 @@
             SETTINGS,
             operator_file(durability, disk_mb=disk_mb),
         )
-        self._judge = Judge()
-        self._points: dict[str, int] = {}
+        self._checker = DuplicateRunChecker()
+        self._kills_by_step: dict[str, int] = {}
         self._recovery_ms: list[float] = []
         self._ready_ms: list[float] = []
         self._trouble: list[str] = []
-        self._uids = 0
-        self._plain = 0
+        self._request_ids = 0
+        self._non_keyed_requests = 0
 
     def run(self) -> Report:
-        """All lives, and the verdict."""
-        done, in_a_row = 0, 0
+        """Run all incarnations, and check the records."""
         try:
-            for number in range(self._kills):
-                quota = (self._commits * (number + 1)) // (self._kills + 1) - done
-                in_a_row = in_a_row - 1 if in_a_row else 2 * (self._random.random() < THREE_IN_A_ROW)
-                self._killed_life(quota, early=in_a_row > 0)
-                done += quota
-                if (number + 1) % 10 == 0:
-                    self._say(f"{number + 1} kills, {done} commits")
-            self._last_life(self._commits - done)
+            self._run_incarnations()
         finally:
-            for part in (self._pool, self._vault, self._roster):
-                part.close()
-        verdict = self._judge.verdict(self._pool.facts, self._vault.calls)
+            for stand_in in (self._pool, self._vault, self._roster):
+                stand_in.close()
+        verdict = self._checker.verdict(self._pool.records, self._vault.calls)
         return Report(
             self._seed,
             self._durability,
             self._kills,
-            self._points,
+            self._kills_by_step,
             verdict,
             self._recovery_ms,
             self._ready_ms,
             self._trouble,
         )
 
-    # --- lives
-
-    def _killed_life(self, quota: int, early: bool) -> None:
-        point = self._random.choice(POINTS) if self._random.random() < AT_POINT else ""
-        passed = 0 if point in RARE else self._random.randrange(MOST_PASSED)
-        with_pool = self._random.random() < WITH_POOL
-        life = server_process.start(self._site, f"{point}:{passed}" if point else "", self._mutant)
-        dies_after = self._random.uniform(0.0, 0.05 if early else quota / self._rate)
-        balancer = self._meet(life)
-        if balancer is not None:
-            replays = threading.Thread(target=self._replay, args=(balancer,))
-            replays.start()
-            self._offer(balancer, quota, life)
-            replays.join()
-            if not point:
-                time.sleep(dies_after * self._random.random())
+    def _run_incarnations(self) -> None:
+        sent = 0
+        early_kills_left = 0
+        for number in range(self._kills):
+            quota = (self._commits * (number + 1)) // (self._kills + 1) - sent
+            if early_kills_left:
+                early_kills_left -= 1
             else:
-                life.wait(RARE_WAIT_S if point in RARE else POINT_WAIT_S)
+                early_kills_left = 2 * (self._random.random() < THREE_IN_A_ROW)
+            self._run_killed_incarnation(quota, early=early_kills_left > 0)
+            sent += quota
+            if (number + 1) % PROGRESS_KILLS == 0:
+                self._say(f"{number + 1} kills, {sent} commits")
+        self._run_last_incarnation(self._commits - sent)
+
+    # --- incarnations
+
+    def _run_killed_incarnation(self, quota: int, early: bool) -> None:
+        """Start the server, send `quota` new commits, and kill it."""
+        step = self._random.choice(STEPS) if self._random.random() < KILL_AT_STEP else ""
+        passed = 0 if step in RARE_STEPS else self._random.randrange(MAX_STEPS_PASSED)
+        with_pool = self._random.random() < KILL_WITH_POOL
+        server = server_process.start(self._site, f"{step}:{passed}" if step else "", self._mutant)
+        kill_after_s = self._random.uniform(0.0, EARLY_KILL_S if early else quota / self._rate)
+        balancer = self._connect(server)
+        if balancer is None:
+            self._add_unsent_commits(quota)
         else:
-            self._promise(quota)
-        at = point if point and not life.alive() else "random"
-        self._points[at] = self._points.get(at, 0) + 1
-        life.kill()
+            self._load_until_kill(server, balancer, quota, step, kill_after_s)
+        self._count_kill(step if step and not server.alive() else "random")
+        server.kill()
         if with_pool:
             self._pool.restart()
-            self._points["with the pool"] = self._points.get("with the pool", 0) + 1
-        self._note(life)
+            self._count_kill("with the pool")
+        self._record_server(server)
         if balancer is not None:
             balancer.close()
 
-    def _last_life(self, quota: int) -> None:
-        life = server_process.start(self._site, mutant=self._mutant)
-        balancer = self._meet(life)
+    def _load_until_kill(
+        self,
+        server: server_process.Life,
+        balancer: StandInBalancer,
+        quota: int,
+        step: str,
+        kill_after_s: float,
+    ) -> None:
+        """Send the commits, and wait for the step, or for the moment of a plain kill."""
+        retries = threading.Thread(target=self._retry_commits, args=(balancer,))
+        retries.start()
+        self._send_commits(balancer, quota)
+        retries.join()
+        if not step:
+            time.sleep(kill_after_s * self._random.random())
+        else:
+            server.wait(RARE_STEP_WAIT_S if step in RARE_STEPS else STEP_WAIT_S)
+
+    def _count_kill(self, step: str) -> None:
+        self._kills_by_step[step] = self._kills_by_step.get(step, 0) + 1
+
+    def _run_last_incarnation(self, quota: int) -> None:
+        """Start the server, send the last commits, wait for all answers, and stop it in order."""
+        server = server_process.start(self._site, mutant=self._mutant)
+        balancer = self._connect(server)
         if balancer is None:
-            self._trouble.append("the last life did not start: " + " | ".join(life.lines[-3:]))
-            return life.kill()
-        self._offer(balancer, quota, life)
-        self._replay(balancer)
-        self._judge.settle(lambda commit: self._try(balancer, commit), PATIENCE_S + SLACK_S)
+            self._trouble.append("the last life did not start: " + " | ".join(server.lines[-3:]))
+            return server.kill()
+        self._send_commits(balancer, quota)
+        self._retry_commits(balancer)
+        self._checker.settle(
+            lambda commit: self._send_attempt(balancer, commit), CLIENT_TIMEOUT_S + DEADLINE_SLACK_S
+        )
         balancer.close()
-        status = life.stop(self._site.stop_ms / 1e3 + 5)
+        status = server.stop(self._site.stop_ms / 1e3 + STOP_MARGIN_S)
         if status != 0:
             self._trouble.append(f"the last life ended with status {status}")
-        self._note(life)
+        self._record_server(server)
 
-    def _meet(self, life: server_process.Life) -> StandInBalancer | None:
-        """Callers to this life; None if it ended before it listened."""
-        if not life.listens():
+    def _connect(self, server: server_process.Life) -> StandInBalancer | None:
+        """Clients of this server; None if it ended before it listened."""
+        if not server.listens():
             return None
-        self._ready_ms.append((time.monotonic() - life.began) * 1e3)
+        self._ready_ms.append((time.monotonic() - server.began) * 1e3)
         try:
-            return StandInBalancer(life.port)
+            return StandInBalancer(server.port)
         except OSError:  # it has ended since
             return None
 
-    def _note(self, life: server_process.Life) -> None:
-        if life.recovery_ms is not None:
-            self._recovery_ms.append(life.recovery_ms)
-        self._trouble += [line for line in life.lines if is_alarm(line)]
+    def _record_server(self, server: server_process.Life) -> None:
+        if server.recovery_ms is not None:
+            self._recovery_ms.append(server.recovery_ms)
+        self._trouble += [line for line in server.lines if is_alarm(line)]
 
-    # --- tries
+    # --- requests
 
-    def _new(self) -> Commit:
-        number = len(self._judge.commits)
+    def _create_commit(self) -> Commit:
+        number = len(self._checker.commits)
         commit = Commit(b"commit %d" % number, self._random.randbytes(16).hex())
-        self._judge.add(commit)
+        self._checker.add(commit)
         return commit
 
-    def _promise(self, quota: int) -> None:
-        """Commits whose first try meets nobody: they are tried in a later life."""
+    def _add_unsent_commits(self, quota: int) -> None:
+        """Commits whose first attempt reaches nobody: they are sent to a later incarnation."""
         for _ in range(quota):
-            self._new()
+            self._create_commit()
 
-    def _offer(self, balancer: StandInBalancer, quota: int, life: server_process.Life) -> None:
-        """New commits at the rate, with plain requests between them."""
+    def _send_commits(self, balancer: StandInBalancer, quota: int) -> None:
+        """Send new commits at the rate, with a request that is not keyed after each."""
         start = time.monotonic()
         for number in range(quota):
-            wait = start + number / self._rate - time.monotonic()
-            if wait > 0:
-                time.sleep(wait)
-            self._try(balancer, self._new())
-            self._plain += 1
-            balancer.send(self._uid(), PLAIN, b"view %d" % self._plain, None, lambda reply: None)
-
-    def _replay(self, balancer: StandInBalancer) -> None:
+            wait_s = start + number / self._rate - time.monotonic()
+            if wait_s > 0:
+                time.sleep(wait_s)
+            self._send_attempt(balancer, self._create_commit())
+            self._non_keyed_requests += 1
+            body = b"view %d" % self._non_keyed_requests
+            balancer.send(self._request_id(), NON_KEYED_CLASS, body, None, lambda reply: None)
+
+    def _retry_commits(self, balancer: StandInBalancer) -> None:
+        """Retry all commits whose window is not over."""
         now = time.monotonic()
-        for commit in list(self._judge.commits):
-            if commit.first_sent and now - commit.first_sent > WINDOW_S - WINDOW_MARGIN_S:
+        for commit in list(self._checker.commits):
+            if commit.first_sent_at and now - commit.first_sent_at > RETRY_WINDOW_S - WINDOW_MARGIN_S:
                 continue
-            self._try(balancer, commit)
-
-    def _try(self, balancer: StandInBalancer, commit: Commit) -> None:
-        self._judge.sent(commit, time.monotonic())
-        balancer.send(self._uid(), KEYED, commit.body, commit.token, lambda r: self._told(commit, r))
-
-    def _told(self, commit: Commit, reply: Reply) -> None:
-        self._judge.told(commit, reply)
+            self._send_attempt(balancer, commit)
+
+    def _send_attempt(self, balancer: StandInBalancer, commit: Commit) -> None:
+        self._checker.record_attempt(commit, time.monotonic())
+        balancer.send(
+            self._request_id(),
+            KEYED_CLASS,
+            commit.body,
+            commit.idempotency_key,
+            lambda reply: self._checker.record_reply(commit, reply),
+        )
 
-    def _uid(self) -> str:
-        self._uids += 1
-        return f"{self._seed % 4_096:03x}{self._uids:013x}"
+    def _request_id(self) -> str:
+        self._request_ids += 1
+        return f"{self._seed % 4_096:03x}{self._request_ids:013x}"
--- a/cairnvane/testbed/experiments/shares.py
+++ b/cairnvane/testbed/experiments/shares.py
@@ -18,7 +18,7 @@
 from typing import Any, Self
 
 from ...load_shedding.quota_leases import Grant, QuotaLeases, Word
-from ..parallel import spread
+from ..parallel import run_cases
 
 SECOND = 1_000_000
 ARMS = ("floor", "view", "lent")
@@ -260,6 +260,6 @@
                 statistics.mean(one[1] for one in results),
                 statistics.mean(one[2] for one in results),
             )
-            for (arm, trouble, servers), results in spread(_one, all_, seeds, say)
+            for (arm, trouble, servers), results in run_cases(_one, all_, seeds, say)
         ]
     )
--- a/cairnvane/testbed/experiments/upgrades.py
+++ b/cairnvane/testbed/experiments/upgrades.py
@@ -1,14 +1,13 @@
 """`cairnvane lab upgrade`: versions of the real program take over from each other under load.
 
-Each round starts a process beside the one that serves, at the same address and with a pool and a door of its
-own. Commits come all the while; each comes back, to whichever process its connection meets, and some come to
-two at the same moment. What else happens in a round is drawn: a plain handover; the old one killed; the new
-one ended, so that the old one goes on; the old one stopped for seconds; two new ones at once.
+Each round starts a process beside the one that serves, at the same address and with a worker pool and an
+administration endpoint of its own. Commits are sent all the while, and retried at whichever process their
+connection meets. What else happens in a round is drawn: a plain handover; the old process killed; the new one
+ended, so that the old one goes on; the old one stopped for seconds; two new ones at once.
 """
 
 from __future__ import annotations
 
-import heapq
 import random
 import signal
 import statistics
@@ -21,32 +20,40 @@
 from typing import Any
 
 from .. import server_process, server_version
-from ..checkers.duplicate_run_checker import SERVED, Commit, Judge, Verdict
-from ..faults.hostile_clients import Calls, Hostiles, call
-from ..server_version import READY_S, Version
-from ..stand_ins.balancer import Reply, StandInBalancer
+from ..checkers.duplicate_run_checker import DuplicateRunChecker, Verdict
+from ..faults.hostile_clients import HostileClients, OperatorRequests, send_request
+from ..server_version import READY_TIMEOUT_S, ServerVersion
 from ..stand_ins.sockets import HOST, free_ports
 from ..stand_ins.vault import StandInRoster, StandInVault
-from ..stand_ins.worker_pool import Facts, StandInPool
-from .restarts import KEYED, PATIENCE_S, PLAIN, SETTINGS, SLACK_S, operator_file
+from ..stand_ins.worker_pool import RunRecord, StandInPool
+from .keyed_workload import KEYED_CLASS, SETTINGS, operator_file
+from .upgrade_load import UpgradeLoad
 
 PLAIN_ROUND = "handover"
 # What may happen in a round where kills are asked for.
 ROUNDS = (PLAIN_ROUND, PLAIN_ROUND, "old killed", "new ended", "old stopped", "two at once")
+# How long a process that is stopped stands still.
 STOPPED_S = 3.0
-# Of the commits: come to two connections at the same moment; come back with another body.
-TWINS, FORGED = 0.3, 0.2
-# A commit comes back this long after it was first sent, three times.
-BACK_S = (0.05, 0.4, 2.0)
-# So many requests may end at the door in an upgrade.
-FREE_AT_DOOR = 2
-# The door is called this often by staff.
-STAFF_S = 0.05
+# Bounds of the random pauses before an old version is ended, and between two rounds.
+HANDOVER_PAUSE_S = (0.05, 0.3)
+ROUND_PAUSE_S = (0.2, 0.6)
+# In each upgrade, so many requests may end without an answer at the closing listener.
+MAX_UNREAD_PER_UPGRADE = 2
+# Interval of the operator's requests to the administration endpoints.
+OPERATOR_INTERVAL_S = 0.05
+# For this time, the operator alone sends requests to the first version.
+UNDISTURBED_S = 2.0
+STOP_MS = 8_000
+# Beyond its own time for a graceful shutdown, a version may take this long to end.
+STOP_MARGIN_S = 1
+PROGRESS_ROUNDS = 5
+COMMIT_POLL_S = 0.1
+MAX_FAILURES_SHOWN = 5
 
 
 @dataclass
 class Report:
-    """What an experiment has shown."""
+    """Result of the experiment; the names are the keys of the JSON report."""
 
     seed: int
     durability: str
@@ -57,7 +64,8 @@
     at_door: int = 0  # requests that ended without an answer, of a process that was not killed
     most_at_door: int = 0  # in one round
     ready_ms: list[float] = field(default_factory=list)
-    door_ms: dict[str, list[float]] = field(default_factory=dict)  # median and 99th, by who else was there
+    # Median and 99th percentile of the operator's requests, by who else used the endpoint.
+    door_ms: dict[str, list[float]] = field(default_factory=dict)
     door_calls: int = 0
     door_late: int = 0
     door_wrong: list[str] = field(default_factory=list)
@@ -66,22 +74,22 @@
 
     @property
     def good(self) -> bool:
-        """Nothing fell short."""
-        door = self.door_late == 0 and not self.door_wrong
+        """Whether every guarantee held, and nothing else went wrong."""
         return (
             self.verdict.good
-            and door
+            and self.door_late == 0
+            and not self.door_wrong
             and not self.trouble
             and self.forged_served == 0
-            and self.most_at_door <= FREE_AT_DOOR
+            and self.most_at_door <= MAX_UNREAD_PER_UPGRADE
         )
 
     def as_json(self) -> dict[str, Any]:
-        """For a file."""
+        """The report for a file."""
         return asdict(self) | {"good": self.good}
 
     def lines(self) -> list[str]:
-        """For a terminal."""
+        """The report for a terminal."""
         v = self.verdict
         return [
             f"seed {self.seed}, keys kept: {self.durability}; rounds: "
@@ -93,21 +101,21 @@
             f"unanswered tries {v.unanswered}, commits without any answer {v.lost}, refusals {v.refusals}, "
             f"failed {v.failed}, broken by a kill {v.broken_tries - self.at_door}",
             f"ended at the door {self.at_door}, in one round at most {self.most_at_door}",
-            "ready after: "
-            + (
-                f"median {statistics.median(self.ready_ms):.0f} ms, worst {max(self.ready_ms):.0f} ms"
-                if self.ready_ms
-                else "never"
-            ),
+            f"ready after: {self._ready_summary()}",
             f"the door: {self.door_calls} calls of staff, late {self.door_late}, "
             f"wrong {len(self.door_wrong)}",
             *(f"  {who}: median {ms[0]:.1f} ms, 99th {ms[1]:.1f} ms" for who, ms in self.door_ms.items()),
             f"the ledger at its largest: {self.ledger_kb} KB",
-            *(f"  {line}" for line in self.door_wrong[:5]),
+            *(f"  {line}" for line in self.door_wrong[:MAX_FAILURES_SHOWN]),
             *(f"trouble: {line}" for line in self.trouble),
             "good" if self.good else "WRONG",
         ]
 
+    def _ready_summary(self) -> str:
+        if not self.ready_ms:
+            return "never"
+        return f"median {statistics.median(self.ready_ms):.0f} ms, worst {max(self.ready_ms):.0f} ms"
+
 
 class Upgrades:
     """One experiment."""
@@ -127,144 +135,198 @@
         mutant: str = "",
         say: Callable[[str], None] = lambda line: None,
     ) -> None:
+        """`silent`: number of hostile clients of each endpoint; `mutant`: see `instrumented_server`."""
         self._random = random.Random(seed)
-        self._seed, self._folder, self._durability, self._say = seed, folder, durability, say
-        self._rounds, self._commits, self._rate = rounds, commits, rate
-        self._kill, self._forge, self._silent, self._mutant = kill, forge, silent, mutant
-        self._vault, self._roster = StandInVault(), StandInRoster()
-        kept = operator_file(durability, disk_mb=64) if durability != "memory" else None
-        self._site = server_process.Site(
-            folder, "", self._vault.address, self._roster.address, SETTINGS, kept, stop_ms=8_000
-        )
-        self._judge = Judge()
-        self._versions: list[Version] = []  # of this round
-        self._hostiles: dict[Version, Hostiles] = {}
+        self._seed = seed
+        self._folder = folder
+        self._say = say
+        self._rounds = rounds
+        self._commits = commits
+        self._rate = rate
+        self._kill = kill
+        self._forge = forge
+        self._hostile_count = silent
+        self._mutant = mutant
+        self._vault = StandInVault()
+        self._roster = StandInRoster()
+        self._site = self._create_site(durability)
+        self._checker = DuplicateRunChecker()
+        self._versions: list[ServerVersion] = []  # that have not ended
+        self._hostile_clients: dict[ServerVersion, HostileClients] = {}
         self._pools: list[StandInPool] = []
-        self._calls = {"nobody else": Calls(), f"{silent} hostile callers": Calls()}
-        self._report = Report(seed, durability, {}, self._judge.verdict({}, Counter()))
-        self._lock = threading.Lock()
-        self._agenda: list[tuple[float, int, Commit]] = []
-        self._uids = self._plain = self._killed = 0
-        self._at_door = 0
+        # The operator's requests to endpoints without and with hostile clients.
+        self._undisturbed = OperatorRequests()
+        self._disturbed = OperatorRequests()
+        self._report = Report(seed, durability, {}, self._checker.verdict({}, Counter()))
+        self._killed = 0
+        self._load: UpgradeLoad | None = None
         self._over = threading.Event()
 
+    def _create_site(self, durability: str) -> server_process.Site:
+        operator = operator_file(durability, disk_mb=64) if durability != "memory" else None
+        return server_process.Site(
+            self._folder,
+            "",
+            self._vault.address,
+            self._roster.address,
+            SETTINGS,
+            operator,
+            stop_ms=STOP_MS,
+        )
+
+    def run(self) -> Report:
+        """Run all rounds, and check the records."""
+        serving = self._start()
+        if not self._await_ready(serving):
+            return self._end()
+        load = UpgradeLoad(
+            serving.server.port,
+            self._checker,
+            self._random,
+            seed=self._seed,
+            commits=self._commits,
+            rate=self._rate,
+            forge=self._forge,
+        )
+        self._load = load
+        load.start()
+        operator = threading.Thread(target=self._send_operator_requests, name="operator", daemon=True)
+        operator.start()
+        time.sleep(UNDISTURBED_S)
+        self._start_hostile_clients(serving)
+        for number in range(self._rounds):
+            serving = self._run_round(serving, load)
+            if (number + 1) % PROGRESS_ROUNDS == 0:
+                self._say(f"{number + 1} rounds, {len(self._checker.commits)} commits")
+            self._report.ledger_kb = max(self._report.ledger_kb, self._claim_log_kb())
+        while not load.all_sent:
+            time.sleep(COMMIT_POLL_S)
+        self._over.set()
+        load.stop()
+        operator.join()
+        load.finish()
+        for version in list(self._versions):
+            self._shut_down(version)
+        return self._end()
+
     # --- versions
 
-    def _start(self) -> Version:
+    def _start(self) -> ServerVersion:
         number = len(self._pools)
-        pool = StandInPool(self._seed + number, calls=frozenset({KEYED}))
+        pool = StandInPool(self._seed + number, calls=frozenset({KEYED_CLASS}))
         self._pools.append(pool)
+        administration = (HOST, free_ports(1)[0])
         version = server_version.start(
-            self._site, pool, pool.address, (HOST, free_ports(1)[0]), f"-{number}", mutant=self._mutant
+            self._site, pool, pool.address, administration, f"-{number}", mutant=self._mutant
         )
-        if not version.life.listens():
-            self._report.trouble.append(
-                f"version {number} did not start: " + " | ".join(version.life.lines[-3:])
-            )
+        if not version.server.listens():
+            self._add_trouble(version, f"version {number} did not start", 3)
         elif self._site.listen.endswith(":0"):
-            self._site.listen = f"{HOST}:{version.life.port}"
+            self._site.listen = f"{HOST}:{version.server.port}"
         self._versions.append(version)
         return version
 
-    def _await_ready(self, version: Version) -> bool:
-        took = version.await_ready()
-        if took is None:
-            self._report.trouble.append(
-                f"not ready within {READY_S:.0f} s: " + " | ".join(version.life.lines[-3:])
-            )
+    def _add_trouble(self, version: ServerVersion, what: str, last_lines: int) -> None:
+        self._report.trouble.append(f"{what}: " + " | ".join(version.server.lines[-last_lines:]))
+
+    def _await_ready(self, version: ServerVersion) -> bool:
+        ready_ms = version.await_ready()
+        if ready_ms is None:
+            self._add_trouble(version, f"not ready within {READY_TIMEOUT_S:.0f} s", 3)
             return False
-        self._report.ready_ms.append(took)
+        self._report.ready_ms.append(ready_ms)
         return True
 
-    def _leave(self, version: Version) -> None:
-        """SIGTERM, and a good end."""
-        if (status := version.leave(self._site.stop_ms / 1e3 + 1)) != 0:
-            self._report.trouble.append(
-                f"a version ended with {status}: " + " | ".join(version.life.lines[-2:])
-            )
-        self._gone(version)
+    def _shut_down(self, version: ServerVersion) -> None:
+        """Send SIGTERM; another exit status than 0 is reported."""
+        status = version.shut_down(self._site.stop_ms / 1e3 + STOP_MARGIN_S)
+        if status != 0:
+            self._add_trouble(version, f"a version ended with {status}", 2)
+        self._remove(version)
 
-    def _kill_off(self, version: Version) -> None:
+    def _kill_version(self, version: ServerVersion) -> None:
         self._killed += 1
         version.kill()
-        self._gone(version)
+        self._remove(version)
 
-    def _gone(self, version: Version) -> None:
-        if (hostiles := self._hostiles.pop(version, None)) is not None:
-            hostiles.close()
+    def _remove(self, version: ServerVersion) -> None:
+        if (hostile_clients := self._hostile_clients.pop(version, None)) is not None:
+            hostile_clients.close()
         version.pool.close()
         self._versions.remove(version)
         self._report.trouble += version.alarms()
 
-    def _besiege(self, version: Version) -> None:
-        if self._silent and version.door is not None:
-            self._hostiles[version] = Hostiles(version.door, self._silent)
+    def _start_hostile_clients(self, version: ServerVersion) -> None:
+        if self._hostile_count and version.administration is not None:
+            self._hostile_clients[version] = HostileClients(version.administration, self._hostile_count)
 
     # --- rounds
 
-    def _round(self, old: Version, kind: str) -> Version:
-        """The version that serves at its end."""
+    def _run_round(self, serving: ServerVersion, load: UpgradeLoad) -> ServerVersion:
+        """Run one round, and count the requests that ended unread in it; the version that serves then."""
+        kind = self._random.choice(ROUNDS) if self._kill else PLAIN_ROUND
+        killed_before = self._killed
+        unanswered_before = load.unanswered
+        serving = self._upgrade(serving, kind)
+        self._report.rounds[kind] = self._report.rounds.get(kind, 0) + 1
+        time.sleep(self._random.uniform(*ROUND_PAUSE_S))
+        if self._killed == killed_before:
+            unread = load.unanswered - unanswered_before
+            self._report.at_door += unread
+            self._report.most_at_door = max(self._report.most_at_door, unread)
+        return serving
+
+    def _upgrade(self, old: ServerVersion, kind: str) -> ServerVersion:
+        """Start a new version, and do what this kind of round says; the version that serves then."""
         new = self._start()
         third = self._start() if kind == "two at once" else None
         if not self._await_ready(new):
             return old
-        self._besiege(new)
-        time.sleep(self._random.uniform(0.05, 0.3))
+        self._start_hostile_clients(new)
+        time.sleep(self._random.uniform(*HANDOVER_PAUSE_S))
         if kind == "new ended":
-            (self._kill_off if self._random.random() < 0.5 else self._leave)(new)
+            end = self._kill_version if self._random.random() < 0.5 else self._shut_down
+            end(new)
             return old
         if kind == "old killed":
-            self._kill_off(old)
+            self._kill_version(old)
             return new
         if kind == "old stopped":
-            old.ready = False
-            old.life.process.send_signal(signal.SIGSTOP)
-            time.sleep(STOPPED_S)
-            old.life.process.send_signal(signal.SIGCONT)
+            self._stop_for_a_while(old)
         if third is not None and self._await_ready(third):
-            self._leave(new)
+            self._shut_down(new)
             new = third
-        self._leave(old)
+        self._shut_down(old)
         return new
 
-    def run(self) -> Report:
-        """All rounds, and the verdict."""
-        serving = self._start()
-        if not self._await_ready(serving):
-            return self._end()
-        balancer = StandInBalancer(serving.life.port, links=8, renew=True)
-        workers = [
-            threading.Thread(target=work, args=(balancer,), daemon=True)
-            for work in (self._offer, self._back, self._wander)
-        ]
-        workers.append(threading.Thread(target=self._staff, daemon=True))
-        for worker in workers:
-            worker.start()
-        time.sleep(2.0)  # staff, with nobody else at the door
-        self._besiege(serving)
-        for number in range(self._rounds):
-            kind = self._random.choice(ROUNDS) if self._kill else PLAIN_ROUND
-            killed, before = self._killed, self._at_door
-            serving = self._round(serving, kind)
-            self._report.rounds[kind] = self._report.rounds.get(kind, 0) + 1
-            time.sleep(self._random.uniform(0.2, 0.6))
-            if self._killed == killed:
-                lost = self._at_door - before
-                self._report.at_door += lost
-                self._report.most_at_door = max(self._report.most_at_door, lost)
-            if (number + 1) % 5 == 0:
-                self._say(f"{number + 1} rounds, {len(self._judge.commits)} commits")
-            self._report.ledger_kb = max(self._report.ledger_kb, self._ledger_kb())
-        while len(self._judge.commits) < self._commits:
-            time.sleep(0.1)
-        self._over.set()
-        for worker in workers:
-            worker.join()
-        self._judge.settle(lambda commit: self._try(balancer, commit), PATIENCE_S + SLACK_S)
-        balancer.close()
-        for version in list(self._versions):
-            self._leave(version)
-        return self._end()
+    def _stop_for_a_while(self, version: ServerVersion) -> None:
+        version.ready = False
+        version.server.process.send_signal(signal.SIGSTOP)
+        time.sleep(STOPPED_S)
+        version.server.process.send_signal(signal.SIGCONT)
+
+    def _claim_log_kb(self) -> int:
+        return sum(path.stat().st_size for path in self._folder.rglob("*.ledger")) >> 10
+
+    # --- the operator
+
+    def _send_operator_requests(self) -> None:
+        """Send requests to the endpoints of all versions that are ready, until the rounds are over."""
+        while not self._over.wait(OPERATOR_INTERVAL_S):
+            for version in list(self._versions):
+                if version.ready and version.administration is not None:
+                    self._send_operator_request(version, version.administration)
+
+    def _send_operator_request(self, version: ServerVersion, address: tuple[str, int]) -> None:
+        requests = self._disturbed if version in self._hostile_clients else self._undisturbed
+        sent = OperatorRequests()
+        send_request(address, "GET", self._random.choice(["/-/ready", "/-/metrics"]), 200, sent)
+        if version.ready:  # otherwise it was told to shut down meanwhile
+            requests.durations_ms += sent.durations_ms
+            requests.late += sent.late
+            requests.failures += sent.failures
+
+    # --- the end
 
     def _end(self) -> Report:
         for pool in self._pools:
@@ -272,118 +334,30 @@
         self._vault.close()
         self._roster.close()
         for version in self._versions:
-            version.life.kill()
-        facts: dict[bytes, Facts] = {}
+            version.server.kill()
+        self._report.verdict = self._checker.verdict(self._merged_records(), self._vault.calls)
+        if self._load is not None:
+            self._report.forged = self._load.forged
+            self._report.forged_served = self._load.forged_served
+        self._report_operator_requests("nobody else", self._undisturbed)
+        self._report_operator_requests(f"{self._hostile_count} hostile callers", self._disturbed)
+        return self._report
+
+    def _merged_records(self) -> dict[bytes, RunRecord]:
+        """The records of all pools, as of one."""
+        merged: dict[bytes, RunRecord] = {}
         for pool in self._pools:
-            for body, one in pool.facts.items():
-                all_ = facts.setdefault(body, Facts())
-                all_.runs += one.runs
-                all_.results += one.results
-        report = self._report
-        report.verdict = self._judge.verdict(facts, self._vault.calls)
-        for who, calls in self._calls.items():
-            report.door_calls += calls.count
-            report.door_late += calls.late
-            report.door_wrong += calls.wrong
-            if calls.count:
-                took = sorted(calls.took_ms)
-                report.door_ms[who] = [statistics.median(took), took[int(len(took) * 0.99)]]
-        return report
-
-    def _ledger_kb(self) -> int:
-        return sum(path.stat().st_size for path in self._folder.rglob("*.ledger")) >> 10
-
-    # --- load
-
-    def _offer(self, balancer: StandInBalancer) -> None:
-        """New commits at the rate until all are made, some to two at once, with plain requests between."""
-        start = time.monotonic()
-        while not self._over.is_set() and len(self._judge.commits) < self._commits:
-            number = len(self._judge.commits)
-            wait = start + number / self._rate - time.monotonic()
-            if wait > 0:
-                time.sleep(wait)
-            commit = Commit(b"commit %d" % number, self._random.randbytes(16).hex())
-            self._judge.add(commit)
-            self._try(balancer, commit)
-            if self._random.random() < TWINS:
-                self._try(balancer, commit)
-            now = time.monotonic()
-            with self._lock:
-                for back in BACK_S:
-                    at = now + back * self._random.uniform(0.5, 1.5)
-                    heapq.heappush(self._agenda, (at, self._random.getrandbits(62), commit))
-                self._plain += 1
-            balancer.send(self._uid(), PLAIN, b"view %d" % self._plain, None, lambda reply: None)
-
-    def _back(self, balancer: StandInBalancer) -> None:
-        """Commits that come back; some of them forged."""
-        while not self._over.is_set():
-            with self._lock:
-                due = []
-                while self._agenda and self._agenda[0][0] <= time.monotonic():
-                    due.append(heapq.heappop(self._agenda)[2])
-            for commit in due:
-                if self._forge and self._random.random() < FORGED:
-                    self._forged(balancer, commit)
-                else:
-                    self._try(balancer, commit)
-            time.sleep(0.002)
-
-    def _wander(self, balancer: StandInBalancer) -> None:
-        """Connections end now and then, and their next try may meet another process."""
-        while not self._over.wait(0.02):
-            balancer.hang_up(self._random.randrange(8))
-
-    def _try(self, balancer: StandInBalancer, commit: Commit, again: bool = False) -> None:
-        self._judge.sent(commit, time.monotonic())
-        balancer.send(
-            self._uid(),
-            KEYED,
-            commit.body,
-            commit.token,
-            lambda reply: self._told(balancer, commit, reply, again),
-            fresh=again,
-        )
-
-    def _told(self, balancer: StandInBalancer, commit: Commit, reply: Reply, again: bool) -> None:
-        self._judge.told(commit, reply)
-        if reply.status == 0:
-            # What crossed the close of an idle connection is sent again, once, on a new one.
-            if again:
-                with self._lock:
-                    self._at_door += 1
-            elif not self._over.is_set():
-                threading.Thread(target=self._try, args=(balancer, commit, True), daemon=True).start()
-
-    def _forged(self, balancer: StandInBalancer, commit: Commit) -> None:
-        if not commit.served:
-            return  # whoever comes first under a token is its caller
-
-        def told(reply: Reply) -> None:
-            with self._lock:
-                self._report.forged += 1
-                self._report.forged_served += reply.status in SERVED
-
-        balancer.send(self._uid(), KEYED, b"forged " + commit.body, commit.token, told)
-
-    def _uid(self) -> str:
-        with self._lock:
-            self._uids += 1
-            return f"{self._seed % 4_096:03x}{self._uids:013x}"
-
-    # --- staff
-
-    def _staff(self) -> None:
-        """Calls to the doors of all versions that are ready, two by turns."""
-        names = list(self._calls)
-        while not self._over.wait(STAFF_S):
-            for version in list(self._versions):
-                if not version.ready or version.door is None:
-                    continue
-                calls, told = self._calls[names[version in self._hostiles]], Calls()
-                call(version.door, "GET", self._random.choice(["/-/ready", "/-/metrics"]), 200, told)
-                if version.ready:  # else it was told to leave meanwhile
-                    calls.took_ms += told.took_ms
-                    calls.late += told.late
-                    calls.wrong += told.wrong
+            for body, record in pool.records.items():
+                total = merged.setdefault(body, RunRecord())
+                total.runs += record.runs
+                total.results += record.results
+        return merged
+
+    def _report_operator_requests(self, who: str, requests: OperatorRequests) -> None:
+        self._report.door_calls += requests.count
+        self._report.door_late += requests.late
+        self._report.door_wrong += requests.failures
+        if requests.count:
+            durations_ms = sorted(requests.durations_ms)
+            percentile_99 = durations_ms[int(len(durations_ms) * 0.99)]
+            self._report.door_ms[who] = [statistics.median(durations_ms), percentile_99]
--- a/cairnvane/testbed/faults/hostile_clients.py
+++ b/cairnvane/testbed/faults/hostile_clients.py
@@ -1,5 +1,8 @@
-"""Callers of the operators' door that say nothing, drip, or never read their answer, and are back as soon as
-they are closed; and staff, who call beside them."""
+"""Clients of the administration endpoint that misbehave, and an operator's requests beside them.
+
+Hostile clients send nothing, send one byte at a time, or never read the response, and reconnect as soon as
+they are disconnected.
+"""
 
 from __future__ import annotations
 
@@ -14,124 +17,143 @@
 
 from ...net import http
 
-# A call of staff is due by then.
-DUE_S = 1.0
-# One that drips says a byte this often.
-DRIP_S = 1.0
-_CALL = b"GET /-/metrics HTTP/1.1\r\nHost: door\r\nX-Padding: " + b"x" * 400 + b"\r\n\r\n"
+# A response to an operator is late after this time, and given up after a few times as long.
+RESPONSE_DEADLINE_S = 1.0
+REQUEST_TIMEOUT_S = 5 * RESPONSE_DEADLINE_S
+# Interval at which a hostile client acts: a slow one sends one byte then.
+ACTION_INTERVAL_S = 1.0
+CONNECT_TIMEOUT_S = 1.0
+POLL_S = 0.005
+_REQUEST = b"GET /-/metrics HTTP/1.1\r\nHost: door\r\nX-Padding: " + b"x" * 400 + b"\r\n\r\n"
 
 
-class Habit(Enum):
-    """What a hostile caller does."""
+class Behavior(Enum):
+    """What a hostile client does."""
 
-    SILENT = "silent"
-    DRIPS = "drips"
-    DEAF = "deaf"  # calls, and never reads
+    SILENT = "silent"  # sends nothing
+    SLOW = "slow"  # sends one byte at a time
+    NEVER_READS = "never reads"  # sends whole requests, and reads no response
 
 
-# Of any nine hostile callers; the rest never read.
-_HABITS = (Habit.SILENT,) * 4 + (Habit.DRIPS,) * 4 + (Habit.DEAF,)
+# The behaviors of each nine clients.
+_BEHAVIORS = (Behavior.SILENT,) * 4 + (Behavior.SLOW,) * 4 + (Behavior.NEVER_READS,)
 
 
 @dataclass(slots=True, eq=False)
-class _Caller:
-    habit: Habit
+class _Client:
+    behavior: Behavior
     sock: socket.socket | None = None
-    said: int = 0
-    next_at: float = 0.0
+    sent_bytes: int = 0
+    next_action_at: float = 0.0
 
 
-class Hostiles:
-    """So many of them at one door, in one thread, until closed."""
+class HostileClients:
+    """A number of hostile clients of one endpoint, run by one thread until closed."""
 
     def __init__(self, address: tuple[str, int], count: int) -> None:
+        self.connections_opened = 0
         self._address = address
-        self._callers = [_Caller(_HABITS[number % len(_HABITS)]) for number in range(count)]
+        self._clients = [_Client(_BEHAVIORS[number % len(_BEHAVIORS)]) for number in range(count)]
         self._selector = selectors.DefaultSelector()
         self._stop = threading.Event()
-        self.connects = 0
-        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread = threading.Thread(target=self._run, name="hostile clients", daemon=True)
         self._thread.start()
 
     def _run(self) -> None:
         while not self._stop.is_set():
             now = time.monotonic()
-            for caller in self._callers:
-                if now >= caller.next_at:
-                    self._act(caller, now)
-            for key, _ in self._selector.select(0.005):
-                caller = key.data
-                with contextlib.suppress(OSError):
-                    if key.fileobj.recv(64):  # type: ignore[union-attr]  # told off: it waits to be closed
-                        continue
-                self._leave(caller)
-        for caller in self._callers:
-            self._leave(caller)
-
-    def _act(self, caller: _Caller, now: float) -> None:
-        caller.next_at = now + DRIP_S
+            for client in self._clients:
+                if now >= client.next_action_at:
+                    self._act(client, now)
+            self._close_disconnected()
+        for client in self._clients:
+            self._disconnect(client)
+
+    def _close_disconnected(self) -> None:
+        """Close connections that the server has ended; a response that came is read, and changes nothing."""
+        for key, _ in self._selector.select(POLL_S):
+            client = key.data
+            with contextlib.suppress(OSError):
+                if key.fileobj.recv(64):  # type: ignore[union-attr]
+                    continue
+            self._disconnect(client)
+
+    def _act(self, client: _Client, now: float) -> None:
+        client.next_action_at = now + ACTION_INTERVAL_S
         try:
-            if caller.sock is None:
-                caller.sock, caller.said = socket.create_connection(self._address, 1.0), 0
-                caller.sock.setblocking(False)
-                self.connects += 1
-                if caller.habit is not Habit.DEAF:
-                    self._selector.register(caller.sock, selectors.EVENT_READ, caller)
-            if caller.habit is Habit.DRIPS:
-                caller.sock.send(_CALL[caller.said : caller.said + 1])
-                caller.said += 1
-            elif caller.habit is Habit.DEAF:
-                caller.sock.send(_CALL)
+            sock = client.sock or self._connect(client)
+            if client.behavior is Behavior.SLOW:
+                sock.send(_REQUEST[client.sent_bytes : client.sent_bytes + 1])
+                client.sent_bytes += 1
+            elif client.behavior is Behavior.NEVER_READS:
+                sock.send(_REQUEST)
         except OSError:
-            self._leave(caller)
-
-    def _leave(self, caller: _Caller) -> None:
-        if caller.sock is not None:
+            self._disconnect(client)
+
+    def _connect(self, client: _Client) -> socket.socket:
+        sock = socket.create_connection(self._address, CONNECT_TIMEOUT_S)
+        client.sock = sock
+        client.sent_bytes = 0
+        sock.setblocking(False)
+        self.connections_opened += 1
+        if client.behavior is not Behavior.NEVER_READS:
+            self._selector.register(sock, selectors.EVENT_READ, client)
+        return sock
+
+    def _disconnect(self, client: _Client) -> None:
+        if client.sock is not None:
             with contextlib.suppress(KeyError, ValueError):
-                self._selector.unregister(caller.sock)
-            caller.sock.close()
-            caller.sock = None
-            caller.next_at = 0.0  # back at once
+                self._selector.unregister(client.sock)
+            client.sock.close()
+            client.sock = None
+            client.next_action_at = 0.0  # reconnects at once
 
     def close(self) -> None:
-        """They go."""
+        """Disconnect all clients, and end their thread."""
         self._stop.set()
         self._thread.join()
 
 
 @dataclass
-class Calls:
-    """What staff saw of doors."""
+class OperatorRequests:
+    """Requests that an operator sent to administration endpoints, and how they ended."""
 
-    took_ms: list[float] = field(default_factory=list)
+    durations_ms: list[float] = field(default_factory=list)
     late: int = 0
-    wrong: list[str] = field(default_factory=list)
+    failures: list[str] = field(default_factory=list)
 
     @property
     def count(self) -> int:
-        """All calls."""
-        return len(self.took_ms)
+        """Number of requests."""
+        return len(self.durations_ms)
 
 
-def call(address: tuple[str, int], verb: str, path: str, wanted: int, calls: Calls) -> bytes:
-    """One call of staff; what came is held against what was wanted."""
+def send_request(
+    address: tuple[str, int], verb: str, path: str, expected_status: int, requests: OperatorRequests
+) -> bytes:
+    """Send one request, and record how it ended; the body of the response, empty without one."""
     start = time.monotonic()
     try:
-        with socket.create_connection(address, 5 * DUE_S) as sock:
+        with socket.create_connection(address, REQUEST_TIMEOUT_S) as sock:
             sock.sendall(http.request(verb, path, address, {}, b""))
-            reply = http.read_reply(sock, time.monotonic() + 5 * DUE_S)
+            reply = http.read_reply(sock, time.monotonic() + REQUEST_TIMEOUT_S)
     except (OSError, http.InvalidReplyError) as error:
-        calls.wrong.append(f"{verb} {path}: {type(error).__name__} {error}")
-        calls.took_ms.append((time.monotonic() - start) * 1e3)
+        requests.failures.append(f"{verb} {path}: {type(error).__name__} {error}")
+        requests.durations_ms.append((time.monotonic() - start) * 1e3)
         return b""
-    took = time.monotonic() - start
-    calls.took_ms.append(took * 1e3)
-    calls.late += took > DUE_S
-    if reply.status != wanted:
-        calls.wrong.append(f"{verb} {path}: {reply.status}, not {wanted}")
-    elif path == "/-/metrics":
-        try:
-            json.loads(reply.body)
-        except ValueError:
-            calls.wrong.append(f"{path}: no JSON")
+    duration_s = time.monotonic() - start
+    requests.durations_ms.append(duration_s * 1e3)
+    requests.late += duration_s > RESPONSE_DEADLINE_S
+    if reply.status != expected_status:
+        requests.failures.append(f"{verb} {path}: {reply.status}, not {expected_status}")
+    elif path == "/-/metrics" and not _is_json(reply.body):
+        requests.failures.append(f"{path}: no JSON")
     return reply.body
+
+
+def _is_json(body: bytes) -> bool:
+    try:
+        json.loads(body)
+    except ValueError:
+        return False
+    return True
