--- a/benchmarks/keyed_server.py
+++ b/benchmarks/keyed_server.py
@@ -11,7 +11,7 @@
 from cairnvane.server.main import main
 
 
-class SqliteStore(cairnvane.durable.DurableStore):
+class SqliteStore(cairnvane.idempotency.durable.DurableStore):
     """The same writer and queue, but each group is a transaction."""
 
     def _recover(self) -> None:
@@ -40,5 +40,5 @@
     # As it is deployed: a server's threads share one core. Spread over several, each wakes with cold caches.
     os.sched_setaffinity(0, {max(os.sched_getaffinity(0))})
     if os.environ.get("BENCH_STORE") == "sqlite":
-        cairnvane.durable.DurableStore = SqliteStore  # type: ignore[misc]
+        cairnvane.idempotency.durable.DurableStore = SqliteStore  # type: ignore[misc]
     sys.exit(main())
--- a/cairnvane/testbed/experiments/recovery.py
+++ b/cairnvane/testbed/experiments/recovery.py
@@ -1,8 +1,8 @@
-"""One server's decisions through a trouble and after it, on a virtual clock: is it back, and when?
+"""`cairnvane lab recovery`: whether and when a server serves again after a fault, on a virtual clock.
 
-The decision module is the real one; what is around it is a model: a pool whose cores are shared by whoever
-runs, a vault, callers that come back at once after a refusal. A trouble lasts for a while, and all is well
-from then on. What the module must never do is to stay shut: see `Life.back_s`.
+The admission controller is the real one; its surroundings are a model: a worker pool whose cores are shared
+by all runs, a dependency, and clients that retry at once after a rejection. A fault lasts for a while, and
+everything works from then on. The controller must never stay closed: see `ServerSimulation.recovery_s`.
 """
 
 from __future__ import annotations
@@ -14,6 +14,8 @@
 from collections.abc import Callable, Sequence
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import asdict, dataclass, field
+from enum import Enum
+from functools import partial
 from typing import Any
 
 from ...admission.controller import Controller
@@ -30,8 +32,8 @@
 
 SECOND = 1_000_000
 CORES = 4
-# Half of a request's work on a core at full speed, before its call and after it: 22 requests a second.
-HALF_S = 0.088
+# A request's work on a core at full speed before its call, and again after it: 22 requests a second.
+HALF_WORK_S = 0.088
 CLASSES = (
     RequestClass("price-view", latency_objective=1_400_000, client_timeout=3_400_000),
     RequestClass("bid-update", latency_objective=2_300_000, client_timeout=5_800_000, priority_weight=2.0),
@@ -45,7 +47,7 @@
         retry_window=17_364_000,
     ),
 )
-MIX = (5, 3, 2)
+CLASS_MIX = (5, 3, 2)
 SETTINGS = Settings(
     cores=CORES,
     memory=200_000.0,
@@ -62,25 +64,33 @@
     drain_grace=2_500_000,
     max_retry_after=1_000_000,
 )
-# Callers try again so soon after a refusal, and so often in all.
-AGAIN_US, TRIES = 2_000, 5
-# What the cores serve a second at the least, with all that is refused read beside it.
-SERVES = 0.85 * CORES / (2 * HALF_S)
-# Before a trouble, the server is watched for so long, and has to come back to what it then served a second.
-CALM_S, WATCH_S = 8, 60
-# Back: this share of what it served before, over so many seconds.
-BACK_PART, BACK_OVER_S = 0.9, 3
+# Clients retry so soon after a rejection, and make so many attempts in all.
+RETRY_DELAY_US = 2_000
+MAX_ATTEMPTS = 5
+# Requests that the cores serve a second at the least, while all rejected requests are read as well.
+MIN_SERVICE_RATE = 0.85 * CORES / (2 * HALF_WORK_S)
+# Time without faults before a fault; the rate that is served then has to be reached again.
+CALM_S = 8
+# Time for which the server is observed after a fault.
+OBSERVED_S = 60
+# Recovered: this fraction of the rate before is served over so many seconds.
+RECOVERED_FRACTION = 0.9
+RECOVERY_WINDOW_S = 3
 
 KINDS = ("slow", "silent", "refusing", "down", "away", "late", "cores")
 
 
+# A call that is rejected, or reaches nobody, ends after this time.
+REJECTED_CALL_US = 1_000
+
+
 @dataclass(frozen=True, slots=True)
 class Fault:
-    """What goes wrong, from `CALM_S` on (`late`: from the start on).
+    """A fault that begins at `CALM_S` (`late`: at the start).
 
-    `slow`: calls take `size` times as long. `silent`: calls are never answered. `refusing`, `down`: calls are
-    refused unseen, or find nobody. `away`, `late`: nothing is heard of the pool until the end, and all of it
-    then. `cores`: work takes `size` times as long.
+    `slow`: calls take `factor` times as long. `silent`: calls are never answered. `refusing`, `down`: calls
+    are rejected unseen, or reach nobody. `away`, `late`: the pool's notices arrive only at the end of the
+    fault. `cores`: work takes `factor` times as long.
     """
 
     kind: str
@@ -88,17 +98,25 @@
     factor: float = 8.0
 
 
+class _Stage(Enum):
+    """Progress of a run relative to its call."""
+
+    BEFORE_CALL = 1
+    AT_CALL = 2
+    AFTER_CALL = 3
+
+
 @dataclass
 class ServerSimulation:
-    """One server, from its start to `WATCH_S` after the trouble's end."""
+    """One server, from its start to `OBSERVED_S` after the end of the fault."""
 
-    trouble: Fault
-    rate: float  # first tries a second
+    fault: Fault
+    rate: float  # requests a second, without retries
     call_s: float = 0.16
     seed: int = 1
-    tells_over: bool = True  # the pool ends a run at a call by itself, once its request is over
-    watch_s: int = WATCH_S  # after the trouble's end
-    served: Counter[int] = field(default_factory=Counter)  # served in each second
+    tells_over: bool = True  # the pool itself ends a run that waits for its call, once its request is over
+    watch_s: int = OBSERVED_S  # after the end of the fault
+    served: Counter[int] = field(default_factory=Counter)  # requests served, by second
     rejected: Counter[int] = field(default_factory=Counter)
     runs: Counter[int] = field(default_factory=Counter)
 
@@ -106,89 +124,93 @@
         self.random = random.Random(self.seed)
         self.control = Controller(SETTINGS, self.seed, 0)
         self.now = 0
-        self.from_us = 0 if self.trouble.kind == "late" else CALM_S * SECOND
-        self.over_us = (CALM_S + self.trouble.duration_s) * SECOND
+        self.fault_begins_us = 0 if self.fault.kind == "late" else CALM_S * SECOND
+        self.fault_ends_us = (CALM_S + self.fault.duration_s) * SECOND
         self._agenda: list[tuple[int, int, Callable[[], None]]] = []
         self._count = itertools.count(1)
-        self._queue: list[int] = []  # runs that wait for a core
-        self._busy = 0
-        self._stage: dict[int, int] = {}  # of each run: 1 on its way to its call, 2 at it, 3 behind it
-        self._calls: dict[int, int] = {}  # which call of a run is out
+        self._waiting_for_core: list[int] = []
+        self._busy_cores = 0
+        self._stage: dict[int, _Stage] = {}  # of each run
+        self._calls: dict[int, int] = {}  # number of the call that each run waits for
         self._began: dict[int, int] = {}
-        self._tries: dict[int, tuple[int, int]] = {}  # class and number of the try
-        self._at(0, self._caller)
-        self._tell()
+        self._attempts: dict[int, tuple[int, int]] = {}  # class, and number of the attempt
+        self._schedule(0, self._create_request)
+        self._handle()
 
     @property
     def faulty(self) -> bool:
-        """Whether the trouble lasts."""
-        return self.from_us <= self.now < self.over_us
+        """Whether the fault lasts now."""
+        return self.fault_begins_us <= self.now < self.fault_ends_us
 
     def run(self) -> ServerSimulation:
-        """All of it."""
-        end = self.over_us + self.watch_s * SECOND
+        """Run until the end of the observation."""
+        end = self.fault_ends_us + self.watch_s * SECOND
         while self._agenda[0][0] < end:
             self.now, _, task = heapq.heappop(self._agenda)
             task()
         return self
 
     def recovery_s(self) -> int | None:
-        """Seconds from the trouble's end until as much is served as before, or as comes; None: not at all."""
-        over = self.over_us // SECOND
+        """Seconds from the fault's end until the rate before, or that of the load, is served; None: never."""
+        ends_at = self.fault_ends_us // SECOND
         before = range(2, CALM_S)
-        usual = min(self.rate, SERVES)
-        if self.trouble.kind != "late":
+        usual = min(self.rate, MIN_SERVICE_RATE)
+        if self.fault.kind != "late":
             usual = min(usual, sum(self.served[second] for second in before) / len(before))
-        for second in range(over, over + self.watch_s - BACK_OVER_S):
-            served = sum(self.served[second + more] for more in range(BACK_OVER_S)) / BACK_OVER_S
-            if served >= BACK_PART * usual:
-                return second - over
+        for second in range(ends_at, ends_at + self.watch_s - RECOVERY_WINDOW_S):
+            window = range(second, second + RECOVERY_WINDOW_S)
+            served = sum(self.served[in_window] for in_window in window) / RECOVERY_WINDOW_S
+            if served >= RECOVERED_FRACTION * usual:
+                return second - ends_at
         return None
 
     def longest_standstill_s(self) -> int:
-        """The longest stretch after the trouble in which requests came and nothing was begun."""
-        over, longest, shut = self.over_us // SECOND, 0, 0
-        for second in range(over, over + self.watch_s):
-            idle = not self.runs[second] and self.rejected[second]
-            shut = shut + 1 if idle else 0
-            longest = max(longest, shut)
+        """The longest time after the fault in which requests arrived and none was started, in seconds."""
+        ends_at = self.fault_ends_us // SECOND
+        longest = 0
+        standstill = 0
+        for second in range(ends_at, ends_at + self.watch_s):
+            standing_still = not self.runs[second] and self.rejected[second]
+            standstill = standstill + 1 if standing_still else 0
+            longest = max(longest, standstill)
         return longest
 
-    # --- callers
+    # --- clients
 
-    def _at(self, delay_us: float, task: Callable[[], None]) -> None:
+    def _schedule(self, delay_us: float, task: Callable[[], None]) -> None:
         heapq.heappush(self._agenda, (self.now + int(delay_us), next(self._count), task))
 
-    def _caller(self) -> None:
-        self._at(self.random.expovariate(self.rate) * SECOND, self._caller)
-        self._try(self.random.choices(range(len(MIX)), MIX)[0], 1)
+    def _create_request(self) -> None:
+        self._schedule(self.random.expovariate(self.rate) * SECOND, self._create_request)
+        self._send_attempt(self.random.choices(range(len(CLASS_MIX)), CLASS_MIX)[0], 1)
 
-    def _try(self, cls: int, number: int) -> None:
-        rid = next(self._count)
-        self._tries[rid] = cls, number
-        self._tell(Arrival(rid, cls, memory=24.5, client=self.random.randrange(8)))
+    def _send_attempt(self, cls: int, number: int) -> None:
+        request_id = next(self._count)
+        self._attempts[request_id] = cls, number
+        self._handle(Arrival(request_id, cls, memory=24.5, client=self.random.randrange(8)))
 
-    # --- the module
+    # --- the controller
 
-    def _tell(self, *events: Event) -> None:
+    def _handle(self, *events: Event) -> None:
         for action in self.control.handle(self.now, events):
-            self._carry_out(action)
+            self._execute(action)
 
-    def _carry_out(self, action: Action) -> None:
+    def _execute(self, action: Action) -> None:
         if isinstance(action, SetTimer):
-            self._at(max(0, action.due_at - self.now), self._tick)
+            self._schedule(max(0, action.due_at - self.now), self._tick)
         elif isinstance(action, StartRun):
             self.runs[self.now // SECOND] += 1
-            self._stage[action.request_id], self._began[action.request_id] = 1, self.now
-            self._queue.append(action.request_id)
-            self._work()
+            self._stage[action.request_id] = _Stage.BEFORE_CALL
+            self._began[action.request_id] = self.now
+            self._waiting_for_core.append(action.request_id)
+            self._assign_cores()
         elif isinstance(action, Reject):
             self.rejected[self.now // SECOND] += 1
-            cls, number = self._tries.pop(action.request_id)
-            if number < TRIES:
-                self._at(AGAIN_US, lambda: self._try(cls, number + 1))
+            cls, number = self._attempts.pop(action.request_id)
+            if number < MAX_ATTEMPTS:
+                self._schedule(RETRY_DELAY_US, lambda: self._send_attempt(cls, number + 1))
         elif isinstance(action, Fail):
-            if self._stage.get(action.request_id) == 2 and self.tells_over:
+            if self._stage.get(action.request_id) is _Stage.AT_CALL and self.tells_over:
                 self._end(action.request_id, Outcome.CANCELLED)
         elif isinstance(action, Cancel):
             if action.request_id in self._stage:
@@ -197,127 +219,136 @@
             self._call(action.request_id, action.timeout)
 
     def _tick(self) -> None:
-        self._tell(TimerFired(0, self._busy / CORES, float(self._busy + len(self._queue)), 0.1, 10))
+        runnable = float(self._busy_cores + len(self._waiting_for_core))
+        self._handle(TimerFired(0, self._busy_cores / CORES, runnable, 0.1, 10))
 
     # --- the pool
 
     def _notice(self, event: Event) -> None:
-        """What the pool says is heard at once, or once its link is up."""
-        away = self.faulty and self.trouble.kind in ("away", "late")
-        self._at(self.over_us - self.now if away else 0, lambda: self._tell(event))
-
-    def _work(self) -> None:
-        while self._busy < CORES and self._queue:
-            rid = self._queue.pop(0)
-            if rid in self._stage:
-                self._busy += 1
-                slow = self.trouble.factor if self.faulty and self.trouble.kind == "cores" else 1.0
-                self._at(HALF_S * slow * SECOND, lambda rid=rid: self._worked(rid))  # type: ignore[misc]
-
-    def _worked(self, rid: int) -> None:
-        self._busy -= 1
-        if self._stage.get(rid) == 1:
-            self._stage[rid] = 2
-            self._notice(CallRequested(rid))
-        elif rid in self._stage:
+        """Hand in a notice of the pool at once, or once its link is up."""
+        link_down = self.faulty and self.fault.kind in ("away", "late")
+        self._schedule(self.fault_ends_us - self.now if link_down else 0, lambda: self._handle(event))
+
+    def _assign_cores(self) -> None:
+        while self._busy_cores < CORES and self._waiting_for_core:
+            request_id = self._waiting_for_core.pop(0)
+            if request_id in self._stage:
+                self._busy_cores += 1
+                slowdown = self.fault.factor if self.faulty and self.fault.kind == "cores" else 1.0
+                self._schedule(HALF_WORK_S * slowdown * SECOND, partial(self._finish_half, request_id))
+
+    def _finish_half(self, request_id: int) -> None:
+        self._busy_cores -= 1
+        if self._stage.get(request_id) is _Stage.BEFORE_CALL:
+            self._stage[request_id] = _Stage.AT_CALL
+            self._notice(CallRequested(request_id))
+        elif request_id in self._stage:
             self.served[self.now // SECOND] += 1
-            self._end(rid, Outcome.OK)
-        self._work()
-
-    def _end(self, rid: int, outcome: Outcome) -> None:
-        del self._stage[rid]
-        took = self.now - self._began.pop(rid)
-        self._calls.pop(rid, None)
-        self._tries.pop(rid, None)
-        self._notice(RunFinished(rid, outcome, took))
-
-    # --- the vault
-
-    def _call(self, rid: int, timeout: int) -> None:
-        trouble = self.trouble.kind if self.faulty else ""
-        took = self.call_s * SECOND * self.random.uniform(0.7, 1.3)
-        took *= self.trouble.factor if trouble == "slow" else 1.0
-        end = {"refusing": Outcome.REJECTED, "down": Outcome.UNREACHED}.get(trouble, Outcome.OK)
-        if end is not Outcome.OK:
-            took = 1_000
-        elif trouble == "silent" or took >= timeout:
-            took, end = timeout, Outcome.TIMEOUT
-        number = self._calls[rid] = next(self._count)
-        self._at(took, lambda: self._called(rid, number, end, int(took)))
-
-    def _called(self, rid: int, number: int, end: Outcome, took: int) -> None:
-        if self._calls.get(rid) != number:
-            return  # its run is over
-        del self._calls[rid]
-        if end is Outcome.OK:
-            self._stage[rid] = 3
-            self._queue.append(rid)
-            self._work()
-        self._tell(CallFinished(rid, end, took))
-
-
-RATES, LENGTHS_S, SEEDS = (1.0, 5.0, 13.0, 20.0, 50.0), (2, 6, 30), (1, 2, 3)
+            self._end(request_id, Outcome.OK)
+        self._assign_cores()
+
+    def _end(self, request_id: int, outcome: Outcome) -> None:
+        del self._stage[request_id]
+        duration = self.now - self._began.pop(request_id)
+        self._calls.pop(request_id, None)
+        self._attempts.pop(request_id, None)
+        self._notice(RunFinished(request_id, outcome, duration))
+
+    # --- the dependency
+
+    def _call(self, request_id: int, timeout: int) -> None:
+        fault = self.fault.kind if self.faulty else ""
+        duration = self.call_s * SECOND * self.random.uniform(0.7, 1.3)
+        duration *= self.fault.factor if fault == "slow" else 1.0
+        outcome = {"refusing": Outcome.REJECTED, "down": Outcome.UNREACHED}.get(fault, Outcome.OK)
+        if outcome is not Outcome.OK:
+            duration = REJECTED_CALL_US
+        elif fault == "silent" or duration >= timeout:
+            duration = timeout
+            outcome = Outcome.TIMEOUT
+        number = self._calls[request_id] = next(self._count)
+        self._schedule(duration, lambda: self._finish_call(request_id, number, outcome, int(duration)))
+
+    def _finish_call(self, request_id: int, number: int, outcome: Outcome, duration: int) -> None:
+        if self._calls.get(request_id) != number:
+            return  # its run has ended
+        del self._calls[request_id]
+        if outcome is Outcome.OK:
+            self._stage[request_id] = _Stage.AFTER_CALL
+            self._waiting_for_core.append(request_id)
+            self._assign_cores()
+        self._handle(CallFinished(request_id, outcome, duration))
+
+
+RATES = (1.0, 5.0, 13.0, 20.0, 50.0)
+LENGTHS_S = (2, 6, 30)
+SEEDS = (1, 2, 3)
 
 
 @dataclass(frozen=True)
 class Row:
-    """A trouble, a rate and a kind of pool, played for each length and seed."""
+    """Result for a kind of fault, a rate and a kind of pool; the names are the keys of the JSON report."""
 
     kind: str
     rate: float
     tells_over: bool
-    back_s: list[list[int | None]]  # by length, then by seed
-    shut_s: int  # the longest
+    back_s: list[list[int | None]]  # by length, then by seed; None: never
+    shut_s: int  # the longest standstill
 
 
 @dataclass
 class Report:
-    """What all of it has shown."""
+    """The table of all results."""
 
     rows: list[Row]
 
     @property
     def good(self) -> bool:
-        """The server came back from everything."""
+        """Whether the server recovered from every fault."""
         return all(back is not None for row in self.rows for seeds in row.back_s for back in seeds)
 
     def as_json(self) -> dict[str, Any]:
-        """For a file."""
+        """The report for a file."""
         rows = [asdict(row) for row in self.rows]
         return {"good": self.good, "lengths_s": LENGTHS_S, "seeds": SEEDS, "rows": rows}
 
     def lines(self) -> list[str]:
-        """For a terminal."""
+        """The report for a terminal."""
         head = " ".join(f"{f'{length} s':>19}" for length in LENGTHS_S)
         lines = [
             f"Seconds from the trouble's end until as much is served as before it, seeds {SEEDS}.",
             f"{'trouble':9} {'a second':>8} {'pool':5} {head} shut",
         ]
         for row in self.rows:
-            backs = (", ".join("never" if back is None else str(back) for back in one) for one in row.back_s)
-            told = " ".join(f"{back:>19}" for back in backs)
+            by_length = (
+                ", ".join("never" if back is None else str(back) for back in seeds) for seeds in row.back_s
+            )
+            columns = " ".join(f"{seeds:>19}" for seeds in by_length)
             pool = "tells" if row.tells_over else "mute"
-            lines.append(f"{row.kind:9} {row.rate:8g} {pool:5} {told} {row.shut_s:4}")
+            lines.append(f"{row.kind:9} {row.rate:8g} {pool:5} {columns} {row.shut_s:4}")
         return lines
 
 
 def _row(case: tuple[str, float, bool]) -> Row:
-    kind, rate, tells = case
-    lives = [
-        [ServerSimulation(Fault(kind, length), rate, seed=seed, tells_over=tells).run() for seed in SEEDS]
+    kind, rate, tells_over = case
+    simulations = [
+        [
+            ServerSimulation(Fault(kind, length), rate, seed=seed, tells_over=tells_over).run()
+            for seed in SEEDS
+        ]
         for length in LENGTHS_S
     ]
     return Row(
         kind,
         rate,
-        tells,
-        [[life.recovery_s() for life in row] for row in lives],
-        max(life.longest_standstill_s() for row in lives for life in row),
+        tells_over,
+        [[simulation.recovery_s() for simulation in row] for row in simulations],
+        max(simulation.longest_standstill_s() for row in simulations for simulation in row),
     )
 
 
 def play(kinds: Sequence[str] = KINDS, rates: Sequence[float] = RATES) -> Report:
-    """All troubles at all rates, on all cores."""
-    cases = [(kind, rate, tells) for kind in kinds for rate in rates for tells in (True, False)]
+    """Simulate all kinds of faults at all rates, on all cores."""
+    cases = [(kind, rate, tells_over) for kind in kinds for rate in rates for tells_over in (True, False)]
     with ProcessPoolExecutor() as workers:
         return Report(list(workers.map(_row, cases)))
--- a/cairnvane/testbed/experiments/shares.py
+++ b/cairnvane/testbed/experiments/shares.py
@@ -1,9 +1,9 @@
-"""`cairnvane lab shares`: the vault as one limit in virtual time, through cuts, losses, stops, deaths and
-restarts, beside two plain ways.
+"""`cairnvane lab shares`: quota leases for one dependency in virtual time, compared with two simple schemes.
 
-The arms: `floor`, each keeps to its own part; `view`, each takes the limit over how many it sees; `lent`, the
-real `shedding.Lending`. Shown for each: the most that all caps together came to over the limit, and how much
-of the calls that were wanted could be made, of what a lender who knows all at once could allow.
+Partitions, message loss, stalls, kills and restarts happen meanwhile. The schemes (arms): `floor`, each
+server keeps to its own part; `view`, each takes the limit divided by the number of servers that it sees;
+`lent`, the real quota leases. Reported for each: the most by which all quotas together exceeded the limit,
+and the share of the wanted calls that could be made, of what a scheme with complete knowledge could allow.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 import random
 import statistics
 from collections.abc import Callable, Sequence
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, field
 from functools import partial
 from typing import Any, Self
 
@@ -23,174 +23,201 @@
 SECOND = 1_000_000
 ARMS = ("floor", "view", "lent")
 TROUBLES = ("calm", "loss", "cut", "stops", "deaths", "all")
-# Calls in hand that the vault bears, for each server.
+# Calls in flight that the dependency bears, for each server.
 FLOOR = 10.0
-# A server looks at its own state so often; the others hear of its spare part after this.
-TICK_US, TOLD_US = 50_000, 500_000
-# What was told longer ago counts for nothing; a view forgets a silent server after as long.
+# Interval of a server's own timer.
+TICK_US = 50_000
+# Interval at which a server announces its spare quota to the others.
+ANNOUNCEMENT_US = 500_000
+# An older announcement counts for nothing; a view forgets a silent server after as long.
 STALE_US = 2_000_000
-# The wanted calls of each server are drawn anew so often, and of the fleet come to this part of the limit.
-SHIFT_US, PART = 4_000_000, 0.9
-PLAY_S = 40
+# Interval at which the demand of each server is drawn anew, and the cluster's demand as a part of the limit.
+DEMAND_SHIFT_US = 4_000_000
+DEMAND = 0.9
+# Relative demands that are drawn.
+DEMAND_WEIGHTS = (0.4, 0.8, 1.6)
+# Bounds of a message's delay.
+LEAST_DELAY_US = 300
+MOST_DELAY_US = 30_000
+FIRST_FAULT_S = 4
+FIRST_MEASUREMENT_S = 2
+RUN_S = 40
 
 
 @dataclass(slots=True)
 class _Server:
-    life: int
-    lending: QuotaLeases
-    want: float = FLOOR
+    incarnation: int
+    leases: QuotaLeases
+    demand: float = FLOOR  # calls in flight that it wants
     up: bool = True
-    still_until: int = 0
-    told: dict[int, tuple[int, float]] | None = None  # by server: when, and what it had to spare
+    stalled_until: int = 0
+    # By server: when its last announcement came, and its spare quota then.
+    announcements: dict[int, tuple[int, float]] = field(default_factory=dict)
 
 
 class World:
-    """One play."""
+    """All servers, the messages between them, and the faults of server run. Times in microseconds."""
 
     def __init__(self, arm: str, trouble: str, servers: int, seed: int) -> None:
-        self.arm, self.trouble, self.count = arm, trouble, servers
+        self.arm = arm
+        self.trouble = trouble
+        self.count = servers
         self.limit = servers * FLOOR
         self._random = {name: random.Random(f"{seed} {name}") for name in ("want", "links", "faults")}
-        self.now, self._order, self._lives = 0, itertools.count(), itertools.count(1)
+        self.now = 0
+        self._order = itertools.count()
+        self._incarnations = itertools.count(1)
         self._agenda: list[tuple[int, int, Callable[[], None]]] = []
         self.servers = [
-            _Server(next(self._lives), QuotaLeases(FLOOR, 0, first=True), told={}) for _ in range(servers)
+            _Server(next(self._incarnations), QuotaLeases(FLOOR, 0, first=True)) for _ in range(servers)
         ]
         self.loss = 0.2 if trouble in ("loss", "all") else 0.0
-        self.side = [0] * servers
-        self.worst, self.made, self.could, self.messages = 0.0, 0.0, 0.0, 0
+        self._partition = [0] * servers
+        self.worst = 0.0  # excess of all quotas over the limit
+        self.made = 0.0  # calls that could be made, summed over all measurements
+        self.could = 0.0  # the attainable calls
+        self.messages = 0
 
-    # --- what each may use
+    # --- quotas
 
     def cap(self, number: int) -> float:
-        """Calls in hand that this one may have now."""
-        one = self.servers[number]
-        if not one.up:
+        """Calls in flight that this server may have now."""
+        server = self.servers[number]
+        if not server.up:
             return 0.0
         if self.arm == "lent":
-            return one.lending.cap(self.now)
+            return server.leases.cap(self.now)
         if self.arm == "floor":
             return FLOOR
-        assert one.told is not None
-        seen = sum(self.now - at < STALE_US for at, _ in one.told.values())
+        seen = sum(self.now - at < STALE_US for at, _ in server.announcements.values())
         return self.limit / (1 + seen)
 
-    def _best(self) -> float:
-        """What could be made if one knew all at once."""
-        return min(self.limit, sum(one.want for one in self.servers if self._acts(one)))
+    def _attainable(self) -> float:
+        """Calls in flight that complete knowledge could allow."""
+        return min(self.limit, sum(server.demand for server in self.servers if self._is_running(server)))
 
-    def _acts(self, one: _Server) -> bool:
-        return one.up and one.still_until <= self.now
+    def _is_running(self, server: _Server) -> bool:
+        return server.up and server.stalled_until <= self.now
 
     # --- links
 
     def _reaches(self, source: int, to: int) -> bool:
-        return self.side[source] == self.side[to] and self._random["links"].random() >= self.loss
+        return self._partition[source] == self._partition[to] and self._random["links"].random() >= self.loss
 
     def _send(self, source: int, to: int, task: Callable[[], None]) -> None:
         self.messages += 1
         if self._reaches(source, to):
-            self._push(self.now + self._random["links"].randint(300, 30_000), task)
+            self._push(self.now + self._random["links"].randint(LEAST_DELAY_US, MOST_DELAY_US), task)
 
     def _push(self, at: int, task: Callable[[], None]) -> None:
         heapq.heappush(self._agenda, (at, next(self._order), task))
 
-    def _deliver(self, source: int, life: int, to: int, to_life: int, word: Word) -> None:
-        one = self.servers[to]
-        if one.life != to_life or not one.up:
+    def _deliver(self, source: int, incarnation: int, to: int, to_incarnation: int, message: Word) -> None:
+        server = self.servers[to]
+        if server.incarnation != to_incarnation or not server.up:
             return
-        if one.still_until > self.now:  # it waits in its socket
-            self._push(one.still_until, lambda: self._deliver(source, life, to, to_life, word))
+        if server.stalled_until > self.now:  # the message waits in its socket
+            self._push(
+                server.stalled_until, lambda: self._deliver(source, incarnation, to, to_incarnation, message)
+            )
             return
-        answer: Grant | None = one.lending.hear(self.now, life, word)
+        answer: Grant | None = server.leases.hear(self.now, incarnation, message)
         if answer is not None:
-            self._send(to, source, lambda: self._deliver(to, to_life, source, life, answer))
+            self._send(to, source, lambda: self._deliver(to, to_incarnation, source, incarnation, answer))
 
     # --- time
 
     def _tick(self, number: int) -> None:
         self._push(self.now + TICK_US, lambda: self._tick(number))
-        one = self.servers[number]
-        if not self._acts(one):
+        server = self.servers[number]
+        if not self._is_running(server):
             return
         cap = self.cap(number)
-        one.lending.note(self.now, min(one.want, cap), one.want - cap)
-        assert one.told is not None
+        server.leases.note(self.now, min(server.demand, cap), server.demand - cap)
         others = {
-            self.servers[other].life: spare
-            for other, (at, spare) in one.told.items()
+            self.servers[other].incarnation: spare
+            for other, (at, spare) in server.announcements.items()
             if self.now - at < STALE_US
         }
         if self.arm == "lent":
-            numbers = {server.life: place for place, server in enumerate(self.servers)}
-            for life, word in one.lending.tick(self.now, others):
-                if life in numbers:
+            numbers = {server.incarnation: place for place, server in enumerate(self.servers)}
+            for incarnation, message in server.leases.tick(self.now, others):
+                if incarnation in numbers:
                     self._send(
                         number,
-                        numbers[life],
-                        partial(self._deliver, number, one.life, numbers[life], life, word),
+                        numbers[incarnation],
+                        partial(
+                            self._deliver,
+                            number,
+                            server.incarnation,
+                            numbers[incarnation],
+                            incarnation,
+                            message,
+                        ),
                     )
 
-    def _tell(self, number: int) -> None:
-        self._push(self.now + TOLD_US, lambda: self._tell(number))
-        one = self.servers[number]
-        if self._acts(one):
-            spare = one.lending.spare(self.now)
+    def _announce(self, number: int) -> None:
+        self._push(self.now + ANNOUNCEMENT_US, lambda: self._announce(number))
+        server = self.servers[number]
+        if self._is_running(server):
+            spare = server.leases.spare(self.now)
             for other in range(self.count):
                 if other != number:
-                    self._send(number, other, partial(self._heard, other, number, spare))
+                    self._send(number, other, partial(self._receive_announcement, other, number, spare))
 
-    def _heard(self, number: int, of: int, spare: float) -> None:
-        one = self.servers[number]
-        if self._acts(one) and one.told is not None:
-            one.told[of] = self.now, spare
+    def _receive_announcement(self, number: int, source: int, spare: float) -> None:
+        server = self.servers[number]
+        if self._is_running(server):
+            server.announcements[source] = self.now, spare
 
-    def _shift(self) -> None:
-        """Callers go elsewhere: some servers are wanted three times as much as others."""
-        self._push(self.now + SHIFT_US, self._shift)
-        weights = [self._random["want"].choice((0.4, 0.8, 1.6)) for _ in self.servers]
+    def _shift_demand(self) -> None:
+        """Clients go elsewhere: some servers get several times the demand of others."""
+        self._push(self.now + DEMAND_SHIFT_US, self._shift_demand)
+        weights = [self._random["want"].choice(DEMAND_WEIGHTS) for _ in self.servers]
         whole = sum(weights)
-        for one, weight in zip(self.servers, weights, strict=True):
-            one.want = weight / whole * self.limit * PART
+        for server, weight in zip(self.servers, weights, strict=True):
+            server.demand = weight / whole * self.limit * DEMAND
 
     def _measure(self) -> None:
         self._push(self.now + TICK_US, self._measure)
         caps = [self.cap(number) for number in range(self.count)]
         self.worst = max(self.worst, sum(caps) / self.limit - 1)
         self.made += sum(
-            min(cap, one.want) for cap, one in zip(caps, self.servers, strict=True) if self._acts(one)
+            min(cap, server.demand)
+            for cap, server in zip(caps, self.servers, strict=True)
+            if self._is_running(server)
         )
-        self.could += self._best()
+        self.could += self._attainable()
 
     # --- faults
 
-    def _fault(self) -> None:
+    def _inject_fault(self) -> None:
         rng = self._random["faults"]
-        self._push(self.now + rng.randint(1, 3) * SECOND, self._fault)
+        self._push(self.now + rng.randint(1, 3) * SECOND, self._inject_fault)
         kinds = {"cut": ["cut"], "stops": ["stop"], "deaths": ["kill"], "all": ["cut", "stop", "kill"]}
         kind = rng.choice(kinds.get(self.trouble, [""]))
         if kind == "cut":
-            self.side = [rng.randrange(rng.randint(1, 3)) for _ in range(self.count)]
+            self._partition = [rng.randrange(rng.randint(1, 3)) for _ in range(self.count)]
         elif kind == "stop":
-            self.servers[rng.randrange(self.count)].still_until = self.now + rng.randint(1, 6) * SECOND
+            self.servers[rng.randrange(self.count)].stalled_until = self.now + rng.randint(1, 6) * SECOND
         elif kind == "kill":
             number = rng.randrange(self.count)
             self.servers[number].up = False
-            self._push(self.now + rng.randint(1, 20) * SECOND // 10, lambda: self._start(number))
+            self._push(self.now + rng.randint(1, 20) * SECOND // 10, lambda: self._restart(number))
 
-    def _start(self, number: int) -> None:
-        want = self.servers[number].want
-        self.servers[number] = _Server(next(self._lives), QuotaLeases(FLOOR, self.now), want, told={})
+    def _restart(self, number: int) -> None:
+        demand = self.servers[number].demand
+        self.servers[number] = _Server(next(self._incarnations), QuotaLeases(FLOOR, self.now), demand)
 
     def run(self) -> Self:
-        """All of it."""
-        self._shift()
+        """Run for `RUN_S` seconds of virtual time."""
+        self._shift_demand()
         for number in range(self.count):
             self._push(self._random["links"].randint(0, TICK_US), partial(self._tick, number))
-            self._push(self._random["links"].randint(0, TOLD_US), partial(self._tell, number))
-        self._push(4 * SECOND, self._fault)
-        self._push(2 * SECOND, self._measure)
-        while self._agenda and self._agenda[0][0] <= PLAY_S * SECOND:
+            self._push(self._random["links"].randint(0, ANNOUNCEMENT_US), partial(self._announce, number))
+        self._push(FIRST_FAULT_S * SECOND, self._inject_fault)
+        self._push(FIRST_MEASUREMENT_S * SECOND, self._measure)
+        while self._agenda and self._agenda[0][0] <= RUN_S * SECOND:
             self.now, _, task = heapq.heappop(self._agenda)
             task()
         return self
@@ -198,33 +225,33 @@
 
 @dataclass(frozen=True)
 class Row:
-    """One trouble, one size, one arm, over the seeds."""
+    """One kind of fault, one size, one scheme, over the seeds; the names are the keys of the JSON report."""
 
     trouble: str
     servers: int
     arm: str
-    over: float  # the most that all caps together were over the limit, as a part of it
-    made: float  # of the calls that could have been made, in the mean
-    messages_a_second: float  # a server
+    over: float  # the most by which all quotas together exceeded the limit, as a fraction of it
+    made: float  # the share of the attainable calls that were made, in the mean
+    messages_a_second: float  # of one server
 
 
 @dataclass
 class Report:
-    """The table."""
+    """The table of all results."""
 
     rows: list[Row]
 
     @property
     def good(self) -> bool:
-        """What is lent never adds up to more than the limit."""
+        """Whether quotas with leases never added up to more than the limit."""
         return all(row.over <= 1e-9 for row in self.rows if row.arm == "lent")
 
     def as_json(self) -> dict[str, Any]:
-        """For a file."""
+        """The report for a file."""
         return {"good": self.good, "rows": [asdict(row) for row in self.rows]}
 
     def lines(self) -> list[str]:
-        """For a terminal."""
+        """The report for a terminal."""
         return [
             f"{'trouble':8} {'servers':>7} {'arm':6} {'over the limit':>15} {'made':>6} {'msg/s':>6}",
             *(
@@ -236,9 +263,9 @@
         ]
 
 
-def _one(arm: str, trouble: str, servers: int, seed: int) -> tuple[float, float, float]:
+def _run_world(arm: str, trouble: str, servers: int, seed: int) -> tuple[float, float, float]:
     world = World(arm, trouble, servers, seed).run()
-    return world.worst, world.made / world.could, world.messages / servers / PLAY_S
+    return world.worst, world.made / world.could, world.messages / servers / RUN_S
 
 
 def measure(
@@ -248,18 +275,18 @@
     arms: Sequence[str] = ARMS,
     say: Callable[[str], None] = lambda line: None,
 ) -> Report:
-    """The table, on all cores."""
-    all_ = [(arm, trouble, servers) for servers in sizes for trouble in troubles for arm in arms]
+    """Run all cases, on all cores."""
+    cases = [(arm, trouble, servers) for servers in sizes for trouble in troubles for arm in arms]
     return Report(
         [
             Row(
                 trouble,
                 servers,
                 arm,
-                max(one[0] for one in results),
-                statistics.mean(one[1] for one in results),
-                statistics.mean(one[2] for one in results),
+                max(result[0] for result in results),
+                statistics.mean(result[1] for result in results),
+                statistics.mean(result[2] for result in results),
             )
-            for (arm, trouble, servers), results in run_cases(_one, all_, seeds, say)
+            for (arm, trouble, servers), results in run_cases(_run_world, cases, seeds, say)
         ]
     )
