--- a/cairnvane/testbed/experiments/fuzz.py
+++ b/cairnvane/testbed/experiments/fuzz.py
@@ -1,6 +1,8 @@
-"""Datagrams that no member sent, or sent before, at a real members' channel: each may cost a count, and no
-more. Made from one seed; none of them goes over a socket, whose bound on datagrams a second would keep most
-of them out."""
+"""`cairnvane lab fuzz`: invalid and replayed datagrams at a real member transport.
+
+Each may increase a count, and must change nothing else. They are generated from one seed, and handed in
+directly: a socket's bound on datagrams a second would keep most of them out.
+"""
 
 from __future__ import annotations
 
@@ -20,58 +22,65 @@
 from ...membership.transport import MemberTransport
 from ..stand_ins.sockets import HOST
 
-KEY, OTHER = b"of the laboratory only", b"of somebody else's fleet"
+KEY = b"of the laboratory only"
+OTHER_KEY = b"of somebody else's fleet"
 MEMBERS = 12
-# Resident memory may grow by so much over all of them: pages that the allocator keeps.
-MOST_GROWTH_KB = 4_096
+# Pings that the transport accepts from each member beforehand.
+ACCEPTED_PINGS = 39
+PROGRESS_DATAGRAMS = 100_000
+MAX_ERRORS_SHOWN = 5
+# Resident memory may grow by so much over all datagrams: pages that the allocator keeps.
+MAX_GROWTH_KB = 4_096
 
 
-def _lives(rng: random.Random) -> list[Claim]:
+def _member_claims(rng: random.Random) -> list[Claim]:
     return [
         Claim(rng.getrandbits(63) | 1, f"n{number}", f"p{number}", HOST, 9_000 + number, 0, 0)
         for number in range(1, MEMBERS)
     ]
 
 
-class Maker:
-    """One datagram after the other, of every kind in turn."""
+class Generator:
+    """Generates datagrams of every kind."""
 
-    def __init__(self, rng: random.Random, lives: list[Claim], old: list[bytes]) -> None:
-        """`old`: datagrams that the channel has taken already."""
-        self._rng, self._lives, self._old = rng, lives, old
-        self._numbers = itertools.count(1_000)  # none of which was there before
+    def __init__(self, rng: random.Random, claims: list[Claim], accepted: list[bytes]) -> None:
+        """`accepted`: datagrams that the transport has accepted already."""
+        self._rng = rng
+        self._claims = claims
+        self._accepted = accepted
+        self._numbers = itertools.count(1_000)  # none of which was used before
         self.kinds: dict[str, Callable[[], bytes]] = {
             "noise": lambda: rng.randbytes(rng.randrange(0, 200)),
             "oversized": lambda: rng.randbytes(MOST_BYTES + rng.randrange(1, 100)),
             "torn": self._torn,
             "flipped": self._flipped,
             "another key": self._another_key,
-            "replayed": lambda: rng.choice(old),
+            "replayed": lambda: rng.choice(accepted),
             "under the key, noise": self._sealed_noise,
             "under the key, wrong types": self._sealed_types,
-            "under the key, insane": self._insane,
+            "under the key, insane": self._implausible,
         }
 
     def _torn(self) -> bytes:
-        whole = self._rng.choice(self._old)
-        return whole[: self._rng.randrange(len(whole))]
+        datagram = self._rng.choice(self._accepted)
+        return datagram[: self._rng.randrange(len(datagram))]
 
     def _flipped(self) -> bytes:
-        data = bytearray(self._rng.choice(self._old))
+        data = bytearray(self._rng.choice(self._accepted))
         data[self._rng.randrange(len(data))] ^= 1 << self._rng.randrange(8)
         return bytes(data)
 
     def _another_key(self) -> bytes:
-        life = self._rng.choice(self._lives)
-        return seal(OTHER, life.life, self._rng.getrandbits(40), Ping(1, life.life, [life]))
+        claim = self._rng.choice(self._claims)
+        return seal(OTHER_KEY, claim.life, self._rng.getrandbits(40), Ping(1, claim.life, [claim]))
 
-    def _enveloped(self, body: bytes) -> bytes:
-        """Any body under the right key, as no member writes it."""
-        life = self._rng.choice(self._lives).life
+    def _sealed(self, body: bytes) -> bytes:
+        """Any body under the right key, which no member would send."""
+        life = self._rng.choice(self._claims).life
         return seal(KEY, life, next(self._numbers), msgspec.Raw(body))  # type: ignore[arg-type]
 
     def _sealed_noise(self) -> bytes:
-        return self._enveloped(self._rng.randbytes(self._rng.randrange(0, 120)))
+        return self._sealed(self._rng.randbytes(self._rng.randrange(0, 120)))
 
     def _sealed_types(self) -> bytes:
         rng = self._rng
@@ -87,11 +96,12 @@
             0.5,
             b"\0",
         ]
-        return self._enveloped(msgspec.msgpack.encode(rng.choices(parts, k=rng.randrange(0, 6))))
+        return self._sealed(msgspec.msgpack.encode(rng.choices(parts, k=rng.randrange(0, 6))))
 
-    def _insane(self) -> bytes:
-        """Claims that can't be true, and what is too much to carry, of those who are there."""
-        rng, life = self._rng, self._rng.choice(self._lives)
+    def _implausible(self) -> bytes:
+        """Claims about members that can't be true, and information that is too large."""
+        rng = self._rng
+        member = rng.choice(self._claims)
         wrong: list[dict[str, Any]] = [
             {"host": "name.to.look.up"},
             {"port": 0},
@@ -103,15 +113,15 @@
             {"incarnation": -1},
             {"incarnation": 1 << 40},
         ]
-        claim = msgspec.structs.replace(life, **({"life": rng.getrandbits(62)} | rng.choice(wrong)))
-        info = Info(life.life, 1 << 30, 1 << 30, {f"k{n}": "v" * 20 for n in range(40)})
+        claim = msgspec.structs.replace(member, **({"life": rng.getrandbits(62)} | rng.choice(wrong)))
+        info = Info(member.life, 1 << 30, 1 << 30, {f"k{n}": "v" * 20 for n in range(40)})
         kind = rng.choice((Ping, Ack, Ask))
-        return seal(KEY, life.life, next(self._numbers), kind(rng.getrandbits(40), 1, [claim], [info]))
+        return seal(KEY, member.life, next(self._numbers), kind(rng.getrandbits(40), 1, [claim], [info]))
 
 
 @dataclass
 class Report:
-    """What became of them."""
+    """Result of the run; the names are the keys of the JSON report."""
 
     datagrams: int
     seed: int
@@ -119,83 +129,107 @@
     errors: list[str] = field(default_factory=list)
     changed: list[str] = field(default_factory=list)
     grown_kb: int = 0
-    uncounted: int = 0  # that came to no count at all
+    uncounted: int = 0  # datagrams that increased no count
 
     @property
     def good(self) -> bool:
-        """No exception, nobody changed, no memory kept."""
-        return not (self.errors or self.changed or self.uncounted) and self.grown_kb <= MOST_GROWTH_KB
+        """Whether there was no exception, no change, and no growth of memory."""
+        return not (self.errors or self.changed or self.uncounted) and self.grown_kb <= MAX_GROWTH_KB
 
     def as_json(self) -> dict[str, Any]:
-        """For a file."""
+        """The report for a file."""
         return asdict(self) | {"good": self.good}
 
     def lines(self) -> list[str]:
-        """For a terminal."""
+        """The report for a terminal."""
         counts = ", ".join(f"{name} {count}" for name, count in sorted(self.counts.items()))
         return [
             f"{self.datagrams} datagrams, seed {self.seed}: {counts}; uncounted {self.uncounted}",
             f"memory grew by {self.grown_kb} KB",
-            *self.errors[:5],
+            *self.errors[:MAX_ERRORS_SHOWN],
             *self.changed,
             "good" if self.good else "WRONG",
         ]
 
 
-def _seen(member: SwimMember) -> dict[int, tuple[Any, ...]]:
-    """All that a datagram could change of what is known."""
+def _snapshot(member: SwimMember) -> dict[int, tuple[Any, ...]]:
+    """All that a datagram could change in what the member knows."""
     return {life: (known.claim, known.info) for life, known in member.table.lives.items()} | {
         0: (member.own, sorted(member.table.up), member.table.count(Status.SUSPECT))
     }
 
 
-def _kb() -> int:
+def _peak_memory_kb() -> int:
     return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
 
 
-def fuzz(datagrams: int, seed: int, say: Callable[[str], None] = lambda line: None) -> Report:
-    """Let a channel take so many."""
-    rng, report = random.Random(seed), Report(datagrams, seed)
-    lives = _lives(rng)
-    channel = MemberTransport((HOST, 0), KEY, "n0", "p0", [])
-    member = channel._member
-    old = [
-        seal(KEY, one.life, number, Ping(number, member.own.life, [one]))
-        for number in range(1, 40)
-        for one in lives
+def _accepted_pings(member: SwimMember, claims: list[Claim]) -> list[bytes]:
+    return [
+        seal(KEY, claim.life, number, Ping(number, member.own.life, [claim]))
+        for number in range(1, ACCEPTED_PINGS + 1)
+        for claim in claims
     ]
-    for data in old:
-        channel._take(data, (HOST, 1), MOST_BYTES)
-    before, maker, counted = _seen(member), Maker(rng, lives, old), Counter(channel.counts)
-    replayed, insane = member.counts.replayed, member.counts.insane
-    kinds = list(maker.kinds.items())
-    for number in range(datagrams):
-        if number == datagrams // 10:
-            grown = _kb()  # pools and caches have their size by now
-        name, make = kinds[number % len(kinds)]
-        data = make()
+
+
+def _hand_in(
+    transport: MemberTransport,
+    generator: Generator,
+    report: Report,
+    say: Callable[[str], None],
+) -> None:
+    """Hand in all datagrams; errors and the growth of memory go into the report."""
+    member = transport._member
+    kinds = list(generator.kinds.items())
+    for number in range(report.datagrams):
+        if number == report.datagrams // 10:
+            memory_before_kb = _peak_memory_kb()  # pools and caches have their size by now
+        name, generate = kinds[number % len(kinds)]
+        datagram = generate()
         try:
-            channel._take(data, (HOST, 1), MOST_BYTES)
+            transport._take(datagram, (HOST, 1), MOST_BYTES)
         except Exception as error:
-            report.errors.append(f"{name}, {data[:40].hex()}: {type(error).__name__} {error}")
-        if (number + 1) % 100_000 == 0:
+            report.errors.append(f"{name}, {datagram[:40].hex()}: {type(error).__name__} {error}")
+        if (number + 1) % PROGRESS_DATAGRAMS == 0:
             member.tend()
             say(f"{number + 1} datagrams")
     member.tend()
-    report.grown_kb = _kb() - grown
-    got = channel.counts - counted
-    report.uncounted = datagrams - sum(count for kind, count in got.items() if "sent" not in kind)
-    report.counts = dict(got) | {
-        "of these replayed": member.counts.replayed - replayed,
-        "of these insane": member.counts.insane - insane,
-    }
-    after = _seen(member)
-    report.changed = [
+    report.grown_kb = _peak_memory_kb() - memory_before_kb
+
+
+def _describe_changes(
+    member: SwimMember, before: dict[int, tuple[Any, ...]], after: dict[int, tuple[Any, ...]]
+) -> list[str]:
+    changes = [
         f"life {life} changed: {before.get(life)} to {after.get(life)}"
         for life in sorted(before.keys() | after.keys())
         if before.get(life) != after.get(life)
     ]
     if len(member._numbers) > len(member.table.lives):
-        report.changed.append(f"{len(member._numbers)} senders are remembered")
-    channel.drop()
+        changes.append(f"{len(member._numbers)} senders are remembered")
+    return changes
+
+
+def fuzz(datagrams: int, seed: int, say: Callable[[str], None] = lambda line: None) -> Report:
+    """Let a transport receive so many datagrams."""
+    rng = random.Random(seed)
+    report = Report(datagrams, seed)
+    claims = _member_claims(rng)
+    transport = MemberTransport((HOST, 0), KEY, "n0", "p0", [])
+    member = transport._member
+    accepted = _accepted_pings(member, claims)
+    for datagram in accepted:
+        transport._take(datagram, (HOST, 1), MOST_BYTES)
+    before = _snapshot(member)
+    counts_before = Counter(transport.counts)
+    replayed_before = member.counts.replayed
+    insane_before = member.counts.insane
+    _hand_in(transport, Generator(rng, claims, accepted), report, say)
+    counts = transport.counts - counts_before
+    report.uncounted = datagrams - sum(count for kind, count in counts.items() if "sent" not in kind)
+    report.counts = dict(counts) | {
+        "of these replayed": member.counts.replayed - replayed_before,
+        "of these insane": member.counts.insane - insane_before,
+    }
+    report.changed = _describe_changes(member, before, _snapshot(member))
+    transport.drop()
     return report
