--- a/benchmarks/door_cost.py
+++ b/benchmarks/door_cost.py
@@ -1,5 +1,4 @@
-"""What the operators' door costs: counting on the serving path beside no counting, and the door's answer with
-callers that say nothing beside one without them."""
+"""Cost of the administration endpoint: counters on the serving path, and responses under silent clients."""
 
 from __future__ import annotations
 
@@ -19,48 +18,51 @@
 CLASSES = ("price-view", "bid-update", "bid-commit")
 ROUNDS = 200_000
 CALLS = 300
-# Callers that say nothing, each back at once when it is closed: all places are theirs, three times over.
-SILENT = 3 * MOST_CALLERS
+# Clients that send nothing and reconnect at once when closed: three times as many as there are slots.
+SILENT_CLIENTS = 3 * MOST_CALLERS
 
 
-def counting(rounds: int, tally: RequestCounters | None) -> float:
-    """Microseconds a request for what the front does with the door on (taken, attempted, ended), or off."""
+def counting_cost_us(rounds: int, counters: RequestCounters | None) -> float:
+    """Microseconds a request that the server spends on the counters; None: without counters."""
     start = time.perf_counter()
     for number in range(rounds):
         lane = CLASSES[number % 3]
-        if tally is not None:
-            tally.request_accepted()
-            tally.run_started(lane)
-            tally.response_sent(lane, ResponseStatus.SERVED)
+        if counters is not None:
+            counters.request_accepted()
+            counters.run_started(lane)
+            counters.response_sent(lane, ResponseStatus.SERVED)
     return (time.perf_counter() - start) / rounds * 1e6
 
 
-def answers(address: tuple[str, int], count: int) -> tuple[list[float], int]:
-    """Milliseconds from connect to the whole answer of /-/metrics, and how many were not 200."""
-    took, no = [], 0
+def request_metrics(address: tuple[str, int], count: int) -> tuple[list[float], int]:
+    """Milliseconds from connect to the whole response of /-/metrics, and how many were not 200."""
+    durations_ms = []
+    failures = 0
     for _ in range(count):
         start = time.perf_counter()
         with socket.create_connection(address, 5) as sock:
             sock.sendall(http.request("GET", "/-/metrics", address, {}, b""))
-            no += http.read_reply(sock, time.monotonic() + 5).status != 200
-        took.append((time.perf_counter() - start) * 1e3)
-    return took, no
+            failures += http.read_reply(sock, time.monotonic() + 5).status != 200
+        durations_ms.append((time.perf_counter() - start) * 1e3)
+    return durations_ms, failures
 
 
 def main() -> None:
-    plain, counted = counting(ROUNDS, None), counting(ROUNDS, RequestCounters(CLASSES))
+    """Measure both, in one run."""
+    plain = counting_cost_us(ROUNDS, None)
+    counted = counting_cost_us(ROUNDS, RequestCounters(CLASSES))
     table.show(
         "Counting on the serving path, µs a request",
         ("door", "µs", "beside off"),
         [("off", plain, 1.0), ("on", counted, counted / plain if plain else float("inf"))],
     )
-    duty = Readiness(lambda: True)
-    tally = RequestCounters(CLASSES)
-    door = AdministrationServer(("127.0.0.1", 0), Endpoints(duty, tally), duty)
-    door.start()
+    readiness = Readiness(lambda: True)
+    counters = RequestCounters(CLASSES)
+    server = AdministrationServer(("127.0.0.1", 0), Endpoints(readiness, counters), readiness)
+    server.start()
     rows = []
-    quiet = answers(door.address, CALLS)
-    silent = [socket.create_connection(door.address) for _ in range(SILENT)]
+    undisturbed = request_metrics(server.address, CALLS)
+    silent = [socket.create_connection(server.address) for _ in range(SILENT_CLIENTS)]
     stop = threading.Event()
 
     def keep_silent() -> None:  # each closed at its deadline comes back at once
@@ -69,21 +71,25 @@
                 sock.setblocking(False)
                 try:
                     if sock.recv(1) == b"":
-                        silent[at] = socket.create_connection(door.address)
+                        silent[at] = socket.create_connection(server.address)
                 except BlockingIOError:
                     pass
             stop.wait(0.005)
 
     thread = threading.Thread(target=keep_silent, daemon=True)
     thread.start()
-    crowded = answers(door.address, CALLS)
+    disturbed = request_metrics(server.address, CALLS)
     stop.set()
     thread.join()
-    for name, (took, no) in (("no other callers", quiet), (f"{SILENT} callers saying nothing", crowded)):
-        took.sort()
-        rows.append((name, statistics.median(took), took[int(len(took) * 0.99)], took[-1], no))
+    for name, (durations_ms, failures) in (
+        ("no other callers", undisturbed),
+        (f"{SILENT_CLIENTS} callers saying nothing", disturbed),
+    ):
+        durations_ms.sort()
+        percentile_99 = durations_ms[int(len(durations_ms) * 0.99)]
+        rows.append((name, statistics.median(durations_ms), percentile_99, durations_ms[-1], failures))
     table.show("/-/metrics, ms from connect to answer", ("beside", "median", "99th", "most", "not 200"), rows)
-    door.close()
+    server.close()
 
 
 if __name__ == "__main__":
--- a/benchmarks/fleet_choice.py
+++ b/benchmarks/fleet_choice.py
@@ -1,4 +1,4 @@
-"""Choices a second, build time and the cost of one changed endpoint, beside a plain list."""
+"""Weighted choice of an endpoint: rate, build time and cost of a change, compared with plain lists."""
 
 from __future__ import annotations
 
@@ -16,10 +16,11 @@
 
 
 class Scan:
-    """A list, gone over for each choice: the least busy of all for its weight."""
+    """A list that is scanned for each choice: the endpoint with the fewest calls for its weight."""
 
     def __init__(self, weights: list[int]) -> None:
-        self.weights, self.active = weights, [0] * len(weights)
+        self.weights = weights
+        self.active = [0] * len(weights)
 
     def choose(self) -> int:
         return min(range(len(self.weights)), key=lambda at: (self.active[at] + 1) / self.weights[at])
@@ -29,17 +30,20 @@
 
 
 class Sums:
-    """A list of running sums, searched by halves; built anew for each change."""
+    """A list of cumulative sums, found by bisection; rebuilt for each change."""
 
     def __init__(self, weights: list[int]) -> None:
-        self.weights, self.active = weights, [0] * len(weights)
+        self.weights = weights
+        self.active = [0] * len(weights)
         self.sums = list(itertools.accumulate(weights))
         self.random = random.Random(1).randrange
 
     def choose(self) -> int:
-        one, two = (bisect.bisect_right(self.sums, self.random(self.sums[-1])) for _ in range(2))
-        better = (self.active[two] + 1) * self.weights[one] < (self.active[one] + 1) * self.weights[two]
-        return two if better else one
+        first, second = (bisect.bisect_right(self.sums, self.random(self.sums[-1])) for _ in range(2))
+        second_is_better = (self.active[second] + 1) * self.weights[first] < (
+            self.active[first] + 1
+        ) * self.weights[second]
+        return second if second_is_better else first
 
     def change(self, at: int, weight: int) -> None:
         self.weights[at] = weight
@@ -47,7 +51,7 @@
 
 
 class Tree:
-    """The one in use."""
+    """The structure that the server uses."""
 
     def __init__(self, weights: list[int]) -> None:
         self.tree: Weighted[int] = Weighted()
@@ -62,8 +66,8 @@
         self.tree.put(at, weight)
 
 
-def each(task: Callable[[], object], most_s: float = 0.4) -> float:
-    """Seconds that one takes."""
+def mean_duration_s(task: Callable[[], object], most_s: float = 0.4) -> float:
+    """Mean seconds of one task."""
     count, start = 0, time.perf_counter()
     while time.perf_counter() - start < most_s:
         task()
@@ -72,17 +76,19 @@
 
 
 def main() -> None:
-    """All sizes, in one run."""
+    """Measure all structures at all sizes, in one run."""
     rows = []
     for size in SIZES:
         weights = [random.Random(at).randrange(1, 100) for at in range(size)]
         for kind, name in ((Scan, "list, all looked at"), (Sums, "running sums"), (Tree, "tree of sums")):
             start = time.perf_counter()
-            one = kind(list(weights))
+            chooser = kind(list(weights))
             built = time.perf_counter() - start
             number = itertools.count()
-            choice = each(one.choose)
-            change = each(lambda one=one, number=number, size=size: one.change(next(number) % size, 7))
+            choice = mean_duration_s(chooser.choose)
+            change = mean_duration_s(
+                lambda chooser=chooser, number=number, size=size: chooser.change(next(number) % size, 7)
+            )
             rows.append([size, name, built * 1e3, int(1 / choice), change * 1e6])
     table.show("Choices", ["endpoints", "structure", "build ms", "choices/s", "change µs"], rows)
 
--- a/benchmarks/fleet_hashing.py
+++ b/benchmarks/fleet_hashing.py
@@ -1,4 +1,4 @@
-"""Maglev's table beside a plain hash modulo the number of endpoints: build time, choices, keys that move."""
+"""Maglev's table compared with a hash modulo the number of endpoints: build time, rate, keys that move."""
 
 from __future__ import annotations
 
@@ -14,19 +14,22 @@
 
 
 def main() -> None:
-    """All sizes, in one run; one endpoint of them leaves."""
+    """Measure both at all sizes, in one run; one endpoint of them leaves."""
     rows = []
     for size in SIZES:
         keys = [("10.0.0.1", port) for port in range(size)]
         start = time.perf_counter()
-        one = Maglev(dict.fromkeys(keys, 1))
+        table_before = Maglev(dict.fromkeys(keys, 1))
         built = time.perf_counter() - start
-        less = Maglev(dict.fromkeys(keys[1:], 1))
+        table_after = Maglev(dict.fromkeys(keys[1:], 1))
         start = time.perf_counter()
         for number in range(CHOICES):
-            one.choose(number)
+            table_before.choose(number)
         rate = int(CHOICES / (time.perf_counter() - start))
-        moved = sum(one.choose(n) not in (keys[0], less.choose(n)) for n in range(TABLE_SIZE)) / TABLE_SIZE
+        moved = (
+            sum(table_before.choose(n) not in (keys[0], table_after.choose(n)) for n in range(TABLE_SIZE))
+            / TABLE_SIZE
+        )
         rows.append([size, "Maglev", built * 1e3, rate, 100 * moved])
         start = time.perf_counter()
         for number in range(CHOICES):
--- a/benchmarks/keyed_append.py
+++ b/benchmarks/keyed_append.py
@@ -1,4 +1,4 @@
-"""Appends a second by group size, and what one group takes, beside SQLite and LMDB."""
+"""Appends to the segment log by group size: rate and duration, compared with SQLite and LMDB."""
 
 from __future__ import annotations
 
@@ -11,17 +11,18 @@
 import table
 from hdrh.histogram import HdrHistogram
 
-GROUPS = (1, 8, 64, 256)
+GROUP_SIZES = (1, 8, 64, 256)
 RESULT_BYTES = 500
-MOST_S = 1.0
+DURATION_S = 1.0
 
 
 def main() -> None:
-    """All stores and group sizes, in one run."""
-    rng, rows = random.Random(1), []
+    """Measure all stores and group sizes, in one run."""
+    rng = random.Random(1)
+    rows = []
     result = rng.randbytes(RESULT_BYTES)
     for power in (False, True):
-        for group in GROUPS:
+        for group in GROUP_SIZES:
             for kind in rivals.KINDS:
                 times = HdrHistogram(1, 60_000_000_000, 3)
                 with (
@@ -29,14 +30,14 @@
                     rivals.opened(kind, Path(folder), power) as store,
                 ):
                     start = time.perf_counter()
-                    while time.perf_counter() - start < MOST_S:
+                    while time.perf_counter() - start < DURATION_S:
                         batch = [(rng.randbytes(16), 1, result) for _ in range(group)]
                         began = time.perf_counter_ns()
                         store.append(batch)
                         times.record_value(time.perf_counter_ns() - began)
-                at = [times.get_value_at_percentile(part) / 1e3 for part in (50, 99)]
+                percentiles_us = [times.get_value_at_percentile(percentile) / 1e3 for percentile in (50, 99)]
                 rate = int(group * 1e9 / times.get_mean_value())
-                rows.append(["power" if power else "process", group, kind, rate, *at])
+                rows.append(["power" if power else "process", group, kind, rate, *percentiles_us])
     head = ["durability", "group", "store", "records/s", "p50 µs a group", "p99 µs a group"]
     table.show("Appends", head, rows)
 
--- a/benchmarks/keyed_damage.py
+++ b/benchmarks/keyed_damage.py
@@ -1,4 +1,7 @@
-"""What a damaged byte does: read right, missing, wrong without a word, or a crash; beside SQLite and LMDB."""
+"""Effects of one damaged bit on a store of results, compared with SQLite and LMDB.
+
+An entry is read back right, missing, or wrong; the store reports an error, or the process crashes.
+"""
 
 from __future__ import annotations
 
@@ -12,27 +15,29 @@
 import rivals
 import table
 
-from cairnvane.idempotency.durable import index as places
+from cairnvane.idempotency.durable import index as locations
 
-ENTRIES, TRIES, RESULT_BYTES = 300, 60, 500
+ENTRIALS = 300
+TRIALS = 60
+RESULT_BYTES = 500
 
 
 def entries() -> list[rivals.Row]:
-    """The same each time."""
+    """The entries, which are the same each time."""
     rng = random.Random(1)
-    return [(rng.randbytes(16), 1 << 60, rng.randbytes(RESULT_BYTES)) for _ in range(ENTRIES)]
+    return [(rng.randbytes(16), 1 << 60, rng.randbytes(RESULT_BYTES)) for _ in range(ENTRIALS)]
 
 
 def read(kind: str, folder: Path) -> dict[str, int]:
-    """Read all of them back."""
+    """Read all entries back; how many were right, missing and wrong."""
     counts = {"right": 0, "missing": 0, "wrong": 0}
-    with rivals.opened(kind, folder, False, 2 * ENTRIES) as store:
+    with rivals.opened(kind, folder, False, 2 * ENTRIALS) as store:
         for token, _, result in entries():
             got: bytes | None = None
             if isinstance(store, rivals.Own):
                 found = store.index.get(token)
                 got = store.log.fetch(found[0], token, rivals.DIGEST) if found else None
-                assert found is None or places.state(found[0])
+                assert found is None or locations.state(found[0])
             elif isinstance(store, rivals.Sqlite):
                 row = store.db.execute("SELECT result FROM kept WHERE token = ?", (token,)).fetchone()
                 got = row[0] if row else None
@@ -45,33 +50,40 @@
 
 
 def main() -> None:
-    """A byte changed at a time, each read in a process of its own."""
-    rng, rows = random.Random(7), []
+    """Change one bit in each trial, and read the store in a process of its own."""
+    rng = random.Random(7)
+    rows = []
     for kind in rivals.KINDS:
-        silent = crashed = refused = whole = told = 0
-        for _ in range(TRIES):
+        silent = 0
+        crashed = 0
+        failed = 0
+        complete = 0
+        missing = 0
+        for _ in range(TRIALS):
             with tempfile.TemporaryDirectory(dir=Path(__file__).parent) as name:
                 folder = Path(name)
-                with rivals.opened(kind, folder, False, 2 * ENTRIES) as store:
+                with rivals.opened(kind, folder, False, 2 * ENTRIALS) as store:
                     store.append(entries())
-                biggest = max(folder.iterdir(), key=lambda path: path.stat().st_size)
-                data = bytearray(biggest.read_bytes())
+                largest = max(folder.iterdir(), key=lambda path: path.stat().st_size)
+                data = bytearray(largest.read_bytes())
                 used = len(bytes(data).rstrip(b"\0"))
                 data[rng.randrange(used)] ^= 1 << rng.randrange(8)
-                biggest.write_bytes(data)
-                done = subprocess.run([sys.executable, __file__, kind, name], capture_output=True, text=True)
-            if done.returncode < 0:
+                largest.write_bytes(data)
+                process = subprocess.run(
+                    [sys.executable, __file__, kind, name], capture_output=True, text=True
+                )
+            if process.returncode < 0:
                 crashed += 1
-            elif done.returncode:
-                refused += 1
+            elif process.returncode:
+                failed += 1
             else:
-                got = json.loads(done.stdout)
-                silent += got["wrong"] > 0
-                whole += got["right"] == ENTRIES
-                told += got["wrong"] == 0 and got["missing"] > 0
-        rows.append([kind, whole, told, refused, silent, crashed])
+                counts = json.loads(process.stdout)
+                silent += counts["wrong"] > 0
+                complete += counts["right"] == ENTRIALS
+                missing += counts["wrong"] == 0 and counts["missing"] > 0
+        rows.append([kind, complete, missing, failed, silent, crashed])
     head = ["store", "all right", "some missing", "an error", "wrong without a word", "crashed"]
-    table.show(f"{TRIES} single damaged bits, {ENTRIES} entries", head, rows)
+    table.show(f"{TRIALS} single damaged bits, {ENTRIALS} entries", head, rows)
 
 
 if __name__ == "__main__":
--- a/benchmarks/keyed_index.py
+++ b/benchmarks/keyed_index.py
@@ -1,4 +1,4 @@
-"""The index of kept keys beside a dict of dataclasses: bytes an entry, and time an operation."""
+"""The index of idempotency keys compared with a dict of dataclasses: bytes an entry, time an operation."""
 
 from __future__ import annotations
 
@@ -20,14 +20,14 @@
 
 @dataclass(slots=True)
 class Entry:
-    """What the plain one keeps for a token."""
+    """What the baseline keeps for a key."""
 
     place: int
     until: int
 
 
 class Plain:
-    """A dict, and a queue of what ages next: entries come in the order of their ends."""
+    """The baseline: a dict, and a queue of keys in the order in which they expire."""
 
     def __init__(self) -> None:
         self.entries: dict[bytes, Entry] = {}
@@ -50,10 +50,10 @@
 
 
 def measure(kind: str, size: int) -> dict[str, float]:
-    """One of them, filled with `size` entries; tokens are made as they are needed and not kept here."""
+    """Measure one index with `size` entries; keys are generated as needed and not kept here."""
     rng = random.Random(1)
     base = table.resident()
-    one: Index | Plain = Index(size * BYTES_PER_ENTRY) if kind == "index" else Plain()
+    index: Index | Plain = Index(size * BYTES_PER_ENTRY) if kind == "index" else Plain()
     spent = {"put": 0.0, "hit": 0.0, "miss": 0.0, "expire": 0.0}
 
     def timed(name: str, task: object) -> None:
@@ -66,28 +66,30 @@
         timed(
             "put",
             lambda tokens=tokens, first=first: [
-                one.put(token, n << 17, WINDOW_US + n * 1_000) for n, token in enumerate(tokens, first)
+                index.put(token, n << 17, WINDOW_US + n * 1_000) for n, token in enumerate(tokens, first)
             ],
         )
     del tokens
-    held = table.resident() - base
+    used_bytes = table.resident() - base
     rng = random.Random(1)
-    known = [rng.randbytes(16) for _ in range(CHUNK)]
-    fresh = [random.Random(2).randbytes(16) for _ in range(CHUNK)]
-    timed("hit", lambda: [one.get(token) for token in known])
-    timed("miss", lambda: [one.get(token) for token in fresh])
-    timed("expire", lambda: [one.expire(WINDOW_US + n * 1_000) for n in range(CHUNK)])
+    present = [rng.randbytes(16) for _ in range(CHUNK)]
+    absent = [random.Random(2).randbytes(16) for _ in range(CHUNK)]
+    timed("hit", lambda: [index.get(token) for token in present])
+    timed("miss", lambda: [index.get(token) for token in absent])
+    timed("expire", lambda: [index.expire(WINDOW_US + n * 1_000) for n in range(CHUNK)])
     counts = {"put": size, "hit": CHUNK, "miss": CHUNK, "expire": CHUNK}
-    return {"bytes": held / size} | {name: spent[name] / counts[name] * 1e6 for name in spent}
+    return {"bytes": used_bytes / size} | {name: spent[name] / counts[name] * 1e6 for name in spent}
 
 
 def main() -> None:
-    """All sizes, each in processes of its own."""
+    """Measure both at all sizes, each in a process of its own."""
     rows = []
     for size in SIZES:
         for kind, name in (("index", "ring and buckets"), ("plain", "dict of dataclasses")):
-            got = table.child(__file__, kind, size)
-            rows.append([size, name, got["bytes"], got["put"], got["hit"], got["miss"], got["expire"]])
+            result = table.child(__file__, kind, size)
+            rows.append(
+                [size, name, result["bytes"], result["put"], result["hit"], result["miss"], result["expire"]]
+            )
     head = ["entries", "structure", "bytes an entry", "put µs", "hit µs", "miss µs", "age out µs"]
     table.show("The index", head, rows)
 
--- a/benchmarks/keyed_latency.py
+++ b/benchmarks/keyed_latency.py
@@ -1,6 +1,6 @@
-"""What keeping adds to an answer, at the site's rate and at six times it, beside the store off and SQLite.
+"""Latency that storing results adds, at the site's rate and at six times it, compared with SQLite.
 
-Open loop: a latency counts from when its request should have gone out. The variants take turns within a run.
+The load is open-loop: a latency counts from when its request was due. The variants take turns within a run.
 """
 
 from __future__ import annotations
@@ -25,6 +25,8 @@
 
 SITE_RATE = 190
 RATES = [SITE_RATE, 6 * SITE_RATE]
+# Commits before the measurement.
+WARM_UP_COMMITS = 50
 VARIANTS = {
     "off": ("", ""),
     "process": ("process", "own"),
@@ -41,7 +43,7 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
-def play(
+def measure(
     folder: Path,
     pool: str,
     variant: str,
@@ -49,7 +51,7 @@
     seconds: float,
     times: HdrHistogram,
 ) -> list[float]:
-    """One life under load; answers not served, CPU seconds, commits."""
+    """Run one process under load; responses that did not serve, CPU seconds, commits."""
     durability, store = VARIANTS[variant]
     vault, roster = StandInVault(), StandInRoster()
     site = server_process.Site(
@@ -64,47 +66,50 @@
     process = subprocess.Popen(
         [sys.executable, str(HERE / "keyed_server.py")], env=environment, stderr=subprocess.PIPE, text=True
     )
-    life = server_process.Life(process, time.monotonic())
-    threading.Thread(target=life.watch, daemon=True).start()
-    assert life.listens(), life.lines
-    balancer = StandInBalancer(life.port)
-    left, other, lock = int(rate * seconds), 0, threading.Lock()
-    done = threading.Semaphore(0)
-
-    def told(number: int, due: float, reply: Reply) -> None:
-        nonlocal other
-        took = time.monotonic() - due
+    server = server_process.Life(process, time.monotonic())
+    threading.Thread(target=server.watch, daemon=True).start()
+    assert server.listens(), server.lines
+    balancer = StandInBalancer(server.port)
+    commits = int(rate * seconds)
+    not_served = 0
+    lock = threading.Lock()  # guards the counts and the histogram
+    answered = threading.Semaphore(0)
+
+    def record_reply(number: int, due: float, reply: Reply) -> None:
+        nonlocal not_served
+        latency_s = time.monotonic() - due
         with lock:
             if number < 0:
                 pass
             elif reply.status == 200:
-                times.record_value(int(took * 1e6))
+                times.record_value(int(latency_s * 1e6))
             else:
-                other += 1
-        done.release()
-
-    rng, warm = random.Random(1), 50
-    start, used = time.monotonic(), 0.0
-    for number in range(-warm, left):
-        due = start + (number + warm) / rate
+                not_served += 1
+        answered.release()
+
+    rng = random.Random(1)
+    start = time.monotonic()
+    cpu_before = 0.0
+    for number in range(-WARM_UP_COMMITS, commits):
+        due = start + (number + WARM_UP_COMMITS) / rate
         time.sleep(max(0.0, due - time.monotonic()))
         if number == 0:
-            used = cpu_s(process.pid)
+            cpu_before = cpu_s(process.pid)
         body, token = b"%d %d" % (number, rng.getrandbits(60)), rng.randbytes(16).hex()
         uid = f"{rng.getrandbits(64):016x}"
-        balancer.send(uid, KEYED_CLASS, body, token, lambda r, n=number, due=due: told(n, due, r))
-    for _ in range(left + warm):
-        assert done.acquire(timeout=10)
-    spent = cpu_s(process.pid) - used
+        balancer.send(uid, KEYED_CLASS, body, token, lambda r, n=number, due=due: record_reply(n, due, r))
+    for _ in range(commits + WARM_UP_COMMITS):
+        assert answered.acquire(timeout=10)
+    used_s = cpu_s(process.pid) - cpu_before
     balancer.close()
-    life.kill()
+    server.kill()
     vault.close()
     roster.close()
-    return [other, spent, left]
+    return [not_served, used_s, commits]
 
 
 def main() -> None:
-    """Both rates; each variant in several short turns."""
+    """Measure both rates, each variant in several short turns."""
     seconds, rounds = float(os.environ.get("BENCH_SECONDS", "5")), int(os.environ.get("BENCH_ROUNDS", "3"))
     pool = subprocess.Popen([sys.executable, __file__, "pool"], stdout=subprocess.PIPE, text=True)
     assert pool.stdout is not None
@@ -117,15 +122,15 @@
             for _ in range(rounds):
                 for variant in VARIANTS:
                     with tempfile.TemporaryDirectory(dir=HERE) as folder:
-                        got = play(Path(folder), address, variant, rate, seconds, times[variant])
-                    sums[variant] = [a + b for a, b in zip(sums[variant], got, strict=True)]
+                        measured = measure(Path(folder), address, variant, rate, seconds, times[variant])
+                    sums[variant] = [a + b for a, b in zip(sums[variant], measured, strict=True)]
             rows = []
             for variant in VARIANTS:
                 at = [times[variant].get_value_at_percentile(p) / 1e3 for p in (50, 99, 99.9)]
                 base = [times["off"].get_value_at_percentile(p) / 1e3 for p in (50, 99, 99.9)]
-                other, used, count = sums[variant]
+                not_served, used_s, count = sums[variant]
                 added = [round(a - b, 3) for a, b in zip(at, base, strict=True)]
-                rows.append([variant, *at, *added, int(other), used / count * 1e6])
+                rows.append([variant, *at, *added, int(not_served), used_s / count * 1e6])
             head = ["store", "p50 ms", "p99 ms", "p99.9 ms", "added p50", "added p99", "added p99.9"]
             table.show(f"{rate} commits a second", [*head, "not served", "CPU µs a commit"], rows)
     finally:
--- a/benchmarks/keyed_recovery.py
+++ b/benchmarks/keyed_recovery.py
@@ -1,4 +1,4 @@
-"""Recovery time and peak memory, beside SQLite and LMDB, with and without their tokens read into memory."""
+"""Recovery time and peak memory, compared with SQLite and LMDB with and without reading their keys."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 def fill(kind: str, folder: Path, size: int) -> None:
-    """As many entries as a window may hold."""
+    """Write so many entries."""
     rng = random.Random(1)
     result = rng.randbytes(RESULT_BYTES)
     until = time.monotonic_ns() // 1_000 + 100 * rivals.WINDOW_US
@@ -30,28 +30,28 @@
 
 
 def recover(kind: str, folder: Path, size: int, load: bool) -> dict[str, float]:
-    """Open it until it can say of a token whether it is known."""
+    """Open a store until it can tell whether a key is known."""
     base = table.resident()
     start = time.perf_counter()
     with rivals.opened(kind, folder, False, size + 1_000) as store:
         if load and not isinstance(store, rivals.Own):
             assert store.load() == size
-        took = time.perf_counter() - start
+        duration_s = time.perf_counter() - start
         assert not isinstance(store, rivals.Own) or store.open == size
-        return {"s": took, "mb": (table.peak() - base) / 1e6}
+        return {"s": duration_s, "mb": (table.peak() - base) / 1e6}
 
 
 def main() -> None:
-    """All sizes; each recovery in a process of its own."""
+    """Measure all stores at all sizes, each recovery in a process of its own."""
     rows = []
     for size in SIZES:
         for kind in rivals.KINDS:
             with tempfile.TemporaryDirectory(dir=Path(__file__).parent) as folder:
                 fill(kind, Path(folder), size)
                 for load in (True, False) if kind != "own" else (True,):
-                    got = table.child(__file__, kind, folder, size, int(load))
+                    result = table.child(__file__, kind, folder, size, int(load))
                     name = kind if load else f"{kind}, opened only"
-                    rows.append([size, name, got["s"], got["mb"]])
+                    rows.append([size, name, result["s"], result["mb"]])
     table.show("Recovery", ["entries", "store", "s", "MB more at the peak"], rows)
 
 
--- a/benchmarks/keyed_server.py
+++ b/benchmarks/keyed_server.py
@@ -1,4 +1,4 @@
-"""The real program, with its kept results in SQLite where BENCH_STORE says so; for `keyed_latency.py`."""
+"""The real program, storing results in SQLite if BENCH_STORE says so; run by `keyed_latency.py`."""
 
 from __future__ import annotations
 
@@ -12,9 +12,9 @@
 
 
 class SqliteStore(cairnvane.idempotency.durable.DurableStore):
-    """The same writer and queue, but each group is a transaction."""
+    """A store with the same writer and queue, in which each group is a transaction."""
 
-    def _recover(self) -> None:
+    def _recover(self, waited: bool) -> None:
         path = self._files._folder / "keyed.sqlite"  # type: ignore[attr-defined]
         self._db = sqlite3.connect(path, isolation_level=None)
         self._db.execute("PRAGMA journal_mode=WAL")
@@ -37,7 +37,7 @@
 
 
 if __name__ == "__main__":
-    # As it is deployed: a server's threads share one core. Spread over several, each wakes with cold caches.
+    # As it is deployed, a server's threads share one core: spread over several, each wakes with cold caches.
     os.sched_setaffinity(0, {max(os.sched_getaffinity(0))})
     if os.environ.get("BENCH_STORE") == "sqlite":
         cairnvane.idempotency.durable.DurableStore = SqliteStore  # type: ignore[misc]
--- a/benchmarks/ledger_cost.py
+++ b/benchmarks/ledger_cost.py
@@ -1,5 +1,7 @@
-"""What each keeper of keys costs a commit, in one run: claim, end, and a look from another life, beside the
-table in memory that knows one life only. `TMPDIR` says on what disk."""
+"""Cost of each idempotency store for a commit: start, end, and a look-up by another incarnation.
+
+Compared with the key table in memory, which knows one incarnation only, in one run. `TMPDIR` names the disk.
+"""
 
 from __future__ import annotations
 
@@ -25,7 +27,7 @@
 UNREAD = 5_800_000
 
 
-def begun(number: int, until: int) -> StartedRun:
+def started_run(number: int, until: int) -> StartedRun:
     return StartedRun(
         number.to_bytes(16, "little"),
         f"{number:016x}",
@@ -38,33 +40,35 @@
     )
 
 
-def drive(keeper: IdempotencyStore, other: IdempotencyStore | None) -> tuple[float, float]:
-    """Wall and CPU microseconds a commit, one after the other, as a host makes them."""
+def measure(store: IdempotencyStore, other: IdempotencyStore | None) -> tuple[float, float]:
+    """Wall and CPU microseconds a commit, one after the other."""
     done = threading.Semaphore(0)
     until = clock.now() + 60_000_000
     start, cpu = time.perf_counter(), time.process_time()
     for number in range(COMMITS):
-        one = begun(number, until)
-        keeper.look_up(one.key, one.fingerprint, 0)
-        keeper.record_start(one, done.release, lambda there: None)
+        run = started_run(number, until)
+        store.look_up(run.key, run.fingerprint, 0)
+        store.record_start(run, done.release, lambda there: None)
         done.acquire()
-        keeper.record_end(one.key, one.expires_at, one.fingerprint, RESULT, (), done.release)
+        store.record_end(run.key, run.expires_at, run.fingerprint, RESULT, (), done.release)
         done.acquire()
         if other is not None:
-            assert other.look_up(one.key, one.fingerprint, 0) is not None
+            assert other.look_up(run.key, run.fingerprint, 0) is not None
     return (time.perf_counter() - start) / COMMITS * 1e6, (time.process_time() - cpu) / COMMITS * 1e6
 
 
-def ledger(path: Path) -> ClaimLog:
-    lives = Incarnations(path / "lives")
-    lives.enter()
-    made = ClaimLog(OsFolder(path / "ledger"), lives, UNREAD)
-    made.open()
-    made.start(lambda left: None, lambda: None, lambda why: None)
-    return made
+def open_claim_log(path: Path) -> ClaimLog:
+    """A claim log with an incarnation of its own."""
+    incarnations = Incarnations(path / "lives")
+    incarnations.enter()
+    claim_log = ClaimLog(OsFolder(path / "ledger"), incarnations, UNREAD)
+    claim_log.open()
+    claim_log.start(lambda left: None, lambda: None, lambda why: None)
+    return claim_log
 
 
 def main() -> None:
+    """Measure all stores, in one run."""
     keys = KeyTable(UNREAD)
     start, cpu = time.perf_counter(), time.process_time()
     for number in range(COMMITS):
@@ -75,9 +79,9 @@
     rows = [("table in memory, one life", *plain)]
     for name, beside in (("ledger, alone", False), ("ledger, and a look from another life", True)):
         with tempfile.TemporaryDirectory() as folder:
-            mine = ledger(Path(folder))
-            other = ledger(Path(folder)) if beside else None
-            rows.append((name, *drive(mine, other)))
+            mine = open_claim_log(Path(folder))
+            other = open_claim_log(Path(folder)) if beside else None
+            rows.append((name, *measure(mine, other)))
             mine.close()
             if other is not None:
                 other.close()
@@ -96,7 +100,7 @@
             ready = threading.Semaphore(0)
             store.start(lambda left, ready=ready: ready.release(), lambda: None, print)  # type: ignore[misc]
             ready.acquire()
-            rows.append((f"log, {'power' if power else 'process'}", *drive(store, None)))
+            rows.append((f"log, {'power' if power else 'process'}", *measure(store, None)))
             store.close()
     table.show(
         "A commit's keys, µs",
--- a/benchmarks/members_real.py
+++ b/benchmarks/members_real.py
@@ -1,8 +1,7 @@
-"""Twelve real processes that know each other: how soon all know of a kill, and what it costs beside the same
-without.
+"""Twelve real processes that are members of one cluster: detection time of a kill, and CPU cost.
 
-Times are those of the servers' own log lines as this process reads them; CPU is that of each process, from
-/proc.
+Times are those at which this process reads the servers' log lines; CPU is that of each process, from /proc,
+compared with the same processes without membership.
 """
 
 from __future__ import annotations
@@ -24,11 +23,15 @@
 from cairnvane.testbed.stand_ins.vault import StandInRoster, StandInVault
 from cairnvane.testbed.stand_ins.worker_pool import StandInPool
 
-MEMBERS, KILLS = int(os.environ.get("BENCH_MEMBERS", "12")), int(os.environ.get("BENCH_KILLS", "20"))
+MEMBERS = int(os.environ.get("BENCH_MEMBERS", "12"))
+KILLS = int(os.environ.get("BENCH_KILLS", "20"))
+# All have to detect a kill, and a restart, within this time.
+DETECTION_TIMEOUT_S = 20
 IDLE_S = float(os.environ.get("BENCH_SECONDS", "20"))
 
 
-def free() -> list[int]:
+def free_ports() -> list[int]:
+    """A free port for each member."""
     socks = [socket.create_server(("127.0.0.1", 0)) for _ in range(MEMBERS)]
     ports = [sock.getsockname()[1] for sock in socks]
     for sock in socks:
@@ -74,7 +77,7 @@
     return found is not None and found.event == event and member in (None, found.member)
 
 
-def seen(lives: list[server_process.Life], but: int, event: str, since: list[int]) -> bool:
+def all_logged(lives: list[server_process.Life], but: int, event: str, since: list[int]) -> bool:
     return all(
         any(has_event(line, event, f"n{but}") for line in life.lines[since[number] :])
         for number, life in enumerate(lives)
@@ -82,21 +85,22 @@
     )
 
 
-def cost(lives: list[server_process.Life]) -> list[float]:
+def cpu_usage(lives: list[server_process.Life]) -> list[float]:
     before = [cpu_s(life.process.pid) for life in lives]
     time.sleep(IDLE_S)
     return [(cpu_s(life.process.pid) - was) / IDLE_S for life, was in zip(lives, before, strict=True)]
 
 
 def main() -> None:
+    """Measure without membership, then with it, and kill members one after the other."""
     with tempfile.TemporaryDirectory() as folder:
-        _, plain = start(Path(folder), False, free())
-        off = cost(plain)
+        _, plain = start(Path(folder), False, free_ports())
+        off = cpu_usage(plain)
         for life in plain:
             life.kill()
-        sites, lives = start(Path(folder), True, free())
+        sites, lives = start(Path(folder), True, free_ports())
         time.sleep(5)
-        on = cost(lives)
+        on = cpu_usage(lives)
         alarms = sum(has_event(line, "suspected") for life in lives for line in life.lines)
         took = []
         for kill in range(KILLS):
@@ -104,14 +108,18 @@
             since = [len(life.lines) for life in lives]
             lives[which].kill()
             at = time.monotonic()
-            while not seen(lives, which, "failed", since) and time.monotonic() < at + 20:
+            while (
+                not all_logged(lives, which, "failed", since) and time.monotonic() < at + DETECTION_TIMEOUT_S
+            ):
                 time.sleep(0.01)
             took.append((time.monotonic() - at) * 1e3)
             since = [len(life.lines) for life in lives]
             lives[which] = server_process.start(sites[which])
             assert lives[which].listens()
             at = time.monotonic()
-            while not seen(lives, which, "alive", since) and time.monotonic() < at + 20:
+            while (
+                not all_logged(lives, which, "alive", since) and time.monotonic() < at + DETECTION_TIMEOUT_S
+            ):
                 time.sleep(0.01)
             time.sleep(2)
         for life in lives:
--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -1,5 +1,4 @@
-"""CPU a request of the plain line, in a closed loop of callers: commits alone, each with four repeats, and
-each with so many that little else is left.
+"""CPU time of a request of one server, in a closed loop: commits alone, and each with a number of retries.
 
 `request_cost.py [CHECKOUT...]`: this tree and further checkouts (`git worktree add`) take turns within one
 run, since a machine's speed drifts by more than they differ. `TMPDIR` says on what disk.
@@ -16,6 +15,7 @@
 import threading
 import time
 from pathlib import Path
+from typing import NamedTuple
 
 import table
 from keyed_latency import cpu_s
@@ -25,65 +25,82 @@
 from cairnvane.testbed.stand_ins.balancer import Reply, StandInBalancer
 from cairnvane.testbed.stand_ins.vault import StandInRoster, StandInVault
 
-CALLERS, REPEATS = 16, (0, 4, 49)
+CLIENTS = 16
+# Retries of each commit.
+RETRIES = (0, 4, 49)
 HERE = Path(__file__).resolve().parent
 
 
-def play(checkout: Path, pool: str, repeats: int, seconds: float) -> tuple[float, float, int]:
-    """One life of that checkout's program: µs of CPU a request, requests a second, answers not served."""
+class Cost(NamedTuple):
+    """Result of one measurement."""
+
+    cpu_us: float  # a request
+    requests_a_second: float
+    not_served: int
+
+
+def measure(checkout: Path, pool: str, retries: int, seconds: float) -> Cost:
+    """Run one process of that checkout's program under load."""
     vault, roster = StandInVault(), StandInRoster()
     with tempfile.TemporaryDirectory() as folder:
         site = server_process.Site(Path(folder), pool, vault.address, roster.address, SETTINGS)
-        line = (
+        program = (
             "import os, sys; os.sched_setaffinity(0, {max(os.sched_getaffinity(0))}); "
             "from cairnvane.__main__ import main; sys.exit(main())"
         )
         process = subprocess.Popen(
-            [sys.executable, "-c", line],
+            [sys.executable, "-c", program],
             env={**os.environ, **site.write()},
             cwd=checkout,
             stderr=subprocess.PIPE,
             text=True,
         )
-        life = server_process.Life(process, time.monotonic())
-        threading.Thread(target=life.watch, daemon=True).start()
-        assert life.listens(), life.lines
-        balancer = StandInBalancer(life.port)
-        until, counts, lock = time.monotonic() + seconds, [0, 0], threading.Lock()
-
-        def caller(seed: int) -> None:
-            rng, passed = random.Random(seed), threading.Semaphore(0)
+        server = server_process.Life(process, time.monotonic())
+        threading.Thread(target=server.watch, daemon=True).start()
+        assert server.listens(), server.lines
+        balancer = StandInBalancer(server.port)
+        ends_at = time.monotonic() + seconds
+        requests = 0
+        not_served = 0
+        lock = threading.Lock()  # guards both counts
+
+        def client(seed: int) -> None:
+            nonlocal requests, not_served
+            rng = random.Random(seed)
+            answered = threading.Semaphore(0)
             replies: list[Reply] = []
 
-            def told(reply: Reply) -> None:
+            def record_reply(reply: Reply) -> None:
                 replies.append(reply)
-                passed.release()
+                answered.release()
 
-            while time.monotonic() < until:
+            while time.monotonic() < ends_at:
                 token, body = rng.randbytes(16).hex(), rng.randbytes(40)
-                for _ in range(1 + repeats):
-                    balancer.send(f"{rng.getrandbits(64):016x}", KEYED_CLASS, body, token, told)
-                    assert passed.acquire(timeout=20)
+                for _ in range(1 + retries):
+                    balancer.send(f"{rng.getrandbits(64):016x}", KEYED_CLASS, body, token, record_reply)
+                    assert answered.acquire(timeout=20)
             with lock:
-                counts[0] += len(replies)
-                counts[1] += sum(reply.status != 200 for reply in replies)
+                requests += len(replies)
+                not_served += sum(reply.status != 200 for reply in replies)
 
-        threads = [threading.Thread(target=caller, args=(seed,)) for seed in range(CALLERS)]
-        before, start = cpu_s(process.pid), time.monotonic()
+        threads = [threading.Thread(target=client, args=(seed,)) for seed in range(CLIENTS)]
+        cpu_before = cpu_s(process.pid)
+        start = time.monotonic()
         for thread in threads:
             thread.start()
         for thread in threads:
             thread.join()
-        used, took = cpu_s(process.pid) - before, time.monotonic() - start
+        used_s = cpu_s(process.pid) - cpu_before
+        duration_s = time.monotonic() - start
         balancer.close()
-        life.kill()
+        server.kill()
     vault.close()
     roster.close()
-    return used / counts[0] * 1e6, counts[0] / took, counts[1]
+    return Cost(used_s / requests * 1e6, requests / duration_s, not_served)
 
 
 def main() -> None:
-    """All checkouts, three rounds each, in turns."""
+    """Measure all checkouts in turns, several rounds each."""
     seconds, rounds = float(os.environ.get("BENCH_SECONDS", "4")), int(os.environ.get("BENCH_ROUNDS", "3"))
     checkouts = [HERE.parent, *map(Path, sys.argv[1:])]
     pool = subprocess.Popen(
@@ -92,24 +109,25 @@
     assert pool.stdout is not None
     address = pool.stdout.readline().strip()
     try:
-        got: dict[tuple[str, int], list[tuple[float, float, int]]] = {}
+        costs: dict[tuple[str, int], list[Cost]] = {}
         for _ in range(rounds):
             for checkout in checkouts:
-                for repeats in REPEATS:
-                    got.setdefault((checkout.name, repeats), []).append(
-                        play(checkout, address, repeats, seconds)
+                for retries in RETRIES:
+                    costs.setdefault((checkout.name, retries), []).append(
+                        measure(checkout, address, retries, seconds)
                     )
         rows = []
         for checkout in checkouts:
-            runs = [got[checkout.name, repeats] for repeats in REPEATS]
-            cost = [statistics.median(run[0] for run in one) for one in runs]
-            spread = " ".join(f"{run[0]:.0f}" for run in runs[-1])
-            rows.append([checkout.name, *cost, spread, sum(run[2] for one in runs for run in one)])
+            by_retries = [costs[checkout.name, retries] for retries in RETRIES]
+            medians = [statistics.median(cost.cpu_us for cost in costs_of) for costs_of in by_retries]
+            spread = " ".join(f"{cost.cpu_us:.0f}" for cost in by_retries[-1])
+            not_served = sum(cost.not_served for costs_of in by_retries for cost in costs_of)
+            rows.append([checkout.name, *medians, spread, not_served])
         table.show(
             "CPU, µs a request",
             [
                 "checkout",
-                *(f"{repeats} repeats" for repeats in REPEATS),
+                *(f"{retries} repeats" for retries in RETRIES),
                 "each run of the last",
                 "not served",
             ],
--- a/benchmarks/rivals.py
+++ b/benchmarks/rivals.py
@@ -1,4 +1,4 @@
-"""Other stores for the same entries: SQLite with a write-ahead log, and LMDB."""
+"""Stores for the same entries: the segment log, SQLite with a write-ahead log, and LMDB."""
 
 from __future__ import annotations
 
@@ -15,14 +15,14 @@
 from cairnvane.idempotency.durable.index import BYTES_PER_ENTRY, Index
 from cairnvane.idempotency.durable.storage import OsFiles
 
-Row = tuple[bytes, int, bytes]  # token, until, result
+Row = tuple[bytes, int, bytes]  # idempotency key, time of expiry, result
 WINDOW_US = 17_364_000
 DIGEST = bytes(16)
 HUGE = 1 << 34
 
 
 class Own:
-    """The project's own log: an intent and an end for each commit, as the store writes them."""
+    """The project's segment log: an intent and a result for each commit, as the store writes them."""
 
     def __init__(self, folder: Path, power: bool, entries: int = 1_000) -> None:
         self.now = time.monotonic_ns() // 1_000
@@ -43,7 +43,7 @@
         self.log.sync()
 
     def begin(self, rows: list[Row]) -> None:
-        """The intents, which stand in a real log before each end."""
+        """Write the intents, which precede the results in a real log."""
         rest = records.put_intent("0" * 16, DIGEST, self.now, 24.5, "bid-commit")
         self.log.append(
             (segment_log.Entry(Step.INTENT, row[0], self.now, row[1], rest) for row in rows), unix_ms=0
@@ -73,9 +73,9 @@
         self.db.execute("COMMIT")
 
     def load(self) -> int:
-        """Know all tokens in memory, so that no arrival waits for the disk."""
-        known = dict(self.db.execute("SELECT token, until FROM kept"))
-        return len(known)
+        """Read all keys into memory, so that no request waits for the disk; their number."""
+        expiry_by_key = dict(self.db.execute("SELECT token, until FROM kept"))
+        return len(expiry_by_key)
 
     def close(self) -> None:
         self.db.close()
@@ -96,19 +96,19 @@
     def load(self) -> int:
         """As `Sqlite.load`."""
         with self.env.begin() as txn:
-            known = {bytes(token): bytes(value[:8]) for token, value in txn.cursor()}
-        return len(known)
+            expiry_by_key = {bytes(token): bytes(value[:8]) for token, value in txn.cursor()}
+        return len(expiry_by_key)
 
     def close(self) -> None:
         self.env.close()
 
 
-KINDS = {"own": Own, "sqlite": Sqlite, "lmdb": Lmdb}
+KINDS: dict[str, type[Own] | type[Sqlite] | type[Lmdb]] = {"own": Own, "sqlite": Sqlite, "lmdb": Lmdb}
 
 
 @contextlib.contextmanager
 def opened(kind: str, folder: Path, power: bool, entries: int = 1_000) -> Iterator[Own | Sqlite | Lmdb]:
-    """A store on an empty or a filled folder."""
+    """A store on an empty or a filled folder, closed at the end."""
     store = KINDS[kind](folder, power, entries)
     try:
         yield store
--- a/benchmarks/table.py
+++ b/benchmarks/table.py
@@ -1,4 +1,4 @@
-"""What the benchmarks share: tables, memory, and child processes that each measure one case."""
+"""Shared by the benchmarks: tables, memory, and child processes that each measure one case."""
 
 from __future__ import annotations
 
@@ -11,6 +11,12 @@
 from typing import Any
 
 
+def _format(cell: object) -> str:
+    if isinstance(cell, float):
+        return f"{cell:,.3g}"
+    return f"{cell:,}" if isinstance(cell, int) else str(cell)
+
+
 def show(title: str, head: Sequence[str], rows: Sequence[Sequence[object]]) -> None:
     """Print a table in Markdown."""
     print(f"\n{title}\n")
@@ -18,38 +24,28 @@
     print("|" + " --- |" * len(head))
     for row in rows:
         print(
-            "| "
-            + " | ".join(
-                f"{cell:,.3g}"
-                if isinstance(cell, float)
-                else f"{cell:,}"
-                if isinstance(cell, int)
-                else str(cell)
-                for cell in row
-            )
-            + " |",
+            "| " + " | ".join(map(_format, row)) + " |",
             flush=True,
         )
 
 
 def resident() -> int:
-    """Bytes of this process that are in memory now."""
+    """Resident memory of this process in bytes."""
     pages = int(Path("/proc/self/statm").read_text().split()[1])
     return pages * resource.getpagesize()
 
 
 def peak() -> int:
-    """Bytes that this process had in memory at its largest; unlike `ru_maxrss`, not those of who started
-    it."""
+    """Peak resident memory of this process in bytes; unlike `ru_maxrss`, without that of its parent."""
     for line in Path("/proc/self/status").read_text().splitlines():
         if line.startswith("VmHWM:"):
             return int(line.split()[1]) * 1_024
     raise RuntimeError("no VmHWM")
 
 
-def child(script: str, *words: object) -> Any:
-    """Measure one case in a process of its own, which prints JSON."""
-    done = subprocess.run([sys.executable, script, *map(str, words)], capture_output=True, text=True)
-    if done.returncode:
-        raise RuntimeError(f"{script} {words}: {done.stderr[-2000:]}")
-    return json.loads(done.stdout)
+def child(script: str, *arguments: object) -> Any:
+    """Measure one case in a process of its own, which prints JSON; `RuntimeError` if it fails."""
+    process = subprocess.run([sys.executable, script, *map(str, arguments)], capture_output=True, text=True)
+    if process.returncode:
+        raise RuntimeError(f"{script} {arguments}: {process.stderr[-2000:]}")
+    return json.loads(process.stdout)
