--- a/cairnvane/testbed/cluster/load.py
+++ b/cairnvane/testbed/cluster/load.py
@@ -157,7 +157,8 @@
         request.attempts.append(attempt)
         balancer = self._connected_balancer(request.balancer, number)
         if balancer is None:
-            return self._end_attempt(request, attempt, _disconnected(), reached=False)
+            self._end_attempt(request, attempt, _disconnected(), reached=False)
+            return
         abort = balancer.send(
             request_id,
             request.request_class,
@@ -167,7 +168,8 @@
             wait=False,
         )
         if abort is None:
-            return self._end_attempt(request, attempt, _disconnected(), reached=False)
+            self._end_attempt(request, attempt, _disconnected(), reached=False)
+            return
         with self._lock:
             self._schedule(now + self._scenario.load.wait, lambda: self._time_out(request, attempt, abort))
 
--- a/cairnvane/testbed/cluster/nodes.py
+++ b/cairnvane/testbed/cluster/nodes.py
@@ -34,7 +34,7 @@
     return {"Name": name, "Worth": weight} | times | more
 
 
-def settings(told: Scenario) -> dict[str, Any]:
+def settings(scenario: Scenario) -> dict[str, Any]:
     """The settings of each server, as the platform gives them: classes, machine, share of the dependency."""
     keyed = {"Repeat": "guarded", "WindowUs": 17_364_000, "LateWorth": 0.2}
     return {
@@ -44,17 +44,17 @@
             _request_class("bid-commit", 3.0, 2_300, 5_800, **keyed),
         ],
         "Extra": {
-            "Cores": told.server.cores,
+            "Cores": scenario.server.cores,
             "HeapKb": 200_000.0,
             "RunFactor": 16.0,
             "KeyKb": 1.0,
             "Halt": "drop",
             "Say": "credit",
             "Downstream": "shared",
-            "FairCalls": told.vault.slots / told.servers,
+            "FairCalls": scenario.vault.slots / scenario.servers,
             "CallsOverUs": 5_000_000,
             "LingerUs": 0,
-            "ClientsTotal": told.load.balancers,
+            "ClientsTotal": scenario.load.balancers,
             "Meters": ["cpu_busy", "runnable", "mem_used", "sockets"],
             "TellsGone": True,
         },
@@ -82,7 +82,7 @@
 
 
 class Handover(NamedTuple):
-    """When the old version was told to shut down, and when it had ended, in seconds of the load."""
+    """When the old version was asked to shut down, and when it had ended, in seconds of the load."""
 
     began_at: float
     ended_at: float
--- a/cairnvane/testbed/cluster/scenario_run.py
+++ b/cairnvane/testbed/cluster/scenario_run.py
@@ -92,7 +92,7 @@
 
     def __init__(
         self,
-        told: Scenario,
+        scenario: Scenario,
         seed: int,
         folder: Path,
         *,
@@ -100,21 +100,23 @@
         say: Callable[[str], None] = lambda line: None,
     ) -> None:
         """`events`: the file of the event log. `say` is called with each line of progress."""
-        self._scenario = told
+        self._scenario = scenario
         self._seed = seed
         self._say = say
-        self._steps = draw(told, seed)
+        self._steps = draw(scenario, seed)
         self._event = EventLog(events)
         self._network = Network()
-        self._vault = StandInVault(told.vault.call_ms / 1e3, told.vault.slots, told.vault.falls_at)
+        self._vault = StandInVault(
+            scenario.vault.call_ms / 1e3, scenario.vault.slots, scenario.vault.falls_at
+        )
         self._roster = StandInRoster()
-        self._peers = Peers(told, seed, self._network) if told.members else None
+        self._peers = Peers(scenario, seed, self._network) if scenario.members else None
         self.nodes = self._create_nodes(folder)
-        self._load = LoadGenerator(told, seed, self.nodes)
+        self._load = LoadGenerator(scenario, seed, self.nodes)
         self._fault_began: dict[int, float] = {}  # by number of the fault
         self._windows: list[FaultWindow] = []
         self._kills: list[KilledServer] = []
-        self._traffic = Traffic(told.servers)
+        self._traffic = Traffic(scenario.servers)
         self._traffic_before = PeerTraffic(0, 0)
 
     def _create_nodes(self, folder: Path) -> list[Node]:
@@ -210,7 +212,8 @@
             assert self._peers is not None
             first_number = names.index(first)
             second_number = names.index(second)
-            return self._peers.set_fault(first_number, second_number, step.fault.way, step.number, fault)
+            self._peers.set_fault(first_number, second_number, step.fault.way, step.number, fault)
+            return
         node, other = (first, second) if first in names else (second, first)
         # The scenario's `there` is from the end that it names first, the link's from the end that connects.
         connecting = other if other == "balancers" else node
--- a/cairnvane/testbed/experiments/restarts.py
+++ b/cairnvane/testbed/experiments/restarts.py
@@ -241,7 +241,8 @@
         balancer = self._connect(server)
         if balancer is None:
             self._trouble.append("the last life did not start: " + " | ".join(server.lines[-3:]))
-            return server.kill()
+            server.kill()
+            return
         self._send_commits(balancer, quota)
         self._retry_commits(balancer)
         self._checker.settle(
--- a/cairnvane/testbed/experiments/upgrades.py
+++ b/cairnvane/testbed/experiments/upgrades.py
@@ -321,7 +321,7 @@
         requests = self._disturbed if version in self._hostile_clients else self._undisturbed
         sent = OperatorRequests()
         send_request(address, "GET", self._random.choice(["/-/ready", "/-/metrics"]), 200, sent)
-        if version.ready:  # otherwise it was told to shut down meanwhile
+        if version.ready:  # otherwise it is shutting down meanwhile
             requests.durations_ms += sent.durations_ms
             requests.late += sent.late
             requests.failures += sent.failures
--- a/cairnvane/testbed/parallel.py
+++ b/cairnvane/testbed/parallel.py
@@ -18,7 +18,7 @@
 ) -> Iterator[tuple[Case, list[R]]]:
     """Each case with the results of its seeds, from 0 on, in the order of the cases.
 
-    `run` is called with the parts of a case and a seed; `say` is told of each case that is done.
+    `run` is called with the parts of a case and a seed; `say` is called for each case that is done.
     """
     with ProcessPoolExecutor() as workers:
         futures = {case: [workers.submit(run, *case, seed) for seed in range(seeds)] for case in cases}
--- a/cairnvane/testbed/simulation/invariants.py
+++ b/cairnvane/testbed/simulation/invariants.py
@@ -9,7 +9,7 @@
 from ...membership.swim import Action, Address, SwimMember, Tell
 
 
-class InvariantViolation(Exception):
+class InvariantError(Exception):
     """An invariant does not hold."""
 
 
@@ -44,7 +44,7 @@
         if isinstance(action, Tell) and action.event == "member.failed" and "probed" in action.more:
             life = int(action.more["life"], 16)
             if life in suspects and action.more["probed"] < CHECKS and not member.table.at(suspects[life]):
-                raise InvariantViolation(f"n{number} fails {life} without last probes")
+                raise InvariantError(f"n{number} fails {life} without last probes")
 
 
 def check_step(
@@ -58,13 +58,13 @@
     for life, known in before.table.lives.items():
         after = member.table.lives.get(life)
         if after is not None and after.claim.rank < known.claim.rank:
-            raise InvariantViolation(f"n{number} takes a claim on {life} back")
+            raise InvariantError(f"n{number} takes a claim on {life} back")
     for life, known in member.table.lives.items():
         highest, left = owned.get(life, (0, False))
         if known.claim.incarnation > highest:
-            raise InvariantViolation(f"n{number} knows an incarnation of {life} that this never gave itself")
+            raise InvariantError(f"n{number} knows an incarnation of {life} that this never gave itself")
         if known.status is Status.LEFT and not left:
-            raise InvariantViolation(f"n{number} takes {life} for one that has left, and it has not said so")
+            raise InvariantError(f"n{number} takes {life} for one that has left, and it has not said so")
     check_verdicts(number, suspects_of(before), member, out)
     if len(member._rumours) > len(member.table.lives) + 1:
-        raise InvariantViolation(f"n{number} tells more rumours than there are lives")
+        raise InvariantError(f"n{number} tells more rumours than there are lives")
--- a/cairnvane/testbed/simulation/model_checker.py
+++ b/cairnvane/testbed/simulation/model_checker.py
@@ -14,7 +14,7 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any, NamedTuple
 
-from .invariants import InvariantViolation
+from .invariants import InvariantError
 from .mutants import MUTANTS as MUTANTS
 from .world import World as World
 from .world_states import State
@@ -100,7 +100,7 @@
             for name, step in world.steps(state):
                 current = [*before, name]
                 stack.append((step(), current))
-        except InvariantViolation as error:
+        except InvariantError as error:
             return _WalkResult(len(seen), ends, str(error), current, False)
     return _WalkResult(len(seen), ends, "", [], False)
 
@@ -121,7 +121,7 @@
 def _shares(world: World, begin: State, depth: int) -> list[tuple[State, list[str]]]:
     """All states after two steps, or fewer of a short path: a share for one worker each.
 
-    `InvariantViolation` carries the path as well if a step breaks an invariant.
+    `InvariantError` carries the path as well if a step breaks an invariant.
     """
     shares = [(begin, list[str]())]
     for _ in range(min(2, depth - 1)):
@@ -130,8 +130,8 @@
             for name, step in world.steps(state):
                 try:
                     after.append((step(), [*path, name]))
-                except InvariantViolation as error:
-                    raise InvariantViolation(str(error), [*path, name]) from None
+                except InvariantError as error:
+                    raise InvariantError(str(error), [*path, name]) from None
         shares = after
     return shares
 
@@ -160,7 +160,7 @@
             try:
                 with MUTANTS[mutant]() if mutant else contextlib.nullcontext():
                     shares = _shares(world, begin, depth)
-            except InvariantViolation as error:
+            except InvariantError as error:
                 report.broken = error.args[0]
                 report.path = [f"from {beginning}", *error.args[1]]
                 break
--- a/cairnvane/testbed/simulation/world.py
+++ b/cairnvane/testbed/simulation/world.py
@@ -10,7 +10,7 @@
 from ...membership.member_table import Claim, Status
 from ...membership.messages import MOST_BYTES, Message, View, seal
 from ...membership.swim import Action, Send, SwimMember, Tell
-from .invariants import InvariantViolation, check_step, check_verdicts, suspects_of, why_unstable
+from .invariants import InvariantError, check_step, check_verdicts, suspects_of, why_unstable
 from .world_states import KEY, Envelope, FaultCounts, FixedRandom, State, address_of, load, number_at
 
 T = TypeVar("T")
@@ -117,7 +117,7 @@
                 if not isinstance(message, View):
                     size = len(seal(KEY, envelope.life, envelope.number, message))
                     if size > MOST_BYTES:
-                        raise InvariantViolation(f"a datagram of {size} bytes")
+                        raise InvariantError(f"a datagram of {size} bytes")
                 out.append(envelope)
         return out
 
@@ -151,7 +151,7 @@
         owned = {life: (incarnation, left) for life, incarnation, left in state.owned}
         highest, left = owned.get(member.own.life, (0, False))
         if member.own.incarnation < highest and member.own.status != Status.LEFT:
-            raise InvariantViolation(f"n{number} takes its own incarnation back")
+            raise InvariantError(f"n{number} takes its own incarnation back")
         owned[member.own.life] = (
             max(highest, member.own.incarnation),
             left or member.own.status == Status.LEFT,
@@ -295,11 +295,11 @@
         )
 
     def at_rest(self, state: State) -> None:
-        """Raise `InvariantViolation` if the members do not come to rest without further faults."""
+        """Raise `InvariantError` if the members do not come to rest without further faults."""
         members = {
             number: load(data)
             for number, data in enumerate(self.rest(state, REST_US, True).members)
             if number not in state.gone
         }
         if reason := why_unstable(members):
-            raise InvariantViolation(reason)
+            raise InvariantError(reason)
--- a/cairnvane/testbed/stand_ins/worker_pool.py
+++ b/cairnvane/testbed/stand_ins/worker_pool.py
@@ -121,7 +121,8 @@
     def _work_then(self, task: Callable[[], None]) -> None:
         """Work on one half of a run, once a core is free, then do the task."""
         if not self._cores:
-            return self._schedule(task)
+            self._schedule(task)
+            return
         self._waiting_for_core.append(task)
         self.max_runnable = max(self.max_runnable, self._runnable())
         self._assign_cores()
