--- a/benchmarks/members_real.py
+++ b/benchmarks/members_real.py
@@ -1,8 +1,7 @@
-"""Twelve real processes that know each other: how soon all know of a kill, and what it costs beside the same
-without.
+"""Twelve real processes that are members of one cluster: detection time of a kill, and CPU cost.
 
-Times are those of the servers' own log lines as this process reads them; CPU is that of each process, from
-/proc.
+Times are those at which this process reads the servers' log lines; CPU is that of each process, from /proc,
+compared with the same processes without membership.
 """
 
 from __future__ import annotations
@@ -17,17 +16,22 @@
 import table
 from keyed_latency import cpu_s
 
-from cairnvane.testbed import program
-from cairnvane.testbed.fleet.nodes import settings
-from cairnvane.testbed.fleet.scenario import Scenario
-from cairnvane.testbed.pool import StandInPool
-from cairnvane.testbed.vault import StandInRoster, StandInVault
-
-MEMBERS, KILLS = int(os.environ.get("BENCH_MEMBERS", "12")), int(os.environ.get("BENCH_KILLS", "20"))
+from cairnvane.testbed import server_process
+from cairnvane.testbed.cluster.nodes import settings
+from cairnvane.testbed.cluster.observations import read_member_event
+from cairnvane.testbed.cluster.scenario import Scenario
+from cairnvane.testbed.stand_ins.vault import StandInRoster, StandInVault
+from cairnvane.testbed.stand_ins.worker_pool import StandInPool
+
+MEMBERS = int(os.environ.get("BENCH_MEMBERS", "12"))
+KILLS = int(os.environ.get("BENCH_KILLS", "20"))
+# All have to detect a kill, and a restart, within this time.
+DETECTION_TIMEOUT_S = 20
 IDLE_S = float(os.environ.get("BENCH_SECONDS", "20"))
 
 
-def free() -> list[int]:
+def free_ports() -> list[int]:
+    """A free port for each member."""
     socks = [socket.create_server(("127.0.0.1", 0)) for _ in range(MEMBERS)]
     ports = [sock.getsockname()[1] for sock in socks]
     for sock in socks:
@@ -35,7 +39,9 @@
     return ports
 
 
-def start(folder: Path, members: bool, ports: list[int]) -> tuple[list[program.Site], list[program.Life]]:
+def start(
+    folder: Path, members: bool, ports: list[int]
+) -> tuple[list[server_process.Site], list[server_process.Life]]:
     vault, roster = StandInVault(), StandInRoster()
     sites, lives = [], []
     for number, port in enumerate(ports):
@@ -50,7 +56,7 @@
         path = folder / f"{members}{number}"
         path.mkdir()
         sites.append(
-            program.Site(
+            server_process.Site(
                 path,
                 StandInPool(number).address,
                 vault.address,
@@ -60,49 +66,60 @@
                 name=f"n{number}",
             )
         )
-        lives.append(program.start(sites[-1]))
+        lives.append(server_process.start(sites[-1]))
         assert lives[-1].listens(), lives[-1].lines
     return sites, lives
 
 
-def seen(lives: list[program.Life], but: int, event: str, since: list[int]) -> bool:
+def has_event(line: str, event: str, member: str | None = None) -> bool:
+    """Whether a log line is this event of this member, or of any."""
+    found = read_member_event(line)
+    return found is not None and found.event == event and member in (None, found.member)
+
+
+def all_logged(lives: list[server_process.Life], but: int, event: str, since: list[int]) -> bool:
     return all(
-        any(event in line and f"name=n{but}" in line for line in life.lines[since[number] :])
+        any(has_event(line, event, f"n{but}") for line in life.lines[since[number] :])
         for number, life in enumerate(lives)
         if number != but
     )
 
 
-def cost(lives: list[program.Life]) -> list[float]:
+def cpu_usage(lives: list[server_process.Life]) -> list[float]:
     before = [cpu_s(life.process.pid) for life in lives]
     time.sleep(IDLE_S)
     return [(cpu_s(life.process.pid) - was) / IDLE_S for life, was in zip(lives, before, strict=True)]
 
 
 def main() -> None:
+    """Measure without membership, then with it, and kill members one after the other."""
     with tempfile.TemporaryDirectory() as folder:
-        _, plain = start(Path(folder), False, free())
-        off = cost(plain)
+        _, plain = start(Path(folder), False, free_ports())
+        off = cpu_usage(plain)
         for life in plain:
             life.kill()
-        sites, lives = start(Path(folder), True, free())
+        sites, lives = start(Path(folder), True, free_ports())
         time.sleep(5)
-        on = cost(lives)
-        alarms = sum("member.suspected" in line for life in lives for line in life.lines)
+        on = cpu_usage(lives)
+        alarms = sum(has_event(line, "suspected") for life in lives for line in life.lines)
         took = []
         for kill in range(KILLS):
             which = 2 + kill % (MEMBERS - 2)
             since = [len(life.lines) for life in lives]
             lives[which].kill()
             at = time.monotonic()
-            while not seen(lives, which, "member.failed", since) and time.monotonic() < at + 20:
+            while (
+                not all_logged(lives, which, "failed", since) and time.monotonic() < at + DETECTION_TIMEOUT_S
+            ):
                 time.sleep(0.01)
             took.append((time.monotonic() - at) * 1e3)
             since = [len(life.lines) for life in lives]
-            lives[which] = program.start(sites[which])
+            lives[which] = server_process.start(sites[which])
             assert lives[which].listens()
             at = time.monotonic()
-            while not seen(lives, which, "member.alive", since) and time.monotonic() < at + 20:
+            while (
+                not all_logged(lives, which, "alive", since) and time.monotonic() < at + DETECTION_TIMEOUT_S
+            ):
                 time.sleep(0.01)
             time.sleep(2)
         for life in lives:
--- a/cairnvane/cli/lab.py
+++ b/cairnvane/cli/lab.py
@@ -87,7 +87,7 @@
 
     Status 1 if one does.
     """
-    from ..testbed.restarts import Restarts
+    from ..testbed.experiments.restarts import Restarts
 
     with tempfile.TemporaryDirectory(prefix=FOLDER_PREFIX) as folder:
         experiment = Restarts(
@@ -141,7 +141,7 @@
 
     Status 1 if anything falls short.
     """
-    from ..testbed.upgrades import Upgrades
+    from ..testbed.experiments.upgrades import Upgrades
 
     with tempfile.TemporaryDirectory(prefix=FOLDER_PREFIX) as folder:
         experiment = Upgrades(
@@ -170,7 +170,7 @@
 
     Status 1 if it does not come back from one.
     """
-    from ..testbed import recovery as experiment
+    from ..testbed.experiments import recovery as experiment
 
     _check_choices("--trouble", kinds, experiment.KINDS)
     _finish(experiment.play(kinds or experiment.KINDS, rates or experiment.RATES), json_file)
@@ -190,9 +190,9 @@
     fault.
     """
     from ..config import ConfigurationError
-    from ..testbed.fleet import scenario as scenarios
-    from ..testbed.fleet.play import Play
-    from ..testbed.fleet.schedule import draw
+    from ..testbed.cluster import scenario_file as scenarios
+    from ..testbed.cluster.scenario_run import Play
+    from ..testbed.cluster.schedule import draw
 
     try:
         plan = scenarios.load(scenario if scenario is not None else scenarios.shipped())
@@ -218,7 +218,7 @@
 
     Status 1 if one raises, changes what is known, or memory grows.
     """
-    from ..testbed.fuzz import fuzz as run
+    from ..testbed.experiments.fuzz import fuzz as run
 
     _finish(run(datagrams, seed, say=_print_progress), json_file)
 
@@ -247,7 +247,7 @@
 
     Status 1 if something that must hold does not, or if a mutant is not found.
     """
-    from ..testbed import explore as model_checker
+    from ..testbed.simulation import model_checker as model_checker
 
     _check_choices("--from", beginnings, model_checker.BEGINNINGS)
     _check_choices("--mutant", [mutant] if mutant else [], tuple(model_checker.MUTANTS))
@@ -284,7 +284,7 @@
 
     Status 1 if a rule is broken.
     """
-    from ..testbed import overload as experiment
+    from ..testbed.experiments import overload as experiment
 
     _check_choices("--trouble", kinds, experiment.TROUBLES)
     _finish(
@@ -316,7 +316,7 @@
 
     Status 1 if what is lent ever adds up to more than the limit.
     """
-    from ..testbed.shares import measure
+    from ..testbed.experiments.shares import measure
 
     _finish(measure(sizes, seeds, say=_print_progress), json_file)
 
@@ -361,7 +361,7 @@
 
     Status 1 if the real one misses a kill or calls a living member dead.
     """
-    from ..testbed.members import cases, measure
+    from ..testbed.simulation.membership import cases, measure
 
     if special_cases:
         _finish(cases(sizes, seeds, special_cases, say=_print_progress), json_file)
--- a/cairnvane/server/member_setup.py
+++ b/cairnvane/server/member_setup.py
@@ -41,7 +41,7 @@
 
 def _log_event(event: Tell) -> None:
     details = "".join(f" {key}={value}" for key, value in event.more.items())
-    logger.info(MEMBER_EVENT, event.event, details)
+    logger.info(MEMBER_EVENT, event.event.removeprefix("member."), details)
 
 
 def set_up_members(
--- /dev/null
+++ b/cairnvane/testbed/cluster/nodes.py
@@ -0,0 +1,320 @@
+"""One server of the cluster: its versions, their worker pools, and the links to everything it talks to."""
+
+from __future__ import annotations
+
+import signal
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from .. import server_process, server_version
+from ..server_version import ServerVersion
+from ..stand_ins.sockets import HOST, free_ports
+from ..stand_ins.worker_pool import RunRecord, StandInPool
+from .links import Network, TcpLink
+from .peers import Peers
+from .scenario import Scenario
+
+STOP_MS = 3_000
+# Beyond its own time for a graceful shutdown, a server may take this long to end.
+STOP_MARGIN_S = 2
+# Classes of requests that call the dependency.
+CALLING = frozenset({"price-view", "bid-commit"})
+# A run's work is drawn between these multiples of its mean.
+LEAST_WORK = 0.7
+MOST_WORK = 1.3
+
+
+def _request_class(
+    name: str, weight: float, objective_ms: int, timeout_ms: int, **more: Any
+) -> dict[str, Any]:
+    times = {"OnTimeUs": objective_ms * 1_000, "GiveUpUs": timeout_ms * 1_000}
+    return {"Name": name, "Worth": weight} | times | more
+
+
+def settings(scenario: Scenario) -> dict[str, Any]:
+    """The settings of each server, as the platform gives them: classes, machine, share of the dependency."""
+    keyed = {"Repeat": "guarded", "WindowUs": 17_364_000, "LateWorth": 0.2}
+    return {
+        "Classes": [
+            _request_class("price-view", 1.0, 1_400, 3_400),
+            _request_class("bid-update", 2.0, 2_300, 5_800),
+            _request_class("bid-commit", 3.0, 2_300, 5_800, **keyed),
+        ],
+        "Extra": {
+            "Cores": scenario.server.cores,
+            "HeapKb": 200_000.0,
+            "RunFactor": 16.0,
+            "KeyKb": 1.0,
+            "Halt": "drop",
+            "Say": "credit",
+            "Downstream": "shared",
+            "FairCalls": scenario.vault.slots / scenario.servers,
+            "CallsOverUs": 5_000_000,
+            "LingerUs": 0,
+            "ClientsTotal": scenario.load.balancers,
+            "Meters": ["cpu_busy", "runnable", "mem_used", "sockets"],
+            "TellsGone": True,
+        },
+        "Guarantees": {"TipMultiple": 8.0, "StopSendingWithinUs": 2_500_000},
+        "Limits": {"MaxRetryAfterUs": 1_000_000},
+    }
+
+
+def _address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+@dataclass
+class _Slot:
+    """A place for a version, with a pool that is reused; an upgraded server uses two of them in turn."""
+
+    label: str
+    pool: StandInPool
+    pool_address: str  # of the link to the pool
+    operator: str | None  # the text of the operator's file
+    used: bool = False
+    # By incarnation of the pool, the line of versions that ran in it.
+    line_by_incarnation: dict[int, int] = field(default_factory=dict)
+
+
+class Handover(NamedTuple):
+    """When the old version was asked to shut down, and when it had ended, in seconds of the load."""
+
+    began_at: float
+    ended_at: float
+
+
+@dataclass(frozen=True)
+class NodeEnvironment:
+    """What all servers of a cluster share."""
+
+    network: Network
+    vault: str  # address
+    roster: str  # address
+    event: Callable[..., None]  # logs an event with its details
+    peers: Peers | None
+
+
+class Node:
+    """One server. It may be read from any thread; only one thread at a time may act on it."""
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        number: int,
+        seed: int,
+        folder: Path,
+        environment: NodeEnvironment,
+        refused: Callable[[], None],
+    ) -> None:
+        """`refused` is called, in any thread, when a process that is up refuses a balancer's connection."""
+        self.name = scenario.names[number]
+        self.versions: list[ServerVersion] = []
+        # Number of the current line of versions that took over from each other: keys are kept along a line.
+        self.version_line = 0
+        self.trouble: list[str] = []
+        self._scenario = scenario
+        self._number = number
+        self._seed = seed
+        self._network = environment.network
+        self._event = environment.event
+        self._peers = environment.peers
+        self._port: int | None = None  # of the process that listens
+        self._killed: set[ServerVersion] = set()  # by the scenario's will, not ended in order
+        self.links = self._create_links(environment, refused)
+        upgraded = self.name in scenario.upgraded
+        self._slots = [self._create_slot(slot) for slot in range(1 + upgraded)]
+        folder.mkdir()
+        self._has_administration = upgraded or self._peers is not None
+        self._site = self._create_site(folder)
+        self._network.set_listening(self.links["balancers"][0], False)
+
+    def _create_links(
+        self, environment: NodeEnvironment, refused: Callable[[], None]
+    ) -> dict[str, list[TcpLink]]:
+        """The links by their other end; those to pools follow with their slots."""
+        from_balancers = TcpLink(f"{self._seed} {self.name} balancers", self._serving_address, refused)
+        return {
+            "balancers": [self._network.add(from_balancers)],
+            "vault": [self._link("vault", environment.vault)],
+            "roster": [self._link("roster", environment.roster)],
+            "pool": [],
+        }
+
+    def _link(self, end: str, address: str) -> TcpLink:
+        return self._network.add(TcpLink(f"{self._seed} {self.name} {end}", lambda: _address(address)))
+
+    def _create_slot(self, number: int) -> _Slot:
+        scenario = self._scenario
+        half_ms = scenario.server.work_ms / 2
+        pool = StandInPool(
+            self._seed * 100 + self._number + 50 * number,
+            CALLING,
+            (half_ms * LEAST_WORK, half_ms * MOST_WORK),
+            cores=scenario.server.cores,
+        )
+        link = self._link(f"pool{number or ''}", pool.address)
+        self.links["pool"].append(link)
+        members = "" if self._peers is None else self._peers.operator_section(self._number, number)
+        operator = scenario.operator + members
+        return _Slot(f"-{number}", pool, f"{HOST}:{link.port}", operator or None)
+
+    def _create_site(self, folder: Path) -> server_process.Site:
+        return server_process.Site(
+            folder,
+            "",
+            f"{HOST}:{self.links['vault'][0].port}",
+            f"{HOST}:{self.links['roster'][0].port}",
+            settings(self._scenario),
+            stop_ms=STOP_MS,
+            name=self.name,
+            listen=f"{HOST}:{free_ports(1)[0]}",
+        )
+
+    @property
+    def port(self) -> int:
+        """Where balancers connect to."""
+        return self.links["balancers"][0].port
+
+    @property
+    def up(self) -> bool:
+        """Whether a process serves."""
+        return self._port is not None
+
+    def _serving_address(self) -> tuple[str, int] | None:
+        return (HOST, self._port) if self._port is not None else None
+
+    def _running(self) -> list[ServerVersion]:
+        return [version for version in self.versions if version.server.alive()]
+
+    def _add_trouble(self, version: ServerVersion, what: str, last_lines: int) -> None:
+        self.trouble.append(f"{self.name} {what}: " + " | ".join(version.server.lines[-last_lines:]))
+
+    # --- starts
+
+    def _start_version(self, slot: _Slot, clock_s: float = 0.0) -> ServerVersion | None:
+        """A version in this slot; None if it did not come to listen."""
+        if slot.used:
+            slot.pool.restart()
+        slot.used = True
+        slot.line_by_incarnation[slot.pool.incarnation] = self.version_line
+        self._site.operator = slot.operator
+        administration = (HOST, free_ports(1)[0]) if self._has_administration else None
+        version = server_version.start(
+            self._site, slot.pool, slot.pool_address, administration, slot.label, clock_s=clock_s
+        )
+        self.versions.append(version)
+        if not version.server.listens():
+            self._add_trouble(version, "did not start", 3)
+            return None
+        threading.Thread(target=self._watch, args=(version,), name="server watcher", daemon=True).start()
+        return version
+
+    def start(self, clock_s: float = 0.0) -> None:
+        """Start a new incarnation, with a pool that has only just started; return once it listens."""
+        if self._running():
+            return
+        self.version_line += 1
+        if (version := self._start_version(self._slots[0], clock_s)) is not None:
+            self._serve_with(version)
+            self._port = version.server.port
+            self._network.set_listening(self.links["balancers"][0], True)
+
+    def _serve_with(self, version: ServerVersion) -> None:
+        if self._peers is not None and version.administration is not None:
+            self._peers.administration[self._number] = version.administration
+        self._event("started", who=self.name, life=self.versions.index(version) + 1)
+
+    def upgrade(self, clock: Callable[[], float]) -> Handover | None:
+        """Start a new version beside the one that serves, which then shuts down.
+
+        None if nothing serves, or if the new version was not ready in time. Times are those of `clock`.
+        """
+        old = self.versions[-1]
+        if not old.server.alive():
+            return None
+        slot = next(slot for slot in self._slots if slot.pool is not old.pool)
+        new = self._start_version(slot)
+        if new is None or new.await_ready() is None:
+            self._abandon_upgrade(old, new)
+            return None
+        self._serve_with(new)
+        began_at = clock()
+        old.server.process.send_signal(signal.SIGTERM)
+        old.server.process.wait()
+        return Handover(began_at, clock())
+
+    def _abandon_upgrade(self, old: ServerVersion, new: ServerVersion | None) -> None:
+        self.trouble.append(f"{self.name}: its new version was not ready in time")
+        if new is not None and new.server.alive():
+            self._killed.add(new)
+            new.kill()
+        self.versions.sort(key=lambda version: version is old)  # the last one is the one that serves
+
+    # --- ends
+
+    def _watch(self, version: ServerVersion) -> None:
+        """Wait until a version ends; an end that was not to be is reported as trouble."""
+        status = version.server.process.wait()
+        if self.versions[-1] is version and self._port is not None:
+            self._port = None
+            self._network.set_listening(self.links["balancers"][0], False)
+        self._event("ended", who=self.name, life=self.versions.index(version) + 1, status=status)
+        if version not in self._killed and status != 0:
+            self._add_trouble(version, f"ended with {status}", 2)
+
+    def kill(self) -> None:
+        """Send SIGKILL to all processes, as when the machine is lost."""
+        for version in self._running():
+            self._killed.add(version)
+            version.kill()
+
+    def stop(self, stopped: bool) -> None:
+        """Send SIGSTOP, or SIGCONT, to all processes."""
+        for version in self._running():
+            version.server.process.send_signal(signal.SIGSTOP if stopped else signal.SIGCONT)
+
+    def shut_down(self) -> None:
+        """Send SIGTERM to all processes, which drain and end by themselves."""
+        for version in self._running():
+            version.server.process.send_signal(signal.SIGTERM)
+
+    def order(self, what: str, seconds: float) -> None:
+        """Order a fault within all processes, one of `instrumented_server.FAULTS`."""
+        for version in self._running():
+            version.server.order(self._site.folder, what, seconds)
+
+    def end(self) -> None:
+        """Shut everything down at the end of the run, and collect the alarms."""
+        for version in self._running():
+            version.server.process.send_signal(signal.SIGCONT)
+            if version.shut_down(STOP_MS / 1e3 + STOP_MARGIN_S) == -signal.SIGKILL:
+                self._killed.add(version)
+                self.trouble.append(f"{self.name} did not end within its time")
+        for slot in self._slots:
+            slot.pool.close()
+        self.trouble += [f"{self.name}: {line}" for version in self.versions for line in version.alarms()]
+
+    # --- records
+
+    @property
+    def max_runnable(self) -> int:
+        """The most runs that wanted a core of it at a time."""
+        return max(slot.pool.max_runnable for slot in self._slots)
+
+    def run_records(self) -> dict[bytes, RunRecord]:
+        """What its pools recorded by body, as one server: runs by line of versions, not by incarnation."""
+        merged: dict[bytes, RunRecord] = {}
+        for slot in self._slots:
+            for body, record in slot.pool.records.items():
+                total = merged.setdefault(body, RunRecord())
+                total.runs += record.runs
+                total.results += record.results
+                total.request_ids |= record.request_ids
+                for incarnation, runs in record.runs_by_incarnation.items():
+                    total.runs_by_incarnation[slot.line_by_incarnation[incarnation]] += runs
+        return merged
--- a/tests/cluster_simulation.py
+++ b/tests/cluster_simulation.py
@@ -6,7 +6,7 @@
 
 from cairnvane.membership.claims import Claim
 from cairnvane.membership.swim import SwimMember
-from cairnvane.testbed.members import SECOND, Swim, World
+from cairnvane.testbed.simulation.virtual_cluster import SECOND, Swim, World
 
 JOIN_S = 20
 # After a change all that are up and connected agree within this.
--- a/tests/durable_log_driver.py
+++ b/tests/durable_log_driver.py
@@ -11,7 +11,7 @@
 from cairnvane.idempotency.durable.appender import RecordLocation
 from cairnvane.idempotency.durable.index import Index
 from cairnvane.idempotency.durable.segment_log import Entry, Owner, SegmentLog
-from cairnvane.testbed.disk import Disk
+from cairnvane.testbed.stand_ins.disk import Disk
 
 SECOND_US = 1_000_000
 WINDOW_US = 8 * SECOND_US  # how long a key counts
--- a/tests/durable_servers.py
+++ b/tests/durable_servers.py
@@ -13,7 +13,7 @@
 
 from cairnvane.idempotency.durable import DurableStore
 from cairnvane.idempotency.durable.index import BYTES_PER_ENTRY, Index
-from cairnvane.testbed.disk import Disk
+from cairnvane.testbed.stand_ins.disk import Disk
 
 BOOT = b"a" * 16
 OTHER_BOOT = b"b" * 16
--- a/tests/idempotency/conftest.py
+++ b/tests/idempotency/conftest.py
@@ -7,7 +7,7 @@
 from peers import expect_thread_errors
 
 from cairnvane.idempotency import durability
-from cairnvane.testbed.disk import PowerCut
+from cairnvane.testbed.stand_ins.disk import PowerCut
 
 
 @pytest.fixture
--- a/tests/idempotency/test_durable_index.py
+++ b/tests/idempotency/test_durable_index.py
@@ -15,7 +15,7 @@
 from cairnvane.idempotency.durable import records
 from cairnvane.idempotency.durable.errors import IndexFullError
 from cairnvane.idempotency.durable.index import Index
-from cairnvane.testbed.disk import Disk
+from cairnvane.testbed.stand_ins.disk import Disk
 
 
 @settings(derandomize=True, max_examples=60, deadline=None)
--- a/tests/idempotency/test_durable_log.py
+++ b/tests/idempotency/test_durable_log.py
@@ -27,7 +27,7 @@
 from cairnvane.idempotency.durable.errors import FolderError
 from cairnvane.idempotency.durable.segment_log import check
 from cairnvane.idempotency.durable.storage import segment_name
-from cairnvane.testbed.disk import Disk
+from cairnvane.testbed.stand_ins.disk import Disk
 
 __all__ = ["segment"]  # used by the tests of the command line as well
 
--- a/tests/idempotency/test_durable_notices.py
+++ b/tests/idempotency/test_durable_notices.py
@@ -9,7 +9,7 @@
 from peers import WAIT_S
 
 from cairnvane.idempotency.durable import DurableStore
-from cairnvane.testbed.disk import Disk
+from cairnvane.testbed.stand_ins.disk import Disk
 
 pytestmark = pytest.mark.usefixtures("killed_writers")
 
--- a/tests/idempotency/test_durable_power_cuts.py
+++ b/tests/idempotency/test_durable_power_cuts.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from cairnvane.claims.states import Step
-from cairnvane.testbed.disk import Disk, PowerCut
+from cairnvane.testbed.stand_ins.disk import Disk, PowerCut
 
 
 def cut_at_every_step(scenario: Callable[[Driver], None], same_boot: bool = False) -> int:
--- a/tests/membership/test_cluster_changes.py
+++ b/tests/membership/test_cluster_changes.py
@@ -8,7 +8,7 @@
 
 from cairnvane.membership.claims import Phase
 from cairnvane.membership.swim import Exchange, SwimMember
-from cairnvane.testbed.members import SECOND
+from cairnvane.testbed.simulation.membership import SECOND
 
 
 def test_all_restart_within_two_seconds() -> None:
--- a/tests/membership/test_failure_detection.py
+++ b/tests/membership/test_failure_detection.py
@@ -8,7 +8,7 @@
 from cluster_simulation import agrees, count_failure_verdicts, member_of, start_cluster
 
 from cairnvane.membership import ping_schedule, suspicion, swim
-from cairnvane.testbed.members import SECOND, Case, CaseReport, cases
+from cairnvane.testbed.simulation.membership import SECOND, Case, CaseReport, cases
 
 
 @pytest.mark.parametrize("seed", range(6))
--- a/tests/membership/test_member_own_health.py
+++ b/tests/membership/test_member_own_health.py
@@ -12,7 +12,7 @@
     EventLoopMonitor,
     RequestArrivals,
 )
-from cairnvane.testbed.members import SECOND
+from cairnvane.testbed.simulation.membership import SECOND
 
 
 def test_requests_are_missed_by_their_usual_gap() -> None:
--- a/tests/membership/test_network_partitions.py
+++ b/tests/membership/test_network_partitions.py
@@ -15,7 +15,7 @@
     assess,
 )
 from cairnvane.membership.swim import SwimMember
-from cairnvane.testbed.members import SECOND
+from cairnvane.testbed.simulation.membership import SECOND
 
 
 @pytest.mark.parametrize(
--- a/tests/net/test_connections.py
+++ b/tests/net/test_connections.py
@@ -56,7 +56,9 @@
     monkeypatch.setattr(connection, "SAY_WAIT_S", 0.2)
     monkeypatch.setattr(server, "LOOK_S", 0.05)
     with world() as w:
-        w.host._control.idle_connections.clients.returning_fraction = 1.0  # it does not want idle connections closed
+        w.host._control.idle_connections.clients.returning_fraction = (
+            1.0  # it does not want idle connections closed
+        )
         bad, good = w.balancer(), w.balancer()
         w.serve(good, 1)
         bad.sock.sendall(data)
--- a/tests/recordings/test_golden_bytes.py
+++ b/tests/recordings/test_golden_bytes.py
@@ -1,7 +1,8 @@
 """What each codec writes, and what it reads, byte for byte as version f6762b4 did.
 
-`data/golden_bytes.json` was written by that version: `python tests/recordings/test_golden_bytes.py` makes it anew and is
-to be run on that version only. Bytes are hexadecimal; what was read stands in the forms of `neutral.py`.
+`data/golden_bytes.json` was written by that version: `python tests/recordings/test_golden_bytes.py` makes
+it anew and is to be run on that version only. Bytes are hexadecimal; what was read stands in the forms of
+`neutral.py`.
 """
 
 from __future__ import annotations
--- a/tests/recordings/test_golden_folders.py
+++ b/tests/recordings/test_golden_folders.py
@@ -1,8 +1,8 @@
 """Folders of kept results as version f6762b4 wrote them: printed alike, and recovered to the same content.
 
-That version wrote `data/folders` and the expected files in it. `python tests/recordings/test_golden_folders.py`
-makes them anew, and is to be run on that version only. All times in them are of boots that no machine has:
-nothing that is printed depends on when it is.
+That version wrote `data/folders` and the expected files in it. `python
+tests/recordings/test_golden_folders.py` makes them anew, and is to be run on that version only. All times
+in them are of boots that no machine has: nothing that is printed depends on when it is.
 """
 
 from __future__ import annotations
