--- a/benchmarks/door_cost.py
+++ b/benchmarks/door_cost.py
@@ -11,7 +11,7 @@
 
 from cairnvane.administration import Readiness, RequestCounters
 from cairnvane.administration.endpoints import Endpoints
-from cairnvane.administration.http_server import MOST_CALLERS, AdministrationServer
+from cairnvane.administration.http_server import MAX_CONNECTIONS, AdministrationServer
 from cairnvane.exchange import ResponseStatus
 from cairnvane.net import http
 
@@ -19,7 +19,7 @@
 ROUNDS = 200_000
 CALLS = 300
 # Clients that send nothing and reconnect at once when closed: three times as many as there are slots.
-SILENT_CLIENTS = 3 * MOST_CALLERS
+SILENT_CLIENTS = 3 * MAX_CONNECTIONS
 
 
 def counting_cost_us(rounds: int, counters: RequestCounters | None) -> float:
--- a/benchmarks/keyed_damage.py
+++ b/benchmarks/keyed_damage.py
@@ -37,7 +37,7 @@
             if isinstance(store, rivals.Own):
                 found = store.index.get(token)
                 got = store.log.fetch(found[0], token, rivals.DIGEST) if found else None
-                assert found is None or locations.state(found[0])
+                assert found is None or locations.unpack_state(found[0])
             elif isinstance(store, rivals.Sqlite):
                 row = store.db.execute("SELECT result FROM kept WHERE token = ?", (token,)).fetchone()
                 got = row[0] if row else None
--- a/benchmarks/keyed_server.py
+++ b/benchmarks/keyed_server.py
@@ -30,7 +30,7 @@
         self._db.execute("BEGIN IMMEDIATE")
         self._db.executemany(
             "INSERT OR REPLACE INTO kept VALUES (?, ?, ?, ?)",
-            [(entry.token, entry.step, entry.until, entry.rest) for entry in self._told(group)],
+            [(entry.key, entry.step, entry.expires_at, entry.own_part) for entry in self._told(group)],
         )
         self._db.execute("COMMIT")
         self._take(group, [(0, 0)] * len(group))
--- a/benchmarks/rivals.py
+++ b/benchmarks/rivals.py
@@ -35,7 +35,7 @@
     def append(self, rows: list[Row]) -> None:
         self.log.append(
             (
-                segment_log.Entry(Step.RESULT, token, self.now, until, records.put_end(DIGEST, result))
+                segment_log.Entry(Step.RESULT, token, self.now, until, records.encode_end(DIGEST, result))
                 for token, until, result in rows
             ),
             unix_ms=0,
@@ -44,7 +44,7 @@
 
     def begin(self, rows: list[Row]) -> None:
         """Write the intents, which precede the results in a real log."""
-        rest = records.put_intent("0" * 16, DIGEST, self.now, 24.5, "bid-commit")
+        rest = records.encode_start("0" * 16, DIGEST, self.now, 24.5, "bid-commit")
         self.log.append(
             (segment_log.Entry(Step.INTENT, row[0], self.now, row[1], rest) for row in rows), unix_ms=0
         )
--- a/cairnvane/administration/http_server.py
+++ b/cairnvane/administration/http_server.py
@@ -27,7 +27,7 @@
 # the kernel drops a connection for a second. It holds no descriptor of ours.
 BACKLOG = 1_024
 # Connections that have a slot; each holds a descriptor of those kept for the process's own use.
-MOST_CALLERS, LEAST_CALLERS = 128, 8
+MAX_CONNECTIONS, MIN_CONNECTIONS = 128, 8
 # After a failed `accept` (no descriptors, say) the next attempt waits so long.
 ACCEPT_RETRY_S = 0.1
 # A connection is closed up to so long after its time, so that many of them are closed in one go.
@@ -37,12 +37,12 @@
 _CHUNK_BYTES = 4_096
 
 
-def places(own_sockets: int) -> int:
+def connection_limit(own_sockets: int) -> int:
     """How many connections may wait, of so many descriptors that are no balancer's.
 
     Half, since the links and each call of the vault need theirs.
     """
-    return max(LEAST_CALLERS, min(MOST_CALLERS, own_sockets // 2))
+    return max(MIN_CONNECTIONS, min(MAX_CONNECTIONS, own_sockets // 2))
 
 
 @dataclass(slots=True, eq=False)
@@ -60,7 +60,7 @@
         address: tuple[str, int],
         calls: Endpoints,
         duty: Readiness,
-        most: int = MOST_CALLERS,
+        most: int = MAX_CONNECTIONS,
         call_wait_s: float = REQUEST_TIMEOUT_S,
     ) -> None:
         """Bind at once: `OSError` if the address can't be had.
@@ -82,12 +82,12 @@
         """Answer from now on."""
         threading.Thread(target=self._serve, name="administration server", daemon=True).start()
 
-    def leave(self) -> None:
+    def shut_down(self) -> None:
         """Shut down: not ready from now on, and health checks fail.
 
         The administration endpoint stays open to the end, for the metrics.
         """
-        self._readiness.leave()
+        self._readiness.shut_down()
 
     def close(self) -> None:
         """Accept no more connections; open ones are closed within `MAX_WAIT_S`."""
--- a/cairnvane/administration/readiness.py
+++ b/cairnvane/administration/readiness.py
@@ -48,6 +48,6 @@
             self._is_drained = False
         return has_ended
 
-    def leave(self) -> None:
+    def shut_down(self) -> None:
         """Shut down: never ready again, and health checks fail from now on."""
         self._is_shutting_down = True
--- a/cairnvane/claims/claim_log.py
+++ b/cairnvane/claims/claim_log.py
@@ -51,7 +51,7 @@
         """`unread` is how much later than its arrival a request may be read, in microseconds."""
         self._folder = folder
         self._incarnations = incarnations
-        self._incarnation = incarnations.life
+        self._incarnation = incarnations.number
         self._max_bytes = max_bytes
         self._closed = False  # ends the housekeeping thread
         # Guards the table, the segments, and what is pending or waits. Taken again by methods that call each
@@ -79,7 +79,7 @@
         version of the program write there.
         """
         with self._lock:
-            self._folder.make()
+            self._folder.create()
             self._reader.load()
 
     def start(
@@ -118,24 +118,24 @@
                 if entry.state is not KeyState.VOID
             ]
 
-    def mine(self, entry: Entry) -> bool:
+    def is_own(self, entry: Entry) -> bool:
         """Whether this incarnation claimed it."""
-        return entry.life == self._incarnation
+        return entry.incarnation == self._incarnation
 
-    def alone(self) -> bool:
+    def is_alone(self) -> bool:
         """Whether no other incarnation exists that may go on."""
-        return self._incarnations.alone()
+        return self._incarnations.is_alone()
 
-    def dead(self, entry: Entry) -> bool:
+    def is_holder_dead(self, entry: Entry) -> bool:
         """Whether the incarnation that claimed it is dead."""
-        return self._incarnations.liveness(entry.life) is Liveness.DEAD
+        return self._incarnations.liveness(entry.incarnation) is Liveness.DEAD
 
     # --- the protocol `IdempotencyStore`
 
     def capacity_wait_us(self) -> int:
         """See `IdempotencyStore`."""
         with self._lock:
-            if self._writer.is_failing and not self._writer.flush() and not self._incarnations.alone():
+            if self._writer.is_failing and not self._writer.flush() and not self._incarnations.is_alone():
                 return MIN_CAPACITY_WAIT_US
             if self._reader.total_bytes() <= self._max_bytes:
                 return 0
@@ -157,7 +157,7 @@
                 Step.INTENT, self._incarnation, run.key, clock.now(), run.expires_at, run.fingerprint
             )
             is_recorded = self._record_claim(claim)
-            is_holder = self._table.is_holder(run.key, self._incarnation, claim.at)
+            is_holder = self._table.is_holder(run.key, self._incarnation, claim.made_at)
         if is_recorded and is_holder:
             then()
         else:
@@ -201,7 +201,7 @@
             entry = self._table.find(key, arrived_at)
         if entry is None:
             return None
-        if entry.same != fingerprint:
+        if entry.fingerprint != fingerprint:
             raise KeyConflictError(f"key {key.hex()}: claimed for another class or body")
         return StoredEntry(key, entry.state is not KeyState.FAILED)
 
@@ -215,7 +215,7 @@
         """Write a claim, or hold it in memory if this incarnation is alone; False if neither can be."""
         if self._writer.write(claim):
             return True
-        if self._incarnations.alone():
+        if self._incarnations.is_alone():
             self._writer.keep_in_memory(claim)
             return True
         # The failed write may have come through all the same; such a claim would keep others waiting.
@@ -235,4 +235,4 @@
     def _before_recreation(self) -> None:
         """The folder was removed: have all that still counts written again, and be seen by the others."""
         self._writer.rewrite_own_claims()
-        self._incarnations.beat()
+        self._incarnations.heartbeat()
--- a/cairnvane/claims/claim_table.py
+++ b/cairnvane/claims/claim_table.py
@@ -16,7 +16,7 @@
 from typing import NamedTuple
 
 from . import states
-from .records import DIGEST_BYTES, SEAL, Record
+from .records import FINGERPRINT_BYTES, SEAL, Record
 from .states import IllegalStepError, KeyState, Step
 
 # `Step(kind)` takes several times as long, and this is done for each record.
@@ -25,7 +25,7 @@
 _REPEATED_ENDS = ((KeyState.FINISHED, Step.RESULT), (KeyState.FAILED, Step.FAULT))
 
 
-class Place(NamedTuple):
+class RecordLocation(NamedTuple):
     """Where a record stands; offset and length in bytes."""
 
     segment: int
@@ -37,12 +37,12 @@
 class Entry:
     """What is recorded of a key. Times are microseconds of the machine's monotonic clock."""
 
-    life: int  # the incarnation that holds the claim
-    same: bytes  # the request's fingerprint
-    at: int  # when it was claimed
-    until: int  # when it expires: requests that arrived earlier are duplicates
+    incarnation: int  # the incarnation that holds the claim
+    fingerprint: bytes  # the request's fingerprint
+    claimed_at: int  # when it was claimed
+    expires_at: int  # when it expires: requests that arrived earlier are duplicates
     state: KeyState
-    result_location: Place | None = None
+    result_location: RecordLocation | None = None
     unwritten_result: bytes | None = None  # held only while no file has it
 
 
@@ -61,7 +61,7 @@
         self._last_expiry: dict[int, int] = {}  # by segment: when its last key expires
         self._expiry_queue: list[tuple[int, bytes]] = []  # a heap: when a key can be forgotten, and the key
 
-    def take(self, record: Record, place: Place) -> None:
+    def apply(self, record: Record, place: RecordLocation) -> None:
         """Apply the next record, which stands at this place."""
         segment = place.segment
         if segment in self.sealed_segments:
@@ -69,8 +69,8 @@
         if record.kind == SEAL:
             self.sealed_segments.add(segment)
             return
-        if record.until > self._last_expiry.get(segment, 0):
-            self._last_expiry[segment] = record.until
+        if record.expires_at > self._last_expiry.get(segment, 0):
+            self._last_expiry[segment] = record.expires_at
         if record.kind == Step.INTENT:
             self._apply_claim(record)
         else:
@@ -79,12 +79,12 @@
     def is_holder(self, key: bytes, incarnation: int, claimed_at: int) -> bool:
         """Whether the claim that this incarnation made at this time is the one that counts."""
         entry = self.entries.get(key)
-        return entry is not None and (entry.life, entry.at) == (incarnation, claimed_at)
+        return entry is not None and (entry.incarnation, entry.claimed_at) == (incarnation, claimed_at)
 
     def find(self, key: bytes, arrived_at: int) -> Entry | None:
         """The entry that a request which arrived at this time is a duplicate of."""
         entry = self.entries.get(key)
-        if entry is None or entry.state is KeyState.VOID or arrived_at >= entry.until:
+        if entry is None or entry.state is KeyState.VOID or arrived_at >= entry.expires_at:
             return None
         return entry
 
@@ -94,7 +94,7 @@
         while self._expiry_queue and self._expiry_queue[0][0] <= now:
             _, key = heapq.heappop(self._expiry_queue)
             entry = self.entries.get(key)
-            if entry is not None and entry.until + self._max_read_delay <= now:
+            if entry is not None and entry.expires_at + self._max_read_delay <= now:
                 del self.entries[key]
                 forgotten += 1
         return forgotten
@@ -124,20 +124,27 @@
         self._last_expiry.clear()
 
     def _apply_claim(self, record: Record) -> None:
-        entry = self.entries.get(record.token)
-        if entry is not None and entry.state is not KeyState.VOID and record.at < entry.until:
-            is_rewritten = (entry.life, entry.at) == (record.life, record.at)  # after a failed write
+        entry = self.entries.get(record.key)
+        if entry is not None and entry.state is not KeyState.VOID and record.made_at < entry.expires_at:
+            is_rewritten = (entry.incarnation, entry.claimed_at) == (
+                record.incarnation,
+                record.made_at,
+            )  # after a failed write
             if not is_rewritten:
                 self.rejected_claims += 1
             return
-        self.entries[record.token] = Entry(
-            record.life, record.rest[:DIGEST_BYTES], record.at, record.until, KeyState.INTENDED
+        self.entries[record.key] = Entry(
+            record.incarnation,
+            record.rest[:FINGERPRINT_BYTES],
+            record.made_at,
+            record.expires_at,
+            KeyState.INTENDED,
         )
-        heapq.heappush(self._expiry_queue, (record.until + self._max_read_delay, record.token))
+        heapq.heappush(self._expiry_queue, (record.expires_at + self._max_read_delay, record.key))
 
-    def _apply_end(self, record: Record, place: Place) -> None:
-        entry = self.entries.get(record.token)
-        if entry is None or entry.life != record.life or entry.until != record.until:
+    def _apply_end(self, record: Record, place: RecordLocation) -> None:
+        entry = self.entries.get(record.key)
+        if entry is None or entry.incarnation != record.incarnation or entry.expires_at != record.expires_at:
             self.illegal_steps += 1
             return
         step = _STEPS_BY_NUMBER[record.kind]
@@ -149,7 +156,7 @@
         if step is Step.RESULT:
             entry.result_location = place
 
-    def _apply_repeated_end(self, entry: Entry, step: Step, place: Place) -> None:
+    def _apply_repeated_end(self, entry: Entry, step: Step, place: RecordLocation) -> None:
         """Take over the place of an end that was held in memory until a file took it."""
         if (entry.state, step) in _REPEATED_ENDS and entry.result_location is None:
             entry.result_location = place
--- a/cairnvane/claims/housekeeping.py
+++ b/cairnvane/claims/housekeeping.py
@@ -48,7 +48,7 @@
 
     def run_tasks(self) -> None:
         """Do what is due at each heartbeat; with the lock held."""
-        self._incarnations.beat()
+        self._incarnations.heartbeat()
         if self._writer.is_failing or self._writer.has_pending:
             self._writer.flush()
         now = clock.now()
--- a/cairnvane/claims/incarnations.py
+++ b/cairnvane/claims/incarnations.py
@@ -21,7 +21,7 @@
 
 # The folder of the incarnations' files: in `$TMPDIR`, with one for each server name in it, or in the folder
 # of cached results.
-LIVES = "cairnvane-lives"
+INCARNATIONS_FOLDER = "cairnvane-lives"
 HEARTBEAT_INTERVAL_S = 1.0
 # Without a heartbeat for so long, an incarnation is taken for stopped: it has missed five of them.
 HEARTBEAT_TIMEOUT_US = 5_000_000
@@ -54,13 +54,13 @@
     def __init__(self, folder: Path) -> None:
         self._folder = folder
         # The number of this incarnation. Later ones have higher numbers, as the clock is the machine's.
-        self.life = time.monotonic_ns()
+        self.number = time.monotonic_ns()
         self._fd: int | None = None  # of this incarnation's file, which it keeps locked
         self._ready = False
         self._pid = os.getpid()
 
     @property
-    def entered(self) -> bool:
+    def is_entered(self) -> bool:
         """Whether other incarnations can see this one."""
         return self._fd is not None
 
@@ -70,7 +70,7 @@
         self._delete_dead()
         self._fd = self._create_locked_file()
 
-    def beat(self) -> None:
+    def heartbeat(self) -> None:
         """Write a heartbeat, into a new file if someone has removed it."""
         with contextlib.suppress(OSError):
             if self._fd is not None and os.fstat(self._fd).st_nlink == 0:
@@ -81,16 +81,16 @@
             else:
                 os.pwrite(self._fd, self._encode_heartbeat(), 0)
 
-    def ready(self) -> None:
+    def mark_ready(self) -> None:
         """Tell the others that this incarnation can serve."""
         self._ready = True
-        self.beat()
+        self.heartbeat()
 
     def leave(self) -> None:
         """Delete this incarnation's file, at the end of its process."""
         if self._fd is not None:
             with contextlib.suppress(OSError):
-                self._path(self.life).unlink()
+                self._path(self.number).unlink()
             os.close(self._fd)
             self._fd = None
 
@@ -100,19 +100,19 @@
             names = [path.name for path in self._folder.iterdir()]
         except OSError:
             return []
-        return sorted(int(name) for name in names if name.isdigit() and int(name) != self.life)
+        return sorted(int(name) for name in names if name.isdigit() and int(name) != self.number)
 
     def liveness(self, incarnation: int) -> Liveness:
         """Whether that incarnation is alive, stopped or dead."""
-        return self._look(incarnation).liveness
+        return self.status(incarnation).liveness
 
-    def heir(self) -> bool:
+    def has_successor(self) -> bool:
         """Whether a successor exists: a later incarnation that is alive and can serve."""
         return any(
-            other > self.life and self._look(other) == (Liveness.ALIVE, True) for other in self.others()
+            other > self.number and self.status(other) == (Liveness.ALIVE, True) for other in self.others()
         )
 
-    def alone(self) -> bool:
+    def is_alone(self) -> bool:
         """Whether no other incarnation exists that may go on."""
         return all(self.liveness(other) is Liveness.DEAD for other in self.others())
 
@@ -130,12 +130,12 @@
 
         It is locked before it gets its name: without a lock, others would take this incarnation for dead.
         """
-        unnamed = self._folder / f"new-{self._pid}-{self.life}"
+        unnamed = self._folder / f"new-{self._pid}-{self.number}"
         fd = os.open(unnamed, os.O_RDWR | os.O_CREAT | os.O_EXCL | os.O_CLOEXEC, _FILE_MODE)
         try:
             fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
             os.pwrite(fd, self._encode_heartbeat(), 0)
-            unnamed.rename(self._path(self.life))
+            unnamed.rename(self._path(self.number))
         except OSError:
             os.close(fd)
             with contextlib.suppress(OSError):
@@ -148,9 +148,9 @@
         checked = unchecked[_CHECKED_FROM:]
         return _MAGIC + crc32(checked).to_bytes(4, "little") + checked
 
-    def _look(self, incarnation: int) -> IncarnationStatus:
+    def status(self, incarnation: int) -> IncarnationStatus:
         """Read the status of an incarnation from its file and lock."""
-        if incarnation == self.life:
+        if incarnation == self.number:
             return IncarnationStatus(Liveness.ALIVE, self._ready)
         heartbeat = self._read_heartbeat(incarnation)
         if heartbeat is None:
--- a/cairnvane/claims/inspection.py
+++ b/cairnvane/claims/inspection.py
@@ -13,8 +13,8 @@
 
 from .. import clock
 from . import records
-from .claim_table import ClaimTable, Entry, Place
-from .incarnations import LIVES, Incarnations, Liveness
+from .claim_table import ClaimTable, Entry, RecordLocation
+from .incarnations import INCARNATIONS_FOLDER, Incarnations, Liveness
 from .storage import SEGMENT_SUFFIX, OsFolder
 
 # How much later than its arrival a request is read at the most, where no settings say so.
@@ -23,11 +23,11 @@
 # So many digits of the boot id stand in the name of a claim log's folder.
 _BOOT_ID_DIGITS = 8
 # What a record of a result holds beside the result.
-_RESULT_OVERHEAD_BYTES = records.HEAD_BYTES + records.COMMON_BYTES + records.DIGEST_BYTES
+_RESULT_OVERHEAD_BYTES = records.HEAD_BYTES + records.COMMON_BYTES + records.FINGERPRINT_BYTES
 
 
 @dataclass(slots=True)
-class Found:
+class ClaimLogReport:
     """What a claim log holds."""
 
     path: Path
@@ -41,7 +41,7 @@
     incarnations: dict[int, Liveness] = field(default_factory=dict)
 
     @property
-    def wrong(self) -> bool:
+    def is_damaged(self) -> bool:
         """Whether a record may be lost."""
         return bool(self.passed_over)
 
@@ -71,20 +71,20 @@
         return ", ".join(statuses) or "none"
 
 
-def ledgers(folder: Path) -> list[Path]:
+def claim_log_folders(folder: Path) -> list[Path]:
     """The folders of the claim logs that this folder is or holds."""
     if any(folder.glob(f"*{SEGMENT_SUFFIX}")):
         return [folder]
     return sorted(path for path in folder.glob(f"{_FOLDER_PREFIX}.*") if path.is_dir())
 
 
-def look(path: Path) -> Found:
+def inspect(path: Path) -> ClaimLogReport:
     """Read a claim log; `records.NewerVersionError` or `OSError` if that is impossible."""
-    found = Found(path)
+    found = ClaimLogReport(path)
     folder = OsFolder(path)
-    for number in folder.numbers():
+    for number in folder.segment_numbers():
         with contextlib.closing(folder.open(number, create=False)) as segment:
-            data = segment.read(0, segment.look().size)
+            data = segment.read(0, segment.status().size)
         _add_segment(found, number, data)
     found.foreign = [file.name for file in path.iterdir() if file.suffix != SEGMENT_SUFFIX]
     found.incarnations = _read_incarnations(path)
@@ -93,18 +93,18 @@
 
 def show(path: Path) -> Iterator[dict[str, str]]:
     """Read a claim log, and yield a row for each key; errors as of `look`."""
-    found = look(path)
+    found = inspect(path)
     now = clock.now()
-    boot_id = clock.boot() or "unknown"
+    boot_id = clock.boot_id() or "unknown"
     is_this_boot = path.name.rpartition(".")[2] == boot_id[:_BOOT_ID_DIGITS]
     for key, entry in found.table.entries.items():
-        liveness = found.incarnations.get(entry.life, Liveness.DEAD)
-        remaining_s = f"{max(0, entry.until - now) / 1e6:.1f}"
+        liveness = found.incarnations.get(entry.incarnation, Liveness.DEAD)
+        remaining_s = f"{max(0, entry.expires_at - now) / 1e6:.1f}"
         row = {
             "token": key.hex(),
             "state": entry.state.name.lower(),
             "counts_for_s": remaining_s if is_this_boot else "of an earlier boot",
-            "life": str(entry.life),
+            "life": str(entry.incarnation),
             "life_is": liveness.value,
         }
         result_bytes = _result_bytes(entry)
@@ -113,12 +113,12 @@
         yield row
 
 
-def _add_segment(found: Found, number: int, data: bytes) -> None:
+def _add_segment(found: ClaimLogReport, number: int, data: bytes) -> None:
     """Add the content of the next segment; `records.NewerVersionError`."""
     records.check_version(data)
     scan = records.scan(data)
     for offset, length, record in scan.records:
-        found.table.take(record, Place(number, offset, length))
+        found.table.apply(record, RecordLocation(number, offset, length))
     found.segments += 1
     found.bytes += len(data)
     found.records += len(scan.records)
@@ -133,12 +133,12 @@
     Their files lie beside the folder if it is in the folder of cached results, else in a folder for each
     server name in `$TMPDIR`.
     """
-    incarnations_folder = path.parent / LIVES
+    incarnations_folder = path.parent / INCARNATIONS_FOLDER
     if not incarnations_folder.is_dir():
         server_name = path.name.rpartition(".")[0]
-        incarnations_folder = path.parent.parent / LIVES / server_name
+        incarnations_folder = path.parent.parent / INCARNATIONS_FOLDER / server_name
     incarnations = Incarnations(incarnations_folder)
-    incarnations.life = 0  # a reader is none of them
+    incarnations.number = 0  # a reader is none of them
     return {number: incarnations.liveness(number) for number in incarnations.others()}
 
 
--- a/cairnvane/claims/legacy.py
+++ b/cairnvane/claims/legacy.py
@@ -20,7 +20,7 @@
 _STARTTIME_FIELD = 19  # of /proc/PID/stat, counted behind the command's name
 
 
-def serves(temporary: Path, name: str, proc: Path = Path("/proc")) -> int | None:
+def find_serving_process(temporary: Path, name: str, proc: Path = Path("/proc")) -> int | None:
     """Return the id of a process of such a version that serves under this name; None if there is none."""
     with contextlib.suppress(OSError):
         for marker in (temporary / MARKERS).glob(f"{name}.*.*"):
--- a/cairnvane/claims/records.py
+++ b/cairnvane/claims/records.py
@@ -23,13 +23,13 @@
 _CHECKED_FROM = 8  # the checksum covers the record from this offset on
 _COMMON = struct.Struct("<16sQQ")  # key, time of the record, expiry
 COMMON_BYTES = _COMMON.size
-DIGEST_BYTES = 16  # of a request's fingerprint
+FINGERPRINT_BYTES = 16  # of a request's fingerprint
 MAX_REST_BYTES = (1 << 16) - 1 - COMMON_BYTES
 # A record of this kind ends its segment: nothing behind it counts. The kinds of all other records are the
 # numbers of `Step`.
 SEAL = 16
 _KINDS = {SEAL, Step.INTENT, Step.RESULT, Step.FAULT, Step.NEVER}
-NO_TOKEN = bytes(16)  # the key of a record that concerns no key
+NO_KEY = bytes(16)  # the key of a record that concerns no key
 
 
 class NewerVersionError(ClaimError, OSError):
@@ -43,10 +43,10 @@
     """One record. Times are microseconds of the machine's monotonic clock."""
 
     kind: int
-    life: int  # the incarnation that wrote it
-    token: bytes  # the idempotency key
-    at: int  # when it was made
-    until: int  # when its key expires
+    incarnation: int  # the incarnation that wrote it
+    key: bytes  # the idempotency key
+    made_at: int  # when it was made
+    expires_at: int  # when its key expires
     rest: bytes  # of an intent: the fingerprint; of an end: the fingerprint and the result
 
 
@@ -66,7 +66,7 @@
     passed_over: int  # bytes among these that no record could be read from
 
 
-def put(kind: int, life: int, token: bytes, at: int, until: int, rest: bytes = b"") -> bytes:
+def encode(kind: int, life: int, token: bytes, at: int, until: int, rest: bytes = b"") -> bytes:
     """Encode a record; `RecordTooLongError` (a `ValueError`) if it does not fit."""
     if len(rest) > MAX_REST_BYTES:
         raise RecordTooLongError(
--- a/cairnvane/claims/result_waiters.py
+++ b/cairnvane/claims/result_waiters.py
@@ -84,7 +84,7 @@
         """What to answer; None while the run may still end."""
         self._reader.try_follow()
         entry = self._table.entries.get(request.key)
-        if entry is None or entry.same != request.fingerprint:
+        if entry is None or entry.fingerprint != request.fingerprint:
             return _Outcome()
         if entry.state is KeyState.INTENDED and not self._is_abandoned(entry):
             return None
@@ -97,7 +97,7 @@
 
         Nobody can tell whether its worker pool ran it, so it never runs again.
         """
-        if self._incarnations.liveness(entry.life) is not Liveness.DEAD:
+        if self._incarnations.liveness(entry.incarnation) is not Liveness.DEAD:
             return False
         self._reader.try_follow()
         return entry.state is KeyState.INTENDED
--- a/cairnvane/claims/segment_reader.py
+++ b/cairnvane/claims/segment_reader.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from . import records
-from .claim_table import ClaimTable, Entry, Place
+from .claim_table import ClaimTable, Entry, RecordLocation
 from .errors import FolderRemovedError
 from .records import Record
 from .storage import Folder, Segment
@@ -55,7 +55,7 @@
         for segment in self._segments.values():
             segment.file.close()
         self._segments.clear()
-        numbers = self._folder.numbers()
+        numbers = self._folder.segment_numbers()
         for number in numbers or [_FIRST_SEGMENT]:
             with contextlib.suppress(FileNotFoundError):  # another incarnation has deleted it
                 self._enter(number, create=not numbers)
@@ -67,7 +67,7 @@
         """Read on to the end of all that any incarnation has written."""
         while True:
             segment = self.current
-            size, is_linked = segment.file.look()
+            size, is_linked = segment.file.status()
             if size != segment.seen_size:
                 self._read(segment, size)
             if segment.number in self._table.sealed_segments:
@@ -93,10 +93,10 @@
         else return False. Most often it does, and that saves half of the cost.
         """
         segment = self.current
-        size, is_linked = segment.file.look()
+        size, is_linked = segment.file.status()
         if not is_linked or segment.offset != segment.seen_size or size != segment.seen_size + length:
             return False
-        self._table.take(record, Place(segment.number, segment.offset, length))
+        self._table.apply(record, RecordLocation(segment.number, segment.offset, length))
         segment.offset = size
         segment.seen_size = size
         self.own_records += 1
@@ -115,9 +115,9 @@
         except OSError as error:
             logger.warning("result not readable in segment %s at %s: %s", segment_number, offset, error)
             return None
-        if len(found) != 1 or found[0].record.token != key:
+        if len(found) != 1 or found[0].record.key != key:
             return None
-        return found[0].record.rest[records.DIGEST_BYTES :]
+        return found[0].record.rest[records.FINGERPRINT_BYTES :]
 
     def numbers(self) -> list[int]:
         """The open segments, oldest first."""
@@ -143,13 +143,13 @@
         records.check_version(segment.file.read(0, records.HEAD_BYTES))
         self._segments[number] = segment
         self.current = segment
-        self._read(segment, segment.file.look().size)
+        self._read(segment, segment.file.status().size)
 
     def _enter_next(self) -> None:
         """Go on to the segment behind a sealed one, the first of those that were not deleted meanwhile."""
         while True:
             current = self.current.number
-            later = [number for number in self._folder.numbers() if number > current]
+            later = [number for number in self._folder.segment_numbers() if number > current]
             try:
                 self._enter(later[0] if later else current + 1, create=not later)
                 return
@@ -166,8 +166,8 @@
             scan = records.scan(data)
             for offset, length, record in scan.records:
                 is_sealed = segment.number in table.sealed_segments
-                table.take(record, Place(segment.number, segment.offset + offset, length))
-                if record.life == self._incarnation and not is_sealed:
+                table.apply(record, RecordLocation(segment.number, segment.offset + offset, length))
+                if record.incarnation == self._incarnation and not is_sealed:
                     self.own_records += 1
             if scan.passed_over:
                 logger.warning("segment %s: %s bytes passed over", segment.number, scan.passed_over)
@@ -180,6 +180,6 @@
         """Create the folder anew after someone has removed it."""
         logger.warning("claim log folder was removed; creating it again")
         self._before_recreation()
-        self._folder.make()
+        self._folder.create()
         self._table.forget_all_segments()
         self.load()
--- a/cairnvane/claims/segment_writer.py
+++ b/cairnvane/claims/segment_writer.py
@@ -6,7 +6,7 @@
 
 from .. import clock
 from . import records
-from .claim_table import ClaimTable, Entry, Place
+from .claim_table import ClaimTable, Entry, RecordLocation
 from .errors import SegmentSealedError
 from .incarnations import Incarnations
 from .records import SEAL, Record
@@ -23,7 +23,7 @@
 # A folder that failed is left alone for so long before it is tried again.
 RETRY_DELAY_US = 100_000
 # The place of a record that no file has.
-_IN_MEMORY = Place(-1, 0, 0)
+_IN_MEMORY = RecordLocation(-1, 0, 0)
 
 
 class SegmentWriter:
@@ -40,7 +40,7 @@
         self._table = table
         self._reader = reader
         self._incarnations = incarnations
-        self._incarnation = incarnations.life
+        self._incarnation = incarnations.number
         self._pending: list[Record] = []  # what the folder did not take, oldest first
         self._retry_at = 0
 
@@ -86,8 +86,8 @@
 
     def keep_in_memory(self, record: Record, result: bytes | None = None) -> None:
         """Let a record that the folder did not take count for this incarnation, and write it later."""
-        self._table.take(record, _IN_MEMORY)
-        entry = self._table.entries.get(record.token)
+        self._table.apply(record, _IN_MEMORY)
+        entry = self._table.entries.get(record.key)
         if entry is not None and record.kind == Step.RESULT:
             entry.result_location = None
             entry.unwritten_result = result
@@ -98,27 +98,31 @@
         now = clock.now()
         rewritten: list[Record] = []
         for key, entry in self._table.entries.items():
-            if entry.life == self._incarnation and entry.until > now and entry.state is not KeyState.VOID:
+            if (
+                entry.incarnation == self._incarnation
+                and entry.expires_at > now
+                and entry.state is not KeyState.VOID
+            ):
                 rewritten += self._records_of(key, entry, now)
         self._pending = [*rewritten, *self._pending]
 
     def _records_of(self, key: bytes, entry: Entry, now: int) -> list[Record]:
         """The records of this incarnation that lead to an entry; its result is held in memory from now on."""
         incarnation = self._incarnation
-        made = [Record(Step.INTENT, incarnation, key, entry.at, entry.until, entry.same)]
+        made = [Record(Step.INTENT, incarnation, key, entry.claimed_at, entry.expires_at, entry.fingerprint)]
         if entry.state is KeyState.FINISHED:
             entry.unwritten_result = self._reader.result(key, entry)
             entry.result_location = None
-            rest = entry.same + (entry.unwritten_result or b"")
-            made.append(Record(Step.RESULT, incarnation, key, now, entry.until, rest))
+            rest = entry.fingerprint + (entry.unwritten_result or b"")
+            made.append(Record(Step.RESULT, incarnation, key, now, entry.expires_at, rest))
         elif entry.state is KeyState.FAILED:
-            made.append(Record(Step.FAULT, incarnation, key, now, entry.until, entry.same))
+            made.append(Record(Step.FAULT, incarnation, key, now, entry.expires_at, entry.fingerprint))
         return made
 
     def _write_pending(self) -> None:
-        if not self._incarnations.entered:
+        if not self._incarnations.is_entered:
             self._incarnations.enter()
-        self._folder.make()
+        self._folder.create()
         while self._pending:
             self._append(self._pending[0])
             del self._pending[0]
@@ -126,7 +130,7 @@
 
     def _append(self, record: Record) -> None:
         """Append a record to the segment where it counts; `OSError`."""
-        data = records.put(*record)
+        data = records.encode(*record)
         for _ in range(MAX_APPEND_ATTEMPTS):
             if self._append_to_current(record, data):
                 return
@@ -150,6 +154,6 @@
 
     def _seal_current(self) -> None:
         now = clock.now()
-        seal = records.put(SEAL, self._incarnation, records.NO_TOKEN, now, now)
+        seal = records.encode(SEAL, self._incarnation, records.NO_KEY, now, now)
         self._reader.current.file.append(seal)
         self._reader.follow()
--- a/cairnvane/claims/states.py
+++ b/cairnvane/claims/states.py
@@ -75,7 +75,7 @@
     return next_state
 
 
-def repeat(state: KeyState, pool_lives: bool) -> RetryDecision:
+def decide_duplicate(state: KeyState, pool_lives: bool) -> RetryDecision:
     """Decide what a duplicate gets within the key's window.
 
     A run without a recorded end goes on only in the worker pool that was asked to run it (`pool_lives`). If
--- a/cairnvane/claims/storage.py
+++ b/cairnvane/claims/storage.py
@@ -34,7 +34,7 @@
     def append(self, data: bytes) -> None:
         """Append the data in one write; after an `OSError` a part of it may have been written."""
 
-    def look(self) -> SegmentStatus:
+    def status(self) -> SegmentStatus:
         """Return its size, and whether its file still has a name."""
 
     def read(self, offset: int, length: int) -> bytes:
@@ -50,10 +50,10 @@
 class Folder(Protocol):
     """The folder of the segments. All methods raise `OSError`."""
 
-    def make(self) -> None:
+    def create(self) -> None:
         """Create the folder if it does not exist."""
 
-    def numbers(self) -> list[int]:
+    def segment_numbers(self) -> list[int]:
         """Return the numbers of the existing segments, oldest first."""
 
     def open(self, number: int, create: bool) -> Segment:
@@ -80,7 +80,7 @@
             reason = f"a write was cut short at {written} of {len(data)} bytes"
             raise OSError(errno.ENOSPC, reason, str(self._path))
 
-    def look(self) -> SegmentStatus:
+    def status(self) -> SegmentStatus:
         """See `Segment`."""
         status = os.fstat(self._fd)
         return SegmentStatus(status.st_size, status.st_nlink > 0)
@@ -104,11 +104,11 @@
     def __init__(self, path: Path) -> None:
         self.path = path
 
-    def make(self) -> None:
+    def create(self) -> None:
         """See `Folder`."""
         self.path.mkdir(mode=_FOLDER_MODE, parents=True, exist_ok=True)
 
-    def numbers(self) -> list[int]:
+    def segment_numbers(self) -> list[int]:
         """See `Folder`."""
         matches = (_SEGMENT_NAME.fullmatch(path.name) for path in self.path.iterdir())
         return sorted(int(match[1]) for match in matches if match is not None)
--- a/cairnvane/cli/keyed.py
+++ b/cairnvane/cli/keyed.py
@@ -36,7 +36,7 @@
     if a record may be lost.
     """
     try:
-        claim_reports = [inspection.look(path) for path in inspection.ledgers(folder)]
+        claim_reports = [inspection.inspect(path) for path in inspection.claim_log_folders(folder)]
         log_report = verification.verify(OsFiles(folder))
     except (FolderError, NewerVersionError, OSError) as error:
         _fail(error)
@@ -45,7 +45,7 @@
             click.echo(line)
     for line in log_report.lines():
         click.echo(line)
-    is_damaged = log_report.wrong or any(claim_report.wrong for claim_report in claim_reports)
+    is_damaged = log_report.wrong or any(claim_report.is_damaged for claim_report in claim_reports)
     sys.exit(1 if is_damaged else 0)
 
 
@@ -59,7 +59,7 @@
     try:
         rows = list(verification.show(OsFiles(folder)))
         keys_in_log = {row["token"] for row in rows}
-        for path in inspection.ledgers(folder):
+        for path in inspection.claim_log_folders(folder):
             rows += [row for row in inspection.show(path) if row["token"] not in keys_in_log]
         for row in rows:
             text = "  ".join(f"{key}={value}" for key, value in row.items())
--- a/cairnvane/cli/lab.py
+++ b/cairnvane/cli/lab.py
@@ -247,7 +247,7 @@
 
     Status 1 if something that must hold does not, or if a mutant is not found.
     """
-    from ..testbed.simulation import model_checker as model_checker
+    from ..testbed.simulation import model_checker
 
     _check_choices("--from", beginnings, model_checker.BEGINNINGS)
     _check_choices("--mutant", [mutant] if mutant else [], tuple(model_checker.MUTANTS))
--- a/cairnvane/clock.py
+++ b/cairnvane/clock.py
@@ -24,14 +24,14 @@
     return time.monotonic_ns() // NANOSECONDS_PER_MICROSECOND
 
 
-def place(unix_ms: int) -> PlacedStamp:
+def to_monotonic(unix_ms: int) -> PlacedStamp:
     """Place a Unix time stamp on the monotonic clock; one from the future counts as now."""
     unix_now = time.time_ns() // NANOSECONDS_PER_MICROSECOND
     ahead = unix_ms * MICROSECONDS_PER_MILLISECOND - unix_now
     return PlacedStamp(now() + min(0, ahead), max(0, ahead))
 
 
-def boot() -> str | None:
+def boot_id() -> str | None:
     """The id of the machine's present boot, 32 hexadecimal digits; None where the system does not tell.
 
     Times of the monotonic clock are comparable within one boot only.
--- a/cairnvane/idempotency/durability.py
+++ b/cairnvane/idempotency/durability.py
@@ -89,7 +89,7 @@
 
     # --- arrivals
 
-    def hold_until_recovered(self, request: Request) -> bool:
+    def wait_for_recovery(self, request: Request) -> bool:
         """Queue a keyed request if recovery is not complete: nobody knows yet what it duplicates."""
         if self._gate.is_open:
             return False
@@ -203,8 +203,8 @@
 
     def pool_linked(self) -> None:
         """The link to the pool is up."""
-        if self._pool.started is not None:
-            self._store.pool_linked(self._pool.started)
+        if self._pool.pool_started_at is not None:
+            self._store.pool_linked(self._pool.pool_started_at)
 
     def pool_replaced(self) -> None:
         """The pool is a new one."""
--- a/cairnvane/idempotency/durable/appender.py
+++ b/cairnvane/idempotency/durable/appender.py
@@ -30,11 +30,11 @@
     """A record to be written."""
 
     step: Step
-    token: bytes
-    at: int
-    until: int
-    rest: bytes
-    pos: int = 0  # with this record, notices up to this one have had their effect recorded
+    key: bytes
+    recorded_at: int
+    expires_at: int
+    own_part: bytes
+    settled_notice: int = 0  # with this record, notices up to this one have had their effect recorded
 
 
 class RecordLocation(NamedTuple):
@@ -85,21 +85,27 @@
         locations: list[RecordLocation] = []
         buffer = bytearray()
         for entry in entries:
-            self._longest_window = max(self._longest_window, entry.until - entry.at)
-            size = records.size(len(entry.rest))
+            self._longest_window = max(self._longest_window, entry.expires_at - entry.recorded_at)
+            size = records.record_size(len(entry.own_part))
             if size > records.MAX_RECORD:
-                raise RecordTooLargeError(f"key {entry.token.hex()}: a record of {size} bytes")
+                raise RecordTooLargeError(f"key {entry.key.hex()}: a record of {size} bytes")
             segment = self.current
             pad = records.padding(segment.size, size) if segment is not None else 0
-            if segment is None or self._is_full(segment, pad + size, entry.at):
+            if segment is None or self._is_full(segment, pad + size, entry.recorded_at):
                 self._write(buffer)
-                segment = self._begin_segment(entry.at, unix_ms)
+                segment = self._begin_segment(entry.recorded_at, unix_ms)
                 pad = records.padding(segment.size, size)
             buffer += bytes(pad)
             segment.size += pad
             locations.append(RecordLocation(segment.number, segment.size))
-            buffer += records.put(
-                segment.number, entry.step, entry.token, entry.at, entry.until, entry.pos, entry.rest
+            buffer += records.encode_record(
+                segment.number,
+                entry.step,
+                entry.key,
+                entry.recorded_at,
+                entry.expires_at,
+                entry.settled_notice,
+                entry.own_part,
             )
             self._appended(entry, segment, size)
         self._write(buffer)
@@ -109,11 +115,11 @@
         return retention.is_full(segment, more, self._segment_bytes, self._longest_window, now)
 
     def _appended(self, entry: Entry, segment: Segment, size: int) -> None:
-        self._last_pos = entry.pos
-        segment.add(size, entry.until)
+        self._last_pos = entry.settled_notice
+        segment.add(size, entry.expires_at)
         if entry.step is Step.LINK:
-            self._pool_started_at = records.link(entry.rest)
-        self._start_records.appended(entry.step, entry.token, segment, size)
+            self._pool_started_at = records.parse_link(entry.own_part)
+        self._start_records.appended(entry.step, entry.key, segment, size)
 
     def _write(self, buffer: bytearray) -> None:
         if buffer:
@@ -139,10 +145,10 @@
         self._has_unsynced_data = True
         self._has_unsynced_name = True
         header = records.Header(number, self._owner.boot, at, unix_ms, self._owner.name)
-        data = records.put_header(header)
+        data = records.encode_header(header)
         if self._pool_started_at is not None:
-            rest = records.put_link(self._pool_started_at)
-            link = records.put(number, Step.LINK, records.NO_TOKEN, at, at, self._last_pos, rest)
+            rest = records.encode_link(self._pool_started_at)
+            link = records.encode_record(number, Step.LINK, records.NO_KEY, at, at, self._last_pos, rest)
             data += link
             segment.add(len(link), at)
         self._handle.write(data)
--- a/cairnvane/idempotency/durable/claim_transfer.py
+++ b/cairnvane/idempotency/durable/claim_transfer.py
@@ -10,7 +10,7 @@
 
 from ... import clock
 from ...claims import ClaimLog, records
-from ...claims.claim_table import ClaimTable, Entry, Place
+from ...claims.claim_table import ClaimTable, Entry, RecordLocation
 from ...claims.states import KeyState, Step
 from ...claims.storage import OsFolder
 from ..store import RecoveredState, StartedRun
@@ -44,13 +44,13 @@
     table = ClaimTable(0)
     results: dict[bytes, bytes] = {}
     folder = OsFolder(path)
-    for number in folder.numbers():
+    for number in folder.segment_numbers():
         with closing(folder.open(number, create=False)) as segment:
-            size = segment.look()[0]
+            size = segment.status()[0]
             for offset, length, record in records.scan(segment.read(0, size)).records:
-                table.take(record, Place(number, offset, length))
+                table.apply(record, RecordLocation(number, offset, length))
                 if record.kind == Step.RESULT:
-                    results.setdefault(record.token, record.rest[records.DIGEST_BYTES :])
+                    results.setdefault(record.key, record.rest[records.FINGERPRINT_BYTES :])
     return _EarlierClaims(table.entries, results)
 
 
@@ -87,12 +87,12 @@
         self, key: bytes, entry: Entry, result: bytes | None, started: dict[bytes, StartedRun]
     ) -> None:
         if entry.state is KeyState.INTENDED:
-            if self._claim_log.mine(entry):
-                self._transfer_own_run(key, entry.until)
+            if self._claim_log.is_own(entry):
+                self._transfer_own_run(key, entry.expires_at)
                 return
-            if key in started or not self._claim_log.dead(entry):
+            if key in started or not self._claim_log.is_holder_dead(entry):
                 return  # its end is still to come
-        self._record_end(key, entry.until, entry.same, result, started)
+        self._record_end(key, entry.expires_at, entry.fingerprint, result, started)
 
     def _transfer_own_run(self, key: bytes, expires_at: int) -> None:
         run = self._deferred.started_runs.get(key)
@@ -118,7 +118,9 @@
             if entry.state is KeyState.VOID or self._store.has_end(key):
                 continue
             result = claims.results.get(key) if entry.state is KeyState.FINISHED else None
-            self._record_end(key, now + entry.until - entry.at, entry.same, result, started)
+            self._record_end(
+                key, now + entry.expires_at - entry.claimed_at, entry.fingerprint, result, started
+            )
         self._store.call_after_writes(lambda: shutil.rmtree(path, ignore_errors=True))
 
     def _record_end(
--- a/cairnvane/idempotency/durable/compaction.py
+++ b/cairnvane/idempotency/durable/compaction.py
@@ -60,8 +60,8 @@
         file.
         """
         old = self._segments[self._number]
-        new = Segment(self._number, old.began)
-        header = records.header(self._files.read(self._name, 0, records.HEADER_BYTES))
+        new = Segment(self._number, old.begun_at)
+        header = records.parse_header(self._files.read(self._name, 0, records.HEADER_BYTES))
         if self._temporary in self._files.names():
             self._files.remove(self._temporary)
         with closing(self._files.create(self._temporary)) as handle:
@@ -74,8 +74,8 @@
         self._replace(old, new)
 
     def _write_live_records(self, handle: Handle, header: records.Header, new: Segment) -> Iterator[None]:
-        shift = new.began - header.at
-        handle.write(records.put_header(header))
+        shift = new.begun_at - header.at
+        handle.write(records.encode_header(header))
         buffer = bytearray()
         for found in blocks(self._files, self._name, header):
             if isinstance(found, records.Damage):
@@ -90,7 +90,7 @@
 
     def _live_record(self, step: Step, offset: int, payload: bytes, shift: int, new: Segment) -> bytes:
         """The bytes to write for a record of the old segment; none if it no longer counts."""
-        key, at, until, pos = records.common(payload)
+        key, at, until, pos = records.unpack_common(payload)
         word = self._live_word(step, key, until + shift, offset)
         if word is None:
             return b""
@@ -99,10 +99,12 @@
         new.size += pad
         rest = payload[records.COMMON_BYTES :]
         if word != _NOT_INDEXED:
-            new_word = places.place(self._number, new.size, places.tag(rest), places.state(word))
+            new_word = places.pack_word(
+                self._number, new.size, places.fingerprint_tag(rest), places.unpack_state(word)
+            )
             self._moves += _MOVE.pack(key, word, new_word)
         new.add(size, until + shift)
-        return bytes(pad) + records.put(self._number, step, key, at, until, pos, rest)
+        return bytes(pad) + records.encode_record(self._number, step, key, at, until, pos, rest)
 
     def _live_word(self, step: Step, key: bytes, until: int, offset: int) -> int | None:
         """The word of a record in the index, `_NOT_INDEXED`, or None if the record no longer counts."""
@@ -122,7 +124,7 @@
         if found is None:
             return None
         location = places.WordLocation(self._number % places.MOST_SEGMENT, offset)
-        return found.word if places.where(found.word) == location else None
+        return found.word if places.unpack_location(found.word) == location else None
 
     def _replace(self, old: Segment, new: Segment) -> None:
         self._report_step("compaction")
--- a/cairnvane/idempotency/durable/folder_recovery.py
+++ b/cairnvane/idempotency/durable/folder_recovery.py
@@ -116,7 +116,7 @@
             state.index = index
             state.log = log
             if not has_waited:  # else the notices are those of this incarnation's own pool
-                state.progress = retention.Progress(recovered.last_notice)
+                state.progress = retention.NoticeProgress(recovered.last_notice)
             state.open_keys += len(recovered.started_runs)
             state.is_ready = True
         state.measure_disk(clock.now())
--- a/cairnvane/idempotency/durable/group_writer.py
+++ b/cairnvane/idempotency/durable/group_writer.py
@@ -23,7 +23,7 @@
 
 def queued_size(entry: Entry) -> int:
     """The bytes of memory that a queued record takes."""
-    return len(entry.rest) + QUEUED_RECORD_OVERHEAD
+    return len(entry.own_part) + QUEUED_RECORD_OVERHEAD
 
 
 class GroupWriter:
@@ -84,7 +84,7 @@
         with state.lock:
             for write in group:
                 write.progress.written(write.settles)  # may be that of an earlier worker pool
-                write.entry.pos = state.progress.pos
+                write.entry.settled_notice = state.progress.pos
                 entries.append(write.entry)
         return entries
 
@@ -100,8 +100,10 @@
                     state.open_keys -= step in _CLOSING_STEPS
                 if step in _END_STEPS:
                     end_state = KeyState.FINISHED if step is Step.RESULT else KeyState.FAILED
-                    word = places.place(segment, offset, places.tag(write.fingerprint), end_state)
-                    state.index.put(entry.token, word, entry.until)
+                    word = places.pack_word(
+                        segment, offset, places.fingerprint_tag(write.fingerprint), end_state
+                    )
+                    state.index.put(entry.key, word, entry.expires_at)
                 write.is_applied = True
             state.disk_bytes = state.log.size
 
--- a/cairnvane/idempotency/durable/index.py
+++ b/cairnvane/idempotency/durable/index.py
@@ -41,12 +41,12 @@
 _MIN_CAPACITY = 64
 
 
-def tag(fingerprint: bytes) -> int:
+def fingerprint_tag(fingerprint: bytes) -> int:
     """The part of a request fingerprint that stands in a word."""
     return int.from_bytes(fingerprint[:2], "little") & MARK_MASK
 
 
-def place(segment: int, offset: int, mark: int, ended: int) -> int:
+def pack_word(segment: int, offset: int, mark: int, ended: int) -> int:
     """Pack a word; `mark` is the `tag` of the request fingerprint, `ended` the state."""
     return (
         (segment % MOST_SEGMENT) << (_OFFSET_BITS + _TAG_BITS + _STATE_BITS)
@@ -70,20 +70,20 @@
     end_tick: int
 
 
-def where(word: int) -> WordLocation:
+def unpack_location(word: int) -> WordLocation:
     """The segment (modulo `MOST_SEGMENT`) and the offset in a word."""
     word >>= _TAG_BITS + _STATE_BITS
     return WordLocation(word >> _OFFSET_BITS, word & (MOST_OFFSET - 1))
 
 
-def state(word: int) -> KeyState:
+def unpack_state(word: int) -> KeyState:
     """The state in a word: how the request ended."""
     return KeyState(word & _STATE_MASK)
 
 
 def may_match(word: int, fingerprint: bytes) -> bool:
     """Whether a word may be that of this request; only the whole fingerprint on disk proves it."""
-    return word >> _STATE_BITS & MARK_MASK == tag(fingerprint)
+    return word >> _STATE_BITS & MARK_MASK == fingerprint_tag(fingerprint)
 
 
 class Index:
--- a/cairnvane/idempotency/durable/messages.py
+++ b/cairnvane/idempotency/durable/messages.py
@@ -15,7 +15,7 @@
 
     entry: Entry
     then: Callable[[], None] | None
-    progress: retention.Progress  # of the worker pool that the settled notices belong to
+    progress: retention.NoticeProgress  # of the worker pool that the settled notices belong to
     fingerprint: bytes = b""  # of an end: the request fingerprint that the index shows
     settles: tuple[int, ...] = ()  # notices that need not be sent again once this is written
     needs_sync: bool = True  # someone waits until the record survives a power cut
--- a/cairnvane/idempotency/durable/records.py
+++ b/cairnvane/idempotency/durable/records.py
@@ -38,7 +38,7 @@
 _END = struct.Struct("<16s")  # fingerprint; then the result
 _CALL = struct.Struct("<Q")  # the notice that asks for the call
 _LINK = struct.Struct("<q")  # when the worker pool started
-NO_TOKEN = bytes(16)
+NO_KEY = bytes(16)
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,11 +57,11 @@
     """A parsed record."""
 
     step: Step
-    token: bytes  # the idempotency key
-    at: int  # when the record was made; microseconds of the monotonic clock, as the next one
-    until: int  # until when the key counts
-    pos: int  # notices up to this one have had their effect recorded
-    rest: bytes  # the record's own part, by its kind
+    key: bytes  # the idempotency key
+    recorded_at: int  # when the record was made; microseconds of the monotonic clock, as the next one
+    expires_at: int  # until when the key counts
+    settled_notice: int  # notices up to this one have had their effect recorded
+    own_part: bytes  # the record's own part, by its kind
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +76,7 @@
         return f"{self.what} at byte {self.offset}, {self.length} bytes passed over"
 
 
-def put_header(header: Header) -> bytes:
+def encode_header(header: Header) -> bytes:
     """The 128 bytes of a segment's header."""
     name = header.name.encode()[:MAX_NAME]
     data = _HEADER.pack(
@@ -86,7 +86,7 @@
     return data + _CRC.pack(crc32c(data))
 
 
-def header(data: bytes) -> Header:
+def parse_header(data: bytes) -> Header:
     """Parse the first 128 bytes of a segment; `InvalidHeaderError` says what is wrong with them."""
     if data[:8] != MAGIC:
         raise InvalidHeaderError("not a segment" if data.strip(b"\0") else "empty")
@@ -115,22 +115,22 @@
     return int(crc32c(number.to_bytes(8, "little")))
 
 
-def put(number: int, step: Step, key: bytes, at: int, until: int, pos: int, rest: bytes) -> bytes:
+def encode_record(number: int, step: Step, key: bytes, at: int, until: int, pos: int, rest: bytes) -> bytes:
     """The bytes of a record in segment `number`."""
     payload = _COMMON.pack(key, at, until, pos) + rest
     head = _HEAD.pack(0, crc32c(payload), len(payload), step)
     return _CRC.pack(extend(salt(number), head[_CHECKED_HEAD])) + head[_CHECKED_HEAD] + payload
 
 
-def size(rest: int) -> int:
+def record_size(rest: int) -> int:
     """The size of a record whose own part has `rest` bytes."""
     return HEAD_BYTES + COMMON_BYTES + rest
 
 
 # With a class name of 32 bytes.
-INTENT_BYTES = size(_INTENT.size + 32)
+INTENT_BYTES = record_size(_INTENT.size + 32)
 # Without the result.
-END_BYTES = size(_END.size)
+END_BYTES = record_size(_END.size)
 
 
 def padding(offset: int, length: int) -> int:
@@ -190,10 +190,10 @@
     Step.LINK: _LINK.size,
 }
 
-common = _COMMON.unpack_from  # idempotency key, at, until, pos
+unpack_common = _COMMON.unpack_from  # idempotency key, at, until, pos
 
 
-def parse(kind: int, payload: bytes) -> Record:
+def parse_record(kind: int, payload: bytes) -> Record:
     """Parse the payload of a record that `scan` has found."""
     key, at, until, pos = _COMMON.unpack_from(payload)
     return Record(_STEPS[kind], key, at, until, pos, payload[COMMON_BYTES:])
@@ -216,43 +216,43 @@
     result: bytes
 
 
-def put_intent(uid: str, fingerprint: bytes, deadline: int, memory: float, class_name: str) -> bytes:
+def encode_start(uid: str, fingerprint: bytes, deadline: int, memory: float, class_name: str) -> bytes:
     """The own part of a start record."""
     return _INTENT.pack(bytes.fromhex(uid), fingerprint, deadline, memory) + class_name.encode()
 
 
-def intent(rest: bytes) -> StartPart:
+def parse_start(rest: bytes) -> StartPart:
     """Parse the own part of a start record."""
     uid, fingerprint, deadline, memory = _INTENT.unpack_from(rest)
     class_name = rest[_INTENT.size :].decode(errors="replace")
     return StartPart(uid.hex(), fingerprint, deadline, memory, class_name)
 
 
-def put_end(fingerprint: bytes, result: bytes) -> bytes:
+def encode_end(fingerprint: bytes, result: bytes) -> bytes:
     """The own part of an end record."""
     return _END.pack(fingerprint) + result
 
 
-def end(rest: bytes) -> EndPart:
+def parse_end(rest: bytes) -> EndPart:
     """Parse the own part of an end record."""
     return EndPart(rest[: _END.size], rest[_END.size :])
 
 
-def put_call(notice: int) -> bytes:
+def encode_call(notice: int) -> bytes:
     """The own part of a call record."""
     return _CALL.pack(notice)
 
 
-def call(rest: bytes) -> int:
+def parse_call(rest: bytes) -> int:
     """The notice that asked for the call, from the own part of a call record."""
     return int(_CALL.unpack_from(rest)[0])
 
 
-def put_link(pool_started_at: int) -> bytes:
+def encode_link(pool_started_at: int) -> bytes:
     """The own part of a link record."""
     return _LINK.pack(pool_started_at)
 
 
-def link(rest: bytes) -> int:
+def parse_link(rest: bytes) -> int:
     """When the worker pool started, from the own part of a link record."""
     return int(_LINK.unpack_from(rest)[0])
--- a/cairnvane/idempotency/durable/recovery.py
+++ b/cairnvane/idempotency/durable/recovery.py
@@ -89,7 +89,7 @@
         if found is None:
             return KeyState.UNKNOWN
         is_current = self._index.is_before_end(found.end_tick, self._now - self._unread)
-        return places.state(found.word) if is_current else KeyState.AGED
+        return places.unpack_state(found.word) if is_current else KeyState.AGED
 
     def read(
         self,
@@ -105,10 +105,10 @@
         runs = self.runs
         never_started = self._never_started
         indexed_by_end = self._indexed_by_end
-        common = records.common
+        common = records.unpack_common
         get = self._index.get
         put = self._index.put
-        finished = places.place(segment.number, 0, 0, KeyState.FINISHED)
+        finished = places.pack_word(segment.number, 0, 0, KeyState.FINISHED)
         oldest = self._now - self._unread
         pos = self.pos
         ends = 0
@@ -137,7 +137,7 @@
                     runs[key] = segment, size, payload, shift, 0
                     continue
                 if kind == RESULT and (run := runs.pop(key, None)) is not None:
-                    run[0].dead += run[1]
+                    run[0].superseded_bytes += run[1]
                     mark = (payload[COMMON_BYTES] | payload[COMMON_BYTES + 1] << 8) & places.MARK_MASK
                     word = finished | offset << places.OFFSET_SHIFT | mark << places.MARK_SHIFT
                     if not put(key, word, until):
@@ -174,16 +174,16 @@
         elif kind == INTENT:
             self._about_to_start(key, payload, size)
         elif kind == CALL:
-            self.runs[key] = *self.runs[key][:4], records.call(payload[COMMON_BYTES:])
-            self._segment.dead += size
+            self.runs[key] = *self.runs[key][:4], records.parse_call(payload[COMMON_BYTES:])
+            self._segment.superseded_bytes += size
         else:
             self._forget_run(key)
             self._never_started.add(key)
 
     def _ended(self, key: bytes, offset: int, payload: bytes, until: int, end_state: KeyState) -> None:
         self._forget_run(key)
-        mark = places.tag(payload[COMMON_BYTES : COMMON_BYTES + 2])
-        word = places.place(self._segment.number, offset, mark, end_state)
+        mark = places.fingerprint_tag(payload[COMMON_BYTES : COMMON_BYTES + 2])
+        word = places.pack_word(self._segment.number, offset, mark, end_state)
         if not self._index.put(key, word, until):
             raise self._index_full()
         step = until // AGE_STEP_US
@@ -192,14 +192,14 @@
     def _about_to_start(self, key: bytes, payload: bytes, size: int) -> None:
         self._never_started.discard(key)
         if key in self.runs:
-            self._segment.dead += size  # written again after a write that failed half way
+            self._segment.superseded_bytes += size  # written again after a write that failed half way
         else:
             self.runs[key] = self._segment, size, payload, self._shift, 0
 
     def _linked(self, payload: bytes) -> None:
-        started = records.link(payload[COMMON_BYTES:])
+        started = records.parse_link(payload[COMMON_BYTES:])
         if started != self.pool_started:  # a new worker pool numbers its notices from 1 again
-            self.pos = records.common(payload)[3]
+            self.pos = records.unpack_common(payload)[3]
         # A pool of another boot is gone, and no other pool is taken for it.
         self.pool_started = started if self._shift == 0 else LONG_GONE
 
@@ -207,7 +207,7 @@
         run = self.runs.pop(key, None)
         if run is not None:
             segment, size = run[:2]
-            segment.dead += size
+            segment.superseded_bytes += size
 
     def _describe_illegal(self, description: str) -> None:
         if len(self.counts.illegal) < MAX_DESCRIBED:
@@ -227,14 +227,14 @@
 
     def _started_run(self, run: Run) -> StartedRun:
         _, _, payload, shift, call_notice = run
-        record = records.parse(Step.INTENT, payload)
-        start = records.intent(record.rest)
+        record = records.parse_record(Step.INTENT, payload)
+        start = records.parse_start(record.own_part)
         return StartedRun(
-            key=record.token,
+            key=record.key,
             uid=start.uid,
             class_name=start.class_name,
             fingerprint=start.fingerprint,
-            expires_at=record.until + shift,
+            expires_at=record.expires_at + shift,
             deadline=start.deadline + shift,
             memory=start.memory,
             call_notice=call_notice,
--- a/cairnvane/idempotency/durable/retention.py
+++ b/cairnvane/idempotency/durable/retention.py
@@ -28,7 +28,7 @@
 # The largest result that the platform's protocol allows. A larger one exceeds the bound by the difference.
 RESULT_BYTES = 4_096
 # What one key takes on disk at most: two records, the one of the call, and the padding at the ends of blocks.
-KEY_BYTES = records.INTENT_BYTES + records.END_BYTES + records.size(8) + RESULT_BYTES * 9 // 8
+KEY_BYTES = records.INTENT_BYTES + records.END_BYTES + records.record_size(8) + RESULT_BYTES * 9 // 8
 # A write that has not returned after this long is slow: no new key is admitted behind it.
 SLOW_US = 100_000
 # The retry-after while nothing better is known, and while the store is merely busy.
@@ -47,10 +47,10 @@
     """What is known about one segment without reading it."""
 
     number: int
-    began: int  # when it was begun
+    begun_at: int  # when it was begun
     size: int = records.HEADER_BYTES
-    ends: int = 0  # when the last of its keys expires
-    dead: int = 0  # bytes of records that later records have superseded
+    last_expiry: int = 0  # when the last of its keys expires
+    superseded_bytes: int = 0  # bytes of records that later records have superseded
     _bytes_by_end: dict[int, int] = field(default_factory=dict)  # by the step in which they expire
 
     def add(self, size: int, until: int) -> None:
@@ -60,14 +60,14 @@
 
     def note(self, by_end: dict[int, int], ends: int) -> None:
         """Count records: the bytes of them that expire in each step, the last at `ends`."""
-        self.ends = max(self.ends, ends)
+        self.last_expiry = max(self.last_expiry, ends)
         for step, size in by_end.items():
             self._bytes_by_end[step] = self._bytes_by_end.get(step, 0) + size
 
     def dead_bytes(self, now: int) -> int:
         """Bytes that nobody needs any more."""
         aged = sum(size for step, size in self._bytes_by_end.items() if (step + 1) * AGE_STEP_US <= now)
-        return min(self.size, self.dead + aged)
+        return min(self.size, self.superseded_bytes + aged)
 
 
 def segment_bytes(most_disk: int) -> int:
@@ -81,7 +81,7 @@
         return False
     if segment.size + more > most:
         return True
-    return now - segment.began >= max(MIN_SEGMENT_AGE_US, window // WINDOW_PARTS)
+    return now - segment.begun_at >= max(MIN_SEGMENT_AGE_US, window // WINDOW_PARTS)
 
 
 def droppable(segments: Iterable[Segment], unread: int, now: int) -> list[int]:
@@ -92,7 +92,7 @@
     """
     numbers = []
     for segment in segments:
-        if segment.ends + unread > now:
+        if segment.last_expiry + unread > now:
             break
         numbers.append(segment.number)
     return numbers
@@ -149,7 +149,7 @@
     return min(MAX_RETRY_US, RETRY_US << doublings)
 
 
-class Progress:
+class NoticeProgress:
     """Which of the worker pool's notices need not be sent again.
 
     These are all up to one: their effect is recorded.
--- a/cairnvane/idempotency/durable/segment_log.py
+++ b/cairnvane/idempotency/durable/segment_log.py
@@ -137,7 +137,7 @@
 
         None if the record there is damaged, or not this key's with this request fingerprint.
         """
-        short_number, offset = places.where(word)
+        short_number, offset = places.unpack_location(word)
         number = self._full_number(short_number)
         if number is None:
             return None
@@ -147,9 +147,9 @@
         if found is None or isinstance(found, records.Damage):
             return None
         kind, _, payload = found
-        record = records.parse(kind, payload)
-        stored_fingerprint, result = records.end(record.rest)
-        is_wanted = record.step is Step.RESULT and record.token == key and stored_fingerprint == fingerprint
+        record = records.parse_record(kind, payload)
+        stored_fingerprint, result = records.parse_end(record.own_part)
+        is_wanted = record.step is Step.RESULT and record.key == key and stored_fingerprint == fingerprint
         return result if is_wanted else None
 
     def _full_number(self, short_number: int) -> int | None:
@@ -173,7 +173,7 @@
     def first_drop(self, now: int) -> int | None:
         """In how many microseconds the oldest segment can be dropped."""
         oldest = next(iter(self.segments.values()), None)
-        return None if oldest is None else max(0, oldest.ends + self._unread - now)
+        return None if oldest is None else max(0, oldest.last_expiry + self._unread - now)
 
     def compact_step(self, index: Index, now: int) -> bool:
         """Continue a compaction, or begin one if it is worth it; False if there is nothing to do."""
--- a/cairnvane/idempotency/durable/segment_reader.py
+++ b/cairnvane/idempotency/durable/segment_reader.py
@@ -77,7 +77,7 @@
     Raises `FolderError` if a newer version has written it.
     """
     try:
-        header = records.header(files.read(name, 0, records.HEADER_BYTES))
+        header = records.parse_header(files.read(name, 0, records.HEADER_BYTES))
         if header.number != number:
             raise InvalidHeaderError(f"it says that it is segment {header.number}")
     except NewerVersionError as error:
--- a/cairnvane/idempotency/durable/start_records.py
+++ b/cairnvane/idempotency/durable/start_records.py
@@ -27,16 +27,16 @@
         """A record was appended: count the bytes that nobody needs any more because of it."""
         if step is Step.INTENT:
             if key in self._by_key:
-                segment.dead += size
+                segment.superseded_bytes += size
             else:
                 self._by_key[key] = (segment, size)
         elif step in (Step.CALL, Step.LINK):
-            segment.dead += size
+            segment.superseded_bytes += size
         else:
             start = self._by_key.pop(key, None)
             if start is not None:
                 start_segment, start_size = start
-                start_segment.dead += start_size
+                start_segment.superseded_bytes += start_size
 
     def segment_replaced(self, old: Segment, new: Segment) -> None:
         """A segment was compacted."""
--- a/cairnvane/idempotency/durable/state.py
+++ b/cairnvane/idempotency/durable/state.py
@@ -29,7 +29,7 @@
         self.lock = threading.Lock()
         self.index = index
         self.log = log
-        self.progress = retention.Progress()
+        self.progress = retention.NoticeProgress()
         self.open_keys = 0  # keys that were reserved and of which no end is recorded
         self.queued_bytes = 0
         self.disk_bytes = 0
@@ -77,7 +77,7 @@
         """
         with self.lock:
             found = self.index.get(key)
-        if found is None or places.state(found.word) is not KeyState.FINISHED:
+        if found is None or places.unpack_state(found.word) is not KeyState.FINISHED:
             return None
         try:
             return self.log.fetch(found.word, key, fingerprint)
--- a/cairnvane/idempotency/durable/storage.py
+++ b/cairnvane/idempotency/durable/storage.py
@@ -118,7 +118,7 @@
     Where the system reports none, each process counts as a boot of its own: keys are then kept a little
     longer than necessary.
     """
-    boot = clock.boot()
+    boot = clock.boot_id()
     return bytes.fromhex(boot) if boot is not None else uuid.uuid4().bytes
 
 
--- a/cairnvane/idempotency/durable/store.py
+++ b/cairnvane/idempotency/durable/store.py
@@ -146,7 +146,7 @@
         self, run: StartedRun, then: Callable[[], None], not_started: Callable[[bool], None]
     ) -> None:
         """See `IdempotencyStore`."""
-        own_part = records.put_intent(run.uid, run.fingerprint, run.deadline, run.memory, run.class_name)
+        own_part = records.encode_start(run.uid, run.fingerprint, run.deadline, run.memory, run.class_name)
         self._write(Entry(Step.INTENT, run.key, clock.now(), run.expires_at, own_part), then)
 
     def record_never_started(self, key: bytes, expires_at: int, settles: tuple[int, ...]) -> None:
@@ -159,7 +159,7 @@
 
         A power cut ends the worker pool and with it the run, so this record need not survive one.
         """
-        entry = Entry(Step.CALL, key, clock.now(), expires_at, records.put_call(notice))
+        entry = Entry(Step.CALL, key, clock.now(), expires_at, records.encode_call(notice))
         self._write(entry, then, settles=(notice,), needs_sync=False)
 
     def record_end(
@@ -173,7 +173,7 @@
     ) -> None:
         """See `IdempotencyStore`."""
         step = Step.FAULT if result is None else Step.RESULT
-        own_part = records.put_end(fingerprint, result or b"")
+        own_part = records.encode_end(fingerprint, result or b"")
         entry = Entry(step, key, clock.now(), expires_at, own_part)
         self._write(entry, then, fingerprint=fingerprint, settles=settles, needs_sync=result is not None)
 
@@ -185,13 +185,13 @@
     def pool_linked(self, pool_started_at: int) -> None:
         """See `IdempotencyStore`."""
         now = clock.now()
-        entry = Entry(Step.LINK, records.NO_TOKEN, now, now, records.put_link(pool_started_at))
+        entry = Entry(Step.LINK, records.NO_KEY, now, now, records.encode_link(pool_started_at))
         self._write(entry, None, needs_sync=False)
 
     def pool_replaced(self) -> None:
         """See `IdempotencyStore`."""
         with self._state.lock:
-            self._state.progress = retention.Progress()
+            self._state.progress = retention.NoticeProgress()
 
     def look_up(self, key: bytes, fingerprint: bytes, arrived_at: int) -> StoredEntry | None:
         """See `IdempotencyStore`."""
@@ -203,7 +203,7 @@
         word = found.word
         if not places.may_match(word, fingerprint):
             raise KeyConflictError(f"key {key.hex()} is stored for another class or body")
-        decision = states.repeat(places.state(word), True)
+        decision = states.decide_duplicate(places.unpack_state(word), True)
         if decision is RetryDecision.RUN:
             return None
         return StoredEntry(key, decision is RetryDecision.RESULT)
@@ -232,7 +232,7 @@
     def call_after_writes(self, then: Callable[[], None]) -> None:
         """Call `then` once all records that were handed over before are written."""
         # The writer thread answers in order, after the writes: a fetch of no key does nothing else.
-        self.fetch_result(records.NO_TOKEN, records.NO_TOKEN, lambda result: then())
+        self.fetch_result(records.NO_KEY, records.NO_KEY, lambda result: then())
 
     def close(self) -> None:
         """See `IdempotencyStore`."""
--- a/cairnvane/idempotency/durable/takeover_store.py
+++ b/cairnvane/idempotency/durable/takeover_store.py
@@ -71,7 +71,7 @@
 
     def _folder_owned_elsewhere(self) -> bool:
         """Serve concurrently with the owner of the folder, if it writes a claim log; whether it does."""
-        if self._ledger.alone():
+        if self._ledger.is_alone():
             return False
         self._found_owned = True
         logger.info("another process owns the folder: serving concurrently with it")
--- a/cairnvane/idempotency/durable/verify.py
+++ b/cairnvane/idempotency/durable/verify.py
@@ -21,7 +21,7 @@
 
 
 @dataclass(slots=True)
-class Found:
+class VerificationReport:
     """What `verify` has found."""
 
     report: Report = field(default_factory=Report)
@@ -62,7 +62,7 @@
     detail: dict[str, str]
 
 
-def _read(files: OsFiles, found: Found) -> dict[bytes, _Key]:
+def _read(files: OsFiles, found: VerificationReport) -> dict[bytes, _Key]:
     """The state of every key, expired or not."""
     keys: dict[bytes, _Key] = {}
     for number, name in segment_names(files):
@@ -78,43 +78,45 @@
             kind, offset, payload = item
             found.records += 1
             end = offset + records.HEAD_BYTES + len(payload)
-            _apply(keys, header, records.parse(kind, payload), found)
+            _apply(keys, header, records.parse_record(kind, payload), found)
         found.report.take(name, damages, end)
     return keys
 
 
-def _apply(keys: dict[bytes, _Key], header: records.Header, record: records.Record, found: Found) -> None:
+def _apply(
+    keys: dict[bytes, _Key], header: records.Header, record: records.Record, found: VerificationReport
+) -> None:
     """Apply a record to the state of its key."""
     if record.step is Step.LINK:
         return
-    previous = keys.get(record.token)
+    previous = keys.get(record.key)
     state = KeyState.UNKNOWN if previous is None else previous.state
     # A key may come again once it has expired.
-    if previous is not None and previous.header.boot == header.boot and previous.until <= record.at:
+    if previous is not None and previous.header.boot == header.boot and previous.until <= record.recorded_at:
         previous = None
         state = KeyState.AGED
     try:
         next_state = states.advance(state, record.step)
     except states.IllegalStepError as error:
-        found.illegal.append(f"{record.token.hex()}: {error}")
+        found.illegal.append(f"{record.key.hex()}: {error}")
         return
     detail = _detail(record, {} if previous is None else previous.detail)
-    keys[record.token] = _Key(next_state, header, record.at, record.until, detail)
+    keys[record.key] = _Key(next_state, header, record.recorded_at, record.expires_at, detail)
 
 
 def _detail(record: records.Record, previous: dict[str, str]) -> dict[str, str]:
     """What is shown of a key in addition to its state."""
     if record.step is Step.INTENT:
-        start = records.intent(record.rest)
+        start = records.parse_start(record.own_part)
         return {"uid": start.uid, "class": start.class_name}
     if record.step is Step.RESULT:
-        return previous | {"result_bytes": str(len(records.end(record.rest).result))}
+        return previous | {"result_bytes": str(len(records.parse_end(record.own_part).result))}
     return previous
 
 
-def verify(files: OsFiles) -> Found:
+def verify(files: OsFiles) -> VerificationReport:
     """Read everything. Nothing is changed, and a server may use the folder meanwhile."""
-    found = Found()
+    found = VerificationReport()
     for key in _read(files, found).values():
         name = key.state.name.lower()
         found.keys[name] = found.keys.get(name, 0) + 1
@@ -125,7 +127,7 @@
     """A row for each key, oldest first."""
     now = clock.now()
     boot = boot_id()
-    for token, key in _read(files, Found()).items():
+    for token, key in _read(files, VerificationReport()).items():
         is_this_boot = key.header.boot == boot
         time_left = f"{max(0, key.until - now) / 1e6:.1f}" if is_this_boot else "of an earlier boot"
         unix_s = key.header.unix_ms / 1e3 + (key.at - key.header.at) / 1e6
--- a/cairnvane/idempotency/run_recovery.py
+++ b/cairnvane/idempotency/run_recovery.py
@@ -83,7 +83,7 @@
         if numbered is None:
             self._fail(run, "its request class is no longer configured")
             return
-        decision = states.repeat(states.KeyState.INTENDED, not self._linked_without_recovery)
+        decision = states.decide_duplicate(states.KeyState.INTENDED, not self._linked_without_recovery)
         if decision is states.RetryDecision.FAIL:
             self._fail(run, "the worker pool's notices were read before the store was recovered")
             return
--- a/cairnvane/net/connection.py
+++ b/cairnvane/net/connection.py
@@ -9,17 +9,24 @@
 from typing import Protocol
 
 from . import fastcgi
-from .connection_lifecycle import MAX_OPEN, ConnectionLifecycle, LifecycleContext, State
+from .connection_lifecycle import MAX_OPEN, ConnectionLifecycle, ConnectionPhase, LifecycleContext
 from .read_buffers import BufferPool
-from .record_handler import MOST_VOID, HandlerContext, RecordHandler
+from .record_handler import MAX_STRAY_RECORDS, HandlerContext, RecordHandler
 
-__all__ = ["MAX_OPEN", "MOST_VOID", "SAY_WAIT_S", "Connection", "ServerContext", "State"]
+__all__ = [
+    "MAX_OPEN",
+    "MAX_STRAY_RECORDS",
+    "REQUEST_TIMEOUT_S",
+    "Connection",
+    "ServerContext",
+    "ConnectionPhase",
+]
 
 logger = logging.getLogger(__name__)
 
 # A balancer opens a connection for a request and sends that whole. Whoever says nothing, or half of
 # something, for so long is no balancer; it is owed an end within 3 s, of which a busy machine takes some.
-SAY_WAIT_S = 2.0
+REQUEST_TIMEOUT_S = 2.0
 # Who sends what can't be right is read on only after so long: a client that tries the same again as soon as
 # it is rejected would else have the share of the core that the balancers need.
 SUSPECT_READ_DELAY_S = 0.05
@@ -58,17 +65,17 @@
         return self._lifecycle.last_activity
 
     @property
-    def _state(self) -> State:
+    def state(self) -> ConnectionPhase:
         """How far its end has come."""
         return self._lifecycle.state
 
     @property
-    def _in_hand(self) -> bool:
+    def is_parsing(self) -> bool:
         """Bytes were received that have not been parsed yet."""
         return self._lifecycle.is_parsing
 
     @property
-    def _rest_since(self) -> float | None:
+    def partial_record_since(self) -> float | None:
         """Since when a record is half read, by the server's clock."""
         return self._lifecycle.partial_record_since
 
@@ -92,7 +99,7 @@
                     return
                 if received == 0:
                     return
-                is_serving = self._lifecycle.state is State.SERVING
+                is_serving = self._lifecycle.state is ConnectionPhase.SERVING
                 buffered = self._parse(buffer, buffered + received) if is_serving else 0
                 if self._close_after_parsing():
                     return
@@ -103,7 +110,7 @@
         """Act on all whole records of the buffer; the size of what is left, moved to its beginning."""
         position = 0
         try:
-            while (found := fastcgi.take(buffer, position, size)) is not None:
+            while (found := fastcgi.read_record(buffer, position, size)) is not None:
                 record, position = found
                 self._handler.handle(record)
         except fastcgi.MalformedRecordError as error:
@@ -125,18 +132,18 @@
         Who asked for the end before found it busy.
         """
         self._lifecycle.parsing_finished()
-        is_closing = self._server.retiring or self._lifecycle.state is State.ANSWERING
+        is_closing = self._server.retiring or self._lifecycle.state is ConnectionPhase.ANSWERING
         return is_closing and self.close_if_idle()
 
     # --- ending
 
-    def look(self) -> None:
+    def enforce_deadlines(self) -> None:
         """Enforce the peer's deadlines; called now and then.
 
         End the wait for a peer that has nothing to say, fail requests that do not come whole, and close the
         connection if it idles.
         """
-        expired = self._lifecycle.expire(self._server.clock - SAY_WAIT_S)
+        expired = self._lifecycle.expire(self._server.clock - REQUEST_TIMEOUT_S)
         if expired.connection:
             self._wake_reader()
             return
@@ -148,7 +155,7 @@
         """End a connection with no open request, if that is wanted or it has idled for too long."""
         return self._lifecycle.close_if_idle(asked)
 
-    def make_room(self, even_if_partial: bool = False) -> bool:
+    def evict(self, even_if_partial: bool = False) -> bool:
         """End it at once, since another connection needs its place.
 
         False if an answer is owed on it, or, unless `even_if_partial`, something has come that may become a
@@ -156,7 +163,7 @@
         """
         return self._lifecycle.evict(even_if_partial)
 
-    def leave(self) -> None:
+    def end(self) -> None:
         """End it whatever is still being read: the time to answer it is over."""
         self._lifecycle.end()
 
--- a/cairnvane/net/connection_lifecycle.py
+++ b/cairnvane/net/connection_lifecycle.py
@@ -21,7 +21,7 @@
 MAX_IDLE_S = 30.0
 
 
-class State(Enum):
+class ConnectionPhase(Enum):
     """How far the end of a connection has come. It only goes forward, under the connection's lock."""
 
     SERVING = 0  # requests are read and answered
@@ -49,7 +49,7 @@
     """What has waited for its peer for too long."""
 
     connection: bool  # the connection as a whole: its reader is to be woken
-    partial_requests: list[fastcgi.Incoming]
+    partial_requests: list[fastcgi.IncomingRequest]
 
 
 class LifecycleContext(Protocol):
@@ -72,7 +72,7 @@
 
     def __init__(self, context: LifecycleContext, sock: socket.socket) -> None:
         self.writer = MessageWriter(sock)
-        self.state = State.SERVING
+        self.state = ConnectionPhase.SERVING
         self.last_activity = time.monotonic()  # when the connection last carried something
         self.is_parsing = False  # bytes were received that have not been parsed yet
         self.partial_record_since: float | None = None  # by the context's clock, as the next two
@@ -81,7 +81,7 @@
         # Guards all that is here, except `partial_record_since`, which the reader sets without it.
         self._lock = threading.Lock()
         self._all_answered = threading.Condition(self._lock)
-        self._partial_requests: dict[int, fastcgi.Incoming] = {}  # by request number, oldest first
+        self._partial_requests: dict[int, fastcgi.IncomingRequest] = {}  # by request number, oldest first
         self._open_exchanges: dict[int, Exchange] = {}  # handed over, the answer not written
         # None once a whole request has come.
         self._first_request_awaited_since: float | None = context.clock
@@ -96,7 +96,7 @@
         lost.
         """
         with self._lock:
-            if self.state is State.ENDED:
+            if self.state is ConnectionPhase.ENDED:
                 return 0
             count = self._sock.recv_into(buffer, 0, socket.MSG_DONTWAIT)
             self.is_parsing = True
@@ -132,10 +132,12 @@
                 return BeginResult.UNKNOWN_ROLE
             if len(self._open_exchanges) + len(self._partial_requests) >= MAX_OPEN:
                 return BeginResult.OVERLOADED
-            self._partial_requests[number] = fastcgi.Incoming(number, keep_connection, self._context.clock)
+            self._partial_requests[number] = fastcgi.IncomingRequest(
+                number, keep_connection, self._context.clock
+            )
         return BeginResult.STARTED
 
-    def partial_request(self, number: int) -> fastcgi.Incoming | None:
+    def partial_request(self, number: int) -> fastcgi.IncomingRequest | None:
         """The request of this number, if it is being read."""
         return self._partial_requests.get(number)
 
@@ -146,14 +148,17 @@
             exchange = self._open_exchanges.get(number)
         return Withdrawn(partial is not None, exchange)
 
-    def owe_answer(self, incoming: fastcgi.Incoming, exchange: Exchange) -> bool:
+    def owe_answer(self, incoming: fastcgi.IncomingRequest, exchange: Exchange) -> bool:
         """It is not read any more but owed an answer, in one step, so that it is seen at any moment.
 
         False if something else came first: the connection's end, or the deadline of the request, which ran
         out as its rest came.
         """
         with self._lock:
-            if self.state is not State.SERVING or self._partial_requests.get(incoming.id) is not incoming:
+            if (
+                self.state is not ConnectionPhase.SERVING
+                or self._partial_requests.get(incoming.id) is not incoming
+            ):
                 return False
             del self._partial_requests[incoming.id]
             self._open_exchanges[incoming.id] = exchange
@@ -201,9 +206,9 @@
         It is wanted if the peer asked for it, the server retires, or the connection has idled for too long.
         """
         with self._lock:
-            if self.state is State.ENDED or self._open_exchanges:
+            if self.state is ConnectionPhase.ENDED or self._open_exchanges:
                 return False
-            if self.state is State.SERVING:
+            if self.state is ConnectionPhase.SERVING:
                 is_wanted = asked or self._context.retiring or self._idles_too_long()
                 if not is_wanted or self._has_partial_input():
                     return False
@@ -217,7 +222,7 @@
         request.
         """
         with self._lock:
-            if self.state is State.ENDED or self._open_exchanges or self.writer.waiting:
+            if self.state is ConnectionPhase.ENDED or self._open_exchanges or self.writer.waiting:
                 return False
             if self._has_partial_input() and not even_if_partial:
                 return False
@@ -239,16 +244,16 @@
     # --- with the lock held
 
     def _stop_reading(self) -> None:
-        if self.state is State.SERVING:
-            self.state = State.ANSWERING
+        if self.state is ConnectionPhase.SERVING:
+            self.state = ConnectionPhase.ANSWERING
         self._partial_requests.clear()
         self.partial_record_since = None
         self._first_request_awaited_since = None
 
     def _end(self) -> None:
         """Close our side: from this moment on nothing is received."""
-        if self.state is not State.ENDED:
-            self.state = State.ENDED
+        if self.state is not ConnectionPhase.ENDED:
+            self.state = ConnectionPhase.ENDED
             self._ended_since = self._context.clock
             self.writer.end()
 
--- a/cairnvane/net/fastcgi.py
+++ b/cairnvane/net/fastcgi.py
@@ -46,7 +46,7 @@
     content: bytes
 
 
-def take(view: memoryview, at: int, have: int) -> tuple[Record, int] | None:
+def read_record(view: memoryview, at: int, have: int) -> tuple[Record, int] | None:
     """The record that starts at `at`, and where the next one does; None if it is incomplete at `have`."""
     if have - at < _HEADER.size:
         return None
@@ -67,7 +67,7 @@
     return _HEADER.pack(VERSION, kind, request, len(content), 0) + content
 
 
-def pairs(data: bytes) -> dict[str, str]:
+def decode_pairs(data: bytes) -> dict[str, str]:
     """Decode name-value pairs; bytes that are not UTF-8 stay distinct, so that none match by mistake."""
     decoded: dict[str, str] = {}
     position = 0
@@ -97,7 +97,7 @@
     return _LONG_LENGTH.unpack_from(data, position)[0] & _LONG_LENGTH_MASK, end
 
 
-def put_pairs(values: dict[str, str]) -> bytes:
+def encode_pairs(values: dict[str, str]) -> bytes:
     """Encode name-value pairs."""
     encoded = bytearray()
     for name, value in values.items():
@@ -131,11 +131,11 @@
 
 
 @dataclass(slots=True)
-class Incoming:
+class IncomingRequest:
     """A request that is being read."""
 
     id: int
-    keep: bool  # the connection stays open after the response
+    keep_connection: bool  # the connection stays open after the response
     begun: float  # when, on the connection's own clock
     params: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
@@ -155,7 +155,7 @@
         if self._has_params:
             self.body = bytes(self._stream)
             return True
-        self.params = pairs(bytes(self._stream))
+        self.params = decode_pairs(bytes(self._stream))
         self._has_params = True
         self._stream.clear()
         return False
@@ -166,7 +166,7 @@
             raise MalformedRecordError("an oversized request")
 
 
-def begin(opening: Record) -> tuple[int, bool]:
+def parse_begin_request(opening: Record) -> tuple[int, bool]:
     """The role that a BEGIN_REQUEST names, and whether the connection is to be kept open."""
     if len(opening.content) != _BEGIN.size or opening.request == 0:
         raise MalformedRecordError("a malformed BEGIN_REQUEST")
@@ -174,9 +174,9 @@
     return role, bool(flags & KEEP_CONN)
 
 
-def management(asked: Record, values: dict[str, str]) -> bytes:
+def management_reply(asked: Record, values: dict[str, str]) -> bytes:
     """The answer to a management record: the values asked for, or that the type is unknown."""
     if asked.kind != GET_VALUES:
         return record(UNKNOWN_TYPE, 0, bytes([asked.kind]) + bytes(7))
-    answered = {name: values[name] for name in pairs(asked.content) if name in values}
-    return record(GET_VALUES_RESULT, 0, put_pairs(answered))
+    answered = {name: values[name] for name in decode_pairs(asked.content) if name in values}
+    return record(GET_VALUES_RESULT, 0, encode_pairs(answered))
--- a/cairnvane/net/message_writer.py
+++ b/cairnvane/net/message_writer.py
@@ -9,7 +9,7 @@
 from collections import deque
 
 # What a peer that does not read may leave waiting here, in bytes: an answer for each of 32 open requests.
-MOST_WAITING = 256 * 1024
+MAX_BACKLOG_BYTES = 256 * 1024
 # A peer that takes nothing for so long is given up. Longer than a pause of the machine.
 WRITE_TIMEOUT_S = 10
 
@@ -87,7 +87,7 @@
     # --- with the lock held
 
     def _enqueue(self, data: bytes) -> bool:
-        if self._backlog_size + len(data) > MOST_WAITING:
+        if self._backlog_size + len(data) > MAX_BACKLOG_BYTES:
             self._break()
             return False
         self._backlog.append(data)
--- a/cairnvane/net/record_handler.py
+++ b/cairnvane/net/record_handler.py
@@ -7,13 +7,13 @@
 
 from ..exchange import Exchange, Request, RequestSink, Response, ResponseCounter, ResponseStatus
 from . import fastcgi, request_parameters
-from .connection_lifecycle import BeginResult, ConnectionLifecycle, State
+from .connection_lifecycle import BeginResult, ConnectionLifecycle, ConnectionPhase
 
 logger = logging.getLogger(__name__)
 
 # Records of no request, one after the other: a balancer has a few for each of 32 that ended meanwhile. Who
 # sends more has nothing to say, and each costs.
-MOST_VOID = 256
+MAX_STRAY_RECORDS = 256
 
 _REJECTION_STATUS = {
     BeginResult.UNKNOWN_ROLE: fastcgi.UNKNOWN_ROLE,
@@ -44,7 +44,7 @@
         """Act on one record; `MalformedRecordError` if no legal peer sends it here."""
         if record.request == 0:
             self._count_stray_record()
-            self._lifecycle.writer.send(fastcgi.management(record, self._context.values))
+            self._lifecycle.writer.send(fastcgi.management_reply(record, self._context.values))
         elif record.kind == fastcgi.BEGIN_REQUEST:
             self._begin(record)
         elif record.kind == fastcgi.ABORT_REQUEST:
@@ -54,7 +54,7 @@
         else:
             raise fastcgi.MalformedRecordError(f"record type {record.kind}")
 
-    def fail(self, incoming: fastcgi.Incoming) -> None:
+    def fail(self, incoming: fastcgi.IncomingRequest) -> None:
         """End a request that no balancer sends, before anyone else hears of it."""
         exchange = Exchange(lambda response: self._respond(incoming, response))
         if self._owe_answer(incoming, exchange):
@@ -67,19 +67,19 @@
         """
         if not exchange.abandon():
             return
-        content = request_parameters.content(Response(ResponseStatus.FAILED))
+        content = request_parameters.encode_response(Response(ResponseStatus.FAILED))
         self._lifecycle.close_request(number, fastcgi.response(number, content))
         self._notify_disconnected(exchange)
 
     def _count_stray_record(self) -> None:
         self._stray_records += 1
-        if self._stray_records > MOST_VOID:
+        if self._stray_records > MAX_STRAY_RECORDS:
             raise fastcgi.MalformedRecordError(
                 f"{self._stray_records} records of no request, one after the other"
             )
 
     def _begin(self, record: fastcgi.Record) -> None:
-        role, keep_connection = fastcgi.begin(record)
+        role, keep_connection = fastcgi.parse_begin_request(record)
         result = self._lifecycle.begin_request(record.request, role, keep_connection)
         if result is BeginResult.NUMBER_IN_USE:
             raise fastcgi.MalformedRecordError(f"request {record.request} began twice")
@@ -112,7 +112,7 @@
         elif incoming.add(record):
             self._hand_over(incoming)
 
-    def _hand_over(self, incoming: fastcgi.Incoming) -> None:
+    def _hand_over(self, incoming: fastcgi.IncomingRequest) -> None:
         class_name = ""  # until it is known
 
         def deliver(response: Response) -> None:
@@ -128,7 +128,7 @@
                 self._context.sink.health_check_arrived(check)
             return
         try:
-            request = request_parameters.service_request(incoming.params, incoming.body, deliver)
+            request = request_parameters.parse_request(incoming.params, incoming.body, deliver)
         except request_parameters.InvalidRequestError as error:
             logger.error("invalid request failed: %s", error)
             self.fail(incoming)
@@ -137,16 +137,16 @@
             class_name = request.class_name
             self._context.sink.request_arrived(request)
 
-    def _owe_answer(self, incoming: fastcgi.Incoming, exchange: Exchange) -> bool:
+    def _owe_answer(self, incoming: fastcgi.IncomingRequest, exchange: Exchange) -> bool:
         is_owed = self._lifecycle.owe_answer(incoming, exchange)
         if is_owed:
             self._stray_records = 0
         return is_owed
 
-    def _respond(self, incoming: fastcgi.Incoming, response: Response) -> None:
+    def _respond(self, incoming: fastcgi.IncomingRequest, response: Response) -> None:
         self.is_suspect |= response.invalid_request
-        data = fastcgi.response(incoming.id, request_parameters.content(response))
+        data = fastcgi.response(incoming.id, request_parameters.encode_response(response))
         self._lifecycle.close_request(incoming.id, data)
-        is_closing = self._context.retiring or self._lifecycle.state is State.ANSWERING
-        if is_closing or not incoming.keep:
-            self._lifecycle.close_if_idle(asked=not incoming.keep)
+        is_closing = self._context.retiring or self._lifecycle.state is ConnectionPhase.ANSWERING
+        if is_closing or not incoming.keep_connection:
+            self._lifecycle.close_if_idle(asked=not incoming.keep_connection)
--- a/cairnvane/net/request_parameters.py
+++ b/cairnvane/net/request_parameters.py
@@ -69,11 +69,11 @@
     return HealthCheck(deliver, "1" in query.get("real", []))
 
 
-def service_request(params: dict[str, str], body: bytes, deliver: Callable[[Response], None]) -> Request:
+def parse_request(params: dict[str, str], body: bytes, deliver: Callable[[Response], None]) -> Request:
     """The request that these parameters and this body make; `InvalidRequestError` if they can't."""
     class_name = _class_name(params)
     _check_method_and_length(params, body)
-    arrived_at, clock_skew = clock.place(_integer(params, "HTTP_REQ_TIME"))
+    arrived_at, clock_skew = clock.to_monotonic(_integer(params, "HTTP_REQ_TIME"))
     _require(clock_skew <= MAX_SKEW_US, params, "HTTP_REQ_TIME")
     client = _integer(params, "HTTP_REQ_FROM")  # there is a balancer number 0
     _require(client <= MAX_CLIENT, params, "HTTP_REQ_FROM")
@@ -114,7 +114,7 @@
         raise InvalidRequestError(f"CONTENT_LENGTH: {length[:_LOGGED_CHARACTERS]!r}, with {len(body)} bytes")
 
 
-def content(response: Response) -> bytes:
+def encode_response(response: Response) -> bytes:
     """A response as a CGI response."""
     lines = [b"Status: " + _STATUS_LINES[response.status]]
     if response.load is not None:
--- a/cairnvane/net/server.py
+++ b/cairnvane/net/server.py
@@ -17,7 +17,7 @@
 logger = logging.getLogger(__name__)
 
 # The connections' deadlines are checked this often.
-LOOK_S = 0.5
+DEADLINE_CHECK_INTERVAL_S = 0.5
 # The kernel's queue of connections that wait for `accept`; more than there are balancers.
 BACKLOG = 512
 # Connections that are being closed may exceed the maximum by so many, for a moment.
@@ -90,7 +90,7 @@
         with self._connections_changed:
             self._connections_changed.wait_for(lambda: not self._connections, wait_s)
         for connection in self._all():
-            connection.leave()
+            connection.end()
 
     def _accept_backlog(self) -> None:
         """Accept what the kernel has completed.
@@ -111,11 +111,11 @@
     def _watch_deadlines(self) -> None:
         """The thread that ends overdue and idle connections."""
         while True:
-            time.sleep(LOOK_S)
-            self.clock += LOOK_S
+            time.sleep(DEADLINE_CHECK_INTERVAL_S)
+            self.clock += DEADLINE_CHECK_INTERVAL_S
             for connection in self._all():
                 try:
-                    connection.look()
+                    connection.enforce_deadlines()
                 except Exception as error:  # one connection's fault must not leave all others unwatched
                     logger.warning("deadline check failed: %s %s", type(error).__name__, error)
 
@@ -157,14 +157,12 @@
             if count >= self._max_connections + MAX_CLOSING:
                 return False
             candidates = sorted(self._connections, key=lambda c: (c.has_served, c.last_activity))
-        if any(connection.make_room() for connection in candidates):
+        if any(connection.evict() for connection in candidates):
             return True
         # Who has sent half a request may be a client that drips, or a balancer at an unlucky moment: only the
         # former make room.
         return any(
-            connection.make_room(even_if_partial=True)
-            for connection in candidates
-            if not connection.has_served
+            connection.evict(even_if_partial=True) for connection in candidates if not connection.has_served
         )
 
     def _serve_connection(self, connection: Connection) -> None:
--- a/cairnvane/net/service_registry.py
+++ b/cairnvane/net/service_registry.py
@@ -13,9 +13,9 @@
 logger = logging.getLogger(__name__)
 
 # An entry expires 3 s after its last report: two reports may fail before that.
-EVERY_S = 0.8
+REPORT_INTERVAL_S = 0.8
 # A report that takes longer has failed; the next one is due.
-WAIT_S = 0.7
+REPORT_TIMEOUT_S = 0.7
 REPORT_ACCEPTED = 204
 REPORT_BODY = b'{"duty":"on"}'
 
@@ -43,7 +43,7 @@
             self._wake_up.set()
 
     @property
-    def answers(self) -> bool:
+    def is_reachable(self) -> bool:
         """Whether the last report arrived, as far as is known."""
         return not self._is_failing
 
@@ -68,7 +68,7 @@
             start = time.monotonic()
             self._report(self._address)
             # Counted from the start: a report that got no answer must not push the next one towards the 3 s.
-            self._wake_up.wait(max(0.0, start + EVERY_S - time.monotonic()))
+            self._wake_up.wait(max(0.0, start + REPORT_INTERVAL_S - time.monotonic()))
 
     def _report(self, address: tuple[str, int]) -> None:
         """Send one report, and note whether it arrived."""
@@ -87,8 +87,8 @@
         """The status of the reply to one report; None if it was stopped before it was sent."""
         headers = {"Content-Type": "application/json"}
         report = http.request("PUT", f"/roster/{self._name}", address, headers, REPORT_BODY)
-        deadline = time.monotonic() + WAIT_S
-        with socket.create_connection(address, WAIT_S) as sock:
+        deadline = time.monotonic() + REPORT_TIMEOUT_S
+        with socket.create_connection(address, REPORT_TIMEOUT_S) as sock:
             with self._lock:
                 if self._is_stopped:
                     return None
--- a/cairnvane/net/vault.py
+++ b/cairnvane/net/vault.py
@@ -25,7 +25,7 @@
 Ended = Callable[[Outcome, bytes, int], None]
 
 
-def outcome(reply: http.Reply) -> Outcome:
+def classify_reply(reply: http.Reply) -> Outcome:
     """What a reply proves. Only `X-Refused-Unseen` proves that the call never ran."""
     if reply.status == 200:
         return Outcome.OK
@@ -93,7 +93,7 @@
             logger.error("vault call not started: %s", error)
             ended(Outcome.UNREACHED, b"", 0)
 
-    def give_up(self) -> None:
+    def cancel(self) -> None:
         """Cancel the call by closing its connection. Its end is not reported any more."""
         with self._lock:
             self._is_cancelled = True
@@ -141,7 +141,7 @@
                     self._sock = None
         if reply is None:
             return Outcome.UNREACHED, b""
-        return outcome(reply), reply.body
+        return classify_reply(reply), reply.body
 
     def _exchange(self, sock: socket.socket, deadline: float) -> http.Reply | None:
         """Send the request on a new connection, and read its reply; None if it is too late to send it."""
--- a/cairnvane/net/worker_pool.py
+++ b/cairnvane/net/worker_pool.py
@@ -61,13 +61,13 @@
 
     def __init__(self, address: tuple[str, int], notices: PoolListener) -> None:
         self.bound = threading.Event()  # a link was bound once: the pool is up
-        self.spawned: Callable[[str], None] | None = None  # notified of the class of each run that is sent
+        self.on_spawn: Callable[[str], None] | None = None  # notified of the class of each run that is sent
         self._listener = notices
         self._questions = PendingQuestions()
         self._link = WorkerPoolLink(address, self)
 
     @property
-    def started(self) -> int | None:
+    def pool_started_at(self) -> int | None:
         """When the pool started, in microseconds of the monotonic clock; None before it was bound."""
         return self._link.pool_started_at
 
@@ -91,8 +91,8 @@
 
     def spawn(self, uid: str, lane: str, body: bytes) -> int:
         """Run a request of the class named `lane`."""
-        if self.spawned is not None:
-            self.spawned(lane)
+        if self.on_spawn is not None:
+            self.on_spawn(lane)
         return self._link.send(messages.spawn(uid, lane, body))
 
     def suspend(self, uid: str) -> int:
--- a/cairnvane/server/administration_setup.py
+++ b/cairnvane/server/administration_setup.py
@@ -61,22 +61,22 @@
     from ..administration import Readiness, RequestCounters
     from ..administration.drain_gate import DrainGate
     from ..administration.endpoints import Endpoints
-    from ..administration.http_server import AdministrationServer, places
+    from ..administration.http_server import AdministrationServer, connection_limit
 
     readiness = Readiness(pool.bound.is_set)
     counters = RequestCounters(tuple(cls.name for cls in configuration.settings.classes))
-    pool.spawned = counters.run_started
+    pool.on_spawn = counters.run_started
     views = _member_views(transport) if transport is not None else {}
     http_server = AdministrationServer(
         configuration.administration,
         Endpoints(readiness, counters, views),
         readiness,
-        places(reserved_sockets(configuration)),
+        connection_limit(reserved_sockets(configuration)),
     )
     component = Component(
         "administration",
         ("server",),
         start=http_server.start,
-        on_shutdown=lambda shutdown: http_server.leave(),
+        on_shutdown=lambda shutdown: http_server.shut_down(),
     )
     return Administration(DrainGate(request_sink, readiness, counters), counters, component)
--- a/cairnvane/server/arrivals.py
+++ b/cairnvane/server/arrivals.py
@@ -75,7 +75,7 @@
         self._handle_events()  # so that attempts that are read together are recognised as duplicates
         fingerprint = b""
         if self._durable_keys is not None:
-            if self._durable_keys.hold_until_recovered(request):
+            if self._durable_keys.wait_for_recovery(request):
                 return
             fingerprint = self._durable_keys.fingerprint(request)
         try:
--- a/cairnvane/server/composition.py
+++ b/cairnvane/server/composition.py
@@ -132,7 +132,7 @@
 
     def announce() -> None:
         pool.bound.wait()
-        incarnations.ready()
+        incarnations.mark_ready()
 
     def start() -> None:
         threading.Thread(target=announce, name="readiness", daemon=True).start()
--- a/cairnvane/server/event_loop.py
+++ b/cairnvane/server/event_loop.py
@@ -52,7 +52,7 @@
     def __init__(self, settings: Settings, gauges: tuple[str | None, ...], seed: int) -> None:
         self._settings = settings
         self._gauges = gauges
-        self._control = Controller(settings, seed, clock.now())
+        self._controller = Controller(settings, seed, clock.now())
         self._inbox: SimpleQueue[Callable[[], None]] = SimpleQueue()
         self._events: list[Event] = []  # not reported to the controller yet
         self._follow_up_events: list[Event] = []  # caused by actions, to be reported next
@@ -217,7 +217,7 @@
             self._duplicates.expire_keys()
             events = self._events
             self._events = []
-            for action in self._control.handle(max(clock.now(), not_before), events):
+            for action in self._controller.handle(max(clock.now(), not_before), events):
                 self._actions.execute(action)
             if self._durable_keys is not None:
                 self._durable_keys.settle_recorded()
--- a/cairnvane/server/executions.py
+++ b/cairnvane/server/executions.py
@@ -22,7 +22,7 @@
 POSSIBLY_LOST_US = 1_000_000
 
 # The outcome that each of the pool's end codes stands for.
-ENDS = {
+OUTCOMES_BY_END_CODE = {
     RUN_SUCCEEDED: Outcome.OK,
     RUN_FAILED: Outcome.ERROR,
     RUN_CANCELLED: Outcome.CANCELLED,
@@ -184,6 +184,6 @@
 
     def _abandon_call(self, in_flight: InFlightRequest) -> None:
         if in_flight.vault_call is not None:
-            in_flight.vault_call.give_up()
+            in_flight.vault_call.cancel()
             in_flight.vault_call = None
             self.calls_in_flight -= 1
--- a/cairnvane/server/main.py
+++ b/cairnvane/server/main.py
@@ -60,7 +60,7 @@
 def _plan_shutdown(configuration: config.Config, server: composition.Server) -> Shutdown:
     """How to shut down: at once, if a later incarnation listens at the same address and can serve."""
     time_left_s = max(0, configuration.stop_ms - STOP_MARGIN_MS) / MILLISECONDS_PER_SECOND
-    handover = server.incarnations is not None and server.incarnations.heir()
+    handover = server.incarnations is not None and server.incarnations.has_successor()
     drain_grace_s = configuration.settings.drain_grace / MICROSECONDS_PER_SECOND
     grace_s = 0.0 if handover else min(time_left_s, drain_grace_s)
     return Shutdown(time_left_s, grace_s, handover)
--- a/cairnvane/server/member_setup.py
+++ b/cairnvane/server/member_setup.py
@@ -63,7 +63,7 @@
     observer = ServerObserver(
         event_loop,
         VERSION,
-        lambda: registry.answers,
+        lambda: registry.is_reachable,
         pool.bound.is_set,
         lambda: event_loop.executions.calls_in_flight,
     )
--- a/cairnvane/server/runs.py
+++ b/cairnvane/server/runs.py
@@ -10,7 +10,7 @@
 from ..exchange import Request
 from ..net.worker_pool import RUN_FAILED, RUN_NEVER_STARTED
 from .duplicates import Duplicates
-from .executions import ENDS, RESPONSE_STATUSES, Executions
+from .executions import OUTCOMES_BY_END_CODE, RESPONSE_STATUSES, Executions
 from .in_flight import InFlightRequest, InFlightTable
 from .responder import Responder
 
@@ -71,7 +71,7 @@
         if in_flight is None or not in_flight.is_running:
             self._skip_notice(notice)
             return
-        outcome = ENDS.get(code, Outcome.ERROR)
+        outcome = OUTCOMES_BY_END_CODE.get(code, Outcome.ERROR)
         self._executions.finished(in_flight, outcome is Outcome.OK)
         if outcome is Outcome.OK and in_flight.is_keyed:
             in_flight.result = result
--- a/cairnvane/server/store_setup.py
+++ b/cairnvane/server/store_setup.py
@@ -12,7 +12,7 @@
 
 from .. import clock, config
 from ..claims import ClaimLog, Incarnations, legacy
-from ..claims.incarnations import LIVES
+from ..claims.incarnations import INCARNATIONS_FOLDER
 from ..claims.records import NewerVersionError
 from ..claims.storage import OsFolder
 from ..idempotency.store import IdempotencyStore, StepObserver
@@ -50,11 +50,13 @@
     or the operator's folder can't be used.
     """
     if keyed is not None:
-        incarnations = _enter(configuration, temporary_folder, Path(keyed.folder) / LIVES)
+        incarnations = _enter(configuration, temporary_folder, Path(keyed.folder) / INCARNATIONS_FOLDER)
         return SharedState(
             incarnations, _open_durable_store(configuration, keyed, incarnations, step_observer)
         )
-    incarnations = _enter(configuration, temporary_folder, temporary_folder / LIVES / configuration.name)
+    incarnations = _enter(
+        configuration, temporary_folder, temporary_folder / INCARNATIONS_FOLDER / configuration.name
+    )
     if incarnations is None:
         return SharedState(None, None)
     claims_folder = temporary_folder / CLAIMS_FOLDER / f"{configuration.name}.{_short_boot_id()}"
@@ -63,7 +65,7 @@
 
 def _short_boot_id() -> str:
     """For the name of a folder of claims: times in it are of one boot's clock."""
-    return (clock.boot() or "unknown")[:BOOT_ID_DIGITS]
+    return (clock.boot_id() or "unknown")[:BOOT_ID_DIGITS]
 
 
 def _max_client_timeout(configuration: config.Config) -> int:
@@ -72,7 +74,7 @@
 
 def _enter(configuration: config.Config, temporary_folder: Path, folder: Path) -> Incarnations | None:
     """Enter this process among the incarnations of its server; None if the folder can't be used."""
-    pid = legacy.serves(temporary_folder, configuration.name)
+    pid = legacy.find_serving_process(temporary_folder, configuration.name)
     if pid is not None:
         raise config.ConfigurationError(
             f"an earlier version of the program serves here (process {pid}), which keeps keyed runs in "
@@ -133,7 +135,7 @@
         points=step_observer,
     )
     try:
-        store.check(beside=incarnations is not None and not incarnations.alone())
+        store.check(beside=incarnations is not None and not incarnations.is_alone())
     except FolderError as error:
         raise config.ConfigurationError(f"keyed.folder: {error}") from None
     if incarnations is None:
--- a/cairnvane/testbed/stand_ins/balancer.py
+++ b/cairnvane/testbed/stand_ins/balancer.py
@@ -72,7 +72,7 @@
     return b"".join(
         [
             fastcgi.record(fastcgi.BEGIN_REQUEST, number, b"\0\1\1\0\0\0\0\0"),
-            fastcgi.record(fastcgi.PARAMS, number, fastcgi.put_pairs(parameters)),
+            fastcgi.record(fastcgi.PARAMS, number, fastcgi.encode_pairs(parameters)),
             fastcgi.record(fastcgi.PARAMS, number, b""),
             fastcgi.record(fastcgi.STDIN, number, body),
             fastcgi.record(fastcgi.STDIN, number, b""),
@@ -208,7 +208,7 @@
             while received := connection.sock.recv(RECEIVE_BYTES):
                 buffered += received
                 offset = 0
-                while (found := fastcgi.take(memoryview(buffered), offset, len(buffered))) is not None:
+                while (found := fastcgi.read_record(memoryview(buffered), offset, len(buffered))) is not None:
                     part, offset = found
                     if part.kind == fastcgi.STDOUT:
                         output.setdefault(part.request, bytearray()).extend(part.content)
--- a/tests/administration/test_administration_server.py
+++ b/tests/administration/test_administration_server.py
@@ -13,7 +13,7 @@
 
 from cairnvane.administration import Readiness, RequestCounters
 from cairnvane.administration.drain_gate import DrainGate
-from cairnvane.administration.http_server import LEAST_CALLERS, MOST_CALLERS, places
+from cairnvane.administration.http_server import MAX_CONNECTIONS, MIN_CONNECTIONS, connection_limit
 from cairnvane.exchange import ResponseStatus
 
 
@@ -36,7 +36,7 @@
         wrong = call(server.address, "GET", "/-/drain")
         assert (wrong.status, wrong.headers["allow"]) == (405, "POST")
         assert call(server.address, "GET", "/-/nothing").status == 404
-        server.leave()  # shut down: no longer ready, and no resume from it
+        server.shut_down()  # shut down: no longer ready, and no resume from it
         assert call(server.address, "GET", "/-/ready").status == 503
         assert call(server.address, "POST", "/-/resume").status == 503
 
@@ -102,7 +102,12 @@
 
 
 def test_slots_are_half_of_the_own_descriptors() -> None:
-    assert [places(own) for own in (0, 64, 128, 1_000)] == [LEAST_CALLERS, 32, 64, MOST_CALLERS]
+    assert [connection_limit(own) for own in (0, 64, 128, 1_000)] == [
+        MIN_CONNECTIONS,
+        32,
+        64,
+        MAX_CONNECTIONS,
+    ]
 
 
 @pytest.mark.parametrize(
--- a/tests/administration_helpers.py
+++ b/tests/administration_helpers.py
@@ -12,7 +12,7 @@
 from cairnvane.administration import Readiness, RequestCounters
 from cairnvane.administration.connection_slots import REQUEST_TIMEOUT_S
 from cairnvane.administration.endpoints import Endpoints
-from cairnvane.administration.http_server import MOST_CALLERS, AdministrationServer
+from cairnvane.administration.http_server import MAX_CONNECTIONS, AdministrationServer
 from cairnvane.net import http
 
 
@@ -26,7 +26,7 @@
 @contextlib.contextmanager
 def administration_server(
     can_serve: bool = True,
-    most: int = MOST_CALLERS,
+    most: int = MAX_CONNECTIONS,
     call_wait_s: float = REQUEST_TIMEOUT_S,
 ) -> Iterator[tuple[AdministrationServer, Readiness, RequestCounters]]:
     """A running server, the readiness that it shows and changes, and the counters that it shows."""
--- a/tests/claim_helpers.py
+++ b/tests/claim_helpers.py
@@ -13,7 +13,7 @@
 
 from cairnvane import clock
 from cairnvane.claims import ClaimLog, Incarnations
-from cairnvane.claims.claim_table import Place
+from cairnvane.claims.claim_table import RecordLocation
 from cairnvane.claims.records import Record
 from cairnvane.claims.states import Step
 from cairnvane.claims.storage import OsFolder, Segment
@@ -25,7 +25,7 @@
 FORGED_FINGERPRINT = b"f" * 16
 MAX_READ_DELAY_US = 5_000_000
 KEY_LIFETIME_US = 60_000_000
-FIRST_PLACE = Place(1, 0, 0)
+FIRST_PLACE = RecordLocation(1, 0, 0)
 LEDGER_FOLDER = "ledger"
 
 
@@ -124,7 +124,7 @@
         assert self.incarnations._fd is not None
         os.close(self.incarnations._fd)
         self.incarnations._fd = None
-        self.incarnations.beat = lambda: None  # type: ignore[method-assign]
+        self.incarnations.heartbeat = lambda: None  # type: ignore[method-assign]
 
     def stop(self) -> None:
         """End it in order."""
--- a/tests/claims/test_claim_log.py
+++ b/tests/claims/test_claim_log.py
@@ -117,7 +117,7 @@
     assert old.start_run() is Start.STARTED
     later = clock.now() + HEARTBEAT_TIMEOUT_US + 1_000_000
     monkeypatch.setattr(clock, "now", lambda: later)
-    assert new.incarnations.liveness(old.incarnations.life) is Liveness.STOPPED
+    assert new.incarnations.liveness(old.incarnations.number) is Liveness.STOPPED
     assert new.start_run() is Start.CLAIMED_ELSEWHERE
     wait_for_result = new.request_result()
     monkeypatch.undo()
--- a/tests/claims/test_claim_records.py
+++ b/tests/claims/test_claim_records.py
@@ -8,12 +8,14 @@
 from hypothesis import strategies as st
 
 from cairnvane.claims import ClaimError, records
-from cairnvane.claims.records import put, scan
+from cairnvane.claims.records import encode, scan
 from cairnvane.claims.states import Step
 
 
 @given(
-    st.lists(st.tuples(st.sampled_from([b"", b"r" * 700, put(*claim_record(9, 9))]), st.binary(max_size=40))),
+    st.lists(
+        st.tuples(st.sampled_from([b"", b"r" * 700, encode(*claim_record(9, 9))]), st.binary(max_size=40))
+    ),
     st.integers(0, 2_000),
 )
 def test_torn_data_between_records_costs_no_record(parts: list[tuple[bytes, bytes]], cut: int) -> None:
@@ -21,20 +23,20 @@
     data = b""
     written = []
     for number, (rest, torn) in enumerate(parts):
-        whole = put(Step.RESULT, 1, KEY, number, 9, FINGERPRINT + rest)
+        whole = encode(Step.RESULT, 1, KEY, number, 9, FINGERPRINT + rest)
         data += torn[: len(torn) // 2] + whole[: cut % len(whole)] + whole
         written.append(number)
-    read = [record.at for _, _, record in scan(data).records if record.life == 1]
+    read = [record.made_at for _, _, record in scan(data).records if record.incarnation == 1]
     assert read == written
 
 
 @pytest.mark.parametrize(
     "tail",
-    [b"", b"\0" * 300, put(*claim_record(1, 5))[:-1], b"CVL1", b"x" * 99],
+    [b"", b"\0" * 300, encode(*claim_record(1, 5))[:-1], b"CVL1", b"x" * 99],
     ids=["empty", "zeros", "record cut short", "magic number", "text"],
 )
 def test_an_unreadable_tail_is_read_again(tail: bytes) -> None:
-    whole = put(*claim_record(1, 2))
+    whole = encode(*claim_record(1, 2))
     before_tail = scan(whole + tail)
     assert (before_tail.used, before_tail.passed_over, len(before_tail.records)) == (len(whole), 0, 1)
     behind_tail = scan(tail + whole)
@@ -43,7 +45,7 @@
 
 @pytest.mark.parametrize(
     "data",
-    [b"", put(*claim_record(1, 1)), b"something else"],
+    [b"", encode(*claim_record(1, 1)), b"something else"],
     ids=["empty", "this version", "no record"],
 )
 def test_a_segment_of_no_later_version_is_accepted(data: bytes) -> None:
@@ -58,7 +60,7 @@
 
 def test_a_record_that_is_too_long_is_rejected_with_its_key_and_size() -> None:
     size = records.MAX_REST_BYTES
-    assert len(scan(put(Step.RESULT, 1, KEY, 1, 2, bytes(size))).records) == 1
+    assert len(scan(encode(Step.RESULT, 1, KEY, 1, 2, bytes(size))).records) == 1
     with pytest.raises(ValueError, match=f"{KEY.hex()}: {size + 1} bytes") as raised:
-        put(Step.RESULT, 1, KEY, 1, 2, bytes(size + 1))
+        encode(Step.RESULT, 1, KEY, 1, 2, bytes(size + 1))
     assert isinstance(raised.value, ClaimError)
--- a/tests/claims/test_claim_segments.py
+++ b/tests/claims/test_claim_segments.py
@@ -31,7 +31,7 @@
     with new.claim_log._lock:
         new.claim_log._table._max_read_delay = -MAX_READ_DELAY_US  # all but what follows has expired
         new.run_housekeeping()
-    remaining = OsFolder(deployment.ledger).numbers()
+    remaining = OsFolder(deployment.ledger).segment_numbers()
     assert remaining and remaining[0] > 5
     assert old.claim_log._reader.current is stale  # it has slept all the while
     assert new.start_run() is Start.STARTED
@@ -49,7 +49,7 @@
     assert old.fetch_result() == b"result"
     old.run_housekeeping()
     new = deployment.start_incarnation()
-    assert new.incarnations.liveness(old.incarnations.life) is Liveness.ALIVE
+    assert new.incarnations.liveness(old.incarnations.number) is Liveness.ALIVE
     assert new.fetch_result() == b"result"
     assert new.start_run(OTHER_KEY) is Start.CLAIMED_ELSEWHERE
 
--- a/tests/claims/test_claim_storage_failures.py
+++ b/tests/claims/test_claim_storage_failures.py
@@ -4,7 +4,7 @@
 
 from claim_helpers import OTHER_KEY, Deployment, FailingFolder, Start
 
-from cairnvane.claims.records import NO_TOKEN, SEAL, put
+from cairnvane.claims.records import NO_KEY, SEAL, encode
 
 EVERY_APPEND = 1 << 30
 
@@ -58,7 +58,7 @@
 ) -> None:
     old, new = deployment.start_incarnation(), deployment.start_incarnation()
     with old.claim_log._lock:
-        old.claim_log._reader.current.file.append(put(SEAL, 1, NO_TOKEN, 1, 1))
+        old.claim_log._reader.current.file.append(encode(SEAL, 1, NO_KEY, 1, 1))
     (deployment.ledger / "0000000002.ledger").write_bytes(b"CVL2" + bytes(60))
     assert old.start_run() is Start.NOT_RECORDED
     assert old.claim_log.capacity_wait_us() > 0
--- a/tests/claims/test_claim_table.py
+++ b/tests/claims/test_claim_table.py
@@ -14,15 +14,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cairnvane.claims.claim_table import ClaimTable, Place
-from cairnvane.claims.records import NO_TOKEN, SEAL, Record
+from cairnvane.claims.claim_table import ClaimTable, RecordLocation
+from cairnvane.claims.records import NO_KEY, SEAL, Record
 from cairnvane.claims.states import KeyState, Step
 
 
 def table_of(*records: Record) -> ClaimTable:
     table = ClaimTable(MAX_READ_DELAY_US)
     for record in records:
-        table.take(record, FIRST_PLACE)
+        table.apply(record, FIRST_PLACE)
     return table
 
 
@@ -35,7 +35,7 @@
     )
     assert table.is_holder(KEY, 2, 11) and not table.is_holder(KEY, 1, 10)
     assert (table.entries[KEY].state, table.rejected_claims, table.illegal_steps) == (KeyState.INTENDED, 1, 2)
-    table.take(end_record(2, 13, Step.RESULT), FIRST_PLACE)
+    table.apply(end_record(2, 13, Step.RESULT), FIRST_PLACE)
     assert table.entries[KEY].state is KeyState.FINISHED
 
 
@@ -52,11 +52,11 @@
 def test_a_key_can_be_claimed_again_once_it_was_given_up_or_has_expired() -> None:
     table = table_of(claim_record(1, 10), end_record(1, 11, Step.NEVER))
     assert table.find(KEY, 20) is None
-    table.take(claim_record(2, 12), FIRST_PLACE)
+    table.apply(claim_record(2, 12), FIRST_PLACE)
     assert table.is_holder(KEY, 2, 12)
-    table.take(claim_record(3, 999), FIRST_PLACE)
+    table.apply(claim_record(3, 999), FIRST_PLACE)
     assert table.is_holder(KEY, 2, 12)
-    table.take(claim_record(3, 1_000, expires_at=3_000), FIRST_PLACE)  # after expiry, whenever this is read
+    table.apply(claim_record(3, 1_000, expires_at=3_000), FIRST_PLACE)  # after expiry, whenever this is read
     assert table.is_holder(KEY, 3, 1_000)
     assert table.find(KEY, 2_999) is not None and table.find(KEY, 3_000) is None
     assert table.expire(3_000 + MAX_READ_DELAY_US - 1) == 0
@@ -64,9 +64,9 @@
 
 
 def test_nothing_behind_a_seal_counts() -> None:
-    table = table_of(Record(SEAL, 1, NO_TOKEN, 5, 5, b""), claim_record(1, 6))
+    table = table_of(Record(SEAL, 1, NO_KEY, 5, 5, b""), claim_record(1, 6))
     assert not table.entries
-    table.take(claim_record(2, 7), Place(2, 0, 0))
+    table.apply(claim_record(2, 7), RecordLocation(2, 0, 0))
     assert table.is_holder(KEY, 2, 7)
     assert table.droppable_segments([1, 2], 9_000_000) == [1]  # the other one is not sealed
 
@@ -84,12 +84,12 @@
         is_given_up = (
             step is Step.NEVER
             and before is not None
-            and before.life == incarnation
+            and before.incarnation == incarnation
             and before.state in (KeyState.INTENDED, KeyState.VOID)
         )
-        table.take(Record(step, incarnation, key, at, 1_000_000, FINGERPRINT), FIRST_PLACE)
+        table.apply(Record(step, incarnation, key, at, 1_000_000, FINGERPRINT), FIRST_PLACE)
         entry = table.entries.get(key)
         if entry is not None and entry.state is not KeyState.VOID:
-            assert holders.setdefault(key, entry.life) == entry.life
+            assert holders.setdefault(key, entry.incarnation) == entry.incarnation
         if is_given_up:
             holders.pop(key, None)
--- a/tests/claims/test_incarnations.py
+++ b/tests/claims/test_incarnations.py
@@ -22,30 +22,30 @@
 def test_only_a_later_incarnation_that_is_alive_and_ready_is_a_successor(tmp_path: Path) -> None:
     """Guards against a handover to nobody, at the marker of a later version that had crashed."""
     first, second = entered(tmp_path), entered(tmp_path)
-    assert not first.heir() and first.liveness(second.life) is Liveness.ALIVE
-    second.ready()
-    assert first.heir() and not second.heir()
-    first.ready()
-    assert not second.heir()  # the first one is older
-    assert not first.alone()
+    assert not first.has_successor() and first.liveness(second.number) is Liveness.ALIVE
+    second.mark_ready()
+    assert first.has_successor() and not second.has_successor()
+    first.mark_ready()
+    assert not second.has_successor()  # the first one is older
+    assert not first.is_alone()
     os.close(second._fd or -1)  # killed: its file stays, its lock does not
-    assert not first.heir()
-    assert first.liveness(second.life) is Liveness.DEAD and first.alone()
+    assert not first.has_successor()
+    assert first.liveness(second.number) is Liveness.DEAD and first.is_alone()
     third = entered(tmp_path)
-    assert third.others() == [first.life]  # the file of the dead one is deleted
-    third.ready()
-    assert first.heir()
+    assert third.others() == [first.number]  # the file of the dead one is deleted
+    third.mark_ready()
+    assert first.has_successor()
     third.leave()
-    assert not first.heir()
+    assert not first.has_successor()
 
 
 def test_a_stopped_incarnation_is_no_successor(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     first, second = entered(tmp_path), entered(tmp_path)
-    second.ready()
+    second.mark_ready()
     later = clock.now() + HEARTBEAT_TIMEOUT_US + 1
     monkeypatch.setattr(clock, "now", lambda: later)
-    assert first.liveness(second.life) is Liveness.STOPPED
-    assert not first.heir() and not first.alone()
+    assert first.liveness(second.number) is Liveness.STOPPED
+    assert not first.has_successor() and not first.is_alone()
 
 
 def test_an_incarnation_is_never_seen_without_its_lock(
--- a/tests/claims/test_legacy_detection.py
+++ b/tests/claims/test_legacy_detection.py
@@ -12,7 +12,7 @@
 
 
 def test_no_marker_is_no_legacy_process(tmp_path: Path) -> None:
-    assert legacy.serves(tmp_path, NAME) is None
+    assert legacy.find_serving_process(tmp_path, NAME) is None
 
 
 def test_a_marker_of_an_ended_process_does_not_count(tmp_path: Path) -> None:
@@ -20,7 +20,7 @@
     markers.mkdir()
     (markers / f"{NAME}.4194305.17").write_bytes(b"17\n")  # no such process
     (markers / f"{NAME}.{os.getpid()}.17").write_bytes(b"17\n")  # its id is another process's by now
-    assert legacy.serves(tmp_path, NAME) is None
+    assert legacy.find_serving_process(tmp_path, NAME) is None
 
 
 def test_a_marker_of_a_running_process_counts(tmp_path: Path) -> None:
@@ -33,4 +33,4 @@
     (process / "stat").write_text("77 (a (b) c) S" + " 0" * 30)
     booted_at_ns = time.time_ns() - time.clock_gettime_ns(time.CLOCK_BOOTTIME)
     (markers / f"{NAME}.77.{booted_at_ns + 1_000_000_000}").write_bytes(b"17\n")
-    assert legacy.serves(tmp_path, NAME, process.parent) == 77
+    assert legacy.find_serving_process(tmp_path, NAME, process.parent) == 77
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -17,8 +17,8 @@
 from peers import TOKEN, WAIT_S, Balancer, PoolPeer
 from server_process import FILE, NOWHERE, program
 
-from cairnvane.claims.incarnations import LIVES, Incarnations
-from cairnvane.claims.records import Record, put
+from cairnvane.claims.incarnations import INCARNATIONS_FOLDER, Incarnations
+from cairnvane.claims.records import Record, encode
 from cairnvane.claims.states import Step
 from cairnvane.cli import main
 from cairnvane.config import ConfigurationError, operator
@@ -200,20 +200,20 @@
 def test_claims_are_shown_and_verified_as_incarnations_see_them(tmp_path: Path) -> None:
     """In `$TMPDIR`, with one incarnation alive and one dead."""
     folder = tmp_path / "cairnvane-ledger" / "n3.0badb007"
-    incarnations = Incarnations(tmp_path / LIVES / "n3")
+    incarnations = Incarnations(tmp_path / INCARNATIONS_FOLDER / "n3")
     incarnations.enter()
     folder.mkdir(parents=True)
     token = bytes.fromhex("5c" * 16)
     records = [
-        Record(Step.INTENT, incarnations.life, token, 5, 9, bytes(16)),
+        Record(Step.INTENT, incarnations.number, token, 5, 9, bytes(16)),
         Record(Step.INTENT, 7, token, 6, 9, bytes(16)),
-        Record(Step.RESULT, incarnations.life, token, 8, 9, bytes(16) + b"result"),
+        Record(Step.RESULT, incarnations.number, token, 8, 9, bytes(16) + b"result"),
     ]
     path = folder / "0000000001.ledger"
-    path.write_bytes(b"".join(put(*record) for record in records))
+    path.write_bytes(b"".join(encode(*record) for record in records))
     verified = run("keyed", "verify", str(folder))
     assert verified.exit_code == 0 and "1 finished" in verified.output
-    assert f"{incarnations.life} alive" in verified.output and "came second: 1" in verified.output
+    assert f"{incarnations.number} alive" in verified.output and "came second: 1" in verified.output
     [row] = [json.loads(line) for line in run("keyed", "show", "--json", str(folder)).output.splitlines()]
     assert (row["token"], row["state"], row["life_is"]) == (token.hex(), "finished", "alive")
     assert row["result_bytes"] == "6"
--- a/tests/durable_log_driver.py
+++ b/tests/durable_log_driver.py
@@ -52,7 +52,7 @@
 
     def write(self, step: Step, number: int, own_part: bytes = b"") -> RecordLocation:
         """Write one record and sync it."""
-        entry = Entry(step, key(number), self.now, self.now + WINDOW_US, own_part, pos=number)
+        entry = Entry(step, key(number), self.now, self.now + WINDOW_US, own_part, settled_notice=number)
         [location] = self.log.append([entry], unix_ms=0)
         self.log.sync()
         return location
@@ -61,7 +61,7 @@
         """Record the start of a run."""
         self.attempted.add(number)
         if self.record_starts:
-            own_part = records.put_intent(f"{number:016x}", FINGERPRINT, self.now, 24.5, "write")
+            own_part = records.encode_start(f"{number:016x}", FINGERPRINT, self.now, 24.5, "write")
             self.write(Step.INTENT, number, own_part)
         self.started[number] = self.now + WINDOW_US
 
@@ -69,9 +69,9 @@
         """Record the end of a run and enter it into the index."""
         self.ends[number] = with_result
         step = Step.FAULT if with_result is None else Step.RESULT
-        segment, offset = self.write(step, number, records.put_end(FINGERPRINT, with_result or b""))
+        segment, offset = self.write(step, number, records.encode_end(FINGERPRINT, with_result or b""))
         state = KeyState.FAILED if with_result is None else KeyState.FINISHED
-        word = places.place(segment, offset, places.tag(FINGERPRINT), state)
+        word = places.pack_word(segment, offset, places.fingerprint_tag(FINGERPRINT), state)
         self.index.put(key(number), word, self.now + WINDOW_US)
         self.answered[number] = self.now + WINDOW_US
 
@@ -94,7 +94,7 @@
     for number in range(first, first + count):
         driver.start(number)
         if number % 7 == 3:
-            driver.write(Step.CALL, number, records.put_call(number))
+            driver.write(Step.CALL, number, records.encode_call(number))
         if number % 11 == 5:
             del driver.started[number]
             driver.write(Step.NEVER, number)
@@ -115,12 +115,12 @@
         if number in before.answered and found is not None:
             expected = before.ends[number]
             state = KeyState.FAILED if expected is None else KeyState.FINISHED
-            assert places.state(found[0]) is state, number
+            assert places.unpack_state(found[0]) is state, number
     for number, until in before.answered.items():
         found = after.index.get(key(number))
         if until > after.now:
             assert found is not None, f"the answer of {number} is forgotten"
-        if found is not None and places.state(found[0]) is KeyState.FINISHED:
+        if found is not None and places.unpack_state(found[0]) is KeyState.FINISHED:
             assert after.log.fetch(found[0], key(number), FINGERPRINT) == before.ends[number]
     assert started <= {key(number) for number in before.attempted}, "a run was invented"
     return after
--- a/tests/idempotency/test_durable_index.py
+++ b/tests/idempotency/test_durable_index.py
@@ -60,11 +60,11 @@
     driver = Driver(Disk())
     expected: dict[int, KeyState] = {}
     own_parts = {
-        Step.INTENT: records.put_intent("0" * 16, FINGERPRINT, 0, 1.0, "write"),
-        Step.CALL: records.put_call(3),
+        Step.INTENT: records.encode_start("0" * 16, FINGERPRINT, 0, 1.0, "write"),
+        Step.CALL: records.encode_call(3),
     }
     for step, number in steps:
-        driver.write(step, number, own_parts.get(step, records.put_end(FINGERPRINT, b"")))
+        driver.write(step, number, own_parts.get(step, records.encode_end(FINGERPRINT, b"")))
         with contextlib.suppress(IllegalStepError):
             expected[number] = states.advance(expected.get(number, KeyState.UNKNOWN), step)
     after = Driver(Disk(driver.disk.content()))
@@ -74,7 +74,7 @@
     }
     for number in range(1, 4):
         found = after.index.get(key(number))
-        indexed = places.state(found[0]) if found else KeyState.UNKNOWN
+        indexed = places.unpack_state(found[0]) if found else KeyState.UNKNOWN
         recovered = started.get(key(number)) or indexed
         wanted = expected.get(number, KeyState.UNKNOWN)
         assert recovered is (KeyState.UNKNOWN if wanted is KeyState.VOID else wanted)
--- a/tests/idempotency/test_durable_log.py
+++ b/tests/idempotency/test_durable_log.py
@@ -66,13 +66,13 @@
         found = after.index.get(key(number))
         if found is not None:
             assert number in driver.ends
-            if places.state(found[0]) is KeyState.FINISHED:
+            if places.unpack_state(found[0]) is KeyState.FINISHED:
                 assert after.log.fetch(found[0], key(number), FINGERPRINT) in (driver.ends[number], None)
     if kind == "cut":  # a record that is whole before the cut counts
         for number in driver.ends:
             word = driver.index.get(key(number))
             assert word is not None
-            offset = places.where(word[0])[1]
+            offset = places.unpack_location(word[0])[1]
             end = offset + records.END_BYTES + len(driver.ends[number] or b"")
             assert at < end or after.index.get(key(number)) is not None
 
@@ -121,7 +121,7 @@
 def test_a_newer_format_and_another_instances_folder_are_rejected(
     change: dict[str, Any], expected: str
 ) -> None:
-    header = records.put_header(records.Header(1, BOOTS[0], 0, 0, change.get("name", "n1")))
+    header = records.encode_header(records.Header(1, BOOTS[0], 0, 0, change.get("name", "n1")))
     if "version" in change:
         header = header[:8] + change["version"].to_bytes(2, "little") + header[10:]
     disk = Disk({segment_name(1): header})
--- a/tests/idempotency/test_durable_retention.py
+++ b/tests/idempotency/test_durable_retention.py
@@ -47,7 +47,7 @@
 
 
 def test_notices_are_sent_again_from_the_first_without_a_record() -> None:
-    progress = retention.Progress(10)
+    progress = retention.NoticeProgress(10)
     progress.read(11, pending=False)
     assert progress.pos == 11
     progress.read(12, pending=True)
--- a/tests/idempotency/test_key_states.py
+++ b/tests/idempotency/test_key_states.py
@@ -54,7 +54,7 @@
 def test_the_decision_on_a_duplicate_follows_from_the_state(
     state: KeyState, pool_lives: bool, decision: states.RetryDecision
 ) -> None:
-    assert states.repeat(state, pool_lives) is decision
+    assert states.decide_duplicate(state, pool_lives) is decision
 
 
 @pytest.mark.parametrize(
--- a/tests/idempotency/test_kills_at_every_step.py
+++ b/tests/idempotency/test_kills_at_every_step.py
@@ -88,7 +88,7 @@
 
     def die(self) -> None:
         """As if killed: its locks are released, and it notifies nobody any more."""
-        self.incarnations.beat = lambda: None  # type: ignore[method-assign]
+        self.incarnations.heartbeat = lambda: None  # type: ignore[method-assign]
         self.incarnations.leave()
         self.claim_log._closed = True
 
--- a/tests/idempotency/test_takeover.py
+++ b/tests/idempotency/test_takeover.py
@@ -16,7 +16,7 @@
 from server.test_program import NOWHERE, program
 
 from cairnvane.claims.incarnations import Incarnations, Liveness
-from cairnvane.claims.records import Record, put
+from cairnvane.claims.records import Record, encode
 from cairnvane.claims.states import Step
 from cairnvane.idempotency.durable.storage import OsFiles
 from cairnvane.idempotency.durable.takeover_store import LEDGER
@@ -86,8 +86,8 @@
     def hand_over(self, old: subprocess.Popen[str]) -> None:
         """Once a second server is ready, have the first one hand over to it."""
         incarnations = Incarnations(self.folder / "cairnvane-lives")
-        incarnations.life = 0
-        while sum(incarnations._look(life) == (Liveness.ALIVE, True) for life in incarnations.others()) < 2:
+        incarnations.number = 0
+        while sum(incarnations.status(life) == (Liveness.ALIVE, True) for life in incarnations.others()) < 2:
             time.sleep(0.01)
         old.terminate()
         lines = self.wait_for_log(old, "takes no more connections")
@@ -211,7 +211,7 @@
         Record(Step.INTENT, 5, open_key, at, expires_at, request_fingerprint),
         Record(Step.RESULT, 5, key, at + 1, expires_at, request_fingerprint + b"before the cut"),
     ]
-    (claim_log / "0000000001.ledger").write_bytes(b"".join(put(*one) for one in records) + bytes(4_096))
+    (claim_log / "0000000001.ledger").write_bytes(b"".join(encode(*one) for one in records) + bytes(4_096))
     with site.server() as (_, pool):
         balancer = site.balancer()
         assert site.served(balancer, **keyed()).body == b"before the cut"
--- a/tests/net/test_connections.py
+++ b/tests/net/test_connections.py
@@ -53,10 +53,10 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Regression: nothing bounded the time to the first or to the whole request."""
-    monkeypatch.setattr(connection, "SAY_WAIT_S", 0.2)
-    monkeypatch.setattr(server, "LOOK_S", 0.05)
+    monkeypatch.setattr(connection, "REQUEST_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(server, "DEADLINE_CHECK_INTERVAL_S", 0.05)
     with world() as w:
-        w.host._control.idle_connections.clients.returning_fraction = (
+        w.host._controller.idle_connections.clients.returning_fraction = (
             1.0  # it does not want idle connections closed
         )
         bad, good = w.balancer(), w.balancer()
@@ -67,8 +67,8 @@
 
 
 def test_partial_request_fails_at_its_deadline(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(connection, "SAY_WAIT_S", 0.2)
-    monkeypatch.setattr(server, "LOOK_S", 0.05)
+    monkeypatch.setattr(connection, "REQUEST_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(server, "DEADLINE_CHECK_INTERVAL_S", 0.05)
     with world() as w:
         balancer = w.balancer()
         balancer.send(2)
--- a/tests/net/test_fastcgi_requests.py
+++ b/tests/net/test_fastcgi_requests.py
@@ -147,9 +147,9 @@
 def test_management_records_are_answered() -> None:
     with world() as w:
         balancer = w.balancer()
-        asked = fastcgi.put_pairs({"FCGI_MPXS_CONNS": "", "FCGI_NEVER": ""})
+        asked = fastcgi.encode_pairs({"FCGI_MPXS_CONNS": "", "FCGI_NEVER": ""})
         balancer.sock.sendall(fastcgi.record(fastcgi.GET_VALUES, 0, asked) + fastcgi.record(50, 0, b""))
-        said = fastcgi.record(fastcgi.GET_VALUES_RESULT, 0, fastcgi.put_pairs({"FCGI_MPXS_CONNS": "1"}))
+        said = fastcgi.record(fastcgi.GET_VALUES_RESULT, 0, fastcgi.encode_pairs({"FCGI_MPXS_CONNS": "1"}))
         said += fastcgi.record(fastcgi.UNKNOWN_TYPE, 0, bytes([50]) + bytes(7))
         assert balancer.read(len(said)) == said
 
--- a/tests/net/test_message_writer.py
+++ b/tests/net/test_message_writer.py
@@ -4,7 +4,7 @@
 
 import socket
 
-from cairnvane.net.message_writer import MOST_WAITING, MessageWriter
+from cairnvane.net.message_writer import MAX_BACKLOG_BYTES, MessageWriter
 
 
 def test_send_never_waits_for_a_peer_that_does_not_read() -> None:
@@ -15,8 +15,8 @@
         count = 0
         while writer.send(message):  # returns at once each time, until the bound is met
             count += 1
-            assert count * len(message) < 64 * MOST_WAITING
-        assert count * len(message) > MOST_WAITING
+            assert count * len(message) < 64 * MAX_BACKLOG_BYTES
+        assert count * len(message) > MAX_BACKLOG_BYTES
 
 
 def test_backlog_of_a_slow_peer_is_sent_whole_and_in_order() -> None:
--- a/tests/net/test_vault_calls.py
+++ b/tests/net/test_vault_calls.py
@@ -118,4 +118,4 @@
 )
 def test_outcome_of_a_reply(status: int, unseen: bool, how: Outcome) -> None:
     headers = {"x-refused-unseen": "1"} if unseen else {}
-    assert vault.outcome(http.Reply(status, headers, b"")) is how
+    assert vault.classify_reply(http.Reply(status, headers, b"")) is how
--- a/tests/net/test_worker_pool_link.py
+++ b/tests/net/test_worker_pool_link.py
@@ -84,7 +84,7 @@
         assert w.pool.next("suspend")["uid"] == uid
         balancer.answer()
         w.serve(balancer, 3)  # its notice comes after the answer to the question sent after `suspend`
-        assert 1 not in w.host._control.running
+        assert 1 not in w.host._controller.running
 
 
 @pytest.mark.parametrize(
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -347,7 +347,7 @@
 
     def request(self, number: int, path: str = "/svc/read", body: bytes = b"x", **more: str) -> bytes:
         """The records of a request; its id is its number unless another is given."""
-        params = fastcgi.put_pairs(self.fields(number, path, **more))
+        params = fastcgi.encode_pairs(self.fields(number, path, **more))
         return b"".join(
             [
                 fastcgi.record(fastcgi.BEGIN_REQUEST, number, b"\0\1\1\0\0\0\0\0"),
@@ -385,7 +385,7 @@
 
     def _next_record(self) -> fastcgi.Record:
         while True:
-            found = fastcgi.take(memoryview(self._unparsed), 0, len(self._unparsed))
+            found = fastcgi.read_record(memoryview(self._unparsed), 0, len(self._unparsed))
             if found is not None:
                 record, size = found
                 self._unparsed = self._unparsed[size:]
--- a/tests/recordings/test_golden_bytes.py
+++ b/tests/recordings/test_golden_bytes.py
@@ -70,25 +70,25 @@
 def fastcgi_codec() -> Made:
     """Records, pairs and answers, written and read."""
     texts = {"SCRIPT_NAME": "/svc/read", "EMPTY": "", "LONG": "x" * 300, "BYTES": "\udcff\u00e9"}
-    pairs = fastcgi.put_pairs(texts)
-    asked = fastcgi.Record(fastcgi.GET_VALUES, 0, fastcgi.put_pairs({"FCGI_MAX_CONNS": "", "OTHER": ""}))
+    pairs = fastcgi.encode_pairs(texts)
+    asked = fastcgi.Record(fastcgi.GET_VALUES, 0, fastcgi.encode_pairs({"FCGI_MAX_CONNS": "", "OTHER": ""}))
     opening = fastcgi.Record(fastcgi.BEGIN_REQUEST, 7, bytes([0, 1, 1, 0, 0, 0, 0, 0]))
     values = {"FCGI_MAX_CONNS": "16", "FCGI_MPXS_CONNS": "1"}
     padded = bytes([1, 5, 0, 9, 0, 3, 5, 0]) + b"abc" + bytes(5) + b"behind"
-    taken = fastcgi.take(memoryview(padded), 0, len(padded))
+    taken = fastcgi.read_record(memoryview(padded), 0, len(padded))
     assert taken is not None
     return {
         "record": fastcgi.record(fastcgi.STDOUT, 513, b"content").hex(),
         "pairs": pairs.hex(),
-        "pairs read": [[name, value] for name, value in fastcgi.pairs(pairs).items()],
+        "pairs read": [[name, value] for name, value in fastcgi.decode_pairs(pairs).items()],
         "end": fastcgi.end(3).hex(),
         "end overloaded": fastcgi.end(3, fastcgi.OVERLOADED).hex(),
         "end unknown role": fastcgi.end(3, fastcgi.UNKNOWN_ROLE).hex(),
         "response": fastcgi.response(2, b"Status: 200 OK\r\n\r\nbody").hex(),
         "response in parts": _digest_of_long(fastcgi.response(2, b"z" * (fastcgi.MAX_RECORD_OUT + 10))),
-        "begin read": list(fastcgi.begin(opening)),
-        "values": fastcgi.management(asked, values).hex(),
-        "unknown type": fastcgi.management(fastcgi.Record(77, 0, b""), values).hex(),
+        "begin read": list(fastcgi.parse_begin_request(opening)),
+        "values": fastcgi.management_reply(asked, values).hex(),
+        "unknown type": fastcgi.management_reply(fastcgi.Record(77, 0, b""), values).hex(),
         "record read": [taken[0].kind, taken[0].request, taken[0].content.hex(), taken[1]],
     }
 
@@ -536,7 +536,7 @@
         "links": links,
         "answers": answers,
         "heard": notices.heard,
-        "ends": [[word, OUTCOMES[outcome]] for word, outcome in executions.ENDS.items()],
+        "ends": [[word, OUTCOMES[outcome]] for word, outcome in executions.OUTCOMES_BY_END_CODE.items()],
     }
 
 
@@ -554,28 +554,38 @@
     header = keyed_record.Header(3, b"b" * 16, 90_000_000, 1_700_000_000_123, "n1")
     long_name = keyed_record.Header((1 << 64) - 1, bytes(16), 0, 0, "n" * 80)
     parts: dict[str, tuple[Step, bytes]] = {
-        "intent": (Step.INTENT, keyed_record.put_intent(UID, DIGEST, 91_000_000, 24.5, "write")),
-        "call": (Step.CALL, keyed_record.put_call(17)),
-        "result": (Step.RESULT, keyed_record.put_end(DIGEST, b"result")),
-        "fault": (Step.FAULT, keyed_record.put_end(DIGEST, b"")),
+        "intent": (Step.INTENT, keyed_record.encode_start(UID, DIGEST, 91_000_000, 24.5, "write")),
+        "call": (Step.CALL, keyed_record.encode_call(17)),
+        "result": (Step.RESULT, keyed_record.encode_end(DIGEST, b"result")),
+        "fault": (Step.FAULT, keyed_record.encode_end(DIGEST, b"")),
         "never": (Step.NEVER, b""),
-        "link": (Step.LINK, keyed_record.put_link(-5)),
+        "link": (Step.LINK, keyed_record.encode_link(-5)),
     }
     records = {
-        name: keyed_record.put(3, step, TOKEN, 92_000_000, 99_000_000, 18, rest)
+        name: keyed_record.encode_record(3, step, TOKEN, 92_000_000, 99_000_000, 18, rest)
         for name, (step, rest) in parts.items()
     }
-    block = keyed_record.put_header(header) + b"".join(records.values())
+    block = keyed_record.encode_header(header) + b"".join(records.values())
     read = []
     for found in keyed_record.scan(block, 0, 3):
         assert not isinstance(found, keyed_record.Damage)
         kind, offset, payload = found
-        told = keyed_record.parse(kind, payload)
-        read.append([kind, offset, told.token.hex(), told.at, told.until, told.pos, told.rest.hex()])
-    back = keyed_record.header(block[: keyed_record.HEADER_BYTES])
+        told = keyed_record.parse_record(kind, payload)
+        read.append(
+            [
+                kind,
+                offset,
+                told.key.hex(),
+                told.recorded_at,
+                told.expires_at,
+                told.settled_notice,
+                told.own_part.hex(),
+            ]
+        )
+    back = keyed_record.parse_header(block[: keyed_record.HEADER_BYTES])
     return {
-        "header": keyed_record.put_header(header).hex(),
-        "header of a long name": keyed_record.put_header(long_name).hex(),
+        "header": keyed_record.encode_header(header).hex(),
+        "header of a long name": keyed_record.encode_header(long_name).hex(),
         "header read": [back.number, back.boot.hex(), back.at, back.unix_ms, back.name],
         "records": {name: data.hex() for name, data in records.items()},
         "records read": read,
@@ -593,13 +603,22 @@
         "seal": (ledger_record.SEAL, b""),
     }
     records = {
-        name: ledger_record.put(kind, LARGE, TOKEN, 92_000_000, 99_000_000, rest)
+        name: ledger_record.encode(kind, LARGE, TOKEN, 92_000_000, 99_000_000, rest)
         for name, (kind, rest) in kinds.items()
     }
     data = b"torn".join(records.values()) + b"CVL1"
     scan = ledger_record.scan(data)
     read = [
-        [offset, length, one.kind, one.life, one.token.hex(), one.at, one.until, one.rest.hex()]
+        [
+            offset,
+            length,
+            one.kind,
+            one.incarnation,
+            one.key.hex(),
+            one.made_at,
+            one.expires_at,
+            one.rest.hex(),
+        ]
         for offset, length, one in scan.records
     ]
     return {
--- a/tests/recordings/test_golden_folders.py
+++ b/tests/recordings/test_golden_folders.py
@@ -75,19 +75,19 @@
     until = at + WINDOW_US
     uid = f"{number:016x}"
     lane = "write" if number % 2 else "caf\u00e9"
-    intent = keyed_record.put_intent(uid, DIGEST, at + SECOND_US, 24.5, lane)
-    entries = [Entry(Step.INTENT, token(number), at, until, intent, pos=number)]
+    intent = keyed_record.encode_start(uid, DIGEST, at + SECOND_US, 24.5, lane)
+    entries = [Entry(Step.INTENT, token(number), at, until, intent, settled_notice=number)]
     never = number % 11 == 5
     if number % 7 == 3 and not never:
-        call = keyed_record.put_call(number)
-        entries.append(Entry(Step.CALL, token(number), at + 10, until, call, pos=number))
+        call = keyed_record.encode_call(number)
+        entries.append(Entry(Step.CALL, token(number), at + 10, until, call, settled_notice=number))
     if never:
-        entries.append(Entry(Step.NEVER, token(number), at + 20, until, b"", pos=number))
+        entries.append(Entry(Step.NEVER, token(number), at + 20, until, b"", settled_notice=number))
     elif number % 13 != 6:
         failed = number % 5 == 4
         step = Step.FAULT if failed else Step.RESULT
-        end = keyed_record.put_end(DIGEST, b"" if failed else result(number))
-        entries.append(Entry(step, token(number), at + 30, until, end, pos=number))
+        end = keyed_record.encode_end(DIGEST, b"" if failed else result(number))
+        entries.append(Entry(step, token(number), at + 30, until, end, settled_notice=number))
     return entries
 
 
@@ -96,12 +96,14 @@
     files.make()
     log = SegmentLog(files, Owner(INSTANCE, BOOT), most_disk=MOST_DISK, power=False, unread=UNREAD_US)
     log.recover(Index(INDEX_BYTES), START_US)
-    link = keyed_record.put_link(START_US - SECOND_US)
-    log.append([Entry(Step.LINK, keyed_record.NO_TOKEN, START_US, START_US, link)], UNIX_MS)
+    link = keyed_record.encode_link(START_US - SECOND_US)
+    log.append([Entry(Step.LINK, keyed_record.NO_KEY, START_US, START_US, link)], UNIX_MS)
     for number in range(TOKENS):
         log.append(_log_entries(number), UNIX_MS + number * 100)
     at = START_US + TOKENS * 100_000
-    never = Entry(Step.NEVER, token(TOKENS), at, at + WINDOW_US, b"", pos=TOKENS)  # its intent is gone
+    never = Entry(
+        Step.NEVER, token(TOKENS), at, at + WINDOW_US, b"", settled_notice=TOKENS
+    )  # its intent is gone
     log.append([never], UNIX_MS + TOKENS * 100)
     log.close()
 
@@ -109,7 +111,7 @@
 def _put(kind: int, life: int, number: int, at: int, rest: bytes = b"", claimed: int | None = None) -> bytes:
     """A record of a key that was claimed at `claimed`."""
     until = (at if claimed is None else claimed) + WINDOW_US
-    return ledger_record.put(kind, life, token(number), at, until, rest)
+    return ledger_record.encode(kind, life, token(number), at, until, rest)
 
 
 def _ledger_segments() -> list[bytes]:
@@ -128,7 +130,7 @@
         _put(Step.INTENT, two, 5, at, DIGEST),
         _put(Step.RESULT, two, 5, at + 90, DIGEST + result(5), claimed=at),
         _put(Step.INTENT, one, 5, at + WINDOW_US, DIGEST),  # its window is over: claimed anew
-        ledger_record.put(ledger_record.SEAL, one, ledger_record.NO_TOKEN, at, at),
+        ledger_record.encode(ledger_record.SEAL, one, ledger_record.NO_KEY, at, at),
         _put(Step.INTENT, one, 6, at, DIGEST),  # behind the seal
     ]
     later = at + WINDOW_US + SECOND_US
@@ -144,7 +146,7 @@
 
 def _write_ledger(path: Path, segments: list[bytes]) -> None:
     folder = OsFolder(path)
-    folder.make()
+    folder.create()
     for number, data in enumerate(segments, 1):
         segment = folder.open(number, create=True)
         segment.append(data)
@@ -161,7 +163,7 @@
     data[len(data) // 2] ^= 1
     middle.write_bytes(data)
     at = START_US + SECOND_US
-    illegal = keyed_record.put(len(names), Step.NEVER, token(1), at, at + WINDOW_US, 0, b"")
+    illegal = keyed_record.encode_record(len(names), Step.NEVER, token(1), at, at + WINDOW_US, 0, b"")
     last.write_bytes(last.read_bytes() + illegal + illegal[:-5])
     (folder / "00000000000000ff.seg").write_bytes(b"something else")
     first, second = _ledger_segments()
@@ -236,7 +238,10 @@
         "counts": [recovery.counts.records, recovery.counts.aged, recovery.counts.illegal],
         "entries": [_index_form(log, index, number) for number in range(TOKENS)],
         "report": [report.segments, report.bytes, report.damaged, report.torn, report.foreign],
-        "segments": [[one.number, one.began, one.size, one.ends, one.dead] for one in log.segments.values()],
+        "segments": [
+            [one.number, one.begun_at, one.size, one.last_expiry, one.superseded_bytes]
+            for one in log.segments.values()
+        ],
     }
 
 
@@ -266,9 +271,9 @@
     kept = log.fetch(word, token(number), DIGEST)
     return [
         number,
-        STATES[places.state(word)],
+        STATES[places.unpack_state(word)],
         tick,
-        [*places.where(word)],
+        [*places.unpack_location(word)],
         None if kept is None else kept.hex(),
     ]
 
@@ -292,10 +297,10 @@
     entries = [
         [
             name.hex(),
-            entry.life,
-            entry.same.hex(),
-            entry.at,
-            entry.until,
+            entry.incarnation,
+            entry.fingerprint.hex(),
+            entry.claimed_at,
+            entry.expires_at,
             STATES[entry.state],
             None if kept is None else kept.hex(),
         ]
@@ -355,8 +360,10 @@
     )
     log.recover(Index(INDEX_BYTES), RECOVERED_AT_US)
     number, until = TOKENS + 1, RECOVERED_AT_US + WINDOW_US
-    intent = keyed_record.put_intent(f"{number:016x}", DIGEST, RECOVERED_AT_US, 24.5, "write")
-    log.append([Entry(Step.INTENT, token(number), RECOVERED_AT_US, until, intent, pos=number)], UNIX_MS)
+    intent = keyed_record.encode_start(f"{number:016x}", DIGEST, RECOVERED_AT_US, 24.5, "write")
+    log.append(
+        [Entry(Step.INTENT, token(number), RECOVERED_AT_US, until, intent, settled_notice=number)], UNIX_MS
+    )
     log.close()
     before = json.loads(RECOVERED.read_text())["log, same boot"]
     after = json.loads(json.dumps(recovered_log(folders / "log", BOOT)))
--- a/tests/server/test_connection_closing.py
+++ b/tests/server/test_connection_closing.py
@@ -14,7 +14,7 @@
 from server_helpers import ABORT, BEGIN, begin_retiring, hold, in_thread, is_served
 
 from cairnvane.net import connection, fastcgi, request_parameters, server
-from cairnvane.net.connection import State
+from cairnvane.net.connection import ConnectionPhase
 from cairnvane.net.server import FastCgiServer
 
 # Bytes of a request: a part of its first record, and the first record with a part of the second.
@@ -24,14 +24,14 @@
 
 def test_connection_stays_open_while_a_request_is_handed_over(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a lost response: a request just read is for a moment neither partial nor open."""
-    held = hold(monkeypatch, request_parameters, "service_request")
+    held = hold(monkeypatch, request_parameters, "parse_request")
     with world() as w:
         balancer = w.balancer()
         balancer.send(1)
         assert held.reached.wait(WAIT_S)
         begin_retiring(w)
         assert not w.connection.close_if_idle()
-        assert not w.connection.make_room()
+        assert not w.connection.evict()
         held.go.set()
         w.pool.run(b"done")
         assert balancer.answer()[1].body == b"done"
@@ -44,7 +44,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a truncated response: a request was closed before its response was written."""
-    held = hold(monkeypatch, request_parameters, "content", is_served)
+    held = hold(monkeypatch, request_parameters, "encode_response", is_served)
     with world(most=1) as w:
         balancer = w.balancer()
         balancer.send(1)
@@ -88,7 +88,7 @@
         balancer = w.balancer()
         data = balancer.request(1)
         balancer.sock.sendall(data[:received])
-        until(lambda: w.connection._rest_since is not None and not w.connection._in_hand)
+        until(lambda: w.connection.partial_record_since is not None and not w.connection.is_parsing)
         begin_retiring(w)
         assert not w.connection.close_if_idle()
         balancer.sock.sendall(data[received:])
@@ -101,15 +101,15 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a false timeout: a busy core kept the reader from a request that had come in time."""
-    monkeypatch.setattr(server, "LOOK_S", 10 * WAIT_S)
-    held = hold(monkeypatch, fastcgi, "take")
+    monkeypatch.setattr(server, "DEADLINE_CHECK_INTERVAL_S", 10 * WAIT_S)
+    held = hold(monkeypatch, fastcgi, "read_record")
     with world() as w:
         balancer, late = w.balancer(), w.connection
         balancer.send(1)
         assert held.reached.wait(WAIT_S)
-        w.server.clock += connection.SAY_WAIT_S
-        late.look()
-        assert late._state is State.SERVING
+        w.server.clock += connection.REQUEST_TIMEOUT_S
+        late.enforce_deadlines()
+        assert late.state is ConnectionPhase.SERVING
         held.go.set()
         w.pool.run(b"done")
         assert balancer.answer()[1].body == b"done"
@@ -117,14 +117,14 @@
 
 def test_request_read_after_the_close_is_not_run(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a run without a response: its bytes were being read when the connection was closed."""
-    held = hold(monkeypatch, fastcgi, "take")
+    held = hold(monkeypatch, fastcgi, "read_record")
     with world() as w:
         balancer, other = w.balancer(), w.balancer()
         balancer.send(1)
         assert held.reached.wait(WAIT_S)
         for each in w.server._all():
-            if each._in_hand:
-                each.leave()
+            if each.is_parsing:
+                each.end()
         held.go.set()
         assert balancer.ended()
         other.send(2)
@@ -133,8 +133,8 @@
 
 def test_deferred_close_happens_once_its_cause_is_over(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a connection that stays open: `retire` asks once, here while bytes are being read."""
-    monkeypatch.setattr(server, "LOOK_S", 10 * WAIT_S)
-    held = hold(monkeypatch, fastcgi, "take")
+    monkeypatch.setattr(server, "DEADLINE_CHECK_INTERVAL_S", 10 * WAIT_S)
+    held = hold(monkeypatch, fastcgi, "read_record")
     with world() as w:
         balancer = w.balancer()
         balancer.sock.sendall(fastcgi.record(50, 0, b""))
@@ -164,7 +164,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a late shutdown: it was registered after `retire` had looked over the connections."""
-    monkeypatch.setattr(server, "LOOK_S", 10 * WAIT_S)
+    monkeypatch.setattr(server, "DEADLINE_CHECK_INTERVAL_S", 10 * WAIT_S)
     held = hold(monkeypatch, server, "Connection")
     with world() as w:
         balancer = w.balancer()
@@ -180,7 +180,7 @@
         b"no record at all",
         BEGIN,
         *(
-            each.replace(b"\0\1\0", b"\0\2\0") * (connection.MOST_VOID + 1)
+            each.replace(b"\0\1\0", b"\0\2\0") * (connection.MAX_STRAY_RECORDS + 1)
             for each in (
                 fastcgi.record(fastcgi.STDIN, 7, b""),
                 fastcgi.record(50, 0, b""),
@@ -200,7 +200,7 @@
     with world() as w:
         bad, uid = w.running()
         bad.sock.sendall(data)
-        until(lambda: w.connection._state is State.ANSWERING)
+        until(lambda: w.connection.state is ConnectionPhase.ANSWERING)
         bad.send(3)  # not read any more
         w.serve(w.balancer(), 4)
         w.pool.notice("finished", uid, "fine", b"done")
@@ -213,12 +213,12 @@
 def test_incomplete_record_closes_the_connection_but_loses_no_response(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(connection, "SAY_WAIT_S", 0.2)
-    monkeypatch.setattr(server, "LOOK_S", 0.05)
+    monkeypatch.setattr(connection, "REQUEST_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(server, "DEADLINE_CHECK_INTERVAL_S", 0.05)
     with world() as w:
         balancer, uid = w.running()
         balancer.sock.sendall(balancer.request(2)[:4])
-        until(lambda: w.connection._state is State.ANSWERING)
+        until(lambda: w.connection.state is ConnectionPhase.ANSWERING)
         w.end(balancer, uid)
         assert balancer.ended()
 
@@ -235,7 +235,7 @@
 
 
 def test_response_being_written_at_a_half_close_arrives(monkeypatch: pytest.MonkeyPatch) -> None:
-    held = hold(monkeypatch, request_parameters, "content", is_served)
+    held = hold(monkeypatch, request_parameters, "encode_response", is_served)
     with world() as w:
         balancer = w.balancer()
         balancer.send(1)
@@ -243,7 +243,7 @@
         assert held.reached.wait(WAIT_S)
         closing = w.connection
         balancer.sock.shutdown(socket.SHUT_WR)
-        until(lambda: closing._state is not State.SERVING)
+        until(lambda: closing.state is not ConnectionPhase.SERVING)
         held.go.set()
         assert balancer.answer()[1].body == b"done"
         assert balancer.ended()
@@ -259,12 +259,12 @@
         data = balancer.request(2)
         balancer.sock.sendall(data[:PART_OF_A_REQUEST])
         dripping.sock.sendall(data[:PART_OF_A_REQUEST])
-        until(lambda: all(each._rest_since is not None for each in w.server._all()))
+        until(lambda: all(each.partial_record_since is not None for each in w.server._all()))
         third = w.balancer()
         assert dripping.ended()
         w.serve(third, 3)
         third.sock.sendall(third.request(4)[:PART_OF_A_REQUEST])
-        until(lambda: all(each._rest_since is not None for each in w.server._all()))
+        until(lambda: all(each.partial_record_since is not None for each in w.server._all()))
         assert w.balancer().ended()
         balancer.sock.sendall(data[PART_OF_A_REQUEST:])
         w.pool.run(b"done")
@@ -272,7 +272,7 @@
 
 
 def test_abort_that_coincides_with_the_response_gives_one_end_record(monkeypatch: pytest.MonkeyPatch) -> None:
-    held = hold(monkeypatch, request_parameters, "content", is_served)
+    held = hold(monkeypatch, request_parameters, "encode_response", is_served)
     with world() as w:
         balancer = w.balancer()
         balancer.send(1)
--- a/tests/server/test_floods.py
+++ b/tests/server/test_floods.py
@@ -19,7 +19,7 @@
     with world() as w:
         balancer = w.balancer()
         for number in range(1, 4):
-            balancer.sock.sendall(ABORT * (connection.MOST_VOID - 1))
+            balancer.sock.sendall(ABORT * (connection.MAX_STRAY_RECORDS - 1))
             w.serve(balancer, number)
 
 
--- a/tests/server/test_registry_reports.py
+++ b/tests/server/test_registry_reports.py
@@ -51,8 +51,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against an expired entry: a registry that responds partly, wrongly or not at all."""
-    monkeypatch.setattr(service_registry, "EVERY_S", 0.01)
-    monkeypatch.setattr(service_registry, "WAIT_S", 0.05)
+    monkeypatch.setattr(service_registry, "REPORT_INTERVAL_S", 0.01)
+    monkeypatch.setattr(service_registry, "REPORT_TIMEOUT_S", 0.05)
     peer = RosterPeer(response)
     reports = service_registry.ServiceRegistry(peer.address, "n1")
     reports.start()
@@ -64,7 +64,7 @@
 
 def test_unexpected_error_costs_one_report(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against an expired entry: the thread ended with the error."""
-    monkeypatch.setattr(service_registry, "EVERY_S", 0.01)
+    monkeypatch.setattr(service_registry, "REPORT_INTERVAL_S", 0.01)
     failed = threading.Event()
 
     def fails(*args: Any) -> http.Reply:
@@ -87,7 +87,7 @@
 def test_move_during_a_report_is_followed_by_a_report_to_the_new_address(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(service_registry, "EVERY_S", 10 * WAIT_S)
+    monkeypatch.setattr(service_registry, "REPORT_INTERVAL_S", 10 * WAIT_S)
     connected = Held(socket.create_connection)
     registry_socket = SimpleNamespace(create_connection=connected, SHUT_RDWR=socket.SHUT_RDWR)
     monkeypatch.setattr(service_registry, "socket", registry_socket)
@@ -103,7 +103,7 @@
 
 
 def test_shutdown_aborts_a_report_in_progress(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(service_registry, "WAIT_S", 10 * WAIT_S)
+    monkeypatch.setattr(service_registry, "REPORT_TIMEOUT_S", 10 * WAIT_S)
     cut = threading.Event()
     here = threading.Event()
 
--- a/tests/server/test_run_races.py
+++ b/tests/server/test_run_races.py
@@ -42,7 +42,7 @@
 
 
 def test_reply_to_an_abandoned_call_is_not_reported(monkeypatch: pytest.MonkeyPatch) -> None:
-    held = hold(monkeypatch, vault, "outcome")
+    held = hold(monkeypatch, vault, "classify_reply")
     threads: list[threading.Thread] = []
     ends: list[Any] = []
     monkeypatch.setattr(vault, "_threads", SimpleNamespace(run=lambda task: threads.append(in_thread(task))))
@@ -50,7 +50,7 @@
         VaultPeer(reply(200)).address, "0" * 16, b"x", 60_000_000, lambda *end: ends.append(end)
     )
     assert held.reached.wait(WAIT_S)
-    call.give_up()
+    call.cancel()
     held.go.set()
     threads[0].join(WAIT_S)
     assert ends == []
--- a/tests/server/test_settings_variants.py
+++ b/tests/server/test_settings_variants.py
@@ -8,7 +8,7 @@
 from peers import PARAMS, TOKEN, world
 from server_helpers import class_settings
 
-from cairnvane.net.connection import State
+from cairnvane.net.connection import ConnectionPhase
 
 
 @pytest.mark.parametrize(
@@ -46,4 +46,4 @@
             w.serve(balancer, number, path=f"/svc/{cls['Name']}", **token)
         balancer.send(99, path="/svc/nobody's")
         assert balancer.answer()[1].status == 500  # and nothing else fails
-        assert w.connection._state is State.SERVING
+        assert w.connection.state is ConnectionPhase.SERVING
--- a/tests/server/test_wire_codecs.py
+++ b/tests/server/test_wire_codecs.py
@@ -18,14 +18,14 @@
 @settings(derandomize=True, max_examples=60, deadline=None)
 @given(st.dictionaries(texts, texts, max_size=8))
 def test_name_value_pairs_round_trip(values: dict[str, str]) -> None:
-    assert fastcgi.pairs(fastcgi.put_pairs(values)) == values
+    assert fastcgi.decode_pairs(fastcgi.encode_pairs(values)) == values
 
 
 @settings(derandomize=True, max_examples=60, deadline=None)
 @given(st.binary(max_size=300), st.integers(0, 400))
 def test_record_is_read_only_when_it_is_complete(content: bytes, cut: int) -> None:
     data = fastcgi.record(fastcgi.STDIN, 7, content)
-    found = fastcgi.take(memoryview(data[:cut]), 0, min(cut, len(data)))
+    found = fastcgi.read_record(memoryview(data[:cut]), 0, min(cut, len(data)))
     whole = (fastcgi.Record(fastcgi.STDIN, 7, content), len(data))
     assert found == (whole if cut >= len(data) else None)
 
