--- a/tests/membership/test_failure_detection.py
+++ b/tests/membership/test_failure_detection.py
@@ -100,7 +100,7 @@
 
 
 def test_a_member_that_was_held_up_once_recovers_its_local_health() -> None:
-    """An answer that leaves nothing to do for a while is no sign of a stall, though all waits are long then."""
+    """An answer that leaves nothing to do for a while is no sign of a stall, though waits are long then."""
     world = start_cluster(4)
     world.run(world.now + 3 * SECOND)
     world.freeze(1, True)
--- a/tests/recordings/test_golden_folders.py
+++ b/tests/recordings/test_golden_folders.py
@@ -154,7 +154,7 @@
 
 
 def _write_damaged(folder: Path) -> None:
-    """The same with a changed byte, an illegal step, a torn last write, a foreign file, and a gap in the claims."""
+    """The same with a changed byte, an illegal step, a torn write, a stray file, and a gap in the claims."""
     shutil.copytree(FOLDERS / "log", folder)
     names = sorted(path.name for path in folder.iterdir())
     middle, last = folder / names[1], folder / names[-1]
