Failing test: a cancelled run is taken for lost while the cores stand still

Seen in the report: engines of six-node fleets fell over on servers whose pool link broke about once a second. Hypotheses that fit, and what tells them apart: (1) a spawn sent again after an unseen end runs a second time; (2) a run is taken for lost because the pool is silent about its cancellation; (3) a request given up at its call runs on uncounted; (4) the concurrency limit climbs on gauges that don't fit. Change: the testbed freezes cores ('freeze'), repeats faults ('every'), counts runs a core in the mean of 1.5 s as a rule ('overloaded'); its pool says 'late' for a request that is over, and a cancelled run leaves its core. The whole suite has not been run on this commit yet.

--- a/cairnvane/testbed/cluster/checker.py
+++ b/cairnvane/testbed/cluster/checker.py
@@ -78,6 +78,8 @@
     vault_most: int = 0
     vault_fell: int = 0
     most_crowded: float = 0.0  # the most runnable runs, for each core
+    highest_mean_crowding: float = 0.0  # the same, in the mean of the time that a machine survives
+    overloaded: int = 0  # servers whose machine got more than it survives
     lag_ms: float = 0.0
     views: Views | None = None  # with `members`
     trouble: list[str] = field(default_factory=list)
@@ -86,7 +88,8 @@
     @property
     def wrong(self) -> int:
         """Number of broken rules."""
-        return self.lost + self.twice + self.refused_after_run + self.differing + self.invented
+        broken = self.lost + self.twice + self.refused_after_run + self.differing + self.invented
+        return broken + self.overloaded
 
     @property
     def good(self) -> bool:
@@ -108,10 +111,11 @@
             f"given up {self.given_up}",
             f"  lost {self.lost}, at the door {self.at_door}, run twice {self.twice}, "
             f"refused after a run {self.refused_after_run}, differing {self.differing}, "
-            f"invented {self.invented}",
+            f"invented {self.invented}, machines overloaded {self.overloaded}",
             *(f"  lost: {line}" for line in self.lost_tries),
             f"  most calls in the vault's hands {self.vault_most}, it fell {self.vault_fell} times; "
-            f"most runs a core {self.most_crowded:.1f}; the load's own lag {self.lag_ms:.0f} ms",
+            f"most runs a core {self.most_crowded:.1f}, in the mean {self.highest_mean_crowding:.1f}; "
+            f"the load's own lag {self.lag_ms:.0f} ms",
             *([self.views.line()] if self.views is not None else []),
             *(f"  trouble: {line}" for line in self.trouble),
             *(f"  short: {line}" for line in self.short),
--- a/cairnvane/testbed/cluster/load.py
+++ b/cairnvane/testbed/cluster/load.py
@@ -91,6 +91,7 @@
         self._over = False
         # By balancer and server: connections, and until when the server is avoided.
         self._balancers: dict[tuple[int, int], StandInBalancer] = {}
+        self._ended_ids: set[str] = set()  # of the attempts that are over
         self._retry_after: dict[tuple[int, int], float] = {}  # as the server advised
         self._avoid_until: dict[tuple[int, int], float] = {}  # after a disconnect
 
@@ -110,6 +111,10 @@
             self._create_request(at)
         self._run_tasks_until(end)
 
+    def is_over(self, request_id: str) -> bool:
+        """Whether the attempt with this id has been answered, or given up."""
+        return request_id in self._ended_ids
+
     def settle(self, seconds: float) -> None:
         """Wait until all attempts have ended, but no longer than this; nothing is retried."""
         self._over = True
@@ -229,6 +234,7 @@
     ) -> None:
         attempt.ended_at = now
         attempt.status = reply.status
+        self._ended_ids.add(attempt.request_id)
         attempt.unreachable = not reached
         if reply.status == DISCONNECTED:
             self._avoid_until[request.balancer, attempt.node] = now + AVOID_AFTER_DISCONNECT_S
--- a/cairnvane/testbed/cluster/nodes.py
+++ b/cairnvane/testbed/cluster/nodes.py
@@ -22,6 +22,9 @@
 STOP_MARGIN_S = 2
 # Classes of requests that call the dependency.
 CALLING = frozenset({"price-view", "bid-commit"})
+# A machine survives so many runs for each core that want one, in the mean of this time.
+MAX_OVERSUBSCRIPTION = 8.0
+CROWDING_WINDOW_S = 1.5
 # A run's work is drawn between these multiples of its mean.
 LEAST_WORK = 0.7
 MOST_WORK = 1.3
@@ -58,7 +61,11 @@
             "Meters": ["cpu_busy", "runnable", "mem_used", "sockets"],
             "TellsGone": True,
         },
-        "Guarantees": {"TipMultiple": 8.0, "StopSendingWithinUs": 2_500_000},
+        "Guarantees": {
+            "TipMultiple": MAX_OVERSUBSCRIPTION,
+            "OverloadForUs": int(CROWDING_WINDOW_S * 1e6),
+            "StopSendingWithinUs": 2_500_000,
+        },
         "Limits": {"MaxRetryAfterUs": 1_000_000},
     }
 
@@ -288,6 +295,19 @@
         for version in self._running():
             version.server.order(self._site.folder, what, seconds)
 
+    def freeze(self, frozen: bool) -> None:
+        """Have the cores of all its pools stand still, or work again."""
+        for slot in self._slots:
+            if frozen:
+                slot.pool.freeze()
+            else:
+                slot.pool.thaw()
+
+    def watch_requests(self, is_over: Callable[[str], bool]) -> None:
+        """Tell its pools which requests are over, by their ids."""
+        for slot in self._slots:
+            slot.pool.is_over = is_over
+
     def end(self) -> None:
         """Shut everything down at the end of the run, and collect the alarms."""
         for version in self._running():
@@ -306,6 +326,10 @@
         """The most runs that wanted a core of it at a time."""
         return max(slot.pool.max_runnable for slot in self._slots)
 
+    def highest_mean_runnable(self, window_s: float) -> float:
+        """The highest mean number of runs that wanted a core of it, over any window of so many seconds."""
+        return max(slot.pool.highest_mean_runnable(window_s) for slot in self._slots)
+
     def run_records(self) -> dict[bytes, RunRecord]:
         """What its pools recorded by body, as one server: runs by line of versions, not by incarnation."""
         merged: dict[bytes, RunRecord] = {}
--- a/cairnvane/testbed/cluster/scenario.py
+++ b/cairnvane/testbed/cluster/scenario.py
@@ -8,7 +8,7 @@
 import msgspec
 
 # Faults of servers, of the dependency, and of the load.
-TO_SERVERS = ("kill", "start", "stop", "leave", "upgrade", "hold", "busy", "clock")
+TO_SERVERS = ("kill", "start", "stop", "leave", "upgrade", "hold", "busy", "clock", "freeze")
 # Faults that silence a server: the others may rightly declare it failed.
 SILENCING = ("kill", "stop", "hold")
 TO_VAULT = ("slow", "down", "silent")
@@ -53,6 +53,7 @@
     at: float  # seconds from the load's start
     duration: float = msgspec.field(default=0.0, name="for")
     jitter: float = 0.0  # it begins up to so much later
+    every: float = 0.0  # it begins again after each so many seconds, to the load's end; 0: once
     who: str = ""  # a server, `any` (drawn), or `vault`
     link: list[str | list[str]] = []  # two ends, each a name or several
     way: str = "both"  # `there`: from the first end to the second; `back`, or `both`
--- a/cairnvane/testbed/cluster/scenario_file.py
+++ b/cairnvane/testbed/cluster/scenario_file.py
@@ -22,6 +22,8 @@
 MAX_SERVERS = 24
 MAX_SECONDS = 7_200.0
 MAX_RATE = 400.0
+# A fault that is repeated begins again after this time at the least, and never before it is over.
+MIN_REPEAT_S = 0.05
 # Expectations on the servers' views of each other.
 MEMBER_EXPECTATIONS = (
     "called_dead",
@@ -34,7 +36,7 @@
     "peak_kb",
 )
 # Faults that last for a time.
-_LASTING = ("stop", "hold", "busy", *TO_VAULT, *TO_LOAD, *LINK_FAULT_KINDS)
+_LASTING = ("stop", "hold", "busy", "freeze", *TO_VAULT, *TO_LOAD, *LINK_FAULT_KINDS)
 
 # An error of msgspec, with the path of the value.
 _MSGSPEC_ERROR = re.compile(r"^(?P<what>.*?)(?: - at `\$(?P<path>[^`]*)`)?$", re.S)
@@ -122,6 +124,9 @@
     validator.between(f"{path}.at", fault.at, 0.0, scenario.seconds)
     validator.between(f"{path}.for", fault.duration, 0.0, scenario.seconds - fault.at)
     validator.between(f"{path}.jitter", fault.jitter, 0.0, scenario.seconds - fault.at - fault.duration)
+    if fault.every:
+        longest = fault.jitter + fault.duration
+        validator.between(f"{path}.every", fault.every, max(longest, MIN_REPEAT_S), scenario.seconds)
     validator.between(f"{path}.share", fault.share, 0.0, 1.0)
     validator.between(f"{path}.times", fault.times, 0.1, 1_000.0)
     validator.between(f"{path}.kb_a_second", fault.kb_a_second, 0.1, 1e6)
--- a/cairnvane/testbed/cluster/scenario_run.py
+++ b/cairnvane/testbed/cluster/scenario_run.py
@@ -18,7 +18,7 @@
 from .checker import DEADLINE_SLACK_S, FAULT_MARGIN_S, FaultWindow, Verdict, check, served_share
 from .links import Link, Network
 from .load import CLIENT_TIMEOUTS_S, LoadGenerator
-from .nodes import Node, NodeEnvironment
+from .nodes import CROWDING_WINDOW_S, MAX_OVERSUBSCRIPTION, Node, NodeEnvironment
 from .observations import KilledServer, Observation, Traffic, check_views, read_observations
 from .peers import Peers, PeerTraffic
 from .scenario import SILENCING, Scenario
@@ -114,6 +114,8 @@
         self._peers = Peers(scenario, seed, self._network) if scenario.members else None
         self.nodes = self._create_nodes(folder)
         self._load = LoadGenerator(scenario, seed, self.nodes)
+        for node in self.nodes:
+            node.watch_requests(self._load.is_over)
         self._fault_began: dict[int, float] = {}  # by number of the fault
         self._windows: list[FaultWindow] = []
         self._kills: list[KilledServer] = []
@@ -247,6 +249,8 @@
         elif step.do == "stop":
             self._record_window(step, number)
             node.stop(step.begins)
+        elif step.do == "freeze":
+            node.freeze(step.begins)
         elif step.do == "clock":
             node.order(step.do, step.fault.by)
         elif step.do in ("hold", "busy"):
@@ -356,8 +360,15 @@
         verdict.vault_over = self._vault.over_capacity_s / self._scenario.seconds
         max_runnable = max(node.max_runnable for node in self.nodes)
         verdict.most_crowded = max_runnable / self._scenario.server.cores
+        self._check_crowding(verdict)
         verdict.lag_ms = self._load.max_lag_s * 1e3
 
+    def _check_crowding(self, verdict: Verdict) -> None:
+        """Count the servers that gave their machine more runs than it survives."""
+        means = [node.highest_mean_runnable(CROWDING_WINDOW_S) for node in self.nodes]
+        verdict.highest_mean_crowding = max(means) / self._scenario.server.cores
+        verdict.overloaded = sum(mean > MAX_OVERSUBSCRIPTION * self._scenario.server.cores for mean in means)
+
     def _end(self) -> Verdict:
         cpu = [cpu_usage(node.versions[-1].server.process.pid) for node in self.nodes if node.up]
         agreed_s = self._agreement_s()
--- a/cairnvane/testbed/cluster/schedule.py
+++ b/cairnvane/testbed/cluster/schedule.py
@@ -54,14 +54,26 @@
 def _steps(scenario: Scenario, number: int, seed: int) -> Iterator[Step]:
     fault = scenario.faults[number]
     rng = random.Random(f"{seed} fault {number}")
-    at = fault.at + rng.uniform(0.0, fault.jitter)
-    target = rng.choice(scenario.names) if fault.who == "any" else fault.who
-    if fault.do in TO_VAULT:
-        target = "vault"
     links = scenario.links(fault) if fault.do in LINK_FAULT_KINDS else ()
-    yield Step(at, number, fault.do, True, target, links, fault)
-    if fault.duration:
-        yield Step(at + fault.duration, number, fault.do, False, target, links, fault)
+    for begins_at in _begins(scenario, fault):
+        at = begins_at + rng.uniform(0.0, fault.jitter)
+        target = rng.choice(scenario.names) if fault.who == "any" else fault.who
+        if fault.do in TO_VAULT:
+            target = "vault"
+        yield Step(at, number, fault.do, True, target, links, fault)
+        if fault.duration:
+            yield Step(at + fault.duration, number, fault.do, False, target, links, fault)
+
+
+def _begins(scenario: Scenario, fault: Fault) -> Iterator[float]:
+    """When the fault begins, before its jitter; each time it is over before the load's end."""
+    yield fault.at
+    if not fault.every:
+        return
+    begins_at = fault.at + fault.every
+    while begins_at + fault.jitter + fault.duration < scenario.seconds:
+        yield begins_at
+        begins_at += fault.every
 
 
 def draw(scenario: Scenario, seed: int) -> list[Step]:
--- a/cairnvane/testbed/stand_ins/worker_pool.py
+++ b/cairnvane/testbed/stand_ins/worker_pool.py
@@ -1,7 +1,9 @@
 """A stand-in worker pool: it runs requests, keeps its notices, and records every run for the checkers.
 
 It outlives the server, as a pool on the same machine may, or is restarted with it. A run has its effect as
-soon as it begins; a second `spawn` of a request whose run has ended is a second run, as the protocol says.
+soon as it begins; a second `spawn` of a request whose run has ended is a second run, as the protocol says,
+unless the request is over: then the end `late` is reported, and nothing runs. While the cores are frozen no
+run gets on, and a cancellation has no effect.
 """
 
 from __future__ import annotations
@@ -18,6 +20,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from .crowding import Crowding
 from .sockets import Listener, shut
 
 # Number of notices that the protocol keeps for a link that comes back.
@@ -26,7 +29,7 @@
 DEFAULT_GAUGE_CORES = 16
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Run:
     """A run in progress."""
 
@@ -64,6 +67,10 @@
         """`work_ms` and `result_bytes` are the bounds between which each is drawn."""
         self.records: dict[bytes, RunRecord] = {}
         self.max_runnable = 0  # the most runs that wanted a core at a time
+        self.crowding = Crowding()
+        # Whether a request, by its id, has been answered or given up: no run begins for it then.
+        self.is_over: Callable[[str], bool] = lambda uid: False
+        self.repeated_spawns = 0  # of runs that were going on
         self.incarnation = 0  # the current one, counted from 1
         self._random = random.Random(seed)
         self._calls = calls
@@ -76,6 +83,8 @@
         self._scheduled = 0
         self._link: socket.socket | None = None
         self._closed = False
+        self._frozen_at: float | None = None  # on the monotonic clock
+        self._frozen_s = 0.0  # in all, up to the last thaw
         self._begin_incarnation()
         self._listener = Listener(self._serve)
         self.address = self._listener.address
@@ -88,8 +97,8 @@
         self._position = 0  # of the last notice
         self._notices: list[tuple[int, bytes]] = []
         self._running: dict[str, Run] = {}
-        self._waiting_for_core: list[Callable[[], None]] = []
-        self._busy_cores = 0
+        self._waiting_for_core: list[tuple[Run, Callable[[], None]]] = []
+        self._on_cores: set[Run] = set()
 
     def restart(self) -> None:
         """Discard all runs, count notices from 1 again, and report that the pool has only just started."""
@@ -98,6 +107,25 @@
             if self._link is not None:
                 shut(self._link)
 
+    def freeze(self) -> None:
+        """From now on the cores stand still: commands are read, but no run gets on or is stopped."""
+        with self._lock:
+            if self._frozen_at is None:
+                self._frozen_at = time.monotonic()
+
+    def thaw(self) -> None:
+        """The cores work again, where they stood still."""
+        with self._lock:
+            if self._frozen_at is not None:
+                self._frozen_s += time.monotonic() - self._frozen_at
+                self._frozen_at = None
+                self._changed.notify_all()
+
+    def highest_mean_runnable(self, window_s: float) -> float:
+        """The highest mean number of runs that wanted a core, over any window of so many seconds."""
+        with self._lock:
+            return self.crowding.highest_mean(window_s, time.monotonic())
+
     def close(self) -> None:
         """End the pool."""
         self._listener.close()
@@ -107,45 +135,65 @@
 
     # --- work, in one thread
 
+    def _work_time(self) -> float:
+        """The monotonic clock, less the time in which the cores stood still."""
+        now = time.monotonic() if self._frozen_at is None else self._frozen_at
+        return now - self._frozen_s
+
+    def _next_due_in(self) -> float | None:
+        """Seconds until the next task is due; None while nothing will fall due by itself."""
+        if not self._agenda or self._frozen_at is not None:
+            return None
+        return self._agenda[0][0] - self._work_time()
+
     def _work(self) -> None:
         while True:
             with self._lock:
-                while not self._closed and (not self._agenda or self._agenda[0][0] > time.monotonic()):
-                    wait = self._agenda[0][0] - time.monotonic() if self._agenda else None
+                while not self._closed and ((wait := self._next_due_in()) is None or wait > 0):
                     self._changed.wait(wait)
                 if self._closed:
                     return
                 task = heapq.heappop(self._agenda)[2]
                 task()
 
-    def _work_then(self, task: Callable[[], None]) -> None:
+    def _work_then(self, run: Run, task: Callable[[], None]) -> None:
         """Work on one half of a run, once a core is free, then do the task."""
         if not self._cores:
             self._schedule(task)
             return
-        self._waiting_for_core.append(task)
-        self.max_runnable = max(self.max_runnable, self._runnable())
+        self._waiting_for_core.append((run, task))
         self._assign_cores()
 
     def _runnable(self) -> int:
-        return self._busy_cores + len(self._waiting_for_core)
+        return len(self._on_cores) + len(self._waiting_for_core)
 
     def _assign_cores(self) -> None:
-        while self._waiting_for_core and self._busy_cores < self._cores:
-            self._busy_cores += 1
-            task = self._waiting_for_core.pop(0)
-            self._schedule(lambda task=task: self._release_core(task))  # type: ignore[misc]
-
-    def _release_core(self, task: Callable[[], None]) -> None:
-        self._busy_cores -= 1
+        while self._waiting_for_core and len(self._on_cores) < self._cores:
+            run, task = self._waiting_for_core.pop(0)
+            self._on_cores.add(run)
+            self._schedule(lambda run=run, task=task: self._release_core(run, task))  # type: ignore[misc]
+        runnable = self._runnable()
+        self.max_runnable = max(self.max_runnable, runnable)
+        self.crowding.record(time.monotonic(), runnable)
+
+    def _release_core(self, run: Run, task: Callable[[], None]) -> None:
+        if run not in self._on_cores:
+            return  # it was cancelled meanwhile
+        self._on_cores.remove(run)
         task()
         self._assign_cores()
 
+    def _leave_cores(self, run: Run) -> None:
+        """Give up the core of a run, or its wait for one."""
+        self._on_cores.discard(run)
+        self._waiting_for_core = [entry for entry in self._waiting_for_core if entry[0] is not run]
+        self._assign_cores()
+
     def _schedule(self, task: Callable[[], None]) -> None:
         """Do the task after the time of one half of a run, unless the pool is restarted meanwhile."""
         token = self._incarnation_token
         self._scheduled += 1
-        due_at = time.monotonic() + self._random.uniform(*self._work_ms) / 1e3
+        due_at = self._work_time() + self._random.uniform(*self._work_ms) / 1e3
         heapq.heappush(
             self._agenda,
             (due_at, self._scheduled, lambda: task() if token is self._incarnation_token else None),
@@ -172,8 +220,7 @@
         elif action == "supply":
             self._supply(uid)
         elif action == "suspend":
-            if (run := self._running.pop(uid, None)) is not None:
-                self._notify("finished", uid, "broken_off", began=run.began)
+            self._cancel(uid)
         elif action == "poll":
             self._report_gauges(command["echo"])
 
@@ -194,6 +241,10 @@
 
     def _spawn(self, uid: str, lane: str, body: bytes) -> None:
         if uid in self._running:
+            self.repeated_spawns += 1
+            return
+        if self.is_over(uid):
+            self._notify("finished", uid, "late")
             return
         run = Run(uid, body, time.monotonic())
         self._running[uid] = run
@@ -201,12 +252,19 @@
         record.runs += 1
         record.request_ids.add(uid)
         record.runs_by_incarnation[self.incarnation] += 1
-        self._work_then(lambda: self._request_call(run) if lane in self._calls else self._finish(run))
+        self._work_then(run, lambda: self._request_call(run) if lane in self._calls else self._finish(run))
+
+    def _cancel(self, uid: str) -> None:
+        if self._frozen_at is not None:
+            return
+        if (run := self._running.pop(uid, None)) is not None:
+            self._leave_cores(run)
+            self._notify("finished", uid, "broken_off", began=run.began)
 
     def _supply(self, uid: str) -> None:
         if (run := self._running.get(uid)) is not None and run.blocked:
             run.blocked = False
-            self._work_then(lambda: self._finish(run))
+            self._work_then(run, lambda: self._finish(run))
 
     def _request_call(self, run: Run) -> None:
         if self._running.get(run.uid) is run:
