Count runs that the gauges show and no table has against the ceiling

Change: admission/unaccounted_load.py, policy. Where runnable requests exceed those that run by more than one a core (reading takes as many, by the protocol), all of the excess takes room under the ceiling, and its coming and going is logged beyond two a core. The whole suite has not been run on this commit yet.

--- a/cairnvane/admission/controller.py
+++ b/cairnvane/admission/controller.py
@@ -23,6 +23,7 @@
 from .load_signal import Health, LoadReports
 from .requests import RequestState, TrackedRequest
 from .tenant_quota import TenantQuotas
+from .unaccounted_load import UnaccountedLoad
 
 
 class Controller:
@@ -42,6 +43,7 @@
         self.service = ServiceRate(settings.cores)
         self.admission = AdmissionProbability(seed)
         self.concurrency = ConcurrencyLimit(settings, now)
+        self.unaccounted = UnaccountedLoad(settings)
         self.dependency = DependencyQuota(settings, now)
         self.tenants = TenantQuotas(settings, now)
         self.idle_connections = IdleConnections(now)
@@ -140,9 +142,13 @@
         used = self.requests.memory + len(self.lifecycle.keys) * self.settings.key_memory
         return used + additional <= parameters.MEMORY_SAFETY * self.settings.memory
 
+    def _ceiling(self) -> float:
+        """Runs that the cores survive beside those that no table has."""
+        return self.concurrency.ceiling(self.now) - self.unaccounted.runs
+
     def _start_runs(self) -> None:
         """Start queued requests, by weight, then oldest first, as far as the limits allow."""
-        most = min(self.concurrency.limit, self.concurrency.ceiling(self.now) - len(self.calling))
+        most = min(self.concurrency.limit, self._ceiling() - len(self.calling))
         scanned = self.now - self.queue_scanned_at < parameters.QUEUE_SCAN_INTERVAL
         if len(self.running) >= most and scanned:
             return
@@ -276,7 +282,7 @@
         for request in list(self.requests.awaiting_call.values()):
             request_class = request.request_class
             degraded = request_class.degraded_fraction
-            can_return = len(self.running) + len(self.calling) < self.concurrency.ceiling(self.now)
+            can_return = len(self.running) + len(self.calling) < self._ceiling()
             late = self.now + self.dependency.times.mean * can_return > request.objective_at
             has_quota = self.dependency.has_capacity(len(self.calling))
             prefers_degraded = not has_quota or degraded > request_class.late_fraction  # in time beats late
@@ -333,6 +339,7 @@
         if self.now < self.timer_at:
             return  # set for what is over by now; a later one is to come
         self.timer_pending = False
+        self.lifecycle.emit(self.unaccounted.on_timer(event, len(self.running)))
         self.concurrency.on_timer(self.now, event, len(self.running), len(self.queue))
         is_busy = (event.cpu_busy or 0.0) >= parameters.BUSY_CORES_FRACTION
         cores_full = is_busy or event.runnable is None or event.runnable >= self.settings.cores
--- a/cairnvane/admission/parameters.py
+++ b/cairnvane/admission/parameters.py
@@ -28,6 +28,8 @@
 # Fractions of the limits that an instance or dependency survives which are used, since estimates err.
 OVERSUBSCRIPTION_SAFETY = 0.8
 MEMORY_SAFETY = 0.9
+# So many runs a core that no table has are worth a line in the log; fewer may be checks and handshakes.
+UNACCOUNTED_RUNS_LOGGED_PER_CORE = 2.0
 DEPENDENCY_SAFETY = 0.9
 # Requests at a call hold running memory and come back to the cores together: so many for each core.
 CALLS_PER_CORE = 2
