--- a/cairnvane/administration/endpoints.py
+++ b/cairnvane/administration/endpoints.py
@@ -73,8 +73,10 @@
         duty: Readiness,
         tally: RequestCounters,
         views: Mapping[str, Callable[[], object]] | None = None,
+        load: Callable[[], object] | None = None,
     ) -> None:
-        """`views` are called with each GET of their paths."""
+        """`views` are called with each GET of their paths, `load` for the metrics' key of that name."""
+        self._load = load
         self._readiness = duty
         self._counters = tally
         self._routes = {
@@ -113,6 +115,7 @@
                 "ready": self._readiness.ready,
                 "drained": self._readiness.drained,
                 "drains": self._readiness.drains,
+                **({"load": self._load()} if self._load is not None else {}),
             },
         )
 
--- a/cairnvane/admission/controller.py
+++ b/cairnvane/admission/controller.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from ..contract import actions, events
+from ..contract.actions import EndReason
 from ..contract.events import UNEXECUTED_OUTCOMES, Outcome
 from ..contract.settings import CancelMode, RequestClass, RetrySemantics, Settings
 from . import parameters
@@ -90,7 +91,7 @@
         if self._has_memory(0):
             self.lifecycle.replay_result(request)
         else:
-            self._give_up(request)
+            self._give_up(request, EndReason.ORIGINAL_MEMORY)
 
     def _track(self, event: events.Arrival) -> TrackedRequest:
         request = self.lifecycle.track(event)
@@ -111,16 +112,9 @@
         self.lifecycle.enqueue(request)
         request_class = request.request_class
         is_keyed = request_class.retry_semantics is RetrySemantics.IDEMPOTENCY_KEYED
-        # Guards the memory: a request is queued only if it could run, its key remembered, beside all others.
-        key_memory = self.settings.key_memory if is_keyed else 0.0
-        has_memory = self._has_memory(self.requests.extra_run_memory(request) + key_memory)
-        # Guards the graceful shutdown. Nor is there use in a client that has all but given up.
-        expires_soon = request.deadline <= self.now + parameters.TIMER_INTERVAL
-        is_late = request.arrived_at > self.grace_end or expires_soon
-        # Guards against an effect twice after a restart: a run whose key can't be stored is not begun.
-        is_refused = storage_delay or is_late or not has_memory
-        if is_refused or not self._admit(request) or self._is_hopeless(request):
-            self._give_up(request, retry_after=storage_delay)
+        reason = self._rejection_reason(request, is_keyed, storage_delay)
+        if reason is not None:
+            self._give_up(request, reason, retry_after=storage_delay)
             return
         self.tenants.take(request.tenant, 1, self.now)
         if is_keyed:
@@ -128,6 +122,26 @@
             lifetime = request_class.retry_window + self.settings.min_round_interval
             self.lifecycle.remember_key(request, lifetime)
 
+    def _rejection_reason(
+        self, request: TrackedRequest, is_keyed: bool, storage_delay: int
+    ) -> EndReason | None:
+        """Why a request that arrived is not queued; None if it is."""
+        # Guards against an effect twice after a restart: a run whose key can't be stored is not begun.
+        if storage_delay:
+            return EndReason.STORAGE
+        # Guards the graceful shutdown. Nor is there use in a client that has all but given up.
+        if request.arrived_at > self.grace_end:
+            return EndReason.DRAINING
+        if request.deadline <= self.now + parameters.TIMER_INTERVAL:
+            return EndReason.DEADLINE
+        # Guards the memory: a request is queued only if it could run, its key remembered, beside all others.
+        key_memory = self.settings.key_memory if is_keyed else 0.0
+        if not self._has_memory(self.requests.extra_run_memory(request) + key_memory):
+            return EndReason.MEMORY
+        if not self._admit(request):
+            return EndReason.ADMISSION
+        return EndReason.LATE if self._is_hopeless(request) else None
+
     def _admit(self, request: TrackedRequest) -> bool:
         """The paper's rule: the admission probability moves with the queue, and decides."""
         if self.service.is_known(request.request_class.name):
@@ -142,13 +156,13 @@
         used = self.requests.memory + len(self.lifecycle.keys) * self.settings.key_memory
         return used + additional <= parameters.MEMORY_SAFETY * self.settings.memory
 
-    def _ceiling(self) -> float:
+    def ceiling(self) -> float:
         """Runs that the cores survive beside those that no table has."""
         return self.concurrency.ceiling(self.now) - self.unaccounted.runs
 
     def _start_runs(self) -> None:
         """Start queued requests, by weight, then oldest first, as far as the limits allow."""
-        most = min(self.concurrency.limit, self._ceiling() - len(self.calling))
+        most = min(self.concurrency.limit, self.ceiling() - len(self.calling))
         scanned = self.now - self.queue_scanned_at < parameters.QUEUE_SCAN_INTERVAL
         if len(self.running) >= most and scanned:
             return
@@ -163,7 +177,8 @@
             has_capacity = len(self.running) < most and not congested
             # A late request has all others before it: it runs now or never.
             if is_late[request.id] and (not has_capacity or self._is_hopeless(request)):
-                self._give_up(request, congested=congested)
+                reason = EndReason.DEPENDENCY if congested else EndReason.CAPACITY
+                self._give_up(request, reason)
             elif has_capacity and self._has_memory(self.requests.extra_run_memory(request)):
                 self.lifecycle.start(request)
 
@@ -195,7 +210,7 @@
             return
         if event.outcome in (Outcome.CANCELLED, Outcome.NEVER_STARTED) and not request.answered:
             # Its client seems to have left, but nothing says that no answer is owed.
-            self.lifecycle.fail(request)
+            self.lifecycle.fail(request, EndReason.RUN_CANCELLED)
         if request.state is RequestState.RUNNING:
             self._record_run(request, event)
         elif request.state is RequestState.CALLING:
@@ -211,17 +226,18 @@
             self.service.record_success(request.request_class.name, event.duration, request.cost)
             self.concurrency.throughput.finished += 1
 
-    def _give_up(self, request: TrackedRequest, congested: bool = False, retry_after: int = 0) -> None:
+    def _give_up(self, request: TrackedRequest, reason: EndReason, retry_after: int = 0) -> None:
         """End a request: rejected if it provably never ran, else failed, and cancelled."""
         request.answered = True
         if not request.may_have_run:
-            self._reject(request, congested, retry_after)
+            self._reject(request, reason, retry_after)
             return
-        self.lifecycle.fail(request)
+        self.lifecycle.fail(request, reason)
         self._cancel(request)
 
-    def _reject(self, request: TrackedRequest, congested: bool, retry_after: int) -> None:
+    def _reject(self, request: TrackedRequest, reason: EndReason, retry_after: int) -> None:
         request_class = request.request_class
+        congested = reason is EndReason.DEPENDENCY
         is_beyond_quota = request.weight < request_class.priority_weight
         # Neither a congested dependency, which is everyone's, nor a full disk is a reason to invite less.
         if not (is_beyond_quota or congested or retry_after):
@@ -236,7 +252,7 @@
             or is_beyond_quota
         )
         retry_after = max(self._retry_after(), min(retry_after, self.settings.max_retry_after))
-        self.lifecycle.reject(request, retry_after, no_retry)
+        self.lifecycle.reject(request, retry_after, no_retry, reason)
 
     def _retry_after(self) -> int:
         """How long clients should avoid this instance: until half of the queue is worked off."""
@@ -275,14 +291,14 @@
         until = self.now + parameters.TIMER_INTERVAL + 2 * self.settings.min_round_interval
         for request in self.requests.due(until):
             if not request.answered:
-                self._give_up(request)
+                self._give_up(request, EndReason.DEADLINE)
 
     def _make_calls(self) -> None:
         """Make calls, oldest first, as far as the quota allows; what can't be in time makes none."""
         for request in list(self.requests.awaiting_call.values()):
             request_class = request.request_class
             degraded = request_class.degraded_fraction
-            can_return = len(self.running) + len(self.calling) < self._ceiling()
+            can_return = len(self.running) + len(self.calling) < self.ceiling()
             late = self.now + self.dependency.times.mean * can_return > request.objective_at
             has_quota = self.dependency.has_capacity(len(self.calling))
             prefers_degraded = not has_quota or degraded > request_class.late_fraction  # in time beats late
@@ -290,7 +306,7 @@
             hopeless = is_too_late and (self.now > request.objective_at or not degraded)
             has_attempts = request.call_attempts_left > 0
             if hopeless or not (has_attempts or degraded):
-                self._give_up(request)
+                self._give_up(request, EndReason.DEPENDENCY)
             elif can_return and degraded > 0 and (not has_attempts or (late and prefers_degraded)):
                 self.lifecycle.skip_call(request)
             elif has_quota and can_return:
--- a/cairnvane/admission/lifecycle.py
+++ b/cairnvane/admission/lifecycle.py
@@ -146,14 +146,16 @@
         """The request continues after its call."""
         self.table.move(request, RequestState.RUNNING)
 
-    def reject(self, request: TrackedRequest, retry_after: int, no_retry: bool) -> None:
+    def reject(
+        self, request: TrackedRequest, retry_after: int, no_retry: bool, reason: actions.EndReason
+    ) -> None:
         """Answer a request that never ran, which ends it."""
-        self.actions.append(actions.Reject(request.id, retry_after, no_retry))
+        self.actions.append(actions.Reject(request.id, retry_after, no_retry, reason))
         self.remove(request)
 
-    def fail(self, request: TrackedRequest) -> None:
+    def fail(self, request: TrackedRequest, reason: actions.EndReason) -> None:
         """Answer with an error; the request stays in its state."""
-        self.actions.append(actions.Fail(request.id))
+        self.actions.append(actions.Fail(request.id, reason))
 
     def cancel(self, request: TrackedRequest) -> None:
         """Cancel a running request; it stays in its state until its run has ended."""
--- a/cairnvane/config/operator.py
+++ b/cairnvane/config/operator.py
@@ -37,9 +37,10 @@
 
 
 class LogOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The form of log lines."""
+    """The form of log lines, and which are written."""
 
     form: Literal["text", "json"] = "text"
+    level: Literal["info", "debug"] = "info"  # debug: a line for each request that is rejected or failed
 
 
 class KeyedOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/cairnvane/contract/actions.py
+++ b/cairnvane/contract/actions.py
@@ -2,7 +2,24 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class EndReason(Enum):
+    """Why a request was rejected or failed without the end of a run. The values are names of metrics."""
+
+    UNSPECIFIED = "unspecified"
+    STORAGE = "storage"  # the start of a keyed run can't be recorded now
+    DRAINING = "draining"  # it arrived after the grace of the graceful shutdown
+    DEADLINE = "deadline"  # its client waits no longer, or all but
+    MEMORY = "memory"  # there is none for its run
+    ADMISSION = "admission"  # by the admission probability
+    LATE = "late"  # its answer would come after its objective, and earn nothing
+    CAPACITY = "capacity"  # late, and there is no place to run it at once
+    DEPENDENCY = "dependency"  # its call would wait too long, or can't be made
+    ORIGINAL_MEMORY = "original_memory"  # a duplicate, and there is no memory to hold it
+    RUN_CANCELLED = "run_cancelled"  # its run ended without a result
 
 
 @dataclass(slots=True)
@@ -19,6 +36,7 @@
     request_id: int
     retry_after: int = 0  # the client is advised to avoid this instance for so long
     no_retry: bool = False  # the client is asked not to retry elsewhere
+    reason: EndReason = field(default=EndReason.UNSPECIFIED, compare=False)  # for logs and metrics alone
 
 
 @dataclass(slots=True)
@@ -26,6 +44,7 @@
     """Final response: an error, without any promise."""
 
     request_id: int
+    reason: EndReason = field(default=EndReason.UNSPECIFIED, compare=False)  # for logs and metrics alone
 
 
 @dataclass(slots=True)
--- a/cairnvane/logging_setup.py
+++ b/cairnvane/logging_setup.py
@@ -7,20 +7,33 @@
 
 import logging
 import sys
+import time
 
-PLAIN_FORMAT = "%(levelname)s %(name)s: %(message)s"
+PLAIN_FORMAT = "%(asctime)s.%(msecs)03d %(levelname)s %(name)s: %(message)s"
+# UTC, so that the lines of several machines can be put in order.
+TIME_FORMAT = "%Y-%m-%dT%H:%M:%S"
 
 
 def _replace_handler(formatter: logging.Formatter) -> None:
-    """Write each record as one line in one write, so that lines of several threads never mix."""
+    """Write each record as one line in one write, so that lines of several threads never mix.
+
+    The level stays what it was.
+    """
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(formatter)
-    logging.basicConfig(handlers=[handler], level=logging.INFO, force=True)
+    logging.basicConfig(handlers=[handler], force=True)
+
+
+def use_level(name: str) -> None:
+    """Write lines of this level and above: `info`, or `debug`, which adds one for each request not run."""
+    logging.getLogger().setLevel(name.upper())
 
 
 def use_plain_lines() -> None:
-    """Write plain lines with level, module and message."""
-    _replace_handler(logging.Formatter(PLAIN_FORMAT))
+    """Write plain lines with UTC time, level, module and message."""
+    formatter = logging.Formatter(PLAIN_FORMAT, TIME_FORMAT)
+    formatter.converter = time.gmtime
+    _replace_handler(formatter)
 
 
 def use_json_lines(server_name: str) -> None:
--- a/cairnvane/server/action_executor.py
+++ b/cairnvane/server/action_executor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -66,6 +67,8 @@
         self._server = server
         self._durable_keys = durable_keys
         self._run_never_started = run_never_started
+        # Requests that were rejected or failed without the end of a run, by the value of the reason.
+        self.ended_without_run: Counter[str] = Counter()
         self._server_handlers: dict[type[Action], Callable[..., None]] = {
             SetHealth: health.set,
             ReportLoad: self._report_load,
@@ -117,6 +120,7 @@
             self._executions.start(in_flight)
 
     def _reject(self, in_flight: InFlightRequest, action: Reject) -> None:
+        self._record_end(in_flight, action)
         retry_after_ms = -(-action.retry_after // MICROSECONDS_PER_MILLISECOND)  # rounded up
         self._responder.respond(
             in_flight.request,
@@ -126,7 +130,12 @@
         )
         self._duplicates.remove_if_over(in_flight)
 
+    def _record_end(self, in_flight: InFlightRequest, action: Reject | Fail) -> None:
+        self.ended_without_run[action.reason.value] += 1
+        logger.debug("request %s: %s, %s", in_flight.request.uid, type(action).__name__, action.reason.value)
+
     def _fail(self, in_flight: InFlightRequest, action: Fail) -> None:
+        self._record_end(in_flight, action)
         self._responder.respond(in_flight.request, ResponseStatus.FAILED)
         self._executions.client_disconnected(in_flight)
         self._duplicates.remove_if_over(in_flight)
--- a/cairnvane/server/administration_setup.py
+++ b/cairnvane/server/administration_setup.py
@@ -51,9 +51,12 @@
     request_sink: RequestSink,
     pool: WorkerPool,
     transport: MemberTransport | None,
+    load: Callable[[], object],
 ) -> Administration:
     """Set up the endpoint, if it is on; its drain gate then sees every request before `request_sink`.
 
+    `load` returns what the metrics say of the server's load.
+
     Raises `OSError` if it can't listen.
     """
     if configuration.administration is None:
@@ -69,7 +72,7 @@
     views = _member_views(transport) if transport is not None else {}
     http_server = AdministrationServer(
         configuration.administration,
-        Endpoints(readiness, counters, views),
+        Endpoints(readiness, counters, views, load),
         readiness,
         connection_limit(reserved_sockets(configuration)),
     )
--- a/cairnvane/server/cancellations.py
+++ b/cairnvane/server/cancellations.py
@@ -11,7 +11,7 @@
 import logging
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 
 from .. import clock
 from ..contract.settings import RetrySemantics
@@ -35,6 +35,10 @@
     lost_runs: int = 0  # runs that were lost with a link, by the pool's own word
     second_runs: int = 0  # runs that may have begun a second time, and were cancelled
 
+    def as_json(self) -> dict[str, int]:
+        """The counts for the metrics."""
+        return asdict(self)
+
 
 class Cancellations:
     """Cancels runs, and finds out which of them never began; used by the event loop's thread alone.
--- a/cairnvane/server/composition.py
+++ b/cairnvane/server/composition.py
@@ -52,6 +52,7 @@
         member_setup.check_name(configuration.name)
     if options.log.form == "json":
         logging_setup.use_json_lines(configuration.name)
+    logging_setup.use_level(options.log.level)
     return options
 
 
@@ -79,7 +80,11 @@
     member_options = options.members if options is not None else None
     membership = member_setup.set_up_members(configuration, member_options, event_loop, pool, registry)
     administration = administration_setup.set_up_administration(
-        configuration, membership.request_sink, pool, membership.transport
+        configuration,
+        membership.request_sink,
+        pool,
+        membership.transport,
+        lambda: event_loop.load.as_json(),
     )
     front = FastCgiServer(
         configuration.listen,
--- a/cairnvane/server/event_loop.py
+++ b/cairnvane/server/event_loop.py
@@ -33,6 +33,7 @@
 from .executions import Executions
 from .health_checks import HealthResponder
 from .in_flight import InFlightRequest, InFlightTable, adopted_run
+from .load_snapshot import LoadSnapshot, take_snapshot
 from .responder import Responder
 from .runs import Runs
 from .timers import ControllerTimers
@@ -58,6 +59,7 @@
         self._follow_up_events: list[Event] = []  # caused by actions, to be reported next
         self._requests = InFlightTable()
         self._responder = Responder()
+        self.load = LoadSnapshot()  # replaced as a whole at each timer, so any thread may read it
         self._is_stopped = False
 
     def connect(
@@ -236,6 +238,9 @@
     def _handle_timer(self, event: TimerFired, due_at: int) -> None:
         self.notify(event)
         self._handle(due_at)
+        self.load = take_snapshot(
+            self._controller, self.executions, event, dict(self._actions.ended_without_run)
+        )
 
     def _start_drain(self, time_left_us: int) -> None:
         if self._durable_keys is not None:
--- a/cairnvane/server/executions.py
+++ b/cairnvane/server/executions.py
@@ -98,7 +98,8 @@
 
     def resend_lost_commands(self, link: int, requests: Iterable[InFlightRequest]) -> None:
         """Send again what earlier links may have lost, now that the replay on `link` shows what arrived."""
-        repeated: list[InFlightRequest] = []
+        spawned_again: list[InFlightRequest] = []
+        repeated = 0
         cancelled = 0
         with self._commands_lock:
             self.cancellations.link = link
@@ -108,22 +109,22 @@
                     self.cancellations.cancel(in_flight)
                     cancelled += 1
                 elif self._is_command_lost(in_flight, link, lost_since):
+                    repeated += 1
+                    if in_flight.command_link and in_flight.call_reply is None:
+                        spawned_again.append(in_flight)  # that went out on a link, and may have arrived
                     self.start(in_flight)
-                    repeated.append(in_flight)
-        self.commands_repeated += len(repeated)
+        self.commands_repeated += repeated
         logger.info(
-            "worker pool link %d: %d commands and %d cancellations sent again", link, len(repeated), cancelled
+            "worker pool link %d: %d commands and %d cancellations sent again", link, repeated, cancelled
         )
-        self._watch_repeats(repeated)
+        if spawned_again:
+            self._watch_repeats(spawned_again)
 
-    def _watch_repeats(self, repeated: list[InFlightRequest]) -> None:
+    def _watch_repeats(self, spawned: list[InFlightRequest]) -> None:
         """Remember which runs were spawned again until the pool has read that.
 
         A run may end before: then the repeated `spawn` begins it a second time, unseen.
         """
-        spawned = [in_flight for in_flight in repeated if in_flight.call_reply is None]
-        if not spawned:
-            return
         for in_flight in spawned:
             in_flight.is_repeat_unread = True
 
--- a/cairnvane/server/main.py
+++ b/cairnvane/server/main.py
@@ -90,6 +90,7 @@
     `step_observer` is called with the name of each step of the durable store, for tests of crashes.
     """
     logging_setup.use_plain_lines()
+    logging_setup.use_level("info")
     block_signals()  # before anything that takes time: a signal to reload would end the process until then
     try:
         configuration = config.load(os.environ)
--- a/tests/server/test_cancelled_runs.py
+++ b/tests/server/test_cancelled_runs.py
@@ -60,7 +60,7 @@
         uid = w.pool.next("spawn")["uid"]
         w.pool.cut()
         w.pool.next("bind")
-        w.serve(balancer, 2)  # so the new link is in use
+        until(lambda: w.host.executions.cancellations.link == 2)  # the new link is in use
         monkeypatch.setattr(cancellations, "threading", SimpleNamespace(Timer=timer))
         in_flight = w.host._requests.find_uid(uid)
         assert in_flight is not None
--- a/tests/server/test_configuration.py
+++ b/tests/server/test_configuration.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 from collections.abc import Iterator
+from datetime import datetime
 from pathlib import Path
 from typing import Any
 
@@ -135,7 +136,9 @@
         capture_output=True,
         text=True,
     )
-    assert (done.returncode, done.stderr) == (
+    time, _, line = done.stderr.partition(" ")
+    assert datetime.strptime(time, "%Y-%m-%dT%H:%M:%S.%f")
+    assert (done.returncode, line) == (
         2,
         "ERROR cairnvane.server.main: settings: Extra.Cores: impossible value 0\n",
     )
