Failing test: claims held back by a failing disk are lost with the folder

Held-back claims are in memory; the folder is removed; when the disk works again another process can claim their keys, and the requests run twice.

--- a/tests/claims/test_claim_storage_failures.py
+++ b/tests/claims/test_claim_storage_failures.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import shutil
+
+import pytest
 from claim_helpers import OTHER_KEY, Deployment, FailingFolder, Start
 
 from cairnvane.claims.records import NO_KEY, SEAL, encode
@@ -63,3 +66,26 @@
     assert old.start_run() is Start.NOT_RECORDED
     assert old.claim_log.capacity_wait_us() > 0
     assert new.look_up() is None
+
+
+@pytest.mark.parametrize("held_back", [1, 2, 3])
+def test_claims_held_back_by_a_failing_disk_survive_the_removal_of_the_folder(
+    deployment: Deployment, held_back: int
+) -> None:
+    """Regression: the first rewritten record was taken for the one just written, and was dropped."""
+    folder = FailingFolder(deployment.ledger)
+    old = deployment.start_incarnation(folder)
+    written = [bytes([1, number]) * 8 for number in range(2)]
+    kept_in_memory = [bytes([2, number]) * 8 for number in range(held_back)]
+    for key in written:
+        assert old.start_run(key) is Start.STARTED
+    folder.failures = 1_000
+    for key in kept_in_memory:
+        assert old.start_run(key) is Start.STARTED  # it is alone: it goes on in memory
+    shutil.rmtree(deployment.ledger)
+    folder.failures = 0
+    old.retry_now()
+    old.run_housekeeping()
+    new = deployment.start_incarnation()
+    starts = {key: new.start_run(key) for key in (*written, *kept_in_memory)}
+    assert set(starts.values()) == {Start.CLAIMED_ELSEWHERE}, starts
