Drop the pending claim that was written, not the one in its place

Cause: SegmentWriter._write_pending deleted the first pending record after writing it; where the folder was found removed during that write, the own claims that still count had been put before it, and the first of those was dropped instead. Its key was then free to another process. Change: the record that was written is removed by identity.

--- a/cairnvane/claims/segment_writer.py
+++ b/cairnvane/claims/segment_writer.py
@@ -124,10 +124,19 @@
             self._incarnations.enter()
         self._folder.create()
         while self._pending:
-            self._append(self._pending[0])
-            del self._pending[0]
+            record = self._pending[0]
+            self._append(record)
+            self._remove_pending(record)
         self._reader.follow()
 
+    def _remove_pending(self, record: Record) -> None:
+        """Remove this very record, wherever it stands by now.
+
+        If the folder was found removed while it was written, others have been put before it.
+        """
+        place = next(place for place, pending in enumerate(self._pending) if pending is record)
+        del self._pending[place]
+
     def _append(self, record: Record) -> None:
         """Append a record to the segment where it counts; `OSError`."""
         data = records.encode(*record)
