--- a/cairnvane/testbed/cluster/scenario_run.py
+++ b/cairnvane/testbed/cluster/scenario_run.py
@@ -38,6 +38,8 @@
 PROGRESS_REQUESTS = 400
 # Faults of a balancer's link that end connections, or keep answers back.
 BREAKING_LINK_FAULTS = ("cut", "stall", "reset", "drop", "cap")
+# Faults in which a process reads nothing: what is written to it meanwhile is not its own doing.
+UNREADING_FAULTS = ("stop", "hold", "busy")
 # The shortest wait between two looks at the schedule.
 MIN_WAIT_S = 0.005
 AGREEMENT_POLL_S = 0.05
@@ -244,6 +246,8 @@
             way = "back" if way == "there" else "there"
         for link in self._links(node, other):
             self._network.set_fault(link, way, step.number, fault)
+        if other == "balancers":
+            self._memory.exempt(names.index(node), step.begins)
         if other == "balancers" and step.do in BREAKING_LINK_FAULTS:
             self._record_window(step, names.index(node))
 
@@ -263,6 +267,8 @@
     def _apply_to_node(self, step: Step) -> None:
         number = self._scenario.names.index(step.who)
         node = self.nodes[number]
+        if step.do in UNREADING_FAULTS:
+            self._memory.exempt(number, step.begins)
         if step.do == "kill":
             self._kill(step, number)
         elif step.do == "start":
