Plan a shutdown from the earliest kill, not from stop_ms alone

Requests kept coming on open connections, so nothing else ended them before the plan did.

Evidence: the record shows each old process killed at 2.15 s and the lost requests open then. Ruled out: that only a takeover is concerned, and that a process may rely on seeing its successor.

Change: server/shutdown_plan.py takes the earlier of both, with and without a successor, by the settings in use. A connection in use then ends because all that is open on it has been answered.

The two process tests failed before ("the connection in use has not ended") and pass now.

--- a/cairnvane/server/main.py
+++ b/cairnvane/server/main.py
@@ -13,20 +13,15 @@
 from ..idempotency.store import StepObserver
 from ..log_events import LISTENING
 from . import composition
-from .lifecycle import Shutdown
 from .reload import Reloader
+from .shutdown_plan import plan_shutdown
 from .signals import RELOAD_SIGNAL, SHUTDOWN_SIGNALS, block_signals, wait_for_shutdown
 
 __all__ = ["SHUTDOWN_SIGNALS", "RELOAD_SIGNAL", "main"]
 
 logger = logging.getLogger(__name__)
 
-# All requests are answered this long before the process is killed, which leaves time for a delayed thread and
-# for the exit.
-STOP_MARGIN_MS = 300
 DEFAULT_TEMPORARY_FOLDER = "/tmp"
-MICROSECONDS_PER_SECOND = 1e6
-MILLISECONDS_PER_SECOND = 1e3
 
 
 class ExitStatus(IntEnum):
@@ -59,15 +54,6 @@
         raise StartupError(f"listen: {error}") from None
 
 
-def _plan_shutdown(configuration: config.Config, server: composition.Server) -> Shutdown:
-    """Plan the shutdown; without a grace period if a later incarnation can serve at the same address."""
-    time_left_s = max(0, configuration.stop_ms - STOP_MARGIN_MS) / MILLISECONDS_PER_SECOND
-    handover = server.incarnations is not None and server.incarnations.has_successor()
-    drain_grace_s = configuration.settings.drain_grace / MICROSECONDS_PER_SECOND
-    grace_s = 0.0 if handover else min(time_left_s, drain_grace_s)
-    return Shutdown(time_left_s, grace_s, handover)
-
-
 def _serve(configuration: config.Config, server: composition.Server) -> ExitStatus:
     """Start the server, and shut it down when a shutdown signal arrives."""
     gc.freeze()  # objects loaded so far are permanent, so full collections need not traverse them
@@ -77,7 +63,9 @@
     if server.event_loop_thread.has_failed.is_set():
         server.event_loop_thread.stop()
         return ExitStatus.FAILED
-    shutdown = _plan_shutdown(reloader.current, server)
+    handover = server.incarnations is not None and server.incarnations.has_successor()
+    # A reload changes `stop_ms` at once, but not the settings, by which the requests are answered.
+    shutdown = plan_shutdown(reloader.current.stop_ms, configuration.settings, handover)
     server.lifecycle.begin_shutdown(shutdown)
     if shutdown.handover:
         logger.info("shutdown: a later process can serve at this address; this one hands over")
