Report ready only once the predecessor can see the successor

What callers could see: operators stop the old process as soon as the new one answers 200 on /-/ready. That came with the pool's binding, while the mark for the predecessor is written by another thread afterwards. In between, the old process finds no successor, drains instead of handing over, and takes new connections.

Change: /-/ready also waits for the mark. Where no folder can be used for marks, the binding alone counts as before. The test holds the state between binding and mark; with the binding alone it would fail.

--- a/cairnvane/claims/incarnations.py
+++ b/cairnvane/claims/incarnations.py
@@ -58,6 +58,7 @@
         self.number = time.monotonic_ns()
         self._fd: int | None = None  # the descriptor of this incarnation's locked file
         self._is_ready = False
+        self._is_marked_ready = False  # the heartbeat that says so has been written, or can't be
         self._pid = os.getpid()
 
     @property
@@ -65,6 +66,11 @@
         """Whether other incarnations can see this one."""
         return self._fd is not None
 
+    @property
+    def is_marked_ready(self) -> bool:
+        """Whether `mark_ready` has been completed."""
+        return self._is_marked_ready
+
     def enter(self) -> None:
         """Create this incarnation's file, and delete those of dead incarnations; raises `OSError`."""
         self._folder.mkdir(mode=_FOLDER_MODE, parents=True, exist_ok=True)
@@ -86,6 +92,7 @@
         """Publish to the other incarnations that this one can serve."""
         self._is_ready = True
         self.heartbeat()
+        self._is_marked_ready = True
 
     def leave(self) -> None:
         """Delete this incarnation's file. Called when the process ends."""
--- a/cairnvane/server/administration_setup.py
+++ b/cairnvane/server/administration_setup.py
@@ -52,11 +52,12 @@
     request_sink: RequestSink,
     pool: WorkerPool,
     transport: MemberTransport | None,
+    can_serve: Callable[[], bool],
     load: Callable[[], object],
 ) -> Administration:
     """Set up the endpoint if it is enabled; its drain gate then receives every request before `request_sink`.
 
-    `load` returns the server's load for the metrics.
+    `can_serve` tells whether the process can serve; `load` returns the server's load for the metrics.
 
     Raises `OSError` if the endpoint can't listen.
     """
@@ -67,7 +68,7 @@
     from ..administration.endpoints import Endpoints
     from ..administration.http_server import AdministrationServer, connection_limit
 
-    readiness = Readiness(pool.bound.is_set)
+    readiness = Readiness(can_serve)
     counters = RequestCounters(tuple(cls.name for cls in configuration.settings.classes))
     pool.on_spawn = counters.run_started
     views = _member_views(transport) if transport is not None else {}
--- a/cairnvane/server/composition.py
+++ b/cairnvane/server/composition.py
@@ -85,6 +85,7 @@
         membership.request_sink,
         pool,
         membership.transport,
+        lambda: can_take_over(pool, shared_state.incarnations),
         lambda: event_loop.load.as_json(),
     )
     fastcgi_server = FastCgiServer(
@@ -121,6 +122,15 @@
     )
 
 
+def can_take_over(pool: WorkerPool, incarnations: Incarnations | None) -> bool:
+    """Whether the process can serve and an earlier incarnation sees that.
+
+    The operators stop the earlier one as soon as this one reports ready. Without the mark, it would not hand
+    over: it would drain, and take new connections meanwhile.
+    """
+    return pool.bound.is_set() and (incarnations is None or incarnations.is_marked_ready)
+
+
 def _fastcgi_component(fastcgi_server: FastCgiServer) -> Component:
     """The FastCGI listener and its connections."""
 
--- a/tests/administration/test_version_handover.py
+++ b/tests/administration/test_version_handover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import signal
 import socket
 import time
@@ -10,9 +11,15 @@
 from typing import Any
 
 from administration_helpers import call
-from peers import TOKEN, WAIT_S, Balancer, PoolPeer
+from peers import PARAMS, TOKEN, WAIT_S, Balancer, PoolPeer
 from server.test_program import NOWHERE, program
 
+from cairnvane.claims.incarnations import Incarnations
+from cairnvane.net.worker_pool import WorkerPool
+from cairnvane.server import composition
+from cairnvane.server.event_loop import EventLoop
+from cairnvane.simulator.settings_reader import read_settings
+
 
 def test_later_version_listens_on_the_same_address_and_takes_over(tmp_path: Path) -> None:
     """Regression: the second process could not bind the address of the first and exited with status 2."""
@@ -78,6 +85,25 @@
     return False
 
 
+def test_process_is_ready_only_once_its_predecessor_sees_that(tmp_path: Path) -> None:
+    """Guards against a predecessor that drains instead of handing over.
+
+    It gets SIGTERM as soon as its successor reports ready, which was before the successor's mark.
+    """
+    predecessor, successor = Incarnations(tmp_path), Incarnations(tmp_path)
+    predecessor.enter()
+    successor.enter()
+    pool = WorkerPool(("127.0.0.1", 1), EventLoop(*read_settings(json.dumps(PARAMS)), seed=1))
+    pool.bound.set()
+    assert not composition.can_take_over(pool, successor)
+    successor.mark_ready()
+    assert composition.can_take_over(pool, successor)
+    assert predecessor.has_successor()
+    assert composition.can_take_over(pool, None)
+    for incarnations in (predecessor, successor):
+        incarnations.leave()
+
+
 def test_result_committed_by_the_old_version_is_replayed_by_the_new_one(tmp_path: Path) -> None:
     """A committed result is replayed without a second run.
 
