Never send a reply again that the pool may have read, and drain a link before a move

Cause: after each new link every supply of the last second without a later notice of its run was sent again. No notice does not show a loss: the run may have read the reply and come to its next call just then.

Evidence: the wrong replies are those of "an earlier call" right after a configuration, where nothing was lost. Ruled out: notices out of order, replies of abandoned calls.

Change: net/sent_commands.py tracks what the pool has read by the order of commands and replies. What was read is not sent again, a reply that may have been read neither. A move drains the old link first: nothing more is sent on it, its last poll is answered, then the new link is bound. The price: after a real break a run whose reply was lost fails at its deadline.

--- a/cairnvane/net/worker_pool.py
+++ b/cairnvane/net/worker_pool.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from . import worker_pool_messages as messages
+from .sent_commands import SentCommand
 from .worker_pool_link import SamePool, WorkerPoolLink
 from .worker_pool_messages import RUN_CANCELLED, RUN_FAILED, RUN_NEVER_STARTED, RUN_SUCCEEDED, Notice
 from .worker_pool_questions import PendingQuestions, ReplyHandler
@@ -88,15 +89,15 @@
         """Change to the pool's new address. The old link is used until the new one is up."""
         self._link.move(address)
 
-    # --- commands; each returns the number of the link on which it was sent, 0 if there was none
+    # --- commands; each returns where it was sent, or `NOT_SENT`
 
-    def spawn(self, uid: str, class_name: str, body: bytes) -> int:
+    def spawn(self, uid: str, class_name: str, body: bytes) -> SentCommand:
         """Start a run for a request of the class `class_name`."""
         if self.on_spawn is not None:
             self.on_spawn(class_name)
         return self._link.send(messages.spawn(uid, class_name, body))
 
-    def confirm(self, uid: str, class_name: str, body: bytes) -> int:
+    def confirm(self, uid: str, class_name: str, body: bytes) -> SentCommand:
         """Ask whether the run of a request that has ended still exists, by a `spawn` that can't start it.
 
         If the run exists, the command has no effect and its end is still to be reported. Otherwise the pool
@@ -104,11 +105,15 @@
         """
         return self._link.send(messages.spawn(uid, class_name, body))
 
-    def suspend(self, uid: str) -> int:
+    def suspend(self, uid: str) -> SentCommand:
         """Cancel a run."""
         return self._link.send(messages.suspend(uid))
 
-    def supply(self, uid: str, body: bytes) -> int:
+    def has_read(self, command: SentCommand) -> bool:
+        """Whether the pool has certainly read this command."""
+        return self._link.read_commands.includes(command)
+
+    def supply(self, uid: str, body: bytes) -> SentCommand:
         """Pass on the reply to a run's call."""
         return self._link.send(messages.supply(uid, body))
 
@@ -135,7 +140,7 @@
 
     def _ask(self, action: str, timeout_s: float, on_reply: ReplyHandler) -> None:
         echo = self._questions.add(action, timeout_s, on_reply)
-        if not self._link.send(messages.question(action, echo)):
+        if not self._link.send(messages.question(action, echo), echo).link:
             self._questions.resolve(echo, None)
 
     # --- called by the link
--- a/cairnvane/net/worker_pool_link.py
+++ b/cairnvane/net/worker_pool_link.py
@@ -12,6 +12,7 @@
 from .. import clock
 from . import worker_pool_messages as messages
 from .message_writer import MessageWriter
+from .sent_commands import NOT_SENT, ReadCommands, SentCommand
 from .worker_pool_messages import Notice, ReceivedNotice
 
 logger = logging.getLogger(__name__)
@@ -19,6 +20,9 @@
 # Delay between attempts to connect; far below any latency objective.
 RECONNECT_DELAY_S = 0.05
 CONNECT_TIMEOUT_S = 2.0
+# Time limit for the drain of a link to an address that is no longer valid; the pool closes it after 1.5 s.
+DRAIN_TIMEOUT_S = 1.0
+DRAIN_ECHO = "drain"
 
 # Compares a recorded start time of the pool (None if unknown) with that of the present pool; True if both are
 # the same process. Times are in microseconds of the monotonic clock.
@@ -43,13 +47,16 @@
 
     def __init__(self, address: tuple[str, int], listener: LinkListener) -> None:
         self.pool_started_at: int | None = None  # in microseconds of the monotonic clock
+        self.read_commands = ReadCommands()
         self._listener = listener
         self._is_started = False
-        # Guards the address, the two counters and the two writers.
+        # Guards the address, the counters and the writers, and the order in which commands are numbered.
         self._lock = threading.Lock()
         self._address = address
         self._address_changes = 0
         self._bound_links = 0
+        self._sent_commands = 0
+        self._drain_echo = ""  # of the question that ended the last link that was drained
         self._bound_writer: MessageWriter | None = None  # of the link on which commands are sent
         self._newest_writer: MessageWriter | None = None  # of the link that is being read, bound or not
         # Guards the position and the order of notices: after a change of address, two links may briefly
@@ -85,12 +92,17 @@
         if self._is_started:
             self.start()
 
-    def send(self, line: bytes) -> int:
-        """Send a command; returns the number of the link on which it was sent, 0 if there was none."""
+    def send(self, line: bytes, echo: str = "") -> SentCommand:
+        """Send a command; `NOT_SENT` if no link is bound. The reply to a question will carry its `echo`."""
         with self._lock:
             writer = self._bound_writer
-            link = self._bound_links
-        return link if writer is not None and writer.send(line) else 0
+            if writer is None or not writer.send(line):
+                return NOT_SENT
+            self._sent_commands += 1
+            command = SentCommand(self._bound_links, self._sent_commands)
+            if echo:
+                self.read_commands.question_sent(echo, command)
+        return command
 
     # --- run in the thread for the links to one address
 
@@ -126,19 +138,39 @@
                 if self._newest_writer is writer:
                     self._newest_writer = None
                     self._bound_writer = None
+                    self.read_commands.forget_questions(before_link=self._bound_links + 1)
 
     def _replace_newest(self, writer: MessageWriter, address_changes: int) -> bool:
         """Make this the current link and end the earlier one; False if the address has changed meanwhile."""
+        self._drain_bound_link()
         with self._lock:
             if address_changes != self._address_changes:
                 return False
             previous = self._newest_writer
             self._newest_writer = writer
-            self._bound_writer = None  # commands sent before the link is bound are repeated afterwards
         if previous is not None:
             previous.abort()  # ends its thread; notices that it has already read are still handled
         return True
 
+    def _drain_bound_link(self) -> None:
+        """Send nothing more on the bound link, and wait until the pool has read what was sent on it.
+
+        The pool ignores a link from the moment the next one is bound. Without the wait, nothing would show
+        which of the last commands it has read. Until the next link is bound, commands are not sent; they are
+        sent on it afterwards.
+        """
+        with self._lock:
+            writer = self._bound_writer
+            self._bound_writer = None
+            if writer is not None:
+                self._sent_commands += 1
+                question = SentCommand(self._bound_links, self._sent_commands)
+                self._drain_echo = f"{DRAIN_ECHO}-{question.number}"
+                self.read_commands.question_sent(self._drain_echo, question)
+                writer.send(messages.question(messages.POLL, self._drain_echo))
+            echo = self._drain_echo  # if the address has changed again, the drain may still be in progress
+        self.read_commands.wait_for_reply(echo, DRAIN_TIMEOUT_S)
+
     def _receive(self, line: bytes, writer: MessageWriter) -> None:
         received = self._decode(line)
         if received is None:
@@ -152,8 +184,14 @@
             if notice.action == messages.BOUND:
                 self._bind(notice, writer)
             else:
+                if notice.echo:
+                    self._reply_received(notice.echo)
                 self._listener.notice_received(notice, received.content)
 
+    def _reply_received(self, echo: str) -> None:
+        with self._lock:  # the question may still be being sent
+            self.read_commands.reply_received(echo)
+
     def _decode(self, line: bytes) -> ReceivedNotice | None:
         """Decode a line; None if it is to be skipped."""
         try:
@@ -177,6 +215,7 @@
             self._bound_links += 1
             self._bound_writer = writer
             link = self._bound_links
+            self.read_commands.forget_questions(before_link=link)
         self._listener.link_bound(link)
 
     def _identify_pool(self, started_at: int) -> None:
--- a/cairnvane/server/cancellations.py
+++ b/cairnvane/server/cancellations.py
@@ -63,7 +63,7 @@
     def cancel(self, in_flight: InFlightRequest) -> None:
         """Cancel a run. It occupies its concurrency slot until its end is reported."""
         self.counts.sent += 1
-        in_flight.cancel_link = self._pool.suspend(in_flight.request.uid)
+        in_flight.cancel_link = self._pool.suspend(in_flight.request.uid).link
 
         def on_synced(is_linked: bool) -> None:
             if is_linked:
--- a/cairnvane/server/executions.py
+++ b/cairnvane/server/executions.py
@@ -14,6 +14,7 @@
 from ..contract.events import Outcome
 from ..contract.settings import RetrySemantics
 from ..exchange import ResponseStatus
+from ..net.sent_commands import NOT_SENT
 from ..net.vault import VaultCall
 from ..net.worker_pool import RUN_CANCELLED, RUN_FAILED, RUN_NEVER_STARTED, RUN_SUCCEEDED, WorkerPool
 from .cancellations import Cancellations
@@ -64,8 +65,8 @@
         self._post = post
         self._can_cancel = can_cancel  # the settings allow `suspend`
         self._call_ended = call_ended
-        # Guards `command_sent_at` and `command_link` of all requests. Sending a command and storing its link
-        # must be atomic for `resend_lost_commands`.
+        # Guards `command_sent_at` and `last_command` of all requests. Sending a command and storing where
+        # it was sent must be atomic for `resend_lost_commands`.
         self._commands_lock = threading.RLock()
         # Whether every finished run of a class made a vault call, by class name.
         self._every_run_made_call: dict[str, bool] = {}
@@ -78,16 +79,16 @@
         with self._commands_lock:
             in_flight.command_sent_at = clock.now()
             if in_flight.call_reply is not None:
-                in_flight.command_link = self._pool.supply(request.uid, in_flight.call_reply)
+                in_flight.last_command = self._pool.supply(request.uid, in_flight.call_reply)
             else:
-                in_flight.command_link = self._pool.spawn(request.uid, request.class_name, request.body)
+                in_flight.last_command = self._pool.spawn(request.uid, request.class_name, request.body)
 
     def finished(self, in_flight: InFlightRequest, succeeded: bool) -> None:
         """Update the state of a run whose end the pool has reported."""
         if in_flight.is_repeat_unread and self._can_cancel:
             self.cancellations.cancel_second_run(in_flight)
         in_flight.is_running = False
-        in_flight.command_link = None
+        in_flight.last_command = None
         in_flight.cancel_link = None
         self._abandon_call(in_flight)
         was_started_here = in_flight.command_sent_at != 0  # otherwise its calls were not observed
@@ -103,6 +104,7 @@
         spawned_again: list[InFlightRequest] = []
         repeated = 0
         cancelled = 0
+        uncertain = 0
         with self._commands_lock:
             self.cancellations.link = link
             lost_since = clock.now() - POSSIBLY_LOST_US
@@ -110,14 +112,20 @@
                 if in_flight.cancel_link is not None and in_flight.cancel_link < link:
                     self.cancellations.cancel(in_flight)
                     cancelled += 1
-                elif self._is_command_lost(in_flight, link, lost_since):
+                elif self._is_to_be_resent(in_flight, link, lost_since):
                     repeated += 1
                     if in_flight.command_link and in_flight.call_reply is None:
                         spawned_again.append(in_flight)  # sent on an earlier link, so it may have arrived
                     self.start(in_flight)
+                elif self._is_reply_uncertain(in_flight, link):
+                    uncertain += 1
         self.commands_repeated += repeated
         logger.info(
-            "worker pool link %d: %d commands and %d cancellations sent again", link, repeated, cancelled
+            "worker pool link %d: %d commands and %d cancellations sent again, %d replies may be lost",
+            link,
+            repeated,
+            cancelled,
+            uncertain,
         )
         if spawned_again:
             self._track_repeated_spawns(spawned_again)
@@ -141,25 +149,34 @@
         for in_flight in spawned:
             in_flight.is_repeat_unread = False
 
-    def _is_command_lost(self, in_flight: InFlightRequest, link: int, lost_since: int) -> bool:
-        """Whether the last command of a run may be lost, and can be sent again without running it twice.
+    def _is_reply_uncertain(self, in_flight: InFlightRequest, link: int) -> bool:
+        """Whether the reply to a run's call was sent on an earlier link, and may not have been read."""
+        command = in_flight.last_command
+        if command is None or in_flight.call_reply is None or not in_flight.is_running:
+            return False
+        return command.link < link and not self._pool.has_read(command)
+
+    def _is_to_be_resent(self, in_flight: InFlightRequest, link: int, lost_since: int) -> bool:
+        """Whether the last command of a run was lost, or can be sent again although it may have been read.
 
-        Commands that were sent before `lost_since` have arrived.
+        A `supply` can't: it does not say which call it belongs to. If the pool has read it, the run continues
+        and may wait for its next call by the time the repeated reply arrives, which it would take for the
+        reply to that call. So a run whose reply may be lost is left to continue, or to its deadline.
         """
-        command_link = in_flight.command_link
-        if command_link is None or command_link >= link or not in_flight.is_running:
+        command = in_flight.last_command
+        if command is None or command.link >= link or not in_flight.is_running:
             return False
-        if command_link == 0:
+        if command == NOT_SENT:
             return True
-        resumes = in_flight.call_reply is not None
+        if in_flight.call_reply is not None or self._pool.has_read(command):
+            return False
         request_class = in_flight.request_class
-        if not resumes and request_class.retry_semantics is RetrySemantics.IDEMPOTENT:
+        if request_class.retry_semantics is RetrySemantics.IDEMPOTENT:
             return True
-        if in_flight.command_sent_at < lost_since:
-            return False
         # The pool ignores a second `spawn` while the run continues, and a run that makes a call can't end
-        # unnoticed.
-        return resumes or self._every_run_made_call.get(request_class.name, False)
+        # unnoticed. Commands that were sent before `lost_since` have arrived.
+        makes_call = self._every_run_made_call.get(request_class.name, False)
+        return makes_call and in_flight.command_sent_at >= lost_since
 
     def cancel(self, in_flight: InFlightRequest) -> None:
         """Cancel a run. It occupies its concurrency slot until its end is reported."""
--- a/cairnvane/server/in_flight.py
+++ b/cairnvane/server/in_flight.py
@@ -8,11 +8,9 @@
 from ..contract.settings import RequestClass
 from ..exchange import Request
 from ..idempotency.store import StartedRun, StoredEntry
+from ..net.sent_commands import SENT_BY_EARLIER_INCARNATION, SentCommand
 from ..net.vault import VaultCall
 
-# The command link of a run that an earlier incarnation started: less than any link number of this process.
-EARLIER_INCARNATION_LINK = -1
-
 
 @dataclass(slots=True)
 class InFlightRequest:
@@ -33,17 +31,22 @@
     call_body: bytes = b""
     call_notice: int = 0  # the position of the pool's notice that asked for the call
     call_reply: bytes | None = None  # the reply to its last call; None before the first one
-    command_link: int | None = None  # link on which its last command was sent; None if it has arrived
+    last_command: SentCommand | None = None  # None once a later notice shows that the pool has read it
     command_sent_at: int = 0  # when its last command was sent, in microseconds of the monotonic clock
     cancel_link: int | None = None  # link on which its cancellation was sent
     has_client_disconnected: bool = False  # the request has then ended, whatever the response was
     is_confirmation_sent: bool = False  # the pool was asked whether its run continues
     is_repeat_unread: bool = False  # its `spawn` was sent again, and the pool may not have read that yet
 
+    @property
+    def command_link(self) -> int | None:
+        """The number of the link on which its last command was sent; None once a notice has followed it."""
+        return self.last_command.link if self.last_command is not None else None
+
     @property
     def is_adopted(self) -> bool:
         """Whether an earlier incarnation started its run; its fingerprint is known then, but not its body."""
-        return self.command_link == EARLIER_INCARNATION_LINK
+        return self.last_command == SENT_BY_EARLIER_INCARNATION
 
     @property
     def is_keyed(self) -> bool:
@@ -120,6 +123,6 @@
         None,
         is_queued=False,
         is_running=True,
-        command_link=EARLIER_INCARNATION_LINK,
+        last_command=SENT_BY_EARLIER_INCARNATION,
         fingerprint=started_run.fingerprint,
     )
--- a/cairnvane/server/runs.py
+++ b/cairnvane/server/runs.py
@@ -109,7 +109,7 @@
         if in_flight is None or not in_flight.is_running:
             self._skip_notice(notice)
             return
-        in_flight.command_link = None
+        in_flight.last_command = None
         in_flight.call_body = body
         in_flight.call_notice = notice
         if self._durable_keys is None or not in_flight.is_keyed:
