Let a timed-out vault call end before the same call is made again

Cause: a call without a reply for 100 ms or more is given up and, in idempotent classes, made again at once on another connection. A vault that stood still has read neither and then carries both.

Evidence: a trace of the stand-in (trial) has both calls of one run begin within 1 ms, after its process stood still for 0.13 to 0.2 s, and the reply of the first replace that of the second. The protocol has a second call give up the first, which the stand-in does not do; but two connections may also be read in the other order, and then the call that is waited for is given up. Ruled out: the link (nothing was sent again).

Change: a timed-out call ends its sending side and is reported as ended once the vault has ended its own, or after the longest time for which the vault keeps an abandoned call. The reported duration is the same.

With the wait taken out its test fails.

--- a/cairnvane/net/vault.py
+++ b/cairnvane/net/vault.py
@@ -1,4 +1,10 @@
-"""Calls to the vault: one call per connection, which is closed to cancel the call."""
+"""Calls to the vault: one call per connection, which is closed to cancel the call.
+
+A call that has timed out may still be in progress at the vault, and may not even have been read there. If the
+next call of the same request reached the vault meanwhile, the vault could take either one for the other, or
+give up the later one. So a timed-out call ends only when the vault has ended its side of the connection, or
+after the longest time for which the vault keeps an abandoned call.
+"""
 
 from __future__ import annotations
 
@@ -20,6 +26,10 @@
 MAX_IDLE_THREADS = 16
 # Minimum timeout for the connection attempt, also after the deadline: 0 would make the socket non-blocking.
 MIN_CONNECT_TIMEOUT_S = 0.001
+# A vault that goes on sending after a call was abandoned is disconnected after this number of bytes.
+MAX_DISCARDED_BYTES = 65_536
+DISCARD_CHUNK_BYTES = 4_096
+MICROSECONDS_PER_SECOND = 1e6
 
 # Called with the outcome of a call, the body of the reply and the duration in microseconds.
 CallEndedHandler = Callable[[Outcome, bytes, int], None]
@@ -77,13 +87,20 @@
         body: bytes,
         timeout_us: int,
         on_ended: CallEndedHandler,
+        abandoned_call_time_us: int = 0,
     ) -> None:
-        """Start the call. `on_ended` is called once, from the call's thread, unless the call is cancelled."""
+        """Start the call. `on_ended` is called once, from the call's thread, unless the call is cancelled.
+
+        After the timeout it is called once the vault has ended the connection, and at most
+        `abandoned_call_time_us` later. The reported duration does not include that wait.
+        """
         self._address = address
         self._uid = uid
         self._body = body
         self._timeout_us = timeout_us
         self._on_ended = on_ended
+        self._abandoned_call_time_us = abandoned_call_time_us
+        self._timed_out_at: float | None = None  # by the monotonic clock
         self._lock = threading.Lock()  # guards the cancellation flag and the socket
         self._sock: socket.socket | None = None
         self._is_cancelled = False
@@ -105,12 +122,13 @@
         """Runs in the call's thread."""
         start = time.monotonic()
         try:
-            result, body = self._call(start + self._timeout_us / 1e6)
+            result, body = self._call(start + self._timeout_us / MICROSECONDS_PER_SECOND)
         except Exception as error:  # without an outcome the request would wait until its deadline
             self._log_failure(error)
             result = Outcome.BROKEN
             body = b""
-        duration_us = int((time.monotonic() - start) * 1e6)
+        end = self._timed_out_at or time.monotonic()
+        duration_us = int((end - start) * MICROSECONDS_PER_SECOND)
         if not self._is_cancelled:
             self._on_ended(result, body, duration_us)
 
@@ -129,6 +147,8 @@
             try:
                 reply = self._exchange(sock, deadline)
             except TimeoutError:
+                self._timed_out_at = time.monotonic()
+                self._abandon(sock)
                 return Outcome.TIMEOUT, b""
             except (OSError, http.InvalidReplyError) as error:
                 # The call may have run, both if the connection was lost during the call and if the reply is
@@ -154,5 +174,18 @@
         sock.sendall(http.request("POST", PATH, self._address, headers, self._body))
         return http.read_reply(sock, deadline)
 
+    def _abandon(self, sock: socket.socket) -> None:
+        """Tell the vault that the call is given up, and wait until it has ended its side."""
+        deadline = time.monotonic() + self._abandoned_call_time_us / MICROSECONDS_PER_SECOND
+        remaining_bytes = MAX_DISCARDED_BYTES
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_WR)
+            while (remaining_s := deadline - time.monotonic()) > 0 and remaining_bytes > 0:
+                sock.settimeout(remaining_s)
+                count = len(sock.recv(DISCARD_CHUNK_BYTES))
+                if count == 0:
+                    return
+                remaining_bytes -= count
+
     def _log_failure(self, error: Exception) -> None:
         logger.warning("vault call failed: %s: %s %s", self._uid, type(error).__name__, error)
--- a/cairnvane/server/event_loop.py
+++ b/cairnvane/server/event_loop.py
@@ -120,6 +120,7 @@
             vault,
             self.post,
             self._settings.cancel_mode is not CancelMode.NONE,
+            self._settings.abandoned_call_time,
             run_lost=lambda in_flight: self._runs.end(in_flight.request.uid, RUN_CANCELLED),
             call_ended=lambda in_flight, outcome, duration: self.notify(
                 CallFinished(in_flight.request_id, outcome, duration)
--- a/cairnvane/server/executions.py
+++ b/cairnvane/server/executions.py
@@ -43,6 +43,7 @@
 class Executions:
     """Sends the commands for runs to the worker pool, and makes their calls to the vault.
 
+    `abandoned_call_time` is how long the vault may keep an abandoned call, in microseconds.
     `run_lost` is called with a run of an earlier incarnation that is considered lost, `call_ended` at the end
     of each call, both in the event loop's thread. `post` runs a task in that thread.
     """
@@ -53,6 +54,7 @@
         vault: tuple[str, int],
         post: Callable[[Callable[[], None]], None],
         can_cancel: bool,
+        abandoned_call_time: int,
         *,
         run_lost: Callable[[InFlightRequest], None],
         call_ended: CallEnded,
@@ -64,6 +66,7 @@
         self._pool = pool
         self._post = post
         self._can_cancel = can_cancel  # the settings allow `suspend`
+        self._abandoned_call_time = abandoned_call_time
         self._call_ended = call_ended
         # Guards `command_sent_at` and `last_command` of all requests. Sending a command and storing where
         # it was sent must be atomic for `resend_lost_commands`.
@@ -193,7 +196,14 @@
             self._post(lambda: self._end_call(in_flight, call, outcome, body, duration))
 
         self.calls_in_flight += 1
-        call = VaultCall(self.vault, in_flight.request.uid, in_flight.call_body, timeout, on_ended)
+        call = VaultCall(
+            self.vault,
+            in_flight.request.uid,
+            in_flight.call_body,
+            timeout,
+            on_ended,
+            self._abandoned_call_time,
+        )
         in_flight.vault_call = call
 
     def _end_call(
--- a/tests/net/test_vault_calls.py
+++ b/tests/net/test_vault_calls.py
@@ -4,10 +4,11 @@
 
 import queue
 import socket
+import threading
 from typing import Any
 
 import pytest
-from peers import TOKEN, WAIT_S, reply, world
+from peers import TOKEN, WAIT_S, Listener, reply, world
 
 from cairnvane.contract.events import Outcome
 from cairnvane.net import http, vault
@@ -84,6 +85,51 @@
         w.pool.notice("finished", uid, "broken_off")
 
 
+class SlowVault:
+    """A vault that reads each call, and ends the connection only after `release` is set."""
+
+    def __init__(self) -> None:
+        self.given_up = threading.Event()  # the server has ended its side of a connection
+        self.release = threading.Event()
+        self.outcomes: queue.Queue[Outcome] = queue.Queue()
+        self.address = Listener(self._serve).address
+
+    def _serve(self, sock: socket.socket) -> None:
+        while sock.recv(4_096):
+            pass
+        self.given_up.set()
+        self.release.wait(WAIT_S)
+
+    def call(self, abandoned_call_time_us: int) -> None:
+        """Make a call that times out at once."""
+        vault.VaultCall(
+            self.address,
+            "0" * 16,
+            b"",
+            50_000,
+            lambda outcome, body, duration_us: self.outcomes.put(outcome),
+            abandoned_call_time_us,
+        )
+
+
+def test_timed_out_call_ends_only_once_the_vault_has_ended_it() -> None:
+    """Guards against a changed reply: the call was made again while the vault still carried the first one."""
+    slow_vault = SlowVault()
+    slow_vault.call(abandoned_call_time_us=WAIT_S * 1_000_000)
+    assert slow_vault.given_up.wait(WAIT_S)
+    with pytest.raises(queue.Empty):
+        slow_vault.outcomes.get(timeout=0.2)
+    slow_vault.release.set()
+    assert slow_vault.outcomes.get(timeout=WAIT_S) is Outcome.TIMEOUT
+
+
+def test_timed_out_call_ends_although_the_vault_does_not_end_it() -> None:
+    slow_vault = SlowVault()
+    slow_vault.call(abandoned_call_time_us=1_000)
+    assert slow_vault.outcomes.get(timeout=WAIT_S) is Outcome.TIMEOUT
+    slow_vault.release.set()
+
+
 def test_refused_connection_proves_that_no_call_ran() -> None:
     with socket.create_server(("127.0.0.1", 0)) as closed_listener:
         address = closed_listener.getsockname()
