Read a connection with open requests on, however slowly a request is written

Cause: half a record for 2 s ended the reading of the connection, but not the connection, since open requests were to be answered (ConnectionLifecycle.expire). The peer went on writing what was thrown away. Evidence: each lost request is on a connection with a pause about 2 s before, and without open requests the connection ended at once. Ruled out: eviction and idle close, which spare connections with open requests.

Change: such a connection is read on. Without open requests it ends after 2 s, as before, now also for half a request of whole records, which was answered as failed before it was written whole. Beside open requests a partial one fails after the longest client timeout, so that nothing is kept for ever.

--- a/cairnvane/net/connection.py
+++ b/cairnvane/net/connection.py
@@ -24,9 +24,9 @@
 
 logger = logging.getLogger(__name__)
 
-# Deadline for a complete request. A balancer opens a connection to send a request and sends it whole, so a
-# peer that sends nothing or only a part for this long is not a balancer. Such a connection has to be closed
-# within 3 s; the difference allows for delays on a busy machine.
+# Deadline for a complete request on a connection without open requests. A balancer opens a connection to send
+# a request, so a peer that sends nothing or only a part for this long is hardly one. Such a connection has to
+# be closed within 3 s; the difference allows for delays on a busy machine.
 REQUEST_TIMEOUT_S = 2.0
 # Delay before the next read from a peer that sent invalid data. Without it, a client that retries as soon as
 # it is rejected would use the CPU time that the balancers need.
@@ -44,6 +44,7 @@
     """The attributes of the server that a connection uses."""
 
     buffers: BufferPool
+    client_timeout_s: float  # no client waits longer than this for its answer
 
 
 class Connection:
@@ -144,10 +145,11 @@
     def enforce_deadlines(self) -> None:
         """Enforce the peer's deadlines; called periodically.
 
-        End the wait for a peer that sends nothing, fail requests that stay incomplete, and close the
-        connection if it is idle.
+        End the wait for a peer that sends nothing, fail partial requests whose clients have given up, and
+        close the connection if it is idle.
         """
-        expired = self._lifecycle.expire(self._server.clock - REQUEST_TIMEOUT_S)
+        now = self._server.clock
+        expired = self._lifecycle.expire(now - REQUEST_TIMEOUT_S, now - self._server.client_timeout_s)
         if expired.connection:
             self._wake_reader()
             return
--- a/cairnvane/net/connection_lifecycle.py
+++ b/cairnvane/net/connection_lifecycle.py
@@ -50,7 +50,7 @@
     """What has exceeded its deadline."""
 
     connection: bool  # the connection itself; its reader has to be woken
-    partial_requests: list[fastcgi.IncomingRequest]
+    partial_requests: list[fastcgi.IncomingRequest]  # their clients have given up
 
 
 class LifecycleContext(Protocol):
@@ -187,19 +187,24 @@
 
     # --- closing
 
-    def expire(self, cutoff: float) -> Expired:
-        """Stop waiting for input that was due before `cutoff` (by the clock of `context`)."""
+    def expire(self, cutoff: float, client_cutoff: float) -> Expired:
+        """Stop waiting for input that was due before `cutoff` (by the clock of `context`).
+
+        A connection with open requests is one of a balancer, which may pause within a request. It is read on,
+        since what follows are requests that must be answered. Only partial requests that began before
+        `client_cutoff`, and for which no client waits any more, have expired on it.
+        """
         with self._lock:
-            connection = self._ended_since is not None and self._ended_since <= cutoff
-            if self._is_overdue(self._first_request_awaited_since, cutoff) or self._is_overdue(
-                self.partial_record_since, cutoff
-            ):
-                self._stop_reading()
-                connection = not self._open_exchanges
-                if connection:
-                    self._end()
-            overdue = [partial for partial in self._partial_requests.values() if partial.started_at <= cutoff]
-        return Expired(connection, overdue)
+            if self.state is ConnectionPhase.ENDED:
+                return Expired(self._ended_since is not None and self._ended_since <= cutoff, [])
+            if self._open_exchanges:
+                partial_requests = list(self._partial_requests.values())
+                return Expired(False, [p for p in partial_requests if p.started_at <= client_cutoff])
+            if not any(self._is_overdue(since, cutoff) for since in self._input_awaited_since()):
+                return Expired(False, [])
+            self._stop_reading()
+            self._end()
+        return Expired(True, [])
 
     def close_if_idle(self, requested: bool) -> bool:
         """End a connection without open requests if it should be closed; True if it has ended now.
@@ -258,6 +263,11 @@
             self._ended_since = self._context.clock
             self.writer.close_write_side()
 
+    def _input_awaited_since(self) -> list[float | None]:
+        """Since when each kind of input that began, or has to begin, has been awaited; None if it is not."""
+        partial_requests = [partial.started_at for partial in self._partial_requests.values()]
+        return [self._first_request_awaited_since, self.partial_record_since, *partial_requests]
+
     def _is_overdue(self, since: float | None, cutoff: float) -> bool:
         """Whether input that has been awaited since `since` was due before `cutoff`.
 
--- a/cairnvane/net/server.py
+++ b/cairnvane/net/server.py
@@ -20,6 +20,7 @@
 DEADLINE_CHECK_INTERVAL_S = 0.5
 # Length of the kernel's queue of connections to be accepted; larger than the number of balancers.
 ACCEPT_BACKLOG = 512
+DEFAULT_CLIENT_TIMEOUT_S = 30.0
 # Connections that are being closed may briefly exceed the maximum by this number.
 MAX_CLOSING_CONNECTIONS = 16
 
@@ -50,10 +51,15 @@
         sink: RequestSink,
         max_connections: int,
         response_counter: ResponseCounter | None = None,
+        client_timeout_s: float = DEFAULT_CLIENT_TIMEOUT_S,
     ) -> None:
-        """Bind the address; raises `OSError` if that fails."""
+        """Bind the address; raises `OSError` if that fails.
+
+        `client_timeout_s` is the longest time for which a client waits for its answer.
+        """
         self.sink = sink
         self.response_counter = response_counter
+        self.client_timeout_s = client_timeout_s
         self.buffers = BufferPool()
         self.idle_s = 0.0  # close connections after this idle time; 0: after `MAX_IDLE_S`
         self.retiring = False
--- a/cairnvane/server/composition.py
+++ b/cairnvane/server/composition.py
@@ -25,6 +25,7 @@
 THREAD_STACK_BYTES = 256 * 1024
 # The close of idle connections may wait this long, since a balancer's next request may be in transit on one.
 LAST_REQUEST_WAIT_S = 0.2
+MICROSECONDS_PER_SECOND = 1e6
 
 
 class Server(NamedTuple):
@@ -93,6 +94,7 @@
         administration.request_sink,
         configuration.sockets - administration_setup.reserved_sockets(configuration),
         administration.response_counter,
+        _longest_client_timeout_s(configuration),
     )
     keys = store_setup.create_durable_keys(shared_state.store, configuration)
     event_loop.connect(fastcgi_server, pool, configuration.vault, keys)
@@ -122,6 +124,11 @@
     )
 
 
+def _longest_client_timeout_s(configuration: config.Config) -> float:
+    longest_us = max(cls.client_timeout for cls in configuration.settings.classes)
+    return longest_us / MICROSECONDS_PER_SECOND
+
+
 def can_take_over(pool: WorkerPool, incarnations: Incarnations | None) -> bool:
     """Whether the process can serve and an earlier incarnation sees that.
 
