Begin idempotent runs again whose reply may be lost with the link

Change: such a run is stopped, which is safe whether the reply was read or not, and started again once the pool reports its end. A call that it asks for meanwhile is withheld, and made if the stop had no effect. Keyed runs can't be run again and stay as they are. Not taken: sending the reply again after a while, or when the class made no further call so far; both can still meet the next call.

--- a/cairnvane/server/executions.py
+++ b/cairnvane/server/executions.py
@@ -86,6 +86,22 @@
             else:
                 in_flight.last_command = self._pool.spawn(request.uid, request.class_name, request.body)
 
+    def stop(self, in_flight: InFlightRequest, on_read: Callable[[], None]) -> bool:
+        """Stop a run without ending its request; False if that is not possible.
+
+        `on_read` is called in the event loop's thread once the pool has read the command, and after the end
+        of the run that it reports if the command had an effect.
+        """
+        if not self._can_cancel or not self._pool.suspend(in_flight.request.uid).link:
+            return False
+        self._pool.sync(lambda is_linked: self._post(on_read) if is_linked else None)
+        return True
+
+    def start_over(self, in_flight: InFlightRequest) -> None:
+        """Start a run that was stopped from its beginning."""
+        in_flight.call_reply = None
+        self.start(in_flight)
+
     def finished(self, in_flight: InFlightRequest, succeeded: bool) -> None:
         """Update the state of a run whose end the pool has reported."""
         if in_flight.is_repeat_unread and self._can_cancel:
@@ -102,12 +118,15 @@
                 self._every_run_made_call.get(class_name, True) and made_a_call
             )
 
-    def resend_lost_commands(self, link: int, requests: Iterable[InFlightRequest]) -> None:
-        """Resend commands that earlier links may have lost; the replay on `link` has shown which arrived."""
+    def resend_lost_commands(self, link: int, requests: Iterable[InFlightRequest]) -> list[InFlightRequest]:
+        """Resend commands that earlier links may have lost; the replay on `link` has shown which arrived.
+
+        Returns the runs for which the reply to their call may be lost; it is not sent again.
+        """
         spawned_again: list[InFlightRequest] = []
         repeated = 0
         cancelled = 0
-        uncertain = 0
+        uncertain: list[InFlightRequest] = []
         with self._commands_lock:
             self.cancellations.link = link
             lost_since = clock.now() - POSSIBLY_LOST_US
@@ -121,17 +140,18 @@
                         spawned_again.append(in_flight)  # sent on an earlier link, so it may have arrived
                     self.start(in_flight)
                 elif self._is_reply_uncertain(in_flight, link):
-                    uncertain += 1
+                    uncertain.append(in_flight)
         self.commands_repeated += repeated
         logger.info(
             "worker pool link %d: %d commands and %d cancellations sent again, %d replies may be lost",
             link,
             repeated,
             cancelled,
-            uncertain,
+            len(uncertain),
         )
         if spawned_again:
             self._track_repeated_spawns(spawned_again)
+        return uncertain
 
     def _track_repeated_spawns(self, spawned: list[InFlightRequest]) -> None:
         """Mark the runs whose `spawn` was sent again, until the pool has read the repeated command.
--- a/cairnvane/server/in_flight.py
+++ b/cairnvane/server/in_flight.py
@@ -12,6 +12,14 @@
 from ..net.vault import VaultCall
 
 
+@dataclass(frozen=True, slots=True)
+class WithheldCall:
+    """A call that a run waits for and that the controller has not been told of."""
+
+    body: bytes
+    notice: int  # the position of the pool's notice
+
+
 @dataclass(slots=True)
 class InFlightRequest:
     """The state of one request, from its arrival until no duplicate can need its result."""
@@ -36,6 +44,8 @@
     cancel_link: int | None = None  # link on which its cancellation was sent
     has_client_disconnected: bool = False  # the request has then ended, whatever the response was
     is_confirmation_sent: bool = False  # the pool was asked whether its run continues
+    is_restarting: bool = False  # it was stopped to be started again; see `run_restarts`
+    withheld_call: WithheldCall | None = None  # the call that it waited for meanwhile
     is_repeat_unread: bool = False  # its `spawn` was sent again, and the pool may not have read that yet
 
     @property
--- a/cairnvane/server/runs.py
+++ b/cairnvane/server/runs.py
@@ -13,6 +13,7 @@
 from .executions import OUTCOMES_BY_END_CODE, RESPONSE_STATUSES, Executions
 from .in_flight import InFlightRequest, InFlightTable
 from .responder import Responder
+from .run_restarts import RunRestarts
 
 if TYPE_CHECKING:  # imported only if the operator enables durable keys
     from ..idempotency.durability import DurableKeys
@@ -43,6 +44,7 @@
         self._responder = responder
         self._durable_keys = durable_keys
         self._notify = notify
+        self._restarts = RunRestarts(executions, self.request_call)
 
     def handle_disconnect(self, request: Request) -> None:
         """Abandon the call of a request whose client has disconnected, and report the disconnect."""
@@ -72,6 +74,9 @@
         if in_flight is None or not in_flight.is_running:
             self._skip_notice(notice)
             return
+        if self._restarts.run_ended(in_flight, code):
+            self._skip_notice(notice)
+            return
         code = self._executions.cancellations.end_code(in_flight, code)
         outcome = OUTCOMES_BY_END_CODE.get(code, Outcome.ERROR)
         self._executions.finished(in_flight, outcome is Outcome.OK)
@@ -109,6 +114,9 @@
         if in_flight is None or not in_flight.is_running:
             self._skip_notice(notice)
             return
+        if self._restarts.withhold_call(in_flight, body, notice):
+            self._skip_notice(notice)
+            return
         in_flight.last_command = None
         in_flight.call_body = body
         in_flight.call_notice = notice
@@ -140,4 +148,5 @@
         """Resend the commands that links before this one may have lost."""
         if self._durable_keys is not None:
             self._durable_keys.pool_linked()
-        self._executions.resend_lost_commands(link, self._requests.all())
+        for in_flight in self._executions.resend_lost_commands(link, self._requests.all()):
+            self._restarts.begin(in_flight)
--- a/tests/net/test_worker_pool_link.py
+++ b/tests/net/test_worker_pool_link.py
@@ -85,6 +85,8 @@
         w.pool.cut()
         w.pool.next("bind")
         _wait_until_resent(w, link=2)
+        if not fields:
+            assert w.pool.next("suspend")["uid"] == uid  # without an effect, since no end is reported
         assert w.pool.commands.empty()
         w.pool.notice("blocked", uid, content=b"next call")
         assert w.pool.next("supply")["content"] == b"second"
