Keep the earlier command of a run when its repetition could not be sent

What callers could see: a keyed run started twice. A command that met no link is always sent on the next one, since it certainly was not read. But where a spawn that may have been read on link 1 was repeated on link 2 just as that one ended, the run's command counted as never sent, and link 3 got it unconditionally.

Change: a repetition that was not sent leaves the command before it, and its time, in place. The test fails before.

--- a/cairnvane/server/executions.py
+++ b/cairnvane/server/executions.py
@@ -77,14 +77,21 @@
     # --- commands to the pool
 
     def start(self, in_flight: InFlightRequest) -> None:
-        """Have the pool run a request, or continue its run with the reply to its call."""
+        """Have the pool run a request, or continue its run with the reply to its call.
+
+        If the command is a repetition that can't be sent, the one before it still counts: the pool may have
+        read that one.
+        """
         request = in_flight.request
         with self._commands_lock:
-            in_flight.command_sent_at = clock.now()
+            sent_at = clock.now()
             if in_flight.call_reply is not None:
-                in_flight.last_command = self._pool.supply(request.uid, in_flight.call_reply)
+                command = self._pool.supply(request.uid, in_flight.call_reply)
             else:
-                in_flight.last_command = self._pool.spawn(request.uid, request.class_name, request.body)
+                command = self._pool.spawn(request.uid, request.class_name, request.body)
+            if command != NOT_SENT or in_flight.last_command is None:
+                in_flight.last_command = command
+                in_flight.command_sent_at = sent_at
 
     def stop(self, in_flight: InFlightRequest, on_read: Callable[[], None]) -> bool:
         """Stop a run without ending its request; False if that is not possible.
@@ -100,6 +107,7 @@
     def start_over(self, in_flight: InFlightRequest) -> None:
         """Start a run that was stopped from its beginning."""
         in_flight.call_reply = None
+        in_flight.last_command = None
         self.start(in_flight)
 
     def finished(self, in_flight: InFlightRequest, succeeded: bool) -> None:
--- a/tests/net/test_worker_pool_link.py
+++ b/tests/net/test_worker_pool_link.py
@@ -147,6 +147,32 @@
         assert balancer.answer()[1].status == 200
 
 
+def test_repetition_that_was_not_sent_does_not_make_the_first_command_unsent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a keyed run that starts twice: a command that certainly was not sent is always repeated.
+
+    The first one may have been read; only its repetition met the end of a link.
+    """
+    with world(reply(200, b"reply")) as w:
+        balancer = w.balancer()
+        first = w.block(balancer, **KEYED)
+        w.pool.next("supply")
+        w.end(balancer, first)  # each run of the class has made a call, so a spawn is repeated
+        w.pool.silent_after = "spawn"
+        balancer.send(2, path="/svc/write", HTTP_REQ_TOKEN="0" * 32)
+        uid = w.pool.next("spawn")["uid"]
+        in_flight = w.host._requests.find_uid(uid)
+        assert in_flight is not None
+        until(lambda: in_flight.last_command is not None)
+        sent = in_flight.last_command
+        assert sent is not None
+        monkeypatch.setattr(w.host._pool, "spawn", lambda *command: NOT_SENT)
+        w.host.linked(sent.link + 1)
+        wait_for_event_loop(w.host)
+        assert in_flight.last_command == sent
+
+
 def test_run_lost_with_its_link_frees_its_capacity_when_cancelled() -> None:
     """Regression: the pool sends no notice for a run that never started, so it was counted as running.
 
