Do not count a run that was sent to no pool among those that a replaced pool lost

Callers saw: with durable results, a keyed request read before the first link to a new worker pool was failed.

Change: such a run stays, and its command goes out on the new link. The new test holds the binding back; it fails before.

--- a/cairnvane/server/in_flight.py
+++ b/cairnvane/server/in_flight.py
@@ -8,7 +8,7 @@
 from ..contract.settings import RequestClass
 from ..exchange import Request
 from ..idempotency.store import StartedRun, StoredEntry
-from ..net.sent_commands import SENT_BY_EARLIER_INCARNATION, SentCommand
+from ..net.sent_commands import NOT_SENT, SENT_BY_EARLIER_INCARNATION, SentCommand
 from ..net.vault import VaultCall
 
 
@@ -53,6 +53,11 @@
         """The number of the link on which its last command was sent; None once a notice has followed it."""
         return self.last_command.link if self.last_command is not None else None
 
+    @property
+    def was_never_sent(self) -> bool:
+        """Whether its run was requested, but the command to start it was sent to no pool."""
+        return self.last_command == NOT_SENT and self.call_reply is None
+
     @property
     def is_adopted(self) -> bool:
         """Whether an earlier incarnation started its run; its fingerprint is known then, but not its body."""
--- a/cairnvane/server/runs.py
+++ b/cairnvane/server/runs.py
@@ -133,9 +133,11 @@
     def fail_lost_runs(self) -> None:
         """Fail the runs of a replaced pool, since no notice of their end will come.
 
-        They may have had an effect, so they are not run again.
+        They may have had an effect, so they are not run again. A run that was sent to no pool is none of
+        them: it starts on the new link.
         """
-        lost = [in_flight for in_flight in self._requests.all() if in_flight.is_running]
+        running = [in_flight for in_flight in self._requests.all() if in_flight.is_running]
+        lost = [in_flight for in_flight in running if not in_flight.was_never_sent]
         if self._durable_keys is not None:
             lost = [in_flight for in_flight in lost if not self._durable_keys.awaits_start(in_flight)]
         logger.warning("worker pool replaced: %d runs of the previous pool are lost", len(lost))
--- a/tests/idempotency/test_durable_restarts.py
+++ b/tests/idempotency/test_durable_restarts.py
@@ -5,8 +5,8 @@
 from typing import Any
 
 import pytest
-from durable_servers import BOOT, KEYED, OTHER_BOOT, Servers, answer_without_run
-from peers import WAIT_S, reply
+from durable_servers import BOOT, KEYED, OTHER_BOOT, Servers, answer_without_run, keyed
+from peers import WAIT_S, reply, until
 
 from cairnvane.idempotency.durable.retention import UNAVAILABLE_RETRY_US
 
@@ -81,6 +81,28 @@
             assert balancer.answer()[1].status == 500
 
 
+def test_a_run_requested_before_the_first_link_is_not_one_of_the_previous_pool() -> None:
+    """Guards against a failed request: it was counted among the runs that a replaced pool has lost."""
+    servers = Servers()
+    with servers.run() as server:
+        server.serve(server.balancer(), 1)  # the pool's start time is recorded with a later end
+        server.serve(server.balancer(), 2, **KEYED)
+    servers.pool.restart()
+    servers.pool.bound = False
+    with servers.run(pos=None) as server:
+        balancer = server.balancer()
+        balancer.send(3, **keyed(3))
+        until(lambda: (request := server.host._requests.find_uid(f"{3:016x}")) and request.was_never_sent)
+        servers.pool.bound = True
+        assert servers.pool.commands.get(timeout=WAIT_S)["action"] == "bind"
+        servers.pool.tell(action="bound", code="running", wall_ms=0)
+        while (command := servers.pool.commands.get(timeout=WAIT_S))["action"] == "bind":
+            pass  # once more, from the first notice of the new pool
+        assert (command["action"], command["uid"]) == ("spawn", f"{3:016x}")
+        servers.pool.notice("finished", command["uid"], "fine", b"done")
+        assert balancer.answer()[1].body == b"done"
+
+
 @pytest.mark.parametrize("recorded", [False, True], ids=["not recorded", "recorded"])
 def test_a_call_that_may_have_been_made_is_not_repeated_by_the_next_incarnation(recorded: bool) -> None:
     """The calls that the vault received are checked, since a second call would have a second effect."""
