Have the takeover tests' client open a new connection after an idle close

Seen: test_a_new_version_serves_concurrently... [process] and [power] failed with "the connection has ended", once each, under load.

Change: the client does what the protocol says of a balancer: after an idle close it opens a new connection, and a request that crossed the close is sent again, once. A close with another request open is still an error. What the tests demand of the server has not changed.

--- a/tests/idempotency/test_takeover.py
+++ b/tests/idempotency/test_takeover.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 import pytest
-from peers import TOKEN, WAIT_S, Answer, Balancer, PoolPeer, until
+from peers import TOKEN, WAIT_S, Answer, Balancer, PoolPeer, ReconnectingBalancer, until
 from server.test_program import NOWHERE, program
 
 from cairnvane.claims.incarnations import Incarnations, Liveness
@@ -50,8 +50,8 @@
             pool.next("bind")
             yield process, pool
 
-    def balancer(self) -> Balancer:
-        return Balancer(("127.0.0.1", self.port))
+    def balancer(self) -> ReconnectingBalancer:
+        return ReconnectingBalancer(("127.0.0.1", self.port))
 
     def send(self, balancer: Balancer, **fields: Any) -> int:
         number = next(self.numbers)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -325,6 +325,10 @@
     protocol: int  # the protocol status of FastCGI
 
 
+class ConnectionEndedError(AssertionError):
+    """The server has closed a connection on which an answer is expected."""
+
+
 @dataclass
 class Balancer:
     """One connection of a balancer to the server."""
@@ -396,7 +400,8 @@
                 self._unparsed = self._unparsed[size:]
                 return record
             chunk = self.sock.recv(LARGE_RECEIVE_SIZE)
-            assert chunk, "the server has closed the connection"
+            if not chunk:
+                raise ConnectionEndedError("the server has closed the connection")
             self._unparsed += chunk
 
     def ended(self) -> bool:
@@ -407,6 +412,65 @@
         return True
 
 
+@dataclass
+class ReconnectingBalancer(Balancer):
+    """A balancer that opens a new connection where the server has closed an idle one, as the protocol allows.
+
+    A request that crosses such a close is sent again on a new connection, once. The close of a connection
+    with another open request remains an error.
+    """
+
+    _open_requests: int = 0
+    _crossing: bytes | None = None  # a request that was sent on an idle connection and has no answer yet
+
+    def send(self, number: int, path: str = "/svc/read", body: bytes = b"x", **more: str) -> None:
+        """Send a request, on a new connection if this one has been closed."""
+        data = self.request(number, path, body, **more)
+        is_idle = not self._open_requests
+        if is_idle and self._is_closed():
+            self._reconnect()
+        self._crossing = data if is_idle else None
+        self._open_requests += 1
+        try:
+            self.sock.sendall(data)
+        except ConnectionError:
+            self._send_again()
+
+    def answer(self) -> tuple[int, Answer]:
+        """The next answer and the number of its request."""
+        try:
+            answer = super().answer()
+        except (ConnectionError, ConnectionEndedError):
+            self._send_again()
+            answer = super().answer()
+        self._open_requests -= 1
+        self._crossing = None
+        return answer
+
+    def _is_closed(self) -> bool:
+        self.sock.setblocking(False)
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except ConnectionError:
+            return True
+        finally:
+            self.sock.settimeout(WAIT_S)
+
+    def _reconnect(self) -> None:
+        self.sock.close()
+        self.sock = socket.create_connection(self.address, WAIT_S)
+
+    def _send_again(self) -> None:
+        crossing = self._crossing
+        self._crossing = None
+        if crossing is None:
+            raise ConnectionEndedError("the server has closed a connection with an open request")
+        self._reconnect()
+        self.sock.sendall(crossing)
+
+
 @dataclass
 class World:
     """A server in this process and its peers."""
