Wait once for a link that can't be drained, and count no unsent command as read

By reading the change again: after a drain that timed out, each new attempt to connect waited for it once more, up to 1 s each, until a link was bound. And a command that was never sent compared as read, which the callers happened to rule out before they asked.

--- a/cairnvane/net/sent_commands.py
+++ b/cairnvane/net/sent_commands.py
@@ -59,10 +59,11 @@
             self._changed.notify_all()
 
     def wait_for_reply(self, echo: str, timeout_s: float) -> None:
-        """Wait until the question with this echo has its reply, or is forgotten."""
+        """Wait until the question with this echo has its reply or is forgotten. The timeout forgets it."""
         with self._changed:
             self._changed.wait_for(lambda: echo not in self._questions, timeout_s)
+            self._questions.pop(echo, None)
 
     def includes(self, command: SentCommand) -> bool:
         """Whether the pool has certainly read this command."""
-        return command.number <= self._last_read.get(command.link, 0)
+        return 0 < command.number <= self._last_read.get(command.link, 0)
