--- a/cairnvane/clock.py
+++ b/cairnvane/clock.py
@@ -10,6 +10,7 @@
 BOOT_ID_DIGITS = 32
 NANOSECONDS_PER_MICROSECOND = 1_000
 MICROSECONDS_PER_MILLISECOND = 1_000
+MICROSECONDS_PER_SECOND = 1e6
 
 
 class PlacedStamp(NamedTuple):
--- a/cairnvane/contract/settings.py
+++ b/cairnvane/contract/settings.py
@@ -136,6 +136,11 @@
     max_retry_after: int = 0  # the longest retry-after that clients honour; 0: they ignore it
     min_round_interval: int = 1_000  # the least time between two calls of `handle`
 
+    @property
+    def longest_client_timeout(self) -> int:
+        """The longest time for which any client waits for its answer, in microseconds."""
+        return max(cls.client_timeout for cls in self.classes)
+
     def __post_init__(self) -> None:
         _require(isinstance(self.cores, int) and self.cores >= 1, "cores", self.cores)
         _require(len(self.classes) > 0, "classes", self.classes)
--- a/cairnvane/net/vault.py
+++ b/cairnvane/net/vault.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable
 from queue import SimpleQueue
 
+from .. import clock
 from ..contract.events import Outcome
 from . import http
 
@@ -29,7 +30,6 @@
 # A vault that goes on sending after a call was abandoned is disconnected after this number of bytes.
 MAX_DISCARDED_BYTES = 65_536
 DISCARD_CHUNK_BYTES = 4_096
-MICROSECONDS_PER_SECOND = 1e6
 
 # Called with the outcome of a call, the body of the reply and the duration in microseconds.
 CallEndedHandler = Callable[[Outcome, bytes, int], None]
@@ -122,13 +122,13 @@
         """Runs in the call's thread."""
         start = time.monotonic()
         try:
-            result, body = self._call(start + self._timeout_us / MICROSECONDS_PER_SECOND)
+            result, body = self._call(start + self._timeout_us / clock.MICROSECONDS_PER_SECOND)
         except Exception as error:  # without an outcome the request would wait until its deadline
             self._log_failure(error)
             result = Outcome.BROKEN
             body = b""
         end = self._timed_out_at or time.monotonic()
-        duration_us = int((end - start) * MICROSECONDS_PER_SECOND)
+        duration_us = int((end - start) * clock.MICROSECONDS_PER_SECOND)
         if not self._is_cancelled:
             self._on_ended(result, body, duration_us)
 
@@ -176,7 +176,7 @@
 
     def _abandon(self, sock: socket.socket) -> None:
         """Tell the vault that the call is given up, and wait until it has ended its side."""
-        deadline = time.monotonic() + self._abandoned_call_time_us / MICROSECONDS_PER_SECOND
+        deadline = time.monotonic() + self._abandoned_call_time_us / clock.MICROSECONDS_PER_SECOND
         remaining_bytes = MAX_DISCARDED_BYTES
         with contextlib.suppress(OSError):
             sock.shutdown(socket.SHUT_WR)
--- a/cairnvane/server/action_executor.py
+++ b/cairnvane/server/action_executor.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from .. import clock
 from ..contract.actions import (
     Action,
     Cancel,
@@ -38,7 +39,6 @@
 logger = logging.getLogger(__name__)
 
 MICROSECONDS_PER_MILLISECOND = 1_000
-MICROSECONDS_PER_SECOND = 1e6
 
 
 class ActionExecutor:
@@ -105,7 +105,7 @@
 
     def close_idle_connections(self, action: CloseIdleConnections) -> None:
         """Set how long a connection may be idle before it is closed."""
-        self._server.idle_s = action.idle_time / MICROSECONDS_PER_SECOND
+        self._server.idle_s = action.idle_time / clock.MICROSECONDS_PER_SECOND
 
     def _log_message(self, action: LogMessage) -> None:
         logger.warning("%s", action.message)
--- a/cairnvane/server/cancellations.py
+++ b/cairnvane/server/cancellations.py
@@ -24,7 +24,6 @@
 # A request can no longer be run this long after its client's timeout, even if its response was not read.
 # Covers the protocol's slack and the transfer time of a message between two processes on one machine.
 CONFIRMATION_MARGIN_US = 250_000
-MICROSECONDS_PER_SECOND = 1e6
 
 
 @dataclass(slots=True)
@@ -118,7 +117,7 @@
             self._confirm(in_flight)
             return
         timer = threading.Timer(
-            wait_us / MICROSECONDS_PER_SECOND, self._post, (lambda: self._confirm(in_flight),)
+            wait_us / clock.MICROSECONDS_PER_SECOND, self._post, (lambda: self._confirm(in_flight),)
         )
         timer.daemon = True
         timer.start()
--- a/cairnvane/server/composition.py
+++ b/cairnvane/server/composition.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, NamedTuple
 
-from .. import config, logging_setup
+from .. import clock, config, logging_setup
 from ..claims import Incarnations
 from ..idempotency.store import StepObserver
 from ..net.server import FastCgiServer
@@ -25,7 +25,6 @@
 THREAD_STACK_BYTES = 256 * 1024
 # The close of idle connections may wait this long, since a balancer's next request may be in transit on one.
 LAST_REQUEST_WAIT_S = 0.2
-MICROSECONDS_PER_SECOND = 1e6
 
 
 class Server(NamedTuple):
@@ -94,7 +93,7 @@
         administration.request_sink,
         configuration.sockets - administration_setup.reserved_sockets(configuration),
         administration.response_counter,
-        _longest_client_timeout_s(configuration),
+        configuration.settings.longest_client_timeout / clock.MICROSECONDS_PER_SECOND,
     )
     keys = store_setup.create_durable_keys(shared_state.store, configuration)
     event_loop.connect(fastcgi_server, pool, configuration.vault, keys)
@@ -124,11 +123,6 @@
     )
 
 
-def _longest_client_timeout_s(configuration: config.Config) -> float:
-    longest_us = max(cls.client_timeout for cls in configuration.settings.classes)
-    return longest_us / MICROSECONDS_PER_SECOND
-
-
 def can_take_over(pool: WorkerPool, incarnations: Incarnations | None) -> bool:
     """Whether the process can serve and an earlier incarnation sees that.
 
--- a/cairnvane/server/event_loop.py
+++ b/cairnvane/server/event_loop.py
@@ -77,7 +77,7 @@
         self._duplicates = Duplicates(
             self._requests,
             # A duplicate that arrived before its key expired may be read later, by up to the client timeout.
-            KeyTable(max(cls.client_timeout for cls in self._settings.classes)),
+            KeyTable(self._settings.longest_client_timeout),
             durable_keys,
             self._responder,
             notify_next=self._follow_up,
--- a/cairnvane/server/event_loop_thread.py
+++ b/cairnvane/server/event_loop_thread.py
@@ -7,6 +7,7 @@
 import signal
 import threading
 
+from .. import clock
 from .event_loop import EventLoop
 from .lifecycle import Component, Shutdown
 
@@ -14,7 +15,6 @@
 
 # How long the process waits at its end for the thread to finish its last task.
 LAST_TASK_WAIT_S = 0.2
-MICROSECONDS_PER_SECOND = 1e6
 
 
 class EventLoopThread:
@@ -55,7 +55,7 @@
         """The lifecycle component that starts, drains and stops the thread."""
 
         def drain(shutdown: Shutdown) -> None:
-            self._event_loop.drain(int(shutdown.time_left_s * MICROSECONDS_PER_SECOND))
+            self._event_loop.drain(int(shutdown.time_left_s * clock.MICROSECONDS_PER_SECOND))
 
         return Component(
             "event loop",
--- a/cairnvane/server/store_setup.py
+++ b/cairnvane/server/store_setup.py
@@ -70,10 +70,6 @@
     return (clock.boot_id() or "unknown")[:BOOT_ID_DIGITS]
 
 
-def _max_client_timeout(configuration: config.Config) -> int:
-    return max(cls.client_timeout for cls in configuration.settings.classes)
-
-
 def _register_incarnation(
     configuration: config.Config, temporary_folder: Path, folder: Path
 ) -> Incarnations | None:
@@ -102,7 +98,9 @@
 
     Without it, each incarnation knows only its own keys.
     """
-    claims = ClaimLog(OsFolder(folder), incarnations, max_read_delay_us=_max_client_timeout(configuration))
+    claims = ClaimLog(
+        OsFolder(folder), incarnations, max_read_delay_us=configuration.settings.longest_client_timeout
+    )
     try:
         claims.open()
     except NewerVersionError as error:
@@ -137,7 +135,7 @@
         power=survives_power_loss,
         disk_bytes=keyed.disk_bytes,
         memory_bytes=keyed.memory_bytes,
-        max_read_delay_us=_max_client_timeout(configuration),
+        max_read_delay_us=configuration.settings.longest_client_timeout,
         step_observer=step_observer,
     )
     try:
--- a/cairnvane/server/timers.py
+++ b/cairnvane/server/timers.py
@@ -11,8 +11,6 @@
 from ..net.worker_pool import WorkerPool
 from ..simulator.settings_reader import timer_fired
 
-MICROSECONDS_PER_SECOND = 1e6
-
 
 class ControllerTimers:
     """Starts timers, and reports those that are due.
@@ -34,7 +32,7 @@
 
     def set(self, action: SetTimer) -> None:
         """Start a timer."""
-        delay_s = max(0, action.due_at - clock.now()) / MICROSECONDS_PER_SECOND
+        delay_s = max(0, action.due_at - clock.now()) / clock.MICROSECONDS_PER_SECOND
         timer = threading.Timer(delay_s, self._fetch_gauges, (action,))
         timer.daemon = True
         timer.start()
