Bound the questions to the worker pool that are remembered without a reply

By reading the change again: a pool that answers no poll on a link that stays open left one entry each 50 ms, for as long as the link lasted. 256 are kept now; a reply to an older one shows nothing, which is the safe side.

--- a/cairnvane/net/sent_commands.py
+++ b/cairnvane/net/sent_commands.py
@@ -12,6 +12,8 @@
 
 # Acknowledged links that are remembered; of an older link, no command counts as read.
 MAX_REMEMBERED_LINKS = 256
+# Questions without a reply that are remembered; a reply to an older one shows nothing.
+MAX_REMEMBERED_QUESTIONS = 256
 
 
 class SentCommand(NamedTuple):
@@ -38,6 +40,8 @@
         """Record a question, before its reply can arrive."""
         with self._changed:
             self._questions[echo] = question
+            if len(self._questions) > MAX_REMEMBERED_QUESTIONS:
+                del self._questions[next(iter(self._questions))]
 
     def reply_received(self, echo: str) -> None:
         """Record that all commands before the question with this echo have been read."""
--- a/tests/net/test_sent_commands.py
+++ b/tests/net/test_sent_commands.py
@@ -7,6 +7,7 @@
 
 from cairnvane.net.sent_commands import (
     MAX_REMEMBERED_LINKS,
+    MAX_REMEMBERED_QUESTIONS,
     NOT_SENT,
     SENT_BY_EARLIER_INCARNATION,
     ReadCommands,
@@ -56,6 +57,18 @@
     assert read_commands.includes(SentCommand(2, 2))
 
 
+def test_questions_that_the_pool_never_answers_are_forgotten() -> None:
+    """Guards against memory that grows while the pool answers no question on a link that stays open."""
+    read_commands = ReadCommands()
+    for number in range(1, MAX_REMEMBERED_QUESTIONS + 2):
+        read_commands.question_sent(str(number), SentCommand(1, number))
+    assert len(read_commands._questions) == MAX_REMEMBERED_QUESTIONS
+    read_commands.reply_received("1")
+    assert not read_commands.includes(SentCommand(1, 1))
+    read_commands.reply_received("2")
+    assert read_commands.includes(SentCommand(1, 2))
+
+
 def test_wait_ends_with_the_link() -> None:
     read_commands = ReadCommands()
     read_commands.question_sent("a", SentCommand(1, 5))
