--- a/cairnvane/server/executions.py
+++ b/cairnvane/server/executions.py
@@ -192,7 +192,7 @@
 
         A `supply` can't: it does not say which call it belongs to. If the pool has read it, the run continues
         and may wait for its next call by the time the repeated reply arrives, which it would take for the
-        reply to that call. So a run whose reply may be lost is left to continue, or to its deadline.
+        reply to that call. See `run_restarts` for what becomes of such a run.
         """
         command = in_flight.last_command
         if command is None or command.link >= link or not in_flight.is_running:
--- a/cairnvane/server/shutdown_plan.py
+++ b/cairnvane/server/shutdown_plan.py
@@ -6,8 +6,8 @@
 from ..contract.settings import Settings
 from .lifecycle import Shutdown
 
-# The operators kill a process as early as the longest client timeout, of which at most this much counts, plus
-# the time below. They don't wait for `stop_ms` then, which is the limit of a shutdown without a successor.
+# The operators may kill a process after the longest client timeout, of which at most this much counts, plus
+# the time below, even if `stop_ms` is later.
 MAX_COUNTED_CLIENT_TIMEOUT_S = 3.0
 EARLIEST_KILL_AFTER_CLIENT_TIMEOUT_S = 0.7
 # All requests are answered this long before the process is killed, which leaves time for a delayed thread and
