--- a/review/standins2/kit.py
+++ b/review/standins2/kit.py
@@ -17,6 +17,7 @@
 import signal
 import socket
 import struct
+import sys
 import tempfile
 import time
 import tomllib
@@ -32,6 +33,8 @@
 MAX_OPEN = 32
 # Connections that a balancer keeps which also opens new ones now and then.
 MAX_KEPT_LINKS = 4
+# A case that takes longer could not run.
+LONGEST_S = 112.0
 # The last lines of the program's log that go into the record.
 LOG_LINES = 30
 
@@ -745,14 +748,21 @@
     return await asyncio.wait_for(exchange(), wait_s)
 
 
+async def _as_coroutine(case: Awaitable[bool]) -> bool:
+    return await case
+
+
 def run_case(folder: Path, case: Callable[[Record, Path, bool], Awaitable[bool]]) -> int:
     """Run a case; returns the exit status: 0 the rule held, 1 it was broken, 2 the case couldn't run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))  # so that all processes are ended
     record = Record(folder / "record.txt")
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)  # readers that still wait at the end
     try:
         with tempfile.TemporaryDirectory(ignore_cleanup_errors=True) as temporary:
-            held = asyncio.run(case(record, Path(temporary), trouble))
+            held = asyncio.run(
+                asyncio.wait_for(_as_coroutine(case(record, Path(temporary), trouble)), LONGEST_S)
+            )
     except (CannotRunError, OSError) as error:
         record.say(f"could not run: {type(error).__name__} {error}")
         return 2
