--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Sixty bad clients take their requests back at once; the balancers' requests have to be answered."""
+"""Two hundred bad clients take their requests back at once; the balancers' requests have to be answered."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 FOLDER = Path(__file__).resolve().parent
 
 RATE = 20.0
-CLIENTS = 60
+CLIENTS = 200
 BEFORE_S = 2.0
 TROUBLE_S = 20.0
 AFTER_S = 3.0
