--- a/review/standins2/kit.py
+++ b/review/standins2/kit.py
@@ -359,6 +359,10 @@
         self.port = 0
         self.calls: dict[str, int] = {}
 
+    def answer(self) -> bytes:
+        """Return the reply to the next call."""
+        return self.reply
+
     async def start(self, port: int = 0) -> Vault:
         """Listen."""
         server = await asyncio.start_server(self._serve, HOST, port)
@@ -373,8 +377,9 @@
                 self.calls[uid] = self.calls.get(uid, 0) + 1
                 self._record.line(f"vault call {uid}")
                 self.total += 1
+                reply = self.answer()
                 await asyncio.sleep(self._seconds(uid))
-                writer.write(self.reply)
+                writer.write(reply)
         with contextlib.suppress(OSError):
             writer.close()
 
