Read suspect clients in turns, so that requests taken back at once starve nobody

Cause: an aborted request frees its number at once, so the 32 open requests of a connection bound nothing, and the client is not slowed down. 200 reader threads parse without a pause; the event loop's thread gets 0.01 to 0.07 s of processor time a second, and its queue grows to 138,000 tasks.

Evidence: a trial on a scratch copy logged the queue, the loop's own time and the process's time each second.

Change: a client that has aborted 64 requests more than were answered on its connection is suspect, like one that sends invalid data. Readers of suspect clients take turns: a turn reads 4 KiB, lasts until the event loop has handled what was read, and is followed by a pause of three times its length. The number of such clients no longer matters. New metric load.waiting_tasks and a warning, so that operators can tell this from overload.

Related paths: invalid data, more than 32 requests and malformed records take the same turns.

The new test failed before: 1,600 requests queued, of 811 allowed.

--- a/cairnvane/administration/drain_gate.py
+++ b/cairnvane/administration/drain_gate.py
@@ -34,3 +34,7 @@
             check.respond(Response(ResponseStatus.REJECTED))
         else:
             self._next_sink.health_check_arrived(check)
+
+    def wait_until_handled(self, timeout_s: float) -> None:
+        """Wait for the next sink."""
+        self._next_sink.wait_until_handled(timeout_s)
--- a/cairnvane/exchange.py
+++ b/cairnvane/exchange.py
@@ -129,6 +129,9 @@
     def health_check_arrived(self, check: HealthCheck) -> None:
         """A health check was read."""
 
+    def wait_until_handled(self, timeout_s: float) -> None:
+        """Wait, for at most `timeout_s` seconds, until all that was passed before has been handled."""
+
 
 class ResponseCounter(Protocol):
     """Counts final responses as they are written, for the administration endpoint."""
--- a/cairnvane/membership/observer.py
+++ b/cairnvane/membership/observer.py
@@ -66,6 +66,10 @@
         """Forward a health check."""
         self._server.health_check_arrived(check)
 
+    def wait_until_handled(self, timeout_s: float) -> None:
+        """Wait for the server."""
+        self._server.wait_until_handled(timeout_s)
+
     def external_signals(self) -> ExternalSignals:
         """The signals observed outside the members' channel; called in the thread of that channel."""
         now = clock.now()
--- a/cairnvane/net/connection.py
+++ b/cairnvane/net/connection.py
@@ -12,6 +12,7 @@
 from .connection_lifecycle import MAX_OPEN_REQUESTS, ConnectionLifecycle, ConnectionPhase, LifecycleContext
 from .read_buffers import BufferPool
 from .record_handler import MAX_STRAY_RECORDS, HandlerContext, RecordHandler
+from .suspect_reads import SUSPECT_READ_BYTES, SuspectReads
 
 __all__ = [
     "MAX_OPEN_REQUESTS",
@@ -28,8 +29,8 @@
 # a request, so a peer that sends nothing or only a part for this long is hardly one. Such a connection has to
 # be closed within 3 s; the difference allows for delays on a busy machine.
 REQUEST_TIMEOUT_S = 2.0
-# Delay before the next read from a peer that sent invalid data. Without it, a client that retries as soon as
-# it is rejected would use the CPU time that the balancers need.
+# Delay before the next read from a suspect peer. Without it, a client that retries as soon as it is rejected
+# would use the CPU time that the balancers need.
 SUSPECT_READ_DELAY_S = 0.05
 # Time to send pending responses when the connection is closed.
 FLUSH_TIMEOUT_S = 1.0
@@ -44,6 +45,7 @@
     """The attributes of the server that a connection uses."""
 
     buffers: BufferPool
+    suspect_reads: SuspectReads
     client_timeout_s: float  # no client waits longer than this for its answer
 
 
@@ -91,23 +93,41 @@
         received, input stays in the kernel's buffer, where the lifecycle can detect it.
         """
         with self._server.buffers.lend() as buffer:
-            buffered = 0
-            while True:
-                try:
-                    if not self.sock.recv(1, socket.MSG_PEEK):
-                        return
-                    received = self._lifecycle.receive(buffer[buffered:])
-                except OSError:
-                    return
-                if received == 0:
-                    return
-                is_serving = self._lifecycle.state is ConnectionPhase.SERVING
-                buffered = self._parse(buffer, buffered + received) if is_serving else 0
-                if self._close_after_parsing():
+            buffered: int | None = 0
+            while buffered is not None:
+                if not self._await_input():
                     return
                 if self._handler.is_suspect:
+                    with self._server.suspect_reads.turn():
+                        buffered = self._read(buffer[: buffered + SUSPECT_READ_BYTES], buffered)
+                else:
+                    buffered = self._read(buffer, buffered)
+                if buffered is not None and self._handler.is_suspect:
                     time.sleep(SUSPECT_READ_DELAY_S)
 
+    def _await_input(self) -> bool:
+        """Wait until bytes are available; False if the connection has ended."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
+    def _read(self, buffer: memoryview, buffered: int) -> int | None:
+        """Receive and handle input; the first `buffered` bytes of the buffer were received before.
+
+        Returns how many bytes at the start of the buffer are the beginning of the next record, or None if the
+        connection has ended.
+        """
+        try:
+            received = self._lifecycle.receive(buffer[buffered:])
+        except OSError:
+            return None
+        if received == 0:
+            return None
+        is_serving = self._lifecycle.state is ConnectionPhase.SERVING
+        buffered = self._parse(buffer, buffered + received) if is_serving else 0
+        return None if self._close_after_parsing() else buffered
+
     def _parse(self, buffer: memoryview, size: int) -> int:
         """Handle all complete records in the buffer.
 
@@ -120,7 +140,7 @@
                 self._handler.handle(record)
         except fastcgi.MalformedRecordError as error:
             logger.warning("connection closed for reading after a malformed record: %s", error)
-            self._handler.is_suspect = True
+            self._handler.mark_suspect()
             self._lifecycle.stop_reading()
             return 0
         remaining = size - position
--- a/cairnvane/net/connection_lifecycle.py
+++ b/cairnvane/net/connection_lifecycle.py
@@ -14,6 +14,9 @@
 
 # The protocol's limit on open requests per connection.
 MAX_OPEN_REQUESTS = 32
+# A client that has aborted so many more requests than were answered on its connection is suspect: twice what
+# a balancer has open, and aborts, where a slow server has given no answer in time.
+MAX_UNANSWERED_ABORTS = 2 * MAX_OPEN_REQUESTS
 # Extension of a peer's deadline while received bytes have not been parsed yet.
 UNREAD_INPUT_GRACE_S = 0.5
 # Idle connections are closed after this time at the latest. Balancers close theirs after a few seconds, so
@@ -87,6 +90,12 @@
         # By the clock of `context`; None after a complete request has arrived.
         self._first_request_awaited_since: float | None = context.clock
         self._ended_since: float | None = None
+        self._unanswered_aborts = 0  # aborted requests, less the requests answered since; at least 0
+
+    @property
+    def has_excessive_aborts(self) -> bool:
+        """Whether the client takes most of its requests back, which costs it nothing."""
+        return self._unanswered_aborts > MAX_UNANSWERED_ABORTS
 
     # --- reading
 
@@ -147,6 +156,8 @@
         with self._lock:
             partial = self._partial_requests.pop(number, None)
             exchange = self._open_exchanges.get(number)
+            if partial is not None or exchange is not None:
+                self._unanswered_aborts += 1
         return AbortedRequest(partial is not None, exchange)
 
     def register_exchange(self, incoming: fastcgi.IncomingRequest, exchange: Exchange) -> bool:
@@ -166,18 +177,16 @@
             self._first_request_awaited_since = None
         return True
 
-    def close_request(self, number: int, data: bytes) -> None:
-        """Remove an open request and write the end of its response (`data`), atomically and without blocking.
+    def answer_request(self, number: int, data: bytes) -> None:
+        """Close an open request with its response (`data`)."""
+        with self._lock:
+            self._unanswered_aborts = max(0, self._unanswered_aborts - 1)
+            self._close_request(number, data)
 
-        If the connection could be closed between the two steps, the peer would never get the response. If the
-        response were written first, the balancer could reuse the number while it still counts as open.
-        """
+    def close_request(self, number: int, data: bytes) -> None:
+        """Close an open request for whose response nobody waits; `data` tells the peer that it has ended."""
         with self._lock:
-            self._open_exchanges.pop(number, None)
-            self.writer.send(data)
-            self.last_activity = time.monotonic()
-            if not self._open_exchanges:
-                self._all_answered.notify()
+            self._close_request(number, data)
 
     def stop_reading_and_list_open(self) -> dict[int, Exchange]:
         """Stop reading further input, and return the unanswered requests by request number."""
@@ -249,6 +258,18 @@
 
     # --- called with the lock held
 
+    def _close_request(self, number: int, data: bytes) -> None:
+        """Remove an open request and write the end of its response, atomically and without blocking.
+
+        If the connection could be closed between the two steps, the peer would never get the response. If the
+        response were written first, the balancer could reuse the number while it still counts as open.
+        """
+        self._open_exchanges.pop(number, None)
+        self.writer.send(data)
+        self.last_activity = time.monotonic()
+        if not self._open_exchanges:
+            self._all_answered.notify()
+
     def _stop_reading(self) -> None:
         if self.state is ConnectionPhase.SERVING:
             self.state = ConnectionPhase.ANSWERING
--- a/cairnvane/net/server.py
+++ b/cairnvane/net/server.py
@@ -13,6 +13,7 @@
 from .accept_loop import accept_connections, hand_over
 from .connection import MAX_OPEN_REQUESTS, Connection
 from .read_buffers import BufferPool
+from .suspect_reads import SuspectReads
 
 logger = logging.getLogger(__name__)
 
@@ -61,6 +62,7 @@
         self.response_counter = response_counter
         self.client_timeout_s = client_timeout_s
         self.buffers = BufferPool()
+        self.suspect_reads = SuspectReads(sink.wait_until_handled)
         self.idle_s = 0.0  # close connections after this idle time; 0: after `MAX_IDLE_S`
         self.retiring = False
         # In seconds; the deadlines of peers are measured by it. It advances by one interval at a time, so a
--- a/cairnvane/server/event_loop.py
+++ b/cairnvane/server/event_loop.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+import threading
 from collections.abc import Callable
 from queue import Empty, SimpleQueue
 from typing import TYPE_CHECKING
@@ -158,6 +159,12 @@
         """A health check was read."""
         self._tasks.put(lambda: self._health.check(check))
 
+    def wait_until_handled(self, timeout_s: float) -> None:
+        """Wait, for at most `timeout_s` seconds, until all tasks that were queued before have been run."""
+        handled = threading.Event()
+        self._tasks.put(handled.set)
+        handled.wait(timeout_s)
+
     def finished(self, uid: str, code: str, duration_us: int, result: bytes, position: int) -> None:
         """A run has ended, according to the pool's notice at this position."""
         self._tasks.put(lambda: self._runs.end(uid, code, duration_us, result, position))
@@ -241,7 +248,11 @@
         self.notify(event)
         self._handle(due_at)
         self.load = take_snapshot(
-            self._controller, self.executions, event, dict(self._actions.ended_without_run)
+            self._controller,
+            self.executions,
+            event,
+            dict(self._actions.ended_without_run),
+            self._tasks.qsize(),
         )
 
     def _start_drain(self, time_left_us: int) -> None:
--- a/cairnvane/server/load_snapshot.py
+++ b/cairnvane/server/load_snapshot.py
@@ -17,6 +17,7 @@
     A timer fires at least every 50 ms while requests are pending, and less often while none are.
     """
 
+    waiting_tasks: int = 0  # of the event loop
     queued: int = 0
     running: int = 0  # on the cores
     awaiting_call: int = 0
@@ -41,11 +42,16 @@
 
 
 def take_snapshot(
-    controller: Controller, executions: Executions, gauges: TimerFired, ended_without_run: dict[str, int]
+    controller: Controller,
+    executions: Executions,
+    gauges: TimerFired,
+    ended_without_run: dict[str, int],
+    waiting_tasks: int,
 ) -> LoadSnapshot:
     """Return the current state; called in the event loop's thread."""
     requests = controller.requests
     return LoadSnapshot(
+        waiting_tasks=waiting_tasks,
         queued=len(controller.queue),
         running=len(controller.running),
         awaiting_call=len(requests.awaiting_call),
--- a/tests/recordings/test_golden_bytes.py
+++ b/tests/recordings/test_golden_bytes.py
@@ -139,6 +139,9 @@
         self.seen.append(["check", check.deep])
         check.respond(Response(ResponseStatus.SERVED, b"well"))
 
+    def wait_until_handled(self, timeout_s: float) -> None:
+        """Everything is handled at once."""
+
 
 def _pairs(values: dict[str, str]) -> bytes:
     """Encode name-value pairs of short texts without the codec under test."""
--- a/tests/server/test_floods.py
+++ b/tests/server/test_floods.py
@@ -12,7 +12,10 @@
 from server_helpers import ABORT, BEGIN, in_thread
 from server_process import NOWHERE, program
 
+from cairnvane.exchange import HealthCheck, Request, RequestSink
 from cairnvane.net import connection, fastcgi
+from cairnvane.net.read_buffers import BUFFER_SIZE
+from cairnvane.net.server import FastCgiServer
 
 
 def test_records_of_ended_requests_are_tolerated_up_to_the_limit() -> None:
@@ -29,6 +32,29 @@
             pass
 
 
+def _request(number: int) -> bytes:
+    """The records of a request."""
+    params = {
+        "SCRIPT_NAME": "/svc/read",
+        "HTTP_REQ_ID": f"{number:016x}",
+        "HTTP_REQ_TIME": "0",
+        "HTTP_REQ_FROM": "0",
+        "HTTP_REQ_KB": "20.5",
+    }
+    parts = (BEGIN, *(fastcgi.record(kind, 1, data) for kind, data in _contents(params)))
+    return b"".join(parts)
+
+
+def _contents(params: dict[str, str]) -> list[tuple[int, bytes]]:
+    return [
+        (fastcgi.PARAMS, fastcgi.encode_pairs(params)),
+        (fastcgi.PARAMS, b""),
+        (fastcgi.STDIN, b""),
+    ]
+
+
+_TAKEN_BACK = _request(0xF00D) + ABORT
+
 # The data of each flood, and whether its client reads. A client reconnects when its connection is closed.
 FLOODS = {
     "records without a request": (fastcgi.record(fastcgi.STDIN, 7, b"") * 1_000, True),
@@ -38,6 +64,7 @@
         b"".join(BEGIN[:2] + number.to_bytes(2, "big") + BEGIN[4:] for number in range(1, 600)),
         True,
     ),
+    "requests that are taken back at once": (_TAKEN_BACK * 100, True),
     "garbage": (b"GET / HTTP/1.1\r\n\r\n" * 100, True),
     "an oversized record": (fastcgi.record(fastcgi.PARAMS, 1, bytes(60_000)), True),
     "half a record": (BEGIN[:5], True),
@@ -87,6 +114,53 @@
             each.join(WAIT_S)
 
 
+class UnhandledRequests(RequestSink):
+    """Counts the requests that were passed and not handled yet; nothing is handled until somebody waits."""
+
+    def __init__(self) -> None:
+        self.most = 0
+        self._count = 0
+        self._lock = threading.Lock()
+
+    def request_arrived(self, request: Request) -> None:
+        with self._lock:
+            self._count += 1
+            self.most = max(self.most, self._count)
+
+    def client_disconnected(self, request: Request) -> None:
+        """Counted as a part of its request."""
+
+    def health_check_arrived(self, check: HealthCheck) -> None:
+        raise AssertionError("no health check was sent")
+
+    def wait_until_handled(self, timeout_s: float) -> None:
+        with self._lock:
+            self._count = 0
+
+
+def test_requests_that_are_taken_back_at_once_never_pile_up_before_the_event_loop() -> None:
+    """Guards against clients that abort at once: their requests filled the event loop's queue."""
+    clients, requests_each = 4, 400
+    most_in_one_read = BUFFER_SIZE // len(_TAKEN_BACK) + 1
+    most_before_suspicion = 2 * connection.MAX_OPEN_REQUESTS + most_in_one_read
+    sink = UnhandledRequests()
+    server = FastCgiServer(("127.0.0.1", 0), sink, clients)
+    server.start()
+
+    def take_back_all() -> None:
+        client = Balancer(server.address)
+        in_thread(lambda: client.sock.sendall(_TAKEN_BACK * requests_each))
+        for _ in range(requests_each):
+            assert client.answer()[1].status == 0
+
+    floods = [in_thread(take_back_all) for _ in range(clients)]
+    for each in floods:
+        each.join(WAIT_S)
+        assert not each.is_alive()
+    server.retire(WAIT_S)
+    assert sink.most <= clients * most_before_suspicion + most_in_one_read
+
+
 def test_concurrent_deep_health_checks_share_one_check_of_the_pool() -> None:
     """Guards against a flood: each check cost the pool CPU time, and this process a timer thread."""
     with world() as harness:
