Bound the memory of partial and unanswered requests over all connections

Cause: each limit was kept (10 KiB a request, 32 requests a connection, three quarters of the descriptors), but nothing bounded their product, and limits.memory_mb was not read.

Ruled out by a trial: failing the largest holder's requests, whoever causes the excess.

Change: RequestMemory counts the bytes of partial requests (a sixteenth of the memory) and the unanswered requests (an eighth) of all connections. Beyond the first, a connection over its share fails its own partial requests; beyond the second, a request is rejected before the event loop. Unknown parameters are not kept, over 256 are malformed, a silent connection has no buffer, connections are 8 a MiB at most. A connection that has ended leaves the queue of suspect readers at once.

Tests: half requests of many clients failed before (peak over limits.memory_mb).

--- a/cairnvane/config/__init__.py
+++ b/cairnvane/config/__init__.py
@@ -19,6 +19,7 @@
 
 # The limits of the platform on a scored day; defaults for a configuration without them.
 DEFAULT_SOCKETS = 1_024
+DEFAULT_MEMORY_MB = 192
 DEFAULT_STOP_MS = 3_000
 # 64 file descriptors are reserved for links, calls and closing connections; as many should remain for
 # balancers.
@@ -27,6 +28,10 @@
 MAX_SOCKETS = 1 << 20
 # One day: longer than any useful grace period.
 MAX_STOP_MS = 86_400_000
+# The interpreter with the program loaded needs as much.
+MIN_MEMORY_MB = 16
+# More memory than any machine has.
+MAX_MEMORY_MB = 1 << 24
 MAX_PORT = 65_535
 
 # Environment variables. The first one is the path of the platform's file, the next three override its keys.
@@ -46,6 +51,7 @@
 
 class _Limits(msgspec.Struct):
     sockets: int = DEFAULT_SOCKETS
+    memory_mb: float = DEFAULT_MEMORY_MB
 
 
 class _File(msgspec.Struct):
@@ -75,6 +81,7 @@
     seed: int
     stop_ms: int  # the platform kills the process this long after the signal to shut down
     sockets: int  # maximum number of open file descriptors of the process
+    memory_mb: int  # the platform kills the process if it needs more memory than this, in MiB
     settings: Settings
     gauges: tuple[str | None, ...]  # names in the order in which the pool sends them; None: not used
     administration: Address | None = None  # of the administration endpoint; None: disabled
@@ -85,6 +92,7 @@
     "name": "name",
     "listen": "listen",
     "sockets": "sockets",
+    "memory_mb": "memory_mb",
     "settings": "settings",
     "control": "administration",
 }
@@ -188,6 +196,9 @@
         seed=seed,
         stop_ms=_require_in_range("stop_ms", file.stop_ms, 1, MAX_STOP_MS),
         sockets=_require_in_range("limits.sockets", file.limits.sockets, MIN_SOCKETS, MAX_SOCKETS),
+        memory_mb=_require_in_range(
+            "limits.memory_mb", int(file.limits.memory_mb), MIN_MEMORY_MB, MAX_MEMORY_MB
+        ),
         settings=settings,
         gauges=gauges,
         administration=address("control", administration) if administration else None,
--- a/cairnvane/net/connection.py
+++ b/cairnvane/net/connection.py
@@ -12,7 +12,7 @@
 from .connection_lifecycle import MAX_OPEN_REQUESTS, ConnectionLifecycle, ConnectionPhase, LifecycleContext
 from .read_buffers import BufferPool
 from .record_handler import MAX_STRAY_RECORDS, HandlerContext, RecordHandler
-from .suspect_reads import SUSPECT_READ_BYTES, SuspectReads
+from .suspect_reads import SUSPECT_READ_BYTES
 
 __all__ = [
     "MAX_OPEN_REQUESTS",
@@ -45,7 +45,6 @@
     """The attributes of the server that a connection uses."""
 
     buffers: BufferPool
-    suspect_reads: SuspectReads
     client_timeout_s: float  # no client waits longer than this for its answer
 
 
@@ -92,18 +91,28 @@
         slow down the few that have work: `enforce_deadlines` wakes the readers that have to end. Until it is
         received, input stays in the kernel's buffer, where the lifecycle can detect it.
         """
-        with self._server.buffers.lend() as buffer:
-            buffered: int | None = 0
-            while buffered is not None:
-                if not self._await_input():
+        while self._await_input():
+            with self._server.buffers.lend() as buffer:
+                if not self._read_whole_records(buffer):
                     return
-                if self._handler.is_suspect:
-                    with self._server.suspect_reads.turn():
-                        buffered = self._read(buffer[: buffered + SUSPECT_READ_BYTES], buffered)
-                else:
-                    buffered = self._read(buffer, buffered)
-                if buffered is not None and self._handler.is_suspect:
-                    time.sleep(SUSPECT_READ_DELAY_S)
+
+    def _read_whole_records(self, buffer: memoryview) -> bool:
+        """Read until the input ends with a complete record; False if the connection has ended."""
+        buffered = self._read_in_turn(buffer, 0)
+        while buffered:
+            buffered = self._read_in_turn(buffer, buffered) if self._await_input() else None
+        return buffered is not None
+
+    def _read_in_turn(self, buffer: memoryview, buffered: int) -> int | None:
+        """Read like `_read`, more slowly if the client is suspect."""
+        if self._handler.is_suspect:
+            with self._server.suspect_reads.turn(self._lifecycle.read_ticket):
+                remaining = self._read(buffer[: buffered + SUSPECT_READ_BYTES], buffered)
+        else:
+            remaining = self._read(buffer, buffered)
+        if remaining is not None and self._handler.is_suspect:
+            time.sleep(SUSPECT_READ_DELAY_S)
+        return remaining
 
     def _await_input(self) -> bool:
         """Wait until bytes are available; False if the connection has ended."""
--- a/cairnvane/net/connection_lifecycle.py
+++ b/cairnvane/net/connection_lifecycle.py
@@ -11,6 +11,9 @@
 from ..exchange import Exchange
 from . import fastcgi
 from .message_writer import MessageWriter
+from .request_memory import RequestMemory
+from .request_parameters import PARAMETER_NAMES
+from .suspect_reads import SuspectReads, TurnTicket
 
 # The protocol's limit on open requests per connection.
 MAX_OPEN_REQUESTS = 32
@@ -62,6 +65,8 @@
     idle_s: float  # close connections after this idle time; 0: after `MAX_IDLE_S`
     retiring: bool
     clock: float  # in seconds; the deadlines of peers are measured by it
+    request_memory: RequestMemory
+    suspect_reads: SuspectReads
 
 
 class ConnectionLifecycle:
@@ -90,6 +95,8 @@
         # By the clock of `context`; None after a complete request has arrived.
         self._first_request_awaited_since: float | None = context.clock
         self._ended_since: float | None = None
+        self.read_ticket = TurnTicket()  # for a suspect client's reads; cancelled when the connection ends
+        self._partial_bytes = 0  # held for `_partial_requests`
         self._unanswered_aborts = 0  # aborted requests, less the requests answered since; at least 0
 
     @property
@@ -97,6 +104,13 @@
         """Whether the client takes most of its requests back, which costs it nothing."""
         return self._unanswered_aborts > MAX_UNANSWERED_ABORTS
 
+    @property
+    def has_excessive_partial_requests(self) -> bool:
+        """Whether partial requests need too much memory, and those of this connection more than its share."""
+        memory = self._context.request_memory
+        is_over_share = self._partial_bytes > memory.max_partial_bytes_of_connection
+        return is_over_share and memory.has_excessive_partial_requests
+
     # --- reading
 
     def receive(self, buffer: memoryview) -> int:
@@ -142,11 +156,30 @@
                 return BeginResult.UNKNOWN_ROLE
             if len(self._open_exchanges) + len(self._partial_requests) >= MAX_OPEN_REQUESTS:
                 return BeginResult.OVERLOADED
-            self._partial_requests[number] = fastcgi.IncomingRequest(
-                number, keep_connection, self._context.clock
-            )
+            incoming = fastcgi.IncomingRequest(number, keep_connection, self._context.clock, PARAMETER_NAMES)
+            self._partial_requests[number] = incoming
+            self._change_partial_bytes(incoming.size)
         return BeginResult.STARTED
 
+    def add_content(self, incoming: fastcgi.IncomingRequest, record: fastcgi.Record) -> bool:
+        """Add a record to a partial request; True if that is complete, False also if it has ended.
+
+        Raises `MalformedRecordError` if the record does not fit.
+        """
+        with self._lock:
+            if self._partial_requests.get(incoming.id) is not incoming:
+                return False
+            previous_size = incoming.size
+            try:
+                return incoming.add(record)
+            finally:
+                self._change_partial_bytes(incoming.size - previous_size)
+
+    def partial_requests(self) -> list[fastcgi.IncomingRequest]:
+        """The requests that are being received."""
+        with self._lock:
+            return list(self._partial_requests.values())
+
     def partial_request(self, number: int) -> fastcgi.IncomingRequest | None:
         """The request with this number if it is still being read, else None."""
         return self._partial_requests.get(number)
@@ -154,7 +187,7 @@
     def abort_request(self, number: int) -> AbortedRequest:
         """Handle the peer's abort of this request."""
         with self._lock:
-            partial = self._partial_requests.pop(number, None)
+            partial = self._remove_partial(number)
             exchange = self._open_exchanges.get(number)
             if partial is not None or exchange is not None:
                 self._unanswered_aborts += 1
@@ -172,8 +205,9 @@
                 or self._partial_requests.get(incoming.id) is not incoming
             ):
                 return False
-            del self._partial_requests[incoming.id]
+            self._remove_partial(incoming.id)
             self._open_exchanges[incoming.id] = exchange
+            self._context.request_memory.change_open_requests(1)
             self._first_request_awaited_since = None
         return True
 
@@ -264,7 +298,8 @@
         If the connection could be closed between the two steps, the peer would never get the response. If the
         response were written first, the balancer could reuse the number while it still counts as open.
         """
-        self._open_exchanges.pop(number, None)
+        if self._open_exchanges.pop(number, None) is not None:
+            self._context.request_memory.change_open_requests(-1)
         self.writer.send(data)
         self.last_activity = time.monotonic()
         if not self._open_exchanges:
@@ -273,15 +308,27 @@
     def _stop_reading(self) -> None:
         if self.state is ConnectionPhase.SERVING:
             self.state = ConnectionPhase.ANSWERING
-        self._partial_requests.clear()
+        for number in list(self._partial_requests):
+            self._remove_partial(number)
         self.partial_record_since = None
         self._first_request_awaited_since = None
 
+    def _remove_partial(self, number: int) -> fastcgi.IncomingRequest | None:
+        incoming = self._partial_requests.pop(number, None)
+        if incoming is not None:
+            self._change_partial_bytes(-incoming.size)
+        return incoming
+
+    def _change_partial_bytes(self, change: int) -> None:
+        self._partial_bytes += change
+        self._context.request_memory.change_partial_bytes(change)
+
     def _end(self) -> None:
         """Close our side of the connection; further input is ignored."""
         if self.state is not ConnectionPhase.ENDED:
             self.state = ConnectionPhase.ENDED
             self._ended_since = self._context.clock
+            self._context.suspect_reads.cancel(self.read_ticket)
             self.writer.close_write_side()
 
     def _input_awaited_since(self) -> list[float | None]:
--- a/cairnvane/net/fastcgi.py
+++ b/cairnvane/net/fastcgi.py
@@ -29,9 +29,13 @@
 # In bytes. The parameters of a request are a dozen short fields; its body is at most 2 KiB.
 MAX_PARAMS_BYTES = 8_192
 MAX_BODY_BYTES = 2_048
+# Decoding more would take long, since a name and a value may be empty.
+MAX_PAIRS = 256
 # No legal request has a record with more content than this.
 MAX_CONTENT_BYTES = MAX_PARAMS_BYTES
 MAX_RECORD_OUT = 65_535
+# Memory of a request of which no content has been received yet.
+PARTIAL_REQUEST_BYTES = 1_024
 
 
 class MalformedRecordError(ProtocolError):
@@ -70,14 +74,18 @@
     return _HEADER.pack(VERSION, kind, request, len(content), 0) + content
 
 
-def decode_pairs(data: bytes) -> dict[str, str]:
-    """Decode name-value pairs.
+def decode_pairs(data: bytes, names: frozenset[str] | None = None) -> dict[str, str]:
+    """Decode name-value pairs: all, or those with one of these names.
 
     Bytes that are not UTF-8 become surrogate escapes, so that different names never become equal.
     """
     decoded: dict[str, str] = {}
     position = 0
+    count = 0
     while position < len(data):
+        count += 1
+        if count > MAX_PAIRS:
+            raise MalformedRecordError(f"more than {MAX_PAIRS} parameters")
         name_length, position = _read_length(data, position)
         value_length, position = _read_length(data, position)
         name_end = position + name_length
@@ -85,7 +93,8 @@
         if value_end > len(data):
             raise MalformedRecordError("truncated parameters")
         name = data[position:name_end].decode("utf-8", "surrogateescape")
-        decoded[name] = data[name_end:value_end].decode("utf-8", "surrogateescape")
+        if names is None or name in names:
+            decoded[name] = data[name_end:value_end].decode("utf-8", "surrogateescape")
         position = value_end
     return decoded
 
@@ -143,10 +152,17 @@
     id: int
     keep_connection: bool  # the connection stays open after the response
     started_at: float  # time of the first record, by the server's clock for connections
+    parameter_names: frozenset[str]  # all other parameters are discarded
     params: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
     _stream: bytearray = field(default_factory=bytearray)  # content of the parameters, later of the body
     _has_params: bool = False
+    _params_bytes: int = 0
+
+    @property
+    def size(self) -> int:
+        """The bytes of memory that it occupies, with an allowance for its objects."""
+        return PARTIAL_REQUEST_BYTES + self._params_bytes + len(self._stream)
 
     def add(self, part: Record) -> bool:
         """Add a PARAMS or STDIN record; True if the request is now complete.
@@ -161,8 +177,9 @@
         if self._has_params:
             self.body = bytes(self._stream)
             return True
-        self.params = decode_pairs(bytes(self._stream))
+        self.params = decode_pairs(bytes(self._stream), self.parameter_names)
         self._has_params = True
+        self._params_bytes = len(self._stream)
         self._stream.clear()
         return False
 
--- a/cairnvane/net/record_handler.py
+++ b/cairnvane/net/record_handler.py
@@ -8,6 +8,7 @@
 from ..exchange import Exchange, Request, RequestSink, Response, ResponseCounter, ResponseStatus
 from . import fastcgi, request_parameters
 from .connection_lifecycle import BeginResult, ConnectionLifecycle, ConnectionPhase
+from .request_memory import RequestMemory
 
 logger = logging.getLogger(__name__)
 
@@ -28,6 +29,7 @@
     response_counter: ResponseCounter | None  # counts final responses; None: they are not counted
     retiring: bool
     values: dict[str, str]  # replies to FCGI_GET_VALUES
+    request_memory: RequestMemory
 
 
 class RecordHandler:
@@ -93,7 +95,9 @@
         result = self._lifecycle.begin_request(record.request, role, keep_connection)
         if result is BeginResult.NUMBER_IN_USE:
             raise fastcgi.MalformedRecordError(f"request number {record.request} is already in use")
-        if result is not BeginResult.STARTED:
+        if result is BeginResult.STARTED:
+            self._limit_partial_requests()
+        else:
             self.mark_suspect()
             self._count_stray_record()
             # It was never handed over, so the guarantee that a rejected request never ran holds.
@@ -125,8 +129,19 @@
         incoming = self._lifecycle.partial_request(record.request)
         if incoming is None:
             self._count_stray_record()
-        elif incoming.add(record):
+        elif self._lifecycle.add_content(incoming, record):
             self._hand_over(incoming)
+        else:
+            self._limit_partial_requests()
+
+    def _limit_partial_requests(self) -> None:
+        """Fail all partial requests of a client that holds too much memory with them."""
+        if not self._lifecycle.has_excessive_partial_requests:
+            return
+        logger.warning("partial requests of a connection failed: they need too much memory")
+        self.mark_suspect()
+        for incoming in self._lifecycle.partial_requests():
+            self.fail(incoming)
 
     def _hand_over(self, incoming: fastcgi.IncomingRequest) -> None:
         class_name = ""  # set once the request is registered
@@ -151,7 +166,10 @@
             return
         if self._register_exchange(incoming, request):
             class_name = request.class_name
-            self._context.sink.request_arrived(request)
+            if self._context.request_memory.has_excessive_open_requests:
+                request.respond(Response(ResponseStatus.REJECTED))  # it never ran
+            else:
+                self._context.sink.request_arrived(request)
 
     def _register_exchange(self, incoming: fastcgi.IncomingRequest, exchange: Exchange) -> bool:
         is_registered = self._lifecycle.register_exchange(incoming, exchange)
--- a/cairnvane/net/request_parameters.py
+++ b/cairnvane/net/request_parameters.py
@@ -16,6 +16,20 @@
 
 SERVICE_PATH = "/svc/"
 HEALTH_PATH = "/status/live"
+PARAMETER_NAMES = frozenset(
+    {
+        "CONTENT_LENGTH",
+        "HTTP_REQ_FROM",
+        "HTTP_REQ_ID",
+        "HTTP_REQ_KB",
+        "HTTP_REQ_RANK",
+        "HTTP_REQ_TIME",
+        "HTTP_REQ_TOKEN",
+        "QUERY_STRING",
+        "REQUEST_METHOD",
+        "SCRIPT_NAME",
+    }
+)
 # Limits of the protocol for request parameters.
 MAX_MEMORY_KB = 2_000.0
 MAX_CLIENT_NUMBER = 1e9
--- a/cairnvane/net/server.py
+++ b/cairnvane/net/server.py
@@ -13,6 +13,7 @@
 from .accept_loop import accept_connections, hand_over
 from .connection import MAX_OPEN_REQUESTS, Connection
 from .read_buffers import BufferPool
+from .request_memory import MEBIBYTE, RequestMemory, connection_limit
 from .suspect_reads import SuspectReads
 
 logger = logging.getLogger(__name__)
@@ -22,6 +23,7 @@
 # Length of the kernel's queue of connections to be accepted; larger than the number of balancers.
 ACCEPT_BACKLOG = 512
 DEFAULT_CLIENT_TIMEOUT_S = 30.0
+DEFAULT_MEMORY_BYTES = 192 * MEBIBYTE
 # Connections that are being closed may briefly exceed the maximum by this number.
 MAX_CLOSING_CONNECTIONS = 16
 
@@ -53,21 +55,25 @@
         max_connections: int,
         response_counter: ResponseCounter | None = None,
         client_timeout_s: float = DEFAULT_CLIENT_TIMEOUT_S,
+        memory_bytes: int = DEFAULT_MEMORY_BYTES,
     ) -> None:
         """Bind the address; raises `OSError` if that fails.
 
-        `client_timeout_s` is the longest time for which a client waits for its answer.
+        `client_timeout_s` is the longest time for which a client waits for its answer, `memory_bytes` the
+        memory limit of the process.
         """
         self.sink = sink
         self.response_counter = response_counter
         self.client_timeout_s = client_timeout_s
         self.buffers = BufferPool()
+        self.request_memory = RequestMemory(memory_bytes)
         self.suspect_reads = SuspectReads(sink.wait_until_handled)
         self.idle_s = 0.0  # close connections after this idle time; 0: after `MAX_IDLE_S`
         self.retiring = False
         # In seconds; the deadlines of peers are measured by it. It advances by one interval at a time, so a
         # pause of the machine, in which peers could send nothing, counts as one interval at most.
         self.clock = 0.0
+        max_connections = min(max_connections, connection_limit(memory_bytes))
         self.values = {
             "FCGI_MAX_CONNS": str(max_connections),
             "FCGI_MAX_REQS": str(max_connections * MAX_OPEN_REQUESTS),
--- a/cairnvane/net/suspect_reads.py
+++ b/cairnvane/net/suspect_reads.py
@@ -4,6 +4,7 @@
 
 import threading
 import time
+from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
@@ -17,8 +18,19 @@
 MAX_HANDLING_S = 1.0
 
 
+class TurnTicket:
+    """One connection's place among those that wait for a turn."""
+
+    __slots__ = ("called", "has_turn", "is_cancelled")
+
+    def __init__(self) -> None:
+        self.called = threading.Event()  # the turn has come, or the ticket was cancelled
+        self.has_turn = False
+        self.is_cancelled = False
+
+
 class SuspectReads:
-    """Lets the readers of suspect clients take turns, one at a time.
+    """Lets the readers of suspect clients take turns, one at a time, in the order in which they asked.
 
     A turn lasts until the server has handled what was read in it, so suspect clients never have more than one
     turn's requests queued, however many they are. Turns and pauses alternate.
@@ -27,14 +39,51 @@
     def __init__(self, wait_until_handled: Callable[[float], None]) -> None:
         """`wait_until_handled` waits, for at most this many seconds, until all that was read is handled."""
         self._wait_until_handled = wait_until_handled
-        self._turn = threading.Lock()  # held during a turn and the pause after it
+        self._lock = threading.Lock()  # guards all tickets, and who has or awaits a turn
+        self._waiting: deque[TurnTicket] = deque()
+        self._is_taken = False  # a turn, or the pause after it, is in progress
 
     @contextmanager
-    def turn(self) -> Iterator[None]:
-        """Read in this context. Waits for the turns of other readers before, and for the pause after it."""
-        with self._turn:
-            started_at = time.monotonic()
+    def turn(self, ticket: TurnTicket) -> Iterator[None]:
+        """Read in this context, once it is the ticket's turn or the ticket was cancelled."""
+        if not self._take(ticket):
+            yield
+            return
+        started_at = time.monotonic()
+        try:
             yield
             self._wait_until_handled(MAX_HANDLING_S)
             duration = time.monotonic() - started_at
             time.sleep(min(MAX_PAUSE_S, PAUSE_FACTOR * duration))
+        finally:
+            self._pass_on()
+
+    def cancel(self, ticket: TurnTicket) -> None:
+        """Let the reader with this ticket go on at once: its connection has ended."""
+        with self._lock:
+            ticket.is_cancelled = True
+            if ticket in self._waiting:
+                self._waiting.remove(ticket)
+                ticket.called.set()
+
+    def _take(self, ticket: TurnTicket) -> bool:
+        """Wait for the turn of this ticket; False if it was cancelled."""
+        with self._lock:
+            if ticket.is_cancelled:
+                return False
+            if not self._is_taken:
+                self._is_taken = True
+                return True
+            ticket.has_turn = False
+            ticket.called.clear()
+            self._waiting.append(ticket)
+        ticket.called.wait()
+        return ticket.has_turn
+
+    def _pass_on(self) -> None:
+        with self._lock:
+            self._is_taken = bool(self._waiting)
+            if self._waiting:
+                ticket = self._waiting.popleft()
+                ticket.has_turn = True
+                ticket.called.set()
--- a/cairnvane/server/composition.py
+++ b/cairnvane/server/composition.py
@@ -9,6 +9,7 @@
 from .. import clock, config, logging_setup
 from ..claims import Incarnations
 from ..idempotency.store import StepObserver
+from ..net.request_memory import MEBIBYTE
 from ..net.server import FastCgiServer
 from ..net.service_registry import ServiceRegistry
 from ..net.worker_pool import WorkerPool
@@ -94,6 +95,7 @@
         configuration.sockets - administration_setup.reserved_sockets(configuration),
         administration.response_counter,
         configuration.settings.longest_client_timeout / clock.MICROSECONDS_PER_SECOND,
+        configuration.memory_mb * MEBIBYTE,
     )
     keys = store_setup.create_durable_keys(shared_state.store, configuration)
     event_loop.connect(fastcgi_server, pool, configuration.vault, keys)
--- a/tests/server/test_configuration.py
+++ b/tests/server/test_configuration.py
@@ -31,6 +31,8 @@
         ({"listen": ""}, "listen:"),
         ({"limits": {"sockets": 3}}, "limits.sockets:"),
         ({"limits": {"sockets": "x"}}, "$.limits.sockets"),
+        ({"limits": {"memory_mb": 8}}, "limits.memory_mb: 8 is under 16"),
+        ({"limits": {"memory_mb": "x"}}, "$.limits.memory_mb"),
         ({"stop_ms": 0}, "stop_ms:"),
         ({"control": "door"}, "control:"),
         ({"settings": {}}, "settings: key Extra"),
--- a/tests/server/test_floods.py
+++ b/tests/server/test_floods.py
@@ -15,7 +15,9 @@
 from cairnvane.exchange import HealthCheck, Request, RequestSink
 from cairnvane.net import connection, fastcgi
 from cairnvane.net.read_buffers import BUFFER_SIZE
+from cairnvane.net.request_memory import MEBIBYTE
 from cairnvane.net.server import FastCgiServer
+from cairnvane.net.suspect_reads import SuspectReads, TurnTicket
 
 
 def test_records_of_ended_requests_are_tolerated_up_to_the_limit() -> None:
@@ -71,6 +73,12 @@
 }
 
 
+def _peak_kb(pid: int) -> int:
+    """The most memory that a process has had, in KiB."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    return next(int(line.split()[1]) for line in status.splitlines() if line.startswith("VmHWM"))
+
+
 def test_server_under_floods_answers_drains_and_keeps_its_memory_limit(tmp_path: Path) -> None:
     """Each flood runs on three connections while a balancer is served and the program shuts down."""
     stopped = threading.Event()
@@ -100,9 +108,7 @@
             balancer.send(number % 32 + 1, HTTP_REQ_ID=f"{number:016x}")
             pool.run(b"done")
             assert balancer.answer()[1].body == b"done"
-        status = Path(f"/proc/{process.pid}/status").read_text()
-        peak_kb = next(int(line.split()[1]) for line in status.splitlines() if line.startswith("VmHWM"))
-        assert peak_kb < 64 * 1_024
+        assert _peak_kb(process.pid) < 64 * 1_024
         balancer.send(1, HTTP_REQ_ID="a" * 16)
         uid = pool.next("spawn")["uid"]
         process.send_signal(signal.SIGTERM)
@@ -161,6 +167,71 @@
     assert sink.most <= clients * most_before_suspicion + most_in_one_read
 
 
+HALF_REQUEST_BYTES = 8_000
+HALF_REQUESTS = b"".join(
+    fastcgi.record(fastcgi.BEGIN_REQUEST, number, b"\0\1\1\0\0\0\0\0")
+    + fastcgi.record(fastcgi.PARAMS, number, bytes(HALF_REQUEST_BYTES))
+    for number in range(1, connection.MAX_OPEN_REQUESTS + 1)
+)
+MANAGEMENT_QUERY = fastcgi.record(fastcgi.GET_VALUES, 0, b"")
+
+
+def test_half_requests_of_many_clients_keep_within_the_memory_limit(tmp_path: Path) -> None:
+    """Guards against a crash by memory: nothing bounded the sum of the requests that were being received."""
+    memory_mb, clients = 48, 160
+    assert clients * len(HALF_REQUESTS) > 0.8 * memory_mb * MEBIBYTE
+    limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1_024}
+    with program(tmp_path, NOWHERE, NOWHERE, limits=limits) as (process, port):
+        assert process.stderr is not None
+        in_thread(process.stderr.read)
+        sockets = []
+        for _ in range(clients):
+            sock = socket.create_connection(("127.0.0.1", port), WAIT_S)
+            sockets.append(sock)
+            with contextlib.suppress(ConnectionError):  # the server may end it
+                sock.sendall(HALF_REQUESTS + MANAGEMENT_QUERY)
+                sock.recv(1)  # the reply to the query, or to a request that was failed
+        assert _peak_kb(process.pid) < memory_mb * 1_024
+        for sock in sockets:
+            sock.close()
+
+
+def test_requests_over_the_memory_limit_are_rejected_without_having_run() -> None:
+    """Guards against a crash by memory: nothing bounded the sum of the requests that awaited an answer."""
+    sink = UnhandledRequests()
+    server = FastCgiServer(("127.0.0.1", 0), sink, 1, memory_bytes=MEBIBYTE)
+    server.start()
+    balancer = Balancer(server.address)
+    accepted = server.request_memory.max_open_requests
+    for number in range(1, accepted + 2):
+        balancer.send(number)
+    rejected, answer = balancer.answer()
+    assert (rejected, answer.status) == (accepted + 1, 503)
+    assert sink.most == accepted
+    balancer.abort(1)
+    assert balancer.answer()[0] == 1
+    balancer.send(accepted + 2)
+    until(lambda: sink.most == accepted + 1)
+    server.retire(0)
+
+
+def test_reader_of_an_ended_connection_does_not_wait_for_its_turn() -> None:
+    """Guards against refused connections: hundreds that had ended held their places until their turn."""
+    reads = SuspectReads(lambda timeout_s: None)
+    ticket = TurnTicket()
+    with reads.turn(TurnTicket()):
+
+        def wait_for_turn() -> None:
+            with reads.turn(ticket):
+                pass
+
+        reader = in_thread(wait_for_turn)
+        until(lambda: ticket in reads._waiting)
+        reads.cancel(ticket)
+        reader.join(WAIT_S)
+        assert not reader.is_alive()
+
+
 def test_concurrent_deep_health_checks_share_one_check_of_the_pool() -> None:
     """Guards against a flood: each check cost the pool CPU time, and this process a timer thread."""
     with world() as harness:
--- a/tests/server/test_wire_codecs.py
+++ b/tests/server/test_wire_codecs.py
@@ -92,3 +92,19 @@
         theirs.sendall(b"HTTP/1.1 200 OK\r\nX-A: b\r\n\r\nabc")
         theirs.close()
         assert http.read_reply(ours, time.monotonic() + WAIT_S) == http.Reply(200, {"x-a": "b"}, b"abc")
+
+
+def test_only_known_parameters_of_a_request_are_kept() -> None:
+    """Guards against a crash by memory: thousands of tiny parameters need fifty times their encoded size."""
+    pairs = fastcgi.encode_pairs({"SCRIPT_NAME": "/svc/read", "HTTP_REQ_KEY": "7f", "ab": ""})
+    incoming = fastcgi.IncomingRequest(1, True, 0.0, frozenset({"SCRIPT_NAME"}))
+    assert not incoming.add(fastcgi.Record(fastcgi.PARAMS, 1, pairs))
+    assert not incoming.add(fastcgi.Record(fastcgi.PARAMS, 1, b""))
+    assert incoming.params == {"SCRIPT_NAME": "/svc/read"}
+
+
+def test_too_many_parameters_are_malformed() -> None:
+    """Guards against starvation: decoding thousands of empty parameters takes a millisecond a request."""
+    assert fastcgi.decode_pairs(bytes(2) * fastcgi.MAX_PAIRS) == {"": ""}
+    with pytest.raises(fastcgi.MalformedRecordError, match="more than 256 parameters"):
+        fastcgi.decode_pairs(bytes(2) * (fastcgi.MAX_PAIRS + 1))
