Share the vault's quota between the incarnations of one bid server

Cause: each process took nine tenths of FairCalls for itself. An incarnation knew that another exists, but nothing of its calls, and no gauge shows them.

Ruled out: a burst at the start of the new process.

Change: an incarnation publishes its calls (in flight, waiting, abandoned) and its excess in its own file before it makes them. The event loop reads the others' before each decision and reports a ConcurrentCalls event; DependencyQuota counts them against the same limit, leaves the others an equal part where they wait for calls, and takes over their excess. Calls of an incarnation that has ended count until the vault has given them up; one of an earlier version is taken to use half. Half of the quota for each was not taken: the work moves from one process to the other, and half would lie idle.

The descriptor of an incarnation's file has a lock now: it was only written by one thread.

--- a/cairnvane/admission/controller.py
+++ b/cairnvane/admission/controller.py
@@ -59,6 +59,7 @@
             events.TimerFired: self._on_timer,
             events.CallRequested: self.lifecycle.await_call,
             events.CallFinished: self._on_call_finished,
+            events.ConcurrentCalls: self.dependency.record_concurrent_calls,
             events.DrainStarted: self._on_drain_started,
             events.KeysRestored: self.lifecycle.restore_keys,
             events.RunAdopted: self.lifecycle.adopt,
--- a/cairnvane/admission/dependency_quota.py
+++ b/cairnvane/admission/dependency_quota.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..contract.events import UNEXECUTED_OUTCOMES, CallFinished
+from ..contract.events import UNEXECUTED_OUTCOMES, CallFinished, ConcurrentCalls
 from ..contract.settings import DependencyKind, RetrySemantics, Settings
 from . import parameters
 from .estimators import CallsInFlight, CallTimes
@@ -14,7 +14,8 @@
 
     The number of calls in flight, abandoned ones included, stays within the quota as a mean over its window:
     an excess must be made up for later. A quota above one call also holds at any time. The limit adapts to
-    the call time.
+    the call time. Concurrent incarnations share the quota: their calls count like own ones, and each leaves
+    the others an equal part of the limit if they have a use for it.
     """
 
     def __init__(self, settings: Settings, now: int) -> None:
@@ -26,19 +27,31 @@
         self.times = CallTimes()
         self.in_flight = CallsInFlight(settings.abandoned_call_time)
         self._reduced_at = now
+        self._others = ConcurrentCalls(0, 0, 0)
 
     def advance_time(self, now: int, elapsed: int, calling: int) -> None:
         """Account for the calls that were in flight during the elapsed time."""
-        self.in_flight.advance_time(now, elapsed, calling, self.limit)
+        self.in_flight.advance_time(now, elapsed, calling + self._others.calls, self.limit)
         self.times.advance_time(elapsed)
 
+    def record_concurrent_calls(self, event: ConcurrentCalls) -> None:
+        """Account for the calls of concurrent incarnations."""
+        if event.incarnations > self._others.incarnations:
+            # What was in excess before this one could see it has to be made up for by both.
+            self.in_flight.excess = max(self.in_flight.excess, event.excess)
+        self._others = event
+
+    def _reserved_for_others(self) -> int:
+        """The number of calls that concurrent incarnations have in flight, or may make before this one."""
+        others = self._others
+        equal_part = int(self.limit * others.incarnations / (others.incarnations + 1))
+        return max(others.calls, min(others.wanted, equal_part))
+
     def has_capacity(self, calling: int) -> bool:
         """Whether one more call may be made."""
+        calls = self.in_flight.count(calling) + self._reserved_for_others()
         allowed_excess = (1 - parameters.DEPENDENCY_SAFETY) * self.limit * self._settings.dependency_window
-        return (
-            self.in_flight.count(calling) + 1 <= max(1, self.limit)
-            and self.in_flight.excess <= allowed_excess
-        )
+        return calls + 1 <= max(1, self.limit) and self.in_flight.excess <= allowed_excess
 
     def timeout(self, request: TrackedRequest, now: int) -> int:
         """The time after which the request's call is abandoned."""
--- a/cairnvane/admission/estimators.py
+++ b/cairnvane/admission/estimators.py
@@ -246,6 +246,16 @@
         """Account for an abandoned call, which may still occupy the dependency for some time."""
         heapq.heappush(self._abandoned_until, now + self._abandoned_call_time)
 
+    @property
+    def abandoned(self) -> int:
+        """The number of abandoned calls that may still occupy the dependency."""
+        return len(self._abandoned_until)
+
+    @property
+    def last_abandoned_until(self) -> int:
+        """The time after which no call abandoned so far occupies the dependency."""
+        return max(self._abandoned_until, default=0)
+
     def count(self, calling: int) -> int:
         """The number of calls in flight: `calling` active ones and the abandoned ones."""
         return calling + len(self._abandoned_until)
--- a/cairnvane/claims/incarnations.py
+++ b/cairnvane/claims/incarnations.py
@@ -12,6 +12,7 @@
 import fcntl
 import os
 import struct
+import threading
 import time
 from enum import Enum
 from pathlib import Path
@@ -32,6 +33,9 @@
 _MAGIC = b"CVA1"
 _CHECKSUM_OFFSET = len(_MAGIC)
 _CHECKED_START = 8  # the checksum covers the heartbeat from this offset on
+# Where an incarnation's file holds what `publish` wrote; earlier versions read and write only the heartbeat.
+_PUBLISHED_OFFSET = 64
+_MAX_PUBLISHED_BYTES = 256
 
 
 class Liveness(Enum):
@@ -57,6 +61,8 @@
         # The number of this incarnation. Later ones have higher numbers, since all use the machine's clock.
         self.number = time.monotonic_ns()
         self._fd: int | None = None  # the descriptor of this incarnation's locked file
+        self._fd_lock = threading.RLock()  # guards it, so that it is not closed while another thread writes
+        self._published = b""
         self._is_ready = False
         self._is_marked_ready = False  # the heartbeat that says so has been written, or can't be
         self._pid = os.getpid()
@@ -73,13 +79,37 @@
 
     def enter(self) -> None:
         """Create this incarnation's file, and delete those of dead incarnations; raises `OSError`."""
-        self._folder.mkdir(mode=_FOLDER_MODE, parents=True, exist_ok=True)
-        self._delete_files_of_dead()
-        self._fd = self._create_locked_file()
+        with self._fd_lock:
+            self._folder.mkdir(mode=_FOLDER_MODE, parents=True, exist_ok=True)
+            self._delete_files_of_dead()
+            self._fd = self._create_locked_file()
+
+    def publish(self, data: bytes) -> None:
+        """Let the other incarnations read this data, in place of what was published before.
+
+        Whoever reads it at this moment may get a part of each, so it needs a checksum.
+        """
+        with self._fd_lock, contextlib.suppress(OSError):
+            self._published = data
+            if self._fd is not None:
+                os.pwrite(self._fd, data, _PUBLISHED_OFFSET)
+
+    def published(self, incarnation: int) -> bytes:
+        """Return what that incarnation has published; empty if it has published nothing or has no file."""
+        try:
+            fd = os.open(self._path(incarnation), os.O_RDONLY | os.O_CLOEXEC)
+        except OSError:
+            return b""
+        try:
+            return os.pread(fd, _MAX_PUBLISHED_BYTES, _PUBLISHED_OFFSET)
+        except OSError:
+            return b""
+        finally:
+            os.close(fd)
 
     def heartbeat(self) -> None:
         """Write a heartbeat; if the file was removed, create it again."""
-        with contextlib.suppress(OSError):
+        with self._fd_lock, contextlib.suppress(OSError):
             if self._fd is not None and os.fstat(self._fd).st_nlink == 0:
                 os.close(self._fd)
                 self._fd = None
@@ -96,7 +126,9 @@
 
     def leave(self) -> None:
         """Delete this incarnation's file. Called when the process ends."""
-        if self._fd is not None:
+        with self._fd_lock:
+            if self._fd is None:
+                return
             with contextlib.suppress(OSError):
                 self._path(self.number).unlink()
             os.close(self._fd)
@@ -144,6 +176,8 @@
         try:
             fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
             os.pwrite(fd, self._encode_heartbeat(), 0)
+            if self._published:
+                os.pwrite(fd, self._published, _PUBLISHED_OFFSET)
             temporary_path.rename(self._path(self.number))
         except OSError:
             os.close(fd)
--- a/cairnvane/contract/events.py
+++ b/cairnvane/contract/events.py
@@ -98,6 +98,16 @@
     duration: int = 0
 
 
+@dataclass(slots=True)
+class ConcurrentCalls:
+    """The calls of the concurrent incarnations, with which this one shares its dependency quota, changed."""
+
+    incarnations: int  # the number of other incarnations
+    calls: int  # that they have in flight, abandoned ones included
+    wanted: int  # that they have in flight or wait for
+    excess: float = 0.0  # call-microseconds beyond the limit; counts if an incarnation was added
+
+
 @dataclass(slots=True)
 class DrainStarted:
     """The instance will be stopped after `time_left`."""
@@ -124,6 +134,7 @@
     | ClientDisconnected
     | CallRequested
     | CallFinished
+    | ConcurrentCalls
     | DrainStarted
     | TimerFired
 )
--- a/cairnvane/server/composition.py
+++ b/cairnvane/server/composition.py
@@ -8,6 +8,7 @@
 
 from .. import clock, config, logging_setup
 from ..claims import Incarnations
+from ..contract.settings import DependencyKind
 from ..idempotency.store import StepObserver
 from ..net.request_memory import MEBIBYTE
 from ..net.server import FastCgiServer
@@ -17,6 +18,7 @@
 from .event_loop import EventLoop
 from .event_loop_thread import EventLoopThread
 from .lifecycle import Component, Lifecycle, Shutdown
+from .shared_calls import SharedCalls
 
 if TYPE_CHECKING:
     from ..config.operator import OperatorOptions
@@ -98,7 +100,8 @@
         configuration.memory_mb * MEBIBYTE,
     )
     keys = store_setup.create_durable_keys(shared_state.store, configuration)
-    event_loop.connect(fastcgi_server, pool, configuration.vault, keys)
+    shared_calls = set_up_shared_calls(configuration, shared_state.incarnations)
+    event_loop.connect(fastcgi_server, pool, configuration.vault, keys, shared_calls)
     event_loop_thread = EventLoopThread(event_loop)
 
     lifecycle = Lifecycle()
@@ -125,6 +128,16 @@
     )
 
 
+def set_up_shared_calls(
+    configuration: config.Config, incarnations: Incarnations | None
+) -> SharedCalls | None:
+    """The exchange of call numbers with concurrent incarnations; None if there can't be any."""
+    settings = configuration.settings
+    if incarnations is None or settings.dependency is not DependencyKind.SHARED:
+        return None
+    return SharedCalls(incarnations, settings.dependency_quota, settings.abandoned_call_time)
+
+
 def can_take_over(pool: WorkerPool, incarnations: Incarnations | None) -> bool:
     """Whether the process can serve and an earlier incarnation sees that.
 
--- a/cairnvane/server/event_loop.py
+++ b/cairnvane/server/event_loop.py
@@ -38,6 +38,7 @@
 from .load_snapshot import LoadSnapshot, take_snapshot
 from .responder import Responder
 from .runs import Runs
+from .shared_calls import SharedCalls, usage_of
 from .timers import ControllerTimers
 
 if TYPE_CHECKING:  # imported only if the operator enables durable keys
@@ -63,6 +64,7 @@
         self._responder = Responder()
         self.load = LoadSnapshot()  # replaced, not modified, at each timer, so that any thread may read it
         self._is_stopped = False
+        self._shared_calls: SharedCalls | None = None
 
     def connect(
         self,
@@ -70,10 +72,16 @@
         pool: WorkerPool,
         vault: tuple[str, int],
         durable_keys: DurableKeys | None = None,
+        shared_calls: SharedCalls | None = None,
     ) -> None:
-        """Build the parts that execute actions; called once, before `serve`."""
+        """Build the parts that execute actions; called once, before `serve`.
+
+        `durable_keys` is None if keys are kept only in the memory of this process, `shared_calls` if there
+        can't be concurrent incarnations.
+        """
+        self._shared_calls = shared_calls
         self._pool = pool
-        self._durable_keys = durable_keys  # None: keys are kept only in the memory of this process
+        self._durable_keys = durable_keys
         self.executions = self._make_executions(pool, vault)
         self._duplicates = Duplicates(
             self._requests,
@@ -228,7 +236,13 @@
             self._duplicates.expire_keys()
             events = self._events
             self._events = []
-            for action in self._controller.handle(max(clock.now(), not_before), events):
+            now = max(clock.now(), not_before)
+            if self._shared_calls is not None and (event := self._shared_calls.read(now)) is not None:
+                events.append(event)
+            actions = self._controller.handle(now, events)
+            if self._shared_calls is not None:
+                self._shared_calls.publish(usage_of(self._controller))
+            for action in actions:
                 self._actions.execute(action)
             if self._durable_keys is not None:
                 self._durable_keys.settle_recorded()
--- a/tests/administration/test_version_handover.py
+++ b/tests/administration/test_version_handover.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import json
+import queue
 import signal
 import socket
 import time
@@ -11,7 +12,7 @@
 from typing import Any
 
 from administration_helpers import call
-from peers import PARAMS, TOKEN, WAIT_S, Balancer, PoolPeer
+from peers import PARAMS, TOKEN, WAIT_S, Balancer, Listener, PoolPeer, reply, until
 from server.test_program import NOWHERE, program
 
 from cairnvane.claims.incarnations import Incarnations
@@ -63,6 +64,76 @@
             assert new.poll() is None
 
 
+class HeldVault:
+    """A vault that answers no call until `answer_one`; `calls` holds the connections of the calls."""
+
+    def __init__(self) -> None:
+        self.calls: queue.Queue[socket.socket] = queue.Queue()
+        self.address = Listener(self._serve).address
+
+    def _serve(self, sock: socket.socket) -> None:
+        with sock.makefile("rb") as stream:
+            while stream.readline().strip():
+                pass
+            self.calls.put(sock)
+            stream.read()  # until the server closes the connection
+
+    def answer(self, call: socket.socket) -> None:
+        """Answer a call."""
+        call.sendall(reply(200, b"balance"))
+
+
+def test_two_versions_together_make_no_more_calls_than_one(tmp_path: Path) -> None:
+    """Guards against an overloaded vault: in an upgrade each process used the whole quota."""
+    pools = PoolPeer(), PoolPeer()
+    old_door, new_door = (("127.0.0.1", _free_port()) for _ in range(2))
+    vault = HeldVault()
+    shared: dict[str, Any] = {
+        "vault": "{}:{}".format(*vault.address),
+        "settings": PARAMS | {"Extra": PARAMS["Extra"] | {"FairCalls": 2.5}},
+    }
+    with program(tmp_path, _address_text(pools[0]), NOWHERE, control=_address_text(old_door), **shared) as (
+        old,
+        port,
+    ):
+        pools[0].next("bind")
+        assert _becomes_ready(old_door)
+        balancer = Balancer(("127.0.0.1", port))
+        for number in (1, 2):
+            balancer.send(number)
+            pools[0].notice("blocked", pools[0].next("spawn")["uid"], content=b"call")
+        calls = [vault.calls.get(timeout=WAIT_S) for _ in range(2)]
+        with program(
+            tmp_path,
+            _address_text(pools[1]),
+            NOWHERE,
+            control=_address_text(new_door),
+            listen=f"127.0.0.1:{port}",
+            **shared,
+        ):
+            pools[1].next("bind")
+            assert _becomes_ready(new_door)
+            old.send_signal(signal.SIGTERM)
+            assert old.stderr is not None
+            while "takes no more connections" not in old.stderr.readline():
+                pass
+            later = Balancer(("127.0.0.1", port))
+            later.send(3)
+            pools[1].notice("blocked", pools[1].next("spawn")["uid"], content=b"call")
+            until(lambda: _load(new_door)["calling"] + _load(new_door)["awaiting_call"] == 1)
+            assert _load(new_door)["calling"] == 0
+            assert vault.calls.empty()
+            vault.answer(calls[0])
+            pools[0].next("supply")
+            vault.calls.get(timeout=WAIT_S)  # the call of the new process
+
+
+def _load(administration: tuple[str, int]) -> dict[str, Any]:
+    """The load in the metrics of a process."""
+    load: dict[str, Any] = json.loads(call(administration, "GET", "/-/metrics").body)["load"]
+    return load
+
+
 def _free_port() -> int:
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
--- a/tests/admission/test_controller_dependency.py
+++ b/tests/admission/test_controller_dependency.py
@@ -19,7 +19,7 @@
 )
 
 from cairnvane.contract.actions import Fail, MakeCall, Reject, SkipCall, StartRun
-from cairnvane.contract.events import CallFinished, ClientDisconnected, Outcome
+from cairnvane.contract.events import CallFinished, ClientDisconnected, ConcurrentCalls, Outcome
 from cairnvane.contract.settings import DependencyKind, LoadSignal
 
 
@@ -196,3 +196,38 @@
     host.controller.handle(host.now, [ClientDisconnected(2)])
     host.requests[1].place = Place.RUNNING
     assert not actions_of(host.controller.handle(host.now, [CallFinished(1, Outcome.OK, 10 * MS)]), MakeCall)
+
+
+@pytest.mark.parametrize(
+    ("others", "own_calls"),
+    [
+        (ConcurrentCalls(1, calls=7, wanted=7), 0),
+        (ConcurrentCalls(1, calls=5, wanted=9), 2),
+        (ConcurrentCalls(1, calls=0, wanted=9), 4),
+        (ConcurrentCalls(1, calls=0, wanted=1), 6),
+        (ConcurrentCalls(2, calls=0, wanted=9), 3),
+        (ConcurrentCalls(0, calls=3, wanted=3), 4),  # abandoned by an incarnation that has ended
+    ],
+)
+def test_calls_of_concurrent_incarnations_count_against_the_same_quota(
+    others: ConcurrentCalls, own_calls: int
+) -> None:
+    """Guards against an overloaded vault: in an upgrade each process used the whole quota."""
+    host = start_host(dependency=DependencyKind.SHARED, dependency_quota=8.0, memory=1e6)
+    host.send(others)
+    for request_id in range(1, 9):
+        arrive(host, request_id)
+        host.request_call(request_id)
+    assert host.count(Place.CALLING) == own_calls
+
+
+def test_calls_beyond_the_quota_are_made_up_for_by_a_new_incarnation_too() -> None:
+    """Guards against an overloaded vault: a new process knew nothing of the excess so far."""
+    host = start_host(dependency=DependencyKind.SHARED, dependency_quota=8.0, memory=1e6)
+    allowed = 0.1 * host.settings.dependency_window * 7.2
+    host.send(ConcurrentCalls(1, calls=0, wanted=0, excess=2 * allowed))
+    arrive(host, 1)
+    host.request_call(1)
+    assert host.count(Place.CALLING) == 0
+    host.advance(host.settings.dependency_window)
+    assert host.count(Place.CALLING) == 1
--- a/tests/neutral.py
+++ b/tests/neutral.py
@@ -30,6 +30,7 @@
     CallFinished,
     CallRequested,
     ClientDisconnected,
+    ConcurrentCalls,
     DrainStarted,
     Event,
     KeysRestored,
@@ -89,6 +90,7 @@
     ClientDisconnected: "gone",
     CallRequested: "call-needed",
     CallFinished: "call-ended",
+    ConcurrentCalls: "calls-elsewhere",
     DrainStarted: "draining",
     TimerFired: "timer-fired",
 }
@@ -130,6 +132,8 @@
         return [event.request_id]
     if isinstance(event, CallFinished):
         return [event.request_id, OUTCOME_LABELS[event.outcome], event.duration]
+    if isinstance(event, ConcurrentCalls):
+        return [event.incarnations, event.calls, event.wanted, event.excess]
     if isinstance(event, DrainStarted):
         return [event.time_left]
     if isinstance(event, TimerFired):
