Bound the estimates of call times by the longest client timeout

The float became infinite, and its conversion to an integer raised in the event loop, which ends the process. The best call time rose without a bound while events came and no calls were made; the first timeout after hours raised as well.

Change: no estimate of a call time exceeds the longest client timeout. On a related path, by reading, the retry-after time is bounded before it is made an integer.

Evidence: the three new tests failed before with OverflowError.

--- a/cairnvane/admission/controller.py
+++ b/cairnvane/admission/controller.py
@@ -260,7 +260,7 @@
         if self.draining:
             return self.settings.max_retry_after
         rate = self.service.rate()
-        return min(self.settings.max_retry_after, int(len(self.queue) / rate / 2)) if rate else 0
+        return int(min(self.settings.max_retry_after, len(self.queue) / rate / 2)) if rate else 0
 
     def _on_client_disconnected(self, event: events.ClientDisconnected) -> None:
         request = self.requests.by_id.get(event.request_id)
--- a/cairnvane/admission/dependency_quota.py
+++ b/cairnvane/admission/dependency_quota.py
@@ -24,7 +24,7 @@
         if settings.dependency is DependencyKind.SHARED:
             self._quota = parameters.DEPENDENCY_SAFETY * settings.dependency_quota
         self.limit = self._quota
-        self.times = CallTimes()
+        self.times = CallTimes(settings.longest_client_timeout)
         self.in_flight = CallsInFlight(settings.abandoned_call_time)
         self._reduced_at = now
         self._others = ConcurrentCalls(0, 0, 0)
--- a/cairnvane/admission/estimators.py
+++ b/cairnvane/admission/estimators.py
@@ -196,11 +196,15 @@
 
 
 class CallTimes:
-    """Estimates of the time that calls to the dependency take."""
+    """Estimates of the time that calls to the dependency take.
 
-    __slots__ = ("_samples", "best", "mean", "typical")
+    No estimate exceeds `max_call_time`: no call lasts longer, since no client waits longer.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ("_max_call_time", "_samples", "best", "mean", "typical")
+
+    def __init__(self, max_call_time: int) -> None:
+        self._max_call_time = max_call_time
         self._samples = 0
         self.mean = 0.0
         self.best = 0.0  # lowest recent mean, rising with time; 0 until there are enough samples
@@ -208,7 +212,8 @@
 
     def advance_time(self, elapsed: int) -> None:
         """Let the best time rise slowly, so that an old one is forgotten."""
-        self.best *= 1 + elapsed / parameters.BEST_CALL_TIME_CONSTANT_US
+        risen = self.best * (1 + elapsed / parameters.BEST_CALL_TIME_CONSTANT_US)
+        self.best = min(risen, self._max_call_time)
 
     def record(self, outcome: Outcome, duration: int) -> None:
         """Account for a call that may have run."""
@@ -217,7 +222,8 @@
             samples = min(parameters.TYPICAL_CALL_SAMPLES, self._samples)
             self.typical += (duration - self.typical) / samples
         elif outcome is Outcome.TIMEOUT:
-            self.typical *= parameters.TYPICAL_CALL_INCREASE
+            raised = self.typical * parameters.TYPICAL_CALL_INCREASE
+            self.typical = min(raised, self._max_call_time)
             # One unanswered call means a loss, not a slow dependency: only several raise the mean enough.
             if self.best:
                 duration = min(duration, int(parameters.TIMED_OUT_CALL_FACTOR * self.best))
--- a/tests/admission/test_controller_dependency.py
+++ b/tests/admission/test_controller_dependency.py
@@ -231,3 +231,30 @@
     assert host.count(Place.CALLING) == 0
     host.advance(host.settings.dependency_window)
     assert host.count(Place.CALLING) == 1
+
+
+@pytest.mark.parametrize("timed_out_share", [2, 5])
+def test_estimates_stay_finite_while_many_calls_time_out(timed_out_share: int) -> None:
+    """Guards against the end of the process: each timeout raised the typical call time, without a bound."""
+    host = start_host(dependency=DependencyKind.SHARED, dependency_quota=8.0, memory=1e6)
+    arrive(host, 1)
+    host.request_call(1)
+    quota = host.controller.dependency
+    request = host.controller.requests.by_id[1]
+    for number in range(30_000):
+        outcome = Outcome.OK if number % timed_out_share else Outcome.TIMEOUT
+        quota.record_call(host.now, CallFinished(1, outcome, 20 * MS))
+        assert 0 < quota.timeout(request, host.now) <= request.deadline
+
+
+def test_first_timeout_after_a_long_time_without_calls_is_handled() -> None:
+    """Guards against the end of the process: the best call time rose without a bound while events came."""
+    host = start_host(dependency=DependencyKind.SHARED, dependency_quota=8.0, memory=1e6)
+    make_calls(host, 20 * MS, 10)
+    for _ in range(10_000):
+        host.advance(1_000 * MS)
+        host.send()
+    arrive(host, 11)
+    host.request_call(11)
+    host.finish_call(11, Outcome.TIMEOUT)
+    assert host.controller.dependency.times.mean <= host.settings.longest_client_timeout
