Share a drain by call between the processes of one bid server

The new test, with two real processes, failed before: 200 where 503 was due.

Change: the drain is a byte in the incarnations' folder that each process reads at each health check; drain and resume at either process write it. One byte can't be half written. Where it can't be written a process goes by what it was told, where it can't be read by what was read last. A process that starts alone clears it: a drain ends with the last process, as before.

--- a/cairnvane/claims/incarnations.py
+++ b/cairnvane/claims/incarnations.py
@@ -67,6 +67,11 @@
         self._is_marked_ready = False  # the heartbeat that says so has been written, or can't be
         self._pid = os.getpid()
 
+    @property
+    def folder(self) -> Path:
+        """The folder of the incarnations' files."""
+        return self._folder
+
     @property
     def is_entered(self) -> bool:
         """Whether other incarnations can see this one."""
--- a/cairnvane/server/administration_setup.py
+++ b/cairnvane/server/administration_setup.py
@@ -6,10 +6,12 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from .. import config
+from ..claims import Incarnations
 from ..net.worker_pool import WorkerPool
 from .lifecycle import Component
 
 if TYPE_CHECKING:
+    from ..administration.drain_state import DrainState
     from ..exchange import RequestSink, ResponseCounter
     from ..membership.transport import MemberTransport
 
@@ -47,17 +49,28 @@
     }
 
 
+def _drain_state(incarnations: Incarnations | None) -> DrainState | None:
+    """The state of a drain by call, shared by all incarnations; None if there are no others."""
+    if incarnations is None:
+        return None
+    from ..administration.drain_state import DRAIN_FILE, SharedDrainState
+
+    return SharedDrainState(incarnations.folder / DRAIN_FILE, incarnations.is_alone())
+
+
 def set_up_administration(
     configuration: config.Config,
     request_sink: RequestSink,
     pool: WorkerPool,
     transport: MemberTransport | None,
+    incarnations: Incarnations | None,
     can_serve: Callable[[], bool],
     load: Callable[[], object],
 ) -> Administration:
     """Set up the endpoint if it is enabled; its drain gate then receives every request before `request_sink`.
 
-    `can_serve` tells whether the process can serve; `load` returns the server's load for the metrics.
+    `can_serve` tells whether the process can serve; `load` returns the server's load for the metrics. A drain
+    by call is one of all incarnations.
 
     Raises `OSError` if the endpoint can't listen.
     """
@@ -68,7 +81,7 @@
     from ..administration.endpoints import Endpoints
     from ..administration.http_server import AdministrationServer, connection_limit
 
-    readiness = Readiness(can_serve)
+    readiness = Readiness(can_serve, _drain_state(incarnations))
     counters = RequestCounters(tuple(cls.name for cls in configuration.settings.classes))
     pool.on_spawn = counters.run_started
     views = _member_views(transport) if transport is not None else {}
--- a/cairnvane/server/composition.py
+++ b/cairnvane/server/composition.py
@@ -88,6 +88,7 @@
         membership.request_sink,
         pool,
         membership.transport,
+        shared_state.incarnations,
         lambda: can_take_over(pool, shared_state.incarnations),
         lambda: event_loop.load.as_json(),
     )
--- a/tests/administration/test_version_handover.py
+++ b/tests/administration/test_version_handover.py
@@ -128,6 +128,39 @@
             vault.calls.get(timeout=WAIT_S)  # the call of the new process
 
 
+def _check_status(port: int) -> int:
+    """The status of a health check."""
+    balancer = Balancer(("127.0.0.1", port))
+    balancer.send(1, "/status/live", b"")
+    return balancer.answer()[1].status
+
+
+def test_new_version_of_a_drained_server_fails_health_checks_until_the_drain_ends(tmp_path: Path) -> None:
+    """Guards against work for a drained server: the drain was known to one process alone."""
+    pools = PoolPeer(), PoolPeer()
+    old_door, new_door = (("127.0.0.1", _free_port()) for _ in range(2))
+    with program(tmp_path, _address_text(pools[0]), NOWHERE, control=_address_text(old_door)) as (old, port):
+        assert _becomes_ready(old_door)
+        assert call(old_door, "POST", "/-/drain").status == 200
+        assert _check_status(port) == 503
+        with program(
+            tmp_path,
+            _address_text(pools[1]),
+            NOWHERE,
+            control=_address_text(new_door),
+            listen=f"127.0.0.1:{port}",
+        ):
+            assert _becomes_ready(new_door)
+            old.send_signal(signal.SIGTERM)
+            assert old.wait(WAIT_S) == 0
+            assert _check_status(port) == 503
+            assert call(new_door, "POST", "/-/resume").status == 200
+            assert _check_status(port) == 200
+    with program(tmp_path, _address_text(pools[1]), NOWHERE, control=_address_text(new_door)) as (_, port):
+        assert _becomes_ready(new_door)
+        assert _check_status(port) == 200
+
+
 def _load(administration: tuple[str, int]) -> dict[str, Any]:
     """The load in the metrics of a process."""
     load: dict[str, Any] = json.loads(call(administration, "GET", "/-/metrics").body)["load"]
