Count a run as lost with its pool by the link on which it was requested

Cause: with durable results the writer's thread sends a recorded start by itself. The event loop's search for lost runs took every run that had been sent, or was just being sent, though the replacement is reported before the new link and handled after it.

Ruled out: a slow search alone (0.05 s of delay; it passed).

Change: the replacement names the last link to the old pool; each run knows the link on which it was requested; lost are those up to that link, read under the lock that sends commands.

Tests: the new test forces both orders and failed before in both.

--- a/cairnvane/idempotency/durability.py
+++ b/cairnvane/idempotency/durability.py
@@ -156,10 +156,6 @@
         """
         return self._starts.pending.withdraw(in_flight)
 
-    def awaits_start(self, in_flight: InFlightRequest) -> bool:
-        """Whether the run still waits for its start record or runs in another incarnation."""
-        return in_flight in self._starts.pending
-
     def call_requested(self, in_flight: InFlightRequest) -> bool:
         """Note that the run asks for its call; return False if an earlier incarnation may have made it."""
         self._store.notice_read(in_flight.call_notice, True)
--- a/cairnvane/idempotency/pending_records.py
+++ b/cairnvane/idempotency/pending_records.py
@@ -41,11 +41,6 @@
         """Whether a start record is awaited."""
         return bool(self._awaiting_record)
 
-    def __contains__(self, in_flight: InFlightRequest) -> bool:
-        """Whether this run still waits for its start record or runs in another incarnation."""
-        request_id = in_flight.request_id
-        return request_id in self._awaiting_record or request_id in self._claimed_elsewhere
-
     def add(self, in_flight: InFlightRequest, deadline: int) -> None:
         """Add a run whose start record was handed to the store."""
         self._awaiting_record[in_flight.request_id] = _PendingRecord(in_flight, deadline)
--- a/cairnvane/net/worker_pool.py
+++ b/cairnvane/net/worker_pool.py
@@ -53,8 +53,11 @@
     def linked(self, link: int) -> None:
         """Handle the new link number `link`; all notices missed on earlier links have been passed on."""
 
-    def replaced(self) -> None:
-        """Handle the replacement of the pool by another process, which has none of the earlier runs."""
+    def replaced(self, last_link: int) -> None:
+        """Handle the replacement of the pool by another process, which has none of the earlier runs.
+
+        `last_link` is the number of the last link to the old pool, 0 if there was none.
+        """
 
 
 class WorkerPool:
@@ -167,9 +170,9 @@
         elif notice.action == messages.UNKNOWN:
             self._command_failed(notice)
 
-    def pool_replaced(self) -> None:
+    def pool_replaced(self, last_link: int) -> None:
         """Notify the listener that another pool has replaced the earlier one."""
-        self._listener.replaced()
+        self._listener.replaced(last_link)
 
     def _command_failed(self, notice: Notice) -> None:
         logger.warning("worker pool command not carried out: %s %s", notice.code, notice.uid)
--- a/cairnvane/net/worker_pool_link.py
+++ b/cairnvane/net/worker_pool_link.py
@@ -38,8 +38,11 @@
     def notice_received(self, notice: Notice, content: bytes) -> None:
         """Handle a notice that was not received before."""
 
-    def pool_replaced(self) -> None:
-        """Handle the replacement of the pool by another process, which has none of the earlier runs."""
+    def pool_replaced(self, last_link: int) -> None:
+        """Handle the replacement of the pool by another process, which has none of the earlier runs.
+
+        `last_link` is the number of the last link to the old pool, 0 if there was none.
+        """
 
 
 class WorkerPoolLink:
@@ -225,7 +228,9 @@
                 self.pool_started_at = started_at
             return
         self.pool_started_at = started_at
-        self._listener.pool_replaced()
+        with self._lock:
+            last_link = self._bound_links
+        self._listener.pool_replaced(last_link)
         if self._position:
             self._position = 0
             raise messages.PoolReplacedError("the pool was replaced; binding again from its first notice")
--- a/cairnvane/server/event_loop.py
+++ b/cairnvane/server/event_loop.py
@@ -185,9 +185,9 @@
         """A run waits for a call with this body, according to the pool's notice at this position."""
         self._tasks.put(lambda: self._runs.request_call(uid, body, position))
 
-    def replaced(self) -> None:
-        """The pool was replaced by a new one, which has none of the runs."""
-        self._tasks.put(self._runs.fail_lost_runs)
+    def replaced(self, last_link: int) -> None:
+        """The pool was replaced by a new one, which has none of the runs; `last_link` led to the old one."""
+        self._tasks.put(lambda: self._runs.fail_lost_runs(last_link))
 
     def linked(self, link: int) -> None:
         """The pool's link with this number is up, and the missed notices have been replayed."""
--- a/cairnvane/server/executions.py
+++ b/cairnvane/server/executions.py
@@ -89,6 +89,7 @@
                 command = self._pool.supply(request.uid, in_flight.call_reply)
             else:
                 command = self._pool.spawn(request.uid, request.class_name, request.body)
+                in_flight.run_link = command.link or in_flight.run_link
             if command != NOT_SENT or in_flight.last_command is None:
                 in_flight.last_command = command
                 in_flight.command_sent_at = sent_at
@@ -108,8 +109,22 @@
         """Start a run that was stopped from its beginning."""
         in_flight.call_reply = None
         in_flight.last_command = None
+        in_flight.run_link = NOT_SENT.link
         self.start(in_flight)
 
+    def lost_with_pool(self, last_link: int, requests: Iterable[InFlightRequest]) -> list[InFlightRequest]:
+        """Return the runs that were requested on the links up to `last_link`, whose pool was replaced.
+
+        A run that was requested on no link, or on a later one, is none of them: another thread may request it
+        at this moment.
+        """
+        with self._commands_lock:
+            return [
+                in_flight
+                for in_flight in requests
+                if in_flight.is_running and NOT_SENT.link != in_flight.run_link <= last_link
+            ]
+
     def finished(self, in_flight: InFlightRequest, succeeded: bool) -> None:
         """Update the state of a run whose end the pool has reported."""
         if in_flight.is_repeat_unread and self._can_cancel:
--- a/cairnvane/server/in_flight.py
+++ b/cairnvane/server/in_flight.py
@@ -40,6 +40,7 @@
     call_notice: int = 0  # the position of the pool's notice that asked for the call
     call_reply: bytes | None = None  # the reply to its last call; None before the first one
     last_command: SentCommand | None = None  # None once a later notice shows that the pool has read it
+    run_link: int = NOT_SENT.link  # link on which its run was requested; `NOT_SENT.link`: on none so far
     command_sent_at: int = 0  # when its last command was sent, in microseconds of the monotonic clock
     cancel_link: int | None = None  # link on which its cancellation was sent
     has_client_disconnected: bool = False  # the request has then ended, whatever the response was
@@ -53,11 +54,6 @@
         """The number of the link on which its last command was sent; None once a notice has followed it."""
         return self.last_command.link if self.last_command is not None else None
 
-    @property
-    def was_never_sent(self) -> bool:
-        """Whether its run was requested, but the command to start it was sent to no pool."""
-        return self.last_command == NOT_SENT and self.call_reply is None
-
     @property
     def is_adopted(self) -> bool:
         """Whether an earlier incarnation started its run; its fingerprint is known then, but not its body."""
@@ -139,5 +135,6 @@
         is_queued=False,
         is_running=True,
         last_command=SENT_BY_EARLIER_INCARNATION,
+        run_link=SENT_BY_EARLIER_INCARNATION.link,
         fingerprint=started_run.fingerprint,
     )
--- a/cairnvane/server/runs.py
+++ b/cairnvane/server/runs.py
@@ -130,16 +130,12 @@
         if not in_flight.request.is_open:
             self._executions.client_disconnected(in_flight)
 
-    def fail_lost_runs(self) -> None:
+    def fail_lost_runs(self, last_link: int) -> None:
         """Fail the runs of a replaced pool, since no notice of their end will come.
 
-        They may have had an effect, so they are not run again. A run that was sent to no pool is none of
-        them: it starts on the new link.
+        They may have had an effect, so they are not run again. `last_link` is the last link to that pool.
         """
-        running = [in_flight for in_flight in self._requests.all() if in_flight.is_running]
-        lost = [in_flight for in_flight in running if not in_flight.was_never_sent]
-        if self._durable_keys is not None:
-            lost = [in_flight for in_flight in lost if not self._durable_keys.awaits_start(in_flight)]
+        lost = self._executions.lost_with_pool(last_link, self._requests.all())
         logger.warning("worker pool replaced: %d runs of the previous pool are lost", len(lost))
         for in_flight in lost:
             self.end(in_flight.request.uid, RUN_FAILED)
--- a/tests/idempotency/test_durable_restarts.py
+++ b/tests/idempotency/test_durable_restarts.py
@@ -7,8 +7,10 @@
 import pytest
 from durable_servers import BOOT, KEYED, OTHER_BOOT, Servers, answer_without_run, keyed
 from peers import WAIT_S, reply, until
+from server_helpers import hold, wait_for_event_loop
 
 from cairnvane.idempotency.durable.retention import UNAVAILABLE_RETRY_US
+from cairnvane.net.sent_commands import NOT_SENT
 
 pytestmark = pytest.mark.usefixtures("killed_writers")
 
@@ -92,7 +94,11 @@
     with servers.run(pos=None) as server:
         balancer = server.balancer()
         balancer.send(3, **keyed(3))
-        until(lambda: (request := server.host._requests.find_uid(f"{3:016x}")) and request.was_never_sent)
+        until(
+            lambda: (
+                (request := server.host._requests.find_uid(f"{3:016x}")) and request.last_command == NOT_SENT
+            )
+        )
         servers.pool.bound = True
         assert servers.pool.commands.get(timeout=WAIT_S)["action"] == "bind"
         servers.pool.tell(action="bound", code="running", wall_ms=0)
@@ -103,6 +109,42 @@
         assert balancer.answer()[1].body == b"done"
 
 
+@pytest.mark.parametrize("is_sent", [False, True], ids=["before its start", "after its start"])
+def test_a_run_that_starts_while_the_pool_is_replaced_is_not_one_of_the_previous_pool(
+    monkeypatch: pytest.MonkeyPatch, is_sent: bool
+) -> None:
+    """Guards against a failed request: the writer's thread sent its start when lost runs were looked for."""
+    servers = Servers()
+    with servers.run() as server:
+        server.serve(server.balancer(), 1)  # the pool's start time is recorded with a later end
+        server.serve(server.balancer(), 2, **KEYED)
+    servers.pool.restart()
+    servers.pool.bound = False
+    with servers.run(pos=None) as server:
+        start = hold(monkeypatch, server.host, "start_run")  # called by the writer's thread
+        search = hold(monkeypatch, server.host._runs, "fail_lost_runs")
+        balancer = server.balancer()
+        balancer.send(3, **keyed(3))
+        assert start.reached.wait(WAIT_S)
+        servers.pool.bound = True
+        assert servers.pool.commands.get(timeout=WAIT_S)["action"] == "bind"
+        servers.pool.tell(action="bound", code="running", wall_ms=0)
+        assert search.reached.wait(WAIT_S)
+        servers.pool.next("bind")  # again, from the first notice of the new pool
+        until(lambda: server.host._pool._link._bound_writer is not None)
+        first, second = (start, search) if is_sent else (search, start)
+        first.go.set()
+        if is_sent:
+            assert servers.pool.next("spawn")["uid"] == f"{3:016x}"
+        else:
+            wait_for_event_loop(server.host)
+        second.go.set()
+        if not is_sent:
+            assert servers.pool.next("spawn")["uid"] == f"{3:016x}"
+        servers.pool.notice("finished", f"{3:016x}", "fine", b"done")
+        assert balancer.answer()[1].body == b"done"
+
+
 @pytest.mark.parametrize("recorded", [False, True], ids=["not recorded", "recorded"])
 def test_a_call_that_may_have_been_made_is_not_repeated_by_the_next_incarnation(recorded: bool) -> None:
     """The calls that the vault received are checked, since a second call would have a second effect."""
--- a/tests/recordings/test_golden_bytes.py
+++ b/tests/recordings/test_golden_bytes.py
@@ -482,7 +482,7 @@
         self.heard.append(["linked", link])
         self.up.set()
 
-    def replaced(self) -> None:
+    def replaced(self, last_link: int) -> None:
         self.heard.append(["replaced"])
 
 
