Choose the connections of a takeover test by the process that accepted them

What was seen: test_earlier_results_are_read_from_a_folder_that_another_process_owns fails by chance, 1 in 256: the kernel shares out its eight connections between two processes, of which one is stopped, and all may reach the stopped one.

Change: the test opens connections until the serving process has accepted one, by /proc/net/tcp and the process's open files, and asks on that one, four times. It is at least as strict: each of the four must be answered, where before one answer of eight was enough, and no time limit decides which connection counts.

--- a/tests/idempotency/test_takeover.py
+++ b/tests/idempotency/test_takeover.py
@@ -5,6 +5,7 @@
 import contextlib
 import select
 import signal
+import socket
 import subprocess
 import time
 from collections.abc import Iterator
@@ -29,6 +30,24 @@
     return {"path": "/svc/write", "HTTP_REQ_TOKEN": key, **fields}
 
 
+def _is_accepted_by(pid: int, client: socket.socket) -> bool:
+    """Whether this process has the other end of a loopback connection among its open files."""
+    ends = [f"{0x0100007F:08X}:{port:04X}" for port in (client.getpeername()[1], client.getsockname()[1])]
+    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        columns = line.split()
+        if columns[1:3] == ends:
+            return f"socket:[{columns[9]}]" in _open_files(pid)
+    return False
+
+
+def _open_files(pid: int) -> set[str]:
+    names = set()
+    for path in Path(f"/proc/{pid}/fd").iterdir():
+        with contextlib.suppress(FileNotFoundError):  # closed meanwhile
+            names.add(str(path.readlink()))
+    return names
+
+
 class Site:
     """Successive or concurrent servers at one address, each with a worker pool of its own."""
 
@@ -53,6 +72,18 @@
     def balancer(self) -> ReconnectingBalancer:
         return ReconnectingBalancer(("127.0.0.1", self.port))
 
+    def balancer_accepted_by(self, process: subprocess.Popen[str]) -> ReconnectingBalancer:
+        """Open connections, which the kernel shares out between processes, until this one accepts one."""
+        opened: list[ReconnectingBalancer] = []
+        end = time.monotonic() + WAIT_S
+        while time.monotonic() < end:
+            opened.append(self.balancer())
+            time.sleep(0.01)
+            for balancer in opened:
+                if _is_accepted_by(process.pid, balancer.sock):
+                    return balancer
+        pytest.fail(f"process {process.pid} has accepted none of {len(opened)} connections")
+
     def send(self, balancer: Balancer, **fields: Any) -> int:
         number = next(self.numbers)
         balancer.send(number, **fields)
@@ -159,14 +190,9 @@
     with site.server() as (old, _), site.server() as (new, new_pool):
         old.send_signal(signal.SIGSTOP)  # it still owns the folder, but answers no request
         try:
-            answers = []
-            for _ in range(8):  # some connections reach the stopped server, and wait
-                new_balancer = site.balancer()
-                site.send(new_balancer, **keyed())
-                new_balancer.sock.settimeout(0.5)
-                with contextlib.suppress(TimeoutError):
-                    answers.append(new_balancer.answer()[1].body)
-            assert answers and set(answers) == {b"long ago"}
+            for _ in range(4):
+                new_balancer = site.balancer_accepted_by(new)
+                assert site.served(new_balancer, **keyed()).body == b"long ago"
             assert new_pool.commands.empty() and new.poll() is None
         finally:
             old.send_signal(signal.SIGCONT)
