Keep the event of an action beside a follow-up of the same round

EventLoop._handle replaced the events that actions had caused by notify with the follow-ups of the same round, so the first were lost; the controller would count a run for good. No order of events was found in which a sound platform gets there.

Change: the follow-ups are added behind them.

Measured: the new test failed before, with the follow-up alone in the second batch.

--- a/cairnvane/server/event_loop.py
+++ b/cairnvane/server/event_loop.py
@@ -248,7 +248,7 @@
                 self._durable_keys.settle_recorded()
             if not self._follow_up_events:
                 return
-            self._events = self._follow_up_events
+            self._events += self._follow_up_events  # after those that actions have caused by `notify`
             self._follow_up_events = []
 
     def _timer_fired(self, event: TimerFired, due_at: int) -> None:
--- a/tests/server/test_run_races.py
+++ b/tests/server/test_run_races.py
@@ -11,6 +11,7 @@
 from peers import WAIT_S, Held, VaultPeer, reply, world
 from server_helpers import hold, in_thread
 
+from cairnvane.contract.events import ClientDisconnected, Event
 from cairnvane.net import vault
 
 
@@ -75,3 +76,33 @@
         assert posted.wait(WAIT_S)
         assert balancer.answer()[0] == 1
         harness.serve(balancer, 2)  # its `spawn` must be the pool's next command
+
+
+def test_event_that_an_action_causes_is_not_lost_beside_a_follow_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a run that counts for good: its end was overwritten by the end of a duplicate."""
+    caused, followed_up = ClientDisconnected(1), ClientDisconnected(2)
+    batches: list[list[Event]] = []
+    handled = threading.Event()
+    with world() as harness:
+        host = harness.host
+
+        def handle(now: int, events: list[Event]) -> list[str]:
+            batches.append(events)
+            return ["action"] if len(batches) == 1 else []
+
+        def execute(action: str) -> None:
+            host._follow_up(followed_up)
+            host.notify(caused)
+
+        def handle_once() -> None:
+            with monkeypatch.context() as patched:
+                patched.setattr(host._controller, "handle", handle)
+                patched.setattr(host._actions, "execute", execute)
+                host._handle()
+            handled.set()
+
+        host.post(handle_once)
+        assert handled.wait(WAIT_S)
+    assert batches[1] == [caused, followed_up]
