Count requests without a class, and those rejected for their memory, once

Change: the answer is counted once the request was handed over, whatever its class; a rejection before that is counted by itself.

--- a/cairnvane/administration/request_counters.py
+++ b/cairnvane/administration/request_counters.py
@@ -50,6 +50,11 @@
             self._in_flight -= 1
             self._count(class_name, _COUNT_INDEX[status])
 
+    def request_rejected(self, class_name: str) -> None:
+        """Count a request of this class that was rejected and not handed over."""
+        with self._lock:
+            self._count(class_name, _COUNT_INDEX[ResponseStatus.REJECTED])
+
     def client_disconnected(self) -> None:
         """Count a request whose client disconnected before the response."""
         with self._lock:
--- a/cairnvane/exchange.py
+++ b/cairnvane/exchange.py
@@ -138,3 +138,6 @@
 
     def response_sent(self, class_name: str, status: ResponseStatus) -> None:
         """The final response to a request of this class was written."""
+
+    def request_rejected(self, class_name: str) -> None:
+        """A request of this class was rejected before it was passed to the sink."""
--- a/cairnvane/net/record_handler.py
+++ b/cairnvane/net/record_handler.py
@@ -144,12 +144,12 @@
             self.fail(incoming)
 
     def _hand_over(self, incoming: fastcgi.IncomingRequest) -> None:
-        class_name = ""  # set once the request is registered
+        class_name: str | None = None  # set once the request is handed over
 
         def deliver(response: Response) -> None:
             self.has_served |= response.status is ResponseStatus.SERVED
             # Counted before it is sent: a reader of the counters who has the response must find it counted.
-            if class_name and (counter := self._context.response_counter) is not None:
+            if class_name is not None and (counter := self._context.response_counter) is not None:
                 counter.response_sent(class_name, response.status)
             self._respond(incoming, response)
 
@@ -165,11 +165,17 @@
             self.fail(incoming)
             return
         if self._register_exchange(incoming, request):
-            class_name = request.class_name
             if self._context.request_memory.has_excessive_open_requests:
-                request.respond(Response(ResponseStatus.REJECTED))  # it never ran
-            else:
-                self._context.sink.request_arrived(request)
+                self._reject(request)
+                return
+            class_name = request.class_name
+            self._context.sink.request_arrived(request)
+
+    def _reject(self, request: Request) -> None:
+        """Reject a request that was not handed over, so that it never runs."""
+        if (counter := self._context.response_counter) is not None:
+            counter.request_rejected(request.class_name)
+        request.respond(Response(ResponseStatus.REJECTED))
 
     def _register_exchange(self, incoming: fastcgi.IncomingRequest, exchange: Exchange) -> bool:
         is_registered = self._lifecycle.register_exchange(incoming, exchange)
--- a/tests/administration/test_administration_server.py
+++ b/tests/administration/test_administration_server.py
@@ -124,6 +124,39 @@
         assert sock.recv(64).startswith(b"HTTP/1.1 400 ")
 
 
+def test_request_without_a_class_does_not_stay_in_flight() -> None:
+    """Regression: its failure was not counted, so the number in flight stayed too high for good."""
+    with world() as w:
+        counters = RequestCounters(("read",))
+        w.server.sink, w.server.response_counter = (
+            DrainGate(w.host, Readiness(lambda: True), counters),
+            counters,
+        )
+        balancer = w.balancer()
+        balancer.send(1, path="/svc/")
+        assert balancer.answer()[1].status == 500
+        assert counters.snapshot().in_flight == 0
+
+
+def test_request_that_is_rejected_for_its_memory_is_counted_once() -> None:
+    """Guards against untrue figures: it is refused without having been in flight."""
+    with world() as w:
+        counters = RequestCounters(("read",))
+        w.server.sink, w.server.response_counter = (
+            DrainGate(w.host, Readiness(lambda: True), counters),
+            counters,
+        )
+        w.server.request_memory.max_open_requests = 0
+        balancer = w.balancer()
+        balancer.send(1)
+        assert balancer.answer()[1].status == 503
+        w.server.request_memory.max_open_requests = 1
+        _, uid = w.running(2)
+        snapshot = counters.snapshot()
+        assert (snapshot.requests["read"]["refused"], snapshot.in_flight) == (1, 1)
+        w.pool.notice("finished", uid, "fine", b"done")
+
+
 def test_drain_fails_health_checks_and_continues_to_serve() -> None:
     with world() as w:
         readiness, counters = Readiness(lambda: True), RequestCounters(("read",))
