--- a/cairnvane/net/connection.py
+++ b/cairnvane/net/connection.py
@@ -56,6 +56,7 @@
         self._server = server
         self._lifecycle = ConnectionLifecycle(server, sock)
         self._handler = RecordHandler(server, self._lifecycle)
+        self._is_suspect = False  # after the last read
 
     @property
     def has_served(self) -> bool:
@@ -92,9 +93,12 @@
         received, input stays in the kernel's buffer, where the lifecycle can detect it.
         """
         while self._await_input():
-            with self._server.buffers.lend() as buffer:
-                if not self._read_whole_records(buffer):
+            buffer = self._server.buffers.borrow()
+            try:
+                if not self._read_whole_records(memoryview(buffer)):
                     return
+            finally:
+                self._server.buffers.give_back(buffer)
 
     def _read_whole_records(self, buffer: memoryview) -> bool:
         """Read until the input ends with a complete record; False if the connection has ended."""
@@ -105,12 +109,13 @@
 
     def _read_in_turn(self, buffer: memoryview, buffered: int) -> int | None:
         """Read like `_read`, more slowly if the client is suspect."""
-        if self._handler.is_suspect:
+        if self._is_suspect:
             with self._server.suspect_reads.turn(self._lifecycle.read_ticket):
                 remaining = self._read(buffer[: buffered + SUSPECT_READ_BYTES], buffered)
         else:
             remaining = self._read(buffer, buffered)
-        if remaining is not None and self._handler.is_suspect:
+        self._is_suspect = self._handler.is_suspect
+        if self._is_suspect and remaining is not None:
             time.sleep(SUSPECT_READ_DELAY_S)
         return remaining
 
@@ -166,6 +171,7 @@
         An earlier attempt to close it found unparsed bytes and left it open.
         """
         self._lifecycle.parsing_finished()
+        self._handler.limit_partial_requests()
         is_closing = self._server.retiring or self._lifecycle.state is ConnectionPhase.ANSWERING
         return is_closing and self.close_if_idle()
 
@@ -182,8 +188,8 @@
         if expired.connection:
             self._wake_reader()
             return
-        for incoming in expired.partial_requests:
-            self._handler.fail(incoming)
+        if expired.partial_requests:
+            self._handler.fail_partial(expired.partial_requests)
         self.close_if_idle()
 
     def close_if_idle(self, requested: bool = False) -> bool:
--- a/cairnvane/net/connection_lifecycle.py
+++ b/cairnvane/net/connection_lifecycle.py
@@ -96,17 +96,15 @@
         self._first_request_awaited_since: float | None = context.clock
         self._ended_since: float | None = None
         self.read_ticket = TurnTicket()  # for a suspect client's reads; cancelled when the connection ends
-        self._partial_bytes = 0  # held for `_partial_requests`
+        self._partial_bytes = 0  # held for `_partial_requests` after the last read
+        self.has_excessive_aborts = False  # the client takes most requests back, which costs it nothing
         self._unanswered_aborts = 0  # aborted requests, less the requests answered since; at least 0
 
-    @property
-    def has_excessive_aborts(self) -> bool:
-        """Whether the client takes most of its requests back, which costs it nothing."""
-        return self._unanswered_aborts > MAX_UNANSWERED_ABORTS
-
     @property
     def has_excessive_partial_requests(self) -> bool:
         """Whether partial requests need too much memory, and those of this connection more than its share."""
+        if not self._partial_bytes:
+            return False
         memory = self._context.request_memory
         is_over_share = self._partial_bytes > memory.max_partial_bytes_of_connection
         return is_over_share and memory.has_excessive_partial_requests
@@ -128,9 +126,11 @@
         return count
 
     def parsing_finished(self) -> None:
-        """Record that all received bytes have been parsed."""
+        """Record that all received bytes have been parsed, and what they left incomplete."""
         with self._lock:
             self.is_parsing = False
+            if self._partial_requests or self._partial_bytes:
+                self._count_partial_bytes()
 
     def mark_partial_record(self) -> None:
         """Record that the parsed input ended with an incomplete record."""
@@ -140,6 +140,11 @@
         """Record that the parsed input ended with a complete record."""
         self.partial_record_since = None
 
+    def recount_partial_requests(self) -> None:
+        """Account for partial requests that were removed between reads."""
+        with self._lock:
+            self._count_partial_bytes()
+
     def stop_reading(self) -> None:
         """Stop reading further input. Pending responses are still sent."""
         with self._lock:
@@ -156,25 +161,11 @@
                 return BeginResult.UNKNOWN_ROLE
             if len(self._open_exchanges) + len(self._partial_requests) >= MAX_OPEN_REQUESTS:
                 return BeginResult.OVERLOADED
-            incoming = fastcgi.IncomingRequest(number, keep_connection, self._context.clock, PARAMETER_NAMES)
-            self._partial_requests[number] = incoming
-            self._change_partial_bytes(incoming.size)
+            self._partial_requests[number] = fastcgi.IncomingRequest(
+                number, keep_connection, self._context.clock, PARAMETER_NAMES
+            )
         return BeginResult.STARTED
 
-    def add_content(self, incoming: fastcgi.IncomingRequest, record: fastcgi.Record) -> bool:
-        """Add a record to a partial request; True if that is complete, False also if it has ended.
-
-        Raises `MalformedRecordError` if the record does not fit.
-        """
-        with self._lock:
-            if self._partial_requests.get(incoming.id) is not incoming:
-                return False
-            previous_size = incoming.size
-            try:
-                return incoming.add(record)
-            finally:
-                self._change_partial_bytes(incoming.size - previous_size)
-
     def partial_requests(self) -> list[fastcgi.IncomingRequest]:
         """The requests that are being received."""
         with self._lock:
@@ -187,10 +178,11 @@
     def abort_request(self, number: int) -> AbortedRequest:
         """Handle the peer's abort of this request."""
         with self._lock:
-            partial = self._remove_partial(number)
+            partial = self._partial_requests.pop(number, None)
             exchange = self._open_exchanges.get(number)
             if partial is not None or exchange is not None:
                 self._unanswered_aborts += 1
+                self.has_excessive_aborts = self._unanswered_aborts > MAX_UNANSWERED_ABORTS
         return AbortedRequest(partial is not None, exchange)
 
     def register_exchange(self, incoming: fastcgi.IncomingRequest, exchange: Exchange) -> bool:
@@ -205,7 +197,7 @@
                 or self._partial_requests.get(incoming.id) is not incoming
             ):
                 return False
-            self._remove_partial(incoming.id)
+            del self._partial_requests[incoming.id]
             self._open_exchanges[incoming.id] = exchange
             self._context.request_memory.change_open_requests(1)
             self._first_request_awaited_since = None
@@ -214,7 +206,9 @@
     def answer_request(self, number: int, data: bytes) -> None:
         """Close an open request with its response (`data`)."""
         with self._lock:
-            self._unanswered_aborts = max(0, self._unanswered_aborts - 1)
+            if self._unanswered_aborts:
+                self._unanswered_aborts -= 1
+                self.has_excessive_aborts = self._unanswered_aborts > MAX_UNANSWERED_ABORTS
             self._close_request(number, data)
 
     def close_request(self, number: int, data: bytes) -> None:
@@ -308,20 +302,17 @@
     def _stop_reading(self) -> None:
         if self.state is ConnectionPhase.SERVING:
             self.state = ConnectionPhase.ANSWERING
-        for number in list(self._partial_requests):
-            self._remove_partial(number)
+        self._partial_requests.clear()
+        self._count_partial_bytes()
         self.partial_record_since = None
         self._first_request_awaited_since = None
 
-    def _remove_partial(self, number: int) -> fastcgi.IncomingRequest | None:
-        incoming = self._partial_requests.pop(number, None)
-        if incoming is not None:
-            self._change_partial_bytes(-incoming.size)
-        return incoming
-
-    def _change_partial_bytes(self, change: int) -> None:
-        self._partial_bytes += change
-        self._context.request_memory.change_partial_bytes(change)
+    def _count_partial_bytes(self) -> None:
+        """Account for the partial requests that outlast a read: most requests are read at once."""
+        size = sum(incoming.size for incoming in self._partial_requests.values())
+        if size != self._partial_bytes:
+            self._context.request_memory.change_partial_bytes(size - self._partial_bytes)
+            self._partial_bytes = size
 
     def _end(self) -> None:
         """Close our side of the connection; further input is ignored."""
--- a/cairnvane/net/fastcgi.py
+++ b/cairnvane/net/fastcgi.py
@@ -82,15 +82,25 @@
     decoded: dict[str, str] = {}
     position = 0
     count = 0
-    while position < len(data):
+    size = len(data)
+    while position < size:
         count += 1
         if count > MAX_PAIRS:
             raise MalformedRecordError(f"more than {MAX_PAIRS} parameters")
-        name_length, position = _read_length(data, position)
-        value_length, position = _read_length(data, position)
+        # Most lengths are short ones, which need no call.
+        name_length = data[position]
+        position += 1
+        if name_length >= _FIRST_LONG_LENGTH:
+            name_length, position = _read_long_length(data, position - 1)
+        if position >= size:
+            raise MalformedRecordError("truncated parameters")
+        value_length = data[position]
+        position += 1
+        if value_length >= _FIRST_LONG_LENGTH:
+            value_length, position = _read_long_length(data, position - 1)
         name_end = position + name_length
         value_end = name_end + value_length
-        if value_end > len(data):
+        if value_end > size:
             raise MalformedRecordError("truncated parameters")
         name = data[position:name_end].decode("utf-8", "surrogateescape")
         if names is None or name in names:
@@ -99,13 +109,8 @@
     return decoded
 
 
-def _read_length(data: bytes, position: int) -> tuple[int, int]:
-    """Decode the length of a name or value; returns it and the position after it."""
-    if position >= len(data):
-        raise MalformedRecordError("truncated parameters")
-    length = data[position]
-    if length < _FIRST_LONG_LENGTH:
-        return length, position + 1
+def _read_long_length(data: bytes, position: int) -> tuple[int, int]:
+    """Decode the four-byte length of a name or value; returns it and the position after it."""
     end = position + _LONG_LENGTH.size
     if end > len(data):
         raise MalformedRecordError("truncated parameters")
--- a/cairnvane/net/read_buffers.py
+++ b/cairnvane/net/read_buffers.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Iterator
-from contextlib import contextmanager
 
 # In bytes. Holds the largest legal record (`fastcgi.MAX_CONTENT_BYTES`, header and padding) and several small
 # records.
@@ -20,14 +18,13 @@
         self._idle: list[bytearray] = []
         self._lock = threading.Lock()  # guards the list of idle buffers
 
-    @contextmanager
-    def lend(self) -> Iterator[memoryview]:
-        """A buffer for the duration of the context. It is not cleared before reuse."""
+    def borrow(self) -> bytearray:
+        """Return a buffer, which `give_back` takes back. It is not cleared before reuse."""
         with self._lock:
-            buffer = self._idle.pop() if self._idle else bytearray(BUFFER_SIZE)
-        try:
-            yield memoryview(buffer)
-        finally:
-            with self._lock:
-                if len(self._idle) < MAX_IDLE_BUFFERS:
-                    self._idle.append(buffer)
+            return self._idle.pop() if self._idle else bytearray(BUFFER_SIZE)
+
+    def give_back(self, buffer: bytearray) -> None:
+        """Take a buffer back for reuse."""
+        with self._lock:
+            if len(self._idle) < MAX_IDLE_BUFFERS:
+                self._idle.append(buffer)
--- a/cairnvane/net/record_handler.py
+++ b/cairnvane/net/record_handler.py
@@ -95,9 +95,7 @@
         result = self._lifecycle.begin_request(record.request, role, keep_connection)
         if result is BeginResult.NUMBER_IN_USE:
             raise fastcgi.MalformedRecordError(f"request number {record.request} is already in use")
-        if result is BeginResult.STARTED:
-            self._limit_partial_requests()
-        else:
+        if result is not BeginResult.STARTED:
             self.mark_suspect()
             self._count_stray_record()
             # It was never handed over, so the guarantee that a rejected request never ran holds.
@@ -129,19 +127,22 @@
         incoming = self._lifecycle.partial_request(record.request)
         if incoming is None:
             self._count_stray_record()
-        elif self._lifecycle.add_content(incoming, record):
+        elif incoming.add(record):
             self._hand_over(incoming)
-        else:
-            self._limit_partial_requests()
 
-    def _limit_partial_requests(self) -> None:
+    def limit_partial_requests(self) -> None:
         """Fail all partial requests of a client that holds too much memory with them."""
         if not self._lifecycle.has_excessive_partial_requests:
             return
         logger.warning("partial requests of a connection failed: they need too much memory")
         self.mark_suspect()
-        for incoming in self._lifecycle.partial_requests():
+        self.fail_partial(self._lifecycle.partial_requests())
+
+    def fail_partial(self, requests: list[fastcgi.IncomingRequest]) -> None:
+        """Answer partial requests as failed: nobody waits for them, or their memory is needed."""
+        for incoming in requests:
             self.fail(incoming)
+        self._lifecycle.recount_partial_requests()
 
     def _hand_over(self, incoming: fastcgi.IncomingRequest) -> None:
         class_name: str | None = None  # set once the request is handed over
--- a/cairnvane/net/request_memory.py
+++ b/cairnvane/net/request_memory.py
@@ -11,7 +11,7 @@
 # Memory of a request that has been received: its objects, the queues that it is in, and a body of 2 KiB.
 OPEN_REQUEST_BYTES = 6_144
 # Connections for each MiB of memory. A connection needs a thread, and a buffer while it receives.
-CONNECTIONS_PER_MEBIBYTE = 8
+CONNECTIONS_PER_MEBIBYTE = 4
 # What a balancer holds that is interrupted within its largest request, and has others begun.
 LARGEST_REQUEST_BYTES = 16_384
 MEBIBYTE = 1 << 20
--- a/cairnvane/server/shared_calls.py
+++ b/cairnvane/server/shared_calls.py
@@ -16,6 +16,7 @@
 
 # How often the incarnations are listed. Their calls are read each time.
 LIST_INTERVAL_US = 200_000
+NO_CALLS = ConcurrentCalls(0, 0, 0)
 _USAGE = struct.Struct("<IIIQd")  # the fields of `CallUsage`
 
 
@@ -61,7 +62,7 @@
         self._others: dict[int, CallUsage] = {}
         self._ended: list[CallUsage] = []  # their calls are abandoned ones
         self._listed_at: int | None = None
-        self._reported = ConcurrentCalls(0, 0, 0)
+        self._reported = NO_CALLS
         self._published: CallUsage | None = None
 
     def publish(self, usage: CallUsage) -> None:
@@ -75,6 +76,8 @@
         if self._listed_at is None or now - self._listed_at >= LIST_INTERVAL_US:
             self._listed_at = now
             self._list_others(now)
+        if not self._others and not self._ended and self._reported is NO_CALLS:
+            return None
         for other in self._others:
             content = self._incarnations.published(other, PublishedPart.CALLS)
             if content is not None:
@@ -82,7 +85,7 @@
         event = self._total(now)
         if event == self._reported:
             return None
-        self._reported = event
+        self._reported = NO_CALLS if event == NO_CALLS else event
         return event
 
     def _list_others(self, now: int) -> None:
