Let a client take turns for a flood only, not for a single invalid request

A client that had sent one invalid request was suspect for good, and all suspect clients shared one turn.

Change: aborted and invalid requests are counted together, less the valid answers on the connection; over 64 the connection is flooded and takes turns.

--- a/cairnvane/net/connection.py
+++ b/cairnvane/net/connection.py
@@ -56,7 +56,7 @@
         self._server = server
         self._lifecycle = ConnectionLifecycle(server, sock)
         self._handler = RecordHandler(server, self._lifecycle)
-        self._is_suspect = False  # after the last read
+        self._is_flooded = False  # after the last read
 
     @property
     def has_served(self) -> bool:
@@ -108,17 +108,23 @@
         return buffered is not None
 
     def _read_in_turn(self, buffer: memoryview, buffered: int) -> int | None:
-        """Read like `_read`, more slowly if the client is suspect."""
-        if self._is_suspect:
+        """Read like `_read`, but later if the client is suspect, and in turns if it floods the server."""
+        if self._is_flooded:
             with self._server.suspect_reads.turn(self._lifecycle.read_ticket):
                 remaining = self._read(buffer[: buffered + SUSPECT_READ_BYTES], buffered)
         else:
             remaining = self._read(buffer, buffered)
-        self._is_suspect = self._handler.is_suspect
-        if self._is_suspect and remaining is not None:
+        self._update_flooded()
+        if remaining is not None and (self._is_flooded or self._handler.is_suspect):
             time.sleep(SUSPECT_READ_DELAY_S)
         return remaining
 
+    def _update_flooded(self) -> None:
+        was_flooded = self._is_flooded
+        self._is_flooded = self._lifecycle.is_flooded
+        if self._is_flooded and not was_flooded:
+            logger.warning("connection slowed down: most of its requests are aborted or invalid")
+
     def _await_input(self) -> bool:
         """Wait until bytes are available; False if the connection has ended."""
         try:
@@ -154,7 +160,7 @@
                 self._handler.handle(record)
         except fastcgi.MalformedRecordError as error:
             logger.warning("connection closed for reading after a malformed record: %s", error)
-            self._handler.mark_suspect()
+            self._handler.is_suspect = True
             self._lifecycle.stop_reading()
             return 0
         remaining = size - position
--- a/cairnvane/net/connection_lifecycle.py
+++ b/cairnvane/net/connection_lifecycle.py
@@ -17,9 +17,9 @@
 
 # The protocol's limit on open requests per connection.
 MAX_OPEN_REQUESTS = 32
-# A client that has aborted so many more requests than were answered on its connection is suspect: twice what
-# a balancer has open, and aborts, where a slow server has given no answer in time.
-MAX_UNANSWERED_ABORTS = 2 * MAX_OPEN_REQUESTS
+# So many more aborted or invalid requests than valid answers on a connection are a flood: twice what a
+# balancer has open, and aborts, where a slow server has given no answer in time.
+MAX_FRUITLESS_REQUESTS = 2 * MAX_OPEN_REQUESTS
 # Extension of a peer's deadline while received bytes have not been parsed yet.
 UNREAD_INPUT_GRACE_S = 0.5
 # Idle connections are closed after this time at the latest. Balancers close theirs after a few seconds, so
@@ -97,8 +97,10 @@
         self._ended_since: float | None = None
         self.read_ticket = TurnTicket()  # for a suspect client's reads; cancelled when the connection ends
         self._partial_bytes = 0  # held for `_partial_requests` after the last read
-        self.has_excessive_aborts = False  # the client takes most requests back, which costs it nothing
-        self._unanswered_aborts = 0  # aborted requests, less the requests answered since; at least 0
+        self.is_flooded = False  # most requests are aborted or invalid, which costs their client nothing
+        self._fruitless_requests = (
+            0  # aborted or invalid ones, less the valid ones answered since; at least 0
+        )
 
     @property
     def has_excessive_partial_requests(self) -> bool:
@@ -181,8 +183,7 @@
             partial = self._partial_requests.pop(number, None)
             exchange = self._open_exchanges.get(number)
             if partial is not None or exchange is not None:
-                self._unanswered_aborts += 1
-                self.has_excessive_aborts = self._unanswered_aborts > MAX_UNANSWERED_ABORTS
+                self._count_fruitless(1)
         return AbortedRequest(partial is not None, exchange)
 
     def register_exchange(self, incoming: fastcgi.IncomingRequest, exchange: Exchange) -> bool:
@@ -203,14 +204,20 @@
             self._first_request_awaited_since = None
         return True
 
-    def answer_request(self, number: int, data: bytes) -> None:
+    def answer_request(self, number: int, data: bytes, is_invalid: bool) -> None:
         """Close an open request with its response (`data`)."""
         with self._lock:
-            if self._unanswered_aborts:
-                self._unanswered_aborts -= 1
-                self.has_excessive_aborts = self._unanswered_aborts > MAX_UNANSWERED_ABORTS
+            if is_invalid:
+                self._count_fruitless(1)
+            elif self._fruitless_requests:
+                self._count_fruitless(-1)
             self._close_request(number, data)
 
+    def count_fruitless(self, requests: int) -> None:
+        """Account for requests that no balancer sends."""
+        with self._lock:
+            self._count_fruitless(requests)
+
     def close_request(self, number: int, data: bytes) -> None:
         """Close an open request for whose response nobody waits; `data` tells the peer that it has ended."""
         with self._lock:
@@ -286,6 +293,10 @@
 
     # --- called with the lock held
 
+    def _count_fruitless(self, change: int) -> None:
+        self._fruitless_requests += change
+        self.is_flooded = self._fruitless_requests > MAX_FRUITLESS_REQUESTS
+
     def _close_request(self, number: int, data: bytes) -> None:
         """Remove an open request and write the end of its response, atomically and without blocking.
 
--- a/cairnvane/net/record_handler.py
+++ b/cairnvane/net/record_handler.py
@@ -7,7 +7,7 @@
 
 from ..exchange import Exchange, Request, RequestSink, Response, ResponseCounter, ResponseStatus
 from . import fastcgi, request_parameters
-from .connection_lifecycle import BeginResult, ConnectionLifecycle, ConnectionPhase
+from .connection_lifecycle import MAX_FRUITLESS_REQUESTS, BeginResult, ConnectionLifecycle, ConnectionPhase
 from .request_memory import RequestMemory
 
 logger = logging.getLogger(__name__)
@@ -37,21 +37,11 @@
 
     def __init__(self, context: HandlerContext, lifecycle: ConnectionLifecycle) -> None:
         self.has_served = False  # a request was served, which indicates that the peer is a balancer
-        self._has_received_invalid_data = False
-        self._is_abort_flood_logged = False
+        self.is_suspect = False  # invalid data was received
         self._context = context
         self._lifecycle = lifecycle
         self._stray_records = 0  # records of no open request since the last complete request
 
-    @property
-    def is_suspect(self) -> bool:
-        """Whether the client does what no balancer does: sends invalid data, or takes its requests back."""
-        return self._has_received_invalid_data or self._lifecycle.has_excessive_aborts
-
-    def mark_suspect(self) -> None:
-        """Record that the client has sent invalid data."""
-        self._has_received_invalid_data = True
-
     def handle(self, record: fastcgi.Record) -> None:
         """Handle one record; raises `MalformedRecordError` if it violates the protocol."""
         if record.request == 0:
@@ -96,7 +86,8 @@
         if result is BeginResult.NUMBER_IN_USE:
             raise fastcgi.MalformedRecordError(f"request number {record.request} is already in use")
         if result is not BeginResult.STARTED:
-            self.mark_suspect()
+            self.is_suspect = True
+            self._lifecycle.count_fruitless(1)
             self._count_stray_record()
             # It was never handed over, so the guarantee that a rejected request never ran holds.
             self._lifecycle.writer.send(fastcgi.end(record.request, _REJECTION_STATUS[result]))
@@ -106,7 +97,6 @@
         exchange = aborted.exchange
         if exchange is None:
             self._count_stray_record()
-        self._log_abort_flood()
         if not aborted.was_partial:
             if exchange is None or not exchange.abandon():
                 return  # already answered
@@ -114,11 +104,6 @@
         # Frees the request number; an aborted request gets no response.
         self._lifecycle.close_request(number, fastcgi.end(number))
 
-    def _log_abort_flood(self) -> None:
-        if self._lifecycle.has_excessive_aborts and not self._is_abort_flood_logged:
-            self._is_abort_flood_logged = True
-            logger.warning("connection slowed down: its client aborts most of its requests unanswered")
-
     def _notify_disconnected(self, exchange: Exchange) -> None:
         if isinstance(exchange, Request):
             self._context.sink.client_disconnected(exchange)
@@ -135,7 +120,7 @@
         if not self._lifecycle.has_excessive_partial_requests:
             return
         logger.warning("partial requests of a connection failed: they need too much memory")
-        self.mark_suspect()
+        self._lifecycle.count_fruitless(MAX_FRUITLESS_REQUESTS)
         self.fail_partial(self._lifecycle.partial_requests())
 
     def fail_partial(self, requests: list[fastcgi.IncomingRequest]) -> None:
@@ -185,10 +170,9 @@
         return is_registered
 
     def _respond(self, incoming: fastcgi.IncomingRequest, response: Response) -> None:
-        if response.invalid_request:
-            self.mark_suspect()
+        self.is_suspect |= response.invalid_request
         data = fastcgi.response(incoming.id, request_parameters.encode_response(response))
-        self._lifecycle.answer_request(incoming.id, data)
+        self._lifecycle.answer_request(incoming.id, data, response.invalid_request)
         is_closing = self._context.retiring or self._lifecycle.state is ConnectionPhase.ANSWERING
         if is_closing or not incoming.keep_connection:
             self._lifecycle.close_if_idle(requested=not incoming.keep_connection)
