Choose the connection of a takeover test by who answers on it

Cause: it read /proc/net/tcp anew for each connection, which takes long beside thousands of sockets of other tests, and a connection without a request ends after 2 s, so none was still open when it was looked at.

Change: the test sends a management query on each connection. A stopped process answers nothing, so the first answer shows a connection that the serving process has accepted; four of these must be answered with the stored result, as before this commit.

--- a/tests/idempotency/test_takeover.py
+++ b/tests/idempotency/test_takeover.py
@@ -5,7 +5,6 @@
 import contextlib
 import select
 import signal
-import socket
 import subprocess
 import time
 from collections.abc import Iterator
@@ -13,7 +12,7 @@
 from typing import Any
 
 import pytest
-from peers import TOKEN, WAIT_S, Answer, Balancer, PoolPeer, ReconnectingBalancer, until
+from peers import TOKEN, WAIT_S, Answer, Balancer, ConnectionEndedError, PoolPeer, ReconnectingBalancer, until
 from server.test_program import NOWHERE, program
 
 from cairnvane.claims.incarnations import Incarnations, Liveness
@@ -22,32 +21,18 @@
 from cairnvane.idempotency.durable.storage import OsFiles
 from cairnvane.idempotency.durable.takeover_store import CLAIM_LOG_PREFIX
 from cairnvane.idempotency.fingerprint import fingerprint
+from cairnvane.net import fastcgi
 
 OTHER_KEY = TOKEN[::-1]
+MANAGEMENT_QUERY = fastcgi.record(fastcgi.GET_VALUES, 0, b"")
+# A connection without an answer is looked at again, so this decides nothing.
+ANSWER_POLL_S = 0.05
 
 
 def keyed(key: str = TOKEN, **fields: Any) -> dict[str, Any]:
     return {"path": "/svc/write", "HTTP_REQ_TOKEN": key, **fields}
 
 
-def _is_accepted_by(pid: int, client: socket.socket) -> bool:
-    """Whether this process has the other end of a loopback connection among its open files."""
-    ends = [f"{0x0100007F:08X}:{port:04X}" for port in (client.getpeername()[1], client.getsockname()[1])]
-    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-        columns = line.split()
-        if columns[1:3] == ends:
-            return f"socket:[{columns[9]}]" in _open_files(pid)
-    return False
-
-
-def _open_files(pid: int) -> set[str]:
-    names = set()
-    for path in Path(f"/proc/{pid}/fd").iterdir():
-        with contextlib.suppress(FileNotFoundError):  # closed meanwhile
-            names.add(str(path.readlink()))
-    return names
-
-
 class Site:
     """Successive or concurrent servers at one address, each with a worker pool of its own."""
 
@@ -72,17 +57,22 @@
     def balancer(self) -> ReconnectingBalancer:
         return ReconnectingBalancer(("127.0.0.1", self.port))
 
-    def balancer_accepted_by(self, process: subprocess.Popen[str]) -> ReconnectingBalancer:
-        """Open connections, which the kernel shares out between processes, until this one accepts one."""
+    def answered_balancer(self) -> ReconnectingBalancer:
+        """Open connections, which the kernel shares out between processes, until a process answers on one.
+
+        A stopped process answers nothing, so the connection is one that a serving process has accepted.
+        """
         opened: list[ReconnectingBalancer] = []
         end = time.monotonic() + WAIT_S
         while time.monotonic() < end:
             opened.append(self.balancer())
-            time.sleep(0.01)
+            opened[-1].sock.sendall(MANAGEMENT_QUERY)
             for balancer in opened:
-                if _is_accepted_by(process.pid, balancer.sock):
-                    return balancer
-        pytest.fail(f"process {process.pid} has accepted none of {len(opened)} connections")
+                if select.select([balancer.sock], [], [], ANSWER_POLL_S)[0]:
+                    with contextlib.suppress(ConnectionEndedError, ConnectionError):
+                        assert balancer._next_record().kind == fastcgi.GET_VALUES_RESULT
+                        return balancer
+        pytest.fail(f"no process answers on any of {len(opened)} connections")
 
     def send(self, balancer: Balancer, **fields: Any) -> int:
         number = next(self.numbers)
@@ -191,7 +181,7 @@
         old.send_signal(signal.SIGSTOP)  # it still owns the folder, but answers no request
         try:
             for _ in range(4):
-                new_balancer = site.balancer_accepted_by(new)
+                new_balancer = site.answered_balancer()
                 assert site.served(new_balancer, **keyed()).body == b"long ago"
             assert new_pool.commands.empty() and new.poll() is None
         finally:
