Let neither another version's form nor a lowered limit end a thread or refuse a client

(1) What another version publishes in another form raised in the event loop's or the listener's thread, and an error while room is made for another process ended the thread of all deadlines. (2) At an upgrade the earlier process closed every new connection for up to half a second, where it had over 16 more than its lowered maximum, though it had idle ones to evict.

Change: another form counts like none; the room for others is one of the guarded checks; the allowance for closing connections counts from what is live.

--- a/cairnvane/net/connection_lifecycle.py
+++ b/cairnvane/net/connection_lifecycle.py
@@ -98,9 +98,8 @@
         self.read_ticket = TurnTicket()  # for a suspect client's reads; cancelled when the connection ends
         self._partial_bytes = 0  # held for `_partial_requests` after the last read
         self.is_flooded = False  # most requests are aborted or invalid, which costs their client nothing
-        self._fruitless_requests = (
-            0  # aborted or invalid ones, less the valid ones answered since; at least 0
-        )
+        # Aborted or invalid ones, less the valid ones answered since; at least 0.
+        self._fruitless_requests = 0
 
     @property
     def has_excessive_partial_requests(self) -> bool:
--- a/cairnvane/net/server.py
+++ b/cairnvane/net/server.py
@@ -143,11 +143,12 @@
         while True:
             time.sleep(DEADLINE_CHECK_INTERVAL_S)
             self.clock += DEADLINE_CHECK_INTERVAL_S
-            self._make_room_for_other_processes()
-            for connection in self._open_connections():
+            checks = [self._make_room_for_other_processes]
+            checks += [connection.enforce_deadlines for connection in self._open_connections()]
+            for check in checks:
                 try:
-                    connection.enforce_deadlines()
-                except Exception as error:  # one connection's error must not stop the checks of the others
+                    check()
+                except Exception as error:  # the error of one check must not stop the others
                     logger.warning("deadline check failed: %s %s", type(error).__name__, error)
 
     def _accept_connections(self) -> None:
@@ -187,9 +188,11 @@
             count = len(self._connections)
         if count < maximum:
             return True
-        if count >= maximum + MAX_CLOSING_CONNECTIONS:
-            return False
         candidates = self._eviction_candidates()
+        # There are more than the maximum while room is made for another process.
+        live = sum(connection.state is not ConnectionPhase.ENDED for connection in candidates)
+        if count >= max(maximum, live) + MAX_CLOSING_CONNECTIONS:
+            return False
         if any(connection.evict() for connection in candidates):
             return True
         # A connection with a partial request belongs to a client that sends slowly or to a balancer that is
--- a/cairnvane/server/shared_calls.py
+++ b/cairnvane/server/shared_calls.py
@@ -80,7 +80,7 @@
             return None
         for other in self._others:
             content = self._incarnations.published(other, PublishedPart.CALLS)
-            if content is not None:
+            if content is not None and len(content) == _USAGE.size:
                 self._others[other] = CallUsage(*_USAGE.unpack(content))
         event = self._total(now)
         if event == self._reported:
--- a/cairnvane/server/shared_connections.py
+++ b/cairnvane/server/shared_connections.py
@@ -54,6 +54,8 @@
         return min(own_limit, max(left, self._limit // INITIAL_DIVISOR))
 
     def _count_of(self, incarnation: int) -> int:
-        """The connections of another incarnation; half of the limit for a version that publishes none."""
+        """The connections of another incarnation; half of the limit if it publishes none in this form."""
         content = self._incarnations.published(incarnation, PublishedPart.CONNECTIONS)
-        return self._limit // 2 if content is None else int(_COUNT.unpack(content)[0])
+        if content is None or len(content) != _COUNT.size:
+            return self._limit // 2
+        return int(_COUNT.unpack(content)[0])
--- a/tests/net/test_connections.py
+++ b/tests/net/test_connections.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import threading
+
 import pytest
 from peers import WAIT_S, until, world
 
@@ -113,3 +115,44 @@
         uid = w.pool.next("spawn")["uid"]
         balancer.sock.close()
         assert w.pool.next("suspend")["uid"] == uid
+
+
+class LoweredQuota:
+    """A limit on connections that another process has lowered."""
+
+    def __init__(self, connections: int) -> None:
+        self.connections = connections
+        self.asked = threading.Event()
+
+    def publish(self, count: int) -> None:
+        """Nobody reads it."""
+
+    def limit(self, now: int) -> int:
+        self.asked.set()
+        return self.connections
+
+
+def test_new_connection_is_served_while_room_is_made_for_another_process() -> None:
+    """Guards against refused connections: there may be far more than the lowered maximum at first."""
+    with world(most=64) as w:
+        idle = [w.balancer() for _ in range(server.MAX_CLOSING_CONNECTIONS + 4)]
+        for number, balancer in enumerate(idle, start=1):
+            w.serve(balancer, number)
+        w.server._connection_quota = LoweredQuota(2)
+        w.serve(w.balancer(), 50)
+
+
+def test_error_of_the_shared_quota_does_not_end_the_checks_of_deadlines(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against connections that stay for good: the thread of the checks ended with the error."""
+    monkeypatch.setattr(connection, "REQUEST_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(server, "DEADLINE_CHECK_INTERVAL_S", 0.05)
+    with world() as w:
+        silent = w.balancer()
+        assert w.connection  # it has been accepted
+        quota = LoweredQuota(16)
+        monkeypatch.setattr(quota, "connections", None)  # the comparison with it fails
+        w.server._connection_quota = quota
+        assert quota.asked.wait(WAIT_S)
+        assert silent.ended()
--- a/tests/server/test_shared_calls.py
+++ b/tests/server/test_shared_calls.py
@@ -57,6 +57,15 @@
     assert second.read(0) == ConcurrentCalls(1, calls=4, wanted=4)
 
 
+def test_other_version_that_publishes_another_form_is_taken_to_use_an_equal_part(
+    incarnations: tuple[Incarnations, Incarnations],
+) -> None:
+    """Guards against the end of the process: an error in the event loop's thread ends it."""
+    incarnations[0].publish(PublishedPart.CALLS, b"another form")
+    second = SharedCalls(incarnations[1], QUOTA, ABANDONED_CALL_TIME)
+    assert second.read(0) == ConcurrentCalls(1, calls=4, wanted=4)
+
+
 def test_calls_of_an_incarnation_that_has_ended_count_as_abandoned(
     incarnations: tuple[Incarnations, Incarnations],
 ) -> None:
